--- /dev/null
+++ b/apps/bench/src/lib/ManagedProcess.ts
@@ -0,0 +1,105 @@
+/** A child process of a script: started, listened to, stopped. Only scripts start processes; daemons never do. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+
+/** Programs of the workspace. */
+export type ProgramName = 'entry' | 'directory' | 'control' | 'standin' | 'eelgrassmux' | 'load'
+
+/** Addresses that a process printed, by what they serve. */
+export type PrintedAddresses = Readonly<Record<string, string>>
+
+/** Longest wait for the line that says where a process listens, in milliseconds. */
+const START_MS = 20_000
+
+/**
+ * @param program - which program
+ * @returns path of its main module
+ */
+export function programPath (program: ProgramName): string {
+  return fileURLToPath(new URL(`../../../${program}/dist/main.js`, import.meta.url))
+}
+
+/** One running program. */
+export class ManagedProcess {
+  readonly #child: ChildProcess
+  readonly #exit: Promise<number | null>
+  #errors = ''
+
+  private constructor (readonly program: ProgramName, readonly args: readonly string[]) {
+    this.#child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.#exit = once(this.#child, 'exit').then(([code]) => code as number | null)
+    this.#child.stderr?.on('data', (bytes: Buffer) => { this.#errors = (this.#errors + bytes.toString()).slice(-4000) })
+  }
+
+  /**
+   * Starts a program and waits until it listens.
+   *
+   * @param program - which program
+   * @param args - its arguments
+   * @returns the process and its addresses
+   */
+  static async start (program: ProgramName, args: readonly string[]): Promise<{ process: ManagedProcess, addresses: PrintedAddresses }> {
+    const managed = new ManagedProcess(program, args)
+    const addresses = await managed.#listening()
+    return { process: managed, addresses }
+  }
+
+  get pid (): number { return this.#child.pid ?? 0 }
+  get isRunning (): boolean { return this.#child.exitCode === null && this.#child.signalCode === null }
+  /** Last lines of the error output. */
+  get errors (): string { return this.#errors }
+
+  /**
+   * Sends a signal to this process.
+   *
+   * @param signal - which one
+   */
+  signal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  /** @returns the exit code, once the process has ended; null if a signal ended it */
+  async exited (): Promise<number | null> {
+    return await this.#exit
+  }
+
+  /** Asks the process to stop and waits for its end. */
+  async stop (): Promise<number | null> {
+    if (this.isRunning) this.signal('SIGTERM')
+    return await this.exited()
+  }
+
+  /** Ends the process at once and waits for its end. */
+  async kill (): Promise<void> {
+    if (this.isRunning) this.signal('SIGKILL')
+    await this.exited()
+  }
+
+  async #listening (): Promise<PrintedAddresses> {
+    const stdout = this.#child.stdout
+    if (stdout === null) throw new Error('no standard output')
+    const lines = createInterface({ input: stdout })
+    return await new Promise((resolve, reject) => {
+      const timer = setTimeout(() => { reject(new Error(`${this.program} did not listen in time: ${this.#errors}`)) }, START_MS)
+      lines.on('line', line => {
+        const parsed = parseListening(line)
+        if (parsed === undefined) return
+        clearTimeout(timer)
+        resolve(parsed)
+      })
+      void this.#exit.then(code => {
+        clearTimeout(timer)
+        reject(new Error(`${this.program} ended with ${code ?? 'a signal'}: ${this.#errors}`))
+      })
+    })
+  }
+}
+
+function parseListening (line: string): PrintedAddresses | undefined {
+  if (!line.includes('"listening"')) return undefined
+  const parsed: unknown = JSON.parse(line)
+  if (typeof parsed !== 'object' || parsed === null) return undefined
+  return Object.fromEntries(Object.entries(parsed).map(([name, value]) => [name, String(value)]))
+}
--- /dev/null
+++ b/apps/bench/src/lib/callers.ts
@@ -0,0 +1,145 @@
+/** Small callers for scripts and tests. */
+import { request } from 'undici'
+import { answerTokens } from '@eelgrassmux/standin/standinAnswer'
+
+/** What a streamed completion brought. */
+export interface StreamedAnswer {
+  readonly status: number
+  readonly runId: string
+  readonly text: string
+  readonly tokens: number
+  readonly version: string
+  readonly promptTokens: number
+  readonly cachedTokens: number
+  readonly firstTokenMs: number
+  readonly isDone: boolean
+  /** Body of a refusal, or of the error event that ended the stream. */
+  readonly problem: unknown
+}
+
+/** A caller's request. */
+export interface CompletionCall {
+  readonly url: string
+  readonly credential: string
+  readonly service: string
+  readonly prompt: string
+  readonly maxTokens: number
+}
+
+interface Chunk {
+  readonly id: string
+  readonly system_fingerprint: string
+  readonly tokens: number
+  readonly choices: ReadonlyArray<{ readonly text: string }>
+  readonly usage?: { readonly prompt_tokens: number, readonly prompt_tokens_details: { readonly cached_tokens: number } }
+}
+
+/**
+ * Streams a completion.
+ *
+ * @param call - what to ask
+ * @param signal - leaves early
+ * @returns what came back
+ */
+export async function streamCompletion (call: CompletionCall, signal?: AbortSignal): Promise<StreamedAnswer> {
+  const startedAt = performance.now()
+  const response = await request(`${call.url}/v1/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${call.credential}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ model: call.service, prompt: call.prompt, max_tokens: call.maxTokens, stream: true }),
+    ...(signal === undefined ? {} : { signal })
+  })
+  if (response.statusCode !== 200) {
+    return { ...NOTHING, status: response.statusCode, problem: await response.body.json() }
+  }
+  return await readAnswer(response.body, response.statusCode, startedAt)
+}
+
+/**
+ * Continues a run from an offset.
+ *
+ * @param url - entry host
+ * @param credential - caller's credential
+ * @param runId - run to continue
+ * @param offset - first token wanted
+ * @returns what came back
+ */
+export async function resumeCompletion (url: string, credential: string, runId: string, offset: number): Promise<StreamedAnswer> {
+  const startedAt = performance.now()
+  const response = await request(`${url}/v1/runs/${runId}?offset=${offset}`, { headers: { authorization: `Bearer ${credential}` } })
+  if (response.statusCode !== 200) return { ...NOTHING, status: response.statusCode, problem: await response.body.json() }
+  return await readAnswer(response.body, response.statusCode, startedAt)
+}
+
+/**
+ * Posts to a plain service.
+ *
+ * @param url - entry host
+ * @param credential - caller's credential
+ * @param path - below `/services`
+ * @param body - JSON body
+ * @param key - idempotency key
+ * @returns status, body and whether the answer was a stored one
+ */
+export async function postOnce (url: string, credential: string, path: string, body: object, key: string): Promise<{ status: number, body: string, isRepeat: boolean }> {
+  const response = await request(`${url}/services/${path}`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json', 'idempotency-key': key },
+    body: JSON.stringify(body)
+  })
+  return { status: response.statusCode, body: await response.body.text(), isRepeat: response.headers['eelgrassmux-repeated'] === 'true' }
+}
+
+/**
+ * @param answer - what came back
+ * @param prompt - what was asked
+ * @param length - tokens expected
+ * @returns whether the answer is whole, of one version and the prompt's own
+ */
+export function isWhole (answer: StreamedAnswer, prompt: string, length: number): boolean {
+  const tokenAt = answerTokens(prompt, answer.version)
+  const expected = Array.from({ length }, (_, offset) => tokenAt(offset)).join('')
+  return answer.isDone && answer.text === expected
+}
+
+const NOTHING: StreamedAnswer = {
+  status: 0, runId: '', text: '', tokens: 0, version: '', promptTokens: 0, cachedTokens: 0, firstTokenMs: 0, isDone: false, problem: undefined
+}
+
+async function readAnswer (body: AsyncIterable<Buffer>, status: number, startedAt: number): Promise<StreamedAnswer> {
+  let answer: StreamedAnswer = { ...NOTHING, status }
+  let pending = ''
+  let isError = false
+  try {
+    for await (const bytes of body) {
+      pending += bytes.toString()
+      const lines = pending.split('\n')
+      pending = lines.pop() ?? ''
+      for (const line of lines) {
+        if (line === 'event: error') isError = true
+        if (!line.startsWith('data: ')) continue
+        const data = line.slice('data: '.length)
+        if (data === '[DONE]') answer = { ...answer, isDone: true }
+        else if (isError) answer = { ...answer, problem: JSON.parse(data) }
+        else answer = addChunk(answer, JSON.parse(data) as Chunk, startedAt)
+      }
+    }
+  } catch (error) {
+    return { ...answer, problem: String(error) }
+  }
+  return answer
+}
+
+function addChunk (answer: StreamedAnswer, chunk: Chunk, startedAt: number): StreamedAnswer {
+  const { usage } = chunk
+  return {
+    ...answer,
+    runId: chunk.id,
+    version: chunk.system_fingerprint,
+    text: answer.text + (chunk.choices[0]?.text ?? ''),
+    tokens: answer.tokens + chunk.tokens,
+    firstTokenMs: answer.firstTokenMs === 0 ? performance.now() - startedAt : answer.firstTokenMs,
+    promptTokens: usage?.prompt_tokens ?? answer.promptTokens,
+    cachedTokens: usage?.prompt_tokens_details.cached_tokens ?? answer.cachedTokens
+  }
+}
--- /dev/null
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -0,0 +1,144 @@
+/** Puts the control host's tasks together. */
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { z } from 'zod'
+import { EngineClient } from '@eelgrassmux/backends/EngineClient'
+import { DEFAULT_RAFT_SETTINGS, RaftCore } from '@eelgrassmux/consensus/RaftCore'
+import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import { addressListSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { NodeDataFolder } from '@eelgrassmux/durable/DataFolder'
+import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
+import { exchangeRaft } from '@eelgrassmux/rpc/methods/controlMethods'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { ControlServer } from './ControlServer.js'
+import { HostTable } from './hosts/HostTable.js'
+import { planShards } from './hosts/planShards.js'
+import { OrderTask } from './orders/OrderTask.js'
+import { joinGroup } from './raft/joinGroup.js'
+import { RaftTask } from './raft/RaftTask.js'
+
+const HOUR_MS = 60 * 60 * 1000
+
+const settingsSchema = z.object({
+  ...commonSettingsShape,
+  port: integerSetting(0, 65535).default(0).describe('port for hosts, operators and other control hosts; 0 takes a free one'),
+  dataFolder: z.string().min(1).describe('folder for all durable state of this host'),
+  bootstrap: booleanSetting.default(false).describe('true on the first control host of a new group only'),
+  join: addressListSetting.default([]).describe('control hosts of the group to join, separated by commas'),
+  shards: integerSetting(1, 4096).default(8).describe('directory shards; the same on all control hosts'),
+  freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long hosts may act on a confirmed view, in milliseconds'),
+  recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long at-most-once records are kept, in hours')
+})
+
+/** @internal */
+type ControlSettings = z.infer<typeof settingsSchema>
+
+/** Interval between looks at shard owners, in milliseconds. */
+const SHARD_PLAN_MS = 500
+
+/** Interval between sweeps of expired records, in milliseconds. */
+const EXPIRE_MS = 60_000
+
+/** Deadline of one protocol message, in milliseconds. */
+const RAFT_DEADLINE_MS = 1000
+
+/** Longest wait for another leader at a planned stop, in milliseconds. */
+const TRANSFER_WAIT_MS = 2000
+
+/** The control host's program. */
+export const controlProgram: DaemonProgram<ControlSettings> = {
+  name: 'eelgrassmux-control',
+  description: 'Agrees on configuration, members, shard owners, orders and at-most-once records',
+  settings: settingsSchema,
+  start: startControl
+}
+
+async function startControl (settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void): Promise<RunningDaemon> {
+  const opened = await RaftStorage.open(await NodeDataFolder.open(join(settings.dataFolder, 'control')))
+  if (!opened.ok) throw new Error(`--data-folder holds damaged state: ${JSON.stringify(opened.error)}`)
+  const { storage, replicaId, persisted } = opened.value
+  const server = new RpcServer()
+  const rpc = new RpcClient()
+  const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
+  const orderOutcomes = telemetry.labelledCounter('orders_total', 'Orders to endpoints by outcome', 'outcome')
+
+  const learnt = new Map<string, string>()
+  const self: Replica = { id: replicaId, address: '' }
+  const core = new RaftCore(self, persisted, DEFAULT_RAFT_SETTINGS, Math.random, performance.now())
+  const state = new StateMachine({ ...DEFAULT_STATE_SETTINGS, recordWindowMs: settings.recordWindowHours * HOUR_MS })
+  const raft = new RaftTask(core, storage, state, {
+    send: (to, message) => {
+      const address = to.address === '' ? learnt.get(to.id) : to.address
+      if (address === undefined) return
+      void rpc.call(address, exchangeRaft, { from: self, to: to.id, message }, RAFT_DEADLINE_MS).then(answer => {
+        if (!answer.ok) messageFailures.count(answer.error.kind)
+      })
+    },
+    applied: () => { controlServer.notify() },
+    roleChanged: (role, term) => { telemetry.stateChanged('role-changed', { role, term }) },
+    fail
+  }, Date.now)
+  const hosts = new HostTable(settings.freshnessMs)
+  const orders = new OrderTask(raft, address => new EngineClient(address), outcome => { orderOutcomes.count(outcome) })
+  const controlServer = new ControlServer(raft, hosts, orders, replica => { learnt.set(replica.id, replica.address) })
+  controlServer.register(server)
+
+  const port = await server.listen(settings.host, settings.port)
+  self.address = `${settings.host}:${port}`
+  registerGauges(telemetry, raft, hosts)
+  orders.start()
+  const isMember = (): boolean => core.membership.voters.some(voter => voter.id === self.id)
+  const isEmpty = core.lastIndex === 0
+  if (settings.bootstrap && isEmpty) await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
+  else if (!isMember() && settings.join.length > 0) {
+    const isCaughtUp = (): boolean => core.membership.learners.some(learner => learner.id === self.id)
+    void joinGroup(rpc, self, settings.join, isCaughtUp).then(() => { telemetry.stateChanged('joined') }, fail)
+  }
+  const startedAt = performance.now()
+  const shardTimer = setInterval(() => { void assignShards(raft, hosts, settings, startedAt) }, SHARD_PLAN_MS)
+  const expireTimer = setInterval(() => { if (core.role === 'leader') void raft.propose({ kind: 'expire' }) }, EXPIRE_MS)
+
+  return {
+    addresses: { rpc: self.address, replicaId },
+    isReady: () => core.leader !== undefined,
+    drain: async () => {
+      raft.transfer()
+      const deadline = performance.now() + TRANSFER_WAIT_MS
+      while (core.role === 'leader' && core.membership.voters.length > 1 && performance.now() < deadline) await sleep(20)
+    },
+    close: async () => {
+      clearInterval(shardTimer)
+      clearInterval(expireTimer)
+      await orders.stop()
+      server.close()
+      rpc.close()
+      await raft.close()
+    }
+  }
+}
+
+async function assignShards (raft: RaftTask, hosts: HostTable, settings: ControlSettings, startedAt: number): Promise<void> {
+  const now = performance.now()
+  const { core, state } = raft
+  if (!core.canRead(now)) return
+  // After a restart, directories that have not reported yet are not taken for dead.
+  const heardAll = now - startedAt > settings.freshnessMs
+  if (!heardAll && state.shards.length > 0) return
+  const owners = planShards(state.shards, settings.shards, hosts.liveDirectories(now))
+  if (owners !== undefined) await raft.propose({ kind: 'assign-shards', owners })
+}
+
+function registerGauges (telemetry: Telemetry, raft: RaftTask, hosts: HostTable): void {
+  telemetry.gauge('raft_term', 'Present term', () => raft.core.term)
+  telemetry.gauge('raft_is_leader', '1 on the leader', () => raft.core.role === 'leader' ? 1 : 0)
+  telemetry.gauge('raft_commit_index', 'Last committed log index', () => raft.core.commitIndex)
+  telemetry.gauge('raft_syncs', 'Batches synced to the disk', () => raft.syncs)
+  telemetry.gauge('view_revision', 'Newest applied view', () => raft.state.viewRevision)
+  telemetry.gauge('configuration_revision', 'Newest applied configuration', () => raft.state.revision)
+  telemetry.gauge('at_most_once_records', 'At-most-once records held', () => raft.state.recordCount)
+  telemetry.gauge('live_entries', 'Entry hosts heard from lately', () => hosts.liveEntries(performance.now()))
+}
--- /dev/null
+++ b/apps/control/src/lib/ControlServer.ts
@@ -0,0 +1,136 @@
+/** Serves a control host's methods to hosts, operators and other replicas. */
+import { EventEmitter, once } from 'node:events'
+import type { RaftError } from '@eelgrassmux/consensus/RaftCore'
+import { unreachable } from '@eelgrassmux/schema/invariant'
+import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import {
+  changeMembership, exchangeRaft, listHosts, listOrders, propose, reportStatus, watchView, type MembershipChange,
+  type MembershipChangeResponse, type ViewMessage
+} from '@eelgrassmux/rpc/methods/controlMethods'
+import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { HostTable } from './hosts/HostTable.js'
+import type { OrderTask } from './orders/OrderTask.js'
+import type { RaftTask } from './raft/RaftTask.js'
+
+/** Answers calls from the replica's present state. */
+export class ControlServer {
+  readonly #changes = new EventEmitter()
+  readonly #startedAt = performance.now()
+
+  /**
+   * @param raft - log and state
+   * @param hosts - hosts that report here
+   * @param orders - reconciliation of engines
+   * @param learnReplica - told of each replica that sent a message
+   */
+  constructor (
+    private readonly raft: RaftTask,
+    private readonly hosts: HostTable,
+    private readonly orders: OrderTask,
+    private readonly learnReplica: (replica: Replica) => void
+  ) {
+    this.#changes.setMaxListeners(0)
+  }
+
+  /** Wakes all watches; call after the state has changed. */
+  notify (): void {
+    this.#changes.emit('change')
+  }
+
+  /** @param server - where to register all methods */
+  register (server: RpcServer): void {
+    server.handle(exchangeRaft, async envelope => {
+      this.learnReplica(envelope.from)
+      // A message for another identity at this address is for a replica that has lost its disk.
+      if (envelope.to === this.raft.core.self.id) this.raft.receive(envelope.message)
+      return {}
+    })
+    server.handle(propose, async ({ command }) => await this.raft.propose(command))
+    server.handle(reportStatus, async report => {
+      const now = performance.now()
+      this.hosts.observe(report, now)
+      return {
+        replicaId: this.raft.core.self.id,
+        membership: this.raft.membership,
+        membershipIndex: this.raft.membershipIndex,
+        newestView: this.raft.newestView,
+        liveEntries: this.hosts.liveEntries(now)
+      }
+    })
+    server.handle(listHosts, async () => {
+      const { core, state } = this.raft
+      const now = performance.now()
+      return {
+        replicaId: core.self.id,
+        voters: core.membership.voters,
+        learners: core.membership.learners,
+        leader: core.leader?.id ?? '',
+        term: core.term,
+        commitIndex: core.commitIndex,
+        viewRevision: state.viewRevision,
+        revision: state.revision,
+        uptimeMs: now - this.#startedAt,
+        hosts: this.hosts.reports(now)
+      }
+    })
+    server.handle(listOrders, async () => ({ orders: this.orders.reports() }))
+    server.handle(changeMembership, async change => await this.#changeMembership(change))
+    server.handleStream(watchView, async ({ viewRevision }, stream) => { await this.#watch(viewRevision, stream) })
+  }
+
+  async #watch (from: number, stream: ResponseStream<ViewMessage>): Promise<void> {
+    let sent = from
+    while (!stream.signal.aborted) {
+      if (this.raft.state.viewRevision > sent) {
+        const message = this.#viewSince(sent)
+        sent = message.viewRevision
+        await stream.send(message)
+        continue
+      }
+      try {
+        await once(this.#changes, 'change', { signal: stream.signal })
+      } catch {
+        return
+      }
+    }
+  }
+
+  #viewSince (known: number): ViewMessage {
+    const { state } = this.raft
+    const { viewRevision, revision } = state
+    const shards = [...state.shards]
+    const changes = known === 0 ? undefined : state.changesSince(known)
+    if (changes === undefined) return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards }
+    const upserts = new Map(changes.flatMap(change => change.upserts.map(document => [`${document.kind}/${document.name}`, document])))
+    const removes = changes.flatMap(change => change.removes)
+    const kept = this.#stillRemoved(removes)
+    for (const { kind, name } of kept) upserts.delete(`${kind}/${name}`)
+    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards }
+  }
+
+  /** A document removed and later created again within the same changes is not removed. */
+  #stillRemoved<Name extends { readonly kind: string, readonly name: string }> (removes: readonly Name[]): Name[] {
+    return removes.filter(({ kind, name }) => !this.raft.state.hasDocument(kind, name))
+  }
+
+  async #changeMembership (change: MembershipChange): Promise<MembershipChangeResponse> {
+    if (change.kind === 'transfer') {
+      this.raft.transfer()
+      return { kind: 'done' }
+    }
+    const error = await this.raft.change((core, now) => {
+      switch (change.kind) {
+        case 'add-learner': return core.addLearner(change.replica, now)
+        case 'promote': return core.promote(change.id, now)
+        case 'remove': return core.remove(change.id, now)
+        default: return unreachable(change)
+      }
+    })
+    return error === undefined ? { kind: 'done' } : toResponse(error)
+  }
+}
+
+function toResponse (error: RaftError): MembershipChangeResponse {
+  if (error.kind === 'not-leader') return { kind: 'not-leader', leader: error.leader?.address ?? '' }
+  return { kind: 'refused', reason: error.kind }
+}
--- /dev/null
+++ b/apps/control/src/lib/hosts/HostTable.ts
@@ -0,0 +1,60 @@
+/** Hosts that report to this control host, and how long ago. */
+import type { HostReport, StatusRequest } from '@eelgrassmux/rpc/methods/controlMethods'
+
+/** Reports older than this are forgotten, in milliseconds. */
+const FORGET_MS = 60_000
+
+interface HeardHost {
+  readonly report: StatusRequest
+  readonly heardAt: number
+}
+
+/** Last report of each host. */
+export class HostTable {
+  readonly #hosts = new Map<string, HeardHost>()
+
+  /** @param freshnessMs - time for which a host may act on what it last confirmed */
+  constructor (private readonly freshnessMs: number) {}
+
+  /**
+   * @param report - a host's report
+   * @param now - monotonic milliseconds
+   */
+  observe (report: StatusRequest, now: number): void {
+    this.#hosts.set(`${report.role}/${report.host}`, { report, heardAt: now })
+    for (const [name, { heardAt }] of this.#hosts) {
+      if (now - heardAt > FORGET_MS) this.#hosts.delete(name)
+    }
+  }
+
+  /**
+   * Entry hosts that may still admit requests. One that fell silent counts until
+   * its lease has surely ended, so that the shares never add up to more than one.
+   *
+   * @param now - monotonic milliseconds
+   */
+  liveEntries (now: number): number {
+    return this.#live(now).filter(report => report.role === 'entry').length
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns addresses of directories that may own shards
+   */
+  liveDirectories (now: number): string[] {
+    const directories = this.#live(now).filter(report => report.role === 'directory' && report.accepting)
+    return directories.map(report => report.address).sort()
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns all reports with their age
+   */
+  reports (now: number): HostReport[] {
+    return [...this.#hosts.values()].map(({ report, heardAt }) => ({ ...report, ageMs: now - heardAt }))
+  }
+
+  #live (now: number): StatusRequest[] {
+    return [...this.#hosts.values()].filter(({ heardAt }) => now - heardAt <= this.freshnessMs).map(({ report }) => report)
+  }
+}
--- /dev/null
+++ b/apps/control/src/lib/orders/OrderTask.ts
@@ -0,0 +1,154 @@
+/**
+ * Brings engines to the desired weight versions. Runs on every control host and
+ * acts only on the leader.
+ *
+ * Each order carries the term and commit index as fencing number. Endpoints that
+ * ignore it are protected by time: an order is sent only under a confirmed
+ * lease, checked again just before the write, and is given up after a bound; a
+ * new leader first waits out the lease and the bound of its predecessor.
+ */
+import type { EngineBackend } from '@eelgrassmux/backends/EngineClient'
+import type { EngineReport } from '@eelgrassmux/backends/engineProtocol'
+import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { EngineEndpoint } from '@eelgrassmux/schema/configuration'
+import type { OrderReport } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { RaftTask } from '../raft/RaftTask.js'
+import { planLoads, type ObservedEngine } from './planLoads.js'
+
+/** Interval between looks at the engines, in milliseconds. */
+const OBSERVE_MS = 300
+
+/** Bound on one order, in milliseconds. */
+const ORDER_TIMEOUT_MS = 1000
+
+/** After this time without an effect an order counts as lost, in milliseconds. */
+const ORDER_EFFECT_MS = 3000
+
+/** Counts what became of each order. */
+export type OrderCounter = (outcome: 'sent' | 'accepted' | 'stale-fence' | 'failed' | 'lease-lost') => void
+
+/** Reconciles engines with the configuration. */
+export class OrderTask {
+  readonly #clients = new Map<string, EngineBackend & { close (): Promise<void> }>()
+  readonly #reports = new Map<string, EngineReport>()
+  readonly #orderedAt = new Map<string, number>()
+  #leaderSince: number | undefined
+  #index = new ConfigurationIndex(0, { documents: [] })
+  #timer: NodeJS.Timeout | undefined
+  #busy = false
+
+  /**
+   * @param raft - log, lease and state
+   * @param connect - opens a client to an engine's address
+   * @param counter - counts outcomes
+   */
+  constructor (
+    private readonly raft: RaftTask,
+    private readonly connect: (address: string) => EngineBackend & { close (): Promise<void> },
+    private readonly counter: OrderCounter
+  ) {}
+
+  /** Starts to look at the engines. */
+  start (): void {
+    this.#timer = setInterval(() => { void this.#turn() }, OBSERVE_MS)
+  }
+
+  /** Stops and closes all connections. */
+  async stop (): Promise<void> {
+    clearInterval(this.#timer)
+    for (const client of this.#clients.values()) await client.close()
+  }
+
+  /** @returns each engine's state against the desired one */
+  reports (): OrderReport[] {
+    return [...this.#index.engines.values()].map(endpoint => {
+      const report = this.#reports.get(endpoint.name)
+      const desiredVersion = this.#index.models.get(endpoint.model)?.version ?? ''
+      return {
+        endpoint: endpoint.name,
+        model: endpoint.model,
+        runningVersion: report?.version ?? '',
+        desiredVersion,
+        state: stateOf(report, desiredVersion)
+      }
+    })
+  }
+
+  async #turn (): Promise<void> {
+    if (this.#busy) return
+    this.#busy = true
+    try {
+      if (this.raft.core.role === 'leader') {
+        this.#leaderSince ??= performance.now()
+        await this.#observe()
+        await this.#orderNext(this.#leaderSince)
+      } else {
+        this.#leaderSince = undefined
+        this.#reports.clear()
+        this.#orderedAt.clear()
+      }
+    } finally {
+      this.#busy = false
+    }
+  }
+
+  async #observe (): Promise<void> {
+    if (this.#index.revision !== this.raft.state.revision) {
+      this.#index = new ConfigurationIndex(this.raft.state.revision, this.raft.state.configuration)
+    }
+    await Promise.all([...this.#index.engines.values()].map(async endpoint => {
+      const report = await this.#client(endpoint).report()
+      if (report.ok) this.#reports.set(endpoint.name, report.value)
+      else this.#reports.delete(endpoint.name)
+    }))
+  }
+
+  async #orderNext (leaderSince: number): Promise<void> {
+    const now = performance.now()
+    if (now < leaderSince + this.raft.core.settings.leaseMs + ORDER_TIMEOUT_MS) return
+    const engines = [...this.#index.engines.values()].map(endpoint => this.#observed(endpoint, now))
+    const planned = planLoads(this.#index.models, engines)
+    await Promise.all(planned.map(async ({ engine, version }) => { await this.#order(engine.endpoint, version) }))
+  }
+
+  #observed (endpoint: EngineEndpoint, now: number): ObservedEngine {
+    const report = this.#reports.get(endpoint.name)
+    const orderedAt = this.#orderedAt.get(endpoint.name) ?? Number.NEGATIVE_INFINITY
+    const desired = this.#index.models.get(endpoint.model)?.version
+    return {
+      endpoint,
+      runningVersion: report?.version,
+      loadingVersion: report?.loadingVersion,
+      orderPending: now - orderedAt < ORDER_EFFECT_MS && report?.version !== desired
+    }
+  }
+
+  async #order (endpoint: EngineEndpoint, version: string): Promise<void> {
+    const { core } = this.raft
+    if (!core.holdsLease(performance.now())) {
+      this.counter('lease-lost')
+      return
+    }
+    this.counter('sent')
+    this.#orderedAt.set(endpoint.name, performance.now())
+    const fence = { term: core.term, index: core.commitIndex }
+    const order = { kind: 'load-version' as const, model: endpoint.model, version }
+    const answer = await this.#client(endpoint).order({ fence, order }, ORDER_TIMEOUT_MS)
+    if (answer.ok) this.counter('accepted')
+    else this.counter(answer.error.kind === 'rejected' && answer.error.detail === 'stale-fence' ? 'stale-fence' : 'failed')
+  }
+
+  #client (endpoint: EngineEndpoint): EngineBackend {
+    const present = this.#clients.get(endpoint.address)
+    if (present !== undefined) return present
+    const client = this.connect(endpoint.address)
+    this.#clients.set(endpoint.address, client)
+    return client
+  }
+}
+
+function stateOf (report: EngineReport | undefined, desiredVersion: string): OrderReport['state'] {
+  if (report === undefined) return 'silent'
+  if (report.version === desiredVersion) return 'as-desired'
+  return report.loadingVersion === undefined ? 'waiting' : 'loading'
+}
--- /dev/null
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -0,0 +1,242 @@
+/**
+ * The task that owns one replica: its core, its storage and its mailbox.
+ *
+ * All input waits in the mailbox. One turn takes everything that has arrived,
+ * steps the core, syncs the writes of the whole turn at once, and only then
+ * sends, applies and answers. So one sync serves all commands of a turn.
+ */
+import { decode, encode } from '@msgpack/msgpack'
+import type { RaftCore, RaftError } from '@eelgrassmux/consensus/RaftCore'
+import type { LogEntry, Membership, RaftEffects, RaftMessage, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
+import { assertInvariant } from '@eelgrassmux/schema/invariant'
+import type { Result } from '@eelgrassmux/schema/Result'
+import { stampedCommandSchema, stateImageSchema, type Command, type CommandResult, type StampedCommand } from '@eelgrassmux/state/commands'
+import type { StateMachine } from '@eelgrassmux/state/StateMachine'
+
+/** What became of a proposed command. */
+export type ProposeOutcome =
+  | { readonly kind: 'applied', readonly result: CommandResult }
+  | { readonly kind: 'not-leader', readonly leader: string }
+  | { readonly kind: 'uncertain' }
+
+/** What the task needs from around it. */
+export interface RaftTaskPorts {
+  /** Sends a message; it may be lost. */
+  send (to: Replica, message: RaftMessage): void
+  /** Called after the state machine has changed. */
+  applied (): void
+  roleChanged (role: string, term: number): void
+  /** Called when the disk or an invariant fails; the process must stop. */
+  fail (error: unknown): void
+}
+
+interface PendingProposal {
+  readonly term: number
+  readonly resolve: (outcome: ProposeOutcome) => void
+}
+
+type MailboxItem =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'message', readonly message: RaftMessage }
+  | { readonly kind: 'propose', readonly command: Command, readonly resolve: (outcome: ProposeOutcome) => void }
+  | { readonly kind: 'change', readonly change: (core: RaftCore, now: number) => Result<RaftEffects, RaftError>, readonly resolve: (error: RaftError | undefined) => void }
+  | { readonly kind: 'transfer' }
+
+/** Interval of the core's timers, in milliseconds. */
+const TICK_MS = 20
+
+/** Log entries after which the state is saved as a snapshot. */
+const SNAPSHOT_EVERY = 5000
+
+/** Owns one replica. */
+export class RaftTask {
+  #mailbox: MailboxItem[] = []
+  #working = false
+  #closed = false
+  #pending = new Map<number, PendingProposal>()
+  #appliedIndex: number
+  #lastRole = 'follower'
+  #turns = 0
+  readonly #ticker: NodeJS.Timeout
+
+  /**
+   * @param core - protocol state
+   * @param storage - its disk
+   * @param state - what the log drives
+   * @param ports - surroundings
+   * @param clock - wall clock in milliseconds, to stamp commands
+   */
+  constructor (
+    readonly core: RaftCore,
+    private readonly storage: RaftStorage,
+    readonly state: StateMachine,
+    private readonly ports: RaftTaskPorts,
+    private readonly clock: () => number
+  ) {
+    this.#appliedIndex = core.commitIndex
+    const { snapshot } = core
+    if (snapshot !== undefined) this.#restore(snapshot.state)
+    this.#ticker = setInterval(() => { this.#post({ kind: 'tick' }) }, TICK_MS)
+  }
+
+  get appliedIndex (): number { return this.#appliedIndex }
+  /** Turns that wrote to the disk; one sync each. */
+  get syncs (): number { return this.#turns }
+  get membership (): Membership { return this.core.membership }
+
+  /**
+   * Upper bound of any view in this replica's log, committed or not.
+   */
+  get newestView (): number {
+    let bound = this.state.viewRevision
+    for (let index = this.#appliedIndex + 1; index <= this.core.lastIndex; index += 1) {
+      if (this.core.entryAt(index)?.kind === 'command') bound += 1
+    }
+    return bound
+  }
+
+  /** Index of the log entry that set the membership in force. */
+  get membershipIndex (): number {
+    for (let index = this.core.lastIndex; index > 0; index -= 1) {
+      const entry = this.core.entryAt(index)
+      if (entry === undefined) break
+      if (entry.kind === 'membership') return index
+    }
+    return this.core.snapshot?.index ?? 0
+  }
+
+  /** @param message - a message from another replica */
+  receive (message: RaftMessage): void {
+    this.#post({ kind: 'message', message })
+  }
+
+  /**
+   * @param command - what to apply
+   * @returns what became of it
+   */
+  async propose (command: Command): Promise<ProposeOutcome> {
+    return await new Promise(resolve => { this.#post({ kind: 'propose', command, resolve }) })
+  }
+
+  /**
+   * Changes the membership through the core.
+   *
+   * @param change - the core's method to call
+   * @returns why it was refused, or undefined
+   */
+  async change (change: (core: RaftCore, now: number) => Result<RaftEffects, RaftError>): Promise<RaftError | undefined> {
+    return await new Promise(resolve => { this.#post({ kind: 'change', change, resolve }) })
+  }
+
+  /** Hands leadership over, for a planned stop. */
+  transfer (): void {
+    this.#post({ kind: 'transfer' })
+  }
+
+  /** Stops the task and closes the storage. */
+  async close (): Promise<void> {
+    this.#closed = true
+    clearInterval(this.#ticker)
+    await this.storage.close()
+  }
+
+  #post (item: MailboxItem): void {
+    if (this.#closed) return
+    this.#mailbox.push(item)
+    if (this.#working) return
+    this.#working = true
+    setImmediate(() => { this.#work().catch((error: unknown) => { this.ports.fail(error) }) })
+  }
+
+  async #work (): Promise<void> {
+    while (this.#mailbox.length > 0 && !this.#closed) {
+      const batch = this.#mailbox
+      this.#mailbox = []
+      const effects = batch.flatMap(item => this.#step(item))
+      const writes = effects.flatMap(effect => effect.writes)
+      if (writes.length > 0) {
+        this.#turns += 1
+        await this.storage.persist(writes)
+      }
+      for (const effect of effects) this.#carryOut(effect)
+      this.#noticeRole()
+      await this.#maybeSnapshot()
+    }
+    this.#working = false
+  }
+
+  #step (item: MailboxItem): RaftEffects[] {
+    const now = performance.now()
+    switch (item.kind) {
+      case 'tick': return [this.core.tick(now)]
+      case 'message': return [this.core.receive(item.message, now)]
+      case 'transfer': return [this.core.transferLeadership(now)]
+      case 'propose': return this.#stepProposal(item.command, item.resolve, now)
+      case 'change': {
+        const changed = item.change(this.core, now)
+        item.resolve(changed.ok ? undefined : changed.error)
+        return changed.ok ? [changed.value] : []
+      }
+    }
+  }
+
+  #stepProposal (command: Command, resolve: (outcome: ProposeOutcome) => void, now: number): RaftEffects[] {
+    const stamped: StampedCommand = { stampedAt: this.clock(), command }
+    const proposed = this.core.propose(encode(stamped, { ignoreUndefined: true }), now)
+    if (!proposed.ok) {
+      const leader = proposed.error.kind === 'not-leader' ? proposed.error.leader?.address ?? '' : ''
+      resolve({ kind: 'not-leader', leader })
+      return []
+    }
+    const { index, term, effects } = proposed.value
+    this.#pending.get(index)?.resolve({ kind: 'uncertain' })
+    this.#pending.set(index, { term, resolve })
+    return [effects]
+  }
+
+  #carryOut (effects: RaftEffects): void {
+    for (const { to, message } of effects.messages) this.ports.send(to, message)
+    if (effects.installed !== undefined) {
+      this.#restore(effects.installed.state)
+      this.#appliedIndex = effects.installed.index
+      this.ports.applied()
+    }
+    for (const entry of effects.committed) this.#apply(entry)
+    if (effects.committed.length > 0) this.ports.applied()
+  }
+
+  #apply (entry: LogEntry): void {
+    if (entry.index <= this.#appliedIndex) return
+    assertInvariant(entry.index === this.#appliedIndex + 1, 'apply-in-order', () => `${entry.index} after ${this.#appliedIndex}`)
+    this.#appliedIndex = entry.index
+    const result: CommandResult = entry.kind === 'command'
+      ? this.state.apply(stampedCommandSchema.parse(decode(entry.command)))
+      : { kind: 'done' }
+    const pending = this.#pending.get(entry.index)
+    if (pending === undefined) return
+    this.#pending.delete(entry.index)
+    // Another leader's entry at this index means that the proposal was overwritten.
+    pending.resolve(pending.term === entry.term ? { kind: 'applied', result } : { kind: 'uncertain' })
+  }
+
+  #noticeRole (): void {
+    const { role, term } = this.core
+    if (role === this.#lastRole) return
+    this.#lastRole = role
+    this.ports.roleChanged(role, term)
+    if (role === 'leader') return
+    for (const { resolve } of this.#pending.values()) resolve({ kind: 'uncertain' })
+    this.#pending.clear()
+  }
+
+  async #maybeSnapshot (): Promise<void> {
+    if (this.core.logLength < SNAPSHOT_EVERY || this.#appliedIndex <= (this.core.snapshot?.index ?? 0)) return
+    const effects = this.core.compact(this.#appliedIndex, encode(this.state.image(), { ignoreUndefined: true }))
+    await this.storage.persist(effects.writes)
+  }
+
+  #restore (image: Uint8Array): void {
+    this.state.restore(stateImageSchema.parse(decode(image)))
+  }
+}
--- /dev/null
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -0,0 +1,58 @@
+/**
+ * Brings a replica with an empty disk into the group: as a learner first, as a
+ * voter once it holds nearly all of the log. A voter that stood at the same
+ * address has lost its disk and is removed just before, so that the group never
+ * counts on two identities of one host.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { changeMembership, listHosts, type MembershipChange, type MembershipChangeResponse } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+
+/** Pause between attempts, in milliseconds. */
+const RETRY_MS = 200
+
+/** Deadline of each call, in milliseconds. */
+const CALL_MS = 2000
+
+/**
+ * Joins, trying until it succeeds.
+ *
+ * @param rpc - client for the calls
+ * @param self - this replica
+ * @param contacts - addresses of replicas in the group
+ * @param isCaughtUp - whether this replica has received a membership with itself in it
+ */
+export async function joinGroup (rpc: RpcClient, self: Replica, contacts: readonly string[], isCaughtUp: () => boolean): Promise<void> {
+  await untilDone(rpc, contacts, { kind: 'add-learner', replica: self })
+  while (!isCaughtUp()) await sleep(RETRY_MS)
+  for (const old of await formerIdentities(rpc, self, contacts)) await untilDone(rpc, contacts, { kind: 'remove', id: old })
+  await untilDone(rpc, contacts, { kind: 'promote', id: self.id })
+}
+
+async function untilDone (rpc: RpcClient, contacts: readonly string[], change: MembershipChange): Promise<void> {
+  let target: string | undefined
+  for (let turn = 0; ; turn += 1) {
+    const address = target ?? contacts[turn % contacts.length] ?? ''
+    const answer = await rpc.call(address, changeMembership, change, CALL_MS)
+    if (answer.ok && isDone(answer.value, change)) return
+    target = answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '' ? answer.value.leader : undefined
+    await sleep(RETRY_MS)
+  }
+}
+
+function isDone (response: MembershipChangeResponse, change: MembershipChange): boolean {
+  if (response.kind === 'done') return true
+  // Somebody else has removed it already.
+  return change.kind === 'remove' && response.kind === 'refused' && response.reason === 'unknown-replica'
+}
+
+async function formerIdentities (rpc: RpcClient, self: Replica, contacts: readonly string[]): Promise<string[]> {
+  for (const contact of contacts) {
+    const answer = await rpc.call(contact, listHosts, {}, CALL_MS)
+    if (!answer.ok) continue
+    const former = answer.value.voters.filter(voter => voter.address === self.address && voter.id !== self.id)
+    return former.map(voter => voter.id)
+  }
+  return []
+}
--- /dev/null
+++ b/apps/directory/src/lib/DirectoryServer.ts
@@ -0,0 +1,84 @@
+/** Serves look-ups and the life cycle of stored objects for the shards owned here. */
+import { randomUUID } from 'node:crypto'
+import type { DirectoryShard } from '@eelgrassmux/cache/DirectoryShard'
+import type { ResidencyIndex } from '@eelgrassmux/cache/ResidencyIndex'
+import {
+  abandonWrite, leaseObjects, lookupBlocks, publishWrite, reserveWrite
+} from '@eelgrassmux/rpc/methods/directoryMethods'
+import type { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+
+/** What the server needs from around it. */
+export interface DirectoryPorts {
+  /** The shard, if this directory owns it under that epoch and ownership is confirmed as of now. */
+  shard (shard: number, epoch: number): DirectoryShard | undefined
+  storeIsUp (store: string): boolean
+}
+
+const NOTHING_TO_WRITE = { kind: 'nothing-to-write' } as const
+const WRONG_OWNER = { kind: 'wrong-owner' } as const
+
+/** Answers entry hosts. */
+export class DirectoryServer {
+  /**
+   * @param residency - what engines hold
+   * @param ports - surroundings
+   * @param answers - counts answers by kind
+   */
+  constructor (
+    private readonly residency: ResidencyIndex,
+    private readonly ports: DirectoryPorts,
+    private readonly answers: LabelledCounter
+  ) {}
+
+  /** @param server - where to register all methods */
+  register (server: RpcServer): void {
+    server.handle(lookupBlocks, async ({ shard, epoch, keys }) => {
+      const resident = [...this.residency.leadingBlocks(keys)].map(([engine, blocks]) => ({ engine, blocks }))
+      const owned = this.#owned(shard, epoch)
+      if (owned === undefined) return WRONG_OWNER
+      this.answers.count('lookup')
+      let coversTo = 0
+      const stored = []
+      for (const object of owned.coverage(keys)) {
+        if (!this.ports.storeIsUp(object.store)) break
+        coversTo = Math.min(keys.length, keys.indexOf(object.keys[0] ?? '') + object.keys.length)
+        stored.push({ object: { ...object, keys: [...object.keys] }, coversTo })
+      }
+      return { kind: 'found', resident, stored }
+    })
+    server.handle(leaseObjects, async ({ shard, epoch, keys, fromBlock }) => {
+      const owned = this.#owned(shard, epoch)
+      if (owned === undefined) return WRONG_OWNER
+      this.answers.count('lease')
+      const leases = owned.lease(keys, fromBlock, randomUUID, performance.now())
+      return { kind: 'leased', leases: leases.map(lease => ({ ...lease, object: { ...lease.object, keys: [...lease.object.keys] } })) }
+    })
+    server.handle(reserveWrite, async ({ shard, epoch, customer, store, keys, tokensPerBlock }) => {
+      const owned = this.#owned(shard, epoch)
+      if (owned === undefined) return WRONG_OWNER
+      const reservation = owned.reserve({ customer, store, keys, tokensPerBlock }, performance.now())
+      this.answers.count(reservation === undefined ? 'nothing-to-write' : 'reserve')
+      if (reservation === undefined) return NOTHING_TO_WRITE
+      return { kind: 'reserved' as const, name: reservation.name, keys: [...reservation.keys], tokens: reservation.tokens }
+    })
+    server.handle(publishWrite, async ({ shard, epoch, name, bytes, sha256, tier }) => {
+      const owned = this.#owned(shard, epoch)
+      if (owned === undefined) return WRONG_OWNER
+      const published = owned.publish(name, { bytes, sha256, tier }, performance.now())
+      this.answers.count(published ? 'publish' : 'lapsed')
+      return { kind: published ? 'published' : 'lapsed' }
+    })
+    server.handle(abandonWrite, async ({ shard, epoch, name }) => {
+      this.#owned(shard, epoch)?.abandon(name)
+      this.answers.count('abandon')
+      return {}
+    })
+  }
+
+  #owned (shard: number, epoch: number): DirectoryShard | undefined {
+    const owned = this.ports.shard(shard, epoch)
+    if (owned === undefined) this.answers.count('wrong-owner')
+    return owned
+  }
+}
--- /dev/null
+++ b/apps/directory/src/lib/EngineWatcher.ts
@@ -0,0 +1,78 @@
+/** Follows one engine's cache events into the residency index. */
+import type { EngineBackend } from '@eelgrassmux/backends/EngineClient'
+import type { ResidencyIndex } from '@eelgrassmux/cache/ResidencyIndex'
+
+/** Interval between reads of events, in milliseconds. */
+const POLL_MS = 150
+
+/** Counts what each read brought. */
+export type WatchCounter = (outcome: 'events' | 'gap' | 'restart' | 'silent') => void
+
+/** Owns the connection to one engine. */
+export class EngineWatcher {
+  #incarnation: number | undefined
+  #timer: NodeJS.Timeout | undefined
+  #busy = false
+
+  /**
+   * @param engine - endpoint name
+   * @param client - its adapter
+   * @param index - where its blocks are noted
+   * @param counter - counts outcomes
+   */
+  constructor (
+    private readonly engine: string,
+    private readonly client: EngineBackend & { close (): Promise<void> },
+    private readonly index: ResidencyIndex,
+    private readonly counter: WatchCounter
+  ) {}
+
+  /** Starts to poll. */
+  start (): void {
+    this.#timer = setInterval(() => { void this.#turn() }, POLL_MS)
+  }
+
+  /** Stops, forgets the engine and closes the connection. */
+  async stop (): Promise<void> {
+    clearInterval(this.#timer)
+    this.index.forget(this.engine)
+    await this.client.close()
+  }
+
+  async #turn (): Promise<void> {
+    if (this.#busy) return
+    this.#busy = true
+    try {
+      const next = this.index.nextSequence(this.engine)
+      if (next === undefined) await this.#list()
+      else await this.#follow(next)
+    } finally {
+      this.#busy = false
+    }
+  }
+
+  async #follow (next: number): Promise<void> {
+    const answer = await this.client.cacheEvents(next)
+    if (!answer.ok) {
+      // Its blocks are of no use while it is silent, and it may come back empty.
+      this.counter('silent')
+      this.index.forget(this.engine)
+      return
+    }
+    if (answer.value.incarnation !== this.#incarnation) {
+      this.counter('restart')
+      this.index.forget(this.engine)
+      return
+    }
+    const outcome = answer.value.kind === 'gap' ? 'gap' : this.index.apply(this.engine, answer.value.events)
+    if (outcome === 'gap') this.index.forget(this.engine)
+    this.counter(outcome === 'gap' ? 'gap' : 'events')
+  }
+
+  async #list (): Promise<void> {
+    const listing = await this.client.cacheListing()
+    if (!listing.ok) return
+    this.#incarnation = listing.value.incarnation
+    this.index.reset(this.engine, listing.value.keys, listing.value.nextSequence)
+  }
+}
--- /dev/null
+++ b/apps/eelgrassmux/src/lib/ControlClient.ts
@@ -0,0 +1,175 @@
+/** The operators' way to the control hosts: finds the leader, asks a majority. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Configuration } from '@eelgrassmux/schema/configuration'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import {
+  changeMembership, listHosts, listOrders, propose, watchView, type HostsResponse, type MembershipChange,
+  type OrderReport, type ViewMessage
+} from '@eelgrassmux/rpc/methods/controlMethods'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { Command, CommandResult } from '@eelgrassmux/state/commands'
+
+/** Why an operator's request has no answer. */
+export type ControlError =
+  | { readonly kind: 'no-majority', readonly answered: number, readonly voters: number }
+  | { readonly kind: 'uncertain' }
+  | { readonly kind: 'refused', readonly reason: string }
+  | { readonly kind: 'no-answer' }
+
+/** Deadline of each call, in milliseconds. */
+const CALL_MS = 2000
+
+/** Pause between attempts, in milliseconds. */
+const RETRY_MS = 100
+
+/** What a majority of control hosts know together. */
+export interface MajorityView {
+  readonly answers: HostsResponse[]
+  readonly voters: number
+}
+
+/** Talks to the control hosts. */
+export class ControlClient {
+  readonly #rpc = new RpcClient()
+
+  /**
+   * @param addresses - control hosts
+   * @param timeoutMs - how long each request is tried
+   */
+  constructor (private readonly addresses: readonly string[], private readonly timeoutMs: number) {}
+
+  /**
+   * Proposes a command to the leader. Resending it is safe: it carries a request id.
+   *
+   * @param command - what to apply
+   * @returns its result
+   */
+  async propose (command: Command): Promise<Result<CommandResult, ControlError>> {
+    const deadline = performance.now() + this.timeoutMs
+    let target: string | undefined
+    for (let turn = 0; performance.now() < deadline; turn += 1) {
+      const address = target ?? this.#address(turn)
+      const answer = await this.#rpc.call(address, propose, { command }, CALL_MS)
+      if (answer.ok && answer.value.kind === 'applied') return succeed(answer.value.result)
+      target = answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '' ? answer.value.leader : undefined
+      await sleep(RETRY_MS)
+    }
+    return fail({ kind: 'uncertain' })
+  }
+
+  /** @returns what a majority of the voters know */
+  async majority (): Promise<Result<MajorityView, ControlError>> {
+    const contacts = new Set(this.addresses)
+    const answers = new Map<string, HostsResponse>()
+    const asked = new Set<string>()
+    for (;;) {
+      const next = [...contacts].filter(address => !asked.has(address))
+      if (next.length === 0) break
+      for (const address of next) asked.add(address)
+      const responses = await Promise.all(next.map(async address => await this.#rpc.call(address, listHosts, {}, CALL_MS)))
+      for (const response of responses) {
+        if (!response.ok) continue
+        answers.set(response.value.replicaId, response.value)
+        for (const voter of response.value.voters) contacts.add(voter.address)
+      }
+    }
+    const newest = [...answers.values()].sort((left, right) => right.commitIndex - left.commitIndex)[0]
+    const voters = new Set(newest?.voters.map(voter => voter.id))
+    const fromVoters = [...answers.values()].filter(answer => voters.has(answer.replicaId))
+    if (fromVoters.length * 2 <= voters.size) return fail({ kind: 'no-majority', answered: fromVoters.length, voters: voters.size })
+    return succeed({ answers: fromVoters, voters: voters.size })
+  }
+
+  /** @returns the newest configuration that a majority confirms, with its revision */
+  async configuration (): Promise<Result<{ revision: number, configuration: Configuration }, ControlError>> {
+    const majority = await this.majority()
+    if (!majority.ok) return majority
+    // A member of any majority holds the newest accepted view, though it may still have to apply it.
+    const newest = Math.max(...majority.value.answers.map(answer => answer.viewRevision))
+    if (newest === 0) return succeed({ revision: 0, configuration: { documents: [] } })
+    const message = await this.#firstView(newest)
+    if (message?.kind !== 'snapshot') return fail({ kind: 'no-answer' })
+    return succeed({ revision: message.revision, configuration: { documents: message.documents } })
+  }
+
+  /** @returns each engine's state against the desired one, from the leader */
+  async orders (): Promise<Result<OrderReport[], ControlError>> {
+    const majority = await this.majority()
+    if (!majority.ok) return majority
+    const leader = leaderAddress(majority.value.answers)
+    const answer = leader === undefined ? undefined : await this.#rpc.call(leader, listOrders, {}, CALL_MS)
+    return answer?.ok === true ? succeed(answer.value.orders) : fail({ kind: 'no-answer' })
+  }
+
+  /**
+   * Changes who votes.
+   *
+   * @param change - what to do
+   * @returns nothing, or why it was refused
+   */
+  async changeMembership (change: MembershipChange): Promise<Result<undefined, ControlError>> {
+    const deadline = performance.now() + this.timeoutMs
+    let reason = 'no-answer'
+    while (performance.now() < deadline) {
+      const majority = await this.majority()
+      const leader = majority.ok ? leaderAddress(majority.value.answers) : undefined
+      const answer = leader === undefined ? undefined : await this.#rpc.call(leader, changeMembership, change, CALL_MS)
+      if (answer?.ok === true && answer.value.kind === 'done') return succeed(undefined)
+      if (answer?.ok === true && answer.value.kind === 'refused') reason = answer.value.reason
+      await sleep(RETRY_MS)
+    }
+    return fail({ kind: 'refused', reason })
+  }
+
+  /**
+   * Follows the view until stopped.
+   *
+   * @param onMessage - called for each change
+   * @param signal - ends it
+   */
+  async watch (onMessage: (message: ViewMessage) => void, signal: AbortSignal): Promise<void> {
+    let known = 0
+    for (let turn = 0; !signal.aborted; turn += 1) {
+      await this.#rpc.stream(this.#address(turn), watchView, { viewRevision: known }, message => {
+        if (message.viewRevision <= known) return
+        known = message.viewRevision
+        onMessage(message)
+      }, signal)
+      if (!signal.aborted) await sleep(RETRY_MS)
+    }
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    this.#rpc.close()
+  }
+
+  async #firstView (atLeast: number): Promise<ViewMessage | undefined> {
+    const deadline = performance.now() + this.timeoutMs
+    for (let turn = 0; performance.now() < deadline; turn += 1) {
+      const abort = new AbortController()
+      const timer = setTimeout(() => { abort.abort() }, CALL_MS)
+      let first: ViewMessage | undefined
+      await this.#rpc.stream(this.#address(turn), watchView, { viewRevision: 0 }, message => {
+        first ??= message
+        abort.abort()
+      }, abort.signal)
+      clearTimeout(timer)
+      if (first !== undefined && first.viewRevision >= atLeast) return first
+    }
+    return undefined
+  }
+
+  #address (turn: number): string {
+    return this.addresses[turn % this.addresses.length] ?? ''
+  }
+}
+
+function leaderAddress (answers: readonly HostsResponse[]): string | undefined {
+  const newest = [...answers].sort((left, right) => right.term - left.term)
+  for (const { leader, voters } of newest) {
+    const address = voters.find(voter => voter.id === leader)?.address
+    if (address !== undefined) return address
+  }
+  return undefined
+}
--- /dev/null
+++ b/apps/eelgrassmux/src/main.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+/** The operators' command line. */
+import { Builtins, Cli } from 'clipanion'
+import {
+  ApplyCommand, DiffCommand, DoctorCommand, HostsCommand, MembersCommand, OrdersCommand, ShowCommand, WatchCommand
+} from './lib/commands.js'
+
+const cli = new Cli({ binaryName: 'eelgrassmux', binaryLabel: 'Operates eelgrassmux', binaryVersion: '0.1.0' })
+const commands = [
+  ApplyCommand, DiffCommand, DoctorCommand, HostsCommand, MembersCommand, OrdersCommand, ShowCommand, WatchCommand,
+  Builtins.HelpCommand, Builtins.VersionCommand
+]
+for (const command of commands) cli.register(command)
+await cli.runExit(process.argv.slice(2), Cli.defaultContext)
--- /dev/null
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -0,0 +1,155 @@
+/** Puts the entry host's tasks together. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { z } from 'zod'
+import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import { addressListSetting, addressSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { PLACEMENT_POLICIES } from '@eelgrassmux/policy/placement/createPlacementPolicy'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { ControlLink } from '@eelgrassmux/view/ControlLink'
+import { CallerServer } from './callers/CallerServer.js'
+import { CompletionHandler } from './callers/CompletionHandler.js'
+import { FleetWatcher } from './fleet/FleetWatcher.js'
+import { AtMostOnce } from './plain/AtMostOnce.js'
+import { PlainHandler } from './plain/PlainHandler.js'
+import { AdmissionGate } from './runs/AdmissionGate.js'
+import { DirectoryClient } from './runs/DirectoryClient.js'
+import { Exporter } from './runs/Exporter.js'
+import { Importer } from './runs/Importer.js'
+import { PeerRuns, servePeerRuns } from './runs/PeerRuns.js'
+import { Placer } from './runs/Placer.js'
+import { RunManager } from './runs/RunManager.js'
+
+const settingsSchema = z.object({
+  ...commonSettingsShape,
+  port: integerSetting(0, 65535).default(0).describe('port for callers; 0 takes a free one'),
+  peerPort: integerSetting(0, 65535).default(0).describe('port for other entry hosts; 0 takes a free one'),
+  control: addressListSetting.describe('control hosts, separated by commas'),
+  membership: addressSetting.optional().describe('address of the membership list of the platform'),
+  freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
+  resumeGraceMs: integerSetting(0, 600_000).default(10_000).describe('how long a run goes on, or is kept, without a reader, in milliseconds'),
+  balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
+  recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long idempotency keys are remembered, in hours; as on the control hosts'),
+  queueLimit: integerSetting(0, 100_000).default(1000).describe('most requests that wait for admission'),
+  policy: z.enum(PLACEMENT_POLICIES).default('eelgrassmux').describe(`placement policy: ${PLACEMENT_POLICIES.join(', ')}`)
+})
+
+/** @internal */
+type EntrySettings = z.infer<typeof settingsSchema>
+
+/** The entry host's program. */
+export const entryProgram: DaemonProgram<EntrySettings> = {
+  name: 'eelgrassmux-entry',
+  description: 'Takes callers\' requests, runs them on endpoints and answers',
+  settings: settingsSchema,
+  start: startEntry
+}
+
+/** Tokens in flight before the fleet is known. */
+const INITIAL_CAPACITY_TOKENS = 10_000
+
+/** Requests admitted beyond the engines' places, so that no place waits for the next request. */
+const OVERCOMMIT = 1.25
+
+/** Interval between adjustments of the capacity, in milliseconds. */
+const CAPACITY_MS = 250
+
+/** Interval between looks whether all work is done at a planned stop, in milliseconds. */
+const DRAIN_LOOK_MS = 20
+
+const FIRST_TOKEN_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.44, 0.6, 1, 2, 5, 10]
+
+async function startEntry (settings: EntrySettings, telemetry: Telemetry): Promise<RunningDaemon> {
+  const rpc = new RpcClient()
+  const peerServer = new RpcServer()
+  const peerPort = await peerServer.listen(settings.host, settings.peerPort)
+  const peerAddress = `${settings.host}:${peerPort}`
+  const link = new ControlLink({
+    host: peerAddress,
+    role: 'entry',
+    address: peerAddress,
+    dataCentre: settings.dataCentre,
+    controlAddresses: settings.control,
+    freshnessMs: settings.freshnessMs
+  }, rpc)
+  const configuration = (): typeof link.configuration => link.configuration
+  const fleet = new FleetWatcher(settings.membership)
+  const directory = new DirectoryClient(rpc, () => link.shards)
+  const linkBytes = telemetry.labelledCounter('link_bytes_total', 'Bytes over store links by direction', 'direction')
+  const retries = telemetry.labelledCounter('retries_total', 'Second attempts by reason')
+  const keeps = telemetry.labelledCounter('keep_decisions_total', 'Decisions and outcomes of exports by kind', 'decision')
+  const placer = new Placer(fleet, directory, configuration, settings.policy,
+    telemetry.labelledCounter('lookup_failures_total', 'Directory look-ups without an answer'))
+  const importer = new Importer(directory, fleet.links, configuration,
+    telemetry.labelledCounter('imports_total', 'Imports by outcome', 'outcome'), linkBytes)
+  const exporter = new Exporter(fleet, directory, configuration, keeps, linkBytes)
+  const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
+  const firstToken = telemetry.durationHistogram('first_token_seconds', 'Time to first token', FIRST_TOKEN_BUCKETS)
+  const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, {
+    fleet,
+    placer,
+    importer,
+    exporter,
+    retries,
+    promptTokens: telemetry.labelledCounter('prompt_tokens_total', 'Prompt tokens computed and reused', 'kind')
+  })
+  servePeerRuns(peerServer, runs)
+  const once = new AtMostOnce({
+    propose: async (command, deadlineMs) => await link.propose(command, deadlineMs),
+    clock: Date.now,
+    outcomes: telemetry.labelledCounter('at_most_once_total', 'Calls with an idempotency key by outcome', 'outcome')
+  })
+  const plain = new PlainHandler(fleet, once, configuration, retries, settings.recordWindowHours)
+  const completions = new CompletionHandler(runs, new PeerRuns(rpc), configuration)
+  const callers = new CallerServer(completions, plain, {
+    configuration,
+    isFresh: () => link.isReady(),
+    refusals: telemetry.labelledCounter('refusals_total', 'Refusals to callers by reason')
+  })
+  const port = await callers.listen(settings.host, settings.port)
+
+  link.onChange(() => {
+    fleet.configure(link.configuration)
+    telemetry.stateChanged('view-in-force', { view: link.viewRevision, revision: link.configuration.revision })
+  })
+  fleet.start()
+  link.start()
+  const capacityTimer = setInterval(() => { gate.setCapacity(capacityTokens(fleet, link, runs)) }, CAPACITY_MS)
+  telemetry.gauge('runs_under_way', 'Runs that have not ended', () => runs.underWay)
+  telemetry.gauge('runs_kept', 'Runs kept for callers that come back', () => runs.kept)
+  telemetry.gauge('admission_tokens_in_flight', 'Tokens held by admitted requests', () => gate.tokensInFlight)
+  telemetry.gauge('admission_queued', 'Requests waiting for admission', () => gate.queued)
+  telemetry.gauge('view_revision', 'View in force', () => link.viewRevision)
+  telemetry.gauge('configuration_revision', 'Configuration in force', () => link.configuration.revision)
+  telemetry.gauge('configuration_fresh', '1 while the configuration is confirmed', () => link.isFresh() ? 1 : 0)
+
+  return {
+    addresses: { http: `${settings.host}:${port}`, peer: peerAddress },
+    isReady: () => link.isReady(),
+    drain: async () => {
+      callers.startDraining()
+      link.stopAccepting()
+      while (runs.underWay > 0 || runs.hasUnreadRuns || plain.underWay > 0 || exporter.underWay > 0) await sleep(DRAIN_LOOK_MS)
+    },
+    close: async () => {
+      await callers.close()
+      clearInterval(capacityTimer)
+      link.stop()
+      runs.stop()
+      gate.stop()
+      await fleet.stop()
+      peerServer.close()
+      rpc.close()
+    }
+  }
+}
+
+/** This host's part of the engines' places, in tokens; the parts of all live hosts add up to the whole. */
+function capacityTokens (fleet: FleetWatcher, link: ControlLink, runs: RunManager): number {
+  const now = performance.now()
+  const places = fleet.engineTable.eligible(now)
+    .reduce((sum, engine) => sum + (fleet.loads.load(engine, now)?.maxRunning ?? 0), 0)
+  if (places === 0 || runs.meanRequestTokens === 0) return INITIAL_CAPACITY_TOKENS
+  return places * OVERCOMMIT * runs.meanRequestTokens / link.liveEntries
+}
--- /dev/null
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -0,0 +1,116 @@
+/** The HTTP server that callers talk to: who asks, whether this host may act, and which handler answers. */
+import { createHash } from 'node:crypto'
+import { H3, serve, type H3Event } from 'h3'
+import { portOf } from '@eelgrassmux/daemon/AdminServer'
+import type { Customer } from '@eelgrassmux/schema/configuration'
+import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { Refusal } from '@eelgrassmux/schema/Refusal'
+import type { Result } from '@eelgrassmux/schema/Result'
+import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { PlainHandler } from '../plain/PlainHandler.js'
+import type { CompletionHandler } from './CompletionHandler.js'
+import { problemResponse } from './problem.js'
+import { refuseUnseen } from './readBody.js'
+
+/** What the server needs from around it. */
+export interface CallerPorts {
+  configuration (): ConfigurationIndex
+  /** Whether the configuration in force is known to be the newest, as of now. */
+  isFresh (): boolean
+  readonly refusals: LabelledCounter
+}
+
+/** Answers a request of a known customer. */
+type Handler = (event: H3Event, customer: Customer) => Promise<Result<Response, Refusal>>
+
+/** Serves callers until drained. */
+export class CallerServer {
+  #draining = false
+  #server: ReturnType<typeof serve> | undefined
+
+  /**
+   * @param completions - model requests
+   * @param plain - calls to plain services
+   * @param ports - surroundings
+   */
+  constructor (
+    private readonly completions: CompletionHandler,
+    private readonly plain: PlainHandler,
+    private readonly ports: CallerPorts
+  ) {}
+
+  /**
+   * Starts to listen.
+   *
+   * @param host - IP number
+   * @param port - port, 0 for a free one
+   * @returns the port
+   */
+  async listen (host: string, port: number): Promise<number> {
+    const server = serve(this.#routes(), { hostname: host, port, gracefulShutdown: false, silent: true })
+    this.#server = server
+    await server.ready()
+    return portOf(server.url)
+  }
+
+  /** Refuses new work from now on; resuming a run stays possible. */
+  startDraining (): void {
+    this.#draining = true
+  }
+
+  /** Waits for open responses, then closes. */
+  async close (): Promise<void> {
+    await this.#server?.close()
+  }
+
+  #routes (): H3 {
+    const app = new H3()
+    app.post('/v1/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, customer, 'text')))
+    app.post('/v1/chat/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, customer, 'chat')))
+    app.get('/v1/runs/:run', this.#authenticated(async (event, customer) =>
+      await this.completions.resume(event.req, customer, event.context.params?.run ?? '', event.url.searchParams)))
+    app.all('/services/:service/**', this.#newWork(async (event, customer) => {
+      const service = event.context.params?.service ?? ''
+      const path = event.url.pathname.slice(`/services/${service}`.length) + event.url.search
+      return await this.plain.handle(event.req, customer, service, path)
+    }))
+    app.all('/**', event => this.#refuse(refuseUnseen({ reason: 'unknown-path', status: 404, detail: `there is nothing at ${event.url.pathname}`, field: 'path' })))
+    return app
+  }
+
+  /** New work needs a host that is not stopping and whose configuration is the newest. */
+  #newWork (handler: Handler): (event: H3Event) => Promise<Response> {
+    return this.#authenticated(async (event, customer) => {
+      if (this.#draining) {
+        return { ok: false, error: refuseUnseen({ reason: 'draining', status: 503, detail: 'this host is stopping; ask another', retryAfterSeconds: 1 }) }
+      }
+      return await handler(event, customer)
+    })
+  }
+
+  #authenticated (handler: Handler): (event: H3Event) => Promise<Response> {
+    return async event => {
+      // Which customer a credential belongs to is configuration too, so freshness comes first.
+      if (!this.ports.isFresh()) {
+        return this.#refuse(refuseUnseen({ reason: 'configuration-stale', status: 503, detail: 'this host can not confirm its configuration; ask another', retryAfterSeconds: 1 }))
+      }
+      const customer = this.#customer(event.req.headers.get('authorization'))
+      if (customer === undefined) {
+        return this.#refuse(refuseUnseen({ reason: 'unknown-credential', status: 401, detail: 'send a known credential as a bearer token', field: 'Authorization' }))
+      }
+      const result = await handler(event, customer)
+      return result.ok ? result.value : this.#refuse(result.error)
+    }
+  }
+
+  #refuse (refusal: Refusal): Response {
+    this.ports.refusals.count(refusal.reason)
+    return problemResponse(refusal)
+  }
+
+  #customer (authorization: string | null): Customer | undefined {
+    const credential = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1]
+    if (credential === undefined) return undefined
+    return this.ports.configuration().customerByCredential(createHash('sha256').update(credential).digest('hex'))
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/callers/CompletionHandler.ts
@@ -0,0 +1,136 @@
+/** Answers completion requests and the resumption of their runs. */
+import { chatCompletionSchema, renderChatPrompt, textCompletionSchema } from '@eelgrassmux/schema/completions'
+import type { Customer } from '@eelgrassmux/schema/configuration'
+import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import { refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import { parseRunId } from '@eelgrassmux/runs/RunRegistry'
+import type { PeerRuns } from '../runs/PeerRuns.js'
+import type { Run, RunPiece } from '../runs/Run.js'
+import type { RunManager } from '../runs/RunManager.js'
+import type { RunRequest } from '../runs/RunTask.js'
+import { streamResponse } from './answerStream.js'
+import { wholeAnswer, type AnswerHeader, type CompletionForm } from './completionFormat.js'
+import { parseJson, readBody, refuseUnseen } from './readBody.js'
+
+/** Largest completion request, in bytes. */
+const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+
+interface ParsedCompletion {
+  readonly service: string
+  readonly stream: boolean
+  readonly request: RunRequest
+}
+
+/** Serves `/v1/completions`, `/v1/chat/completions` and `/v1/runs/{id}`. */
+export class CompletionHandler {
+  /**
+   * @param runs - runs of this host
+   * @param peers - runs of other entry hosts
+   * @param configuration - configuration in force
+   */
+  constructor (
+    private readonly runs: RunManager,
+    private readonly peers: PeerRuns,
+    private readonly configuration: () => ConfigurationIndex
+  ) {}
+
+  /**
+   * Starts a run and answers with its output.
+   *
+   * @param request - the caller's request
+   * @param customer - who asks
+   * @param form - which form was used
+   * @returns the response, or a refusal
+   */
+  async complete (request: Request, customer: Customer, form: CompletionForm): Promise<Result<Response, Refusal>> {
+    const bytes = await readBody(request, BODY_LIMIT_BYTES)
+    if (!bytes.ok) return bytes
+    const parsed = this.#parse(bytes.value, customer, form)
+    if (!parsed.ok) return parsed
+    const { service, stream } = parsed.value
+    const started = await this.runs.start(service, parsed.value.request)
+    if (!started.ok) return started
+    const run = started.value
+    const gone = new AbortController()
+    request.signal.addEventListener('abort', () => { gone.abort() }, { once: true })
+    const pieces = run.read(0, gone.signal)
+    // The status line waits for the first token, so that a refusal can still be a refusal.
+    const first = pieces.next()
+    await run.waitForStart(gone.signal)
+    if (run.end?.kind === 'failed' && run.length === 0) return fail(run.end.refusal)
+    const header: AnswerHeader = {
+      runId: run.id, form, service, version: run.version ?? '', createdSeconds: Math.floor(Date.now() / 1000)
+    }
+    const all = startingWith(first, pieces)
+    if (stream) return succeed(streamResponse(header, all, 0, () => { gone.abort() }))
+    return await this.#whole(run, header, all)
+  }
+
+  /**
+   * Continues the answer of a run from an offset, here or through the entry host that holds it.
+   *
+   * @param request - the caller's request
+   * @param customer - who asks; a run of another customer does not exist for it
+   * @param runId - from the answer's id or header
+   * @param query - `offset`, and `form` of the events
+   * @returns the response, or a refusal
+   */
+  async resume (request: Request, customer: Customer, runId: string, query: URLSearchParams): Promise<Result<Response, Refusal>> {
+    const offset = Number(query.get('offset') ?? 0)
+    if (!Number.isInteger(offset) || offset < 0) {
+      return fail(refuseUnseen({ reason: 'invalid-body', status: 400, detail: 'offset must be a whole number from 0', field: 'offset' }))
+    }
+    const form: CompletionForm = query.get('form') === 'chat' ? 'chat' : 'text'
+    const unknown = refuseUnseen({ reason: 'unknown-run', status: 404, detail: 'no such run, or it is not kept any more', field: 'run' })
+    const parsed = parseRunId(runId)
+    if (parsed === undefined) return fail(unknown)
+    const header: AnswerHeader = { runId, form, service: '', version: '', createdSeconds: Math.floor(Date.now() / 1000) }
+    const gone = new AbortController()
+    request.signal.addEventListener('abort', () => { gone.abort() }, { once: true })
+    const run = this.runs.find(runId, customer.name)
+    if (run !== undefined) {
+      return succeed(streamResponse({ ...header, version: run.version ?? '' }, run.read(offset, gone.signal), offset, () => { gone.abort() }))
+    }
+    const remote = await this.peers.read(parsed.entry, { runId, customer: customer.name, offset }, gone.signal)
+    if (remote === undefined) return fail({ ...unknown, run: 'unknown' })
+    return succeed(streamResponse(header, remote, offset, () => { gone.abort() }))
+  }
+
+  async #whole (run: Run, header: AnswerHeader, pieces: AsyncGenerator<RunPiece>): Promise<Result<Response, Refusal>> {
+    for await (const piece of pieces) {
+      if (piece.kind === 'failed') return fail(piece.refusal)
+      if (piece.kind !== 'complete') continue
+      const body = wholeAnswer(header, run.tokens.join(''), piece.finishReason, { ...piece, completionTokens: run.length })
+      return succeed(Response.json(body, { headers: { 'eelgrassmux-run-id': run.id } }))
+    }
+    return fail(refuse({ reason: 'endpoint-failed', status: 499, detail: 'the caller left' }, run.dispatch))
+  }
+
+  #parse (bytes: Uint8Array, customer: Customer, form: CompletionForm): Result<ParsedCompletion, Refusal> {
+    const parsed = form === 'text' ? parseJson(bytes, textCompletionSchema) : parseJson(bytes, chatCompletionSchema)
+    if (!parsed.ok) return parsed
+    const body = parsed.value
+    const prompt = 'prompt' in body ? body.prompt : renderChatPrompt(body)
+    const { services, profiles } = this.configuration()
+    const service = services.get(body.model)
+    const profile = profiles.get(service?.profile ?? '')
+    if (service?.type !== 'model' || profile === undefined) {
+      return fail(refuseUnseen({ reason: 'unknown-service', status: 404, detail: `there is no model service ${body.model}`, field: 'model' }))
+    }
+    const request: RunRequest = { customer, model: service.model, profile, prompt, maxTokens: body.max_tokens }
+    return succeed({ service: service.name, stream: body.stream, request })
+  }
+}
+
+/** Puts a piece that was already asked for in front of the rest. */
+async function * startingWith (first: Promise<IteratorResult<RunPiece>>, rest: AsyncGenerator<RunPiece>): AsyncGenerator<RunPiece> {
+  try {
+    const piece = await first
+    if (piece.done === true) return
+    yield piece.value
+    yield * rest
+  } finally {
+    await rest.return(undefined)
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/callers/completionFormat.ts
@@ -0,0 +1,87 @@
+/** Forms in which answers go to callers: text or chat completions, whole or as server-sent events. */
+import type { RunPiece } from '../runs/Run.js'
+import { toProblem } from './problem.js'
+
+/** Which of the two request forms the caller used. */
+export type CompletionForm = 'text' | 'chat'
+
+/** What all parts of one answer share. */
+export interface AnswerHeader {
+  readonly runId: string
+  readonly form: CompletionForm
+  readonly service: string
+  readonly version: string
+  readonly createdSeconds: number
+}
+
+/** What the end of a whole answer states. */
+export interface AnswerUsage {
+  readonly promptTokens: number
+  readonly cachedTokens: number
+  readonly completionTokens: number
+}
+
+/** Last event of a whole stream. */
+export const STREAM_DONE = 'data: [DONE]\n\n'
+
+/**
+ * Builds a whole answer.
+ *
+ * @param header - what all parts share
+ * @param text - the answer
+ * @param finishReason - why it ended
+ * @param usage - token counts
+ * @returns the JSON body
+ */
+export function wholeAnswer (header: AnswerHeader, text: string, finishReason: string, usage: AnswerUsage): object {
+  const choice = header.form === 'text'
+    ? { index: 0, text, finish_reason: finishReason }
+    : { index: 0, message: { role: 'assistant', content: text }, finish_reason: finishReason }
+  return { ...common(header, ''), choices: [choice], usage: usageBody(usage) }
+}
+
+/**
+ * Renders a piece of an answer as server-sent events.
+ *
+ * @param header - what all parts share
+ * @param piece - tokens or the end
+ * @param length - tokens of the answer so far
+ * @returns the events' text; a failed run ends with an `error` event and without `[DONE]`
+ */
+export function renderPiece (header: AnswerHeader, piece: RunPiece, length: number): string {
+  switch (piece.kind) {
+    case 'tokens':
+      return event({ ...common(header, '.chunk'), offset: piece.offset, tokens: piece.tokens.length, choices: [deltaChoice(header, piece.tokens.join(''), null)] })
+    case 'complete': {
+      const usage = { ...piece, completionTokens: length }
+      const last = { ...common(header, '.chunk'), offset: length, tokens: 0, choices: [deltaChoice(header, '', piece.finishReason)], usage: usageBody(usage) }
+      return event(last) + STREAM_DONE
+    }
+    case 'failed':
+      return `event: error\ndata: ${JSON.stringify(toProblem(piece.refusal))}\n\n`
+  }
+}
+
+function common (header: AnswerHeader, suffix: string): object {
+  const object = header.form === 'text' ? 'text_completion' : `chat.completion${suffix}`
+  return { id: header.runId, object, created: header.createdSeconds, model: header.service, system_fingerprint: header.version }
+}
+
+function deltaChoice (header: AnswerHeader, text: string, finishReason: string | null): object {
+  return header.form === 'text'
+    ? { index: 0, text, finish_reason: finishReason }
+    : { index: 0, delta: { content: text }, finish_reason: finishReason }
+}
+
+function usageBody ({ promptTokens, cachedTokens, completionTokens }: AnswerUsage): object {
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+    prompt_tokens_details: { cached_tokens: cachedTokens }
+  }
+}
+
+function event (body: object): string {
+  return `data: ${JSON.stringify(body)}\n\n`
+}
--- /dev/null
+++ b/apps/entry/src/lib/callers/readBody.ts
@@ -0,0 +1,58 @@
+/** Reads request bodies within a bound. */
+import { DispatchRecord, refuse, type Refusal, type RefusalDetails } from '@eelgrassmux/schema/Refusal'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { z } from 'zod'
+
+/**
+ * A refusal of a request that was only looked at.
+ *
+ * @param details - reason, status and text
+ * @returns a refusal that says "not run"
+ */
+export function refuseUnseen (details: RefusalDetails): Refusal {
+  return refuse(details, new DispatchRecord())
+}
+
+/**
+ * Reads a whole body, but not more than the bound.
+ *
+ * @param request - the caller's request
+ * @param limitBytes - most bytes taken
+ * @returns the bytes, or a refusal
+ */
+export async function readBody (request: Request, limitBytes: number): Promise<Result<Uint8Array, Refusal>> {
+  const tooLarge = refuseUnseen({ reason: 'body-too-large', status: 413, detail: `the body is larger than ${limitBytes} bytes`, field: 'body' })
+  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return fail(tooLarge)
+  const parts: Uint8Array[] = []
+  let total = 0
+  if (request.body !== null) {
+    for await (const part of request.body) {
+      total += part.length
+      if (total > limitBytes) return fail(tooLarge)
+      parts.push(part)
+    }
+  }
+  return succeed(Buffer.concat(parts))
+}
+
+/**
+ * Parses and checks a JSON body.
+ *
+ * @param bytes - the body
+ * @param schema - what it must look like
+ * @returns the checked body, or a refusal that names the field
+ */
+export function parseJson<Body> (bytes: Uint8Array, schema: z.ZodType<Body>): Result<Body, Refusal> {
+  let value: unknown
+  try {
+    value = JSON.parse(Buffer.from(bytes).toString('utf8'))
+  } catch (error) {
+    return fail(refuseUnseen({ reason: 'malformed-json', status: 400, detail: String(error), field: 'body' }))
+  }
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return succeed(parsed.data)
+  const issue = parsed.error.issues[0]
+  const unknownKeys = issue?.code === 'unrecognized_keys' ? issue.keys : []
+  const field = [...issue?.path ?? [], ...unknownKeys.slice(0, 1)].join('.')
+  return fail(refuseUnseen({ reason: 'invalid-body', status: 400, detail: issue?.message ?? 'invalid', field: field === '' ? 'body' : field }))
+}
--- /dev/null
+++ b/apps/entry/src/lib/runs/AdmissionGate.ts
@@ -0,0 +1,60 @@
+/** Lets callers wait for the admission queue's decision. */
+import { AdmissionQueue, type AdmissionDecision, type AdmissionOutcome, type AdmissionRequest } from '@eelgrassmux/policy/limits/AdmissionQueue'
+
+/** What became of a request. */
+export type GateDecision = Exclude<AdmissionDecision, { kind: 'queued' }>
+
+/** Interval between looks for requests that waited too long, in milliseconds. */
+const EXPIRE_MS = 20
+
+/** Owns one host's admission queue. */
+export class AdmissionGate {
+  readonly #queue: AdmissionQueue
+  readonly #waiting = new Map<string, (decision: GateDecision) => void>()
+  readonly #timer: NodeJS.Timeout
+
+  /**
+   * @param capacityTokens - tokens in flight at first
+   * @param queueLimit - most requests that wait
+   */
+  constructor (capacityTokens: number, queueLimit: number) {
+    this.#queue = new AdmissionQueue(capacityTokens, queueLimit)
+    this.#timer = setInterval(() => { this.#settle(this.#queue.expire(performance.now())) }, EXPIRE_MS)
+  }
+
+  get tokensInFlight (): number { return this.#queue.tokensInFlight }
+  get queued (): number { return this.#queue.queued }
+
+  /**
+   * @param request - who and how much
+   * @returns the decision, at once or when the queue has made it
+   */
+  async request (request: AdmissionRequest): Promise<GateDecision> {
+    const decision = this.#queue.request(request, performance.now())
+    if (decision.kind !== 'queued') return decision
+    return await new Promise(resolve => { this.#waiting.set(request.id, resolve) })
+  }
+
+  /** @param id - request that ended or was given up */
+  release (id: string): void {
+    this.#waiting.delete(id)
+    this.#settle(this.#queue.release(id, performance.now()))
+  }
+
+  /** @param tokens - new capacity of this host */
+  setCapacity (tokens: number): void {
+    this.#settle(this.#queue.setCapacity(tokens, performance.now()))
+  }
+
+  /** Stops the timer. */
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  #settle (outcomes: readonly AdmissionOutcome[]): void {
+    for (const { id, decision } of outcomes) {
+      this.#waiting.get(id)?.(decision)
+      this.#waiting.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/runs/Importer.ts
@@ -0,0 +1,118 @@
+/**
+ * Brings stored blocks into an engine before a run.
+ *
+ * The objects are read under leases. The lease counts from before it was asked
+ * for; an import that ends after its lease is discarded and its blocks are
+ * computed instead, because the store may have freed them meanwhile.
+ */
+import { randomUUID } from 'node:crypto'
+import { TOKENS_PER_BLOCK } from '@eelgrassmux/cache/blockKeys'
+import type { EngineBackend } from '@eelgrassmux/backends/EngineClient'
+import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { LinkTable } from '@eelgrassmux/policy/health/LinkTable'
+import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { DirectoryClient, LeasesGranted } from './DirectoryClient.js'
+import type { PlacedRun } from './Placer.js'
+
+/** Room for an import beyond its estimate before it is given up, as a factor and in milliseconds. */
+const OVERRUN_FACTOR = 2
+const OVERRUN_MS = 50
+
+/** Stages imports and learns the links' speed from them. */
+export class Importer {
+  /**
+   * @param directory - grants leases
+   * @param links - told of each transfer
+   * @param configuration - where the stores are
+   * @param outcomes - counts imports by outcome
+   * @param linkBytes - counts bytes by direction
+   */
+  constructor (
+    private readonly directory: DirectoryClient,
+    private readonly links: LinkTable,
+    private readonly configuration: () => ConfigurationIndex,
+    private readonly outcomes: LabelledCounter,
+    private readonly linkBytes: LabelledCounter
+  ) {}
+
+  /**
+   * Stages the imports of a placement.
+   *
+   * @param engine - where the run will start
+   * @param placed - the placement
+   * @param signal - ends the import
+   * @returns id to start the run with, or undefined if the blocks must be computed
+   */
+  async stage (engine: EngineBackend, placed: PlacedRun, signal: AbortSignal): Promise<string | undefined> {
+    const { placement, keys, stored } = placed
+    const first = placement.imports[0]
+    if (first === undefined) return undefined
+    const askedAt = performance.now()
+    const firstObject = stored.find(({ object }) => object.name === first.name)
+    const fromBlock = keys.indexOf(firstObject?.object.keys[0] ?? '')
+    const granted = fromBlock < 0 ? undefined : await this.directory.lease(keys, fromBlock)
+    if (granted?.ok !== true) {
+      this.outcomes.count('no-lease')
+      return undefined
+    }
+    const wanted = new Set(placement.imports.map(candidate => candidate.name))
+    const leases = granted.value.leases.filter(lease => wanted.has(lease.object.name))
+    if (leases.length === 0) {
+      this.outcomes.count('no-lease')
+      return undefined
+    }
+    return await this.#transfer(engine, placed, leases, askedAt, signal)
+  }
+
+  async #transfer (
+    engine: EngineBackend, placed: PlacedRun, leases: LeasesGranted['leases'], askedAt: number, signal: AbortSignal
+  ): Promise<string | undefined> {
+    const importId = randomUUID()
+    const leaseEndsAt = askedAt + Math.min(...leases.map(lease => lease.durationMs))
+    const { stores } = this.configuration()
+    const objects = leases.map(({ object }) => ({
+      storeAddress: stores.get(object.store)?.address ?? '',
+      name: object.name,
+      keys: object.keys,
+      bytes: object.bytes,
+      sha256: object.sha256
+    }))
+    const startedAt = performance.now()
+    const timeoutMs = Math.min(leaseEndsAt - startedAt, this.#patience(placed))
+    for (const { object } of leases) this.links.recordStart(object.store, object.bytes)
+    const staged = await engine.stageImport({ importId, objects }, Math.max(1, timeoutMs), AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))]))
+    const endedAt = performance.now()
+    this.#learn(placed, leases, endedAt - startedAt, staged.ok, endedAt)
+    if (!staged.ok) {
+      this.outcomes.count('failed')
+      void engine.discardImport(importId)
+      return undefined
+    }
+    this.linkBytes.count('import', staged.value.bytes)
+    // The lease is checked now, not by a timer that a freeze could have delayed.
+    if (endedAt >= leaseEndsAt) {
+      this.outcomes.count('lease-lapsed')
+      void engine.discardImport(importId)
+      return undefined
+    }
+    this.outcomes.count('staged')
+    return importId
+  }
+
+  /** An import is worth waiting for only while it is not much slower than computing. */
+  #patience ({ placement }: PlacedRun): number {
+    const imported = placement.reusedBlocks - placement.engine.residentBlocks
+    const computeMs = imported * TOKENS_PER_BLOCK / placement.engine.prefillTokensPerMs
+    return OVERRUN_FACTOR * Math.max(placement.importMs, computeMs) + OVERRUN_MS
+  }
+
+  #learn (placed: PlacedRun, leases: LeasesGranted['leases'], elapsedMs: number, complete: boolean, now: number): void {
+    const bytesByStore = new Map<string, number>()
+    for (const { object } of leases) bytesByStore.set(object.store, (bytesByStore.get(object.store) ?? 0) + object.bytes)
+    for (const [store, bytes] of bytesByStore) {
+      const estimatedBacklog = Math.max(0, placed.placement.importMs * (this.links.views(now).get(store)?.bytesPerMs ?? 0) - bytes)
+      // A transfer cut short moved at most its size: the sample errs on the fast side.
+      this.links.recordEnd(store, bytes + (complete ? estimatedBacklog : 0), elapsedMs, now)
+    }
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/runs/PeerRuns.ts
@@ -0,0 +1,107 @@
+/** Lets callers continue a run through any entry host. */
+import type { FinishReason } from '@eelgrassmux/runs/AnswerAssembler'
+import { readRun, type RunEvent } from '@eelgrassmux/rpc/methods/entryMethods'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { DispatchRecord, refuse } from '@eelgrassmux/schema/Refusal'
+import type { RunPiece } from './Run.js'
+import type { RunManager } from './RunManager.js'
+
+/** Which run is wanted, for whom, from where. */
+export interface PeerRunRequest {
+  readonly runId: string
+  readonly customer: string
+  readonly offset: number
+}
+
+/** Reads runs from the entry hosts that hold them. */
+export class PeerRuns {
+  /** @param rpc - client for the calls */
+  constructor (private readonly rpc: RpcClient) {}
+
+  /**
+   * @param entry - address of the host that holds the run
+   * @param request - which run
+   * @param signal - aborted when the caller is gone
+   * @returns the pieces, or undefined if the host is gone or does not have it
+   */
+  async read (entry: string, request: PeerRunRequest, signal: AbortSignal): Promise<AsyncGenerator<RunPiece> | undefined> {
+    const events: RunEvent[] = []
+    const stream = { isClosed: false }
+    let wake = (): void => {}
+    const ended = this.rpc.stream(entry, readRun, request, event => {
+      events.push(event)
+      wake()
+    }, signal)
+    void ended.then(() => {
+      stream.isClosed = true
+      wake()
+    })
+    const next = async (): Promise<RunEvent | undefined> => {
+      while (events.length === 0 && !stream.isClosed) await new Promise<void>(resolve => { wake = resolve })
+      return events.shift()
+    }
+    const first = await next()
+    if (first === undefined || first.kind === 'unknown-run') return undefined
+    return toPieces(first, next)
+  }
+}
+
+async function * toPieces (first: RunEvent, next: () => Promise<RunEvent | undefined>): AsyncGenerator<RunPiece> {
+  for (let event: RunEvent | undefined = first; event !== undefined; event = await next()) {
+    const piece = toPiece(event)
+    if (piece === undefined) break
+    yield piece
+    if (piece.kind !== 'tokens') return
+  }
+  // The holding host went away: an explicit error, never a silent cut.
+  yield lostPiece('the entry host that held the run went away')
+}
+
+function toPiece (event: RunEvent): RunPiece | undefined {
+  switch (event.kind) {
+    case 'tokens': return { kind: 'tokens', offset: event.offset, tokens: event.tokens }
+    case 'end': return { kind: 'complete', finishReason: event.finishReason, promptTokens: event.promptTokens, cachedTokens: event.cachedTokens }
+    case 'failed': return lostPiece(event.detail)
+    case 'unknown-run': return undefined
+  }
+}
+
+function lostPiece (detail: string): RunPiece {
+  const record = new DispatchRecord()
+  record.markDispatched()
+  return { kind: 'failed', refusal: refuse({ reason: 'endpoint-failed', status: 502, detail, retryAfterSeconds: 1 }, record) }
+}
+
+/**
+ * Serves this host's runs to its peers.
+ *
+ * @param server - where to register the method
+ * @param runs - runs of this host
+ */
+export function servePeerRuns (server: RpcServer, runs: RunManager): void {
+  server.handleStream(readRun, async ({ runId, customer, offset }, stream) => {
+    const run = runs.find(runId, customer)
+    if (run === undefined) {
+      await stream.send({ kind: 'unknown-run' })
+      return
+    }
+    for await (const piece of run.read(offset, stream.signal)) await sendPiece(stream, piece, run.length)
+  })
+}
+
+async function sendPiece (stream: ResponseStream<RunEvent>, piece: RunPiece, length: number): Promise<void> {
+  switch (piece.kind) {
+    case 'tokens':
+      await stream.send({ kind: 'tokens', offset: piece.offset, tokens: [...piece.tokens] })
+      break
+    case 'complete': {
+      const finishReason: FinishReason = piece.finishReason
+      await stream.send({ kind: 'end', length, finishReason, promptTokens: piece.promptTokens, cachedTokens: piece.cachedTokens })
+      break
+    }
+    case 'failed':
+      await stream.send({ kind: 'failed', reason: piece.refusal.reason, detail: piece.refusal.detail })
+      break
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/runs/Placer.ts
@@ -0,0 +1,115 @@
+/** Finds where a prompt can run and ranks the ways by the profile's policy. */
+import { blockKeys, cacheSalt, TOKENS_PER_BLOCK, tokenCount } from '@eelgrassmux/cache/blockKeys'
+import { createPlacementPolicy, type PlacementPolicyName } from '@eelgrassmux/policy/placement/createPlacementPolicy'
+import type { EngineCandidate, ImportCandidate, Placement, PlacementRequest } from '@eelgrassmux/policy/placement/placementTypes'
+import type { Customer, Profile } from '@eelgrassmux/schema/configuration'
+import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { FleetWatcher } from '../fleet/FleetWatcher.js'
+import type { DirectoryClient, LookupFound } from './DirectoryClient.js'
+
+/** A prompt to place. */
+export interface PlaceRequest {
+  readonly customer: Customer
+  readonly model: string
+  readonly profile: Profile
+  /** Prompt and the answer so far. */
+  readonly text: string
+  /** Only engines of this version, once the answer has tokens. */
+  readonly version: string | undefined
+  /** Engines that failed this request already. */
+  readonly excluded: ReadonlySet<string>
+}
+
+/** A way to run a request. */
+export interface PlacedRun {
+  readonly placement: Placement
+  readonly salt: string
+  readonly keys: readonly string[]
+  readonly stored: LookupFound['stored']
+}
+
+/** Ranks ways to run a prompt from this host's picture of the fleet. */
+export class Placer {
+  /**
+   * @param fleet - endpoints, loads and links
+   * @param directory - what is cached where
+   * @param configuration - configuration in force
+   * @param policyName - which policy ranks
+   * @param lookupFailures - counts look-ups without an answer
+   */
+  constructor (
+    private readonly fleet: FleetWatcher,
+    private readonly directory: DirectoryClient,
+    private readonly configuration: () => ConfigurationIndex,
+    readonly policyName: PlacementPolicyName,
+    private readonly lookupFailures: LabelledCounter
+  ) {}
+
+  /**
+   * @param request - the prompt
+   * @returns ways to run it, best first; empty if no engine may take it
+   */
+  async place (request: PlaceRequest): Promise<PlacedRun[]> {
+    const engines = this.#candidates(request)
+    const versions = [...new Set(engines.map(engine => engine.version))]
+    const ranked = await Promise.all(versions.map(async version =>
+      await this.#placeVersion(request, version, engines.filter(engine => engine.version === version))))
+    return ranked.flat().sort((left, right) => left.placement.score - right.placement.score)
+  }
+
+  async #placeVersion (request: PlaceRequest, version: string, engines: EngineCandidate[]): Promise<PlacedRun[]> {
+    const salt = cacheSalt({ cacheSecret: request.customer.cacheSecret, model: request.model, version })
+    const keys = blockKeys(salt, request.text)
+    const found = await this.#lookup(keys)
+    const resident = new Map(found.resident.map(({ engine, blocks }) => [engine, blocks]))
+    const placementRequest: PlacementRequest = {
+      promptTokens: tokenCount(request.text),
+      promptBlocks: keys.length,
+      tokensPerBlock: TOKENS_PER_BLOCK,
+      stored: found.stored.map(({ object, coversTo }): ImportCandidate => ({
+        name: object.name,
+        store: object.store,
+        dataCentre: this.configuration().stores.get(object.store)?.dataCentre ?? '',
+        bytes: object.bytes,
+        coversTo
+      })),
+      links: this.fleet.links.views(performance.now())
+    }
+    const policy = createPlacementPolicy(this.policyName, request.profile.weights, Math.random)
+    const candidates = engines.map(engine => ({ ...engine, residentBlocks: resident.get(engine.name) ?? 0 }))
+    return policy.rank(placementRequest, candidates).map(placement => ({ placement, salt, keys, stored: found.stored }))
+  }
+
+  async #lookup (keys: readonly string[]): Promise<LookupFound> {
+    const nothing: LookupFound = { kind: 'found', resident: [], stored: [] }
+    if (keys.length === 0) return nothing
+    const answer = await this.directory.lookup(keys)
+    if (answer.ok) return answer.value
+    this.lookupFailures.count(answer.error.kind)
+    return nothing
+  }
+
+  #candidates (request: PlaceRequest): EngineCandidate[] {
+    const now = performance.now()
+    const candidates: EngineCandidate[] = []
+    for (const endpoint of this.configuration().enginesOf(request.model)) {
+      const load = this.fleet.loads.load(endpoint.name, now)
+      if (load === undefined || request.excluded.has(endpoint.name)) continue
+      if (this.fleet.engineTable.ineligibility(endpoint.name, now) !== undefined) continue
+      if (request.version !== undefined && load.version !== request.version) continue
+      candidates.push({
+        name: endpoint.name,
+        dataCentre: endpoint.dataCentre,
+        version: load.version,
+        residentBlocks: 0,
+        queuedTokens: load.queuedTokens,
+        running: load.running,
+        maxRunning: load.maxRunning,
+        meanRunMs: load.meanRunMs,
+        prefillTokensPerMs: load.prefillTokensPerMs
+      })
+    }
+    return candidates
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -0,0 +1,348 @@
+/**
+ * Carries one run to its end: places it, imports, streams, and goes on elsewhere
+ * when an engine fails. A model run has no effect outside, so it may be repeated
+ * under the retry budget; tokens that were handed on are never repeated.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { isNotStarted, type BackendError } from '@eelgrassmux/backends/BackendError'
+import type { RunStreamItem, EngineBackend } from '@eelgrassmux/backends/EngineClient'
+import type { RunMessage } from '@eelgrassmux/backends/engineProtocol'
+import { tokenCount } from '@eelgrassmux/cache/blockKeys'
+import type { RetryBudget, RetryReason } from '@eelgrassmux/policy/limits/RetryBudget'
+import { AnswerAssembler } from '@eelgrassmux/runs/AnswerAssembler'
+import type { Customer, Profile } from '@eelgrassmux/schema/configuration'
+import { refuse, type RefusalDetails } from '@eelgrassmux/schema/Refusal'
+import type { Result } from '@eelgrassmux/schema/Result'
+import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { FleetWatcher } from '../fleet/FleetWatcher.js'
+import type { Exporter } from './Exporter.js'
+import type { Importer } from './Importer.js'
+import type { PlacedRun, Placer } from './Placer.js'
+import type { Run } from './Run.js'
+
+/** What a caller asked for. */
+export interface RunRequest {
+  readonly customer: Customer
+  readonly model: string
+  readonly profile: Profile
+  readonly prompt: string
+  readonly maxTokens: number
+}
+
+/** What a run needs from around it. */
+export interface RunPorts {
+  readonly fleet: FleetWatcher
+  readonly placer: Placer
+  readonly importer: Importer
+  readonly exporter: Exporter
+  readonly budget: RetryBudget
+  readonly retries: LabelledCounter
+  /** Counts prompt tokens: `computed` or `reused`. */
+  readonly promptTokens: LabelledCounter
+}
+
+/** How one attempt ended. */
+type AttemptOutcome =
+  | { readonly kind: 'complete', readonly end: Extract<RunMessage, { kind: 'end' }> }
+  | { readonly kind: 'retry', readonly reason: RetryReason }
+
+/** A stream that an engine has started. */
+interface StartedStream {
+  readonly placed: PlacedRun
+  readonly engine: EngineBackend
+  readonly engineRun: string
+  readonly items: AsyncGenerator<RunStreamItem>
+  readonly abort: AbortController
+  first?: Promise<IteratorResult<RunStreamItem>>
+}
+
+/** Pause before engines are looked for again when there is none, in milliseconds. */
+const NO_ENGINE_PAUSE_MS = 100
+
+/** Longest wait for any engine, in milliseconds. */
+const NO_ENGINE_PATIENCE_MS = 2000
+
+/** Longest silence of a stream before it is read again from the gap, in milliseconds. */
+const STALL_MS = 3000
+
+/** Seconds after which a caller may try again when there is no better estimate. */
+const RETRY_AFTER_SECONDS = 1
+
+/** Drives one run. */
+export class RunTask {
+  readonly #abort = new AbortController()
+  readonly #deadline: number
+  readonly #excluded = new Set<string>()
+  #assembler: AnswerAssembler | undefined
+  #attempts = 0
+  #lastRetry: RetryReason | undefined
+
+  /**
+   * @param run - where the answer goes
+   * @param request - what was asked
+   * @param ports - surroundings
+   */
+  constructor (private readonly run: Run, private readonly request: RunRequest, private readonly ports: RunPorts) {
+    this.#deadline = run.startedAt + request.profile.deadlineMs
+  }
+
+  /** Ends the run early and frees its engine. */
+  cancel (): void {
+    this.#abort.abort()
+  }
+
+  /** Carries the run to its end; never rejects for reasons that lie outside the program. */
+  async execute (): Promise<void> {
+    this.ports.budget.recordRequest()
+    for (;;) {
+      const placed = await this.#place()
+      if (placed === undefined) return
+      const outcome = await this.#attempt(placed)
+      if (outcome.kind === 'complete') {
+        this.#complete(placed, outcome.end)
+        return
+      }
+      if (!this.#mayRetry(outcome.reason)) return
+    }
+  }
+
+  // --- Placement ---
+
+  async #place (): Promise<PlacedRun | undefined> {
+    const patienceEnds = performance.now() + NO_ENGINE_PATIENCE_MS
+    for (;;) {
+      if (this.#abort.signal.aborted) return this.#fail({ reason: 'endpoint-failed', status: 499, detail: 'the caller left' })
+      if (performance.now() >= this.#deadline) return this.#fail({ reason: 'deadline-passed', status: 504, detail: 'the deadline of the profile has passed' })
+      const ranked = await this.ports.placer.place({
+        customer: this.request.customer,
+        model: this.request.model,
+        profile: this.request.profile,
+        text: this.#text(),
+        version: this.run.version,
+        excluded: this.#excluded
+      })
+      const best = ranked[0]
+      if (best !== undefined) return this.#withinLimit(best)
+      // Engines that failed once may have recovered; better them than none.
+      this.#excluded.clear()
+      if (performance.now() >= patienceEnds) {
+        const detail = this.run.version === undefined ? 'no engine of the model can take the request' : `no engine runs version ${this.run.version} any more`
+        return this.#fail({ reason: 'no-endpoint', status: 503, detail, retryAfterSeconds: RETRY_AFTER_SECONDS })
+      }
+      await sleep(NO_ENGINE_PAUSE_MS)
+    }
+  }
+
+  #withinLimit (best: PlacedRun): PlacedRun | undefined {
+    const { firstTokenLimitMs } = this.request.profile
+    const excessMs = best.placement.firstTokenMs - firstTokenLimitMs
+    if (excessMs <= 0 || this.run.length > 0) return best
+    const detail = `the first token would take ${Math.round(best.placement.firstTokenMs)} ms; the profile allows ${firstTokenLimitMs} ms`
+    return this.#fail({ reason: 'deadline-unreachable', status: 503, detail, retryAfterSeconds: secondsWithJitter(excessMs) })
+  }
+
+  // --- Attempts ---
+
+  async #attempt (placed: PlacedRun): Promise<AttemptOutcome> {
+    const { version } = placed.placement.engine
+    if (this.#assembler?.version !== version) this.#assembler = new AnswerAssembler(version)
+    const started = await this.#start(placed)
+    if ('kind' in started) return started
+    const stream = await this.#maybeHedge(started)
+    return await this.#consume(stream, this.#assembler)
+  }
+
+  async #start (placed: PlacedRun): Promise<StartedStream | AttemptOutcome> {
+    const { name } = placed.placement.engine
+    const engine = this.ports.fleet.engine(name)
+    if (engine === undefined) return { kind: 'retry', reason: 'connect-failed' }
+    this.ports.fleet.loads.recordDispatch(name, placed.placement.recomputedTokens, performance.now())
+    const importId = await this.ports.importer.stage(engine, placed, this.#abort.signal)
+    this.#attempts += 1
+    const engineRun = `${this.run.id}-a${this.#attempts}`
+    const abort = new AbortController()
+    this.run.dispatch.markDispatched()
+    const started = await engine.startRun({
+      run: engineRun,
+      prompt: this.request.prompt,
+      maxTokens: this.request.maxTokens,
+      priority: this.request.profile.priority,
+      cacheSalt: placed.salt,
+      expectedVersion: placed.placement.engine.version,
+      produced: [...this.run.tokens],
+      ...(importId === undefined ? {} : { importId })
+    }, this.#remainingMs(), AbortSignal.any([abort.signal, this.#abort.signal]))
+    if (!started.ok) return this.#startFailed(name, started.error)
+    return { placed, engine, engineRun, items: started.value, abort }
+  }
+
+  #startFailed (engine: string, error: BackendError): AttemptOutcome {
+    if (isNotStarted(error)) this.run.dispatch.markNotStarted()
+    if (error.kind === 'not-started') {
+      if (error.reason === 'leaving') this.ports.fleet.engineTable.observeLeaving(engine)
+      // An unknown import only means that the blocks must be computed: the same engine may do that.
+      if (error.reason !== 'unknown-import') this.#excluded.add(engine)
+      return { kind: 'retry', reason: error.reason === 'version-mismatch' ? 'version-mismatch' : 'engine-refused' }
+    }
+    this.ports.fleet.engineTable.observeFailure(engine, performance.now())
+    this.#excluded.add(engine)
+    return { kind: 'retry', reason: error.kind === 'connect-failed' ? 'connect-failed' : 'engine-lost' }
+  }
+
+  /** Starts a second engine when the first token is late and the profile asks for it; the loser is cancelled. */
+  async #maybeHedge (primary: StartedStream): Promise<StartedStream> {
+    const { hedgeAfterMs } = this.request.profile
+    if (hedgeAfterMs === 0 || this.run.length > 0) return primary
+    primary.first = primary.items.next()
+    const timer = new AbortController()
+    const isLate = await Promise.race([
+      primary.first.then(() => false),
+      sleep(hedgeAfterMs, true, { signal: timer.signal }).catch(() => false)
+    ])
+    timer.abort()
+    if (!isLate || !this.ports.budget.tryRetry()) return primary
+    const ranked = await this.ports.placer.place({
+      customer: this.request.customer,
+      model: this.request.model,
+      profile: this.request.profile,
+      text: this.request.prompt,
+      version: primary.placed.placement.engine.version,
+      excluded: new Set([...this.#excluded, primary.placed.placement.engine.name])
+    })
+    const other = ranked[0]
+    if (other === undefined) return primary
+    this.ports.retries.count('hedge')
+    const secondary = await this.#start(other)
+    if ('kind' in secondary) return primary
+    secondary.first = secondary.items.next()
+    const winner = await Promise.race([primary.first.then(() => primary), secondary.first.then(() => secondary)])
+    this.#abandon(winner === primary ? secondary : primary)
+    return winner
+  }
+
+  #abandon (stream: StartedStream): void {
+    stream.abort.abort()
+    void stream.engine.cancelRun(stream.engineRun)
+  }
+
+  async #consume (stream: StartedStream, assembler: AnswerAssembler): Promise<AttemptOutcome> {
+    let current = stream
+    for (;;) {
+      const outcome = await this.#readItems(current, assembler)
+      if (outcome !== 'broken') return outcome
+      if (this.#abort.signal.aborted) {
+        this.#abandon(current)
+        return { kind: 'retry', reason: 'engine-lost' }
+      }
+      const resumed = await this.#resume(current, assembler.nextOffset)
+      if (!resumed.ok) {
+        this.#abandon(current)
+        this.ports.fleet.engineTable.observeFailure(current.placed.placement.engine.name, performance.now())
+        this.#excluded.add(current.placed.placement.engine.name)
+        return { kind: 'retry', reason: 'engine-lost' }
+      }
+      this.ports.retries.count('stream-gap')
+      current = { ...current, items: resumed.value }
+      delete current.first
+    }
+  }
+
+  /** Reads until the answer is whole or the stream breaks. */
+  async #readItems (stream: StartedStream, assembler: AnswerAssembler): Promise<AttemptOutcome | 'broken'> {
+    const { name } = stream.placed.placement.engine
+    let end: Extract<RunMessage, { kind: 'end' }> | undefined
+    for (;;) {
+      const next = await this.#nextItem(stream)
+      if (next === 'stalled' || next.done === true || !next.value.ok) return 'broken'
+      const message = next.value.value
+      if (message.version !== assembler.version) {
+        // Not a token of another version may reach the caller.
+        this.#abandon(stream)
+        this.#excluded.add(name)
+        return { kind: 'retry', reason: 'version-mismatch' }
+      }
+      if (message.kind === 'end') {
+        assembler.finish(message)
+        end = message
+      } else {
+        const accepted = assembler.accept(message)
+        if (accepted.kind === 'progress') this.run.push(accepted.tokens, assembler.version)
+        await this.run.waitForRoom(this.#abort.signal)
+      }
+      if (assembler.completed !== undefined && end !== undefined) {
+        this.ports.fleet.engineTable.observeSuccess(name)
+        return { kind: 'complete', end }
+      }
+    }
+  }
+
+  async #nextItem (stream: StartedStream): Promise<IteratorResult<RunStreamItem> | 'stalled'> {
+    const pending = stream.first ?? stream.items.next()
+    delete stream.first
+    return await pending
+  }
+
+  async #resume (stream: StartedStream, offset: number): Promise<Result<AsyncGenerator<RunStreamItem>, BackendError>> {
+    return await stream.engine.resumeRun(stream.engineRun, offset, Math.min(STALL_MS, this.#remainingMs()), this.#abort.signal)
+  }
+
+  // --- Ends ---
+
+  #complete (placed: PlacedRun, end: Extract<RunMessage, { kind: 'end' }>): void {
+    const cachedTokens = Math.min(end.cachedTokens, end.promptTokens)
+    this.ports.promptTokens.count('computed', end.promptTokens - cachedTokens)
+    this.ports.promptTokens.count('reused', cachedTokens)
+    this.run.finish({ kind: 'complete', finishReason: end.finishReason, promptTokens: end.promptTokens, cachedTokens })
+    void this.ports.exporter.consider({
+      customer: this.request.customer,
+      model: this.request.model,
+      profile: this.request.profile,
+      engine: placed.placement.engine.name,
+      version: placed.placement.engine.version,
+      text: this.#text()
+    })
+  }
+
+  #mayRetry (reason: RetryReason): boolean {
+    this.#lastRetry = reason
+    const isWithinProfile = this.#attempts <= this.request.profile.retries
+    const isSafe = reason === 'engine-refused' || reason === 'connect-failed' || reason === 'version-mismatch'
+    // A refusal by a full or leaving engine costs nothing; only work that may be done twice spends the budget.
+    if (isWithinProfile && (isSafe || this.ports.budget.tryRetry())) {
+      this.ports.retries.count(reason)
+      return true
+    }
+    const status = isSafe ? 503 : 502
+    this.#fail({ reason: isSafe ? 'endpoint-refused' : 'endpoint-failed', status, detail: `the last attempt ended with ${reason}`, retryAfterSeconds: RETRY_AFTER_SECONDS })
+    return false
+  }
+
+  #fail (details: RefusalDetails): undefined {
+    const suffix = this.#lastRetry === undefined ? '' : `; last attempt: ${this.#lastRetry}`
+    this.run.finish({ kind: 'failed', refusal: refuse({ ...details, detail: details.detail + suffix }, this.run.dispatch) })
+    return undefined
+  }
+
+  #remainingMs (): number {
+    return Math.max(1, this.#deadline - performance.now())
+  }
+
+  #text (): string {
+    return this.request.prompt + this.run.tokens.join('')
+  }
+}
+
+/** Spreads the return of refused callers over half the estimate again. */
+function secondsWithJitter (milliseconds: number): number {
+  return Math.max(1, Math.ceil(milliseconds / 1000 * (1 + Math.random() / 2)))
+}
+
+/**
+ * Tokens that a request holds while it is in flight.
+ *
+ * @param request - what was asked
+ * @returns prompt and longest answer, in tokens
+ */
+export function heldTokens (request: RunRequest): number {
+  return tokenCount(request.prompt) + request.maxTokens
+}
--- /dev/null
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -0,0 +1,386 @@
+/**
+ * Stand-in for a model engine: continuous batching with one prefill at a time,
+ * a bounded prefix cache, late cache events, lagging load reports, imports,
+ * exports, orders and weight versions.
+ */
+import { blockKeys, CHARACTERS_PER_TOKEN, TOKENS_PER_BLOCK, tokenCount } from '@eelgrassmux/cache/blockKeys'
+import type {
+  EngineReport, ExportRequest, ExportResponse, ImportRequest, OrderRequest, RunMessage, RunRequest
+} from '@eelgrassmux/backends/engineProtocol'
+import { request as httpRequest } from 'undici'
+import { answerTokens } from './standinAnswer.js'
+import { objectContent, sha256 } from './blockContent.js'
+import { PrefixCache } from './PrefixCache.js'
+
+/** How the stand-in behaves. Times are in milliseconds. */
+export interface EngineStandinSettings {
+  readonly model: string
+  readonly version: string
+  readonly maxRunning: number
+  readonly prefillTokensPerMs: number
+  readonly decodeMs: number
+  readonly cacheBlocks: number
+  readonly bytesPerToken: number
+  readonly eventLagMs: number
+  readonly reportLagMs: number
+  readonly weightStore: string
+  readonly honoursFencing: boolean
+  /** Sends some chunks twice and swaps neighbours, as a lossy stream would. */
+  readonly disorder: boolean
+  readonly incarnation: number
+}
+
+/** Why a request was not started. */
+export type EngineRefusal = 'leaving' | 'full' | 'version-mismatch' | 'unknown-import'
+
+interface EngineRun {
+  readonly request: RunRequest
+  readonly version: string
+  readonly keys: readonly string[]
+  readonly tokenAt: (offset: number) => string
+  readonly startedAt: number
+  readonly messages: RunMessage[]
+  readonly listeners: Set<() => void>
+  produced: number
+  cachedTokens: number
+  ended: boolean
+}
+
+/** Requests that may wait for prefill, as a multiple of the places. */
+const QUEUE_FACTOR = 4
+
+/** How long an ended run can still be read, in milliseconds. */
+const RUN_KEPT_MS = 5000
+
+/** Lifetime of an import that no run used, in milliseconds. */
+const IMPORT_KEPT_MS = 30_000
+
+/** One stand-in engine. */
+export class EngineStandin {
+  readonly #cache: PrefixCache
+  readonly #runs = new Map<string, EngineRun>()
+  readonly #imports = new Map<string, readonly string[]>()
+  #prefillQueue: Array<{ run: EngineRun, tokens: number }> = []
+  #prefilling = false
+  #decoding = new Set<EngineRun>()
+  #version: string
+  #loadingVersion: string | undefined
+  #leaving = false
+  #fence = { term: 0, index: 0 }
+  #meanRunMs = 0
+  #report: EngineReport
+  #reportAt = performance.now()
+  #ordersTaken = 0
+  readonly #timers: NodeJS.Timeout[]
+
+  /** @param settings - how it behaves */
+  constructor (private readonly settings: EngineStandinSettings) {
+    this.#cache = new PrefixCache(settings.cacheBlocks)
+    this.#version = settings.version
+    this.#report = this.#measure()
+    this.#timers = [
+      setInterval(() => { this.#decodeStep() }, settings.decodeMs),
+      setInterval(() => {
+        this.#report = this.#measure()
+        this.#reportAt = performance.now()
+      }, settings.reportLagMs)
+    ]
+  }
+
+  get version (): string { return this.#version }
+  get ordersTaken (): number { return this.#ordersTaken }
+
+  /** @returns the load as last measured, with its age */
+  report (): EngineReport {
+    return { ...this.#report, state: this.#leaving ? 'leaving' : 'serving', ageMs: performance.now() - this.#reportAt }
+  }
+
+  /** Refuses new work from now on. */
+  leave (): void {
+    this.#leaving = true
+  }
+
+  /** Stops all timers. */
+  stop (): void {
+    for (const timer of this.#timers) clearInterval(timer)
+  }
+
+  // --- Runs ---
+
+  /**
+   * Starts a run.
+   *
+   * @param request - what to run
+   * @returns why it was not started, or undefined
+   */
+  start (request: RunRequest): EngineRefusal | undefined {
+    const importedKeys = request.importId === undefined ? [] : this.#imports.get(request.importId)
+    if (this.#leaving) return 'leaving'
+    if (request.expectedVersion !== this.#version) return 'version-mismatch'
+    if (importedKeys === undefined) return 'unknown-import'
+    if (this.#runs.size >= this.settings.maxRunning * QUEUE_FACTOR) return 'full'
+    const produced = request.produced.join('')
+    const keys = blockKeys(request.cacheSalt, request.prompt + produced)
+    const run: EngineRun = {
+      request,
+      version: this.#version,
+      keys,
+      tokenAt: answerTokens(request.prompt, this.#version),
+      startedAt: performance.now(),
+      messages: [],
+      listeners: new Set(),
+      produced: request.produced.length,
+      cachedTokens: 0,
+      ended: false
+    }
+    this.#runs.set(request.run, run)
+    this.#cache.store(importedKeys, performance.now())
+    const cachedBlocks = this.#cache.leading(keys)
+    this.#cache.store(keys.slice(0, cachedBlocks), performance.now())
+    const tokens = tokenCount(request.prompt + produced)
+    run.cachedTokens = Math.min(tokens, cachedBlocks * TOKENS_PER_BLOCK)
+    this.#enqueuePrefill(run, tokens - run.cachedTokens)
+    return undefined
+  }
+
+  /**
+   * Reads a run's messages from an offset until its end.
+   *
+   * @param id - run id
+   * @param from - first token offset wanted
+   * @returns a stream of messages, or undefined for an unknown run
+   */
+  read (id: string, from: number): AsyncGenerator<RunMessage> | undefined {
+    const run = this.#runs.get(id)
+    return run === undefined ? undefined : this.#readFrom(run, from)
+  }
+
+  /** @param id - run to end early */
+  cancel (id: string): void {
+    const run = this.#runs.get(id)
+    if (run === undefined) return
+    this.#endRun(run)
+    this.#runs.delete(id)
+  }
+
+  async * #readFrom (run: EngineRun, from: number): AsyncGenerator<RunMessage> {
+    let position = run.messages.findIndex(message => message.kind === 'end' || message.offset + message.tokens.length > from)
+    if (position < 0) position = run.messages.length
+    let held: RunMessage | undefined
+    for (;;) {
+      const message = run.messages[position]
+      if (message !== undefined) {
+        position += 1
+        if (this.settings.disorder && message.kind === 'tokens') {
+          if (message.offset % 5 === 2 && held === undefined) {
+            held = message
+            continue
+          }
+          if (message.offset % 7 === 3) yield message
+        }
+        if (message.kind === 'end' && held !== undefined) yield held
+        yield message
+        if (held !== undefined) yield held
+        held = undefined
+        if (message.kind === 'end') return
+        continue
+      }
+      if (run.ended) return
+      await new Promise<void>(resolve => {
+        const wake = (): void => {
+          run.listeners.delete(wake)
+          resolve()
+        }
+        run.listeners.add(wake)
+      })
+    }
+  }
+
+  #enqueuePrefill (run: EngineRun, tokens: number): void {
+    const position = this.#prefillQueue.findIndex(queued => queued.run.request.priority < run.request.priority)
+    if (position < 0) this.#prefillQueue.push({ run, tokens })
+    else this.#prefillQueue.splice(position, 0, { run, tokens })
+    this.#startPrefill()
+  }
+
+  #startPrefill (): void {
+    if (this.#prefilling || this.#decoding.size >= this.settings.maxRunning) return
+    const next = this.#prefillQueue.shift()
+    if (next === undefined) return
+    if (next.run.ended) {
+      this.#startPrefill()
+      return
+    }
+    this.#prefilling = true
+    const finish = (): void => {
+      this.#prefilling = false
+      if (!next.run.ended) {
+        this.#cache.store(next.run.keys, performance.now())
+        this.#decoding.add(next.run)
+        this.#produce(next.run)
+      }
+      this.#startPrefill()
+    }
+    if (next.tokens <= 0) finish()
+    else setTimeout(finish, next.tokens / this.settings.prefillTokensPerMs)
+  }
+
+  #decodeStep (): void {
+    for (const run of this.#decoding) this.#produce(run)
+    this.#startPrefill()
+  }
+
+  #produce (run: EngineRun): void {
+    const length = run.request.maxTokens
+    if (run.produced < length) {
+      run.messages.push({ kind: 'tokens', offset: run.produced, tokens: [run.tokenAt(run.produced)], version: run.version })
+      run.produced += 1
+    }
+    if (run.produced >= length) {
+      run.messages.push({
+        kind: 'end',
+        length,
+        finishReason: 'length',
+        promptTokens: tokenCount(run.request.prompt),
+        cachedTokens: run.cachedTokens,
+        version: run.version
+      })
+      this.#finishRun(run)
+    }
+    for (const wake of [...run.listeners]) wake()
+  }
+
+  #finishRun (run: EngineRun): void {
+    const answer = Array.from({ length: run.produced }, (_, offset) => run.tokenAt(offset)).join('')
+    this.#cache.store(blockKeys(run.request.cacheSalt, run.request.prompt + answer), performance.now())
+    this.#meanRunMs += (performance.now() - run.startedAt - this.#meanRunMs) * 0.1
+    this.#endRun(run)
+    setTimeout(() => { this.#runs.delete(run.request.run) }, RUN_KEPT_MS).unref()
+  }
+
+  #endRun (run: EngineRun): void {
+    run.ended = true
+    this.#decoding.delete(run)
+    this.#prefillQueue = this.#prefillQueue.filter(queued => queued.run !== run)
+    for (const wake of [...run.listeners]) wake()
+  }
+
+  // --- Cache ---
+
+  /**
+   * @param from - first sequence number wanted
+   * @returns visible events, or undefined after a gap
+   */
+  cacheEvents (from: number): ReturnType<PrefixCache['eventsFrom']> {
+    return this.#cache.eventsFrom(from, performance.now() - this.settings.eventLagMs)
+  }
+
+  /** @returns all keys and the sequence number that follows them */
+  cacheListing (): { keys: string[], nextSequence: number } {
+    return { keys: this.#cache.keys(), nextSequence: this.#cache.nextSequence }
+  }
+
+  /**
+   * Reads objects from stores and stages them for one run.
+   *
+   * @param request - objects and where they lie
+   * @param signal - aborted when the caller gives up
+   * @returns bytes read, or why it failed
+   */
+  async stageImport (request: ImportRequest, signal: AbortSignal): Promise<{ bytes: number } | { error: string }> {
+    let bytes = 0
+    const keys: string[] = []
+    for (const object of request.objects) {
+      const response = await httpRequest(`http://${object.storeAddress}/objects/${object.name}`, { signal })
+      const content = new Uint8Array(await response.body.arrayBuffer())
+      if (response.statusCode !== 200) return { error: 'object-missing' }
+      const expected = objectContent(object.keys, this.settings.bytesPerToken * TOKENS_PER_BLOCK)
+      if (sha256(content) !== object.sha256 || !expected.equals(content)) return { error: 'object-damaged' }
+      bytes += content.length
+      keys.push(...object.keys)
+    }
+    this.#imports.set(request.importId, keys)
+    setTimeout(() => { this.#imports.delete(request.importId) }, IMPORT_KEPT_MS).unref()
+    return { bytes }
+  }
+
+  /** @param importId - import that no run will use */
+  discardImport (importId: string): void {
+    this.#imports.delete(importId)
+  }
+
+  /**
+   * Writes blocks from the cache to a store.
+   *
+   * @param request - blocks and target
+   * @returns the store's acknowledgement, or why it failed
+   */
+  async exportBlocks (request: ExportRequest): Promise<ExportResponse | { error: string }> {
+    if (!this.#cache.holds(request.keys)) return { error: 'blocks-gone' }
+    const content = objectContent(request.keys, this.settings.bytesPerToken * TOKENS_PER_BLOCK)
+    const response = await httpRequest(`http://${request.storeAddress}/objects/${request.name}`, {
+      method: 'PUT',
+      headers: {
+        'x-object-sha256': sha256(content),
+        'x-object-meta': JSON.stringify({ customer: request.customer, keys: request.keys, tokens: request.tokens })
+      },
+      body: content
+    })
+    const answer = await response.body.json() as ExportResponse | { error: string }
+    return response.statusCode < 300 ? answer : { error: 'error' in answer ? answer.error : 'store-refused' }
+  }
+
+  // --- Orders ---
+
+  /**
+   * Takes an order of the control hosts.
+   *
+   * @param request - order with its fencing number
+   * @returns false if the number is older than one already seen
+   */
+  order (request: OrderRequest): boolean {
+    const { term, index } = request.fence
+    const isOld = term < this.#fence.term || (term === this.#fence.term && index < this.#fence.index)
+    if (this.settings.honoursFencing && isOld) return false
+    this.#fence = request.fence
+    this.#ordersTaken += 1
+    if (this.#loadingVersion !== request.order.version && this.#version !== request.order.version) {
+      this.#loadingVersion = request.order.version
+      void this.#loadWeights(request.order.version)
+    }
+    return true
+  }
+
+  async #loadWeights (version: string): Promise<void> {
+    try {
+      const response = await httpRequest(`http://${this.settings.weightStore}/weights/${this.settings.model}/${version}`)
+      await response.body.arrayBuffer()
+      if (response.statusCode === 200 && this.#loadingVersion === version) this.#version = version
+    } catch {
+      // The control hosts see that the version did not change and order again.
+    }
+    if (this.#loadingVersion === version) this.#loadingVersion = undefined
+  }
+
+  #measure (): EngineReport {
+    const queuedTokens = this.#prefillQueue.reduce((sum, { tokens }) => sum + tokens, 0)
+    return {
+      incarnation: this.settings.incarnation,
+      state: 'serving',
+      model: this.settings.model,
+      version: this.#version,
+      ...(this.#loadingVersion === undefined ? {} : { loadingVersion: this.#loadingVersion }),
+      running: this.#decoding.size + this.#prefillQueue.length + (this.#prefilling ? 1 : 0),
+      maxRunning: this.settings.maxRunning,
+      queuedTokens,
+      prefillTokensPerMs: this.settings.prefillTokensPerMs,
+      meanRunMs: this.#meanRunMs,
+      ...(this.#cache.residenceMs === 0 ? {} : { residenceSeconds: this.#cache.residenceMs / 1000 }),
+      bytesPerToken: this.settings.bytesPerToken,
+      ageMs: 0
+    }
+  }
+}
+
+/** Characters of one block, for those that build prompts. */
+export const BLOCK_CHARACTERS = TOKENS_PER_BLOCK * CHARACTERS_PER_TOKEN
--- /dev/null
+++ b/apps/standin/src/lib/StoreStandin.ts
@@ -0,0 +1,120 @@
+/** Stand-in for a KV cache store: memory and disk tiers behind one limited link. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { H3 } from 'h3'
+import { z } from 'zod'
+import { sha256 } from './blockContent.js'
+import { errorAnswer } from './httpApp.js'
+
+/** How the stand-in behaves. */
+export interface StoreStandinSettings {
+  readonly memoryBytes: number
+  readonly diskBytes: number
+  readonly linkBytesPerSecond: number
+  readonly incarnation: number
+}
+
+interface HeldObject {
+  readonly name: string
+  readonly customer: string
+  readonly keys: readonly string[]
+  readonly tokens: number
+  readonly sha256: string
+  readonly tier: 'memory' | 'disk'
+  readonly content: Uint8Array
+}
+
+const metaSchema = z.object({ customer: z.string(), keys: z.array(z.string()), tokens: z.number() })
+
+/** Bytes sent at a time over the link. */
+const SLICE_BYTES = 64 * 1024
+
+/** Extra time for an object on disk, in milliseconds. */
+const DISK_SEEK_MS = 4
+
+/** One stand-in store. */
+export class StoreStandin {
+  readonly #objects = new Map<string, HeldObject>()
+  #linkFreeAt = 0
+  #linkBytesPerMs: number
+
+  /** @param settings - how it behaves */
+  constructor (private readonly settings: StoreStandinSettings) {
+    this.#linkBytesPerMs = settings.linkBytesPerSecond / 1000
+  }
+
+  /** @returns the routes */
+  routes (): H3 {
+    const app = new H3()
+    app.get('/load', () => ({
+      incarnation: this.settings.incarnation,
+      usedBytes: this.#used(),
+      capacityBytes: this.settings.memoryBytes + this.settings.diskBytes,
+      backlogBytes: Math.round(Math.max(0, this.#linkFreeAt - performance.now()) * this.#linkBytesPerMs)
+    }))
+    app.get('/objects', () => ({
+      objects: [...this.#objects.values()].map(({ content, ...object }) => ({ ...object, bytes: content.length }))
+    }))
+    app.get('/objects/:name', event => {
+      const object = this.#objects.get(event.context.params?.name ?? '')
+      return object === undefined ? errorAnswer(404, 'no-such-object') : this.#send(object)
+    })
+    app.put('/objects/:name', async event => {
+      const name = event.context.params?.name ?? ''
+      const meta = metaSchema.parse(JSON.parse(event.req.headers.get('x-object-meta') ?? '{}'))
+      const content = new Uint8Array(await event.req.arrayBuffer())
+      return await this.#put(name, meta, content, event.req.headers.get('x-object-sha256') ?? '')
+    })
+    app.delete('/objects/:name', event => {
+      this.#objects.delete(event.context.params?.name ?? '')
+      return { ok: true }
+    })
+    app.post('/standin/link/:bytesPerSecond', event => {
+      this.#linkBytesPerMs = Number(event.context.params?.bytesPerSecond) / 1000
+      return { ok: true }
+    })
+    app.post('/standin/fill', () => {
+      const content = new Uint8Array(Math.max(0, this.settings.memoryBytes + this.settings.diskBytes - this.#used()))
+      this.#objects.set('filler', { name: 'filler', customer: 'none', keys: [], tokens: 0, sha256: '', tier: 'disk', content })
+      return { ok: true }
+    })
+    return app
+  }
+
+  async #put (name: string, meta: z.infer<typeof metaSchema>, content: Uint8Array, checksum: string): Promise<Response> {
+    const used = this.#used()
+    if (used + content.length > this.settings.memoryBytes + this.settings.diskBytes) return errorAnswer(507, 'store-full')
+    await this.#takeLink(content.length)
+    if (sha256(content) !== checksum) return errorAnswer(409, 'checksum-differs')
+    const tier = used + content.length <= this.settings.memoryBytes ? 'memory' : 'disk'
+    this.#objects.set(name, { name, ...meta, sha256: checksum, tier, content })
+    return Response.json({ bytes: content.length, sha256: checksum, tier })
+  }
+
+  #send (object: HeldObject): Response {
+    let offset = 0
+    const body = new ReadableStream<Uint8Array>({
+      pull: async controller => {
+        if (offset === 0 && object.tier === 'disk') await sleep(DISK_SEEK_MS)
+        const slice = object.content.subarray(offset, offset + SLICE_BYTES)
+        await this.#takeLink(slice.length)
+        offset += slice.length
+        controller.enqueue(slice)
+        if (offset >= object.content.length) controller.close()
+      }
+    })
+    return new Response(body, { headers: { 'content-length': String(object.content.length) } })
+  }
+
+  /** All transfers share the link in the order they ask for it. */
+  async #takeLink (bytes: number): Promise<void> {
+    const start = Math.max(this.#linkFreeAt, performance.now())
+    this.#linkFreeAt = start + bytes / this.#linkBytesPerMs
+    await sleep(this.#linkFreeAt - performance.now())
+  }
+
+  #used (): number {
+    let used = 0
+    for (const { content } of this.#objects.values()) used += content.length
+    return used
+  }
+}
--- /dev/null
+++ b/apps/standin/src/lib/plainStandins.ts
@@ -0,0 +1,105 @@
+/** Stand-ins for a plain service, the weight store and the platform's membership list. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { H3, readBody } from 'h3'
+import { errorAnswer } from './httpApp.js'
+
+/** How the stand-in service behaves. */
+export interface ServiceStandinSettings {
+  readonly name: string
+  readonly workMs: number
+  readonly incarnation: number
+}
+
+/**
+ * A service that counts each execution by request body, so that a doubled one is noticed.
+ *
+ * @param settings - how it behaves
+ * @returns its routes
+ */
+export function serviceRoutes (settings: ServiceStandinSettings): H3 {
+  const executions = new Map<string, number>()
+  let sequence = 0
+  let leaving = false
+  const app = new H3()
+  app.get('/healthz', () => ({ incarnation: settings.incarnation, state: leaving ? 'leaving' : 'serving' }))
+  app.get('/standin/executions', () => Object.fromEntries(executions))
+  app.post('/standin/leave', () => {
+    leaving = true
+    return { ok: true }
+  })
+  app.all('/**', async event => {
+    if (leaving) {
+      return new Response('', { status: 503, headers: { 'eelgrassmux-run': 'not-run' } })
+    }
+    const body = event.req.method === 'GET' ? '' : await event.req.text()
+    if (event.req.method !== 'GET') executions.set(body, (executions.get(body) ?? 0) + 1)
+    await sleep(settings.workMs)
+    sequence += 1
+    return { service: settings.name, method: event.req.method, path: event.url.pathname, receipt: `${settings.name}-${sequence}` }
+  })
+  return app
+}
+
+/** How the stand-in weight store behaves. */
+export interface WeightStandinSettings {
+  readonly loadMs: number
+}
+
+/** Loads at once that the weight store bears without slowing down. */
+const LOADS_AT_FULL_SPEED = 2
+
+/**
+ * A weight store that slows down for everyone when more than two replicas load at once.
+ *
+ * @param settings - how it behaves
+ * @returns its routes
+ */
+export function weightRoutes (settings: WeightStandinSettings): H3 {
+  let loading = 0
+  let most = 0
+  const app = new H3()
+  app.get('/weights/:model/:version', async () => {
+    loading += 1
+    most = Math.max(most, loading)
+    await sleep(settings.loadMs * Math.max(1, loading / LOADS_AT_FULL_SPEED))
+    loading -= 1
+    return new Response('weights')
+  })
+  app.get('/standin/most', () => ({ most }))
+  return app
+}
+
+/** How the stand-in list behaves. */
+export interface MembershipStandinSettings {
+  readonly lagMs: number
+}
+
+interface Member {
+  readonly name: string
+  readonly state: 'live' | 'leaving'
+  readonly incarnation: number
+}
+
+/**
+ * A membership list that shows changes late and can stop updating.
+ *
+ * @param settings - how it behaves
+ * @returns its routes
+ */
+export function membershipRoutes (settings: MembershipStandinSettings): H3 {
+  const members = new Map<string, Member>()
+  let frozen = false
+  const app = new H3()
+  app.get('/members', () => ({ members: [...members.values()] }))
+  app.post('/standin/members', async event => {
+    const member = await readBody<Member>(event)
+    if (member === undefined) return errorAnswer(400, 'no-member')
+    setTimeout(() => { if (!frozen) members.set(member.name, member) }, settings.lagMs)
+    return { ok: true }
+  })
+  app.post('/standin/freeze', () => {
+    frozen = true
+    return { ok: true }
+  })
+  return app
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,11 @@
+import neostandard from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  {
+    rules: {
+      // A promise that is meant to run by itself is marked with a void statement.
+      'no-void': ['error', { allowAsStatement: true }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/backends/src/lib/ServiceClient.ts
@@ -0,0 +1,98 @@
+/** Adapter to a plain service. */
+import { Client, Pool, type Dispatcher } from 'undici'
+import { z } from 'zod'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { BackendError } from './BackendError.js'
+import { CONNECT_TIMEOUT_MS, HttpBackend, toBackendError } from './HttpBackend.js'
+
+/** Header by which a service states that it did not start a request. */
+export const RUN_STATE_HEADER = 'eelgrassmux-run'
+
+const SHORT_CALL_MS = 1000
+
+export const serviceHealthSchema = z.object({ incarnation: z.number().int().min(0), state: z.enum(['serving', 'leaving']) })
+
+export type ServiceHealth = z.infer<typeof serviceHealthSchema>
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly method: string
+  readonly path: string
+  readonly contentType: string | undefined
+  readonly body: Uint8Array | undefined
+  readonly timeoutMs: number
+}
+
+/** A whole answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: Uint8Array
+}
+
+/** Calls one endpoint of a plain service. */
+export class ServiceClient {
+  readonly #pool: Pool
+  readonly #health: HttpBackend
+
+  /** @param address - IP number and port */
+  constructor (readonly address: string) {
+    this.#pool = new Pool(`http://${address}`, { connect: { timeout: CONNECT_TIMEOUT_MS } })
+    this.#health = new HttpBackend(address)
+  }
+
+  /** @returns the endpoint's own word on its state */
+  async health (): Promise<Result<ServiceHealth, BackendError>> {
+    return await this.#health.json({ method: 'GET', path: '/healthz', timeoutMs: SHORT_CALL_MS }, serviceHealthSchema)
+  }
+
+  /**
+   * Makes a call that may be repeated, over kept connections.
+   *
+   * @param call - what to send
+   * @returns the answer, or what went wrong
+   */
+  async call (call: ServiceCall): Promise<Result<ServiceAnswer, BackendError>> {
+    return await send(this.#pool, call)
+  }
+
+  /**
+   * Makes a call that must reach the endpoint at most once, on a connection of its own.
+   * A kept connection that the far side has just closed would make the outcome unknown.
+   *
+   * @param call - what to send
+   * @returns the answer; only `connect-failed` and `not-started` mean that it did not run
+   */
+  async callOnce (call: ServiceCall): Promise<Result<ServiceAnswer, BackendError>> {
+    const connection = new Client(`http://${this.address}`, { pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    const answer = await send(connection, call)
+    await connection.destroy()
+    return answer
+  }
+
+  /** Closes all connections at once. */
+  async close (): Promise<void> {
+    await this.#pool.destroy()
+    await this.#health.close()
+  }
+}
+
+async function send (dispatcher: Dispatcher, call: ServiceCall): Promise<Result<ServiceAnswer, BackendError>> {
+  try {
+    const response = await dispatcher.request({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: call.contentType === undefined ? {} : { 'content-type': call.contentType },
+      body: call.body ?? null,
+      headersTimeout: call.timeoutMs,
+      bodyTimeout: call.timeoutMs
+    })
+    const body = new Uint8Array(await response.body.arrayBuffer())
+    if (response.headers[RUN_STATE_HEADER] === 'not-run') {
+      return fail({ kind: 'not-started', reason: response.statusCode === 503 ? 'leaving' : 'other' })
+    }
+    return succeed({ status: response.statusCode, contentType: String(response.headers['content-type'] ?? 'application/octet-stream'), body })
+  } catch (error) {
+    return fail(toBackendError(error))
+  }
+}
--- /dev/null
+++ b/packages/backends/src/lib/StoreClient.ts
@@ -0,0 +1,67 @@
+/** Adapter to one KV cache store. Block data flows between engines and stores; the system only lists and deletes. */
+import { z } from 'zod'
+import type { Result } from '@eelgrassmux/schema/Result'
+import type { BackendError } from './BackendError.js'
+import { HttpBackend } from './HttpBackend.js'
+
+const count = z.number().int().min(0)
+
+/** Deadline of short calls, in milliseconds. */
+const SHORT_CALL_MS = 2000
+
+export const storeLoadSchema = z.object({
+  incarnation: count,
+  usedBytes: count,
+  capacityBytes: count,
+  backlogBytes: count
+})
+
+/** Only objects that are complete and whose checksum was verified are listed. */
+export const storeListingSchema = z.object({
+  objects: z.array(z.object({
+    name: z.string(),
+    customer: z.string(),
+    keys: z.array(z.string()),
+    tokens: count,
+    bytes: count,
+    sha256: z.string(),
+    tier: z.enum(['memory', 'disk'])
+  }))
+})
+
+export type StoreLoad = z.infer<typeof storeLoadSchema>
+export type StoreListing = z.infer<typeof storeListingSchema>
+
+/** What the system asks of a store. */
+export interface StoreBackend {
+  load (): Promise<Result<StoreLoad, BackendError>>
+  list (): Promise<Result<StoreListing, BackendError>>
+  remove (name: string): Promise<Result<unknown, BackendError>>
+}
+
+/** {@link StoreBackend} over HTTP. */
+export class StoreClient implements StoreBackend {
+  readonly #http: HttpBackend
+
+  /** @param address - IP number and port */
+  constructor (address: string) {
+    this.#http = new HttpBackend(address)
+  }
+
+  async load (): Promise<Result<StoreLoad, BackendError>> {
+    return await this.#http.json({ method: 'GET', path: '/load', timeoutMs: SHORT_CALL_MS }, storeLoadSchema)
+  }
+
+  async list (): Promise<Result<StoreListing, BackendError>> {
+    return await this.#http.json({ method: 'GET', path: '/objects', timeoutMs: SHORT_CALL_MS }, storeListingSchema)
+  }
+
+  async remove (name: string): Promise<Result<unknown, BackendError>> {
+    return await this.#http.json({ method: 'DELETE', path: `/objects/${name}`, timeoutMs: SHORT_CALL_MS }, z.unknown())
+  }
+
+  /** Closes all connections at once. */
+  async close (): Promise<void> {
+    await this.#http.close()
+  }
+}
--- /dev/null
+++ b/packages/backends/src/lib/engineProtocol.ts
@@ -0,0 +1,92 @@
+/** The model engines' protocol, as far as the system uses it. */
+import { z } from 'zod'
+
+const count = z.number().int().min(0)
+
+export const engineLoadSchema = z.object({
+  incarnation: count,
+  state: z.enum(['serving', 'leaving']),
+  model: z.string(),
+  version: z.string(),
+  loadingVersion: z.string().optional(),
+  running: count,
+  maxRunning: z.number().int().min(1),
+  queuedTokens: z.number().min(0),
+  prefillTokensPerMs: z.number().positive(),
+  meanRunMs: z.number().min(0),
+  /** How long evicted blocks had lain unused; absent until something was evicted. */
+  residenceSeconds: z.number().min(0).optional(),
+  bytesPerToken: z.number().min(0),
+  ageMs: z.number().min(0)
+})
+
+export const cacheEventSchema = z.object({ sequence: count, kind: z.enum(['stored', 'removed']), keys: z.array(z.string()) })
+
+export const cacheEventsSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('events'), incarnation: count, events: z.array(cacheEventSchema) }),
+  /** Events from the wanted number on are gone. */
+  z.object({ kind: z.literal('gap'), incarnation: count })
+])
+
+export const cacheListingSchema = z.object({ incarnation: count, nextSequence: count, keys: z.array(z.string()) })
+
+export const runRequestSchema = z.object({
+  run: z.string(),
+  prompt: z.string(),
+  maxTokens: z.number().int().min(1),
+  priority: z.number().int(),
+  cacheSalt: z.string(),
+  expectedVersion: z.string(),
+  /** Tokens of the answer that the caller already has; the run goes on behind them. */
+  produced: z.array(z.string()),
+  /** Staged import to use; an unknown one is refused. */
+  importId: z.string().optional()
+})
+
+export const runMessageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('tokens'), offset: count, tokens: z.array(z.string()), version: z.string() }),
+  z.object({
+    kind: z.literal('end'),
+    length: count,
+    finishReason: z.enum(['stop', 'length']),
+    promptTokens: count,
+    cachedTokens: count,
+    version: z.string()
+  })
+])
+
+export const importRequestSchema = z.object({
+  importId: z.string(),
+  objects: z.array(z.object({
+    storeAddress: z.string(), name: z.string(), keys: z.array(z.string()), bytes: count, sha256: z.string()
+  }))
+})
+
+export const importResponseSchema = z.object({ bytes: count })
+
+export const exportRequestSchema = z.object({
+  storeAddress: z.string(),
+  name: z.string(),
+  customer: z.string(),
+  keys: z.array(z.string()),
+  tokens: count
+})
+
+export const exportResponseSchema = z.object({ bytes: count, sha256: z.string(), tier: z.enum(['memory', 'disk']) })
+
+export const orderRequestSchema = z.object({
+  fence: z.object({ term: count, index: count }),
+  order: z.object({ kind: z.literal('load-version'), model: z.string(), version: z.string() })
+})
+
+export const okSchema = z.object({ ok: z.literal(true) })
+
+export type EngineReport = z.infer<typeof engineLoadSchema>
+export type CacheEvents = z.infer<typeof cacheEventsSchema>
+export type CacheListing = z.infer<typeof cacheListingSchema>
+export type RunRequest = z.infer<typeof runRequestSchema>
+export type RunMessage = z.infer<typeof runMessageSchema>
+export type ImportRequest = z.infer<typeof importRequestSchema>
+export type ExportRequest = z.infer<typeof exportRequestSchema>
+export type ExportResponse = z.infer<typeof exportResponseSchema>
+export type OrderRequest = z.infer<typeof orderRequestSchema>
--- /dev/null
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -0,0 +1,160 @@
+/**
+ * Frame of every daemon: checked settings, readiness, and a graceful stop.
+ *
+ * SIGTERM: not ready but still accepting while the balancer notices, then no new
+ * work, finish all, exit 0. A second signal is the operator's own choice and
+ * exits at once.
+ */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import type { z } from 'zod'
+import { InvariantViolation } from '@eelgrassmux/schema/invariant'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { startAdminServer } from './AdminServer.js'
+import { describeMistakes, flagOf, variableOf } from './settings.js'
+
+/** Settings that the frame itself reads. */
+export interface CommonSettings {
+  readonly host: string
+  readonly adminPort: number
+  readonly dataCentre: string
+  /** Milliseconds of readiness withdrawn before new work is refused. */
+  readonly balancerLagMs?: number
+}
+
+/** A started daemon. */
+export interface RunningDaemon {
+  /** Ports to print, by what they serve. */
+  readonly addresses: Readonly<Record<string, string>>
+  /** Whether new work is welcome. */
+  isReady (): boolean
+  /** Refuses new work from now on and resolves when all work under way is finished. */
+  drain (): Promise<void>
+  /** Closes sockets and files. */
+  close (): Promise<void>
+}
+
+/** A daemon's program. */
+export interface DaemonProgram<Settings extends CommonSettings> {
+  readonly name: string
+  readonly description: string
+  readonly settings: z.ZodObject<z.ZodRawShape, z.core.$strip> & z.ZodType<Settings>
+  /** Starts all tasks of the daemon. */
+  start (settings: Settings, telemetry: Telemetry, fail: (error: unknown) => void): Promise<RunningDaemon>
+}
+
+/** Exit code for settings that are missing or wrong. */
+const EXIT_SETTINGS = 2
+
+/** Exit code for a broken invariant or a failed disk. */
+const EXIT_FATAL = 3
+
+/** Resolution of the event loop delay metric, in milliseconds. */
+const LOOP_RESOLUTION_MS = 20
+
+/**
+ * Runs a daemon until it is stopped. Never returns before the process may exit.
+ *
+ * @param program - what to run
+ * @param args - command line arguments
+ */
+export async function runDaemon<Settings extends CommonSettings> (program: DaemonProgram<Settings>, args: readonly string[]): Promise<void> {
+  const cli = new Cli({ binaryName: program.name, binaryLabel: program.description, binaryVersion: '0.1.0' })
+  cli.register(commandFor(program))
+  cli.register(Builtins.HelpCommand)
+  cli.register(Builtins.VersionCommand)
+  process.exitCode = await cli.run([...args], Cli.defaultContext)
+}
+
+function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>): new () => Command {
+  const names = Object.keys(program.settings.shape)
+  return class extends Command {
+    static override paths = [Command.Default]
+    static override usage = Command.Usage({ description: program.description, details: usageDetails(program) })
+    check = Option.Boolean('--check', false, { description: 'check the settings and exit' })
+
+    constructor () {
+      super()
+      // One option for each setting of the schema, so that flags can't drift from it.
+      for (const name of names) {
+        const description = program.settings.shape[name] instanceof Object ? describe(program, name) : ''
+        Reflect.set(this, name, Option.String(flagOf(name), { env: variableOf(name), description }))
+      }
+    }
+
+    override async execute (): Promise<number> {
+      const given = Object.fromEntries(names.map(name => [name, Reflect.get(this, name)]))
+      const parsed = program.settings.safeParse(given, { reportInput: true })
+      if (!parsed.success) {
+        const mistakes = describeMistakes(parsed.error.issues).map(({ flag, variable, message }) => `${flag} (${variable}) ${message}`)
+        this.context.stderr.write(`${program.name}: ${mistakes.join('; ')}\n`)
+        return EXIT_SETTINGS
+      }
+      if (this.check) {
+        this.context.stdout.write('settings are valid\n')
+        return 0
+      }
+      return await supervise(program, parsed.data)
+    }
+  }
+}
+
+function describe<Settings extends CommonSettings> (program: DaemonProgram<Settings>, name: string): string {
+  const setting = program.settings.shape[name]
+  return setting !== undefined && 'description' in setting ? String(setting.description ?? '') : ''
+}
+
+function usageDetails<Settings extends CommonSettings> (program: DaemonProgram<Settings>): string {
+  const lines = Object.keys(program.settings.shape)
+    .map(name => `- \`${flagOf(name)}\` (\`${variableOf(name)}\`): ${describe(program, name)}`)
+  return `Settings, each a flag or an environment variable:\n\n${lines.join('\n\n')}`
+}
+
+async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings): Promise<number> {
+  const telemetry = new Telemetry(program.name)
+  const invariants = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
+  const fail = (error: unknown): void => {
+    const invariant = error instanceof InvariantViolation ? error.invariant : 'unexpected-error'
+    invariants.count(invariant)
+    telemetry.fault('fatal', { invariant, message: String(error) })
+    process.stderr.write(`${program.name}: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+    process.exit(EXIT_FATAL)
+  }
+  process.on('uncaughtException', fail)
+  process.on('unhandledRejection', fail)
+  const loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS })
+  loopDelay.enable()
+  telemetry.gauge('event_loop_delay_seconds', '99th percentile of event loop delay since the last reading', () => {
+    const seconds = loopDelay.percentile(99) / 1e9
+    loopDelay.reset()
+    return Number.isFinite(seconds) ? seconds : 0
+  })
+  const daemon = await program.start(settings, telemetry, fail)
+  let draining = false
+  const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !draining && daemon.isReady())
+  const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
+  process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
+  await stopSignal()
+  draining = true
+  telemetry.stateChanged('draining')
+  await sleep(settings.balancerLagMs ?? 0)
+  await daemon.drain()
+  telemetry.stateChanged('stopped')
+  await daemon.close()
+  await admin.close()
+  process.exit(0)
+}
+
+async function stopSignal (): Promise<void> {
+  await new Promise<void>(resolve => {
+    let signalled = false
+    const onSignal = (): void => {
+      if (signalled) process.exit(1)
+      signalled = true
+      resolve()
+    }
+    process.on('SIGTERM', onSignal)
+    process.on('SIGINT', onSignal)
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/lib/settings.ts
@@ -0,0 +1,69 @@
+/** Process settings: one schema gives flags, environment variables, checks and types. */
+import { z } from 'zod'
+
+/** Prefix of all environment variables. */
+export const ENVIRONMENT_PREFIX = 'EELGRASSMUX_'
+
+const address = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
+
+/** An IP number and a port. */
+export const addressSetting = z.string().regex(address, 'write an IP number and a port, such as 10.0.0.5:8000')
+
+/** Addresses separated by commas. */
+export const addressListSetting = z.string().transform((text, context) => {
+  const addresses = text.split(',').map(part => part.trim()).filter(part => part !== '')
+  for (const part of addresses) {
+    if (!address.test(part)) context.addIssue({ code: 'custom', message: `${part} is not an IP number and a port` })
+  }
+  return addresses
+})
+
+/** A whole number within bounds. */
+export function integerSetting (least: number, most: number): z.ZodType<number, unknown> {
+  return z.coerce.number().int().min(least).max(most)
+}
+
+/** `true` or `false`. */
+export const booleanSetting = z.enum(['true', 'false']).transform(text => text === 'true')
+
+/** Settings that every daemon has. */
+export const commonSettingsShape = {
+  host: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/, 'write an IP number').default('127.0.0.1').describe('IP number to listen on'),
+  adminPort: integerSetting(0, 65535).default(0).describe('port of /healthz, /readyz and /metrics; 0 takes a free one'),
+  dataCentre: z.string().regex(/^[a-z0-9-]+$/, 'use lower-case letters, digits and dashes').describe('data centre this host stands in')
+}
+
+/** A setting that is missing or wrong. */
+export interface SettingMistake {
+  readonly flag: string
+  readonly variable: string
+  readonly message: string
+}
+
+/**
+ * @param name - setting name in camel case
+ * @returns its flag
+ */
+export function flagOf (name: string): string {
+  return `--${name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`
+}
+
+/**
+ * @param name - setting name in camel case
+ * @returns its environment variable
+ */
+export function variableOf (name: string): string {
+  return ENVIRONMENT_PREFIX + name.replaceAll(/[A-Z]/g, letter => `_${letter}`).toUpperCase()
+}
+
+/**
+ * @param issues - what a schema found wrong
+ * @returns the mistakes, each with the names that an operator knows
+ */
+export function describeMistakes (issues: readonly z.core.$ZodIssue[]): SettingMistake[] {
+  return issues.map(issue => {
+    const name = String(issue.path[0] ?? '')
+    const isMissing = issue.code === 'invalid_type' && issue.input === undefined
+    return { flag: flagOf(name), variable: variableOf(name), message: isMissing ? 'is required' : issue.message }
+  })
+}
--- /dev/null
+++ b/packages/durable/src/lib/DataFolder.ts
@@ -0,0 +1,114 @@
+/** The few file operations that durable state needs; the narrow interface lets tests lose unsynced bytes. */
+import { constants } from 'node:fs'
+import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises'
+import { join } from 'node:path'
+
+/** An open file that only grows. */
+export interface AppendFile {
+  /** Writes all bytes at the end; they last only after {@link AppendFile.sync}. */
+  append (bytes: Uint8Array): Promise<void>
+  /** Makes everything appended so far survive a crash. Rejects if the disk says otherwise. */
+  sync (): Promise<void>
+  close (): Promise<void>
+}
+
+/** One flat folder that holds all of a process's durable state. */
+export interface DataFolder {
+  list (): Promise<string[]>
+  read (name: string): Promise<Uint8Array | undefined>
+  /** Writes a whole file under a temporary name, syncs it, renames it and syncs the folder. */
+  replace (name: string, bytes: Uint8Array): Promise<void>
+  /** Cuts a file to a length and opens it for appending. */
+  openAppend (name: string, length: number): Promise<AppendFile>
+  remove (name: string): Promise<void>
+}
+
+const TEMPORARY_SUFFIX = '.tmp'
+
+class NodeAppendFile implements AppendFile {
+  constructor (private readonly handle: FileHandle) {}
+
+  async append (bytes: Uint8Array): Promise<void> {
+    let written = 0
+    while (written < bytes.length) {
+      const result = await this.handle.write(bytes, written, bytes.length - written)
+      written += result.bytesWritten
+    }
+  }
+
+  async sync (): Promise<void> {
+    await this.handle.datasync()
+  }
+
+  async close (): Promise<void> {
+    await this.handle.close()
+  }
+}
+
+/** {@link DataFolder} on the local file system. */
+export class NodeDataFolder implements DataFolder {
+  private constructor (private readonly path: string) {}
+
+  /**
+   * Opens a folder, creating it if needed.
+   *
+   * @param path - where the folder is
+   * @returns the opened folder
+   */
+  static async open (path: string): Promise<NodeDataFolder> {
+    await mkdir(path, { recursive: true })
+    const folder = new NodeDataFolder(path)
+    for (const name of await folder.list()) {
+      if (name.endsWith(TEMPORARY_SUFFIX)) await folder.remove(name)
+    }
+    return folder
+  }
+
+  async list (): Promise<string[]> {
+    return await readdir(this.path)
+  }
+
+  async read (name: string): Promise<Uint8Array | undefined> {
+    try {
+      return await readFile(join(this.path, name))
+    } catch (error) {
+      if (isMissing(error)) return undefined
+      throw error
+    }
+  }
+
+  async replace (name: string, bytes: Uint8Array): Promise<void> {
+    const temporary = join(this.path, name + TEMPORARY_SUFFIX)
+    const handle = await open(temporary, 'w')
+    const file = new NodeAppendFile(handle)
+    await file.append(bytes)
+    await handle.sync()
+    await handle.close()
+    await rename(temporary, join(this.path, name))
+    await this.#syncFolder()
+  }
+
+  async openAppend (name: string, length: number): Promise<AppendFile> {
+    const handle = await open(join(this.path, name), constants.O_RDWR | constants.O_CREAT)
+    await handle.truncate(length)
+    await handle.sync()
+    await handle.close()
+    await this.#syncFolder()
+    return new NodeAppendFile(await open(join(this.path, name), 'a'))
+  }
+
+  async remove (name: string): Promise<void> {
+    await rm(join(this.path, name), { force: true })
+    await this.#syncFolder()
+  }
+
+  async #syncFolder (): Promise<void> {
+    const handle = await open(this.path, 'r')
+    await handle.sync()
+    await handle.close()
+  }
+}
+
+function isMissing (error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ENOENT'
+}
--- /dev/null
+++ b/packages/policy/src/lib/health/LinkTable.ts
@@ -0,0 +1,104 @@
+/** Speed and backlog of store links, learnt from own transfers and the stores' reports. */
+import type { LinkView } from '../placement/placementTypes.js'
+
+/** Weight of the newest transfer in the observed speed. */
+const SPEED_SMOOTHING = 0.4
+
+interface LinkState {
+  configuredBytesPerMs: number
+  bytesPerMs: number
+  reportedBacklog: number
+  reportedAt: number
+  ownPendingBytes: number
+  transferredAt: number
+}
+
+/** After this time without a transfer the speed drifts back to the configured one, so that a mended link is tried again. */
+const RECOVERY_MS = 5000
+
+/** All links known to one entry host. */
+export class LinkTable {
+  readonly #links = new Map<string, LinkState>()
+
+  /**
+   * @param store - store name
+   * @param bytesPerSecond - configured speed of its link
+   */
+  configure (store: string, bytesPerSecond: number): void {
+    const bytesPerMs = bytesPerSecond / 1000
+    const present = this.#links.get(store)
+    if (present?.configuredBytesPerMs === bytesPerMs) return
+    this.#links.set(store, {
+      configuredBytesPerMs: bytesPerMs,
+      bytesPerMs,
+      reportedBacklog: 0,
+      reportedAt: Number.NEGATIVE_INFINITY,
+      ownPendingBytes: 0,
+      transferredAt: Number.NEGATIVE_INFINITY
+    })
+  }
+
+  /** @param stores - stores still configured; all others are forgotten */
+  retain (stores: ReadonlySet<string>): void {
+    for (const store of this.#links.keys()) {
+      if (!stores.has(store)) this.#links.delete(store)
+    }
+  }
+
+  /**
+   * @param store - store name
+   * @param backlogBytes - bytes it has queued on its link
+   * @param now - monotonic milliseconds
+   */
+  observeBacklog (store: string, backlogBytes: number, now: number): void {
+    const link = this.#links.get(store)
+    if (link === undefined) return
+    link.reportedBacklog = backlogBytes
+    link.reportedAt = now
+    link.ownPendingBytes = 0
+  }
+
+  /**
+   * @param store - store name
+   * @param bytes - size of a transfer that starts now
+   */
+  recordStart (store: string, bytes: number): void {
+    const link = this.#links.get(store)
+    if (link !== undefined) link.ownPendingBytes += bytes
+  }
+
+  /**
+   * Learns from a finished transfer.
+   *
+   * @param store - store name
+   * @param bytes - its size, with what was queued before it
+   * @param elapsedMs - from start to end
+   * @param now - monotonic milliseconds
+   */
+  recordEnd (store: string, bytes: number, elapsedMs: number, now: number): void {
+    const link = this.#links.get(store)
+    if (link === undefined) return
+    const sample = Math.min(bytes / Math.max(1, elapsedMs), link.configuredBytesPerMs)
+    link.bytesPerMs += (sample - link.bytesPerMs) * SPEED_SMOOTHING
+    link.transferredAt = now
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns present view of all links
+   */
+  views (now: number): Map<string, LinkView> {
+    const views = new Map<string, LinkView>()
+    for (const [store, link] of this.#links) {
+      const idle = now - link.transferredAt
+      if (idle > RECOVERY_MS) {
+        link.bytesPerMs += (link.configuredBytesPerMs - link.bytesPerMs) * SPEED_SMOOTHING
+        link.transferredAt = now
+      }
+      const drained = Math.max(0, now - link.reportedAt) * link.bytesPerMs
+      const reported = Math.max(0, link.reportedBacklog - drained)
+      views.set(store, { bytesPerMs: link.bytesPerMs, backlogBytes: reported + link.ownPendingBytes })
+    }
+    return views
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/placement/CostPlacement.ts
@@ -0,0 +1,47 @@
+/** Placement by estimated cost over every engine and every cut of the prompt. */
+import { estimatePlacement, importCuts } from './estimatePlacement.js'
+import type { EngineCandidate, Placement, PlacementPolicy, PlacementRequest, PlacementWeights } from './placementTypes.js'
+
+/** Placements this close to the best, relatively, count as equal. */
+const NEAR_TIE = 0.05
+
+/** Score difference that is noise whatever the scale. */
+const NEAR_TIE_FLOOR = 1
+
+/** The product's own policy. Lowest score first; near-ties are broken at random so that hosts don't herd. */
+export class CostPlacement implements PlacementPolicy {
+  readonly name = 'eelgrassmux'
+
+  /**
+   * @param weights - the profile's weights
+   * @param random - source of numbers in [0, 1)
+   */
+  constructor (private readonly weights: PlacementWeights, private readonly random: () => number) {}
+
+  rank (request: PlacementRequest, engines: readonly EngineCandidate[]): Placement[] {
+    const best = engines.map(engine => this.#bestOn(request, engine))
+    best.sort((left, right) => left.score - right.score)
+    this.#shuffleNearTies(best)
+    return best
+  }
+
+  #bestOn (request: PlacementRequest, engine: EngineCandidate): Placement {
+    const placements = importCuts(request, engine).map(cut => estimatePlacement(request, engine, cut, this.weights))
+    return placements.reduce((best, placement) => placement.score < best.score ? placement : best)
+  }
+
+  #shuffleNearTies (ranked: Placement[]): void {
+    const lowest = ranked[0]
+    if (lowest === undefined) return
+    const limit = lowest.score + Math.max(NEAR_TIE_FLOOR, lowest.score * NEAR_TIE)
+    const ties = ranked.filter(placement => placement.score <= limit).length
+    for (let position = ties - 1; position > 0; position -= 1) {
+      const other = Math.floor(this.random() * (position + 1))
+      const moved = ranked[position]
+      const swapped = ranked[other]
+      if (moved === undefined || swapped === undefined) continue
+      ranked[position] = swapped
+      ranked[other] = moved
+    }
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/placement/createPlacementPolicy.ts
@@ -0,0 +1,29 @@
+import { unreachable } from '@eelgrassmux/schema/invariant'
+import { AlwaysImport, LeastLoaded, NeverImport, PrefixAffinity } from './baselines.js'
+import { CostPlacement } from './CostPlacement.js'
+import type { PlacementPolicy, PlacementWeights } from './placementTypes.js'
+
+/** Names of the policies that can be set, the product's own first. */
+export const PLACEMENT_POLICIES = ['eelgrassmux', 'least-loaded', 'prefix-affinity', 'always-import', 'never-import'] as const
+
+/** @public */
+export type PlacementPolicyName = typeof PLACEMENT_POLICIES[number]
+
+/**
+ * Builds a placement policy.
+ *
+ * @param name - which one
+ * @param weights - the profile's weights; baselines ignore them
+ * @param random - source of numbers in [0, 1)
+ * @returns the policy
+ */
+export function createPlacementPolicy (name: PlacementPolicyName, weights: PlacementWeights, random: () => number): PlacementPolicy {
+  switch (name) {
+    case 'eelgrassmux': return new CostPlacement(weights, random)
+    case 'least-loaded': return new LeastLoaded()
+    case 'prefix-affinity': return new PrefixAffinity()
+    case 'always-import': return new AlwaysImport()
+    case 'never-import': return new NeverImport()
+    default: return unreachable(name)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/lib/placement/decideKeep.ts
@@ -0,0 +1,47 @@
+/** Decides whether the blocks of a finished run are exported to a store. */
+
+/** What is known when a run ends. */
+export interface KeepRequest {
+  readonly keep: 'never' | 'by-value' | 'always'
+  /** Share of prompts of this class expected to return, 0 to 1. */
+  readonly returnChance: number
+  readonly expectedGapSeconds: number
+  /** How long a block stays in the engine's own cache at its present turnover, in seconds; undefined if not known yet. */
+  readonly residenceSeconds: number | undefined
+  /** Blocks that no store holds yet. */
+  readonly missingTokens: number
+  readonly missingBytes: number
+  readonly prefillTokensPerMs: number
+  readonly linkBytesPerMs: number
+  /** Share of the link's time already taken by imports, 0 to 1. */
+  readonly linkBusy: number
+}
+
+/** Below this many tokens an object costs more upkeep than it saves. */
+const LEAST_TOKENS = 64
+
+/** A block counts as resident until its return if it stays this many times the expected gap. */
+const RESIDENCE_MARGIN = 2
+
+/** A link busier than this is left to imports. */
+const BUSY_LINK = 0.8
+
+/** Why an export is made or not; also the metric label. */
+export type KeepDecision = 'export' | 'nothing-missing' | 'profile-never' | 'stays-resident' | 'link-busy' | 'not-worth-link'
+
+/**
+ * @param request - the run and its surroundings
+ * @returns the decision
+ */
+export function decideKeep (request: KeepRequest): KeepDecision {
+  if (request.keep === 'never') return 'profile-never'
+  if (request.missingTokens < LEAST_TOKENS) return 'nothing-missing'
+  if (request.keep === 'always') return 'export'
+  const { residenceSeconds, expectedGapSeconds } = request
+  if (residenceSeconds !== undefined && residenceSeconds > RESIDENCE_MARGIN * expectedGapSeconds) return 'stays-resident'
+  if (request.linkBusy > BUSY_LINK) return 'link-busy'
+  const savedMs = request.returnChance * request.missingTokens / request.prefillTokensPerMs
+  // The blocks cross the link once now and once more if the prompt returns.
+  const linkMs = (1 + request.returnChance) * request.missingBytes / request.linkBytesPerMs
+  return savedMs > linkMs ? 'export' : 'not-worth-link'
+}
--- /dev/null
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -0,0 +1,129 @@
+/** Methods of the control hosts. */
+import { z } from 'zod'
+import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { membershipSchema, raftMessageSchema, replicaSchema } from '@eelgrassmux/consensus/messages/raftMessages'
+import { commandResultSchema, commandSchema, documentNameSchema, shardSchema } from '@eelgrassmux/state/commands'
+import { defineStream, defineUnary } from '../RpcMethod.js'
+
+const count = z.number().int().min(0)
+const emptySchema = z.strictObject({})
+
+/** A protocol message with its sender's address, for replicas that do not know each other yet. */
+export const raftEnvelopeSchema = z.strictObject({ from: replicaSchema, to: z.string(), message: raftMessageSchema })
+
+export const proposeResponseSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('applied'), result: commandResultSchema }),
+  /** Nothing was appended. */
+  z.strictObject({ kind: z.literal('not-leader'), leader: z.string() }),
+  /** It may still be applied later. */
+  z.strictObject({ kind: z.literal('uncertain') })
+])
+
+/** What kind of process a host runs. */
+export const hostRoleSchema = z.enum(['entry', 'directory'])
+
+export const statusRequestSchema = z.strictObject({
+  host: z.string(),
+  role: hostRoleSchema,
+  address: z.string(),
+  dataCentre: z.string(),
+  /** View that is in force on the host. */
+  viewRevision: count,
+  /** False once the host is stopping; it then gets no new shard. */
+  accepting: z.boolean()
+})
+
+export const statusResponseSchema = z.strictObject({
+  replicaId: z.string(),
+  membership: membershipSchema,
+  /** Index of the log entry that set the membership; the newest wins. */
+  membershipIndex: count,
+  /** Upper bound of any view in this replica's log, committed or not. */
+  newestView: count,
+  /** Entry hosts heard from lately; the share of each is one part of this many. */
+  liveEntries: count
+})
+
+export const hostReportSchema = z.strictObject({
+  host: z.string(),
+  role: hostRoleSchema,
+  address: z.string(),
+  dataCentre: z.string(),
+  viewRevision: count,
+  accepting: z.boolean(),
+  ageMs: z.number()
+})
+
+export const hostsResponseSchema = z.strictObject({
+  replicaId: z.string(),
+  voters: z.array(replicaSchema),
+  learners: z.array(replicaSchema),
+  leader: z.string(),
+  term: count,
+  commitIndex: count,
+  viewRevision: count,
+  revision: count,
+  /** Hosts that spoke to a replica before it started are unknown to it. */
+  uptimeMs: z.number(),
+  hosts: z.array(hostReportSchema)
+})
+
+export const viewMessageSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('snapshot'),
+    viewRevision: count,
+    revision: count,
+    documents: z.array(documentSchema),
+    shards: z.array(shardSchema)
+  }),
+  z.strictObject({
+    kind: z.literal('changes'),
+    fromViewRevision: count,
+    viewRevision: count,
+    revision: count,
+    upserts: z.array(documentSchema),
+    removes: z.array(documentNameSchema),
+    shards: z.array(shardSchema)
+  })
+])
+
+export const membershipChangeSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('add-learner'), replica: replicaSchema }),
+  z.strictObject({ kind: z.literal('promote'), id: z.string() }),
+  z.strictObject({ kind: z.literal('remove'), id: z.string() }),
+  z.strictObject({ kind: z.literal('transfer') })
+])
+
+export const membershipChangeResponseSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('done') }),
+  z.strictObject({ kind: z.literal('not-leader'), leader: z.string() }),
+  z.strictObject({ kind: z.literal('refused'), reason: z.string() })
+])
+
+export const orderReportSchema = z.strictObject({
+  endpoint: z.string(),
+  model: z.string(),
+  runningVersion: z.string(),
+  desiredVersion: z.string(),
+  state: z.enum(['as-desired', 'waiting', 'loading', 'silent'])
+})
+
+export const exchangeRaft = defineUnary('/eelgrassmux.Control/ExchangeRaft', raftEnvelopeSchema, emptySchema)
+export const propose = defineUnary('/eelgrassmux.Control/Propose', z.strictObject({ command: commandSchema }), proposeResponseSchema)
+export const reportStatus = defineUnary('/eelgrassmux.Control/ReportStatus', statusRequestSchema, statusResponseSchema)
+export const listHosts = defineUnary('/eelgrassmux.Control/ListHosts', emptySchema, hostsResponseSchema)
+export const listOrders = defineUnary('/eelgrassmux.Control/ListOrders', emptySchema, z.strictObject({ orders: z.array(orderReportSchema) }))
+export const changeMembership = defineUnary('/eelgrassmux.Control/ChangeMembership', membershipChangeSchema, membershipChangeResponseSchema)
+export const watchView = defineStream('/eelgrassmux.Control/WatchView', z.strictObject({ viewRevision: count }), viewMessageSchema)
+
+export type RaftEnvelope = z.infer<typeof raftEnvelopeSchema>
+export type ProposeResponse = z.infer<typeof proposeResponseSchema>
+export type HostRole = z.infer<typeof hostRoleSchema>
+export type StatusRequest = z.infer<typeof statusRequestSchema>
+export type StatusResponse = z.infer<typeof statusResponseSchema>
+export type HostReport = z.infer<typeof hostReportSchema>
+export type HostsResponse = z.infer<typeof hostsResponseSchema>
+export type ViewMessage = z.infer<typeof viewMessageSchema>
+export type MembershipChange = z.infer<typeof membershipChangeSchema>
+export type MembershipChangeResponse = z.infer<typeof membershipChangeResponseSchema>
+export type OrderReport = z.infer<typeof orderReportSchema>
--- /dev/null
+++ b/packages/runs/src/lib/AnswerAssembler.ts
@@ -0,0 +1,100 @@
+/**
+ * Puts one answer together from token chunks that may come late, twice or out of
+ * order, from one engine or, after a failure, from another.
+ *
+ * Each token has an offset. What is handed on is always a gapless run from
+ * offset 0; the answer is complete only when an end mark names its length and
+ * all tokens up to it are there.
+ */
+import { assertInvariant } from '@eelgrassmux/schema/invariant'
+
+/** Why an answer ended; taken over from the engine. */
+export type FinishReason = 'stop' | 'length'
+
+/** A run of consecutive tokens. */
+export interface TokenChunk {
+  readonly offset: number
+  readonly tokens: readonly string[]
+  /** Weight version that produced them. */
+  readonly version: string
+}
+
+/** The engine's statement that the answer is `length` tokens long. */
+export interface EndMark {
+  readonly length: number
+  readonly finishReason: FinishReason
+}
+
+/** What a chunk did. */
+export type ChunkOutcome =
+  | { readonly kind: 'progress', readonly tokens: readonly string[] }
+  | { readonly kind: 'repeat' }
+  | { readonly kind: 'early' }
+  | { readonly kind: 'version-mismatch', readonly version: string }
+
+/** Tokens kept ahead of a gap; more are dropped and asked for again. */
+const EARLY_LIMIT = 4096
+
+/** Assembles one answer under one weight version. */
+export class AnswerAssembler {
+  readonly #tokens: string[] = []
+  readonly #early = new Map<number, string>()
+  #end: EndMark | undefined
+
+  /** @param version - weight version the run was placed under */
+  constructor (readonly version: string) {}
+
+  /** Offset of the next token wanted. */
+  get nextOffset (): number { return this.#tokens.length }
+  /** All tokens so far, without a gap. */
+  get tokens (): readonly string[] { return this.#tokens }
+  /** The end mark, once the answer is whole. */
+  get completed (): EndMark | undefined {
+    return this.#end !== undefined && this.#tokens.length === this.#end.length ? this.#end : undefined
+  }
+
+  /**
+   * Takes a chunk.
+   *
+   * @param chunk - tokens with their offset
+   * @returns tokens that can be handed on now, or why there are none
+   */
+  accept (chunk: TokenChunk): ChunkOutcome {
+    if (chunk.version !== this.version) return { kind: 'version-mismatch', version: chunk.version }
+    const before = this.#tokens.length
+    chunk.tokens.forEach((token, position) => { this.#acceptToken(chunk.offset + position, token) })
+    this.#joinEarly()
+    const tokens = this.#tokens.slice(before)
+    if (tokens.length > 0) return { kind: 'progress', tokens }
+    return chunk.offset + chunk.tokens.length <= before ? { kind: 'repeat' } : { kind: 'early' }
+  }
+
+  /**
+   * Takes the end mark; tokens may still be missing.
+   *
+   * @param end - length and reason
+   */
+  finish (end: EndMark): void {
+    assertInvariant(end.length >= this.#tokens.length, 'whole-answers',
+      () => `end at ${end.length} after ${this.#tokens.length} tokens`)
+    this.#end ??= end
+  }
+
+  #acceptToken (offset: number, token: string): void {
+    if (offset < this.#tokens.length) return
+    if (offset === this.#tokens.length) this.#tokens.push(token)
+    else if (this.#early.size < EARLY_LIMIT) this.#early.set(offset, token)
+  }
+
+  #joinEarly (): void {
+    for (;;) {
+      const token = this.#early.get(this.#tokens.length)
+      if (token === undefined) break
+      this.#early.delete(this.#tokens.length)
+      this.#tokens.push(token)
+    }
+    for (const offset of this.#early.keys()) {
+      if (offset < this.#tokens.length) this.#early.delete(offset)
+    }
+  }
+}
--- /dev/null
+++ b/packages/view/src/lib/ViewFollower.ts
@@ -0,0 +1,54 @@
+/** The view that is in force on one host. Its revision only rises. */
+import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { ConfigurationDocument } from '@eelgrassmux/schema/configuration'
+import { assertInvariant } from '@eelgrassmux/schema/invariant'
+import type { ViewMessage } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { Shard } from '@eelgrassmux/state/commands'
+
+/** What a message did. */
+export type ViewOutcome = 'advanced' | 'stale' | 'gap'
+
+/** Follows the agreed view through snapshots and changes, from any control host. */
+export class ViewFollower {
+  #viewRevision = 0
+  #shards: readonly Shard[] = []
+  #documents = new Map<string, ConfigurationDocument>()
+  #index = new ConfigurationIndex(0, { documents: [] })
+
+  get viewRevision (): number { return this.#viewRevision }
+  get configuration (): ConfigurationIndex { return this.#index }
+  get shards (): readonly Shard[] { return this.#shards }
+
+  /**
+   * Takes a message of a watch. One from a control host that lags is ignored.
+   *
+   * @param message - snapshot or changes
+   * @returns what it did; after a gap the watch must start again
+   */
+  apply (message: ViewMessage): ViewOutcome {
+    if (message.viewRevision <= this.#viewRevision) return 'stale'
+    if (message.kind === 'snapshot') {
+      this.#documents = new Map(message.documents.map(document => [keyOf(document), document]))
+    } else {
+      if (message.fromViewRevision !== this.#viewRevision) return 'gap'
+      for (const name of message.removes) this.#documents.delete(keyOf(name))
+      for (const document of message.upserts) this.#documents.set(keyOf(document), document)
+    }
+    this.#advance(message)
+    return 'advanced'
+  }
+
+  #advance (message: ViewMessage): void {
+    const { viewRevision, revision } = message
+    assertInvariant(viewRevision > this.#viewRevision && revision >= this.#index.revision, 'configuration-never-reverts',
+      () => `view ${viewRevision} revision ${revision} after ${this.#viewRevision} revision ${this.#index.revision}`)
+    const isNewRevision = revision !== this.#index.revision
+    this.#viewRevision = viewRevision
+    this.#shards = message.shards
+    if (isNewRevision) this.#index = new ConfigurationIndex(revision, { documents: [...this.#documents.values()] })
+  }
+}
+
+function keyOf (document: { readonly kind: string, readonly name: string }): string {
+  return `${document.kind}/${document.name}`
+}
