A newer view does not take back an earlier confirmation

A status answer that said "something newer exists" replaced the voter's earlier confirmation, so between that answer and the push of the new view a host counted as stale at once instead of at the lease's end. A second fault of the same kind: every at-most-once command in flight raised the bound of the newest view, so steady claims would have kept hosts stale.

Now each voter's last statement for each older view is kept for the lease, and a first byte in the log says whether a command may change the view.

Ruled out: a lost watch (it was 8 to 116 ms late, not broken).

--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -11,7 +11,8 @@
 import type { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import type { Result } from '@eelgrassmux/schema/Result'
-import { stampedCommandSchema, stateImageSchema, type Command, type CommandResult, type StampedCommand } from '@eelgrassmux/state/commands'
+import { decodeCommand, encodeCommand, mayChangeView } from '@eelgrassmux/state/commandCodec'
+import { stateImageSchema, type Command, type CommandResult, type StampedCommand } from '@eelgrassmux/state/commands'
 import type { StateMachine } from '@eelgrassmux/state/StateMachine'
 
 /** What became of a proposed command. */
@@ -91,7 +92,8 @@
   get newestView (): number {
     let bound = this.state.viewRevision
     for (let index = this.#appliedIndex + 1; index <= this.core.lastIndex; index += 1) {
-      if (this.core.entryAt(index)?.kind === 'command') bound += 1
+      const entry = this.core.entryAt(index)
+      if (entry?.kind === 'command' && mayChangeView(entry.command)) bound += 1
     }
     return bound
   }
@@ -183,7 +185,7 @@
 
   #stepProposal (command: Command, resolve: (outcome: ProposeOutcome) => void, now: number): RaftEffects[] {
     const stamped: StampedCommand = { stampedAt: this.clock(), command }
-    const proposed = this.core.propose(encode(stamped, { ignoreUndefined: true }), now)
+    const proposed = this.core.propose(encodeCommand(stamped), now)
     if (!proposed.ok) {
       const leader = proposed.error.kind === 'not-leader' ? proposed.error.leader?.address ?? '' : ''
       resolve({ kind: 'not-leader', leader })
@@ -211,7 +213,7 @@
     assertInvariant(entry.index === this.#appliedIndex + 1, 'apply-in-order', () => `${entry.index} after ${this.#appliedIndex}`)
     this.#appliedIndex = entry.index
     const result: CommandResult = entry.kind === 'command'
-      ? this.state.apply(stampedCommandSchema.parse(decode(entry.command)))
+      ? this.state.apply(decodeCommand(entry.command))
       : { kind: 'done' }
     const pending = this.#pending.get(entry.index)
     if (pending === undefined) return
--- /dev/null
+++ b/packages/state/src/lib/commandCodec.ts
@@ -0,0 +1,38 @@
+/** Bytes of commands in the log. A first byte says whether a command may change the view, so that this is known without decoding. */
+import { decode, encode } from '@msgpack/msgpack'
+import { stampedCommandSchema, type Command, type StampedCommand } from './commands.js'
+
+const CHANGES_VIEW = 1
+const KEEPS_VIEW = 0
+
+/**
+ * @param stamped - command with its stamp
+ * @returns bytes for the log
+ */
+export function encodeCommand (stamped: StampedCommand): Uint8Array {
+  const body = encode(stamped, { ignoreUndefined: true })
+  const bytes = new Uint8Array(body.length + 1)
+  bytes[0] = changesView(stamped.command) ? CHANGES_VIEW : KEEPS_VIEW
+  bytes.set(body, 1)
+  return bytes
+}
+
+/**
+ * @param bytes - from the log
+ * @returns the command with its stamp
+ */
+export function decodeCommand (bytes: Uint8Array): StampedCommand {
+  return stampedCommandSchema.parse(decode(bytes.subarray(1)))
+}
+
+/**
+ * @param bytes - from the log
+ * @returns whether applying them may raise the view
+ */
+export function mayChangeView (bytes: Uint8Array): boolean {
+  return bytes[0] === CHANGES_VIEW
+}
+
+function changesView (command: Command): boolean {
+  return command.kind === 'change-configuration' || command.kind === 'assign-shards'
+}
--- a/packages/view/src/lib/FreshnessLease.ts
+++ b/packages/view/src/lib/FreshnessLease.ts
@@ -23,7 +23,8 @@
 
 /** Freshness of one host's view. */
 export class FreshnessLease {
-  readonly #statements = new Map<string, VoterStatement>()
+  /** For each voter its newest statement, and before it the last one of each older view, oldest first. */
+  readonly #statements = new Map<string, VoterStatement[]>()
   #membership: Membership = { voters: [], learners: [] }
   #membershipIndex = -1
 
@@ -35,9 +36,13 @@
 
   /** @param statement - a voter's answer; an older one than known is ignored */
   observe (statement: VoterStatement): void {
-    const present = this.#statements.get(statement.replicaId)
-    if (present !== undefined && present.askedAt > statement.askedAt) return
-    this.#statements.set(statement.replicaId, statement)
+    const history = this.#statements.get(statement.replicaId) ?? []
+    const newest = history.at(-1)
+    if (newest !== undefined && newest.askedAt > statement.askedAt) return
+    // That a voter now holds something newer does not take back what it confirmed before.
+    const kept = history.filter(earlier =>
+      earlier.newestView < statement.newestView && statement.askedAt - earlier.askedAt <= this.leaseMs)
+    this.#statements.set(statement.replicaId, [...kept, statement])
     if (statement.membershipIndex <= this.#membershipIndex) return
     this.#membershipIndex = statement.membershipIndex
     this.#membership = statement.membership
@@ -75,18 +80,17 @@
    */
   liveEntries (now: number): number {
     let largest = 1
-    for (const statement of this.#statements.values()) {
-      if (now - statement.askedAt <= this.leaseMs) largest = Math.max(largest, statement.liveEntries)
+    for (const history of this.#statements.values()) {
+      const statement = history.at(-1)
+      if (statement !== undefined && now - statement.askedAt <= this.leaseMs) largest = Math.max(largest, statement.liveEntries)
     }
     return largest
   }
 
   #confirmedAt (replicaId: string, viewRevision: number): number {
-    const statement = this.#statements.get(replicaId)
     // A voter with another membership could be outvoted by one that we do not know.
-    const counts = statement !== undefined &&
-      statement.membershipIndex === this.#membershipIndex &&
-      statement.newestView <= viewRevision
-    return counts ? statement.askedAt : Number.NEGATIVE_INFINITY
+    const confirmation = this.#statements.get(replicaId)?.findLast(statement =>
+      statement.membershipIndex === this.#membershipIndex && statement.newestView <= viewRevision)
+    return confirmation?.askedAt ?? Number.NEGATIVE_INFINITY
   }
 }
