--- a/apps/bench/src/demo.ts
+++ b/apps/bench/src/demo.ts
@@ -5,7 +5,9 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
-import { isWhole, postOnce, streamCompletion, type CompletionCall, type StreamedAnswer } from './lib/callers.js'
+import { streamCompletion, type CompletionCall, type StreamedAnswer } from '@eelgrassmux/load/completionStream'
+import { isWhole } from '@eelgrassmux/load/isWhole'
+import { postOnce } from './lib/postOnce.js'
 import { Cluster, until } from './lib/Cluster.js'
 import { LSCSA_PROFILE, TMTS_PROFILE } from './lib/profiles.js'
 
--- a/apps/bench/src/lib/Cluster.ts
+++ b/apps/bench/src/lib/Cluster.ts
@@ -80,11 +80,10 @@
       await cluster.#startBackends()
       await cluster.#startControls()
       const control = ['--control', cluster.controlAddresses]
-      for (let index = 0; index < plan.directories; index += 1) {
-        cluster.directories.push(await start('directory', ['--data-centre', cluster.#dataCentre(index), ...control, ...plan.directoryArgs ?? []]))
-      }
+      cluster.directories.push(...await many(plan.directories, async index =>
+        await start('directory', ['--data-centre', cluster.#dataCentre(index), ...control, ...plan.directoryArgs ?? []])))
       await cluster.applyAll()
-      for (let index = 0; index < plan.entries; index += 1) await cluster.addEntry(index)
+      cluster.entries.push(...await many(plan.entries, async index => await cluster.#startEntry(index)))
       await cluster.waitUntilReady()
     } catch (error) {
       await cluster.stop()
@@ -105,20 +104,12 @@
     return `http://${this.entries[index]?.addresses.http ?? ''}`
   }
 
-  /**
-   * Starts one more entry host.
-   *
-   * @param index - decides its data centre
-   * @returns the new member
-   */
-  async addEntry (index: number): Promise<ClusterMember> {
+  async #startEntry (index: number): Promise<ClusterMember> {
     const args = [
       '--data-centre', this.#dataCentre(index), '--control', this.controlAddresses,
       '--membership', this.members?.addresses.http ?? '', '--balancer-lag-ms', '200', ...this.plan.entryArgs ?? []
     ]
-    const member = await start('entry', args)
-    this.entries.push(member)
-    return member
+    return await start('entry', args)
   }
 
   /** @returns all documents of the plan with the addresses in use */
@@ -225,11 +216,12 @@
    * Restarts a member with its addresses.
    *
    * @param member - a stopped member
+   * @param more - arguments that differ from the first start
    */
-  async restart (member: ClusterMember): Promise<void> {
+  async restart (member: ClusterMember, more: readonly string[] = []): Promise<void> {
     const portFlags = Object.entries({ rpc: '--port', http: '--port', peer: '--peer-port', admin: '--admin-port' })
       .flatMap(([name, flag]) => member.addresses[name] === undefined ? [] : [flag, member.addresses[name].split(':')[1] ?? '0'])
-    const started = await ManagedProcess.start(member.process.program, [...member.args, ...portFlags])
+    const started = await ManagedProcess.start(member.process.program, [...member.args, ...portFlags, ...(member.process.program === 'standin' ? more : [])])
     member.process = started.process
     member.addresses = started.addresses
   }
@@ -247,13 +239,11 @@
     this.weights = await start('standin', ['weights', '--load-ms', '300'])
     this.members = await start('standin', ['members', '--lag-ms', '500'])
     const engineArgs = ['engine', '--weight-store', this.weights.addresses.http ?? '', ...plan.engineArgs ?? []]
-    for (let index = 0; index < plan.engines; index += 1) this.engines.push(await start('standin', engineArgs))
+    this.engines.push(...await many(plan.engines, async () => await start('standin', engineArgs)))
     const link = String(plan.storeLinkBytesPerSecond ?? 100 * 1024 * 1024)
     const storeArgs = ['store', '--link-bytes-per-second', link, ...plan.storeArgs ?? []]
-    for (let index = 0; index < plan.stores; index += 1) this.stores.push(await start('standin', storeArgs))
-    for (let index = 0; index < plan.services; index += 1) {
-      this.services.push(await start('standin', ['service', '--name', `accounts-${index}`]))
-    }
+    this.stores.push(...await many(plan.stores, async () => await start('standin', storeArgs)))
+    this.services.push(...await many(plan.services, async index => await start('standin', ['service', '--name', `accounts-${index}`])))
   }
 
   async #startControls (): Promise<void> {
@@ -285,6 +275,10 @@
   return { ...await ManagedProcess.start(program, args), args }
 }
 
+async function many<Item> (count: number, make: (index: number) => Promise<Item>): Promise<Item[]> {
+  return await Promise.all(Array.from({ length: count }, async (_, index) => await make(index)))
+}
+
 /**
  * Waits until a condition holds.
  *
--- /dev/null
+++ b/apps/bench/src/lib/measure/faults.ts
@@ -0,0 +1,61 @@
+/** Faults brought about in a running cluster, and mended a while later. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import type { Cluster, ClusterMember } from '../Cluster.js'
+
+/** Names of the faults. */
+export const FAULT_NAMES = ['store-dies', 'store-full', 'slow-link', 'engine-restarts', 'entry-killed', 'control-cut-off'] as const
+
+/** @public */
+export type FaultName = typeof FAULT_NAMES[number]
+
+/** How long a fault lasts where it has an end, in milliseconds. */
+const FAULT_MS = 4000
+
+/**
+ * Brings a fault about and mends it.
+ *
+ * @param cluster - where
+ * @param fault - which
+ */
+export async function bringAbout (cluster: Cluster, fault: FaultName): Promise<void> {
+  switch (fault) {
+    case 'store-dies': await restartAfter(cluster, cluster.stores[0], FAULT_MS); break
+    case 'store-full': await post(cluster.stores[0], '/standin/fill'); break
+    case 'slow-link': {
+      const full = cluster.plan.storeLinkBytesPerSecond ?? 0
+      await post(cluster.stores[0], `/standin/link/${Math.round(full / 10)}`)
+      await sleep(FAULT_MS)
+      await post(cluster.stores[0], `/standin/link/${full}`)
+      break
+    }
+    case 'engine-restarts': await restartAfter(cluster, cluster.engines[0], 0); break
+    case 'entry-killed': await restartAfter(cluster, cluster.entries[0], 500); break
+    case 'control-cut-off': {
+      const leader = await leaderOf(cluster)
+      leader?.process.signal('SIGSTOP')
+      await sleep(FAULT_MS)
+      leader?.process.signal('SIGCONT')
+      break
+    }
+  }
+}
+
+async function restartAfter (cluster: Cluster, member: ClusterMember | undefined, milliseconds: number): Promise<void> {
+  if (member === undefined) return
+  await member.process.kill()
+  await sleep(milliseconds)
+  await cluster.restart(member, ['--incarnation', '2'])
+}
+
+async function leaderOf (cluster: Cluster): Promise<ClusterMember | undefined> {
+  for (const control of cluster.controls) {
+    if (await cluster.metric(control, 'eelgrassmux_raft_is_leader') === 1) return control
+  }
+  return undefined
+}
+
+async function post (member: ClusterMember | undefined, path: string): Promise<void> {
+  const response = await request(`http://${member?.addresses.http ?? ''}${path}`, { method: 'POST' })
+  await response.body.dump()
+}
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -4,7 +4,7 @@
 import { SystemClock } from '@eelgrassmux/daemon/SystemClock'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { addressListSetting, addressSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
-import { PLACEMENT_POLICIES } from '@eelgrassmux/policy/placement/createPlacementPolicy'
+import { PLACEMENT_POLICIES, usesStores } from '@eelgrassmux/policy/placement/createPlacementPolicy'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -83,7 +83,9 @@
     telemetry.labelledCounter('lookup_failures_total', 'Directory look-ups without an answer'))
   const importer = new Importer(clock, directory, fleet.links, configuration,
     telemetry.labelledCounter('imports_total', 'Imports by outcome', 'outcome'), linkBytes)
-  const exporter = new Exporter(fleet, directory, configuration, work, keeps, linkBytes)
+  const storeExporter = new Exporter(fleet, directory, configuration, work, keeps, linkBytes)
+  // Policies that never import would export for nothing.
+  const exporter = usesStores(settings.policy) ? storeExporter : { consider: async () => {} }
   const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
   const firstToken = telemetry.durationHistogram('first_token_seconds', 'Time to first token', FIRST_TOKEN_BUCKETS)
   const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, {
--- a/apps/bench/src/lib/callers.ts
+++ b/apps/load/src/lib/completionStream.ts
@@ -1,6 +1,5 @@
-/** Small callers for scripts and tests. */
-import { request } from 'undici'
-import { answerTokens } from '@eelgrassmux/standin/standinAnswer'
+/** A caller's side of one streamed completion. */
+import { Agent, request, type Dispatcher } from 'undici'
 
 /** What a streamed completion brought. */
 export interface StreamedAnswer {
@@ -13,7 +12,7 @@
   readonly cachedTokens: number
   readonly firstTokenMs: number
   readonly isDone: boolean
-  /** Body of a refusal, or of the error event that ended the stream. */
+  /** Body of a refusal, or of the error event that ended the stream, or what the connection said. */
   readonly problem: unknown
 }
 
@@ -34,25 +33,26 @@
   readonly usage?: { readonly prompt_tokens: number, readonly prompt_tokens_details: { readonly cached_tokens: number } }
 }
 
+const NOTHING: StreamedAnswer = {
+  status: 0, runId: '', text: '', tokens: 0, version: '', promptTokens: 0, cachedTokens: 0, firstTokenMs: 0, isDone: false, problem: undefined
+}
+
+const agent = new Agent({ connections: 1024 })
+
 /**
  * Streams a completion.
  *
  * @param call - what to ask
  * @param signal - leaves early
- * @returns what came back
+ * @returns what came back; status 0 if there was no answer at all
  */
 export async function streamCompletion (call: CompletionCall, signal?: AbortSignal): Promise<StreamedAnswer> {
-  const startedAt = performance.now()
-  const response = await request(`${call.url}/v1/completions`, {
+  return await read(`${call.url}/v1/completions`, {
     method: 'POST',
     headers: { authorization: `Bearer ${call.credential}`, 'content-type': 'application/json' },
     body: JSON.stringify({ model: call.service, prompt: call.prompt, max_tokens: call.maxTokens, stream: true }),
-    ...(signal === undefined ? {} : { signal })
+    signal: signal ?? null
   })
-  if (response.statusCode !== 200) {
-    return { ...NOTHING, status: response.statusCode, problem: await response.body.json() }
-  }
-  return await readAnswer(response.body, response.statusCode, startedAt)
 }
 
 /**
@@ -65,45 +65,20 @@
  * @returns what came back
  */
 export async function resumeCompletion (url: string, credential: string, runId: string, offset: number): Promise<StreamedAnswer> {
-  const startedAt = performance.now()
-  const response = await request(`${url}/v1/runs/${runId}?offset=${offset}`, { headers: { authorization: `Bearer ${credential}` } })
-  if (response.statusCode !== 200) return { ...NOTHING, status: response.statusCode, problem: await response.body.json() }
-  return await readAnswer(response.body, response.statusCode, startedAt)
+  return await read(`${url}/v1/runs/${runId}?offset=${offset}`, { headers: { authorization: `Bearer ${credential}` } })
 }
 
-/**
- * Posts to a plain service.
- *
- * @param url - entry host
- * @param credential - caller's credential
- * @param path - below `/services`
- * @param body - JSON body
- * @param key - idempotency key
- * @returns status, body and whether the answer was a stored one
- */
-export async function postOnce (url: string, credential: string, path: string, body: object, key: string): Promise<{ status: number, body: string, isRepeat: boolean }> {
-  const response = await request(`${url}/services/${path}`, {
-    method: 'POST',
-    headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json', 'idempotency-key': key },
-    body: JSON.stringify(body)
-  })
-  return { status: response.statusCode, body: await response.body.text(), isRepeat: response.headers['eelgrassmux-repeated'] === 'true' }
-}
-
-/**
- * @param answer - what came back
- * @param prompt - what was asked
- * @param length - tokens expected
- * @returns whether the answer is whole, of one version and the prompt's own
- */
-export function isWhole (answer: StreamedAnswer, prompt: string, length: number): boolean {
-  const tokenAt = answerTokens(prompt, answer.version)
-  const expected = Array.from({ length }, (_, offset) => tokenAt(offset)).join('')
-  return answer.isDone && answer.text === expected
-}
+type CallOptions = Omit<Dispatcher.RequestOptions, 'origin' | 'path' | 'method'> & { method?: Dispatcher.HttpMethod }
 
-const NOTHING: StreamedAnswer = {
-  status: 0, runId: '', text: '', tokens: 0, version: '', promptTokens: 0, cachedTokens: 0, firstTokenMs: 0, isDone: false, problem: undefined
+async function read (url: string, options: CallOptions): Promise<StreamedAnswer> {
+  const startedAt = performance.now()
+  try {
+    const response = await request(url, { ...options, dispatcher: agent })
+    if (response.statusCode !== 200) return { ...NOTHING, status: response.statusCode, problem: await response.body.json() }
+    return await readAnswer(response.body, response.statusCode, startedAt)
+  } catch (error) {
+    return { ...NOTHING, problem: String(error) }
+  }
 }
 
 async function readAnswer (body: AsyncIterable<Buffer>, status: number, startedAt: number): Promise<StreamedAnswer> {
--- /dev/null
+++ b/apps/load/src/lib/promptText.ts
@@ -0,0 +1,24 @@
+/** Text of trace prompts: the same id gives the same text, a longer one only more of it. */
+import { createHash } from 'node:crypto'
+import { CHARACTERS_PER_TOKEN } from '@eelgrassmux/cache/blockKeys'
+import type { TraceLine } from './trace.js'
+
+const HASH_CHARACTERS = 64
+
+/**
+ * @param line - one request of a trace
+ * @returns its prompt
+ */
+export function promptText (line: TraceLine): string {
+  const shared = filler(`${line.customer}/${line.service}`, Math.min(line.sharedTokens, line.promptTokens) * CHARACTERS_PER_TOKEN)
+  const own = filler(line.promptId, line.promptTokens * CHARACTERS_PER_TOKEN - shared.length)
+  return shared + own
+}
+
+function filler (seed: string, length: number): string {
+  const parts: string[] = []
+  for (let part = 0; part * HASH_CHARACTERS < length; part += 1) {
+    parts.push(createHash('sha256').update(`${seed}#${part}`).digest('hex'))
+  }
+  return parts.join('').slice(0, length)
+}
--- a/packages/policy/src/lib/placement/createPlacementPolicy.ts
+++ b/packages/policy/src/lib/placement/createPlacementPolicy.ts
@@ -9,6 +9,14 @@
 /** @public */
 export type PlacementPolicyName = typeof PLACEMENT_POLICIES[number]
 
+/**
+ * @param name - a policy
+ * @returns whether it imports from stores, so that exporting makes sense
+ */
+export function usesStores (name: PlacementPolicyName): boolean {
+  return name === 'eelgrassmux' || name === 'always-import'
+}
+
 /**
  * Builds a placement policy.
  *
