Stored objects of bounded size, shared by chains with a common beginning

Coverage now counts the blocks that match, an object has 16 blocks at most, and eviction takes the end of a chain first (a new field says where in its chain an object begins).

The stand-in engine left the prefill under way out of its reported queue; the baselines broke ties in list order, which sent all hosts to the first engine; the trace let prompts return before their answers had ended.

--- a/apps/bench/src/lib/Cluster.ts
+++ b/apps/bench/src/lib/Cluster.ts
@@ -212,6 +212,24 @@
     return matching.reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0)
   }
 
+  /**
+   * Reads the product's counters of several members, summed for each label value.
+   *
+   * @param members - which processes
+   * @returns counts by metric and label
+   */
+  async counters (members: readonly ClusterMember[]): Promise<Map<string, number>> {
+    const totals = new Map<string, number>()
+    for (const member of members) {
+      const text = await (await request(`http://${member.addresses.admin}/metrics`)).body.text()
+      for (const [, name, label, value] of text.matchAll(/^eelgrassmux_(\w+_total)\{\w+="([^"]+)",program="[^"]+"\} (\d+)/gm)) {
+        const key = `${name ?? ''} ${label ?? ''}`
+        totals.set(key, (totals.get(key) ?? 0) + Number(value))
+      }
+    }
+    return totals
+  }
+
   /**
    * Restarts a member with its addresses.
    *
--- a/apps/bench/src/lib/measure/measurePolicies.ts
+++ b/apps/bench/src/lib/measure/measurePolicies.ts
@@ -29,15 +29,17 @@
 export interface PolicyResult extends ReplayResult {
   readonly policy: PlacementPolicyName
   readonly linkBytes: number
+  /** The daemons' counters by metric and label. */
+  readonly counters: ReadonlyMap<string, number>
 }
 
 const CUSTOMERS = Array.from({ length: 10 }, (_, index) => ({
   name: `customer-${index}`, credential: `credential-of-customer-${index}`, share: 1
 }))
 
-/** Stand-ins of the size of the smaller site, with caches that hold about a third of the trace. */
+/** Stand-ins of the size of the smaller site, with caches that hold far less than the trace needs. */
 const ENGINES = 8
-const ENGINE_ARGS = ['--cache-blocks', '300', '--prefill-tokens-per-ms', '8', '--decode-ms', '10', '--max-running', '16']
+const ENGINE_ARGS = ['--cache-blocks', '150', '--prefill-tokens-per-ms', '8', '--decode-ms', '10', '--max-running', '16']
 const STORE_ARGS = ['--memory-bytes', String(48 * 1024 * 1024), '--disk-bytes', String(96 * 1024 * 1024)]
 const LINK_BYTES_PER_SECOND = 20 * 1024 * 1024
 
@@ -90,8 +92,9 @@
       await bringAbout(cluster, measurement.fault)
     }
     const result = await replaying
-    const bytes = await Promise.all(cluster.entries.map(async member => await cluster.metric(member, 'eelgrassmux_link_bytes_total')))
-    return { ...result, policy, linkBytes: bytes.reduce((sum, count) => sum + count, 0) }
+    const counters = await cluster.counters([...cluster.entries, ...cluster.directories])
+    const linkBytes = (counters.get('link_bytes_total import') ?? 0) + (counters.get('link_bytes_total export') ?? 0)
+    return { ...result, policy, linkBytes, counters }
   } finally {
     await cluster.stop()
   }
--- a/apps/bench/src/lib/prove/worlds/DirectoryWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/DirectoryWorld.ts
@@ -28,12 +28,13 @@
 const PROMPTS = 6
 const BLOCK_BYTES = 100
 const CAPACITY_BYTES = 2500
-const SETTINGS = { readLeaseMs: 600, writeReservationMs: 900, ownershipMs: 500, customerShare: 0.5 }
+const SETTINGS = { readLeaseMs: 600, writeReservationMs: 900, ownershipMs: 500, customerShare: 0.5, blocksPerObject: 3 }
 
 interface HeldObject {
   readonly name: string
   readonly customer: string
   readonly keys: readonly string[]
+  readonly firstBlock: number
   /** True once the last byte was written and acknowledged. */
   isComplete: boolean
   isFreed: boolean
@@ -75,8 +76,8 @@
     await this.#latency()
     if (!this.isUp) return fail({ kind: 'connect-failed' })
     const complete = [...this.objects.values()].filter(object => object.isComplete)
-    const listing = complete.map(({ name, customer, keys }) => ({
-      name, customer, keys: [...keys], tokens: keys.length * TOKENS_PER_BLOCK, bytes: keys.length * BLOCK_BYTES, sha256: '', tier: 'memory' as const
+    const listing = complete.map(({ name, customer, keys, firstBlock }) => ({
+      name, customer, firstBlock, keys: [...keys], tokens: keys.length * TOKENS_PER_BLOCK, bytes: keys.length * BLOCK_BYTES, sha256: '', tier: 'memory' as const
     }))
     await this.#latency()
     return succeed({ objects: listing })
@@ -214,9 +215,9 @@
     const reserved = await this.#atOwner(shard =>
       shard.reserve({ customer, store: store.name, keys, tokensPerBlock: TOKENS_PER_BLOCK }, this.simulation.now()))
     if (!reserved.ok || reserved.value === undefined || !store.isUp) return
-    const { name, keys: written } = reserved.value
+    const { name, keys: written, firstBlock } = reserved.value
     const { incarnation } = store
-    const object: HeldObject = { name, customer, keys: written, isComplete: false, isFreed: false }
+    const object: HeldObject = { name, customer, keys: written, firstBlock, isComplete: false, isFreed: false }
     if (store.usedBytes + written.length * BLOCK_BYTES > CAPACITY_BYTES) return
     store.objects.set(name, object)
     const isPublishedEarly = this.broken === 'no-freed-or-partial-block' && this.simulation.chance(0.5)
@@ -244,14 +245,11 @@
     const keys = this.#keys(customer, prompt)
     const found = await this.#atOwner(shard => shard.coverage(keys))
     if (!found.ok || found.value.length === 0) return
-    let coversTo = 0
-    const stored = found.value.map(object => {
-      coversTo += object.keys.length
-      return { object: { ...object, keys: [...object.keys] }, coversTo }
-    })
+    const stored = found.value.map(({ object, coversTo }) => ({ object: { ...object, keys: [...object.keys] }, coversTo }))
+    const reusedBlocks = stored.at(-1)?.coversTo ?? 0
     const imports = stored.map(({ object, coversTo: blocks }) => ({ name: object.name, store: object.store, dataCentre: 'hall', bytes: object.bytes, coversTo: blocks }))
     const engine = { residentBlocks: 0, prefillTokensPerMs: 1 }
-    const placed = { placement: { imports, engine, reusedBlocks: coversTo, importMs: 400 }, keys, stored, salt: '' } as unknown as PlacedRun
+    const placed = { placement: { imports, engine, reusedBlocks, importMs: 400 }, keys, stored, salt: '' } as unknown as PlacedRun
     const importer = new Importer(this.simulation, {
       lease: async (chain, fromBlock) => {
         const leased = await this.#atOwner(shard => shard.lease(chain, fromBlock, () => 'lease', this.simulation.now()))
--- a/apps/bench/src/measure.ts
+++ b/apps/bench/src/measure.ts
@@ -8,11 +8,12 @@
 class PoliciesCommand extends Command {
   static override paths = [Command.Default, ['policies']]
   static override usage = Command.Usage({ description: 'replay one trace under each placement policy' })
-  seconds = Option.String('--seconds', '15', { description: 'length of the trace' })
+  seconds = Option.String('--seconds', '20', { description: 'length of the trace' })
   rate = Option.String('--requests-per-second', '20')
   seed = Option.String('--seed', '1')
   profile = Option.String('--profile', 'tmts', { description: 'tmts or lscsa' })
   fault = Option.String('--fault', { description: `one of ${FAULT_NAMES.join(', ')}` })
+  counters = Option.Boolean('--counters', false, { description: 'print the counters of the daemons too' })
   policies = Option.String('--policies', PLACEMENT_POLICIES.join(','), { description: 'policies to measure' })
 
   override async execute (): Promise<number> {
@@ -27,6 +28,7 @@
       seconds: Number(this.seconds), requestsPerSecond: Number(this.rate), seed: Number(this.seed), profile, fault, policies
     }, result => {
       this.context.stdout.write(`${describeResult(result)}\n`)
+      if (this.counters) for (const [name, count] of result.counters) this.context.stdout.write(`  ${name} ${count}\n`)
       for (const problem of result.problems.slice(0, 3)) this.context.stdout.write(`  ${problem}\n`)
     })
     for (const line of describeRatios(results)) this.context.stdout.write(`${line}\n`)
--- a/apps/directory/src/lib/DirectoryServer.ts
+++ b/apps/directory/src/lib/DirectoryServer.ts
@@ -38,11 +38,9 @@
       const owned = this.#owned(shard, epoch)
       if (owned === undefined) return WRONG_OWNER
       this.answers.count('lookup')
-      let coversTo = 0
       const stored = []
-      for (const object of owned.coverage(keys)) {
+      for (const { object, coversTo } of owned.coverage(keys)) {
         if (!this.ports.storeIsUp(object.store)) break
-        coversTo = Math.min(keys.length, keys.indexOf(object.keys[0] ?? '') + object.keys.length)
         stored.push({ object: { ...object, keys: [...object.keys] }, coversTo })
       }
       return { kind: 'found', resident, stored }
@@ -60,7 +58,7 @@
       const reservation = owned.reserve({ customer, store, keys, tokensPerBlock }, performance.now())
       this.answers.count(reservation === undefined ? 'nothing-to-write' : 'reserve')
       if (reservation === undefined) return NOTHING_TO_WRITE
-      return { kind: 'reserved' as const, name: reservation.name, keys: [...reservation.keys], tokens: reservation.tokens }
+      return { kind: 'reserved' as const, name: reservation.name, keys: [...reservation.keys], tokens: reservation.tokens, firstBlock: reservation.firstBlock }
     })
     server.handle(publishWrite, async ({ shard, epoch, name, bytes, sha256, tier }) => {
       const owned = this.#owned(shard, epoch)
--- a/apps/entry/src/lib/runs/DirectoryClient.ts
+++ b/apps/entry/src/lib/runs/DirectoryClient.ts
@@ -21,6 +21,7 @@
   readonly name: string
   readonly keys: string[]
   readonly tokens: number
+  readonly firstBlock: number
 }
 
 /** Deadline of a look-up; the first token waits for it. In milliseconds. */
--- a/apps/entry/src/lib/runs/Exporter.ts
+++ b/apps/entry/src/lib/runs/Exporter.ts
@@ -89,32 +89,34 @@
     this.#underWay += 1
     const ticket = this.work.beginFollowUp()
     try {
-      await this.#export(run, keys, store)
+      while (await this.#exportNext(run, keys, store));
     } finally {
       this.#underWay -= 1
       ticket.end()
     }
   }
 
-  async #export (run: FinishedRun, keys: readonly string[], store: string): Promise<void> {
+  /** Exports the next object of the chain; false when there is none or it failed. */
+  async #exportNext (run: FinishedRun, keys: readonly string[], store: string): Promise<boolean> {
     const reserved = await this.directory.reserve({ customer: run.customer.name, store, keys, tokensPerBlock: TOKENS_PER_BLOCK })
     const engine = this.fleet.engine(run.engine)
     const storeAddress = this.configuration().stores.get(store)?.address
     if (reserved === undefined || engine === undefined || storeAddress === undefined) {
-      this.decisions.count('not-reserved')
-      return
+      this.decisions.count('nothing-reserved')
+      return false
     }
-    const { name } = reserved
-    const request = { storeAddress, name, customer: run.customer.name, keys: reserved.keys, tokens: reserved.tokens }
+    const { name, firstBlock } = reserved
+    const request = { storeAddress, name, customer: run.customer.name, keys: reserved.keys, tokens: reserved.tokens, firstBlock }
     const exported = await engine.exportBlocks(request, EXPORT_MS)
     if (!exported.ok) {
       this.decisions.count(exported.error.kind === 'rejected' ? exported.error.detail : 'export-failed')
       await this.directory.abandon(keys, name)
-      return
+      return false
     }
     this.linkBytes.count('export', exported.value.bytes)
     const published = await this.directory.publish(keys, name, exported.value)
     this.decisions.count(published ? 'published' : 'not-published')
+    return published
   }
 
   /** The same chain goes to the same store while that store is up, so that it is read over one link. */
--- a/apps/entry/src/lib/runs/Importer.ts
+++ b/apps/entry/src/lib/runs/Importer.ts
@@ -57,10 +57,9 @@
     const first = placement.imports[0]
     if (first === undefined) return undefined
     const askedAt = this.clock.now()
-    const firstObject = stored.find(({ object }) => object.name === first.name)
-    const fromBlock = keys.indexOf(firstObject?.object.keys[0] ?? '')
-    const granted = fromBlock < 0 ? undefined : await this.directory.lease(keys, fromBlock)
-    if (granted?.ok !== true) {
+    const position = stored.findIndex(({ object }) => object.name === first.name)
+    const granted = await this.directory.lease(keys, stored[position - 1]?.coversTo ?? 0)
+    if (!granted.ok) {
       this.outcomes.count('no-lease')
       return undefined
     }
--- a/apps/load/src/lib/trace.ts
+++ b/apps/load/src/lib/trace.ts
@@ -30,16 +30,19 @@
 
 /**
  * Real gaps run from minutes to days. One second of a trace stands for this many
- * seconds, so that a gap of 15 minutes becomes about a second.
+ * seconds, so that a gap of 15 minutes becomes a second.
  */
 export const SQUEEZE = 900
 
 /** Share of requests that are a prompt's first. */
 const FIRST_SHARE = 0.4
 
-/** Shape of the long tail of gaps (Pareto), and the shortest gap in milliseconds. */
+/**
+ * Shape of the long tail of gaps (Pareto), and the shortest gap in milliseconds:
+ * half an hour before squeezing, so that a prompt returns after its answer.
+ */
 const GAP_TAIL = 0.9
-const SHORTEST_GAP_MS = 700
+const SHORTEST_GAP_MS = 2000
 
 /** Skew of customers: the largest takes about half, the next a quarter of the rest. */
 const CUSTOMER_SKEW = 1.3
--- a/apps/standin/src/lib/EngineStandin.ts
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -61,6 +61,8 @@
   readonly #runs = new Map<string, EngineRun>()
   readonly #imports = new Map<string, readonly string[]>()
   #prefillQueue: Array<{ run: EngineRun, tokens: number }> = []
+  /** End of the prefill under way. */
+  #prefillEndsAt = 0
   #prefilling = false
   #decoding = new Set<EngineRun>()
   #version: string
@@ -221,8 +223,10 @@
       }
       this.#startPrefill()
     }
-    if (next.tokens <= 0) finish()
-    else setTimeout(finish, next.tokens / this.settings.prefillTokensPerMs)
+    const prefillMs = Math.max(0, next.tokens) / this.settings.prefillTokensPerMs
+    this.#prefillEndsAt = performance.now() + prefillMs
+    if (prefillMs === 0) finish()
+    else setTimeout(finish, prefillMs)
   }
 
   #decodeStep (): void {
@@ -322,7 +326,7 @@
       method: 'PUT',
       headers: {
         'x-object-sha256': sha256(content),
-        'x-object-meta': JSON.stringify({ customer: request.customer, keys: request.keys, tokens: request.tokens })
+        'x-object-meta': JSON.stringify({ customer: request.customer, keys: request.keys, tokens: request.tokens, firstBlock: request.firstBlock })
       },
       body: content
     })
@@ -363,7 +367,8 @@
   }
 
   #measure (): EngineReport {
-    const queuedTokens = this.#prefillQueue.reduce((sum, { tokens }) => sum + tokens, 0)
+    const underWay = this.#prefilling ? Math.max(0, this.#prefillEndsAt - performance.now()) * this.settings.prefillTokensPerMs : 0
+    const queuedTokens = this.#prefillQueue.reduce((sum, { tokens }) => sum + tokens, underWay)
     return {
       incarnation: this.settings.incarnation,
       state: 'serving',
--- a/apps/standin/src/lib/StoreStandin.ts
+++ b/apps/standin/src/lib/StoreStandin.ts
@@ -18,12 +18,13 @@
   readonly customer: string
   readonly keys: readonly string[]
   readonly tokens: number
+  readonly firstBlock: number
   readonly sha256: string
   readonly tier: 'memory' | 'disk'
   readonly content: Uint8Array
 }
 
-const metaSchema = z.object({ customer: z.string(), keys: z.array(z.string()), tokens: z.number() })
+const metaSchema = z.object({ customer: z.string(), keys: z.array(z.string()), tokens: z.number(), firstBlock: z.number() })
 
 /** Bytes sent at a time over the link. */
 const SLICE_BYTES = 64 * 1024
@@ -74,7 +75,7 @@
     })
     app.post('/standin/fill', () => {
       const content = new Uint8Array(Math.max(0, this.settings.memoryBytes + this.settings.diskBytes - this.#used()))
-      this.#objects.set('filler', { name: 'filler', customer: 'none', keys: [], tokens: 0, sha256: '', tier: 'disk', content })
+      this.#objects.set('filler', { name: 'filler', customer: 'none', keys: [], tokens: 0, firstBlock: 0, sha256: '', tier: 'disk', content })
       return { ok: true }
     })
     return app
--- a/packages/backends/src/lib/StoreClient.ts
+++ b/packages/backends/src/lib/StoreClient.ts
@@ -23,6 +23,7 @@
     customer: z.string(),
     keys: z.array(z.string()),
     tokens: count,
+    firstBlock: count,
     bytes: count,
     sha256: z.string(),
     tier: z.enum(['memory', 'disk'])
--- a/packages/backends/src/lib/engineProtocol.ts
+++ b/packages/backends/src/lib/engineProtocol.ts
@@ -69,7 +69,9 @@
   name: z.string(),
   customer: z.string(),
   keys: z.array(z.string()),
-  tokens: count
+  tokens: count,
+  /** Position of the first block in its chain. */
+  firstBlock: count
 })
 
 export const exportResponseSchema = z.object({ bytes: count, sha256: z.string(), tier: z.enum(['memory', 'disk']) })
--- a/packages/cache/src/lib/DirectoryShard.ts
+++ b/packages/cache/src/lib/DirectoryShard.ts
@@ -24,6 +24,15 @@
   readonly tier: StoreTier
   /** Tokens of prefill that reading the object saves. */
   readonly tokens: number
+  /** Position of its first block in the chain. */
+  readonly firstBlock: number
+}
+
+/** A stored object, and how much of a certain chain is there with it. */
+export interface CoveringObject {
+  readonly object: StoredObject
+  /** Leading blocks of the chain that are there once this object and all before it are. */
+  readonly coversTo: number
 }
 
 /** A reservation to write one object. */
@@ -33,6 +42,7 @@
   readonly customer: string
   readonly keys: readonly string[]
   readonly tokens: number
+  readonly firstBlock: number
 }
 
 /** A reader's right to one object until a time on the owner's clock. */
@@ -57,10 +67,12 @@
   readonly ownershipMs: number
   /** Largest share of a store's capacity that one customer may hold while others want it, 0 to 1. */
   readonly customerShare: number
+  /** Most blocks in one object: small ones can be shared and cut more finely, large ones cost less upkeep. */
+  readonly blocksPerObject: number
 }
 
 export const DEFAULT_SHARD_SETTINGS: ShardSettings = {
-  readLeaseMs: 10_000, writeReservationMs: 30_000, ownershipMs: 3000, customerShare: 0.5
+  readLeaseMs: 10_000, writeReservationMs: 30_000, ownershipMs: 3000, customerShare: 0.5, blocksPerObject: 16
 }
 
 interface PublishedObject {
@@ -125,7 +137,7 @@
   }
 
   /**
-   * Finds the stored run of blocks that continues a chain, and leases it.
+   * Leases the stored objects that cover a chain from a block on.
    *
    * @param keys - key chain of a prompt
    * @param fromBlock - first block wanted
@@ -134,24 +146,15 @@
    * @returns leases over consecutive objects, in chain order
    */
   lease (keys: readonly string[], fromBlock: number, leaseIds: () => string, now: number): ReadLease[] {
-    const leases: ReadLease[] = []
     this.#touchPrefix(keys.slice(0, fromBlock), now)
-    let block = fromBlock
-    while (block < keys.length) {
-      const published = this.#publishedWith(keys[block])
-      if (published === undefined) break
-      const { object } = published
-      const offset = object.keys.indexOf(keys[block] ?? '')
-      const continues = object.keys.slice(offset).every((key, position) => keys[block + position] === undefined || keys[block + position] === key)
-      if (!continues) break
-      assertInvariant(!this.#unpublished.has(object.name), 'no-freed-block-read', () => object.name)
+    return this.coverage(keys, fromBlock).map(({ object }) => {
+      const published = this.#published.get(object.name)
+      assertInvariant(published !== undefined, 'no-freed-or-partial-block', () => `${object.name} is leased but not published`)
       published.lastUsedAt = now
       published.uses += 1
       published.leasedUntil = Math.max(published.leasedUntil, now + this.settings.readLeaseMs)
-      leases.push({ leaseId: leaseIds(), object, durationMs: this.settings.readLeaseMs })
-      block += object.keys.length - offset
-    }
-    return leases
+      return { leaseId: leaseIds(), object, durationMs: this.settings.readLeaseMs }
+    })
   }
 
   /**
@@ -167,21 +170,27 @@
   }
 
   /**
-   * Lists the objects that cover a chain, without leasing them.
+   * Lists the objects that cover a chain, without leasing them. An object may go
+   * on with blocks of another chain that shares its beginning.
    *
    * @param keys - key chain of a prompt
+   * @param fromBlock - first block wanted
    * @returns objects in chain order
    */
-  coverage (keys: readonly string[]): StoredObject[] {
-    const objects: StoredObject[] = []
-    let block = 0
+  coverage (keys: readonly string[], fromBlock = 0): CoveringObject[] {
+    const covering: CoveringObject[] = []
+    let block = fromBlock
     while (block < keys.length) {
       const object = this.#publishedWith(keys[block])?.object
       if (object === undefined) break
-      objects.push(object)
-      block += object.keys.length - object.keys.indexOf(keys[block] ?? '')
+      let position = object.keys.indexOf(keys[block] ?? '')
+      while (position < object.keys.length && block < keys.length && object.keys[position] === keys[block]) {
+        position += 1
+        block += 1
+      }
+      covering.push({ object, coversTo: block })
     }
-    return objects
+    return covering
   }
 
   /**
@@ -199,11 +208,13 @@
     const from = this.storedBlocks(request.keys)
     const missing = request.keys.slice(from)
     const firstPending = missing.findIndex(key => this.#pendingKeys.has(key) || this.#objectByKey.has(key))
-    const keys = firstPending < 0 ? missing : missing.slice(0, firstPending)
+    const keys = missing.slice(0, firstPending < 0 ? this.settings.blocksPerObject : Math.min(firstPending, this.settings.blocksPerObject))
     if (keys.length === 0) return undefined
     this.#nextNumber += 1
     const name = `s${this.shard}-e${this.epoch}-n${this.#nextNumber}`
-    const reservation = { name, store: request.store, customer: request.customer, keys, tokens: keys.length * request.tokensPerBlock }
+    const reservation = {
+      name, store: request.store, customer: request.customer, keys, tokens: keys.length * request.tokensPerBlock, firstBlock: from
+    }
     this.#writes.set(name, { reservation, endsAt: now + this.settings.writeReservationMs })
     for (const key of keys) this.#pendingKeys.add(key)
     return reservation
@@ -291,7 +302,8 @@
     const limit = total * this.settings.customerShare
     const byValue = present
       .map(published => ({ published, value: valuePerByte(published, now) }))
-      .sort((left, right) => left.value - right.value)
+      // Blocks are useless without those before them, so the end of a chain goes first.
+      .sort((left, right) => left.value - right.value || right.published.object.firstBlock - left.published.object.firstBlock)
     const victims: string[] = []
     let freed = 0
     const evictWhere = (eligible: (customer: string) => boolean): void => {
--- a/packages/policy/src/lib/placement/baselines.ts
+++ b/packages/policy/src/lib/placement/baselines.ts
@@ -4,6 +4,12 @@
 
 const TIME_ONLY: PlacementWeights = { firstTokenMillisecond: 1, recomputedToken: 0, linkKilobyte: 0 }
 
+/** Equal engines in random order: a fixed order would send all hosts to the first of them. */
+function shuffled (engines: readonly EngineCandidate[], random: () => number): EngineCandidate[] {
+  const keyed = engines.map(engine => ({ engine, key: random() }))
+  return keyed.sort((left, right) => left.key - right.key).map(({ engine }) => engine)
+}
+
 function byWait (left: EngineCandidate, right: EngineCandidate): number {
   return estimateWait(left) - estimateWait(right) || left.running - right.running
 }
@@ -12,8 +18,11 @@
 export class LeastLoaded implements PlacementPolicy {
   readonly name = 'least-loaded'
 
+  /** @param random - source of numbers in [0, 1) */
+  constructor (private readonly random: () => number) {}
+
   rank (request: PlacementRequest, engines: readonly EngineCandidate[]): Placement[] {
-    return [...engines].sort(byWait).map(engine => estimatePlacement(request, engine, [], TIME_ONLY))
+    return shuffled(engines, this.random).sort(byWait).map(engine => estimatePlacement(request, engine, [], TIME_ONLY))
   }
 }
 
@@ -21,8 +30,11 @@
 export class PrefixAffinity implements PlacementPolicy {
   readonly name = 'prefix-affinity'
 
+  /** @param random - source of numbers in [0, 1) */
+  constructor (private readonly random: () => number) {}
+
   rank (request: PlacementRequest, engines: readonly EngineCandidate[]): Placement[] {
-    const ordered = [...engines].sort((left, right) => right.residentBlocks - left.residentBlocks || byWait(left, right))
+    const ordered = shuffled(engines, this.random).sort((left, right) => right.residentBlocks - left.residentBlocks || byWait(left, right))
     return ordered.map(engine => estimatePlacement(request, engine, [], TIME_ONLY))
   }
 }
@@ -31,8 +43,11 @@
 export class AlwaysImport implements PlacementPolicy {
   readonly name = 'always-import'
 
+  /** @param random - source of numbers in [0, 1) */
+  constructor (private readonly random: () => number) {}
+
   rank (request: PlacementRequest, engines: readonly EngineCandidate[]): Placement[] {
-    const ordered = [...engines].sort((left, right) => right.residentBlocks - left.residentBlocks || byWait(left, right))
+    const ordered = shuffled(engines, this.random).sort((left, right) => right.residentBlocks - left.residentBlocks || byWait(left, right))
     return ordered.map(engine =>
       estimatePlacement(request, engine, importCuts(request, engine).at(-1) ?? [], TIME_ONLY))
   }
@@ -42,8 +57,11 @@
 export class NeverImport implements PlacementPolicy {
   readonly name = 'never-import'
 
+  /** @param random - source of numbers in [0, 1) */
+  constructor (private readonly random: () => number) {}
+
   rank (request: PlacementRequest, engines: readonly EngineCandidate[]): Placement[] {
-    const placements = engines.map(engine => estimatePlacement(request, engine, [], TIME_ONLY))
+    const placements = shuffled(engines, this.random).map(engine => estimatePlacement(request, engine, [], TIME_ONLY))
     return placements.sort((left, right) => left.firstTokenMs - right.firstTokenMs)
   }
 }
--- a/packages/policy/src/lib/placement/createPlacementPolicy.ts
+++ b/packages/policy/src/lib/placement/createPlacementPolicy.ts
@@ -28,10 +28,10 @@
 export function createPlacementPolicy (name: PlacementPolicyName, weights: PlacementWeights, random: () => number): PlacementPolicy {
   switch (name) {
     case 'eelgrassmux': return new CostPlacement(weights, random)
-    case 'least-loaded': return new LeastLoaded()
-    case 'prefix-affinity': return new PrefixAffinity()
-    case 'always-import': return new AlwaysImport()
-    case 'never-import': return new NeverImport()
+    case 'least-loaded': return new LeastLoaded(random)
+    case 'prefix-affinity': return new PrefixAffinity(random)
+    case 'always-import': return new AlwaysImport(random)
+    case 'never-import': return new NeverImport(random)
     default: return unreachable(name)
   }
 }
--- a/packages/rpc/src/lib/methods/directoryMethods.ts
+++ b/packages/rpc/src/lib/methods/directoryMethods.ts
@@ -14,7 +14,8 @@
   bytes: count,
   sha256: z.string(),
   tier: tierSchema,
-  tokens: count
+  tokens: count,
+  firstBlock: count
 })
 
 /** Every request names the shard epoch that its sender knows; another epoch is refused. */
@@ -48,7 +49,7 @@
 })
 
 export const reserveResponseSchema = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('reserved'), name: z.string(), keys, tokens: count }),
+  z.strictObject({ kind: z.literal('reserved'), name: z.string(), keys, tokens: count, firstBlock: count }),
   z.strictObject({ kind: z.literal('nothing-to-write') }),
   wrongOwner
 ])
