Hosts tell each other of dispatches; exports give way to imports

Entry hosts (up to 16) now tell each other of each dispatch in one small message.

Exports now wait until the link's backlog is under 60 ms, two at a time on a host, and are put off, not dropped; the value of keeping follows the profile's weights; the tmts profile counts the wait that a computed token causes others.

Ruled out: cache events (no gap was counted), look-ups (none failed).

--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -153,7 +153,7 @@
         if (!replica.isAlive) return
         const { core, newestView, membershipIndex } = replica
         const statement = {
-          replicaId: core.self.id, membership: core.membership, membershipIndex, newestView, liveEntries: HOSTS, askedAt
+          replicaId: core.self.id, membership: core.membership, membershipIndex, newestView, liveEntries: HOSTS, entryPeers: [], askedAt
         }
         this.simulation.send(replica.self.id, host.name, () => {
           if (incarnation === host.incarnation) host.lease.observe(statement)
--- a/apps/bench/src/lib/prove/worlds/RunWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/RunWorld.ts
@@ -256,6 +256,7 @@
         placer: this.#placer,
         importer: { stage: async () => undefined },
         exporter: { consider: async () => {} },
+        announce: () => {},
         budget: new RetryBudget(),
         retries: SILENT,
         promptTokens: SILENT
--- a/apps/bench/src/measure.ts
+++ b/apps/bench/src/measure.ts
@@ -9,7 +9,7 @@
   static override paths = [Command.Default, ['policies']]
   static override usage = Command.Usage({ description: 'replay one trace under each placement policy' })
   seconds = Option.String('--seconds', '20', { description: 'length of the trace' })
-  rate = Option.String('--requests-per-second', '20')
+  rate = Option.String('--requests-per-second', '35')
   seed = Option.String('--seed', '1')
   profile = Option.String('--profile', 'tmts', { description: 'tmts or lscsa' })
   fault = Option.String('--fault', { description: `one of ${FAULT_NAMES.join(', ')}` })
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -54,7 +54,8 @@
         membership: this.raft.membership,
         membershipIndex: this.raft.membershipIndex,
         newestView: this.raft.newestView,
-        liveEntries: this.hosts.liveEntries(now)
+        liveEntries: this.hosts.liveEntries(now),
+        entryPeers: this.hosts.entryPeers(now)
       }
     })
     server.handle(listHosts, async () => {
--- a/apps/control/src/lib/hosts/HostTable.ts
+++ b/apps/control/src/lib/hosts/HostTable.ts
@@ -4,6 +4,9 @@
 /** Reports older than this are forgotten, in milliseconds. */
 const FORGET_MS = 60_000
 
+/** Most entry hosts that tell each other of every dispatch: the messages grow with the square of their number. */
+const LARGEST_PEER_GROUP = 16
+
 interface HeardHost {
   readonly report: StatusRequest
   readonly heardAt: number
@@ -37,6 +40,17 @@
     return this.#live(now).filter(report => report.role === 'entry').length
   }
 
+  /**
+   * Peer addresses of live entry hosts, for telling each other of dispatches.
+   *
+   * @param now - monotonic milliseconds
+   * @returns the addresses; empty when the hosts are too many for that
+   */
+  entryPeers (now: number): string[] {
+    const entries = this.#live(now).filter(report => report.role === 'entry')
+    return entries.length > LARGEST_PEER_GROUP ? [] : entries.map(report => report.address)
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns addresses of directories that may own shards
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -11,6 +11,7 @@
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { CallerServer } from './callers/CallerServer.js'
 import { CompletionHandler } from './callers/CompletionHandler.js'
+import { DispatchNotices } from './fleet/DispatchNotices.js'
 import { FleetWatcher } from './fleet/FleetWatcher.js'
 import { AtMostOnce } from './plain/AtMostOnce.js'
 import { PlainHandler } from './plain/PlainHandler.js'
@@ -83,7 +84,10 @@
     telemetry.labelledCounter('lookup_failures_total', 'Directory look-ups without an answer'))
   const importer = new Importer(clock, directory, fleet.links, configuration,
     telemetry.labelledCounter('imports_total', 'Imports by outcome', 'outcome'), linkBytes)
-  const storeExporter = new Exporter(fleet, directory, configuration, work, keeps, linkBytes)
+  const storeExporter = new Exporter(clock, fleet, directory, configuration, work, keeps, linkBytes)
+  const notices = new DispatchNotices(clock, rpc, fleet.loads, () => link.entryPeers,
+    telemetry.labelledCounter('dispatch_notices_total', 'Notices of dispatches among entry hosts by outcome', 'outcome'))
+  notices.register(peerServer)
   // Policies that never import would export for nothing.
   const exporter = usesStores(settings.policy) ? storeExporter : { consider: async () => {} }
   const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
@@ -94,6 +98,7 @@
     placer,
     importer,
     exporter,
+    announce: (engine, tokens) => { notices.announce(engine, tokens) },
     retries,
     promptTokens: telemetry.labelledCounter('prompt_tokens_total', 'Prompt tokens computed and reused', 'kind')
   })
--- a/apps/entry/src/lib/runs/Exporter.ts
+++ b/apps/entry/src/lib/runs/Exporter.ts
@@ -3,6 +3,7 @@
 import { rendezvousOrder } from '@eelgrassmux/cache/rendezvous'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { decideKeep } from '@eelgrassmux/policy/placement/decideKeep'
+import type { Clock } from '@eelgrassmux/schema/Clock'
 import type { Customer, Profile } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
@@ -23,17 +24,25 @@
 /** Longest time an export may take, in milliseconds. */
 const EXPORT_MS = 15_000
 
+/** How long an export is put off while the link is busy, and the pause between looks, in milliseconds. */
+const PATIENCE_MS = 10_000
+const PAUSE_MS = 300
+
+/** Interval between looks at a busy link, in milliseconds. */
+const LINK_LOOK_MS = 20
+
 /** Backlog on a link, as time, that counts as fully busy. In milliseconds. */
-const BUSY_BACKLOG_MS = 250
+const BUSY_BACKLOG_MS = 60
 
 /** Exports under way at once; imports must not wait behind a crowd of them. */
-const EXPORTS_AT_ONCE = 4
+const EXPORTS_AT_ONCE = 2
 
 /** Exports blocks in the background. */
 export class Exporter {
   #underWay = 0
 
   /**
+   * @param clock - time
    * @param fleet - engines, loads and links
    * @param directory - reserves names and publishes
    * @param configuration - configuration in force
@@ -42,6 +51,7 @@
    * @param linkBytes - counts bytes by direction
    */
   constructor (
+    private readonly clock: Clock,
     private readonly fleet: FleetWatcher,
     private readonly directory: DirectoryClient,
     private readonly configuration: () => ConfigurationIndex,
@@ -51,49 +61,71 @@
   ) {}
 
   /**
-   * Decides on a finished run and exports it if worthwhile.
+   * Decides on a finished run and exports it if worthwhile. While imports need the
+   * link, or many exports are under way, the decision is put off.
    *
    * @param run - the run
    */
   async consider (run: FinishedRun): Promise<void> {
+    const ticket = this.work.beginFollowUp()
+    const deadline = this.clock.now() + PATIENCE_MS
+    while (!await this.#tryOnce(run) && this.clock.now() < deadline) await this.clock.sleep(PAUSE_MS)
+    ticket.end()
+  }
+
+  /** @returns false if it should be tried again later */
+  async #tryOnce (run: FinishedRun): Promise<boolean> {
+    if (this.#underWay >= EXPORTS_AT_ONCE) {
+      this.decisions.count('too-many-under-way')
+      return false
+    }
+    this.#underWay += 1
+    try {
+      return await this.#decideAndExport(run)
+    } finally {
+      this.#underWay -= 1
+    }
+  }
+
+  async #decideAndExport (run: FinishedRun): Promise<boolean> {
     const salt = cacheSalt({ cacheSecret: run.customer.cacheSecret, model: run.model, version: run.version })
     const keys = blockKeys(salt, run.text)
     const store = this.#chooseStore(keys)
-    const load = this.fleet.loads.load(run.engine, performance.now())
+    const load = this.fleet.loads.load(run.engine, this.clock.now())
     if (store === undefined || load === undefined || keys.length === 0) {
       this.decisions.count('no-store')
-      return
+      return true
     }
     const found = await this.directory.lookup(keys)
     if (!found.ok) {
       this.decisions.count('no-directory')
-      return
+      return false
     }
     const missingTokens = (keys.length - (found.value.stored.at(-1)?.coversTo ?? 0)) * TOKENS_PER_BLOCK
-    const link = this.fleet.links.views(performance.now()).get(store)
     const decision = decideKeep({
       ...run.profile,
       residenceSeconds: load.residenceSeconds,
       missingTokens,
       missingBytes: missingTokens * load.bytesPerToken,
       prefillTokensPerMs: load.prefillTokensPerMs,
-      linkBytesPerMs: link?.bytesPerMs ?? 0,
-      linkBusy: link === undefined ? 1 : link.backlogBytes / link.bytesPerMs / BUSY_BACKLOG_MS
+      linkBusy: this.#linkBusy(store)
     })
     this.decisions.count(decision)
-    if (decision !== 'export') return
-    if (this.#underWay >= EXPORTS_AT_ONCE) {
-      this.decisions.count('too-many-under-way')
-      return
-    }
-    this.#underWay += 1
-    const ticket = this.work.beginFollowUp()
-    try {
-      while (await this.#exportNext(run, keys, store));
-    } finally {
-      this.#underWay -= 1
-      ticket.end()
-    }
+    if (decision !== 'export') return decision !== 'link-busy'
+    while (await this.#exportNext(run, keys, store)) await this.#waitForLink(store)
+    return true
+  }
+
+  /** Between two objects, lets imports that have come up meanwhile go first. */
+  async #waitForLink (store: string): Promise<void> {
+    const deadline = this.clock.now() + PATIENCE_MS
+    while (this.#linkBusy(store) > 1 && this.clock.now() < deadline) await this.clock.sleep(LINK_LOOK_MS)
+  }
+
+  /** Backlog of a link as a multiple of what exports may find there. */
+  #linkBusy (store: string): number {
+    const link = this.fleet.links.views(this.clock.now()).get(store)
+    return link === undefined ? 1 : link.backlogBytes / link.bytesPerMs / BUSY_BACKLOG_MS
   }
 
   /** Exports the next object of the chain; false when there is none or it failed. */
@@ -121,6 +153,6 @@
 
   /** The same chain goes to the same store while that store is up, so that it is read over one link. */
   #chooseStore (keys: readonly string[]): string | undefined {
-    return rendezvousOrder(keys[0] ?? '', this.fleet.storesUp(performance.now()))[0]
+    return rendezvousOrder(keys[0] ?? '', this.fleet.storesUp(this.clock.now()))[0]
   }
 }
--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -58,6 +58,8 @@
   readonly placer: RunPlacer
   readonly importer: BlockImporter
   readonly exporter: BlockExporter
+  /** Tells other hosts of a dispatch. */
+  announce (engine: string, tokens: number): void
   readonly budget: RetryBudget
   readonly retries: LabelledCounter
   /** Counts prompt tokens: `computed` or `reused`. */
@@ -186,6 +188,7 @@
     const engine = this.ports.fleet.engine(name)
     if (engine === undefined) return { kind: 'retry', reason: 'connect-failed' }
     this.ports.fleet.loads.recordDispatch(name, placed.placement.recomputedTokens, this.ports.clock.now())
+    this.ports.announce(name, placed.placement.recomputedTokens)
     const importId = await this.ports.importer.stage(engine, placed, this.#abort.signal)
     this.#attempts += 1
     const engineRun = `${this.run.id}-a${this.#attempts}`
--- a/packages/policy/src/lib/placement/decideKeep.ts
+++ b/packages/policy/src/lib/placement/decideKeep.ts
@@ -1,5 +1,7 @@
 /** Decides whether the blocks of a finished run are exported to a store. */
 
+import type { PlacementWeights } from './placementTypes.js'
+
 /** What is known when a run ends. */
 export interface KeepRequest {
   readonly keep: 'never' | 'by-value' | 'always'
@@ -12,11 +14,13 @@
   readonly missingTokens: number
   readonly missingBytes: number
   readonly prefillTokensPerMs: number
-  readonly linkBytesPerMs: number
+  readonly weights: PlacementWeights
   /** Share of the link's time already taken by imports, 0 to 1. */
   readonly linkBusy: number
 }
 
+const BYTES_PER_KILOBYTE = 1024
+
 /** Below this many tokens an object costs more upkeep than it saves. */
 const LEAST_TOKENS = 64
 
@@ -40,8 +44,10 @@
   const { residenceSeconds, expectedGapSeconds } = request
   if (residenceSeconds !== undefined && residenceSeconds > RESIDENCE_MARGIN * expectedGapSeconds) return 'stays-resident'
   if (request.linkBusy > BUSY_LINK) return 'link-busy'
-  const savedMs = request.returnChance * request.missingTokens / request.prefillTokensPerMs
+  const { weights, missingTokens, returnChance } = request
+  const computing = weights.recomputedToken * missingTokens +
+    weights.firstTokenMillisecond * missingTokens / request.prefillTokensPerMs
   // The blocks cross the link once now and once more if the prompt returns.
-  const linkMs = (1 + request.returnChance) * request.missingBytes / request.linkBytesPerMs
-  return savedMs > linkMs ? 'export' : 'not-worth-link'
+  const crossing = (1 + returnChance) * weights.linkKilobyte * request.missingBytes / BYTES_PER_KILOBYTE
+  return returnChance * computing > crossing ? 'export' : 'not-worth-link'
 }
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -41,7 +41,9 @@
   /** Upper bound of any view in this replica's log, committed or not. */
   newestView: count,
   /** Entry hosts heard from lately; the share of each is one part of this many. */
-  liveEntries: count
+  liveEntries: count,
+  /** Peer addresses of the live entry hosts; empty when they are too many to tell each other of every dispatch. */
+  entryPeers: z.array(z.string())
 })
 
 export const hostReportSchema = z.strictObject({
--- a/packages/rpc/src/lib/methods/entryMethods.ts
+++ b/packages/rpc/src/lib/methods/entryMethods.ts
@@ -1,6 +1,6 @@
 /** Methods that entry hosts serve to each other. */
 import { z } from 'zod'
-import { defineStream } from '../RpcMethod.js'
+import { defineStream, defineUnary } from '../RpcMethod.js'
 
 const count = z.number().int().min(0)
 
@@ -13,6 +13,13 @@
   z.strictObject({ kind: z.literal('unknown-run') })
 ])
 
+/** Prompts that a host has just sent to engines, so that its peers do not choose the same ones unseen. */
+export const dispatchNoticeSchema = z.strictObject({
+  dispatches: z.array(z.strictObject({ engine: z.string(), tokens: z.number().min(0), ageMs: z.number().min(0) }))
+})
+
+export const noticeDispatches = defineUnary('/eelgrassmux.Entry/NoticeDispatches', dispatchNoticeSchema, z.strictObject({}))
 export const readRun = defineStream('/eelgrassmux.Entry/ReadRun', readRunRequestSchema, runEventSchema)
 
+export type DispatchNotice = z.infer<typeof dispatchNoticeSchema>
 export type RunEvent = z.infer<typeof runEventSchema>
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -72,6 +72,11 @@
   /** Entry hosts that may be alive. */
   get liveEntries (): number { return this.#lease.liveEntries(performance.now()) }
 
+  /** Peer addresses of the other entry hosts; empty when they are many. */
+  get entryPeers (): string[] {
+    return this.#lease.entryPeers(performance.now()).filter(peer => peer !== this.settings.address)
+  }
+
   /** Whether the view in force is known to be the newest accepted one, as of now. */
   isFresh (): boolean {
     return this.#lease.isFresh(this.viewRevision, performance.now())
--- a/packages/view/src/lib/FreshnessLease.test.ts
+++ b/packages/view/src/lib/FreshnessLease.test.ts
@@ -4,7 +4,7 @@
 const voters = ['a', 'b', 'c'].map(id => ({ id, address: id }))
 
 function statement (replicaId: string, askedAt: number, newestView: number, overrides: Partial<VoterStatement> = {}): VoterStatement {
-  return { replicaId, askedAt, newestView, membership: { voters, learners: [] }, membershipIndex: 1, liveEntries: 1, ...overrides }
+  return { replicaId, askedAt, newestView, membership: { voters, learners: [] }, membershipIndex: 1, liveEntries: 1, entryPeers: [], ...overrides }
 }
 
 function observed (...statements: VoterStatement[]): FreshnessLease {
--- a/packages/view/src/lib/FreshnessLease.ts
+++ b/packages/view/src/lib/FreshnessLease.ts
@@ -17,6 +17,7 @@
   readonly membershipIndex: number
   readonly newestView: number
   readonly liveEntries: number
+  readonly entryPeers: readonly string[]
   /** Monotonic milliseconds on this host when the voter was asked. */
   readonly askedAt: number
 }
@@ -87,6 +88,21 @@
     return largest
   }
 
+  /**
+   * Peer addresses of entry hosts that any voter heard of lately.
+   *
+   * @param now - monotonic milliseconds
+   */
+  entryPeers (now: number): string[] {
+    const peers = new Set<string>()
+    for (const history of this.#statements.values()) {
+      const statement = history.at(-1)
+      if (statement === undefined || now - statement.askedAt > this.leaseMs) continue
+      for (const peer of statement.entryPeers) peers.add(peer)
+    }
+    return [...peers]
+  }
+
   #confirmedAt (replicaId: string, viewRevision: number): number {
     // A voter with another membership could be outvoted by one that we do not know.
     const confirmation = this.#statements.get(replicaId)?.findLast(statement =>
