--- a/apps/entry/src/lib/runs/Importer.ts
+++ b/apps/entry/src/lib/runs/Importer.ts
@@ -18,7 +18,7 @@
 
 /** Room for an import beyond its estimate before it is given up, as a factor and in milliseconds. */
 const OVERRUN_FACTOR = 2
-const OVERRUN_MS = 50
+const OVERRUN_MS = 150
 
 /** Grants leases on stored objects. */
 export interface LeaseSource {
--- a/packages/policy/src/lib/health/LinkTable.ts
+++ b/packages/policy/src/lib/health/LinkTable.ts
@@ -1,20 +1,25 @@
 /** Speed and backlog of store links, learnt from own transfers and the stores' reports. */
 import type { LinkView } from '../placement/placementTypes.js'
 
-/** Weight of the newest transfer in the observed speed. */
-const SPEED_SMOOTHING = 0.4
+/**
+ * A transfer that shared the link with others looks slow, so the fastest of the
+ * last few is taken for the link's speed. A link that has really slowed down
+ * shows in all of them.
+ */
+const SAMPLES_KEPT = 6
 
 interface LinkState {
   configuredBytesPerMs: number
-  bytesPerMs: number
+  /** Speeds of the last transfers, newest last. */
+  samples: number[]
   reportedBacklog: number
   reportedAt: number
   ownPendingBytes: number
   transferredAt: number
 }
 
-/** After this time without a transfer the speed drifts back to the configured one, so that a mended link is tried again. */
-const RECOVERY_MS = 5000
+/** After this time without a transfer one slow sample is forgotten, so that a mended link is tried again, in milliseconds. */
+const RECOVERY_MS = 1000
 
 /** All links known to one entry host. */
 export class LinkTable {
@@ -30,7 +35,7 @@
     if (present?.configuredBytesPerMs === bytesPerMs) return
     this.#links.set(store, {
       configuredBytesPerMs: bytesPerMs,
-      bytesPerMs,
+      samples: [],
       reportedBacklog: 0,
       reportedAt: Number.NEGATIVE_INFINITY,
       ownPendingBytes: 0,
@@ -78,8 +83,8 @@
   recordEnd (store: string, bytes: number, elapsedMs: number, now: number): void {
     const link = this.#links.get(store)
     if (link === undefined) return
-    const sample = Math.min(bytes / Math.max(1, elapsedMs), link.configuredBytesPerMs)
-    link.bytesPerMs += (sample - link.bytesPerMs) * SPEED_SMOOTHING
+    link.samples.push(Math.min(bytes / Math.max(1, elapsedMs), link.configuredBytesPerMs))
+    if (link.samples.length > SAMPLES_KEPT) link.samples.shift()
     link.transferredAt = now
   }
 
@@ -90,15 +95,20 @@
   views (now: number): Map<string, LinkView> {
     const views = new Map<string, LinkView>()
     for (const [store, link] of this.#links) {
-      const idle = now - link.transferredAt
-      if (idle > RECOVERY_MS) {
-        link.bytesPerMs += (link.configuredBytesPerMs - link.bytesPerMs) * SPEED_SMOOTHING
+      if (now - link.transferredAt > RECOVERY_MS) {
+        link.samples.shift()
         link.transferredAt = now
       }
-      const drained = Math.max(0, now - link.reportedAt) * link.bytesPerMs
+      const bytesPerMs = speedOf(link)
+      const drained = Math.max(0, now - link.reportedAt) * bytesPerMs
       const reported = Math.max(0, link.reportedBacklog - drained)
-      views.set(store, { bytesPerMs: link.bytesPerMs, backlogBytes: reported + link.ownPendingBytes })
+      views.set(store, { bytesPerMs, backlogBytes: reported + link.ownPendingBytes })
     }
     return views
   }
 }
+
+/** Until enough transfers have been seen the configured speed is believed. */
+function speedOf ({ samples, configuredBytesPerMs }: LinkState): number {
+  return samples.length < SAMPLES_KEPT ? configuredBytesPerMs : Math.max(...samples)
+}
--- /dev/null
+++ b/packages/schema/src/lib/Refusal.test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from 'vitest'
+import { InvariantViolation } from './invariant.js'
+import { DispatchRecord, NotDispatched, refuse } from './Refusal.js'
+
+const DETAILS = { reason: 'endpoint-failed', status: 502, detail: '' } as const
+
+describe('DispatchRecord', () => {
+  it('lets a refusal say "not run" only while nothing may have run', () => {
+    const record = new DispatchRecord()
+    expect(refuse(DETAILS, record).run).toBe('not-run')
+    record.markDispatched()
+    expect(refuse(DETAILS, record).run).toBe('unknown')
+    record.markNotStarted()
+    expect(refuse(DETAILS, record).run).toBe('not-run')
+  })
+
+  it('stays unknown when one of two attempts may have run', () => {
+    const record = new DispatchRecord()
+    record.markDispatched()
+    record.markDispatched()
+    record.markNotStarted()
+    expect(refuse(DETAILS, record).run).toBe('unknown')
+  })
+
+  it('hands out no proof after a dispatch', () => {
+    const record = new DispatchRecord()
+    record.markDispatched()
+    expect(() => NotDispatched.issue(record)).toThrow(InvariantViolation)
+  })
+})
