Streams go from the run to the socket; exports are paced over all hosts

Two causes, each measured.

First: the entry host spent 165 microseconds a token; a profile showed the time spread over two web streams and four generators a token. Runs now wake their readers directly and write to the connection; one generator is left on the way from an engine.

Exports of four hosts, each seeing a lagging backlog, met on a link before imports, and an import was given up only after twice the time that computing takes. Exports now keep to 0.6 of each link, shared out over the live hosts by token buckets, and an import is given up after about the time that computing takes.

--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -18,6 +18,7 @@
 import { AdmissionGate } from './runs/AdmissionGate.js'
 import { DirectoryClient } from './runs/DirectoryClient.js'
 import { Exporter } from './runs/Exporter.js'
+import { ExportPacer } from './runs/ExportPacer.js'
 import { Importer } from './runs/Importer.js'
 import { PeerRuns, servePeerRuns } from './runs/PeerRuns.js'
 import { Placer } from './runs/Placer.js'
@@ -84,7 +85,8 @@
     telemetry.labelledCounter('lookup_failures_total', 'Directory look-ups without an answer'))
   const importer = new Importer(clock, directory, fleet.links, configuration,
     telemetry.labelledCounter('imports_total', 'Imports by outcome', 'outcome'), linkBytes)
-  const storeExporter = new Exporter(clock, fleet, directory, configuration, work, keeps, linkBytes)
+  const pacer = new ExportPacer(clock, configuration, () => link.liveEntries)
+  const storeExporter = new Exporter(clock, fleet, directory, pacer, configuration, work, keeps, linkBytes)
   const notices = new DispatchNotices(clock, rpc, fleet.loads, () => link.entryPeers,
     telemetry.labelledCounter('dispatch_notices_total', 'Notices of dispatches among entry hosts by outcome', 'outcome'))
   notices.register(peerServer)
--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -1,12 +1,14 @@
 /** The HTTP server that callers talk to: who asks, whether this host may act, and which handler answers. */
 import { createHash } from 'node:crypto'
+import type { ServerResponse } from 'node:http'
 import { H3, serve, type H3Event } from 'h3'
 import { portOf } from '@eelgrassmux/daemon/AdminServer'
 import type { WorkGate, WorkTicket } from '@eelgrassmux/daemon/WorkGate'
 import type { Customer } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
-import { succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { Result } from '@eelgrassmux/schema/Result'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import type { PlainHandler } from '../plain/PlainHandler.js'
 import type { CompletionHandler } from './CompletionHandler.js'
@@ -22,8 +24,8 @@
   readonly work: WorkGate
 }
 
-/** Answers a request of a known customer. */
-type Handler = (event: H3Event, customer: Customer) => Promise<Result<Response, Refusal>>
+/** Answers a request of a known customer; nothing is left to send after a stream. */
+type Handler = (event: H3Event, customer: Customer) => Promise<Result<Response | undefined, Refusal>>
 
 /** Serves callers until drained. */
 export class CallerServer {
@@ -61,10 +63,10 @@
 
   #routes (): H3 {
     const app = new H3()
-    app.post('/v1/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, customer, 'text')))
-    app.post('/v1/chat/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, customer, 'chat')))
+    app.post('/v1/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, connectionOf(event), customer, 'text')))
+    app.post('/v1/chat/completions', this.#newWork(async (event, customer) => await this.completions.complete(event.req, connectionOf(event), customer, 'chat')))
     app.get('/v1/runs/:run', this.#oldWork(async (event, customer) =>
-      await this.completions.resume(event.req, customer, event.context.params?.run ?? '', event.url.searchParams)))
+      await this.completions.resume(connectionOf(event), customer, event.context.params?.run ?? '', event.url.searchParams)))
     app.all('/services/:service/**', this.#newWork(async (event, customer) => {
       const service = event.context.params?.service ?? ''
       const path = event.url.pathname.slice(`/services/${service}`.length) + event.url.search
@@ -91,15 +93,12 @@
       await this.#withTicket(this.ports.work.beginFollowUp(), event, customer, handler))
   }
 
-  /** The work ends when the last byte of the response was taken, or the caller has left. */
-  async #withTicket (ticket: WorkTicket, event: H3Event, customer: Customer, handler: Handler): Promise<Result<Response, Refusal>> {
+  /** The work ends with the handler: it writes streams to their end itself. */
+  async #withTicket (ticket: WorkTicket, event: H3Event, customer: Customer, handler: Handler): Promise<Result<Response | undefined, Refusal>> {
     try {
-      const result = await handler(event, customer)
-      if (!result.ok || result.value.body === null) ticket.end()
-      return result.ok ? succeed(endingWith(result.value, ticket)) : result
-    } catch (error) {
+      return await handler(event, customer)
+    } finally {
       ticket.end()
-      throw error
     }
   }
 
@@ -114,7 +113,9 @@
         return this.#refuse(refuseUnseen({ reason: 'unknown-credential', status: 401, detail: 'send a known credential as a bearer token', field: 'Authorization' }))
       }
       const result = await handler(event, customer)
-      return result.ok ? result.value : this.#refuse(result.error)
+      if (!result.ok) return this.#refuse(result.error)
+      // After a stream the head is sent already, and an empty response changes nothing.
+      return result.value ?? new Response(null)
     }
   }
 
@@ -130,24 +131,9 @@
   }
 }
 
-/** Passes a body through and ends the ticket with it. */
-function endingWith (response: Response, ticket: WorkTicket): Response {
-  if (response.body === null) return response
-  const reader = response.body.getReader()
-  const body = new ReadableStream<Uint8Array>({
-    async pull (controller) {
-      const next = await reader.read()
-      if (!next.done) {
-        controller.enqueue(next.value)
-        return
-      }
-      controller.close()
-      ticket.end()
-    },
-    async cancel (reason) {
-      ticket.end()
-      await reader.cancel(reason)
-    }
-  })
-  return new Response(body, { status: response.status, headers: response.headers })
+/** The connection under a request; there always is one on this platform. */
+function connectionOf (event: H3Event): ServerResponse {
+  const connection = event.runtime?.node?.res
+  assertInvariant(connection !== undefined, 'caller-connection', () => 'a request without a connection')
+  return connection as ServerResponse
 }
--- a/apps/entry/src/lib/callers/CompletionHandler.ts
+++ b/apps/entry/src/lib/callers/CompletionHandler.ts
@@ -1,4 +1,5 @@
 /** Answers completion requests and the resumption of their runs. */
+import type { ServerResponse } from 'node:http'
 import { chatCompletionSchema, renderChatPrompt, textCompletionSchema } from '@eelgrassmux/schema/completions'
 import type { Customer } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
@@ -6,12 +7,13 @@
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { parseRunId } from '@eelgrassmux/runs/RunRegistry'
 import type { PeerRuns } from '../runs/PeerRuns.js'
-import type { Run, RunPiece } from '../runs/Run.js'
+import type { Run } from '../runs/Run.js'
 import type { RunManager } from '../runs/RunManager.js'
 import type { RunRequest } from '../runs/RunTask.js'
-import { streamResponse } from './answerStream.js'
 import { wholeAnswer, type AnswerHeader, type CompletionForm } from './completionFormat.js'
 import { parseJson, readBody, refuseUnseen } from './readBody.js'
+import { writePieces } from './writePieces.js'
+import { writeRun } from './writeRun.js'
 
 /** Largest completion request, in bytes. */
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024
@@ -39,11 +41,14 @@
    * Starts a run and answers with its output.
    *
    * @param request - the caller's request
+   * @param connection - where a stream is written
    * @param customer - who asks
    * @param form - which form was used
-   * @returns the response, or a refusal
+   * @returns a response to send, nothing if a stream was written, or a refusal
    */
-  async complete (request: Request, customer: Customer, form: CompletionForm): Promise<Result<Response, Refusal>> {
+  async complete (
+    request: Request, connection: ServerResponse, customer: Customer, form: CompletionForm
+  ): Promise<Result<Response | undefined, Refusal>> {
     const bytes = await readBody(request, BODY_LIMIT_BYTES)
     if (!bytes.ok) return bytes
     const parsed = this.#parse(bytes.value, customer, form)
@@ -52,31 +57,30 @@
     const started = await this.runs.start(service, parsed.value.request)
     if (!started.ok) return started
     const run = started.value
-    const gone = new AbortController()
-    request.signal.addEventListener('abort', () => { gone.abort() }, { once: true })
-    const pieces = run.read(0, gone.signal)
+    const gone = goneSignal(connection)
     // The status line waits for the first token, so that a refusal can still be a refusal.
-    const first = pieces.next()
-    await run.waitForStart(gone.signal)
+    await run.waitForStart(gone)
     if (run.end?.kind === 'failed' && run.length === 0) return fail(run.end.refusal)
     const header: AnswerHeader = {
       runId: run.id, form, service, version: run.version ?? '', createdSeconds: Math.floor(Date.now() / 1000)
     }
-    const all = startingWith(first, pieces)
-    if (stream) return succeed(streamResponse(header, all, 0, () => { gone.abort() }))
-    return await this.#whole(run, header, all)
+    if (!stream) return await this.#whole(run, header, gone)
+    await writeRun(run, header, 0, connection)
+    return succeed(undefined)
   }
 
   /**
    * Continues the answer of a run from an offset, here or through the entry host that holds it.
    *
-   * @param request - the caller's request
+   * @param connection - where the stream is written
    * @param customer - who asks; a run of another customer does not exist for it
    * @param runId - from the answer's id or header
    * @param query - `offset`, and `form` of the events
-   * @returns the response, or a refusal
+   * @returns a response to send, nothing if a stream was written, or a refusal
    */
-  async resume (request: Request, customer: Customer, runId: string, query: URLSearchParams): Promise<Result<Response, Refusal>> {
+  async resume (
+    connection: ServerResponse, customer: Customer, runId: string, query: URLSearchParams
+  ): Promise<Result<Response | undefined, Refusal>> {
     const offset = Number(query.get('offset') ?? 0)
     if (!Number.isInteger(offset) || offset < 0) {
       return fail(refuseUnseen({ reason: 'invalid-body', status: 400, detail: 'offset must be a whole number from 0', field: 'offset' }))
@@ -86,19 +90,20 @@
     const parsed = parseRunId(runId)
     if (parsed === undefined) return fail(unknown)
     const header: AnswerHeader = { runId, form, service: '', version: '', createdSeconds: Math.floor(Date.now() / 1000) }
-    const gone = new AbortController()
-    request.signal.addEventListener('abort', () => { gone.abort() }, { once: true })
     const run = this.runs.find(runId, customer.name)
     if (run !== undefined) {
-      return succeed(streamResponse({ ...header, version: run.version ?? '' }, run.read(offset, gone.signal), offset, () => { gone.abort() }))
+      await writeRun(run, { ...header, version: run.version ?? '' }, offset, connection)
+      return succeed(undefined)
     }
-    const remote = await this.peers.read(parsed.entry, { runId, customer: customer.name, offset }, gone.signal)
+    const gone = goneSignal(connection)
+    const remote = await this.peers.read(parsed.entry, { runId, customer: customer.name, offset }, gone)
     if (remote === undefined) return fail({ ...unknown, run: 'unknown' })
-    return succeed(streamResponse(header, remote, offset, () => { gone.abort() }))
+    await writePieces(remote, header, offset, connection)
+    return succeed(undefined)
   }
 
-  async #whole (run: Run, header: AnswerHeader, pieces: AsyncGenerator<RunPiece>): Promise<Result<Response, Refusal>> {
-    for await (const piece of pieces) {
+  async #whole (run: Run, header: AnswerHeader, gone: AbortSignal): Promise<Result<Response, Refusal>> {
+    for await (const piece of run.read(0, gone)) {
       if (piece.kind === 'failed') return fail(piece.refusal)
       if (piece.kind !== 'complete') continue
       const body = wholeAnswer(header, run.tokens.join(''), piece.finishReason, { ...piece, completionTokens: run.length })
@@ -123,14 +128,9 @@
   }
 }
 
-/** Puts a piece that was already asked for in front of the rest. */
-async function * startingWith (first: Promise<IteratorResult<RunPiece>>, rest: AsyncGenerator<RunPiece>): AsyncGenerator<RunPiece> {
-  try {
-    const piece = await first
-    if (piece.done === true) return
-    yield piece.value
-    yield * rest
-  } finally {
-    await rest.return(undefined)
-  }
+/** Aborted when the caller has left. */
+function goneSignal (connection: ServerResponse): AbortSignal {
+  const gone = new AbortController()
+  connection.once('close', () => { gone.abort() })
+  return gone.signal
 }
--- a/apps/entry/src/lib/runs/Exporter.ts
+++ b/apps/entry/src/lib/runs/Exporter.ts
@@ -1,5 +1,6 @@
 /** Keeps the blocks of finished runs in stores when the chance of return is worth link and space. */
 import { blockKeys, cacheSalt, TOKENS_PER_BLOCK } from '@eelgrassmux/cache/blockKeys'
+import { DEFAULT_SHARD_SETTINGS } from '@eelgrassmux/cache/DirectoryShard'
 import { rendezvousOrder } from '@eelgrassmux/cache/rendezvous'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { decideKeep } from '@eelgrassmux/policy/placement/decideKeep'
@@ -9,6 +10,7 @@
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import type { FleetWatcher } from '../fleet/FleetWatcher.js'
 import type { DirectoryClient } from './DirectoryClient.js'
+import type { ExportPacer } from './ExportPacer.js'
 
 /** A run that has ended. */
 export interface FinishedRun {
@@ -34,8 +36,11 @@
 /** Backlog on a link, as time, that counts as fully busy. In milliseconds. */
 const BUSY_BACKLOG_MS = 60
 
+/** Tokens in the largest object that the directory reserves. */
+const LARGEST_OBJECT_TOKENS = DEFAULT_SHARD_SETTINGS.blocksPerObject * TOKENS_PER_BLOCK
+
 /** Exports under way at once; imports must not wait behind a crowd of them. */
-const EXPORTS_AT_ONCE = 2
+const EXPORTS_AT_ONCE = 8
 
 /** Exports blocks in the background. */
 export class Exporter {
@@ -45,6 +50,7 @@
    * @param clock - time
    * @param fleet - engines, loads and links
    * @param directory - reserves names and publishes
+   * @param pacer - this host's share of the links
    * @param configuration - configuration in force
    * @param work - what a planned stop waits for
    * @param decisions - counts decisions and outcomes
@@ -54,6 +60,7 @@
     private readonly clock: Clock,
     private readonly fleet: FleetWatcher,
     private readonly directory: DirectoryClient,
+    private readonly pacer: ExportPacer,
     private readonly configuration: () => ConfigurationIndex,
     private readonly work: WorkGate,
     private readonly decisions: LabelledCounter,
@@ -112,14 +119,21 @@
     })
     this.decisions.count(decision)
     if (decision !== 'export') return decision !== 'link-busy'
-    while (await this.#exportNext(run, keys, store)) await this.#waitForLink(store)
+    let remaining = missingTokens
+    while (remaining > 0) {
+      const bytes = Math.min(remaining, LARGEST_OBJECT_TOKENS) * load.bytesPerToken
+      const exported = await this.#mayExport(store, bytes) ? await this.#exportNext(run, keys, store) : 0
+      if (exported === 0) break
+      remaining -= exported
+    }
     return true
   }
 
-  /** Between two objects, lets imports that have come up meanwhile go first. */
-  async #waitForLink (store: string): Promise<void> {
+  /** Before each object, lets imports go first and keeps to this host's share of the link. */
+  async #mayExport (store: string, bytes: number): Promise<boolean> {
     const deadline = this.clock.now() + PATIENCE_MS
     while (this.#linkBusy(store) > 1 && this.clock.now() < deadline) await this.clock.sleep(LINK_LOOK_MS)
+    return await this.pacer.admit(store, bytes, PATIENCE_MS)
   }
 
   /** Backlog of a link as a multiple of what exports may find there. */
@@ -128,14 +142,14 @@
     return link === undefined ? 1 : link.backlogBytes / link.bytesPerMs / BUSY_BACKLOG_MS
   }
 
-  /** Exports the next object of the chain; false when there is none or it failed. */
-  async #exportNext (run: FinishedRun, keys: readonly string[], store: string): Promise<boolean> {
+  /** Exports the next object of the chain; returns its tokens, 0 when there is none or it failed. */
+  async #exportNext (run: FinishedRun, keys: readonly string[], store: string): Promise<number> {
     const reserved = await this.directory.reserve({ customer: run.customer.name, store, keys, tokensPerBlock: TOKENS_PER_BLOCK })
     const engine = this.fleet.engine(run.engine)
     const storeAddress = this.configuration().stores.get(store)?.address
     if (reserved === undefined || engine === undefined || storeAddress === undefined) {
       this.decisions.count('nothing-reserved')
-      return false
+      return 0
     }
     const { name, firstBlock } = reserved
     const request = { storeAddress, name, customer: run.customer.name, keys: reserved.keys, tokens: reserved.tokens, firstBlock }
@@ -143,12 +157,12 @@
     if (!exported.ok) {
       this.decisions.count(exported.error.kind === 'rejected' ? exported.error.detail : 'export-failed')
       await this.directory.abandon(keys, name)
-      return false
+      return 0
     }
     this.linkBytes.count('export', exported.value.bytes)
     const published = await this.directory.publish(keys, name, exported.value)
     this.decisions.count(published ? 'published' : 'not-published')
-    return published
+    return published ? reserved.tokens : 0
   }
 
   /** The same chain goes to the same store while that store is up, so that it is read over one link. */
--- a/apps/entry/src/lib/runs/Importer.ts
+++ b/apps/entry/src/lib/runs/Importer.ts
@@ -18,7 +18,7 @@
 
 /** Room for an import beyond its estimate before it is given up, as a factor and in milliseconds. */
 const OVERRUN_FACTOR = 2
-const OVERRUN_MS = 150
+const OVERRUN_MS = 50
 
 /** Grants leases on stored objects. */
 export interface LeaseSource {
@@ -107,11 +107,11 @@
     return importId
   }
 
-  /** An import is worth waiting for only while it is not much slower than computing. */
+  /** Giving up after about the time that computing takes bounds the loss to that time once more. */
   #patience ({ placement }: PlacedRun): number {
     const imported = placement.reusedBlocks - placement.engine.residentBlocks
     const computeMs = imported * TOKENS_PER_BLOCK / placement.engine.prefillTokensPerMs
-    return OVERRUN_FACTOR * Math.max(placement.importMs, computeMs) + OVERRUN_MS
+    return Math.max(OVERRUN_FACTOR * placement.importMs, computeMs) + OVERRUN_MS
   }
 
   #learn (placed: PlacedRun, leases: LeasesGranted['leases'], elapsedMs: number, complete: boolean, now: number): void {
--- a/apps/entry/src/lib/runs/Run.ts
+++ b/apps/entry/src/lib/runs/Run.ts
@@ -13,6 +13,16 @@
   | { readonly kind: 'tokens', readonly offset: number, readonly tokens: readonly string[] }
   | RunEnd
 
+/** One reader of a run. */
+export interface RunReader {
+  /**
+   * @param position - offset behind the last token taken
+   * @param isEnd - whether the end was taken too
+   */
+  advance (position: number, isEnd: boolean): void
+  detach (): void
+}
+
 /** Tokens a reader may lag behind before the run waits for it. */
 const READER_LAG_LIMIT = 2048
 
@@ -75,17 +85,58 @@
     this.#wake()
   }
 
+  /** Whether the furthest reader lags so far that the run should wait for it. */
+  get isTooFarAhead (): boolean {
+    return this.#readers > 0 && this.#tokens.length - this.#furthestRead > READER_LAG_LIMIT
+  }
+
   /**
    * Waits while the furthest reader lags too far, so that a slow caller slows its engine.
    *
    * @param signal - ends the wait
    */
   async waitForRoom (signal: AbortSignal): Promise<void> {
-    while (this.#readers > 0 && this.#tokens.length - this.#furthestRead > READER_LAG_LIMIT && !signal.aborted) {
-      await this.#change(signal)
+    while (this.isTooFarAhead && !signal.aborted) await this.#change(signal)
+  }
+
+  /**
+   * Adds a reader.
+   *
+   * @param offset - first token it wants
+   * @param wake - called after each change of the run
+   * @returns the reader's handle
+   */
+  attach (offset: number, wake: () => void): RunReader {
+    this.#readers += 1
+    this.#readersGoneAt = undefined
+    this.#furthestRead = Math.max(this.#furthestRead, offset)
+    this.#wakers.add(wake)
+    let isAttached = true
+    return {
+      advance: (position, isEnd) => {
+        this.#furthestRead = Math.max(this.#furthestRead, position)
+        if (isEnd) this.#wasReadToEnd = true
+      },
+      detach: () => {
+        if (!isAttached) return
+        isAttached = false
+        this.#wakers.delete(wake)
+        this.#readers -= 1
+        if (this.#readers === 0) this.#readersGoneAt = this.clock.now()
+        this.#wake()
+      }
     }
   }
 
+  /**
+   * @param position - first token wanted
+   * @returns what there is from there on, or undefined if nothing yet
+   */
+  pieceFrom (position: number): RunPiece | undefined {
+    if (position < this.#tokens.length) return { kind: 'tokens', offset: position, tokens: this.#tokens.slice(position) }
+    return this.#end
+  }
+
   /**
    * Reads the answer from an offset to its end.
    *
@@ -93,29 +144,22 @@
    * @param signal - aborted when the reader is gone
    */
   async * read (offset: number, signal: AbortSignal): AsyncGenerator<RunPiece> {
-    this.#readers += 1
-    this.#readersGoneAt = undefined
+    const reader = this.attach(offset, () => {})
     let position = offset
     try {
       while (!signal.aborted) {
-        if (position < this.#tokens.length) {
-          const tokens = this.#tokens.slice(position)
-          yield { kind: 'tokens', offset: position, tokens }
-          position += tokens.length
-          this.#furthestRead = Math.max(this.#furthestRead, position)
-          this.#wake()
-        } else if (this.#end !== undefined) {
-          yield this.#end
-          this.#wasReadToEnd = true
-          return
-        } else {
+        const piece = this.pieceFrom(position)
+        if (piece === undefined) {
           await this.#change(signal)
+          continue
         }
+        yield piece
+        if (piece.kind === 'tokens') position += piece.tokens.length
+        reader.advance(position, piece.kind !== 'tokens')
+        if (piece.kind !== 'tokens') return
       }
     } finally {
-      this.#readers -= 1
-      if (this.#readers === 0) this.#readersGoneAt = this.clock.now()
-      this.#wake()
+      reader.detach()
     }
   }
 
--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -303,7 +303,7 @@
       } else {
         const accepted = assembler.accept(message)
         if (accepted.kind === 'progress') this.run.push(accepted.tokens, assembler.version)
-        await this.run.waitForRoom(this.#abort.signal)
+        if (this.run.isTooFarAhead) await this.run.waitForRoom(this.#abort.signal)
       }
       if (assembler.completed !== undefined && end !== undefined) {
         this.ports.fleet.engineTable.observeSuccess(name)
--- a/packages/backends/src/lib/EngineClient.ts
+++ b/packages/backends/src/lib/EngineClient.ts
@@ -9,7 +9,7 @@
   type ImportRequest, type OrderRequest, type RunMessage, type RunRequest
 } from './engineProtocol.js'
 import { HttpBackend, toBackendError } from './HttpBackend.js'
-import { readServerSentEvents } from './serverSentEvents.js'
+import { ServerSentEventReader } from './ServerSentEventReader.js'
 
 /** Deadline of short calls, in milliseconds. */
 const SHORT_CALL_MS = 1000
@@ -92,17 +92,20 @@
 }
 
 async function * readRun (response: Dispatcher.ResponseData): AsyncGenerator<RunStreamItem> {
+  const events = new ServerSentEventReader()
   let sawEnd = false
   try {
-    for await (const data of readServerSentEvents(response.body)) {
-      const parsed = runMessageSchema.safeParse(JSON.parse(data))
-      if (!parsed.success) {
-        yield fail({ kind: 'malformed', detail: parsed.error.issues[0]?.message ?? 'unexpected message' })
-        return
+    for await (const bytes of response.body) {
+      for (const data of events.push(bytes as Uint8Array)) {
+        const parsed = runMessageSchema.safeParse(JSON.parse(data))
+        if (!parsed.success) {
+          yield fail({ kind: 'malformed', detail: parsed.error.issues[0]?.message ?? 'unexpected message' })
+          return
+        }
+        // Tokens may still follow an end mark that overtook them.
+        sawEnd ||= parsed.data.kind === 'end'
+        yield succeed(parsed.data)
       }
-      // Tokens may still follow an end mark that overtook them.
-      sawEnd ||= parsed.data.kind === 'end'
-      yield succeed(parsed.data)
     }
     if (!sawEnd) yield fail({ kind: 'lost', detail: 'the stream ended without an end mark' })
   } catch (error) {
