--- a/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
@@ -1,8 +1,9 @@
 /** A control replica in virtual time: real core, real state machine, a disk that forgets what was not synced. */
+import { membershipIndexOf, newestViewBound } from '@eelgrassmux/control/raft/logBounds'
 import { RaftCore, type RaftError } from '@eelgrassmux/consensus/RaftCore'
 import type { DurableWrite, LogEntry, PersistentState, RaftEffects, RaftMessage, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { Result } from '@eelgrassmux/schema/Result'
-import { decodeCommand, encodeCommand, mayChangeView } from '@eelgrassmux/state/commandCodec'
+import { decodeCommand, encodeCommand } from '@eelgrassmux/state/commandCodec'
 import type { Command, CommandResult } from '@eelgrassmux/state/commands'
 import { StateMachine } from '@eelgrassmux/state/StateMachine'
 import { decode, encode } from '@msgpack/msgpack'
@@ -67,24 +68,9 @@
   get appliedIndex (): number { return this.#appliedIndex }
 
   /** Upper bound of any view in the log. */
-  get newestView (): number {
-    let bound = this.state.viewRevision
-    for (let index = this.#appliedIndex + 1; index <= this.core.lastIndex; index += 1) {
-      const entry = this.core.entryAt(index)
-      if (entry?.kind === 'command' && mayChangeView(entry.command)) bound += 1
-    }
-    return bound
-  }
-
+  get newestView (): number { return newestViewBound(this.core, this.#appliedIndex, this.state.viewRevision) }
   /** Index of the entry that set the membership. */
-  get membershipIndex (): number {
-    for (let index = this.core.lastIndex; index > 0; index -= 1) {
-      const entry = this.core.entryAt(index)
-      if (entry === undefined) break
-      if (entry.kind === 'membership') return index
-    }
-    return this.core.snapshot?.index ?? 0
-  }
+  get membershipIndex (): number { return membershipIndexOf(this.core) }
 
   /** @param message - from another replica */
   receive (message: RaftMessage): void {
--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -11,9 +11,10 @@
 import type { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import type { Result } from '@eelgrassmux/schema/Result'
-import { decodeCommand, encodeCommand, mayChangeView } from '@eelgrassmux/state/commandCodec'
+import { decodeCommand, encodeCommand } from '@eelgrassmux/state/commandCodec'
 import { stateImageSchema, type Command, type CommandResult, type StampedCommand } from '@eelgrassmux/state/commands'
 import type { StateMachine } from '@eelgrassmux/state/StateMachine'
+import { membershipIndexOf, newestViewBound } from './logBounds.js'
 
 /** What became of a proposed command. */
 export type ProposeOutcome =
@@ -86,27 +87,10 @@
   get syncs (): number { return this.#turns }
   get membership (): Membership { return this.core.membership }
 
-  /**
-   * Upper bound of any view in this replica's log, committed or not.
-   */
-  get newestView (): number {
-    let bound = this.state.viewRevision
-    for (let index = this.#appliedIndex + 1; index <= this.core.lastIndex; index += 1) {
-      const entry = this.core.entryAt(index)
-      if (entry?.kind === 'command' && mayChangeView(entry.command)) bound += 1
-    }
-    return bound
-  }
-
+  /** Upper bound of any view in this replica's log, committed or not. */
+  get newestView (): number { return newestViewBound(this.core, this.#appliedIndex, this.state.viewRevision) }
   /** Index of the log entry that set the membership in force. */
-  get membershipIndex (): number {
-    for (let index = this.core.lastIndex; index > 0; index -= 1) {
-      const entry = this.core.entryAt(index)
-      if (entry === undefined) break
-      if (entry.kind === 'membership') return index
-    }
-    return this.core.snapshot?.index ?? 0
-  }
+  get membershipIndex (): number { return membershipIndexOf(this.core) }
 
   /** @param message - a message from another replica */
   receive (message: RaftMessage): void {
--- a/apps/entry/src/lib/runs/Placer.ts
+++ b/apps/entry/src/lib/runs/Placer.ts
@@ -83,7 +83,6 @@
     const resident = new Map(found.resident.map(({ engine, blocks }) => [engine, blocks]))
     const placementRequest: PlacementRequest = {
       promptTokens: tokenCount(request.text),
-      promptBlocks: keys.length,
       tokensPerBlock: TOKENS_PER_BLOCK,
       stored: found.stored.map(({ object, coversTo }): ImportCandidate => ({
         name: object.name,
--- a/apps/standin/src/lib/EngineStandin.ts
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -3,7 +3,7 @@
  * a bounded prefix cache, late cache events, lagging load reports, imports,
  * exports, orders and weight versions.
  */
-import { blockKeys, CHARACTERS_PER_TOKEN, TOKENS_PER_BLOCK, tokenCount } from '@eelgrassmux/cache/blockKeys'
+import { blockKeys, TOKENS_PER_BLOCK, tokenCount } from '@eelgrassmux/cache/blockKeys'
 import type {
   EngineReport, ExportRequest, ExportResponse, ImportRequest, OrderRequest, RunMessage, RunRequest
 } from '@eelgrassmux/backends/engineProtocol'
@@ -386,6 +386,3 @@
     }
   }
 }
-
-/** Characters of one block, for those that build prompts. */
-export const BLOCK_CHARACTERS = TOKENS_PER_BLOCK * CHARACTERS_PER_TOKEN
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -8,6 +8,7 @@
  */
 import { assertInvariant, unreachable } from '@eelgrassmux/schema/invariant'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import { PeerProgressTable } from './PeerProgressTable.js'
 import { RaftLog } from './RaftLog.js'
 import type {
   AppendRequest, AppendResponse, LogEntry, Membership, PersistentState, RaftEffects, RaftMessage, Replica, Snapshot,
@@ -41,14 +42,6 @@
 
 export type RaftRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader'
 
-interface PeerProgress {
-  nextIndex: number
-  matchIndex: number
-  /** Leader's clock when the newest acknowledged message was sent. */
-  contactAt: number
-  snapshotSentAt: number
-}
-
 /** Interval before a snapshot is sent again to the same peer, in milliseconds. */
 const SNAPSHOT_RESEND_MS = 1000
 
@@ -63,7 +56,7 @@
   #lastLeaderContact: number
   #heartbeatDue = 0
   #votes = new Set<string>()
-  #progress = new Map<string, PeerProgress>()
+  #progress = new PeerProgressTable(1)
   #termStartIndex = 0
   #leaderSince = 0
   #transferTarget: string | undefined
@@ -211,7 +204,7 @@
     const { voters, learners } = this.membership
     const learner = learners.find(candidate => candidate.id === id)
     if (learner === undefined) return fail({ kind: 'unknown-replica', id })
-    const lag = this.#log.lastIndex - (this.#progress.get(id)?.matchIndex ?? 0)
+    const lag = this.#log.lastIndex - this.#progress.matchIndex(id)
     if (lag > this.settings.promotionLag) return fail({ kind: 'learner-lags', lag })
     const rest = learners.filter(candidate => candidate.id !== id)
     return this.#changeMembership({ voters: [...voters, learner], learners: rest }, now)
@@ -240,7 +233,7 @@
   transferLeadership (now: number): RaftEffects {
     if (this.#role === 'leader' && this.#transferTarget === undefined) {
       const candidates = this.membership.voters.filter(voter => voter.id !== this.self.id)
-      candidates.sort((left, right) => this.#matchOf(right.id) - this.#matchOf(left.id))
+      candidates.sort((left, right) => this.#progress.matchIndex(right.id) - this.#progress.matchIndex(left.id))
       const target = candidates[0]
       if (target !== undefined) {
         this.#transferTarget = target.id
@@ -359,9 +352,9 @@
     this.#role = 'leader'
     this.#leader = this.self.id
     this.#transferTarget = undefined
-    this.#progress = new Map()
     this.#leaderSince = now
     this.#termStartIndex = this.#log.lastIndex + 1
+    this.#progress = new PeerProgressTable(this.#termStartIndex)
     // An entry of the own term is what lets earlier terms' entries commit.
     this.#appendOwn({ kind: 'empty', index: this.#termStartIndex, term: this.#term }, now)
   }
@@ -404,7 +397,7 @@
   }
 
   #sendAppend (replica: Replica, now: number): void {
-    const progress = this.#progressOf(replica.id)
+    const progress = this.#progress.of(replica.id)
     const previousIndex = progress.nextIndex - 1
     const previousTerm = this.#log.termAt(previousIndex)
     const snapshot = this.#log.snapshot
@@ -433,7 +426,7 @@
     if (this.#role !== 'leader' || response.term !== this.#term) return
     const replica = this.#replicas().find(candidate => candidate.id === response.from)
     if (replica === undefined) return
-    const progress = this.#progressOf(replica.id)
+    const progress = this.#progress.of(replica.id)
     progress.contactAt = Math.max(progress.contactAt, response.sentAt)
     if (!response.success) {
       progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, response.matchIndex + 1))
@@ -449,15 +442,14 @@
   }
 
   #advanceCommit (): void {
-    const matches = this.membership.voters.map(voter => this.#matchOf(voter.id)).sort((left, right) => right - left)
-    const agreed = matches[Math.floor(matches.length / 2)] ?? 0
+    const agreed = this.#progress.agreedIndex(this.membership.voters, this.self.id, this.#log.lastIndex)
     // Only entries of the own term commit by counting; earlier ones commit with them.
     if (agreed > this.#commitIndex && this.#log.termAt(agreed) === this.#term) this.#commitTo(agreed)
   }
 
   #maybeSendTimeoutNow (): void {
     const target = this.membership.voters.find(voter => voter.id === this.#transferTarget)
-    if (target === undefined || this.#matchOf(target.id) !== this.#log.lastIndex) return
+    if (target === undefined || this.#progress.matchIndex(target.id) !== this.#log.lastIndex) return
     this.#send(target, { kind: 'timeout-now', from: this.self.id, term: this.#term })
   }
 
@@ -557,29 +549,8 @@
     this.#effects.writes.push({ kind: 'vote', term, votedFor })
   }
 
-  #matchOf (id: string): number {
-    return id === this.self.id ? this.#log.lastIndex : this.#progress.get(id)?.matchIndex ?? 0
-  }
-
-  #progressOf (id: string): PeerProgress {
-    const present = this.#progress.get(id)
-    if (present !== undefined) return present
-    const fresh = {
-      nextIndex: this.#log.lastIndex + 1,
-      matchIndex: 0,
-      contactAt: Number.NEGATIVE_INFINITY,
-      snapshotSentAt: Number.NEGATIVE_INFINITY
-    }
-    this.#progress.set(id, fresh)
-    return fresh
-  }
-
-  /** Newest time at which a quorum, this replica included, is known to have followed it. */
   #quorumContact (now: number): number {
-    const contacts = this.membership.voters.map(voter =>
-      voter.id === this.self.id ? now : this.#progressOf(voter.id).contactAt)
-    contacts.sort((left, right) => right - left)
-    return contacts[Math.floor(contacts.length / 2)] ?? Number.NEGATIVE_INFINITY
+    return this.#progress.quorumContact(this.membership.voters, this.self.id, now)
   }
 
   /** A new leader gets one election timeout of grace before silence counts against it. */
--- a/packages/policy/src/lib/health/EngineLoadTable.ts
+++ b/packages/policy/src/lib/health/EngineLoadTable.ts
@@ -1,4 +1,4 @@
-/** Lagged load reports of engines, corrected by own dispatches since each report was made. */
+/** Lagged load reports of engines, corrected by dispatches known here since each report was measured. */
 
 /** An engine's own report. */
 export interface EngineLoad {
@@ -15,18 +15,15 @@
   readonly bytesPerToken: number
 }
 
-interface OwnDispatch {
+interface KnownDispatch {
   readonly at: number
   readonly tokens: number
 }
 
-/** A report with own dispatches added. */
-export interface CorrectedLoad extends EngineLoad {}
-
 /** Loads of all engines. */
 export class EngineLoadTable {
   readonly #loads = new Map<string, { load: EngineLoad, measuredAt: number }>()
-  readonly #dispatches = new Map<string, OwnDispatch[]>()
+  readonly #dispatches = new Map<string, KnownDispatch[]>()
 
   /**
    * @param engine - endpoint name
@@ -41,6 +38,8 @@
   }
 
   /**
+   * Notes a dispatch of this host, or one that a peer announced.
+   *
    * @param engine - endpoint a request was sent to
    * @param tokens - prefill tokens it has to compute
    * @param now - monotonic milliseconds
@@ -56,16 +55,16 @@
    * @param now - monotonic milliseconds
    * @returns the corrected load, or undefined before the first report
    */
-  load (engine: string, now: number): CorrectedLoad | undefined {
+  load (engine: string, now: number): EngineLoad | undefined {
     const entry = this.#loads.get(engine)
     if (entry === undefined) return undefined
-    const own = this.#dispatches.get(engine) ?? []
-    const ownTokens = own.reduce((sum, dispatch) => sum + dispatch.tokens, 0)
+    const since = this.#dispatches.get(engine) ?? []
+    const tokensSince = since.reduce((sum, dispatch) => sum + dispatch.tokens, 0)
     const computedSince = (now - entry.measuredAt) * entry.load.prefillTokensPerMs
     return {
       ...entry.load,
-      running: entry.load.running + own.length,
-      queuedTokens: Math.max(0, entry.load.queuedTokens + ownTokens - computedSince)
+      running: entry.load.running + since.length,
+      queuedTokens: Math.max(0, entry.load.queuedTokens + tokensSince - computedSince)
     }
   }
 }
--- a/packages/policy/src/lib/limits/RetryBudget.ts
+++ b/packages/policy/src/lib/limits/RetryBudget.ts
@@ -9,7 +9,7 @@
 
 /** Why a second attempt is made; also the metric label. */
 export type RetryReason =
-  | 'connect-failed' | 'engine-refused' | 'version-mismatch' | 'engine-lost' | 'stream-gap' | 'stream-stalled' | 'hedge' | 'idempotent-failure'
+  | 'connect-failed' | 'engine-refused' | 'version-mismatch' | 'engine-lost' | 'stream-gap' | 'hedge' | 'idempotent-failure'
 
 /** Budget of one service. */
 export class RetryBudget {
--- a/packages/policy/src/lib/placement/CostPlacement.test.ts
+++ b/packages/policy/src/lib/placement/CostPlacement.test.ts
@@ -14,7 +14,6 @@
 
 const request = (overrides: Partial<PlacementRequest> = {}): PlacementRequest => ({
   promptTokens: 2560,
-  promptBlocks: 40,
   tokensPerBlock: 64,
   stored: STORED,
   links: new Map([['s', { bytesPerMs: 1000, backlogBytes: 0 }]]),
--- a/packages/policy/src/lib/placement/placementTypes.ts
+++ b/packages/policy/src/lib/placement/placementTypes.ts
@@ -8,7 +8,7 @@
   readonly version: string
   /** Leading blocks of the prompt in the engine's own cache, as far as known. */
   readonly residentBlocks: number
-  /** Prefill tokens queued before this request, own dispatches since the report included. */
+  /** Prefill tokens queued before this request, dispatches since the report included. */
   readonly queuedTokens: number
   readonly running: number
   readonly maxRunning: number
@@ -37,7 +37,6 @@
 /** One prompt to place, under one weight version. */
 export interface PlacementRequest {
   readonly promptTokens: number
-  readonly promptBlocks: number
   readonly tokensPerBlock: number
   readonly stored: readonly ImportCandidate[]
   readonly links: ReadonlyMap<string, LinkView>
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -14,8 +14,8 @@
 export const REFUSAL_REASONS = [
   'malformed-json', 'invalid-body', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
   'idempotency-key-required', 'idempotency-key-reused', 'idempotency-in-progress', 'idempotency-outcome-unknown',
-  'idempotency-unavailable', 'unknown-run', 'run-trimmed', 'draining', 'configuration-stale', 'over-share',
-  'deadline-unreachable', 'no-endpoint', 'endpoint-failed', 'endpoint-refused', 'deadline-passed', 'overloaded'
+  'idempotency-unavailable', 'unknown-run', 'draining', 'configuration-stale', 'over-share',
+  'deadline-unreachable', 'no-endpoint', 'endpoint-failed', 'endpoint-refused', 'deadline-passed'
 ] as const
 
 /** @public */
