A near-tie is a matter of milliseconds, not of a share of the score

A long new prompt has a large score whatever the engine, and five in a hundred of it (130 ms for 7,000 tokens) let a busy engine count as good as an idle one. The new test fails on the old rule.

A caller that leaves the admission queue gives up its place.

--- a/apps/entry/src/lib/callers/CompletionHandler.ts
+++ b/apps/entry/src/lib/callers/CompletionHandler.ts
@@ -54,10 +54,10 @@
     const parsed = this.#parse(bytes.value, customer, form)
     if (!parsed.ok) return parsed
     const { service, stream } = parsed.value
-    const started = await this.runs.start(service, parsed.value.request)
+    const gone = goneSignal(connection)
+    const started = await this.runs.start(service, parsed.value.request, gone)
     if (!started.ok) return started
     const run = started.value
-    const gone = goneSignal(connection)
     // The status line waits for the first token, so that a refusal can still be a refusal.
     await run.waitForStart(gone)
     if (run.end?.kind === 'failed' && run.length === 0) return fail(run.end.refusal)
--- /dev/null
+++ b/apps/entry/src/lib/runs/AdmissionGate.test.ts
@@ -0,0 +1,21 @@
+import { describe, expect, it } from 'vitest'
+import { AdmissionGate } from './AdmissionGate.js'
+
+const request = (id: string): Parameters<AdmissionGate['request']>[0] => ({ id, customer: 'ward', share: 1, tokens: 100, waitLimitMs: 60_000 })
+
+describe('AdmissionGate', () => {
+  it('gives the place of a caller that has left to the next', async () => {
+    const gate = new AdmissionGate(100, 10)
+    const gone = new AbortController()
+    const stays = new AbortController().signal
+    expect((await gate.request(request('1'), stays)).kind).toBe('admitted')
+    const leaving = gate.request(request('2'), gone.signal)
+    const next = gate.request(request('3'), stays)
+    gone.abort()
+    expect((await leaving).kind).toBe('refused')
+    expect(gate.queued).toBe(1)
+    gate.release('1')
+    expect((await next).kind).toBe('admitted')
+    gate.stop()
+  })
+})
--- a/apps/entry/src/lib/runs/AdmissionGate.ts
+++ b/apps/entry/src/lib/runs/AdmissionGate.ts
@@ -27,12 +27,20 @@
 
   /**
    * @param request - who and how much
+   * @param gone - aborted when the caller has left; it then gives up its place in the queue
    * @returns the decision, at once or when the queue has made it
    */
-  async request (request: AdmissionRequest): Promise<GateDecision> {
+  async request (request: AdmissionRequest, gone: AbortSignal): Promise<GateDecision> {
     const decision = this.#queue.request(request, performance.now())
     if (decision.kind !== 'queued') return decision
-    return await new Promise(resolve => { this.#waiting.set(request.id, resolve) })
+    return await new Promise(resolve => {
+      this.#waiting.set(request.id, resolve)
+      gone.addEventListener('abort', () => {
+        if (!this.#waiting.has(request.id)) return
+        this.release(request.id)
+        resolve({ kind: 'refused', reason: 'deadline-unreachable', retryAfterMs: 0 })
+      }, { once: true })
+    })
   }
 
   /** @param id - request that ended or was given up */
--- a/apps/entry/src/lib/runs/RunManager.ts
+++ b/apps/entry/src/lib/runs/RunManager.ts
@@ -67,9 +67,10 @@
    *
    * @param service - service name, for the retry budget
    * @param request - what was asked
+   * @param gone - aborted when the caller has left
    * @returns the run, or why it was not admitted
    */
-  async start (service: string, request: RunRequest): Promise<Result<Run, Refusal>> {
+  async start (service: string, request: RunRequest, gone: AbortSignal): Promise<Result<Run, Refusal>> {
     const run = new Run(createRunId(this.settings.peerAddress), request.customer.name, this.ports.clock)
     const tokens = heldTokens(request)
     this.#requestTokens += (tokens - this.#requestTokens) * (this.#requestTokens === 0 ? 1 : 0.05)
@@ -79,7 +80,7 @@
       share: request.customer.share,
       tokens,
       waitLimitMs: request.profile.firstTokenLimitMs
-    })
+    }, gone)
     if (decision.kind === 'refused') {
       return fail(refuse({
         reason: decision.reason,
--- a/packages/policy/src/lib/placement/CostPlacement.test.ts
+++ b/packages/policy/src/lib/placement/CostPlacement.test.ts
@@ -65,6 +65,14 @@
       expect(best(FIRST_TOKEN, request({ stored: [] }), engines)?.engine.name).toBe('free')
     })
 
+    it('does not let a wait pass as a near-tie because the prompt is long', () => {
+      const long = request({ promptTokens: 100_000, stored: [] })
+      const policy = new CostPlacement({ ...FIRST_TOKEN, recomputedToken: 1 }, () => 0)
+      const engines = [engine('idle'), engine('busy', { queuedTokens: 40 })]
+      const chosen = new Set(Array.from({ length: 20 }, () => policy.rank(long, engines)[0]?.engine.name))
+      expect([...chosen]).toEqual(['idle'])
+    })
+
     it('spreads near-ties', () => {
       let state = 1
       const policy = new CostPlacement(FIRST_TOKEN, () => {
--- a/packages/policy/src/lib/placement/CostPlacement.ts
+++ b/packages/policy/src/lib/placement/CostPlacement.ts
@@ -2,11 +2,11 @@
 import { estimatePlacement, importCuts } from './estimatePlacement.js'
 import type { EngineCandidate, Placement, PlacementPolicy, PlacementRequest, PlacementWeights } from './placementTypes.js'
 
-/** Placements this close to the best, relatively, count as equal. */
-const NEAR_TIE = 0.05
-
-/** Score difference that is noise whatever the scale. */
-const NEAR_TIE_FLOOR = 1
+/**
+ * Placements whose first tokens are this close count as equal, in milliseconds.
+ * Not a share of the score: for a long prompt that would let a long wait pass.
+ */
+const NEAR_TIE_MS = 2
 
 /** The product's own policy. Lowest score first; near-ties are broken at random so that hosts don't herd. */
 export class CostPlacement implements PlacementPolicy {
@@ -33,7 +33,7 @@
   #shuffleNearTies (ranked: Placement[]): void {
     const lowest = ranked[0]
     if (lowest === undefined) return
-    const limit = lowest.score + Math.max(NEAR_TIE_FLOOR, lowest.score * NEAR_TIE)
+    const limit = lowest.score + NEAR_TIE_MS * this.weights.firstTokenMillisecond
     const ties = ranked.filter(placement => placement.score <= limit).length
     for (let position = ties - 1; position > 0; position -= 1) {
       const other = Math.floor(this.random() * (position + 1))
