--- a/apps/bench/src/lib/ManagedProcess.ts
+++ b/apps/bench/src/lib/ManagedProcess.ts
@@ -10,6 +10,9 @@
 /** Addresses that a process printed, by what they serve. */
 export type PrintedAddresses = Readonly<Record<string, string>>
 
+/** Exit code of a script that was interrupted. */
+const EXIT_INTERRUPTED = 130
+
 /** Longest wait for the line that says where a process listens, in milliseconds. */
 const START_MS = 20_000
 
@@ -21,6 +24,16 @@
   return fileURLToPath(new URL(`../../../${program}/dist/main.js`, import.meta.url))
 }
 
+/** Processes that must not outlive this script, however it ends. */
+const running = new Set<ChildProcess>()
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => { process.exit(EXIT_INTERRUPTED) })
+}
+
 /** One running program. */
 export class ManagedProcess {
   readonly #child: ChildProcess
@@ -29,7 +42,11 @@
 
   private constructor (readonly program: ProgramName, readonly args: readonly string[]) {
     this.#child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
-    this.#exit = once(this.#child, 'exit').then(([code]) => code as number | null)
+    running.add(this.#child)
+    this.#exit = once(this.#child, 'exit').then(([code]) => {
+      running.delete(this.#child)
+      return code as number | null
+    })
     this.#child.stderr?.on('data', (bytes: Buffer) => { this.#errors = (this.#errors + bytes.toString()).slice(-4000) })
   }
 
--- /dev/null
+++ b/packages/daemon/src/lib/settings.test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from 'vitest'
+import { z } from 'zod'
+import { addressListSetting, commonSettingsShape, describeMistakes, flagOf, integerSetting, variableOf } from './settings.js'
+
+const schema = z.object({ ...commonSettingsShape, control: addressListSetting, readLeaseMs: integerSetting(100, 1000) })
+
+const mistakes = (given: Record<string, string>): string[] => {
+  const parsed = schema.safeParse(given, { reportInput: true })
+  return parsed.success ? [] : describeMistakes(parsed.error.issues).map(({ flag, message }) => `${flag} ${message}`)
+}
+
+describe('settings', () => {
+  it('names a setting as operators know it', () => {
+    expect(flagOf('readLeaseMs')).toBe('--read-lease-ms')
+    expect(variableOf('readLeaseMs')).toBe('EELGRASSMUX_READ_LEASE_MS')
+  })
+
+  it('accepts what is right and fills in the rest', () => {
+    const parsed = schema.parse({ dataCentre: 'hall-north', control: '10.0.0.1:1, 10.0.0.2:2', readLeaseMs: '500' })
+    expect(parsed).toEqual({ host: '127.0.0.1', adminPort: 0, dataCentre: 'hall-north', control: ['10.0.0.1:1', '10.0.0.2:2'], readLeaseMs: 500 })
+  })
+
+  it('names every setting that is missing or wrong', () => {
+    expect(mistakes({ control: 'nowhere', readLeaseMs: 'soon' })).toEqual([
+      '--data-centre is required',
+      '--control nowhere is not an IP number and a port',
+      '--read-lease-ms Invalid input: expected number, received NaN'
+    ])
+  })
+})
