--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -185,12 +185,12 @@
 
   async #start (placed: PlacedRun): Promise<StartedStream | AttemptOutcome> {
     const { name } = placed.placement.engine
+    this.#attempts += 1
     const engine = this.ports.fleet.engine(name)
     if (engine === undefined) return { kind: 'retry', reason: 'connect-failed' }
     this.ports.fleet.loads.recordDispatch(name, placed.placement.recomputedTokens, this.ports.clock.now())
     this.ports.announce(name, placed.placement.recomputedTokens)
     const importId = await this.ports.importer.stage(engine, placed, this.#abort.signal)
-    this.#attempts += 1
     const engineRun = `${this.run.id}-a${this.#attempts}`
     const abort = new AbortController()
     this.run.dispatch.markDispatched()
--- a/packages/policy/src/lib/limits/AdmissionQueue.ts
+++ b/packages/policy/src/lib/limits/AdmissionQueue.ts
@@ -39,6 +39,9 @@
 /** Weight of the newest sample in the drain rate. */
 const DRAIN_SMOOTHING = 0.1
 
+/** Customers remembered before idle ones are forgotten. */
+const REMEMBERED_CUSTOMERS = 1000
+
 /** Assumed before anything has drained, in tokens a millisecond. */
 const INITIAL_DRAIN = 1
 
@@ -168,10 +171,18 @@
       this.#admit(next.request, next.startTag)
       outcomes.push({ id: next.request.id, decision: { kind: 'admitted' } })
     }
-    if (this.#inFlight.size === 0 && this.#queue.length === 0) this.#customerTags.clear()
+    this.#forgetIdleCustomers()
     return outcomes
   }
 
+  /** A tag that virtual time has passed says nothing any more. */
+  #forgetIdleCustomers (): void {
+    if (this.#customerTags.size < REMEMBERED_CUSTOMERS) return
+    for (const [customer, tag] of this.#customerTags) {
+      if (tag <= this.#virtualTime) this.#customerTags.delete(customer)
+    }
+  }
+
   #estimateWait (startTag: number, request: AdmissionRequest): number {
     const ahead = this.#queue.filter(other => other.startTag <= startTag)
     const queuedTokens = ahead.reduce((sum, other) => sum + other.request.tokens, 0)
