A repair is complete when its membership change is committed

A replacement counted as a voter as soon as its promotion was in the leader's log; the next disk was lost before that was committed, and the old membership still counted the first. The command line showed the same uncommitted membership to operators, who are told to wait for it.

The answer to a membership change and the list of members now wait for the commit; promoting a voter again does nothing. Ruled out: a livelock of elections (both live replicas lacked a majority of the old membership).

--- a/apps/bench/src/lib/prove/proveAll.test.ts
+++ b/apps/bench/src/lib/prove/proveAll.test.ts
@@ -19,6 +19,7 @@
 
     it.each([
       ['a deletion sent by an old owner arrives under the new one', 'no-freed-or-partial-block', 1043],
+      ['a second disk is lost right after the repair of the first', 'configuration-never-reverts', 9057],
       ['a snapshot replaces a log that disagreed with it, and the process restarts', 'configuration-never-reverts', 1061]
     ] as const)('holds when %s', async (_case, promise, seed) => {
       const { lines } = await prove({ runs: 1, seed, promise })
--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -410,7 +410,7 @@
   #join (fresh: SimulatedReplica, formerId: string): void {
     this.simulation.after(60, () => {
       const leader = [...this.#replicas.values()].find(replica => replica.isAlive && replica.core.holdsLease(this.simulation.now()))
-      const { voters, learners } = leader?.core.membership ?? { voters: [], learners: [] }
+      const { voters, learners } = leader?.core.committedMembership ?? { voters: [], learners: [] }
       if (voters.some(voter => voter.id === fresh.self.id)) {
         this.#repairing = false
         this.simulation.note(`${fresh.self.id} votes`)
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -1,5 +1,6 @@
 /** Serves a control host's methods to hosts, operators and other replicas. */
 import { EventEmitter, once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { RaftError } from '@eelgrassmux/consensus/RaftCore'
 import { unreachable } from '@eelgrassmux/schema/invariant'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
@@ -12,6 +13,10 @@
 import type { OrderTask } from './orders/OrderTask.js'
 import type { RaftTask } from './raft/RaftTask.js'
 
+/** Longest wait for a membership change to be committed, and interval between looks, in milliseconds. */
+const COMMIT_WAIT_MS = 1500
+const COMMIT_LOOK_MS = 10
+
 /** Answers calls from the replica's present state. */
 export class ControlServer {
   readonly #changes = new EventEmitter()
@@ -63,8 +68,8 @@
       const now = performance.now()
       return {
         replicaId: core.self.id,
-        voters: core.membership.voters,
-        learners: core.membership.learners,
+        voters: core.committedMembership.voters,
+        learners: core.committedMembership.learners,
         leader: core.leader?.id ?? '',
         term: core.term,
         commitIndex: core.commitIndex,
@@ -127,7 +132,11 @@
         default: return unreachable(change)
       }
     })
-    return error === undefined ? { kind: 'done' } : toResponse(error)
+    if (error !== undefined) return toResponse(error)
+    const deadline = performance.now() + COMMIT_WAIT_MS
+    while (this.raft.core.isMembershipPending && performance.now() < deadline) await sleep(COMMIT_LOOK_MS)
+    // Whoever waits for a repair must not take an uncommitted one for complete.
+    return this.raft.core.isMembershipPending ? { kind: 'refused', reason: 'not-committed' } : { kind: 'done' }
   }
 }
 
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -96,6 +96,10 @@
   get logLength (): number { return this.#log.length }
   get snapshot (): Snapshot | undefined { return this.#log.snapshot }
   get membership (): Membership { return this.#log.latestMembership() }
+  /** Membership that no crash can take back; a repair is complete only when it is here. */
+  get committedMembership (): Membership { return this.#log.membershipAt(this.#commitIndex) }
+  /** Whether the latest membership is not committed yet. */
+  get isMembershipPending (): boolean { return this.#membershipPending() }
 
   /** The leader this replica knows of. */
   get leader (): Replica | undefined {
@@ -202,6 +206,7 @@
   promote (id: string, now: number): Result<RaftEffects, RaftError> {
     if (this.#role !== 'leader') return fail(this.#notLeader())
     const { voters, learners } = this.membership
+    if (voters.some(voter => voter.id === id)) return succeed(this.#takeEffects())
     const learner = learners.find(candidate => candidate.id === id)
     if (learner === undefined) return fail({ kind: 'unknown-replica', id })
     const lag = this.#log.lastIndex - this.#progress.matchIndex(id)
