--- a/apps/bench/src/lib/measure/measureSlopes.ts
+++ b/apps/bench/src/lib/measure/measureSlopes.ts
@@ -105,7 +105,7 @@
   const status = { host, role: 'entry', address: host, dataCentre: 'round-rock-hall', viewRevision: 123_456, accepting: true }
   const voters = [0, 1, 2, 3, 4].map(() => ({ id: randomUUID(), address: host }))
   const answer: StatusResponse = {
-    replicaId: randomUUID(), membership: { voters, learners: [] }, membershipIndex: 9, newestView: 123_456, liveEntries: 340, entryPeers: []
+    replicaId: randomUUID(), membership: { voters, learners: [] }, membershipIndex: 9, newestView: 123_456, appliedView: 123_456, leader: '', liveEntries: 340, entryPeers: []
   }
   const change = {
     kind: 'changes',
--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -171,7 +171,7 @@
       if (!replica.isAlive) return
       const { state } = replica
       const changes = state.changesSince(known)
-      const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [...state.shards] }
+      const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [...state.shards], weights: [] }
       const message = changes === undefined || this.simulation.chance(0.2)
         ? { kind: 'snapshot' as const, ...common, documents: [...state.configuration.documents] }
         : { kind: 'changes' as const, ...common, fromViewRevision: known, upserts: changes.flatMap(change => [...change.upserts]), removes: [] }
--- a/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
@@ -12,7 +12,7 @@
 import type { Simulation } from '../Simulation.js'
 
 /** Timing of the simulated replicas; short leases make faults bite often. */
-export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, promotionLag: 4 }
+export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, maxBytesPerAppend: 1024 * 1024, promotionLag: 4 }
 
 /** What became of a proposed command. */
 export type SimulatedOutcome =
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
 import { EngineClient } from '@eelgrassmux/backends/EngineClient'
-import { DEFAULT_RAFT_SETTINGS, RaftCore } from '@eelgrassmux/consensus/RaftCore'
+import { DEFAULT_RAFT_SETTINGS, RaftCore, type RaftSettings } from '@eelgrassmux/consensus/RaftCore'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { addressListSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
@@ -15,27 +15,55 @@
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlServer } from './ControlServer.js'
+import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
 import { HostTable } from './hosts/HostTable.js'
 import { planShards } from './hosts/planShards.js'
 import { OrderTask } from './orders/OrderTask.js'
-import { joinGroup } from './raft/joinGroup.js'
+import { FormationGate } from './raft/FormationGate.js'
+import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftTask } from './raft/RaftTask.js'
+import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
+import { SiteService } from './site/SiteService.js'
 
 const HOUR_MS = 60 * 60 * 1000
 
-const settingsSchema = z.object({
+/** Settings of a control host. */
+export const controlSettingsShape = {
   ...commonSettingsShape,
   port: integerSetting(0, 65535).default(0).describe('port for hosts, operators and other control hosts; 0 takes a free one'),
   dataFolder: z.string().min(1).describe('folder for all durable state of this host'),
-  bootstrap: booleanSetting.default(false).describe('true on the first control host of a new group only'),
+  bootstrap: booleanSetting.default(false).describe('true at the first start of a new group only; with --join, the first of those addresses founds it'),
   join: addressListSetting.default([]).describe('control hosts of the group to join, separated by commas'),
   shards: integerSetting(1, 4096).default(8).describe('directory shards; the same on all control hosts'),
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long hosts may act on a confirmed view, in milliseconds'),
-  recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long at-most-once records are kept, in hours')
-})
+  recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long at-most-once records are kept, in hours'),
+  minimumVoters: integerSetting(1, 9).default(1).describe('voters that a new group must have before it takes its first command; twice the disks it may lose, and one'),
+  heartbeatMs: integerSetting(10, 10_000).default(DEFAULT_RAFT_SETTINGS.heartbeatMs).describe('interval of the leader\'s messages, in milliseconds'),
+  electionTimeoutMs: integerSetting(50, 60_000).default(DEFAULT_RAFT_SETTINGS.electionTimeoutMs).describe('silence of a leader after which another is elected, in milliseconds'),
+  endpointListMs: integerSetting(50, 60_000).default(1000).describe('interval between readings of the platform\'s endpoint list while hosts watch it, in milliseconds'),
+  orderLeaseMs: integerSetting(100, 60_000).default(3000).describe('time for which another host\'s last order to an engine may count, in milliseconds')
+}
+
+const settingsSchema = z.object(controlSettingsShape)
+
+/** Settings of a control host, checked. */
+export type ControlSettings = z.infer<typeof settingsSchema>
+
+/** What a platform brings beyond the product's own surroundings. */
+export interface ControlPlatform {
+  readonly endpoints: EndpointSource
+  readonly engines: RolloutBackend
+  /** Addresses of control hosts that may know the group, as of now. */
+  contacts (): readonly string[]
+  /** Opens what operators call on this platform. */
+  openOperatorEdge (sites: SiteService, telemetry: Telemetry): Promise<OperatorEdge>
+}
 
-/** @internal */
-type ControlSettings = z.infer<typeof settingsSchema>
+/** What operators call. */
+export interface OperatorEdge {
+  readonly address: string
+  close (): Promise<void>
+}
 
 /** Interval between looks at shard owners, in milliseconds. */
 const SHARD_PLAN_MS = 500
@@ -57,7 +85,17 @@
   start: startControl
 }
 
-async function startControl (settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void): Promise<RunningDaemon> {
+/**
+ * Starts a control host.
+ *
+ * @param settings - checked settings
+ * @param telemetry - log and metrics
+ * @param fail - called when the process must stop
+ * @param platform - surroundings other than the product's own
+ */
+export async function startControl (
+  settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, platform?: ControlPlatform
+): Promise<RunningDaemon> {
   const opened = await RaftStorage.open(await NodeDataFolder.open(join(settings.dataFolder, 'control')))
   if (!opened.ok) throw new Error(`--data-folder holds damaged state: ${JSON.stringify(opened.error)}`)
   const { storage, replicaId, persisted } = opened.value
@@ -68,7 +106,7 @@
 
   const learnt = new Map<string, string>()
   const self: Replica = { id: replicaId, address: '' }
-  const core = new RaftCore(self, persisted, DEFAULT_RAFT_SETTINGS, Math.random, performance.now())
+  const core = new RaftCore(self, persisted, raftSettings(settings), Math.random, performance.now())
   const state = new StateMachine({ ...DEFAULT_STATE_SETTINGS, recordWindowMs: settings.recordWindowHours * HOUR_MS })
   const raft = new RaftTask(core, storage, state, {
     send: (to, message) => {
@@ -84,26 +122,35 @@
   }, Date.now)
   const hosts = new HostTable(settings.freshnessMs)
   const orders = new OrderTask(raft, address => new EngineClient(address), outcome => { orderOutcomes.count(outcome) })
-  const controlServer = new ControlServer(raft, hosts, orders, replica => { learnt.set(replica.id, replica.address) })
+  const gate = new FormationGate(raft, settings.minimumVoters)
+  const service = new SiteService(raft, gate, rpc)
+  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, telemetry)
+  const rollout = platform === undefined || endpoints === undefined
+    ? undefined
+    : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
+  const sites = { gate, service, ...(endpoints === undefined ? {} : { endpoints }) }
+  const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
 
   const port = await server.listen(settings.host, settings.port)
   self.address = `${settings.host}:${port}`
   registerGauges(telemetry, raft, hosts)
   orders.start()
-  const isMember = (): boolean => core.membership.voters.some(voter => voter.id === self.id)
-  const isEmpty = core.lastIndex === 0
-  if (settings.bootstrap && isEmpty) await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
-  else if (!isMember() && settings.join.length > 0) {
-    const isCaughtUp = (): boolean => core.membership.learners.some(learner => learner.id === self.id)
-    void joinGroup(rpc, self, settings.join, isCaughtUp).then(() => { telemetry.stateChanged('joined') }, fail)
+  rollout?.start()
+  if (isFounder(settings, core)) {
+    await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
+    telemetry.stateChanged('group-founded', { replica: replicaId, address: self.address })
   }
+  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
+  const keeper = new GroupKeeper(raft, rpc, contacts, settings.minimumVoters, telemetry)
+  keeper.run().catch(fail)
+  const operators = await platform?.openOperatorEdge(service, telemetry)
   const startedAt = performance.now()
   const shardTimer = setInterval(() => { void assignShards(raft, hosts, settings, startedAt) }, SHARD_PLAN_MS)
   const expireTimer = setInterval(() => { if (core.role === 'leader') void raft.propose({ kind: 'expire' }) }, EXPIRE_MS)
 
   return {
-    addresses: { rpc: self.address, replicaId },
+    addresses: { rpc: self.address, replicaId, ...(operators === undefined ? {} : { operators: operators.address }) },
     isReady: () => core.leader !== undefined,
     drain: async () => {
       raft.transfer()
@@ -113,6 +160,10 @@
     close: async () => {
       clearInterval(shardTimer)
       clearInterval(expireTimer)
+      keeper.stop()
+      rollout?.stop()
+      endpoints?.stop()
+      await operators?.close()
       await orders.stop()
       server.close()
       rpc.close()
@@ -121,6 +172,17 @@
   }
 }
 
+/** With several addresses to choose from, all hosts agree that the first in order founds the group. */
+function isFounder (settings: ControlSettings, core: RaftCore): boolean {
+  if (!settings.bootstrap || core.lastIndex > 0) return false
+  return settings.join.length === 0 || [...settings.join].sort()[0] === core.self.address
+}
+
+function raftSettings ({ heartbeatMs, electionTimeoutMs }: ControlSettings): RaftSettings {
+  const { leaseMs, electionTimeoutMs: usualTimeoutMs } = DEFAULT_RAFT_SETTINGS
+  return { ...DEFAULT_RAFT_SETTINGS, heartbeatMs, electionTimeoutMs, leaseMs: electionTimeoutMs * leaseMs / usualTimeoutMs }
+}
+
 async function assignShards (raft: RaftTask, hosts: HostTable, settings: ControlSettings, startedAt: number): Promise<void> {
   const now = performance.now()
   const { core, state } = raft
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -5,18 +5,32 @@
 import { unreachable } from '@eelgrassmux/schema/invariant'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import {
-  changeMembership, exchangeRaft, listHosts, listOrders, propose, reportStatus, watchView, type MembershipChange,
-  type MembershipChangeResponse, type ViewMessage
+  changeMembership, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchView,
+  type EndpointListMessage, type MembershipChange, type MembershipChangeResponse, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { EndpointListTask } from './endpoints/EndpointListTask.js'
 import type { HostTable } from './hosts/HostTable.js'
 import type { OrderTask } from './orders/OrderTask.js'
+import type { FormationGate } from './raft/FormationGate.js'
 import type { RaftTask } from './raft/RaftTask.js'
+import type { SiteService } from './site/SiteService.js'
 
 /** Longest wait for a membership change to be committed, and interval between looks, in milliseconds. */
 const COMMIT_WAIT_MS = 1500
 const COMMIT_LOOK_MS = 10
 
+/** Interval between messages of an endpoint watch that has nothing new to say, in milliseconds. */
+const SIGN_OF_LIFE_MS = 500
+
+/** The parts of a control host that serve sites. */
+export interface SiteParts {
+  readonly gate: FormationGate
+  readonly service: SiteService
+  /** Absent where the platform has no list of endpoints. */
+  readonly endpoints?: EndpointListTask
+}
+
 /** Answers calls from the replica's present state. */
 export class ControlServer {
   readonly #changes = new EventEmitter()
@@ -26,12 +40,14 @@
    * @param raft - log and state
    * @param hosts - hosts that report here
    * @param orders - reconciliation of engines
+   * @param sites - what this host does for sites
    * @param learnReplica - told of each replica that sent a message
    */
   constructor (
     private readonly raft: RaftTask,
     private readonly hosts: HostTable,
     private readonly orders: OrderTask,
+    private readonly sites: SiteParts,
     private readonly learnReplica: (replica: Replica) => void
   ) {
     this.#changes.setMaxListeners(0)
@@ -50,7 +66,8 @@
       if (envelope.to === this.raft.core.self.id) this.raft.receive(envelope.message)
       return {}
     })
-    server.handle(propose, async ({ command }) => await this.raft.propose(command))
+    server.handle(propose, async ({ command }) => await this.sites.gate.propose(command))
+    server.handle(readSite, async () => await this.sites.service.readAsLeader())
     server.handle(reportStatus, async report => {
       const now = performance.now()
       this.hosts.observe(report, now)
@@ -59,6 +76,8 @@
         membership: this.raft.membership,
         membershipIndex: this.raft.membershipIndex,
         newestView: this.raft.newestView,
+        appliedView: this.raft.state.viewRevision,
+        leader: this.raft.core.leader?.address ?? '',
         liveEntries: this.hosts.liveEntries(now),
         entryPeers: this.hosts.entryPeers(now)
       }
@@ -82,6 +101,7 @@
     server.handle(listOrders, async () => ({ orders: this.orders.reports() }))
     server.handle(changeMembership, async change => await this.#changeMembership(change))
     server.handleStream(watchView, async ({ viewRevision }, stream) => { await this.#watch(viewRevision, stream) })
+    server.handleStream(watchEndpoints, async (_request, stream) => { await this.#watchEndpoints(stream) })
   }
 
   async #watch (from: number, stream: ResponseStream<ViewMessage>): Promise<void> {
@@ -101,17 +121,40 @@
     }
   }
 
+  async #watchEndpoints (stream: ResponseStream<EndpointListMessage>): Promise<void> {
+    const { endpoints: list } = this.sites
+    if (list === undefined) return
+    list.addWatcher()
+    try {
+      let sent = 0
+      while (!stream.signal.aborted) {
+        const isNew = list.version > sent
+        sent = list.version
+        const readAgeMs = list.readAgeMs(performance.now())
+        await stream.send(isNew ? { endpoints: [...list.endpoints], readAgeMs } : { readAgeMs })
+        if (list.version > sent) continue
+        await nextChange(list.changes, stream.signal)
+      }
+    } finally {
+      list.removeWatcher()
+    }
+  }
+
   #viewSince (known: number): ViewMessage {
     const { state } = this.raft
     const { viewRevision, revision } = state
     const shards = [...state.shards]
     const changes = known === 0 ? undefined : state.changesSince(known)
-    if (changes === undefined) return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards }
+    const { weights, put } = state.sites
+    const site = put === undefined || changes?.some(change => change.replacesSite) === false ? {} : { site: put.site }
+    if (changes === undefined) {
+      return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards, weights, ...site }
+    }
     const upserts = new Map(changes.flatMap(change => change.upserts.map(document => [`${document.kind}/${document.name}`, document])))
     const removes = changes.flatMap(change => change.removes)
     const kept = this.#stillRemoved(removes)
     for (const { kind, name } of kept) upserts.delete(`${kind}/${name}`)
-    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards }
+    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards, weights, ...site }
   }
 
   /** A document removed and later created again within the same changes is not removed. */
@@ -140,6 +183,21 @@
   }
 }
 
+/** Resolves at the next change, at the next time for a sign of life, or when the watch ends. */
+async function nextChange (changes: EventEmitter, signal: AbortSignal): Promise<void> {
+  await new Promise<void>(resolve => {
+    const timer = setTimeout(finish, SIGN_OF_LIFE_MS)
+    function finish (): void {
+      clearTimeout(timer)
+      changes.off('change', finish)
+      signal.removeEventListener('abort', finish)
+      resolve()
+    }
+    changes.once('change', finish)
+    signal.addEventListener('abort', finish, { once: true })
+  })
+}
+
 function toResponse (error: RaftError): MembershipChangeResponse {
   if (error.kind === 'not-leader') return { kind: 'not-leader', leader: error.leader?.address ?? '' }
   return { kind: 'refused', reason: error.kind }
--- /dev/null
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -0,0 +1,123 @@
+/**
+ * Reads the platform's list of endpoints for all hosts that watch this control host.
+ *
+ * Calls to the platform are counted over all hosts together, so entry hosts do
+ * not read the list themselves: a control host reads it while somebody watches,
+ * and sends on what changed.
+ */
+import { EventEmitter } from 'node:events'
+import type { HeldModel, ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Result } from '@eelgrassmux/schema/Result'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+
+/** Where the list comes from. */
+export interface EndpointSource {
+  /** @returns the whole list, or why it could not be read */
+  list (): Promise<Result<ListedEndpoint[], { readonly kind: string }>>
+}
+
+/** What this host knows of an endpoint beyond the list. */
+export interface EndpointOverlay {
+  readonly models: readonly HeldModel[]
+  readonly isBusy: boolean
+}
+
+/** Keeps the newest list. */
+export class EndpointListTask {
+  readonly #changes = new EventEmitter()
+  #listed: readonly ListedEndpoint[] = []
+  #overlays = new Map<string, EndpointOverlay>()
+  #endpoints: readonly ListedEndpoint[] = []
+  #fingerprint = ''
+  #version = 0
+  #readAt: number | undefined
+  #isReachable = true
+  #watchers = 0
+  #timer: NodeJS.Timeout | undefined
+  #isReading = false
+
+  /**
+   * @param source - the platform's list
+   * @param intervalMs - pause between readings while somebody watches, in milliseconds
+   * @param telemetry - log and metrics
+   */
+  constructor (private readonly source: EndpointSource, private readonly intervalMs: number, private readonly telemetry: Telemetry) {
+    this.#changes.setMaxListeners(0)
+  }
+
+  /** The newest list, with what this host knows beyond it. */
+  get endpoints (): readonly ListedEndpoint[] { return this.#endpoints }
+  /** Rises with each change of the list. */
+  get version (): number { return this.#version }
+  get changes (): EventEmitter { return this.#changes }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since the platform answered, minus one before it ever did
+   */
+  readAgeMs (now: number): number {
+    return this.#readAt === undefined ? -1 : now - this.#readAt
+  }
+
+  /** Starts to read the list for one more watcher. */
+  addWatcher (): void {
+    this.#watchers += 1
+    if (this.#timer !== undefined) return
+    this.#timer = setInterval(() => { void this.#read() }, this.intervalMs)
+    void this.#read()
+  }
+
+  /** Ends reading when the last watcher has gone. */
+  removeWatcher (): void {
+    this.#watchers -= 1
+    if (this.#watchers === 0) this.stop()
+  }
+
+  /** Ends all reading. */
+  stop (): void {
+    clearInterval(this.#timer)
+    this.#timer = undefined
+  }
+
+  /** @param overlays - what is known beyond the list, by endpoint id; replaces what was known before */
+  setOverlays (overlays: Map<string, EndpointOverlay>): void {
+    this.#overlays = overlays
+    this.#publish()
+  }
+
+  async #read (): Promise<void> {
+    if (this.#isReading) return
+    this.#isReading = true
+    try {
+      const answer = await this.source.list()
+      this.#noteReachable(answer.ok, answer.ok ? '' : answer.error.kind)
+      if (!answer.ok) return
+      this.#readAt = performance.now()
+      this.#listed = answer.value
+      this.#publish()
+    } finally {
+      this.#isReading = false
+    }
+  }
+
+  #noteReachable (isReachable: boolean, reason: string): void {
+    if (isReachable === this.#isReachable) return
+    this.#isReachable = isReachable
+    this.telemetry.stateChanged(isReachable ? 'endpoint-list-regained' : 'endpoint-list-lost', { reason })
+  }
+
+  #publish (): void {
+    const endpoints = this.#listed.map(endpoint => {
+      const overlay = this.#overlays.get(endpoint.id)
+      return overlay === undefined ? endpoint : { ...endpoint, models: [...overlay.models], isBusy: overlay.isBusy }
+    })
+    const fingerprint = JSON.stringify(endpoints)
+    if (fingerprint === this.#fingerprint) return
+    this.#fingerprint = fingerprint
+    this.#endpoints = endpoints
+    this.#version += 1
+    const leaving = endpoints.filter(endpoint => endpoint.isLeaving).length
+    this.telemetry.stateChanged('endpoint-list-changed', { version: this.#version, endpoints: endpoints.length, leaving })
+    this.#changes.emit('change')
+  }
+}
--- a/apps/control/src/lib/orders/OrderTask.ts
+++ b/apps/control/src/lib/orders/OrderTask.ts
@@ -111,7 +111,7 @@
     await Promise.all(planned.map(async ({ engine, version }) => { await this.#order(engine.endpoint, version) }))
   }
 
-  #observed (endpoint: EngineEndpoint, now: number): ObservedEngine {
+  #observed (endpoint: EngineEndpoint, now: number): ObservedEngine<EngineEndpoint> {
     const report = this.#reports.get(endpoint.name)
     const orderedAt = this.#orderedAt.get(endpoint.name) ?? Number.NEGATIVE_INFINITY
     const desired = this.#index.models.get(endpoint.model)?.version
--- a/apps/control/src/lib/orders/planLoads.ts
+++ b/apps/control/src/lib/orders/planLoads.ts
@@ -1,9 +1,15 @@
 /** Decides which engines are ordered to load weights next. */
-import type { EngineEndpoint, Model } from '@eelgrassmux/schema/configuration'
+
+/** What a model's engines should run, and how many of them must go on serving. */
+export interface LoadTarget {
+  readonly name: string
+  readonly version: string
+  readonly servingFloor: number
+}
 
 /** An engine as last observed. */
-export interface ObservedEngine {
-  readonly endpoint: EngineEndpoint
+export interface ObservedEngine<Endpoint extends { readonly model: string } = { readonly model: string }> {
+  readonly endpoint: Endpoint
   /** Undefined while it does not answer. */
   readonly runningVersion: string | undefined
   readonly loadingVersion: string | undefined
@@ -19,14 +25,15 @@
  *
  * @param models - desired versions
  * @param engines - all configured engines
+ * @param loadsAtOnce - engines that may load at the same time
  * @returns engines to order now, each with the version to load
  */
-export function planLoads (
-  models: ReadonlyMap<string, Model>, engines: readonly ObservedEngine[]
-): Array<{ readonly engine: ObservedEngine, readonly version: string }> {
-  const isLoading = (engine: ObservedEngine): boolean => engine.loadingVersion !== undefined || engine.orderPending
-  let permits = LOADS_AT_ONCE - engines.filter(isLoading).length
-  const planned: Array<{ engine: ObservedEngine, version: string }> = []
+export function planLoads<Endpoint extends { readonly model: string }> (
+  models: ReadonlyMap<string, LoadTarget>, engines: ReadonlyArray<ObservedEngine<Endpoint>>, loadsAtOnce = LOADS_AT_ONCE
+): Array<{ readonly engine: ObservedEngine<Endpoint>, readonly version: string }> {
+  const isLoading = (engine: ObservedEngine<Endpoint>): boolean => engine.loadingVersion !== undefined || engine.orderPending
+  let permits = loadsAtOnce - engines.filter(isLoading).length
+  const planned: Array<{ engine: ObservedEngine<Endpoint>, version: string }> = []
   for (const model of models.values()) {
     const fleet = engines.filter(engine => engine.endpoint.model === model.name && engine.runningVersion !== undefined)
     let serving = fleet.filter(engine => !isLoading(engine)).length
--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -44,6 +44,7 @@
   | { readonly kind: 'propose', readonly command: Command, readonly resolve: (outcome: ProposeOutcome) => void }
   | { readonly kind: 'change', readonly change: (core: RaftCore, now: number) => Result<RaftEffects, RaftError>, readonly resolve: (error: RaftError | undefined) => void }
   | { readonly kind: 'transfer' }
+  | { readonly kind: 'read', readonly resolve: (isConfirmed: boolean) => void }
 
 /** Interval of the core's timers, in milliseconds. */
 const TICK_MS = 20
@@ -51,12 +52,25 @@
 /** Log entries after which the state is saved as a snapshot. */
 const SNAPSHOT_EVERY = 5000
 
+/** Bytes of commands after which it is, too: sites are large, and the log is held in memory. */
+const SNAPSHOT_BYTES = 8 * 1024 * 1024
+
+/** Longest wait for a quorum to confirm a read, in milliseconds; callers turn to another host after a second. */
+const READ_WAIT_MS = 700
+
+/** A read that waits for a quorum to follow this leader. */
+interface PendingRead {
+  readonly readAt: number
+  readonly resolve: (isConfirmed: boolean) => void
+}
+
 /** Owns one replica. */
 export class RaftTask {
   #mailbox: MailboxItem[] = []
   #working = false
   #closed = false
   #pending = new Map<number, PendingProposal>()
+  #reads: PendingRead[] = []
   #appliedIndex: number
   #lastRole = 'follower'
   #turns = 0
@@ -115,6 +129,16 @@
     return await new Promise(resolve => { this.#post({ kind: 'change', change, resolve }) })
   }
 
+  /**
+   * Waits until a quorum has followed this leader after the call, so that the
+   * applied state is as new as anything acknowledged before it.
+   *
+   * @returns false on any other replica, and when no quorum answers in time
+   */
+  async confirmRead (): Promise<boolean> {
+    return await new Promise(resolve => { this.#post({ kind: 'read', resolve }) })
+  }
+
   /** Hands leadership over, for a planned stop. */
   transfer (): void {
     this.#post({ kind: 'transfer' })
@@ -146,6 +170,7 @@
         await this.storage.persist(writes)
       }
       for (const effect of effects) this.#carryOut(effect)
+      this.#settleReads()
       this.#noticeRole()
       await this.#maybeSnapshot()
     }
@@ -158,6 +183,11 @@
       case 'tick': return [this.core.tick(now)]
       case 'message': return [this.core.receive(item.message, now)]
       case 'transfer': return [this.core.transferLeadership(now)]
+      case 'read': {
+        this.#reads.push({ readAt: now, resolve: item.resolve })
+        // Answers to earlier messages carry earlier times and don't confirm it.
+        return [this.core.probeQuorum(performance.now())]
+      }
       case 'propose': return this.#stepProposal(item.command, item.resolve, now)
       case 'change': {
         const changed = item.change(this.core, now)
@@ -181,6 +211,17 @@
     return [effects]
   }
 
+  #settleReads (): void {
+    if (this.#reads.length === 0) return
+    const now = performance.now()
+    this.#reads = this.#reads.filter(({ readAt, resolve }) => {
+      const isConfirmed = this.core.isReadConfirmed(readAt, now)
+      const isHopeless = this.core.role !== 'leader' || now - readAt > READ_WAIT_MS
+      if (isConfirmed || isHopeless) resolve(isConfirmed)
+      return !isConfirmed && !isHopeless
+    })
+  }
+
   #carryOut (effects: RaftEffects): void {
     for (const { to, message } of effects.messages) this.ports.send(to, message)
     if (effects.installed !== undefined) {
@@ -217,7 +258,8 @@
   }
 
   async #maybeSnapshot (): Promise<void> {
-    if (this.core.logLength < SNAPSHOT_EVERY || this.#appliedIndex <= (this.core.snapshot?.index ?? 0)) return
+    if (this.core.logLength < SNAPSHOT_EVERY && this.core.logBytes < SNAPSHOT_BYTES) return
+    if (this.#appliedIndex <= (this.core.snapshot?.index ?? 0)) return
     const effects = this.core.compact(this.#appliedIndex, encode(this.state.image(), { ignoreUndefined: true }))
     await this.storage.persist(effects.writes)
   }
--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -15,6 +15,9 @@
 /** Deadline of each call, in milliseconds. */
 const CALL_MS = 2000
 
+/** Addresses of replicas in the group, as of now. */
+type Contacts = () => readonly string[]
+
 /**
  * Joins, trying until it succeeds.
  *
@@ -22,18 +25,22 @@
  * @param self - this replica
  * @param contacts - addresses of replicas in the group
  * @param isCaughtUp - whether this replica has received a membership with itself in it
+ * @param isStopped - whether to give up
  */
-export async function joinGroup (rpc: RpcClient, self: Replica, contacts: readonly string[], isCaughtUp: () => boolean): Promise<void> {
-  await untilDone(rpc, contacts, { kind: 'add-learner', replica: self })
-  while (!isCaughtUp()) await sleep(RETRY_MS)
-  for (const old of await formerIdentities(rpc, self, contacts)) await untilDone(rpc, contacts, { kind: 'remove', id: old })
-  await untilDone(rpc, contacts, { kind: 'promote', id: self.id })
+export async function joinGroup (
+  rpc: RpcClient, self: Replica, contacts: Contacts, isCaughtUp: () => boolean, isStopped: () => boolean
+): Promise<void> {
+  await untilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped)
+  while (!isCaughtUp() && !isStopped()) await sleep(RETRY_MS)
+  for (const old of await formerIdentities(rpc, self, contacts())) await untilDone(rpc, contacts, { kind: 'remove', id: old }, isStopped)
+  await untilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped)
 }
 
-async function untilDone (rpc: RpcClient, contacts: readonly string[], change: MembershipChange): Promise<void> {
+async function untilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean): Promise<void> {
   let target: string | undefined
-  for (let turn = 0; ; turn += 1) {
-    const address = target ?? contacts[turn % contacts.length] ?? ''
+  for (let turn = 0; !isStopped(); turn += 1) {
+    const known = contacts()
+    const address = target ?? known[turn % known.length] ?? ''
     const answer = await rpc.call(address, changeMembership, change, CALL_MS)
     if (answer.ok && isDone(answer.value, change)) return
     target = answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '' ? answer.value.leader : undefined
--- /dev/null
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -0,0 +1,172 @@
+/**
+ * Carries out rollouts of weights on listed engines. Runs on every control host
+ * and acts only on the leader.
+ *
+ * Engines need not check fencing numbers. So that two hosts never give orders by
+ * turns, the right to give them is claimed in the agreed log; whoever takes it
+ * over from another host first waits out the time for which that host's last
+ * order may count, and before each order a quorum confirms that this host leads.
+ */
+import type { Result } from '@eelgrassmux/schema/Result'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { EndpointListTask, EndpointOverlay } from '../endpoints/EndpointListTask.js'
+import type { RaftTask } from '../raft/RaftTask.js'
+import { RolloutPlan, type EngineStatus, type LoadOrder, type OrderOutcome } from './RolloutPlan.js'
+
+/** Who gives an order, for engines that check it. */
+export interface OrderAuthority {
+  readonly holder: string
+  /** Rises whenever another host takes over. */
+  readonly fence: number
+}
+
+/** Engines as a rollout sees them. */
+export interface RolloutBackend {
+  /** @returns what the engine says of itself */
+  status (endpoint: ListedEndpoint): Promise<Result<EngineStatus, { readonly kind: string }>>
+  /** @returns what became of the order */
+  load (order: LoadOrder, authority: OrderAuthority): Promise<OrderOutcome>
+}
+
+/** Interval between turns, in milliseconds. */
+const TURN_MS = 50
+
+/** Added to the time for which another host's orders may count, in milliseconds: its last order may still be on its way. */
+const HANDOVER_MARGIN_MS = 300
+
+/** Reconciles engines with the named weights. */
+export class RolloutTask {
+  readonly #plan = new RolloutPlan()
+  #leaderSince: number | undefined
+  #waitsOutUntil: number | undefined
+  #isWatching = false
+  #timer: NodeJS.Timeout | undefined
+  #isBusy = false
+  #isDue = false
+
+  /**
+   * @param raft - log and state
+   * @param list - the endpoint list; read while a rollout is under way
+   * @param backend - engines
+   * @param holder - name of this host towards engines
+   * @param orderLeaseMs - time for which another host's last order may count, in milliseconds
+   * @param telemetry - log and metrics
+   */
+  constructor (
+    private readonly raft: RaftTask,
+    private readonly list: EndpointListTask,
+    private readonly backend: RolloutBackend,
+    private readonly holder: string,
+    private readonly orderLeaseMs: number,
+    private readonly telemetry: Telemetry
+  ) {}
+
+  /** Starts to look after the engines. */
+  start (): void {
+    this.#timer = setInterval(() => { void this.#turn() }, TURN_MS)
+  }
+
+  /** Stops. */
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  async #turn (): Promise<void> {
+    if (this.#isBusy) return
+    this.#isBusy = true
+    try {
+      if (this.raft.core.role === 'leader') await this.#lead(performance.now())
+      else this.#standBack()
+    } finally {
+      this.#isBusy = false
+    }
+  }
+
+  #standBack (): void {
+    if (this.#leaderSince === undefined) return
+    this.#leaderSince = undefined
+    this.#waitsOutUntil = undefined
+    this.#isDue = false
+    this.#plan.clear()
+    this.list.setOverlays(new Map())
+    this.#watchList(false)
+  }
+
+  async #lead (now: number): Promise<void> {
+    this.#leaderSince ??= now
+    const { weights } = this.raft.state.sites
+    this.#watchList(weights.length > 0)
+    if (weights.length === 0) return
+    const wasDue = this.#isDue
+    const isDue = this.#isRolloutDue()
+    this.#isDue = isDue
+    if (!isDue && !wasDue) return
+    const mayOrder = isDue && await this.#holdsOrders(this.#leaderSince)
+    const steps = this.#plan.next(weights, this.list.endpoints, mayOrder, performance.now())
+    this.#publish()
+    await Promise.all([
+      ...steps.looks.map(async endpoint => { await this.#look(endpoint) }),
+      this.#give(steps.orders)
+    ])
+  }
+
+  #isRolloutDue (): boolean {
+    return this.raft.state.sites.weights.some(({ model, version }) => this.list.endpoints.some(endpoint =>
+      endpoint.models.some(held => held.model === model) && this.#plan.versionOf(endpoint, model) < version))
+  }
+
+  /** Claims the right to give orders; true once it is held and nobody else's order may count any more. */
+  async #holdsOrders (leaderSince: number): Promise<boolean> {
+    const { core, state } = this.raft
+    const present = state.sites.orderHolder
+    if (present?.replicaId === core.self.id && present.term === core.term) {
+      return this.#waitsOutUntil === undefined || performance.now() >= this.#waitsOutUntil
+    }
+    const isTakenOver = present !== undefined && present.replicaId !== core.self.id
+    this.#waitsOutUntil = isTakenOver ? leaderSince + this.orderLeaseMs + HANDOVER_MARGIN_MS : undefined
+    const outcome = await this.raft.propose({ kind: 'claim-orders', holder: { replicaId: core.self.id, term: core.term } })
+    this.telemetry.stateChanged('order-right-claimed', {
+      term: core.term, outcome: outcome.kind, previous: present?.replicaId ?? '', waitMs: isTakenOver ? this.orderLeaseMs : 0
+    })
+    return false
+  }
+
+  async #look (endpoint: ListedEndpoint): Promise<void> {
+    const status = await this.backend.status(endpoint)
+    if (status.ok) this.#plan.observeStatus(endpoint.id, status.value, performance.now())
+  }
+
+  async #give (orders: readonly LoadOrder[]): Promise<void> {
+    if (orders.length === 0) return
+    // A lease would not do: this host may have been suspended since it was confirmed.
+    const isConfirmed = await this.raft.confirmRead()
+    await Promise.all(orders.map(async order => {
+      const outcome = isConfirmed
+        ? await this.backend.load(order, { holder: this.holder, fence: this.raft.core.term })
+        : 'refused'
+      this.#plan.observeOrder(order.endpoint.id, outcome, performance.now())
+      this.telemetry.stateChanged('weights-ordered', {
+        endpoint: order.endpoint.id, model: order.model, version: order.version, expectedOrders: order.expectedOrders, outcome, isConfirmed
+      })
+    }))
+  }
+
+  #publish (): void {
+    const now = performance.now()
+    const overlays = new Map<string, EndpointOverlay>()
+    for (const endpoint of this.list.endpoints) {
+      const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
+      const isBusy = this.#plan.isBusy(endpoint.id, now)
+      overlays.set(endpoint.id, { models, isBusy })
+    }
+    this.list.setOverlays(overlays)
+  }
+
+  #watchList (isWanted: boolean): void {
+    if (isWanted === this.#isWatching) return
+    this.#isWatching = isWanted
+    if (isWanted) this.list.addWatcher()
+    else this.list.removeWatcher()
+  }
+}
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -23,13 +23,15 @@
   /** How long a confirmed quorum contact lets the leader act alone; below the election timeout. */
   readonly leaseMs: number
   readonly maxEntriesPerAppend: number
+  /** Bytes of commands after which a message takes no further entry; a single larger entry goes alone. */
+  readonly maxBytesPerAppend: number
   /** A learner may become a voter when it lags by no more entries than this. */
   readonly promotionLag: number
 }
 
 /** Settings for control hosts in data centres about a millisecond apart. */
 export const DEFAULT_RAFT_SETTINGS: RaftSettings = {
-  heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 256, promotionLag: 16
+  heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 256, maxBytesPerAppend: 1024 * 1024, promotionLag: 16
 }
 
 /** Why a request to the core was not taken. */
@@ -94,6 +96,7 @@
   get commitIndex (): number { return this.#commitIndex }
   get lastIndex (): number { return this.#log.lastIndex }
   get logLength (): number { return this.#log.length }
+  get logBytes (): number { return this.#log.commandBytes }
   get snapshot (): Snapshot | undefined { return this.#log.snapshot }
   get membership (): Membership { return this.#log.latestMembership() }
   /** Membership that no crash can take back; a repair is complete only when it is here. */
@@ -131,6 +134,31 @@
     return this.holdsLease(now) && this.#commitIndex >= this.#termStartIndex
   }
 
+  /**
+   * Whether a quorum followed this leader at some time after the given one, so
+   * that nothing newer can have been committed by another leader before it.
+   * Unlike a lease this holds also if the host was suspended meanwhile.
+   *
+   * @param readAt - monotonic milliseconds at which the read began
+   * @param now - monotonic milliseconds
+   */
+  isReadConfirmed (readAt: number, now: number): boolean {
+    if (this.#role !== 'leader' || this.#commitIndex < this.#termStartIndex) return false
+    return this.membership.voters.length === 1 || this.#quorumContact(now) > readAt
+  }
+
+  /**
+   * How long a peer has been silent towards this leader.
+   *
+   * @param id - voter or learner
+   * @param now - monotonic milliseconds
+   * @returns milliseconds; counted from the start of the leadership if the peer was never heard
+   */
+  silentFor (id: string, now: number): number {
+    if (id === this.self.id) return 0
+    return now - Math.max(this.#progress.of(id).contactAt, this.#leaderSince)
+  }
+
   // --- Inputs ---
 
   /**
@@ -184,6 +212,17 @@
     return succeed({ index: entry.index, term: entry.term, effects: this.#takeEffects() })
   }
 
+  /**
+   * Asks all peers for a sign of life at once, to confirm a read.
+   *
+   * @param now - monotonic milliseconds
+   * @returns effects to carry out
+   */
+  probeQuorum (now: number): RaftEffects {
+    if (this.#role === 'leader') this.#broadcast(now)
+    return this.#takeEffects()
+  }
+
   /**
    * Adds a learner, or replaces its address.
    *
@@ -412,7 +451,7 @@
       this.#send(replica, { kind: 'snapshot-request', from: this.self.id, term: this.#term, snapshot, sentAt: now })
       return
     }
-    const entries = this.#log.slice(progress.nextIndex, this.settings.maxEntriesPerAppend)
+    const entries = this.#log.slice(progress.nextIndex, this.settings.maxEntriesPerAppend, this.settings.maxBytesPerAppend)
     // Optimistic: the next message continues where this one ends; a refusal sets it back.
     progress.nextIndex += entries.length
     this.#send(replica, {
--- a/packages/consensus/src/lib/RaftLog.ts
+++ b/packages/consensus/src/lib/RaftLog.ts
@@ -6,11 +6,13 @@
 export class RaftLog {
   #snapshot: Snapshot | undefined
   #entries: LogEntry[]
+  #commandBytes: number
 
   /** @param persisted - what the disk held at start */
   constructor (persisted: PersistentState) {
     this.#snapshot = persisted.snapshot
     this.#entries = persisted.entries.filter(entry => entry.index > this.snapshotIndex)
+    this.#commandBytes = sumBytes(this.#entries)
   }
 
   get snapshot (): Snapshot | undefined {
@@ -29,6 +31,11 @@
     return this.#entries.at(-1)?.term ?? this.#snapshot?.term ?? 0
   }
 
+  /** Bytes of all commands kept above the snapshot. */
+  get commandBytes (): number {
+    return this.#commandBytes
+  }
+
   /** Number of entries kept above the snapshot. */
   get length (): number {
     return this.#entries.length
@@ -54,23 +61,32 @@
   /**
    * @param fromIndex - first index wanted
    * @param limit - most entries to return
+   * @param byteLimit - bytes of commands after which no further entry is added
    * @returns entries from that index on
    */
-  slice (fromIndex: number, limit: number): LogEntry[] {
+  slice (fromIndex: number, limit: number, byteLimit = Number.POSITIVE_INFINITY): LogEntry[] {
     const start = fromIndex - this.snapshotIndex - 1
-    return this.#entries.slice(start, start + limit)
+    let bytes = 0
+    let end = start
+    while (end < this.#entries.length && end - start < limit && bytes < byteLimit) {
+      bytes += commandBytes(this.#entries[end])
+      end += 1
+    }
+    return this.#entries.slice(start, end)
   }
 
   /** @param entry - must directly follow the last entry */
   append (entry: LogEntry): void {
     assertInvariant(entry.index === this.lastIndex + 1, 'log-contiguous', () => `${entry.index} after ${this.lastIndex}`)
     this.#entries.push(entry)
+    this.#commandBytes += commandBytes(entry)
   }
 
   /** @param fromIndex - this entry and all after it are dropped */
   truncate (fromIndex: number): void {
     assertInvariant(fromIndex > this.snapshotIndex, 'log-truncate', () => `${fromIndex} is inside the snapshot`)
     this.#entries.length = fromIndex - this.snapshotIndex - 1
+    this.#commandBytes = sumBytes(this.#entries)
   }
 
   /**
@@ -82,6 +98,7 @@
     const keepTail = this.termAt(snapshot.index) === snapshot.term
     this.#entries = keepTail ? this.slice(snapshot.index + 1, this.#entries.length) : []
     this.#snapshot = snapshot
+    this.#commandBytes = sumBytes(this.#entries)
   }
 
   /** @returns the latest membership in the log or snapshot, committed or not */
@@ -105,3 +122,11 @@
     return this.#snapshot?.membership ?? { voters: [], learners: [] }
   }
 }
+
+function commandBytes (entry: LogEntry | undefined): number {
+  return entry?.kind === 'command' ? entry.command.length : 0
+}
+
+function sumBytes (entries: readonly LogEntry[]): number {
+  return entries.reduce((sum, entry) => sum + commandBytes(entry), 0)
+}
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -1,8 +1,11 @@
 /** Methods of the control hosts. */
 import { z } from 'zod'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
+import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 import { membershipSchema, raftMessageSchema, replicaSchema } from '@eelgrassmux/consensus/messages/raftMessages'
-import { commandResultSchema, commandSchema, documentNameSchema, shardSchema } from '@eelgrassmux/state/commands'
+import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
+import { commandResultSchema, commandSchema, documentNameSchema, namedWeightsSchema, shardSchema } from '@eelgrassmux/state/commands'
 import { defineStream, defineUnary } from '../RpcMethod.js'
 
 const count = z.number().int().min(0)
@@ -40,6 +43,10 @@
   membershipIndex: count,
   /** Upper bound of any view in this replica's log, committed or not. */
   newestView: count,
+  /** View that this replica has applied. */
+  appliedView: count,
+  /** Address of the leader this replica follows; empty if it knows none. */
+  leader: z.string(),
   /** Entry hosts heard from lately; the share of each is one part of this many. */
   liveEntries: count,
   /** Peer addresses of the live entry hosts; empty when they are too many to tell each other of every dispatch. */
@@ -76,7 +83,9 @@
     viewRevision: count,
     revision: count,
     documents: z.array(documentSchema),
-    shards: z.array(shardSchema)
+    shards: z.array(shardSchema),
+    site: siteSchema.optional(),
+    weights: z.array(namedWeightsSchema)
   }),
   z.strictObject({
     kind: z.literal('changes'),
@@ -85,10 +94,29 @@
     revision: count,
     upserts: z.array(documentSchema),
     removes: z.array(documentNameSchema),
-    shards: z.array(shardSchema)
+    shards: z.array(shardSchema),
+    /** Absent if the site is the same as before. */
+    site: siteSchema.optional(),
+    weights: z.array(namedWeightsSchema)
   })
 ])
 
+/** The endpoint list as a control host last read it; sent on each change, and again now and then as a sign of life. */
+export const endpointListSchema = z.strictObject({
+  /** Absent if it is the same as in the message before. */
+  endpoints: z.array(listedEndpointSchema).optional(),
+  /** Milliseconds since the platform answered; minus one before it ever did. */
+  readAgeMs: z.number()
+})
+
+export const readSiteResponseSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('site'), version: count, source: bytesSchema }),
+  /** No site was ever accepted. */
+  z.strictObject({ kind: z.literal('none') }),
+  /** This replica can't be sure which site is the newest. */
+  z.strictObject({ kind: z.literal('unconfirmed'), leader: z.string() })
+])
+
 export const membershipChangeSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('add-learner'), replica: replicaSchema }),
   z.strictObject({ kind: z.literal('promote'), id: z.string() }),
@@ -117,6 +145,8 @@
 export const listOrders = defineUnary('/eelgrassmux.Control/ListOrders', emptySchema, z.strictObject({ orders: z.array(orderReportSchema) }))
 export const changeMembership = defineUnary('/eelgrassmux.Control/ChangeMembership', membershipChangeSchema, membershipChangeResponseSchema)
 export const watchView = defineStream('/eelgrassmux.Control/WatchView', z.strictObject({ viewRevision: count }), viewMessageSchema)
+export const watchEndpoints = defineStream('/eelgrassmux.Control/WatchEndpoints', emptySchema, endpointListSchema)
+export const readSite = defineUnary('/eelgrassmux.Control/ReadSite', emptySchema, readSiteResponseSchema)
 
 export type RaftEnvelope = z.infer<typeof raftEnvelopeSchema>
 export type ProposeResponse = z.infer<typeof proposeResponseSchema>
@@ -125,6 +155,8 @@
 export type StatusResponse = z.infer<typeof statusResponseSchema>
 export type HostReport = z.infer<typeof hostReportSchema>
 export type HostsResponse = z.infer<typeof hostsResponseSchema>
+export type EndpointListMessage = z.infer<typeof endpointListSchema>
+export type ReadSiteResponse = z.infer<typeof readSiteResponseSchema>
 export type ViewMessage = z.infer<typeof viewMessageSchema>
 export type MembershipChange = z.infer<typeof membershipChangeSchema>
 export type MembershipChangeResponse = z.infer<typeof membershipChangeResponseSchema>
--- /dev/null
+++ b/packages/schema/src/lib/site/checkSite.ts
@@ -0,0 +1,54 @@
+/** Checks of a site that reach across its parts. */
+import type { Route, Site } from './siteSchema.js'
+
+/** What is wrong with a site, and where. */
+export interface SiteProblem {
+  /** Path of the offending field, such as `routes.r-1.targets`. */
+  readonly field: string
+  readonly message: string
+}
+
+/**
+ * Looks for references to nothing and for places or keys that are taken twice.
+ *
+ * @param site - a site that its schema accepts
+ * @returns the first problem, or undefined
+ */
+export function checkSite (site: Site): SiteProblem | undefined {
+  return checkRoutes(site) ?? checkKeys(site)
+}
+
+function checkRoutes (site: Site): SiteProblem | undefined {
+  const services = new Set(site.services.filter(service => service.type === 'replicated').map(service => service.name))
+  const places = new Set<string>()
+  for (const route of site.routes) {
+    const problem = checkTargets(route, services)
+    if (problem !== undefined) return problem
+    const place = JSON.stringify([route.host.toLowerCase(), route.pathPrefix])
+    if (places.has(place)) return { field: `routes.${route.name}.pathPrefix`, message: `another route has ${route.host} ${route.pathPrefix}` }
+    places.add(place)
+  }
+  return undefined
+}
+
+function checkTargets (route: Route, services: ReadonlySet<string>): SiteProblem | undefined {
+  const field = `routes.${route.name}.targets`
+  const unknown = route.targets.find(target => !services.has(target.service))
+  if (unknown !== undefined) return { field, message: `there is no service ${unknown.service}` }
+  const weight = route.targets.reduce((sum, target) => sum + target.weight, 0)
+  return weight > 0 ? undefined : { field, message: 'the weights add up to 0' }
+}
+
+function checkKeys (site: Site): SiteProblem | undefined {
+  const holders = new Map<string, string>()
+  for (const customer of site.customers ?? []) {
+    for (const key of customer.keys) {
+      const holder = holders.get(key)
+      if (holder !== undefined && holder !== customer.name) {
+        return { field: `customers.${customer.name}.keys`, message: `${holder} holds the same key` }
+      }
+      holders.set(key, customer.name)
+    }
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/schema/src/lib/site/listedEndpoint.ts
@@ -0,0 +1,22 @@
+/** Endpoints as the platform's membership list states them. */
+import { z } from 'zod'
+
+/** Weights that an engine holds, as far as the list knows. */
+export const heldModelSchema = z.strictObject({ model: z.string(), version: z.number().int().min(0) })
+
+/** One endpoint of a list that lags behind. */
+export const listedEndpointSchema = z.strictObject({
+  /** New at each start of the endpoint. */
+  id: z.string(),
+  service: z.string(),
+  address: z.string(),
+  dataCentre: z.string(),
+  slots: z.number().int().min(0),
+  isLeaving: z.boolean(),
+  /** Whether an order under way keeps it from starting new work. */
+  isBusy: z.boolean(),
+  models: z.array(heldModelSchema)
+})
+
+export type HeldModel = z.infer<typeof heldModelSchema>
+export type ListedEndpoint = z.infer<typeof listedEndpointSchema>
--- a/packages/state/src/lib/StateMachine.ts
+++ b/packages/state/src/lib/StateMachine.ts
@@ -6,6 +6,7 @@
   ChangeCommand, ClaimCommand, ClaimResult, CommandResult, ConfirmationRecord, DocumentName, RecordKey, Shard, StampedCommand,
   StateImage, StoredAnswer
 } from './commands.js'
+import { SiteRegister } from './SiteRegister.js'
 
 /** Settings that every control host must share. */
 export interface StateSettings {
@@ -24,6 +25,8 @@
   readonly viewRevision: number
   readonly upserts: readonly ConfigurationDocument[]
   readonly removes: readonly DocumentName[]
+  /** Whether the site was replaced in this step. */
+  readonly replacesSite: boolean
 }
 
 /** Changes kept for watchers that are only a little behind. */
@@ -42,6 +45,9 @@
   /** Claims released before they were applied: a late duplicate must not leave a claim without an owner. */
   #releasedClaims = new Map<string, number>()
 
+  /** Site, named weights and the holder of the right to give orders. */
+  readonly sites = new SiteRegister()
+
   /** @param settings - the same on all control hosts */
   constructor (private readonly settings: StateSettings = DEFAULT_STATE_SETTINGS) {}
 
@@ -78,6 +84,9 @@
       case 'complete': return this.#complete(command.record, command.claimId, command.answer)
       case 'release': return this.#release(command.record, command.claimId)
       case 'expire': return this.#expire()
+      case 'put-site': return this.#recordOutcome(this.sites.putSite(command), true)
+      case 'name-weights': return this.#recordOutcome(this.sites.nameWeights(command), false)
+      case 'claim-orders': return this.sites.claimOrders(command.holder)
       default: return unreachable(command)
     }
   }
@@ -104,7 +113,8 @@
       shards: [...this.#shards],
       requests: [...this.#requests].map(([requestId, result]) => ({ requestId, result })),
       records: [...this.#records.values()],
-      releasedClaims: [...this.#releasedClaims].map(([claimId, releasedAt]) => ({ claimId, releasedAt }))
+      releasedClaims: [...this.#releasedClaims].map(([claimId, releasedAt]) => ({ claimId, releasedAt })),
+      site: this.sites.image()
     }
   }
 
@@ -120,6 +130,7 @@
     this.#shards = [...image.shards]
     this.#requests = new Map(image.requests.map(({ requestId, result }) => [requestId, result]))
     this.#records = new Map(image.records.map(record => [recordId(record.key), record]))
+    this.sites.restore(image.site)
     this.#releasedClaims = new Map(image.releasedClaims.map(({ claimId, releasedAt }) => [claimId, releasedAt]))
   }
 
@@ -153,12 +164,17 @@
   }
 
   /** Watchers that are close behind get these changes instead of everything. */
-  #recordChange (upserts: readonly ConfigurationDocument[], removes: readonly DocumentName[]): void {
+  #recordChange (upserts: readonly ConfigurationDocument[], removes: readonly DocumentName[], replacesSite = false): void {
     this.#viewRevision += 1
-    this.#recentChanges.push({ viewRevision: this.#viewRevision, upserts, removes })
+    this.#recentChanges.push({ viewRevision: this.#viewRevision, upserts, removes, replacesSite })
     if (this.#recentChanges.length > REMEMBERED_CHANGES) this.#recentChanges.shift()
   }
 
+  #recordOutcome (outcome: { result: CommandResult, hasChanged: boolean }, replacesSite: boolean): CommandResult {
+    if (outcome.hasChanged) this.#recordChange([], [], replacesSite)
+    return outcome.result
+  }
+
   #assignShards (owners: readonly string[]): CommandResult {
     this.#recordChange([], [])
     this.#shards = owners.map((owner, shard) => {
--- a/packages/state/src/lib/commandCodec.ts
+++ b/packages/state/src/lib/commandCodec.ts
@@ -34,5 +34,13 @@
 }
 
 function changesView (command: Command): boolean {
-  return command.kind === 'change-configuration' || command.kind === 'assign-shards'
+  switch (command.kind) {
+    case 'change-configuration':
+    case 'assign-shards':
+    case 'put-site':
+    case 'name-weights':
+      return true
+    default:
+      return false
+  }
 }
--- a/packages/state/src/lib/commands.ts
+++ b/packages/state/src/lib/commands.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 
 const id = z.string().min(1).max(200)
 const count = z.number().int().min(0)
@@ -19,6 +20,11 @@
 /** Names a configuration document. */
 export const documentNameSchema = z.strictObject({ kind: id, name: id })
 
+/** The control host that gives orders to engines, and the term in which it leads. */
+export const orderHolderSchema = z.strictObject({ replicaId: id, term: count })
+
+export const namedWeightsSchema = z.strictObject({ model: id, version: count })
+
 export const commandSchema = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('change-configuration'),
@@ -42,7 +48,17 @@
   }),
   z.strictObject({ kind: z.literal('complete'), record: recordKeySchema, claimId: id, answer: storedAnswerSchema }),
   z.strictObject({ kind: z.literal('release'), record: recordKeySchema, claimId: id }),
-  z.strictObject({ kind: z.literal('expire') })
+  z.strictObject({ kind: z.literal('expire') }),
+  z.strictObject({
+    kind: z.literal('put-site'),
+    site: siteSchema,
+    /** The document as its operator wrote it. */
+    source: bytesSchema
+  }),
+  /** Weights that all engines of a model should run; only a higher version changes anything. */
+  z.strictObject({ kind: z.literal('name-weights'), model: id, version: count }),
+  /** The leader of a term takes over giving orders to engines. */
+  z.strictObject({ kind: z.literal('claim-orders'), holder: orderHolderSchema })
 ])
 
 /** A command with the proposing leader's wall clock, which the state clamps to never go back. */
@@ -65,6 +81,8 @@
   z.strictObject({ kind: z.literal('revision-conflict'), revision: count }),
   z.strictObject({ kind: z.literal('invalid'), message: z.string() }),
   z.strictObject({ kind: z.literal('claim'), result: claimResultSchema }),
+  /** The version now in force, which is at least the one proposed. */
+  z.strictObject({ kind: z.literal('site-accepted'), version: count }),
   z.strictObject({ kind: z.literal('done') }),
   z.strictObject({ kind: z.literal('no-such-claim') })
 ])
@@ -75,6 +93,10 @@
 export type Command = z.infer<typeof commandSchema>
 export type ClaimCommand = Extract<Command, { kind: 'claim' }>
 export type ChangeCommand = Extract<Command, { kind: 'change-configuration' }>
+export type PutSiteCommand = Extract<Command, { kind: 'put-site' }>
+export type NameWeightsCommand = Extract<Command, { kind: 'name-weights' }>
+export type OrderHolder = z.infer<typeof orderHolderSchema>
+export type NamedWeights = z.infer<typeof namedWeightsSchema>
 export type StampedCommand = z.infer<typeof stampedCommandSchema>
 export type Shard = z.infer<typeof shardSchema>
 export type ClaimResult = z.infer<typeof claimResultSchema>
@@ -89,6 +111,12 @@
   answer: storedAnswerSchema.optional()
 })
 
+const siteImageSchema = z.object({
+  put: z.strictObject({ site: siteSchema, source: bytesSchema }).optional(),
+  weights: z.array(namedWeightsSchema),
+  orderHolder: orderHolderSchema.optional()
+})
+
 /** Image of the whole state, for snapshots. */
 export const stateImageSchema = z.strictObject({
   clock: z.number(),
@@ -98,8 +126,11 @@
   shards: z.array(shardSchema),
   requests: z.array(z.strictObject({ requestId: id, result: commandResultSchema })),
   records: z.array(recordSchema),
-  releasedClaims: z.array(z.strictObject({ claimId: id, releasedAt: z.number() }))
+  releasedClaims: z.array(z.strictObject({ claimId: id, releasedAt: z.number() })),
+  /** Absent in snapshots written before there were sites. */
+  site: siteImageSchema.default({ weights: [] })
 })
 
+export type SiteImage = { [Field in keyof z.infer<typeof siteImageSchema>]: z.infer<typeof siteImageSchema>[Field] }
 export type StateImage = z.infer<typeof stateImageSchema>
 export type ConfirmationRecord = z.infer<typeof recordSchema>
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -7,7 +7,10 @@
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { propose, reportStatus, watchView, type HostRole } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import type { Command, CommandResult, Shard } from '@eelgrassmux/state/commands'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import type { Command, CommandResult, NamedWeights, Shard } from '@eelgrassmux/state/commands'
+import { EndpointListFollower } from './EndpointListFollower.js'
 import { FreshnessLease } from './FreshnessLease.js'
 import { ViewFollower } from './ViewFollower.js'
 
@@ -21,6 +24,8 @@
   readonly controlAddresses: readonly string[]
   /** How long a confirmed view may be acted on, in milliseconds. */
   readonly freshnessMs: number
+  /** Whether this host needs the platform's endpoint list. */
+  readonly watchesEndpoints?: boolean
 }
 
 /** Why a command has no result. */
@@ -55,6 +60,11 @@
   #watchTurn = 0
   #watchRestart = new AbortController()
   #listeners: Array<() => void> = []
+  readonly #endpoints: EndpointListFollower
+  /** Control host that is known to have applied a newer view than this host. */
+  #newerAt: string | undefined
+  #leader: string | undefined
+  #watchFailures = 0
 
   /**
    * @param settings - who this host is
@@ -62,12 +72,27 @@
    */
   constructor (private readonly settings: ControlLinkSettings, private readonly rpc: RpcClient) {
     this.#lease = new FreshnessLease(settings.freshnessMs)
+    this.#endpoints = new EndpointListFollower(rpc, () => this.#endpointWatchOrder(), () => { this.#notify() })
   }
 
   /** Configuration in force on this host. */
   get configuration (): ConfigurationIndex { return this.#follower.configuration }
   get shards (): readonly Shard[] { return this.#follower.shards }
   get viewRevision (): number { return this.#follower.viewRevision }
+  /** Site in force on this host, once it knows one. */
+  get site (): Site | undefined { return this.#follower.site }
+  /** Weight version that each model should run. */
+  get weights (): readonly NamedWeights[] { return this.#follower.weights }
+  /** Endpoints as the platform lists them. */
+  get endpoints (): readonly ListedEndpoint[] { return this.#endpoints.endpoints }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since the platform stated the endpoint list; infinite before it ever did
+   */
+  endpointListAgeMs (now: number): number {
+    return this.#endpoints.ageMs(now)
+  }
 
   /** Entry hosts that may be alive. */
   get liveEntries (): number { return this.#lease.liveEntries(performance.now()) }
@@ -96,6 +121,7 @@
   start (): void {
     void this.#reportLoop()
     void this.#watchLoop()
+    if (this.settings.watchesEndpoints === true) void this.#endpoints.run(this.#abort.signal)
   }
 
   /** Tells the control hosts that this host takes no new work. */
@@ -152,7 +178,8 @@
       void this.#reportAll()
       await sleep(REPORT_INTERVAL_MS)
       // The watched control host may be cut off from the others: try the next one.
-      if (this.viewRevision > 0 && !this.isFresh()) this.#watchRestart.abort()
+      const isBehind = this.#newerAt !== undefined
+      if (this.viewRevision > 0 && (isBehind || !this.isFresh())) this.#watchRestart.abort()
     }
   }
 
@@ -168,12 +195,36 @@
       host, role, address: this.settings.address, dataCentre, viewRevision: this.viewRevision, accepting: this.#accepting
     }
     const answer = await this.rpc.call(address, reportStatus, request, REPORT_DEADLINE_MS)
-    if (answer.ok) this.#lease.observe({ ...answer.value, askedAt })
+    if (!answer.ok) {
+      if (this.#leader === address) this.#leader = undefined
+      return
+    }
+    this.#lease.observe({ ...answer.value, askedAt })
+    // The view may still be on its way here; it counts as missed if it was applied there before we asked.
+    const isMissed = answer.value.appliedView > request.viewRevision && answer.value.appliedView > this.viewRevision
+    if (isMissed) this.#newerAt = address
+    if (answer.value.leader !== '') this.#leader = answer.value.leader
+  }
+
+  /** The host that has what we miss, or the leader, so that few control hosts need to read the list; else any by turns. */
+  #watchAddress (): string {
+    const preferred = this.#newerAt ?? (this.#watchFailures === 0 ? this.#leader : undefined)
+    return preferred ?? this.#controlAddress(this.#watchTurn)
+  }
+
+  #endpointWatchOrder (): string[] {
+    const addresses = this.#addresses()
+    return this.#leader === undefined ? addresses : [this.#leader, ...addresses.filter(address => address !== this.#leader)]
+  }
+
+  #notify (): void {
+    for (const listener of this.#listeners) listener()
   }
 
   async #watchLoop (): Promise<void> {
     while (!this.#abort.signal.aborted) {
-      const address = this.#controlAddress(this.#watchTurn)
+      const address = this.#watchAddress()
+      this.#newerAt = undefined
       this.#watchTurn += 1
       this.#watchRestart = new AbortController()
       const restart = this.#watchRestart
@@ -182,10 +233,12 @@
         const outcome = this.#follower.apply(message)
         if (outcome === 'gap') restart.abort()
         if (outcome !== 'advanced') return
-        for (const listener of this.#listeners) listener()
+        this.#notify()
         // Report the new view at once, so that those who wait for it to be in force hear of it.
         void this.#reportAll()
       }, signal)
+      // After a failed watch the next host is tried, also if the failed one is the leader we know.
+      this.#watchFailures = this.#watchFailures === 0 ? 1 : 0
       await sleep(WATCH_RETRY_MS)
     }
   }
--- a/packages/view/src/lib/ViewFollower.ts
+++ b/packages/view/src/lib/ViewFollower.ts
@@ -3,7 +3,8 @@
 import type { ConfigurationDocument } from '@eelgrassmux/schema/configuration'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import type { ViewMessage } from '@eelgrassmux/rpc/methods/controlMethods'
-import type { Shard } from '@eelgrassmux/state/commands'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import type { NamedWeights, Shard } from '@eelgrassmux/state/commands'
 
 /** What a message did. */
 export type ViewOutcome = 'advanced' | 'stale' | 'gap'
@@ -13,11 +14,16 @@
   #viewRevision = 0
   #shards: readonly Shard[] = []
   #documents = new Map<string, ConfigurationDocument>()
+  #site: Site | undefined
+  #weights: readonly NamedWeights[] = []
   #index = new ConfigurationIndex(0, { documents: [] })
 
   get viewRevision (): number { return this.#viewRevision }
   get configuration (): ConfigurationIndex { return this.#index }
   get shards (): readonly Shard[] { return this.#shards }
+  get site (): Site | undefined { return this.#site }
+  /** Weight version that each model should run. */
+  get weights (): readonly NamedWeights[] { return this.#weights }
 
   /**
    * Takes a message of a watch. One from a control host that lags is ignored.
@@ -38,6 +44,12 @@
     return 'advanced'
   }
 
+  #replaceSite (site: Site): void {
+    assertInvariant(site.version >= (this.#site?.version ?? 0), 'configuration-never-reverts',
+      () => `site ${site.version} after ${this.#site?.version}`)
+    this.#site = site
+  }
+
   #advance (message: ViewMessage): void {
     const { viewRevision, revision } = message
     assertInvariant(viewRevision > this.#viewRevision && revision >= this.#index.revision, 'configuration-never-reverts',
@@ -45,6 +57,8 @@
     const isNewRevision = revision !== this.#index.revision
     this.#viewRevision = viewRevision
     this.#shards = message.shards
+    this.#weights = message.weights
+    if (message.site !== undefined) this.#replaceSite(message.site)
     if (isNewRevision) this.#index = new ConfigurationIndex(revision, { documents: [...this.#documents.values()] })
   }
 }
