--- /dev/null
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -0,0 +1,111 @@
+/** Puts the tasks of an entry host for routed requests together. */
+import { z } from 'zod'
+import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import { addressListSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { ControlLink } from '@eelgrassmux/view/ControlLink'
+import type { RequestCodec } from './routed/RequestCodec.js'
+import { RoutedFleet } from './routed/RoutedFleet.js'
+import { RoutedServer } from './routed/RoutedServer.js'
+
+/** Settings of an entry host for routed requests. */
+export const routedSettingsShape = {
+  ...commonSettingsShape,
+  port: integerSetting(0, 65535).default(0).describe('port for callers; 0 takes a free one'),
+  control: addressListSetting.describe('control hosts, separated by commas'),
+  freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
+  staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
+  balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
+  retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
+  retrySlack: integerSetting(0, 100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
+}
+
+const settingsSchema = z.object(routedSettingsShape)
+
+/** Settings of an entry host for routed requests, checked. */
+export type RoutedSettings = z.infer<typeof settingsSchema>
+
+/** What a platform brings. */
+export interface RoutedPlatform {
+  readonly codec: RequestCodec
+  /** Opens what else the platform calls on an entry host. */
+  openEdges (isReady: () => boolean): Promise<{ close (): Promise<void> }>
+}
+
+/** Time after which idle connections of callers are closed at a planned stop, beyond the balancer's lag, in milliseconds. */
+const IDLE_CLOSE_MS = 200
+
+/**
+ * Starts an entry host for routed requests.
+ *
+ * @param settings - checked settings
+ * @param telemetry - log and metrics
+ * @param platform - words and edges
+ */
+export async function startRouted (settings: RoutedSettings, telemetry: Telemetry, platform: RoutedPlatform): Promise<RunningDaemon> {
+  const work = new WorkGate()
+  const rpc = new RpcClient()
+  const address = `${settings.host}:${settings.port}`
+  const link = new ControlLink({
+    host: address,
+    role: 'entry',
+    address,
+    dataCentre: settings.dataCentre,
+    controlAddresses: settings.control,
+    freshnessMs: settings.freshnessMs,
+    watchesEndpoints: true
+  }, rpc)
+  const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry)
+  const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
+  const server = new RoutedServer({
+    fleet,
+    codec: platform.codec,
+    work,
+    telemetry,
+    budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
+    liveHosts: () => link.liveEntries,
+    desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
+    mayAct
+  })
+  const port = await server.listen(settings.host, settings.port)
+  let isDraining = false
+  const isReady = (): boolean => !isDraining && server.isConfigured && fleet.isKnown && mayAct()
+  const edges = await platform.openEdges(isReady)
+
+  let siteVersion = -1
+  link.onChange(() => {
+    fleet.update(link.endpoints)
+    const { site } = link
+    if (site === undefined || site.version === siteVersion) return
+    siteVersion = site.version
+    server.configure(site)
+    telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
+  })
+  link.start()
+  telemetry.gauge('site_version', 'Site in force', () => siteVersion)
+  telemetry.gauge('view_revision', 'View in force', () => link.viewRevision)
+  telemetry.gauge('configuration_fresh', '1 while the configuration is confirmed', () => link.isFresh() ? 1 : 0)
+  telemetry.gauge('endpoint_list_age_seconds', 'Time since the platform stated the endpoint list', () => link.endpointListAgeMs(performance.now()) / 1000)
+  telemetry.gauge('requests_under_way', 'Routed requests that have not ended', () => work.underWay)
+
+  return {
+    addresses: { http: `${settings.host}:${port}` },
+    isReady,
+    stopping: () => { isDraining = true },
+    drain: async () => {
+      link.stopAccepting()
+      server.closeConnectionsAfterAnswers()
+      await new Promise(resolve => { setTimeout(resolve, IDLE_CLOSE_MS) })
+      work.close()
+      await work.whenIdle()
+    },
+    close: async () => {
+      await server.close()
+      link.stop()
+      await edges.close()
+      rpc.close()
+    }
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -0,0 +1,107 @@
+/** One request of a caller and the answer to it, on the caller's connection. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Refusal } from '@eelgrassmux/schema/Refusal'
+import { toProblem } from '../callers/problem.js'
+import { endToEndHeaders } from './headers.js'
+
+/** The caller's side of a routed request. */
+export class CallerExchange {
+  #hasHead = false
+  #hasEnded = false
+  #hasLeft = false
+
+  /**
+   * @param request - the caller's request
+   * @param response - the answer to it
+   * @param isLastOnConnection - whether the caller should use another connection afterwards
+   */
+  constructor (
+    readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly isLastOnConnection: () => boolean
+  ) {
+    response.sendDate = false
+  }
+
+  /** Whether part of an answer was passed on. */
+  get hasHead (): boolean { return this.#hasHead }
+  /** Whether the answer is complete, or nobody waits for it any more. */
+  get hasEnded (): boolean { return this.#hasEnded || this.#hasLeft }
+
+  /** @param listener - called once if the caller leaves before the answer is complete */
+  onLeave (listener: () => void): void {
+    this.response.on('close', () => {
+      if (this.#hasEnded) return
+      this.#hasLeft = true
+      listener()
+    })
+  }
+
+  /**
+   * Passes on the head of an endpoint's answer.
+   *
+   * @param status - as the endpoint answered
+   * @param headers - as the endpoint answered
+   */
+  writeHead (status: number, headers: readonly string[]): void {
+    this.#hasHead = true
+    const kept = endToEndHeaders(headers)
+    if (this.isLastOnConnection()) kept.push('Connection', 'close')
+    this.response.writeHead(status, kept)
+  }
+
+  /**
+   * @param chunk - bytes of the answer
+   * @returns false if the caller reads more slowly than they come
+   */
+  write (chunk: Buffer): boolean {
+    return this.response.write(chunk)
+  }
+
+  /** @param listener - called once when more can be written */
+  onceWritable (listener: () => void): void {
+    this.response.once('drain', listener)
+  }
+
+  /** Ends the answer as complete. */
+  end (): void {
+    this.#hasEnded = true
+    this.response.end()
+  }
+
+  /**
+   * Answers with a whole answer of an endpoint.
+   *
+   * @param status - as the endpoint answered
+   * @param headers - as the endpoint answered
+   * @param body - whole body
+   */
+  answer (status: number, headers: readonly string[], body: Buffer): void {
+    this.writeHead(status, headers)
+    this.#hasEnded = true
+    this.response.end(body)
+  }
+
+  /** Breaks an answer off, so that it can't be taken for complete. */
+  breakOff (): void {
+    this.#hasEnded = true
+    this.response.destroy()
+  }
+
+  /**
+   * Answers with a refusal of this host.
+   *
+   * @param refusal - reason, status, and whether the request ran
+   */
+  refuse (refusal: Refusal): void {
+    const body = Buffer.from(JSON.stringify(toProblem(refusal)))
+    const headers = ['Content-Type', 'application/problem+json', 'Content-Length', String(body.length)]
+    if (refusal.retryAfterSeconds !== undefined) headers.push('Retry-After', refusal.retryAfterSeconds.toFixed(2))
+    // Bytes of the request that were not read would be taken for the next one.
+    if (this.isLastOnConnection() || !this.request.complete) headers.push('Connection', 'close')
+    this.#hasHead = true
+    this.#hasEnded = true
+    this.response.writeHead(refusal.status, headers)
+    this.response.end(body)
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -0,0 +1,135 @@
+/** One send of a routed request to one endpoint, from its connection to the end of the answer. */
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
+import type { CancelRequest, EndpointConnection, EndpointRequest } from './EndpointConnection.js'
+import type { EndpointConnections } from './EndpointConnections.js'
+import type { AnswerFields, RequestCodec } from './RequestCodec.js'
+
+/** An answer's head, read. */
+export interface AnswerHead {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly fields: AnswerFields
+}
+
+/** Told of the answer; after `failed` or `complete` nothing more comes. */
+export interface AttemptListener {
+  /** The first byte may leave from now on. */
+  sending (): void
+  head (head: AnswerHead, resume: () => void): void
+  /** @returns false to pause until `resume` */
+  data (chunk: Buffer): boolean
+  complete (): void
+  failed (failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void
+}
+
+const MISDIRECTED = 421
+
+/** Sends once; its connection is kept only after a whole answer that belongs to the request. */
+export class RoutedAttempt {
+  #cancel: CancelRequest = () => {}
+  #head: AnswerHead | undefined
+  #wasSent = false
+  #hasEnded = false
+  #isReading = true
+  readonly startedAt = performance.now()
+
+  /**
+   * @param choice - where it goes
+   * @param requestId - id that the answer must bear
+   * @param connections - this host's connections to that endpoint
+   * @param connection - the one to use
+   * @param codec - reads the answer's headers
+   * @param listener - told of the answer
+   */
+  constructor (
+    readonly choice: EndpointChoice,
+    private readonly requestId: string,
+    private readonly connections: EndpointConnections,
+    private readonly connection: EndpointConnection,
+    private readonly codec: RequestCodec,
+    private readonly listener: AttemptListener
+  ) {}
+
+  /** Whether the first byte may have left. */
+  get wasSent (): boolean { return this.#wasSent }
+  get hasHead (): boolean { return this.#head !== undefined }
+
+  /** @param request - what to send */
+  send (request: EndpointRequest): void {
+    this.choice.endpoint.begin(this.choice.tokensToRead)
+    this.#cancel = this.connection.send(request, {
+      sending: () => {
+        this.#wasSent = true
+        this.listener.sending()
+      },
+      head: (status, headers, resume) => { this.#onHead(status, headers, resume) },
+      data: chunk => this.#onData(chunk),
+      complete: () => { this.#onComplete() },
+      failed: error => { this.#fail(this.#wasSent ? 'lost' : 'not-connected', error.message) }
+    })
+  }
+
+  /** Ends the attempt; the endpoint notices by the closed connection, and the listener hears nothing more. */
+  cancel (): void {
+    if (this.#hasEnded) return
+    this.#end()
+    this.connection.close()
+    this.#cancel()
+  }
+
+  /** The endpoint's work ends here, as far as this host counts it. */
+  #end (): void {
+    this.#hasEnded = true
+    this.#endReading()
+    this.choice.endpoint.end()
+  }
+
+  /** With the first event, the prompt has been read. */
+  #endReading (): void {
+    if (!this.#isReading) return
+    this.#isReading = false
+    this.choice.endpoint.firstEvent(this.choice.tokensToRead)
+  }
+
+  #onHead (status: number, headers: string[], resume: () => void): void {
+    if (this.#hasEnded) return
+    const fields = this.codec.readAnswer(status, headers)
+    if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
+      // An extra answer to an earlier request: what follows on this connection can't be trusted.
+      this.#fail('lost', `the answer bears the id ${fields.requestId}`)
+      return
+    }
+    this.#head = { status, headers, fields }
+    this.listener.head(this.#head, resume)
+  }
+
+  #onData (chunk: Buffer): boolean {
+    if (this.#hasEnded || this.#head === undefined) return true
+    this.#endReading()
+    return this.#head.fields.isNotExecuted || this.listener.data(chunk)
+  }
+
+  #onComplete (): void {
+    if (this.#hasEnded) return
+    const head = this.#head
+    if (head === undefined) {
+      this.#fail('lost', 'the answer ended without a head')
+      return
+    }
+    this.#end()
+    this.connections.release(this.connection)
+    if (!head.fields.isNotExecuted) {
+      this.listener.complete()
+      return
+    }
+    this.listener.failed(head.status === MISDIRECTED ? 'misdirected' : 'rejected', `status ${head.status}, not executed`, head)
+  }
+
+  #fail (failure: AttemptFailure, detail: string): void {
+    if (this.#hasEnded) return
+    this.#end()
+    this.connection.close()
+    this.listener.failed(failure, detail, this.#head)
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -0,0 +1,103 @@
+/** Endpoints of routed requests: what is known of each, and this host's connections to it. */
+import { chooseEndpoint, type EndpointAsk, type EndpointChoice, type NoEndpointReason } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
+import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { EndpointConnections } from './EndpointConnections.js'
+
+/** Connections that a host may have at an endpoint that states no bound. */
+const CONNECTIONS_WITHOUT_BOUND = 64
+
+/** Fewest connections of a host to an endpoint, however many hosts share its bound. */
+const LEAST_CONNECTIONS = 2
+
+/** Share of an endpoint's connections that hosts plan with; the rest covers hosts that are just leaving or starting. */
+const PLANNED_SHARE = 0.9
+
+/** Follows the list, chooses endpoints and keeps connections to them. */
+export class RoutedFleet {
+  readonly #pool = new EndpointPool()
+  readonly memory = new PromptMemory()
+  readonly #connections = new Map<string, EndpointConnections>()
+  readonly #opened: LabelledCounter
+
+  /**
+   * @param dataCentre - where this host stands
+   * @param liveHosts - entry hosts that may be alive, as of now
+   * @param telemetry - log and metrics
+   */
+  constructor (private readonly dataCentre: string, private readonly liveHosts: () => number, private readonly telemetry: Telemetry) {
+    this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
+    telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
+    telemetry.gauge('endpoints_paused', 'Endpoints without new work because of what requests to them showed', () => {
+      const now = performance.now()
+      return this.#pool.all.filter(endpoint => endpoint.health.isPaused(now)).length
+    })
+  }
+
+  /** Whether any endpoint is known. */
+  get isKnown (): boolean { return this.#pool.all.length > 0 }
+
+  /** @param listed - the platform's list as last read */
+  update (listed: readonly ListedEndpoint[]): void {
+    for (const gone of this.#pool.update(listed)) {
+      this.#connections.get(gone.id)?.closeIdle()
+      this.#connections.delete(gone.id)
+    }
+  }
+
+  /**
+   * @param service - service name
+   * @returns its endpoints
+   */
+  endpointsOf (service: string): readonly EndpointState[] {
+    return this.#pool.ofService(service)
+  }
+
+  /**
+   * Chooses an endpoint of a service.
+   *
+   * @param service - service name
+   * @param ask - what is asked
+   */
+  choose (service: string, ask: Omit<EndpointAsk, 'dataCentre'>): EndpointChoice | NoEndpointReason {
+    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre }, this.memory, performance.now(), Math.random())
+  }
+
+  /**
+   * @param endpoint - a chosen endpoint
+   * @returns this host's connections to it
+   */
+  connectionsTo (endpoint: EndpointState): EndpointConnections {
+    const present = this.#connections.get(endpoint.id)
+    if (present !== undefined) return present
+    const { address, service } = endpoint.listed
+    const connections = new EndpointConnections(address, () => { this.#opened.count(service) })
+    this.#connections.set(endpoint.id, connections)
+    return connections
+  }
+
+  /**
+   * @param connectionsPerEndpoint - bound of the service over all callers; 0 if it states none
+   * @returns this host's part of it
+   */
+  connectionLimit (connectionsPerEndpoint: number): number {
+    if (connectionsPerEndpoint === 0) return CONNECTIONS_WITHOUT_BOUND
+    return Math.max(LEAST_CONNECTIONS, Math.floor(connectionsPerEndpoint * PLANNED_SHARE / this.liveHosts()))
+  }
+
+  /**
+   * Takes the outcome of a request for what it says of the endpoint.
+   *
+   * @param endpoint - where it was sent
+   * @param outcome - how it ended there
+   */
+  observe (endpoint: EndpointState, outcome: 'success' | 'failure' | 'unreachable' | 'unanswered'): void {
+    if (!endpoint.health.observe(outcome, performance.now())) return
+    this.telemetry.stateChanged('endpoint-paused', {
+      endpoint: endpoint.id, address: endpoint.listed.address, outcome, failureShare: Number(endpoint.health.failureShare.toFixed(2))
+    })
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -0,0 +1,382 @@
+/**
+ * Carries one routed request to its end: chooses endpoints, passes the answer
+ * on, and goes on elsewhere where that is allowed. The bytes of request and
+ * answer are not looked into, but for the numbers of a resumable stream's events.
+ */
+import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
+import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { EventCursor } from '@eelgrassmux/runs/EventCursor'
+import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
+import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { CallerExchange } from './CallerExchange.js'
+import type { EndpointConnection } from './EndpointConnection.js'
+import type { EndpointConnections } from './EndpointConnections.js'
+import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
+import type { RoutedFleet } from './RoutedFleet.js'
+
+/** A request that was read whole and belongs to a route. */
+export interface RoutedRequest {
+  readonly id: string
+  readonly route: Route
+  readonly service: ReplicatedService
+  readonly customer: SiteCustomer | undefined
+  readonly fields: CallerFields
+  readonly body: Buffer | undefined
+  /** Monotonic milliseconds when its head was read. */
+  readonly arrivedAt: number
+  /** Version of the site under which it was admitted. */
+  readonly siteVersion: number
+}
+
+/** What a request needs from around it. */
+export interface RoutedPorts {
+  readonly fleet: RoutedFleet
+  readonly codec: RequestCodec
+  readonly allowance: RetryAllowance
+  readonly retries: LabelledCounter
+  readonly refusals: LabelledCounter
+  readonly firstEvent: (milliseconds: number) => void
+  readonly telemetry: Telemetry
+  /** Version of the weights that a model's engines should run. */
+  desiredVersion (model: string): number
+}
+
+/** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
+const HELD_ANSWER_BYTES = 256 * 1024
+
+/** Ranks that engines know; the product's route and customer ranks beyond the last count as the last. */
+const LAST_RANK = 9
+
+/** Statuses that callers take for a promise that the request has not run. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/** Shortest and longest pause before a refused caller should return, in seconds: a place frees within tenths of a second. */
+const RETURN_AFTER_SECONDS = { least: 0.2, most: 1 }
+
+/** One request. */
+export class RoutedRequestTask {
+  readonly #dispatch = new DispatchRecord()
+  readonly #tried = new Set<string>()
+  readonly #deadline: number
+  #attempt: RoutedAttempt | undefined
+  #sends = 0
+  #runs = 0
+  #cursor: EventCursor | undefined
+  #head: AnswerHead | undefined
+  #resume: () => void = () => {}
+  #held: Buffer[] | undefined
+  #heldBytes = 0
+  #requiredVersion: number | undefined
+  #timer: NodeJS.Timeout | undefined
+  #isDone = false
+  #hasFirstEvent = false
+
+  /**
+   * @param request - what to do
+   * @param exchange - the caller's side
+   * @param ports - surroundings
+   * @param onEnd - called once at the end
+   */
+  constructor (
+    private readonly request: RoutedRequest,
+    private readonly exchange: CallerExchange,
+    private readonly ports: RoutedPorts,
+    private readonly onEnd: () => void
+  ) {
+    const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
+    this.#deadline = request.arrivedAt + limitMs
+  }
+
+  /** Starts; everything else follows from timers and sockets. */
+  start (): void {
+    this.#timer = setTimeout(() => { this.#timeOut() }, Math.max(0, this.#deadline - performance.now()))
+    this.exchange.onLeave(() => { this.#callerLeft() })
+    if (this.request.route.kind === 'stream' && this.request.route.isResumable) this.#cursor = new EventCursor(this.request.fields.lastEventId)
+    this.#tryNext()
+  }
+
+  // --- Attempts ---
+
+  #tryNext (): void {
+    const choice = this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#promptAsk() })
+    if (typeof choice === 'string') {
+      this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
+      return
+    }
+    const { endpoint } = choice
+    const connections = this.ports.fleet.connectionsTo(endpoint)
+    const connection = connections.acquire(this.ports.fleet.connectionLimit(this.request.service.connectionsPerEndpoint))
+    this.#tried.add(endpoint.id)
+    if (connection === undefined) {
+      this.#decided('connections-used-up', { endpoint: endpoint.id, open: connections.count })
+      this.#tryNext()
+      return
+    }
+    this.#sends += 1
+    const attempt = this.#open(choice, connections, connection)
+    this.#attempt = attempt
+    this.#rememberPrompt(choice)
+    attempt.send({
+      method: this.exchange.request.method ?? 'GET',
+      target: this.exchange.request.url ?? '/',
+      headers: this.ports.codec.writeEndpoint(this.exchange.request.rawHeaders, {
+        instance: endpoint.id,
+        remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
+        customer: this.request.customer?.name,
+        lastEventId: this.#cursor?.lastId ?? this.request.fields.lastEventId,
+        priority: choice.version === undefined ? undefined : this.#rank(),
+        version: choice.version,
+        cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version)
+      }),
+      body: this.request.body
+    })
+  }
+
+  #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
+    const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.codec, {
+      sending: () => {
+        this.#runs += 1
+        this.#dispatch.markDispatched()
+      },
+      head: (head, resume) => { this.#onHead(attempt, head, resume) },
+      data: chunk => this.#onData(attempt, chunk),
+      complete: () => { this.#onComplete(attempt) },
+      failed: (failure, detail, head) => { this.#onFailure(attempt, failure, detail, head) }
+    })
+    return attempt
+  }
+
+  #onHead (attempt: RoutedAttempt, head: AnswerHead, resume: () => void): void {
+    const { endpoint } = attempt.choice
+    const now = performance.now()
+    if (head.fields.load !== undefined) endpoint.observeLoad(head.fields.load, now)
+    const model = this.request.fields.prompt?.model
+    if (model !== undefined && head.fields.version !== undefined) endpoint.learnVersion(model, head.fields.version)
+    this.#resume = resume
+    if (head.fields.isNotExecuted) return
+    this.#head = head
+    if (this.request.route.kind !== 'stream') this.#held = []
+  }
+
+  #onData (attempt: RoutedAttempt, chunk: Buffer): boolean {
+    if (this.#isDone) return true
+    if (this.#held !== undefined) return this.#hold(this.#held, chunk)
+    this.#noteFirstEvent(attempt)
+    const bytes = this.#cursor === undefined ? chunk : this.#cursor.push(chunk)
+    return bytes.length === 0 || this.#passOn(bytes)
+  }
+
+  #hold (held: Buffer[], chunk: Buffer): boolean {
+    held.push(chunk)
+    this.#heldBytes += chunk.length
+    if (this.#heldBytes <= HELD_ANSWER_BYTES) return true
+    this.#held = undefined
+    return this.#passOn(Buffer.concat(held))
+  }
+
+  #passOn (bytes: Buffer): boolean {
+    if (!this.exchange.hasHead && this.#head !== undefined) this.exchange.writeHead(this.#head.status, this.#head.headers)
+    if (this.exchange.write(bytes)) return true
+    this.exchange.onceWritable(() => { this.#resume() })
+    return false
+  }
+
+  #noteFirstEvent (attempt: RoutedAttempt): void {
+    if (this.#hasFirstEvent) return
+    this.#hasFirstEvent = true
+    this.#requiredVersion = attempt.choice.version
+    this.ports.firstEvent(performance.now() - this.request.arrivedAt)
+  }
+
+  #onComplete (attempt: RoutedAttempt): void {
+    const { endpoint } = attempt.choice
+    const head = this.#head
+    if (this.#isDone || head === undefined) return
+    if (this.#cursor?.isInsideEvent === true) {
+      this.#onFailure(attempt, 'lost', 'the stream ended inside an event', head)
+      return
+    }
+    const isFailure = head.status >= 500
+    this.ports.fleet.observe(endpoint, isFailure ? 'failure' : 'success')
+    if (isFailure && !this.exchange.hasHead && this.#mayRepeat('failed')) return
+    if (PROMISES_NOT_RUN.has(head.status)) {
+      // The endpoint does not say that the request has not run; its caller would take the status for that.
+      this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
+      return
+    }
+    if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
+    this.#finish('answered', { status: head.status, endpoint: endpoint.id })
+    if (this.#held !== undefined) this.exchange.answer(head.status, head.headers, Buffer.concat(this.#held))
+    else {
+      if (!this.exchange.hasHead) this.exchange.writeHead(head.status, head.headers)
+      this.exchange.end()
+    }
+  }
+
+  #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
+    if (this.#isDone) return
+    const { endpoint } = attempt.choice
+    this.#learn(attempt, failure, head)
+    if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) {
+      this.#runs -= 1
+      this.#dispatch.markNotStarted()
+    }
+    this.#held = undefined
+    this.#heldBytes = 0
+    this.#cursor?.dropIncomplete()
+    this.#decided('attempt-failed', {
+      endpoint: endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
+    })
+    if (this.exchange.hasHead && this.#cursor === undefined) {
+      this.#finish('broken-off', { endpoint: endpoint.id, failure, detail })
+      this.exchange.breakOff()
+      return
+    }
+    if (this.#mayRepeat(failure)) return
+    this.#giveUp(failure, detail)
+  }
+
+  #mayRepeat (failure: AttemptFailure): boolean {
+    const { route } = this.request
+    const step = nextStep({
+      kind: route.kind,
+      isResumable: route.isResumable,
+      failure,
+      runs: this.#runs,
+      sends: this.#sends,
+      maximumRuns: route.attempts,
+      remainingMs: this.#deadline - performance.now()
+    })
+    if (step.kind === 'give-up') return false
+    if (step.spendsBudget && !this.ports.allowance.trySpend()) {
+      this.#decided('retry-budget-used-up', { failure })
+      return false
+    }
+    this.ports.retries.count(failure)
+    this.#tryNext()
+    return true
+  }
+
+  /** What the failure says of the endpoint. */
+  #learn (attempt: RoutedAttempt, failure: AttemptFailure, head: AnswerHead | undefined): void {
+    const { endpoint } = attempt.choice
+    const now = performance.now()
+    switch (failure) {
+      case 'not-connected':
+        this.ports.fleet.observe(endpoint, 'unreachable')
+        break
+      case 'lost':
+        this.ports.fleet.observe(endpoint, 'failure')
+        break
+      case 'rejected':
+        endpoint.observeRejection(now)
+        break
+      case 'misdirected':
+        if (head?.fields.instance !== undefined && head.fields.instance !== endpoint.id) endpoint.markLeaving()
+        else endpoint.observeRejection(now)
+        break
+    }
+  }
+
+  // --- Ends ---
+
+  #giveUp (failure: AttemptFailure, detail: string): void {
+    if (this.exchange.hasHead) {
+      this.#finish('broken-off', { failure, detail })
+      this.exchange.breakOff()
+      return
+    }
+    if (this.#dispatch.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
+    else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
+  }
+
+  #timeOut (): void {
+    if (this.#isDone) return
+    this.#cancelAttempt('unanswered')
+    if (this.exchange.hasHead) {
+      this.#finish('broken-off', { failure: 'timeout' })
+      this.exchange.breakOff()
+      return
+    }
+    this.#refuse('deadline-passed', 504, 'the time of the request is over')
+  }
+
+  #callerLeft (): void {
+    if (this.#isDone) return
+    this.#cancelAttempt(undefined)
+    this.#finish('caller-left', {})
+  }
+
+  /** An endpoint that answered nothing for all the time there was is to blame; one whose caller left is not. */
+  #cancelAttempt (outcome: 'unanswered' | undefined): void {
+    const attempt = this.#attempt
+    if (attempt === undefined) return
+    const { endpoint } = attempt.choice
+    if (outcome !== undefined && !attempt.hasHead) this.ports.fleet.observe(endpoint, outcome)
+    attempt.cancel()
+  }
+
+  #refuse (reason: RefusalReason, wantedStatus: number, detail: string): void {
+    // A status that promises that nothing ran needs the proof.
+    const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
+    const retryAfterSeconds = status === 503 ? this.#returnAfterSeconds() : undefined
+    const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
+    this.ports.refusals.count(reason)
+    this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
+    this.exchange.refuse(refusal)
+  }
+
+  #returnAfterSeconds (): number {
+    const { least, most } = RETURN_AFTER_SECONDS
+    return least + Math.random() * (most - least)
+  }
+
+  #finish (outcome: string, details: Readonly<Record<string, string | number | boolean>>): void {
+    this.#isDone = true
+    clearTimeout(this.#timer)
+    if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
+      this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, runs: this.#runs })
+    }
+    this.onEnd()
+  }
+
+  #decided (event: string, details: Readonly<Record<string, string | number | boolean>>): void {
+    const { route, service, siteVersion } = this.request
+    this.ports.telemetry.decided(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
+  }
+
+  // --- Prompts ---
+
+  #promptAsk (): { prompt?: PromptAsk } {
+    const { prompt } = this.request.fields
+    if (prompt === undefined || this.request.service.engine === undefined) return {}
+    return {
+      prompt: {
+        description: prompt,
+        desiredVersion: this.ports.desiredVersion(prompt.model),
+        requiredVersion: this.#requiredVersion,
+        scope: version => this.#scope(version)
+      }
+    }
+  }
+
+  /** Engines keep parts apart by this text: no two versions, and nobody and an isolated customer, share one. */
+  #scope (version: number): string {
+    const { customer } = this.request
+    const wall = customer?.isIsolated === true ? `/${customer.name}` : ''
+    return `v${version}${wall}`
+  }
+
+  #rememberPrompt (choice: EndpointChoice): void {
+    const { prompt } = this.request.fields
+    if (prompt === undefined || choice.version === undefined) return
+    this.ports.fleet.memory.recordSend(this.#scope(choice.version), prompt.parts.slice(0, -1), choice.endpoint.id, performance.now())
+  }
+
+  #rank (): number {
+    return Math.min(LAST_RANK, this.request.customer?.priority ?? this.request.route.priority)
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -0,0 +1,216 @@
+/**
+ * The HTTP server for routed requests: who asks, which route, and within which bounds.
+ *
+ * Node's own server and not h3: bytes go from socket to socket as buffers, and a
+ * connection has to be closed, kept or broken off exactly as the answer asks.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import { RetryAllowance, type RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import { SiteIndex } from '@eelgrassmux/routing/site/SiteIndex'
+import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
+import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { CallerExchange } from './CallerExchange.js'
+import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import type { RoutedFleet } from './RoutedFleet.js'
+import { RoutedRequestTask } from './RoutedRequestTask.js'
+
+/** What the server needs from around it. */
+export interface RoutedServerPorts {
+  readonly fleet: RoutedFleet
+  readonly codec: RequestCodec
+  readonly work: WorkGate
+  readonly telemetry: Telemetry
+  readonly budget: RetryBudgetTerms
+  liveHosts (): number
+  desiredVersion (model: string): number
+  /** Whether this host may act on the site it knows. */
+  mayAct (): boolean
+}
+
+/** Headers that Node reads at most, in bytes; the site's own limit is checked after that and lies below. */
+const HARD_HEADER_LIMIT_BYTES = 64 * 1024
+
+/** Connections that wait to be accepted. */
+const BACKLOG = 4096
+
+/** Interval at which Node looks for callers that take too long, in milliseconds. */
+const SLOW_CALLER_LOOK_MS = 500
+
+/** Pause after which a caller should ask another host again, in seconds. */
+const ASK_AGAIN_SECONDS = 0.3
+
+const FIRST_EVENT_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5, 10]
+
+/** Serves routed requests until drained. */
+export class RoutedServer {
+  readonly #server: Server
+  readonly #allowances = new Map<string, RetryAllowance>()
+  readonly #refusals: LabelledCounter
+  readonly #retries: LabelledCounter
+  readonly #requests: LabelledCounter
+  readonly #firstEvent: (milliseconds: number) => void
+  #index: SiteIndex | undefined
+  #closesConnections = false
+
+  /** @param ports - surroundings */
+  constructor (private readonly ports: RoutedServerPorts) {
+    const { telemetry } = ports
+    this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
+    this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
+    this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
+    this.#firstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS)
+    this.#server = createServer({ maxHeaderSize: HARD_HEADER_LIMIT_BYTES, connectionsCheckingInterval: SLOW_CALLER_LOOK_MS, keepAlive: true })
+    this.#server.requestTimeout = 0
+    this.#server.on('request', (request, response) => { this.#accept(request, response) })
+    this.#server.on('checkContinue', (request, response: ServerResponse) => {
+      response.writeContinue()
+      this.#accept(request, response)
+    })
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param host - IP number
+   * @param port - port, 0 for a free one
+   * @returns the port
+   */
+  async listen (host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
+    })
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** @param site - site that is now in force */
+  configure (site: Site): void {
+    this.#index = new SiteIndex(site)
+    this.#server.headersTimeout = site.limits.headerTimeoutMs
+    this.#server.keepAliveTimeout = site.limits.idleTimeoutMs
+  }
+
+  /** Whether a site is known. */
+  get isConfigured (): boolean { return this.#index !== undefined }
+
+  /** From now on every answer is the last on its connection, so that callers move to other hosts. */
+  closeConnectionsAfterAnswers (): void {
+    this.#closesConnections = true
+    this.#server.closeIdleConnections()
+  }
+
+  /** Closes; requests under way must have ended. */
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.#server.close(() => { resolve() })
+      this.#server.closeAllConnections()
+    })
+  }
+
+  #accept (message: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = performance.now()
+    const exchange = new CallerExchange(message, response, () => this.#closesConnections)
+    const fields = this.ports.codec.readCaller(message.rawHeaders)
+    const index = this.#index
+    if (index === undefined || !this.ports.mayAct()) {
+      this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host does not know the site yet', ASK_AGAIN_SECONDS)
+      return
+    }
+    if (headerBytes(message) > index.site.limits.headerBytes) {
+      this.#refuse(exchange, fields, 'headers-too-large', 431, `the headers are larger than ${index.site.limits.headerBytes} bytes`)
+      return
+    }
+    const route = index.routes.find(message.headers.host ?? '', message.url ?? '/')
+    if (route === undefined) {
+      this.#refuse(exchange, fields, 'unknown-path', 404, `there is no route for ${message.headers.host ?? ''} ${message.url ?? ''}`)
+      return
+    }
+    const customer = fields.key === undefined ? undefined : index.customerByKey(fields.key)
+    if (index.needsKeys && !route.isPublic && customer === undefined) {
+      this.#refuse(exchange, fields, 'unknown-credential', 401, 'send a key that a customer holds')
+      return
+    }
+    this.#readBody(message, exchange, fields, index, body => { this.#start(exchange, fields, index, route, customer, body, arrivedAt) })
+  }
+
+  #readBody (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, index: SiteIndex, onBody: (body: Buffer | undefined) => void): void {
+    const limit = index.site.limits.bodyBytes
+    const refuseLarge = (): void => { this.#refuse(exchange, fields, 'body-too-large', 413, `the body is larger than ${limit} bytes`) }
+    if (Number(message.headers['content-length'] ?? 0) > limit) {
+      refuseLarge()
+      return
+    }
+    const chunks: Buffer[] = []
+    let bytes = 0
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (exchange.hasEnded) return
+      if (bytes > limit) refuseLarge()
+      else chunks.push(chunk)
+    })
+    message.on('end', () => {
+      if (exchange.hasEnded) return
+      const hasBody = bytes > 0 || message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
+      onBody(hasBody ? Buffer.concat(chunks) : undefined)
+    })
+  }
+
+  #start (
+    exchange: CallerExchange, fields: CallerFields, index: SiteIndex, route: Route, customer: SiteCustomer | undefined,
+    body: Buffer | undefined, arrivedAt: number
+  ): void {
+    const service = index.services.get(index.drawService(route, Math.random()))
+    if (service === undefined) {
+      this.#refuse(exchange, fields, 'no-endpoint', 503, `route ${route.name} leads to no service`, ASK_AGAIN_SECONDS)
+      return
+    }
+    const ticket = this.ports.work.tryBegin()
+    if (ticket === undefined) {
+      this.#refuse(exchange, fields, 'draining', 503, 'this host is stopping; ask another', ASK_AGAIN_SECONDS)
+      return
+    }
+    const allowance = this.#allowance(service.name)
+    allowance.recordRequest(this.ports.liveHosts())
+    this.#requests.count(route.kind)
+    const { fleet, codec, telemetry } = this.ports
+    const id = fields.requestId ?? ''
+    const request = { id, route, service, customer, fields, body, arrivedAt, siteVersion: index.site.version }
+    new RoutedRequestTask(request, exchange, {
+      fleet,
+      codec,
+      allowance,
+      telemetry,
+      retries: this.#retries,
+      refusals: this.#refusals,
+      firstEvent: this.#firstEvent,
+      desiredVersion: model => this.ports.desiredVersion(model)
+    }, () => { ticket.end() }).start()
+  }
+
+  #refuse (
+    exchange: CallerExchange, fields: CallerFields, reason: RefusalReason, status: number, detail: string, retryAfterSeconds?: number
+  ): void {
+    this.#refusals.count(reason)
+    this.ports.telemetry.decided('refused', fields.requestId ?? '', {
+      reason, status, run: 'not-run', detail, siteVersion: this.#index?.site.version ?? -1
+    })
+    exchange.refuse(refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, new DispatchRecord()))
+  }
+
+  #allowance (service: string): RetryAllowance {
+    const present = this.#allowances.get(service)
+    if (present !== undefined) return present
+    const allowance = new RetryAllowance(this.ports.budget)
+    this.#allowances.set(service, allowance)
+    return allowance
+  }
+}
+
+function headerBytes (message: IncomingMessage): number {
+  const { rawHeaders } = message
+  // Two bytes between name and value, two at the end of each line.
+  return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0)
+}
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -29,6 +29,10 @@
   readonly addresses: Readonly<Record<string, string>>
   /** Whether new work is welcome. */
   isReady (): boolean
+  /** Told at once when a planned stop begins, before the balancer has noticed. */
+  stopping? (): void
+  /** Told that settings which may change while the process runs have changed. */
+  reload? (): void
   /** Refuses new work from now on and resolves when all work under way is finished. */
   drain (): Promise<void>
   /** Closes sockets and files. */
@@ -135,8 +139,14 @@
   const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !draining && daemon.isReady())
   const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
+  telemetry.stateChanged('started', addresses)
+  process.on('SIGHUP', () => {
+    telemetry.stateChanged('reloading')
+    daemon.reload?.()
+  })
   await stopSignal()
   draining = true
+  daemon.stopping?.()
   telemetry.stateChanged('draining')
   await sleep(settings.balancerLagMs ?? 0)
   await daemon.drain()
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/EndpointHealth.ts
@@ -0,0 +1,67 @@
+/** Health of one endpoint, learnt from what requests to it show. */
+
+/** How a request to an endpoint ended, as far as the endpoint is to blame. */
+export type RequestOutcome = 'success' | 'failure' | 'unreachable' | 'unanswered'
+
+/** First pause without new work after an endpoint was found unreachable, in milliseconds; a restart takes about a second. */
+const UNREACHABLE_PAUSE_MS = 500
+
+/** First pause after an endpoint failed many requests, in milliseconds. */
+const FAILING_PAUSE_MS = 1500
+
+/** Longest pause, in milliseconds; the list names endpoints that are gone within seconds. */
+const LONGEST_PAUSE_MS = 5000
+
+/** Weight of the newest outcome in the failure share; five outcomes make up two thirds of it. */
+const SMOOTHING = 0.2
+
+/**
+ * Failure share above which an endpoint pauses. The users' sheets have routes of
+ * which 14 in 100 requests fail by themselves; a faulty endpoint fails 40 and more.
+ */
+const FAILING_SHARE = 0.4
+
+/** Mutable health of one endpoint. */
+export class EndpointHealth {
+  #failureShare = 0
+  #pausedUntil = Number.NEGATIVE_INFINITY
+  #pauses = 0
+
+  /** Share of recent requests that failed. */
+  get failureShare (): number { return this.#failureShare }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether it should get no new work if others can take it
+   */
+  isPaused (now: number): boolean {
+    return now < this.#pausedUntil
+  }
+
+  /**
+   * Takes the outcome of a request.
+   *
+   * @param outcome - how it ended
+   * @param now - monotonic milliseconds
+   * @returns whether the endpoint was paused by it
+   */
+  observe (outcome: RequestOutcome, now: number): boolean {
+    const sample = outcome === 'success' ? 0 : 1
+    this.#failureShare += (sample - this.#failureShare) * SMOOTHING
+    if (outcome === 'success') {
+      this.#pauses = 0
+      return false
+    }
+    if (this.isPaused(now)) return false
+    if (outcome === 'unreachable') return this.#pause(UNREACHABLE_PAUSE_MS, now)
+    if (outcome === 'unanswered') return this.#pause(FAILING_PAUSE_MS, now)
+    if (this.#failureShare < FAILING_SHARE) return false
+    return this.#pause(FAILING_PAUSE_MS, now)
+  }
+
+  #pause (firstMs: number, now: number): boolean {
+    this.#pausedUntil = now + Math.min(LONGEST_PAUSE_MS, firstMs * 2 ** this.#pauses)
+    this.#pauses += 1
+    return true
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -0,0 +1,160 @@
+/** What one entry host knows of one endpoint. */
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import { EndpointHealth } from './EndpointHealth.js'
+
+/** Load as an endpoint states it in its answers. */
+export interface StatedLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+}
+
+/** Age after which a stated load says nothing any more, in milliseconds. */
+const LOAD_LIFETIME_MS = 2000
+
+/** Time for which an endpoint that said it was full gets no further work, in milliseconds; a place frees every few. */
+const FULL_MS = 60
+
+/** Weight of the newest sample in the mean latency. */
+const LATENCY_SMOOTHING = 0.1
+
+/** One incarnation of an endpoint. */
+export class EndpointState {
+  readonly health = new EndpointHealth()
+  #listed: ListedEndpoint
+  #isLeaving: boolean
+  #versions = new Map<string, number>()
+  #inFlight = 0
+  #pendingTokens = 0
+  #load: { stated: StatedLoad, at: number, inFlightThen: number } | undefined
+  #fullUntil = Number.NEGATIVE_INFINITY
+  #busyUntil = Number.NEGATIVE_INFINITY
+  #latencyMs: number | undefined
+
+  /** @param listed - as first listed */
+  constructor (listed: ListedEndpoint) {
+    this.#listed = listed
+    this.#isLeaving = listed.isLeaving
+    this.#learnVersions(listed)
+  }
+
+  get id (): string { return this.#listed.id }
+  get listed (): ListedEndpoint { return this.#listed }
+  get isLeaving (): boolean { return this.#isLeaving }
+  /** Requests of this host that are under way there. */
+  get inFlight (): number { return this.#inFlight }
+  /** Prompt tokens of this host's requests that have not brought their first event yet. */
+  get pendingTokens (): number { return this.#pendingTokens }
+  /** Mean time of a plain answer, once there was one, in milliseconds. */
+  get latencyMs (): number | undefined { return this.#latencyMs }
+
+  /** @param listed - as listed now; what leaves never comes back under the same id */
+  update (listed: ListedEndpoint): void {
+    this.#listed = listed
+    this.#isLeaving ||= listed.isLeaving
+    this.#learnVersions(listed)
+  }
+
+  /** Notes that the endpoint itself says that it is leaving. */
+  markLeaving (): void {
+    this.#isLeaving = true
+  }
+
+  /**
+   * @param model - model name
+   * @returns version of the weights that it is known to hold; undefined if it does not serve the model
+   */
+  version (model: string): number | undefined {
+    return this.#versions.get(model)
+  }
+
+  /**
+   * Notes a version that the endpoint stated itself. It may be lower than the one
+   * believed: an answer is newer than the list.
+   *
+   * @param model - model name
+   * @param version - as stated
+   */
+  learnVersion (model: string, version: number): void {
+    this.#versions.set(model, version)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether it starts no new work now
+   */
+  isBusy (now: number): boolean {
+    return this.#listed.isBusy || now < this.#busyUntil
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether it said a moment ago that it was full
+   */
+  isFull (now: number): boolean {
+    return now < this.#fullUntil
+  }
+
+  /**
+   * Notes a rejection.
+   *
+   * @param now - monotonic milliseconds
+   * @param pauseMs - time for which it gets no further work if others can take it
+   */
+  observeRejection (now: number, pauseMs = FULL_MS): void {
+    this.#fullUntil = now + pauseMs
+  }
+
+  /**
+   * Requests that it works on or has waiting, by its last word and this host's sends since.
+   *
+   * @param now - monotonic milliseconds
+   */
+  occupancy (now: number): { readonly total: number, readonly waiting: number, readonly slots: number } {
+    const slots = this.#load?.stated.slots ?? this.#listed.slots
+    if (this.#load === undefined || now - this.#load.at > LOAD_LIFETIME_MS) {
+      return { total: this.#inFlight, waiting: Math.max(0, this.#inFlight - slots), slots }
+    }
+    const { stated, inFlightThen } = this.#load
+    const total = Math.max(this.#inFlight, stated.running + stated.waiting + this.#inFlight - inFlightThen)
+    return { total, waiting: Math.max(0, Math.max(stated.waiting, total - slots)), slots }
+  }
+
+  /** @param pendingTokens - prompt tokens that it has to read before its first event */
+  begin (pendingTokens: number): void {
+    this.#inFlight += 1
+    this.#pendingTokens += pendingTokens
+  }
+
+  /** @param pendingTokens - as given at the beginning */
+  firstEvent (pendingTokens: number): void {
+    this.#pendingTokens -= pendingTokens
+  }
+
+  /** Notes the end of a request, however it ended. */
+  end (): void {
+    this.#inFlight -= 1
+  }
+
+  /**
+   * @param stated - load in an answer
+   * @param now - monotonic milliseconds
+   */
+  observeLoad (stated: StatedLoad, now: number): void {
+    this.#load = { stated, at: now, inFlightThen: this.#inFlight }
+  }
+
+  /** @param milliseconds - time of one plain answer */
+  observeLatency (milliseconds: number): void {
+    this.#latencyMs = this.#latencyMs === undefined
+      ? milliseconds
+      : this.#latencyMs + (milliseconds - this.#latencyMs) * LATENCY_SMOOTHING
+  }
+
+  #learnVersions (listed: ListedEndpoint): void {
+    for (const { model, version } of listed.models) {
+      // The list lags; versions only rise while an incarnation lives.
+      this.#versions.set(model, Math.max(version, this.#versions.get(model) ?? 0))
+    }
+  }
+}
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -12,7 +12,7 @@
 
 /** Why a request was refused: the last part of the problem type, and the metric label. */
 export const REFUSAL_REASONS = [
-  'malformed-json', 'invalid-body', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
+  'malformed-json', 'invalid-body', 'headers-too-large', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
   'idempotency-key-required', 'idempotency-key-reused', 'idempotency-in-progress', 'idempotency-outcome-unknown',
   'idempotency-unavailable', 'unknown-run', 'draining', 'configuration-stale', 'over-share',
   'deadline-unreachable', 'no-endpoint', 'endpoint-failed', 'endpoint-refused', 'deadline-passed'
--- /dev/null
+++ b/packages/telemetry/src/lib/BoundedLogWriter.ts
@@ -0,0 +1,88 @@
+/**
+ * Writes log lines without ever waiting for whoever reads them.
+ *
+ * Standard output may be a pipe that nobody empties, and Node.js writes to pipes
+ * synchronously. Lines therefore wait in a bounded buffer and are written by the
+ * thread pool, one batch at a time; lines that find the buffer full are dropped,
+ * counted, and reported in a line of their own.
+ */
+import { write } from 'node:fs'
+
+/** Writes bytes and calls back when they were taken. */
+export type ByteSink = (bytes: Buffer, done: (error: Error | null, written: number) => void) => void
+
+/** Most bytes that wait: some seconds of lines at a busy host's rate. */
+const BUFFER_BYTES = 512 * 1024
+
+/** Pause in which lines are gathered into one write, in milliseconds. */
+const GATHER_MS = 50
+
+/** Pause before a write is tried again after the sink was full, in milliseconds. */
+const RETRY_MS = 100
+
+const STANDARD_OUTPUT = 1
+
+/** Bounded buffer in front of a sink. */
+export class BoundedLogWriter {
+  #lines: string[] = []
+  #bytes = 0
+  #dropped = 0
+  #droppedInAll = 0
+  #timer: NodeJS.Timeout | undefined
+  #isWriting = false
+
+  /** @param sink - where the bytes go */
+  constructor (private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) }) {}
+
+  /** Lines dropped so far. */
+  get dropped (): number { return this.#droppedInAll }
+
+  /** @param line - without a line end */
+  write (line: string): void {
+    if (this.#bytes + line.length > BUFFER_BYTES) {
+      this.#dropped += 1
+      this.#droppedInAll += 1
+      return
+    }
+    this.#lines.push(line)
+    this.#bytes += line.length + 1
+    this.#schedule(GATHER_MS)
+  }
+
+  #schedule (delayMs: number): void {
+    if (this.#isWriting || this.#timer !== undefined) return
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined
+      this.#flush()
+    }, delayMs)
+    this.#timer.unref()
+  }
+
+  #flush (): void {
+    if (this.#dropped > 0) {
+      this.#lines.push(JSON.stringify({ context: { event: 'log-lines-dropped', count: this.#dropped }, message: 'log-lines-dropped' }))
+      this.#dropped = 0
+    }
+    if (this.#lines.length === 0) return
+    const bytes = Buffer.from(`${this.#lines.join('\n')}\n`)
+    this.#lines = []
+    this.#bytes = bytes.length
+    this.#isWriting = true
+    this.#writeAll(bytes)
+  }
+
+  #writeAll (bytes: Buffer): void {
+    this.sink(bytes, (error, written) => {
+      const isFull = error !== null && 'code' in error && error.code === 'EAGAIN'
+      const rest = error === null ? bytes.subarray(written) : bytes
+      if (isFull || (error === null && rest.length > 0)) {
+        setTimeout(() => { this.#writeAll(rest) }, isFull ? RETRY_MS : 0).unref()
+        return
+      }
+      // Any other error means that nobody will ever read it: there is nowhere left to say so.
+      this.#isWriting = false
+      this.#bytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0)
+      this.#schedule(GATHER_MS)
+    })
+  }
+}
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -1,6 +1,7 @@
 /** Metrics registry and state-change log of one process. */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
-import { Roarr } from 'roarr'
+import { ROARR, Roarr } from 'roarr'
+import { BoundedLogWriter } from './BoundedLogWriter.js'
 
 /** Counter with one label. */
 export interface LabelledCounter {
@@ -8,16 +9,30 @@
   count (label: string, amount?: number): void
 }
 
+/** Values that explain a line. */
+export type LogDetails = Readonly<Record<string, string | number | boolean>>
+
+/** Requests of which the whole story is kept although all went well: one in so many. */
+const KEPT_SUCCESSES = 64
+
+/** Lines a second beyond which only failures are logged. */
+const LINES_PER_SECOND = 200
+
 /** Metrics and log of one process, both named after its program. */
 export class Telemetry {
   readonly registry = new Registry()
   readonly #log
+  #linesThisSecond = 0
+  #secondStartedAt = 0
 
   /** @param program - name of the binary, such as `eelgrassmux-entry` */
   constructor (readonly program: string) {
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
+    const writer = new BoundedLogWriter()
+    ROARR.write = message => { writer.write(message) }
+    this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => writer.dropped)
   }
 
   /**
@@ -61,12 +76,42 @@
   }
 
   /**
-   * Logs a change of state. Nothing else is logged: the rest is counted.
+   * Whether the story of a request that goes well is kept. All processes keep or drop
+   * the same requests, so that what is kept is whole.
+   *
+   * @param requestId - the caller's id
+   */
+  keepsStory (requestId: string): boolean {
+    let hash = 0
+    for (let at = 0; at < requestId.length; at += 1) hash = (Math.imul(hash, 31) + requestId.charCodeAt(at)) | 0
+    return (hash >>> 0) % KEPT_SUCCESSES === 0
+  }
+
+  /**
+   * Logs a decision that touches a request.
+   *
+   * @param event - short stable name of the decision
+   * @param requestId - the caller's id of the attempt
+   * @param details - inputs that decided, their age or version, and the outcome
+   */
+  decided (event: string, requestId: string, details: LogDetails): void {
+    const now = performance.now()
+    if (now - this.#secondStartedAt >= 1000) {
+      this.#secondStartedAt = now
+      this.#linesThisSecond = 0
+    }
+    this.#linesThisSecond += 1
+    if (this.#linesThisSecond > LINES_PER_SECOND) return
+    this.#log.info({ event, request: requestId, ...details }, event)
+  }
+
+  /**
+   * Logs a change of state.
    *
    * @param event - short stable name of the change
    * @param details - values that explain it
    */
-  stateChanged (event: string, details: Readonly<Record<string, string | number | boolean>> = {}): void {
+  stateChanged (event: string, details: LogDetails = {}): void {
     this.#log.info({ event, ...details }, event)
   }
 
@@ -76,7 +121,7 @@
    * @param event - short stable name of the fault
    * @param details - values that explain it
    */
-  fault (event: string, details: Readonly<Record<string, string | number | boolean>> = {}): void {
+  fault (event: string, details: LogDetails = {}): void {
     this.#log.error({ event, ...details }, event)
   }
 }
