A reset behind the bytes of an answer is not its end

A reset that arrives together with bytes is reported by the event loop as an orderly end, so the error never reaches the socket's listeners.

Ruled out: order of listeners (ours is first), answers with a length (tested). Mend: a connection that was reset has no peer address any more.

--- /dev/null
+++ b/apps/entry/src/lib/routed/EndpointConnection.test.ts
@@ -0,0 +1,84 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, describe, expect, it } from 'vitest'
+import { EndpointConnection } from './EndpointConnection.js'
+
+interface Outcome {
+  readonly kind: 'complete' | 'failed'
+  readonly status: number | undefined
+  readonly body: string
+}
+
+describe('EndpointConnection', () => {
+  let server: Server | undefined
+
+  afterEach(() => { server?.close() })
+
+  async function answerWith (answer: (socket: Socket) => void): Promise<Outcome> {
+    const listening = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => { answer(socket) })
+    })
+    server = listening
+    await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
+    const connection = new EndpointConnection(`127.0.0.1:${(listening.address() as AddressInfo).port}`, () => {})
+    let status: number | undefined
+    const body: Buffer[] = []
+    const kind = await new Promise<Outcome['kind']>(resolve => {
+      connection.send({ method: 'GET', target: '/a', headers: ['host', 'h'], body: undefined }, {
+        sending: () => {},
+        head: answered => { status = answered },
+        data: chunk => {
+          body.push(chunk)
+          return true
+        },
+        complete: () => { resolve('complete') },
+        failed: () => { resolve('failed') }
+      })
+    })
+    connection.close()
+    return { kind, status, body: Buffer.concat(body).toString() }
+  }
+
+  describe('an answer without a length', () => {
+    it('is complete when the connection ends in order', async () => {
+      const outcome = await answerWith(socket => { socket.end('HTTP/1.1 200 OK\r\n\r\nwhole') })
+      expect(outcome).toEqual({ kind: 'complete', status: 200, body: 'whole' })
+    })
+
+    it('is not complete when the connection is reset behind its bytes', async () => {
+      const outcome = await answerWith(socket => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nhalf')
+        void sleep(30).then(() => { socket.resetAndDestroy() })
+      })
+      expect(outcome.kind).toBe('failed')
+    })
+
+    it('is not complete when the reset comes with its bytes', async () => {
+      const outcome = await answerWith(socket => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => { socket.resetAndDestroy() })
+      })
+      expect(outcome.kind).toBe('failed')
+    })
+  })
+
+  describe('an answer with a length', () => {
+    it('is not complete when the connection ends inside it', async () => {
+      const outcome = await answerWith(socket => { socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf') })
+      expect(outcome.kind).toBe('failed')
+    })
+
+    it('is not complete when the connection ends inside it and was to be closed', async () => {
+      const outcome = await answerWith(socket => { socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhalf') })
+      expect(outcome.kind).toBe('failed')
+    })
+
+    it('is not complete when it is chunked and its last chunk is missing', async () => {
+      const outcome = await answerWith(socket => {
+        socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n')
+      })
+      expect(outcome.kind).toBe('failed')
+    })
+  })
+})
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -136,6 +136,9 @@
       this.#wasReset = true
       settle(error, undefined)
     })
+    // A reset that comes together with bytes is reported as an end. A connection that was
+    // reset has no peer any more, one that ended in order still has.
+    socket.once('end', () => { this.#wasReset ||= socket.remoteAddress === undefined })
     socket.once('connect', () => { settle(undefined, socket) })
   }
 }
