Shared prompt parts are saved to stores and fetched from them

Each part has one home store by weighted rendezvous hashing; control hosts follow the stores' events and tell entry hosts; a fetch that does not end in 1.5 s of the stores' clock is thrown away.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -23,6 +23,8 @@
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftTask } from './raft/RaftTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
+import type { StoreSource } from './stores/StoreFollower.js'
+import { StoreTask } from './stores/StoreTask.js'
 import { SiteService } from './site/SiteService.js'
 
 const HOUR_MS = 60 * 60 * 1000
@@ -53,6 +55,7 @@
 export interface ControlPlatform {
   readonly endpoints: EndpointSource
   readonly engines: RolloutBackend
+  readonly stores: StoreSource
   /** Addresses of control hosts that may know the group, as of now. */
   contacts (): readonly string[]
   /** Opens what operators call on this platform. */
@@ -128,7 +131,8 @@
   const rollout = platform === undefined || endpoints === undefined
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
-  const sites = { gate, service, ...(endpoints === undefined ? {} : { endpoints }) }
+  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpoints ?? [], telemetry)
+  const sites = { gate, service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
 
@@ -163,6 +167,7 @@
       keeper.stop()
       rollout?.stop()
       endpoints?.stop()
+      stores?.stop()
       await operators?.close()
       await orders.stop()
       server.close()
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -4,8 +4,9 @@
 import type { RaftError } from '@eelgrassmux/consensus/RaftCore'
 import { unreachable } from '@eelgrassmux/schema/invariant'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
 import {
-  changeMembership, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchView,
+  changeMembership, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchStoredParts, watchView,
   type EndpointListMessage, type MembershipChange, type MembershipChangeResponse, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
@@ -14,6 +15,7 @@
 import type { OrderTask } from './orders/OrderTask.js'
 import type { FormationGate } from './raft/FormationGate.js'
 import type { RaftTask } from './raft/RaftTask.js'
+import type { StoreTask } from './stores/StoreTask.js'
 import type { SiteService } from './site/SiteService.js'
 
 /** Longest wait for a membership change to be committed, and interval between looks, in milliseconds. */
@@ -29,6 +31,8 @@
   readonly service: SiteService
   /** Absent where the platform has no list of endpoints. */
   readonly endpoints?: EndpointListTask
+  /** Absent where there are no stores to follow. */
+  readonly stores?: StoreTask
 }
 
 /** Answers calls from the replica's present state. */
@@ -102,6 +106,7 @@
     server.handle(changeMembership, async change => await this.#changeMembership(change))
     server.handleStream(watchView, async ({ viewRevision }, stream) => { await this.#watch(viewRevision, stream) })
     server.handleStream(watchEndpoints, async (_request, stream) => { await this.#watchEndpoints(stream) })
+    server.handleStream(watchStoredParts, async (_request, stream) => { await this.#watchStoredParts(stream) })
   }
 
   async #watch (from: number, stream: ResponseStream<ViewMessage>): Promise<void> {
@@ -140,6 +145,21 @@
     }
   }
 
+  async #watchStoredParts (stream: ResponseStream<StoredPartsMessage>): Promise<void> {
+    const { stores } = this.sites
+    if (stores === undefined) return
+    const changes = new EventEmitter()
+    const watcher = stores.addWatcher(() => { changes.emit('change') })
+    try {
+      while (!stream.signal.aborted) {
+        await stream.send(stores.take(watcher))
+        if (watcher.pending.length === 0) await nextChange(changes, stream.signal)
+      }
+    } finally {
+      stores.removeWatcher(watcher)
+    }
+  }
+
   #viewSince (known: number): ViewMessage {
     const { state } = this.raft
     const { viewRevision, revision } = state
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -58,6 +58,10 @@
     watchesEndpoints: true
   }, rpc)
   const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry)
+  const stored = link.followStores({
+    reset: () => { fleet.storedParts.clear() },
+    apply: change => { fleet.storedParts.apply(change) }
+  })
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
   const server = new RoutedServer({
     fleet,
@@ -67,7 +71,10 @@
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
     desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
-    mayAct
+    mayAct,
+    // Parts that nobody vouches for may have been freed meanwhile.
+    storesUsable: now => stored.isVouched(now),
+    storeClockMs: now => stored.storeClockMs(now)
   })
   const port = await server.listen(settings.host, settings.port)
   let isDraining = false
@@ -81,6 +88,7 @@
     if (site === undefined || site.version === siteVersion) return
     siteVersion = site.version
     server.configure(site)
+    fleet.storedParts.configure(site.services.filter(service => service.type === 'store'))
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
   })
   link.start()
--- a/apps/entry/src/lib/routed/RequestCodec.ts
+++ b/apps/entry/src/lib/routed/RequestCodec.ts
@@ -27,6 +27,16 @@
   readonly version: number | undefined
   /** Under which the engine keeps the prompt's parts. */
   readonly cacheSalt: string | undefined
+  /** Stores from which the engine fetches parts of the prompt and to which it saves them, one entry a part. */
+  readonly stores: StoreTransfers | undefined
+}
+
+/** Transfers between an engine and stores for one prompt. */
+export interface StoreTransfers {
+  readonly fetches: ReadonlyArray<string | undefined>
+  readonly saves: ReadonlyArray<string | undefined>
+  /** On the stores' clock: a fetch that has not ended by then is thrown away. */
+  readonly fetchUntilMs: number | undefined
 }
 
 /** What an endpoint states in the headers of an answer. */
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -3,6 +3,7 @@
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
+import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { EndpointConnections } from './EndpointConnections.js'
@@ -20,6 +21,7 @@
 export class RoutedFleet {
   readonly #pool = new EndpointPool()
   readonly memory = new PromptMemory()
+  readonly storedParts = new StoredPartsIndex()
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #opened: LabelledCounter
 
@@ -31,6 +33,7 @@
   constructor (private readonly dataCentre: string, private readonly liveHosts: () => number, private readonly telemetry: Telemetry) {
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
+    telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
     telemetry.gauge('endpoints_paused', 'Endpoints without new work because of what requests to them showed', () => {
       const now = performance.now()
       return this.#pool.all.filter(endpoint => endpoint.health.isPaused(now)).length
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -6,6 +6,9 @@
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
+import type { PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
+import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
@@ -13,7 +16,7 @@
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
-import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import type { CallerFields, RequestCodec, StoreTransfers } from './RequestCodec.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 
@@ -42,8 +45,21 @@
   readonly telemetry: Telemetry
   /** Version of the weights that a model's engines should run. */
   desiredVersion (model: string): number
+  /** Whether what this host knows of stores may be acted on. */
+  storesUsable (now: number): boolean
+  /** The stores' clock in milliseconds, once it is known. */
+  storeClockMs (now: number): number | undefined
 }
 
+/** A plan that uses no store. */
+const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0, firstByteMs: 0, tokenMs: 0 }
+
+/**
+ * Time within which an engine must have fetched a prompt's parts, in milliseconds.
+ * Control hosts wait longer than this before they free a part that they told of.
+ */
+const FETCH_WITHIN_MS = 1500
+
 /** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
 const HELD_ANSWER_BYTES = 256 * 1024
 
@@ -71,6 +87,7 @@
   #heldBytes = 0
   #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
+  readonly #plans = new Map<number, StorePlan>()
   #isDone = false
   #hasFirstEvent = false
 
@@ -129,7 +146,8 @@
         lastEventId: this.#cursor?.lastId ?? this.request.fields.lastEventId,
         priority: choice.version === undefined ? undefined : this.#rank(),
         version: choice.version,
-        cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version)
+        cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version),
+        stores: choice.version === undefined ? undefined : this.#transfers(choice.version)
       }),
       body: this.request.body
     })
@@ -358,7 +376,8 @@
         description: prompt,
         desiredVersion: this.ports.desiredVersion(prompt.model),
         requiredVersion: this.#requiredVersion,
-        scope: version => this.#scope(version)
+        scope: version => this.#scope(version),
+        stored: version => this.#storePlan(version)
       }
     }
   }
@@ -366,14 +385,40 @@
   /** Engines keep parts apart by this text: no two versions, and nobody and an isolated customer, share one. */
   #scope (version: number): string {
     const { customer } = this.request
-    const wall = customer?.isIsolated === true ? `/${customer.name}` : ''
-    return `v${version}${wall}`
+    return cacheScope(version, customer?.isIsolated === true ? customer.name : undefined)
+  }
+
+  /** Planned once for each version: all candidates are weighed against the same plan. */
+  #storePlan (version: number): StorePlan {
+    const present = this.#plans.get(version)
+    if (present !== undefined) return present
+    const now = performance.now()
+    const bytesPerToken = this.request.service.engine?.bytesPerToken ?? 0
+    const plan = this.ports.storesUsable(now)
+      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts(), bytesPerToken, now)
+      : NO_STORES
+    this.#plans.set(version, plan)
+    return plan
+  }
+
+  #transfers (version: number): StoreTransfers | undefined {
+    const plan = this.#storePlan(version)
+    if (plan === NO_STORES) return undefined
+    const now = performance.now()
+    this.ports.fleet.storedParts.recordSaves(this.#scope(version), this.#sharedParts(), plan, now)
+    const clockMs = this.ports.storeClockMs(now)
+    // Without the stores' clock a late fetch could not be thrown away, so there is none.
+    const fetches = clockMs === undefined ? [] : plan.fetches
+    return { fetches, saves: plan.saves, fetchUntilMs: clockMs === undefined ? undefined : clockMs + FETCH_WITHIN_MS }
+  }
+
+  #sharedParts (): readonly PromptPart[] {
+    return this.request.fields.prompt?.parts.slice(0, -1) ?? []
   }
 
   #rememberPrompt (choice: EndpointChoice): void {
-    const { prompt } = this.request.fields
-    if (prompt === undefined || choice.version === undefined) return
-    this.ports.fleet.memory.recordSend(this.#scope(choice.version), prompt.parts.slice(0, -1), choice.endpoint.id, performance.now())
+    if (choice.version === undefined) return
+    this.ports.fleet.memory.recordSend(this.#scope(choice.version), this.#sharedParts(), choice.endpoint.id, performance.now())
   }
 
   #rank (): number {
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -28,6 +28,10 @@
   desiredVersion (model: string): number
   /** Whether this host may act on the site it knows. */
   mayAct (): boolean
+  /** Whether what this host knows of stores may be acted on. */
+  storesUsable (now: number): boolean
+  /** The stores' clock in milliseconds, once it is known. */
+  storeClockMs (now: number): number | undefined
 }
 
 /** Headers that Node reads at most, in bytes; the site's own limit is checked after that and lies below. */
@@ -186,7 +190,9 @@
       retries: this.#retries,
       refusals: this.#refusals,
       firstEvent: this.#firstEvent,
-      desiredVersion: model => this.ports.desiredVersion(model)
+      desiredVersion: model => this.ports.desiredVersion(model),
+      storesUsable: now => this.ports.storesUsable(now),
+      storeClockMs: now => this.ports.storeClockMs(now)
     }, () => { ticket.end() }).start()
   }
 
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -30,6 +30,15 @@
   readonly requiredVersion: number | undefined
   /** Cache salt under a version. */
   scope (version: number): string
+  /** Where the shared parts are stored under a version. */
+  stored (version: number): StoredBeginning
+}
+
+/** The beginning of a prompt that stores hold. */
+export interface StoredBeginning {
+  readonly storedTokens: number
+  readonly firstByteMs: number
+  readonly tokenMs: number
 }
 
 /** A chosen endpoint. */
@@ -57,6 +66,9 @@
 /** Chance that the home of a part holds it although this host has not sent it there: other hosts have. */
 const HOME_CHANCE = 0.6
 
+/** What any fetch costs beside its bytes, in milliseconds: its place on the links, and its price. */
+const FETCH_MS = 3
+
 /** Mean time of a plain answer before one was seen, in milliseconds. */
 const PLAIN_MS = 20
 
@@ -137,14 +149,17 @@
   const shared = description.parts.slice(0, -1)
   const held = memory.heldTokens(ask.prompt.scope(version), shared, endpoint.id, now)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+  const stored = ask.prompt.stored(version)
   const expectedHeld = endpoint.id === home ? Math.max(held, sharedTokens * HOME_CHANCE) : held
-  const tokensToRead = Math.max(0, description.promptTokens - expectedHeld)
+  const tokensToFetch = Math.max(0, stored.storedTokens - expectedHeld)
+  const tokensToRead = Math.max(0, description.promptTokens - Math.max(expectedHeld, stored.storedTokens))
+  const fetchMs = tokensToFetch === 0 ? 0 : stored.firstByteMs + tokensToFetch * stored.tokenMs + FETCH_MS
   const { total, waiting } = endpoint.occupancy(now)
   const waitMs = waiting * WAITING_MS + (total - waiting) * RUNNING_MS + endpoint.pendingTokens / READ_TOKENS_PER_MS
   return {
     endpoint,
     version,
     tokensToRead,
-    estimatedMs: waitMs + tokensToRead / READ_TOKENS_PER_MS + distanceMs + unhealthyMs
+    estimatedMs: waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS + distanceMs + unhealthyMs
   }
 }
--- a/packages/routing/src/lib/prompts/homeEndpoint.ts
+++ b/packages/routing/src/lib/prompts/homeEndpoint.ts
@@ -13,7 +13,7 @@
   let best: string | undefined
   let bestWeight = -1
   for (const endpoint of endpoints) {
-    const weight = mix(crc32(endpoint) ^ Math.imul(seed, 0x9e3779b1))
+    const weight = mix32(crc32(endpoint) ^ Math.imul(seed, 0x9e3779b1))
     if (weight > bestWeight) {
       best = endpoint
       bestWeight = weight
@@ -22,8 +22,13 @@
   return best
 }
 
-/** Finalizer of MurmurHash3: a checksum alone is linear, and its order would hardly change from part to part. */
-function mix (value: number): number {
+/**
+ * Finalizer of MurmurHash3: a checksum alone is linear, and its order would hardly change from part to part.
+ *
+ * @param value - 32-bit number
+ * @returns a 32-bit number without sign
+ */
+export function mix32 (value: number): number {
   let mixed = value ^ (value >>> 16)
   mixed = Math.imul(mixed, 0x85ebca6b)
   mixed ^= mixed >>> 13
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
 import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
+import { storedPartsMessageSchema } from '@eelgrassmux/schema/site/storedParts'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 import { membershipSchema, raftMessageSchema, replicaSchema } from '@eelgrassmux/consensus/messages/raftMessages'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
@@ -146,6 +147,7 @@
 export const changeMembership = defineUnary('/eelgrassmux.Control/ChangeMembership', membershipChangeSchema, membershipChangeResponseSchema)
 export const watchView = defineStream('/eelgrassmux.Control/WatchView', z.strictObject({ viewRevision: count }), viewMessageSchema)
 export const watchEndpoints = defineStream('/eelgrassmux.Control/WatchEndpoints', emptySchema, endpointListSchema)
+export const watchStoredParts = defineStream('/eelgrassmux.Control/WatchStoredParts', emptySchema, storedPartsMessageSchema)
 export const readSite = defineUnary('/eelgrassmux.Control/ReadSite', emptySchema, readSiteResponseSchema)
 
 export type RaftEnvelope = z.infer<typeof raftEnvelopeSchema>
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -12,6 +12,7 @@
 import type { Command, CommandResult, NamedWeights, Shard } from '@eelgrassmux/state/commands'
 import { EndpointListFollower } from './EndpointListFollower.js'
 import { FreshnessLease } from './FreshnessLease.js'
+import { StoredPartsFollower, type StoredPartsListener } from './StoredPartsFollower.js'
 import { ViewFollower } from './ViewFollower.js'
 
 /** Who this host is, and where the control hosts are. */
@@ -72,7 +73,7 @@
    */
   constructor (private readonly settings: ControlLinkSettings, private readonly rpc: RpcClient) {
     this.#lease = new FreshnessLease(settings.freshnessMs)
-    this.#endpoints = new EndpointListFollower(rpc, () => this.#endpointWatchOrder(), () => { this.#notify() })
+    this.#endpoints = new EndpointListFollower(rpc, () => this.#watchOrder(), () => { this.#notify() })
   }
 
   /** Configuration in force on this host. */
@@ -117,6 +118,17 @@
     this.#listeners.push(listener)
   }
 
+  /**
+   * Follows what stores hold, through a watch of its own.
+   *
+   * @param listener - told of changes
+   */
+  followStores (listener: StoredPartsListener): StoredPartsFollower {
+    const follower = new StoredPartsFollower(this.rpc, () => this.#watchOrder(), listener)
+    void follower.run(this.#abort.signal)
+    return follower
+  }
+
   /** Starts to follow. */
   start (): void {
     void this.#reportLoop()
@@ -212,7 +224,7 @@
     return preferred ?? this.#controlAddress(this.#watchTurn)
   }
 
-  #endpointWatchOrder (): string[] {
+  #watchOrder (): string[] {
     const addresses = this.#addresses()
     return this.#leader === undefined ? addresses : [this.#leader, ...addresses.filter(address => address !== this.#leader)]
   }
