Entry hosts know each other's work at endpoints

Ruled out: estimates of reading (right at the median, +54 ms), store links (fetches are milliseconds). Each host reports its work 20 times a second as a datagram to the control leader, which answers with the sum; cost grows with the number of hosts. Weighed: each host to each (grows with the square), reports of engines (priced).

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -18,6 +18,7 @@
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
 import { HostTable } from './hosts/HostTable.js'
 import { planShards } from './hosts/planShards.js'
+import { LoadBoardServer } from './load/LoadBoardServer.js'
 import { OrderTask } from './orders/OrderTask.js'
 import { FormationGate } from './raft/FormationGate.js'
 import { GroupKeeper } from './raft/GroupKeeper.js'
@@ -138,6 +139,8 @@
 
   const port = await server.listen(settings.host, settings.port)
   self.address = `${settings.host}:${port}`
+  const loads = new LoadBoardServer(telemetry)
+  await loads.listen(settings.host, port)
   registerGauges(telemetry, raft, hosts)
   orders.start()
   rollout?.start()
@@ -165,6 +168,7 @@
       clearInterval(shardTimer)
       clearInterval(expireTimer)
       keeper.stop()
+      loads.close()
       rollout?.stop()
       endpoints?.stop()
       stores?.stop()
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -6,6 +6,7 @@
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
+import { LoadReporter } from './load/LoadReporter.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { RoutedServer } from './routed/RoutedServer.js'
@@ -62,6 +63,8 @@
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
   })
+  const loads = new LoadReporter(address, () => link.leader, () => fleet.ownWork(), fleet.others, telemetry)
+  await loads.start(settings.host)
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
   const server = new RoutedServer({
     fleet,
@@ -112,6 +115,7 @@
     close: async () => {
       await server.close()
       link.stop()
+      loads.stop()
       await edges.close()
       rpc.close()
     }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -57,7 +57,7 @@
 
   /** @param request - what to send */
   send (request: EndpointRequest): void {
-    this.choice.endpoint.begin(this.choice.tokensToRead)
+    this.choice.endpoint.begin(this.choice.tokensToRead, this.choice.tokensHeld)
     this.#cancel = this.connection.send(request, {
       sending: () => {
         this.#wasSent = true
@@ -82,7 +82,7 @@
   #end (): void {
     this.#hasEnded = true
     this.#endReading()
-    this.choice.endpoint.end()
+    this.choice.endpoint.end(this.choice.tokensHeld)
   }
 
   /** With the first event, the prompt has been read. */
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -2,6 +2,8 @@
 import { chooseEndpoint, type EndpointAsk, type EndpointChoice, type NoEndpointReason } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
+import { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
@@ -21,6 +23,7 @@
 export class RoutedFleet {
   readonly #pool = new EndpointPool()
   readonly memory = new PromptMemory()
+  readonly others = new OthersWork()
   readonly storedParts = new StoredPartsIndex()
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #opened: LabelledCounter
@@ -65,8 +68,15 @@
    * @param service - service name
    * @param ask - what is asked
    */
-  choose (service: string, ask: Omit<EndpointAsk, 'dataCentre'>): EndpointChoice | NoEndpointReason {
-    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre }, this.memory, performance.now(), Math.random())
+  choose (service: string, ask: Omit<EndpointAsk, 'dataCentre' | 'others'>): EndpointChoice | NoEndpointReason {
+    const now = performance.now()
+    const others = this.others.isRecent(now) ? this.others : undefined
+    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others }, this.memory, now, Math.random())
+  }
+
+  /** @returns this host's work at each endpoint that has any */
+  ownWork (): EndpointWork[] {
+    return this.#pool.all.filter(endpoint => endpoint.inFlight > 0).map(endpoint => ({ endpoint: endpoint.id, ...endpoint.work }))
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -12,7 +12,7 @@
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
-import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { LabelledCounter, LogDetails, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
@@ -90,6 +90,7 @@
   readonly #plans = new Map<number, StorePlan>()
   #isDone = false
   #hasFirstEvent = false
+  #firstEventMs: number | undefined
 
   /**
    * @param request - what to do
@@ -206,7 +207,8 @@
     if (this.#hasFirstEvent) return
     this.#hasFirstEvent = true
     this.#requiredVersion = attempt.choice.version
-    this.ports.firstEvent(performance.now() - this.request.arrivedAt)
+    this.#firstEventMs = performance.now() - this.request.arrivedAt
+    this.ports.firstEvent(this.#firstEventMs)
   }
 
   #onComplete (attempt: RoutedAttempt): void {
@@ -226,7 +228,7 @@
       return
     }
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
-    this.#finish('answered', { status: head.status, endpoint: endpoint.id })
+    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...this.#placement(attempt.choice) })
     if (this.#held !== undefined) this.exchange.answer(head.status, head.headers, Buffer.concat(this.#held))
     else {
       if (!this.exchange.hasHead) this.exchange.writeHead(head.status, head.headers)
@@ -352,7 +354,15 @@
     return least + Math.random() * (most - least)
   }
 
-  #finish (outcome: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  /** What decided where the request went. */
+  #placement ({ estimatedMs, tokensToRead, version }: EndpointChoice): LogDetails {
+    return {
+      estimatedMs: Math.round(estimatedMs), tokensToRead: Math.round(tokensToRead), version: version ?? 0,
+      firstEventMs: Math.round(this.#firstEventMs ?? 0), promptTokens: this.request.fields.prompt?.promptTokens ?? 0
+    }
+  }
+
+  #finish (outcome: string, details: LogDetails): void {
     this.#isDone = true
     clearTimeout(this.#timer)
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
@@ -361,7 +371,7 @@
     this.onEnd()
   }
 
-  #decided (event: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  #decided (event: string, details: LogDetails): void {
     const { route, service, siteVersion } = this.request
     this.ports.telemetry.decided(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
   }
@@ -376,6 +386,7 @@
         description: prompt,
         desiredVersion: this.ports.desiredVersion(prompt.model),
         requiredVersion: this.#requiredVersion,
+        memoryTokens: this.request.service.engine.cacheTokens,
         scope: version => this.#scope(version),
         stored: version => this.#storePlan(version)
       }
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -19,6 +19,8 @@
   readonly host: string
   readonly adminPort: number
   readonly dataCentre: string
+  readonly keptStories: number
+  readonly logLinesPerSecond: number
   /** Milliseconds of readiness withdrawn before new work is refused. */
   readonly balancerLagMs?: number
 }
@@ -116,7 +118,7 @@
 }
 
 async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings): Promise<number> {
-  const telemetry = new Telemetry(program.name)
+  const telemetry = new Telemetry(program.name, settings)
   const invariants = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
   const fail = (error: unknown): void => {
     const invariant = error instanceof InvariantViolation ? error.invariant : 'unexpected-error'
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -30,6 +30,8 @@
 export const commonSettingsShape = {
   host: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/, 'write an IP number').default('127.0.0.1').describe('IP number to listen on'),
   adminPort: integerSetting(0, 65535).default(0).describe('port of /healthz, /readyz and /metrics; 0 takes a free one'),
+  keptStories: integerSetting(1, 1_000_000).default(64).describe('of requests that go well, the log keeps the story of one in so many; failures are always kept'),
+  logLinesPerSecond: integerSetting(1, 100_000).default(200).describe('most lines about requests that the log takes a second'),
   dataCentre: z.string().regex(/^[a-z0-9-]+$/, 'use lower-case letters, digits and dashes').describe('data centre this host stands in')
 }
 
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -1,5 +1,6 @@
 /** What one entry host knows of one endpoint. */
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { WorkFigures } from '../load/OthersWork.js'
 import { EndpointHealth } from './EndpointHealth.js'
 
 /** Load as an endpoint states it in its answers. */
@@ -26,6 +27,7 @@
   #versions = new Map<string, number>()
   #inFlight = 0
   #pendingTokens = 0
+  #heldTokens = 0
   #load: { stated: StatedLoad, at: number, inFlightThen: number } | undefined
   #fullUntil = Number.NEGATIVE_INFINITY
   #busyUntil = Number.NEGATIVE_INFINITY
@@ -45,6 +47,11 @@
   get inFlight (): number { return this.#inFlight }
   /** Prompt tokens of this host's requests that have not brought their first event yet. */
   get pendingTokens (): number { return this.#pendingTokens }
+  /** This host's work there. */
+  get work (): WorkFigures {
+    return { inFlight: this.#inFlight, pendingTokens: this.#pendingTokens, heldTokens: this.#heldTokens }
+  }
+
   /** Mean time of a plain answer, once there was one, in milliseconds. */
   get latencyMs (): number | undefined { return this.#latencyMs }
 
@@ -120,10 +127,14 @@
     return { total, waiting: Math.max(0, Math.max(stated.waiting, total - slots)), slots }
   }
 
-  /** @param pendingTokens - prompt tokens that it has to read before its first event */
-  begin (pendingTokens: number): void {
+  /**
+   * @param pendingTokens - prompt tokens that it has to read before its first event
+   * @param heldTokens - tokens that the request will hold in its memory
+   */
+  begin (pendingTokens: number, heldTokens: number): void {
     this.#inFlight += 1
     this.#pendingTokens += pendingTokens
+    this.#heldTokens += heldTokens
   }
 
   /** @param pendingTokens - as given at the beginning */
@@ -131,9 +142,14 @@
     this.#pendingTokens -= pendingTokens
   }
 
-  /** Notes the end of a request, however it ended. */
-  end (): void {
+  /**
+   * Notes the end of a request, however it ended.
+   *
+   * @param heldTokens - as given at the beginning
+   */
+  end (heldTokens: number): void {
     this.#inFlight -= 1
+    this.#heldTokens -= heldTokens
   }
 
   /**
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -7,6 +7,7 @@
  * home of a shared part is the same on all hosts, so they agree without talking;
  * a home that is busier than the reading is worth loses the request to another.
  */
+import type { OthersWork } from '../load/OthersWork.js'
 import type { EndpointState } from './EndpointState.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
 import { sharedPartOf, type PromptDescription } from '../prompts/promptDescription.js'
@@ -18,6 +19,8 @@
   readonly excluded: ReadonlySet<string>
   /** Data centre of this host; bytes between data centres cost. */
   readonly dataCentre: string
+  /** What the other entry hosts have under way; undefined while that is not known. */
+  readonly others: OthersWork | undefined
   readonly prompt?: PromptAsk
 }
 
@@ -26,6 +29,8 @@
   readonly description: PromptDescription
   /** Weights that engines should run; older ones are taken only if nothing else is there. */
   readonly desiredVersion: number
+  /** Tokens that fit into an engine's memory; 0 if that is not stated. */
+  readonly memoryTokens: number
   /** Set when the request must go on under the weights it began with. */
   readonly requiredVersion: number | undefined
   /** Cache salt under a version. */
@@ -48,6 +53,8 @@
   readonly version: number | undefined
   /** Prompt tokens that it will probably have to read. */
   readonly tokensToRead: number
+  /** Tokens that it will hold in the endpoint's memory. */
+  readonly tokensHeld: number
   readonly estimatedMs: number
 }
 
@@ -60,6 +67,15 @@
 /** What a running request adds to the time to the first event of the next, in milliseconds: steps of a batch interleave with reading. */
 const RUNNING_MS = 6
 
+/** Share of the most output tokens that a request has on average: callers' own estimates are about half of it. */
+const EXPECTED_OUTPUT_SHARE = 0.5
+
+/** Share of an engine's memory that running requests fill without waiting; blocks round up, and outputs differ. */
+const MEMORY_SHARE = 0.85
+
+/** Time in which an engine's running requests all end once, in milliseconds: some 40 tokens at 10 ms and their reading. */
+const MEMORY_TURNOVER_MS = 800
+
 /** What a waiting request adds, in milliseconds: about the reading of an average prompt. */
 const WAITING_MS = 40
 
@@ -137,29 +153,53 @@
   endpoint: EndpointState, ask: EndpointAsk, home: string | undefined, memory: PromptMemory, now: number
 ): EndpointChoice {
   const distanceMs = endpoint.listed.dataCentre === ask.dataCentre ? 0 : OTHER_DATA_CENTRE_MS
-  const unhealthyMs = endpoint.health.failureShare * FAILURE_MS
+  const fixedMs = distanceMs + endpoint.health.failureShare * FAILURE_MS
   if (ask.prompt === undefined) {
-    const { total, slots } = endpoint.occupancy(now)
-    const serviceMs = endpoint.latencyMs ?? PLAIN_MS
-    const estimatedMs = serviceMs * Math.max(1, (total + 1) / Math.max(1, slots)) + total + distanceMs + unhealthyMs
-    return { endpoint, version: undefined, tokensToRead: 0, estimatedMs }
+    const estimatedMs = fixedMs + plainMs(endpoint, ask, now)
+    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs }
   }
   const { description } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
+  const { tokensToRead, fetchMs } = estimateReading(endpoint, ask.prompt, version, home, memory, now)
+  const tokensHeld = description.promptTokens + description.outputTokens * EXPECTED_OUTPUT_SHARE
+  const waitMs = engineWaitMs(endpoint, ask, ask.prompt, tokensHeld, now)
+  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs: fixedMs + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS }
+}
+
+function plainMs (endpoint: EndpointState, ask: EndpointAsk, now: number): number {
+  const { total, slots } = endpoint.occupancy(now)
+  const requests = ask.others === undefined ? total : endpoint.inFlight + ask.others.at(endpoint.id).inFlight
+  const serviceMs = endpoint.latencyMs ?? PLAIN_MS
+  // Endpoints slow down when they are nearly full, so fewer requests are better also while there are free slots.
+  return serviceMs * Math.max(1, (requests + 1) / Math.max(1, slots)) + requests
+}
+
+function estimateReading (
+  endpoint: EndpointState, prompt: PromptAsk, version: number, home: string | undefined, memory: PromptMemory, now: number
+): { readonly tokensToRead: number, readonly fetchMs: number } {
+  const { description } = prompt
   const shared = description.parts.slice(0, -1)
-  const held = memory.heldTokens(ask.prompt.scope(version), shared, endpoint.id, now)
+  const known = memory.heldTokens(prompt.scope(version), shared, endpoint.id, now)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-  const stored = ask.prompt.stored(version)
-  const expectedHeld = endpoint.id === home ? Math.max(held, sharedTokens * HOME_CHANCE) : held
-  const tokensToFetch = Math.max(0, stored.storedTokens - expectedHeld)
-  const tokensToRead = Math.max(0, description.promptTokens - Math.max(expectedHeld, stored.storedTokens))
-  const fetchMs = tokensToFetch === 0 ? 0 : stored.firstByteMs + tokensToFetch * stored.tokenMs + FETCH_MS
-  const { total, waiting } = endpoint.occupancy(now)
-  const waitMs = waiting * WAITING_MS + (total - waiting) * RUNNING_MS + endpoint.pendingTokens / READ_TOKENS_PER_MS
+  const held = endpoint.id === home ? Math.max(known, sharedTokens * HOME_CHANCE) : known
+  const stored = prompt.stored(version)
+  const tokensToFetch = Math.max(0, stored.storedTokens - held)
   return {
-    endpoint,
-    version,
-    tokensToRead,
-    estimatedMs: waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS + distanceMs + unhealthyMs
+    tokensToRead: Math.max(0, description.promptTokens - Math.max(held, stored.storedTokens)),
+    fetchMs: tokensToFetch === 0 ? 0 : stored.firstByteMs + tokensToFetch * stored.tokenMs + FETCH_MS
+  }
+}
+
+/** Reading goes on in turn, running requests slow every step, and a request that does not fit into memory waits for others to end. */
+function engineWaitMs (endpoint: EndpointState, ask: EndpointAsk, prompt: PromptAsk, tokensHeld: number, now: number): number {
+  if (ask.others === undefined) {
+    const { total, waiting } = endpoint.occupancy(now)
+    return waiting * WAITING_MS + (total - waiting) * RUNNING_MS + endpoint.pendingTokens / READ_TOKENS_PER_MS
   }
+  const others = ask.others.at(endpoint.id)
+  const readingMs = (endpoint.pendingTokens + others.pendingTokens) / READ_TOKENS_PER_MS
+  const requests = endpoint.inFlight + others.inFlight
+  const held = endpoint.work.heldTokens + others.heldTokens + tokensHeld
+  const excess = prompt.memoryTokens === 0 ? 0 : Math.max(0, held / prompt.memoryTokens - MEMORY_SHARE)
+  return readingMs + requests * RUNNING_MS + excess * MEMORY_TURNOVER_MS
 }
--- /dev/null
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -0,0 +1,77 @@
+/** Work of the other entry hosts at each endpoint, as last heard. */
+import type { EndpointWork } from './loadReport.js'
+
+/** Age after which it says nothing any more, in milliseconds: a few lost datagrams. */
+const LIFETIME_MS = 400
+
+/** Work without its endpoint's name. */
+export type WorkFigures = Omit<EndpointWork, 'endpoint'>
+
+const NO_WORK: WorkFigures = { inFlight: 0, pendingTokens: 0, heldTokens: 0 }
+
+/** What this host reported under one sequence number, to be taken off the totals that answer it. */
+interface OwnReport {
+  readonly sequence: number
+  readonly work: ReadonlyMap<string, EndpointWork>
+}
+
+/** Reports kept until they are answered. */
+const KEPT_REPORTS = 16
+
+/** Totals less what this host itself had reported. */
+export class OthersWork {
+  #reports: OwnReport[] = []
+  #others = new Map<string, WorkFigures>()
+  #heardAt = Number.NEGATIVE_INFINITY
+  #answered = -1
+
+  /**
+   * Notes a report that is about to be sent.
+   *
+   * @param sequence - its number
+   * @param work - this host's own work
+   */
+  sent (sequence: number, work: readonly EndpointWork[]): void {
+    this.#reports.push({ sequence, work: new Map(work.map(entry => [entry.endpoint, entry])) })
+    if (this.#reports.length > KEPT_REPORTS) this.#reports.shift()
+  }
+
+  /**
+   * Takes the totals that answer a report.
+   *
+   * @param sequence - number of the report
+   * @param totals - work of all hosts, this one included
+   * @param now - monotonic milliseconds
+   */
+  answered (sequence: number, totals: readonly EndpointWork[], now: number): void {
+    const own = this.#reports.find(report => report.sequence === sequence)
+    if (own === undefined || sequence < this.#answered) return
+    this.#answered = sequence
+    this.#heardAt = now
+    this.#others = new Map(totals.map(total => [total.endpoint, subtract(total, own.work.get(total.endpoint))]))
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether the figures are recent
+   */
+  isRecent (now: number): boolean {
+    return now - this.#heardAt < LIFETIME_MS
+  }
+
+  /**
+   * @param endpoint - endpoint id
+   * @returns work of all other hosts there
+   */
+  at (endpoint: string): WorkFigures {
+    return this.#others.get(endpoint) ?? NO_WORK
+  }
+}
+
+function subtract (total: EndpointWork, own: EndpointWork | undefined): WorkFigures {
+  return {
+    inFlight: Math.max(0, total.inFlight - (own?.inFlight ?? 0)),
+    pendingTokens: Math.max(0, total.pendingTokens - (own?.pendingTokens ?? 0)),
+    heldTokens: Math.max(0, total.heldTokens - (own?.heldTokens ?? 0))
+  }
+}
--- a/packages/routing/src/lib/stores/StoredPartsIndex.ts
+++ b/packages/routing/src/lib/stores/StoredPartsIndex.ts
@@ -80,13 +80,13 @@
     let firstByteMs = 0
     let slowestMbps = Number.POSITIVE_INFINITY
     for (const part of parts) {
-      const store = homeStore(part.id, answering)
+      const home = homeStore(part.id, answering)
       const key = keyOf([scope, part.id])
-      const isHeld = store !== undefined && this.#held.get(store.name)?.has(key) === true
-      fetches.push(isHeld ? store.address : undefined)
+      const store = this.#holder(home, key, answering)
+      fetches.push(store?.address)
       const wasAsked = now - (this.#saves.get(key) ?? Number.NEGATIVE_INFINITY) < SAVE_PATIENCE_MS
-      saves.push(isHeld || wasAsked ? undefined : store?.address)
-      isUnbroken &&= isHeld
+      saves.push(store !== undefined || wasAsked ? undefined : home?.address)
+      isUnbroken &&= store !== undefined
       if (!isUnbroken || store === undefined) continue
       storedTokens += part.tokens
       firstByteMs = Math.max(firstByteMs, store.firstByteMs)
@@ -96,6 +96,12 @@
     return { fetches, saves, storedTokens, firstByteMs, tokenMs }
   }
 
+  /** The home if it holds the part, else any: while a home was away, its parts were saved elsewhere. */
+  #holder (home: StoreService | undefined, key: string, answering: readonly StoreService[]): StoreService | undefined {
+    const holds = (store: StoreService): boolean => this.#held.get(store.name)?.has(key) === true
+    return home !== undefined && holds(home) ? home : answering.find(holds)
+  }
+
   /**
    * Notes saves that a request asks for, so that the next does not ask again.
    *
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -12,11 +12,15 @@
 /** Values that explain a line. */
 export type LogDetails = Readonly<Record<string, string | number | boolean>>
 
-/** Requests of which the whole story is kept although all went well: one in so many. */
-const KEPT_SUCCESSES = 64
+/** How much of the story of requests the log takes. */
+export interface StoryLimits {
+  /** Of requests that go well, one in so many is logged. */
+  readonly keptStories: number
+  /** Most lines about requests in a second. */
+  readonly logLinesPerSecond: number
+}
 
-/** Lines a second beyond which only failures are logged. */
-const LINES_PER_SECOND = 200
+const DEFAULT_STORY_LIMITS: StoryLimits = { keptStories: 64, logLinesPerSecond: 200 }
 
 /** Metrics and log of one process, both named after its program. */
 export class Telemetry {
@@ -25,8 +29,11 @@
   #linesThisSecond = 0
   #secondStartedAt = 0
 
-  /** @param program - name of the binary, such as `eelgrassmux-entry` */
-  constructor (readonly program: string) {
+  /**
+   * @param program - name of the binary, such as `eelgrassmux-entry`
+   * @param limits - how much of the story of requests the log takes
+   */
+  constructor (readonly program: string, private readonly limits: StoryLimits = DEFAULT_STORY_LIMITS) {
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
@@ -84,7 +91,7 @@
   keepsStory (requestId: string): boolean {
     let hash = 0
     for (let at = 0; at < requestId.length; at += 1) hash = (Math.imul(hash, 31) + requestId.charCodeAt(at)) | 0
-    return (hash >>> 0) % KEPT_SUCCESSES === 0
+    return (hash >>> 0) % this.limits.keptStories === 0
   }
 
   /**
@@ -101,7 +108,7 @@
       this.#linesThisSecond = 0
     }
     this.#linesThisSecond += 1
-    if (this.#linesThisSecond > LINES_PER_SECOND) return
+    if (this.#linesThisSecond > this.limits.logLinesPerSecond) return
     this.#log.info({ event, request: requestId, ...details }, event)
   }
 
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -80,6 +80,8 @@
   get configuration (): ConfigurationIndex { return this.#follower.configuration }
   get shards (): readonly Shard[] { return this.#follower.shards }
   get viewRevision (): number { return this.#follower.viewRevision }
+  /** Address of the control hosts' leader, as far as this host knows. */
+  get leader (): string | undefined { return this.#leader }
   /** Site in force on this host, once it knows one. */
   get site (): Site | undefined { return this.#follower.site }
   /** Weight version that each model should run. */
