--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -5,6 +5,7 @@
 import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
 import { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
+import { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -25,6 +26,7 @@
   readonly memory = new PromptMemory()
   readonly others = new OthersWork()
   readonly storedParts = new StoredPartsIndex()
+  readonly storeLinks: StoreLinks
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #opened: LabelledCounter
 
@@ -34,6 +36,7 @@
    * @param telemetry - log and metrics
    */
   constructor (private readonly dataCentre: string, private readonly liveHosts: () => number, private readonly telemetry: Telemetry) {
+    this.storeLinks = new StoreLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -7,6 +7,7 @@
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
+import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import type { PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
 import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
@@ -52,20 +53,11 @@
 }
 
 /** A plan that uses no store. */
-const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0, firstByteMs: 0, tokenMs: 0 }
-
-/**
- * Time within which an engine must have fetched a prompt's parts, in milliseconds.
- * Control hosts wait longer than this before they free a part that they told of.
- */
-const FETCH_WITHIN_MS = 1500
+const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0 }
 
 /** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
 const HELD_ANSWER_BYTES = 256 * 1024
 
-/** Ranks that engines know; the product's route and customer ranks beyond the last count as the last. */
-const LAST_RANK = 9
-
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -136,7 +128,6 @@
     this.#sends += 1
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
-    this.#rememberPrompt(choice)
     attempt.send({
       method: this.exchange.request.method ?? 'GET',
       target: this.exchange.request.url ?? '/',
@@ -145,13 +136,14 @@
         remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
         customer: this.request.customer?.name,
         lastEventId: this.#cursor?.lastId ?? this.request.fields.lastEventId,
-        priority: choice.version === undefined ? undefined : this.#rank(),
+        priority: choice.version === undefined ? undefined : engineRank(this.request.customer?.priority, this.request.route.priority),
         version: choice.version,
         cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version),
-        stores: choice.version === undefined ? undefined : this.#transfers(choice.version)
+        stores: choice.version === undefined ? undefined : this.#transfers(choice, choice.version)
       }),
       body: this.request.body
     })
+    this.#rememberPrompt(choice)
   }
 
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
@@ -207,6 +199,9 @@
     if (this.#hasFirstEvent) return
     this.#hasFirstEvent = true
     this.#requiredVersion = attempt.choice.version
+    if (attempt.choice.version !== undefined) {
+      attempt.choice.endpoint.slowness.observe(performance.now() - attempt.startedAt, attempt.choice.workMs, performance.now())
+    }
     this.#firstEventMs = performance.now() - this.request.arrivedAt
     this.ports.firstEvent(this.#firstEventMs)
   }
@@ -355,10 +350,13 @@
   }
 
   /** What decided where the request went. */
-  #placement ({ estimatedMs, tokensToRead, version }: EndpointChoice): LogDetails {
+  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): LogDetails {
     return {
-      estimatedMs: Math.round(estimatedMs), tokensToRead: Math.round(tokensToRead), version: version ?? 0,
-      firstEventMs: Math.round(this.#firstEventMs ?? 0), promptTokens: this.request.fields.prompt?.promptTokens ?? 0
+      estimatedMs: Math.round(estimatedMs), waitMs: Math.round(waitMs), fetchMs: Math.round(fetchMs), tokensToRead: Math.round(tokensToRead), version: version ?? 0,
+      firstEventMs: Math.round(this.#firstEventMs ?? 0), promptTokens: this.request.fields.prompt?.promptTokens ?? 0,
+      storedTokens: version === undefined ? 0 : this.#storePlan(version).storedTokens,
+      sharedPart: this.#sharedParts().at(-1)?.id ?? '',
+      saves: version === undefined ? '' : this.#storePlan(version).saves.map(address => address ?? '-').join(',')
     }
   }
 
@@ -388,7 +386,9 @@
         requiredVersion: this.#requiredVersion,
         memoryTokens: this.request.service.engine.cacheTokens,
         scope: version => this.#scope(version),
-        stored: version => this.#storePlan(version)
+        stored: version => this.#storePlan(version),
+        links: this.ports.fleet.storeLinks,
+        bytesPerToken: this.request.service.engine.bytesPerToken
       }
     }
   }
@@ -404,23 +404,35 @@
     const present = this.#plans.get(version)
     if (present !== undefined) return present
     const now = performance.now()
-    const bytesPerToken = this.request.service.engine?.bytesPerToken ?? 0
     const plan = this.ports.storesUsable(now)
-      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts(), bytesPerToken, now)
+      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts(), now)
       : NO_STORES
     this.#plans.set(version, plan)
     return plan
   }
 
-  #transfers (version: number): StoreTransfers | undefined {
+  #transfers ({ endpoint }: EndpointChoice, version: number): StoreTransfers | undefined {
     const plan = this.#storePlan(version)
     if (plan === NO_STORES) return undefined
     const now = performance.now()
-    this.ports.fleet.storedParts.recordSaves(this.#scope(version), this.#sharedParts(), plan, now)
+    const { storedParts, storeLinks, memory } = this.ports.fleet
+    const parts = this.#sharedParts()
+    const held = memory.heldTokens(this.#scope(version), parts, endpoint.id, now)
+    storedParts.recordSaves(this.#scope(version), parts, plan, now)
     const clockMs = this.ports.storeClockMs(now)
+    // A request that has waited needs its fetch all the more: without it the engine reads
+    // the whole prompt, its queue grows, and the fetches of all others come too late as well.
     // Without the stores' clock a late fetch could not be thrown away, so there is none.
-    const fetches = clockMs === undefined ? [] : plan.fetches
-    return { fetches, saves: plan.saves, fetchUntilMs: clockMs === undefined ? undefined : clockMs + FETCH_WITHIN_MS }
+    if (clockMs === undefined) return { fetches: [], saves: plan.saves, fetchUntilMs: undefined }
+    let position = 0
+    plan.fetches.forEach((store, index) => {
+      const tokens = parts[index]?.tokens ?? 0
+      position += tokens
+      if (store === undefined || position <= held) return
+      const bytes = tokens * (this.request.service.engine?.bytesPerToken ?? 0)
+      storeLinks.record(store, storeLinks.transferMs(store, bytes, endpoint.listed.dataCentre), now)
+    })
+    return { fetches: plan.fetches.map(store => store?.address), saves: plan.saves, fetchUntilMs: clockMs + this.#deadline - now }
   }
 
   #sharedParts (): readonly PromptPart[] {
@@ -431,8 +443,4 @@
     if (choice.version === undefined) return
     this.ports.fleet.memory.recordSend(this.#scope(choice.version), this.#sharedParts(), choice.endpoint.id, performance.now())
   }
-
-  #rank (): number {
-    return Math.min(LAST_RANK, this.request.customer?.priority ?? this.request.route.priority)
-  }
 }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -2,6 +2,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { WorkFigures } from '../load/OthersWork.js'
 import { EndpointHealth } from './EndpointHealth.js'
+import { Slowness } from './Slowness.js'
 
 /** Load as an endpoint states it in its answers. */
 export interface StatedLoad {
@@ -22,6 +23,7 @@
 /** One incarnation of an endpoint. */
 export class EndpointState {
   readonly health = new EndpointHealth()
+  readonly slowness = new Slowness()
   #listed: ListedEndpoint
   #isLeaving: boolean
   #versions = new Map<string, number>()
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -10,8 +10,10 @@
 import type { OthersWork } from '../load/OthersWork.js'
 import type { EndpointState } from './EndpointState.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
-import { sharedPartOf, type PromptDescription } from '../prompts/promptDescription.js'
+import { sharedPartOf, type PromptDescription, type PromptPart } from '../prompts/promptDescription.js'
 import type { PromptMemory } from '../prompts/PromptMemory.js'
+import type { StoreLinks } from '../stores/StoreLinks.js'
+import type { StorePlan } from '../stores/StoredPartsIndex.js'
 
 /** What is asked of an endpoint. */
 export interface EndpointAsk {
@@ -36,14 +38,10 @@
   /** Cache salt under a version. */
   scope (version: number): string
   /** Where the shared parts are stored under a version. */
-  stored (version: number): StoredBeginning
-}
-
-/** The beginning of a prompt that stores hold. */
-export interface StoredBeginning {
-  readonly storedTokens: number
-  readonly firstByteMs: number
-  readonly tokenMs: number
+  stored (version: number): StorePlan
+  /** Work on the stores' links. */
+  readonly links: StoreLinks
+  readonly bytesPerToken: number
 }
 
 /** A chosen endpoint. */
@@ -56,13 +54,24 @@
   /** Tokens that it will hold in the endpoint's memory. */
   readonly tokensHeld: number
   readonly estimatedMs: number
+  /** Of the estimate, what other work and what fetching from stores takes. */
+  readonly waitMs: number
+  readonly fetchMs: number
+  /** The estimate as it would be at an endpoint that is neither slow nor fast. */
+  readonly workMs: number
 }
 
 /** Why no endpoint was chosen. */
 export type NoEndpointReason = 'none-listed' | 'all-tried' | 'none-of-version'
 
-/** Prompt tokens that an engine reads in a millisecond, before anything was measured: between the two users' 92 and 140. */
-const READ_TOKENS_PER_MS = 110
+/**
+ * Prompt tokens that an engine reads in a millisecond. The users' sheets say 92 and 140
+ * for short prompts; first events of long ones, measured, came at 40 to 70.
+ */
+const READ_TOKENS_PER_MS = 80
+
+/** Fixed time from an engine's start on a request to its first event, in milliseconds; the users' sheets say 53 and 60. */
+const FIRST_EVENT_MS = 55
 
 /** What a running request adds to the time to the first event of the next, in milliseconds: steps of a batch interleave with reading. */
 const RUNNING_MS = 6
@@ -70,8 +79,8 @@
 /** Share of the most output tokens that a request has on average: callers' own estimates are about half of it. */
 const EXPECTED_OUTPUT_SHARE = 0.5
 
-/** Share of an engine's memory that running requests fill without waiting; blocks round up, and outputs differ. */
-const MEMORY_SHARE = 0.85
+/** Share of an engine's memory that running requests fill without anybody waiting: what is kept of earlier prompts yields, but others arrive meanwhile. */
+const MEMORY_SHARE = 0.6
 
 /** Time in which an engine's running requests all end once, in milliseconds: some 40 tokens at 10 ms and their reading. */
 const MEMORY_TURNOVER_MS = 800
@@ -82,6 +91,12 @@
 /** Chance that the home of a part holds it although this host has not sent it there: other hosts have. */
 const HOME_CHANCE = 0.6
 
+/**
+ * What reading a shared token again costs beyond its time, in milliseconds. Work that
+ * was done once is not to be paid for again: it is weighed at twice the reading itself.
+ */
+const READ_AGAIN_MS_PER_TOKEN = 0.02
+
 /** What any fetch costs beside its bytes, in milliseconds: its place on the links, and its price. */
 const FETCH_MS = 3
 
@@ -156,14 +171,16 @@
   const fixedMs = distanceMs + endpoint.health.failureShare * FAILURE_MS
   if (ask.prompt === undefined) {
     const estimatedMs = fixedMs + plainMs(endpoint, ask, now)
-    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs }
+    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs }
   }
   const { description } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
-  const { tokensToRead, fetchMs } = estimateReading(endpoint, ask.prompt, version, home, memory, now)
+  const { tokensToRead, fetchMs, againMs } = estimateReading(endpoint, ask.prompt, version, home, memory, now)
   const tokensHeld = description.promptTokens + description.outputTokens * EXPECTED_OUTPUT_SHARE
   const waitMs = engineWaitMs(endpoint, ask, ask.prompt, tokensHeld, now)
-  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs: fixedMs + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS }
+  const workMs = FIRST_EVENT_MS + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS
+  const estimatedMs = fixedMs + againMs + workMs * endpoint.slowness.factor(now)
+  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs }
 }
 
 function plainMs (endpoint: EndpointState, ask: EndpointAsk, now: number): number {
@@ -176,20 +193,39 @@
 
 function estimateReading (
   endpoint: EndpointState, prompt: PromptAsk, version: number, home: string | undefined, memory: PromptMemory, now: number
-): { readonly tokensToRead: number, readonly fetchMs: number } {
+): { readonly tokensToRead: number, readonly fetchMs: number, readonly againMs: number } {
   const { description } = prompt
   const shared = description.parts.slice(0, -1)
   const known = memory.heldTokens(prompt.scope(version), shared, endpoint.id, now)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+  const { storedTokens, fetches } = prompt.stored(version)
   const held = endpoint.id === home ? Math.max(known, sharedTokens * HOME_CHANCE) : known
-  const stored = prompt.stored(version)
-  const tokensToFetch = Math.max(0, stored.storedTokens - held)
+  const sharedToRead = Math.max(0, sharedTokens - Math.max(held, storedTokens))
+  const isHeldElsewhere = memory.isHeldAnywhere(prompt.scope(version), shared, now)
   return {
-    tokensToRead: Math.max(0, description.promptTokens - Math.max(held, stored.storedTokens)),
-    fetchMs: tokensToFetch === 0 ? 0 : stored.firstByteMs + tokensToFetch * stored.tokenMs + FETCH_MS
+    tokensToRead: Math.max(0, description.promptTokens - sharedTokens) + sharedToRead,
+    fetchMs: fetchMs(endpoint, prompt, shared, fetches, held, now),
+    againMs: isHeldElsewhere ? sharedToRead * READ_AGAIN_MS_PER_TOKEN : 0
   }
 }
 
+/** Links work side by side, so the slowest decides; parts that the endpoint holds already are not fetched. */
+function fetchMs (
+  endpoint: EndpointState, prompt: PromptAsk, shared: readonly PromptPart[], fetches: StorePlan['fetches'], held: number, now: number
+): number {
+  let position = 0
+  let slowestMs = 0
+  shared.forEach((part, index) => {
+    position += part.tokens
+    const store = fetches[index]
+    if (store === undefined || position <= held) return
+    const bytes = part.tokens * prompt.bytesPerToken
+    const transferMs = prompt.links.transferMs(store, bytes, endpoint.listed.dataCentre)
+    slowestMs = Math.max(slowestMs, store.firstByteMs + prompt.links.backlogMs(store, now) + transferMs + FETCH_MS)
+  })
+  return slowestMs
+}
+
 /** Reading goes on in turn, running requests slow every step, and a request that does not fit into memory waits for others to end. */
 function engineWaitMs (endpoint: EndpointState, ask: EndpointAsk, prompt: PromptAsk, tokensHeld: number, now: number): number {
   if (ask.others === undefined) {
--- a/packages/routing/src/lib/prompts/PromptMemory.ts
+++ b/packages/routing/src/lib/prompts/PromptMemory.ts
@@ -53,6 +53,18 @@
     }
     return tokens
   }
+
+  /**
+   * @param scope - cache salt of the request
+   * @param parts - chain of the prompt
+   * @param now - monotonic milliseconds
+   * @returns whether some engine probably holds the whole chain
+   */
+  isHeldAnywhere (scope: string, parts: readonly PromptPart[], now: number): boolean {
+    const last = parts.at(-1)
+    const sends = last === undefined ? undefined : this.#sends.get(keyOf(scope, last))
+    return sends !== undefined && [...sends.values()].some(sentAt => now - sentAt <= EXPECTED_RESIDENCE_MS)
+  }
 }
 
 function keyOf (scope: string, part: PromptPart): string {
--- a/packages/routing/src/lib/stores/StoredPartsIndex.ts
+++ b/packages/routing/src/lib/stores/StoredPartsIndex.ts
@@ -6,14 +6,10 @@
 
 /** Where the parts of one prompt are fetched from and saved to; one entry a part, undefined for none. */
 export interface StorePlan {
-  readonly fetches: ReadonlyArray<string | undefined>
+  readonly fetches: ReadonlyArray<StoreService | undefined>
   readonly saves: ReadonlyArray<string | undefined>
   /** Tokens at the beginning of the chain that stores hold. */
   readonly storedTokens: number
-  /** Slowest wait for a first byte among the stores fetched from, in milliseconds. */
-  readonly firstByteMs: number
-  /** Time that the bytes of one token need on the slowest of their links, in milliseconds. */
-  readonly tokenMs: number
 }
 
 /** Time after which a save that did not show up may be asked for again, in milliseconds: reading, saving, and the events' lag. */
@@ -22,9 +18,6 @@
 /** Saves remembered; beyond this the oldest are forgotten. */
 const REMEMBERED_SAVES = 10_000
 
-const BITS_PER_BYTE = 8
-const MEGABITS_PER_MS = 1e3
-
 /** Follows changes and plans fetches and saves. */
 export class StoredPartsIndex {
   readonly #held = new Map<string, Set<string>>()
@@ -68,32 +61,25 @@
    *
    * @param scope - cache salt of the request
    * @param parts - shared parts, in order
-   * @param bytesPerToken - of the model's cache
    * @param now - monotonic milliseconds
    */
-  plan (scope: string, parts: readonly PromptPart[], bytesPerToken: number, now: number): StorePlan {
+  plan (scope: string, parts: readonly PromptPart[], now: number): StorePlan {
     const answering = this.#stores.filter(store => this.#held.has(store.name))
-    const fetches: Array<string | undefined> = []
+    const fetches: Array<StoreService | undefined> = []
     const saves: Array<string | undefined> = []
     let storedTokens = 0
     let isUnbroken = true
-    let firstByteMs = 0
-    let slowestMbps = Number.POSITIVE_INFINITY
     for (const part of parts) {
       const home = homeStore(part.id, answering)
       const key = keyOf([scope, part.id])
       const store = this.#holder(home, key, answering)
-      fetches.push(store?.address)
+      fetches.push(store)
       const wasAsked = now - (this.#saves.get(key) ?? Number.NEGATIVE_INFINITY) < SAVE_PATIENCE_MS
       saves.push(store !== undefined || wasAsked ? undefined : home?.address)
       isUnbroken &&= store !== undefined
-      if (!isUnbroken || store === undefined) continue
-      storedTokens += part.tokens
-      firstByteMs = Math.max(firstByteMs, store.firstByteMs)
-      slowestMbps = Math.min(slowestMbps, store.linkMbps)
+      if (isUnbroken) storedTokens += part.tokens
     }
-    const tokenMs = bytesPerToken * BITS_PER_BYTE / (slowestMbps * MEGABITS_PER_MS)
-    return { fetches, saves, storedTokens, firstByteMs, tokenMs }
+    return { fetches, saves, storedTokens }
   }
 
   /** The home if it holds the part, else any: while a home was away, its parts were saved elsewhere. */
