--- /dev/null
+++ b/apps/control/src/lib/formation.test.ts
@@ -0,0 +1,150 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import { listHosts, propose, readSite, type HostsResponse } from '@eelgrassmux/rpc/methods/controlMethods'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { startControl, type ControlSettings } from './ControlDaemon.js'
+
+const VOTERS = 5
+const CALL_MS = 1000
+
+/** Longest wait for anything, in milliseconds; reached only when a test fails. */
+const PATIENCE_MS = 20_000
+
+const SITE: Site = { version: 4, routes: [], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  return port
+}
+
+describe('a group of five control hosts that know three addresses', () => {
+  const rpc = new RpcClient()
+  let folder = ''
+  let ports: number[] = []
+  let hosts: Array<RunningDaemon | undefined> = []
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'formation-'))
+    ports = await Promise.all(Array.from({ length: VOTERS }, freePort))
+    hosts = []
+  })
+
+  afterEach(async () => {
+    await Promise.all(hosts.map(async host => { await host?.close() }))
+    await rm(folder, { recursive: true, force: true })
+  })
+
+  const address = (host: number): string => `127.0.0.1:${ports[host] ?? 0}`
+
+  async function start (host: number, disk: string, bootstrap: boolean): Promise<void> {
+    const settings: ControlSettings = {
+      host: '127.0.0.1', adminPort: 0, keptStories: 64, logLinesPerSecond: 200, dataCentre: 'n', port: ports[host] ?? 0, dataFolder: join(folder, disk), bootstrap, join: [0, 2, 4].map(address), shards: 1, freshnessMs: 3000, recordWindowHours: 1, minimumVoters: VOTERS, heartbeatMs: 50, electionTimeoutMs: 300, endpointListMs: 1000, orderLeaseMs: 3000
+    }
+    hosts[host] = await startControl(settings, new Telemetry(`control-${host}`), error => { throw error })
+  }
+
+  async function stop (host: number): Promise<void> {
+    const running = hosts[host]
+    hosts[host] = undefined
+    await running?.close()
+  }
+
+  async function views (): Promise<HostsResponse[]> {
+    const answers = await Promise.all(ports.map(async (_port, host) =>
+      hosts[host] === undefined ? undefined : await rpc.call(address(host), listHosts, {}, CALL_MS)))
+    return answers.flatMap(answer => answer?.ok === true ? [answer.value] : [])
+  }
+
+  /** Waits until all running hosts state the same five voters, which are themselves, and returns their ids. */
+  async function untilComplete (): Promise<string[]> {
+    const deadline = performance.now() + PATIENCE_MS
+    for (;;) {
+      const seen = await views()
+      const stated = seen.map(view => view.voters.map(voter => voter.id).sort())
+      const areVoters = seen.every(view => view.voters.some(voter => voter.id === view.replicaId))
+      const first = stated[0] ?? []
+      const running = hosts.filter(host => host !== undefined).length
+      const isAgreed = areVoters && stated.length === running && stated.every(ids => ids.join() === first.join())
+      if (isAgreed && first.length === VOTERS) return first
+      if (performance.now() > deadline) throw new Error(`no group of five: ${JSON.stringify(stated)}`)
+      await sleep(50)
+    }
+  }
+
+  async function put (): Promise<string> {
+    for (let turn = 0; turn < 200; turn += 1) {
+      const answer = await rpc.call(address(turn % VOTERS), propose, { command: { kind: 'put-site', site: SITE, source: Buffer.from('source') } }, CALL_MS)
+      if (answer.ok && answer.value.kind === 'applied') return answer.value.result.kind
+      await sleep(50)
+    }
+    return 'never'
+  }
+
+  async function read (): Promise<string> {
+    for (let turn = 0; turn < 200; turn += 1) {
+      const answer = await rpc.call(address(turn % VOTERS), readSite, {}, CALL_MS)
+      if (answer.ok && answer.value.kind === 'site') return Buffer.from(answer.value.source).toString()
+      await sleep(50)
+    }
+    return 'never'
+  }
+
+  it('forms once, in any order of starts, and takes nothing before it is complete', async () => {
+    for (const host of [3, 4, 1]) await start(host, `disk-${host}`, true)
+    await start(2, 'disk-2', true)
+    const founder = [0, 2, 4].map(address).sort()[0]
+    if (founder !== address(0)) {
+      // Four voters at most: a command now would be lost with three disks of a group meant to bear two.
+      const early = await rpc.call(founder ?? '', propose, { command: { kind: 'put-site', site: SITE, source: Buffer.from('early') } }, CALL_MS)
+      expect(early.ok && early.value.kind).not.toBe('applied')
+    }
+    await start(0, 'disk-0', true)
+    const ids = await untilComplete()
+    expect(new Set(ids).size).toBe(VOTERS)
+    expect(await put()).toBe('site-accepted')
+    expect(await read()).toBe('source')
+  })
+
+  it('takes two hosts with lost disks back under new ids and loses nothing', async () => {
+    for (let host = 0; host < VOTERS; host += 1) await start(host, `disk-${host}`, true)
+    const before = await untilComplete()
+    expect(await put()).toBe('site-accepted')
+    await Promise.all([stop(0), stop(1)])
+    await Promise.all([start(0, 'empty-0', false), start(1, 'empty-1', false)])
+    const after = await untilComplete()
+    expect(after.filter(id => before.includes(id))).toHaveLength(VOTERS - 2)
+    expect(await read()).toBe('source')
+  })
+
+  it('replaces a host that is gone by one at a new address', async () => {
+    for (let host = 0; host < VOTERS; host += 1) await start(host, `disk-${host}`, true)
+    const before = await untilComplete()
+    await stop(3)
+    ports.push(await freePort())
+    await start(VOTERS, 'new-host', false)
+    const after = await untilComplete()
+    expect(after.filter(id => before.includes(id))).toHaveLength(VOTERS - 1)
+  })
+
+  it('is not founded a second time by a host whose disk was emptied', async () => {
+    for (let host = 0; host < VOTERS; host += 1) await start(host, `disk-${host}`, true)
+    await untilComplete()
+    for (let host = 0; host < VOTERS; host += 1) await stop(host)
+    const founder = [0, 2, 4].find(host => address(host) === [0, 2, 4].map(address).sort()[0]) ?? 0
+    await start(founder, 'emptied', false)
+    await sleep(1500)
+    const [view] = await views()
+    expect(view?.leader).toBe('')
+    expect(view?.voters).toEqual([])
+  })
+})
--- /dev/null
+++ b/apps/control/src/lib/stores/stores.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
+import type { StoreChange, StoredPart } from '@eelgrassmux/schema/site/storedParts'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { findDeadParts } from './findDeadParts.js'
+import { StoreFollower, type StoreEvents, type StoreListing, type StoreSource } from './StoreFollower.js'
+
+const STORE: StoreService = { type: 'store', name: 's', address: '10.0.0.1:1', dataCentre: 'n', cacheTokens: 1, linkMbps: 1, firstByteMs: 0, isManaged: true }
+
+type Failure = { readonly kind: string }
+
+/** Answers from scripts; the follower is stopped when the scripts end. */
+class ScriptedStore implements StoreSource {
+  follower: StoreFollower | undefined
+  listings = 0
+
+  constructor (
+    private readonly lists: Array<Result<StoreListing, Failure>>, private readonly answers: Array<Result<StoreEvents, Failure>>
+  ) {}
+
+  async events (): Promise<Result<StoreEvents, Failure>> {
+    const answer = this.answers.shift()
+    if (answer === undefined) this.follower?.stop()
+    return answer ?? fail({ kind: 'script-ended' })
+  }
+
+  async listing (): Promise<Result<StoreListing, Failure>> {
+    this.listings += 1
+    const list = this.lists.shift()
+    if (list === undefined) this.follower?.stop()
+    return list ?? fail({ kind: 'script-ended' })
+  }
+
+  async free (): Promise<Result<true, Failure>> {
+    return succeed(true)
+  }
+}
+
+const part = (id: string): StoredPart => ['v1', id]
+const listing = (epoch: number, next: number, ...ids: string[]): Result<StoreListing, Failure> =>
+  succeed({ epoch, next, parts: ids.map(part), partial: [] })
+const events = (epoch: number, next: number, ...listed: Array<[sign: '+' | '-', id: string]>): Result<StoreEvents, Failure> => succeed({
+  epoch, next, hasGap: false, clockMs: undefined, events: listed.map(([sign, id]) => ({ kind: sign === '+' ? 'stored' as const : 'removed' as const, part: part(id) }))
+})
+
+async function follow (source: ScriptedStore): Promise<{ held: Set<string> | undefined, changes: StoreChange[] }> {
+  const changes: StoreChange[] = []
+  const follower = new StoreFollower(STORE, source, change => { changes.push(change) }, () => {}, new Telemetry('test'))
+  source.follower = follower
+  await follower.run()
+  let held: Set<string> | undefined
+  // The end of the script looks like a store that was lost; what was known before it counts.
+  for (const change of changes.slice(0, -1)) {
+    if (change.kind === 'lost') held = undefined
+    else if (change.kind === 'whole') held = new Set()
+    for (const [, id] of change.removed) held?.delete(id)
+    for (const [, id] of change.added) held?.add(id)
+  }
+  return { held, changes }
+}
+
+describe('StoreFollower', () => {
+  it('begins with the whole list and follows events', async () => {
+    const { held } = await follow(new ScriptedStore([listing(1, 5, 'a')], [events(1, 7, ['+', 'b'], ['-', 'a'])]))
+    expect(held).toEqual(new Set(['b']))
+  })
+
+  it('takes the last word on a part that came and went in one answer', async () => {
+    const { held } = await follow(new ScriptedStore([listing(1, 5)], [events(1, 9, ['+', 'a'], ['-', 'a'], ['+', 'b'], ['-', 'b'], ['+', 'b'])]))
+    expect(held).toEqual(new Set(['b']))
+  })
+
+  it('reads the list again after a gap', async () => {
+    const gap: Result<StoreEvents, Failure> = succeed({ epoch: 1, next: 40, hasGap: true, events: [], clockMs: undefined })
+    const source = new ScriptedStore([listing(1, 5, 'a'), listing(1, 40, 'c')], [gap])
+    const { held } = await follow(source)
+    expect(source.listings).toBe(2)
+    expect(held).toEqual(new Set(['c']))
+  })
+
+  it('forgets everything when the store has restarted', async () => {
+    const { held } = await follow(new ScriptedStore([listing(1, 5, 'a'), listing(2, 1)], [events(2, 1)]))
+    expect(held).toEqual(new Set())
+  })
+
+  it('says at once that a store does not answer', async () => {
+    const { changes } = await follow(new ScriptedStore([listing(1, 5, 'a'), listing(1, 5, 'a')], [fail({ kind: 'unreachable' })]))
+    expect(changes.map(change => change.kind)).toEqual(['whole', 'lost', 'whole', 'lost'])
+  })
+})
+
+describe('findDeadParts', () => {
+  const engine = (version: number): ListedEndpoint =>
+    ({ id: `e${version}`, service: 'p', address: '', dataCentre: 'n', slots: 1, isLeaving: false, isBusy: false, models: [{ model: 'm', version }] })
+  const parts: StoredPart[] = [['v1', 'a'], ['v2', 'b'], ['v1/ward', 'c'], ['foreign', 'd']]
+
+  it('names parts of weights that no engine holds any more', () => {
+    expect(findDeadParts(parts, [engine(2), engine(3)])).toEqual([['v1', 'a'], ['v1/ward', 'c']])
+  })
+
+  it('names none while one engine still holds them', () => {
+    expect(findDeadParts(parts, [engine(1), engine(3)])).toEqual([])
+  })
+
+  it('names none when no engine is known', () => {
+    expect(findDeadParts(parts, [])).toEqual([])
+  })
+})
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -1,4 +1,5 @@
 /** Puts the tasks of an entry host for routed requests together. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
@@ -23,10 +24,8 @@
   retrySlack: integerSetting(0, 100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
 
-const settingsSchema = z.object(routedSettingsShape)
-
 /** Settings of an entry host for routed requests, checked. */
-export type RoutedSettings = z.infer<typeof settingsSchema>
+export type RoutedSettings = z.infer<z.ZodObject<typeof routedSettingsShape>>
 
 /** What a platform brings. */
 export interface RoutedPlatform {
@@ -35,8 +34,14 @@
   openEdges (isReady: () => boolean): Promise<{ close (): Promise<void> }>
 }
 
-/** Time after which idle connections of callers are closed at a planned stop, beyond the balancer's lag, in milliseconds. */
-const IDLE_CLOSE_MS = 200
+/** At a planned stop, quiet that says that callers have moved to other hosts, in milliseconds. */
+const QUIET_MS = 400
+
+/** Longest wait for that quiet, beyond the balancer's lag, in milliseconds: the rest of the platform's eight seconds is for requests under way. */
+const QUIET_WAIT_MS = 2500
+
+/** Interval between looks for it, in milliseconds. */
+const QUIET_LOOK_MS = 50
 
 /**
  * Starts an entry host for routed requests.
@@ -108,7 +113,11 @@
     drain: async () => {
       link.stopAccepting()
       server.closeConnectionsAfterAnswers()
-      await new Promise(resolve => { setTimeout(resolve, IDLE_CLOSE_MS) })
+      // Whoever still comes is served: a refusal here would only send it round once more.
+      const startedAt = performance.now()
+      while (performance.now() - startedAt < QUIET_WAIT_MS && performance.now() - Math.max(server.lastRequestAt, startedAt) < QUIET_MS) {
+        await sleep(QUIET_LOOK_MS)
+      }
       work.close()
       await work.whenIdle()
     },
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -34,7 +34,7 @@
 export type CancelRequest = () => void
 
 /** Longest wait for a connection, in milliseconds: hosts are a millisecond apart, and a lost first packet is sent again after a second. */
-const CONNECT_TIMEOUT_MS = 300
+const CONNECT_TIMEOUT_MS = 200
 
 /** Idle time after which a connection without a stated limit is not used again, in milliseconds. */
 const IDLE_LIMIT_MS = 4000
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -57,7 +57,7 @@
 
   /** @param request - what to send */
   send (request: EndpointRequest): void {
-    this.choice.endpoint.begin(this.choice.tokensToRead, this.choice.tokensHeld)
+    this.choice.endpoint.begin(this.choice.tokensToRead, this.choice.tokensHeld, performance.now())
     this.#cancel = this.connection.send(request, {
       sending: () => {
         this.#wasSent = true
@@ -94,6 +94,7 @@
 
   #onHead (status: number, headers: string[], resume: () => void): void {
     if (this.#hasEnded) return
+    this.choice.endpoint.heard(performance.now())
     const fields = this.codec.readAnswer(status, headers)
     if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
       // An extra answer to an earlier request: what follows on this connection can't be trusted.
@@ -107,6 +108,7 @@
   #onData (chunk: Buffer): boolean {
     if (this.#hasEnded || this.#head === undefined) return true
     this.#endReading()
+    this.choice.endpoint.heard(performance.now())
     return this.#head.fields.isNotExecuted || this.listener.data(chunk)
   }
 
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -46,6 +46,8 @@
     })
   }
 
+  /** Whether the work of other hosts is known, so that estimates may decide about refusals. */
+  get knowsLoad (): boolean { return this.others.isRecent(performance.now()) }
   /** Whether any endpoint is known. */
   get isKnown (): boolean { return this.#pool.all.length > 0 }
 
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -3,6 +3,7 @@
  * on, and goes on elsewhere where that is allowed. The bytes of request and
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
+import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
@@ -61,6 +62,11 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+/** Share of the time left up to which callers honour a pause. */
+const HONOURED_SHARE = 1 / 3
+
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Shortest and longest pause before a refused caller should return, in seconds: a place frees within tenths of a second. */
 const RETURN_AFTER_SECONDS = { least: 0.2, most: 1 }
 
@@ -116,6 +122,8 @@
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
       return
     }
+    const admission = this.#admit(choice)
+    if (admission === undefined) return
     const { endpoint } = choice
     const connections = this.ports.fleet.connectionsTo(endpoint)
     const connection = connections.acquire(this.ports.fleet.connectionLimit(this.request.service.connectionsPerEndpoint))
@@ -136,7 +144,7 @@
         remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
         customer: this.request.customer?.name,
         lastEventId: this.#cursor?.lastId ?? this.request.fields.lastEventId,
-        priority: choice.version === undefined ? undefined : engineRank(this.request.customer?.priority, this.request.route.priority),
+        priority: choice.version === undefined ? undefined : engineRank(this.request.customer?.priority, this.request.route.priority, admission.isExpectedLate),
         version: choice.version,
         cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version),
         stores: choice.version === undefined ? undefined : this.#transfers(choice, choice.version)
@@ -146,6 +154,17 @@
     this.#rememberPrompt(choice)
   }
 
+  /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
+  #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
+    if (choice.version === undefined || this.#hasFirstEvent || !this.ports.fleet.knowsLoad) return { isExpectedLate: false }
+    const now = performance.now()
+    const admission = admitStream(this.request.route, now - this.request.arrivedAt, choice.estimatedMs, this.#deadline - now)
+    if (admission.kind === 'send') return admission
+    const detail = `the first event would take ${Math.round(choice.estimatedMs)} ms at the best engine, ${choice.endpoint.id}`
+    this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs / MILLISECONDS_PER_SECOND)
+    return undefined
+  }
+
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
     const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.codec, {
       sending: () => {
@@ -321,11 +340,12 @@
 
   #callerLeft (): void {
     if (this.#isDone) return
-    this.#cancelAttempt(undefined)
-    this.#finish('caller-left', {})
+    const isSilent = this.#attempt?.choice.endpoint.isSilent(performance.now()) === true
+    this.#cancelAttempt(isSilent ? 'unanswered' : undefined)
+    this.#finish('caller-left', { endpoint: this.#attempt?.choice.endpoint.id ?? '', isSilent, hadEvents: this.#hasFirstEvent })
   }
 
-  /** An endpoint that answered nothing for all the time there was is to blame; one whose caller left is not. */
+  /** An endpoint that answered nothing for all the time there was is to blame, and one that has fallen silent towards everybody. */
   #cancelAttempt (outcome: 'unanswered' | undefined): void {
     const attempt = this.#attempt
     if (attempt === undefined) return
@@ -334,26 +354,34 @@
     attempt.cancel()
   }
 
-  #refuse (reason: RefusalReason, wantedStatus: number, detail: string): void {
+  #refuse (reason: RefusalReason, wantedStatus: number, detail: string, wantedReturnSeconds = 0): void {
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
-    const retryAfterSeconds = status === 503 ? this.#returnAfterSeconds() : undefined
+    const retryAfterSeconds = status === 503 ? this.#returnAfterSeconds(wantedReturnSeconds) : undefined
     const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
     this.ports.refusals.count(reason)
     this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
     this.exchange.refuse(refusal)
   }
 
-  #returnAfterSeconds (): number {
+  /** Spread, so that those refused together do not return together, and within what callers honour. */
+  #returnAfterSeconds (wantedSeconds: number): number {
     const { least, most } = RETURN_AFTER_SECONDS
-    return least + Math.random() * (most - least)
+    const honouredSeconds = Math.max(0, this.#deadline - performance.now()) * HONOURED_SHARE / MILLISECONDS_PER_SECOND
+    const spreadSeconds = least + Math.random() * (most - least)
+    return Math.min(honouredSeconds, Math.max(wantedSeconds, 0) + spreadSeconds)
   }
 
   /** What decided where the request went. */
   #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): LogDetails {
     return {
-      estimatedMs: Math.round(estimatedMs), waitMs: Math.round(waitMs), fetchMs: Math.round(fetchMs), tokensToRead: Math.round(tokensToRead), version: version ?? 0,
-      firstEventMs: Math.round(this.#firstEventMs ?? 0), promptTokens: this.request.fields.prompt?.promptTokens ?? 0,
+      estimatedMs: Math.round(estimatedMs),
+      waitMs: Math.round(waitMs),
+      fetchMs: Math.round(fetchMs),
+      tokensToRead: Math.round(tokensToRead),
+      version: version ?? 0,
+      firstEventMs: Math.round(this.#firstEventMs ?? 0),
+      promptTokens: this.request.fields.prompt?.promptTokens ?? 0,
       storedTokens: version === undefined ? 0 : this.#storePlan(version).storedTokens,
       sharedPart: this.#sharedParts().at(-1)?.id ?? '',
       saves: version === undefined ? '' : this.#storePlan(version).saves.map(address => address ?? '-').join(',')
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -0,0 +1,346 @@
+import { createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from './RequestCodec.js'
+import { endToEndHeaders } from './headers.js'
+import { RoutedFleet } from './RoutedFleet.js'
+import { RoutedServer } from './RoutedServer.js'
+
+const HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id' }
+
+/** The smallest words that the product can be spoken to with. */
+class PlainCodec implements RequestCodec {
+  readCaller (headers: readonly string[]): CallerFields {
+    const deadline = valueOf(headers, HEADERS.deadline)
+    return {
+      requestId: valueOf(headers, HEADERS.id), key: valueOf(headers, HEADERS.key), deadlineMs: deadline === undefined ? undefined : Number(deadline), prompt: undefined, lastEventId: undefined
+    }
+  }
+
+  writeEndpoint (headers: readonly string[], fields: EndpointFields): string[] {
+    const kept = endToEndHeaders(headers, name => name === 'content-length' || name === HEADERS.key || name === HEADERS.deadline)
+    kept.push(HEADERS.deadline, String(fields.remainingMs))
+    if (fields.lastEventId !== undefined) kept.push(HEADERS.lastEvent, String(fields.lastEventId))
+    return kept
+  }
+
+  readAnswer (_status: number, headers: readonly string[]): AnswerFields {
+    return { requestId: valueOf(headers, HEADERS.id), isNotExecuted: valueOf(headers, HEADERS.notRun) !== undefined, instance: undefined, load: undefined, version: undefined }
+  }
+}
+
+function valueOf (headers: readonly string[], name: string): string | undefined {
+  const at = headers.findIndex((header, index) => index % 2 === 0 && header.toLowerCase() === name)
+  return at < 0 ? undefined : headers[at + 1]
+}
+
+function route (pathPrefix: string, overrides: Partial<Route>): Route {
+  return {
+    name: pathPrefix, host: 'h', pathPrefix, kind: 'safe', isResumable: false, attempts: 2, timeoutMs: 2000, targetLatencyMs: 100, priority: 0, isPublic: true, keepsPrompts: false, longestPauseMs: 0, targets: [{ service: 'app', weight: 1 }], ...overrides
+  }
+}
+
+const SITE: Site = {
+  version: 1,
+  routes: [
+    route('/safe/', {}),
+    route('/unsafe/', { kind: 'unsafe', attempts: 1 }),
+    route('/stream/', { kind: 'stream', attempts: 1 }),
+    route('/resumable/', { kind: 'stream', isResumable: true }),
+    route('/short/', { kind: 'unsafe', timeoutMs: 150 }),
+    route('/private/', { isPublic: false })
+  ],
+  services: [{ type: 'replicated', name: 'app', connectionsPerEndpoint: 0, healthPath: '/health' }],
+  customers: [{ name: 'ward', keys: ['right'], isIsolated: false }],
+  limits: { headerBytes: 4000, bodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
+}
+
+interface Answer {
+  readonly status: number
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+  readonly isWhole: boolean
+}
+
+type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
+
+class Endpoint {
+  readonly seen: Array<{ readonly method: string, readonly target: string, readonly body: string, readonly headers: IncomingMessage['headers'] }> = []
+  closedEarly = 0
+  #server: Server | undefined
+
+  constructor (readonly id: string, public behaviour: Behaviour) {}
+
+  async listen (): Promise<ListedEndpoint> {
+    const server = createServer((request, response) => {
+      const chunks: Buffer[] = []
+      response.on('close', () => { if (!response.writableEnded) this.closedEarly += 1 })
+      request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      request.on('end', () => {
+        const body = Buffer.concat(chunks).toString()
+        this.seen.push({ method: request.method ?? '', target: request.url ?? '', body, headers: request.headers })
+        this.behaviour(request, response, body)
+      })
+    })
+    this.#server = server
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    return { id: this.id, service: 'app', address, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [] }
+  }
+
+  close (): void {
+    this.#server?.closeAllConnections()
+    this.#server?.close()
+  }
+}
+
+const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`
+
+const answerOk: Behaviour = (request, response, body) => {
+  response.writeHead(200, { [HEADERS.id]: request.headers[HEADERS.id] ?? '', 'x-stamp': 's1' })
+  response.end(`${request.method ?? ''} ${request.url ?? ''} ${body}`)
+}
+
+const reject: Behaviour = (_request, response) => {
+  response.writeHead(503, { [HEADERS.notRun]: '1' })
+  response.end()
+}
+
+const reset: Behaviour = request => { request.socket.resetAndDestroy() }
+
+describe('RoutedServer', () => {
+  let port = 0
+  let endpoints: Endpoint[] = []
+  let server: RoutedServer
+  let fleet: RoutedFleet
+
+  beforeEach(async () => {
+    const telemetry = new Telemetry('test')
+    fleet = new RoutedFleet('n', () => 1, telemetry)
+    server = new RoutedServer({
+      fleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined
+    })
+    port = await server.listen('127.0.0.1', 0)
+    server.configure(SITE)
+    endpoints = []
+  })
+
+  afterEach(async () => {
+    await server.close()
+    for (const endpoint of endpoints) endpoint.close()
+  })
+
+  async function serveBy (...behaviours: Behaviour[]): Promise<Endpoint[]> {
+    endpoints = behaviours.map((behaviour, number) => new Endpoint(`e${number}`, behaviour))
+    fleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
+    return endpoints
+  }
+
+  async function ask (path: string, options: { method?: string, body?: string, headers?: Record<string, string> } = {}): Promise<Answer> {
+    return await new Promise((resolve, reject) => {
+      const request = httpRequest({
+        host: '127.0.0.1', port, path, method: options.method ?? 'GET', headers: { host: 'h', [HEADERS.id]: 'r1', ...options.headers }
+      }, response => {
+        let body = ''
+        response.on('data', chunk => { body += String(chunk) })
+        response.on('close', () => { resolve({ status: response.statusCode ?? 0, headers: response.headers, body, isWhole: response.complete }) })
+      })
+      request.on('error', reject)
+      request.end(options.body)
+    })
+  }
+
+  /** Endpoints that answered `misbehave` once are well from then on. */
+  function once (misbehave: Behaviour): Behaviour {
+    let isFirst = true
+    return (request, response, body) => {
+      const behaviour = isFirst ? misbehave : answerOk
+      isFirst = false
+      behaviour(request, response, body)
+    }
+  }
+
+  function seenBy (all: readonly Endpoint[]): number {
+    return all.reduce((sum, endpoint) => sum + endpoint.seen.length, 0)
+  }
+
+  describe('passing on', () => {
+    it('changes neither method, target, body nor the answer', async () => {
+      const [endpoint] = await serveBy(answerOk)
+      const answer = await ask('/unsafe/a%20b?x=1&y=', { method: 'POST', body: 'bytes' })
+      expect(answer).toMatchObject({ status: 200, body: 'POST /unsafe/a%20b?x=1&y= bytes', isWhole: true })
+      expect(answer.headers['x-stamp']).toBe('s1')
+      expect(endpoint?.seen[0]).toMatchObject({ method: 'POST', target: '/unsafe/a%20b?x=1&y=', body: 'bytes' })
+    })
+
+    it('passes events on as they come', async () => {
+      let finish: (() => void) | undefined
+      await serveBy((_request, response) => {
+        response.writeHead(200)
+        response.write(event(1))
+        finish = () => { response.end(event(2)) }
+      })
+      const first = new Promise<string>(resolve => {
+        httpRequest({ host: '127.0.0.1', port, path: '/stream/a', method: 'POST', headers: { host: 'h', [HEADERS.id]: 'r1' } }, response => {
+          response.once('data', chunk => { resolve(String(chunk)) })
+        }).end()
+      })
+      expect(await first).toBe(event(1))
+      finish?.()
+    })
+
+    it('hands on what is left of the time', async () => {
+      const [endpoint] = await serveBy(answerOk)
+      await ask('/safe/a', { headers: { [HEADERS.deadline]: '700' } })
+      const left = Number(endpoint?.seen[0]?.headers[HEADERS.deadline])
+      expect(left).toBeGreaterThan(0)
+      expect(left).toBeLessThanOrEqual(700)
+    })
+  })
+
+  describe('a request that may run once', () => {
+    it('is answered "unknown" and not sent again when its endpoint resets the connection', async () => {
+      const all = await serveBy(reset, reset)
+      const answer = await ask('/unsafe/a', { method: 'POST' })
+      expect(answer.status).toBe(502)
+      expect(JSON.parse(answer.body)).toMatchObject({ run: 'unknown' })
+      expect(seenBy(all)).toBe(1)
+    })
+
+    it('goes to another endpoint when the first says that it did not run it', async () => {
+      let isFirst = true
+      const rejectFirst: Behaviour = (request, response, body) => {
+        const behaviour = isFirst ? reject : answerOk
+        isFirst = false
+        behaviour(request, response, body)
+      }
+      const all = await serveBy(rejectFirst, rejectFirst)
+      expect((await ask('/unsafe/a', { method: 'POST' })).status).toBe(200)
+      expect(seenBy(all)).toBe(2)
+    })
+
+    it('is refused as "not run" when no endpoint ran it', async () => {
+      await serveBy(reject, reject)
+      const answer = await ask('/unsafe/a', { method: 'POST' })
+      expect(answer.status).toBe(503)
+      expect(JSON.parse(answer.body)).toMatchObject({ run: 'not-run' })
+      expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+    })
+
+    it('does not get the endpoint\'s 503 when that does not say that it did not run it', async () => {
+      await serveBy((_request, response) => {
+        response.writeHead(503)
+        response.end()
+      })
+      expect((await ask('/unsafe/a', { method: 'POST' })).status).toBe(502)
+    })
+
+    it('does not get an answer that bears another request\'s id', async () => {
+      await serveBy((_request, response) => {
+        response.writeHead(200, { [HEADERS.id]: 'somebody-else' })
+        response.end('theirs')
+      })
+      const answer = await ask('/unsafe/a', { method: 'POST' })
+      expect(answer.status).toBe(502)
+      expect(answer.body).not.toContain('theirs')
+    })
+  })
+
+  describe('a safe request', () => {
+    it('is sent again after a reset', async () => {
+      const all = await serveBy(once(reset), once(reset))
+      const answers = [await ask('/safe/a'), await ask('/safe/b'), await ask('/safe/c')]
+      expect(answers.filter(answer => answer.status === 200).length).toBeGreaterThanOrEqual(2)
+      expect(seenBy(all)).toBeGreaterThan(3)
+    })
+
+    it('is never answered with half a body', async () => {
+      await serveBy((_request, response) => {
+        response.writeHead(200, { 'content-length': '100' })
+        response.write('half')
+        setTimeout(() => { response.destroy() }, 20)
+      })
+      const answer = await ask('/safe/a')
+      expect(answer.status).toBe(502)
+    })
+  })
+
+  describe('a stream', () => {
+    it('that breaks off never looks complete', async () => {
+      await serveBy((_request, response) => {
+        response.writeHead(200)
+        response.write(event(1))
+        setTimeout(() => { response.destroy() }, 20)
+      })
+      const answer = await ask('/stream/a', { method: 'POST' })
+      expect(answer).toMatchObject({ status: 200, isWhole: false })
+    })
+
+    it('that may be resumed goes on elsewhere, each event once, half an event never', async () => {
+      const serve = (isBroken: () => boolean): Behaviour => (request, response) => {
+        const from = Number(request.headers[HEADERS.lastEvent] ?? 0)
+        response.writeHead(200)
+        if (isBroken()) {
+          response.write(event(1) + event(2) + event(3).slice(0, 8))
+          setTimeout(() => { response.destroy() }, 20)
+          return
+        }
+        response.end([1, 2, 3, 4].filter(id => id > from).map(event).join(''))
+      }
+      let served = 0
+      const firstBreaks = (): boolean => (served += 1) === 1
+      const all = await serveBy(serve(firstBreaks), serve(firstBreaks))
+      const answer = await ask('/resumable/a', { method: 'POST' })
+      expect(answer).toMatchObject({ status: 200, isWhole: true, body: event(1) + event(2) + event(3) + event(4) })
+      const askedBehind = all.flatMap(endpoint => endpoint.seen.map(seen => seen.headers[HEADERS.lastEvent]))
+      expect(askedBehind.sort()).toEqual(['2', undefined])
+    })
+  })
+
+  describe('time', () => {
+    it('that is over is answered at once', async () => {
+      const [endpoint] = await serveBy(() => {})
+      const startedAt = performance.now()
+      expect((await ask('/short/a', { method: 'POST' })).status).toBe(504)
+      expect(performance.now() - startedAt).toBeLessThan(1000)
+      await sleep(50)
+      expect(endpoint?.closedEarly).toBe(1)
+    })
+
+    it('of an endpoint is freed when its caller leaves', async () => {
+      const [endpoint] = await serveBy(() => {})
+      const request = httpRequest({ host: '127.0.0.1', port, path: '/stream/a', method: 'POST', headers: { host: 'h' } })
+      request.on('error', () => {})
+      request.end()
+      while (endpoint?.seen.length === 0) await sleep(5)
+      request.destroy()
+      await sleep(100)
+      expect(endpoint?.closedEarly).toBe(1)
+    })
+  })
+
+  describe('refusals of what was only looked at', () => {
+    it.each([
+      ['a path without a route', '/none/a', {}, 404],
+      ['a missing key', '/private/a', {}, 401],
+      ['a wrong key', '/private/a', { headers: { [HEADERS.key]: 'wrong' } }, 401],
+      ['a body over the limit', '/safe/a', { method: 'POST', body: 'x'.repeat(2000) }, 413],
+      ['headers over the limit', '/safe/a', { headers: { long: 'x'.repeat(5000) } }, 431]
+    ])('name %s', async (_what, path, options, status) => {
+      const all = await serveBy(answerOk)
+      expect((await ask(path, options)).status).toBe(status)
+      expect(seenBy(all)).toBe(0)
+    })
+
+    it('do not meet a caller with the right key, which goes no further', async () => {
+      const [endpoint] = await serveBy(answerOk)
+      expect((await ask('/private/a', { headers: { [HEADERS.key]: 'right' } })).status).toBe(200)
+      expect(endpoint?.seen[0]?.headers[HEADERS.key]).toBeUndefined()
+    })
+  })
+})
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -58,6 +58,7 @@
   readonly #firstEvent: (milliseconds: number) => void
   #index: SiteIndex | undefined
   #closesConnections = false
+  #lastRequestAt = 0
 
   /** @param ports - surroundings */
   constructor (private readonly ports: RoutedServerPorts) {
@@ -106,6 +107,9 @@
     this.#server.closeIdleConnections()
   }
 
+  /** Monotonic milliseconds at which the last request arrived. */
+  get lastRequestAt (): number { return this.#lastRequestAt }
+
   /** Closes; requests under way must have ended. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -116,6 +120,7 @@
 
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
+    this.#lastRequestAt = arrivedAt
     const exchange = new CallerExchange(message, response, () => this.#closesConnections)
     const fields = this.ports.codec.readCaller(message.rawHeaders)
     const index = this.#index
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**'] }),
   {
     rules: {
       // A promise that is meant to run by itself is marked with a void statement.
--- /dev/null
+++ b/packages/routing/src/lib/admission/admitStream.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest'
+import type { Route } from '@eelgrassmux/schema/site/siteSchema'
+import { engineRank } from '../prompts/engineRank.js'
+import { admitStream, callerPatienceMs } from './admitStream.js'
+
+const DIGEST: Route = {
+  name: 'digest', host: 'h', pathPrefix: '/', kind: 'stream', isResumable: false, attempts: 1, timeoutMs: 10_000, targetLatencyMs: 600, priority: 2, isPublic: false, keepsPrompts: true, longestPauseMs: 300, targets: [{ service: 'p', weight: 1 }]
+}
+
+describe('callerPatienceMs', () => {
+  it('is the longest of the three', () => {
+    expect(callerPatienceMs(DIGEST)).toBe(2400)
+    expect(callerPatienceMs({ ...DIGEST, targetLatencyMs: 300, longestPauseMs: 100 })).toBe(2000)
+    expect(callerPatienceMs({ ...DIGEST, longestPauseMs: 400 })).toBe(3200)
+  })
+})
+
+describe('admitStream', () => {
+  it('sends what can be on time, and what may still be', () => {
+    expect(admitStream(DIGEST, 0, 300, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
+    expect(admitStream(DIGEST, 0, 700, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
+  })
+
+  it('sends what is late but awaited behind what can be on time', () => {
+    expect(admitStream(DIGEST, 0, 1500, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
+    expect(engineRank(1, 0, true)).toBeGreaterThan(engineRank(1, 2, false))
+  })
+
+  it('counts the time that the request has waited already', () => {
+    expect(admitStream(DIGEST, 500, 400, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
+  })
+
+  it('refuses at once what no caller waits for, and says when to come back', () => {
+    const admission = admitStream(DIGEST, 0, 4000, 9000)
+    expect(admission).toEqual({ kind: 'refuse', returnAfterMs: 2800 })
+  })
+
+  it('refuses what can\'t begin before its time is over', () => {
+    expect(admitStream(DIGEST, 0, 900, 500).kind).toBe('refuse')
+  })
+})
+
+describe('engineRank', () => {
+  it('puts the customer before the route, and stays within what engines know', () => {
+    expect(engineRank(0, 2, false)).toBeLessThan(engineRank(1, 0, false))
+    expect(engineRank(1, 0, false)).toBeLessThan(engineRank(1, 1, false))
+    for (const customer of [undefined, 0, 1, 5]) {
+      for (const route of [0, 1, 2, 7]) {
+        for (const isLate of [false, true]) {
+          const rank = engineRank(customer, route, isLate)
+          expect(rank).toBeGreaterThanOrEqual(0)
+          expect(rank).toBeLessThanOrEqual(9)
+        }
+      }
+    }
+  })
+})
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -17,6 +17,9 @@
 /** Time for which an endpoint that said it was full gets no further work, in milliseconds; a place frees every few. */
 const FULL_MS = 60
 
+/** Silence after which an endpoint with work gets no more if others can take it, in milliseconds: three times what a first event usually takes. */
+const SILENT_MS = 900
+
 /** Weight of the newest sample in the mean latency. */
 const LATENCY_SMOOTHING = 0.1
 
@@ -26,6 +29,7 @@
   readonly slowness = new Slowness()
   #listed: ListedEndpoint
   #isLeaving: boolean
+  #heardAt = 0
   #versions = new Map<string, number>()
   #inFlight = 0
   #pendingTokens = 0
@@ -132,13 +136,30 @@
   /**
    * @param pendingTokens - prompt tokens that it has to read before its first event
    * @param heldTokens - tokens that the request will hold in its memory
+   * @param now - monotonic milliseconds
    */
-  begin (pendingTokens: number, heldTokens: number): void {
+  begin (pendingTokens: number, heldTokens: number, now: number): void {
+    if (this.#inFlight === 0) this.#heardAt = now
     this.#inFlight += 1
     this.#pendingTokens += pendingTokens
     this.#heldTokens += heldTokens
   }
 
+  /** @param now - monotonic milliseconds at which bytes of any answer came from it */
+  heard (now: number): void {
+    this.#heardAt = now
+  }
+
+  /**
+   * An endpoint that is gone without a word takes connections and answers nothing.
+   *
+   * @param now - monotonic milliseconds
+   * @returns whether it has work of this host and has sent nothing to it for long
+   */
+  isSilent (now: number): boolean {
+    return this.#inFlight > 0 && now - this.#heardAt > SILENT_MS
+  }
+
   /** @param pendingTokens - as given at the beginning */
   firstEvent (pendingTokens: number): void {
     this.#pendingTokens -= pendingTokens
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -0,0 +1,194 @@
+import { describe, expect, it } from 'vitest'
+import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import { OthersWork } from '../load/OthersWork.js'
+import { PromptMemory } from '../prompts/PromptMemory.js'
+import { homeEndpoint } from '../prompts/homeEndpoint.js'
+import { StoreLinks } from '../stores/StoreLinks.js'
+import type { StorePlan } from '../stores/StoredPartsIndex.js'
+import { chooseEndpoint, type EndpointAsk, type EndpointChoice, type PromptAsk } from './chooseEndpoint.js'
+import { EndpointState } from './EndpointState.js'
+
+const MODEL = 'summary'
+
+function listed (id: string, overrides: Partial<ListedEndpoint> = {}): ListedEndpoint {
+  return {
+    id, service: 'pool', address: `10.0.0.1:${id.length}`, dataCentre: 'north', slots: 48, isLeaving: false, isBusy: false, models: [{ model: MODEL, version: 1 }], ...overrides
+  }
+}
+
+function engines (count: number): EndpointState[] {
+  return Array.from({ length: count }, (_, number) => new EndpointState(listed(`e${number}`)))
+}
+
+const NOTHING_STORED: StorePlan = { fetches: [], saves: [], storedTokens: 0 }
+
+function promptAsk (overrides: Partial<PromptAsk> = {}): PromptAsk {
+  return {
+    description: {
+      model: MODEL,
+      promptTokens: 12_000,
+      outputTokens: 400,
+      parts: [{ id: 'common', tokens: 500 }, { id: 'trip', tokens: 8600 }, { id: 'own', tokens: 2900 }]
+    },
+    desiredVersion: 1,
+    requiredVersion: undefined,
+    memoryTokens: 110_000,
+    scope: version => `v${version}`,
+    stored: () => NOTHING_STORED,
+    links: new StoreLinks(() => 8),
+    bytesPerToken: 131_072,
+    ...overrides
+  }
+}
+
+function ask (prompt?: PromptAsk, overrides: Partial<EndpointAsk> = {}): EndpointAsk {
+  return { excluded: new Set(), dataCentre: 'north', others: undefined, ...(prompt === undefined ? {} : { prompt }), ...overrides }
+}
+
+function chosen (choice: EndpointChoice | string): EndpointChoice {
+  if (typeof choice === 'string') throw new Error(choice)
+  return choice
+}
+
+describe('chooseEndpoint', () => {
+  describe('prompts that return', () => {
+    it('go to the same home from every host while engines are equally busy', () => {
+      const fleet = engines(8)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id))
+      for (const random of [0, 0.3, 0.6, 0.99]) {
+        expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 0, random)).endpoint.id).toBe(home)
+      }
+    })
+
+    it('leave a home whose queue costs more than reading elsewhere', () => {
+      const fleet = engines(8)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id))
+      fleet.find(engine => engine.id === home)?.begin(60_000, 60_000, 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
+    })
+
+    it('go where this host sent them before', () => {
+      const fleet = engines(8)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id))
+      const other = fleet.find(engine => engine.id !== home)
+      const memory = new PromptMemory()
+      memory.recordSend('v1', promptAsk().description.parts.slice(0, 2), other?.id ?? '', 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), memory, 1000, 0)).endpoint.id).toBe(other?.id)
+    })
+
+    it('need only their own end read where a store holds the rest', () => {
+      const store = { type: 'store' as const, name: 's', address: '10.0.0.9:1', dataCentre: 'north', cacheTokens: 1e6, linkMbps: 590_000, firstByteMs: 6, isManaged: true }
+      const stored: StorePlan = { fetches: [store, store], saves: [], storedTokens: 9100 }
+      const choice = chosen(chooseEndpoint(engines(8), ask(promptAsk({ stored: () => stored })), new PromptMemory(), 0, 0))
+      expect(choice.tokensToRead).toBe(2900)
+    })
+
+    it('prefer an engine beside the store while its link is what they wait for', () => {
+      const store = { type: 'store' as const, name: 's', address: '10.0.0.9:1', dataCentre: 'south', cacheTokens: 1e6, linkMbps: 100_000, firstByteMs: 6, isManaged: true }
+      const stored: StorePlan = { fetches: [store, store], saves: [], storedTokens: 9100 }
+      const fleet = [new EndpointState(listed('a')), new EndpointState(listed('b', { dataCentre: 'south' }))]
+      const choice = chosen(chooseEndpoint(fleet, ask(promptAsk({ stored: () => stored })), new PromptMemory(), 0, 0))
+      expect(choice.endpoint.listed.dataCentre).toBe('south')
+    })
+  })
+
+  describe('many hosts at once', () => {
+    it('do not all choose the engine that is busy with the others\' work', () => {
+      const fleet = engines(2)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
+      const others = new OthersWork()
+      others.sent(1, [])
+      others.answered(1, [{ endpoint: home, inFlight: 6, pendingTokens: 40_000, heldTokens: 70_000 }], 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk(), { others }), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
+    })
+
+    it('keep away from an engine whose memory is full, though it reads nothing', () => {
+      const fleet = engines(2)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
+      const others = new OthersWork()
+      others.sent(1, [])
+      others.answered(1, [{ endpoint: home, inFlight: 9, pendingTokens: 0, heldTokens: 105_000 }], 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk(), { others }), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
+    })
+  })
+
+  describe('an engine that is slower than estimated', () => {
+    it('gets less, and is tried again after a while', () => {
+      const fleet = engines(2)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
+      const slow = fleet.find(engine => engine.id === home)
+      for (let request = 0; request < 20; request += 1) slow?.slowness.observe(1500, 200, 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 60_000, 0)).endpoint.id).toBe(home)
+    })
+  })
+
+  describe('weights', () => {
+    const old = (): EndpointState => new EndpointState(listed('old'))
+    const fresh = (): EndpointState => new EndpointState(listed('fresh', { models: [{ model: MODEL, version: 2 }] }))
+
+    it('are the newest where any engine holds them', () => {
+      expect(chosen(chooseEndpoint([old(), fresh()], ask(promptAsk({ desiredVersion: 2 })), new PromptMemory(), 0, 0)).version).toBe(2)
+    })
+
+    it('are older ones rather than none', () => {
+      expect(chosen(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2 })), new PromptMemory(), 0, 0)).version).toBe(1)
+    })
+
+    it('never change under a request that has begun', () => {
+      expect(chooseEndpoint([fresh()], ask(promptAsk({ requiredVersion: 1 })), new PromptMemory(), 0, 0)).toBe('none-of-version')
+    })
+  })
+
+  describe('endpoints without new work', () => {
+    it('are those that leave, whatever an older list says', () => {
+      const leaving = new EndpointState(listed('a', { isLeaving: true }))
+      leaving.update(listed('a'))
+      expect(chooseEndpoint([leaving], ask(), new PromptMemory(), 0, 0)).toBe('none-listed')
+    })
+
+    it('are those that load weights, while others can take it', () => {
+      const fleet = [new EndpointState(listed('a', { isBusy: true })), new EndpointState(listed('b'))]
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 0, 0)).endpoint.id).toBe('b')
+      expect(chosen(chooseEndpoint(fleet.slice(0, 1), ask(promptAsk()), new PromptMemory(), 0, 0)).endpoint.id).toBe('a')
+    })
+
+    it('are those that have work and have said nothing for long, while others can take it', () => {
+      const fleet = engines(2)
+      const home = homeEndpoint('trip', fleet.map(engine => engine.id))
+      const dark = fleet.find(engine => engine.id === home)
+      dark?.begin(0, 0, 0)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 100, 0)).endpoint.id).toBe(home)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 1500, 0)).endpoint.id).not.toBe(home)
+      dark?.heard(1500)
+      expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 1600, 0)).endpoint.id).toBe(home)
+    })
+
+    it('are those that could not be reached a moment ago, unless all are so', () => {
+      const [first, second] = engines(2)
+      first?.health.observe('unreachable', 0)
+      const both = [first, second].filter(engine => engine !== undefined)
+      expect(chosen(chooseEndpoint(both, ask(), new PromptMemory(), 10, 0)).endpoint.id).toBe('e1')
+      second?.health.observe('unreachable', 0)
+      expect(typeof chooseEndpoint(both, ask(), new PromptMemory(), 10, 0)).toBe('object')
+    })
+  })
+
+  describe('plain services', () => {
+    it('use the endpoint with the fewest requests of all hosts', () => {
+      const fleet = engines(3)
+      const others = new OthersWork()
+      others.sent(1, [])
+      others.answered(1, [
+        { endpoint: 'e0', inFlight: 9, pendingTokens: 0, heldTokens: 0 }, { endpoint: 'e2', inFlight: 7, pendingTokens: 0, heldTokens: 0 }
+      ], 0)
+      expect(chosen(chooseEndpoint(fleet, ask(undefined, { others }), new PromptMemory(), 0, 0)).endpoint.id).toBe('e1')
+    })
+
+    it('keep away from an endpoint that fails much of what it gets', () => {
+      const fleet = engines(2)
+      for (let request = 0; request < 8; request += 1) fleet[0]?.health.observe('failure', 0)
+      expect(chosen(chooseEndpoint(fleet, ask(), new PromptMemory(), 100_000, 0)).endpoint.id).toBe('e1')
+    })
+  })
+})
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -151,7 +151,7 @@
 
 /** Healthy endpoints with room; else any that are healthy, else any. */
 function preferred (endpoints: readonly EndpointState[], now: number): readonly EndpointState[] {
-  const healthy = endpoints.filter(endpoint => !endpoint.health.isPaused(now))
+  const healthy = endpoints.filter(endpoint => !endpoint.health.isPaused(now) && !endpoint.isSilent(now))
   const able = healthy.length > 0 ? healthy : endpoints
   const idle = able.filter(endpoint => !endpoint.isBusy(now))
   const awake = idle.length > 0 ? idle : able
--- /dev/null
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from 'vitest'
+import { LoadBoard } from './LoadBoard.js'
+import type { EndpointWork } from './loadReport.js'
+import { OthersWork } from './OthersWork.js'
+
+const work = (endpoint: string, inFlight: number): EndpointWork => ({ endpoint, inFlight, pendingTokens: inFlight * 100, heldTokens: inFlight * 1000 })
+
+describe('LoadBoard', () => {
+  it('adds up the newest report of each host', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 1, work: [work('e', 9)] }, 0)
+    board.observe({ host: 'a', sequence: 2, work: [work('e', 2)] }, 10)
+    board.observe({ host: 'b', sequence: 7, work: [work('e', 3), work('f', 1)] }, 10)
+    expect(board.totals(20)).toEqual([work('e', 5), work('f', 1)])
+  })
+
+  it('ignores a report that was overtaken, but not a host that started again', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 5, work: [work('e', 5)] }, 0)
+    board.observe({ host: 'a', sequence: 4, work: [work('e', 9)] }, 10)
+    expect(board.totals(10)).toEqual([work('e', 5)])
+    board.observe({ host: 'a', sequence: 1, work: [work('e', 1)] }, 1500)
+    expect(board.totals(1500)).toEqual([work('e', 1)])
+  })
+
+  it('forgets the work of a host that fell silent', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 1, work: [work('e', 5)] }, 0)
+    expect(board.totals(2000)).toEqual([])
+  })
+})
+
+describe('OthersWork', () => {
+  it('takes off what this host had reported, not what it has by now', () => {
+    const others = new OthersWork()
+    others.sent(1, [work('e', 2)])
+    others.sent(2, [work('e', 6)])
+    others.answered(1, [work('e', 5)], 0)
+    expect(others.at('e')).toMatchObject({ inFlight: 3, pendingTokens: 300 })
+  })
+
+  it('ignores an answer that was overtaken or that answers nothing', () => {
+    const others = new OthersWork()
+    others.sent(1, [])
+    others.sent(2, [])
+    others.answered(2, [work('e', 4)], 0)
+    others.answered(1, [work('e', 9)], 1)
+    others.answered(77, [work('e', 9)], 1)
+    expect(others.at('e').inFlight).toBe(4)
+  })
+
+  it('is not recent once answers stop', () => {
+    const others = new OthersWork()
+    others.sent(1, [])
+    others.answered(1, [], 100)
+    expect(others.isRecent(300)).toBe(true)
+    expect(others.isRecent(900)).toBe(false)
+  })
+})
--- /dev/null
+++ b/packages/state/src/lib/SiteRegister.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import { SiteRegister } from './SiteRegister.js'
+import { StateMachine } from './StateMachine.js'
+
+function site (version: number): Site {
+  return { version, routes: [], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+}
+
+const put = (version: number, text: string): { kind: 'put-site', site: Site, source: Uint8Array } =>
+  ({ kind: 'put-site', site: site(version), source: Buffer.from(text) })
+
+describe('SiteRegister', () => {
+  it('keeps the highest version and acknowledges the others', () => {
+    const register = new SiteRegister()
+    register.putSite(put(5, 'five'))
+    expect(register.putSite(put(3, 'three'))).toEqual({ result: { kind: 'site-accepted', version: 5 }, hasChanged: false })
+    expect(register.put?.site.version).toBe(5)
+  })
+
+  it('never takes other content under the version that it holds', () => {
+    const register = new SiteRegister()
+    register.putSite(put(5, 'five'))
+    expect(register.putSite(put(5, 'other')).hasChanged).toBe(false)
+    expect(Buffer.from(register.put?.source ?? []).toString()).toBe('five')
+  })
+
+  it('lets named weights only rise', () => {
+    const register = new SiteRegister()
+    register.nameWeights({ kind: 'name-weights', model: 'm', version: 3 })
+    expect(register.nameWeights({ kind: 'name-weights', model: 'm', version: 2 }).hasChanged).toBe(false)
+    expect(register.weights).toEqual([{ model: 'm', version: 3 }])
+  })
+
+  it('does not give the right to order back to an earlier term', () => {
+    const register = new SiteRegister()
+    register.claimOrders({ replicaId: 'b', term: 4 })
+    register.claimOrders({ replicaId: 'a', term: 3 })
+    expect(register.orderHolder).toEqual({ replicaId: 'b', term: 4 })
+  })
+})
+
+describe('StateMachine', () => {
+  it('carries a site through a snapshot', () => {
+    const state = new StateMachine()
+    state.apply({ stampedAt: 0, command: put(5, 'five') })
+    state.apply({ stampedAt: 0, command: { kind: 'name-weights', model: 'm', version: 2 } })
+    const restored = new StateMachine()
+    restored.restore(state.image())
+    expect(restored.sites.put?.site.version).toBe(5)
+    expect(restored.sites.weights).toEqual([{ model: 'm', version: 2 }])
+    expect(restored.viewRevision).toBe(state.viewRevision)
+  })
+
+  it('raises the view only when something changed', () => {
+    const state = new StateMachine()
+    state.apply({ stampedAt: 0, command: put(5, 'five') })
+    state.apply({ stampedAt: 0, command: put(5, 'five') })
+    expect(state.viewRevision).toBe(1)
+  })
+})
--- /dev/null
+++ b/packages/telemetry/src/lib/BoundedLogWriter.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it, vi } from 'vitest'
+import { BoundedLogWriter, type ByteSink } from './BoundedLogWriter.js'
+
+describe('BoundedLogWriter', () => {
+  it('writes lines in order, in few batches', () => {
+    vi.useFakeTimers()
+    const written: string[] = []
+    const writer = new BoundedLogWriter((bytes, done) => {
+      written.push(bytes.toString())
+      done(null, bytes.length)
+    })
+    for (let line = 0; line < 100; line += 1) writer.write(`line ${line}`)
+    vi.advanceTimersByTime(100)
+    expect(written).toHaveLength(1)
+    expect(written[0]?.split('\n')[99]).toBe('line 99')
+    vi.useRealTimers()
+  })
+
+  it('never waits for a sink that takes nothing, holds a bounded amount, and says later what it dropped', () => {
+    vi.useFakeTimers()
+    let finish: (() => void) | undefined
+    const written: string[] = []
+    const blocked: ByteSink = (bytes, done) => {
+      finish = () => {
+        written.push(bytes.toString())
+        done(null, bytes.length)
+      }
+    }
+    const writer = new BoundedLogWriter(blocked)
+    for (let line = 0; line < 50_000; line += 1) writer.write('x'.repeat(100))
+    vi.advanceTimersByTime(1000)
+    for (let line = 0; line < 50_000; line += 1) writer.write('y'.repeat(100))
+    expect(writer.dropped).toBeGreaterThan(80_000)
+    finish?.()
+    vi.advanceTimersByTime(1000)
+    finish?.()
+    expect(written.join('')).toContain('log-lines-dropped')
+    vi.useRealTimers()
+  })
+
+  it('tries again when the sink is full for a moment, and loses nothing', () => {
+    vi.useFakeTimers()
+    let calls = 0
+    let text = ''
+    const writer = new BoundedLogWriter((bytes, done) => {
+      calls += 1
+      if (calls === 1) {
+        done(Object.assign(new Error('full'), { code: 'EAGAIN' }), 0)
+        return
+      }
+      const taken = Math.min(5, bytes.length)
+      text += bytes.subarray(0, taken).toString()
+      done(null, taken)
+    })
+    writer.write('first line')
+    writer.write('second line')
+    vi.advanceTimersByTime(5000)
+    expect(text).toBe('first line\nsecond line\n')
+    vi.useRealTimers()
+  })
+})
