--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,6 +1,7 @@
 /** Endpoints of routed requests: what is known of each, and this host's connections to it. */
 import { chooseEndpoint, type EndpointAsk, type EndpointChoice, type NoEndpointReason } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
+import { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
 import { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
@@ -28,6 +29,7 @@
   readonly storedParts = new StoredPartsIndex()
   readonly storeLinks: StoreLinks
   readonly #connections = new Map<string, EndpointConnections>()
+  readonly #routes = new Map<string, Slowness>()
   readonly #opened: LabelledCounter
 
   /**
@@ -46,6 +48,18 @@
     })
   }
 
+  /**
+   * @param route - route name
+   * @returns how much slower its first events are than estimated
+   */
+  routeSlowness (route: string): Slowness {
+    const present = this.#routes.get(route)
+    if (present !== undefined) return present
+    const fresh = new Slowness()
+    this.#routes.set(route, fresh)
+    return fresh
+  }
+
   /** Whether the work of other hosts is known, so that estimates may decide about refusals. */
   get knowsLoad (): boolean { return this.others.isRecent(performance.now()) }
   /** Whether any endpoint is known. */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -6,6 +6,7 @@
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
@@ -158,13 +159,19 @@
   #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
     if (choice.version === undefined || this.#hasFirstEvent || !this.ports.fleet.knowsLoad) return { isExpectedLate: false }
     const now = performance.now()
-    const admission = admitStream(this.request.route, now - this.request.arrivedAt, choice.estimatedMs, this.#deadline - now)
+    const expectedMs = choice.estimatedMs * this.#routeSlowness().factor(now)
+    const admission = admitStream(this.request.route, now - this.request.arrivedAt, expectedMs, this.#deadline - now)
     if (admission.kind === 'send') return admission
-    const detail = `the first event would take ${Math.round(choice.estimatedMs)} ms at the best engine, ${choice.endpoint.id}`
+    const detail = `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
     this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs / MILLISECONDS_PER_SECOND)
     return undefined
   }
 
+  /** Estimates count all work at an engine; urgent routes overtake much of it, and how much shows in their outcomes. */
+  #routeSlowness (): Slowness {
+    return this.ports.fleet.routeSlowness(this.request.route.name)
+  }
+
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
     const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.codec, {
       sending: () => {
@@ -219,7 +226,9 @@
     this.#hasFirstEvent = true
     this.#requiredVersion = attempt.choice.version
     if (attempt.choice.version !== undefined) {
-      attempt.choice.endpoint.slowness.observe(performance.now() - attempt.startedAt, attempt.choice.workMs, performance.now())
+      const now = performance.now()
+      attempt.choice.endpoint.slowness.observe(now - attempt.startedAt, attempt.choice.workMs, now)
+      this.#routeSlowness().observe(now - attempt.startedAt, attempt.choice.estimatedMs, now)
     }
     this.#firstEventMs = performance.now() - this.request.arrivedAt
     this.ports.firstEvent(this.#firstEventMs)
