Large requests wait for engine memory at the entry host

Cause: engines were bistable. A summary holds 12,000 tokens while it decodes; reading slows decoding, so memory stays full longer, the engine puts requests off and reads their whole prompts again, which slows decoding further. Saves were also lost: whoever asked first was often put off or left, and others did not ask again for 3 s. Ruled out: unknown stored parts, store links, dark engines (found within 0.9 s), retries.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -60,6 +60,9 @@
 /** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
 const HELD_ANSWER_BYTES = 256 * 1024
 
+/** Interval at which a request that waits for an engine's memory looks again, in milliseconds: the work of other hosts is known twenty times a second. */
+const ROOM_LOOK_MS = 40
+
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -88,6 +91,7 @@
   #timer: NodeJS.Timeout | undefined
   readonly #plans = new Map<number, StorePlan>()
   #isDone = false
+  #isWaiting = false
   #hasFirstEvent = false
   #firstEventMs: number | undefined
 
@@ -160,13 +164,38 @@
     if (choice.version === undefined || this.#hasFirstEvent || !this.ports.fleet.knowsLoad) return { isExpectedLate: false }
     const now = performance.now()
     const expectedMs = choice.estimatedMs * this.#routeSlowness().factor(now)
-    const admission = admitStream(this.request.route, now - this.request.arrivedAt, expectedMs, this.#deadline - now)
+    const admission = admitStream(this.request.route, {
+      waitedMs: now - this.request.arrivedAt,
+      estimatedMs: expectedMs,
+      remainingMs: this.#deadline - now,
+      ownMemoryShare: this.#ownMemoryShare(choice),
+      memoryShare: choice.memoryShare
+    })
     if (admission.kind === 'send') return admission
+    if (admission.kind === 'wait') {
+      this.#waitForRoom(choice)
+      return undefined
+    }
     const detail = `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
     this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs / MILLISECONDS_PER_SECOND)
     return undefined
   }
 
+  #ownMemoryShare ({ tokensHeld }: EndpointChoice): number {
+    const memoryTokens = this.request.service.engine?.cacheTokens ?? 0
+    return memoryTokens === 0 ? 0 : tokensHeld / memoryTokens
+  }
+
+  /** Looks again in a moment; the plan of stores is made anew, because more may be stored by then. */
+  #waitForRoom (choice: EndpointChoice): void {
+    if (!this.#isWaiting) {
+      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld) })
+    }
+    this.#isWaiting = true
+    this.#plans.clear()
+    setTimeout(() => { if (!this.#isDone) this.#tryNext() }, ROOM_LOOK_MS)
+  }
+
   /** Estimates count all work at an engine; urgent routes overtake much of it, and how much shows in their outcomes. */
   #routeSlowness (): Slowness {
     return this.ports.fleet.routeSlowness(this.request.route.name)
@@ -442,7 +471,7 @@
     if (present !== undefined) return present
     const now = performance.now()
     const plan = this.ports.storesUsable(now)
-      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts(), now)
+      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts())
       : NO_STORES
     this.#plans.set(version, plan)
     return plan
@@ -452,10 +481,9 @@
     const plan = this.#storePlan(version)
     if (plan === NO_STORES) return undefined
     const now = performance.now()
-    const { storedParts, storeLinks, memory } = this.ports.fleet
+    const { storeLinks, memory } = this.ports.fleet
     const parts = this.#sharedParts()
     const held = memory.heldTokens(this.#scope(version), parts, endpoint.id, now)
-    storedParts.recordSaves(this.#scope(version), parts, plan, now)
     const clockMs = this.ports.storeClockMs(now)
     // A request that has waited needs its fetch all the more: without it the engine reads
     // the whole prompt, its queue grows, and the fetches of all others come too late as well.
--- a/packages/routing/src/lib/admission/admitStream.test.ts
+++ b/packages/routing/src/lib/admission/admitStream.test.ts
@@ -1,12 +1,16 @@
 import { describe, expect, it } from 'vitest'
 import type { Route } from '@eelgrassmux/schema/site/siteSchema'
 import { engineRank } from '../prompts/engineRank.js'
-import { admitStream, callerPatienceMs } from './admitStream.js'
+import { admitStream, callerPatienceMs, type StreamAdmission } from './admitStream.js'
 
 const DIGEST: Route = {
   name: 'digest', host: 'h', pathPrefix: '/', kind: 'stream', isResumable: false, attempts: 1, timeoutMs: 10_000, targetLatencyMs: 600, priority: 2, isPublic: false, keepsPrompts: true, longestPauseMs: 300, targets: [{ service: 'p', weight: 1 }]
 }
 
+function admit (waitedMs: number, estimatedMs: number, remainingMs: number, memory: { own: number, all: number } = { own: 0.1, all: 0.5 }): StreamAdmission {
+  return admitStream(DIGEST, { waitedMs, estimatedMs, remainingMs, ownMemoryShare: memory.own, memoryShare: memory.all })
+}
+
 describe('callerPatienceMs', () => {
   it('is the longest of the three', () => {
     expect(callerPatienceMs(DIGEST)).toBe(2400)
@@ -17,26 +21,46 @@
 
 describe('admitStream', () => {
   it('sends what can be on time, and what may still be', () => {
-    expect(admitStream(DIGEST, 0, 300, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
-    expect(admitStream(DIGEST, 0, 700, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
+    expect(admit(0, 300, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
+    expect(admit(0, 700, 9000)).toEqual({ kind: 'send', isExpectedLate: false })
   })
 
   it('sends what is late but awaited behind what can be on time', () => {
-    expect(admitStream(DIGEST, 0, 1500, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
+    expect(admit(0, 1500, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
     expect(engineRank(1, 0, true)).toBeGreaterThan(engineRank(1, 2, false))
   })
 
   it('counts the time that the request has waited already', () => {
-    expect(admitStream(DIGEST, 500, 400, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
+    expect(admit(500, 400, 9000)).toEqual({ kind: 'send', isExpectedLate: true })
   })
 
   it('refuses at once what no caller waits for, and says when to come back', () => {
-    const admission = admitStream(DIGEST, 0, 4000, 9000)
+    const admission = admit(0, 4000, 9000)
     expect(admission).toEqual({ kind: 'refuse', returnAfterMs: 2800 })
   })
 
   it('refuses what can\'t begin before its time is over', () => {
-    expect(admitStream(DIGEST, 0, 900, 500).kind).toBe('refuse')
+    expect(admit(0, 900, 500).kind).toBe('refuse')
+  })
+})
+
+describe('engines whose memory is full', () => {
+  it('get no further large request, which waits until its objective has passed and is then refused', () => {
+    expect(admit(0, 100, 9000, { own: 0.1, all: 0.95 }).kind).toBe('wait')
+    expect(admit(500, 100, 9000, { own: 0.1, all: 0.95 }).kind).toBe('wait')
+    expect(admit(700, 100, 9000, { own: 0.1, all: 0.95 })).toEqual({ kind: 'refuse', returnAfterMs: 600 })
+  })
+
+  it('get small requests all the same', () => {
+    expect(admit(0, 100, 9000, { own: 0.02, all: 1.1 }).kind).toBe('send')
+  })
+
+  it('get a request that is larger than the limit when they have nothing else', () => {
+    expect(admit(0, 100, 9000, { own: 0.95, all: 0.95 }).kind).toBe('send')
+  })
+
+  it('do not matter where memory is not stated', () => {
+    expect(admit(0, 100, 9000, { own: 0, all: 0 }).kind).toBe('send')
   })
 })
 
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -57,6 +57,8 @@
   /** Of the estimate, what other work and what fetching from stores takes. */
   readonly waitMs: number
   readonly fetchMs: number
+  /** Share of the endpoint's memory that all requests there need with this one; 0 where that is not known. */
+  readonly memoryShare: number
   /** The estimate as it would be at an endpoint that is neither slow nor fast. */
   readonly workMs: number
 }
@@ -171,7 +173,7 @@
   const fixedMs = distanceMs + endpoint.health.failureShare * FAILURE_MS
   if (ask.prompt === undefined) {
     const estimatedMs = fixedMs + plainMs(endpoint, ask, now)
-    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs }
+    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs, memoryShare: 0 }
   }
   const { description } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
@@ -180,7 +182,7 @@
   const waitMs = engineWaitMs(endpoint, ask, ask.prompt, tokensHeld, now)
   const workMs = FIRST_EVENT_MS + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS
   const estimatedMs = fixedMs + againMs + workMs * endpoint.slowness.factor(now)
-  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs }
+  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs, memoryShare: memoryShare(endpoint, ask, ask.prompt, tokensHeld) }
 }
 
 function plainMs (endpoint: EndpointState, ask: EndpointAsk, now: number): number {
@@ -235,7 +237,12 @@
   const others = ask.others.at(endpoint.id)
   const readingMs = (endpoint.pendingTokens + others.pendingTokens) / READ_TOKENS_PER_MS
   const requests = endpoint.inFlight + others.inFlight
-  const held = endpoint.work.heldTokens + others.heldTokens + tokensHeld
-  const excess = prompt.memoryTokens === 0 ? 0 : Math.max(0, held / prompt.memoryTokens - MEMORY_SHARE)
+  const excess = Math.max(0, memoryShare(endpoint, ask, prompt, tokensHeld) - MEMORY_SHARE)
   return readingMs + requests * RUNNING_MS + excess * MEMORY_TURNOVER_MS
 }
+
+function memoryShare (endpoint: EndpointState, ask: EndpointAsk, prompt: PromptAsk, tokensHeld: number): number {
+  if (prompt.memoryTokens === 0) return 0
+  const others = ask.others?.at(endpoint.id).heldTokens ?? 0
+  return (endpoint.work.heldTokens + others + tokensHeld) / prompt.memoryTokens
+}
--- a/packages/routing/src/lib/stores/StoredPartsIndex.ts
+++ b/packages/routing/src/lib/stores/StoredPartsIndex.ts
@@ -12,16 +12,9 @@
   readonly storedTokens: number
 }
 
-/** Time after which a save that did not show up may be asked for again, in milliseconds: reading, saving, and the events' lag. */
-const SAVE_PATIENCE_MS = 3000
-
-/** Saves remembered; beyond this the oldest are forgotten. */
-const REMEMBERED_SAVES = 10_000
-
 /** Follows changes and plans fetches and saves. */
 export class StoredPartsIndex {
   readonly #held = new Map<string, Set<string>>()
-  readonly #saves = new Map<string, number>()
   #stores: readonly StoreService[] = []
 
   /** @param stores - stores of the site in force */
@@ -57,13 +50,12 @@
   }
 
   /**
-   * Plans for the shared parts of a prompt. Nothing is noted: see {@link StoredPartsIndex.recordSaves}.
+   * Plans for the shared parts of a prompt.
    *
    * @param scope - cache salt of the request
    * @param parts - shared parts, in order
-   * @param now - monotonic milliseconds
    */
-  plan (scope: string, parts: readonly PromptPart[], now: number): StorePlan {
+  plan (scope: string, parts: readonly PromptPart[]): StorePlan {
     const answering = this.#stores.filter(store => this.#held.has(store.name))
     const fetches: Array<StoreService | undefined> = []
     const saves: Array<string | undefined> = []
@@ -74,8 +66,8 @@
       const key = keyOf([scope, part.id])
       const store = this.#holder(home, key, answering)
       fetches.push(store)
-      const wasAsked = now - (this.#saves.get(key) ?? Number.NEGATIVE_INFINITY) < SAVE_PATIENCE_MS
-      saves.push(store !== undefined || wasAsked ? undefined : home?.address)
+      // Asked for by every request until it is there: whoever asked first may never have been read.
+      saves.push(store === undefined ? home?.address : undefined)
       isUnbroken &&= store !== undefined
       if (isUnbroken) storedTokens += part.tokens
     }
@@ -87,28 +79,6 @@
     const holds = (store: StoreService): boolean => this.#held.get(store.name)?.has(key) === true
     return home !== undefined && holds(home) ? home : answering.find(holds)
   }
-
-  /**
-   * Notes saves that a request asks for, so that the next does not ask again.
-   *
-   * @param scope - cache salt of the request
-   * @param parts - shared parts, in order
-   * @param plan - as planned for them
-   * @param now - monotonic milliseconds
-   */
-  recordSaves (scope: string, parts: readonly PromptPart[], plan: StorePlan, now: number): void {
-    parts.forEach((part, position) => {
-      if (plan.saves[position] === undefined) return
-      const key = keyOf([scope, part.id])
-      this.#saves.delete(key)
-      this.#saves.set(key, now)
-    })
-    while (this.#saves.size > REMEMBERED_SAVES) {
-      const oldest = this.#saves.keys().next()
-      if (oldest.done === true) break
-      this.#saves.delete(oldest.value)
-    }
-  }
 }
 
 function keyOf ([scope, id]: StoredPart): string {
--- a/packages/routing/src/lib/stores/stores.test.ts
+++ b/packages/routing/src/lib/stores/stores.test.ts
@@ -38,43 +38,43 @@
     return made
   }
 
-  it('asks for a save once, and for a fetch only when the part is whole', () => {
+  it('asks for saves until the part is there whole, and for fetches from then on', () => {
     const made = index(large)
-    const first = made.plan('v1', parts, 0)
+    const first = made.plan('v1', parts)
     expect(first).toMatchObject({ fetches: [undefined, undefined], saves: [large.address, large.address], storedTokens: 0 })
-    made.recordSaves('v1', parts, first, 0)
-    expect(made.plan('v1', parts, 100).saves).toEqual([undefined, undefined])
+    // The first request may have been given up before it was read.
+    expect(made.plan('v1', parts).saves).toEqual(first.saves)
     made.apply({ store: 'large', kind: 'delta', added: [['v1', 'common'], ['v1', 'trip']], removed: [] })
-    expect(made.plan('v1', parts, 200)).toMatchObject({ fetches: [large, large], storedTokens: 9100 })
+    expect(made.plan('v1', parts)).toMatchObject({ fetches: [large, large], saves: [undefined, undefined], storedTokens: 9100 })
   })
 
   it('counts only the unbroken beginning as stored', () => {
     const made = index(large)
     made.apply({ store: 'large', kind: 'delta', added: [['v1', 'trip']], removed: [] })
-    expect(made.plan('v1', parts, 0).storedTokens).toBe(0)
+    expect(made.plan('v1', parts).storedTokens).toBe(0)
   })
 
   it('keeps weights and isolated customers apart', () => {
     const made = index(large)
     made.apply({ store: 'large', kind: 'delta', added: [['v1', 'common'], ['v1', 'trip']], removed: [] })
-    expect(made.plan('v2', parts, 0).storedTokens).toBe(0)
-    expect(made.plan(cacheScope(1, 'ward'), parts, 0).storedTokens).toBe(0)
+    expect(made.plan('v2', parts).storedTokens).toBe(0)
+    expect(made.plan(cacheScope(1, 'ward'), parts).storedTokens).toBe(0)
   })
 
   it('finds a part that was saved elsewhere while its home was away', () => {
     const made = index(small, large)
     const id = Array.from({ length: 200 }, (_, number) => `p${number}`).find(part => homeStore(part, [small, large]) === small) ?? ''
     made.apply({ store: 'large', kind: 'delta', added: [['v1', id]], removed: [] })
-    expect(made.plan('v1', [{ id, tokens: 10 }], 0).fetches).toEqual([large])
+    expect(made.plan('v1', [{ id, tokens: 10 }]).fetches).toEqual([large])
   })
 
   it('uses no store that does not answer, and none before all that it holds is known', () => {
     const made = index(large)
     made.apply({ store: 'large', kind: 'delta', added: [['v1', 'common']], removed: [] })
     made.apply({ store: 'large', kind: 'lost', added: [], removed: [] })
-    expect(made.plan('v1', parts, 0)).toMatchObject({ fetches: [undefined, undefined], saves: [undefined, undefined] })
+    expect(made.plan('v1', parts)).toMatchObject({ fetches: [undefined, undefined], saves: [undefined, undefined] })
     made.apply({ store: 'large', kind: 'delta', added: [['v1', 'common']], removed: [] })
-    expect(made.plan('v1', parts, 0).storedTokens).toBe(0)
+    expect(made.plan('v1', parts).storedTokens).toBe(0)
   })
 })
 
