--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -127,9 +127,11 @@
    * @param outcome - how it ended there
    */
   observe (endpoint: EndpointState, outcome: 'success' | 'failure' | 'unreachable' | 'unanswered'): void {
-    if (!endpoint.health.observe(outcome, performance.now())) return
+    const peers = this.#pool.ofService(endpoint.listed.service).filter(peer => peer !== endpoint)
+    const peersShare = peers.reduce((sum, peer) => sum + peer.health.failureShare, 0) / Math.max(1, peers.length)
+    if (!endpoint.health.observe(outcome, performance.now(), peersShare)) return
     this.telemetry.stateChanged('endpoint-paused', {
-      endpoint: endpoint.id, address: endpoint.listed.address, outcome, failureShare: Number(endpoint.health.failureShare.toFixed(2))
+      endpoint: endpoint.id, address: endpoint.listed.address, outcome, failureShare: Number(endpoint.health.failureShare.toFixed(2)), peersShare: Number(peersShare.toFixed(2))
     })
   }
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -60,6 +60,9 @@
 /** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
 const HELD_ANSWER_BYTES = 256 * 1024
 
+/** Interval at which a resumable stream looks whether its endpoint has fallen silent, in milliseconds. */
+const SILENCE_LOOK_MS = 200
+
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: the work of other hosts is known twenty times a second. */
 const ROOM_LOOK_MS = 40
 
@@ -89,6 +92,7 @@
   #heldBytes = 0
   #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
+  #silenceTimer: NodeJS.Timeout | undefined
   readonly #plans = new Map<number, StorePlan>()
   #isDone = false
   #isWaiting = false
@@ -157,6 +161,8 @@
       body: this.request.body
     })
     this.#rememberPrompt(choice)
+    clearInterval(this.#silenceTimer)
+    if (this.#cursor !== undefined) this.#watchSilence(attempt)
   }
 
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
@@ -169,7 +175,9 @@
       estimatedMs: expectedMs,
       remainingMs: this.#deadline - now,
       ownMemoryShare: this.#ownMemoryShare(choice),
-      memoryShare: choice.memoryShare
+      memoryShare: choice.memoryShare,
+      tokensToRead: choice.tokensToRead,
+      tokensAhead: choice.tokensAhead
     })
     if (admission.kind === 'send') return admission
     if (admission.kind === 'wait') {
@@ -189,7 +197,7 @@
   /** Looks again in a moment; the plan of stores is made anew, because more may be stored by then. */
   #waitForRoom (choice: EndpointChoice): void {
     if (!this.#isWaiting) {
-      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld) })
+      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.tokensAhead) })
     }
     this.#isWaiting = true
     this.#plans.clear()
@@ -367,7 +375,8 @@
 
   #timeOut (): void {
     if (this.#isDone) return
-    this.#cancelAttempt('unanswered')
+    // Some requests take longer than their route allows; only silence towards all is the endpoint's fault.
+    this.#cancelAttempt(this.#isEndpointSilent() ? 'unanswered' : undefined)
     if (this.exchange.hasHead) {
       this.#finish('broken-off', { failure: 'timeout' })
       this.exchange.breakOff()
@@ -378,11 +387,26 @@
 
   #callerLeft (): void {
     if (this.#isDone) return
-    const isSilent = this.#attempt?.choice.endpoint.isSilent(performance.now()) === true
+    const isSilent = this.#isEndpointSilent()
     this.#cancelAttempt(isSilent ? 'unanswered' : undefined)
     this.#finish('caller-left', { endpoint: this.#attempt?.choice.endpoint.id ?? '', isSilent, hadEvents: this.#hasFirstEvent })
   }
 
+  #isEndpointSilent (): boolean {
+    return this.#attempt?.choice.endpoint.isSilent(performance.now()) === true
+  }
+
+  /** A stream that may be resumed does not wait for an endpoint that has fallen silent towards everybody. */
+  #watchSilence (attempt: RoutedAttempt): void {
+    this.#silenceTimer = setInterval(() => {
+      if (this.#isDone || attempt !== this.#attempt || !this.#isEndpointSilent()) return
+      clearInterval(this.#silenceTimer)
+      attempt.cancel()
+      this.ports.fleet.observe(attempt.choice.endpoint, 'unanswered')
+      this.#onFailure(attempt, 'broken-stream', 'the endpoint has fallen silent', this.#head)
+    }, SILENCE_LOOK_MS)
+  }
+
   /** An endpoint that answered nothing for all the time there was is to blame, and one that has fallen silent towards everybody. */
   #cancelAttempt (outcome: 'unanswered' | undefined): void {
     const attempt = this.#attempt
@@ -429,6 +453,7 @@
   #finish (outcome: string, details: LogDetails): void {
     this.#isDone = true
     clearTimeout(this.#timer)
+    clearInterval(this.#silenceTimer)
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
       this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, runs: this.#runs })
     }
--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -8,7 +8,8 @@
  * - late but still awaited: sent behind everything that can be on time;
  * - later than any caller waits: refused at once, with the time to come back.
  *
- * Large requests wait for memory here and not in an engine: see {@link MEMORY_LIMIT}.
+ * Large requests wait for memory here and not in an engine (see {@link MEMORY_LIMIT}),
+ * and long ones for their turn to be read (see {@link READ_AHEAD}).
  */
 import type { Route } from '@eelgrassmux/schema/site/siteSchema'
 
@@ -31,6 +32,10 @@
   readonly ownMemoryShare: number
   /** Share of the engine's memory in use with this request; 0 if unknown. */
   readonly memoryShare: number
+  /** Prompt tokens that the engine has to read for this request. */
+  readonly tokensToRead: number
+  /** Prompt tokens that it has to read before, for all hosts. */
+  readonly tokensAhead: number
 }
 
 /** Callers leave a stream after the longest of these: a fixed gap, and multiples of its objective and its longest pause. */
@@ -63,6 +68,19 @@
  */
 const MEMORY_LIMIT = 0.85
 
+/** A request of which more tokens have to be read waits until its engine has read most of what is ahead; in tokens. */
+const LONG_READ = 1500
+
+/**
+ * Tokens that an engine may have ahead of it when a long request is sent there: one
+ * long prompt, some 150 ms. Engines read in the order in which requests began, so
+ * what is ahead is what an urgent short request will have to wait for.
+ */
+const READ_AHEAD = 12_000
+
+/** Share of the objective within which a long request may wait for that. */
+const READ_WAIT_SHARE = 0.8
+
 /**
  * @param route - route of the request
  * @param situation - what is known
@@ -77,6 +95,8 @@
   if (needsRoom && !isAlone) {
     return waitedMs < route.targetLatencyMs ? { kind: 'wait' } : { kind: 'refuse', returnAfterMs: route.targetLatencyMs }
   }
+  const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > READ_AHEAD
+  if (isLongRead && firstEventMs < route.targetLatencyMs * READ_WAIT_SHARE) return { kind: 'wait' }
   if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', returnAfterMs: estimatedMs - awaitedMs / 2 }
   return { kind: 'send', isExpectedLate: firstEventMs > route.targetLatencyMs * DOUBT }
 }
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/EndpointHealth.test.ts
@@ -0,0 +1,44 @@
+import { describe, expect, it } from 'vitest'
+import { EndpointHealth, type RequestOutcome } from './EndpointHealth.js'
+
+/** Repeatable numbers in [0, 1). */
+function numbers (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+function pausesOf (failing: number, peersShare: number, requests: number): number {
+  const health = new EndpointHealth()
+  const random = numbers(7)
+  let pauses = 0
+  for (let request = 0; request < requests; request += 1) {
+    const outcome: RequestOutcome = random() < failing ? 'failure' : 'success'
+    if (health.observe(outcome, request * 100, peersShare)) pauses += 1
+  }
+  return pauses
+}
+
+describe('EndpointHealth', () => {
+  it('does not take requests that fail wherever they run for a faulty endpoint', () => {
+    expect(pausesOf(0.14, 0.14, 2000)).toBe(0)
+  })
+
+  it('finds an endpoint that fails half of what it gets, whatever its health check says', () => {
+    expect(pausesOf(0.55, 0.14, 100)).toBeGreaterThan(0)
+  })
+
+  it('pauses at once what can not be reached, longer each time, and starts anew after a success', () => {
+    const health = new EndpointHealth()
+    health.observe('unreachable', 0)
+    expect(health.isPaused(499)).toBe(true)
+    expect(health.isPaused(500)).toBe(false)
+    health.observe('unreachable', 500)
+    expect(health.isPaused(1400)).toBe(true)
+    health.observe('success', 2000)
+    health.observe('unreachable', 2000)
+    expect(health.isPaused(2500)).toBe(false)
+  })
+})
--- a/packages/routing/src/lib/endpoints/EndpointHealth.ts
+++ b/packages/routing/src/lib/endpoints/EndpointHealth.ts
@@ -12,14 +12,15 @@
 /** Longest pause, in milliseconds; the list names endpoints that are gone within seconds. */
 const LONGEST_PAUSE_MS = 5000
 
-/** Weight of the newest outcome in the failure share; five outcomes make up two thirds of it. */
-const SMOOTHING = 0.2
+/** Weight of the newest outcome in the failure share; a dozen outcomes make up two thirds of it. */
+const SMOOTHING = 0.08
 
 /**
- * Failure share above which an endpoint pauses. The users' sheets have routes of
- * which 14 in 100 requests fail by themselves; a faulty endpoint fails 40 and more.
+ * Failure share, beyond that of the endpoint's peers, above which it pauses. The
+ * users' sheets have routes of which 14 in 100 requests fail wherever they run; a
+ * faulty endpoint fails 40 and more. Chance alone moves a share by 0.07.
  */
-const FAILING_SHARE = 0.4
+const EXCESS_FAILING_SHARE = 0.32
 
 /** Mutable health of one endpoint. */
 export class EndpointHealth {
@@ -43,9 +44,10 @@
    *
    * @param outcome - how it ended
    * @param now - monotonic milliseconds
+   * @param peersFailureShare - mean failure share of the other endpoints of the service
    * @returns whether the endpoint was paused by it
    */
-  observe (outcome: RequestOutcome, now: number): boolean {
+  observe (outcome: RequestOutcome, now: number, peersFailureShare = 0): boolean {
     const sample = outcome === 'success' ? 0 : 1
     this.#failureShare += (sample - this.#failureShare) * SMOOTHING
     if (outcome === 'success') {
@@ -55,7 +57,7 @@
     if (this.isPaused(now)) return false
     if (outcome === 'unreachable') return this.#pause(UNREACHABLE_PAUSE_MS, now)
     if (outcome === 'unanswered') return this.#pause(FAILING_PAUSE_MS, now)
-    if (this.#failureShare < FAILING_SHARE) return false
+    if (this.#failureShare - peersFailureShare < EXCESS_FAILING_SHARE) return false
     return this.#pause(FAILING_PAUSE_MS, now)
   }
 
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -57,6 +57,8 @@
   /** Of the estimate, what other work and what fetching from stores takes. */
   readonly waitMs: number
   readonly fetchMs: number
+  /** Prompt tokens that it has to read before, for all hosts. */
+  readonly tokensAhead: number
   /** Share of the endpoint's memory that all requests there need with this one; 0 where that is not known. */
   readonly memoryShare: number
   /** The estimate as it would be at an endpoint that is neither slow nor fast. */
@@ -173,7 +175,7 @@
   const fixedMs = distanceMs + endpoint.health.failureShare * FAILURE_MS
   if (ask.prompt === undefined) {
     const estimatedMs = fixedMs + plainMs(endpoint, ask, now)
-    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs, memoryShare: 0 }
+    return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs, tokensAhead: 0, memoryShare: 0 }
   }
   const { description } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
@@ -182,7 +184,9 @@
   const waitMs = engineWaitMs(endpoint, ask, ask.prompt, tokensHeld, now)
   const workMs = FIRST_EVENT_MS + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS
   const estimatedMs = fixedMs + againMs + workMs * endpoint.slowness.factor(now)
-  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs, memoryShare: memoryShare(endpoint, ask, ask.prompt, tokensHeld) }
+  const tokensAhead = endpoint.pendingTokens + (ask.others?.at(endpoint.id).pendingTokens ?? 0)
+  const share = memoryShare(endpoint, ask, ask.prompt, tokensHeld)
+  return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs, tokensAhead, memoryShare: share }
 }
 
 function plainMs (endpoint: EndpointState, ask: EndpointAsk, now: number): number {
