--- /dev/null
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -0,0 +1,155 @@
+/** What concerns the prompt of one routed request: where its parts are kept, and what is asked of engines and stores. */
+import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
+import type { PromptDescription, PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
+import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
+import type { EngineTraits } from '@eelgrassmux/schema/site/siteSchema'
+import type { LogDetails } from '@eelgrassmux/telemetry/Telemetry'
+import type { StoreTransfers } from './RequestCodec.js'
+import type { RoutedFleet } from './RoutedFleet.js'
+import type { RoutedRequest } from './RoutedRequestTask.js'
+
+/** What it needs from around it. */
+export interface PromptPorts {
+  readonly fleet: RoutedFleet
+  /** Version of the weights that a model's engines should run. */
+  desiredVersion (model: string): number
+  /** Whether what this host knows of stores may be acted on. */
+  storesUsable (now: number): boolean
+  /** The stores' clock in milliseconds, once it is known. */
+  storeClockMs (now: number): number | undefined
+}
+
+/** A plan that uses no store. */
+const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0 }
+
+/** The prompt of one request to a service of engines. */
+export class PromptContext {
+  readonly #plans = new Map<number, StorePlan>()
+  readonly #shared: readonly PromptPart[]
+
+  private constructor (
+    private readonly description: PromptDescription,
+    private readonly engine: EngineTraits,
+    private readonly isolatedCustomer: string | undefined,
+    private readonly ports: PromptPorts
+  ) {
+    // The last part belongs to this request alone.
+    this.#shared = description.parts.slice(0, -1)
+  }
+
+  /**
+   * @param request - any routed request
+   * @param ports - surroundings
+   * @returns its prompt, or undefined if it has none or its service has no engines
+   */
+  static of ({ fields, service, customer }: RoutedRequest, ports: PromptPorts): PromptContext | undefined {
+    if (fields.prompt === undefined || service.engine === undefined) return undefined
+    return new PromptContext(fields.prompt, service.engine, customer?.isIsolated === true ? customer.name : undefined, ports)
+  }
+
+  /**
+   * What to ask when an engine is chosen.
+   *
+   * @param requiredVersion - set when the request must go on under the weights it began with
+   */
+  ask (requiredVersion: number | undefined): { readonly prompt: PromptAsk } {
+    return {
+      prompt: {
+        description: this.description,
+        desiredVersion: this.ports.desiredVersion(this.description.model),
+        requiredVersion,
+        memoryTokens: this.engine.cacheTokens,
+        scope: version => this.scope(version),
+        stored: version => this.#plan(version),
+        links: this.ports.fleet.storeLinks,
+        bytesPerToken: this.engine.bytesPerToken
+      }
+    }
+  }
+
+  /**
+   * @param version - of the weights
+   * @returns the text under which engines and stores keep the parts
+   */
+  scope (version: number): string {
+    return cacheScope(version, this.isolatedCustomer)
+  }
+
+  /**
+   * Transfers to ask of the chosen engine; what they add to the stores' links counts from now on.
+   *
+   * @param choice - the engine
+   * @param version - of its weights
+   * @param deadline - monotonic milliseconds at which the request's time is over
+   */
+  transfers (choice: EndpointChoice, version: number, deadline: number): StoreTransfers | undefined {
+    const plan = this.#plan(version)
+    if (plan === NO_STORES) return undefined
+    const now = performance.now()
+    const clockMs = this.ports.storeClockMs(now)
+    // Without the stores' clock a late fetch could not be thrown away, so there is none.
+    if (clockMs === undefined) return { fetches: [], saves: plan.saves, fetchUntilMs: undefined }
+    this.#recordFetches(choice, version, plan, now)
+    // A request that has waited needs its fetch all the more: without it the engine reads
+    // the whole prompt, its queue grows, and the fetches of all others come too late as well.
+    return { fetches: plan.fetches.map(store => store?.address), saves: plan.saves, fetchUntilMs: clockMs + deadline - now }
+  }
+
+  /** @param choice - the engine to which the request was sent */
+  recordSend ({ version, endpoint }: EndpointChoice): void {
+    if (version === undefined) return
+    this.ports.fleet.memory.recordSend(this.scope(version), this.#shared, endpoint.id, performance.now())
+  }
+
+  /**
+   * @param choice - an engine
+   * @returns share of its memory that the request alone needs; 0 if that is not known
+   */
+  memoryShareOf ({ tokensHeld }: EndpointChoice): number {
+    return this.engine.cacheTokens === 0 ? 0 : tokensHeld / this.engine.cacheTokens
+  }
+
+  /** Plans anew next time, because more may be stored by then. */
+  forgetPlans (): void {
+    this.#plans.clear()
+  }
+
+  /**
+   * @param version - of the weights
+   * @returns what the log says of the prompt
+   */
+  describe (version: number): LogDetails {
+    const { storedTokens, saves } = this.#plan(version)
+    return {
+      promptTokens: this.description.promptTokens,
+      storedTokens,
+      sharedPart: this.#shared.at(-1)?.id ?? '',
+      saves: saves.filter(address => address !== undefined).length
+    }
+  }
+
+  /** Planned once for each version: all candidates are weighed against the same plan. */
+  #plan (version: number): StorePlan {
+    const present = this.#plans.get(version)
+    if (present !== undefined) return present
+    const plan = this.ports.storesUsable(performance.now())
+      ? this.ports.fleet.storedParts.plan(this.scope(version), this.#shared)
+      : NO_STORES
+    this.#plans.set(version, plan)
+    return plan
+  }
+
+  /** Parts that the engine holds already are named as well, but move no bytes. */
+  #recordFetches ({ endpoint }: EndpointChoice, version: number, plan: StorePlan, now: number): void {
+    const { storeLinks, memory } = this.ports.fleet
+    const held = memory.heldTokens(this.scope(version), this.#shared, endpoint.id, now)
+    let position = 0
+    this.#shared.forEach((part, index) => {
+      position += part.tokens
+      const store = plan.fetches[index]
+      if (store === undefined || position <= held) return
+      storeLinks.record(store, storeLinks.transferMs(store, part.tokens * this.engine.bytesPerToken, endpoint.listed.dataCentre), now)
+    })
+  }
+}
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -7,21 +7,18 @@
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
-import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
-import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
-import type { PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
-import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
-import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, LogDetails, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { AnswerRelay } from './AnswerRelay.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
-import type { CallerFields, RequestCodec, StoreTransfers } from './RequestCodec.js'
+import { PromptContext, type PromptPorts } from './PromptContext.js'
+import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
-import type { RoutedFleet } from './RoutedFleet.js'
 
 /** A request that was read whole and belongs to a route. */
 export interface RoutedRequest {
@@ -38,28 +35,15 @@
 }
 
 /** What a request needs from around it. */
-export interface RoutedPorts {
-  readonly fleet: RoutedFleet
+export interface RoutedPorts extends PromptPorts {
   readonly codec: RequestCodec
   readonly allowance: RetryAllowance
   readonly retries: LabelledCounter
   readonly refusals: LabelledCounter
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
-  /** Version of the weights that a model's engines should run. */
-  desiredVersion (model: string): number
-  /** Whether what this host knows of stores may be acted on. */
-  storesUsable (now: number): boolean
-  /** The stores' clock in milliseconds, once it is known. */
-  storeClockMs (now: number): number | undefined
 }
 
-/** A plan that uses no store. */
-const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0 }
-
-/** Whole answers up to this size are passed on only when they are complete, so that a broken one can be asked for again; in bytes. */
-const HELD_ANSWER_BYTES = 256 * 1024
-
 /** Interval at which a resumable stream looks whether its endpoint has fallen silent, in milliseconds. */
 const SILENCE_LOOK_MS = 200
 
@@ -85,15 +69,11 @@
   #attempt: RoutedAttempt | undefined
   #sends = 0
   #runs = 0
-  #cursor: EventCursor | undefined
-  #head: AnswerHead | undefined
-  #resume: () => void = () => {}
-  #held: Buffer[] | undefined
-  #heldBytes = 0
+  readonly #relay: AnswerRelay
   #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
   #silenceTimer: NodeJS.Timeout | undefined
-  readonly #plans = new Map<number, StorePlan>()
+  readonly #prompt: PromptContext | undefined
   #isDone = false
   #isWaiting = false
   #hasFirstEvent = false
@@ -113,20 +93,22 @@
   ) {
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
+    this.#prompt = PromptContext.of(request, ports)
+    const { route, fields } = request
+    this.#relay = new AnswerRelay(exchange, { isStream: route.kind === 'stream', isResumable: route.isResumable, lastEventId: fields.lastEventId })
   }
 
   /** Starts; everything else follows from timers and sockets. */
   start (): void {
     this.#timer = setTimeout(() => { this.#timeOut() }, Math.max(0, this.#deadline - performance.now()))
     this.exchange.onLeave(() => { this.#callerLeft() })
-    if (this.request.route.kind === 'stream' && this.request.route.isResumable) this.#cursor = new EventCursor(this.request.fields.lastEventId)
     this.#tryNext()
   }
 
   // --- Attempts ---
 
   #tryNext (): void {
-    const choice = this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#promptAsk() })
+    const choice = this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
     if (typeof choice === 'string') {
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
       return
@@ -152,17 +134,17 @@
         instance: endpoint.id,
         remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
         customer: this.request.customer?.name,
-        lastEventId: this.#cursor?.lastId ?? this.request.fields.lastEventId,
+        lastEventId: this.#relay.lastEventId,
         priority: choice.version === undefined ? undefined : engineRank(this.request.customer?.priority, this.request.route.priority, admission.isExpectedLate),
         version: choice.version,
-        cacheSalt: choice.version === undefined ? undefined : this.#scope(choice.version),
-        stores: choice.version === undefined ? undefined : this.#transfers(choice, choice.version)
+        cacheSalt: choice.version === undefined ? undefined : this.#prompt?.scope(choice.version),
+        stores: choice.version === undefined ? undefined : this.#prompt?.transfers(choice, choice.version, this.#deadline)
       }),
       body: this.request.body
     })
-    this.#rememberPrompt(choice)
+    this.#prompt?.recordSend(choice)
     clearInterval(this.#silenceTimer)
-    if (this.#cursor !== undefined) this.#watchSilence(attempt)
+    if (this.#relay.canResume) this.#watchSilence(attempt)
   }
 
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
@@ -174,7 +156,7 @@
       waitedMs: now - this.request.arrivedAt,
       estimatedMs: expectedMs,
       remainingMs: this.#deadline - now,
-      ownMemoryShare: this.#ownMemoryShare(choice),
+      ownMemoryShare: this.#prompt?.memoryShareOf(choice) ?? 0,
       memoryShare: choice.memoryShare,
       tokensToRead: choice.tokensToRead,
       tokensAhead: choice.tokensAhead
@@ -189,18 +171,13 @@
     return undefined
   }
 
-  #ownMemoryShare ({ tokensHeld }: EndpointChoice): number {
-    const memoryTokens = this.request.service.engine?.cacheTokens ?? 0
-    return memoryTokens === 0 ? 0 : tokensHeld / memoryTokens
-  }
-
   /** Looks again in a moment; the plan of stores is made anew, because more may be stored by then. */
   #waitForRoom (choice: EndpointChoice): void {
     if (!this.#isWaiting) {
       this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.tokensAhead) })
     }
     this.#isWaiting = true
-    this.#plans.clear()
+    this.#prompt?.forgetPlans()
     setTimeout(() => { if (!this.#isDone) this.#tryNext() }, ROOM_LOOK_MS)
   }
 
@@ -229,33 +206,13 @@
     if (head.fields.load !== undefined) endpoint.observeLoad(head.fields.load, now)
     const model = this.request.fields.prompt?.model
     if (model !== undefined && head.fields.version !== undefined) endpoint.learnVersion(model, head.fields.version)
-    this.#resume = resume
-    if (head.fields.isNotExecuted) return
-    this.#head = head
-    if (this.request.route.kind !== 'stream') this.#held = []
+    if (!head.fields.isNotExecuted) this.#relay.begin(head, resume)
   }
 
   #onData (attempt: RoutedAttempt, chunk: Buffer): boolean {
     if (this.#isDone) return true
-    if (this.#held !== undefined) return this.#hold(this.#held, chunk)
-    this.#noteFirstEvent(attempt)
-    const bytes = this.#cursor === undefined ? chunk : this.#cursor.push(chunk)
-    return bytes.length === 0 || this.#passOn(bytes)
-  }
-
-  #hold (held: Buffer[], chunk: Buffer): boolean {
-    held.push(chunk)
-    this.#heldBytes += chunk.length
-    if (this.#heldBytes <= HELD_ANSWER_BYTES) return true
-    this.#held = undefined
-    return this.#passOn(Buffer.concat(held))
-  }
-
-  #passOn (bytes: Buffer): boolean {
-    if (!this.exchange.hasHead && this.#head !== undefined) this.exchange.writeHead(this.#head.status, this.#head.headers)
-    if (this.exchange.write(bytes)) return true
-    this.exchange.onceWritable(() => { this.#resume() })
-    return false
+    if (this.request.route.kind === 'stream') this.#noteFirstEvent(attempt)
+    return this.#relay.data(chunk)
   }
 
   #noteFirstEvent (attempt: RoutedAttempt): void {
@@ -273,12 +230,16 @@
 
   #onComplete (attempt: RoutedAttempt): void {
     const { endpoint } = attempt.choice
-    const head = this.#head
+    const { head } = this.#relay
     if (this.#isDone || head === undefined) return
-    if (this.#cursor?.isInsideEvent === true) {
+    if (this.#relay.isInsideEvent) {
       this.#onFailure(attempt, 'lost', 'the stream ended inside an event', head)
       return
     }
+    if (this.#relay.breaksStream) {
+      this.#onFailure(attempt, 'failed', `status ${head.status} in place of the rest of the stream`, head)
+      return
+    }
     const isFailure = head.status >= 500
     this.ports.fleet.observe(endpoint, isFailure ? 'failure' : 'success')
     if (isFailure && !this.exchange.hasHead && this.#mayRepeat('failed')) return
@@ -289,11 +250,7 @@
     }
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...this.#placement(attempt.choice) })
-    if (this.#held !== undefined) this.exchange.answer(head.status, head.headers, Buffer.concat(this.#held))
-    else {
-      if (!this.exchange.hasHead) this.exchange.writeHead(head.status, head.headers)
-      this.exchange.end()
-    }
+    this.#relay.complete()
   }
 
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
@@ -304,13 +261,11 @@
       this.#runs -= 1
       this.#dispatch.markNotStarted()
     }
-    this.#held = undefined
-    this.#heldBytes = 0
-    this.#cursor?.dropIncomplete()
+    this.#relay.dropIncomplete()
     this.#decided('attempt-failed', {
       endpoint: endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
     })
-    if (this.exchange.hasHead && this.#cursor === undefined) {
+    if (this.exchange.hasHead && !this.#relay.canResume) {
       this.#finish('broken-off', { endpoint: endpoint.id, failure, detail })
       this.exchange.breakOff()
       return
@@ -403,7 +358,7 @@
       clearInterval(this.#silenceTimer)
       attempt.cancel()
       this.ports.fleet.observe(attempt.choice.endpoint, 'unanswered')
-      this.#onFailure(attempt, 'broken-stream', 'the endpoint has fallen silent', this.#head)
+      this.#onFailure(attempt, 'broken-stream', 'the endpoint has fallen silent', this.#relay.head)
     }, SILENCE_LOOK_MS)
   }
 
@@ -444,9 +399,7 @@
       version: version ?? 0,
       firstEventMs: Math.round(this.#firstEventMs ?? 0),
       promptTokens: this.request.fields.prompt?.promptTokens ?? 0,
-      storedTokens: version === undefined ? 0 : this.#storePlan(version).storedTokens,
-      sharedPart: this.#sharedParts().at(-1)?.id ?? '',
-      saves: version === undefined ? '' : this.#storePlan(version).saves.map(address => address ?? '-').join(',')
+      ...(version === undefined ? {} : this.#prompt?.describe(version))
     }
   }
 
@@ -464,73 +417,4 @@
     const { route, service, siteVersion } = this.request
     this.ports.telemetry.decided(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
   }
-
-  // --- Prompts ---
-
-  #promptAsk (): { prompt?: PromptAsk } {
-    const { prompt } = this.request.fields
-    if (prompt === undefined || this.request.service.engine === undefined) return {}
-    return {
-      prompt: {
-        description: prompt,
-        desiredVersion: this.ports.desiredVersion(prompt.model),
-        requiredVersion: this.#requiredVersion,
-        memoryTokens: this.request.service.engine.cacheTokens,
-        scope: version => this.#scope(version),
-        stored: version => this.#storePlan(version),
-        links: this.ports.fleet.storeLinks,
-        bytesPerToken: this.request.service.engine.bytesPerToken
-      }
-    }
-  }
-
-  /** Engines keep parts apart by this text: no two versions, and nobody and an isolated customer, share one. */
-  #scope (version: number): string {
-    const { customer } = this.request
-    return cacheScope(version, customer?.isIsolated === true ? customer.name : undefined)
-  }
-
-  /** Planned once for each version: all candidates are weighed against the same plan. */
-  #storePlan (version: number): StorePlan {
-    const present = this.#plans.get(version)
-    if (present !== undefined) return present
-    const now = performance.now()
-    const plan = this.ports.storesUsable(now)
-      ? this.ports.fleet.storedParts.plan(this.#scope(version), this.#sharedParts())
-      : NO_STORES
-    this.#plans.set(version, plan)
-    return plan
-  }
-
-  #transfers ({ endpoint }: EndpointChoice, version: number): StoreTransfers | undefined {
-    const plan = this.#storePlan(version)
-    if (plan === NO_STORES) return undefined
-    const now = performance.now()
-    const { storeLinks, memory } = this.ports.fleet
-    const parts = this.#sharedParts()
-    const held = memory.heldTokens(this.#scope(version), parts, endpoint.id, now)
-    const clockMs = this.ports.storeClockMs(now)
-    // A request that has waited needs its fetch all the more: without it the engine reads
-    // the whole prompt, its queue grows, and the fetches of all others come too late as well.
-    // Without the stores' clock a late fetch could not be thrown away, so there is none.
-    if (clockMs === undefined) return { fetches: [], saves: plan.saves, fetchUntilMs: undefined }
-    let position = 0
-    plan.fetches.forEach((store, index) => {
-      const tokens = parts[index]?.tokens ?? 0
-      position += tokens
-      if (store === undefined || position <= held) return
-      const bytes = tokens * (this.request.service.engine?.bytesPerToken ?? 0)
-      storeLinks.record(store, storeLinks.transferMs(store, bytes, endpoint.listed.dataCentre), now)
-    })
-    return { fetches: plan.fetches.map(store => store?.address), saves: plan.saves, fetchUntilMs: clockMs + this.#deadline - now }
-  }
-
-  #sharedParts (): readonly PromptPart[] {
-    return this.request.fields.prompt?.parts.slice(0, -1) ?? []
-  }
-
-  #rememberPrompt (choice: EndpointChoice): void {
-    if (choice.version === undefined) return
-    this.ports.fleet.memory.recordSend(this.#scope(choice.version), this.#sharedParts(), choice.endpoint.id, performance.now())
-  }
 }
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -281,6 +281,34 @@
       expect(answer).toMatchObject({ status: 200, isWhole: false })
     })
 
+    it('that an endpoint answers with a 503 of its own is not passed on as a promise', async () => {
+      await serveBy((_request, response) => {
+        response.writeHead(503)
+        response.end('busy')
+      })
+      const answer = await ask('/stream/a', { method: 'POST' })
+      expect(answer.status).toBe(502)
+      expect(JSON.parse(answer.body)).toMatchObject({ run: 'unknown' })
+    })
+
+    it('gets no failure of a second endpoint in the place of its rest', async () => {
+      let served = 0
+      const breakThenFail: Behaviour = (_request, response) => {
+        served += 1
+        if (served > 1) {
+          response.writeHead(500)
+          response.end('no event')
+          return
+        }
+        response.writeHead(200)
+        response.write(event(1))
+        setTimeout(() => { response.destroy() }, 20)
+      }
+      await serveBy(breakThenFail, breakThenFail)
+      const answer = await ask('/resumable/a', { method: 'POST' })
+      expect(answer).toMatchObject({ status: 200, body: event(1), isWhole: false })
+    })
+
     it('that may be resumed goes on elsewhere, each event once, half an event never', async () => {
       const serve = (isBroken: () => boolean): Behaviour => (request, response) => {
         const from = Number(request.headers[HEADERS.lastEvent] ?? 0)
