--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -44,7 +44,7 @@
   heartbeatMs: integerSetting(10, 10_000).default(DEFAULT_RAFT_SETTINGS.heartbeatMs).describe('interval of the leader\'s messages, in milliseconds'),
   electionTimeoutMs: integerSetting(50, 60_000).default(DEFAULT_RAFT_SETTINGS.electionTimeoutMs).describe('silence of a leader after which another is elected, in milliseconds'),
   endpointListMs: integerSetting(50, 60_000).default(1000).describe('interval between readings of the platform\'s endpoint list while hosts watch it, in milliseconds'),
-  orderLeaseMs: integerSetting(100, 60_000).default(3000).describe('time for which another host\'s last order to an engine may count, in milliseconds')
+  orderLeaseMs: z.coerce.number().min(100).max(60_000).default(3000).describe('time for which another host\'s last order to an engine may count, in milliseconds')
 }
 
 const settingsSchema = z.object(controlSettingsShape)
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -21,7 +21,7 @@
   staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
-  retrySlack: integerSetting(0, 100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
+  retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
 
 /** Settings of an entry host for routed requests, checked. */
