A learner that was just added is not silent

Silence was counted from the start of the leadership, so a learner whose first answer was still on its way counted as gone at once, and the joining host waited for ever. Now it counts from the first message, and a host that is not caught up within 1.5 s asks to be added again. Test first: 'late' was named, now it is not.

--- /dev/null
+++ b/apps/control/src/lib/raft/MembershipKeeper.test.ts
@@ -0,0 +1,112 @@
+import { describe, expect, it } from 'vitest'
+import { DEFAULT_RAFT_SETTINGS, RaftCore } from '@eelgrassmux/consensus/RaftCore'
+import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { findSurplusReplica, LEARNER_SILENCE_MS, SURPLUS_SILENCE_MS } from './MembershipKeeper.js'
+
+const replica = (id: string): Replica => ({ id, address: `10.0.0.${id.length}:${id}` })
+
+/** A leader whose peers answer as long as they are named. */
+class Group {
+  readonly leader = new RaftCore(replica('self'), { term: 0, votedFor: undefined, snapshot: undefined, entries: [] }, DEFAULT_RAFT_SETTINGS, () => 0.5, 0)
+  readonly #answering = new Set<string>()
+  now = 0
+
+  constructor (...voters: string[]) {
+    this.leader.bootstrap(0)
+    this.run(1)
+    for (const voter of voters) {
+      this.#answering.add(voter)
+      this.leader.addLearner(replica(voter), this.now)
+      this.run(100)
+      this.leader.promote(voter, this.now)
+      this.run(100)
+    }
+  }
+
+  silence (id: string): void {
+    this.#answering.delete(id)
+  }
+
+  add (id: string, isAnswering = true): void {
+    if (isAnswering) this.#answering.add(id)
+    this.leader.addLearner(replica(id), this.now)
+  }
+
+  /** Ten milliseconds a step; peers take everything that is sent to them. */
+  run (forMs: number): void {
+    for (const end = this.now + forMs; this.now < end; this.now += 10) {
+      let effects = this.leader.tick(this.now)
+      for (let round = 0; round < 5 && effects.messages.length > 0; round += 1) {
+        const { messages } = effects
+        effects = { writes: [], messages: [], committed: [], installed: undefined }
+        for (const { to, message } of messages) {
+          if (message.kind !== 'append-request' || !this.#answering.has(to.id)) continue
+          const answer = this.leader.receive({
+            kind: 'append-response', from: to.id, term: message.term, success: true, matchIndex: message.previousIndex + message.entries.length, sentAt: message.sentAt
+          }, this.now)
+          effects.messages.push(...answer.messages)
+        }
+      }
+    }
+  }
+
+  surplus (target: number): string | undefined {
+    return findSurplusReplica(this.leader, target, this.now)?.id
+  }
+}
+
+describe('findSurplusReplica', () => {
+  it('keeps a silent voter while it has no successor', () => {
+    const group = new Group('a', 'b', 'c', 'd')
+    group.silence('d')
+    group.run(SURPLUS_SILENCE_MS * 3)
+    expect(group.surplus(5)).toBeUndefined()
+  })
+
+  it('names the silent voter once there is one more than needed', () => {
+    const group = new Group('a', 'b', 'c', 'd', 'successor')
+    group.silence('b')
+    group.run(SURPLUS_SILENCE_MS - 500)
+    expect(group.surplus(5)).toBeUndefined()
+    group.run(1000)
+    expect(group.surplus(5)).toBe('b')
+  })
+
+  it('does not take a learner that was just added for silent, however long the leader has led', () => {
+    const group = new Group('a', 'b', 'c', 'd')
+    group.run(LEARNER_SILENCE_MS * 2)
+    group.add('late', false)
+    group.run(200)
+    expect(group.leader.isMembershipPending).toBe(false)
+    expect(group.surplus(5)).toBeUndefined()
+  })
+
+  it('names a learner that fell silent', () => {
+    const group = new Group('a', 'b', 'c', 'd')
+    group.add('late')
+    group.run(500)
+    group.silence('late')
+    group.run(LEARNER_SILENCE_MS + 500)
+    expect(group.surplus(5)).toBe('late')
+  })
+})
+
+describe('RaftCore.isReadConfirmed', () => {
+  it('needs a quorum that followed after the read began, whatever the lease says', () => {
+    const group = new Group('a', 'b')
+    const readAt = group.now
+    expect(group.leader.holdsLease(group.now)).toBe(true)
+    expect(group.leader.isReadConfirmed(readAt, group.now)).toBe(false)
+    group.run(100)
+    expect(group.leader.isReadConfirmed(readAt, group.now)).toBe(true)
+  })
+
+  it('is never given by a quorum that can not be reached', () => {
+    const group = new Group('a', 'b')
+    group.silence('a')
+    group.silence('b')
+    const readAt = group.now
+    group.run(200)
+    expect(group.leader.isReadConfirmed(readAt, group.now)).toBe(false)
+  })
+})
--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -15,6 +15,9 @@
 /** Deadline of each call, in milliseconds. */
 const CALL_MS = 2000
 
+/** Wait for the first messages of the leader before it is asked again, in milliseconds; they come at once. */
+const CATCH_UP_MS = 1500
+
 /** Addresses of replicas in the group, as of now. */
 type Contacts = () => readonly string[]
 
@@ -30,12 +33,20 @@
 export async function joinGroup (
   rpc: RpcClient, self: Replica, contacts: Contacts, isCaughtUp: () => boolean, isStopped: () => boolean
 ): Promise<void> {
-  await untilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped)
-  while (!isCaughtUp() && !isStopped()) await sleep(RETRY_MS)
+  do {
+    await untilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped)
+    await waitFor(isCaughtUp, isStopped)
+    // Whoever added us may have been replaced, or may have removed us again: ask anew.
+  } while (!isCaughtUp() && !isStopped())
   for (const old of await formerIdentities(rpc, self, contacts())) await untilDone(rpc, contacts, { kind: 'remove', id: old }, isStopped)
   await untilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped)
 }
 
+async function waitFor (isReached: () => boolean, isStopped: () => boolean): Promise<void> {
+  const deadline = performance.now() + CATCH_UP_MS
+  while (!isReached() && !isStopped() && performance.now() < deadline) await sleep(RETRY_MS)
+}
+
 async function untilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean): Promise<void> {
   let target: string | undefined
   for (let turn = 0; !isStopped(); turn += 1) {
--- a/packages/consensus/src/lib/PeerProgressTable.ts
+++ b/packages/consensus/src/lib/PeerProgressTable.ts
@@ -10,6 +10,8 @@
   /** Leader's clock when the newest acknowledged message was sent. */
   contactAt: number
   snapshotSentAt: number
+  /** Leader's clock when it first sent to this peer; silence counts from then. */
+  firstSentAt: number | undefined
 }
 
 /** Progress of all peers during one leadership. */
@@ -30,7 +32,8 @@
       nextIndex: this.firstIndex,
       matchIndex: 0,
       contactAt: Number.NEGATIVE_INFINITY,
-      snapshotSentAt: Number.NEGATIVE_INFINITY
+      snapshotSentAt: Number.NEGATIVE_INFINITY,
+      firstSentAt: undefined
     }
     this.#peers.set(id, fresh)
     return fresh
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -152,11 +152,12 @@
    *
    * @param id - voter or learner
    * @param now - monotonic milliseconds
-   * @returns milliseconds; counted from the start of the leadership if the peer was never heard
+   * @returns milliseconds; counted from the leader's first message to the peer if it was never heard
    */
   silentFor (id: string, now: number): number {
     if (id === this.self.id) return 0
-    return now - Math.max(this.#progress.of(id).contactAt, this.#leaderSince)
+    const { contactAt, firstSentAt } = this.#progress.of(id)
+    return now - Math.max(contactAt, firstSentAt ?? now)
   }
 
   // --- Inputs ---
@@ -442,6 +443,7 @@
 
   #sendAppend (replica: Replica, now: number): void {
     const progress = this.#progress.of(replica.id)
+    progress.firstSentAt ??= now
     const previousIndex = progress.nextIndex - 1
     const previousTerm = this.#log.termAt(previousIndex)
     const snapshot = this.#log.snapshot
