--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -144,7 +144,8 @@
     })
     this.#prompt?.recordSend(choice)
     clearInterval(this.#silenceTimer)
-    if (this.#relay.canResume) this.#watchSilence(attempt)
+    const mayRunElsewhere = this.#relay.canResume && this.#sends < this.request.route.attempts
+    if (mayRunElsewhere) this.#watchSilence(attempt)
   }
 
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
@@ -351,7 +352,11 @@
     return this.#attempt?.choice.endpoint.isSilent(performance.now()) === true
   }
 
-  /** A stream that may be resumed does not wait for an endpoint that has fallen silent towards everybody. */
+  /**
+   * A stream that may be resumed does not wait for an endpoint that has fallen silent
+   * towards everybody. On the last endpoint that it may run on it waits all the same:
+   * silence alone is no reason to end an answer.
+   */
   #watchSilence (attempt: RoutedAttempt): void {
     this.#silenceTimer = setInterval(() => {
       if (this.#isDone || attempt !== this.#attempt || !this.#isEndpointSilent()) return
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -51,7 +51,7 @@
     route('/safe/', {}),
     route('/unsafe/', { kind: 'unsafe', attempts: 1 }),
     route('/stream/', { kind: 'stream', attempts: 1 }),
-    route('/resumable/', { kind: 'stream', isResumable: true }),
+    route('/resumable/', { kind: 'stream', isResumable: true, timeoutMs: 8000 }),
     route('/short/', { kind: 'unsafe', timeoutMs: 150 }),
     route('/private/', { isPublic: false })
   ],
@@ -309,6 +309,22 @@
       expect(answer).toMatchObject({ status: 200, body: event(1), isWhole: false })
     })
 
+    it('leaves an endpoint that has fallen silent, but not the last one that it may run on', async () => {
+      let asked = 0
+      await serveBy(...[1, 2].map((): Behaviour => (_request, response) => {
+        asked += 1
+        if (asked === 1) return
+        // Longer than any silence that is taken for a fault: it may only be slow.
+        setTimeout(() => {
+          response.writeHead(200)
+          response.end(event(1))
+        }, 1600)
+      }))
+      const answer = await ask('/resumable/a', { method: 'POST' })
+      expect(answer).toMatchObject({ status: 200, body: event(1), isWhole: true })
+      expect(asked).toBe(2)
+    })
+
     it('that may be resumed goes on elsewhere, each event once, half an event never', async () => {
       const serve = (isBroken: () => boolean): Behaviour => (request, response) => {
         const from = Number(request.headers[HEADERS.lastEvent] ?? 0)
