A refusal for engine memory says so

The line said how long the first event would take, a figure that was fine; an on-call engineer would have looked in the wrong place.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -167,7 +167,9 @@
       this.#waitForRoom(choice)
       return undefined
     }
-    const detail = `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
+    const detail = admission.cause === 'engine-memory'
+      ? `no engine has memory for ${Math.round(choice.tokensHeld)} tokens: the best, ${choice.endpoint.id}, would be ${Math.round(choice.memoryShare * 100)}% full`
+      : `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
     this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs / MILLISECONDS_PER_SECOND)
     return undefined
   }
--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -18,7 +18,7 @@
   | { readonly kind: 'send', readonly isExpectedLate: boolean }
   /** No engine has memory for it now; look again in a moment. */
   | { readonly kind: 'wait' }
-  | { readonly kind: 'refuse', readonly returnAfterMs: number }
+  | { readonly kind: 'refuse', readonly cause: 'engine-memory' | 'wait', readonly returnAfterMs: number }
 
 /** What is known of a stream and of the best engine for it. */
 export interface StreamSituation {
@@ -93,10 +93,10 @@
   // Alone on an engine it will never find more room than it has.
   const isAlone = memoryShare <= ownMemoryShare
   if (needsRoom && !isAlone) {
-    return waitedMs < route.targetLatencyMs ? { kind: 'wait' } : { kind: 'refuse', returnAfterMs: route.targetLatencyMs }
+    return waitedMs < route.targetLatencyMs ? { kind: 'wait' } : { kind: 'refuse', cause: 'engine-memory', returnAfterMs: route.targetLatencyMs }
   }
   const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > READ_AHEAD
   if (isLongRead && firstEventMs < route.targetLatencyMs * READ_WAIT_SHARE) return { kind: 'wait' }
-  if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', returnAfterMs: estimatedMs - awaitedMs / 2 }
+  if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', cause: 'wait', returnAfterMs: estimatedMs - awaitedMs / 2 }
   return { kind: 'send', isExpectedLate: firstEventMs > route.targetLatencyMs * DOUBT }
 }
