Totals of work are added up and encoded once for all hosts

Each report of 73 hosts was answered with totals added up anew and written with the names of all fields, some 8 KB twenty times a second to each host.

Ruled out by reasoning only: hosts telling each other (grows with the square).

--- a/apps/control/src/lib/load/LoadBoardServer.ts
+++ b/apps/control/src/lib/load/LoadBoardServer.ts
@@ -6,9 +6,9 @@
  * cost more as calls than as what they carry.
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram'
-import { decode, encode } from '@msgpack/msgpack'
-import { LoadBoard } from '@eelgrassmux/routing/load/LoadBoard'
-import { loadReportSchema } from '@eelgrassmux/routing/load/loadReport'
+import { LoadBoard, type Totals } from '@eelgrassmux/routing/load/LoadBoard'
+import { decodeLoadReport, encodeLoadTotals, frameLoadTotals } from '@eelgrassmux/routing/load/loadCodec'
+import type { LoadReport } from '@eelgrassmux/routing/load/loadReport'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /** Serves the board on one UDP port. */
@@ -16,6 +16,7 @@
   readonly #board = new LoadBoard()
   readonly #socket: Socket = createSocket('udp4')
   readonly #reports: LabelledCounter
+  #encoded: { readonly totals: Totals, readonly bytes: Uint8Array } | undefined
 
   /** @param telemetry - metrics */
   constructor (telemetry: Telemetry) {
@@ -53,14 +54,21 @@
     this.#reports.count('taken')
     const now = performance.now()
     this.#board.observe(report, now)
-    const answer = encode({ host: report.host, sequence: report.sequence, work: this.#board.totals(now) })
-    this.#socket.send(answer, sender.port, sender.address)
+    const totals = this.#board.totals(now)
+    const sequence = totals.sequences.get(report.host)
+    // A host that was added since hears of the totals with its next report.
+    if (sequence !== undefined) this.#socket.send(frameLoadTotals(sequence, this.#encode(totals)), sender.port, sender.address)
+  }
+
+  #encode (totals: Totals): Uint8Array {
+    if (this.#encoded?.totals !== totals) this.#encoded = { totals, bytes: encodeLoadTotals(totals.work) }
+    return this.#encoded.bytes
   }
 }
 
-function readReport (bytes: Buffer): ReturnType<typeof loadReportSchema.parse> | undefined {
+function readReport (bytes: Buffer): LoadReport | undefined {
   try {
-    return loadReportSchema.parse(decode(bytes))
+    return decodeLoadReport(bytes)
   } catch {
     // Counted by the caller: the port may be reached by anybody's datagrams.
     return undefined
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -68,7 +68,7 @@
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
   })
-  const loads = new LoadReporter(address, () => link.leader, () => fleet.ownWork(), fleet.others, telemetry)
+  const loads = new LoadReporter(address, () => link.leader, () => link.liveEntries, () => fleet.ownWork(), fleet.others, telemetry)
   await loads.start(settings.host)
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
   const server = new RoutedServer({
--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -1,15 +1,32 @@
 /** Tells a control host of this host's work at endpoints, and hears of the others'. */
 import { createSocket, type Socket } from 'node:dgram'
-import { decode, encode } from '@msgpack/msgpack'
-import { loadReportSchema, type EndpointWork } from '@eelgrassmux/routing/load/loadReport'
+import { decodeLoadTotals, encodeLoadReport } from '@eelgrassmux/routing/load/loadCodec'
+import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
 import type { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /**
- * Interval between reports, in milliseconds: about one request in the largest
- * of today's deployments arrives at a given engine in that time.
+ * Shortest interval between reports, in milliseconds: in that time about half a
+ * request arrives at a given engine of today's deployments.
  */
-const REPORT_MS = 50
+const SHORTEST_REPORT_MS = 50
+
+/** Longest interval, in milliseconds: half of the age up to which the answers are used. */
+const LONGEST_REPORT_MS = 200
+
+/** Reports that all hosts together send in a second, once they are many: some 0.1 cores of the host that adds up. */
+const REPORTS_PER_SECOND = 720
+
+const MILLISECONDS_PER_SECOND = 1000
+
+/**
+ * @param liveHosts - entry hosts that report
+ * @returns milliseconds between the reports of one
+ */
+export function reportIntervalMs (liveHosts: number): number {
+  const sharedMs = liveHosts * MILLISECONDS_PER_SECOND / REPORTS_PER_SECOND
+  return Math.min(LONGEST_REPORT_MS, Math.max(SHORTEST_REPORT_MS, sharedMs))
+}
 
 /** Reports until stopped. */
 export class LoadReporter {
@@ -21,6 +38,7 @@
   /**
    * @param host - name of this host
    * @param board - address of the control host that adds up, as of now
+   * @param liveHosts - entry hosts that report, as of now
    * @param ownWork - this host's work, as of now
    * @param others - told of the others' work
    * @param telemetry - metrics
@@ -28,6 +46,7 @@
   constructor (
     private readonly host: string,
     private readonly board: () => string | undefined,
+    private readonly liveHosts: () => number,
     private readonly ownWork: () => EndpointWork[],
     private readonly others: OthersWork,
     telemetry: Telemetry
@@ -42,15 +61,22 @@
   /** @param host - IP number to send from */
   async start (host: string): Promise<void> {
     await new Promise<void>(resolve => { this.#socket.bind(0, host, resolve) })
-    this.#timer = setInterval(() => { this.#report() }, REPORT_MS)
+    this.#schedule()
   }
 
   /** Ends reporting. */
   stop (): void {
-    clearInterval(this.#timer)
+    clearTimeout(this.#timer)
     this.#socket.close()
   }
 
+  #schedule (): void {
+    this.#timer = setTimeout(() => {
+      this.#report()
+      this.#schedule()
+    }, reportIntervalMs(this.liveHosts()))
+  }
+
   #report (): void {
     const [address, port] = this.board()?.split(':') ?? []
     if (address === undefined || port === undefined) return
@@ -58,12 +84,12 @@
     this.#sequence += 1
     this.others.sent(this.#sequence, work)
     this.#outcomes.count('sent')
-    this.#socket.send(encode({ host: this.host, sequence: this.#sequence, work }), Number(port), address)
+    this.#socket.send(encodeLoadReport({ host: this.host, sequence: this.#sequence, work }), Number(port), address)
   }
 
   #take (bytes: Buffer): void {
     try {
-      const { sequence, work } = loadReportSchema.parse(decode(bytes))
+      const { sequence, work } = decodeLoadTotals(bytes)
       this.others.answered(sequence, work, performance.now())
       this.#outcomes.count('answered')
     } catch {
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -5,21 +5,33 @@
  * each sees only its own part of the work there: with eight hosts an engine's
  * queue is seven eighths invisible, and engines state it only in answers, which
  * come when the queue is over. Reports and answers grow with the number of
- * hosts, not with its square.
+ * hosts, not with its square; the adding up does not grow with reports at all.
  */
 import type { EndpointWork, LoadReport } from './loadReport.js'
 
-/** Silence after which a host's work is taken to have ended with it, in milliseconds: twenty reports. */
+/** Silence after which a host's work is taken to have ended with it, in milliseconds: five to twenty reports. */
 const FORGET_MS = 1000
 
+/** Age up to which totals are given out again, in milliseconds: half of the shortest interval between reports. */
+const TOTALS_LIFETIME_MS = 25
+
 interface HostEntry {
   report: LoadReport
   heardAt: number
 }
 
+/** Work of all hosts at one time. */
+export interface Totals {
+  readonly work: readonly EndpointWork[]
+  /** The newest report of each host that is in it. */
+  readonly sequences: ReadonlyMap<string, number>
+}
+
 /** Latest report of each host. */
 export class LoadBoard {
   readonly #hosts = new Map<string, HostEntry>()
+  #totals: Totals = { work: [], sequences: new Map() }
+  #addedAt = Number.NEGATIVE_INFINITY
 
   /**
    * @param report - of one host
@@ -34,18 +46,27 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns work of all hosts, for endpoints that have any
+   * @returns work of all hosts, for endpoints that have any; the same object until it is added up anew
    */
-  totals (now: number): EndpointWork[] {
-    const totals = new Map<string, EndpointWork>()
+  totals (now: number): Totals {
+    if (now - this.#addedAt < TOTALS_LIFETIME_MS) return this.#totals
+    this.#addedAt = now
+    this.#totals = this.#addUp(now)
+    return this.#totals
+  }
+
+  #addUp (now: number): Totals {
+    const work = new Map<string, EndpointWork>()
+    const sequences = new Map<string, number>()
     for (const [host, { report, heardAt }] of this.#hosts) {
       if (now - heardAt > FORGET_MS) {
         this.#hosts.delete(host)
         continue
       }
-      for (const work of report.work) totals.set(work.endpoint, add(totals.get(work.endpoint), work))
+      sequences.set(host, report.sequence)
+      for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), entry))
     }
-    return [...totals.values()]
+    return { work: [...work.values()], sequences }
   }
 }
 
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -11,22 +11,34 @@
     board.observe({ host: 'a', sequence: 1, work: [work('e', 9)] }, 0)
     board.observe({ host: 'a', sequence: 2, work: [work('e', 2)] }, 10)
     board.observe({ host: 'b', sequence: 7, work: [work('e', 3), work('f', 1)] }, 10)
-    expect(board.totals(20)).toEqual([work('e', 5), work('f', 1)])
+    expect(board.totals(20).work).toEqual([work('e', 5), work('f', 1)])
   })
 
   it('ignores a report that was overtaken, but not a host that started again', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 5, work: [work('e', 5)] }, 0)
     board.observe({ host: 'a', sequence: 4, work: [work('e', 9)] }, 10)
-    expect(board.totals(10)).toEqual([work('e', 5)])
+    expect(board.totals(10).work).toEqual([work('e', 5)])
     board.observe({ host: 'a', sequence: 1, work: [work('e', 1)] }, 1500)
-    expect(board.totals(1500)).toEqual([work('e', 1)])
+    expect(board.totals(1500).work).toEqual([work('e', 1)])
   })
 
   it('forgets the work of a host that fell silent', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 1, work: [work('e', 5)] }, 0)
-    expect(board.totals(2000)).toEqual([])
+    expect(board.totals(2000).work).toEqual([])
+  })
+
+  it('adds up once for the reports of many hosts, and says which report of each is in it', () => {
+    const board = new LoadBoard()
+    for (let host = 0; host < 73; host += 1) board.observe({ host: `h${host}`, sequence: 5, work: [work('e', 1)] }, 0)
+    const totals = board.totals(0)
+    expect(totals.work).toEqual([work('e', 73)])
+    board.observe({ host: 'h0', sequence: 6, work: [work('e', 9)] }, 10)
+    expect(board.totals(10)).toBe(totals)
+    expect(board.totals(10).sequences.get('h0')).toBe(5)
+    expect(board.totals(30).sequences.get('h0')).toBe(6)
+    expect(board.totals(30).work).toEqual([work('e', 81)])
   })
 })
 
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,26 +1,27 @@
 /** What entry hosts tell of the work that they have under way at endpoints. */
-import { z } from 'zod'
-
-const count = z.number().min(0)
 
 /** Work of one or all hosts at one endpoint. */
-export const endpointWorkSchema = z.strictObject({
-  endpoint: z.string(),
+export interface EndpointWork {
+  readonly endpoint: string
   /** Requests sent and not answered whole. */
-  inFlight: count,
+  readonly inFlight: number
   /** Prompt tokens to be read before the first events of those requests. */
-  pendingTokens: count,
+  readonly pendingTokens: number
   /** Tokens that those requests hold, or will hold, in the endpoint's memory. */
-  heldTokens: count
-})
+  readonly heldTokens: number
+}
 
-/** One host's own work, and the answer with the work of all. */
-export const loadReportSchema = z.strictObject({
-  host: z.string(),
-  /** Rises with each report; an answer names the report that it answers. */
-  sequence: z.number().int().min(0),
-  work: z.array(endpointWorkSchema)
-})
+/** One host's own work. */
+export interface LoadReport {
+  readonly host: string
+  /** Rises with each report. */
+  readonly sequence: number
+  readonly work: readonly EndpointWork[]
+}
 
-export type EndpointWork = z.infer<typeof endpointWorkSchema>
-export type LoadReport = z.infer<typeof loadReportSchema>
+/** Work of all hosts, as it is answered to one of them. */
+export interface LoadTotals {
+  /** The report of the asking host that the work includes. */
+  readonly sequence: number
+  readonly work: readonly EndpointWork[]
+}
