Return after all hosts stop: port open early, requests wait for the site, votes asked again

Of 356 requests of the two seconds from 36 s, 208 were refused and 13 were in time: callers' second and last attempt met a closed port or a 503 of a host without a site.

Ruled out: disks (replicas were up 0.25 s after power), the watch of the site (0.1 s after the leader).

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -78,6 +78,9 @@
 /** Deadline of one protocol message, in milliseconds. */
 const RAFT_DEADLINE_MS = 1000
 
+/** Start of this process on its monotonic clock, in milliseconds. */
+const PROCESS_START_MS = 0
+
 /** Longest wait for another leader at a planned stop, in milliseconds. */
 const TRANSFER_WAIT_MS = 2000
 
@@ -110,7 +113,8 @@
 
   const learnt = new Map<string, string>()
   const self: Replica = { id: replicaId, address: '' }
-  const core = new RaftCore(self, persisted, raftSettings(settings), Math.random, performance.now())
+  // What an earlier process promised a leader, it promised before this one began.
+  const core = new RaftCore(self, persisted, raftSettings(settings), Math.random, PROCESS_START_MS)
   const state = new StateMachine({ ...DEFAULT_STATE_SETTINGS, recordWindowMs: settings.recordWindowHours * HOUR_MS })
   const raft = new RaftTask(core, storage, state, {
     send: (to, message) => {
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -1,10 +1,12 @@
 /** Puts the tasks of an entry host for routed requests together. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
+import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { addressListSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { LoadReporter } from './load/LoadReporter.js'
@@ -30,6 +32,8 @@
 /** What a platform brings. */
 export interface RoutedPlatform {
   readonly codec: RequestCodec
+  /** The callers' port, if it was opened before the program was loaded. */
+  readonly early?: EarlyListener | undefined
   /** Opens what else the platform calls on an entry host. */
   openEdges (isReady: () => boolean): Promise<{ close (): Promise<void> }>
 }
@@ -84,20 +88,23 @@
     storesUsable: now => stored.isVouched(now),
     storeClockMs: now => stored.storeClockMs(now)
   })
-  const port = await server.listen(settings.host, settings.port)
+  const port = await server.listen(settings.host, settings.port, platform.early)
   let isDraining = false
   const isReady = (): boolean => !isDraining && server.isConfigured && fleet.isKnown && mayAct()
   const edges = await platform.openEdges(isReady)
 
   let siteVersion = -1
-  link.onChange(() => {
-    fleet.update(link.endpoints)
-    const { site } = link
+  const putInForce = (site: Site | undefined): void => {
     if (site === undefined || site.version === siteVersion) return
     siteVersion = site.version
     server.configure(site)
     fleet.storedParts.configure(site.services.filter(service => service.type === 'store'))
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
+  }
+  link.onChange(() => {
+    fleet.update(link.endpoints)
+    putInForce(link.site)
+    server.releaseWaiting()
   })
   link.start()
   telemetry.gauge('site_version', 'Site in force', () => siteVersion)
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
@@ -368,6 +369,56 @@
     })
   })
 
+  describe('a host that has just started', () => {
+    let fresh: RoutedServer
+    let freshFleet: RoutedFleet
+
+    beforeEach(() => {
+      const telemetry = new Telemetry('test')
+      freshFleet = new RoutedFleet('n', () => 1, telemetry)
+      fresh = new RoutedServer({
+        fleet: freshFleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined
+      }, performance.now())
+    })
+
+    afterEach(async () => { await fresh.close() })
+
+    it('serves whoever connected before it was loaded and asked before it knew the site', async () => {
+      const early = await EarlyListener.open('127.0.0.1', 0, 10)
+      port = early.port
+      const answers = ['/safe/a', '/unsafe/b'].map(async path => await ask(path, { method: 'POST', body: 'bytes' }))
+      await sleep(50)
+      await fresh.listen('127.0.0.1', early.port, early)
+      answers.push(ask('/safe/c'))
+      await sleep(50)
+      endpoints = [new Endpoint('e0', answerOk)]
+      fresh.configure(SITE)
+      fresh.releaseWaiting()
+      freshFleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
+      fresh.releaseWaiting()
+      expect((await Promise.all(answers)).map(answer => answer.status)).toEqual([200, 200, 200])
+      expect(endpoints[0]?.seen.map(seen => seen.body)).toEqual(expect.arrayContaining(['bytes', 'bytes']))
+    })
+
+    it('refuses as "not run" what waited for half of its time in vain, and forgets whose caller left', async () => {
+      port = await fresh.listen('127.0.0.1', 0)
+      const leaving = httpRequest({ host: '127.0.0.1', port, path: '/safe/a', headers: { host: 'h' } })
+      leaving.on('error', () => {})
+      leaving.end()
+      const answer = await ask('/safe/b', { headers: { [HEADERS.deadline]: '300' } })
+      leaving.destroy()
+      expect(answer.status).toBe(503)
+      expect(JSON.parse(answer.body)).toMatchObject({ run: 'not-run' })
+      await sleep(50)
+      endpoints = [new Endpoint('e0', answerOk)]
+      freshFleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
+      fresh.configure(SITE)
+      fresh.releaseWaiting()
+      await sleep(50)
+      expect(seenBy(endpoints)).toBe(0)
+    })
+  })
+
   describe('refusals of what was only looked at', () => {
     it.each([
       ['a path without a route', '/none/a', {}, 404],
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -6,6 +6,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { RetryAllowance, type RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import { SiteIndex } from '@eelgrassmux/routing/site/SiteIndex'
@@ -16,6 +17,7 @@
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
+import { StartupQueue } from './StartupQueue.js'
 
 /** What the server needs from around it. */
 export interface RoutedServerPorts {
@@ -38,7 +40,7 @@
 const HARD_HEADER_LIMIT_BYTES = 64 * 1024
 
 /** Connections that wait to be accepted. */
-const BACKLOG = 4096
+export const CALLER_BACKLOG = 4096
 
 /** Interval at which Node looks for callers that take too long, in milliseconds. */
 const SLOW_CALLER_LOOK_MS = 500
@@ -56,13 +58,19 @@
   readonly #retries: LabelledCounter
   readonly #requests: LabelledCounter
   readonly #firstEvent: (milliseconds: number) => void
+  readonly #startup: StartupQueue
   #index: SiteIndex | undefined
   #closesConnections = false
   #lastRequestAt = 0
 
-  /** @param ports - surroundings */
-  constructor (private readonly ports: RoutedServerPorts) {
+  /**
+   * @param ports - surroundings
+   * @param startedAt - monotonic milliseconds at which this host started; 0 is the start of the process
+   */
+  constructor (private readonly ports: RoutedServerPorts, startedAt = 0) {
     const { telemetry } = ports
+    this.#startup = new StartupQueue(startedAt)
+    telemetry.gauge('requests_waiting_for_site', 'Requests that wait until this host knows the site', () => this.#startup.length)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
     this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
@@ -81,13 +89,17 @@
    *
    * @param host - IP number
    * @param port - port, 0 for a free one
+   * @param early - the same port, if it is open already
    * @returns the port
    */
-  async listen (host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
-    })
+  async listen (host: string, port: number, early?: EarlyListener): Promise<number> {
+    if (early !== undefined) await early.handOver(this.#server)
+    else {
+      await new Promise<void>((resolve, reject) => {
+        this.#server.once('error', reject)
+        this.#server.listen({ host, port, backlog: CALLER_BACKLOG }, resolve)
+      })
+    }
     return (this.#server.address() as AddressInfo).port
   }
 
@@ -98,6 +110,11 @@
     this.#server.keepAliveTimeout = site.limits.idleTimeoutMs
   }
 
+  /** Lets requests go that waited for what this host has learnt. */
+  releaseWaiting (): void {
+    if (this.#mayServe()) this.#startup.release()
+  }
+
   /** Whether a site is known. */
   get isConfigured (): boolean { return this.#index !== undefined }
 
@@ -118,11 +135,21 @@
     })
   }
 
+  /** Whether this host knows what it needs to serve. */
+  #mayServe (): boolean {
+    return this.#index !== undefined && this.ports.mayAct() && this.ports.fleet.isKnown
+  }
+
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
     const exchange = new CallerExchange(message, response, () => this.#closesConnections)
     const fields = this.ports.codec.readCaller(message.rawHeaders)
+    const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
+    if (this.#mayServe() || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) route()
+  }
+
+  #route (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
     const index = this.#index
     if (index === undefined || !this.ports.mayAct()) {
       this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host does not know the site yet', ASK_AGAIN_SECONDS)
--- /dev/null
+++ b/apps/entry/src/lib/routed/StartupQueue.ts
@@ -0,0 +1,69 @@
+/**
+ * Requests that arrive before this host knows the site.
+ *
+ * Answers the load in which all hosts start at once: every caller's connection
+ * breaks, and all come back within the second in which the hosts learn the site
+ * again. A refusal would use up the few attempts that a caller has, although the
+ * site is tenths of a second away. Only a host that has just started makes
+ * requests wait; one that does not learn the site refuses them.
+ */
+import type { CallerExchange } from './CallerExchange.js'
+
+/** Age of a host up to which its requests wait, in milliseconds: measured returns of all hosts took 1.3 s. */
+const STARTUP_MS = 3000
+
+/** Longest wait of one request, in milliseconds: a return that takes longer than the measured ones by half. */
+const LONGEST_WAIT_MS = 2000
+
+/** Share of the caller's time that may be spent waiting, so that the rest is enough for an answer. */
+const WAITING_SHARE = 0.5
+
+/** Most requests that wait; a few seconds of a busy host's arrivals. */
+const MOST_WAITING = 1000
+
+interface Waiting {
+  readonly go: () => void
+  readonly timer: NodeJS.Timeout
+}
+
+/** Holds requests until they are released or their time is up. */
+export class StartupQueue {
+  readonly #waiting = new Set<Waiting>()
+
+  /** @param startedAt - monotonic milliseconds at which the process began */
+  constructor (private readonly startedAt = 0) {}
+
+  get length (): number { return this.#waiting.size }
+
+  /**
+   * Holds a request if there is reason to.
+   *
+   * @param exchange - the caller's side
+   * @param deadlineMs - milliseconds that the caller waits, if it says so
+   * @param now - monotonic milliseconds
+   * @param go - called once when the request is released, or has waited long enough; not if its caller leaves
+   * @returns whether the request waits
+   */
+  hold (exchange: CallerExchange, deadlineMs: number | undefined, now: number, go: () => void): boolean {
+    if (now - this.startedAt > STARTUP_MS || this.#waiting.size >= MOST_WAITING) return false
+    const waitMs = Math.min(LONGEST_WAIT_MS, (deadlineMs ?? LONGEST_WAIT_MS) * WAITING_SHARE)
+    const waiting: Waiting = { go, timer: setTimeout(() => { this.#let(waiting) }, waitMs) }
+    this.#waiting.add(waiting)
+    exchange.onLeave(() => { this.#forget(waiting) })
+    return true
+  }
+
+  /** Lets all go that wait, in the order in which they came. */
+  release (): void {
+    for (const waiting of [...this.#waiting]) this.#let(waiting)
+  }
+
+  #let (waiting: Waiting): void {
+    if (this.#forget(waiting)) waiting.go()
+  }
+
+  #forget (waiting: Waiting): boolean {
+    clearTimeout(waiting.timer)
+    return this.#waiting.delete(waiting)
+  }
+}
--- a/packages/consensus/src/lib/RaftCore.test.ts
+++ b/packages/consensus/src/lib/RaftCore.test.ts
@@ -88,6 +88,30 @@
       expect(core('b').receive(vote, DEFAULT_RAFT_SETTINGS.electionTimeoutMs - 1).messages).toEqual([])
     })
 
+    it('asks again with each heartbeat for votes that were lost, and not only after another timeout', () => {
+      const { electionTimeoutMs, heartbeatMs } = DEFAULT_RAFT_SETTINGS
+      const group = new Group(new Set(['a']))
+      group.tick('a', electionTimeoutMs * 1.5)
+      expect(group.get('a').role).toBe('pre-candidate')
+      group.cut.clear()
+      group.tick('a', heartbeatMs - 1)
+      expect(group.get('a').role).toBe('pre-candidate')
+      group.tick('a', 1)
+      expect(group.get('a').role).toBe('leader')
+    })
+
+    it('asks nobody twice who has voted', () => {
+      const asking = core('a')
+      asking.tick(1000)
+      asking.receive({ kind: 'vote-response', from: 'b', term: 1, preVote: true, granted: true, askedTerm: 2 }, 1000)
+      expect(asking.role).toBe('candidate')
+      expect(asking.tick(1000 + DEFAULT_RAFT_SETTINGS.heartbeatMs).messages.map(({ to }) => to.id)).toEqual(['b', 'c'])
+      const preCandidate = core('a', { ...FOUNDED, entries: [{ kind: 'membership', index: 1, term: 1, membership: { voters: [...replicas, { id: 'd', address: 'd' }], learners: [] } }] })
+      preCandidate.tick(1000)
+      preCandidate.receive({ kind: 'vote-response', from: 'b', term: 1, preVote: true, granted: true, askedTerm: 2 }, 1000)
+      expect(preCandidate.tick(1000 + DEFAULT_RAFT_SETTINGS.heartbeatMs).messages.map(({ to }) => to.id)).toEqual(['c', 'd'])
+    })
+
     it('steps down without a quorum, and its lease ends before another can be elected', () => {
       const group = new Group()
       group.elect('a')
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -58,6 +58,9 @@
   #lastLeaderContact: number
   #heartbeatDue = 0
   #votes = new Set<string>()
+  #voteRequestDue = 0
+  /** Whether the leader asked this replica to stand, so that voters need not wait for its silence. */
+  #isTransfer = false
   #progress = new PeerProgressTable(1)
   #termStartIndex = 0
   #leaderSince = 0
@@ -71,22 +74,22 @@
    * @param persisted - state read from the disk
    * @param settings - timing and limits
    * @param random - source of numbers in [0, 1)
-   * @param now - monotonic milliseconds
+   * @param startedAt - monotonic milliseconds since which this replica has certainly sent nothing: the start of its process
    */
   constructor (
     readonly self: Replica,
     persisted: PersistentState,
     readonly settings: RaftSettings,
     private readonly random: () => number,
-    now: number
+    startedAt: number
   ) {
     this.#term = persisted.term
     this.#votedFor = persisted.votedFor
     this.#log = new RaftLog(persisted)
     this.#commitIndex = this.#log.snapshotIndex
     // A restarted replica may have promised a leader its silence: it waits before it votes.
-    this.#lastLeaderContact = now
-    this.#electionDeadline = now + this.#electionDelay()
+    this.#lastLeaderContact = startedAt
+    this.#electionDeadline = startedAt + this.#electionDelay()
   }
 
   // --- Views ---
@@ -171,6 +174,7 @@
   tick (now: number): RaftEffects {
     if (this.#role === 'leader') this.#tickLeader(now)
     else if (now >= this.#electionDeadline && this.#isVoter(this.self.id)) this.#startPreVote(now)
+    else if (this.#role !== 'follower' && now >= this.#voteRequestDue) this.#requestVotes(now)
     return this.#takeEffects()
   }
 
@@ -339,7 +343,8 @@
       this.#startElection(now, false)
       return
     }
-    this.#requestVotes(true, this.#term + 1, false)
+    this.#isTransfer = false
+    this.#requestVotes(now)
   }
 
   #startElection (now: number, transfer: boolean): void {
@@ -352,13 +357,19 @@
       this.#becomeLeader(now)
       return
     }
-    this.#requestVotes(false, this.#term, transfer)
+    this.#isTransfer = transfer
+    this.#requestVotes(now)
   }
 
-  #requestVotes (preVote: boolean, term: number, transfer: boolean): void {
+  /** Repeated with each heartbeat: after a restart of all replicas, first messages find no listener and are lost. */
+  #requestVotes (now: number): void {
+    this.#voteRequestDue = now + this.settings.heartbeatMs
     const { lastIndex, lastTerm } = this.#log
+    const preVote = this.#role === 'pre-candidate'
+    const term = preVote ? this.#term + 1 : this.#term
+    const transfer = this.#isTransfer
     for (const voter of this.membership.voters) {
-      if (voter.id === this.self.id) continue
+      if (this.#votes.has(voter.id)) continue
       this.#send(voter, { kind: 'vote-request', from: this.self.id, term, preVote, lastIndex, lastTerm, transfer })
     }
   }
