What hosts have seen of endpoints is shared; stores are followed once the site is known

Each of 73 hosts sends a given engine one request in five seconds and had to find the silence by itself: 1225 and 1848 requests ended at their callers' deadline. Kept connections to a silent engine took further requests with them.

Now: load reports carry last word, wait, hosts that avoid, and recent failures of each endpoint; new connections count in the estimate; idle connections to an endpoint out of reach are closed; what engines hold is looked up once a request. The report of 98 endpoints is 3 KB (tested).

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -124,7 +124,10 @@
         if (!answer.ok) messageFailures.count(answer.error.kind)
       })
     },
-    applied: () => { controlServer.notify() },
+    applied: () => {
+      controlServer.notify()
+      stores?.siteChanged()
+    },
     roleChanged: (role, term) => { telemetry.stateChanged('role-changed', { role, term }) },
     fail
   }, Date.now)
--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -81,6 +81,11 @@
     return clockMs === undefined ? { changes } : { changes, clockMs }
   }
 
+  /** Follows the stores of a site as soon as it is known; call after the agreed state has changed. */
+  siteChanged (): void {
+    if (this.#timer !== undefined) this.#followSite()
+  }
+
   /** Ends all following. */
   stop (): void {
     clearInterval(this.#timer)
@@ -90,6 +95,11 @@
   }
 
   #look (): void {
+    this.#followSite()
+    void this.#freeDeadParts()
+  }
+
+  #followSite (): void {
     const stores = (this.raft.state.sites.put?.site.services ?? []).filter(service => service.type === 'store')
     for (const [name, follower] of this.#followers) {
       const present = stores.find(store => store.name === name)
@@ -101,7 +111,6 @@
     for (const store of stores) {
       if (!this.#followers.has(store.name)) this.#follow(store)
     }
-    void this.#freeDeadParts()
   }
 
   #follow (store: StoreService): void {
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -15,6 +15,9 @@
   /** Connections that are open, idle ones included. */
   get count (): number { return this.#open.size }
 
+  /** Whether a request can be sent without a new connection. */
+  get hasIdle (): boolean { return this.#idle.some(connection => connection.isUsable) }
+
   /**
    * Takes an idle connection or makes a new one.
    *
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -143,7 +143,7 @@
   /** Parts that the engine holds already are named as well, but move no bytes. */
   #recordFetches ({ endpoint }: EndpointChoice, version: number, plan: StorePlan, now: number): void {
     const { storeLinks, memory } = this.ports.fleet
-    const held = memory.heldTokens(this.scope(version), this.#shared, endpoint.id, now)
+    const held = memory.holders(this.scope(version), this.#shared, now).tokensAt(endpoint.id)
     let position = 0
     this.#shared.forEach((part, index) => {
       position += part.tokens
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -18,6 +18,9 @@
 /** Fewest connections of a host to an endpoint, however many hosts share its bound. */
 const LEAST_CONNECTIONS = 2
 
+/** Outcomes of late that are worth telling other hosts. */
+const LEAST_TOLD_OUTCOMES = 0.5
+
 /** Share of an endpoint's connections that hosts plan with; the rest covers hosts that are just leaving or starting. */
 const PLANNED_SHARE = 0.9
 
@@ -90,12 +93,15 @@
   choose (service: string, ask: Omit<EndpointAsk, 'dataCentre' | 'others'>): EndpointChoice | NoEndpointReason {
     const now = performance.now()
     const others = this.others.isRecent(now) ? this.others : undefined
-    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others }, this.memory, now, Math.random())
+    const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.id)?.hasIdle === true
+    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection }, this.memory, now, Math.random())
   }
 
-  /** @returns this host's work at each endpoint that has any */
+  /** @returns this host's work at each endpoint that has any, or of which there is something to tell */
   ownWork (): EndpointWork[] {
-    return this.#pool.all.filter(endpoint => endpoint.inFlight > 0).map(endpoint => ({ endpoint: endpoint.id, ...endpoint.work }))
+    const now = performance.now()
+    return this.#pool.all.map(endpoint => ({ endpoint: endpoint.id, ...endpoint.work(now) }))
+      .filter(work => work.inFlight > 0 || work.avoiders > 0 || work.outcomes >= LEAST_TOLD_OUTCOMES)
   }
 
   /**
@@ -130,6 +136,8 @@
     const peers = this.#pool.ofService(endpoint.listed.service).filter(peer => peer !== endpoint)
     const peersShare = peers.reduce((sum, peer) => sum + peer.health.failureShare, 0) / Math.max(1, peers.length)
     if (!endpoint.health.observe(outcome, performance.now(), peersShare)) return
+    // A connection to a host that is gone without a word would take one more request with it.
+    if (endpoint.health.isOutOfReach(performance.now())) this.#connections.get(endpoint.id)?.closeIdle()
     this.telemetry.stateChanged('endpoint-paused', {
       endpoint: endpoint.id, address: endpoint.listed.address, outcome, failureShare: Number(endpoint.health.failureShare.toFixed(2)), peersShare: Number(peersShare.toFixed(2))
     })
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -150,8 +150,10 @@
 
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
   #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
-    if (choice.version === undefined || this.#hasFirstEvent || !this.ports.fleet.knowsLoad) return { isExpectedLate: false }
+    if (choice.version === undefined || this.#hasFirstEvent) return { isExpectedLate: false }
     const now = performance.now()
+    // Without the others' work no estimate may refuse or hold, but what is late already gives way all the same.
+    if (!this.ports.fleet.knowsLoad) return { isExpectedLate: now - this.request.arrivedAt > this.request.route.targetLatencyMs }
     const expectedMs = choice.estimatedMs * this.#routeSlowness().factor(now)
     const admission = admitStream(this.request.route, {
       waitedMs: now - this.request.arrivedAt,
--- a/packages/routing/src/lib/endpoints/EndpointHealth.ts
+++ b/packages/routing/src/lib/endpoints/EndpointHealth.ts
@@ -22,11 +22,23 @@
  */
 const EXCESS_FAILING_SHARE = 0.32
 
+/** Time in which an outcome loses two thirds of its weight in what hosts tell each other, in milliseconds: faults last for some seconds. */
+const RECENT_MS = 4000
+
+/** Outcomes of late; older ones count less. */
+export interface RecentOutcomes {
+  readonly outcomes: number
+  readonly failures: number
+}
+
 /** Mutable health of one endpoint. */
 export class EndpointHealth {
   #failureShare = 0
   #pausedUntil = Number.NEGATIVE_INFINITY
   #pauses = 0
+  #isOutOfReach = false
+  #recent: RecentOutcomes = { outcomes: 0, failures: 0 }
+  #recentAt = 0
 
   /** Share of recent requests that failed. */
   get failureShare (): number { return this.#failureShare }
@@ -39,6 +51,23 @@
     return now < this.#pausedUntil
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether it pauses because it could not be reached or did not answer
+   */
+  isOutOfReach (now: number): boolean {
+    return this.#isOutOfReach && this.isPaused(now)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns outcomes of late at this host
+   */
+  recent (now: number): RecentOutcomes {
+    const kept = Math.exp(-(now - this.#recentAt) / RECENT_MS)
+    return { outcomes: this.#recent.outcomes * kept, failures: this.#recent.failures * kept }
+  }
+
   /**
    * Takes the outcome of a request.
    *
@@ -50,11 +79,15 @@
   observe (outcome: RequestOutcome, now: number, peersFailureShare = 0): boolean {
     const sample = outcome === 'success' ? 0 : 1
     this.#failureShare += (sample - this.#failureShare) * SMOOTHING
+    const { outcomes, failures } = this.recent(now)
+    this.#recent = { outcomes: outcomes + 1, failures: failures + sample }
+    this.#recentAt = now
     if (outcome === 'success') {
       this.#pauses = 0
       return false
     }
     if (this.isPaused(now)) return false
+    this.#isOutOfReach = outcome !== 'failure'
     if (outcome === 'unreachable') return this.#pause(UNREACHABLE_PAUSE_MS, now)
     if (outcome === 'unanswered') return this.#pause(FAILING_PAUSE_MS, now)
     if (this.#failureShare - peersFailureShare < EXCESS_FAILING_SHARE) return false
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -1,6 +1,6 @@
 /** What one entry host knows of one endpoint. */
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import type { WorkFigures } from '../load/OthersWork.js'
+import { LONG_AGO_MS, type WorkFigures } from '../load/loadReport.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import { Slowness } from './Slowness.js'
 
@@ -30,6 +30,8 @@
   #listed: ListedEndpoint
   #isLeaving: boolean
   #heardAt = 0
+  #bytesAt = Number.NEGATIVE_INFINITY
+  #busySince = 0
   #versions = new Map<string, number>()
   #inFlight = 0
   #pendingTokens = 0
@@ -53,9 +55,42 @@
   get inFlight (): number { return this.#inFlight }
   /** Prompt tokens of this host's requests that have not brought their first event yet. */
   get pendingTokens (): number { return this.#pendingTokens }
-  /** This host's work there. */
-  get work (): WorkFigures {
-    return { inFlight: this.#inFlight, pendingTokens: this.#pendingTokens, heldTokens: this.#heldTokens }
+  /** Tokens that this host's requests hold, or will hold, in its memory. */
+  get heldTokens (): number { return this.#heldTokens }
+
+  /**
+   * This host's work there, and what it has seen of the endpoint.
+   *
+   * @param now - monotonic milliseconds
+   */
+  work (now: number): WorkFigures {
+    const { outcomes, failures } = this.health.recent(now)
+    return {
+      inFlight: this.#inFlight,
+      pendingTokens: this.#pendingTokens,
+      heldTokens: this.#heldTokens,
+      heardAgoMs: this.heardAgoMs(now),
+      waitedMs: this.waitedMs(now),
+      avoiders: this.health.isOutOfReach(now) ? 1 : 0,
+      outcomes,
+      failures
+    }
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since any byte came from it to this host
+   */
+  heardAgoMs (now: number): number {
+    return Math.min(LONG_AGO_MS, now - this.#bytesAt)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds for which it has had work of this host without a break
+   */
+  waitedMs (now: number): number {
+    return this.#inFlight === 0 ? 0 : Math.min(LONG_AGO_MS, now - this.#busySince)
   }
 
   /** Mean time of a plain answer, once there was one, in milliseconds. */
@@ -139,7 +174,10 @@
    * @param now - monotonic milliseconds
    */
   begin (pendingTokens: number, heldTokens: number, now: number): void {
-    if (this.#inFlight === 0) this.#heardAt = now
+    if (this.#inFlight === 0) {
+      this.#heardAt = now
+      this.#busySince = now
+    }
     this.#inFlight += 1
     this.#pendingTokens += pendingTokens
     this.#heldTokens += heldTokens
@@ -148,6 +186,7 @@
   /** @param now - monotonic milliseconds at which bytes of any answer came from it */
   heard (now: number): void {
     this.#heardAt = now
+    this.#bytesAt = now
   }
 
   /**
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import { OthersWork } from '../load/OthersWork.js'
 import { PromptMemory } from '../prompts/PromptMemory.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
@@ -98,7 +99,7 @@
       const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
       const others = new OthersWork()
       others.sent(1, [])
-      others.answered(1, [{ endpoint: home, inFlight: 6, pendingTokens: 40_000, heldTokens: 70_000 }], 0)
+      others.answered(1, [{ ...NO_WORK, endpoint: home, inFlight: 6, pendingTokens: 40_000, heldTokens: 70_000 }], 0)
       expect(chosen(chooseEndpoint(fleet, ask(promptAsk(), { others }), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
     })
 
@@ -107,7 +108,7 @@
       const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
       const others = new OthersWork()
       others.sent(1, [])
-      others.answered(1, [{ endpoint: home, inFlight: 9, pendingTokens: 0, heldTokens: 105_000 }], 0)
+      others.answered(1, [{ ...NO_WORK, endpoint: home, inFlight: 9, pendingTokens: 0, heldTokens: 105_000 }], 0)
       expect(chosen(chooseEndpoint(fleet, ask(promptAsk(), { others }), new PromptMemory(), 0, 0)).endpoint.id).not.toBe(home)
     })
   })
@@ -174,13 +175,66 @@
     })
   })
 
+  describe('what other hosts have seen', () => {
+    function told (figures: Partial<WorkFigures>, endpoint = 'e0'): OthersWork {
+      const others = new OthersWork()
+      others.sent(1, [])
+      others.answered(1, [{ ...NO_WORK, endpoint, ...figures }], 0)
+      return others
+    }
+
+    const chooses = (figures: Partial<WorkFigures>, fleet = engines(2)): string =>
+      chosen(chooseEndpoint(fleet, ask(undefined, { others: told(figures) }), new PromptMemory(), 0, 0)).endpoint.id
+
+    it('keeps a host from an endpoint that sends nothing to anybody, though it never sent there itself', () => {
+      expect(chooses({ inFlight: 0 })).toBe('e0')
+      expect(chooses({ inFlight: 3, heardAgoMs: 501, waitedMs: 900 }, engines(1))).toBe('e0')
+      const dark = { inFlight: 3, heardAgoMs: 501, waitedMs: 900 }
+      const busy = [new EndpointState(listed('e0')), new EndpointState(listed('e1'))]
+      for (let request = 0; request < 20; request += 1) busy[1]?.begin(0, 0, 0)
+      expect(chooses({ ...dark, heardAgoMs: 20 }, busy)).toBe('e0')
+      expect(chooses(dark, busy)).toBe('e1')
+    })
+
+    it('does not take an endpoint for silent that has only just got its work', () => {
+      const busy = engines(2)
+      for (let request = 0; request < 20; request += 1) busy[1]?.begin(0, 0, 0)
+      expect(chooses({ inFlight: 9, heardAgoMs: 60_000, waitedMs: 300 }, busy)).toBe('e0')
+    })
+
+    it('keeps it from one that two hosts could not reach, unless it has heard from it itself', () => {
+      expect(chooses({ avoiders: 1 })).toBe('e0')
+      expect(chooses({ avoiders: 2 })).toBe('e1')
+      const heard = engines(2)
+      heard[0]?.heard(0)
+      expect(chooses({ avoiders: 2 }, heard)).toBe('e0')
+    })
+
+    it('keeps it from one that fails half of what all hosts send there', () => {
+      const busy = engines(2)
+      for (let request = 0; request < 60; request += 1) busy[1]?.begin(0, 0, 0)
+      expect(chooses({ outcomes: 40, failures: 5 }, busy)).toBe('e0')
+      expect(chooses({ outcomes: 40, failures: 36 }, busy)).toBe('e1')
+    })
+  })
+
+  describe('connections', () => {
+    it('that are open are used rather than new ones, while the difference is small', () => {
+      const fleet = engines(2)
+      const hasConnection = (endpoint: EndpointState): boolean => endpoint.id === 'e1'
+      expect(chosen(chooseEndpoint(fleet, ask(undefined, { hasConnection }), new PromptMemory(), 0, 0)).endpoint.id).toBe('e1')
+      for (let request = 0; request < 8; request += 1) fleet[1]?.begin(0, 0, 0)
+      expect(chosen(chooseEndpoint(fleet, ask(undefined, { hasConnection }), new PromptMemory(), 0, 0)).endpoint.id).toBe('e0')
+    })
+  })
+
   describe('plain services', () => {
     it('use the endpoint with the fewest requests of all hosts', () => {
       const fleet = engines(3)
       const others = new OthersWork()
       others.sent(1, [])
       others.answered(1, [
-        { endpoint: 'e0', inFlight: 9, pendingTokens: 0, heldTokens: 0 }, { endpoint: 'e2', inFlight: 7, pendingTokens: 0, heldTokens: 0 }
+        { ...NO_WORK, endpoint: 'e0', inFlight: 9, pendingTokens: 0, heldTokens: 0 }, { ...NO_WORK, endpoint: 'e2', inFlight: 7, pendingTokens: 0, heldTokens: 0 }
       ], 0)
       expect(chosen(chooseEndpoint(fleet, ask(undefined, { others }), new PromptMemory(), 0, 0)).endpoint.id).toBe('e1')
     })
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -8,10 +8,12 @@
  * a home that is busier than the reading is worth loses the request to another.
  */
 import type { OthersWork } from '../load/OthersWork.js'
+import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
+import { isAvoidedByOthers, isFaulty, isSilentToAll, sharedFailureShare } from './sharedSight.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
 import { sharedPartOf, type PromptDescription, type PromptPart } from '../prompts/promptDescription.js'
-import type { PromptMemory } from '../prompts/PromptMemory.js'
+import type { PromptHolders, PromptMemory } from '../prompts/PromptMemory.js'
 import type { StoreLinks } from '../stores/StoreLinks.js'
 import type { StorePlan } from '../stores/StoredPartsIndex.js'
 
@@ -23,6 +25,8 @@
   readonly dataCentre: string
   /** What the other entry hosts have under way; undefined while that is not known. */
   readonly others: OthersWork | undefined
+  /** Whether this host has an idle connection to an endpoint; a new one costs the endpoint time. */
+  hasConnection? (endpoint: EndpointState): boolean
   readonly prompt?: PromptAsk
 }
 
@@ -110,6 +114,12 @@
 /** What another data centre costs against the own one, in milliseconds: half a millisecond each way, and its price. */
 const OTHER_DATA_CENTRE_MS = 2
 
+/**
+ * What a new connection costs, in milliseconds: two round trips and the endpoint's
+ * own millisecond, and the users' price of one, a twentieth of what a request is worth.
+ */
+const NEW_CONNECTION_MS = 5
+
 /** What an endpoint with a share of failures costs, in milliseconds for all requests failing. */
 const FAILURE_MS = 400
 
@@ -135,9 +145,10 @@
   if (untried.length === 0) return 'all-tried'
   const able = ofVersion(untried, ask.prompt)
   if (able.length === 0) return 'none-of-version'
-  const candidates = preferred(able, now)
+  const candidates = preferred(able.map(endpoint => sightOf(endpoint, ask, now)), now)
   const home = homeOf(candidates, ask.prompt)
-  const choices = candidates.map(endpoint => estimate(endpoint, ask, home, memory, now))
+  const holders = new Map<number, PromptHolders>()
+  const choices = candidates.map(sight => estimate(sight, ask, home, holdersFor(sight.endpoint, ask.prompt, memory, holders, now), now))
   const least = Math.min(...choices.map(choice => choice.estimatedMs))
   const ties = choices.filter(choice => choice.estimatedMs <= least + TIE_MS)
   return ties[Math.floor(random * ties.length)] ?? 'none-listed'
@@ -153,65 +164,96 @@
   return desired.length > 0 ? desired : serving
 }
 
+/** An endpoint with what other hosts have told of it. */
+interface Sight {
+  readonly endpoint: EndpointState
+  readonly others: WorkFigures
+  readonly failureShare: number
+}
+
+function sightOf (endpoint: EndpointState, ask: EndpointAsk, now: number): Sight {
+  const others = ask.others?.at(endpoint.id) ?? NO_WORK
+  return { endpoint, others, failureShare: sharedFailureShare(endpoint, others, now) }
+}
+
 /** Healthy endpoints with room; else any that are healthy, else any. */
-function preferred (endpoints: readonly EndpointState[], now: number): readonly EndpointState[] {
-  const healthy = endpoints.filter(endpoint => !endpoint.health.isPaused(now) && !endpoint.isSilent(now))
-  const able = healthy.length > 0 ? healthy : endpoints
-  const idle = able.filter(endpoint => !endpoint.isBusy(now))
+function preferred (sights: readonly Sight[], now: number): readonly Sight[] {
+  const meanShare = sights.reduce((sum, sight) => sum + sight.failureShare, 0) / sights.length
+  const healthy = sights.filter(sight => isHealthy(sight, meanShare, now))
+  const able = healthy.length > 0 ? healthy : sights
+  const idle = able.filter(({ endpoint }) => !endpoint.isBusy(now))
   const awake = idle.length > 0 ? idle : able
-  const withRoom = awake.filter(endpoint => !endpoint.isFull(now))
+  const withRoom = awake.filter(({ endpoint }) => !endpoint.isFull(now))
   return withRoom.length > 0 ? withRoom : awake
 }
 
-function homeOf (candidates: readonly EndpointState[], prompt: PromptAsk | undefined): string | undefined {
+function isHealthy ({ endpoint, others, failureShare }: Sight, meanShare: number, now: number): boolean {
+  if (endpoint.health.isPaused(now) || endpoint.isSilent(now)) return false
+  return !isSilentToAll(endpoint, others, now) && !isAvoidedByOthers(endpoint, others, now) && !isFaulty(failureShare, meanShare)
+}
+
+function homeOf (candidates: readonly Sight[], prompt: PromptAsk | undefined): string | undefined {
   const shared = prompt === undefined ? undefined : sharedPartOf(prompt.description)
-  return shared === undefined ? undefined : homeEndpoint(shared.id, candidates.map(endpoint => endpoint.id))
+  return shared === undefined ? undefined : homeEndpoint(shared.id, candidates.map(({ endpoint }) => endpoint.id))
+}
+
+/** Looked up once for each version of the weights, whatever the number of engines. */
+function holdersFor (
+  endpoint: EndpointState, prompt: PromptAsk | undefined, memory: PromptMemory, known: Map<number, PromptHolders>, now: number
+): PromptHolders | undefined {
+  if (prompt === undefined) return undefined
+  const version = endpoint.version(prompt.description.model) ?? 0
+  const present = known.get(version)
+  if (present !== undefined) return present
+  const holders = memory.holders(prompt.scope(version), prompt.description.parts.slice(0, -1), now)
+  known.set(version, holders)
+  return holders
 }
 
 function estimate (
-  endpoint: EndpointState, ask: EndpointAsk, home: string | undefined, memory: PromptMemory, now: number
+  { endpoint, others, failureShare }: Sight, ask: EndpointAsk, home: string | undefined, holders: PromptHolders | undefined, now: number
 ): EndpointChoice {
   const distanceMs = endpoint.listed.dataCentre === ask.dataCentre ? 0 : OTHER_DATA_CENTRE_MS
-  const fixedMs = distanceMs + endpoint.health.failureShare * FAILURE_MS
-  if (ask.prompt === undefined) {
-    const estimatedMs = fixedMs + plainMs(endpoint, ask, now)
+  const connectionMs = ask.hasConnection?.(endpoint) === false ? NEW_CONNECTION_MS : 0
+  const fixedMs = distanceMs + connectionMs + failureShare * FAILURE_MS
+  if (ask.prompt === undefined || holders === undefined) {
+    const estimatedMs = fixedMs + plainMs(endpoint, ask, others, now)
     return { endpoint, version: undefined, tokensToRead: 0, tokensHeld: 0, estimatedMs, waitMs: estimatedMs, fetchMs: 0, workMs: estimatedMs, tokensAhead: 0, memoryShare: 0 }
   }
   const { description } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
-  const { tokensToRead, fetchMs, againMs } = estimateReading(endpoint, ask.prompt, version, home, memory, now)
+  const { tokensToRead, fetchMs, againMs } = estimateReading(endpoint, ask.prompt, version, home, holders, now)
   const tokensHeld = description.promptTokens + description.outputTokens * EXPECTED_OUTPUT_SHARE
-  const waitMs = engineWaitMs(endpoint, ask, ask.prompt, tokensHeld, now)
+  const share = memoryShare(endpoint, others, ask.prompt, tokensHeld)
+  const waitMs = engineWaitMs(endpoint, ask, others, share, now)
   const workMs = FIRST_EVENT_MS + waitMs + fetchMs + tokensToRead / READ_TOKENS_PER_MS
   const estimatedMs = fixedMs + againMs + workMs * endpoint.slowness.factor(now)
-  const tokensAhead = endpoint.pendingTokens + (ask.others?.at(endpoint.id).pendingTokens ?? 0)
-  const share = memoryShare(endpoint, ask, ask.prompt, tokensHeld)
+  const tokensAhead = endpoint.pendingTokens + others.pendingTokens
   return { endpoint, version, tokensToRead, tokensHeld, estimatedMs, waitMs, fetchMs, workMs, tokensAhead, memoryShare: share }
 }
 
-function plainMs (endpoint: EndpointState, ask: EndpointAsk, now: number): number {
+function plainMs (endpoint: EndpointState, ask: EndpointAsk, others: WorkFigures, now: number): number {
   const { total, slots } = endpoint.occupancy(now)
-  const requests = ask.others === undefined ? total : endpoint.inFlight + ask.others.at(endpoint.id).inFlight
+  const requests = ask.others === undefined ? total : endpoint.inFlight + others.inFlight
   const serviceMs = endpoint.latencyMs ?? PLAIN_MS
   // Endpoints slow down when they are nearly full, so fewer requests are better also while there are free slots.
   return serviceMs * Math.max(1, (requests + 1) / Math.max(1, slots)) + requests
 }
 
 function estimateReading (
-  endpoint: EndpointState, prompt: PromptAsk, version: number, home: string | undefined, memory: PromptMemory, now: number
+  endpoint: EndpointState, prompt: PromptAsk, version: number, home: string | undefined, holders: PromptHolders, now: number
 ): { readonly tokensToRead: number, readonly fetchMs: number, readonly againMs: number } {
   const { description } = prompt
   const shared = description.parts.slice(0, -1)
-  const known = memory.heldTokens(prompt.scope(version), shared, endpoint.id, now)
+  const known = holders.tokensAt(endpoint.id)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
   const { storedTokens, fetches } = prompt.stored(version)
   const held = endpoint.id === home ? Math.max(known, sharedTokens * HOME_CHANCE) : known
   const sharedToRead = Math.max(0, sharedTokens - Math.max(held, storedTokens))
-  const isHeldElsewhere = memory.isHeldAnywhere(prompt.scope(version), shared, now)
   return {
     tokensToRead: Math.max(0, description.promptTokens - sharedTokens) + sharedToRead,
     fetchMs: fetchMs(endpoint, prompt, shared, fetches, held, now),
-    againMs: isHeldElsewhere ? sharedToRead * READ_AGAIN_MS_PER_TOKEN : 0
+    againMs: holders.isHeldAnywhere ? sharedToRead * READ_AGAIN_MS_PER_TOKEN : 0
   }
 }
 
@@ -233,20 +275,17 @@
 }
 
 /** Reading goes on in turn, running requests slow every step, and a request that does not fit into memory waits for others to end. */
-function engineWaitMs (endpoint: EndpointState, ask: EndpointAsk, prompt: PromptAsk, tokensHeld: number, now: number): number {
+function engineWaitMs (endpoint: EndpointState, ask: EndpointAsk, others: WorkFigures, memoryShare: number, now: number): number {
   if (ask.others === undefined) {
     const { total, waiting } = endpoint.occupancy(now)
     return waiting * WAITING_MS + (total - waiting) * RUNNING_MS + endpoint.pendingTokens / READ_TOKENS_PER_MS
   }
-  const others = ask.others.at(endpoint.id)
   const readingMs = (endpoint.pendingTokens + others.pendingTokens) / READ_TOKENS_PER_MS
   const requests = endpoint.inFlight + others.inFlight
-  const excess = Math.max(0, memoryShare(endpoint, ask, prompt, tokensHeld) - MEMORY_SHARE)
+  const excess = Math.max(0, memoryShare - MEMORY_SHARE)
   return readingMs + requests * RUNNING_MS + excess * MEMORY_TURNOVER_MS
 }
 
-function memoryShare (endpoint: EndpointState, ask: EndpointAsk, prompt: PromptAsk, tokensHeld: number): number {
-  if (prompt.memoryTokens === 0) return 0
-  const others = ask.others?.at(endpoint.id).heldTokens ?? 0
-  return (endpoint.work.heldTokens + others + tokensHeld) / prompt.memoryTokens
+function memoryShare (endpoint: EndpointState, others: WorkFigures, prompt: PromptAsk, tokensHeld: number): number {
+  return prompt.memoryTokens === 0 ? 0 : (endpoint.heldTokens + others.heldTokens + tokensHeld) / prompt.memoryTokens
 }
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -76,6 +76,11 @@
     endpoint: work.endpoint,
     inFlight: sum.inFlight + work.inFlight,
     pendingTokens: sum.pendingTokens + work.pendingTokens,
-    heldTokens: sum.heldTokens + work.heldTokens
+    heldTokens: sum.heldTokens + work.heldTokens,
+    heardAgoMs: Math.min(sum.heardAgoMs, work.heardAgoMs),
+    waitedMs: Math.max(sum.waitedMs, work.waitedMs),
+    avoiders: sum.avoiders + work.avoiders,
+    outcomes: sum.outcomes + work.outcomes,
+    failures: sum.failures + work.failures
   }
 }
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -1,14 +1,9 @@
 /** Work of the other entry hosts at each endpoint, as last heard. */
-import type { EndpointWork } from './loadReport.js'
+import { NO_WORK, type EndpointWork, type WorkFigures } from './loadReport.js'
 
 /** Age after which it says nothing any more, in milliseconds: a few lost datagrams. */
 const LIFETIME_MS = 400
 
-/** Work without its endpoint's name. */
-export type WorkFigures = Omit<EndpointWork, 'endpoint'>
-
-const NO_WORK: WorkFigures = { inFlight: 0, pendingTokens: 0, heldTokens: 0 }
-
 /** What this host reported under one sequence number, to be taken off the totals that answer it. */
 interface OwnReport {
   readonly sequence: number
@@ -72,6 +67,12 @@
   return {
     inFlight: Math.max(0, total.inFlight - (own?.inFlight ?? 0)),
     pendingTokens: Math.max(0, total.pendingTokens - (own?.pendingTokens ?? 0)),
-    heldTokens: Math.max(0, total.heldTokens - (own?.heldTokens ?? 0))
+    heldTokens: Math.max(0, total.heldTokens - (own?.heldTokens ?? 0)),
+    // The least and the most can't be taken apart; this host's own part in them is true as well.
+    heardAgoMs: total.heardAgoMs,
+    waitedMs: total.waitedMs,
+    avoiders: Math.max(0, total.avoiders - (own?.avoiders ?? 0)),
+    outcomes: Math.max(0, total.outcomes - (own?.outcomes ?? 0)),
+    failures: Math.max(0, total.failures - (own?.failures ?? 0))
   }
 }
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import { LoadBoard } from './LoadBoard.js'
-import type { EndpointWork } from './loadReport.js'
+import { NO_WORK, type EndpointWork } from './loadReport.js'
 import { OthersWork } from './OthersWork.js'
 
-const work = (endpoint: string, inFlight: number): EndpointWork => ({ endpoint, inFlight, pendingTokens: inFlight * 100, heldTokens: inFlight * 1000 })
+const work = (endpoint: string, inFlight: number): EndpointWork => ({ ...NO_WORK, endpoint, inFlight, pendingTokens: inFlight * 100, heldTokens: inFlight * 1000 })
 
 describe('LoadBoard', () => {
   it('adds up the newest report of each host', () => {
@@ -23,6 +23,13 @@
     expect(board.totals(1500).work).toEqual([work('e', 1)])
   })
 
+  it('keeps the latest word from an endpoint, the longest wait for it, and the sum of what failed', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 900, waitedMs: 200, avoiders: 1, outcomes: 4, failures: 3 }] }, 0)
+    board.observe({ host: 'b', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 30, waitedMs: 700, avoiders: 1, outcomes: 2, failures: 0 }] }, 0)
+    expect(board.totals(0).work[0]).toMatchObject({ heardAgoMs: 30, waitedMs: 700, avoiders: 2, outcomes: 6, failures: 3 })
+  })
+
   it('forgets the work of a host that fell silent', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 1, work: [work('e', 5)] }, 0)
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -2,22 +2,26 @@
  * Bytes of load reports and of the totals that answer them.
  *
  * Written in columns, because the names of fields would be most of a datagram
- * that goes to every host many times a second: 98 endpoints take 2 KB and not 8.
+ * that goes to every host many times a second: 98 endpoints take 3 KB and not 16.
  * The totals are the same for all hosts and are encoded once; only the sequence
  * in front differs.
  */
 import { decode, encode } from '@msgpack/msgpack'
 import { z } from 'zod'
-import type { EndpointWork, LoadReport, LoadTotals } from './loadReport.js'
+import { NO_WORK, type EndpointWork, type LoadReport, type LoadTotals } from './loadReport.js'
 
 /** Bytes of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
 
 const endpointColumn = z.array(z.string())
 const countColumn = z.array(z.number().min(0))
-const columnsSchema = z.tuple([endpointColumn, countColumn, countColumn, countColumn]).refine(
-  ([endpoints, ...counts]) => counts.every(column => column.length === endpoints.length),
-  'all columns have one entry an endpoint'
+
+/** Order of the columns behind that of endpoints. */
+const FIGURES = ['inFlight', 'pendingTokens', 'heldTokens', 'heardAgoMs', 'waitedMs', 'avoiders', 'outcomes', 'failures'] as const
+
+const columnsSchema = z.tuple([endpointColumn], countColumn).refine(
+  ([endpoints, ...counts]) => counts.length === FIGURES.length && counts.every(column => column.length === endpoints.length),
+  'there is one column a figure, and all have one entry an endpoint'
 )
 const reportSchema = z.tuple([z.string(), z.int().min(0), columnsSchema])
 
@@ -72,19 +76,12 @@
 }
 
 function toColumns (work: readonly EndpointWork[]): Columns {
-  return [
-    work.map(entry => entry.endpoint),
-    work.map(entry => entry.inFlight),
-    work.map(entry => Math.round(entry.pendingTokens)),
-    work.map(entry => Math.round(entry.heldTokens))
-  ]
+  return [work.map(entry => entry.endpoint), ...FIGURES.map(figure => work.map(entry => Math.round(entry[figure])))]
 }
 
-function toWork ([endpoints, inFlight, pendingTokens, heldTokens]: Columns): EndpointWork[] {
-  return endpoints.map((endpoint, row) => ({
-    endpoint,
-    inFlight: inFlight[row] ?? 0,
-    pendingTokens: pendingTokens[row] ?? 0,
-    heldTokens: heldTokens[row] ?? 0
-  }))
+function toWork ([endpoints, ...counts]: Columns): EndpointWork[] {
+  return endpoints.map((endpoint, row) => {
+    const figures = Object.fromEntries(FIGURES.map((figure, column) => [figure, counts[column]?.[row] ?? 0]))
+    return { ...NO_WORK, ...figures, endpoint }
+  })
 }
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,7 +1,7 @@
 /** What entry hosts tell of the work that they have under way at endpoints. */
 
-/** Work of one or all hosts at one endpoint. */
-export interface EndpointWork {
+/** Work of one or all hosts at one endpoint, and what they have seen of it. */
+export interface EndpointWork extends EndpointSight {
   readonly endpoint: string
   /** Requests sent and not answered whole. */
   readonly inFlight: number
@@ -11,6 +11,31 @@
   readonly heldTokens: number
 }
 
+/** What requests have shown of an endpoint. */
+export interface EndpointSight {
+  /** Milliseconds since any byte came from it; over all hosts the least. */
+  readonly heardAgoMs: number
+  /** Milliseconds for which it has had work without a break; over all hosts the most. */
+  readonly waitedMs: number
+  /** Hosts that could not reach it, or got no answer, and give it no work for now. */
+  readonly avoiders: number
+  /** Requests that ended there lately; older ones count less. */
+  readonly outcomes: number
+  /** Of those, the ones that failed. */
+  readonly failures: number
+}
+
+/** Work without its endpoint's name. */
+export type WorkFigures = Omit<EndpointWork, 'endpoint'>
+
+/** Milliseconds beyond which it does not matter how long ago something was. */
+export const LONG_AGO_MS = 60_000
+
+/** An endpoint without work of which nothing was seen. */
+export const NO_WORK: WorkFigures = {
+  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, outcomes: 0, failures: 0
+}
+
 /** One host's own work. */
 export interface LoadReport {
   readonly host: string
--- a/packages/routing/src/lib/prompts/PromptMemory.ts
+++ b/packages/routing/src/lib/prompts/PromptMemory.ts
@@ -11,6 +11,14 @@
 /** Parts remembered; beyond this the oldest are forgotten. */
 const REMEMBERED_PARTS = 20_000
 
+/** Which engines probably hold a prompt. */
+export interface PromptHolders {
+  /** Whether some engine holds the whole chain. */
+  readonly isHeldAnywhere: boolean
+  /** @returns tokens at the beginning of the chain that the engine holds */
+  tokensAt (endpoint: string): number
+}
+
 /** Remembers sends. Being wrong costs time, never correctness: the engine itself knows what it holds. */
 export class PromptMemory {
   /** For each part and scope, when it was last sent to which engine; the oldest part first. */
@@ -40,30 +48,23 @@
   /**
    * @param scope - cache salt of the request
    * @param parts - chain of the prompt
-   * @param endpoint - engine
    * @param now - monotonic milliseconds
-   * @returns tokens at the beginning of the chain that the engine probably holds
+   * @returns which engines probably hold how much of it
    */
-  heldTokens (scope: string, parts: readonly PromptPart[], endpoint: string, now: number): number {
-    let tokens = 0
-    for (const part of parts) {
-      const sentAt = this.#sends.get(keyOf(scope, part))?.get(endpoint)
-      if (sentAt === undefined || now - sentAt > EXPECTED_RESIDENCE_MS) break
-      tokens += part.tokens
+  holders (scope: string, parts: readonly PromptPart[], now: number): PromptHolders {
+    const sends = parts.map(part => ({ tokens: part.tokens, engines: this.#sends.get(keyOf(scope, part)) }))
+    const isRecent = (sentAt: number | undefined): boolean => sentAt !== undefined && now - sentAt <= EXPECTED_RESIDENCE_MS
+    return {
+      isHeldAnywhere: [...sends.at(-1)?.engines?.values() ?? []].some(isRecent),
+      tokensAt: endpoint => {
+        let held = 0
+        for (const { tokens, engines } of sends) {
+          if (!isRecent(engines?.get(endpoint))) break
+          held += tokens
+        }
+        return held
+      }
     }
-    return tokens
-  }
-
-  /**
-   * @param scope - cache salt of the request
-   * @param parts - chain of the prompt
-   * @param now - monotonic milliseconds
-   * @returns whether some engine probably holds the whole chain
-   */
-  isHeldAnywhere (scope: string, parts: readonly PromptPart[], now: number): boolean {
-    const last = parts.at(-1)
-    const sends = last === undefined ? undefined : this.#sends.get(keyOf(scope, last))
-    return sends !== undefined && [...sends.values()].some(sentAt => now - sentAt <= EXPECTED_RESIDENCE_MS)
   }
 }
 
--- a/packages/rpc/src/lib/RpcClient.ts
+++ b/packages/rpc/src/lib/RpcClient.ts
@@ -9,7 +9,7 @@
   'grpc.enable_retries': 0,
   'grpc.enable_http_proxy': 0,
   'grpc.initial_reconnect_backoff_ms': 100,
-  'grpc.max_reconnect_backoff_ms': 400,
+  'grpc.max_reconnect_backoff_ms': 200,
   'grpc.keepalive_time_ms': KEEPALIVE_MS,
   'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
