A host that was held up looks whether a caller is still there before it sends on

Ruled out: a leaving that was read and not acted on (the test with a prompt reader passes). Now: if the host's timer was late by more than 40 ms, requests wait two turns. Test: request and leaving in one turn; it failed before.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -47,6 +47,9 @@
 /** Interval between looks for it, in milliseconds. */
 const QUIET_LOOK_MS = 50
 
+/** Lateness of a timer that says that callers may have left unnoticed, in milliseconds; usual lateness is a few. */
+const LAGGING_MS = 40
+
 /**
  * Starts an entry host for routed requests.
  *
@@ -86,7 +89,8 @@
     mayAct,
     // Parts that nobody vouches for may have been freed meanwhile.
     storesUsable: now => stored.isVouched(now),
-    storeClockMs: now => stored.storeClockMs(now)
+    storeClockMs: now => stored.storeClockMs(now),
+    isLagging: () => loads.lagMs > LAGGING_MS
   })
   const port = await server.listen(settings.host, settings.port, platform.early)
   let isDraining = false
--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -34,6 +34,7 @@
   readonly #outcomes: LabelledCounter
   #sequence = 0
   #timer: NodeJS.Timeout | undefined
+  #lagMs = 0
 
   /**
    * @param host - name of this host
@@ -70,11 +71,17 @@
     this.#socket.close()
   }
 
+  /** How late the last report was, in milliseconds: for so long this process did not get to its sockets. */
+  get lagMs (): number { return this.#lagMs }
+
   #schedule (): void {
+    const intervalMs = reportIntervalMs(this.liveHosts())
+    const dueAt = performance.now() + intervalMs
     this.#timer = setTimeout(() => {
+      this.#lagMs = performance.now() - dueAt
       this.#report()
       this.#schedule()
-    }, reportIntervalMs(this.liveHosts()))
+    }, intervalMs)
   }
 
   #report (): void {
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -28,6 +28,11 @@
   /** Whether the answer is complete, or nobody waits for it any more. */
   get hasEnded (): boolean { return this.#hasEnded || this.#hasLeft }
 
+  /** Whether the caller has closed its side before it got an answer, as far as the sockets have been read. */
+  get isAbandoned (): boolean {
+    return this.hasEnded || this.request.errored !== null || this.request.socket.destroyed
+  }
+
   /** @param listener - called once if the caller leaves before the answer is complete */
   onLeave (listener: () => void): void {
     this.response.on('close', () => {
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -1,5 +1,6 @@
 import { createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
@@ -119,16 +120,18 @@
   let endpoints: Endpoint[] = []
   let server: RoutedServer
   let fleet: RoutedFleet
+  let isLagging = false
 
   beforeEach(async () => {
     const telemetry = new Telemetry('test')
     fleet = new RoutedFleet('n', () => 1, telemetry)
     server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined
+      fleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
     })
     port = await server.listen('127.0.0.1', 0)
     server.configure(SITE)
     endpoints = []
+    isLagging = false
   })
 
   afterEach(async () => {
@@ -377,7 +380,7 @@
       const telemetry = new Telemetry('test')
       freshFleet = new RoutedFleet('n', () => 1, telemetry)
       fresh = new RoutedServer({
-        fleet: freshFleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined
+        fleet: freshFleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
       }, performance.now())
     })
 
@@ -419,6 +422,33 @@
     })
   })
 
+  describe('a host that was held up', () => {
+    async function sendAndLeave (): Promise<void> {
+      const socket = connect(port, '127.0.0.1')
+      await new Promise(resolve => socket.once('connect', resolve))
+      // Let the server accept, so that request and leaving are read in one turn.
+      await sleep(20)
+      socket.write(`GET /safe/a HTTP/1.1\r\nhost: h\r\n${HEADERS.id}: r1\r\n\r\n`)
+      socket.destroy()
+      const heldUpUntil = performance.now() + 60
+      while (performance.now() < heldUpUntil);
+      await sleep(100)
+    }
+
+    it('sends nothing on of a caller that has left meanwhile', async () => {
+      const all = await serveBy(answerOk)
+      isLagging = true
+      await sendAndLeave()
+      expect(seenBy(all)).toBe(0)
+    })
+
+    it('serves the others', async () => {
+      await serveBy(answerOk)
+      isLagging = true
+      expect((await ask('/unsafe/a', { method: 'POST', body: 'bytes' })).status).toBe(200)
+    })
+  })
+
   describe('refusals of what was only looked at', () => {
     it.each([
       ['a path without a route', '/none/a', {}, 404],
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -34,6 +34,8 @@
   storesUsable (now: number): boolean
   /** The stores' clock in milliseconds, once it is known. */
   storeClockMs (now: number): number | undefined
+  /** Whether this process did not get to its sockets for a while. */
+  isLagging (): boolean
 }
 
 /** Headers that Node reads at most, in bytes; the site's own limit is checked after that and lies below. */
@@ -169,7 +171,25 @@
       this.#refuse(exchange, fields, 'unknown-credential', 401, 'send a key that a customer holds')
       return
     }
-    this.#readBody(message, exchange, fields, index, body => { this.#start(exchange, fields, index, route, customer, body, arrivedAt) })
+    this.#readBody(message, exchange, fields, index, body => {
+      this.#unlessGone(exchange, fields, () => { this.#start(exchange, fields, index, route, customer, body, arrivedAt) })
+    })
+  }
+
+  /**
+   * A host that was held up reads a request long after it was sent, and its caller's
+   * leaving in the turn after that. It looks before it sends the request on.
+   */
+  #unlessGone (exchange: CallerExchange, fields: CallerFields, start: () => void): void {
+    if (!this.ports.isLagging()) {
+      start()
+      return
+    }
+    const look = (): void => {
+      if (exchange.isAbandoned) this.ports.telemetry.decided('caller-left', fields.requestId ?? '', { run: 'not-run', isLagging: true })
+      else start()
+    }
+    setImmediate(() => { setImmediate(look) })
   }
 
   #readBody (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, index: SiteIndex, onBody: (body: Buffer | undefined) => void): void {
