--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -42,6 +42,7 @@
    * @param liveHosts - entry hosts that report, as of now
    * @param ownWork - this host's work, as of now
    * @param others - told of the others' work
+   * @param onAnswer - called when the others' work was heard
    * @param telemetry - metrics
    */
   constructor (
@@ -50,6 +51,7 @@
     private readonly liveHosts: () => number,
     private readonly ownWork: () => EndpointWork[],
     private readonly others: OthersWork,
+    private readonly onAnswer: () => void,
     telemetry: Telemetry
   ) {
     this.#outcomes = telemetry.labelledCounter('load_exchanges_total', 'Load reports and answers by outcome', 'outcome')
@@ -99,6 +101,7 @@
       const { sequence, work } = decodeLoadTotals(bytes)
       this.others.answered(sequence, work, performance.now())
       this.#outcomes.count('answered')
+      this.onAnswer()
     } catch {
       this.#outcomes.count('malformed')
     }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -137,9 +137,10 @@
     })
   }
 
-  /** Whether this host knows what it needs to serve. */
+  /** Whether this host knows what it needs to serve. The others' work is part of it: all hosts release what waits at the same moment. */
   #mayServe (): boolean {
-    return this.#index !== undefined && this.ports.mayAct() && this.ports.fleet.isKnown
+    const { fleet } = this.ports
+    return this.#index !== undefined && this.ports.mayAct() && fleet.isKnown && fleet.knowsLoad
   }
 
   #accept (message: IncomingMessage, response: ServerResponse): void {
--- a/packages/routing/src/lib/admission/admitStream.test.ts
+++ b/packages/routing/src/lib/admission/admitStream.test.ts
@@ -81,6 +81,29 @@
   })
 })
 
+describe('many late requests at once, as after a restart of all hosts', () => {
+  const late = { waitedMs: 900, estimatedMs: 300, remainingMs: 9000, ownMemoryShare: 0.1, memoryShare: 0.3, tokensToRead: 9000, tokensAhead: 0 }
+
+  it('are sent while an engine has little else to do', () => {
+    expect(admitStream(DIGEST, late)).toEqual({ kind: 'send', isExpectedLate: true })
+    expect(admitStream(DIGEST, { ...late, tokensAhead: 40_000, ownMemoryShare: 0.1, memoryShare: 0.1 }).kind).toBe('send')
+  })
+
+  it('give way to what can still be on time, while they are long', () => {
+    expect(admitStream(DIGEST, { ...late, tokensAhead: 4000 }).kind).toBe('wait')
+    expect(admitStream(DIGEST, { ...late, memoryShare: 0.7 }).kind).toBe('wait')
+    expect(admitStream(DIGEST, { ...late, tokensAhead: 4000, tokensToRead: 600 }).kind).toBe('send')
+  })
+
+  it('are sent in time for a caller that still waits', () => {
+    expect(admitStream(DIGEST, { ...late, waitedMs: 1300, tokensAhead: 4000 }).kind).toBe('send')
+  })
+
+  it('are refused once their caller will have left before the first event', () => {
+    expect(admitStream(DIGEST, { ...late, waitedMs: 2200, estimatedMs: 700 }).kind).toBe('refuse')
+  })
+})
+
 describe('engineRank', () => {
   it('puts the customer before the route, and stays within what engines know', () => {
     expect(engineRank(0, 2, false)).toBeLessThan(engineRank(1, 0, false))
--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -81,6 +81,18 @@
 /** Share of the objective within which a long request may wait for that. */
 const READ_WAIT_SHARE = 0.8
 
+/**
+ * Tokens that an engine may have ahead of it, and share of its memory that may be in
+ * use, when a long request is sent there that will be late anyway: what it would
+ * delay can still be on time. After all hosts have restarted, a second's worth of
+ * such requests arrives at once (lscsa trouble-1: 196 of the next 314 were late).
+ */
+const LATE_READ_AHEAD = 3000
+const LATE_MEMORY_LIMIT = 0.6
+
+/** Share of the time for which a caller still waits that a late request may give way to others. */
+const GIVE_WAY_SHARE = 0.6
+
 /**
  * @param route - route of the request
  * @param situation - what is known
@@ -88,7 +100,8 @@
 export function admitStream (route: Route, situation: StreamSituation): StreamAdmission {
   const { waitedMs, estimatedMs, remainingMs, ownMemoryShare, memoryShare } = situation
   const firstEventMs = waitedMs + estimatedMs
-  const awaitedMs = Math.min(callerPatienceMs(route), remainingMs)
+  const awaitedMs = Math.min(callerPatienceMs(route) - waitedMs, remainingMs)
+  const isLate = firstEventMs > route.targetLatencyMs * DOUBT
   const needsRoom = ownMemoryShare > LARGE_SHARE && memoryShare > MEMORY_LIMIT
   // Alone on an engine it will never find more room than it has.
   const isAlone = memoryShare <= ownMemoryShare
@@ -97,6 +110,15 @@
   }
   const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > READ_AHEAD
   if (isLongRead && firstEventMs < route.targetLatencyMs * READ_WAIT_SHARE) return { kind: 'wait' }
+  if (isLate && givesWay(situation, awaitedMs)) return { kind: 'wait' }
   if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', cause: 'wait', returnAfterMs: estimatedMs - awaitedMs / 2 }
-  return { kind: 'send', isExpectedLate: firstEventMs > route.targetLatencyMs * DOUBT }
+  return { kind: 'send', isExpectedLate: isLate }
+}
+
+/** A long request that is late waits while its engine has other work, as long as its caller will still be there. */
+function givesWay (situation: StreamSituation, awaitedMs: number): boolean {
+  const { waitedMs, estimatedMs, tokensToRead, tokensAhead, memoryShare, ownMemoryShare } = situation
+  if (tokensToRead <= LONG_READ || memoryShare <= ownMemoryShare) return false
+  const isEngineBusy = tokensAhead > LATE_READ_AHEAD || memoryShare > LATE_MEMORY_LIMIT
+  return isEngineBusy && waitedMs + estimatedMs * DOUBT < (waitedMs + awaitedMs) * GIVE_WAY_SHARE
 }
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -39,6 +39,9 @@
 /** Interval between status reports to each control host, in milliseconds. */
 const REPORT_INTERVAL_MS = 500
 
+/** Interval before the first view has come, in milliseconds: callers wait for it. */
+const FIRST_REPORT_INTERVAL_MS = 200
+
 /** Deadline of one status report, in milliseconds. */
 const REPORT_DEADLINE_MS = 1000
 
@@ -66,6 +69,7 @@
   #newerAt: string | undefined
   #leader: string | undefined
   #watchFailures = 0
+  #watched = ''
 
   /**
    * @param settings - who this host is
@@ -190,13 +194,18 @@
     while (!this.#abort.signal.aborted) {
       // Not awaited: a silent control host must not delay the reports to the others.
       void this.#reportAll()
-      await sleep(REPORT_INTERVAL_MS)
-      // The watched control host may be cut off from the others: try the next one.
-      const isBehind = this.#newerAt !== undefined
-      if (this.viewRevision > 0 && (isBehind || !this.isFresh())) this.#watchRestart.abort()
+      await sleep(this.viewRevision === 0 ? FIRST_REPORT_INTERVAL_MS : REPORT_INTERVAL_MS)
+      if (this.#isWatchStuck()) this.#watchRestart.abort()
     }
   }
 
+  /** The watched control host may be cut off from the others, or not have caught up: another one knows more. */
+  #isWatchStuck (): boolean {
+    const isBehind = this.#newerAt !== undefined
+    if (this.viewRevision > 0) return isBehind || !this.isFresh()
+    return isBehind && this.#newerAt !== this.#watched
+  }
+
   async #reportAll (): Promise<void> {
     const addresses = new Set([...this.#addresses(), ...this.settings.controlAddresses])
     await Promise.all([...addresses].map(async address => { await this.#report(address) }))
@@ -238,6 +247,7 @@
   async #watchLoop (): Promise<void> {
     while (!this.#abort.signal.aborted) {
       const address = this.#watchAddress()
+      this.#watched = address
       this.#newerAt = undefined
       this.#watchTurn += 1
       this.#watchRestart = new AbortController()
