Load exchange in two-byte figures; changes of stores gathered for a tenth of a second

Ruled out: adding up (0.16 ms for 73 hosts, 40 times a second at most), choosing (0.12 ms a request). Changes of stores are sent ten times a second in place of thirty.

--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -14,8 +14,12 @@
 /** Interval between looks at the site and for parts to free, in milliseconds. */
 const LOOK_MS = 1000
 
-/** Pause in which changes are gathered into one message, in milliseconds: hosts act on them within tenths of a second. */
-const GATHER_MS = 30
+/**
+ * Pause in which changes are gathered into one message, in milliseconds. A prompt
+ * returns after seconds, and each message costs each of 73 hosts some tenths of a
+ * millisecond and the leader as much again.
+ */
+const GATHER_MS = 100
 
 /** Time within which a store must act on a call to free, in milliseconds; no other leader can be elected so soon. */
 const FREE_WITHIN_MS = 300
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -1,38 +1,49 @@
 /**
  * Bytes of load reports and of the totals that answer them.
  *
- * Written in columns, because the names of fields would be most of a datagram
- * that goes to every host many times a second: 98 endpoints take 3 KB and not 16.
- * The totals are the same for all hosts and are encoded once; only the sequence
- * in front differs.
+ * Names of endpoints, then whole numbers of two bytes: these datagrams go to every
+ * host many times a second, and reading 98 endpoints as ordinary messages took 0.5 ms
+ * where this takes hundredths. The totals are the same for all hosts and are encoded
+ * once; only the sequence in front differs.
  */
 import { decode, encode } from '@msgpack/msgpack'
 import { z } from 'zod'
-import { NO_WORK, type EndpointWork, type LoadReport, type LoadTotals } from './loadReport.js'
+import type { EndpointWork, LoadReport, LoadTotals } from './loadReport.js'
 
 /** Bytes of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
 
-const endpointColumn = z.array(z.string())
-const countColumn = z.array(z.number().min(0))
+/** Bytes of one figure. */
+const FIGURE_BYTES = 2
 
-/** Order of the columns behind that of endpoints. */
-const FIGURES = ['inFlight', 'pendingTokens', 'heldTokens', 'heardAgoMs', 'waitedMs', 'avoiders', 'outcomes', 'failures'] as const
+/** Largest figure; larger ones are written as this. */
+const LARGEST_FIGURE = 2 ** 16 - 1
 
-const columnsSchema = z.tuple([endpointColumn], countColumn).refine(
-  ([endpoints, ...counts]) => counts.length === FIGURES.length && counts.every(column => column.length === endpoints.length),
-  'there is one column a figure, and all have one entry an endpoint'
-)
-const reportSchema = z.tuple([z.string(), z.int().min(0), columnsSchema])
+/** Tokens are counted in blocks of an engine's memory. */
+const BLOCK_TOKENS = 16
 
-type Columns = z.infer<typeof columnsSchema>
+/** Between the names of endpoints. */
+const SEPARATOR = ','
+
+/** Figures of an endpoint in their order on the wire, with the unit of each. */
+const FIGURES = [
+  ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['heardAgoMs', 1], ['waitedMs', 1],
+  ['avoiders', 1], ['outcomes', 1], ['failures', 1]
+] as const
+
+const ROW_BYTES = FIGURES.length * FIGURE_BYTES
+
+const tableSchema = z.tuple([z.string(), z.instanceof(Uint8Array)])
+const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema])
+
+type Table = z.infer<typeof tableSchema>
 
 /**
  * @param report - of one host
  * @returns its bytes
  */
 export function encodeLoadReport ({ host, sequence, work }: LoadReport): Uint8Array {
-  return encode([host, sequence, toColumns(work)])
+  return encode([host, sequence, toTable(work)])
 }
 
 /**
@@ -41,8 +52,8 @@
  * @throws if the bytes are no report
  */
 export function decodeLoadReport (bytes: Uint8Array): LoadReport {
-  const [host, sequence, columns] = reportSchema.parse(decode(bytes))
-  return { host, sequence, work: toWork(columns) }
+  const [host, sequence, table] = reportSchema.parse(decode(bytes))
+  return { host, sequence, work: toWork(table) }
 }
 
 /**
@@ -50,7 +61,7 @@
  * @returns bytes to follow a sequence, see {@link frameLoadTotals}
  */
 export function encodeLoadTotals (work: readonly EndpointWork[]): Uint8Array {
-  return encode(toColumns(work))
+  return encode(toTable(work))
 }
 
 /**
@@ -71,17 +82,42 @@
  * @throws if the bytes are no answer
  */
 export function decodeLoadTotals (bytes: Buffer): LoadTotals {
-  const columns = columnsSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
-  return { sequence: bytes.readUInt32BE(0), work: toWork(columns) }
+  const table = tableSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
+  return { sequence: bytes.readUInt32BE(0), work: toWork(table) }
+}
+
+function toTable (work: readonly EndpointWork[]): Table {
+  const bytes = Buffer.allocUnsafe(work.length * ROW_BYTES)
+  let at = 0
+  for (const entry of work) {
+    for (const [figure, unit] of FIGURES) {
+      bytes.writeUInt16BE(Math.min(LARGEST_FIGURE, Math.round(entry[figure] / unit)), at)
+      at += FIGURE_BYTES
+    }
+  }
+  return [work.map(entry => entry.endpoint).join(SEPARATOR), bytes]
 }
 
-function toColumns (work: readonly EndpointWork[]): Columns {
-  return [work.map(entry => entry.endpoint), ...FIGURES.map(figure => work.map(entry => Math.round(entry[figure])))]
+function toWork ([names, figures]: Table): EndpointWork[] {
+  const endpoints = names === '' ? [] : names.split(SEPARATOR)
+  if (figures.length !== endpoints.length * ROW_BYTES) {
+    throw new RangeError(`${endpoints.length} endpoints have ${figures.length} bytes of figures`)
+  }
+  const view = new DataView(figures.buffer, figures.byteOffset, figures.length)
+  return endpoints.map((endpoint, row) => readRow(endpoint, view, row * ROW_BYTES))
 }
 
-function toWork ([endpoints, ...counts]: Columns): EndpointWork[] {
-  return endpoints.map((endpoint, row) => {
-    const figures = Object.fromEntries(FIGURES.map((figure, column) => [figure, counts[column]?.[row] ?? 0]))
-    return { ...NO_WORK, ...figures, endpoint }
-  })
+function readRow (endpoint: string, view: DataView, start: number): EndpointWork {
+  const figure = (column: number): number => view.getUint16(start + column * FIGURE_BYTES) * (FIGURES[column]?.[1] ?? 1)
+  return {
+    endpoint,
+    inFlight: figure(0),
+    pendingTokens: figure(1),
+    heldTokens: figure(2),
+    heardAgoMs: figure(3),
+    waitedMs: figure(4),
+    avoiders: figure(5),
+    outcomes: figure(6),
+    failures: figure(7)
+  }
 }
