--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -75,7 +75,10 @@
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
   })
-  const loads = new LoadReporter(address, () => link.leader, () => link.liveEntries, () => fleet.ownWork(), fleet.others, () => { server.releaseWaiting() }, telemetry)
+  const loads = new LoadReporter(address, () => link.leader, () => link.liveEntries, () => fleet.ownWork(), fleet.others, () => {
+    fleet.noteSight()
+    server.releaseWaiting()
+  }, telemetry)
   await loads.start(settings.host)
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
   const server = new RoutedServer({
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -149,7 +149,13 @@
     const exchange = new CallerExchange(message, response, () => this.#closesConnections)
     const fields = this.ports.codec.readCaller(message.rawHeaders)
     const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
-    if (this.#mayServe() || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) route()
+    if (this.#mayServe() || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) {
+      route()
+      return
+    }
+    this.ports.telemetry.decided('waits-for-site', fields.requestId ?? '', {
+      siteVersion: this.#index?.site.version ?? -1, knowsEndpoints: this.ports.fleet.isKnown, knowsLoad: this.ports.fleet.knowsLoad, waiting: this.#startup.length
+    })
   }
 
   #route (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
--- a/packages/routing/src/lib/endpoints/EndpointPool.ts
+++ b/packages/routing/src/lib/endpoints/EndpointPool.ts
@@ -32,6 +32,9 @@
     return this.#byService.get(service) ?? []
   }
 
+  /** Names of services that have endpoints. */
+  get services (): readonly string[] { return [...this.#byService.keys()] }
+
   /** All endpoints. */
   get all (): readonly EndpointState[] { return [...this.#byId.values()] }
 }
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/ShunWatch.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest'
+import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
+import { OthersWork } from '../load/OthersWork.js'
+import { EndpointState } from './EndpointState.js'
+import { ShunWatch } from './ShunWatch.js'
+
+const endpoint = (id: string): EndpointState => new EndpointState({
+  id, service: 'pool', address: '10.0.0.1:1', dataCentre: 'north', slots: 16, isLeaving: false, isBusy: false, models: []
+})
+
+function told (figures: Partial<WorkFigures>): OthersWork {
+  const others = new OthersWork()
+  others.sent(1, [])
+  others.answered(1, [{ ...NO_WORK, endpoint: 'a', ...figures }], 0)
+  return others
+}
+
+describe('ShunWatch', () => {
+  it('tells each change once, with its reason, and the return', () => {
+    const watch = new ShunWatch()
+    const endpoints = [endpoint('a'), endpoint('b')]
+    const dark = told({ inFlight: 4, heardAgoMs: 800, waitedMs: 900 })
+    expect(watch.look(endpoints, told({ inFlight: 4, heardAgoMs: 10, waitedMs: 900 }), 0)).toEqual([])
+    expect(watch.look(endpoints, dark, 0).map(({ endpoint, reason }) => [endpoint.id, reason])).toEqual([['a', 'silent-to-all']])
+    expect(watch.look(endpoints, dark, 0)).toEqual([])
+    expect(watch.look(endpoints, told({ avoiders: 3 }), 0).map(({ reason }) => reason)).toEqual(['avoided-by-others'])
+    expect(watch.look(endpoints, told({ outcomes: 40, failures: 36 }), 0).map(({ reason }) => reason)).toEqual(['failing'])
+    expect(watch.size).toBe(1)
+    expect(watch.look(endpoints, told({}), 0).map(({ reason }) => reason)).toEqual([undefined])
+    expect(watch.size).toBe(0)
+  })
+})
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/ShunWatch.ts
@@ -0,0 +1,53 @@
+/** Notices when what all hosts have seen turns this host away from an endpoint, or back to it. */
+import type { OthersWork } from '../load/OthersWork.js'
+import type { WorkFigures } from '../load/loadReport.js'
+import type { EndpointState } from './EndpointState.js'
+import { sharedFailureShare, shunReason, type ShunReason } from './sharedSight.js'
+
+/** A change of belief, with what decided it. */
+export interface ShunChange {
+  readonly endpoint: EndpointState
+  /** Undefined when the endpoint gets work again. */
+  readonly reason: ShunReason | undefined
+  readonly others: WorkFigures
+  readonly failureShare: number
+  readonly meanShare: number
+}
+
+/** Remembers which endpoints are shunned. */
+export class ShunWatch {
+  readonly #reasons = new Map<string, ShunReason>()
+
+  /**
+   * Looks at the endpoints of one service.
+   *
+   * @param endpoints - all of the service
+   * @param others - what the other hosts have told
+   * @param now - monotonic milliseconds
+   * @returns what has changed since the last look
+   */
+  look (endpoints: readonly EndpointState[], others: OthersWork, now: number): ShunChange[] {
+    const sights = endpoints.map(endpoint => {
+      const figures = others.at(endpoint.id)
+      return { endpoint, others: figures, failureShare: sharedFailureShare(endpoint, figures, now) }
+    })
+    const meanShare = sights.reduce((sum, sight) => sum + sight.failureShare, 0) / Math.max(1, sights.length)
+    const changes: ShunChange[] = []
+    for (const sight of sights) {
+      const reason = shunReason(sight.endpoint, sight.others, sight.failureShare - meanShare, now)
+      if (reason === this.#reasons.get(sight.endpoint.id)) continue
+      if (reason === undefined) this.#reasons.delete(sight.endpoint.id)
+      else this.#reasons.set(sight.endpoint.id, reason)
+      changes.push({ ...sight, reason, meanShare })
+    }
+    return changes
+  }
+
+  /** @param endpoint - id of one that is listed no more */
+  forget (endpoint: string): void {
+    this.#reasons.delete(endpoint)
+  }
+
+  /** Endpoints that are shunned now. */
+  get size (): number { return this.#reasons.size }
+}
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -10,7 +10,7 @@
 import type { OthersWork } from '../load/OthersWork.js'
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
-import { isAvoidedByOthers, isFaulty, isSilentToAll, sharedFailureShare } from './sharedSight.js'
+import { sharedFailureShare, shunReason } from './sharedSight.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
 import { sharedPartOf, type PromptDescription, type PromptPart } from '../prompts/promptDescription.js'
 import type { PromptHolders, PromptMemory } from '../prompts/PromptMemory.js'
@@ -189,7 +189,7 @@
 
 function isHealthy ({ endpoint, others, failureShare }: Sight, meanShare: number, now: number): boolean {
   if (endpoint.health.isPaused(now) || endpoint.isSilent(now)) return false
-  return !isSilentToAll(endpoint, others, now) && !isAvoidedByOthers(endpoint, others, now) && !isFaulty(failureShare, meanShare)
+  return shunReason(endpoint, others, failureShare - meanShare, now) === undefined
 }
 
 function homeOf (candidates: readonly Sight[], prompt: PromptAsk | undefined): string | undefined {
--- a/packages/routing/src/lib/endpoints/sharedSight.ts
+++ b/packages/routing/src/lib/endpoints/sharedSight.ts
@@ -42,7 +42,7 @@
  * @param now - monotonic milliseconds
  * @returns whether it has work and has sent nothing to anybody for long
  */
-export function isSilentToAll (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
+function isSilentToAll (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
   if (endpoint.inFlight + others.inFlight < SILENT_REQUESTS) return false
   const heardAgoMs = Math.min(endpoint.heardAgoMs(now), others.heardAgoMs)
   const waitedMs = Math.max(endpoint.waitedMs(now), others.waitedMs)
@@ -55,7 +55,7 @@
  * @param now - monotonic milliseconds
  * @returns whether other hosts could not reach it, and this host knows nothing better
  */
-export function isAvoidedByOthers (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
+function isAvoidedByOthers (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
   return others.avoiders >= FOLLOWED_AVOIDERS && endpoint.heardAgoMs(now) > OWN_WORD_MS
 }
 
@@ -72,11 +72,18 @@
   return Math.max(endpoint.health.failureShare, failures / (outcomes + CREDITED_SUCCESSES))
 }
 
+/** Why an endpoint gets no work if others can take it, by what all hosts have seen. */
+export type ShunReason = 'silent-to-all' | 'avoided-by-others' | 'failing'
+
 /**
- * @param share - of failures at an endpoint
- * @param meanShare - mean of its service
- * @returns whether it is faulty, and not the requests
+ * @param endpoint - as this host knows it
+ * @param others - what the other hosts have told of it
+ * @param excessShare - its failure share beyond the mean of its service
+ * @param now - monotonic milliseconds
+ * @returns why it is shunned, or undefined if it is not
  */
-export function isFaulty (share: number, meanShare: number): boolean {
-  return share - meanShare > EXCESS_FAILING_SHARE
+export function shunReason (endpoint: EndpointState, others: WorkFigures, excessShare: number, now: number): ShunReason | undefined {
+  if (isSilentToAll(endpoint, others, now)) return 'silent-to-all'
+  if (isAvoidedByOthers(endpoint, others, now)) return 'avoided-by-others'
+  return excessShare > EXCESS_FAILING_SHARE ? 'failing' : undefined
 }
