--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -4,6 +4,7 @@
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
+import { returnAfterMs } from '@eelgrassmux/routing/admission/returnAfter'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
@@ -53,14 +54,8 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
-/** Share of the time left up to which callers honour a pause. */
-const HONOURED_SHARE = 1 / 3
-
 const MILLISECONDS_PER_SECOND = 1000
 
-/** Shortest and longest pause before a refused caller should return, in seconds: a place frees within tenths of a second. */
-const RETURN_AFTER_SECONDS = { least: 0.2, most: 1 }
-
 /** One request. */
 export class RoutedRequestTask {
   readonly #dispatch = new DispatchRecord()
@@ -172,7 +167,7 @@
     const detail = admission.cause === 'engine-memory'
       ? `no engine has memory for ${Math.round(choice.tokensHeld)} tokens: the best, ${choice.endpoint.id}, would be ${Math.round(choice.memoryShare * 100)}% full`
       : `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
-    this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs / MILLISECONDS_PER_SECOND)
+    this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs)
     return undefined
   }
 
@@ -380,24 +375,17 @@
     attempt.cancel()
   }
 
-  #refuse (reason: RefusalReason, wantedStatus: number, detail: string, wantedReturnSeconds = 0): void {
+  #refuse (reason: RefusalReason, wantedStatus: number, detail: string, wantedReturnMs = 0): void {
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
-    const retryAfterSeconds = status === 503 ? this.#returnAfterSeconds(wantedReturnSeconds) : undefined
+    const remainingMs = this.#deadline - performance.now()
+    const retryAfterSeconds = status === 503 ? returnAfterMs(wantedReturnMs, remainingMs, Math.random()) / MILLISECONDS_PER_SECOND : undefined
     const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
     this.ports.refusals.count(reason)
     this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
     this.exchange.refuse(refusal)
   }
 
-  /** Spread, so that those refused together do not return together, and within what callers honour. */
-  #returnAfterSeconds (wantedSeconds: number): number {
-    const { least, most } = RETURN_AFTER_SECONDS
-    const honouredSeconds = Math.max(0, this.#deadline - performance.now()) * HONOURED_SHARE / MILLISECONDS_PER_SECOND
-    const spreadSeconds = least + Math.random() * (most - least)
-    return Math.min(honouredSeconds, Math.max(wantedSeconds, 0) + spreadSeconds)
-  }
-
   /** What decided where the request went. */
   #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): LogDetails {
     return {
