--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -10,6 +10,7 @@
 import type { OthersWork } from '../load/OthersWork.js'
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
+import { sample } from './sample.js'
 import { sharedFailureShare, shunReason } from './sharedSight.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
 import { sharedPartOf, type PromptDescription, type PromptPart } from '../prompts/promptDescription.js'
@@ -148,7 +149,9 @@
   const candidates = preferred(able.map(endpoint => sightOf(endpoint, ask, now)), now)
   const home = homeOf(candidates, ask.prompt)
   const holders = new Map<number, PromptHolders>()
-  const choices = candidates.map(sight => estimate(sight, ask, home, holdersFor(sight.endpoint, ask.prompt, memory, holders, now), now))
+  const looked = sample(candidates, random, ({ endpoint }) =>
+    endpoint.id === home || (holdersFor(endpoint, ask.prompt, memory, holders, now)?.tokensAt(endpoint.id) ?? 0) > 0)
+  const choices = looked.map(sight => estimate(sight, ask, home, holdersFor(sight.endpoint, ask.prompt, memory, holders, now), now))
   const least = Math.min(...choices.map(choice => choice.estimatedMs))
   const ties = choices.filter(choice => choice.estimatedMs <= least + TIE_MS)
   return ties[Math.floor(random * ties.length)] ?? 'none-listed'
