--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -3,7 +3,7 @@
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
-import { ShunWatch, type ShunChange } from '@eelgrassmux/routing/endpoints/ShunWatch'
+import { EjectionWatch, type EjectionChange } from '@eelgrassmux/routing/endpoints/EjectionWatch'
 import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
 import { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
@@ -35,7 +35,7 @@
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #routes = new Map<string, Slowness>()
   readonly #opened: LabelledCounter
-  readonly #shuns = new ShunWatch()
+  readonly #ejections = new EjectionWatch()
 
   /**
    * @param dataCentre - where this host stands
@@ -47,7 +47,7 @@
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
-    telemetry.gauge('endpoints_shunned', 'Endpoints without new work because of what all hosts have seen', () => this.#shuns.size)
+    telemetry.gauge('endpoints_ejected', 'Endpoints without new work because of what all hosts have seen', () => this.#ejections.size)
     telemetry.gauge('endpoints_paused', 'Endpoints without new work because of what requests to them showed', () => {
       const now = performance.now()
       return this.#pool.all.filter(endpoint => endpoint.health.isPaused(now)).length
@@ -76,7 +76,7 @@
     for (const gone of this.#pool.update(listed)) {
       this.#connections.get(gone.id)?.closeIdle()
       this.#connections.delete(gone.id)
-      this.#shuns.forget(gone.id)
+      this.#ejections.forget(gone.id)
     }
   }
 
@@ -84,13 +84,13 @@
   noteSight (): void {
     const now = performance.now()
     for (const service of this.#pool.services) {
-      for (const change of this.#shuns.look(this.#pool.ofService(service), this.others, now)) this.#logShun(change)
+      for (const change of this.#ejections.look(this.#pool.ofService(service), this.others, now)) this.#logEjection(change)
     }
   }
 
-  #logShun ({ endpoint, reason, others, failureShare, meanShare }: ShunChange): void {
+  #logEjection ({ endpoint, reason, others, failureShare, meanShare }: EjectionChange): void {
     const { inFlight, heardAgoMs, waitedMs, avoiders } = others
-    this.telemetry.stateChanged(reason === undefined ? 'endpoint-trusted' : 'endpoint-shunned', {
+    this.telemetry.stateChanged(reason === undefined ? 'endpoint-readmitted' : 'endpoint-ejected', {
       endpoint: endpoint.id,
       address: endpoint.listed.address,
       reason: reason ?? '',
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -408,6 +408,14 @@
       expect(endpoints[0]?.seen.map(seen => seen.body)).toEqual(expect.arrayContaining(['bytes', 'bytes']))
     })
 
+    it('listens where its settings say, and gives up a port that was opened elsewhere', async () => {
+      const early = await EarlyListener.open('127.0.0.1', 0, 10)
+      port = await fresh.listen('127.0.0.1', 0, early)
+      expect(port).not.toBe(early.port)
+      port = early.port
+      await expect(ask('/safe/a')).rejects.toThrow()
+    })
+
     it('refuses as "not run" what waited for half of its time in vain, and forgets whose caller left', async () => {
       port = await fresh.listen('127.0.0.1', 0)
       const leaving = httpRequest({ host: '127.0.0.1', port, path: '/safe/a', headers: { host: 'h' } })
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -42,7 +42,7 @@
 const HARD_HEADER_LIMIT_BYTES = 64 * 1024
 
 /** Connections that wait to be accepted. */
-export const CALLER_BACKLOG = 4096
+const CALLER_BACKLOG = 4096
 
 /** Interval at which Node looks for callers that take too long, in milliseconds. */
 const SLOW_CALLER_LOOK_MS = 500
@@ -91,12 +91,14 @@
    *
    * @param host - IP number
    * @param port - port, 0 for a free one
-   * @param early - the same port, if it is open already
+   * @param early - a port that is open already; closed if it is another one
    * @returns the port
    */
   async listen (host: string, port: number, early?: EarlyListener): Promise<number> {
-    if (early !== undefined) await early.handOver(this.#server)
-    else {
+    if (early?.isFor(host, port) === true) {
+      await early.handOver(this.#server)
+    } else {
+      early?.close()
       await new Promise<void>((resolve, reject) => {
         this.#server.once('error', reject)
         this.#server.listen({ host, port, backlog: CALLER_BACKLOG }, resolve)
--- a/packages/daemon/src/lib/EarlyListener.ts
+++ b/packages/daemon/src/lib/EarlyListener.ts
@@ -34,6 +34,15 @@
     return new EarlyListener(host, openPort, server)
   }
 
+  /**
+   * @param host - IP number
+   * @param port - port
+   * @returns whether this is the port that is to be served
+   */
+  isFor (host: string, port: number): boolean {
+    return host === this.host && port === this.port
+  }
+
   /**
    * Lets another server serve the port, with all connections that wait.
    *
--- a/packages/routing/src/lib/endpoints/ShunWatch.test.ts
+++ b/packages/routing/src/lib/endpoints/EjectionWatch.test.ts
@@ -2,7 +2,7 @@
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import { OthersWork } from '../load/OthersWork.js'
 import { EndpointState } from './EndpointState.js'
-import { ShunWatch } from './ShunWatch.js'
+import { EjectionWatch } from './EjectionWatch.js'
 
 const endpoint = (id: string): EndpointState => new EndpointState({
   id, service: 'pool', address: '10.0.0.1:1', dataCentre: 'north', slots: 16, isLeaving: false, isBusy: false, models: []
@@ -15,9 +15,9 @@
   return others
 }
 
-describe('ShunWatch', () => {
+describe('EjectionWatch', () => {
   it('tells each change once, with its reason, and the return', () => {
-    const watch = new ShunWatch()
+    const watch = new EjectionWatch()
     const endpoints = [endpoint('a'), endpoint('b')]
     const dark = told({ inFlight: 4, heardAgoMs: 800, waitedMs: 900 })
     expect(watch.look(endpoints, told({ inFlight: 4, heardAgoMs: 10, waitedMs: 900 }), 0)).toEqual([])
--- a/packages/routing/src/lib/endpoints/ShunWatch.ts
+++ b/packages/routing/src/lib/endpoints/EjectionWatch.ts
@@ -2,21 +2,21 @@
 import type { OthersWork } from '../load/OthersWork.js'
 import type { WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
-import { sharedFailureShare, shunReason, type ShunReason } from './sharedSight.js'
+import { sharedFailureShare, ejectionReason, type EjectionReason } from './sharedSight.js'
 
 /** A change of belief, with what decided it. */
-export interface ShunChange {
+export interface EjectionChange {
   readonly endpoint: EndpointState
   /** Undefined when the endpoint gets work again. */
-  readonly reason: ShunReason | undefined
+  readonly reason: EjectionReason | undefined
   readonly others: WorkFigures
   readonly failureShare: number
   readonly meanShare: number
 }
 
-/** Remembers which endpoints are shunned. */
-export class ShunWatch {
-  readonly #reasons = new Map<string, ShunReason>()
+/** Remembers which endpoints are ejected. */
+export class EjectionWatch {
+  readonly #reasons = new Map<string, EjectionReason>()
 
   /**
    * Looks at the endpoints of one service.
@@ -26,15 +26,15 @@
    * @param now - monotonic milliseconds
    * @returns what has changed since the last look
    */
-  look (endpoints: readonly EndpointState[], others: OthersWork, now: number): ShunChange[] {
+  look (endpoints: readonly EndpointState[], others: OthersWork, now: number): EjectionChange[] {
     const sights = endpoints.map(endpoint => {
       const figures = others.at(endpoint.id)
       return { endpoint, others: figures, failureShare: sharedFailureShare(endpoint, figures, now) }
     })
     const meanShare = sights.reduce((sum, sight) => sum + sight.failureShare, 0) / Math.max(1, sights.length)
-    const changes: ShunChange[] = []
+    const changes: EjectionChange[] = []
     for (const sight of sights) {
-      const reason = shunReason(sight.endpoint, sight.others, sight.failureShare - meanShare, now)
+      const reason = ejectionReason(sight.endpoint, sight.others, sight.failureShare - meanShare, now)
       if (reason === this.#reasons.get(sight.endpoint.id)) continue
       if (reason === undefined) this.#reasons.delete(sight.endpoint.id)
       else this.#reasons.set(sight.endpoint.id, reason)
@@ -48,6 +48,6 @@
     this.#reasons.delete(endpoint)
   }
 
-  /** Endpoints that are shunned now. */
+  /** Endpoints that are ejected now. */
   get size (): number { return this.#reasons.size }
 }
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -11,7 +11,7 @@
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
 import { sample } from './sample.js'
-import { sharedFailureShare, shunReason } from './sharedSight.js'
+import { sharedFailureShare, ejectionReason } from './sharedSight.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
 import { sharedPartOf, type PromptDescription, type PromptPart } from '../prompts/promptDescription.js'
 import type { PromptHolders, PromptMemory } from '../prompts/PromptMemory.js'
@@ -192,7 +192,7 @@
 
 function isHealthy ({ endpoint, others, failureShare }: Sight, meanShare: number, now: number): boolean {
   if (endpoint.health.isPaused(now) || endpoint.isSilent(now)) return false
-  return shunReason(endpoint, others, failureShare - meanShare, now) === undefined
+  return ejectionReason(endpoint, others, failureShare - meanShare, now) === undefined
 }
 
 function homeOf (candidates: readonly Sight[], prompt: PromptAsk | undefined): string | undefined {
--- a/packages/routing/src/lib/endpoints/sharedSight.ts
+++ b/packages/routing/src/lib/endpoints/sharedSight.ts
@@ -73,16 +73,16 @@
 }
 
 /** Why an endpoint gets no work if others can take it, by what all hosts have seen. */
-export type ShunReason = 'silent-to-all' | 'avoided-by-others' | 'failing'
+export type EjectionReason = 'silent-to-all' | 'avoided-by-others' | 'failing'
 
 /**
  * @param endpoint - as this host knows it
  * @param others - what the other hosts have told of it
  * @param excessShare - its failure share beyond the mean of its service
  * @param now - monotonic milliseconds
- * @returns why it is shunned, or undefined if it is not
+ * @returns why it is ejected, or undefined if it is not
  */
-export function shunReason (endpoint: EndpointState, others: WorkFigures, excessShare: number, now: number): ShunReason | undefined {
+export function ejectionReason (endpoint: EndpointState, others: WorkFigures, excessShare: number, now: number): EjectionReason | undefined {
   if (isSilentToAll(endpoint, others, now)) return 'silent-to-all'
   if (isAvoidedByOthers(endpoint, others, now)) return 'avoided-by-others'
   return excessShare > EXCESS_FAILING_SHARE ? 'failing' : undefined
