A host that has just been loaded counts as held up

The lateness of the report timer was 0 before the first report. Ruled out: requests in the startup queue (a leaving is noticed there).

--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -34,7 +34,7 @@
   readonly #outcomes: LabelledCounter
   #sequence = 0
   #timer: NodeJS.Timeout | undefined
-  #lagMs = 0
+  #lagMs = Number.POSITIVE_INFINITY
 
   /**
    * @param host - name of this host
@@ -73,7 +73,10 @@
     this.#socket.close()
   }
 
-  /** How late the last report was, in milliseconds: for so long this process did not get to its sockets. */
+  /**
+   * How late the last report was, in milliseconds: for so long this process did not get
+   * to its sockets. Infinite before the first: connections have waited while it was loaded.
+   */
   get lagMs (): number { return this.#lagMs }
 
   #schedule (): void {
