Closing a control host waits for the write of the log that is under way

Cause: RaftTask.close closed the file while a turn was writing; the turn then broke the invariant storage-open and the process ended with 3.

--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -69,6 +69,7 @@
   #mailbox: MailboxItem[] = []
   #working = false
   #closed = false
+  #turn: Promise<void> = Promise.resolve()
   #pending = new Map<number, PendingProposal>()
   #reads: PendingRead[] = []
   #appliedIndex: number
@@ -148,6 +149,8 @@
   async close (): Promise<void> {
     this.#closed = true
     clearInterval(this.#ticker)
+    // A turn under way may still write; the file must stay open for it.
+    await this.#turn
     await this.storage.close()
   }
 
@@ -156,7 +159,7 @@
     this.#mailbox.push(item)
     if (this.#working) return
     this.#working = true
-    setImmediate(() => { this.#work().catch((error: unknown) => { this.ports.fail(error) }) })
+    setImmediate(() => { this.#turn = this.#work().catch((error: unknown) => { this.ports.fail(error) }) })
   }
 
   async #work (): Promise<void> {
