A planned stop says what it waits for, and which requests it took meanwhile

Sight for the streams cut at a planned stop. The lines so far could not tell whether work was begun too late or a ticket was never given back, nor whether requests came over old or new connections. Now: stop-step with the work under way and the time since the signal at each step, taken-while-stopping for each request, awaited-by-stop for each one that the closed gate waits for. The time that the process has after its signal is a setting; it is only logged so far. No decision changes.

The sequence of the stop moves to PlannedStop, the watch for silence to SilenceWatch, the stand-ins of RoutedServer's tests to files of their own, so that the next test can use them.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -1,19 +1,22 @@
 /** Puts the tasks of an entry host for routed requests together. */
-import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { addressListSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, commonSettingsShape, integerSetting, secondsSetting } from '@eelgrassmux/daemon/settings'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { LoadReporter } from './load/LoadReporter.js'
+import { PlannedStop } from './PlannedStop.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { RoutedServer } from './routed/RoutedServer.js'
 
+/** Time from SIGTERM to SIGKILL where nobody says otherwise, in seconds: what orchestrators commonly give. */
+const DEFAULT_STOP_GRACE_SECONDS = 30
+
 /** Settings of an entry host for routed requests. */
 export const routedSettingsShape = {
   ...commonSettingsShape,
@@ -22,6 +25,7 @@
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
   staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
+  stopGraceSeconds: secondsSetting(DEFAULT_STOP_GRACE_SECONDS).describe('how long the process may live after SIGTERM until it is killed, in seconds'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
@@ -38,14 +42,7 @@
   openEdges (isReady: () => boolean): Promise<{ close (): Promise<void> }>
 }
 
-/** At a planned stop, quiet that says that callers have moved to other hosts, in milliseconds. */
-const QUIET_MS = 400
-
-/** Longest wait for that quiet, beyond the balancer's lag, in milliseconds: the rest of the platform's eight seconds is for requests under way. */
-const QUIET_WAIT_MS = 2500
-
-/** Interval between looks for it, in milliseconds. */
-const QUIET_LOOK_MS = 50
+const MILLISECONDS_PER_SECOND = 1000
 
 /** Lateness of a timer that says that callers may have left unnoticed, in milliseconds; usual lateness is a few. */
 const LAGGING_MS = 40
@@ -59,6 +56,10 @@
  */
 export async function startRouted (settings: RoutedSettings, telemetry: Telemetry, platform: RoutedPlatform): Promise<RunningDaemon> {
   const work = new WorkGate()
+  const stop = new PlannedStop(work, {
+    balancerLagMs: settings.balancerLagMs,
+    graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
+  }, telemetry)
   const rpc = new RpcClient()
   const address = `${settings.host}:${settings.port}`
   const link = new ControlLink({
@@ -85,6 +86,7 @@
     fleet,
     codec: platform.codec,
     work,
+    stop,
     telemetry,
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
@@ -96,8 +98,7 @@
     isLagging: () => loads.lagMs > LAGGING_MS
   })
   const port = await server.listen(settings.host, settings.port, platform.early)
-  let isDraining = false
-  const isReady = (): boolean => !isDraining && server.isConfigured && fleet.isKnown && mayAct()
+  const isReady = (): boolean => !stop.isStopping && server.isConfigured && fleet.isKnown && mayAct()
   const edges = await platform.openEdges(isReady)
 
   let siteVersion = -1
@@ -123,17 +124,10 @@
   return {
     addresses: { http: `${settings.host}:${port}` },
     isReady,
-    stopping: () => { isDraining = true },
+    stopping: () => { stop.begin() },
     drain: async () => {
       link.stopAccepting()
-      server.closeConnectionsAfterAnswers()
-      // Whoever still comes is served: a refusal here would only send it round once more.
-      const startedAt = performance.now()
-      while (performance.now() - startedAt < QUIET_WAIT_MS && performance.now() - Math.max(server.lastRequestAt, startedAt) < QUIET_MS) {
-        await sleep(QUIET_LOOK_MS)
-      }
-      work.close()
-      await work.whenIdle()
+      await stop.drain(server)
     },
     close: async () => {
       await server.close()
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -1,14 +1,19 @@
 /** One request of a caller and the answer to it, on the caller's connection. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
 import { toProblem } from '../callers/problem.js'
 import { endToEndHeaders } from './headers.js'
 
+/** Connections on which a request has come. */
+const usedConnections = new WeakSet<Socket>()
+
 /** The caller's side of a routed request. */
 export class CallerExchange {
   #hasHead = false
   #hasEnded = false
   #hasLeft = false
+  readonly #isFirstOnConnection: boolean
 
   /**
    * @param request - the caller's request
@@ -21,8 +26,13 @@
     private readonly isLastOnConnection: () => boolean
   ) {
     response.sendDate = false
+    this.#isFirstOnConnection = !usedConnections.has(request.socket)
+    usedConnections.add(request.socket)
   }
 
+  /** Whether the caller made a connection for this request. */
+  get isFirstOnConnection (): boolean { return this.#isFirstOnConnection }
+
   /** Whether part of an answer was passed on. */
   get hasHead (): boolean { return this.#hasHead }
   /** Whether the answer is complete, or nobody waits for it any more. */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -20,6 +20,7 @@
 import { PromptContext, type PromptPorts } from './PromptContext.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
+import { SilenceWatch } from './SilenceWatch.js'
 
 /** A request that was read whole and belongs to a route. */
 export interface RoutedRequest {
@@ -45,9 +46,6 @@
   readonly telemetry: Telemetry
 }
 
-/** Interval at which a resumable stream looks whether its endpoint has fallen silent, in milliseconds. */
-const SILENCE_LOOK_MS = 200
-
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: the work of other hosts is known twenty times a second. */
 const ROOM_LOOK_MS = 40
 
@@ -67,7 +65,7 @@
   readonly #relay: AnswerRelay
   #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
-  #silenceTimer: NodeJS.Timeout | undefined
+  readonly #silence = new SilenceWatch()
   readonly #prompt: PromptContext | undefined
   #isDone = false
   #isWaiting = false
@@ -100,6 +98,16 @@
     this.#tryNext()
   }
 
+  /**
+   * Logs a decision of others about this request.
+   *
+   * @param event - name of the decision
+   * @param details - what it was made of
+   */
+  log (event: string, details: LogDetails): void {
+    this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#hasFirstEvent })
+  }
+
   // --- Attempts ---
 
   #tryNext (): void {
@@ -138,7 +146,7 @@
       body: this.request.body
     })
     this.#prompt?.recordSend(choice)
-    clearInterval(this.#silenceTimer)
+    this.#silence.stop()
     const mayRunElsewhere = this.#relay.canResume && this.#sends < this.request.route.attempts
     if (mayRunElsewhere) this.#watchSilence(attempt)
   }
@@ -357,13 +365,11 @@
    * silence alone is no reason to end an answer.
    */
   #watchSilence (attempt: RoutedAttempt): void {
-    this.#silenceTimer = setInterval(() => {
-      if (this.#isDone || attempt !== this.#attempt || !this.#isEndpointSilent()) return
-      clearInterval(this.#silenceTimer)
+    this.#silence.start(() => !this.#isDone && attempt === this.#attempt && this.#isEndpointSilent(), () => {
       attempt.cancel()
       this.ports.fleet.observe(attempt.choice.endpoint, 'unanswered')
       this.#onFailure(attempt, 'broken-stream', 'the endpoint has fallen silent', this.#relay.head)
-    }, SILENCE_LOOK_MS)
+    })
   }
 
   /** An endpoint that answered nothing for all the time there was is to blame, and one that has fallen silent towards everybody. */
@@ -403,7 +409,7 @@
   #finish (outcome: string, details: LogDetails): void {
     this.#isDone = true
     clearTimeout(this.#timer)
-    clearInterval(this.#silenceTimer)
+    this.#silence.stop()
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
       this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, runs: this.#runs })
     }
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -1,67 +1,17 @@
-import { createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { request as httpRequest, type IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from './RequestCodec.js'
-import { endToEndHeaders } from './headers.js'
+import { PlannedStop } from '../PlannedStop.js'
+import { answerOk, EndpointStandin, rejectNotRun, resetConnection, streamEvent, type Behaviour } from './harness/EndpointStandin.js'
+import { PLAIN_HEADERS, PlainCodec } from './harness/PlainCodec.js'
+import { TEST_SITE } from './harness/testSite.js'
 import { RoutedFleet } from './RoutedFleet.js'
 import { RoutedServer } from './RoutedServer.js'
 
-const HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id' }
-
-/** The smallest words that the product can be spoken to with. */
-class PlainCodec implements RequestCodec {
-  readCaller (headers: readonly string[]): CallerFields {
-    const deadline = valueOf(headers, HEADERS.deadline)
-    return {
-      requestId: valueOf(headers, HEADERS.id), key: valueOf(headers, HEADERS.key), deadlineMs: deadline === undefined ? undefined : Number(deadline), prompt: undefined, lastEventId: undefined
-    }
-  }
-
-  writeEndpoint (headers: readonly string[], fields: EndpointFields): string[] {
-    const kept = endToEndHeaders(headers, name => name === 'content-length' || name === HEADERS.key || name === HEADERS.deadline)
-    kept.push(HEADERS.deadline, String(fields.remainingMs))
-    if (fields.lastEventId !== undefined) kept.push(HEADERS.lastEvent, String(fields.lastEventId))
-    return kept
-  }
-
-  readAnswer (_status: number, headers: readonly string[]): AnswerFields {
-    return { requestId: valueOf(headers, HEADERS.id), isNotExecuted: valueOf(headers, HEADERS.notRun) !== undefined, instance: undefined, load: undefined, version: undefined }
-  }
-}
-
-function valueOf (headers: readonly string[], name: string): string | undefined {
-  const at = headers.findIndex((header, index) => index % 2 === 0 && header.toLowerCase() === name)
-  return at < 0 ? undefined : headers[at + 1]
-}
-
-function route (pathPrefix: string, overrides: Partial<Route>): Route {
-  return {
-    name: pathPrefix, host: 'h', pathPrefix, kind: 'safe', isResumable: false, attempts: 2, timeoutMs: 2000, targetLatencyMs: 100, priority: 0, isPublic: true, keepsPrompts: false, longestPauseMs: 0, targets: [{ service: 'app', weight: 1 }], ...overrides
-  }
-}
-
-const SITE: Site = {
-  version: 1,
-  routes: [
-    route('/safe/', {}),
-    route('/unsafe/', { kind: 'unsafe', attempts: 1 }),
-    route('/stream/', { kind: 'stream', attempts: 1 }),
-    route('/resumable/', { kind: 'stream', isResumable: true, timeoutMs: 8000 }),
-    route('/short/', { kind: 'unsafe', timeoutMs: 150 }),
-    route('/private/', { isPublic: false })
-  ],
-  services: [{ type: 'replicated', name: 'app', connectionsPerEndpoint: 0, healthPath: '/health' }],
-  customers: [{ name: 'ward', keys: ['right'], isIsolated: false }],
-  limits: { headerBytes: 4000, bodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
-}
-
 interface Answer {
   readonly status: number
   readonly headers: IncomingMessage['headers']
@@ -69,67 +19,22 @@
   readonly isWhole: boolean
 }
 
-type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
-
-class Endpoint {
-  readonly seen: Array<{ readonly method: string, readonly target: string, readonly body: string, readonly headers: IncomingMessage['headers'] }> = []
-  closedEarly = 0
-  #server: Server | undefined
-
-  constructor (readonly id: string, public behaviour: Behaviour) {}
-
-  async listen (): Promise<ListedEndpoint> {
-    const server = createServer((request, response) => {
-      const chunks: Buffer[] = []
-      response.on('close', () => { if (!response.writableEnded) this.closedEarly += 1 })
-      request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
-      request.on('end', () => {
-        const body = Buffer.concat(chunks).toString()
-        this.seen.push({ method: request.method ?? '', target: request.url ?? '', body, headers: request.headers })
-        this.behaviour(request, response, body)
-      })
-    })
-    this.#server = server
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-    return { id: this.id, service: 'app', address, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [] }
-  }
-
-  close (): void {
-    this.#server?.closeAllConnections()
-    this.#server?.close()
-  }
-}
-
-const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`
-
-const answerOk: Behaviour = (request, response, body) => {
-  response.writeHead(200, { [HEADERS.id]: request.headers[HEADERS.id] ?? '', 'x-stamp': 's1' })
-  response.end(`${request.method ?? ''} ${request.url ?? ''} ${body}`)
-}
-
-const reject: Behaviour = (_request, response) => {
-  response.writeHead(503, { [HEADERS.notRun]: '1' })
-  response.end()
-}
-
-const reset: Behaviour = request => { request.socket.resetAndDestroy() }
-
 describe('RoutedServer', () => {
   let port = 0
-  let endpoints: Endpoint[] = []
+  let endpoints: EndpointStandin[] = []
   let server: RoutedServer
   let fleet: RoutedFleet
   let isLagging = false
 
   beforeEach(async () => {
     const telemetry = new Telemetry('test')
+    const work = new WorkGate()
     fleet = new RoutedFleet('n', () => 1, telemetry)
     server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
+      fleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
     })
     port = await server.listen('127.0.0.1', 0)
-    server.configure(SITE)
+    server.configure(TEST_SITE)
     endpoints = []
     isLagging = false
   })
@@ -139,8 +44,8 @@
     for (const endpoint of endpoints) endpoint.close()
   })
 
-  async function serveBy (...behaviours: Behaviour[]): Promise<Endpoint[]> {
-    endpoints = behaviours.map((behaviour, number) => new Endpoint(`e${number}`, behaviour))
+  async function serveBy (...behaviours: Behaviour[]): Promise<EndpointStandin[]> {
+    endpoints = behaviours.map((behaviour, number) => new EndpointStandin(`e${number}`, behaviour))
     fleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
     return endpoints
   }
@@ -148,7 +53,7 @@
   async function ask (path: string, options: { method?: string, body?: string, headers?: Record<string, string> } = {}): Promise<Answer> {
     return await new Promise((resolve, reject) => {
       const request = httpRequest({
-        host: '127.0.0.1', port, path, method: options.method ?? 'GET', headers: { host: 'h', [HEADERS.id]: 'r1', ...options.headers }
+        host: '127.0.0.1', port, path, method: options.method ?? 'GET', headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1', ...options.headers }
       }, response => {
         let body = ''
         response.on('data', chunk => { body += String(chunk) })
@@ -169,7 +74,7 @@
     }
   }
 
-  function seenBy (all: readonly Endpoint[]): number {
+  function seenBy (all: readonly EndpointStandin[]): number {
     return all.reduce((sum, endpoint) => sum + endpoint.seen.length, 0)
   }
 
@@ -186,22 +91,22 @@
       let finish: (() => void) | undefined
       await serveBy((_request, response) => {
         response.writeHead(200)
-        response.write(event(1))
-        finish = () => { response.end(event(2)) }
+        response.write(streamEvent(1))
+        finish = () => { response.end(streamEvent(2)) }
       })
       const first = new Promise<string>(resolve => {
-        httpRequest({ host: '127.0.0.1', port, path: '/stream/a', method: 'POST', headers: { host: 'h', [HEADERS.id]: 'r1' } }, response => {
+        httpRequest({ host: '127.0.0.1', port, path: '/stream/a', method: 'POST', headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1' } }, response => {
           response.once('data', chunk => { resolve(String(chunk)) })
         }).end()
       })
-      expect(await first).toBe(event(1))
+      expect(await first).toBe(streamEvent(1))
       finish?.()
     })
 
     it('hands on what is left of the time', async () => {
       const [endpoint] = await serveBy(answerOk)
-      await ask('/safe/a', { headers: { [HEADERS.deadline]: '700' } })
-      const left = Number(endpoint?.seen[0]?.headers[HEADERS.deadline])
+      await ask('/safe/a', { headers: { [PLAIN_HEADERS.deadline]: '700' } })
+      const left = Number(endpoint?.seen[0]?.headers[PLAIN_HEADERS.deadline])
       expect(left).toBeGreaterThan(0)
       expect(left).toBeLessThanOrEqual(700)
     })
@@ -209,7 +114,7 @@
 
   describe('a request that may run once', () => {
     it('is answered "unknown" and not sent again when its endpoint resets the connection', async () => {
-      const all = await serveBy(reset, reset)
+      const all = await serveBy(resetConnection, resetConnection)
       const answer = await ask('/unsafe/a', { method: 'POST' })
       expect(answer.status).toBe(502)
       expect(JSON.parse(answer.body)).toMatchObject({ run: 'unknown' })
@@ -219,7 +124,7 @@
     it('goes to another endpoint when the first says that it did not run it', async () => {
       let isFirst = true
       const rejectFirst: Behaviour = (request, response, body) => {
-        const behaviour = isFirst ? reject : answerOk
+        const behaviour = isFirst ? rejectNotRun : answerOk
         isFirst = false
         behaviour(request, response, body)
       }
@@ -229,7 +134,7 @@
     })
 
     it('is refused as "not run" when no endpoint ran it', async () => {
-      await serveBy(reject, reject)
+      await serveBy(rejectNotRun, rejectNotRun)
       const answer = await ask('/unsafe/a', { method: 'POST' })
       expect(answer.status).toBe(503)
       expect(JSON.parse(answer.body)).toMatchObject({ run: 'not-run' })
@@ -246,7 +151,7 @@
 
     it('does not get an answer that bears another request\'s id', async () => {
       await serveBy((_request, response) => {
-        response.writeHead(200, { [HEADERS.id]: 'somebody-else' })
+        response.writeHead(200, { [PLAIN_HEADERS.id]: 'somebody-else' })
         response.end('theirs')
       })
       const answer = await ask('/unsafe/a', { method: 'POST' })
@@ -257,7 +162,7 @@
 
   describe('a safe request', () => {
     it('is sent again after a reset', async () => {
-      const all = await serveBy(once(reset), once(reset))
+      const all = await serveBy(once(resetConnection), once(resetConnection))
       const answers = [await ask('/safe/a'), await ask('/safe/b'), await ask('/safe/c')]
       expect(answers.filter(answer => answer.status === 200).length).toBeGreaterThanOrEqual(2)
       expect(seenBy(all)).toBeGreaterThan(3)
@@ -278,7 +183,7 @@
     it('that breaks off never looks complete', async () => {
       await serveBy((_request, response) => {
         response.writeHead(200)
-        response.write(event(1))
+        response.write(streamEvent(1))
         setTimeout(() => { response.destroy() }, 20)
       })
       const answer = await ask('/stream/a', { method: 'POST' })
@@ -305,12 +210,12 @@
           return
         }
         response.writeHead(200)
-        response.write(event(1))
+        response.write(streamEvent(1))
         setTimeout(() => { response.destroy() }, 20)
       }
       await serveBy(breakThenFail, breakThenFail)
       const answer = await ask('/resumable/a', { method: 'POST' })
-      expect(answer).toMatchObject({ status: 200, body: event(1), isWhole: false })
+      expect(answer).toMatchObject({ status: 200, body: streamEvent(1), isWhole: false })
     })
 
     it('leaves an endpoint that has fallen silent, but not the last one that it may run on', async () => {
@@ -321,31 +226,31 @@
         // Longer than any silence that is taken for a fault: it may only be slow.
         setTimeout(() => {
           response.writeHead(200)
-          response.end(event(1))
+          response.end(streamEvent(1))
         }, 1600)
       }))
       const answer = await ask('/resumable/a', { method: 'POST' })
-      expect(answer).toMatchObject({ status: 200, body: event(1), isWhole: true })
+      expect(answer).toMatchObject({ status: 200, body: streamEvent(1), isWhole: true })
       expect(asked).toBe(2)
     })
 
     it('that may be resumed goes on elsewhere, each event once, half an event never', async () => {
       const serve = (isBroken: () => boolean): Behaviour => (request, response) => {
-        const from = Number(request.headers[HEADERS.lastEvent] ?? 0)
+        const from = Number(request.headers[PLAIN_HEADERS.lastEvent] ?? 0)
         response.writeHead(200)
         if (isBroken()) {
-          response.write(event(1) + event(2) + event(3).slice(0, 8))
+          response.write(streamEvent(1) + streamEvent(2) + streamEvent(3).slice(0, 8))
           setTimeout(() => { response.destroy() }, 20)
           return
         }
-        response.end([1, 2, 3, 4].filter(id => id > from).map(event).join(''))
+        response.end([1, 2, 3, 4].filter(id => id > from).map(streamEvent).join(''))
       }
       let served = 0
       const firstBreaks = (): boolean => (served += 1) === 1
       const all = await serveBy(serve(firstBreaks), serve(firstBreaks))
       const answer = await ask('/resumable/a', { method: 'POST' })
-      expect(answer).toMatchObject({ status: 200, isWhole: true, body: event(1) + event(2) + event(3) + event(4) })
-      const askedBehind = all.flatMap(endpoint => endpoint.seen.map(seen => seen.headers[HEADERS.lastEvent]))
+      expect(answer).toMatchObject({ status: 200, isWhole: true, body: streamEvent(1) + streamEvent(2) + streamEvent(3) + streamEvent(4) })
+      const askedBehind = all.flatMap(endpoint => endpoint.seen.map(seen => seen.headers[PLAIN_HEADERS.lastEvent]))
       expect(askedBehind.sort()).toEqual(['2', undefined])
     })
   })
@@ -378,9 +283,10 @@
 
     beforeEach(() => {
       const telemetry = new Telemetry('test')
+      const work = new WorkGate()
       freshFleet = new RoutedFleet('n', () => 1, telemetry)
       fresh = new RoutedServer({
-        fleet: freshFleet, codec: new PlainCodec(), work: new WorkGate(), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
+        fleet: freshFleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => isLagging
       }, performance.now())
     })
 
@@ -394,8 +300,8 @@
       await fresh.listen('127.0.0.1', early.port, early)
       answers.push(ask('/safe/c'))
       await sleep(50)
-      endpoints = [new Endpoint('e0', answerOk)]
-      fresh.configure(SITE)
+      endpoints = [new EndpointStandin('e0', answerOk)]
+      fresh.configure(TEST_SITE)
       fresh.releaseWaiting()
       freshFleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
       fresh.releaseWaiting()
@@ -421,14 +327,14 @@
       const leaving = httpRequest({ host: '127.0.0.1', port, path: '/safe/a', headers: { host: 'h' } })
       leaving.on('error', () => {})
       leaving.end()
-      const answer = await ask('/safe/b', { headers: { [HEADERS.deadline]: '300' } })
+      const answer = await ask('/safe/b', { headers: { [PLAIN_HEADERS.deadline]: '300' } })
       leaving.destroy()
       expect(answer.status).toBe(503)
       expect(JSON.parse(answer.body)).toMatchObject({ run: 'not-run' })
       await sleep(50)
-      endpoints = [new Endpoint('e0', answerOk)]
+      endpoints = [new EndpointStandin('e0', answerOk)]
       freshFleet.update(await Promise.all(endpoints.map(async endpoint => await endpoint.listen())))
-      fresh.configure(SITE)
+      fresh.configure(TEST_SITE)
       fresh.releaseWaiting()
       await sleep(50)
       expect(seenBy(endpoints)).toBe(0)
@@ -441,7 +347,7 @@
       await new Promise(resolve => socket.once('connect', resolve))
       // Let the server accept, so that request and leaving are read in one turn.
       await sleep(20)
-      socket.write(`GET /safe/a HTTP/1.1\r\nhost: h\r\n${HEADERS.id}: r1\r\n\r\n`)
+      socket.write(`GET /safe/a HTTP/1.1\r\nhost: h\r\n${PLAIN_HEADERS.id}: r1\r\n\r\n`)
       socket.destroy()
       const heldUpUntil = performance.now() + 60
       while (performance.now() < heldUpUntil);
@@ -459,7 +365,7 @@
       const all = await serveBy(answerOk)
       const socket = connect(port, '127.0.0.1')
       await new Promise(resolve => socket.once('connect', resolve))
-      socket.write(`GET /safe/a HTTP/1.1\r\nhost: h\r\n${HEADERS.id}: r1\r\n\r\n`)
+      socket.write(`GET /safe/a HTTP/1.1\r\nhost: h\r\n${PLAIN_HEADERS.id}: r1\r\n\r\n`)
       // Both the connection to the endpoint and the leaving are there when the host gets to its sockets again.
       const choose = fleet.choose.bind(fleet)
       fleet.choose = (service, asked) => {
@@ -486,7 +392,7 @@
     it.each([
       ['a path without a route', '/none/a', {}, 404],
       ['a missing key', '/private/a', {}, 401],
-      ['a wrong key', '/private/a', { headers: { [HEADERS.key]: 'wrong' } }, 401],
+      ['a wrong key', '/private/a', { headers: { [PLAIN_HEADERS.key]: 'wrong' } }, 401],
       ['a body over the limit', '/safe/a', { method: 'POST', body: 'x'.repeat(2000) }, 413],
       ['headers over the limit', '/safe/a', { headers: { long: 'x'.repeat(5000) } }, 431]
     ])('name %s', async (_what, path, options, status) => {
@@ -497,8 +403,8 @@
 
     it('do not meet a caller with the right key, which goes no further', async () => {
       const [endpoint] = await serveBy(answerOk)
-      expect((await ask('/private/a', { headers: { [HEADERS.key]: 'right' } })).status).toBe(200)
-      expect(endpoint?.seen[0]?.headers[HEADERS.key]).toBeUndefined()
+      expect((await ask('/private/a', { headers: { [PLAIN_HEADERS.key]: 'right' } })).status).toBe(200)
+      expect(endpoint?.seen[0]?.headers[PLAIN_HEADERS.key]).toBeUndefined()
     })
   })
 })
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -13,6 +13,7 @@
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { PlannedStop } from '../PlannedStop.js'
 import { CallerExchange } from './CallerExchange.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
@@ -24,6 +25,7 @@
   readonly fleet: RoutedFleet
   readonly codec: RequestCodec
   readonly work: WorkGate
+  readonly stop: PlannedStop
   readonly telemetry: Telemetry
   readonly budget: RetryBudgetTerms
   liveHosts (): number
@@ -64,6 +66,7 @@
   #index: SiteIndex | undefined
   #closesConnections = false
   #lastRequestAt = 0
+  readonly #underWay = new Set<RoutedRequestTask>()
 
   /**
    * @param ports - surroundings
@@ -131,6 +134,11 @@
   /** Monotonic milliseconds at which the last request arrived. */
   get lastRequestAt (): number { return this.#lastRequestAt }
 
+  /** Logs what is under way, so that work that is cut later can be told by its ids. */
+  logUnderWay (): void {
+    for (const task of this.#underWay) task.log('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
+  }
+
   /** Closes; requests under way must have ended. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -243,7 +251,7 @@
     const { fleet, codec, telemetry } = this.ports
     const id = fields.requestId ?? ''
     const request = { id, route, service, customer, fields, body, arrivedAt, siteVersion: index.site.version }
-    new RoutedRequestTask(request, exchange, {
+    const task: RoutedRequestTask = new RoutedRequestTask(request, exchange, {
       fleet,
       codec,
       allowance,
@@ -254,7 +262,13 @@
       desiredVersion: model => this.ports.desiredVersion(model),
       storesUsable: now => this.ports.storesUsable(now),
       storeClockMs: now => this.ports.storeClockMs(now)
-    }, () => { ticket.end() }).start()
+    }, () => {
+      this.#underWay.delete(task)
+      ticket.end()
+    })
+    this.#underWay.add(task)
+    if (this.ports.stop.isStopping) task.log('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: exchange.isFirstOnConnection })
+    task.start()
   }
 
   #refuse (
--- /dev/null
+++ b/apps/entry/src/lib/routed/harness/testSite.ts
@@ -0,0 +1,28 @@
+/** A site with one route of each kind, for tests. */
+import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
+
+/**
+ * @param pathPrefix - prefix and name
+ * @param overrides - what differs from a safe route
+ */
+export function testRoute (pathPrefix: string, overrides: Partial<Route>): Route {
+  return {
+    name: pathPrefix, host: 'h', pathPrefix, kind: 'safe', isResumable: false, attempts: 2, timeoutMs: 2000, targetLatencyMs: 100, priority: 0, isPublic: true, keepsPrompts: false, longestPauseMs: 0, targets: [{ service: 'app', weight: 1 }], ...overrides
+  }
+}
+
+/** The site. */
+export const TEST_SITE: Site = {
+  version: 1,
+  routes: [
+    testRoute('/safe/', {}),
+    testRoute('/unsafe/', { kind: 'unsafe', attempts: 1 }),
+    testRoute('/stream/', { kind: 'stream', attempts: 1 }),
+    testRoute('/resumable/', { kind: 'stream', isResumable: true, timeoutMs: 8000 }),
+    testRoute('/short/', { kind: 'unsafe', timeoutMs: 150 }),
+    testRoute('/private/', { isPublic: false })
+  ],
+  services: [{ type: 'replicated', name: 'app', connectionsPerEndpoint: 0, healthPath: '/health' }],
+  customers: [{ name: 'ward', keys: ['right'], isIsolated: false }],
+  limits: { headerBytes: 4000, bodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
+}
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -23,6 +23,16 @@
   return z.coerce.number().int().min(least).max(most)
 }
 
+/**
+ * A duration in seconds, fractions allowed.
+ *
+ * @param fallback - value where none is given; a platform that knows none may give an empty text
+ */
+export function secondsSetting (fallback: number): z.ZodType<number, unknown> {
+  const seconds = z.coerce.number().min(0.1).max(86_400).default(fallback)
+  return z.preprocess(given => given === '' ? undefined : given, seconds)
+}
+
 /** `true` or `false`. */
 export const booleanSetting = z.enum(['true', 'false']).transform(text => text === 'true')
 
