--- a/apps/entry/src/lib/routed/harness/EndpointStandin.ts
+++ b/apps/entry/src/lib/routed/harness/EndpointStandin.ts
@@ -11,6 +11,8 @@
 export class EndpointStandin {
   readonly seen: Array<{ readonly method: string, readonly target: string, readonly body: string, readonly headers: IncomingMessage['headers'] }> = []
   closedEarly = 0
+  /** Called at each request, before it is answered. */
+  onSeen: () => void = () => {}
   #server: Server | undefined
 
   constructor (readonly id: string, public behaviour: Behaviour) {}
@@ -23,6 +25,7 @@
       request.on('end', () => {
         const body = Buffer.concat(chunks).toString()
         this.seen.push({ method: request.method ?? '', target: request.url ?? '', body, headers: request.headers })
+        this.onSeen()
         this.behaviour(request, response, body)
       })
     })
