A stop signal during the start is kept, and the last log lines are written

The callers' port is open from the first milliseconds on, and requests wait for the site in the process, but the signal handlers were installed only after all tasks had started: a SIGTERM before that ended the process at once, with everything that waited.

The line 'stopped' of a planned stop was never seen, because lines are gathered for 50 ms and the process exited before.

--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -12,6 +12,7 @@
 import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
+import { StopSignal } from './StopSignal.js'
 import { describeMistakes, flagOf, variableOf } from './settings.js'
 
 /** Settings that the frame itself reads. */
@@ -56,6 +57,9 @@
 /** Exit code for a broken invariant or a failed disk. */
 const EXIT_FATAL = 3
 
+/** Longest wait for whoever reads the last log lines, in milliseconds: its callers are gone by then, and a busy machine takes some tenths of a second to write. */
+const LAST_LINES_MS = 1000
+
 /** Resolution of the event loop delay metric, in milliseconds. */
 const LOOP_RESOLUTION_MS = 20
 
@@ -64,16 +68,19 @@
  *
  * @param program - what to run
  * @param args - command line arguments
+ * @param stop - tells when to stop; given if the process listened before the program was loaded
  */
-export async function runDaemon<Settings extends CommonSettings> (program: DaemonProgram<Settings>, args: readonly string[]): Promise<void> {
+export async function runDaemon<Settings extends CommonSettings> (
+  program: DaemonProgram<Settings>, args: readonly string[], stop = new StopSignal()
+): Promise<void> {
   const cli = new Cli({ binaryName: program.name, binaryLabel: program.description, binaryVersion: '0.1.0' })
-  cli.register(commandFor(program))
+  cli.register(commandFor(program, stop))
   cli.register(Builtins.HelpCommand)
   cli.register(Builtins.VersionCommand)
   process.exitCode = await cli.run([...args], Cli.defaultContext)
 }
 
-function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>): new () => Command {
+function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>, stop: StopSignal): new () => Command {
   const names = Object.keys(program.settings.shape)
   return class extends Command {
     static override paths = [Command.Default]
@@ -101,7 +108,7 @@
         this.context.stdout.write('settings are valid\n')
         return 0
       }
-      return await supervise(program, parsed.data)
+      return await supervise(program, parsed.data, stop)
     }
   }
 }
@@ -117,7 +124,7 @@
   return `Settings, each a flag or an environment variable:\n\n${lines.join('\n\n')}`
 }
 
-async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings): Promise<number> {
+async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings, stop: StopSignal): Promise<number> {
   const telemetry = new Telemetry(program.name, settings)
   const invariants = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
   const fail = (error: unknown): void => {
@@ -146,7 +153,7 @@
     telemetry.stateChanged('reloading')
     daemon.reload?.()
   })
-  await stopSignal()
+  await stop.received()
   draining = true
   daemon.stopping?.()
   telemetry.stateChanged('draining')
@@ -155,18 +162,6 @@
   telemetry.stateChanged('stopped')
   await daemon.close()
   await admin.close()
+  await telemetry.flush(LAST_LINES_MS)
   process.exit(0)
 }
-
-async function stopSignal (): Promise<void> {
-  await new Promise<void>(resolve => {
-    let signalled = false
-    const onSignal = (): void => {
-      if (signalled) process.exit(1)
-      signalled = true
-      resolve()
-    }
-    process.on('SIGTERM', onSignal)
-    process.on('SIGINT', onSignal)
-  })
-}
--- a/packages/telemetry/src/lib/BoundedLogWriter.test.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.test.ts
@@ -58,4 +58,30 @@
     expect(text).toBe('first line\nsecond line\n')
     vi.useRealTimers()
   })
+
+  describe('before the process ends', () => {
+    it('writes what waits, also what came during a write', async () => {
+      const written: string[] = []
+      let finish: () => void = () => {}
+      const writer = new BoundedLogWriter((bytes, done) => {
+        finish = () => {
+          written.push(bytes.toString())
+          done(null, bytes.length)
+        }
+      })
+      writer.write('during')
+      const flushed = writer.flush(60_000)
+      writer.write('last')
+      finish()
+      finish()
+      await flushed
+      expect(written.join('')).toBe('during\nlast\n')
+    })
+
+    it('gives up on a reader that takes nothing', async () => {
+      const writer = new BoundedLogWriter(() => {})
+      writer.write('unread')
+      await writer.flush(1)
+    })
+  })
 })
--- a/packages/telemetry/src/lib/BoundedLogWriter.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.ts
@@ -30,6 +30,7 @@
   #droppedInAll = 0
   #timer: NodeJS.Timeout | undefined
   #isWriting = false
+  readonly #flushWaiters: Array<() => void> = []
 
   /** @param sink - where the bytes go */
   constructor (private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) }) {}
@@ -49,6 +50,24 @@
     this.#schedule(GATHER_MS)
   }
 
+  /**
+   * Writes what waits, before the process ends.
+   *
+   * @param limitMs - longest wait for whoever reads the lines, in milliseconds
+   */
+  async flush (limitMs: number): Promise<void> {
+    clearTimeout(this.#timer)
+    this.#timer = undefined
+    if (!this.#isWriting) this.#flush()
+    if (this.#isIdle) return
+    await new Promise<void>(resolve => {
+      this.#flushWaiters.push(resolve)
+      setTimeout(resolve, limitMs)
+    })
+  }
+
+  get #isIdle (): boolean { return !this.#isWriting && this.#lines.length === 0 }
+
   #schedule (delayMs: number): void {
     if (this.#isWriting || this.#timer !== undefined) return
     this.#timer = setTimeout(() => {
@@ -82,7 +101,11 @@
       // Any other error means that nobody will ever read it: there is nowhere left to say so.
       this.#isWriting = false
       this.#bytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0)
-      this.#schedule(GATHER_MS)
+      if (this.#flushWaiters.length > 0) this.#flush()
+      else this.#schedule(GATHER_MS)
+      if (this.#isIdle) {
+        for (const wake of this.#flushWaiters.splice(0)) wake()
+      }
     })
   }
 }
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -26,6 +26,7 @@
 export class Telemetry {
   readonly registry = new Registry()
   readonly #log
+  readonly #writer = new BoundedLogWriter()
   #linesThisSecond = 0
   #secondStartedAt = 0
 
@@ -37,9 +38,8 @@
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
-    const writer = new BoundedLogWriter()
-    ROARR.write = message => { writer.write(message) }
-    this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => writer.dropped)
+    ROARR.write = message => { this.#writer.write(message) }
+    this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => this.#writer.dropped)
   }
 
   /**
@@ -122,6 +122,15 @@
     this.#log.info({ event, ...details }, event)
   }
 
+  /**
+   * Writes the lines that wait, before the process ends.
+   *
+   * @param limitMs - longest wait for whoever reads them, in milliseconds
+   */
+  async flush (limitMs: number): Promise<void> {
+    await this.#writer.flush(limitMs)
+  }
+
   /**
    * Logs a fault that an operator should look at.
    *
