A stopping host takes only what it can finish

Cause: admission at a stopping entry host did not know how long the process may live. Everything was taken for the balancer's lag (2.5 s) and until 0.4 s passed without a request (2.5 s more at most). While hosts are stopped in turn, over half of them are stopping, the balancer falls back to all, and the quiet never comes: work began until 5.0 s after the signal, and streams of 3 to 6 s were cut by the kill at 8 s. Class: admission that does not count the remaining lifetime of who has to finish.

Callers that stay on their connections add to it, since answers said "close" only after the lag; they say it from the signal on now.

After the balancer has had its time, a request is taken only if its own time (its route's timeout, its caller's deadline) ends before the process; before that, if it probably does (nine in ten of its route, by tokens asked for). The rest is refused at once as not run. Requests that have waited since before the signal are asked again. The gate stays open for what fits while earlier work lasts and closes when that has ended. What is left 0.2 s before the kill the host ends itself, with a line and the truest answer.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -4,6 +4,7 @@
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
+import type { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { returnAfterMs } from '@eelgrassmux/routing/admission/returnAfter'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
@@ -13,10 +14,12 @@
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, LogDetails, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { PlannedStop } from '../PlannedStop.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
+import { learnFromFailure } from './learnFromFailure.js'
 import { PromptContext, type PromptPorts } from './PromptContext.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
@@ -44,6 +47,8 @@
   readonly refusals: LabelledCounter
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
+  readonly stop: PlannedStop
+  readonly durations: RouteDurations
 }
 
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: the work of other hosts is known twenty times a second. */
@@ -52,6 +57,9 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+/** Longest pause before a caller of a stopping host asks another one, in milliseconds: spreads those that are sent away in one moment. */
+const OTHER_HOST_SPREAD_MS = 100
+
 const MILLISECONDS_PER_SECOND = 1000
 
 /** One request. */
@@ -108,9 +116,32 @@
     this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#hasFirstEvent })
   }
 
+  /**
+   * Ends because the process is about to be killed: a caller that has no answer yet is told
+   * what is known, one that has part of it sees that it is not complete.
+   *
+   * @param sinceSignalMs - milliseconds since the stop began
+   */
+  endForStop (sinceSignalMs: number): void {
+    if (this.#isDone) return
+    this.log('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
+    this.#cancelAttempt(undefined)
+    if (this.exchange.hasHead) {
+      this.#finish('broken-off', { failure: 'stop' })
+      this.exchange.breakOff()
+      return
+    }
+    this.#refuse(this.#dispatch.mayHaveRun ? 'endpoint-failed' : 'draining', 503, 'this host had to stop before the answer was there')
+  }
+
   // --- Attempts ---
 
   #tryNext (): void {
+    // Also asked of requests that have waited since before the stop began.
+    if (this.#sends === 0 && !this.#canEndBeforeStop()) {
+      this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
+      return
+    }
     const choice = this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
     if (typeof choice === 'string') {
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
@@ -151,6 +182,14 @@
     if (mayRunElsewhere) this.#watchSilence(attempt)
   }
 
+  #canEndBeforeStop (): boolean {
+    const { route, fields } = this.request
+    return this.ports.stop.admits({
+      longestMs: this.#deadline - performance.now(),
+      expectedMs: this.ports.durations.expectedMs(route.name, fields.prompt?.outputTokens ?? 0)
+    })
+  }
+
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
   #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
     if (choice.version === undefined || this.#hasFirstEvent) return { isExpectedLate: false }
@@ -256,15 +295,23 @@
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
     }
+    this.#recordDuration()
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...this.#placement(attempt.choice) })
     this.#relay.complete()
   }
 
+  #recordDuration (): void {
+    const { route, arrivedAt, fields } = this.request
+    const wholeMs = performance.now() - arrivedAt
+    const startMs = this.#firstEventMs ?? wholeMs
+    this.ports.durations.record(route.name, startMs, wholeMs - startMs, fields.prompt?.outputTokens ?? 0)
+  }
+
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
     const { endpoint } = attempt.choice
-    this.#learn(attempt, failure, head)
+    learnFromFailure(this.ports.fleet, endpoint, failure, head)
     if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) {
       this.#runs -= 1
       this.#dispatch.markNotStarted()
@@ -303,27 +350,6 @@
     return true
   }
 
-  /** What the failure says of the endpoint. */
-  #learn (attempt: RoutedAttempt, failure: AttemptFailure, head: AnswerHead | undefined): void {
-    const { endpoint } = attempt.choice
-    const now = performance.now()
-    switch (failure) {
-      case 'not-connected':
-        this.ports.fleet.observe(endpoint, 'unreachable')
-        break
-      case 'lost':
-        this.ports.fleet.observe(endpoint, 'failure')
-        break
-      case 'rejected':
-        endpoint.observeRejection(now)
-        break
-      case 'misdirected':
-        if (head?.fields.instance !== undefined && head.fields.instance !== endpoint.id) endpoint.markLeaving()
-        else endpoint.observeRejection(now)
-        break
-    }
-  }
-
   // --- Ends ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
@@ -385,7 +411,9 @@
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
     const remainingMs = this.#deadline - performance.now()
-    const retryAfterSeconds = status === 503 ? returnAfterMs(wantedReturnMs, remainingMs, Math.random()) / MILLISECONDS_PER_SECOND : undefined
+    // Other hosts have places now; only callers of this one have to leave.
+    const returnMs = reason === 'draining' ? Math.random() * OTHER_HOST_SPREAD_MS : returnAfterMs(wantedReturnMs, remainingMs, Math.random())
+    const retryAfterSeconds = status === 503 ? returnMs / MILLISECONDS_PER_SECOND : undefined
     const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
     this.ports.refusals.count(reason)
     this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from 'node:net'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { RetryAllowance, type RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import { SiteIndex } from '@eelgrassmux/routing/site/SiteIndex'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
@@ -63,8 +64,8 @@
   readonly #requests: LabelledCounter
   readonly #firstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
+  readonly #durations = new RouteDurations()
   #index: SiteIndex | undefined
-  #closesConnections = false
   #lastRequestAt = 0
   readonly #underWay = new Set<RoutedRequestTask>()
 
@@ -125,9 +126,8 @@
   /** Whether a site is known. */
   get isConfigured (): boolean { return this.#index !== undefined }
 
-  /** From now on every answer is the last on its connection, so that callers move to other hosts. */
-  closeConnectionsAfterAnswers (): void {
-    this.#closesConnections = true
+  /** Closes connections on which no request is under way, so that callers move to other hosts. */
+  closeIdleConnections (): void {
     this.#server.closeIdleConnections()
   }
 
@@ -139,6 +139,11 @@
     for (const task of this.#underWay) task.log('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
   }
 
+  /** Ends what is under way because the process is about to be killed. */
+  cutUnderWay (): void {
+    for (const task of [...this.#underWay]) task.endForStop(this.ports.stop.sinceSignalMs)
+  }
+
   /** Closes; requests under way must have ended. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -156,7 +161,7 @@
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
-    const exchange = new CallerExchange(message, response, () => this.#closesConnections)
+    const exchange = new CallerExchange(message, response, () => this.ports.stop.isStopping)
     const fields = this.ports.codec.readCaller(message.rawHeaders)
     const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
     if (this.#mayServe() || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) {
@@ -256,6 +261,8 @@
       codec,
       allowance,
       telemetry,
+      stop: this.ports.stop,
+      durations: this.#durations,
       retries: this.#retries,
       refusals: this.#refusals,
       firstEvent: this.#firstEvent,
--- a/apps/entry/src/lib/routed/harness/EndpointStandin.ts
+++ b/apps/entry/src/lib/routed/harness/EndpointStandin.ts
@@ -11,8 +11,8 @@
 export class EndpointStandin {
   readonly seen: Array<{ readonly method: string, readonly target: string, readonly body: string, readonly headers: IncomingMessage['headers'] }> = []
   closedEarly = 0
-  /** Called at each request, before it is answered. */
-  onSeen: () => void = () => {}
+  readonly #seenWaiters: Array<() => void> = []
+  readonly #responses = new Set<ServerResponse>()
   #server: Server | undefined
 
   constructor (readonly id: string, public behaviour: Behaviour) {}
@@ -25,8 +25,9 @@
       request.on('end', () => {
         const body = Buffer.concat(chunks).toString()
         this.seen.push({ method: request.method ?? '', target: request.url ?? '', body, headers: request.headers })
-        this.onSeen()
+        this.#responses.add(response)
         this.behaviour(request, response, body)
+        for (const wake of this.#seenWaiters.splice(0)) wake()
       })
     })
     this.#server = server
@@ -35,6 +36,18 @@
     return { id: this.id, service: 'app', address, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [] }
   }
 
+  /** Resolves when the next request has come. */
+  async whenSeen (): Promise<void> {
+    await new Promise<void>(resolve => { this.#seenWaiters.push(resolve) })
+  }
+
+  /** Ends all answers that have begun. */
+  finishStreams (): void {
+    for (const response of this.#responses) {
+      if (response.headersSent) response.end()
+    }
+  }
+
   close (): void {
     this.#server?.closeAllConnections()
     this.#server?.close()
--- a/packages/daemon/src/lib/WorkGate.test.ts
+++ b/packages/daemon/src/lib/WorkGate.test.ts
@@ -18,6 +18,21 @@
     expect(gate.underWay).toBe(0)
   })
 
+  it('tells when earlier work has ended, although later work goes on', async () => {
+    const gate = new WorkGate()
+    const earlier = gate.tryBegin()
+    let hasEnded = false
+    const present = gate.whenPresentEnds().then(() => { hasEnded = true })
+    const later = gate.tryBegin()
+    later?.end()
+    await Promise.resolve()
+    expect(hasEnded).toBe(false)
+    gate.tryBegin()
+    earlier?.end()
+    await present
+    expect(gate.underWay).toBe(1)
+  })
+
   it('ends each work once, however often it is told', () => {
     const gate = new WorkGate()
     const first = gate.tryBegin()
--- a/packages/daemon/src/lib/WorkGate.ts
+++ b/packages/daemon/src/lib/WorkGate.ts
@@ -16,7 +16,11 @@
 export class WorkGate {
   #isClosed = false
   #underWay = 0
-  #idleWaiters: Array<() => void> = []
+  readonly #idleWaiters: Array<() => void> = []
+  /** Work belongs to the generation in which it began; each wait for what is under way starts a new one. */
+  #generation = 0
+  #earlier = 0
+  readonly #earlierWaiters: Array<() => void> = []
 
   get isClosed (): boolean { return this.#isClosed }
   get underWay (): number { return this.#underWay }
@@ -45,6 +49,16 @@
     this.#settle()
   }
 
+  /** Resolves when all work that is under way now has ended; other work may have begun meanwhile. */
+  async whenPresentEnds (): Promise<void> {
+    this.#generation += 1
+    this.#earlier = this.#underWay
+    await new Promise<void>(resolve => {
+      this.#earlierWaiters.push(resolve)
+      this.#settle()
+    })
+  }
+
   /** Resolves when the gate is closed and no work is under way. */
   async whenIdle (): Promise<void> {
     await new Promise<void>(resolve => {
@@ -55,12 +69,14 @@
 
   #begin (): WorkTicket {
     this.#underWay += 1
+    const generation = this.#generation
     let isOpen = true
     return {
       end: () => {
         if (!isOpen) return
         isOpen = false
         this.#underWay -= 1
+        if (generation < this.#generation) this.#earlier -= 1
         assertInvariant(this.#underWay >= 0, 'graceful-stop', () => 'more work ended than began')
         this.#settle()
       }
@@ -68,9 +84,10 @@
   }
 
   #settle (): void {
+    if (this.#earlier === 0) {
+      for (const wake of this.#earlierWaiters.splice(0)) wake()
+    }
     if (!this.#isClosed || this.#underWay > 0) return
-    const waiters = this.#idleWaiters
-    this.#idleWaiters = []
-    for (const wake of waiters) wake()
+    for (const wake of this.#idleWaiters.splice(0)) wake()
   }
 }
--- /dev/null
+++ b/packages/routing/src/lib/admission/RecentQuantile.ts
@@ -0,0 +1,25 @@
+/** Quantiles of the newest values of a figure, for figures that are looked up rarely. */
+
+/** Values that are kept: enough for a ninth tenth, and a few seconds of a busy route. */
+const KEPT = 64
+
+/** The newest values. */
+export class RecentQuantile {
+  readonly #values: number[] = []
+  #next = 0
+
+  /** @param value - newest value; the oldest gives way */
+  add (value: number): void {
+    this.#values[this.#next] = value
+    this.#next = (this.#next + 1) % KEPT
+  }
+
+  /**
+   * @param share - share of the values that shall lie at or below the result, from 0 to 1
+   * @returns 0 if there are no values
+   */
+  at (share: number): number {
+    const ordered = [...this.#values].sort((one, other) => one - other)
+    return ordered[Math.min(ordered.length - 1, Math.floor(ordered.length * share))] ?? 0
+  }
+}
