Completions and plain calls of a stopping host are admitted by what it can finish

Same cause elsewhere: the entry host for completions took runs during the balancer's lag whatever time they need, and its stop had no notion of when it is killed. It now uses the same PlannedStop: runs are expected to take what nine in ten of their service took lately, plain calls their profile's deadline; its stop goes on serving what fits while earlier runs last. Runs that are still going when the grace period ends are named in lines; they can't be moved.

Not reached by it: a run handed over to another entry host at a stop.

--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -3,7 +3,7 @@
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { SystemClock } from '@eelgrassmux/daemon/SystemClock'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { addressListSetting, addressSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, addressSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
 import { PLACEMENT_POLICIES, usesStores } from '@eelgrassmux/policy/placement/createPlacementPolicy'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
@@ -15,6 +15,7 @@
 import { FleetWatcher } from './fleet/FleetWatcher.js'
 import { AtMostOnce } from './plain/AtMostOnce.js'
 import { PlainHandler } from './plain/PlainHandler.js'
+import { PlannedStop } from './PlannedStop.js'
 import { AdmissionGate } from './runs/AdmissionGate.js'
 import { DirectoryClient } from './runs/DirectoryClient.js'
 import { Exporter } from './runs/Exporter.js'
@@ -33,6 +34,7 @@
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
   resumeGraceMs: integerSetting(0, 600_000).default(10_000).describe('how long a run goes on, or is kept, without a reader, in milliseconds'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
+  stopGraceSeconds: stopGraceSetting,
   recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long idempotency keys are remembered, in hours; as on the control hosts'),
   queueLimit: integerSetting(0, 100_000).default(1000).describe('most requests that wait for admission'),
   policy: z.enum(PLACEMENT_POLICIES).default('eelgrassmux').describe(`placement policy: ${PLACEMENT_POLICIES.join(', ')}`)
@@ -55,6 +57,8 @@
 /** Requests admitted beyond the engines' places, so that no place waits for the next request. */
 const OVERCOMMIT = 1.25
 
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Interval between adjustments of the capacity, in milliseconds. */
 const CAPACITY_MS = 250
 
@@ -63,6 +67,10 @@
 async function startEntry (settings: EntrySettings, telemetry: Telemetry): Promise<RunningDaemon> {
   const clock = new SystemClock()
   const work = new WorkGate()
+  const stop = new PlannedStop(work, {
+    balancerLagMs: settings.balancerLagMs,
+    graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
+  }, telemetry)
   const rpc = new RpcClient()
   const peerServer = new RpcServer()
   const peerPort = await peerServer.listen(settings.host, settings.peerPort)
@@ -94,7 +102,7 @@
   const exporter = usesStores(settings.policy) ? storeExporter : { consider: async () => {} }
   const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
   const firstToken = telemetry.durationHistogram('first_token_seconds', 'Time to first token', FIRST_TOKEN_BUCKETS)
-  const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, {
+  const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, stop, {
     clock,
     fleet,
     placer,
@@ -111,7 +119,7 @@
     work,
     outcomes: telemetry.labelledCounter('at_most_once_total', 'Calls with an idempotency key by outcome', 'outcome')
   })
-  const plain = new PlainHandler(fleet, once, configuration, retries, settings.recordWindowHours)
+  const plain = new PlainHandler(fleet, once, configuration, retries, settings.recordWindowHours, stop)
   const completions = new CompletionHandler(runs, new PeerRuns(rpc), configuration)
   const callers = new CallerServer(completions, plain, {
     configuration,
@@ -138,11 +146,17 @@
 
   return {
     addresses: { http: `${settings.host}:${port}`, peer: peerAddress },
-    isReady: () => link.isReady(),
+    isReady: () => !stop.isStopping && link.isReady(),
+    stopping: () => { stop.begin() },
     drain: async () => {
-      work.close()
       link.stopAccepting()
-      await work.whenIdle()
+      await stop.drain({
+        get lastRequestAt () { return callers.lastRequestAt },
+        closeIdleConnections: () => { callers.closeIdleConnections() },
+        logUnderWay: () => { runs.logUnderWay(id => { telemetry.decided('awaited-by-stop', id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) }) },
+        // Its callers see that an answer is not complete when the process ends, and can ask for the rest of no other host.
+        cutUnderWay: () => { runs.logUnderWay(id => { telemetry.decided('cut-by-stop', id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) }) }
+      })
     },
     close: async () => {
       await callers.close()
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -3,7 +3,7 @@
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { addressListSetting, commonSettingsShape, integerSetting, secondsSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -14,9 +14,6 @@
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { RoutedServer } from './routed/RoutedServer.js'
 
-/** Time from SIGTERM to SIGKILL where nobody says otherwise, in seconds: what orchestrators commonly give. */
-const DEFAULT_STOP_GRACE_SECONDS = 30
-
 /** Settings of an entry host for routed requests. */
 export const routedSettingsShape = {
   ...commonSettingsShape,
@@ -25,7 +22,7 @@
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
   staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
-  stopGraceSeconds: secondsSetting(DEFAULT_STOP_GRACE_SECONDS).describe('how long the process may live after SIGTERM until it is killed, in seconds'),
+  stopGraceSeconds: stopGraceSetting,
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -30,6 +30,7 @@
 /** Serves callers until drained. */
 export class CallerServer {
   #server: ReturnType<typeof serve> | undefined
+  #lastRequestAt = 0
 
   /**
    * @param completions - model requests
@@ -56,6 +57,15 @@
     return portOf(server.url)
   }
 
+  /** Monotonic milliseconds at which the last request for new work arrived. */
+  get lastRequestAt (): number { return this.#lastRequestAt }
+
+  /** Closes connections on which no request is under way. */
+  closeIdleConnections (): void {
+    const server = this.#server?.node?.server
+    if (server !== undefined && 'closeIdleConnections' in server) server.closeIdleConnections()
+  }
+
   /** Waits for open responses, then closes. */
   async close (): Promise<void> {
     await this.#server?.close()
@@ -79,6 +89,7 @@
   /** New work needs a host that is not stopping and whose configuration is the newest. */
   #newWork (handler: Handler): (event: H3Event) => Promise<Response> {
     return this.#authenticated(async (event, customer) => {
+      this.#lastRequestAt = performance.now()
       const ticket = this.ports.work.tryBegin()
       if (ticket === undefined) {
         return { ok: false, error: refuseUnseen({ reason: 'draining', status: 503, detail: 'this host is stopping; ask another', retryAfterSeconds: 1 }) }
--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -7,6 +7,8 @@
 import { DispatchRecord, refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
+import type { PlannedStop } from '../PlannedStop.js'
 import { readBody, refuseUnseen } from '../callers/readBody.js'
 import type { FleetWatcher } from '../fleet/FleetWatcher.js'
 import type { AtMostOnce } from './AtMostOnce.js'
@@ -39,13 +41,15 @@
    * @param configuration - configuration in force
    * @param retries - counts retries by reason
    * @param windowHours - how long keys are remembered
+   * @param stop - the planned stop
    */
   constructor (
     private readonly fleet: FleetWatcher,
     private readonly once: AtMostOnce,
     private readonly configuration: () => ConfigurationIndex,
     private readonly retries: LabelledCounter,
-    private readonly windowHours: number
+    private readonly windowHours: number,
+    private readonly stop: PlannedStop
   ) {}
 
   /**
@@ -64,6 +68,8 @@
     if (service?.type !== 'plain' || profile === undefined) {
       return fail(refuseUnseen({ reason: 'unknown-service', status: 404, detail: `there is no plain service ${serviceName}`, field: 'service' }))
     }
+    const refusal = refuseWhileStopping(this.stop, { longestMs: profile.deadlineMs, expectedMs: undefined })
+    if (refusal !== undefined) return fail(refusal)
     const body = await readBody(request, BODY_LIMIT_BYTES)
     if (!body.ok) return body
     const call: ServiceCall = {
--- a/apps/entry/src/lib/runs/RunManager.ts
+++ b/apps/entry/src/lib/runs/RunManager.ts
@@ -5,6 +5,9 @@
 import { refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { AdmissionGate } from './AdmissionGate.js'
+import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
+import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
+import type { PlannedStop } from '../PlannedStop.js'
 import { Run } from './Run.js'
 import { heldTokens, RunTask, type RunPorts, type RunRequest } from './RunTask.js'
 
@@ -36,6 +39,7 @@
 export class RunManager {
   readonly #runs = new RunRegistry<ManagedRun>()
   readonly #budgets = new Map<string, RetryBudget>()
+  readonly #durations = new RouteDurations()
   readonly #sweeper: NodeJS.Timeout
   #requestTokens = 0
   #underWay = 0
@@ -44,12 +48,14 @@
    * @param settings - limits
    * @param gate - admission
    * @param work - what a planned stop waits for
+   * @param plannedStop - the planned stop
    * @param ports - what runs need, but for the budget, which is one for each service
    */
   constructor (
     private readonly settings: RunManagerSettings,
     private readonly gate: AdmissionGate,
     private readonly work: WorkGate,
+    private readonly plannedStop: PlannedStop,
     private readonly ports: Omit<RunPorts, 'budget'>
   ) {
     this.#sweeper = setInterval(() => { this.#sweep() }, SWEEP_MS)
@@ -71,6 +77,9 @@
    * @returns the run, or why it was not admitted
    */
   async start (service: string, request: RunRequest, gone: AbortSignal): Promise<Result<Run, Refusal>> {
+    const { maxTokens } = request
+    const refusal = refuseWhileStopping(this.plannedStop, { longestMs: request.profile.deadlineMs, expectedMs: this.#durations.expectedMs(service, maxTokens) })
+    if (refusal !== undefined) return fail(refusal)
     const run = new Run(createRunId(this.settings.peerAddress), request.customer.name, this.ports.clock)
     const tokens = heldTokens(request)
     this.#requestTokens += (tokens - this.#requestTokens) * (this.#requestTokens === 0 ? 1 : 0.05)
@@ -95,6 +104,7 @@
     void this.#observeFirstToken(run)
     void task.execute().finally(() => {
       this.#underWay -= 1
+      if (run.end?.kind === 'complete') this.#durations.record(service, 0, this.ports.clock.now() - run.startedAt, maxTokens)
       this.gate.release(run.id)
     })
     return succeed(run)
@@ -109,6 +119,17 @@
     return this.#runs.find(id, customer)?.run
   }
 
+  /**
+   * Logs what has not ended.
+   *
+   * @param log - takes the id of each run
+   */
+  logUnderWay (log: (runId: string) => void): void {
+    for (const { run } of this.#runs.values()) {
+      if (run.end === undefined) log(run.id)
+    }
+  }
+
   /** Stops the sweeper. */
   stop (): void {
     clearInterval(this.#sweeper)
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -28,11 +28,18 @@
  *
  * @param fallback - value where none is given; a platform that knows none may give an empty text
  */
-export function secondsSetting (fallback: number): z.ZodType<number, unknown> {
+function secondsSetting (fallback: number): z.ZodType<number, unknown> {
   const seconds = z.coerce.number().min(0.1).max(86_400).default(fallback)
   return z.preprocess(given => given === '' ? undefined : given, seconds)
 }
 
+/** Time from SIGTERM to SIGKILL where nobody says otherwise, in seconds: what orchestrators commonly give. */
+const DEFAULT_STOP_GRACE_SECONDS = 30
+
+/** How long a process may live after SIGTERM. */
+export const stopGraceSetting = secondsSetting(DEFAULT_STOP_GRACE_SECONDS)
+  .describe('how long the process may live after SIGTERM until it is killed, in seconds')
+
 /** `true` or `false`. */
 export const booleanSetting = z.enum(['true', 'false']).transform(text => text === 'true')
 
