--- a/apps/entry/src/lib/PlannedStop.ts
+++ b/apps/entry/src/lib/PlannedStop.ts
@@ -96,12 +96,13 @@
    */
   async drain (edge: StoppingEdge): Promise<void> {
     this.#balancerKnows = true
+    const toldAt = performance.now()
     this.#log('balancer-told')
     edge.closeIdleConnections()
     const lastWords = setTimeout(() => { this.#cut(edge) }, Math.max(0, this.#leftMs - LAST_WORDS_MS))
     // While earlier work keeps the process, it may as well serve whoever still comes.
     await this.work.whenPresentEnds()
-    await this.#whenQuiet(edge)
+    await this.#whenQuiet(edge, toldAt)
     this.work.close()
     this.#log('gate-closed')
     edge.logUnderWay()
@@ -112,11 +113,10 @@
 
   get #leftMs (): number { return this.terms.graceMs - this.sinceSignalMs }
 
-  async #whenQuiet (edge: StoppingEdge): Promise<void> {
-    const startedAt = performance.now()
+  async #whenQuiet (edge: StoppingEdge, toldAt: number): Promise<void> {
     while (!this.work.isClosed) {
       const now = performance.now()
-      if (now - startedAt >= QUIET_WAIT_MS || now - Math.max(edge.lastRequestAt, startedAt) >= QUIET_MS) return
+      if (now - toldAt >= QUIET_WAIT_MS || now - Math.max(edge.lastRequestAt, toldAt) >= QUIET_MS) return
       await sleep(QUIET_LOOK_MS)
     }
   }
