A stop counts from its signal, waits for answers to leave, and covers all that was read

A request now holds its ticket from its head until its answer was handed to the system, which also covers bodies that are still read and requests that wait for the site (cut without a word before); - the clock of the stop began when the process noticed it, up to the whole start late; it counts from the signal, and from the start of the process while that was loading; - a repeat after an endpoint's rejection was not asked whether it can still end in time; - of several requests sent at once on one connection, the first answer closed it and the others were run without an answer: only the last one announces the end; - SIGHUP while a daemon starts killed it; it is kept now, like SIGTERM; - a second SIGTERM cut everything; supervisors repeat themselves, so only an interrupt does now; - a grace period shorter than the balancer's lag left the stop without end: the lag is bounded by half of the period, and nothing unknown is taken in the last moment; - runs and plain calls were asked before their wait and their body, now after.

Estimates no longer count failures, and a request that was refused is not logged as taken. The balancer's lag has one owner, PlannedStop.

--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -15,7 +15,7 @@
 import { FleetWatcher } from './fleet/FleetWatcher.js'
 import { AtMostOnce } from './plain/AtMostOnce.js'
 import { PlainHandler } from './plain/PlainHandler.js'
-import { PlannedStop } from './PlannedStop.js'
+import { PlannedStop, type CallerEdge } from './PlannedStop.js'
 import { AdmissionGate } from './runs/AdmissionGate.js'
 import { DirectoryClient } from './runs/DirectoryClient.js'
 import { Exporter } from './runs/Exporter.js'
@@ -125,6 +125,7 @@
     configuration,
     isFresh: () => link.isReady(),
     work,
+    stop,
     refusals: telemetry.labelledCounter('refusals_total', 'Refusals to callers by reason')
   })
   const port = await callers.listen(settings.host, settings.port)
@@ -144,19 +145,25 @@
   telemetry.gauge('configuration_revision', 'Configuration in force', () => link.configuration.revision)
   telemetry.gauge('configuration_fresh', '1 while the configuration is confirmed', () => link.isFresh() ? 1 : 0)
 
+  const logUnderWay = (event: string): void => {
+    runs.logUnderWay(id => { telemetry.decided(event, id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) })
+  }
+  const edge: CallerEdge = {
+    get lastRequestAt () { return callers.lastRequestAt },
+    releaseWaiting: () => {},
+    closeIdleConnections: () => { callers.closeIdleConnections() },
+    logUnderWay: () => { logUnderWay('awaited-by-stop') },
+    // No other host can go on with a run: it goes on to the last moment, and its caller sees that the answer is not complete.
+    cutUnderWay: () => { logUnderWay('cut-by-stop') }
+  }
+
   return {
     addresses: { http: `${settings.host}:${port}`, peer: peerAddress },
     isReady: () => !stop.isStopping && link.isReady(),
-    stopping: () => { stop.begin() },
+    stopping: signalledAt => { stop.begin(signalledAt, edge) },
     drain: async () => {
       link.stopAccepting()
-      await stop.drain({
-        get lastRequestAt () { return callers.lastRequestAt },
-        closeIdleConnections: () => { callers.closeIdleConnections() },
-        logUnderWay: () => { runs.logUnderWay(id => { telemetry.decided('awaited-by-stop', id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) }) },
-        // Its callers see that an answer is not complete when the process ends, and can ask for the rest of no other host.
-        cutUnderWay: () => { runs.logUnderWay(id => { telemetry.decided('cut-by-stop', id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) }) }
-      })
+      await stop.drain(edge)
     },
     close: async () => {
       await callers.close()
--- a/apps/entry/src/lib/PlannedStop.ts
+++ b/apps/entry/src/lib/PlannedStop.ts
@@ -18,9 +18,11 @@
 }
 
 /** The callers' side of a host that stops. */
-export interface StoppingEdge {
+export interface CallerEdge {
   /** Monotonic milliseconds at which the last request arrived. */
   readonly lastRequestAt: number
+  /** Lets requests go that wait for what the host has still to learn. */
+  releaseWaiting (): void
   /** Closes connections on which no request is under way. */
   closeIdleConnections (): void
   /** Logs what is under way, so that work that is cut later can be told by its ids. */
@@ -30,9 +32,9 @@
 }
 
 /** What is known of a request that comes while the host is stopping. */
-export interface StoppingRequest {
+export interface RequestTime {
   /** Milliseconds until its own time is over, by its route or its caller. */
-  readonly longestMs: number
+  readonly remainingMs: number
   /** Milliseconds that it will probably take, if known. */
   readonly expectedMs: number | undefined
 }
@@ -47,12 +49,20 @@
 const QUIET_LOOK_MS = 50
 
 /** Time before the kill at which the host ends what is left by itself, in milliseconds: enough to write answers and log lines, which a killed process can't. */
-const LAST_WORDS_MS = 200
+const CUT_BEFORE_KILL_MS = 200
+
+/** Time in which the answers of the cut can be written, in milliseconds; a caller who reads more slowly has had its time. */
+const CUT_WRITE_MS = 80
+
+/** Share of the grace period that the balancer's lag may take, where the period is short. */
+const LAG_SHARE = 0.5
 
 /** One planned stop; does nothing until it begins. */
 export class PlannedStop {
   #signalledAt: number | undefined
-  #balancerKnows = false
+  #cutTimer: NodeJS.Timeout | undefined
+  #endCut: () => void = () => {}
+  readonly #lagMs: number
 
   /**
    * @param work - gate of all work
@@ -63,7 +73,9 @@
     private readonly work: WorkGate,
     private readonly terms: StopTerms,
     private readonly telemetry: Telemetry
-  ) {}
+  ) {
+    this.#lagMs = Math.min(terms.balancerLagMs, terms.graceMs * LAG_SHARE)
+  }
 
   /** Whether the signal has come. */
   get isStopping (): boolean { return this.#signalledAt !== undefined }
@@ -73,62 +85,75 @@
     return this.#signalledAt === undefined ? 0 : performance.now() - this.#signalledAt
   }
 
-  /** Called at the signal, before the balancer has noticed. */
-  begin (): void {
-    this.#signalledAt = performance.now()
+  /**
+   * Begins the stop, before the balancer has noticed.
+   *
+   * @param signalledAt - monotonic milliseconds of the signal
+   * @param edge - the callers' side
+   */
+  begin (signalledAt: number, edge: CallerEdge): void {
+    this.#signalledAt = signalledAt
     this.#log('signalled')
+    edge.releaseWaiting()
+    this.#cutTimer = setTimeout(() => { this.#cut(edge) }, Math.max(0, this.#leftMs - CUT_BEFORE_KILL_MS))
   }
 
   /**
    * @param request - a request that would begin now
    * @returns whether this host can take it; always true before the signal
    */
-  admits ({ longestMs, expectedMs }: StoppingRequest): boolean {
+  admits ({ remainingMs, expectedMs }: RequestTime): boolean {
     if (!this.isStopping) return true
-    return admitWhileStopping({ leftMs: this.#leftMs, longestMs, expectedMs, balancerKnows: this.#balancerKnows })
+    return admitWhileStopping({ leftMs: this.#leftMs, remainingMs, expectedMs, isBalancerLagOver: this.sinceSignalMs >= this.#lagMs })
   }
 
   /**
-   * Called once the balancer has noticed.
+   * Sees a stop that has begun through to its end.
    *
    * @param edge - the callers' side
    * @returns once no work is under way and none will begin
    */
-  async drain (edge: StoppingEdge): Promise<void> {
-    this.#balancerKnows = true
-    const toldAt = performance.now()
-    this.#log('balancer-told')
+  async drain (edge: CallerEdge): Promise<void> {
+    const cut = new Promise<void>(resolve => { this.#endCut = resolve })
+    await Promise.race([this.#finish(edge), cut])
+    clearTimeout(this.#cutTimer)
+    this.#log('ended')
+  }
+
+  get #leftMs (): number { return this.terms.graceMs - this.sinceSignalMs }
+
+  async #finish (edge: CallerEdge): Promise<void> {
+    await sleep(Math.max(0, this.#lagMs - this.sinceSignalMs))
+    this.#log('balancer-lag-over')
+    const lagOverAt = performance.now()
     edge.closeIdleConnections()
-    const lastWords = setTimeout(() => { this.#cut(edge) }, Math.max(0, this.#leftMs - LAST_WORDS_MS))
     // While earlier work keeps the process, it may as well serve whoever still comes.
     await this.work.whenPresentEnds()
-    await this.#whenQuiet(edge, toldAt)
+    await this.#whenQuiet(edge, lagOverAt)
     this.work.close()
     this.#log('gate-closed')
     edge.logUnderWay()
     await this.work.whenIdle()
-    clearTimeout(lastWords)
-    this.#log('work-ended')
   }
 
-  get #leftMs (): number { return this.terms.graceMs - this.sinceSignalMs }
-
-  async #whenQuiet (edge: StoppingEdge, toldAt: number): Promise<void> {
+  async #whenQuiet (edge: CallerEdge, lagOverAt: number): Promise<void> {
     while (!this.work.isClosed) {
       const now = performance.now()
-      if (now - toldAt >= QUIET_WAIT_MS || now - Math.max(edge.lastRequestAt, toldAt) >= QUIET_MS) return
+      if (now - lagOverAt >= QUIET_WAIT_MS || now - Math.max(edge.lastRequestAt, lagOverAt) >= QUIET_MS) return
       await sleep(QUIET_LOOK_MS)
     }
   }
 
-  #cut (edge: StoppingEdge): void {
-    this.#log('grace-over')
+  #cut (edge: CallerEdge): void {
+    this.#log('cut')
     this.work.close()
     edge.cutUnderWay()
+    setTimeout(() => { this.#endCut() }, CUT_WRITE_MS)
   }
 
   #log (step: string): void {
-    const { balancerLagMs, graceMs } = this.terms
-    this.telemetry.stateChanged('stop-step', { step, underWay: this.work.underWay, sinceSignalMs: Math.round(this.sinceSignalMs), balancerLagMs, graceMs })
+    this.telemetry.stateChanged('stop-step', {
+      step, underWay: this.work.underWay, sinceSignalMs: Math.round(this.sinceSignalMs), balancerLagMs: this.#lagMs, graceMs: this.terms.graceMs
+    })
   }
 }
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -121,7 +121,7 @@
   return {
     addresses: { http: `${settings.host}:${port}` },
     isReady,
-    stopping: () => { stop.begin() },
+    stopping: signalledAt => { stop.begin(signalledAt, server) },
     drain: async () => {
       link.stopAccepting()
       await stop.drain(server)
--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -10,6 +10,7 @@
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
 import type { Result } from '@eelgrassmux/schema/Result'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { PlannedStop } from '../PlannedStop.js'
 import type { PlainHandler } from '../plain/PlainHandler.js'
 import type { CompletionHandler } from './CompletionHandler.js'
 import { problemResponse } from './problem.js'
@@ -22,6 +23,7 @@
   isFresh (): boolean
   readonly refusals: LabelledCounter
   readonly work: WorkGate
+  readonly stop: PlannedStop
 }
 
 /** Answers a request of a known customer; nothing is left to send after a stream. */
@@ -115,6 +117,8 @@
 
   #authenticated (handler: Handler): (event: H3Event) => Promise<Response> {
     return async event => {
+      // Every answer of a stopping host is the last on its connection.
+      if (this.ports.stop.isStopping) connectionOf(event).shouldKeepAlive = false
       // Which customer a credential belongs to is configuration too, so freshness comes first.
       if (!this.ports.isFresh()) {
         return this.#refuse(refuseUnseen({ reason: 'configuration-stale', status: 503, detail: 'this host can not confirm its configuration; ask another', retryAfterSeconds: 1 }))
--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -68,10 +68,10 @@
     if (service?.type !== 'plain' || profile === undefined) {
       return fail(refuseUnseen({ reason: 'unknown-service', status: 404, detail: `there is no plain service ${serviceName}`, field: 'service' }))
     }
-    const refusal = refuseWhileStopping(this.stop, { longestMs: profile.deadlineMs, expectedMs: undefined })
-    if (refusal !== undefined) return fail(refusal)
     const body = await readBody(request, BODY_LIMIT_BYTES)
     if (!body.ok) return body
+    const refusal = refuseWhileStopping(this.stop, { remainingMs: profile.deadlineMs, expectedMs: undefined })
+    if (refusal !== undefined) return fail(refusal)
     const call: ServiceCall = {
       method: request.method,
       path,
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -5,34 +5,50 @@
 import { toProblem } from '../callers/problem.js'
 import { endToEndHeaders } from './headers.js'
 
-/** Connections on which a request has come. */
-const usedConnections = new WeakSet<Socket>()
+/** What the requests of one connection have to know of each other. */
+interface ConnectionState {
+  /** The request that came last. */
+  latest: CallerExchange
+  /** Whether an answer said that it is the last one. */
+  isEnding: boolean
+}
+
+const connectionStates = new WeakMap<Socket, ConnectionState>()
 
 /** The caller's side of a routed request. */
 export class CallerExchange {
   #hasHead = false
   #hasEnded = false
   #hasLeft = false
+  readonly #isTooLate: boolean
+  readonly #connection: ConnectionState
   readonly #isFirstOnConnection: boolean
 
   /**
    * @param request - the caller's request
    * @param response - the answer to it
-   * @param isLastOnConnection - whether the caller should use another connection afterwards
+   * @param wantsToEnd - whether callers should use other connections from now on
    */
   constructor (
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
-    private readonly isLastOnConnection: () => boolean
+    private readonly wantsToEnd: () => boolean
   ) {
     response.sendDate = false
-    this.#isFirstOnConnection = !usedConnections.has(request.socket)
-    usedConnections.add(request.socket)
+    const known = connectionStates.get(request.socket)
+    this.#isFirstOnConnection = known === undefined
+    this.#connection = known ?? { latest: this, isEnding: false }
+    this.#isTooLate = this.#connection.isEnding
+    this.#connection.latest = this
+    connectionStates.set(request.socket, this.#connection)
   }
 
   /** Whether the caller made a connection for this request. */
   get isFirstOnConnection (): boolean { return this.#isFirstOnConnection }
 
+  /** Whether an earlier answer on this connection was the last: no answer to this request can be sent any more. */
+  get isTooLate (): boolean { return this.#isTooLate }
+
   /** Whether part of an answer was passed on. */
   get hasHead (): boolean { return this.#hasHead }
   /** Whether the answer is complete, or nobody waits for it any more. */
@@ -43,6 +59,11 @@
     return this.hasEnded || this.request.errored !== null || this.request.socket.destroyed
   }
 
+  /** @param listener - called once when the answer has been handed to the system or the connection is gone */
+  onClosed (listener: () => void): void {
+    this.response.on('close', listener)
+  }
+
   /** @param listener - called once if the caller leaves before the answer is complete */
   onLeave (listener: () => void): void {
     this.response.on('close', () => {
@@ -61,7 +82,7 @@
   writeHead (status: number, headers: readonly string[]): void {
     this.#hasHead = true
     const kept = endToEndHeaders(headers)
-    if (this.isLastOnConnection()) kept.push('Connection', 'close')
+    if (this.#endsConnection()) kept.push('Connection', 'close')
     this.response.writeHead(status, kept)
   }
 
@@ -113,10 +134,17 @@
     const headers = ['Content-Type', 'application/problem+json', 'Content-Length', String(body.length)]
     if (refusal.retryAfterSeconds !== undefined) headers.push('Retry-After', refusal.retryAfterSeconds.toFixed(2))
     // Bytes of the request that were not read would be taken for the next one.
-    if (this.isLastOnConnection() || !this.request.complete) headers.push('Connection', 'close')
+    if (this.#endsConnection() || !this.request.complete) headers.push('Connection', 'close')
     this.#hasHead = true
     this.#hasEnded = true
     this.response.writeHead(refusal.status, headers)
     this.response.end(body)
   }
+
+  /** A caller may have sent further requests behind this one; they were read and are answered first. */
+  #endsConnection (): boolean {
+    if (!this.wantsToEnd() || this.#connection.latest !== this) return false
+    this.#connection.isEnding = true
+    return true
+  }
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -84,13 +84,11 @@
    * @param request - what to do
    * @param exchange - the caller's side
    * @param ports - surroundings
-   * @param onEnd - called once at the end
    */
   constructor (
     private readonly request: RoutedRequest,
     private readonly exchange: CallerExchange,
-    private readonly ports: RoutedPorts,
-    private readonly onEnd: () => void
+    private readonly ports: RoutedPorts
   ) {
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
@@ -138,7 +136,7 @@
 
   #tryNext (): void {
     // Also asked of requests that have waited since before the stop began.
-    if (this.#sends === 0 && !this.#canEndBeforeStop()) {
+    if (!this.#dispatch.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
       return
     }
@@ -159,6 +157,7 @@
       return
     }
     this.#sends += 1
+    if (this.ports.stop.isStopping) this.log('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
     attempt.send({
@@ -185,7 +184,7 @@
   #canEndBeforeStop (): boolean {
     const { route, fields } = this.request
     return this.ports.stop.admits({
-      longestMs: this.#deadline - performance.now(),
+      remainingMs: this.#deadline - performance.now(),
       expectedMs: this.ports.durations.expectedMs(route.name, fields.prompt?.outputTokens ?? 0)
     })
   }
@@ -295,7 +294,7 @@
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
     }
-    this.#recordDuration()
+    if (!isFailure) this.#recordDuration()
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...this.#placement(attempt.choice) })
     this.#relay.complete()
@@ -341,6 +340,7 @@
       remainingMs: this.#deadline - performance.now()
     })
     if (step.kind === 'give-up') return false
+    if (!this.exchange.hasHead && !this.#canEndBeforeStop()) return false
     if (step.spendsBudget && !this.ports.allowance.trySpend()) {
       this.#decided('retry-budget-used-up', { failure })
       return false
@@ -441,7 +441,6 @@
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
       this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, runs: this.#runs })
     }
-    this.onEnd()
   }
 
   #decided (event: string, details: LogDetails): void {
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -50,6 +50,9 @@
 /** Interval at which Node looks for callers that take too long, in milliseconds. */
 const SLOW_CALLER_LOOK_MS = 500
 
+/** Longest wait for answers that are being written when the server closes, in milliseconds: refusals of the last moment, which nothing else waits for. */
+const CLOSE_WAIT_MS = 100
+
 /** Pause after which a caller should ask another host again, in seconds. */
 const ASK_AGAIN_SECONDS = 0.3
 
@@ -67,7 +70,8 @@
   readonly #durations = new RouteDurations()
   #index: SiteIndex | undefined
   #lastRequestAt = 0
-  readonly #underWay = new Set<RoutedRequestTask>()
+  /** Requests that were read and not answered yet; the task only once there is one. */
+  readonly #underWay = new Map<CallerExchange, RoutedRequestTask | undefined>()
 
   /**
    * @param ports - surroundings
@@ -120,7 +124,7 @@
 
   /** Lets requests go that waited for what this host has learnt. */
   releaseWaiting (): void {
-    if (this.#mayServe()) this.#startup.release()
+    if (this.#mayServe() || this.ports.stop.isStopping) this.#startup.release()
   }
 
   /** Whether a site is known. */
@@ -136,19 +140,25 @@
 
   /** Logs what is under way, so that work that is cut later can be told by its ids. */
   logUnderWay (): void {
-    for (const task of this.#underWay) task.log('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
+    for (const task of this.#underWay.values()) task?.log('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
   }
 
   /** Ends what is under way because the process is about to be killed. */
   cutUnderWay (): void {
-    for (const task of [...this.#underWay]) task.endForStop(this.ports.stop.sinceSignalMs)
+    for (const [exchange, task] of [...this.#underWay]) {
+      if (task !== undefined) task.endForStop(this.ports.stop.sinceSignalMs)
+      else if (!exchange.hasEnded) this.#refuseDraining(exchange)
+    }
   }
 
-  /** Closes; requests under way must have ended. */
+  /** Closes; what is still being written has a moment to leave the process. */
   async close (): Promise<void> {
     await new Promise<void>(resolve => {
-      this.#server.close(() => { resolve() })
-      this.#server.closeAllConnections()
+      const overdue = setTimeout(() => { this.#server.closeAllConnections() }, CLOSE_WAIT_MS)
+      this.#server.close(() => {
+        clearTimeout(overdue)
+        resolve()
+      })
     })
   }
 
@@ -162,9 +172,21 @@
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
     const exchange = new CallerExchange(message, response, () => this.ports.stop.isStopping)
+    // It was sent before its caller knew, and the connection closes without it.
+    if (exchange.isTooLate) return
+    const ticket = this.ports.work.tryBegin()
+    if (ticket === undefined) {
+      this.#refuseDraining(exchange)
+      return
+    }
+    this.#underWay.set(exchange, undefined)
+    exchange.onClosed(() => {
+      this.#underWay.delete(exchange)
+      ticket.end()
+    })
     const fields = this.ports.codec.readCaller(message.rawHeaders)
     const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
-    if (this.#mayServe() || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) {
+    if (this.#mayServe() || this.ports.stop.isStopping || !this.#startup.hold(exchange, fields.deadlineMs, arrivedAt, route)) {
       route()
       return
     }
@@ -245,11 +267,6 @@
       this.#refuse(exchange, fields, 'no-endpoint', 503, `route ${route.name} leads to no service`, ASK_AGAIN_SECONDS)
       return
     }
-    const ticket = this.ports.work.tryBegin()
-    if (ticket === undefined) {
-      this.#refuse(exchange, fields, 'draining', 503, 'this host is stopping; ask another', ASK_AGAIN_SECONDS)
-      return
-    }
     const allowance = this.#allowance(service.name)
     allowance.recordRequest(this.ports.liveHosts())
     this.#requests.count(route.kind)
@@ -269,15 +286,16 @@
       desiredVersion: model => this.ports.desiredVersion(model),
       storesUsable: now => this.ports.storesUsable(now),
       storeClockMs: now => this.ports.storeClockMs(now)
-    }, () => {
-      this.#underWay.delete(task)
-      ticket.end()
     })
-    this.#underWay.add(task)
-    if (this.ports.stop.isStopping) task.log('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: exchange.isFirstOnConnection })
+    this.#underWay.set(exchange, task)
     task.start()
   }
 
+  #refuseDraining (exchange: CallerExchange): void {
+    const fields = this.ports.codec.readCaller(exchange.request.rawHeaders)
+    this.#refuse(exchange, fields, 'draining', 503, 'this host is stopping; ask another', ASK_AGAIN_SECONDS)
+  }
+
   #refuse (
     exchange: CallerExchange, fields: CallerFields, reason: RefusalReason, status: number, detail: string, retryAfterSeconds?: number
   ): void {
--- a/apps/entry/src/lib/runs/RunManager.ts
+++ b/apps/entry/src/lib/runs/RunManager.ts
@@ -1,13 +1,13 @@
 /** Admits runs, keeps them for callers that come back, and ends those nobody reads. */
 import type { WorkGate, WorkTicket } from '@eelgrassmux/daemon/WorkGate'
 import { RetryBudget } from '@eelgrassmux/policy/limits/RetryBudget'
+import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { createRunId, RunRegistry } from '@eelgrassmux/runs/RunRegistry'
 import { refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
-import type { AdmissionGate } from './AdmissionGate.js'
-import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
 import type { PlannedStop } from '../PlannedStop.js'
+import type { AdmissionGate } from './AdmissionGate.js'
 import { Run } from './Run.js'
 import { heldTokens, RunTask, type RunPorts, type RunRequest } from './RunTask.js'
 
@@ -77,9 +77,6 @@
    * @returns the run, or why it was not admitted
    */
   async start (service: string, request: RunRequest, gone: AbortSignal): Promise<Result<Run, Refusal>> {
-    const { maxTokens } = request
-    const refusal = refuseWhileStopping(this.plannedStop, { longestMs: request.profile.deadlineMs, expectedMs: this.#durations.expectedMs(service, maxTokens) })
-    if (refusal !== undefined) return fail(refusal)
     const run = new Run(createRunId(this.settings.peerAddress), request.customer.name, this.ports.clock)
     const tokens = heldTokens(request)
     this.#requestTokens += (tokens - this.#requestTokens) * (this.#requestTokens === 0 ? 1 : 0.05)
@@ -98,6 +95,13 @@
         retryAfterSeconds: Math.max(1, Math.ceil(decision.retryAfterMs / 1000 * (1 + Math.random() / 2)))
       }, run.dispatch))
     }
+    // Asked after the wait: a run may have queued since before the stop.
+    const { maxTokens } = request
+    const refusal = refuseWhileStopping(this.plannedStop, { remainingMs: request.profile.deadlineMs, expectedMs: this.#durations.expectedMs(service, maxTokens) })
+    if (refusal !== undefined) {
+      this.gate.release(run.id)
+      return fail(refusal)
+    }
     const task = new RunTask(run, request, { ...this.ports, budget: this.#budget(service) })
     this.#runs.add(run.id, { customer: request.customer.name, run, task, ticket: this.work.beginFollowUp() })
     this.#underWay += 1
--- a/packages/daemon/src/lib/runDaemon.test.ts
+++ b/packages/daemon/src/lib/runDaemon.test.ts
@@ -15,7 +15,7 @@
     process.stdout.write('starting\\n')
     await once(process.stdin, 'data')
     process.stdin.destroy()
-    return { addresses: {}, isReady: () => true, drain: async () => {}, close: async () => {} }
+    return { addresses: {}, isReady: () => true, reload: () => { process.stdout.write('reloaded\\n') }, drain: async () => {}, close: async () => {} }
   }
   await runDaemon({ name: 'slow', description: 'starts slowly', settings: z.object(commonSettingsShape), start }, ['--data-centre', 'north'])
 `
@@ -25,21 +25,38 @@
 
   afterEach(() => { daemon.kill('SIGKILL') })
 
-  describe('a stop signal that comes while the daemon starts', () => {
-    it('is kept until it can stop as planned, and the last line is written', async () => {
-      daemon = spawn(process.execPath, ['--input-type=module', '-e', SLOW_DAEMON], { env: { ...process.env, ROARR_LOG: 'true' }, stdio: ['pipe', 'pipe', 'inherit'] })
-      let output = ''
-      const exit = once(daemon, 'close')
-      await new Promise<void>(resolve => {
-        daemon.stdout?.on('data', chunk => {
-          output += String(chunk)
-          if (output.includes('starting')) resolve()
-        })
+  /** Starts the daemon, sends signals while it starts, and lets it go on. */
+  async function signalDuringStart (...signals: NodeJS.Signals[]): Promise<{ readonly exit: unknown, readonly output: string }> {
+    daemon = spawn(process.execPath, ['--input-type=module', '-e', SLOW_DAEMON], { env: { ...process.env, ROARR_LOG: 'true' }, stdio: ['pipe', 'pipe', 'inherit'] })
+    let output = ''
+    const exit = once(daemon, 'close')
+    await new Promise<void>(resolve => {
+      daemon.stdout?.on('data', chunk => {
+        output += String(chunk)
+        if (output.includes('starting')) resolve()
       })
-      daemon.kill('SIGTERM')
-      daemon.stdin?.write('go on\n')
-      expect(await exit).toEqual([0, null])
+    })
+    for (const signal of signals) daemon.kill(signal)
+    daemon.stdin?.write('go on\n')
+    return { exit: await exit, output }
+  }
+
+  describe('signals that come while the daemon starts', () => {
+    it('are kept until it can stop as planned, and the last line is written', async () => {
+      const { exit, output } = await signalDuringStart('SIGTERM')
+      expect(exit).toEqual([0, null])
       expect(output).toContain('"event":"stopped"')
     })
+
+    it('are kept until it can reload its settings', async () => {
+      const { exit, output } = await signalDuringStart('SIGHUP', 'SIGTERM')
+      expect(exit).toEqual([0, null])
+      expect(output).toContain('reloaded')
+    })
+
+    it('may repeat the wish to stop without cutting anything', async () => {
+      const { exit } = await signalDuringStart('SIGTERM', 'SIGTERM')
+      expect(exit).toEqual([0, null])
+    })
   })
 })
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -1,18 +1,16 @@
 /**
  * Frame of every daemon: checked settings, readiness, and a graceful stop.
  *
- * SIGTERM: not ready but still accepting while the balancer notices, then no new
- * work, finish all, exit 0. A second signal is the operator's own choice and
- * exits at once.
+ * SIGTERM: not ready, finish all, exit 0. What is still taken meanwhile is the daemon's own
+ * decision. An interrupt after that is the operator's choice and exits at once.
  */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import type { z } from 'zod'
 import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
-import { StopSignal } from './StopSignal.js'
+import { ProcessSignals } from './ProcessSignals.js'
 import { describeMistakes, flagOf, variableOf } from './settings.js'
 
 /** Settings that the frame itself reads. */
@@ -22,8 +20,6 @@
   readonly dataCentre: string
   readonly keptStories: number
   readonly logLinesPerSecond: number
-  /** Milliseconds of readiness withdrawn before new work is refused. */
-  readonly balancerLagMs?: number
 }
 
 /** A started daemon. */
@@ -32,11 +28,15 @@
   readonly addresses: Readonly<Record<string, string>>
   /** Whether new work is welcome. */
   isReady (): boolean
-  /** Told at once when a planned stop begins, before the balancer has noticed. */
-  stopping? (): void
+  /**
+   * Told at once when a planned stop begins.
+   *
+   * @param signalledAt - monotonic milliseconds of the signal
+   */
+  stopping? (signalledAt: number): void
   /** Told that settings which may change while the process runs have changed. */
   reload? (): void
-  /** Refuses new work from now on and resolves when all work under way is finished. */
+  /** Sees the planned stop through; resolves when all work under way is finished and none will begin. */
   drain (): Promise<void>
   /** Closes sockets and files. */
   close (): Promise<void>
@@ -68,19 +68,19 @@
  *
  * @param program - what to run
  * @param args - command line arguments
- * @param stop - tells when to stop; given if the process listened before the program was loaded
+ * @param signals - what the process is told; given if it listened before the program was loaded
  */
 export async function runDaemon<Settings extends CommonSettings> (
-  program: DaemonProgram<Settings>, args: readonly string[], stop = new StopSignal()
+  program: DaemonProgram<Settings>, args: readonly string[], signals = new ProcessSignals()
 ): Promise<void> {
   const cli = new Cli({ binaryName: program.name, binaryLabel: program.description, binaryVersion: '0.1.0' })
-  cli.register(commandFor(program, stop))
+  cli.register(commandFor(program, signals))
   cli.register(Builtins.HelpCommand)
   cli.register(Builtins.VersionCommand)
   process.exitCode = await cli.run([...args], Cli.defaultContext)
 }
 
-function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>, stop: StopSignal): new () => Command {
+function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>, signals: ProcessSignals): new () => Command {
   const names = Object.keys(program.settings.shape)
   return class extends Command {
     static override paths = [Command.Default]
@@ -108,7 +108,7 @@
         this.context.stdout.write('settings are valid\n')
         return 0
       }
-      return await supervise(program, parsed.data, stop)
+      return await supervise(program, parsed.data, signals)
     }
   }
 }
@@ -124,7 +124,7 @@
   return `Settings, each a flag or an environment variable:\n\n${lines.join('\n\n')}`
 }
 
-async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings, stop: StopSignal): Promise<number> {
+async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings, signals: ProcessSignals): Promise<number> {
   const telemetry = new Telemetry(program.name, settings)
   const invariants = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
   const fail = (error: unknown): void => {
@@ -149,15 +149,14 @@
   const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
   telemetry.stateChanged('started', addresses)
-  process.on('SIGHUP', () => {
+  signals.onReload(() => {
     telemetry.stateChanged('reloading')
     daemon.reload?.()
   })
-  await stop.received()
+  const signalledAt = await signals.stopReceived()
   draining = true
-  daemon.stopping?.()
+  daemon.stopping?.(signalledAt)
   telemetry.stateChanged('draining')
-  await sleep(settings.balancerLagMs ?? 0)
   await daemon.drain()
   telemetry.stateChanged('stopped')
   await daemon.close()
--- a/packages/policy/src/lib/limits/admitWhileStopping.ts
+++ b/packages/policy/src/lib/limits/admitWhileStopping.ts
@@ -12,11 +12,11 @@
   /** Milliseconds until the process is killed. */
   readonly leftMs: number
   /** Milliseconds until the request's own time is over, by its route or its caller. */
-  readonly longestMs: number
+  readonly remainingMs: number
   /** Milliseconds within which nine in ten such requests end, if known. */
   readonly expectedMs: number | undefined
   /** Whether the balancer has had the time to notice that the host is stopping. */
-  readonly balancerKnows: boolean
+  readonly isBalancerLagOver: boolean
 }
 
 /** Time before the kill that admission leaves free, in milliseconds: a signal is noticed late and an answer is written late by some tenths of a second on a busy host. */
@@ -31,9 +31,9 @@
  * @param situation - what is known
  */
 export function admitWhileStopping (situation: StoppingSituation): boolean {
-  const { leftMs, longestMs, expectedMs, balancerKnows } = situation
+  const { leftMs, remainingMs, expectedMs, isBalancerLagOver } = situation
   const usableMs = leftMs - RESERVE_MS
-  if (longestMs <= usableMs) return true
-  if (balancerKnows) return false
+  if (remainingMs <= usableMs) return true
+  if (isBalancerLagOver || usableMs <= 0) return false
   return expectedMs === undefined || expectedMs <= usableMs
 }
