--- a/apps/entry/src/lib/PlannedStop.test.ts
+++ b/apps/entry/src/lib/PlannedStop.test.ts
@@ -3,9 +3,9 @@
  * middle, each at the moment at which the platform killed a host, eight seconds after its
  * SIGTERM. The host had taken them up to five seconds after the signal.
  *
- * How it came about: half of the hosts were stopping at once, so the balancer sent new
- * connections to all of them again. The quiet for which a stop waits never came, and until
- * then everything was taken, whatever time it needed.
+ * How it came about: callers kept their connections, and with more than half of the hosts of a
+ * data centre stopping at once the balancer sent new ones to all of them again. The quiet for
+ * which a stop waits never came, and until then everything was taken, whatever time it needed.
  *
  * Cause: work was admitted without regard to how long the process may live. Proved by the
  * first test: with requests coming all the time, a stream that outlasts the grace period is
