Randomised runs found groups under faults and check what they acknowledge

Cause: the agreement world begins with three founders, so nothing exercised the forming of a group; a command acknowledged by a founder alone was seen only by a test of processes beside load.

Change: a world that founds and joins groups of five under kills, cuts and freezes while operators call, and then takes the disks of the founder and one more host: what was acknowledged must still be read. Its break asks for the membership when a command arrives and appends in a later step.

--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -16,7 +16,7 @@
 import type { Ledger, PromiseName } from '../Ledger.js'
 import type { Simulation } from '../Simulation.js'
 import type { World } from '../World.js'
-import { SimulatedReplica } from './SimulatedReplica.js'
+import { ALL_MECHANISMS, SimulatedReplica } from './SimulatedReplica.js'
 
 const HOSTS = 3
 const KEYS = 8
@@ -98,7 +98,8 @@
   }
 
   #addReplica (self: Replica, disk: PersistentState): SimulatedReplica {
-    const replica = new SimulatedReplica(this.simulation, self, disk, this.broken !== 'configuration-never-reverts', {
+    const mechanisms = { ...ALL_MECHANISMS, syncs: this.broken !== 'configuration-never-reverts' }
+    const replica = new SimulatedReplica(this.simulation, self, disk, mechanisms, {
       send: (from, to, message) => { this.#sendRaft(from, to, message) },
       applied: (applier, entry) => { this.#onApplied(applier, entry) }
     })
--- a/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
@@ -13,7 +13,7 @@
 import type { Simulation } from '../Simulation.js'
 
 /** Timing of the simulated replicas; short leases make faults bite often. */
-export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, maxBytesPerAppend: 1024 * 1024, promotionLag: 4, minimumVoters: 3 }
+export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, maxBytesPerAppend: 1024 * 1024, promotionLag: 4, minimumVoters: 1 }
 
 /** What became of a proposed command. */
 export type SimulatedOutcome =
@@ -21,6 +21,18 @@
   | { readonly kind: 'not-leader', readonly leader: string | undefined }
   | { readonly kind: 'uncertain' }
 
+/** Mechanisms of a replica that a world can take away to see that its checks find it. */
+export interface ReplicaMechanisms {
+  /** Effects wait for the sync of their writes. */
+  readonly syncs: boolean
+  /** Committed voters that its group needs before it takes a command. */
+  readonly minimumVoters: number
+  /** Whether the group is formed is asked in the step that appends, and not when the command arrives. */
+  readonly asksInStep: boolean
+}
+
+export const ALL_MECHANISMS: ReplicaMechanisms = { syncs: true, minimumVoters: 1, asksInStep: true }
+
 /** What a replica needs from its world. */
 export interface ReplicaPorts {
   send (from: Replica, to: Replica, message: RaftMessage): void
@@ -51,14 +63,14 @@
    * @param simulation - schedule
    * @param self - id and address
    * @param disk - what the disk holds at first
-   * @param syncs - false takes the sync before effects away
+   * @param mechanisms - what holds its promises
    * @param ports - surroundings
    */
   constructor (
     private readonly simulation: Simulation,
     readonly self: Replica,
     disk: PersistentState,
-    private readonly syncs: boolean,
+    private readonly mechanisms: ReplicaMechanisms,
     private readonly ports: ReplicaPorts
   ) {
     this.#disk = new PersistentImage(disk)
@@ -84,6 +96,10 @@
    * @param resolve - told what became of it
    */
   propose (command: Command, resolve: (outcome: SimulatedOutcome) => void): void {
+    if (!this.mechanisms.asksInStep && this.#isKnownToForm()) {
+      resolve({ kind: 'not-leader', leader: undefined })
+      return
+    }
     this.#post(now => {
       const proposed = this.core.propose(encodeCommand({ stampedAt: this.simulation.wallClock(), command }), now)
       if (!proposed.ok) {
@@ -129,11 +145,17 @@
   }
 
   #newCore (): RaftCore {
-    const core = new RaftCore(this.self, this.#disk.state(), SIMULATED_RAFT, this.simulation.random, this.simulation.now())
+    const minimumVoters = this.mechanisms.asksInStep ? this.mechanisms.minimumVoters : 1
+    const core = new RaftCore(this.self, this.#disk.state(), { ...SIMULATED_RAFT, minimumVoters }, this.simulation.random, this.simulation.now())
     if (core.snapshot !== undefined) this.state.restore(stateImageSchema.parse(decode(core.snapshot.state)))
     return core
   }
 
+  /** Only a leader knows; what it knows may be outdated by the time it appends. */
+  #isKnownToForm (): boolean {
+    return this.core.role === 'leader' && this.core.committedMembership.voters.length < this.mechanisms.minimumVoters
+  }
+
   #tick (): void {
     const incarnation = this.#incarnation
     this.simulation.after(TICK_MS, () => {
@@ -172,13 +194,13 @@
     const writes = effects.flatMap(effect => effect.writes)
     const incarnation = this.#incarnation
     this.#syncing = true
-    if (!this.syncs) for (const effect of effects) this.#carryOut(effect)
-    const syncMs = writes.length === 0 ? 0 : 0.5 + this.simulation.random() * (this.syncs ? 4 : 200)
+    if (!this.mechanisms.syncs) for (const effect of effects) this.#carryOut(effect)
+    const syncMs = writes.length === 0 ? 0 : 0.5 + this.simulation.random() * (this.mechanisms.syncs ? 4 : 200)
     this.simulation.after(syncMs, () => {
       if (incarnation !== this.#incarnation) return
       for (const write of writes) this.#disk.take(write)
       this.#syncing = false
-      if (this.syncs) for (const effect of effects) this.#carryOut(effect)
+      if (this.mechanisms.syncs) for (const effect of effects) this.#carryOut(effect)
       this.#maybeSnapshot()
       this.#work()
     })
--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -3,6 +3,7 @@
 import { AgreementWorld } from './AgreementWorld.js'
 import { DirectoryWorld } from './DirectoryWorld.js'
 import { EndpointWorld } from './EndpointWorld.js'
+import { FormationWorld } from './FormationWorld.js'
 import { RunWorld } from './RunWorld.js'
 
 export const WORLDS: readonly WorldFactory[] = [
@@ -25,5 +26,10 @@
     name: 'endpoints',
     promises: ['leaving-gets-no-work'],
     create: (simulation, ledger, broken) => new EndpointWorld(simulation, ledger, broken)
+  },
+  {
+    name: 'formation',
+    promises: ['complete-before-commands'],
+    create: (simulation, ledger, broken) => new FormationWorld(simulation, ledger, broken)
   }
 ]
