Changes of the membership are decided and answered from what is committed

Cause, found while looking for checks that are not one step with their act: - A change counted as done when nothing was pending any more. If another leader had overwritten it, that was so as well. - A follower answered "done" to a learner that its old membership named as a voter, and any host "unknown" to the removal of an identity; a joiner takes that for removed. The leader said "unknown" while the removal was pending. - A joiner asked the first contact that answered for its former identity. One that had not joined yet knew of none, so the joiner became a voter beside its own lost disk until the silence of that one was noticed. - The leader chose a surplus replica in one step and removed it in a later one; a host may have removed its former identity in between, and the group would have had one voter fewer than it needs.

Change: only the leader answers, and "unknown" only of a committed membership; done means that the committed membership shows the change; a joiner reads its former identity in its own log, which is newer than its joining; the surplus is looked for again in the step that removes it.

Each test failed on the code before ("done" in place of refused or not-leader; no removal before the promotion; the check of the surplus is new, so its test has no earlier form).

--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -1,26 +1,20 @@
 /** Serves a control host's methods to hosts, operators and other replicas. */
 import { EventEmitter, once } from 'node:events'
-import { setTimeout as sleep } from 'node:timers/promises'
-import type { RaftError } from '@eelgrassmux/consensus/RaftError'
-import { unreachable } from '@eelgrassmux/schema/invariant'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
 import {
-  changeMembership, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchStoredParts, watchView,
-  type EndpointListMessage, type MembershipChange, type MembershipChangeResponse, type ViewMessage
+  changeMembership as changeMembershipMethod, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchStoredParts, watchView,
+  type EndpointListMessage, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { EndpointListTask } from './endpoints/EndpointListTask.js'
 import type { HostTable } from './hosts/HostTable.js'
 import type { OrderTask } from './orders/OrderTask.js'
+import { changeMembership } from './raft/changeMembership.js'
 import type { RaftTask } from './raft/RaftTask.js'
 import type { StoreTask } from './stores/StoreTask.js'
 import type { SiteService } from './site/SiteService.js'
 
-/** Longest wait for a membership change to be committed, and interval between looks, in milliseconds. */
-const COMMIT_WAIT_MS = 1500
-const COMMIT_LOOK_MS = 10
-
 /** Interval between messages of an endpoint watch that has nothing new to say, in milliseconds. */
 const SIGN_OF_LIFE_MS = 500
 
@@ -101,7 +95,7 @@
       }
     })
     server.handle(listOrders, async () => ({ orders: this.orders.reports() }))
-    server.handle(changeMembership, async change => await this.#changeMembership(change))
+    server.handle(changeMembershipMethod, async change => await changeMembership(this.raft, change))
     server.handleStream(watchView, async ({ viewRevision }, stream) => { await this.#watch(viewRevision, stream) })
     server.handleStream(watchEndpoints, async (_request, stream) => { await this.#watchEndpoints(stream) })
     server.handleStream(watchStoredParts, async (_request, stream) => { await this.#watchStoredParts(stream) })
@@ -179,26 +173,6 @@
   #stillRemoved<Name extends { readonly kind: string, readonly name: string }> (removes: readonly Name[]): Name[] {
     return removes.filter(({ kind, name }) => !this.raft.state.hasDocument(kind, name))
   }
-
-  async #changeMembership (change: MembershipChange): Promise<MembershipChangeResponse> {
-    if (change.kind === 'transfer') {
-      this.raft.transfer()
-      return { kind: 'done' }
-    }
-    const error = await this.raft.change((core, now) => {
-      switch (change.kind) {
-        case 'add-learner': return core.addLearner(change.replica, now)
-        case 'promote': return core.promote(change.id, now)
-        case 'remove': return core.remove(change.id, now)
-        default: return unreachable(change)
-      }
-    })
-    if (error !== undefined) return toResponse(error)
-    const deadline = performance.now() + COMMIT_WAIT_MS
-    while (this.raft.core.isMembershipPending && performance.now() < deadline) await sleep(COMMIT_LOOK_MS)
-    // Whoever waits for a repair must not take an uncommitted one for complete.
-    return this.raft.core.isMembershipPending ? { kind: 'refused', reason: 'not-committed' } : { kind: 'done' }
-  }
 }
 
 /** Resolves at the next change, at the next time for a sign of life, or when the watch ends. */
@@ -215,8 +189,3 @@
     signal.addEventListener('abort', finish, { once: true })
   })
 }
-
-function toResponse (error: RaftError): MembershipChangeResponse {
-  if (error.kind === 'not-leader') return { kind: 'not-leader', leader: error.leader?.address ?? '' }
-  return { kind: 'refused', reason: error.kind }
-}
--- a/apps/control/src/lib/raft/GroupKeeper.ts
+++ b/apps/control/src/lib/raft/GroupKeeper.ts
@@ -7,11 +7,10 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
-import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import { listHosts } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import { findSurplusReplica } from './MembershipKeeper.js'
+import { findSurplusReplica, removeIfStillSurplus } from './MembershipKeeper.js'
 import { joinGroup } from './joinGroup.js'
 import type { RaftTask } from './RaftTask.js'
 
@@ -71,7 +70,7 @@
   async #removeSurplus (core: RaftCore): Promise<void> {
     const surplus = findSurplusReplica(core, this.targetVoters, performance.now())
     if (surplus === undefined) return
-    const error = await this.raft.change((group, now) => group.remove(surplus.id, now))
+    const error = await this.raft.change((group, now) => removeIfStillSurplus(group, surplus.id, this.targetVoters, now))
     this.telemetry.stateChanged('replica-removed', {
       replica: surplus.id, address: surplus.address, silentMs: Math.round(core.silentFor(surplus.id, performance.now())), outcome: error?.kind ?? 'proposed'
     })
@@ -96,11 +95,7 @@
 
   async #join (core: RaftCore): Promise<void> {
     this.telemetry.stateChanged('joining', { replica: core.self.id, contacts: this.#others().join(' ') })
-    const isMember = (): boolean => {
-      const { voters, learners } = core.membership
-      return core.leader !== undefined && [...voters, ...learners].some((replica: Replica) => replica.id === core.self.id)
-    }
-    await joinGroup(this.rpc, core.self, () => this.#others(), isMember, () => this.#isStopped)
+    await joinGroup(this.rpc, core, () => this.#others(), () => this.#isStopped)
     this.#leaderlessSince = undefined
     this.telemetry.stateChanged('joined', { replica: core.self.id })
   }
--- a/apps/control/src/lib/raft/MembershipKeeper.test.ts
+++ b/apps/control/src/lib/raft/MembershipKeeper.test.ts
@@ -2,7 +2,7 @@
 import { RaftCore } from '@eelgrassmux/consensus/RaftCore'
 import { DEFAULT_RAFT_SETTINGS } from '@eelgrassmux/consensus/RaftSettings'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
-import { findSurplusReplica, LEARNER_SILENCE_MS, SURPLUS_SILENCE_MS } from './MembershipKeeper.js'
+import { findSurplusReplica, LEARNER_SILENCE_MS, removeIfStillSurplus, SURPLUS_SILENCE_MS } from './MembershipKeeper.js'
 
 const replica = (id: string): Replica => ({ id, address: `10.0.0.${id.length}:${id}` })
 
@@ -92,6 +92,28 @@
   })
 })
 
+describe('removeIfStillSurplus', () => {
+  it('leaves the group as it is when a host removed its former identity in between', () => {
+    const group = new Group('a', 'b', 'c', 'd', 'successor')
+    group.silence('b')
+    group.run(SURPLUS_SILENCE_MS + 500)
+    expect(group.surplus(5)).toBe('b')
+    group.leader.remove('d', group.now)
+    group.run(100)
+    expect(group.leader.committedMembership.voters).toHaveLength(5)
+    expect(removeIfStillSurplus(group.leader, 'b', 5, group.now)).toEqual({ ok: false, error: { kind: 'change-in-progress' } })
+    expect(group.leader.membership.voters).toHaveLength(5)
+  })
+
+  it('removes what is still surplus', () => {
+    const group = new Group('a', 'b', 'c', 'd', 'successor')
+    group.silence('b')
+    group.run(SURPLUS_SILENCE_MS + 500)
+    expect(removeIfStillSurplus(group.leader, 'b', 5, group.now).ok).toBe(true)
+    expect(group.leader.membership.voters.map(voter => voter.id)).not.toContain('b')
+  })
+})
+
 describe('RaftCore.isReadConfirmed', () => {
   it('needs a quorum that followed after the read began, whatever the lease says', () => {
     const group = new Group('a', 'b')
--- a/apps/control/src/lib/raft/MembershipKeeper.ts
+++ b/apps/control/src/lib/raft/MembershipKeeper.ts
@@ -1,6 +1,8 @@
 /** Decides, on the leader, which replica no longer belongs to the group. */
 import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
-import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { RaftError } from '@eelgrassmux/consensus/RaftError'
+import type { RaftEffects, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { fail, type Result } from '@eelgrassmux/schema/Result'
 
 /**
  * Silence after which a surplus voter is taken for gone, in milliseconds: longer
@@ -32,3 +34,17 @@
   }
   return learners.find(learner => silence(learner) > LEARNER_SILENCE_MS)
 }
+
+/**
+ * Removes a replica, for the step of the core: what was found before the step may no longer hold in it.
+ *
+ * @param core - the leader's replica
+ * @param id - what {@link findSurplusReplica} named
+ * @param targetVoters - voters that the group needs
+ * @param now - monotonic milliseconds
+ * @returns `change-in-progress` if the group has changed meanwhile
+ */
+export function removeIfStillSurplus (core: RaftCore, id: string, targetVoters: number, now: number): Result<RaftEffects, RaftError> {
+  if (findSurplusReplica(core, targetVoters, now)?.id !== id) return fail({ kind: 'change-in-progress' })
+  return core.remove(id, now)
+}
--- /dev/null
+++ b/apps/control/src/lib/raft/changeMembership.ts
@@ -0,0 +1,56 @@
+/** Carries out a change of the membership that another host or an operator asks for. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Membership } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { RaftError } from '@eelgrassmux/consensus/RaftError'
+import type { MembershipChange, MembershipChangeResponse } from '@eelgrassmux/rpc/methods/controlMethods'
+import { unreachable } from '@eelgrassmux/schema/invariant'
+import type { RaftTask } from './RaftTask.js'
+
+/** Longest wait for a membership change to be committed, and interval between looks, in milliseconds. */
+const COMMIT_WAIT_MS = 1500
+const COMMIT_LOOK_MS = 10
+
+/**
+ * Changes the membership and waits until that is committed: whoever waits for a
+ * repair must not take an uncommitted one for complete.
+ *
+ * @param raft - this host's replica
+ * @param change - what is asked for
+ * @returns done only if the committed membership shows the change
+ */
+export async function changeMembership (raft: RaftTask, change: MembershipChange): Promise<MembershipChangeResponse> {
+  if (change.kind === 'transfer') {
+    raft.transfer()
+    return { kind: 'done' }
+  }
+  const error = await raft.change((core, now) => {
+    switch (change.kind) {
+      case 'add-learner': return core.addLearner(change.replica, now)
+      case 'promote': return core.promote(change.id, now)
+      case 'remove': return core.remove(change.id, now)
+      default: return unreachable(change)
+    }
+  })
+  if (error !== undefined) return toResponse(error)
+  const deadline = performance.now() + COMMIT_WAIT_MS
+  while (raft.core.isMembershipPending && performance.now() < deadline) await sleep(COMMIT_LOOK_MS)
+  // Nothing pending can also mean that another leader has overwritten the change.
+  const isDone = !raft.core.isMembershipPending && isInForce(change, raft.core.committedMembership)
+  return isDone ? { kind: 'done' } : { kind: 'refused', reason: 'not-committed' }
+}
+
+function isInForce (change: Exclude<MembershipChange, { kind: 'transfer' }>, { voters, learners }: Membership): boolean {
+  const isVoter = (id: string): boolean => voters.some(voter => voter.id === id)
+  const isLearner = (id: string): boolean => learners.some(learner => learner.id === id)
+  switch (change.kind) {
+    case 'add-learner': return isLearner(change.replica.id) || isVoter(change.replica.id)
+    case 'promote': return isVoter(change.id)
+    case 'remove': return !isLearner(change.id) && !isVoter(change.id)
+    default: return unreachable(change)
+  }
+}
+
+function toResponse (error: RaftError): MembershipChangeResponse {
+  if (error.kind === 'not-leader') return { kind: 'not-leader', leader: error.leader?.address ?? '' }
+  return { kind: 'refused', reason: error.kind }
+}
--- /dev/null
+++ b/apps/control/src/lib/raft/joinGroup.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest'
+import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { changeMembership, type MembershipChange } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import { succeed, type Result } from '@eelgrassmux/schema/Result'
+import { joinGroup, type JoiningReplica } from './joinGroup.js'
+
+const SELF: Replica = { id: 'new', address: 'rebuilt' }
+const FORMER: Replica = { id: 'old', address: 'rebuilt' }
+const LEADER: Replica = { id: 'leader', address: 'leader' }
+const FRESH: Replica = { id: 'fresh', address: 'fresh' }
+
+/** A leader that does what it is asked, and a contact that has not joined any group yet. */
+class Contacts {
+  readonly changes: MembershipChange[] = []
+
+  async call (address: string, method: unknown, request: unknown): Promise<Result<unknown, never>> {
+    if (method !== changeMembership) return succeed({ voters: [], learners: [], leader: '', replicaId: address })
+    if (address !== LEADER.address) return succeed({ kind: 'not-leader', leader: '' })
+    this.changes.push(request as MembershipChange)
+    return succeed({ kind: 'done' })
+  }
+}
+
+describe('joinGroup', () => {
+  it('removes its former identity although the first contact knows of no group', async () => {
+    const contacts = new Contacts()
+    const core: JoiningReplica = { self: SELF, leader: LEADER, membership: { voters: [LEADER, FORMER], learners: [SELF] } }
+    await joinGroup(contacts as unknown as RpcClient, core, () => [FRESH.address, LEADER.address], () => false)
+    expect(contacts.changes).toEqual([{ kind: 'add-learner', replica: SELF }, { kind: 'remove', id: FORMER.id }, { kind: 'promote', id: SELF.id }])
+  })
+})
--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -5,8 +5,8 @@
  * counts on two identities of one host.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
-import { changeMembership, listHosts, type MembershipChange, type MembershipChangeResponse } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
+import { changeMembership, type MembershipChange, type MembershipChangeResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 
 /** Pause between attempts, in milliseconds. */
@@ -18,6 +18,9 @@
 /** Wait for the first messages of the leader before it is asked again, in milliseconds; they come at once. */
 const CATCH_UP_MS = 1500
 
+/** What joining needs to know of this replica, as of now. */
+export type JoiningReplica = Pick<RaftCore, 'self' | 'membership' | 'leader'>
+
 /** Addresses of replicas in the group, as of now. */
 type Contacts = () => readonly string[]
 
@@ -25,20 +28,19 @@
  * Joins, trying until it succeeds.
  *
  * @param rpc - client for the calls
- * @param self - this replica
+ * @param core - this replica
  * @param contacts - addresses of replicas in the group
- * @param isCaughtUp - whether this replica has received a membership with itself in it
  * @param isStopped - whether to give up
  */
-export async function joinGroup (
-  rpc: RpcClient, self: Replica, contacts: Contacts, isCaughtUp: () => boolean, isStopped: () => boolean
-): Promise<void> {
+export async function joinGroup (rpc: RpcClient, core: JoiningReplica, contacts: Contacts, isStopped: () => boolean): Promise<void> {
+  const { self } = core
+  const isCaughtUp = (): boolean => hasReceivedItself(core)
   do {
     await untilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped)
     await waitFor(isCaughtUp, isStopped)
     // Whoever added us may have been replaced, or may have removed us again: ask anew.
   } while (!isCaughtUp() && !isStopped())
-  for (const old of await formerIdentities(rpc, self, contacts())) await untilDone(rpc, contacts, { kind: 'remove', id: old }, isStopped)
+  for (const old of formerIdentities(core)) await untilDone(rpc, contacts, { kind: 'remove', id: old }, isStopped)
   await untilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped)
 }
 
@@ -65,12 +67,12 @@
   return change.kind === 'remove' && response.kind === 'refused' && response.reason === 'unknown-replica'
 }
 
-async function formerIdentities (rpc: RpcClient, self: Replica, contacts: readonly string[]): Promise<string[]> {
-  for (const contact of contacts) {
-    const answer = await rpc.call(contact, listHosts, {}, CALL_MS)
-    if (!answer.ok) continue
-    const former = answer.value.voters.filter(voter => voter.address === self.address && voter.id !== self.id)
-    return former.map(voter => voter.id)
-  }
-  return []
+/** Whether a leader has sent this replica a membership with itself in it. */
+function hasReceivedItself ({ self, membership, leader }: JoiningReplica): boolean {
+  return leader !== undefined && [...membership.voters, ...membership.learners].some(replica => replica.id === self.id)
+}
+
+/** From the own log, which is newer than the joining; a contact that was asked might know of nobody yet. */
+function formerIdentities ({ self, membership }: JoiningReplica): string[] {
+  return membership.voters.filter(voter => voter.address === self.address && voter.id !== self.id).map(voter => voter.id)
 }
--- a/packages/consensus/src/lib/RaftCore.test.ts
+++ b/packages/consensus/src/lib/RaftCore.test.ts
@@ -277,6 +277,18 @@
       expect(group.get('a').remove('b', group.now)).toMatchObject({ ok: false, error: { kind: 'change-in-progress' } })
     })
 
+    it('answers for the membership on the leader only, and only once it is committed', () => {
+      const group = new Group()
+      group.elect('a')
+      const follower = group.get('b')
+      expect(follower.addLearner({ id: 'c', address: 'c' }, group.now)).toMatchObject({ ok: false, error: { kind: 'not-leader', leader: { id: 'a' } } })
+      expect(follower.remove('gone', group.now)).toMatchObject({ ok: false, error: { kind: 'not-leader' } })
+      expect(group.get('a').remove('gone', group.now)).toMatchObject({ ok: false, error: { kind: 'unknown-replica' } })
+      group.cut.add('b').add('c')
+      group.change('a', group.get('a').remove('c', group.now))
+      expect(group.get('a').remove('c', group.now)).toMatchObject({ ok: false, error: { kind: 'change-in-progress' } })
+    })
+
     it('hands leadership over for a planned stop, without waiting for a timeout', () => {
       const group = new Group()
       group.elect('a')
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -217,6 +217,8 @@
    * @param now - monotonic milliseconds
    */
   addLearner (replica: Replica, now: number): Result<RaftEffects, RaftError> {
+    // Another replica's membership may be old: it answers for nothing.
+    if (this.#role !== 'leader') return fail(this.#notLeader())
     const { voters, learners } = this.membership
     if (voters.some(voter => voter.id === replica.id)) return succeed(this.#takeEffects())
     const others = learners.filter(learner => learner.id !== replica.id)
@@ -242,13 +244,15 @@
   }
 
   /**
-   * Removes a replica from the group.
+   * Removes a replica from the group. That one is unknown is said of a committed membership only.
    *
    * @param id - voter or learner
    * @param now - monotonic milliseconds
    */
   remove (id: string, now: number): Result<RaftEffects, RaftError> {
-    if (id === this.self.id && this.#role === 'leader') return fail({ kind: 'is-leader', id })
+    if (this.#role !== 'leader') return fail(this.#notLeader())
+    if (id === this.self.id) return fail({ kind: 'is-leader', id })
+    if (this.#isChangeInProgress()) return fail({ kind: 'change-in-progress' })
     const { voters, learners } = this.membership
     if (!this.#replicas().some(replica => replica.id === id)) return fail({ kind: 'unknown-replica', id })
     const without = (replicas: Replica[]): Replica[] => replicas.filter(replica => replica.id !== id)
@@ -494,11 +498,15 @@
 
   #changeMembership (membership: Membership, now: number): Result<RaftEffects, RaftError> {
     if (this.#role !== 'leader') return fail(this.#notLeader())
-    if (this.#commitIndex < this.#termStartIndex || this.#membershipPending()) return fail({ kind: 'change-in-progress' })
+    if (this.#isChangeInProgress()) return fail({ kind: 'change-in-progress' })
     this.#appendOwn({ kind: 'membership', index: this.#log.lastIndex + 1, term: this.#term, membership }, now)
     return succeed(this.#takeEffects())
   }
 
+  #isChangeInProgress (): boolean {
+    return this.#commitIndex < this.#termStartIndex || this.#membershipPending()
+  }
+
   #membershipPending (): boolean {
     for (let index = this.#commitIndex + 1; index <= this.#log.lastIndex; index += 1) {
       if (this.#log.entryAt(index)?.kind === 'membership') return true
