Orders to engines wait out every host that led since, also between two looks

Cause, found while looking for checks that are not one step with their act. Tasks that give orders looked at the role at intervals: - If another host had led between two looks, or while the engines were asked, this host took its leading for unbroken and did not wait out the other's last order. - A wait that had begun was dropped when this host lost the lead and was elected anew, since the holder named in the log was then itself; so after a restart of its own process. - A new leader that had not applied its predecessor's claim saw no holder and did not wait. - The right to give orders was checked before a quorum was asked, and not after.

Change: leading counts by term; a wait is kept over elections; the holder is read after a quorum has confirmed, and looked at again just before an order.

--- a/apps/control/src/lib/orders/OrderTask.ts
+++ b/apps/control/src/lib/orders/OrderTask.ts
@@ -12,6 +12,7 @@
 import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import type { EngineEndpoint } from '@eelgrassmux/schema/configuration'
 import type { OrderReport } from '@eelgrassmux/rpc/methods/controlMethods'
+import { LeadershipClock, type Leadership } from '../raft/LeadershipClock.js'
 import type { RaftTask } from '../raft/RaftTask.js'
 import { planLoads, type ObservedEngine } from './planLoads.js'
 
@@ -32,7 +33,7 @@
   readonly #clients = new Map<string, EngineBackend & { close (): Promise<void> }>()
   readonly #reports = new Map<string, EngineReport>()
   readonly #orderedAt = new Map<string, number>()
-  #leaderSince: number | undefined
+  readonly #leadership = new LeadershipClock()
   #index = new ConfigurationIndex(0, { documents: [] })
   #timer: NodeJS.Timeout | undefined
   #busy = false
@@ -78,12 +79,11 @@
     if (this.#busy) return
     this.#busy = true
     try {
-      if (this.raft.core.role === 'leader') {
-        this.#leaderSince ??= performance.now()
+      const leadership = this.#leadership.look(this.raft.core, performance.now())
+      if (leadership !== undefined) {
         await this.#observe()
-        await this.#orderNext(this.#leaderSince)
+        await this.#orderNext(leadership)
       } else {
-        this.#leaderSince = undefined
         this.#reports.clear()
         this.#orderedAt.clear()
       }
@@ -103,12 +103,12 @@
     }))
   }
 
-  async #orderNext (leaderSince: number): Promise<void> {
+  async #orderNext (leadership: Leadership): Promise<void> {
     const now = performance.now()
-    if (now < leaderSince + this.raft.core.settings.leaseMs + ORDER_TIMEOUT_MS) return
+    if (now < leadership.since + this.raft.core.settings.leaseMs + ORDER_TIMEOUT_MS) return
     const engines = [...this.#index.engines.values()].map(endpoint => this.#observed(endpoint, now))
     const planned = planLoads(this.#index.models, engines)
-    await Promise.all(planned.map(async ({ engine, version }) => { await this.#order(engine.endpoint, version) }))
+    await Promise.all(planned.map(async ({ engine, version }) => { await this.#order(engine.endpoint, version, leadership) }))
   }
 
   #observed (endpoint: EngineEndpoint, now: number): ObservedEngine<EngineEndpoint> {
@@ -123,9 +123,9 @@
     }
   }
 
-  async #order (endpoint: EngineEndpoint, version: string): Promise<void> {
+  async #order (endpoint: EngineEndpoint, version: string, leadership: Leadership): Promise<void> {
     const { core } = this.raft
-    if (!core.holdsLease(performance.now())) {
+    if (core.term !== leadership.term || !core.holdsLease(performance.now())) {
       this.counter('lease-lost')
       return
     }
--- a/apps/control/src/lib/rollout/RolloutTask.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -11,6 +11,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { EndpointListTask, EndpointOverlay } from '../endpoints/EndpointListTask.js'
+import { LeadershipClock, type Leadership } from '../raft/LeadershipClock.js'
 import type { RaftTask } from '../raft/RaftTask.js'
 import { RolloutPlan, type EngineStatus, type LoadOrder, type OrderOutcome } from './RolloutPlan.js'
 
@@ -38,8 +39,12 @@
 /** Reconciles engines with the named weights. */
 export class RolloutTask {
   readonly #plan = new RolloutPlan()
-  #leaderSince: number | undefined
+  readonly #leadership = new LeadershipClock()
+  #isLeading = false
+  /** Until when another host's last order may count; kept over elections, because that host's order does not know of them. */
   #waitsOutUntil: number | undefined
+  /** Whether this process has claimed the right; an earlier one of this host may have waited for somebody, too. */
+  #hasClaimed = false
   #isWatching = false
   #timer: NodeJS.Timeout | undefined
   #isBusy = false
@@ -76,7 +81,8 @@
     if (this.#isBusy) return
     this.#isBusy = true
     try {
-      if (this.raft.core.role === 'leader') await this.#lead(performance.now())
+      const leadership = this.#leadership.look(this.raft.core, performance.now())
+      if (leadership !== undefined) await this.#lead(leadership)
       else this.#standBack()
     } finally {
       this.#isBusy = false
@@ -84,17 +90,16 @@
   }
 
   #standBack (): void {
-    if (this.#leaderSince === undefined) return
-    this.#leaderSince = undefined
-    this.#waitsOutUntil = undefined
+    if (!this.#isLeading) return
+    this.#isLeading = false
     this.#isDue = false
     this.#plan.clear()
     this.list.setOverlays(new Map())
     this.#watchList(false)
   }
 
-  async #lead (now: number): Promise<void> {
-    this.#leaderSince ??= now
+  async #lead ({ since }: Leadership): Promise<void> {
+    this.#isLeading = true
     const { weights } = this.raft.state.sites
     this.#watchList(weights.length > 0)
     if (weights.length === 0) return
@@ -102,7 +107,7 @@
     const isDue = this.#isRolloutDue()
     this.#isDue = isDue
     if (!isDue && !wasDue) return
-    const mayOrder = isDue && await this.#holdsOrders(this.#leaderSince)
+    const mayOrder = isDue && await this.#holdsOrders(since)
     const steps = this.#plan.next(weights, this.list.endpoints, mayOrder, performance.now())
     this.#publish()
     await Promise.all([
@@ -119,12 +124,14 @@
   /** Claims the right to give orders; true once it is held and nobody else's order may count any more. */
   async #holdsOrders (leaderSince: number): Promise<boolean> {
     const { core, state } = this.raft
+    if (this.#isHolder()) return this.#waitsOutUntil === undefined || performance.now() >= this.#waitsOutUntil
+    // A new leader may not have applied its predecessor's claim yet.
+    if (!await this.raft.confirmRead()) return false
     const present = state.sites.orderHolder
-    if (present?.replicaId === core.self.id && present.term === core.term) {
-      return this.#waitsOutUntil === undefined || performance.now() >= this.#waitsOutUntil
-    }
-    const isTakenOver = present !== undefined && present.replicaId !== core.self.id
-    this.#waitsOutUntil = isTakenOver ? leaderSince + this.orderLeaseMs + HANDOVER_MARGIN_MS : undefined
+    const isOwn = present?.replicaId === core.self.id && this.#hasClaimed
+    const isTakenOver = present !== undefined && !isOwn
+    if (isTakenOver) this.#waitsOutUntil = leaderSince + this.orderLeaseMs + HANDOVER_MARGIN_MS
+    this.#hasClaimed = true
     const outcome = await this.raft.propose({ kind: 'claim-orders', holder: { replicaId: core.self.id, term: core.term } })
     this.telemetry.stateChanged('order-right-claimed', {
       term: core.term, outcome: outcome.kind, previous: present?.replicaId ?? '', waitMs: isTakenOver ? this.orderLeaseMs : 0
@@ -132,6 +139,12 @@
     return false
   }
 
+  #isHolder (): boolean {
+    const { core, state } = this.raft
+    const { orderHolder } = state.sites
+    return orderHolder?.replicaId === core.self.id && orderHolder.term === core.term
+  }
+
   async #look (endpoint: ListedEndpoint): Promise<void> {
     const status = await this.backend.status(endpoint)
     if (status.ok) this.#plan.observeStatus(endpoint.id, status.value, performance.now())
@@ -140,7 +153,8 @@
   async #give (orders: readonly LoadOrder[]): Promise<void> {
     if (orders.length === 0) return
     // A lease would not do: this host may have been suspended since it was confirmed.
-    const isConfirmed = await this.raft.confirmRead()
+    // While the quorum was asked, another host may have taken the right over.
+    const isConfirmed = await this.raft.confirmRead() && this.#isHolder()
     await Promise.all(orders.map(async order => {
       const outcome = isConfirmed
         ? await this.backend.load(order, { holder: this.holder, fence: this.raft.core.term })
