A write that fails while a control host closes does not end it as a fault

Cause: the task took any rejected write for a failed disk, also one of a turn that was overtaken by its own closing. Nothing that hangs on such a write is sent or answered, so it is logged (write-lost-while-closing) and the stop goes on. A broken invariant stays fatal.

The replica now closes before the server and the client do, so that a turn under way can still answer.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -133,6 +133,7 @@
       const { membershipIndex, voters, needed } = formation
       telemetry.stateChanged(isTaken ? 'commands-taken' : 'commands-held-back', { term, membershipIndex, voters, needed })
     },
+    lostWhileClosing: error => { telemetry.fault('write-lost-while-closing', { message: String(error) }) },
     fail
   }, Date.now)
   const hosts = new HostTable(settings.freshnessMs)
@@ -184,9 +185,10 @@
       stores?.stop()
       await operators?.close()
       await orders.stop()
+      // A turn under way still answers its callers and peers.
+      await raft.close()
       server.close()
       rpc.close()
-      await raft.close()
     }
   }
 }
