--- /dev/null
+++ b/packages/consensus/src/lib/Elections.ts
@@ -0,0 +1,138 @@
+/** Elections: when this replica stands, whom it asks, whom it votes for. */
+import type { LeaderReplication } from './LeaderReplication.js'
+import type { RaftState } from './RaftState.js'
+import type { RaftMessage, VoteRequest, VoteResponse } from './messages/raftMessages.js'
+
+/** Votes and asks for votes. A pre-vote comes first, so that a replica that could not win disturbs nobody. */
+export class Elections {
+  #votes = new Set<string>()
+  #voteRequestDue = 0
+  /** Whether the leader asked this replica to stand, so that voters need not wait for its silence. */
+  #isTransfer = false
+
+  /**
+   * @param state - shared state of the replica
+   * @param replication - begins when an election is won
+   */
+  constructor (private readonly state: RaftState, private readonly replication: LeaderReplication) {}
+
+  /**
+   * Advances timers of a replica that does not lead.
+   *
+   * @param now - monotonic milliseconds
+   */
+  tick (now: number): void {
+    const { state } = this
+    if (now >= state.electionDeadline && state.isVoter(state.self.id)) this.#startPreVote(now)
+    else if (state.role !== 'follower' && now >= this.#voteRequestDue) this.#requestVotes(now)
+  }
+
+  /**
+   * A voter that hears a live leader ignores elections, so the leader's lease holds.
+   *
+   * @param message - any message
+   * @param now - monotonic milliseconds
+   */
+  mustIgnore (message: RaftMessage, now: number): boolean {
+    if (message.kind !== 'vote-request' || message.transfer) return false
+    if (this.state.role === 'leader') return !this.replication.lostQuorum(now)
+    return now < this.state.lastLeaderContact + this.state.settings.electionTimeoutMs
+  }
+
+  /**
+   * Stands at once, because the leader hands over.
+   *
+   * @param now - monotonic milliseconds
+   */
+  standForTransfer (now: number): void {
+    this.#startElection(now, true)
+  }
+
+  /**
+   * @param request - somebody stands for election
+   * @param now - monotonic milliseconds
+   */
+  onVoteRequest (request: VoteRequest, now: number): void {
+    const { state } = this
+    const { lastTerm, lastIndex } = state.log
+    const upToDate = request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= lastIndex)
+    const free = request.preVote
+      ? request.term > state.term
+      : request.term === state.term && (state.votedFor === undefined || state.votedFor === request.from)
+    const granted = free && upToDate && state.role !== 'leader'
+    if (granted && !request.preVote) {
+      state.setVote(state.term, request.from)
+      state.electionDeadline = now + state.electionDelay()
+    }
+    state.sendTo(request.from, {
+      kind: 'vote-response', from: state.self.id, term: state.term, preVote: request.preVote, granted, askedTerm: request.term
+    })
+  }
+
+  /**
+   * @param response - a voter's answer
+   * @param now - monotonic milliseconds
+   */
+  onVoteResponse (response: VoteResponse, now: number): void {
+    const { state } = this
+    if (response.term > state.term) {
+      state.adoptTerm(response.term, now)
+      return
+    }
+    const expectedTerm = response.preVote ? state.term + 1 : state.term
+    const expectedRole = response.preVote ? 'pre-candidate' : 'candidate'
+    if (!response.granted || response.askedTerm !== expectedTerm || state.role !== expectedRole) return
+    this.#votes.add(response.from)
+    if (!this.#hasQuorum()) return
+    if (response.preVote) this.#startElection(now, false)
+    else this.replication.begin(now)
+  }
+
+  #startPreVote (now: number): void {
+    const { state } = this
+    state.role = 'pre-candidate'
+    state.leader = undefined
+    this.#votes = new Set([state.self.id])
+    state.electionDeadline = now + state.electionDelay()
+    if (this.#hasQuorum()) {
+      this.#startElection(now, false)
+      return
+    }
+    this.#isTransfer = false
+    this.#requestVotes(now)
+  }
+
+  #startElection (now: number, transfer: boolean): void {
+    const { state } = this
+    state.role = 'candidate'
+    state.leader = undefined
+    state.setVote(state.term + 1, state.self.id)
+    this.#votes = new Set([state.self.id])
+    state.electionDeadline = now + state.electionDelay()
+    if (this.#hasQuorum()) {
+      this.replication.begin(now)
+      return
+    }
+    this.#isTransfer = transfer
+    this.#requestVotes(now)
+  }
+
+  /** Repeated with each heartbeat: after a restart of all replicas, first messages find no listener and are lost. */
+  #requestVotes (now: number): void {
+    const { state } = this
+    this.#voteRequestDue = now + state.settings.heartbeatMs
+    const { lastIndex, lastTerm } = state.log
+    const preVote = state.role === 'pre-candidate'
+    const term = preVote ? state.term + 1 : state.term
+    const transfer = this.#isTransfer
+    for (const voter of state.log.latestMembership().voters) {
+      if (this.#votes.has(voter.id)) continue
+      state.send(voter, { kind: 'vote-request', from: state.self.id, term, preVote, lastIndex, lastTerm, transfer })
+    }
+  }
+
+  #hasQuorum (): boolean {
+    const { voters } = this.state.log.latestMembership()
+    return voters.filter(voter => this.#votes.has(voter.id)).length > voters.length / 2
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/FollowerReplication.ts
@@ -0,0 +1,72 @@
+/** The follower's side of replication: takes a leader's entries and snapshots, and drops what never was committed. */
+import { assertInvariant } from '@eelgrassmux/schema/invariant'
+import type { RaftState } from './RaftState.js'
+import type { AppendRequest, LogEntry, SnapshotRequest } from './messages/raftMessages.js'
+
+/** Answers a leader's messages. */
+export class FollowerReplication {
+  /** @param state - shared state of the replica */
+  constructor (private readonly state: RaftState) {}
+
+  /**
+   * @param request - entries, or a sign of life
+   * @param now - monotonic milliseconds
+   */
+  onAppendRequest (request: AppendRequest, now: number): void {
+    const { state } = this
+    const { log } = state
+    if (request.term < state.term) {
+      this.#answer(request.from, false, log.lastIndex, request.sentAt)
+      return
+    }
+    this.#followLeader(request.from, now)
+    if (!this.#matchesLog(request)) {
+      const hint = Math.min(log.lastIndex, Math.max(request.previousIndex - 1, 0))
+      this.#answer(request.from, false, Math.max(hint, state.commitIndex), request.sentAt)
+      return
+    }
+    for (const entry of request.entries) this.#takeEntry(entry)
+    const matchIndex = Math.max(request.previousIndex + request.entries.length, log.snapshotIndex)
+    state.commitTo(Math.min(request.commitIndex, matchIndex))
+    this.#answer(request.from, true, matchIndex, request.sentAt)
+  }
+
+  /**
+   * @param request - the leader's state, since its log does not reach back far enough
+   * @param now - monotonic milliseconds
+   */
+  onSnapshotRequest (request: SnapshotRequest, now: number): void {
+    if (request.term < this.state.term) return
+    this.#followLeader(request.from, now)
+    const { snapshot } = request
+    if (snapshot.index > this.state.commitIndex) this.state.install(snapshot)
+    this.#answer(request.from, true, snapshot.index, request.sentAt)
+  }
+
+  #matchesLog (request: AppendRequest): boolean {
+    const { log } = this.state
+    if (request.previousIndex < log.snapshotIndex) return true
+    return log.termAt(request.previousIndex) === request.previousTerm
+  }
+
+  #takeEntry (entry: LogEntry): void {
+    const { log } = this.state
+    if (entry.index <= log.snapshotIndex) return
+    const presentTerm = log.termAt(entry.index)
+    if (presentTerm === entry.term) return
+    if (presentTerm !== undefined) this.state.truncate(entry.index)
+    this.state.append(entry)
+  }
+
+  #followLeader (leader: string, now: number): void {
+    const { state } = this
+    assertInvariant(state.role !== 'leader', 'one-leader-a-term', () => `term ${state.term} has a second leader ${leader}`)
+    state.lastLeaderContact = now
+    state.becomeFollower(leader, now)
+  }
+
+  #answer (to: string, success: boolean, matchIndex: number, sentAt: number): void {
+    const { self, term } = this.state
+    this.state.sendTo(to, { kind: 'append-response', from: self.id, term, success, matchIndex, sentAt })
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/MembershipChanges.ts
@@ -0,0 +1,77 @@
+/** Changes of the membership on the leader: one at a time, each of one replica. */
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { LeaderReplication } from './LeaderReplication.js'
+import type { RaftError } from './RaftError.js'
+import type { RaftState } from './RaftState.js'
+import type { Membership, RaftEffects, Replica } from './messages/raftMessages.js'
+
+/** Decides which changes may be appended, in the step that appends them. */
+export class MembershipChanges {
+  /**
+   * @param state - shared state of the replica
+   * @param replication - appends the changes
+   */
+  constructor (private readonly state: RaftState, private readonly replication: LeaderReplication) {}
+
+  /**
+   * Adds a learner, or replaces its address.
+   *
+   * @param replica - new replica
+   * @param now - monotonic milliseconds
+   */
+  addLearner (replica: Replica, now: number): Result<RaftEffects, RaftError> {
+    // Another replica's membership may be old: it answers for nothing.
+    if (this.state.role !== 'leader') return fail(this.state.notLeader())
+    const { voters, learners } = this.state.log.latestMembership()
+    if (voters.some(voter => voter.id === replica.id)) return succeed(this.state.takeEffects())
+    const others = learners.filter(learner => learner.id !== replica.id)
+    return this.#change({ voters, learners: [...others, replica] }, now)
+  }
+
+  /**
+   * Makes a learner a voter once it has nearly all of the log.
+   *
+   * @param id - learner's id
+   * @param now - monotonic milliseconds
+   */
+  promote (id: string, now: number): Result<RaftEffects, RaftError> {
+    const { state } = this
+    if (state.role !== 'leader') return fail(state.notLeader())
+    const { voters, learners } = state.log.latestMembership()
+    if (voters.some(voter => voter.id === id)) return succeed(state.takeEffects())
+    const learner = learners.find(candidate => candidate.id === id)
+    if (learner === undefined) return fail({ kind: 'unknown-replica', id })
+    const lag = state.log.lastIndex - this.replication.matchIndex(id)
+    if (lag > state.settings.promotionLag) return fail({ kind: 'learner-lags', lag })
+    const rest = learners.filter(candidate => candidate.id !== id)
+    return this.#change({ voters: [...voters, learner], learners: rest }, now)
+  }
+
+  /**
+   * Removes a replica. That one is unknown is said of a committed membership only.
+   *
+   * @param id - voter or learner
+   * @param now - monotonic milliseconds
+   */
+  remove (id: string, now: number): Result<RaftEffects, RaftError> {
+    const { state } = this
+    if (state.role !== 'leader') return fail(state.notLeader())
+    if (id === state.self.id) return fail({ kind: 'is-leader', id })
+    if (this.#isInProgress()) return fail({ kind: 'change-in-progress' })
+    const { voters, learners } = state.log.latestMembership()
+    if (!state.replicas.some(replica => replica.id === id)) return fail({ kind: 'unknown-replica', id })
+    const without = (replicas: Replica[]): Replica[] => replicas.filter(replica => replica.id !== id)
+    return this.#change({ voters: without(voters), learners: without(learners) }, now)
+  }
+
+  #change (membership: Membership, now: number): Result<RaftEffects, RaftError> {
+    const { state } = this
+    if (this.#isInProgress()) return fail({ kind: 'change-in-progress' })
+    this.replication.appendOwn({ kind: 'membership', index: state.log.lastIndex + 1, term: state.term, membership }, now)
+    return succeed(state.takeEffects())
+  }
+
+  #isInProgress (): boolean {
+    return !this.replication.hasCommittedInTerm || this.state.isMembershipPending
+  }
+}
