A directory that stops waits until the new owners answer for its shards

Cause: a planned stop ended when the view named other owners. The view comes to each directory by its own way; a new owner that had not got it answered "wrong owner" while the old one was gone already. Seen beside load (30 on 16 cores): "hand shards and leadership over" found 6 shards of 8 at the new owner, in 1 of the first 3 runs of the whole suite.

Change: the stopping directory asks each new owner for each of its shards under the new epoch, with a look-up of nothing, until all answer or the wait is given up; the log says which (shards-handed-over).

--- a/apps/directory/src/lib/DirectoryDaemon.ts
+++ b/apps/directory/src/lib/DirectoryDaemon.ts
@@ -13,6 +13,7 @@
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { DirectoryServer } from './DirectoryServer.js'
 import { EngineWatcher } from './EngineWatcher.js'
+import { handOver } from './HandOver.js'
 import { StoreWatcher } from './StoreWatcher.js'
 
 const settingsSchema = z.object({
@@ -78,7 +79,11 @@
     return {
       addresses: { rpc: address },
       isReady: () => link.isReady(),
-      drain: async () => { await this.#handOver(link, address) },
+      drain: async () => {
+        link.stopAccepting()
+        const isTaken = await handOver(this.#rpc, () => link.shards, address)
+        telemetry.stateChanged('shards-handed-over', { isTaken })
+      },
       close: async () => {
         link.stop()
         this.#server.close()
@@ -144,22 +149,4 @@
       watcher.start()
     }
   }
-
-  /** Waits until other directories own all shards, so that look-ups find an owner throughout. */
-  async #handOver (link: ControlLink, address: string): Promise<void> {
-    link.stopAccepting()
-    const deadline = performance.now() + HAND_OVER_MS
-    await new Promise<void>(resolve => {
-      const timer = setInterval(() => {
-        const owns = link.shards.some(shard => shard.owner === address)
-        if (owns && performance.now() < deadline) return
-        clearInterval(timer)
-        resolve()
-      }, HAND_OVER_LOOK_MS)
-    })
-  }
 }
-
-/** Longest wait for new owners at a planned stop, in milliseconds. */
-const HAND_OVER_MS = 3000
-const HAND_OVER_LOOK_MS = 50
