--- a/apps/eelgrassmux/src/lib/commands.ts
+++ b/apps/eelgrassmux/src/lib/commands.ts
@@ -10,12 +10,9 @@
 import type { DocumentName } from '@eelgrassmux/state/commands'
 import { ControlClient, type ControlError } from './ControlClient.js'
 import { diffDocuments, describeDifference } from './diffDocuments.js'
+import { EXIT_FAILED, EXIT_USAGE } from './exitCodes.js'
 import { waitInForce } from './waitInForce.js'
 
-/** Exit codes: 1 for a refusal or failure, 2 for wrong use. */
-const EXIT_FAILED = 1
-const EXIT_USAGE = 2
-
 /** Options that all commands share. */
 abstract class ControlCommand extends Command {
   control = Option.String('--control', '', { env: 'EELGRASSMUX_CONTROL', description: 'control hosts, separated by commas' })
--- /dev/null
+++ b/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
@@ -0,0 +1,110 @@
+/** The story of one request, from the collected log files of several processes. */
+import { readLogFile } from './readLogFile.js'
+import { processOf, type TracedLine } from './TracedLine.js'
+
+/** Event of the line that says how many lines its process did not write. */
+const DROPPED_EVENT = 'log-lines-dropped'
+
+/** Why a file could not be read. */
+export interface UnreadableFile {
+  readonly file: string
+  readonly reason: string
+}
+
+/** From when to when something happened, in milliseconds since 1970. */
+interface Span {
+  readonly from: number
+  readonly to: number
+}
+
+/** Collects what the files say of a request. */
+export class RequestTrace {
+  #ofRequest: TracedLine[] = []
+  #around: TracedLine[] = []
+  #dropped: TracedLine[] = []
+  readonly #unreadableFiles: UnreadableFile[] = []
+  #cutLines = 0
+
+  /** @param requestId - the caller's id */
+  constructor (private readonly requestId: string) {}
+
+  /** Lines in order of time; lines of one moment in the order in which they were written. */
+  get lines (): readonly TracedLine[] {
+    return [...this.#ofRequest, ...this.#around].sort((left, right) => compareTimes(left, right) || compareFiles(left, right))
+  }
+
+  /** Whether any line of the request was found. */
+  get isFound (): boolean { return this.#ofRequest.length > 0 }
+
+  /** Lines that name the request but are cut. */
+  get cutLines (): number { return this.#cutLines }
+
+  /** Lines by which processes that the request met say that they dropped lines; of all processes if it was not found. */
+  get dropped (): readonly TracedLine[] {
+    if (!this.isFound) return this.#dropped
+    const files = new Set(this.#ofRequest.map(({ file, host }) => JSON.stringify([file, host])))
+    return this.#dropped.filter(({ file, host }) => files.has(JSON.stringify([file, host])))
+  }
+
+  get unreadableFiles (): readonly UnreadableFile[] { return this.#unreadableFiles }
+
+  /**
+   * Reads the lines of the request.
+   *
+   * @param files - paths; what can't be read is noted
+   */
+  async readRequest (files: readonly string[]): Promise<void> {
+    const name = `"request":${JSON.stringify(this.requestId)}`
+    const isWanted = (text: string): boolean => text.includes(name) || text.includes(DROPPED_EVENT)
+    await this.#readAll(files, isWanted, (text, lines) => {
+      const mine = lines.filter(line => line.request === this.requestId)
+      if (mine.length === 0 && text.includes(name)) this.#cutLines += 1
+      this.#ofRequest.push(...mine)
+      this.#dropped.push(...lines.filter(line => line.event === DROPPED_EVENT))
+    })
+  }
+
+  /**
+   * Reads what the processes that the request met came to believe meanwhile; call after {@link readRequest}.
+   *
+   * @param marginMs - how long before and after the request counts, in milliseconds
+   */
+  async readAround (marginMs: number): Promise<void> {
+    const processes = new Set(this.#ofRequest.map(processOf))
+    const files = [...new Set(this.#ofRequest.map(({ file }) => file))]
+    const { from, to } = this.#span()
+    await this.#readAll(files, text => !text.includes('"request":'), (_text, lines) => {
+      this.#around.push(...lines.filter(line =>
+        line.request === undefined && processes.has(processOf(line)) && line.time >= from - marginMs && line.time <= to + marginMs))
+    })
+  }
+
+  /** A request that was refused at once has one line, which says how long it had been there. */
+  #span (): Span {
+    const times = this.#ofRequest.filter(({ time }) => !Number.isNaN(time))
+    const begins = times.map(({ time, fields }) => typeof fields['elapsedMs'] === 'number' ? time - fields['elapsedMs'] : time)
+    return {
+      from: begins.reduce((least, time) => Math.min(least, time), Number.POSITIVE_INFINITY),
+      to: times.reduce((most, { time }) => Math.max(most, time), Number.NEGATIVE_INFINITY)
+    }
+  }
+
+  async #readAll (files: readonly string[], isWanted: (text: string) => boolean, take: (text: string, lines: readonly TracedLine[]) => void): Promise<void> {
+    for (const file of files) {
+      try {
+        for await (const { text, lines } of readLogFile(file, isWanted)) take(text, lines)
+      } catch (error) {
+        this.#unreadableFiles.push({ file, reason: error instanceof Error ? error.message : String(error) })
+      }
+    }
+  }
+}
+
+function compareTimes (left: TracedLine, right: TracedLine): number {
+  return left.time < right.time ? -1 : left.time > right.time ? 1 : 0
+}
+
+function compareFiles (left: TracedLine, right: TracedLine): number {
+  if (left.file === right.file) return left.lineNumber - right.lineNumber
+  return left.file < right.file ? -1 : 1
+}
--- /dev/null
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
@@ -0,0 +1,69 @@
+/** `trace`: what collected log files say of one request. */
+import { stat } from 'node:fs/promises'
+import { Command, Option } from 'clipanion'
+import { EXIT_FAILED, EXIT_USAGE } from '../exitCodes.js'
+import { describeLines } from './describeLines.js'
+import { RequestTrace } from './RequestTrace.js'
+
+/** Puts the lines of one request in order. Reads files only, no control host. */
+export class TraceCommand extends Command {
+  static override paths = [['trace']]
+  static override usage = Command.Usage({
+    description: 'put the lines of one request, from the log files of several processes, in order of time',
+    details: 'Files hold the standard output of one or more processes, as written or with a prefix before each line, such as a time and a host\'s name; other text and cut lines are passed over. Order between hosts is as good as their clocks. With --around lines marked ~ show what the same processes came to believe meanwhile (the files are read twice). Exits with 1 if no line of the request is there or a file can\'t be read, with 2 for wrong use.',
+    examples: [['Why a request failed', 'eelgrassmux trace --around cfda17a27da19b09 entry-*.log']]
+  })
+
+  id = Option.String({ required: true, name: 'ID' })
+  files = Option.Rest({ required: 1, name: 'FILE' })
+  around = Option.Boolean('--around', false, { description: 'also show changes of belief of the same processes' })
+  margin = Option.String('--margin-ms', '1000', { description: 'how long before and after the request --around looks, in milliseconds' })
+  json = Option.Boolean('--json', false, { description: 'print a JSON object for each line' })
+
+  override async execute (): Promise<number> {
+    const marginMs = Number(this.margin)
+    if (this.id === '') return this.#complain('ID must not be empty', EXIT_USAGE)
+    if (this.margin === '' || !Number.isInteger(marginMs) || marginMs < 0) return this.#complain('--margin-ms must be a whole number of milliseconds', EXIT_USAGE)
+    if (this.around) {
+      const pipe = await findPipe(this.files)
+      if (pipe !== undefined) return this.#complain(`--around reads files twice, and ${pipe} is no regular file`, EXIT_USAGE)
+    }
+    const trace = new RequestTrace(this.id)
+    await trace.readRequest([...new Set(this.files)])
+    if (this.around && trace.isFound) await trace.readAround(marginMs)
+    this.#print(trace)
+    this.#printDoubts(trace)
+    if (!trace.isFound) return this.#complain(`no line of request ${this.id} in ${this.files.length} files`, EXIT_FAILED)
+    return trace.unreadableFiles.length === 0 ? 0 : EXIT_FAILED
+  }
+
+  #print (trace: RequestTrace): void {
+    const texts = this.json
+      ? trace.lines.map(({ time, ...line }) => JSON.stringify({ time: Number.isNaN(time) ? null : new Date(time).toISOString(), ...line }))
+      : describeLines(trace.lines)
+    for (const text of texts) this.context.stdout.write(`${text}\n`)
+  }
+
+  /** Whatever may be missing from what was printed. */
+  #printDoubts (trace: RequestTrace): void {
+    for (const { file, reason } of trace.unreadableFiles) this.#complain(`${file} can't be read: ${reason}`, EXIT_FAILED)
+    if (trace.cutLines > 0) this.#complain(`${trace.cutLines} lines name the request but are cut`, EXIT_FAILED)
+    for (const { file, lineNumber, fields } of trace.dropped) {
+      this.#complain(`${file}:${lineNumber}: the process dropped ${String(fields['count'])} lines, perhaps of this request`, EXIT_FAILED)
+    }
+  }
+
+  #complain (line: string, code: number): number {
+    this.context.stderr.write(`eelgrassmux: ${line}\n`)
+    return code
+  }
+}
+
+/** @returns the first of the files that can be read only once; files that are not there are left to the reading */
+async function findPipe (files: readonly string[]): Promise<string | undefined> {
+  for (const file of files) {
+    const isPipe = await stat(file).then(found => !found.isFile() && !found.isDirectory(), () => false)
+    if (isPipe) return file
+  }
+  return undefined
+}
--- /dev/null
+++ b/apps/eelgrassmux/src/lib/trace/describeLines.ts
@@ -0,0 +1,36 @@
+/** Traced lines as text for people. */
+import type { TracedLine } from './TracedLine.js'
+
+/** Marks a change of belief among the lines of the request. */
+const AROUND_MARK = '~'
+
+/** Words that need no quotes. */
+const PLAIN = /^[^\s"=]+$/
+
+/**
+ * @param lines - in order
+ * @returns a text line for each: time, milliseconds since the first one, where it stands, program, event, fields
+ */
+export function describeLines (lines: readonly TracedLine[]): string[] {
+  const start = lines.find(({ time }) => !Number.isNaN(time))?.time ?? 0
+  const rows = lines.map(line => [
+    Number.isNaN(line.time) ? '-' : new Date(line.time).toISOString(),
+    Number.isNaN(line.time) ? '-' : `+${line.time - start}`,
+    [line.host, `${line.file}:${line.lineNumber}`].filter(part => part !== undefined).join(' '),
+    line.program,
+    `${line.request === undefined ? AROUND_MARK : ' '}${line.event}`
+  ])
+  const widths = rows.reduce((most, row) => row.map((cell, column) => Math.max(cell.length, most[column] ?? 0)), [] as number[])
+  return rows.map((row, position) => {
+    const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0))
+    return `${cells.join('  ')}  ${describeFields(lines[position]?.fields ?? {})}`.trimEnd()
+  })
+}
+
+function describeFields (fields: TracedLine['fields']): string {
+  return Object.entries(fields).map(([name, value]) => `${name}=${describeValue(value)}`).join(' ')
+}
+
+function describeValue (value: string | number | boolean): string {
+  return typeof value === 'string' && !PLAIN.test(value) ? JSON.stringify(value) : String(value)
+}
