Log lines come from a typed catalogue

Event names and fields were free text: a wrong or forgotten field was found by whoever needed the line. Each area has a file of zod schemas; decided, stateChanged and fault take catalogued names with their fields only, so that the compiler finds a wrong one (seen with a misspelt event and two misspelt fields). Only types are used by running processes.

The line log-lines-dropped now has program and time like every other. packages/telemetry depends on zod, which the workspace has already.

--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -4,7 +4,7 @@
 import type { PromptDescription, PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
 import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { EngineTraits } from '@eelgrassmux/schema/site/siteSchema'
-import type { LogDetails } from '@eelgrassmux/telemetry/Telemetry'
+import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { StoreTransfers } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import type { RoutedRequest } from './RoutedRequestTask.js'
@@ -119,7 +119,7 @@
    * @param version - of the weights
    * @returns what the log says of the prompt
    */
-  describe (version: number): LogDetails {
+  describe (version: number): Pick<DecisionFields<'answered'>, 'promptTokens' | 'storedTokens' | 'sharedPart' | 'saves'> {
     const { storedTokens, saves } = this.#plan(version)
     return {
       promptTokens: this.description.promptTokens,
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -12,7 +12,8 @@
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
-import type { LabelledCounter, LogDetails, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { AnswerRelay } from './AnswerRelay.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
@@ -89,8 +90,7 @@
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
-    const { route, fields } = request
-    this.#relay = new AnswerRelay(exchange, { isStream: route.kind === 'stream', isResumable: route.isResumable, lastEventId: fields.lastEventId })
+    this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
   /** Starts; everything else follows from timers and sockets. */
@@ -387,7 +387,7 @@
   }
 
   /** What decided where the request went. */
-  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): LogDetails {
+  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): Omit<DecisionFields<'answered'>, 'status' | 'endpoint'> {
     return {
       estimatedMs: Math.round(estimatedMs),
       waitMs: Math.round(waitMs),
@@ -400,7 +400,7 @@
     }
   }
 
-  #finish (outcome: string, details: LogDetails): void {
+  #finish<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
     this.#isDone = true
     clearTimeout(this.#timer)
     clearInterval(this.#silenceTimer)
@@ -410,7 +410,7 @@
     this.onEnd()
   }
 
-  #decided (event: string, details: LogDetails): void {
+  #decided<Event extends DecisionEvent> (event: Event, details: DecisionFields<Event>): void {
     const { route, service, siteVersion } = this.request
     this.ports.telemetry.decided(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
   }
--- a/packages/telemetry/src/lib/BoundedLogWriter.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.ts
@@ -7,6 +7,7 @@
  * counted, and reported in a line of their own.
  */
 import { write } from 'node:fs'
+import { describeDroppedLines } from './describeDroppedLines.js'
 
 /** Writes bytes and calls back when they were taken. */
 export type ByteSink = (bytes: Buffer, done: (error: Error | null, written: number) => void) => void
@@ -31,8 +32,14 @@
   #timer: NodeJS.Timeout | undefined
   #isWriting = false
 
-  /** @param sink - where the bytes go */
-  constructor (private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) }) {}
+  /**
+   * @param sink - where the bytes go
+   * @param describeDropped - makes the line that says how many lines were dropped
+   */
+  constructor (
+    private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) },
+    private readonly describeDropped = (count: number) => describeDroppedLines('', count)
+  ) {}
 
   /** Lines dropped so far. */
   get dropped (): number { return this.#droppedInAll }
@@ -60,7 +67,7 @@
 
   #flush (): void {
     if (this.#dropped > 0) {
-      this.#lines.push(JSON.stringify({ context: { event: 'log-lines-dropped', count: this.#dropped }, message: 'log-lines-dropped' }))
+      this.#lines.push(this.describeDropped(this.#dropped))
       this.#dropped = 0
     }
     if (this.#lines.length === 0) return
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -2,6 +2,8 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { ROARR, Roarr } from 'roarr'
 import { BoundedLogWriter } from './BoundedLogWriter.js'
+import { describeDroppedLines } from './describeDroppedLines.js'
+import type { ChangeEvent, ChangeFields, DecisionEvent, DecisionFields, FaultEvent, FaultFields, FieldArguments, RequestFields } from './events/eventFields.js'
 
 /** Counter with one label. */
 export interface LabelledCounter {
@@ -9,9 +11,6 @@
   count (label: string, amount?: number): void
 }
 
-/** Values that explain a line. */
-export type LogDetails = Readonly<Record<string, string | number | boolean>>
-
 /** How much of the story of requests the log takes. */
 export interface StoryLimits {
   /** Of requests that go well, one in so many is logged. */
@@ -37,7 +36,7 @@
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
-    const writer = new BoundedLogWriter()
+    const writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
     ROARR.write = message => { writer.write(message) }
     this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => writer.dropped)
   }
@@ -97,11 +96,11 @@
   /**
    * Logs a decision that touches a request.
    *
-   * @param event - short stable name of the decision
+   * @param event - name of the decision in the catalogue
    * @param requestId - the caller's id of the attempt
-   * @param details - inputs that decided, their age or version, and the outcome
+   * @param fields - inputs that decided, their age or version, and the outcome
    */
-  decided (event: string, requestId: string, details: LogDetails): void {
+  decided<Event extends DecisionEvent> (event: Event, requestId: string, fields: DecisionFields<Event> & RequestFields): void {
     const now = performance.now()
     if (now - this.#secondStartedAt >= 1000) {
       this.#secondStartedAt = now
@@ -109,26 +108,26 @@
     }
     this.#linesThisSecond += 1
     if (this.#linesThisSecond > this.limits.logLinesPerSecond) return
-    this.#log.info({ event, request: requestId, ...details }, event)
+    this.#log.info({ event, request: requestId, ...fields }, event)
   }
 
   /**
-   * Logs a change of state.
+   * Logs a change of what the process believes.
    *
-   * @param event - short stable name of the change
-   * @param details - values that explain it
+   * @param event - name of the change in the catalogue
+   * @param fields - values that explain it
    */
-  stateChanged (event: string, details: LogDetails = {}): void {
-    this.#log.info({ event, ...details }, event)
+  stateChanged<Event extends ChangeEvent> (event: Event, ...[fields]: FieldArguments<ChangeFields<Event>>): void {
+    this.#log.info({ event, ...fields }, event)
   }
 
   /**
    * Logs a fault that an operator should look at.
    *
-   * @param event - short stable name of the fault
-   * @param details - values that explain it
+   * @param event - name of the fault in the catalogue
+   * @param fields - values that explain it
    */
-  fault (event: string, details: LogDetails = {}): void {
-    this.#log.error({ event, ...details }, event)
+  fault<Event extends FaultEvent> (event: Event, ...[fields]: FieldArguments<FaultFields<Event>>): void {
+    this.#log.error({ event, ...fields }, event)
   }
 }
--- /dev/null
+++ b/packages/telemetry/src/lib/events/decisionEvents.ts
@@ -0,0 +1,6 @@
+import { requestDecisions } from './requestDecisions.js'
+
+/** Lines about a request, by name; the fields of each come beside {@link requestFields}. */
+export const decisionEvents = {
+  ...requestDecisions
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod'
+
+const ejection = z.strictObject({
+  endpoint: z.string(),
+  address: z.string(),
+  /** Empty when it is readmitted. */
+  reason: z.string(),
+  othersInFlight: z.number(),
+  heardAgoMs: z.number(),
+  waitedMs: z.number(),
+  avoiders: z.number(),
+  failureShare: z.number(),
+  meanShare: z.number()
+})
+
+/** What an entry host believes of endpoints. */
+export const endpointChanges = {
+  'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
+  'endpoint-ejected': ejection,
+  'endpoint-readmitted': ejection
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/endpointListChanges.ts
@@ -0,0 +1,8 @@
+import { z } from 'zod'
+
+/** What a control host reads of the platform's endpoints. */
+export const endpointListChanges = {
+  'endpoint-list-changed': z.strictObject({ version: z.number(), endpoints: z.number(), leaving: z.number() }),
+  'endpoint-list-lost': z.strictObject({ reason: z.string() }),
+  'endpoint-list-regained': z.strictObject({ reason: z.string() })
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/faultEvents.ts
@@ -0,0 +1,6 @@
+import { processFaults } from './processFaults.js'
+
+/** Lines that an operator should look at, by name, with the fields of each. */
+export const faultEvents = {
+  ...processFaults
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod'
+
+const runState = z.enum(['not-run', 'unknown'])
+
+/** Decisions of an entry host about a routed request. */
+export const requestDecisions = {
+  'waits-for-site': z.strictObject({ knowsEndpoints: z.boolean(), knowsLoad: z.boolean(), waiting: z.number() }),
+  'waits-for-room': z.strictObject({ endpoint: z.string(), memoryShare: z.number(), tokensHeld: z.number(), tokensAhead: z.number() }),
+  'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
+  'attempt-failed': z.strictObject({
+    endpoint: z.string(), failure: z.string(), detail: z.string(), sends: z.number(), runs: z.number(), remainingMs: z.number()
+  }),
+  'retry-budget-used-up': z.strictObject({ failure: z.string() }),
+  answered: z.strictObject({
+    status: z.number(),
+    endpoint: z.string(),
+    estimatedMs: z.number(),
+    waitMs: z.number(),
+    fetchMs: z.number(),
+    tokensToRead: z.number(),
+    version: z.number(),
+    firstEventMs: z.number(),
+    promptTokens: z.number(),
+    storedTokens: z.number().optional(),
+    sharedPart: z.string().optional(),
+    saves: z.number().optional()
+  }),
+  refused: z.strictObject({
+    reason: z.string(), status: z.number(), run: runState, detail: z.string(), retryAfterSeconds: z.number().optional()
+  }),
+  'broken-off': z.strictObject({ endpoint: z.string().optional(), failure: z.string(), detail: z.string().optional() }),
+  'caller-left': z.strictObject({
+    endpoint: z.string().optional(), isSilent: z.boolean().optional(), hadEvents: z.boolean().optional(), run: runState.optional(), isLagging: z.boolean().optional()
+  })
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/rolloutChanges.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod'
+
+/** Orders to engines. */
+export const rolloutChanges = {
+  'order-right-claimed': z.strictObject({ term: z.number(), outcome: z.string(), previous: z.string(), waitMs: z.number() }),
+  'weights-ordered': z.strictObject({
+    endpoint: z.string(), model: z.string(), version: z.number(), expectedOrders: z.number(), outcome: z.string(), isConfirmed: z.boolean()
+  })
+}
--- /dev/null
+++ b/packages/telemetry/src/lib/events/siteChanges.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod'
+
+/** Sites and named weights: what operators sent, and what is in force. */
+export const siteChanges = {
+  'site-put': z.strictObject({ version: z.number(), bytes: z.number(), outcome: z.string() }),
+  'site-refused': z.strictObject({ field: z.string(), reason: z.string() }),
+  'site-read-refused': z.strictObject({ reason: z.string() }),
+  'weights-named': z.strictObject({ model: z.string(), version: z.number(), outcome: z.string() }),
+  'site-in-force': z.strictObject({ version: z.number(), routes: z.number(), view: z.number() }),
+  'view-in-force': z.strictObject({ view: z.number(), revision: z.number() })
+}
