--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
@@ -151,6 +151,7 @@
       const written = await trace('--around', 'r1', ...await story())
       expect(written.output.split('\n').map(text => / (~?)[a-z-]+-(?:force|paused)| {2}(refused|draining)/.exec(text)?.[0].trim())).toEqual(['~site-in-force', '~endpoint-paused', 'refused', undefined, undefined])
       expect(written.output).toContain('~draining')
+      expect(written.output.split('\n').map(text => text.split(/ +/)[1])).toEqual(['-800', '-60', '+0', '+800', undefined])
     })
 
     it('tells processes in one file apart by host and program', async () => {
--- a/apps/eelgrassmux/src/lib/trace/describeLines.ts
+++ b/apps/eelgrassmux/src/lib/trace/describeLines.ts
@@ -9,13 +9,13 @@
 
 /**
  * @param lines - in order
- * @returns a text line for each: time, milliseconds since the first one, where it stands, program, event, fields
+ * @returns a text line for each: time, milliseconds from the request's first one, where it stands, program, event, fields
  */
 export function describeLines (lines: readonly TracedLine[]): string[] {
-  const start = lines.find(({ time }) => !Number.isNaN(time))?.time ?? 0
+  const start = lines.find(({ time, request }) => request !== undefined && !Number.isNaN(time))?.time ?? 0
   const rows = lines.map(line => [
     Number.isNaN(line.time) ? '-' : new Date(line.time).toISOString(),
-    Number.isNaN(line.time) ? '-' : `+${line.time - start}`,
+    Number.isNaN(line.time) ? '-' : describeDistance(line.time - start),
     [line.host, `${line.file}:${line.lineNumber}`].filter(part => part !== undefined).join(' '),
     line.program,
     `${line.request === undefined ? AROUND_MARK : ' '}${line.event}`
@@ -27,6 +27,10 @@
   })
 }
 
+function describeDistance (milliseconds: number): string {
+  return milliseconds < 0 ? String(milliseconds) : `+${milliseconds}`
+}
+
 function describeFields (fields: TracedLine['fields']): string {
   return Object.entries(fields).map(([name, value]) => `${name}=${describeValue(value)}`).join(' ')
 }
