The last log lines of a process are written before it exits

The writer now takes what waits to standard output at the end, as far as that takes it without waiting. Ruled out: waiting for the thread pool, because a broken invariant must stop the process at once.

--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -125,6 +125,7 @@
     invariants.count(invariant)
     telemetry.fault('fatal', { invariant, message: String(error) })
     process.stderr.write(`${program.name}: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+    telemetry.writeOut()
     process.exit(EXIT_FATAL)
   }
   process.on('uncaughtException', fail)
@@ -146,7 +147,7 @@
     telemetry.stateChanged('reloading')
     daemon.reload?.()
   })
-  await stopSignal()
+  await stopSignal(() => { telemetry.writeOut() })
   draining = true
   daemon.stopping?.()
   telemetry.stateChanged('draining')
@@ -155,14 +156,18 @@
   telemetry.stateChanged('stopped')
   await daemon.close()
   await admin.close()
+  telemetry.writeOut()
   process.exit(0)
 }
 
-async function stopSignal (): Promise<void> {
+async function stopSignal (beforeExit: () => void): Promise<void> {
   await new Promise<void>(resolve => {
     let signalled = false
     const onSignal = (): void => {
-      if (signalled) process.exit(1)
+      if (signalled) {
+        beforeExit()
+        process.exit(1)
+      }
       signalled = true
       resolve()
     }
--- a/packages/telemetry/src/lib/BoundedLogWriter.test.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.test.ts
@@ -58,4 +58,79 @@
     expect(text).toBe('first line\nsecond line\n')
     vi.useRealTimers()
   })
+
+  describe('at the end of the process', () => {
+    const dropped = (count: number): string => `dropped ${count}`
+
+    it('writes what waits, and nothing after that', () => {
+      vi.useFakeTimers()
+      let text = ''
+      const writer = new BoundedLogWriter((bytes, done) => {
+        text += `late ${bytes.toString()}`
+        done(null, bytes.length)
+      }, dropped, bytes => {
+        text += bytes.subarray(0, 4).toString()
+        return Math.min(4, bytes.length)
+      })
+      writer.write('first line')
+      writer.write('second line')
+      writer.writeOut()
+      writer.write('third line')
+      vi.advanceTimersByTime(1000)
+      expect(text).toBe('first line\nsecond line\n')
+      vi.useRealTimers()
+    })
+
+    it('begins with what a full sink has not taken, and says what was dropped', () => {
+      vi.useFakeTimers()
+      let text = ''
+      let calls = 0
+      const writer = new BoundedLogWriter((bytes, done) => {
+        calls += 1
+        if (calls === 1) {
+          text += bytes.subarray(0, 5).toString()
+          done(null, 5)
+          return
+        }
+        done(Object.assign(new Error('full'), { code: 'EAGAIN' }), 0)
+      }, dropped, bytes => {
+        text += bytes.toString()
+        return bytes.length
+      })
+      writer.write('first line')
+      vi.advanceTimersByTime(60)
+      writer.write('second line')
+      writer.write('x'.repeat(1_000_000))
+      writer.writeOut()
+      vi.advanceTimersByTime(1000)
+      expect(text).toBe('first line\nsecond line\ndropped 1\n')
+      vi.useRealTimers()
+    })
+
+    it('gives up when nothing is taken', () => {
+      let calls = 0
+      const writer = new BoundedLogWriter(undefined, dropped, () => {
+        calls += 1
+        return 0
+      })
+      writer.write('line')
+      writer.writeOut()
+      expect(calls).toBe(1)
+    })
+
+    it('leaves to the thread pool what that is writing', () => {
+      vi.useFakeTimers()
+      let text = ''
+      const writer = new BoundedLogWriter(() => {}, dropped, bytes => {
+        text += bytes.toString()
+        return bytes.length
+      })
+      writer.write('first line')
+      vi.advanceTimersByTime(60)
+      writer.write('second line')
+      writer.writeOut()
+      expect(text).toBe('second line\n')
+      vi.useRealTimers()
+    })
+  })
 })
--- a/packages/telemetry/src/lib/BoundedLogWriter.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.ts
@@ -8,6 +8,7 @@
  */
 import { write } from 'node:fs'
 import { describeDroppedLines } from './describeDroppedLines.js'
+import { writeWithoutWaiting } from './writeWithoutWaiting.js'
 
 /** Writes bytes and calls back when they were taken. */
 export type ByteSink = (bytes: Buffer, done: (error: Error | null, written: number) => void) => void
@@ -23,6 +24,8 @@
 
 const STANDARD_OUTPUT = 1
 
+const NOTHING = Buffer.alloc(0)
+
 /** Bounded buffer in front of a sink. */
 export class BoundedLogWriter {
   #lines: string[] = []
@@ -31,14 +34,19 @@
   #droppedInAll = 0
   #timer: NodeJS.Timeout | undefined
   #isWriting = false
+  /** What a full sink has not taken yet of the batch under way; empty while the thread pool has it. */
+  #untaken: Buffer = NOTHING
+  #hasEnded = false
 
   /**
    * @param sink - where the bytes go
    * @param describeDropped - makes the line that says how many lines were dropped
+   * @param lastSink - takes what it can at once, and returns how many bytes; called when the process ends
    */
   constructor (
     private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) },
-    private readonly describeDropped = (count: number) => describeDroppedLines('', count)
+    private readonly describeDropped = (count: number) => describeDroppedLines('', count),
+    private readonly lastSink: (bytes: Buffer) => number = bytes => writeWithoutWaiting(STANDARD_OUTPUT, bytes)
   ) {}
 
   /** Lines dropped so far. */
@@ -56,8 +64,26 @@
     this.#schedule(GATHER_MS)
   }
 
+  /**
+   * Writes what waits as far as it is taken without waiting, and nothing after that; for
+   * the end of a process. What the thread pool has just begun to write is left to it.
+   */
+  writeOut (): void {
+    this.#hasEnded = true
+    this.#announceDropped()
+    const lines = this.#lines.map(line => `${line}\n`).join('')
+    this.#lines = []
+    let rest = Buffer.concat([this.#untaken, Buffer.from(lines)])
+    this.#untaken = NOTHING
+    while (rest.length > 0) {
+      const taken = this.lastSink(rest)
+      if (taken === 0) return
+      rest = rest.subarray(taken)
+    }
+  }
+
   #schedule (delayMs: number): void {
-    if (this.#isWriting || this.#timer !== undefined) return
+    if (this.#hasEnded || this.#isWriting || this.#timer !== undefined) return
     this.#timer = setTimeout(() => {
       this.#timer = undefined
       this.#flush()
@@ -65,11 +91,14 @@
     this.#timer.unref()
   }
 
+  #announceDropped (): void {
+    if (this.#dropped === 0) return
+    this.#lines.push(this.describeDropped(this.#dropped))
+    this.#dropped = 0
+  }
+
   #flush (): void {
-    if (this.#dropped > 0) {
-      this.#lines.push(this.describeDropped(this.#dropped))
-      this.#dropped = 0
-    }
+    this.#announceDropped()
     if (this.#lines.length === 0) return
     const bytes = Buffer.from(`${this.#lines.join('\n')}\n`)
     this.#lines = []
@@ -79,10 +108,13 @@
   }
 
   #writeAll (bytes: Buffer): void {
+    if (this.#hasEnded) return
+    this.#untaken = NOTHING
     this.sink(bytes, (error, written) => {
       const isFull = error !== null && 'code' in error && error.code === 'EAGAIN'
       const rest = error === null ? bytes.subarray(written) : bytes
       if (isFull || (error === null && rest.length > 0)) {
+        this.#untaken = rest
         setTimeout(() => { this.#writeAll(rest) }, isFull ? RETRY_MS : 0).unref()
         return
       }
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -25,6 +25,7 @@
 export class Telemetry {
   readonly registry = new Registry()
   readonly #log
+  readonly #writer: BoundedLogWriter
   #linesThisSecond = 0
   #secondStartedAt = 0
 
@@ -36,9 +37,9 @@
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
-    const writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
-    ROARR.write = message => { writer.write(message) }
-    this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => writer.dropped)
+    this.#writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
+    ROARR.write = message => { this.#writer.write(message) }
+    this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => this.#writer.dropped)
   }
 
   /**
@@ -130,4 +131,9 @@
   fault<Event extends FaultEvent> (event: Event, ...[fields]: FieldArguments<FaultFields<Event>>): void {
     this.#log.error({ event, ...fields }, event)
   }
+
+  /** Writes the last lines without waiting; call right before the process exits. */
+  writeOut (): void {
+    this.#writer.writeOut()
+  }
 }
