Lines about requests: failures first, and what is left out is counted

Beyond 200 lines a second the log left out whatever came, failures as well, without a word. Requests that go well now get half of a second's lines at most, and what is left out is counted and reported within a second. Telemetry.test.ts failed before: of four lines a second all went to requests that went well, and none said so.

Not done: the lines of one request are still admitted one by one, so that a story may lose its end on a host that is far beyond its limit.

--- /dev/null
+++ b/packages/telemetry/src/lib/RequestLineLimit.test.ts
@@ -0,0 +1,55 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { RequestLineLimit } from './RequestLineLimit.js'
+
+describe('RequestLineLimit', () => {
+  let reports: number[] = []
+  let limit: RequestLineLimit
+  beforeEach(() => {
+    vi.useFakeTimers()
+    reports = []
+    limit = new RequestLineLimit(10, count => { reports.push(count) })
+  })
+  afterEach(() => { vi.useRealTimers() })
+
+  function admitted (lines: number, isOrdinary: boolean, now: number): number {
+    return Array.from({ length: lines }, () => limit.admits(isOrdinary, now)).filter(Boolean).length
+  }
+
+  it('keeps half of a second\'s lines for failures, whatever came before them', () => {
+    expect(admitted(100, true, 0)).toBe(5)
+    expect(admitted(100, false, 0)).toBe(5)
+  })
+
+  it('lets failures use all of them, also the first', () => {
+    expect(admitted(100, false, 0)).toBe(10)
+    expect(admitted(100, true, 0)).toBe(0)
+  })
+
+  it('begins anew each second', () => {
+    expect(admitted(11, false, 500)).toBe(10)
+    expect(admitted(11, false, 1499)).toBe(0)
+    expect(admitted(11, false, 1500)).toBe(10)
+  })
+
+  it('counts what it leaves out and reports each line once', () => {
+    admitted(13, false, 0)
+    admitted(2, true, 0)
+    expect(limit.leftOut).toBe(5)
+    vi.advanceTimersByTime(1000)
+    expect(reports).toEqual([5])
+    vi.advanceTimersByTime(5000)
+    expect(reports).toEqual([5])
+    admitted(12, false, 5000)
+    vi.advanceTimersByTime(1000)
+    expect(reports).toEqual([5, 2])
+    expect(limit.leftOut).toBe(7)
+  })
+
+  it('reports at the end of the process what it has not reported yet', () => {
+    admitted(12, false, 0)
+    limit.reportNow()
+    limit.reportNow()
+    vi.advanceTimersByTime(5000)
+    expect(reports).toEqual([2])
+  })
+})
--- /dev/null
+++ b/packages/telemetry/src/lib/Telemetry.test.ts
@@ -0,0 +1,32 @@
+import { spawnSync } from 'node:child_process'
+import { describe, expect, it } from 'vitest'
+
+/** Runs statements with a telemetry `log`, and reads what they left on standard output. */
+function linesOf (statements: string): Array<Record<string, unknown>> {
+  const script = `
+    import { Telemetry } from '${new URL('../../dist/lib/Telemetry.js', import.meta.url).href}'
+    const log = new Telemetry('small', { keptStories: 1, logLinesPerSecond: 4 })
+    const answered = id => { log.decided('answered', id, { status: 200, endpoint: 'e', estimatedMs: 1, waitMs: 1, fetchMs: 1, tokensToRead: 1, version: 1, firstEventMs: 1, promptTokens: 1 }) }
+    const refused = id => { log.decided('refused', id, { reason: 'no-endpoint', status: 503, run: 'not-run', detail: '' }) }
+    ${statements}
+    log.writeOut()`
+  const { stdout } = spawnSync(process.execPath, ['--input-type=module', '--eval', script], { env: { ...process.env, ROARR_LOG: 'true' }, encoding: 'utf8' })
+  return stdout.trimEnd().split('\n').map(line => (JSON.parse(line) as { context: Record<string, unknown> }).context)
+}
+
+describe('Telemetry', () => {
+  it('writes lines of failures although many requests go well, and says what it left out', () => {
+    const lines = linesOf('for (const id of \'abcdefgh\') answered(id); for (const id of \'ijk\') refused(id)')
+    expect(lines.map(({ event, request, count }) => [event, request ?? count])).toEqual([
+      ['answered', 'a'], ['answered', 'b'], ['refused', 'i'], ['refused', 'j'], ['request-lines-left-out', 7]
+    ])
+  })
+
+  it('writes program, event, request and fields', () => {
+    expect(linesOf('log.stateChanged(\'stopped\'); log.fault(\'fatal\', { invariant: \'x\', message: \'y\' }); log.decided(\'retry-budget-used-up\', \'r\', { failure: \'lost\', siteVersion: 3 })')).toEqual([
+      { program: 'small', event: 'stopped', logLevel: 30 },
+      { program: 'small', event: 'fatal', invariant: 'x', message: 'y', logLevel: 50 },
+      { program: 'small', event: 'retry-budget-used-up', request: 'r', failure: 'lost', siteVersion: 3, logLevel: 30 }
+    ])
+  })
+})
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -4,6 +4,7 @@
 import { BoundedLogWriter } from './BoundedLogWriter.js'
 import { describeDroppedLines } from './describeDroppedLines.js'
 import type { ChangeEvent, ChangeFields, DecisionEvent, DecisionFields, FaultEvent, FaultFields, FieldArguments, RequestFields } from './events/eventFields.js'
+import { RequestLineLimit } from './RequestLineLimit.js'
 
 /** Counter with one label. */
 export interface LabelledCounter {
@@ -21,13 +22,15 @@
 
 const DEFAULT_STORY_LIMITS: StoryLimits = { keptStories: 64, logLinesPerSecond: 200 }
 
+/** Lines that requests without failure have as well. */
+const ORDINARY_EVENTS: ReadonlySet<DecisionEvent> = new Set<DecisionEvent>(['answered', 'waits-for-room', 'waits-for-site'])
+
 /** Metrics and log of one process, both named after its program. */
 export class Telemetry {
   readonly registry = new Registry()
   readonly #log
   readonly #writer: BoundedLogWriter
-  #linesThisSecond = 0
-  #secondStartedAt = 0
+  readonly #requestLines: RequestLineLimit
 
   /**
    * @param program - name of the binary, such as `eelgrassmux-entry`
@@ -39,6 +42,8 @@
     this.#log = Roarr.child({ program })
     this.#writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
     ROARR.write = message => { this.#writer.write(message) }
+    this.#requestLines = new RequestLineLimit(limits.logLinesPerSecond, count => { this.stateChanged('request-lines-left-out', { count }) })
+    this.gauge('request_lines_left_out', 'Lines about requests beyond the most in a second', () => this.#requestLines.leftOut)
     this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => this.#writer.dropped)
   }
 
@@ -102,13 +107,7 @@
    * @param fields - inputs that decided, their age or version, and the outcome
    */
   decided<Event extends DecisionEvent> (event: Event, requestId: string, fields: DecisionFields<Event> & RequestFields): void {
-    const now = performance.now()
-    if (now - this.#secondStartedAt >= 1000) {
-      this.#secondStartedAt = now
-      this.#linesThisSecond = 0
-    }
-    this.#linesThisSecond += 1
-    if (this.#linesThisSecond > this.limits.logLinesPerSecond) return
+    if (!this.#requestLines.admits(ORDINARY_EVENTS.has(event), performance.now())) return
     this.#log.info({ event, request: requestId, ...fields }, event)
   }
 
@@ -134,6 +133,7 @@
 
   /** Writes the last lines without waiting; call right before the process exits. */
   writeOut (): void {
+    this.#requestLines.reportNow()
     this.#writer.writeOut()
   }
 }
--- a/packages/telemetry/src/lib/events/processChanges.ts
+++ b/packages/telemetry/src/lib/events/processChanges.ts
@@ -23,6 +23,8 @@
   }),
   draining: z.strictObject({}),
   stopped: z.strictObject({}),
+  /** Lines about requests beyond the most in a second, failures last. */
+  'request-lines-left-out': z.strictObject({ count: z.number() }),
   /** Lines that were not written because nobody read the ones before. */
   'log-lines-dropped': z.strictObject({ count: z.number() })
 }
