--- a/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
+++ b/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
@@ -1,27 +1,19 @@
 /** The story of one request, from the collected log files of several processes. */
+import { LossReports, type Loss, type Span } from './LossReports.js'
 import { readLogFile } from './readLogFile.js'
 import { processOf, type TracedLine } from './TracedLine.js'
 
-/** Event of the line that says how many lines its process did not write. */
-const DROPPED_EVENT = 'log-lines-dropped'
-
 /** Why a file could not be read. */
 export interface UnreadableFile {
   readonly file: string
   readonly reason: string
 }
 
-/** From when to when something happened, in milliseconds since 1970. */
-interface Span {
-  readonly from: number
-  readonly to: number
-}
-
 /** Collects what the files say of a request. */
 export class RequestTrace {
-  #ofRequest: TracedLine[] = []
-  #around: TracedLine[] = []
-  #dropped: TracedLine[] = []
+  readonly #ofRequest: TracedLine[] = []
+  readonly #around: TracedLine[] = []
+  readonly #losses = new LossReports()
   readonly #unreadableFiles: UnreadableFile[] = []
   #cutLines = 0
 
@@ -39,11 +31,9 @@
   /** Lines that name the request but are cut. */
   get cutLines (): number { return this.#cutLines }
 
-  /** Lines by which processes that the request met say that they dropped lines; of all processes if it was not found. */
-  get dropped (): readonly TracedLine[] {
-    if (!this.isFound) return this.#dropped
-    const files = new Set(this.#ofRequest.map(({ file, host }) => JSON.stringify([file, host])))
-    return this.#dropped.filter(({ file, host }) => files.has(JSON.stringify([file, host])))
+  /** Lines that were not written and may be of the request. */
+  get losses (): readonly Loss[] {
+    return this.#losses.near(this.#ofRequest, this.#span())
   }
 
   get unreadableFiles (): readonly UnreadableFile[] { return this.#unreadableFiles }
@@ -55,12 +45,12 @@
    */
   async readRequest (files: readonly string[]): Promise<void> {
     const name = `"request":${JSON.stringify(this.requestId)}`
-    const isWanted = (text: string): boolean => text.includes(name) || text.includes(DROPPED_EVENT)
+    const isWanted = (text: string): boolean => text.includes(name) || LossReports.mayHold(text)
     await this.#readAll(files, isWanted, (text, lines) => {
       const mine = lines.filter(line => line.request === this.requestId)
       if (mine.length === 0 && text.includes(name)) this.#cutLines += 1
       this.#ofRequest.push(...mine)
-      this.#dropped.push(...lines.filter(line => line.event === DROPPED_EVENT))
+      this.#losses.add(lines)
     })
   }
 
--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
@@ -48,8 +48,8 @@
   #printDoubts (trace: RequestTrace): void {
     for (const { file, reason } of trace.unreadableFiles) this.#complain(`${file} can't be read: ${reason}`, EXIT_FAILED)
     if (trace.cutLines > 0) this.#complain(`${trace.cutLines} lines name the request but are cut`, EXIT_FAILED)
-    for (const { file, lineNumber, fields } of trace.dropped) {
-      this.#complain(`${file}:${lineNumber}: the process dropped ${String(fields['count'])} lines, perhaps of this request`, EXIT_FAILED)
+    for (const { file, host, event, lines } of trace.losses) {
+      this.#complain(`${[host, file].filter(part => part !== undefined).join(' ')}: ${lines} lines were not written (${event}), perhaps of this request`, EXIT_FAILED)
     }
   }
 
