--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -145,7 +145,7 @@
   telemetry.gauge('configuration_revision', 'Configuration in force', () => link.configuration.revision)
   telemetry.gauge('configuration_fresh', '1 while the configuration is confirmed', () => link.isFresh() ? 1 : 0)
 
-  const logUnderWay = (event: string): void => {
+  const logUnderWay = (event: 'awaited-by-stop' | 'cut-by-stop'): void => {
     runs.logUnderWay(id => { telemetry.decided(event, id, { sinceSignalMs: Math.round(stop.sinceSignalMs) }) })
   }
   const edge: CallerEdge = {
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -13,7 +13,9 @@
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
-import type { LabelledCounter, LogDetails, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
+import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { PlannedStop } from '../PlannedStop.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import type { CallerExchange } from './CallerExchange.js'
@@ -93,8 +95,7 @@
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
-    const { route, fields } = request
-    this.#relay = new AnswerRelay(exchange, { isStream: route.kind === 'stream', isResumable: route.isResumable, lastEventId: fields.lastEventId })
+    this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
   /** Starts; everything else follows from timers and sockets. */
@@ -105,12 +106,12 @@
   }
 
   /**
-   * Logs a decision of others about this request.
+   * Logs what a stop of this host decides about this request.
    *
    * @param event - name of the decision
    * @param details - what it was made of
    */
-  log (event: string, details: LogDetails): void {
+  logStop<Event extends keyof typeof stopDecisions> (event: Event, details: DecisionFields<Event>): void {
     this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#hasFirstEvent })
   }
 
@@ -122,7 +123,7 @@
    */
   endForStop (sinceSignalMs: number): void {
     if (this.#isDone) return
-    this.log('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
+    this.logStop('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
     this.#cancelAttempt(undefined)
     if (this.exchange.hasHead) {
       this.#finish('broken-off', { failure: 'stop' })
@@ -157,7 +158,7 @@
       return
     }
     this.#sends += 1
-    if (this.ports.stop.isStopping) this.log('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
+    if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
     attempt.send({
@@ -421,7 +422,7 @@
   }
 
   /** What decided where the request went. */
-  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): LogDetails {
+  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): Omit<DecisionFields<'answered'>, 'status' | 'endpoint'> {
     return {
       estimatedMs: Math.round(estimatedMs),
       waitMs: Math.round(waitMs),
@@ -434,7 +435,7 @@
     }
   }
 
-  #finish (outcome: string, details: LogDetails): void {
+  #finish<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
     this.#isDone = true
     clearTimeout(this.#timer)
     this.#silence.stop()
@@ -443,7 +444,7 @@
     }
   }
 
-  #decided (event: string, details: LogDetails): void {
+  #decided<Event extends DecisionEvent> (event: Event, details: DecisionFields<Event>): void {
     const { route, service, siteVersion } = this.request
     this.ports.telemetry.decided(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
   }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -140,7 +140,7 @@
 
   /** Logs what is under way, so that work that is cut later can be told by its ids. */
   logUnderWay (): void {
-    for (const task of this.#underWay.values()) task?.log('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
+    for (const task of this.#underWay.values()) task?.logStop('awaited-by-stop', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs) })
   }
 
   /** Ends what is under way because the process is about to be killed. */
--- a/packages/daemon/src/lib/ProcessSignals.ts
+++ b/packages/daemon/src/lib/ProcessSignals.ts
@@ -21,6 +21,7 @@
   #stopReceivedAt: number | undefined
   #hasReloadWaiting = false
   #onReload: (() => void) | undefined
+  #beforeCut: () => void = () => {}
 
   constructor () {
     this.#stopped = new Promise(resolve => {
@@ -32,8 +33,8 @@
       process.on('SIGTERM', stop)
       process.on('SIGINT', () => {
         // A supervisor may repeat itself; an operator who does so means it.
-        if (this.#stopReceivedAt !== undefined) process.exit(EXIT_CUT)
-        stop()
+        if (this.#stopReceivedAt === undefined) stop()
+        else this.#cut()
       })
     })
     process.on('SIGHUP', () => {
@@ -51,6 +52,11 @@
     return await this.#stopped
   }
 
+  /** @param listener - called right before an interrupt of a stop ends the process */
+  onCut (listener: () => void): void {
+    this.#beforeCut = listener
+  }
+
   /** @param listener - called at each wish to reload settings, and now if there was one before */
   onReload (listener: () => void): void {
     this.#onReload = listener
@@ -58,6 +64,11 @@
     this.#hasReloadWaiting = false
     listener()
   }
+
+  #cut (): void {
+    this.#beforeCut()
+    process.exit(EXIT_CUT)
+  }
 }
 
 /** A stop that is thought to have begun too early costs some requests; one thought to begin late cuts them. */
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -132,6 +132,7 @@
     invariants.count(invariant)
     telemetry.fault('fatal', { invariant, message: String(error) })
     process.stderr.write(`${program.name}: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+    telemetry.writeOut()
     process.exit(EXIT_FATAL)
   }
   process.on('uncaughtException', fail)
@@ -149,6 +150,7 @@
   const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
   telemetry.stateChanged('started', addresses)
+  signals.onCut(() => { telemetry.writeOut() })
   signals.onReload(() => {
     telemetry.stateChanged('reloading')
     daemon.reload?.()
@@ -162,5 +164,6 @@
   await daemon.close()
   await admin.close()
   await telemetry.flush(LAST_LINES_MS)
+  telemetry.writeOut()
   process.exit(0)
 }
--- a/packages/telemetry/src/lib/BoundedLogWriter.ts
+++ b/packages/telemetry/src/lib/BoundedLogWriter.ts
@@ -7,6 +7,8 @@
  * counted, and reported in a line of their own.
  */
 import { write } from 'node:fs'
+import { describeDroppedLines } from './describeDroppedLines.js'
+import { writeWithoutWaiting } from './writeWithoutWaiting.js'
 
 /** Writes bytes and calls back when they were taken. */
 export type ByteSink = (bytes: Buffer, done: (error: Error | null, written: number) => void) => void
@@ -22,6 +24,8 @@
 
 const STANDARD_OUTPUT = 1
 
+const NOTHING = Buffer.alloc(0)
+
 /** Bounded buffer in front of a sink. */
 export class BoundedLogWriter {
   #lines: string[] = []
@@ -31,9 +35,20 @@
   #timer: NodeJS.Timeout | undefined
   #isWriting = false
   readonly #flushWaiters: Array<() => void> = []
+  /** What a full sink has not taken yet of the batch under way; empty while the thread pool has it. */
+  #untaken: Buffer = NOTHING
+  #hasEnded = false
 
-  /** @param sink - where the bytes go */
-  constructor (private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) }) {}
+  /**
+   * @param sink - where the bytes go
+   * @param describeDropped - makes the line that says how many lines were dropped
+   * @param lastSink - takes what it can at once, and returns how many bytes; called when the process ends
+   */
+  constructor (
+    private readonly sink: ByteSink = (bytes, done) => { write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done) },
+    private readonly describeDropped = (count: number) => describeDroppedLines('', count),
+    private readonly lastSink: (bytes: Buffer) => number = bytes => writeWithoutWaiting(STANDARD_OUTPUT, bytes)
+  ) {}
 
   /** Lines dropped so far. */
   get dropped (): number { return this.#droppedInAll }
@@ -68,8 +83,26 @@
 
   get #isIdle (): boolean { return !this.#isWriting && this.#lines.length === 0 }
 
+  /**
+   * Writes what waits as far as it is taken without waiting, and nothing after that; for
+   * the end of a process. What the thread pool has just begun to write is left to it.
+   */
+  writeOut (): void {
+    this.#hasEnded = true
+    this.#announceDropped()
+    const lines = this.#lines.map(line => `${line}\n`).join('')
+    this.#lines = []
+    let rest = Buffer.concat([this.#untaken, Buffer.from(lines)])
+    this.#untaken = NOTHING
+    while (rest.length > 0) {
+      const taken = this.lastSink(rest)
+      if (taken === 0) return
+      rest = rest.subarray(taken)
+    }
+  }
+
   #schedule (delayMs: number): void {
-    if (this.#isWriting || this.#timer !== undefined) return
+    if (this.#hasEnded || this.#isWriting || this.#timer !== undefined) return
     this.#timer = setTimeout(() => {
       this.#timer = undefined
       this.#flush()
@@ -77,11 +110,14 @@
     this.#timer.unref()
   }
 
+  #announceDropped (): void {
+    if (this.#dropped === 0) return
+    this.#lines.push(this.describeDropped(this.#dropped))
+    this.#dropped = 0
+  }
+
   #flush (): void {
-    if (this.#dropped > 0) {
-      this.#lines.push(JSON.stringify({ context: { event: 'log-lines-dropped', count: this.#dropped }, message: 'log-lines-dropped' }))
-      this.#dropped = 0
-    }
+    this.#announceDropped()
     if (this.#lines.length === 0) return
     const bytes = Buffer.from(`${this.#lines.join('\n')}\n`)
     this.#lines = []
@@ -91,10 +127,13 @@
   }
 
   #writeAll (bytes: Buffer): void {
+    if (this.#hasEnded) return
+    this.#untaken = NOTHING
     this.sink(bytes, (error, written) => {
       const isFull = error !== null && 'code' in error && error.code === 'EAGAIN'
       const rest = error === null ? bytes.subarray(written) : bytes
       if (isFull || (error === null && rest.length > 0)) {
+        this.#untaken = rest
         setTimeout(() => { this.#writeAll(rest) }, isFull ? RETRY_MS : 0).unref()
         return
       }
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -2,6 +2,9 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { ROARR, Roarr } from 'roarr'
 import { BoundedLogWriter } from './BoundedLogWriter.js'
+import { describeDroppedLines } from './describeDroppedLines.js'
+import type { ChangeEvent, ChangeFields, DecisionEvent, DecisionFields, FaultEvent, FaultFields, FieldArguments, RequestFields } from './events/eventFields.js'
+import { RequestLineLimit } from './RequestLineLimit.js'
 
 /** Counter with one label. */
 export interface LabelledCounter {
@@ -9,9 +12,6 @@
   count (label: string, amount?: number): void
 }
 
-/** Values that explain a line. */
-export type LogDetails = Readonly<Record<string, string | number | boolean>>
-
 /** How much of the story of requests the log takes. */
 export interface StoryLimits {
   /** Of requests that go well, one in so many is logged. */
@@ -22,13 +22,15 @@
 
 const DEFAULT_STORY_LIMITS: StoryLimits = { keptStories: 64, logLinesPerSecond: 200 }
 
+/** Lines that requests without failure have as well. */
+const ORDINARY_EVENTS: ReadonlySet<DecisionEvent> = new Set<DecisionEvent>(['answered', 'waits-for-room', 'waits-for-site'])
+
 /** Metrics and log of one process, both named after its program. */
 export class Telemetry {
   readonly registry = new Registry()
   readonly #log
-  readonly #writer = new BoundedLogWriter()
-  #linesThisSecond = 0
-  #secondStartedAt = 0
+  readonly #writer: BoundedLogWriter
+  readonly #requestLines: RequestLineLimit
 
   /**
    * @param program - name of the binary, such as `eelgrassmux-entry`
@@ -38,7 +40,10 @@
     this.registry.setDefaultLabels({ program })
     collectDefaultMetrics({ register: this.registry })
     this.#log = Roarr.child({ program })
+    this.#writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
     ROARR.write = message => { this.#writer.write(message) }
+    this.#requestLines = new RequestLineLimit(limits.logLinesPerSecond, count => { this.stateChanged('request-lines-left-out', { count }) })
+    this.gauge('request_lines_left_out', 'Lines about requests beyond the most in a second', () => this.#requestLines.leftOut)
     this.gauge('log_lines_dropped', 'Log lines dropped because nobody read them', () => this.#writer.dropped)
   }
 
@@ -97,29 +102,23 @@
   /**
    * Logs a decision that touches a request.
    *
-   * @param event - short stable name of the decision
+   * @param event - name of the decision in the catalogue
    * @param requestId - the caller's id of the attempt
-   * @param details - inputs that decided, their age or version, and the outcome
+   * @param fields - inputs that decided, their age or version, and the outcome
    */
-  decided (event: string, requestId: string, details: LogDetails): void {
-    const now = performance.now()
-    if (now - this.#secondStartedAt >= 1000) {
-      this.#secondStartedAt = now
-      this.#linesThisSecond = 0
-    }
-    this.#linesThisSecond += 1
-    if (this.#linesThisSecond > this.limits.logLinesPerSecond) return
-    this.#log.info({ event, request: requestId, ...details }, event)
+  decided<Event extends DecisionEvent> (event: Event, requestId: string, fields: DecisionFields<Event> & RequestFields): void {
+    if (!this.#requestLines.admits(ORDINARY_EVENTS.has(event), performance.now())) return
+    this.#log.info({ event, request: requestId, ...fields }, event)
   }
 
   /**
-   * Logs a change of state.
+   * Logs a change of what the process believes.
    *
-   * @param event - short stable name of the change
-   * @param details - values that explain it
+   * @param event - name of the change in the catalogue
+   * @param fields - values that explain it
    */
-  stateChanged (event: string, details: LogDetails = {}): void {
-    this.#log.info({ event, ...details }, event)
+  stateChanged<Event extends ChangeEvent> (event: Event, ...[fields]: FieldArguments<ChangeFields<Event>>): void {
+    this.#log.info({ event, ...fields }, event)
   }
 
   /**
@@ -134,10 +133,16 @@
   /**
    * Logs a fault that an operator should look at.
    *
-   * @param event - short stable name of the fault
-   * @param details - values that explain it
+   * @param event - name of the fault in the catalogue
+   * @param fields - values that explain it
    */
-  fault (event: string, details: LogDetails = {}): void {
-    this.#log.error({ event, ...details }, event)
+  fault<Event extends FaultEvent> (event: Event, ...[fields]: FieldArguments<FaultFields<Event>>): void {
+    this.#log.error({ event, ...fields }, event)
+  }
+
+  /** Writes the last lines without waiting; call right before the process exits. */
+  writeOut (): void {
+    this.#requestLines.reportNow()
+    this.#writer.writeOut()
   }
 }
--- /dev/null
+++ b/packages/telemetry/src/lib/events/controlFaults.ts
@@ -0,0 +1,6 @@
+import { z } from 'zod'
+
+/** Faults of a control host that do not end it. */
+export const controlFaults = {
+  'write-lost-while-closing': z.strictObject({ message: z.string() })
+}
