Entry hosts tell incarnations of an endpoint apart by its start

Cause: an endpoint may start again under the id that it had, and everything that an entry host believes was kept by id: load, versions of weights, leaving mark, health, slowness, prompts, connections, and what other hosts had told. Change: a listed endpoint carries its start (absent: unknown). A later start begins a new incarnation of which nothing is known; one that is earlier than the known start is from a list that lags and changes nothing. What is kept by name is kept by incarnation, also in load reports. Starts are compared with each other only, never with a clock of ours.

--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -99,7 +99,7 @@
   /** @param choice - the engine to which the request was sent */
   recordSend ({ version, endpoint }: EndpointChoice): void {
     if (version === undefined) return
-    this.ports.fleet.memory.recordSend(this.scope(version), this.#shared, endpoint.id, performance.now())
+    this.ports.fleet.memory.recordSend(this.scope(version), this.#shared, endpoint.incarnation, performance.now())
   }
 
   /**
@@ -143,7 +143,7 @@
   /** Parts that the engine holds already are named as well, but move no bytes. */
   #recordFetches ({ endpoint }: EndpointChoice, version: number, plan: StorePlan, now: number): void {
     const { storeLinks, memory } = this.ports.fleet
-    const held = memory.holders(this.scope(version), this.#shared, now).tokensAt(endpoint.id)
+    const held = memory.holders(this.scope(version), this.#shared, now).tokensAt(endpoint.incarnation)
     let position = 0
     this.#shared.forEach((part, index) => {
       position += part.tokens
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -74,9 +74,9 @@
   /** @param listed - the platform's list as last read */
   update (listed: readonly ListedEndpoint[]): void {
     for (const gone of this.#pool.update(listed)) {
-      this.#connections.get(gone.id)?.closeIdle()
-      this.#connections.delete(gone.id)
-      this.#ejections.forget(gone.id)
+      this.#connections.get(gone.incarnation)?.closeIdle()
+      this.#connections.delete(gone.incarnation)
+      this.#ejections.forget(gone.incarnation)
     }
   }
 
@@ -120,14 +120,14 @@
   choose (service: string, ask: Omit<EndpointAsk, 'dataCentre' | 'others'>): EndpointChoice | NoEndpointReason {
     const now = performance.now()
     const others = this.others.isRecent(now) ? this.others : undefined
-    const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.id)?.hasIdle === true
+    const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.incarnation)?.hasIdle === true
     return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection }, this.memory, now, Math.random())
   }
 
   /** @returns this host's work at each endpoint that has any, or of which there is something to tell */
   ownWork (): EndpointWork[] {
     const now = performance.now()
-    return this.#pool.all.map(endpoint => ({ endpoint: endpoint.id, ...endpoint.work(now) }))
+    return this.#pool.all.map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
       .filter(work => work.inFlight > 0 || work.avoiders > 0 || work.outcomes >= LEAST_TOLD_OUTCOMES)
   }
 
@@ -136,11 +136,11 @@
    * @returns this host's connections to it
    */
   connectionsTo (endpoint: EndpointState): EndpointConnections {
-    const present = this.#connections.get(endpoint.id)
+    const present = this.#connections.get(endpoint.incarnation)
     if (present !== undefined) return present
     const { address, service } = endpoint.listed
     const connections = new EndpointConnections(address, () => { this.#opened.count(service) })
-    this.#connections.set(endpoint.id, connections)
+    this.#connections.set(endpoint.incarnation, connections)
     return connections
   }
 
@@ -164,7 +164,7 @@
     const peersShare = peers.reduce((sum, peer) => sum + peer.health.failureShare, 0) / Math.max(1, peers.length)
     if (!endpoint.health.observe(outcome, performance.now(), peersShare)) return
     // A connection to a host that is gone without a word would take one more request with it.
-    if (endpoint.health.isOutOfReach(performance.now())) this.#connections.get(endpoint.id)?.closeIdle()
+    if (endpoint.health.isOutOfReach(performance.now())) this.#connections.get(endpoint.incarnation)?.closeIdle()
     this.telemetry.stateChanged('endpoint-paused', {
       endpoint: endpoint.id, address: endpoint.listed.address, outcome, failureShare: Number(endpoint.health.failureShare.toFixed(2)), peersShare: Number(peersShare.toFixed(2))
     })
--- a/packages/routing/src/lib/endpoints/EjectionWatch.ts
+++ b/packages/routing/src/lib/endpoints/EjectionWatch.ts
@@ -28,24 +28,25 @@
    */
   look (endpoints: readonly EndpointState[], others: OthersWork, now: number): EjectionChange[] {
     const sights = endpoints.map(endpoint => {
-      const figures = others.at(endpoint.id)
+      const figures = others.at(endpoint.incarnation)
       return { endpoint, others: figures, failureShare: sharedFailureShare(endpoint, figures, now) }
     })
     const meanShare = sights.reduce((sum, sight) => sum + sight.failureShare, 0) / Math.max(1, sights.length)
     const changes: EjectionChange[] = []
     for (const sight of sights) {
+      const { incarnation } = sight.endpoint
       const reason = ejectionReason(sight.endpoint, sight.others, sight.failureShare - meanShare, now)
-      if (reason === this.#reasons.get(sight.endpoint.id)) continue
-      if (reason === undefined) this.#reasons.delete(sight.endpoint.id)
-      else this.#reasons.set(sight.endpoint.id, reason)
+      if (reason === this.#reasons.get(incarnation)) continue
+      if (reason === undefined) this.#reasons.delete(incarnation)
+      else this.#reasons.set(incarnation, reason)
       changes.push({ ...sight, reason, meanShare })
     }
     return changes
   }
 
-  /** @param endpoint - id of one that is listed no more */
-  forget (endpoint: string): void {
-    this.#reasons.delete(endpoint)
+  /** @param incarnation - one that is gone */
+  forget (incarnation: string): void {
+    this.#reasons.delete(incarnation)
   }
 
   /** Endpoints that are ejected now. */
--- a/packages/routing/src/lib/endpoints/EndpointPool.ts
+++ b/packages/routing/src/lib/endpoints/EndpointPool.ts
@@ -1,27 +1,30 @@
 /** All endpoints that one entry host knows, by service. */
+import { isLaterStart } from '@eelgrassmux/schema/site/isLaterStart'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { EndpointState } from './EndpointState.js'
 
-/** Follows the platform's list; an endpoint that leaves the list gets no new work, and its requests finish. */
+/**
+ * Follows the platform's list; an endpoint that leaves the list gets no new work, and
+ * its requests finish. One that has started again under its id is another incarnation:
+ * nothing that was learnt of the former one is kept.
+ */
 export class EndpointPool {
   #byId = new Map<string, EndpointState>()
   #byService = new Map<string, EndpointState[]>()
 
   /**
-   * @param listed - the whole list
-   * @returns endpoints that are not listed any more
+   * @param listed - the whole list; it may lag behind what is known of a start
+   * @returns incarnations that are gone: not listed any more, or replaced by a later start
    */
   update (listed: readonly ListedEndpoint[]): EndpointState[] {
     const before = this.#byId
     this.#byId = new Map()
-    this.#byService = new Map()
     for (const entry of listed) {
-      const state = before.get(entry.id) ?? new EndpointState(entry)
-      state.update(entry)
-      this.#byId.set(entry.id, state)
-      this.#byService.set(entry.service, [...this.#byService.get(entry.service) ?? [], state])
+      const present = this.#byId.get(entry.id) ?? before.get(entry.id)
+      this.#byId.set(entry.id, advance(present, entry))
     }
-    return [...before.values()].filter(state => !this.#byId.has(state.id))
+    this.#groupByService()
+    return [...before.values()].filter(state => this.#byId.get(state.id) !== state)
   }
 
   /**
@@ -37,4 +40,21 @@
 
   /** All endpoints. */
   get all (): readonly EndpointState[] { return [...this.#byId.values()] }
+
+  #groupByService (): void {
+    this.#byService = new Map()
+    for (const state of this.#byId.values()) {
+      const { service } = state.listed
+      this.#byService.set(service, [...this.#byService.get(service) ?? [], state])
+    }
+  }
+}
+
+/** The incarnation that an entry tells of, or the known one if that is the later. */
+function advance (present: EndpointState | undefined, entry: ListedEndpoint): EndpointState {
+  const known = present?.listed.startedAtMs
+  if (present === undefined || isLaterStart(entry.startedAtMs, known)) return new EndpointState(entry)
+  const isFormer = entry.startedAtMs !== undefined && isLaterStart(known, entry.startedAtMs)
+  if (!isFormer) present.update(entry)
+  return present
 }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -20,6 +20,9 @@
 /** Silence after which an endpoint with work gets no more if others can take it, in milliseconds: three times what a first event usually takes. */
 const SILENT_MS = 900
 
+/** Radix of the start in an incarnation's name: 8 digits in place of 13, because load reports carry the name many times a second. */
+const NAME_RADIX = 36
+
 /** Weight of the newest sample in the mean latency. */
 const LATENCY_SMOOTHING = 0.1
 
@@ -49,6 +52,8 @@
   }
 
   get id (): string { return this.#listed.id }
+  /** Names this incarnation among all of the endpoint, alike on every host that knows its start. */
+  get incarnation (): string { return incarnationName(this.#listed) }
   get listed (): ListedEndpoint { return this.#listed }
   get isLeaving (): boolean { return this.#isLeaving }
   /** Requests of this host that are under way there. */
@@ -96,9 +101,9 @@
   /** Mean time of a plain answer, once there was one, in milliseconds. */
   get latencyMs (): number | undefined { return this.#latencyMs }
 
-  /** @param listed - as listed now; what leaves never comes back under the same id */
+  /** @param listed - the same incarnation as listed now; one that leaves never comes back */
   update (listed: ListedEndpoint): void {
-    this.#listed = listed
+    this.#listed = { ...listed, startedAtMs: listed.startedAtMs ?? this.#listed.startedAtMs }
     this.#isLeaving ||= listed.isLeaving
     this.#learnVersions(listed)
   }
@@ -236,3 +241,7 @@
     }
   }
 }
+
+function incarnationName ({ id, startedAtMs }: ListedEndpoint): string {
+  return startedAtMs === undefined ? id : `${id}@${startedAtMs.toString(NAME_RADIX)}`
+}
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -150,7 +150,7 @@
   const home = homeOf(candidates, ask.prompt)
   const holders = new Map<number, PromptHolders>()
   const looked = sample(candidates, random, ({ endpoint }) =>
-    endpoint.id === home || (holdersFor(endpoint, ask.prompt, memory, holders, now)?.tokensAt(endpoint.id) ?? 0) > 0)
+    endpoint.id === home || (holdersFor(endpoint, ask.prompt, memory, holders, now)?.tokensAt(endpoint.incarnation) ?? 0) > 0)
   const choices = looked.map(sight => estimate(sight, ask, home, holdersFor(sight.endpoint, ask.prompt, memory, holders, now), now))
   const least = Math.min(...choices.map(choice => choice.estimatedMs))
   const ties = choices.filter(choice => choice.estimatedMs <= least + TIE_MS)
@@ -175,7 +175,7 @@
 }
 
 function sightOf (endpoint: EndpointState, ask: EndpointAsk, now: number): Sight {
-  const others = ask.others?.at(endpoint.id) ?? NO_WORK
+  const others = ask.others?.at(endpoint.incarnation) ?? NO_WORK
   return { endpoint, others, failureShare: sharedFailureShare(endpoint, others, now) }
 }
 
@@ -248,7 +248,7 @@
 ): { readonly tokensToRead: number, readonly fetchMs: number, readonly againMs: number } {
   const { description } = prompt
   const shared = description.parts.slice(0, -1)
-  const known = holders.tokensAt(endpoint.id)
+  const known = holders.tokensAt(endpoint.incarnation)
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
   const { storedTokens, fetches } = prompt.stored(version)
   const held = endpoint.id === home ? Math.max(known, sharedTokens * HOME_CHANCE) : known
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -55,7 +55,7 @@
   }
 
   /**
-   * @param endpoint - endpoint id
+   * @param endpoint - incarnation of an endpoint
    * @returns work of all other hosts there
    */
   at (endpoint: string): WorkFigures {
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -2,6 +2,7 @@
 
 /** Work of one or all hosts at one endpoint, and what they have seen of it. */
 export interface EndpointWork extends EndpointSight {
+  /** Incarnation, so that work at a former one is not added to that at the present one. */
   readonly endpoint: string
   /** Requests sent and not answered whole. */
   readonly inFlight: number
--- a/packages/routing/src/lib/prompts/PromptMemory.ts
+++ b/packages/routing/src/lib/prompts/PromptMemory.ts
@@ -15,7 +15,7 @@
 export interface PromptHolders {
   /** Whether some engine holds the whole chain. */
   readonly isHeldAnywhere: boolean
-  /** @returns tokens at the beginning of the chain that the engine holds */
+  /** @returns tokens at the beginning of the chain that the engine's incarnation holds */
   tokensAt (endpoint: string): number
 }
 
@@ -27,7 +27,7 @@
   /**
    * @param scope - cache salt under which the engine keeps the parts
    * @param parts - parts that the engine has read, or will have read in a moment
-   * @param endpoint - engine
+   * @param endpoint - incarnation of the engine: one that has started again holds nothing
    * @param now - monotonic milliseconds
    */
   recordSend (scope: string, parts: readonly PromptPart[], endpoint: string, now: number): void {
--- a/packages/schema/src/lib/site/listedEndpoint.ts
+++ b/packages/schema/src/lib/site/listedEndpoint.ts
@@ -6,8 +6,10 @@
 
 /** One endpoint of a list that lags behind. */
 export const listedEndpointSchema = z.strictObject({
-  /** New at each start of the endpoint. */
+  /** Kept over restarts; together with {@link startedAtMs} it names one incarnation. */
   id: z.string(),
+  /** Start of the incarnation on the endpoint's own clock, in Unix milliseconds; absent if it is not known. */
+  startedAtMs: z.number().int().optional(),
   service: z.string(),
   address: z.string(),
   dataCentre: z.string(),
