The list of endpoints is read entry by entry and keeps the latest start of each

Change: each entry is parsed by itself. A list that was not read to its end removes nobody and does not make the list young. EndpointRegister keeps the latest start of each id; an entry of an earlier one tells only where the endpoint is.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -13,6 +13,7 @@
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
+import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlServer } from './ControlServer.js'
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
@@ -135,7 +136,8 @@
   const orders = new OrderTask(raft, address => new EngineClient(address), outcome => { orderOutcomes.count(outcome) })
   const gate = new FormationGate(raft, settings.minimumVoters)
   const service = new SiteService(raft, gate, rpc)
-  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, telemetry)
+  const rejected = new RejectedEntries(telemetry)
+  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, rejected, telemetry)
   const rollout = platform === undefined || endpoints === undefined
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
--- a/apps/control/src/lib/endpoints/EndpointListTask.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -8,16 +8,20 @@
 import { EventEmitter } from 'node:events'
 import type { HeldModel, ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Result } from '@eelgrassmux/schema/Result'
+import type { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { EndpointRegister, type EndpointReading, type EndpointRestart } from './EndpointRegister.js'
 
 /** Where the list comes from. */
 export interface EndpointSource {
-  /** @returns the whole list, or why it could not be read */
-  list (): Promise<Result<ListedEndpoint[], { readonly kind: string }>>
+  /** @returns what could be read of the list, or why there was no answer */
+  list (): Promise<Result<EndpointReading, { readonly kind: string }>>
 }
 
 /** What this host knows of an endpoint beyond the list. */
 export interface EndpointOverlay {
+  /** Start of the incarnation of which it is known, as in the list. */
+  readonly startedAtMs: number | undefined
   readonly models: readonly HeldModel[]
   readonly isBusy: boolean
 }
@@ -25,7 +29,7 @@
 /** Keeps the newest list. */
 export class EndpointListTask {
   readonly #changes = new EventEmitter()
-  #listed: readonly ListedEndpoint[] = []
+  readonly #register = new EndpointRegister()
   #overlays = new Map<string, EndpointOverlay>()
   #endpoints: readonly ListedEndpoint[] = []
   #fingerprint = ''
@@ -39,9 +43,15 @@
   /**
    * @param source - the platform's list
    * @param intervalMs - pause between readings while somebody watches, in milliseconds
-   * @param telemetry - log and metrics
+   * @param rejected - told of entries that can't be used
+   * @param telemetry - log
    */
-  constructor (private readonly source: EndpointSource, private readonly intervalMs: number, private readonly telemetry: Telemetry) {
+  constructor (
+    private readonly source: EndpointSource,
+    private readonly intervalMs: number,
+    private readonly rejected: RejectedEntries,
+    private readonly telemetry: Telemetry
+  ) {
     this.#changes.setMaxListeners(0)
   }
 
@@ -85,32 +95,52 @@
     this.#publish()
   }
 
+  /**
+   * Takes a start that an endpoint stated itself; the list may state it later.
+   *
+   * @param id - endpoint
+   * @param startedAtMs - as stated, in Unix milliseconds
+   */
+  observeStart (id: string, startedAtMs: number): void {
+    const restart = this.#register.observeStart(id, startedAtMs)
+    if (restart === undefined) return
+    this.#logRestarts([restart])
+    this.#publish()
+  }
+
   async #read (): Promise<void> {
     if (this.#isReading) return
     this.#isReading = true
     try {
       const answer = await this.source.list()
-      this.#noteReachable(answer.ok, answer.ok ? '' : answer.error.kind)
-      if (!answer.ok) return
-      this.#readAt = performance.now()
-      this.#listed = answer.value
-      this.#publish()
+      const lostBecause = answer.ok ? answer.value.incompleteBecause : answer.error.kind
+      this.#noteReachable(lostBecause)
+      if (answer.ok) this.#take(answer.value, performance.now())
     } finally {
       this.#isReading = false
     }
   }
 
-  #noteReachable (isReachable: boolean, reason: string): void {
+  #take (reading: EndpointReading, now: number): void {
+    if (reading.incompleteBecause === undefined) this.#readAt = now
+    this.rejected.note('endpoint-list', reading.rejected, now)
+    this.#logRestarts(this.#register.take(reading))
+    this.#publish()
+  }
+
+  #logRestarts (restarts: readonly EndpointRestart[]): void {
+    for (const { id, startedAtMs } of restarts) this.telemetry.stateChanged('endpoint-restarted', { endpoint: id, startedAtMs })
+  }
+
+  #noteReachable (lostBecause: string | undefined): void {
+    const isReachable = lostBecause === undefined
     if (isReachable === this.#isReachable) return
     this.#isReachable = isReachable
-    this.telemetry.stateChanged(isReachable ? 'endpoint-list-regained' : 'endpoint-list-lost', { reason })
+    this.telemetry.stateChanged(isReachable ? 'endpoint-list-regained' : 'endpoint-list-lost', { reason: lostBecause ?? '' })
   }
 
   #publish (): void {
-    const endpoints = this.#listed.map(endpoint => {
-      const overlay = this.#overlays.get(endpoint.id)
-      return overlay === undefined ? endpoint : { ...endpoint, models: [...overlay.models], isBusy: overlay.isBusy }
-    })
+    const endpoints = this.#register.endpoints.map(endpoint => overlaid(endpoint, this.#overlays.get(endpoint.id)))
     const fingerprint = JSON.stringify(endpoints)
     if (fingerprint === this.#fingerprint) return
     this.#fingerprint = fingerprint
@@ -121,3 +151,8 @@
     this.#changes.emit('change')
   }
 }
+
+function overlaid (endpoint: ListedEndpoint, overlay: EndpointOverlay | undefined): ListedEndpoint {
+  if (overlay === undefined || overlay.startedAtMs !== endpoint.startedAtMs) return endpoint
+  return { ...endpoint, models: [...overlay.models], isBusy: overlay.isBusy }
+}
--- a/apps/control/src/lib/rollout/RolloutTask.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -158,7 +158,7 @@
     for (const endpoint of this.list.endpoints) {
       const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
       const isBusy = this.#plan.isBusy(endpoint.id, now)
-      overlays.set(endpoint.id, { models, isBusy })
+      overlays.set(endpoint.id, { startedAtMs: endpoint.startedAtMs, models, isBusy })
     }
     this.list.setOverlays(overlays)
   }
