A rollout begins anew with an engine that has started again under its id

Cause: status, count of accepted orders, pending order and believed version were kept by id. After a restart the plan waited up to 3 s for an order that was gone, ordered with the count of the former start, and believed the higher of two versions for good. Change: progress is kept for the latest start, which the list or the engine itself states. A later one begins anew and is asked before it is ordered; a late status or answer of a former one changes nothing. The list learns a start from the engine, so that hosts hear of it before the platform's list says it. An order without an answer may be carried out up to 12 s later and may then meet the count that it expects on the new start: the engine is asked every second until then, and what it says goes before the list. Engines of services that the site does not have are neither asked nor ordered, and no stored part is kept or freed for them; they are counted with the rejected entries. Ruled out: refusing late orders by the count alone, as both starts count from 0.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -137,11 +137,11 @@
   const gate = new FormationGate(raft, settings.minimumVoters)
   const service = new SiteService(raft, gate, rpc)
   const rejected = new RejectedEntries(telemetry)
-  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, rejected, telemetry)
+  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, () => state.sites.put?.site, rejected, telemetry)
   const rollout = platform === undefined || endpoints === undefined
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
-  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpoints ?? [], telemetry)
+  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpointsOfSite ?? [], telemetry)
   const sites = { gate, service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
--- a/apps/control/src/lib/endpoints/EndpointListTask.test.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import { RejectedEntries, rejectEntry } from '@eelgrassmux/telemetry/RejectedEntries'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { EndpointListTask, type EndpointSource } from './EndpointListTask.js'
@@ -13,6 +14,16 @@
   id, service: 'pool', address: `${id}:1`, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [{ model: 'm', version: 1 }], startedAtMs, ...changes
 })
 
+const SITE: Site = {
+  version: 1,
+  routes: [],
+  services: [
+    { type: 'replicated', name: 'pool', connectionsPerEndpoint: 0, healthPath: '/health' },
+    { type: 'store', name: 'keep', address: '10.0.0.9:1', dataCentre: 'n', cacheTokens: 1, linkMbps: 1, firstByteMs: 0, isManaged: true }
+  ],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+
 const whole = (...endpoints: ListedEndpoint[]): EndpointReading => ({ endpoints, rejected: [], incompleteBecause: undefined })
 
 /** Reads one scripted list for each turn. */
@@ -21,7 +32,7 @@
   readonly telemetry = new Telemetry('test')
 
   constructor (private readonly readings: Array<EndpointReading | undefined>) {
-    this.task = new EndpointListTask(this, NEVER_MS, new RejectedEntries(this.telemetry), this.telemetry)
+    this.task = new EndpointListTask(this, NEVER_MS, () => SITE, new RejectedEntries(this.telemetry), this.telemetry)
   }
 
   async list (): Promise<Result<EndpointReading, { readonly kind: string }>> {
@@ -73,6 +84,13 @@
     expect(ids(await list.turn())).toEqual(['a', 'b'])
   })
 
+  it('has no use for endpoints of a service that the site does not have, or of a store, and counts them', async () => {
+    const list = new ScriptedList([whole(listed('a'), listed('b', undefined, { service: 'other' }), listed('c', undefined, { service: 'keep' }))])
+    await list.turn()
+    expect(ids(list.task.endpointsOfSite)).toEqual(['a'])
+    expect(await list.telemetry.registry.metrics()).toContain('rejected_entries_total{source="endpoint-list",program="test"} 2')
+  })
+
   describe('when an endpoint has started again under its id', () => {
     it('keeps the later start when an older list arrives late', async () => {
       const list = new ScriptedList([whole(listed('a', 2000)), whole(listed('a', 1000, { isLeaving: true, models: [] }))])
@@ -98,9 +116,11 @@
     it('believes a start that the endpoint stated itself before the list does', async () => {
       const list = new ScriptedList([whole(listed('a', 1000, { isLeaving: true })), whole(listed('a', 1000, { isLeaving: true })), whole(listed('a', 2000, { slots: 9 }))])
       await list.turn()
-      list.task.observeStart('a', 2000)
-      expect(list.task.endpoints).toMatchObject([{ startedAtMs: 2000, isLeaving: false }])
-      expect(await list.turn()).toMatchObject([{ startedAtMs: 2000, isLeaving: false }])
+      list.task.observeStart('a', { startedAtMs: 2000, models: [{ model: 'm', version: 4 }], isBusy: false })
+      expect(list.task.endpoints).toMatchObject([{ startedAtMs: 2000, isLeaving: false, models: [{ model: 'm', version: 4 }] }])
+      expect(await list.turn()).toMatchObject([{ startedAtMs: 2000, isLeaving: false, models: [{ model: 'm', version: 4 }] }])
+      list.task.setOverlays(new Map())
+      expect(list.task.endpoints).toMatchObject([{ models: [{ model: 'm', version: 0 }] }])
       expect(await list.turn()).toMatchObject([{ startedAtMs: 2000, slots: 9 }])
     })
   })
--- a/apps/control/src/lib/endpoints/EndpointListTask.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -7,9 +7,11 @@
  */
 import { EventEmitter } from 'node:events'
 import type { HeldModel, ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Result } from '@eelgrassmux/schema/Result'
-import type { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
+import { rejectEntry, type RejectedEntries, type RejectedEntry } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { endpointsOfSite } from './endpointsOfSite.js'
 import { EndpointRegister, type EndpointReading, type EndpointRestart } from './EndpointRegister.js'
 
 /** Where the list comes from. */
@@ -43,12 +45,14 @@
   /**
    * @param source - the platform's list
    * @param intervalMs - pause between readings while somebody watches, in milliseconds
+   * @param site - as agreed, as of now
    * @param rejected - told of entries that can't be used
    * @param telemetry - log
    */
   constructor (
     private readonly source: EndpointSource,
     private readonly intervalMs: number,
+    private readonly site: () => Site | undefined,
     private readonly rejected: RejectedEntries,
     private readonly telemetry: Telemetry
   ) {
@@ -57,6 +61,8 @@
 
   /** The newest list, with what this host knows beyond it. */
   get endpoints (): readonly ListedEndpoint[] { return this.#endpoints }
+  /** Those of them whose service the site has. */
+  get endpointsOfSite (): readonly ListedEndpoint[] { return endpointsOfSite(this.#endpoints, this.site()) }
   /** Rises with each change of the list. */
   get version (): number { return this.#version }
   get changes (): EventEmitter { return this.#changes }
@@ -96,15 +102,16 @@
   }
 
   /**
-   * Takes a start that an endpoint stated itself; the list may state it later.
+   * Takes what an endpoint stated itself; the list may state its start later.
    *
    * @param id - endpoint
-   * @param startedAtMs - as stated, in Unix milliseconds
+   * @param overlay - what is known of it since it was asked, with its start
    */
-  observeStart (id: string, startedAtMs: number): void {
-    const restart = this.#register.observeStart(id, startedAtMs)
+  observeStart (id: string, overlay: EndpointOverlay): void {
+    const restart = this.#register.observeStart(id, overlay.startedAtMs)
     if (restart === undefined) return
     this.#logRestarts([restart])
+    this.#overlays.set(id, overlay)
     this.#publish()
   }
 
@@ -123,9 +130,14 @@
 
   #take (reading: EndpointReading, now: number): void {
     if (reading.incompleteBecause === undefined) this.#readAt = now
-    this.rejected.note('endpoint-list', reading.rejected, now)
     this.#logRestarts(this.#register.take(reading))
     this.#publish()
+    this.rejected.note('endpoint-list', [...reading.rejected, ...this.#strangers()], now)
+  }
+
+  #strangers (): RejectedEntry[] {
+    const known = new Set(this.endpointsOfSite)
+    return this.#endpoints.filter(endpoint => !known.has(endpoint)).map(({ id, service }) => rejectEntry('service: unknown', { id, service }))
   }
 
   #logRestarts (restarts: readonly EndpointRestart[]): void {
--- a/apps/control/src/lib/endpoints/EndpointRegister.ts
+++ b/apps/control/src/lib/endpoints/EndpointRegister.ts
@@ -21,6 +21,9 @@
 /** Starts remembered of endpoints; beyond this the ones that were heard of first are forgotten. */
 const REMEMBERED_STARTS = 5000
 
+/** Stands for weights of an engine that has started again and was not asked yet: lower than any that is named. */
+const UNKNOWN_VERSION = 0
+
 /**
  * Keeps, for each id, the entry of the latest start. The list lags, so an entry of an
  * earlier start tells only where the endpoint is.
@@ -73,6 +76,8 @@
 
 function underLatestStart (entry: ListedEndpoint, startedAtMs: number | undefined): ListedEndpoint {
   if (!isLaterStart(startedAtMs, entry.startedAtMs)) return entry
-  // Without a start of its own the entry may be of the latest; otherwise the former start's leaving ended with it.
-  return { ...entry, startedAtMs, isLeaving: entry.startedAtMs === undefined && entry.isLeaving }
+  if (entry.startedAtMs === undefined) return { ...entry, startedAtMs }
+  // What the former start held and that it was leaving ended with it.
+  const models = entry.models.map(({ model }) => ({ model, version: UNKNOWN_VERSION }))
+  return { ...entry, startedAtMs, isLeaving: false, models }
 }
--- a/apps/control/src/lib/rollout/RolloutPlan.test.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import { RolloutPlan, type LoadOrder } from './RolloutPlan.js'
+import { RolloutPlan, type EngineStatus, type LoadOrder } from './RolloutPlan.js'
 
 const MODEL = 'summary'
 const NAMED = [{ model: MODEL, version: 2 }]
@@ -45,7 +45,7 @@
     for (const { id } of looks) {
       const engine = this.engines.get(id)
       if (engine === undefined) continue
-      this.plan.observeStatus(id, { versions: new Map([[MODEL, engine.version]]), isBusy: engine.busyUntil >= 0, acceptedOrders: engine.orders }, this.now)
+      this.plan.observeStatus(id, { startedAtMs: undefined, versions: new Map([[MODEL, engine.version]]), isBusy: engine.busyUntil >= 0, acceptedOrders: engine.orders }, this.now)
     }
     for (const order of orders) this.#carryOut(order)
     this.mostAtOnce = Math.max(this.mostAtOnce, [...this.engines.values()].filter(engine => engine.busyUntil >= 0).length)
@@ -61,7 +61,7 @@
       engine.orders += 1
       engine.busyUntil = this.now + this.loadMs
     }
-    this.plan.observeOrder(order.endpoint.id, isLost ? 'unanswered' : isExpected ? 'accepted' : 'conflict', this.now)
+    this.plan.observeOrder(order, isLost ? 'unanswered' : isExpected ? 'accepted' : 'conflict', this.now)
   }
 }
 
@@ -114,4 +114,76 @@
     expect(rollout.plan.next(NAMED, rollout.list, true, rollout.now + 5000).orders).toHaveLength(0)
     expect(rollout.orders).toHaveLength(sent)
   })
+
+  describe('when an engine has started again under its id', () => {
+    const status = (startedAtMs: number, version: number, acceptedOrders: number, isBusy = false): EngineStatus =>
+      ({ startedAtMs, versions: new Map([[MODEL, version]]), isBusy, acceptedOrders })
+    const at = (startedAtMs: number, version: number): ListedEndpoint => ({ ...listed('e', version), startedAtMs })
+
+    /** A plan that has ordered version 2 of an engine that started at 1000 and had accepted 5 orders. */
+    function ordered (): { plan: RolloutPlan, order: LoadOrder } {
+      const plan = new RolloutPlan()
+      plan.next(NAMED, [at(1000, 1)], true, 0)
+      plan.observeStatus('e', status(1000, 1, 5), 10)
+      const [order] = plan.next(NAMED, [at(1000, 1)], true, 100).orders
+      if (order === undefined) throw new Error('no order')
+      return { plan, order }
+    }
+
+    it('asks for its status and orders with the count of the new start, not with the former', () => {
+      const { plan, order } = ordered()
+      expect(order.expectedOrders).toBe(5)
+      plan.observeOrder(order, 'accepted', 110)
+      const steps = plan.next(NAMED, [at(2000, 1)], true, 200)
+      expect(steps.orders).toEqual([])
+      expect(steps.looks.map(endpoint => endpoint.id)).toEqual(['e'])
+      plan.observeStatus('e', status(2000, 1, 0), 210)
+      expect(plan.next(NAMED, [at(2000, 1)], true, 300).orders).toMatchObject([{ version: 2, expectedOrders: 0, startedAtMs: 2000 }])
+    })
+
+    it('does not take an engine for busy or pending because of the former start', () => {
+      const { plan, order } = ordered()
+      plan.observeOrder(order, 'accepted', 110)
+      plan.observeStatus('e', status(1000, 1, 6, true), 150)
+      expect(plan.isBusy('e', 160)).toBe(true)
+      plan.next(NAMED, [at(2000, 2)], true, 200)
+      expect(plan.isBusy('e', 200)).toBe(false)
+    })
+
+    it('believes the version of the new start, also if it is lower', () => {
+      const { plan, order } = ordered()
+      plan.observeOrder(order, 'accepted', 110)
+      plan.observeStatus('e', status(1000, 2, 6), 150)
+      expect(plan.versionOf(at(1000, 1), MODEL)).toBe(2)
+      expect(plan.versionOf(at(2000, 1), MODEL)).toBe(1)
+      plan.observeStatus('e', status(2000, 1, 0), 160)
+      expect(plan.versionOf(at(1000, 2), MODEL)).toBe(1)
+    })
+
+    it('does not let a late status or answer of the former start undo what is known of the new one', () => {
+      const { plan, order } = ordered()
+      plan.observeStatus('e', status(2000, 1, 0), 120)
+      plan.observeStatus('e', status(1000, 2, 6, true), 130)
+      plan.observeOrder(order, 'accepted', 140)
+      expect(plan.versionOf(at(2000, 1), MODEL)).toBe(1)
+      expect(plan.isBusy('e', 150)).toBe(false)
+    })
+
+    it('looks at it while an order to the former start may still be carried out, and mends what that does', () => {
+      const { plan, order } = ordered()
+      plan.observeOrder(order, 'unanswered', 200)
+      const newer = [{ model: MODEL, version: 3 }]
+      // The new start came up with the newest weights, and has accepted no order.
+      plan.next(newer, [at(2000, 3)], true, 300)
+      plan.observeStatus('e', status(2000, 3, 0), 310)
+      expect(plan.isWatching(5000)).toBe(true)
+      expect(plan.next(newer, [at(2000, 3)], true, 5000).looks.map(endpoint => endpoint.id)).toEqual(['e'])
+      // The late order finds the count that it expects.
+      plan.observeStatus('e', status(2000, 2, 1), 5010)
+      expect(plan.versionOf(at(2000, 3), MODEL)).toBe(2)
+      plan.next(newer, [at(2000, 3)], true, 5100)
+      expect(plan.next(newer, [at(2000, 3)], true, 5200).orders).toMatchObject([{ version: 3, expectedOrders: 1 }])
+      expect(plan.isWatching(20_000)).toBe(false)
+    })
+  })
 })
--- a/apps/control/src/lib/rollout/RolloutPlan.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.ts
@@ -2,15 +2,19 @@
  * Which engines to look at and to order next, so that all run the named weights.
  *
  * A core without network: it takes what the list and the engines said and
- * returns what to do. Versions only rise on an engine, so an old list can delay
- * a step but never undo one.
+ * returns what to do. Versions only rise while an engine runs, so an old list can
+ * delay a step but never undo one. An engine that has started again holds what it
+ * says, and counts its orders anew.
  */
+import { isLaterStart } from '@eelgrassmux/schema/site/isLaterStart'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { NamedWeights } from '@eelgrassmux/state/commands'
 import { planLoads, type LoadTarget, type ObservedEngine } from '../orders/planLoads.js'
 
 /** What an engine says of itself. */
 export interface EngineStatus {
+  /** Start of the incarnation that says it, in Unix milliseconds on its own clock; undefined if it does not. */
+  readonly startedAtMs: number | undefined
   readonly versions: ReadonlyMap<string, number>
   /** Whether an order is being carried out. */
   readonly isBusy: boolean
@@ -21,6 +25,8 @@
 /** An order to load weights. */
 export interface LoadOrder {
   readonly endpoint: ListedEndpoint
+  /** Start of the incarnation for which it is meant. */
+  readonly startedAtMs: number | undefined
   readonly model: string
   readonly version: number
   /** Orders that the engine must have accepted so far; an order that arrives late then has no effect. */
@@ -45,12 +51,28 @@
 /** Time after which an accepted order without an effect counts as lost, in milliseconds. */
 const EFFECT_MS = 3000
 
+/**
+ * Time within which an order without an answer may still be carried out, in
+ * milliseconds, as the platform states it. An engine that starts again in it counts
+ * from 0, so the late order may meet the count that it expects.
+ */
+const LATE_ORDER_MS = 12_000
+
+/** Interval between looks at an engine that a late order may reach, in milliseconds: looks are priced. */
+const WATCH_LOOK_MS = 1000
+
+/** Of one incarnation. */
 interface EngineProgress {
+  readonly startedAtMs: number | undefined
   status: EngineStatus | undefined
   lookedAt: number
   announcedAt: number | undefined
   orderedAt: number
   wasAccepted: boolean
+  /** Until when an order without an answer may be carried out. */
+  lateUntil: number
+  /** Until when an order to a former incarnation may reach this one; its status then goes before the list. */
+  watchedUntil: number | undefined
 }
 
 /** Next steps of a rollout. */
@@ -75,18 +97,25 @@
    * @param now - monotonic milliseconds
    */
   observeStatus (id: string, status: EngineStatus, now: number): void {
-    const progress = this.#progressOf(id)
+    const progress = this.#progressOf(id, status.startedAtMs)
+    if (isFormer(status.startedAtMs, progress)) return
     progress.status = status
     progress.lookedAt = now
   }
 
   /**
-   * @param id - endpoint
-   * @param outcome - what became of the order
+   * @param order - as planned
+   * @param outcome - what became of it
    * @param now - monotonic milliseconds
    */
-  observeOrder (id: string, outcome: OrderOutcome, now: number): void {
-    const progress = this.#progressOf(id)
+  observeOrder (order: LoadOrder, outcome: OrderOutcome, now: number): void {
+    const progress = this.#progressOf(order.endpoint.id, order.startedAtMs)
+    const lateUntil = outcome === 'unanswered' ? now + LATE_ORDER_MS : Number.NEGATIVE_INFINITY
+    if (progress.startedAtMs !== order.startedAtMs) {
+      if (outcome === 'unanswered') progress.watchedUntil = Math.max(lateUntil, progress.watchedUntil ?? lateUntil)
+      return
+    }
+    progress.lateUntil = Math.max(progress.lateUntil, lateUntil)
     progress.wasAccepted = outcome === 'accepted'
     progress.announcedAt = undefined
     // Look again before the next step: the answer may have been lost, or another order may be in progress.
@@ -104,6 +133,10 @@
   next (weights: readonly NamedWeights[], endpoints: readonly ListedEndpoint[], mayOrder: boolean, now: number): RolloutSteps {
     const looks: ListedEndpoint[] = []
     const orders: LoadOrder[] = []
+    for (const { id, startedAtMs } of endpoints) {
+      if (this.#engines.has(id)) this.#progressOf(id, startedAtMs)
+    }
+    this.#endWatches(now)
     for (const { model, version } of weights) {
       const fleet = endpoints.filter(endpoint => endpoint.models.some(held => held.model === model) && !endpoint.isLeaving)
       const observed = fleet.map(endpoint => this.#observed(endpoint, model, now))
@@ -127,7 +160,19 @@
    */
   versionOf (endpoint: ListedEndpoint, model: string): number {
     const listed = endpoint.models.find(held => held.model === model)?.version ?? 0
-    return Math.max(listed, this.#engines.get(endpoint.id)?.status?.versions.get(model) ?? 0)
+    const progress = this.#engines.get(endpoint.id)
+    const stated = progress?.status?.versions.get(model)
+    if (progress === undefined || stated === undefined || isLaterStart(endpoint.startedAtMs, progress.startedAtMs)) return listed
+    const isListFormer = isFormer(endpoint.startedAtMs, progress)
+    return isListFormer || progress.watchedUntil !== undefined ? stated : Math.max(listed, stated)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether a late order may reach an engine that has started again
+   */
+  isWatching (now: number): boolean {
+    return [...this.#engines.values()].some(({ watchedUntil }) => watchedUntil !== undefined && now < watchedUntil)
   }
 
   /**
@@ -154,6 +199,11 @@
   #lookIfDue (endpoint: ListedEndpoint, model: string, version: number, planned: readonly ListedEndpoint[], now: number, looks: ListedEndpoint[]): void {
     const isDone = this.versionOf(endpoint, model) >= version
     const progress = this.#engines.get(endpoint.id)
+    const sinceLook = now - (progress?.lookedAt ?? Number.NEGATIVE_INFINITY)
+    if (isDone && progress?.watchedUntil !== undefined && sinceLook >= WATCH_LOOK_MS) {
+      progress.lookedAt = now
+      looks.push(endpoint)
+    }
     if (isDone && progress?.status?.isBusy !== true) {
       // Complete: whatever was pending has had its effect. The version stays known, because the list lags.
       if (progress !== undefined) {
@@ -163,36 +213,52 @@
       return
     }
     const isInvolved = planned.includes(endpoint) || this.isBusy(endpoint.id, now)
-    if (isInvolved && now - (progress?.lookedAt ?? Number.NEGATIVE_INFINITY) >= LOOK_MS) {
-      this.#progressOf(endpoint.id).lookedAt = now
+    if (isInvolved && sinceLook >= LOOK_MS) {
+      this.#progressOf(endpoint.id, endpoint.startedAtMs).lookedAt = now
       looks.push(endpoint)
     }
   }
 
   #orderIfAnnounced (endpoint: ListedEndpoint, model: string, version: number, now: number): LoadOrder | undefined {
-    const progress = this.#progressOf(endpoint.id)
+    const progress = this.#progressOf(endpoint.id, endpoint.startedAtMs)
     progress.announcedAt ??= now
     if (progress.status === undefined || now - progress.announcedAt < ANNOUNCE_MS) return undefined
     progress.orderedAt = now
     progress.wasAccepted = true
-    return { endpoint, model, version, expectedOrders: progress.status.acceptedOrders }
+    return { endpoint, startedAtMs: progress.startedAtMs, model, version, expectedOrders: progress.status.acceptedOrders }
   }
 
   #isPending (progress: EngineProgress, now: number): boolean {
     return progress.wasAccepted && now - progress.orderedAt < EFFECT_MS
   }
 
-  #progressOf (id: string): EngineProgress {
+  /** Progress of the latest incarnation known; a later start than that begins anew. */
+  #progressOf (id: string, startedAtMs: number | undefined): EngineProgress {
     const present = this.#engines.get(id)
-    if (present !== undefined) return present
-    const fresh = {
+    if (present !== undefined && !isLaterStart(startedAtMs, present.startedAtMs)) return present
+    const mayBeLate = present !== undefined && (present.lateUntil > Number.NEGATIVE_INFINITY || present.watchedUntil !== undefined)
+    const fresh: EngineProgress = {
+      startedAtMs,
       status: undefined,
       lookedAt: Number.NEGATIVE_INFINITY,
       announcedAt: undefined,
       orderedAt: Number.NEGATIVE_INFINITY,
-      wasAccepted: false
+      wasAccepted: false,
+      lateUntil: Number.NEGATIVE_INFINITY,
+      watchedUntil: mayBeLate ? Math.max(present.lateUntil, present.watchedUntil ?? present.lateUntil) : undefined
     }
     this.#engines.set(id, fresh)
     return fresh
   }
+
+  #endWatches (now: number): void {
+    for (const progress of this.#engines.values()) {
+      if (progress.watchedUntil !== undefined && now >= progress.watchedUntil) progress.watchedUntil = undefined
+    }
+  }
+}
+
+/** Whether a statement is of an earlier start than the one that is known. */
+function isFormer (startedAtMs: number | undefined, progress: EngineProgress): boolean {
+  return startedAtMs !== undefined && isLaterStart(progress.startedAtMs, startedAtMs)
 }
--- a/apps/control/src/lib/rollout/RolloutTask.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -43,7 +43,7 @@
   #isWatching = false
   #timer: NodeJS.Timeout | undefined
   #isBusy = false
-  #isDue = false
+  #wasActive = false
 
   /**
    * @param raft - log and state
@@ -87,7 +87,7 @@
     if (this.#leaderSince === undefined) return
     this.#leaderSince = undefined
     this.#waitsOutUntil = undefined
-    this.#isDue = false
+    this.#wasActive = false
     this.#plan.clear()
     this.list.setOverlays(new Map())
     this.#watchList(false)
@@ -98,12 +98,12 @@
     const { weights } = this.raft.state.sites
     this.#watchList(weights.length > 0)
     if (weights.length === 0) return
-    const wasDue = this.#isDue
+    const wasActive = this.#wasActive
     const isDue = this.#isRolloutDue()
-    this.#isDue = isDue
-    if (!isDue && !wasDue) return
+    this.#wasActive = isDue || this.#plan.isWatching(now)
+    if (!this.#wasActive && !wasActive) return
     const mayOrder = isDue && await this.#holdsOrders(this.#leaderSince)
-    const steps = this.#plan.next(weights, this.list.endpoints, mayOrder, performance.now())
+    const steps = this.#plan.next(weights, this.list.endpointsOfSite, mayOrder, performance.now())
     this.#publish()
     await Promise.all([
       ...steps.looks.map(async endpoint => { await this.#look(endpoint) }),
@@ -112,7 +112,7 @@
   }
 
   #isRolloutDue (): boolean {
-    return this.raft.state.sites.weights.some(({ model, version }) => this.list.endpoints.some(endpoint =>
+    return this.raft.state.sites.weights.some(({ model, version }) => this.list.endpointsOfSite.some(endpoint =>
       endpoint.models.some(held => held.model === model) && this.#plan.versionOf(endpoint, model) < version))
   }
 
@@ -134,7 +134,10 @@
 
   async #look (endpoint: ListedEndpoint): Promise<void> {
     const status = await this.backend.status(endpoint)
-    if (status.ok) this.#plan.observeStatus(endpoint.id, status.value, performance.now())
+    if (!status.ok) return
+    this.#plan.observeStatus(endpoint.id, status.value, performance.now())
+    const { startedAtMs = endpoint.startedAtMs } = status.value
+    this.list.observeStart(endpoint.id, this.#overlayOf({ ...endpoint, startedAtMs }))
   }
 
   async #give (orders: readonly LoadOrder[]): Promise<void> {
@@ -145,7 +148,7 @@
       const outcome = isConfirmed
         ? await this.backend.load(order, { holder: this.holder, fence: this.raft.core.term })
         : 'refused'
-      this.#plan.observeOrder(order.endpoint.id, outcome, performance.now())
+      this.#plan.observeOrder(order, outcome, performance.now())
       this.telemetry.stateChanged('weights-ordered', {
         endpoint: order.endpoint.id, model: order.model, version: order.version, expectedOrders: order.expectedOrders, outcome, isConfirmed
       })
@@ -153,14 +156,12 @@
   }
 
   #publish (): void {
-    const now = performance.now()
-    const overlays = new Map<string, EndpointOverlay>()
-    for (const endpoint of this.list.endpoints) {
-      const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
-      const isBusy = this.#plan.isBusy(endpoint.id, now)
-      overlays.set(endpoint.id, { startedAtMs: endpoint.startedAtMs, models, isBusy })
-    }
-    this.list.setOverlays(overlays)
+    this.list.setOverlays(new Map(this.list.endpointsOfSite.map(endpoint => [endpoint.id, this.#overlayOf(endpoint)])))
+  }
+
+  #overlayOf (endpoint: ListedEndpoint): EndpointOverlay {
+    const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
+    return { startedAtMs: endpoint.startedAtMs, models, isBusy: this.#plan.isBusy(endpoint.id, performance.now()) }
   }
 
   #watchList (isWanted: boolean): void {
--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -45,7 +45,7 @@
   /**
    * @param raft - site, leadership
    * @param source - stores
-   * @param endpoints - the endpoint list as this host knows it
+   * @param endpoints - endpoints of the site as this host knows them
    * @param telemetry - log
    */
   constructor (
