Stores state their start, and their lists are read entry by entry

Cause: one event or entry that did not fit failed the whole answer, and the store was given up as lost; a store that starts again was known by its epoch only, and an answer of the process before could arrive late and be taken for news. Change: events and lists are parsed entry by entry; what can't be used is counted and the others hold. A later start makes the follower read the whole list, like another epoch; an answer of an earlier start says nothing.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -141,7 +141,7 @@
   const rollout = platform === undefined || endpoints === undefined
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
-  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpointsOfSite ?? [], telemetry)
+  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpointsOfSite ?? [], rejected, telemetry)
   const sites = { gate, service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
--- a/apps/control/src/lib/stores/StoreFollower.ts
+++ b/apps/control/src/lib/stores/StoreFollower.ts
@@ -7,12 +7,16 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Result } from '@eelgrassmux/schema/Result'
+import { isLaterStart } from '@eelgrassmux/schema/site/isLaterStart'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
 import type { StoreChange, StoredPart } from '@eelgrassmux/schema/site/storedParts'
+import type { RejectedEntries, RejectedEntry } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /** Events since a number. */
 export interface StoreEvents {
+  /** Start of the store's process, in Unix milliseconds on its own clock; undefined if it does not state it. */
+  readonly startedAtMs: number | undefined
   /** Changes when the store restarts; it is then empty. */
   readonly epoch: number
   readonly next: number
@@ -20,15 +24,21 @@
   readonly hasGap: boolean
   readonly events: ReadonlyArray<{ readonly kind: 'stored' | 'removed', readonly part: StoredPart }>
   readonly clockMs: number | undefined
+  /** Events that can't be used. */
+  readonly rejected: readonly RejectedEntry[]
 }
 
 /** All that a store holds. */
 export interface StoreListing {
+  /** Start of the store's process, as in {@link StoreEvents}. */
+  readonly startedAtMs: number | undefined
   readonly epoch: number
   readonly next: number
   readonly parts: readonly StoredPart[]
   /** Parts that are not whole, with the tokens that have arrived. */
   readonly partial: ReadonlyArray<{ readonly part: StoredPart, readonly tokens: number }>
+  /** Entries that can't be used. */
+  readonly rejected: readonly RejectedEntry[]
 }
 
 /** Stores as control hosts see them. */
@@ -56,6 +66,7 @@
 export class StoreFollower {
   #parts = new Map<string, StoredPart>()
   #partial: StoreListing['partial'] = []
+  #startedAtMs: number | undefined
   #epoch: number | undefined
   #next = 0
   #listedAt = Number.NEGATIVE_INFINITY
@@ -67,6 +78,7 @@
    * @param source - asks it
    * @param onChange - told of each change
    * @param onClock - told of the stores' clock whenever a store states it
+   * @param rejected - told of entries that can't be used
    * @param telemetry - log
    */
   constructor (
@@ -74,6 +86,7 @@
     private readonly source: StoreSource,
     private readonly onChange: (change: StoreChange) => void,
     private readonly onClock: (clockMs: number) => void,
+    private readonly rejected: RejectedEntries,
     private readonly telemetry: Telemetry
   ) {}
 
@@ -107,9 +120,11 @@
   async #follow (): Promise<boolean> {
     const answer = await this.source.events(this.store, this.#next, WAIT_MS)
     if (!answer.ok) return this.#lose(answer.error.kind)
-    const { epoch, next, hasGap, events, clockMs } = answer.value
+    const { startedAtMs, epoch, next, hasGap, events, clockMs, rejected } = answer.value
+    this.rejected.note(this.store.name, rejected, performance.now())
+    if (this.#isFormer(startedAtMs)) return false
     if (clockMs !== undefined) this.onClock(clockMs)
-    if (epoch !== this.#epoch || hasGap) {
+    if (epoch !== this.#epoch || hasGap || isLaterStart(startedAtMs, this.#startedAtMs)) {
       this.#listedAt = Number.NEGATIVE_INFINITY
       return true
     }
@@ -135,11 +150,14 @@
   async #list (): Promise<boolean> {
     const answer = await this.source.listing(this.store)
     if (!answer.ok) return this.#lose(answer.error.kind)
-    const { epoch, next, parts, partial } = answer.value
-    const isNew = !this.#isAnswering || epoch !== this.#epoch
+    const { startedAtMs, epoch, next, parts, partial, rejected } = answer.value
+    this.rejected.note(this.store.name, rejected, performance.now())
+    if (this.#isFormer(startedAtMs)) return false
+    const isNew = !this.#isAnswering || epoch !== this.#epoch || isLaterStart(startedAtMs, this.#startedAtMs)
     if (isNew) {
       this.telemetry.stateChanged('store-followed', { store: this.store.name, epoch, parts: parts.length, partial: partial.length })
     }
+    this.#startedAtMs = startedAtMs ?? this.#startedAtMs
     this.#epoch = epoch
     this.#next = next
     this.#partial = partial
@@ -152,6 +170,11 @@
     return true
   }
 
+  /** An answer of the process before the last restart says nothing of what the store holds now. */
+  #isFormer (startedAtMs: number | undefined): boolean {
+    return startedAtMs !== undefined && isLaterStart(this.#startedAtMs, startedAtMs)
+  }
+
   #emitDifference (listed: ReadonlyMap<string, StoredPart>): void {
     const added = [...listed].filter(([key]) => !this.#parts.has(key)).map(([, part]) => part)
     const removed = [...this.#parts].filter(([key]) => !listed.has(key)).map(([, part]) => part)
--- a/apps/control/src/lib/stores/StoreTask.test.ts
+++ b/apps/control/src/lib/stores/StoreTask.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { succeed } from '@eelgrassmux/schema/Result'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
+import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { RaftTask } from '../raft/RaftTask.js'
 import type { StoreSource } from './StoreFollower.js'
@@ -17,11 +18,12 @@
       events: async () => await new Promise(() => {}),
       listing: async () => {
         listings += 1
-        return succeed({ epoch: 1, next: 0, parts: [['v1', 'p']], partial: [] })
+        return succeed({ startedAtMs: undefined, epoch: 1, next: 0, parts: [['v1', 'p']], partial: [], rejected: [] })
       },
       free: async () => succeed(true)
     }
-    const task = new StoreTask(raft, source, () => [], new Telemetry('test'))
+    const telemetry = new Telemetry('test')
+    const task = new StoreTask(raft, source, () => [], new RejectedEntries(telemetry), telemetry)
     const watcher = task.addWatcher(() => {})
     services.push(STORE)
     expect(listings).toBe(0)
--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -6,6 +6,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
 import type { StoreChange, StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
+import type { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { RaftTask } from '../raft/RaftTask.js'
 import { findDeadParts } from './findDeadParts.js'
@@ -46,12 +47,14 @@
    * @param raft - site, leadership
    * @param source - stores
    * @param endpoints - endpoints of the site as this host knows them
+   * @param rejected - told of entries that can't be used
    * @param telemetry - log
    */
   constructor (
     private readonly raft: RaftTask,
     private readonly source: StoreSource,
     private readonly endpoints: () => readonly ListedEndpoint[],
+    private readonly rejected: RejectedEntries,
     private readonly telemetry: Telemetry
   ) {
     this.#changes.setMaxListeners(0)
@@ -120,7 +123,7 @@
   #follow (store: StoreService): void {
     const follower = new StoreFollower(store, this.source, change => {
       if (this.#followers.get(store.name) === follower) this.#publish(change)
-    }, clockMs => { this.#clock = { clockMs, at: performance.now() } }, this.telemetry)
+    }, clockMs => { this.#clock = { clockMs, at: performance.now() } }, this.rejected, this.telemetry)
     this.#followers.set(store.name, follower)
     void follower.run()
   }
--- a/apps/control/src/lib/stores/stores.test.ts
+++ b/apps/control/src/lib/stores/stores.test.ts
@@ -3,6 +3,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
 import type { StoreChange, StoredPart } from '@eelgrassmux/schema/site/storedParts'
+import { RejectedEntries, rejectEntry } from '@eelgrassmux/telemetry/RejectedEntries'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { findDeadParts } from './findDeadParts.js'
 import { StoreFollower, type StoreEvents, type StoreListing, type StoreSource } from './StoreFollower.js'
@@ -40,14 +41,19 @@
 
 const part = (id: string): StoredPart => ['v1', id]
 const listing = (epoch: number, next: number, ...ids: string[]): Result<StoreListing, Failure> =>
-  succeed({ epoch, next, parts: ids.map(part), partial: [] })
+  succeed({ startedAtMs: undefined, epoch, next, parts: ids.map(part), partial: [], rejected: [] })
+/** The same answer from a store that states its start. */
+function startedAt<Answer extends { startedAtMs: number | undefined }> (startedAtMs: number, answer: Result<Answer, Failure>): Result<Answer, Failure> {
+  return answer.ok ? succeed({ ...answer.value, startedAtMs }) : answer
+}
+
 const events = (epoch: number, next: number, ...listed: Array<[sign: '+' | '-', id: string]>): Result<StoreEvents, Failure> => succeed({
-  epoch, next, hasGap: false, clockMs: undefined, events: listed.map(([sign, id]) => ({ kind: sign === '+' ? 'stored' as const : 'removed' as const, part: part(id) }))
+  startedAtMs: undefined, epoch, next, hasGap: false, clockMs: undefined, rejected: [], events: listed.map(([sign, id]) => ({ kind: sign === '+' ? 'stored' as const : 'removed' as const, part: part(id) }))
 })
 
-async function follow (source: ScriptedStore): Promise<{ held: Set<string> | undefined, changes: StoreChange[] }> {
+async function follow (source: ScriptedStore, telemetry = new Telemetry('test')): Promise<{ held: Set<string> | undefined, changes: StoreChange[] }> {
   const changes: StoreChange[] = []
-  const follower = new StoreFollower(STORE, source, change => { changes.push(change) }, () => {}, new Telemetry('test'))
+  const follower = new StoreFollower(STORE, source, change => { changes.push(change) }, () => {}, new RejectedEntries(telemetry), telemetry)
   source.follower = follower
   await follower.run()
   let held: Set<string> | undefined
@@ -73,7 +79,7 @@
   })
 
   it('reads the list again after a gap', async () => {
-    const gap: Result<StoreEvents, Failure> = succeed({ epoch: 1, next: 40, hasGap: true, events: [], clockMs: undefined })
+    const gap: Result<StoreEvents, Failure> = succeed({ startedAtMs: undefined, epoch: 1, next: 40, hasGap: true, events: [], clockMs: undefined, rejected: [] })
     const source = new ScriptedStore([listing(1, 5, 'a'), listing(1, 40, 'c')], [gap])
     const { held } = await follow(source)
     expect(source.listings).toBe(2)
@@ -85,6 +91,35 @@
     expect(held).toEqual(new Set())
   })
 
+  it('forgets everything when the store states a later start, also under the same epoch', async () => {
+    const source = new ScriptedStore([startedAt(1000, listing(1, 5, 'a')), startedAt(2000, listing(1, 1))], [startedAt(2000, events(1, 1))])
+    const { held, changes } = await follow(source)
+    expect(held).toEqual(new Set())
+    expect(changes.map(change => change.kind)).toEqual(['whole', 'whole', 'lost'])
+  })
+
+  it('takes nothing from an answer of the former start that arrives late', async () => {
+    const source = new ScriptedStore([startedAt(2000, listing(2, 5, 'a'))], [startedAt(1000, events(2, 9, ['-', 'a'], ['+', 'b']))])
+    const { held } = await follow(source)
+    expect(held).toEqual(new Set(['a']))
+    expect(source.listings).toBe(1)
+  })
+
+  it('takes nothing from a list of the former start that arrives late', async () => {
+    const source = new ScriptedStore([startedAt(2000, listing(2, 5, 'a')), startedAt(1000, listing(1, 5, 'b'))], [events(2, 6), startedAt(2000, events(3, 7))])
+    const { held } = await follow(source)
+    expect(held).toEqual(new Set(['a']))
+  })
+
+  it('counts entries of events and lists that can\'t be used', async () => {
+    const telemetry = new Telemetry('test')
+    const [list, event] = [listing(1, 5, 'a'), events(1, 6)]
+    if (!list.ok || !event.ok) throw new Error('the script is wrong')
+    const bad = [rejectEntry('malformed', 7)]
+    await follow(new ScriptedStore([succeed({ ...list.value, rejected: bad })], [succeed({ ...event.value, rejected: [...bad, ...bad] })]), telemetry)
+    expect(await telemetry.registry.metrics()).toContain('rejected_entries_total{source="s",program="test"} 3')
+  })
+
   it('says at once that a store does not answer', async () => {
     const { changes } = await follow(new ScriptedStore([listing(1, 5, 'a'), listing(1, 5, 'a')], [fail({ kind: 'unreachable' })]))
     expect(changes.map(change => change.kind)).toEqual(['whole', 'lost', 'whole', 'lost'])
