A rollout goes on while an engine does not answer

Cause: a turn waited for all its looks and orders, so an engine without an answer held up the others for 0.8 s each time; and engines that were gone kept their place among the two sevenths that load at once for as long as the list named them (with two of eight down, no other engine was ordered at all). Change: looks and orders go on by themselves, one look at a time for each engine. An engine that did not answer the last look keeps no other from being ordered, and is asked again every half second. Before: the test with two engines down ordered none of the other six, the one with an order that never ends waited for ever.

--- a/apps/control/src/lib/rollout/RolloutPlan.test.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.test.ts
@@ -115,6 +115,37 @@
     expect(rollout.orders).toHaveLength(sent)
   })
 
+  describe('when engines do not answer', () => {
+    /** Turns of 50 ms at which the first two of eight engines are down, and the others load in 300 ms. */
+    function play (turns: number, isDown: (now: number) => boolean): Set<string> {
+      const plan = new RolloutPlan()
+      const fleet = Array.from({ length: 8 }, (_, number) => listed(`e${number}`))
+      const loaded = new Map<string, number>()
+      for (let now = 0; now < turns * 50; now += 50) {
+        const { looks, orders } = plan.next(NAMED, fleet, true, now)
+        for (const { id } of looks) {
+          const at = loaded.get(id)
+          const version = at !== undefined && now >= at ? 2 : 1
+          if (isDown(now) && (id === 'e0' || id === 'e1')) plan.observeSilence(id, undefined)
+          else plan.observeStatus(id, { startedAtMs: undefined, versions: new Map([[MODEL, version]]), isBusy: at !== undefined && version === 1, acceptedOrders: at === undefined ? 0 : 1 }, now)
+        }
+        for (const order of orders) {
+          loaded.set(order.endpoint.id, now + 300)
+          plan.observeOrder(order, 'accepted', now)
+        }
+      }
+      return new Set(loaded.keys())
+    }
+
+    it('orders the others meanwhile, though those are first in turn', () => {
+      expect([...play(60, () => true)].sort()).toEqual(['e2', 'e3', 'e4', 'e5', 'e6', 'e7'])
+    })
+
+    it('orders them once they answer', () => {
+      expect(play(100, now => now < 2000).size).toBe(8)
+    })
+  })
+
   describe('when an engine has started again under its id', () => {
     const status = (startedAtMs: number, version: number, acceptedOrders: number, isBusy = false): EngineStatus =>
       ({ startedAtMs, versions: new Map([[MODEL, version]]), isBusy, acceptedOrders })
--- a/apps/control/src/lib/rollout/RolloutPlan.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.ts
@@ -61,6 +61,9 @@
 /** Interval between looks at an engine that a late order may reach, in milliseconds: looks are priced. */
 const WATCH_LOOK_MS = 1000
 
+/** Interval between looks at an engine that did not answer the last one, in milliseconds: the list names engines that are gone for seconds. */
+const SILENT_LOOK_MS = 500
+
 /** Of one incarnation. */
 interface EngineProgress {
   readonly startedAtMs: number | undefined
@@ -69,6 +72,8 @@
   announcedAt: number | undefined
   orderedAt: number
   wasAccepted: boolean
+  /** Whether the last look brought no answer; such an engine keeps no other from being ordered. */
+  isSilent: boolean
   /** Until when an order without an answer may be carried out. */
   lateUntil: number
   /** Until when an order to a former incarnation may reach this one; its status then goes before the list. */
@@ -100,9 +105,21 @@
     const progress = this.#progressOf(id, status.startedAtMs)
     if (isFormer(status.startedAtMs, progress)) return
     progress.status = status
+    progress.isSilent = false
     progress.lookedAt = now
   }
 
+  /**
+   * Notes that an engine did not answer a look.
+   *
+   * @param id - endpoint
+   * @param startedAtMs - start under which it was listed
+   */
+  observeSilence (id: string, startedAtMs: number | undefined): void {
+    const progress = this.#progressOf(id, startedAtMs)
+    if (!isFormer(startedAtMs, progress)) progress.isSilent = true
+  }
+
   /**
    * @param order - as planned
    * @param outcome - what became of it
@@ -188,6 +205,7 @@
 
   #observed (listed: ListedEndpoint, model: string, now: number): ObservedEngine<{ model: string, listed: ListedEndpoint }> {
     const progress = this.#engines.get(listed.id)
+    if (progress?.isSilent === true) return { endpoint: { model, listed }, runningVersion: undefined, loadingVersion: undefined, orderPending: false }
     return {
       endpoint: { model, listed },
       runningVersion: String(this.versionOf(listed, model)),
@@ -212,8 +230,9 @@
       }
       return
     }
-    const isInvolved = planned.includes(endpoint) || this.isBusy(endpoint.id, now)
-    if (isInvolved && sinceLook >= LOOK_MS) {
+    const isSilent = progress?.isSilent === true
+    const isInvolved = isSilent || planned.includes(endpoint) || this.isBusy(endpoint.id, now)
+    if (isInvolved && sinceLook >= (isSilent ? SILENT_LOOK_MS : LOOK_MS)) {
       this.#progressOf(endpoint.id, endpoint.startedAtMs).lookedAt = now
       looks.push(endpoint)
     }
@@ -244,6 +263,7 @@
       announcedAt: undefined,
       orderedAt: Number.NEGATIVE_INFINITY,
       wasAccepted: false,
+      isSilent: false,
       lateUntil: Number.NEGATIVE_INFINITY,
       watchedUntil: mayBeLate ? Math.max(present.lateUntil, present.watchedUntil ?? present.lateUntil) : undefined
     }
--- a/apps/control/src/lib/rollout/RolloutTask.test.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.test.ts
@@ -45,7 +45,42 @@
   }
 }
 
+/** Engines of which one neither answers nor refuses an order. */
+class HangingEngines implements RolloutBackend {
+  readonly ordered = new Set<string>()
+  readonly allOthersOrdered: Promise<void>
+  #resolve: () => void = () => {}
+
+  constructor (private readonly hanging: string, private readonly others: number) {
+    this.allOthersOrdered = new Promise(resolve => { this.#resolve = resolve })
+  }
+
+  async status ({ id }: ListedEndpoint): Promise<Result<EngineStatus, { readonly kind: string }>> {
+    return succeed({ startedAtMs: 1000, versions: new Map([['m', this.ordered.has(id) ? 2 : 1]]), isBusy: false, acceptedOrders: 0 })
+  }
+
+  async load ({ endpoint: { id } }: LoadOrder): Promise<OrderOutcome> {
+    if (id === this.hanging) return await new Promise(() => {})
+    this.ordered.add(id)
+    if (this.ordered.size === this.others) this.#resolve()
+    return 'accepted'
+  }
+}
+
 describe('RolloutTask', () => {
+  it('goes on with other engines while one leaves an order without an answer', async () => {
+    const telemetry = new Telemetry('test')
+    const endpoints = Array.from({ length: 8 }, (_, number) => listed(`e${number}`, 'pool'))
+    const list = new EndpointListTask({ list: async () => succeed({ endpoints, rejected: [], incompleteBecause: undefined }) }, LIST_MS, () => undefined, new RejectedEntries(telemetry), telemetry)
+    const engines = new HangingEngines('e0', 7)
+    const task = new RolloutTask(RAFT, list, engines, 'host', 3000, telemetry)
+    task.start()
+    await engines.allOthersOrdered
+    task.stop()
+    list.stop()
+    expect(engines.ordered.has('e0')).toBe(false)
+  })
+
   it('tells the list of a start that an engine states, and orders only engines of the site', async () => {
     const telemetry = new Telemetry('test')
     const reading: EndpointReading = { endpoints: [listed('b', 'unknown'), listed('a', 'pool')], rejected: [], incompleteBecause: undefined }
--- a/apps/control/src/lib/rollout/RolloutTask.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -44,6 +44,8 @@
   #timer: NodeJS.Timeout | undefined
   #isBusy = false
   #wasActive = false
+  /** Engines whose status is on its way. */
+  readonly #asked = new Set<string>()
 
   /**
    * @param raft - log and state
@@ -105,10 +107,9 @@
     const mayOrder = isDue && await this.#holdsOrders(this.#leaderSince)
     const steps = this.#plan.next(weights, this.list.endpointsOfSite, mayOrder, performance.now())
     this.#publish()
-    await Promise.all([
-      ...steps.looks.map(async endpoint => { await this.#look(endpoint) }),
-      this.#give(steps.orders)
-    ])
+    // Nobody waits for these: one engine without an answer must not hold up the others.
+    for (const endpoint of steps.looks) void this.#look(endpoint)
+    void this.#give(steps.orders)
   }
 
   #isRolloutDue (): boolean {
@@ -133,8 +134,15 @@
   }
 
   async #look (endpoint: ListedEndpoint): Promise<void> {
+    if (this.#asked.has(endpoint.id)) return
+    this.#asked.add(endpoint.id)
     const status = await this.backend.status(endpoint)
-    if (!status.ok) return
+    this.#asked.delete(endpoint.id)
+    if (this.#leaderSince === undefined) return
+    if (!status.ok) {
+      this.#plan.observeSilence(endpoint.id, endpoint.startedAtMs)
+      return
+    }
     this.#plan.observeStatus(endpoint.id, status.value, performance.now())
     const { startedAtMs = endpoint.startedAtMs } = status.value
     this.list.observeStart(endpoint.id, this.#overlayOf({ ...endpoint, startedAtMs }))
@@ -148,7 +156,8 @@
       const outcome = isConfirmed
         ? await this.backend.load(order, { holder: this.holder, fence: this.raft.core.term })
         : 'refused'
-      this.#plan.observeOrder(order, outcome, performance.now())
+      // An answer that comes after leadership has ended belongs to no plan.
+      if (this.#leaderSince !== undefined) this.#plan.observeOrder(order, outcome, performance.now())
       this.telemetry.stateChanged('weights-ordered', {
         endpoint: order.endpoint.id, model: order.model, version: order.version, expectedOrders: order.expectedOrders, outcome, isConfirmed
       })
