--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -14,6 +14,7 @@
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
+import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlServer } from './ControlServer.js'
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
@@ -139,11 +140,12 @@
   const hosts = new HostTable(settings.freshnessMs)
   const orders = new OrderTask(raft, address => new EngineClient(address), outcome => { orderOutcomes.count(outcome) })
   const service = new SiteService(raft, rpc)
-  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, telemetry)
+  const rejected = new RejectedEntries(telemetry)
+  const endpoints = platform === undefined ? undefined : new EndpointListTask(platform.endpoints, settings.endpointListMs, () => state.sites.put?.site, rejected, telemetry)
   const rollout = platform === undefined || endpoints === undefined
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
-  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpoints ?? [], telemetry)
+  const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpointsOfSite ?? [], rejected, telemetry)
   const sites = { service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
--- a/apps/control/src/lib/rollout/RolloutTask.test.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.test.ts
@@ -42,9 +42,9 @@
     vi.useFakeTimers({ toFake: ['setInterval', 'clearInterval', 'performance'] })
     replica = new LeadingReplica()
     orders = []
-    const list = { endpoints: [ENGINE], addWatcher: () => {}, removeWatcher: () => {}, setOverlays: () => {} } as unknown as EndpointListTask
+    const list = { endpoints: [ENGINE], endpointsOfSite: [ENGINE], observeStart: () => {}, addWatcher: () => {}, removeWatcher: () => {}, setOverlays: () => {} } as unknown as EndpointListTask
     task = new RolloutTask(replica as unknown as RaftTask, list, {
-      status: async () => succeed({ versions: new Map([[MODEL, 1]]), isBusy: false, acceptedOrders: 0 }),
+      status: async () => succeed({ startedAtMs: undefined, versions: new Map([[MODEL, 1]]), isBusy: false, acceptedOrders: 0 }),
       load: async (_order: LoadOrder): Promise<OrderOutcome> => {
         orders.push(performance.now())
         return 'accepted'
--- a/apps/control/src/lib/rollout/RolloutTask.ts
+++ b/apps/control/src/lib/rollout/RolloutTask.ts
@@ -48,7 +48,9 @@
   #isWatching = false
   #timer: NodeJS.Timeout | undefined
   #isBusy = false
-  #isDue = false
+  #wasActive = false
+  /** Engines whose status is on its way. */
+  readonly #asked = new Set<string>()
 
   /**
    * @param raft - log and state
@@ -92,7 +94,7 @@
   #standBack (): void {
     if (!this.#isLeading) return
     this.#isLeading = false
-    this.#isDue = false
+    this.#wasActive = false
     this.#plan.clear()
     this.list.setOverlays(new Map())
     this.#watchList(false)
@@ -103,21 +105,20 @@
     const { weights } = this.raft.state.sites
     this.#watchList(weights.length > 0)
     if (weights.length === 0) return
-    const wasDue = this.#isDue
+    const wasActive = this.#wasActive
     const isDue = this.#isRolloutDue()
-    this.#isDue = isDue
-    if (!isDue && !wasDue) return
+    this.#wasActive = isDue || this.#plan.isWatching(performance.now())
+    if (!this.#wasActive && !wasActive) return
     const mayOrder = isDue && await this.#holdsOrders(since)
-    const steps = this.#plan.next(weights, this.list.endpoints, mayOrder, performance.now())
+    const steps = this.#plan.next(weights, this.list.endpointsOfSite, mayOrder, performance.now())
     this.#publish()
-    await Promise.all([
-      ...steps.looks.map(async endpoint => { await this.#look(endpoint) }),
-      this.#give(steps.orders)
-    ])
+    // Nobody waits for these: one engine without an answer must not hold up the others.
+    for (const endpoint of steps.looks) void this.#look(endpoint)
+    void this.#give(steps.orders)
   }
 
   #isRolloutDue (): boolean {
-    return this.raft.state.sites.weights.some(({ model, version }) => this.list.endpoints.some(endpoint =>
+    return this.raft.state.sites.weights.some(({ model, version }) => this.list.endpointsOfSite.some(endpoint =>
       endpoint.models.some(held => held.model === model) && this.#plan.versionOf(endpoint, model) < version))
   }
 
@@ -146,8 +147,18 @@
   }
 
   async #look (endpoint: ListedEndpoint): Promise<void> {
+    if (this.#asked.has(endpoint.id)) return
+    this.#asked.add(endpoint.id)
     const status = await this.backend.status(endpoint)
-    if (status.ok) this.#plan.observeStatus(endpoint.id, status.value, performance.now())
+    this.#asked.delete(endpoint.id)
+    if (!this.#isLeading) return
+    if (!status.ok) {
+      this.#plan.observeSilence(endpoint.id, endpoint.startedAtMs)
+      return
+    }
+    this.#plan.observeStatus(endpoint.id, status.value, performance.now())
+    const { startedAtMs = endpoint.startedAtMs } = status.value
+    this.list.observeStart(endpoint.id, this.#overlayOf({ ...endpoint, startedAtMs }))
   }
 
   async #give (orders: readonly LoadOrder[]): Promise<void> {
@@ -159,7 +170,8 @@
       const outcome = isConfirmed
         ? await this.backend.load(order, { holder: this.holder, fence: this.raft.core.term })
         : 'refused'
-      this.#plan.observeOrder(order.endpoint.id, outcome, performance.now())
+      // An answer that comes after leadership has ended belongs to no plan.
+      if (this.#isLeading) this.#plan.observeOrder(order, outcome, performance.now())
       this.telemetry.stateChanged('weights-ordered', {
         endpoint: order.endpoint.id, model: order.model, version: order.version, expectedOrders: order.expectedOrders, outcome, isConfirmed
       })
@@ -167,14 +179,12 @@
   }
 
   #publish (): void {
-    const now = performance.now()
-    const overlays = new Map<string, EndpointOverlay>()
-    for (const endpoint of this.list.endpoints) {
-      const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
-      const isBusy = this.#plan.isBusy(endpoint.id, now)
-      overlays.set(endpoint.id, { models, isBusy })
-    }
-    this.list.setOverlays(overlays)
+    this.list.setOverlays(new Map(this.list.endpointsOfSite.map(endpoint => [endpoint.id, this.#overlayOf(endpoint)])))
+  }
+
+  #overlayOf (endpoint: ListedEndpoint): EndpointOverlay {
+    const models = endpoint.models.map(({ model }) => ({ model, version: this.#plan.versionOf(endpoint, model) }))
+    return { startedAtMs: endpoint.startedAtMs, models, isBusy: this.#plan.isBusy(endpoint.id, performance.now()) }
   }
 
   #watchList (isWanted: boolean): void {
--- a/packages/telemetry/src/lib/events/endpointListChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointListChanges.ts
@@ -4,5 +4,7 @@
 export const endpointListChanges = {
   'endpoint-list-changed': z.strictObject({ version: z.number(), endpoints: z.number(), leaving: z.number() }),
   'endpoint-list-lost': z.strictObject({ reason: z.string() }),
-  'endpoint-list-regained': z.strictObject({ reason: z.string() })
+  'endpoint-list-regained': z.strictObject({ reason: z.string() }),
+  'endpoint-restarted': z.strictObject({ endpoint: z.string(), startedAtMs: z.number() }),
+  'entries-rejected': z.strictObject({ source: z.string(), entries: z.number(), reason: z.string(), excerpt: z.string() })
 }
