--- a/apps/bench/src/lib/ManagedProcess.ts
+++ b/apps/bench/src/lib/ManagedProcess.ts
@@ -1,12 +1,23 @@
 /** A child process of a script: started, listened to, stopped. Only scripts start processes; daemons never do. */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
+import { createWriteStream, type WriteStream } from 'node:fs'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 
 /** Programs of the workspace. */
 export type ProgramName = 'entry' | 'directory' | 'control' | 'standin' | 'eelgrassmux' | 'load'
 
+/** What a script may want of a process beyond its addresses. */
+export interface ProcessOptions {
+  /** Takes all that the process prints. */
+  readonly logFile?: string
+  /** Told of each line on standard output. */
+  readonly onLine?: (line: string) => void
+  /** Added to this script's environment. */
+  readonly environment?: Readonly<Record<string, string>>
+}
+
 /** Addresses that a process printed, by what they serve. */
 export type PrintedAddresses = Readonly<Record<string, string>>
 
@@ -20,8 +31,8 @@
  * @param program - which program
  * @returns path of its main module
  */
-export function programPath (program: ProgramName): string {
-  return fileURLToPath(new URL(`../../../${program}/dist/main.js`, import.meta.url))
+export function programPath (program: ProgramName | URL): string {
+  return fileURLToPath(program instanceof URL ? program : new URL(`../../../${program}/dist/main.js`, import.meta.url))
 }
 
 /** Processes that must not outlive this script, however it ends. */
@@ -38,16 +49,22 @@
 export class ManagedProcess {
   readonly #child: ChildProcess
   readonly #exit: Promise<number | null>
+  readonly #log: WriteStream | undefined
   #errors = ''
 
-  private constructor (readonly program: ProgramName, readonly args: readonly string[]) {
-    this.#child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  private constructor (readonly program: ProgramName | URL, readonly args: readonly string[], private readonly options: ProcessOptions) {
+    const env = { ...process.env, ...options.environment }
+    this.#child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'], env })
+    this.#log = options.logFile === undefined ? undefined : createWriteStream(options.logFile)
     running.add(this.#child)
     this.#exit = once(this.#child, 'exit').then(([code]) => {
       running.delete(this.#child)
       return code as number | null
     })
-    this.#child.stderr?.on('data', (bytes: Buffer) => { this.#errors = (this.#errors + bytes.toString()).slice(-4000) })
+    this.#child.stderr?.on('data', (bytes: Buffer) => {
+      this.#errors = (this.#errors + bytes.toString()).slice(-4000)
+      this.#log?.write(bytes)
+    })
   }
 
   /**
@@ -55,10 +72,13 @@
    *
    * @param program - which program
    * @param args - its arguments
+   * @param options - what else to do with it
    * @returns the process and its addresses
    */
-  static async start (program: ProgramName, args: readonly string[]): Promise<{ process: ManagedProcess, addresses: PrintedAddresses }> {
-    const managed = new ManagedProcess(program, args)
+  static async start (
+    program: ProgramName | URL, args: readonly string[], options: ProcessOptions = {}
+  ): Promise<{ process: ManagedProcess, addresses: PrintedAddresses }> {
+    const managed = new ManagedProcess(program, args, options)
     const addresses = await managed.#listening()
     return { process: managed, addresses }
   }
@@ -99,8 +119,10 @@
     if (stdout === null) throw new Error('no standard output')
     const lines = createInterface({ input: stdout })
     return await new Promise((resolve, reject) => {
-      const timer = setTimeout(() => { reject(new Error(`${this.program} did not listen in time: ${this.#errors}`)) }, START_MS)
+      const timer = setTimeout(() => { reject(new Error(`${String(this.program)} did not listen in time: ${this.#errors}`)) }, START_MS)
       lines.on('line', line => {
+        this.#log?.write(`${line}\n`)
+        this.options.onLine?.(line)
         const parsed = parseListening(line)
         if (parsed === undefined) return
         clearTimeout(timer)
@@ -108,7 +130,7 @@
       })
       void this.#exit.then(code => {
         clearTimeout(timer)
-        reject(new Error(`${this.program} ended with ${code ?? 'a signal'}: ${this.#errors}`))
+        reject(new Error(`${String(this.program)} ended with ${code ?? 'a signal'}: ${this.#errors}`))
       })
     })
   }
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -6,7 +6,7 @@
 import { DEFAULT_RAFT_SETTINGS, RaftCore, type RaftSettings } from '@eelgrassmux/consensus/RaftCore'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
-import { addressListSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, addressSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
 import { NodeDataFolder } from '@eelgrassmux/durable/DataFolder'
 import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { exchangeRaft } from '@eelgrassmux/rpc/methods/controlMethods'
@@ -34,6 +34,7 @@
 export const controlSettingsShape = {
   ...commonSettingsShape,
   port: integerSetting(0, 65535).default(0).describe('port for hosts, operators and other control hosts; 0 takes a free one'),
+  advertise: addressSetting.optional().describe('address at which others reach this host, if it is not the one that it listens on'),
   dataFolder: z.string().min(1).describe('folder for all durable state of this host'),
   bootstrap: booleanSetting.default(false).describe('true at the first start of a new group only; with --join, the first of those addresses founds it'),
   join: addressListSetting.default([]).describe('control hosts of the group to join, separated by commas'),
@@ -145,7 +146,7 @@
   controlServer.register(server)
 
   const port = await server.listen(settings.host, settings.port)
-  self.address = `${settings.host}:${port}`
+  self.address = settings.advertise ?? `${settings.host}:${port}`
   const loads = new LoadBoardServer(telemetry)
   await loads.listen(settings.host, port)
   registerGauges(telemetry, raft, hosts)
@@ -164,7 +165,7 @@
   const expireTimer = setInterval(() => { if (core.role === 'leader') void raft.propose({ kind: 'expire' }) }, EXPIRE_MS)
 
   return {
-    addresses: { rpc: self.address, replicaId, ...(operators === undefined ? {} : { operators: operators.address }) },
+    addresses: { rpc: `${settings.host}:${port}`, replicaId, ...(operators === undefined ? {} : { operators: operators.address }) },
     isReady: () => core.leader !== undefined,
     drain: async () => {
       raft.transfer()
--- /dev/null
+++ b/apps/soak/src/control.ts
@@ -0,0 +1,30 @@
+/** The control host with the soak's surroundings. */
+import { z } from 'zod'
+import { controlSettingsShape, startControl } from '@eelgrassmux/control/ControlDaemon'
+import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
+import { addressSetting, booleanSetting } from '@eelgrassmux/daemon/settings'
+import { HttpEndpointSource } from './lib/HttpEndpointSource.js'
+import { HttpWeightOrders } from './lib/HttpWeightOrders.js'
+import { NoStores } from './lib/NoStores.js'
+import { openOperatorEdge } from './lib/operatorEdge.js'
+
+const settingsSchema = z.object({
+  ...controlSettingsShape,
+  list: addressSetting.describe('address of the endpoint list'),
+  forgetful: booleanSetting.default(false).describe('acknowledges sites without putting them: a break for the checks')
+})
+
+const program: DaemonProgram<z.infer<typeof settingsSchema>> = {
+  name: 'soak-control',
+  description: 'Agrees on the soak\'s sites and weights',
+  settings: settingsSchema,
+  start: async (settings, telemetry, fail) => await startControl(settings, telemetry, fail, {
+    endpoints: new HttpEndpointSource(settings.list),
+    engines: new HttpWeightOrders(),
+    stores: new NoStores(),
+    contacts: () => settings.join,
+    openOperatorEdge: async sites => await openOperatorEdge(settings.host, sites, settings.forgetful)
+  })
+}
+
+await runDaemon(program, process.argv.slice(2))
--- /dev/null
+++ b/apps/soak/src/endpoint.ts
@@ -0,0 +1,30 @@
+/** The endpoint stand-in as a program. */
+import { writeSync } from 'node:fs'
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import { EndpointStandin } from './lib/EndpointStandin.js'
+
+const HOST = '127.0.0.1'
+
+class EndpointCommand extends Command {
+  static override paths = [Command.Default]
+  static override usage = Command.Usage({ description: 'an endpoint that prints what it runs' })
+  id = Option.String('--id', { required: true, description: 'name of this incarnation' })
+  model = Option.String('--model', '', { description: 'model whose weights it holds; none if empty' })
+  version = Option.String('--weights-version', '0', { description: 'version of the weights at the start' })
+
+  override async execute (): Promise<number> {
+    // Written at once: a line about a run must not be lost with the process.
+    const print = (line: object): void => { writeSync(1, `${JSON.stringify(line)}\n`) }
+    const standin = new EndpointStandin({ id: this.id, model: this.model, version: Number(this.version) }, print)
+    const port = await standin.listen(HOST)
+    print({ event: 'listening', http: `${HOST}:${port}` })
+    await new Promise<void>(resolve => { process.once('SIGTERM', resolve) })
+    await standin.close()
+    return 0
+  }
+}
+
+const cli = new Cli({ binaryName: 'soak-endpoint' })
+cli.register(EndpointCommand)
+cli.register(Builtins.HelpCommand)
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext)
--- /dev/null
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -0,0 +1,164 @@
+/** An endpoint for routed requests, plain or with weights, that prints a line for each run before it begins. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { orderSchema, workSchema, type EndpointLine, type StreamEvent, type Work } from './endpointWork.js'
+import { HEADER } from './soakHeaders.js'
+import { WeightsHolder } from './WeightsHolder.js'
+
+/** Who the stand-in is. */
+export interface EndpointIdentity {
+  readonly id: string
+  readonly model: string
+  readonly version: number
+}
+
+const ACCEPTED_NOT_RUN = 503
+const MISDIRECTED = 421
+
+/** Serves until closed. */
+export class EndpointStandin {
+  readonly #weights: WeightsHolder
+  readonly #server: Server
+  #runs = 0
+
+  /**
+   * @param identity - who it is
+   * @param print - writes one line at once
+   */
+  constructor (private readonly identity: EndpointIdentity, private readonly print: (line: EndpointLine) => void) {
+    this.#weights = new WeightsHolder(identity.version, () => this.#runs, version => {
+      print({ event: 'weights', endpoint: identity.id, version })
+    })
+    this.#server = createServer({ keepAliveTimeout: 5000 }, (request, response) => { void this.#serve(request, response) })
+  }
+
+  /**
+   * @param host - IP number
+   * @returns a free port that it listens on
+   */
+  async listen (host: string): Promise<number> {
+    await new Promise<void>(resolve => { this.#server.listen(0, host, resolve) })
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** Finishes what it runs and closes. */
+  async close (): Promise<void> {
+    this.#server.closeIdleConnections()
+    await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // A caller that has gone shows in the response; what its socket says beyond that is not needed.
+    response.on('error', () => { response.destroy() })
+    const body = await readBody(request)
+    if (body === undefined) return
+    response.setHeader(HEADER.answeredBy, this.identity.id)
+    if (request.headers[HEADER.instance] !== this.identity.id) this.#reject(response, MISDIRECTED)
+    else if (request.url === '/weights') this.#answerWeights(request, response, body)
+    else await this.#work(request, response, body)
+  }
+
+  #reject (response: ServerResponse, status: number): void {
+    response.writeHead(status, { [HEADER.notRun]: '1', 'content-length': '0' })
+    response.end()
+  }
+
+  #answerWeights (request: IncomingMessage, response: ServerResponse, body: string): void {
+    const { held, isBusy, acceptedOrders } = this.#weights
+    if (request.method === 'GET') {
+      response.end(JSON.stringify({ model: this.identity.model, version: held, isBusy, acceptedOrders }))
+      return
+    }
+    const order = orderSchema.parse(JSON.parse(body))
+    response.writeHead(this.#weights.order(order.version, order.expectedOrders))
+    response.end()
+  }
+
+  async #work (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    const wanted = request.headers[HEADER.version]
+    if (this.#weights.isBusy || (wanted !== undefined && Number(wanted) !== this.#weights.held)) {
+      this.#reject(response, ACCEPTED_NOT_RUN)
+      return
+    }
+    const work = workSchema.parse(JSON.parse(headerOf(request, HEADER.work)))
+    this.#runs += 1
+    try {
+      this.#printRun(request, work)
+      if (work.fault === 'run-then-reject') this.#reject(response, ACCEPTED_NOT_RUN)
+      else if (work.kind === 'plain') await this.#answer(request, response, work, body)
+      else await this.#stream(request, response, work)
+    } finally {
+      this.#runs -= 1
+    }
+  }
+
+  #printRun (request: IncomingMessage, { fault }: Work): void {
+    const line: EndpointLine = {
+      event: 'run',
+      requestId: headerOf(request, HEADER.requestId),
+      endpoint: this.identity.id,
+      customer: fault === 'other-customer' ? 'somebody-else' : headerOf(request, HEADER.customer),
+      cacheSalt: headerOf(request, HEADER.cacheSalt),
+      hasKey: request.headers[HEADER.key] !== undefined,
+      version: this.#weights.held,
+      after: Number(request.headers[HEADER.lastEvent] ?? 0),
+      at: Date.now()
+    }
+    this.print(line)
+    if (fault === 'run-twice') this.print(line)
+  }
+
+  async #answer (request: IncomingMessage, response: ServerResponse, work: Extract<Work, { kind: 'plain' }>, body: string): Promise<void> {
+    await sleep(work.milliseconds)
+    if (work.fault === 'cut') {
+      response.destroy()
+      return
+    }
+    const requestId = headerOf(request, HEADER.requestId)
+    response.setHeader(HEADER.requestId, requestId)
+    response.end(JSON.stringify({
+      requestId: work.fault === 'foreign-answer' ? 'another' : requestId, echo: body, customer: headerOf(request, HEADER.customer)
+    }))
+  }
+
+  async #stream (request: IncomingMessage, response: ServerResponse, work: Extract<Work, { kind: 'stream' }>): Promise<void> {
+    const requestId = headerOf(request, HEADER.requestId)
+    const version = this.#weights.held
+    response.writeHead(200, { [HEADER.requestId]: requestId, [HEADER.version]: String(version), 'content-type': 'text/event-stream' })
+    const last = work.fault === 'early-end' ? work.events - 1 : work.events
+    for (let number = Number(request.headers[HEADER.lastEvent] ?? 0) + 1; number <= last; number += 1) {
+      await sleep(work.intervalMs)
+      if (response.destroyed) return
+      if (work.fault === 'event-missing' && number === 2) continue
+      const shown = work.fault === 'mixed-weights' && number === last ? version + 1 : version
+      const text = writeEvent({ requestId, number, of: work.events, version: shown })
+      response.write(work.fault === 'event-doubled' && number === 2 ? text + text : text)
+      if (work.fault === 'cut') {
+        response.destroy()
+        return
+      }
+    }
+    response.end()
+  }
+}
+
+function writeEvent (event: StreamEvent): string {
+  return `id: ${event.number}\ndata: ${JSON.stringify(event)}\n\n`
+}
+
+function headerOf (request: IncomingMessage, name: string): string {
+  return String(request.headers[name] ?? '')
+}
+
+/** @returns undefined if the caller left before its request was whole */
+async function readBody (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+  } catch {
+    // Nothing ran and nobody waits for an answer.
+    return undefined
+  }
+  return Buffer.concat(chunks).toString()
+}
--- /dev/null
+++ b/apps/soak/src/lib/FaultDriver.ts
@@ -0,0 +1,117 @@
+/** Carries a plan of faults out, in series and overlapping, and keeps the time line. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { PlannedFault, SlotRole } from './faultPlan.js'
+import type { Operator } from './Operator.js'
+import type { Incarnation, Slot } from './Slot.js'
+import type { SoakCluster } from './SoakCluster.js'
+import type { TimeLine } from './TimeLine.js'
+
+/** How planned stops are made. */
+export interface StopTerms {
+  /** Time from SIGTERM to SIGKILL, in milliseconds. */
+  readonly graceMs: number
+  /** Planned stops are made by SIGKILL alone: a break for the checks. */
+  readonly isAbrupt: boolean
+}
+
+/** Injects faults until its plan is over. */
+export class FaultDriver {
+  readonly #underWay: Array<Promise<void>> = []
+
+  /**
+   * @param cluster - processes and links
+   * @param operator - changes sites and weights
+   * @param timeLine - takes what was done
+   * @param terms - of planned stops
+   */
+  constructor (
+    private readonly cluster: SoakCluster, private readonly operator: Operator, private readonly timeLine: TimeLine, private readonly terms: StopTerms
+  ) {}
+
+  /**
+   * @param plan - what to do when
+   * @returns when all of it is done and over
+   */
+  async run (plan: readonly PlannedFault[]): Promise<void> {
+    const startedAt = performance.now()
+    for (const fault of plan) {
+      await sleep(Math.max(0, startedAt + fault.atMs - performance.now()))
+      this.#underWay.push(this.#inject(fault))
+    }
+    await Promise.all(this.#underWay)
+  }
+
+  async #inject (fault: PlannedFault): Promise<void> {
+    switch (fault.kind) {
+      case 'rolling-stop': return await this.#rollingStop(fault.gapMs)
+      case 'stop': return await this.#stop(this.#slot(fault.role, fault.slot), fault.role)
+      case 'kill': return this.#kill(this.#slot(fault.role, fault.slot))
+      case 'pause': return await this.#pause(this.#slot(fault.role, fault.slot), fault.durationMs)
+      case 'link': return await this.#breakLink(fault)
+      case 'new-site':
+        this.timeLine.note('operator', 'puts a site', false)
+        return await this.operator.putSite()
+      case 'new-weights':
+        this.timeLine.note('operator', 'names weights', false)
+        return await this.operator.nameWeights()
+    }
+  }
+
+  async #rollingStop (gapMs: number): Promise<void> {
+    const stops: Array<Promise<void>> = []
+    for (const slot of this.cluster.entries) {
+      stops.push(this.#stop(slot, 'entry'))
+      await sleep(gapMs)
+    }
+    await Promise.all(stops)
+  }
+
+  async #stop (slot: Slot, role: SlotRole): Promise<void> {
+    const { present } = slot
+    // A second SIGTERM would be the operator's wish to have it ended at once.
+    if (present === undefined || this.timeLine.stopOf(present.label) !== undefined) return
+    const { graceMs, isAbrupt } = this.terms
+    if (role === 'endpoint') this.cluster.list.markLeaving(present.label)
+    this.timeLine.noteStop(present.label, graceMs)
+    present.process.signal(isAbrupt ? 'SIGKILL' : 'SIGTERM')
+    await sleep(graceMs)
+    if (!isSame(slot, present)) return
+    // An endpoint that is ended inside its work breaks it off; an entry host should have ended by itself.
+    this.timeLine.note(present.label, 'SIGKILL after its grace time', role !== 'entry')
+    present.process.signal('SIGKILL')
+  }
+
+  #kill ({ present }: Slot): void {
+    if (present === undefined) return
+    this.timeLine.note(present.label, 'SIGKILL', true)
+    present.process.signal('SIGKILL')
+  }
+
+  async #pause (slot: Slot, durationMs: number): Promise<void> {
+    const { present } = slot
+    if (present === undefined) return
+    this.timeLine.note(present.label, 'SIGSTOP', true, durationMs)
+    present.process.signal('SIGSTOP')
+    await sleep(durationMs)
+    if (isSame(slot, present)) present.process.signal('SIGCONT')
+  }
+
+  async #breakLink ({ role, slot, fault, durationMs }: Extract<PlannedFault, { kind: 'link' }>): Promise<void> {
+    const proxy = this.cluster.proxy(role, slot)
+    this.timeLine.note(`${role}-${slot}`, `link: ${fault}`, true, durationMs)
+    proxy.misbehave(fault)
+    await sleep(durationMs)
+    // The later of two overlapping faults may end early; the time line then excuses more than happened, never less.
+    proxy.misbehave(undefined)
+  }
+
+  #slot (role: SlotRole, index: number): Slot {
+    const slot = this.cluster.slots(role)[index]
+    if (slot === undefined) throw new Error(`no ${role} ${index}`)
+    return slot
+  }
+}
+
+function isSame ({ present }: Slot, incarnation: Incarnation): boolean {
+  return present === incarnation
+}
--- /dev/null
+++ b/apps/soak/src/lib/HttpEndpointSource.ts
@@ -0,0 +1,24 @@
+/** The endpoint list that the soak serves. */
+import { request } from 'undici'
+import { z } from 'zod'
+import type { EndpointSource } from '@eelgrassmux/control/endpoints/EndpointListTask'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import { listedEndpointSchema, type ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+
+/** Longest wait for the list, in milliseconds: it comes from the same machine. */
+const TIMEOUT_MS = 1000
+
+/** {@link EndpointSource} over HTTP. */
+export class HttpEndpointSource implements EndpointSource {
+  /** @param address - where the list is served */
+  constructor (private readonly address: string) {}
+
+  async list (): Promise<Result<ListedEndpoint[], { readonly kind: string }>> {
+    try {
+      const response = await request(`http://${this.address}/`, { signal: AbortSignal.timeout(TIMEOUT_MS) })
+      return succeed(z.array(listedEndpointSchema).parse(await response.body.json()))
+    } catch (error) {
+      return fail({ kind: String(error) })
+    }
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/LoopbackProxy.ts
@@ -0,0 +1,148 @@
+/**
+ * Stands between two processes and misbehaves as a network may: late, reset, cut
+ * in one direction, or silent. Bytes that a cut holds back arrive once it is healed.
+ * Carries TCP and, at the same port, datagrams.
+ */
+import { createSocket, type RemoteInfo, type Socket as DatagramSocket } from 'node:dgram'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+/** How a link misbehaves. */
+export const LINK_FAULTS = ['delay', 'reset', 'cut-towards', 'cut-back', 'silence'] as const
+export type LinkFault = typeof LINK_FAULTS[number]
+
+/** Delay of each piece while the link is slow, in milliseconds: far above loopback, below most timeouts. */
+const DELAY_MS = 120
+
+/** Interval at which held bytes are looked after, in milliseconds. */
+const PUMP_MS = 10
+
+const HOST = '127.0.0.1'
+
+type Direction = 'towards' | 'back'
+interface HeldPiece { readonly bytes: Buffer | 'end', readonly dueAt: number }
+
+/** One direction of a connection. */
+class HeldBytes {
+  readonly #pieces: HeldPiece[] = []
+
+  constructor (private readonly to: Socket) {}
+
+  push (bytes: Buffer | 'end', dueAt: number): void {
+    this.#pieces.push({ bytes, dueAt })
+  }
+
+  release (now: number): void {
+    while (this.#pieces[0] !== undefined && this.#pieces[0].dueAt <= now) {
+      const bytes = this.#pieces.shift()?.bytes
+      if (bytes === 'end') this.to.end()
+      else if (bytes !== undefined && this.to.writable) this.to.write(bytes)
+    }
+  }
+}
+
+/** A proxy whose own address never changes. */
+export class LoopbackProxy {
+  readonly #server: Server = createServer({ allowHalfOpen: true }, socket => { this.#carry(socket) })
+  readonly #datagrams: DatagramSocket = createSocket('udp4')
+  readonly #returns = new Map<string, DatagramSocket>()
+  readonly #sockets = new Set<Socket>()
+  readonly #held = new Map<Direction, Set<HeldBytes>>([['towards', new Set()], ['back', new Set()]])
+  #timer: NodeJS.Timeout | undefined
+  #fault: LinkFault | undefined
+  /** Port behind the proxy; undefined while its process is gone. */
+  target: number | undefined
+
+  /** @returns its address, once it listens */
+  async listen (): Promise<string> {
+    await new Promise<void>(resolve => { this.#server.listen(0, HOST, resolve) })
+    const { port } = this.#server.address() as AddressInfo
+    await new Promise<void>((resolve, reject) => {
+      this.#datagrams.once('error', reject)
+      this.#datagrams.bind(port, HOST, resolve)
+    })
+    this.#datagrams.on('message', (bytes, sender) => { this.#forward(bytes, sender) })
+    this.#timer = setInterval(() => { this.#pump() }, PUMP_MS)
+    return `${HOST}:${port}`
+  }
+
+  /** @param fault - from now on; undefined heals */
+  misbehave (fault: LinkFault | undefined): void {
+    this.#fault = fault
+    if (fault !== 'reset') return
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+  }
+
+  /** Closes all. */
+  close (): void {
+    clearInterval(this.#timer)
+    for (const socket of this.#sockets) socket.destroy()
+    for (const socket of this.#returns.values()) socket.close()
+    this.#datagrams.close()
+    this.#server.close()
+  }
+
+  #carry (caller: Socket): void {
+    this.#keep(caller)
+    if (this.#fault === 'reset' || this.target === undefined) {
+      caller.resetAndDestroy()
+      return
+    }
+    const callee = connect({ port: this.target, host: HOST, allowHalfOpen: true, noDelay: true })
+    caller.setNoDelay(true)
+    this.#keep(callee)
+    this.#join(caller, callee, 'towards')
+    this.#join(callee, caller, 'back')
+  }
+
+  #join (from: Socket, to: Socket, direction: Direction): void {
+    const held = new HeldBytes(to)
+    this.#held.get(direction)?.add(held)
+    const push = (bytes: Buffer | 'end'): void => {
+      held.push(bytes, this.#fault === 'delay' ? performance.now() + DELAY_MS : 0)
+      if (this.#passes(direction)) held.release(performance.now())
+    }
+    from.on('data', push)
+    from.on('end', () => { push('end') })
+    from.on('close', hadError => {
+      if (hadError) to.resetAndDestroy()
+    })
+    to.on('close', () => { this.#held.get(direction)?.delete(held) })
+  }
+
+  #keep (socket: Socket): void {
+    this.#sockets.add(socket)
+    socket.on('error', () => { socket.destroy() })
+    socket.on('close', () => { this.#sockets.delete(socket) })
+  }
+
+  #passes (direction: Direction): boolean {
+    if (this.#fault === 'silence') return false
+    return this.#fault !== (direction === 'towards' ? 'cut-towards' : 'cut-back')
+  }
+
+  #pump (): void {
+    const now = performance.now()
+    for (const [direction, all] of this.#held) {
+      if (this.#passes(direction)) for (const held of all) held.release(now)
+    }
+  }
+
+  #forward (bytes: Buffer, sender: RemoteInfo): void {
+    if (this.target === undefined || this.#fault === 'reset' || !this.#passes('towards')) return
+    this.#returnSocket(sender).send(bytes, this.target, HOST)
+  }
+
+  #returnSocket (sender: RemoteInfo): DatagramSocket {
+    const key = `${sender.address}:${sender.port}`
+    const present = this.#returns.get(key)
+    if (present !== undefined) return present
+    const socket = createSocket('udp4')
+    // As good as a lost datagram.
+    socket.on('error', () => {})
+    socket.on('message', bytes => {
+      if (this.#fault !== 'reset' && this.#passes('back')) this.#datagrams.send(bytes, sender.port, sender.address)
+    })
+    this.#returns.set(key, socket)
+    return socket
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/Operator.ts
@@ -0,0 +1,110 @@
+/** Puts sites and names weights through whichever control host answers, and reads back what is in force. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
+import type { ConfigurationCheck } from './checks/ConfigurationCheck.js'
+import type { Draws } from './Draws.js'
+import type { Incarnation, Slot } from './Slot.js'
+import { MODEL, soakSite } from './soakSite.js'
+
+/** Longest wait for one control host, in milliseconds. */
+const TIMEOUT_MS = 1500
+
+/** Pause before another control host is asked, in milliseconds. */
+const RETRY_MS = 150
+
+/** Times that a change is sent before it is given up. */
+const MOST_TRIES = 10
+
+/** Interval between readings, in milliseconds. */
+const READ_MS = 200
+
+const OK = 200
+
+interface ControlAnswer { readonly status: number, readonly text: string }
+
+/** The one operator; its changes may overlap. */
+export class Operator {
+  #site = 0
+  #weights = 1
+  #newestWeights = 1
+  #isStopped = false
+
+  /**
+   * @param controls - control hosts
+   * @param draws - decides which is asked
+   * @param check - told of what was sent, acknowledged and read
+   */
+  constructor (private readonly controls: readonly Slot[], private readonly draws: Draws, private readonly check: ConfigurationCheck) {}
+
+  /** The newest version of the weights that was acknowledged. */
+  get newestWeights (): number { return this.#newestWeights }
+
+  /** Puts the next site. */
+  async putSite (): Promise<void> {
+    this.#site += 1
+    const version = this.#site
+    const source = JSON.stringify(soakSite(version))
+    this.check.noteSent(version, source)
+    if (await this.#send('/site', source)) this.check.noteAcknowledged(version)
+  }
+
+  /** Names the next weights. */
+  async nameWeights (): Promise<void> {
+    this.#weights += 1
+    const version = this.#weights
+    if (await this.#send('/weights', JSON.stringify({ model: MODEL, version }))) this.#newestWeights = Math.max(this.#newestWeights, version)
+  }
+
+  /** Reads again and again until stopped. */
+  async readOn (): Promise<void> {
+    while (!this.#isStopped) {
+      await this.readOnce()
+      await sleep(READ_MS)
+    }
+  }
+
+  /** Ends {@link Operator.readOn}. */
+  stop (): void {
+    this.#isStopped = true
+  }
+
+  /** @returns whether a control host was sure of what is in force */
+  async readOnce (): Promise<boolean> {
+    const control = this.#choose()
+    if (control === undefined) return false
+    const startedAt = Date.now()
+    const answer = await ask(control, 'GET', '/site')
+    if (answer?.status !== OK) return false
+    const { version } = siteSchema.parse(JSON.parse(answer.text))
+    this.check.noteReading({ control: control.label, startedAt, version, source: answer.text })
+    return true
+  }
+
+  async #send (path: string, body: string): Promise<boolean> {
+    for (let turn = 0; turn < MOST_TRIES; turn += 1) {
+      const control = this.#choose()
+      const answer = control === undefined ? undefined : await ask(control, 'PUT', path, body)
+      if (answer?.status === OK) return true
+      await sleep(RETRY_MS)
+    }
+    return false
+  }
+
+  #choose (): Incarnation | undefined {
+    const running = this.controls.flatMap(({ present }) => present ?? [])
+    return running.length === 0 ? undefined : this.draws.pick(running)
+  }
+}
+
+async function ask ({ addresses }: Incarnation, method: 'GET' | 'PUT', path: string, body?: string): Promise<ControlAnswer | undefined> {
+  try {
+    const response = await request(`http://${addresses['operators'] ?? ''}${path}`, {
+      method, signal: AbortSignal.timeout(TIMEOUT_MS), ...(body === undefined ? {} : { body })
+    })
+    return { status: response.statusCode, text: await response.body.text() }
+  } catch {
+    // No answer: the change may or may not be in force, and nothing was acknowledged.
+    return undefined
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/Slot.ts
@@ -0,0 +1,101 @@
+/** A place for one process. When its process ends, for whatever reason, the next incarnation is started. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { ManagedProcess, type PrintedAddresses } from '@eelgrassmux/bench/ManagedProcess'
+
+/** One incarnation. */
+export interface Incarnation {
+  /** Name of the slot and number of the incarnation, such as `entry-0#2`. */
+  readonly label: string
+  readonly process: ManagedProcess
+  readonly addresses: PrintedAddresses
+}
+
+/** How a slot starts its processes. */
+export interface SlotPlan {
+  readonly name: string
+  readonly program: URL
+  readonly logFolder: string
+  /** Arguments of an incarnation. */
+  args (label: string): readonly string[]
+  readonly environment?: Readonly<Record<string, string>>
+  /** Told of each line on standard output. */
+  onLine? (line: string): void
+  onStart? (incarnation: Incarnation): void
+  onEnd? (label: string): void
+}
+
+/** Time between the end of a process and the start of the next, in milliseconds: as a service manager that restarts at once, or nearly. */
+const RESTART_MS = 400
+
+/** Keeps one process running until closed. */
+export class Slot {
+  #present: Incarnation | undefined
+  #count = 0
+  #isClosed = false
+  #running: Promise<void> = Promise.resolve()
+  #failure: Error | undefined
+
+  /** @param plan - how to start its processes */
+  constructor (private readonly plan: SlotPlan) {}
+
+  get name (): string { return this.plan.name }
+  /** The process that runs now. */
+  get present (): Incarnation | undefined { return this.#present }
+  get label (): string { return `${this.plan.name}#${this.#count}` }
+  get incarnations (): number { return this.#count }
+  /** Why no further incarnation could be started. */
+  get failure (): Error | undefined { return this.#failure }
+
+  /** @returns path of an incarnation's log */
+  logFile (label = this.label): string {
+    return `${this.plan.logFolder}/${label.replace('#', '-')}.log`
+  }
+
+  /** Starts the first incarnation and looks after it from then on. */
+  async start (): Promise<void> {
+    await this.#startNext()
+    this.#running = this.#supervise()
+  }
+
+  /** Ends the process and starts no other. */
+  async close (): Promise<void> {
+    this.#isClosed = true
+    await this.#present?.process.kill()
+    await this.#running
+  }
+
+  async #startNext (): Promise<void> {
+    this.#count += 1
+    const { label, plan } = this
+    const options = {
+      logFile: this.logFile(),
+      ...(plan.environment === undefined ? {} : { environment: plan.environment }),
+      onLine: (line: string) => { plan.onLine?.(line) }
+    }
+    const started = await ManagedProcess.start(plan.program, plan.args(label), options)
+    this.#present = { label, ...started }
+    plan.onStart?.(this.#present)
+  }
+
+  async #endIfClosed (): Promise<void> {
+    if (this.#isClosed) await this.#present?.process.kill()
+  }
+
+  async #supervise (): Promise<void> {
+    try {
+      while (!this.#isClosed) {
+        const { present } = this
+        await present?.process.exited()
+        this.#present = undefined
+        if (present !== undefined) this.plan.onEnd?.(present.label)
+        if (this.#isClosed) return
+        await sleep(RESTART_MS)
+        if (!this.#isClosed) await this.#startNext()
+        // Closed while the process was starting: it must not be left behind.
+        await this.#endIfClosed()
+      }
+    } catch (error) {
+      this.#failure = error instanceof Error ? error : new Error(String(error))
+    }
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -0,0 +1,175 @@
+/** All processes of one run: control hosts and endpoints behind proxies, entry hosts as callers reach them. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { EndpointListServer } from './EndpointListServer.js'
+import { endpointLineSchema, type RunLine } from './endpointWork.js'
+import type { SlotRole, SoakShape } from './faultPlan.js'
+import { LoopbackProxy } from './LoopbackProxy.js'
+import { Slot, type Incarnation } from './Slot.js'
+import { MODEL, MODEL_SERVICE, PLAIN_SERVICE } from './soakSite.js'
+
+const DATA_CENTRES = ['hall-north', 'hall-central', 'hall-south']
+
+/** What a run decides about its processes. */
+export interface ClusterSettings {
+  readonly shape: SoakShape
+  /** For logs and data. */
+  readonly folder: string
+  /** How long an entry host may live after SIGTERM, in milliseconds. */
+  readonly graceMs: number
+  /** Control hosts acknowledge sites that they do not put: a break for the checks. */
+  readonly isForgetful: boolean
+  /** Told of each run at an endpoint. */
+  onRun (run: RunLine): void
+  /** Told of each process that started or ended. */
+  onProcess (label: string, change: 'started' | 'ended'): void
+}
+
+/** Starts and ends the processes. */
+export class SoakCluster {
+  readonly list = new EndpointListServer()
+  readonly controls: Slot[] = []
+  readonly entries: Slot[] = []
+  readonly endpoints: Slot[] = []
+  readonly #controlProxies: LoopbackProxy[] = []
+  readonly #endpointProxies: LoopbackProxy[] = []
+
+  /** @param settings - shape and surroundings */
+  constructor (private readonly settings: ClusterSettings) {}
+
+  /** Starts all of them. */
+  async start (): Promise<void> {
+    const { shape } = this.settings
+    const listAddress = await this.list.listen()
+    const control = await this.#openProxies(this.#controlProxies, shape.controls)
+    const endpoint = await this.#openProxies(this.#endpointProxies, shape.plainEndpoints + shape.engines)
+    this.endpoints.push(...endpoint.map((address, index) => this.#endpointSlot(index, address)))
+    this.controls.push(...control.map((address, index) => this.#controlSlot(index, address, control, listAddress)))
+    await Promise.all([...this.endpoints, ...this.controls].map(async slot => { await slot.start() }))
+    this.entries.push(...Array.from({ length: shape.entries }, (_, index) => this.#entrySlot(index, control)))
+    await Promise.all(this.entries.map(async slot => { await slot.start() }))
+  }
+
+  /** @returns the slots of a role */
+  slots (role: SlotRole): readonly Slot[] {
+    switch (role) {
+      case 'entry': return this.entries
+      case 'control': return this.controls
+      case 'endpoint': return this.endpoints
+    }
+  }
+
+  /** @returns the proxy before a process */
+  proxy (role: 'control' | 'endpoint', index: number): LoopbackProxy {
+    const proxy = (role === 'control' ? this.#controlProxies : this.#endpointProxies)[index]
+    if (proxy === undefined) throw new Error(`no proxy before ${role} ${index}`)
+    return proxy
+  }
+
+  /** Ends all links' faults and wakes all processes. */
+  heal (): void {
+    for (const proxy of [...this.#controlProxies, ...this.#endpointProxies]) proxy.misbehave(undefined)
+    for (const slot of this.#allSlots()) slot.present?.process.signal('SIGCONT')
+  }
+
+  /** Ends all processes and proxies. */
+  async stop (): Promise<void> {
+    await Promise.all(this.#allSlots().map(async slot => { await slot.close() }))
+    for (const proxy of [...this.#controlProxies, ...this.#endpointProxies]) proxy.close()
+    this.list.close()
+    // Streams of the logs have a turn to end.
+    await sleep(0)
+  }
+
+  /** @returns path of the log of an incarnation */
+  logFile (label: string): string {
+    const slot = this.#allSlots().find(({ name }) => label.startsWith(`${name}#`))
+    return slot?.logFile(label) ?? ''
+  }
+
+  /** @returns why a process could not be started again, if that happened */
+  failure (): Error | undefined {
+    return this.#allSlots().find(slot => slot.failure !== undefined)?.failure
+  }
+
+  #allSlots (): Slot[] {
+    return [...this.entries, ...this.controls, ...this.endpoints]
+  }
+
+  async #openProxies (proxies: LoopbackProxy[], count: number): Promise<string[]> {
+    proxies.push(...Array.from({ length: count }, () => new LoopbackProxy()))
+    return await Promise.all(proxies.map(async proxy => await proxy.listen()))
+  }
+
+  #endpointSlot (index: number, address: string): Slot {
+    const isEngine = index >= this.settings.shape.plainEndpoints
+    const name = `endpoint-${index}`
+    return new Slot({
+      name,
+      ...this.#common('endpoint'),
+      args: label => ['--id', label, ...isEngine ? ['--model', MODEL, '--weights-version', '1'] : []],
+      onLine: line => { this.#onEndpointLine(line) },
+      onStart: incarnation => {
+        this.#aim(this.proxy('endpoint', index), incarnation, 'http')
+        this.list.list(name, {
+          id: incarnation.label,
+          service: isEngine ? MODEL_SERVICE : PLAIN_SERVICE,
+          address,
+          dataCentre: dataCentre(index),
+          slots: 16,
+          isLeaving: false,
+          isBusy: false,
+          models: isEngine ? [{ model: MODEL, version: 1 }] : []
+        })
+      }
+    })
+  }
+
+  #controlSlot (index: number, address: string, all: readonly string[], listAddress: string): Slot {
+    const name = `control-${index}`
+    return new Slot({
+      name,
+      ...this.#common('control'),
+      args: () => [
+        '--data-centre', dataCentre(index), '--data-folder', `${this.settings.folder}/${name}`, '--advertise', address, '--list', listAddress,
+        '--bootstrap', 'true', '--join', all.join(','), '--minimum-voters', String(all.length), '--forgetful', String(this.settings.isForgetful)
+      ],
+      onStart: incarnation => { this.#aim(this.proxy('control', index), incarnation, 'rpc') }
+    })
+  }
+
+  #entrySlot (index: number, control: readonly string[]): Slot {
+    return new Slot({
+      name: `entry-${index}`,
+      ...this.#common('entry'),
+      // Its own loopback address tells it from the others while its port is free.
+      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(',')],
+      environment: { EELGRASSMUX_STOP_GRACE_MS: String(this.settings.graceMs) },
+      onStart: incarnation => { this.settings.onProcess(incarnation.label, 'started') }
+    })
+  }
+
+  #common (program: string): { program: URL, logFolder: string, onEnd: (label: string) => void } {
+    return {
+      program: new URL(`../${program}.js`, import.meta.url.replace('/src/lib/', '/dist/lib/')),
+      logFolder: this.settings.folder,
+      onEnd: label => { this.settings.onProcess(label, 'ended') }
+    }
+  }
+
+  #aim (proxy: LoopbackProxy, { label, addresses }: Incarnation, served: string): void {
+    proxy.target = Number(addresses[served]?.split(':')[1])
+    this.settings.onProcess(label, 'started')
+  }
+
+  #onEndpointLine (text: string): void {
+    const line = endpointLineSchema.safeParse(JSON.parse(text))
+    // The line that says where it listens is read elsewhere.
+    if (!line.success) return
+    if (line.data.event === 'run') this.settings.onRun(line.data)
+    else this.list.setWeights(line.data.endpoint, MODEL, line.data.version)
+  }
+}
+
+function dataCentre (index: number): string {
+  return DATA_CENTRES[index % DATA_CENTRES.length] ?? ''
+}
--- /dev/null
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -0,0 +1,55 @@
+/** Reads and writes the soak's headers on an entry host. */
+import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '@eelgrassmux/entry/routed/RequestCodec'
+import { endToEndHeaders } from '@eelgrassmux/entry/routed/headers'
+import type { PromptDescription } from '@eelgrassmux/routing/prompts/promptDescription'
+import { HEADER, headerValue } from './soakHeaders.js'
+
+/** Headers that only the product may set towards an endpoint. */
+const SET_BY_PRODUCT: ReadonlySet<string> = new Set([
+  'content-length', HEADER.key, HEADER.customer, HEADER.deadlineMs, HEADER.lastEvent, HEADER.instance, HEADER.version, HEADER.cacheSalt
+])
+
+/** {@link RequestCodec} of the soak. */
+export class SoakCodec implements RequestCodec {
+  readCaller (headers: readonly string[]): CallerFields {
+    return {
+      requestId: headerValue(headers, HEADER.requestId),
+      key: headerValue(headers, HEADER.key),
+      deadlineMs: readNumber(headerValue(headers, HEADER.deadlineMs)),
+      prompt: readPrompt(headers),
+      lastEventId: readNumber(headerValue(headers, HEADER.lastEvent))
+    }
+  }
+
+  writeEndpoint (headers: readonly string[], fields: EndpointFields): string[] {
+    const written = endToEndHeaders(headers, name => SET_BY_PRODUCT.has(name))
+    written.push(HEADER.deadlineMs, String(fields.remainingMs), HEADER.instance, fields.instance)
+    if (fields.customer !== undefined) written.push(HEADER.customer, fields.customer)
+    if (fields.lastEventId !== undefined) written.push(HEADER.lastEvent, String(fields.lastEventId))
+    if (fields.version !== undefined) written.push(HEADER.version, String(fields.version))
+    if (fields.cacheSalt !== undefined) written.push(HEADER.cacheSalt, fields.cacheSalt)
+    return written
+  }
+
+  readAnswer (_status: number, headers: readonly string[]): AnswerFields {
+    return {
+      requestId: headerValue(headers, HEADER.requestId),
+      isNotExecuted: headerValue(headers, HEADER.notRun) !== undefined,
+      instance: headerValue(headers, HEADER.answeredBy),
+      load: undefined,
+      version: readNumber(headerValue(headers, HEADER.version))
+    }
+  }
+}
+
+function readPrompt (headers: readonly string[]): PromptDescription | undefined {
+  const model = headerValue(headers, HEADER.model)
+  if (model === undefined) return undefined
+  const promptTokens = readNumber(headerValue(headers, HEADER.promptTokens)) ?? 0
+  return { model, promptTokens, outputTokens: 0, parts: [{ id: `shared-${promptTokens}`, tokens: promptTokens / 2 }] }
+}
+
+function readNumber (text: string | undefined): number | undefined {
+  const value = Number(text)
+  return text === undefined || !Number.isFinite(value) ? undefined : value
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/ConfigurationCheck.ts
@@ -0,0 +1,80 @@
+/** A site that was acknowledged is never lost, and no reader or host goes back behind one. */
+import type { Ledger } from '../Ledger.js'
+
+/** How long a host may act on a confirmed configuration, in milliseconds: the product's default, with room for the two clocks. */
+const FRESHNESS_MS = 3000 + 200
+
+const OK = 200
+const NOT_FOUND = 404
+
+/** A site as an operator read it. */
+export interface SiteReading {
+  readonly control: string
+  readonly startedAt: number
+  readonly version: number
+  readonly source: string
+}
+
+/** A caller's question whether a host knows a site version. */
+export interface SiteProbe {
+  readonly host: string
+  readonly version: number
+  readonly sentAt: number
+  readonly endedAt: number
+  readonly status: number
+}
+
+interface Acknowledgement { readonly version: number, readonly at: number }
+
+/** Follows what operators were told and what readers and callers see. */
+export class ConfigurationCheck {
+  readonly #sources = new Map<number, string>()
+  readonly #acknowledged: Acknowledgement[] = []
+  readonly #seen = new Map<string, Acknowledgement[]>()
+
+  /** @param ledger - takes what is wrong */
+  constructor (private readonly ledger: Ledger) {}
+
+  /** The newest acknowledged version. */
+  get newest (): number { return this.acknowledgedBefore(Number.POSITIVE_INFINITY) }
+
+  /** @returns the newest version that was acknowledged before a time */
+  acknowledgedBefore (time: number): number {
+    return newestBefore(this.#acknowledged, time)
+  }
+
+  /** A site is about to be sent. */
+  noteSent (version: number, source: string): void {
+    this.#sources.set(version, source)
+  }
+
+  /** An operator was told that a site is accepted. */
+  noteAcknowledged (version: number): void {
+    this.#acknowledged.push({ version, at: Date.now() })
+  }
+
+  /** @param reading - what a control host said */
+  noteReading ({ control, startedAt, version, source }: SiteReading): void {
+    const least = this.acknowledgedBefore(startedAt)
+    if (version < least) this.#wrong(`reads version ${version} after ${least} was acknowledged`, control)
+    else if (source !== this.#sources.get(version)) this.#wrong(`version ${version} is not what was sent`, control)
+  }
+
+  /** @param probe - what a host answered a caller */
+  noteProbe ({ host, version, sentAt, endedAt, status }: SiteProbe): void {
+    const seen = this.#seen.get(host) ?? []
+    this.#seen.set(host, seen)
+    if (status === OK) seen.push({ version, at: endedAt })
+    if (status !== NOT_FOUND) return
+    if (newestBefore(seen, sentAt) >= version) this.#wrong(`does not know version ${version} any more`, host)
+    if (this.acknowledgedBefore(sentAt - FRESHNESS_MS) >= version) this.#wrong(`acts without version ${version}, acknowledged over ${FRESHNESS_MS} ms before`, host)
+  }
+
+  #wrong (detail: string, process: string): void {
+    this.ledger.noteViolation('configuration-never-reverts', `${process} ${detail}`, [process])
+  }
+}
+
+function newestBefore (versions: readonly Acknowledgement[], time: number): number {
+  return versions.reduce((newest, { version, at }) => at < time ? Math.max(newest, version) : newest, 0)
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/EventsInOrderCheck.ts
@@ -0,0 +1,22 @@
+/** Events of a stream come in order, none missing or doubled, and a stream is complete only with its last. */
+import type { StreamEvent } from '../endpointWork.js'
+import type { RequestCheck } from '../Ledger.js'
+import type { Outcome } from '../observations.js'
+
+/** {@link RequestCheck} of streams. */
+export class EventsInOrderCheck implements RequestCheck {
+  readonly promise = 'events-in-order'
+
+  onOutcome ({ request, end }: Outcome): string | undefined {
+    if (request.work.kind !== 'stream') return undefined
+    const wrong = end.events.findIndex((event, index) => !isNext(event, index, request.id))
+    if (wrong >= 0) return `at place ${wrong + 1} comes ${JSON.stringify(end.events[wrong])}`
+    const isComplete = end.kind === 'answered' && end.status === 200
+    if (!isComplete || end.events.length === request.work.events) return undefined
+    return `complete after ${end.events.length} of ${request.work.events} events`
+  }
+}
+
+function isNext (event: StreamEvent, index: number, requestId: string): boolean {
+  return event.number === index + 1 && event.requestId === requestId
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/NothingIsCutCheck.ts
@@ -0,0 +1,37 @@
+/**
+ * A request that a host has read and passed on is not cut, but for faults that the
+ * host could not foresee: its own, its endpoint's, or of the link between them. A
+ * planned stop is no such fault.
+ */
+import type { LedgerView, RequestCheck } from '../Ledger.js'
+import type { Outcome } from '../observations.js'
+
+/** A request that was sent up to here after SIGTERM may find the host still taking work, in milliseconds. */
+const LEAVING_MS = 3000
+
+/** An endpoint that is still at work in this last part of the grace time is not waited for. */
+const LAST_PART = 1 / 6
+
+/** {@link RequestCheck} of broken answers. */
+export class NothingIsCutCheck implements RequestCheck {
+  readonly promise = 'nothing-is-cut'
+
+  onOutcome (outcome: Outcome, view: LedgerView): string | undefined {
+    const { request, end, endedAt } = outcome
+    const runs = view.runs(request.id)
+    if (end.kind !== 'cut' || runs.length === 0) return undefined
+    const involved = [request.host, ...runs.map(run => run.endpoint)]
+    if (involved.some(process => view.timeLine.excuseFor(process, request.sentAt, endedAt) !== undefined)) return undefined
+    if (outlastsGrace(outcome, view)) return undefined
+    const stop = view.timeLine.stopOf(request.host)
+    const when = stop === undefined ? '' : `, sent ${request.sentAt - stop.at} ms after SIGTERM, cut ${endedAt - stop.at} ms after it`
+    return `${request.kind} was cut at ${request.host} after ${endedAt - request.sentAt} ms (${end.reason})${when}`
+  }
+}
+
+/** The request came while hosts still take work, and its endpoint needed more than the grace time. */
+function outlastsGrace ({ request, endedAt }: Outcome, view: LedgerView): boolean {
+  const stop = view.timeLine.stopOf(request.host)
+  if (stop === undefined || request.sentAt > stop.at + LEAVING_MS) return false
+  return endedAt >= stop.killAt - (stop.killAt - stop.at) * LAST_PART
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/OneWeightVersionCheck.ts
@@ -0,0 +1,22 @@
+/** One answer comes from one version of the weights, and so does one cache scope. */
+import type { RunLine } from '../endpointWork.js'
+import type { RequestCheck } from '../Ledger.js'
+import type { Outcome } from '../observations.js'
+
+/** {@link RequestCheck} of weights. */
+export class OneWeightVersionCheck implements RequestCheck {
+  readonly promise = 'one-weight-version'
+  readonly #versionsBySalt = new Map<string, number>()
+
+  onRun ({ cacheSalt, version }: RunLine): string | undefined {
+    if (cacheSalt === '') return undefined
+    const first = this.#versionsBySalt.get(cacheSalt) ?? version
+    this.#versionsBySalt.set(cacheSalt, first)
+    return first === version ? undefined : `versions ${first} and ${version} share the cache scope ${cacheSalt}`
+  }
+
+  onOutcome ({ end }: Outcome): string | undefined {
+    const versions = new Set(end.events.map(event => event.version))
+    return versions.size > 1 ? `one answer of versions ${[...versions].join(' and ')}` : undefined
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -0,0 +1,17 @@
+/** All promises about requests, ready for one run of the soak. */
+import type { RequestCheck } from '../Ledger.js'
+import { AtMostOnceCheck } from './AtMostOnceCheck.js'
+import { CustomersApartCheck } from './CustomersApartCheck.js'
+import { EventsInOrderCheck } from './EventsInOrderCheck.js'
+import { NothingIsCutCheck } from './NothingIsCutCheck.js'
+import { NotRunIsTrueCheck } from './NotRunIsTrueCheck.js'
+import { OneWeightVersionCheck } from './OneWeightVersionCheck.js'
+import { WholeAnswersCheck } from './WholeAnswersCheck.js'
+
+/** @returns new checks */
+export function requestChecks (): RequestCheck[] {
+  return [
+    new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
+    new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck()
+  ]
+}
--- /dev/null
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -0,0 +1,84 @@
+/** Draws which faults come when, from a seed alone. */
+import { Draws } from './Draws.js'
+import { LINK_FAULTS, type LinkFault } from './LoopbackProxy.js'
+
+/** Number of processes of each kind. */
+export interface SoakShape {
+  readonly controls: number
+  readonly entries: number
+  readonly plainEndpoints: number
+  readonly engines: number
+}
+
+export type SlotRole = 'entry' | 'control' | 'endpoint'
+
+/** A fault as planned; times in milliseconds from the start of the faults. */
+export type PlannedFault = { readonly atMs: number } & (
+  | { readonly kind: 'rolling-stop', readonly gapMs: number }
+  | { readonly kind: 'stop' | 'kill', readonly role: SlotRole, readonly slot: number }
+  | { readonly kind: 'pause', readonly role: SlotRole, readonly slot: number, readonly durationMs: number }
+  | { readonly kind: 'link', readonly role: 'control' | 'endpoint', readonly slot: number, readonly fault: LinkFault, readonly durationMs: number }
+  | { readonly kind: 'new-site' | 'new-weights' }
+)
+
+/** Gap between the stops of a rolling stop, in milliseconds: shorter than a stop takes, so that they overlap. */
+const ROLLING_GAP_MS = 1300
+
+/** Bounds of the time between two faults, in milliseconds: several are under way at any time. */
+const LEAST_GAP_MS = 150
+const MOST_GAP_MS = 1400
+
+/** Bounds of how long a fault lasts, in milliseconds: around the product's leases and timeouts. */
+const LEAST_DURATION_MS = 200
+const MOST_DURATION_MS = 4500
+
+/** Kinds by how often they come. */
+const KINDS = [
+  'rolling-stop', 'stop', 'stop', 'kill', 'kill', 'pause', 'pause', 'pause', 'link', 'link', 'link', 'link',
+  'new-site', 'new-site', 'new-weights', 'new-weights'
+] as const
+
+/**
+ * @param seed - decides everything
+ * @param seconds - how long faults go on
+ * @param shape - how many processes there are
+ * @returns the faults in order of time; the first is a rolling stop
+ */
+export function planFaults (seed: number, seconds: number, shape: SoakShape): PlannedFault[] {
+  const draws = new Draws(seed)
+  const faults: PlannedFault[] = [{ atMs: 500, kind: 'rolling-stop', gapMs: ROLLING_GAP_MS }]
+  for (let atMs = draws.between(0, MOST_GAP_MS); atMs < seconds * 1000; atMs += draws.between(LEAST_GAP_MS, MOST_GAP_MS)) {
+    faults.push(drawFault(draws, atMs, shape))
+  }
+  return faults.sort((left, right) => left.atMs - right.atMs)
+}
+
+function drawFault (draws: Draws, atMs: number, shape: SoakShape): PlannedFault {
+  const kind = draws.pick(KINDS)
+  const durationMs = Math.round(draws.between(LEAST_DURATION_MS, MOST_DURATION_MS))
+  switch (kind) {
+    case 'rolling-stop': return { atMs, kind, gapMs: ROLLING_GAP_MS }
+    case 'stop':
+    case 'kill': return { atMs, kind, ...drawSlot(draws, shape) }
+    case 'pause': return { atMs, kind, ...drawSlot(draws, shape), durationMs }
+    case 'link': {
+      const role = draws.pick(['control', 'endpoint'] as const)
+      return { atMs, kind, role, slot: draws.index(slotCount(role, shape)), fault: draws.pick(LINK_FAULTS), durationMs }
+    }
+    case 'new-site':
+    case 'new-weights': return { atMs, kind }
+  }
+}
+
+function drawSlot (draws: Draws, shape: SoakShape): { role: SlotRole, slot: number } {
+  const role = draws.pick(['entry', 'control', 'endpoint'] as const)
+  return { role, slot: draws.index(slotCount(role, shape)) }
+}
+
+function slotCount (role: SlotRole, shape: SoakShape): number {
+  switch (role) {
+    case 'entry': return shape.entries
+    case 'control': return shape.controls
+    case 'endpoint': return shape.plainEndpoints + shape.engines
+  }
+}
--- /dev/null
+++ b/apps/soak/src/lib/observations.ts
@@ -0,0 +1,36 @@
+/** What callers ask and see. Times are milliseconds of the wall clock; all processes share one machine. */
+import type { StreamEvent, Work } from './endpointWork.js'
+
+/** Kinds of requests; `generation` is a resumable stream of a model, `probe` asks whether a site version is in force. */
+export const REQUEST_KINDS = ['safe', 'unsafe', 'stream', 'resumable', 'generation', 'probe'] as const
+export type RequestKind = typeof REQUEST_KINDS[number]
+
+/** Kinds that may run once at most. */
+export const RUNS_ONCE: ReadonlySet<RequestKind> = new Set<RequestKind>(['unsafe', 'stream'])
+
+/** A request as its caller made it. */
+export interface AskedRequest {
+  readonly id: string
+  readonly kind: RequestKind
+  readonly customer: string
+  readonly work: Work
+  readonly body: string
+  /** Incarnation of the entry host that was asked. */
+  readonly host: string
+  readonly sentAt: number
+  /** Site version that a probe asks for; 0 for other kinds. */
+  readonly siteVersion: number
+}
+
+/** How a request ended for its caller. */
+export type CallerEnd =
+  | { readonly kind: 'answered', readonly status: number, readonly answerId: string | undefined, readonly body: string, readonly events: readonly StreamEvent[] }
+  /** The connection ended before the answer was complete. */
+  | { readonly kind: 'cut', readonly hasHead: boolean, readonly reason: string, readonly events: readonly StreamEvent[] }
+
+/** A request with its end. */
+export interface Outcome {
+  readonly request: AskedRequest
+  readonly end: CallerEnd
+  readonly endedAt: number
+}
--- /dev/null
+++ b/apps/soak/src/lib/operatorEdge.ts
@@ -0,0 +1,44 @@
+/** What the soak's operator calls on a control host. */
+import { H3, serve } from 'h3'
+import { z } from 'zod'
+import type { OperatorEdge } from '@eelgrassmux/control/ControlDaemon'
+import type { SiteService } from '@eelgrassmux/control/site/SiteService'
+import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
+
+const weightsSchema = z.strictObject({ model: z.string(), version: z.number().int() })
+
+const UNAVAILABLE = 503
+
+/**
+ * Opens the operator's interface on a free port.
+ *
+ * @param host - IP number
+ * @param sites - what it leads to
+ * @param isForgetful - acknowledge sites without putting them
+ */
+export async function openOperatorEdge (host: string, sites: SiteService, isForgetful: boolean): Promise<OperatorEdge> {
+  const app = new H3()
+  app.put('/site', async event => {
+    const source = new Uint8Array(await event.req.arrayBuffer())
+    const site = siteSchema.parse(JSON.parse(Buffer.from(source).toString()))
+    // The first site is put all the same: without one nothing is served at all.
+    if (isForgetful && site.version > 1) return status(200)
+    return status((await sites.putSite(site, source)).kind === 'applied' ? 200 : UNAVAILABLE)
+  })
+  app.put('/weights', async event => {
+    const { model, version } = weightsSchema.parse(await event.req.json())
+    return status((await sites.nameWeights(model, version)).kind === 'applied' ? 200 : UNAVAILABLE)
+  })
+  app.get('/site', async () => {
+    const site = await sites.readSite()
+    return site.kind === 'site' ? new Response(Buffer.from(site.source)) : status(site.kind === 'none' ? 404 : UNAVAILABLE)
+  })
+  const server = serve(app, { hostname: host, port: 0, gracefulShutdown: false, silent: true })
+  await server.ready()
+  const port = new URL(server.url ?? '').port
+  return { address: `${host}:${port}`, close: async () => { await server.close(true) } }
+}
+
+function status (code: number): Response {
+  return new Response(null, { status: code })
+}
--- /dev/null
+++ b/apps/soak/src/main.ts
@@ -0,0 +1,69 @@
+/** `npm run soak`: real processes under seeded faults; see docs/PROOFS.md. */
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import { ENDPOINT_BREAKS } from './lib/endpointWork.js'
+import { REGRESSION_SEEDS } from './lib/regressionSeeds.js'
+import { runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
+
+const BREAKS: readonly SoakBreak[] = [...ENDPOINT_BREAKS, 'abrupt-stop', 'forgetful-control']
+
+/** Broken promises printed of one run. */
+const MOST_PRINTED = 10
+
+const EXIT_BROKEN = 1
+const EXIT_USAGE = 2
+
+class SoakCommand extends Command {
+  static override paths = [Command.Default]
+  static override usage = Command.Usage({ description: 'run all programs as processes under seeded faults and check every promise' })
+  seed = Option.String('--seed', '1', { description: 'first seed' })
+  seconds = Option.String('--seconds', '30', { description: 'how long new faults come in each run' })
+  runs = Option.String('--runs', '1', { description: 'seeds to run, one after another' })
+  entries = Option.String('--entries', '4', { description: 'entry hosts' })
+  endpoints = Option.String('--endpoints', '3', { description: 'plain endpoints, and as many engines' })
+  callers = Option.String('--callers', '32', { description: 'callers with one connection each' })
+  graceMs = Option.String('--grace-ms', '8000', { description: 'time from SIGTERM to SIGKILL, in milliseconds' })
+  skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not play the seeds that failed once first' })
+  broken = Option.String('--break', { description: `break a promise on purpose: ${BREAKS.join(', ')}` })
+
+  override async execute (): Promise<number> {
+    const broken = BREAKS.find(name => name === this.broken)
+    if (this.broken !== undefined && broken === undefined) {
+      this.context.stderr.write(`there is no break ${this.broken}; there are ${BREAKS.join(', ')}\n`)
+      return EXIT_USAGE
+    }
+    const regressions = this.skipRegressions ? [] : REGRESSION_SEEDS
+    const fresh = Array.from({ length: Number(this.runs) }, (_, index) => ({ seed: Number(this.seed) + index, seconds: Number(this.seconds) }))
+    let failed = 0
+    for (const { seed, seconds } of [...regressions, ...fresh]) {
+      const result = await this.#play(seed, seconds, broken === undefined ? [] : [broken])
+      this.#print(result)
+      if (result.violations.length > 0) failed += 1
+    }
+    this.context.stdout.write(`${regressions.length + fresh.length} runs, ${failed} with a broken promise\n`)
+    return failed === 0 ? 0 : EXIT_BROKEN
+  }
+
+  async #play (seed: number, seconds: number, breaks: readonly SoakBreak[]): Promise<SoakResult> {
+    return await runSoak({
+      seed,
+      seconds,
+      breaks,
+      shape: { controls: 3, entries: Number(this.entries), plainEndpoints: Number(this.endpoints), engines: Number(this.endpoints) },
+      callers: Number(this.callers),
+      graceMs: Number(this.graceMs)
+    })
+  }
+
+  #print ({ seed, requests, ends, acts, violations, timeLine, logFiles }: SoakResult): void {
+    const counts = [...ends].sort().map(([name, count]) => `${name}: ${count}`).join(', ')
+    this.context.stdout.write(`seed ${seed}: ${requests} requests (${counts}), ${acts} acts, ${violations.length} broken promises\n`)
+    if (violations.length === 0) return
+    for (const { promise, detail } of violations.slice(0, MOST_PRINTED)) this.context.stdout.write(`  ${promise}: ${detail}\n`)
+    this.context.stdout.write(`  logs: ${logFiles.join(' ')}\n  time line:\n${timeLine.map(line => `    ${line}\n`).join('')}`)
+  }
+}
+
+const cli = new Cli({ binaryName: 'npm run soak --', binaryLabel: 'Fault soak' })
+cli.register(SoakCommand)
+cli.register(Builtins.HelpCommand)
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext)
