--- a/apps/soak/src/lib/Caller.ts
+++ b/apps/soak/src/lib/Caller.ts
@@ -26,10 +26,12 @@
 /** Pause while no host runs, and after a refusal, in milliseconds. */
 const RETRY_MS = 150
 
-/** Events of the longest stream, and bounds of the time between them in milliseconds: up to six seconds, most of a grace time. */
+/** Bounds of the number of events of a stream. */
+const LEAST_EVENTS = 3
 const MOST_EVENTS = 30
-const LEAST_INTERVAL_MS = 10
-const MOST_INTERVAL_MS = 200
+
+/** Longest time of a stream, in milliseconds: most of a usual grace time. */
+const MOST_STREAM_MS = 6000
 
 /** Longest time of a plain request, in milliseconds. */
 const MOST_PLAIN_MS = 1200
@@ -101,11 +103,9 @@
       case 'unsafe': return { kind: 'plain', milliseconds: Math.round(this.draws.between(0, MOST_PLAIN_MS)), ...fault }
       case 'stream':
       case 'resumable':
-      case 'generation': return {
-        kind: 'stream',
-        events: 3 + this.draws.index(MOST_EVENTS - 3),
-        intervalMs: Math.round(this.draws.between(LEAST_INTERVAL_MS, MOST_INTERVAL_MS)),
-        ...fault
+      case 'generation': {
+        const events = LEAST_EVENTS + this.draws.index(MOST_EVENTS - LEAST_EVENTS)
+        return { kind: 'stream', events, intervalMs: Math.round(this.draws.between(0, MOST_STREAM_MS) / events), ...fault }
       }
     }
   }
--- a/apps/soak/src/lib/Ledger.ts
+++ b/apps/soak/src/lib/Ledger.ts
@@ -1,5 +1,5 @@
 /** All that callers and endpoints have seen, and what it breaks. */
-import type { RunLine } from './endpointWork.js'
+import type { EndpointBreak, RunLine } from './endpointWork.js'
 import type { AskedRequest, Outcome } from './observations.js'
 import type { TimeLine } from './TimeLine.js'
 
@@ -17,6 +17,8 @@
   readonly at: number
   /** Incarnations that had to do with it. */
   readonly processes: readonly string[]
+  /** What the endpoint was asked to do wrong, in a run that breaks promises on purpose. */
+  readonly provokedBy: EndpointBreak | undefined
 }
 
 /** What a check may look up. */
@@ -50,9 +52,8 @@
   /**
    * @param timeLine - what was done to the processes
    * @param checks - promises about requests
-   * @param onViolation - told of each broken promise
    */
-  constructor (readonly timeLine: TimeLine, private readonly checks: readonly RequestCheck[], private readonly onViolation: (violation: Violation) => void = () => {}) {}
+  constructor (readonly timeLine: TimeLine, private readonly checks: readonly RequestCheck[]) {}
 
   get requestCount (): number { return this.#asked.size }
   get outcomes (): Iterable<Outcome> { return this.#outcomes.values() }
@@ -71,7 +72,7 @@
     this.#runs.set(run.requestId, [...this.runs(run.requestId), run])
     for (const check of this.checks) {
       const detail = check.onRun?.(run, this)
-      if (detail !== undefined) this.noteViolation(check.promise, `${run.requestId}: ${detail}`, this.#processesOf(run.requestId))
+      if (detail !== undefined) this.#noteRequest(check.promise, run.requestId, detail)
     }
   }
 
@@ -94,11 +95,14 @@
    * @param promise - which one is broken
    * @param detail - how
    * @param processes - incarnations that had to do with it
+   * @param provokedBy - what the endpoint was asked to do wrong
    */
-  noteViolation (promise: PromiseName, detail: string, processes: readonly string[]): void {
-    const violation = { promise, detail, at: Date.now(), processes }
-    this.violations.push(violation)
-    this.onViolation(violation)
+  noteViolation (promise: PromiseName, detail: string, processes: readonly string[], provokedBy?: EndpointBreak): void {
+    this.violations.push({ promise, detail, at: Date.now(), processes, provokedBy })
+  }
+
+  #noteRequest (promise: PromiseName, requestId: string, detail: string): void {
+    this.noteViolation(promise, `${requestId}: ${detail}`, this.#processesOf(requestId), this.asked(requestId)?.work.fault)
   }
 
   #settle (outcome: Outcome): void {
@@ -107,7 +111,7 @@
     this.#settling.delete(id)
     for (const check of this.checks) {
       const detail = check.onOutcome?.(outcome, this)
-      if (detail !== undefined) this.noteViolation(check.promise, `${id}: ${detail}`, this.#processesOf(id))
+      if (detail !== undefined) this.#noteRequest(check.promise, id, detail)
     }
   }
 
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -4,11 +4,14 @@
 import { endpointLineSchema, type RunLine } from './endpointWork.js'
 import type { SlotRole, SoakShape } from './faultPlan.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
-import { Slot, type Incarnation } from './Slot.js'
+import { Slot, type Incarnation, type SlotPlan } from './Slot.js'
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE } from './soakSite.js'
 
 const DATA_CENTRES = ['hall-north', 'hall-central', 'hall-south']
 
+/** All processes log, and entry hosts keep each request's story: a seed that failed must be explained from these files. */
+const LOG_ENVIRONMENT = { ROARR_LOG: 'true', EELGRASSMUX_KEPT_STORIES: '1', EELGRASSMUX_LOG_LINES_PER_SECOND: '5000' }
+
 /** What a run decides about its processes. */
 export interface ClusterSettings {
   readonly shape: SoakShape
@@ -143,13 +146,14 @@
       ...this.#common('entry'),
       // Its own loopback address tells it from the others while its port is free.
       args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(',')],
-      environment: { EELGRASSMUX_STOP_GRACE_MS: String(this.settings.graceMs) },
+      environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_MS: String(this.settings.graceMs) },
       onStart: incarnation => { this.settings.onProcess(incarnation.label, 'started') }
     })
   }
 
-  #common (program: string): { program: URL, logFolder: string, onEnd: (label: string) => void } {
+  #common (program: string): Pick<SlotPlan, 'program' | 'logFolder' | 'environment' | 'onEnd'> {
     return {
+      environment: LOG_ENVIRONMENT,
       program: new URL(`../${program}.js`, import.meta.url.replace('/src/lib/', '/dist/lib/')),
       logFolder: this.settings.folder,
       onEnd: label => { this.settings.onProcess(label, 'ended') }
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -32,29 +32,31 @@
 const LEAST_DURATION_MS = 200
 const MOST_DURATION_MS = 4500
 
+export type FaultKind = PlannedFault['kind']
+
 /** Kinds by how often they come. */
-const KINDS = [
+export const FAULT_KINDS: readonly FaultKind[] = [
   'rolling-stop', 'stop', 'stop', 'kill', 'kill', 'pause', 'pause', 'pause', 'link', 'link', 'link', 'link',
   'new-site', 'new-site', 'new-weights', 'new-weights'
-] as const
+]
 
 /**
  * @param seed - decides everything
  * @param seconds - how long faults go on
  * @param shape - how many processes there are
+ * @param kinds - faults to draw from
  * @returns the faults in order of time; the first is a rolling stop
  */
-export function planFaults (seed: number, seconds: number, shape: SoakShape): PlannedFault[] {
+export function planFaults (seed: number, seconds: number, shape: SoakShape, kinds = FAULT_KINDS): PlannedFault[] {
   const draws = new Draws(seed)
   const faults: PlannedFault[] = [{ atMs: 500, kind: 'rolling-stop', gapMs: ROLLING_GAP_MS }]
   for (let atMs = draws.between(0, MOST_GAP_MS); atMs < seconds * 1000; atMs += draws.between(LEAST_GAP_MS, MOST_GAP_MS)) {
-    faults.push(drawFault(draws, atMs, shape))
+    faults.push(drawFault(draws, draws.pick(kinds), atMs, shape))
   }
   return faults.sort((left, right) => left.atMs - right.atMs)
 }
 
-function drawFault (draws: Draws, atMs: number, shape: SoakShape): PlannedFault {
-  const kind = draws.pick(KINDS)
+function drawFault (draws: Draws, kind: FaultKind, atMs: number, shape: SoakShape): PlannedFault {
   const durationMs = Math.round(draws.between(LEAST_DURATION_MS, MOST_DURATION_MS))
   switch (kind) {
     case 'rolling-stop': return { atMs, kind, gapMs: ROLLING_GAP_MS }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -10,7 +10,7 @@
 import { Draws } from './Draws.js'
 import type { EndpointBreak } from './endpointWork.js'
 import { FaultDriver } from './FaultDriver.js'
-import { planFaults, type PlannedFault, type SoakShape } from './faultPlan.js'
+import { planFaults, type FaultKind, type SoakShape } from './faultPlan.js'
 import { Ledger, type Violation } from './Ledger.js'
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
@@ -30,8 +30,8 @@
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
   readonly graceMs: number
   readonly breaks: readonly SoakBreak[]
-  /** In place of those that the seed draws. */
-  readonly faults?: readonly PlannedFault[]
+  /** Kinds of faults to draw from. */
+  readonly kinds?: readonly FaultKind[]
 }
 
 /** What a run has shown. */
@@ -113,11 +113,11 @@
   }
 
   async #exercise (): Promise<void> {
-    const { seed, seconds, shape, graceMs, breaks } = this.plan
+    const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readOn()
     const driver = new FaultDriver(this.#cluster, this.#operator, this.#timeLine, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
-    await driver.run(this.plan.faults ?? planFaults(seed, seconds, shape))
+    await driver.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeLine.note('soak', 'the last fault is over', false)
     for (const caller of this.#callers) caller.stop()
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -1,6 +1,7 @@
 /** `npm run soak`: real processes under seeded faults; see docs/PROOFS.md. */
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import { ENDPOINT_BREAKS } from './lib/endpointWork.js'
+import { FAULT_KINDS } from './lib/faultPlan.js'
 import { REGRESSION_SEEDS } from './lib/regressionSeeds.js'
 import { runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
 
@@ -22,6 +23,7 @@
   endpoints = Option.String('--endpoints', '3', { description: 'plain endpoints, and as many engines' })
   callers = Option.String('--callers', '32', { description: 'callers with one connection each' })
   graceMs = Option.String('--grace-ms', '8000', { description: 'time from SIGTERM to SIGKILL, in milliseconds' })
+  kinds = Option.String('--kinds', { description: `faults to draw from, separated by commas: ${[...new Set(FAULT_KINDS)].join(', ')}` })
   skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not play the seeds that failed once first' })
   broken = Option.String('--break', { description: `break a promise on purpose: ${BREAKS.join(', ')}` })
 
@@ -48,6 +50,7 @@
       seed,
       seconds,
       breaks,
+      kinds: this.kinds === undefined ? FAULT_KINDS : FAULT_KINDS.filter(kind => this.kinds?.split(',').includes(kind)),
       shape: { controls: 3, entries: Number(this.entries), plainEndpoints: Number(this.endpoints), engines: Number(this.endpoints) },
       callers: Number(this.callers),
       graceMs: Number(this.graceMs)
