--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -11,7 +11,7 @@
 const settingsSchema = z.object({
   ...controlSettingsShape,
   list: addressSetting.describe('address of the endpoint list'),
-  forgetful: booleanSetting.default(false).describe('acknowledges sites without putting them: a break for the checks')
+  forgetful: booleanSetting.default(false).describe('acknowledges sites and weights without putting them in force: a break for the checks')
 })
 
 const program: DaemonProgram<z.infer<typeof settingsSchema>> = {
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -130,14 +130,14 @@
     for (let number = Number(request.headers[HEADER.lastEvent] ?? 0) + 1; number <= last; number += 1) {
       await sleep(work.intervalMs)
       if (response.destroyed) return
+      if (work.fault === 'cut' && number > 1) {
+        response.destroy()
+        return
+      }
       if (work.fault === 'event-missing' && number === 2) continue
       const shown = work.fault === 'mixed-weights' && number === last ? version + 1 : version
       const text = writeEvent({ requestId, number, of: work.events, version: shown })
       response.write(work.fault === 'event-doubled' && number === 2 ? text + text : text)
-      if (work.fault === 'cut') {
-        response.destroy()
-        return
-      }
     }
     response.end()
   }
--- a/apps/soak/src/lib/FaultDriver.ts
+++ b/apps/soak/src/lib/FaultDriver.ts
@@ -74,7 +74,7 @@
     if (role === 'endpoint') this.cluster.list.markLeaving(present.label)
     this.timeLine.noteStop(present.label, graceMs)
     present.process.signal(isAbrupt ? 'SIGKILL' : 'SIGTERM')
-    await sleep(graceMs)
+    await Promise.race([sleep(graceMs, undefined, { ref: false }), present.process.exited()])
     if (!isSame(slot, present)) return
     // An endpoint that is ended inside its work breaks it off; an entry host should have ended by itself.
     this.timeLine.note(present.label, 'SIGKILL after its grace time', role !== 'entry')
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -24,6 +24,9 @@
 /** Gap between the stops of a rolling stop, in milliseconds: shorter than a stop takes, so that they overlap. */
 const ROLLING_GAP_MS = 1300
 
+/** Time of the first fault, in milliseconds: all callers are at work by then. */
+const FIRST_MS = 500
+
 /** Bounds of the time between two faults, in milliseconds: several are under way at any time. */
 const LEAST_GAP_MS = 150
 const MOST_GAP_MS = 1400
@@ -45,11 +48,11 @@
  * @param seconds - how long faults go on
  * @param shape - how many processes there are
  * @param kinds - faults to draw from
- * @returns the faults in order of time; the first is a rolling stop
+ * @returns the faults in order of time; the first is a rolling stop, if such are drawn from
  */
 export function planFaults (seed: number, seconds: number, shape: SoakShape, kinds = FAULT_KINDS): PlannedFault[] {
   const draws = new Draws(seed)
-  const faults: PlannedFault[] = [{ atMs: 500, kind: 'rolling-stop', gapMs: ROLLING_GAP_MS }]
+  const faults: PlannedFault[] = kinds.includes('rolling-stop') ? [{ atMs: FIRST_MS, kind: 'rolling-stop', gapMs: ROLLING_GAP_MS }] : []
   for (let atMs = draws.between(0, MOST_GAP_MS); atMs < seconds * 1000; atMs += draws.between(LEAST_GAP_MS, MOST_GAP_MS)) {
     faults.push(drawFault(draws, draws.pick(kinds), atMs, shape))
   }
--- a/apps/soak/src/lib/operatorEdge.ts
+++ b/apps/soak/src/lib/operatorEdge.ts
@@ -7,6 +7,7 @@
 
 const weightsSchema = z.strictObject({ model: z.string(), version: z.number().int() })
 
+const OK = 200
 const UNAVAILABLE = 503
 
 /**
@@ -14,7 +15,7 @@
  *
  * @param host - IP number
  * @param sites - what it leads to
- * @param isForgetful - acknowledge sites without putting them
+ * @param isForgetful - acknowledge sites and weights without putting them in force
  */
 export async function openOperatorEdge (host: string, sites: SiteService, isForgetful: boolean): Promise<OperatorEdge> {
   const app = new H3()
@@ -22,12 +23,13 @@
     const source = new Uint8Array(await event.req.arrayBuffer())
     const site = siteSchema.parse(JSON.parse(Buffer.from(source).toString()))
     // The first site is put all the same: without one nothing is served at all.
-    if (isForgetful && site.version > 1) return status(200)
-    return status((await sites.putSite(site, source)).kind === 'applied' ? 200 : UNAVAILABLE)
+    if (isForgetful && site.version > 1) return status(OK)
+    return status((await sites.putSite(site, source)).kind === 'applied' ? OK : UNAVAILABLE)
   })
   app.put('/weights', async event => {
     const { model, version } = weightsSchema.parse(await event.req.json())
-    return status((await sites.nameWeights(model, version)).kind === 'applied' ? 200 : UNAVAILABLE)
+    if (isForgetful) return status(OK)
+    return status((await sites.nameWeights(model, version)).kind === 'applied' ? OK : UNAVAILABLE)
   })
   app.get('/site', async () => {
     const site = await sites.readSite()
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -30,6 +30,8 @@
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
   readonly graceMs: number
   readonly breaks: readonly SoakBreak[]
+  /** Time in which everything is in order again after the last fault, in milliseconds. */
+  readonly recoveryMs?: number
   /** Kinds of faults to draw from. */
   readonly kinds?: readonly FaultKind[]
 }
@@ -48,7 +50,7 @@
   readonly logFiles: readonly string[]
 }
 
-/** Time in which everything is in order again after the last fault, in milliseconds: far above what the product needs on a busy machine. */
+/** Usual time for the recovery, in milliseconds: far above what the product needs on a busy machine. */
 const RECOVERY_MS = 60_000
 
 /** Tells apart the draws of faults, callers and the operator. */
@@ -136,7 +138,7 @@
 
   async #expect (what: string, condition: () => Promise<boolean>): Promise<void> {
     try {
-      await until(condition, RECOVERY_MS)
+      await until(condition, this.plan.recoveryMs ?? RECOVERY_MS)
     } catch (error) {
       this.#ledger.noteViolation('recovers', `not so: ${what} (${String(error)})`, this.#cluster.entries.map(slot => slot.label))
     }
--- /dev/null
+++ b/apps/soak/src/soak.test.ts
@@ -0,0 +1,65 @@
+/** Short seeded runs of the soak, and runs that break each promise on purpose. */
+import { describe, expect, it } from 'vitest'
+import { ENDPOINT_BREAKS, type EndpointBreak } from './lib/endpointWork.js'
+import { FAULT_KINDS, type FaultKind } from './lib/faultPlan.js'
+import type { PromiseName } from './lib/Ledger.js'
+import { runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
+
+/** Real processes on a machine that may be busy; only a hang gets this far. */
+const TIMEOUT_MS = 240_000
+
+const SHOWN_BY: Record<EndpointBreak, PromiseName> = {
+  'run-twice': 'at-most-once',
+  'run-then-reject': 'not-run-is-true',
+  'foreign-answer': 'whole-answers',
+  'event-missing': 'events-in-order',
+  'event-doubled': 'events-in-order',
+  'early-end': 'events-in-order',
+  'mixed-weights': 'one-weight-version',
+  'other-customer': 'customers-apart',
+  cut: 'nothing-is-cut'
+}
+
+interface ShortRun {
+  readonly seconds: number
+  readonly breaks?: readonly SoakBreak[]
+  readonly kinds?: readonly FaultKind[]
+  readonly recoveryMs?: number
+}
+
+async function play ({ seconds, breaks = [], kinds = FAULT_KINDS, recoveryMs = 60_000 }: ShortRun): Promise<SoakResult> {
+  const shape = { controls: 3, entries: 4, plainEndpoints: 3, engines: 3 }
+  return await runSoak({ seed: 1, seconds, breaks, kinds, recoveryMs, shape, callers: 32, graceMs: 8000 })
+}
+
+function describeRun ({ violations, timeLine, logFiles }: SoakResult): string {
+  return [...violations.map(({ promise, detail }) => `${promise}: ${detail}`), ...logFiles, ...timeLine].join('\n')
+}
+
+describe('a soak of real processes', () => {
+  it('keeps every promise under seeded faults', async () => {
+    const result = await play({ seconds: 10 })
+    expect(result.requests).toBeGreaterThan(0)
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
+  describe('with a break', () => {
+    it('finds each that an endpoint shows', async () => {
+      const { violations } = await play({ seconds: 6, breaks: ENDPOINT_BREAKS, kinds: ['new-site'] })
+      const found = ENDPOINT_BREAKS.filter(name => violations.some(({ promise, provokedBy }) => provokedBy === name && promise === SHOWN_BY[name]))
+      expect(found).toEqual(ENDPOINT_BREAKS)
+    }, TIMEOUT_MS)
+
+    it('finds planned stops that end a host at once', async () => {
+      const { violations } = await play({ seconds: 1, breaks: ['abrupt-stop'], kinds: ['rolling-stop'] })
+      expect(violations.map(({ promise }) => promise)).toContain('nothing-is-cut')
+    }, TIMEOUT_MS)
+
+    it('finds sites and weights that were acknowledged and are not in force', async () => {
+      const { violations } = await play({ seconds: 3, breaks: ['forgetful-control'], kinds: ['new-site', 'new-weights'], recoveryMs: 1000 })
+      const promises = violations.map(({ promise }) => promise)
+      expect(promises).toContain('configuration-never-reverts')
+      expect(promises).toContain('recovers')
+    }, TIMEOUT_MS)
+  })
+})
