--- a/apps/soak/src/lib/FaultDriver.ts
+++ b/apps/soak/src/lib/FaultDriver.ts
@@ -77,13 +77,13 @@
     await Promise.race([sleep(graceMs, undefined, { ref: false }), present.process.exited()])
     if (!isSame(slot, present)) return
     // An endpoint that is ended inside its work breaks it off; an entry host should have ended by itself.
-    this.timeLine.note(present.label, 'SIGKILL after its grace time', role !== 'entry')
+    this.timeLine.noteKill(present.label, role !== 'entry', 'after its grace time')
     present.process.signal('SIGKILL')
   }
 
   #kill ({ present }: Slot): void {
     if (present === undefined) return
-    this.timeLine.note(present.label, 'SIGKILL', true)
+    this.timeLine.noteKill(present.label, true)
     present.process.signal('SIGKILL')
   }
 
--- a/apps/soak/src/lib/Slot.ts
+++ b/apps/soak/src/lib/Slot.ts
@@ -21,7 +21,12 @@
   /** Told of each line on standard output. */
   onLine? (line: string): void
   onStart? (incarnation: Incarnation): void
-  onEnd? (label: string): void
+  /**
+   * Told of each process that ended before the slot was closed.
+   *
+   * @param code - its exit code; null if a signal ended it
+   */
+  onEnd? (label: string, code: number | null): void
 }
 
 /** Time between the end of a process and the start of the next, in milliseconds: as a service manager that restarts at once, or nearly. */
@@ -85,10 +90,10 @@
     try {
       while (!this.#isClosed) {
         const { present } = this
-        await present?.process.exited()
+        const code = await present?.process.exited()
         this.#present = undefined
-        if (present !== undefined) this.plan.onEnd?.(present.label)
         if (this.#isClosed) return
+        if (present !== undefined) this.plan.onEnd?.(present.label, code ?? null)
         await sleep(RESTART_MS)
         if (!this.#isClosed) await this.#startNext()
         // Closed while the process was starting: it must not be left behind.
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -23,8 +23,10 @@
   readonly isForgetful: boolean
   /** Told of each run at an endpoint. */
   onRun (run: RunLine): void
-  /** Told of each process that started or ended. */
-  onProcess (label: string, change: 'started' | 'ended'): void
+  /** Told of each process that started. */
+  onStart (label: string): void
+  /** Told of each process that ended; the code is null if a signal ended it. */
+  onEnd (label: string, code: number | null): void
 }
 
 /** Starts and ends the processes. */
@@ -147,7 +149,7 @@
       // Its own loopback address tells it from the others while its port is free.
       args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(',')],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_MS: String(this.settings.graceMs) },
-      onStart: incarnation => { this.settings.onProcess(incarnation.label, 'started') }
+      onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
   }
 
@@ -156,13 +158,13 @@
       environment: LOG_ENVIRONMENT,
       program: new URL(`../${program}.js`, import.meta.url.replace('/src/lib/', '/dist/lib/')),
       logFolder: this.settings.folder,
-      onEnd: label => { this.settings.onProcess(label, 'ended') }
+      onEnd: (label, code) => { this.settings.onEnd(label, code) }
     }
   }
 
   #aim (proxy: LoopbackProxy, { label, addresses }: Incarnation, served: string): void {
     proxy.target = Number(addresses[served]?.split(':')[1])
-    this.settings.onProcess(label, 'started')
+    this.settings.onStart(label)
   }
 
   #onEndpointLine (text: string): void {
--- a/apps/soak/src/lib/TimeLine.ts
+++ b/apps/soak/src/lib/TimeLine.ts
@@ -5,10 +5,12 @@
   /** Wall clock, in milliseconds. */
   readonly at: number
   /** The end of what lasts; the same as `at` for what happens at once. */
-  until: number
+  readonly until: number
   /** An incarnation such as `entry-0#2`, or all of them: `entry-0`. */
   readonly process: string
   readonly act: string
+  /** Signal that was sent, if one was. */
+  readonly signal?: NodeJS.Signals
   /** Whether the process could not help breaking off what it had under way. */
   readonly excuses: boolean
 }
@@ -35,13 +37,25 @@
    * @param act - what was done
    * @param excuses - whether answers may break off because of it
    * @param durationMs - how long it lasts
-   * @returns the entry, whose end may be moved
    */
-  note (process: string, act: string, excuses: boolean, durationMs = 0): TimeLineEntry {
+  note (process: string, act: string, excuses: boolean, durationMs = 0): void {
     const at = Date.now()
-    const entry = { at, until: at + durationMs, process, act, excuses }
-    this.#entries.push(entry)
-    return entry
+    this.#entries.push({ at, until: at + durationMs, process, act, excuses })
+  }
+
+  /**
+   * @param incarnation - which process
+   * @param excuses - whether answers may break off because of it
+   * @param reason - why it is killed, in a few words
+   */
+  noteKill (incarnation: string, excuses: boolean, reason = ''): void {
+    const at = Date.now()
+    this.#entries.push({ at, until: at, process: incarnation, act: `SIGKILL ${reason}`.trim(), signal: 'SIGKILL', excuses })
+  }
+
+  /** @returns whether an incarnation was killed by the soak */
+  wasKilled (incarnation: string): boolean {
+    return this.#entries.some(({ process, signal }) => process === incarnation && signal === 'SIGKILL')
   }
 
   /**
@@ -49,7 +63,8 @@
    * @param graceMs - time until it is killed
    */
   noteStop (incarnation: string, graceMs: number): void {
-    const { at } = this.note(incarnation, `SIGTERM, grace ${graceMs} ms`, false)
+    const at = Date.now()
+    this.#entries.push({ at, until: at, process: incarnation, act: `SIGTERM, grace ${graceMs} ms`, signal: 'SIGTERM', excuses: false })
     this.#stops.set(incarnation, { at, killAt: at + graceMs })
   }
 
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -83,7 +83,8 @@
       graceMs,
       isForgetful: breaks.includes('forgetful-control'),
       onRun: line => { this.#ledger.noteRun(line) },
-      onProcess: (label, change) => { this.#timeLine.note(label, change, false) }
+      onStart: label => { this.#timeLine.note(label, 'started', false) },
+      onEnd: (label, code) => { this.#noteEnd(label, code) }
     })
     this.#balancer = new Balancer(this.#cluster.entries)
     this.#operator = new Operator(this.#cluster.controls, new Draws(seed + OPERATOR_SEED), this.#configuration)
@@ -114,6 +115,12 @@
     return result
   }
 
+  #noteEnd (label: string, code: number | null): void {
+    this.#timeLine.note(label, `ended with ${code ?? 'a signal'}`, false)
+    const isExpected = code === null ? this.#timeLine.wasKilled(label) : code === 0 && this.#timeLine.stopOf(label) !== undefined
+    if (!isExpected) this.#ledger.noteViolation('ends-when-told', `${label} ended with ${code ?? 'a signal that nobody sent'}`, [label])
+  }
+
   async #exercise (): Promise<void> {
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -52,7 +52,9 @@
 
     it('finds planned stops that end a host at once', async () => {
       const { violations } = await play({ seconds: 1, breaks: ['abrupt-stop'], kinds: ['rolling-stop'] })
-      expect(violations.map(({ promise }) => promise)).toContain('nothing-is-cut')
+      const promises = violations.map(({ promise }) => promise)
+      expect(promises).toContain('nothing-is-cut')
+      expect(promises).toContain('ends-when-told')
     }, TIMEOUT_MS)
 
     it('finds sites and weights that were acknowledged and are not in force', async () => {
