--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -13,7 +13,7 @@
   readonly version: number
 }
 
-const ACCEPTED_NOT_RUN = 503
+const UNAVAILABLE = 503
 const MISDIRECTED = 421
 
 /** Serves until closed. */
@@ -78,14 +78,14 @@
   async #work (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
     const wanted = request.headers[HEADER.version]
     if (this.#weights.isBusy || (wanted !== undefined && Number(wanted) !== this.#weights.held)) {
-      this.#reject(response, ACCEPTED_NOT_RUN)
+      this.#reject(response, UNAVAILABLE)
       return
     }
     const work = workSchema.parse(JSON.parse(headerOf(request, HEADER.work)))
     this.#runs += 1
     try {
       this.#printRun(request, work)
-      if (work.fault === 'run-then-reject') this.#reject(response, ACCEPTED_NOT_RUN)
+      if (work.fault === 'run-then-reject') this.#reject(response, UNAVAILABLE)
       else if (work.kind === 'plain') await this.#answer(request, response, work, body)
       else await this.#stream(request, response, work)
     } finally {
--- a/apps/soak/src/lib/Slot.ts
+++ b/apps/soak/src/lib/Slot.ts
@@ -47,7 +47,6 @@
   /** The process that runs now. */
   get present (): Incarnation | undefined { return this.#present }
   get label (): string { return `${this.plan.name}#${this.#count}` }
-  get incarnations (): number { return this.#count }
   /** Why no further incarnation could be started. */
   get failure (): Error | undefined { return this.#failure }
 
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -2,11 +2,14 @@
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import { ENDPOINT_BREAKS } from './lib/endpointWork.js'
 import { FAULT_KINDS } from './lib/faultPlan.js'
-import { REGRESSION_SEEDS } from './lib/regressionSeeds.js'
+import { REGRESSION_SEEDS, type RegressionSeed } from './lib/regressionSeeds.js'
 import { runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
 
 const BREAKS: readonly SoakBreak[] = [...ENDPOINT_BREAKS, 'abrupt-stop', 'forgetful-control']
 
+/** Control hosts: the smallest group that bears the loss of one. */
+const CONTROLS = 3
+
 /** Broken promises printed of one run. */
 const MOST_PRINTED = 10
 
@@ -34,10 +37,11 @@
       return EXIT_USAGE
     }
     const regressions = this.skipRegressions ? [] : REGRESSION_SEEDS
-    const fresh = Array.from({ length: Number(this.runs) }, (_, index) => ({ seed: Number(this.seed) + index, seconds: Number(this.seconds) }))
+    const fresh = Array.from({ length: Number(this.runs) }, (_, index) => this.#planOf(Number(this.seed) + index))
+    const breaks = broken === undefined ? [] : [broken]
     let failed = 0
-    for (const { seed, seconds } of [...regressions, ...fresh]) {
-      const result = await this.#play(seed, seconds, broken === undefined ? [] : [broken])
+    for (const plan of [...regressions, ...fresh]) {
+      const result = await this.#play(plan, breaks)
       this.#print(result)
       if (result.violations.length > 0) failed += 1
     }
@@ -45,16 +49,16 @@
     return failed === 0 ? 0 : EXIT_BROKEN
   }
 
-  async #play (seed: number, seconds: number, breaks: readonly SoakBreak[]): Promise<SoakResult> {
-    return await runSoak({
-      seed,
-      seconds,
-      breaks,
-      kinds: this.kinds === undefined ? FAULT_KINDS : FAULT_KINDS.filter(kind => this.kinds?.split(',').includes(kind)),
-      shape: { controls: 3, entries: Number(this.entries), plainEndpoints: Number(this.endpoints), engines: Number(this.endpoints) },
-      callers: Number(this.callers),
-      graceMs: Number(this.graceMs)
-    })
+  #planOf (seed: number): Omit<RegressionSeed, 'cause'> {
+    const named = this.kinds?.split(',')
+    const kinds = named === undefined ? FAULT_KINDS : FAULT_KINDS.filter(kind => named.includes(kind))
+    return { seed, seconds: Number(this.seconds), entries: Number(this.entries), callers: Number(this.callers), kinds }
+  }
+
+  async #play ({ seed, seconds, entries, callers, kinds = FAULT_KINDS }: Omit<RegressionSeed, 'cause'>, breaks: readonly SoakBreak[]): Promise<SoakResult> {
+    const endpoints = Number(this.endpoints)
+    const shape = { controls: CONTROLS, entries, plainEndpoints: endpoints, engines: endpoints }
+    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs) })
   }
 
   #print ({ seed, requests, ends, acts, violations, timeLine, logFiles }: SoakResult): void {
