--- /dev/null
+++ b/apps/soak/src/lib/LoopbackProxy.test.ts
@@ -0,0 +1,67 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { LoopbackProxy } from './LoopbackProxy.js'
+
+describe('LoopbackProxy', () => {
+  let proxy: LoopbackProxy
+  let echo: Server
+  let caller: Socket
+  let arrived: string[]
+
+  beforeEach(async () => {
+    arrived = []
+    echo = createServer(socket => {
+      socket.on('error', () => { socket.destroy() })
+      socket.on('data', bytes => {
+        arrived.push(bytes.toString())
+        socket.write(bytes)
+      })
+    })
+    await new Promise<void>(resolve => { echo.listen(0, '127.0.0.1', resolve) })
+    proxy = new LoopbackProxy()
+    const [host, port] = (await proxy.listen()).split(':')
+    proxy.target = (echo.address() as AddressInfo).port
+    caller = connect(Number(port), host ?? '')
+    await once(caller, 'connect')
+  })
+
+  afterEach(() => {
+    caller.destroy()
+    proxy.close()
+    echo.close()
+  })
+
+  async function exchange (text: string): Promise<string> {
+    const answer = once(caller, 'data')
+    caller.write(text)
+    return String((await answer)[0])
+  }
+
+  it('passes bytes on in both directions', async () => {
+    expect(await exchange('one')).toBe('one')
+  })
+
+  it('passes late bytes on all the same', async () => {
+    proxy.misbehave('delay')
+    expect(await exchange('one')).toBe('one')
+  })
+
+  it('holds what a cut keeps back until it is healed, in order', async () => {
+    expect(await exchange('one')).toBe('one')
+    proxy.misbehave('cut-back')
+    caller.write('two')
+    while (arrived.length < 2) await new Promise(resolve => { setImmediate(resolve) })
+    expect(caller.bytesRead).toBe('one'.length)
+    const answer = once(caller, 'data')
+    proxy.misbehave(undefined)
+    expect(String((await answer)[0])).toBe('two')
+  })
+
+  it('resets open connections', async () => {
+    expect(await exchange('one')).toBe('one')
+    const answer = once(caller, 'data')
+    proxy.misbehave('reset')
+    await expect(answer).rejects.toMatchObject({ code: 'ECONNRESET' })
+  })
+})
