A stream that no endpoint can go on with is broken off, and nothing else is

Cause: a resumable stream whose endpoint broke off asked for another one; if none could be named, the refusal wrote a second head, which throws, and the entry host ended with 3 with all that it had under way. Seen in a play of crashes around a change of weights: three hosts at once, 9 requests on kept connections without an answer.

Test first: it failed with 'Cannot write headers after they are sent' and hung. Now the stream is broken off and the process goes on.

--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -7,7 +7,7 @@
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { StoreTransfers } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
-import type { RoutedRequest } from './RoutedRequestTask.js'
+import type { RoutedRequest } from './RoutedRequest.js'
 
 /** What it needs from around it. */
 export interface PromptPorts {
--- /dev/null
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -0,0 +1,34 @@
+/** A routed request and what it needs from around it. */
+import type { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
+import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { PlannedStop } from '../PlannedStop.js'
+import type { PromptPorts } from './PromptContext.js'
+import type { CallerFields, RequestCodec } from './RequestCodec.js'
+
+/** A request that was read whole and belongs to a route. */
+export interface RoutedRequest {
+  readonly id: string
+  readonly route: Route
+  readonly service: ReplicatedService
+  readonly customer: SiteCustomer | undefined
+  readonly fields: CallerFields
+  readonly body: Buffer | undefined
+  /** Monotonic milliseconds when its head was read. */
+  readonly arrivedAt: number
+  /** Version of the site under which it was admitted. */
+  readonly siteVersion: number
+}
+
+/** What a request needs from around it. */
+export interface RoutedPorts extends PromptPorts {
+  readonly codec: RequestCodec
+  readonly allowance: RetryAllowance
+  readonly retries: LabelledCounter
+  readonly refusals: LabelledCounter
+  readonly firstEvent: (milliseconds: number) => void
+  readonly telemetry: Telemetry
+  readonly stop: PlannedStop
+  readonly durations: RouteDurations
+}
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -4,55 +4,25 @@
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
-import type { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { returnAfterMs } from '@eelgrassmux/routing/admission/returnAfter'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
-import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
-import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
-import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import type { PlannedStop } from '../PlannedStop.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
+import { describePlacement } from './describePlacement.js'
 import { learnFromFailure } from './learnFromFailure.js'
-import { PromptContext, type PromptPorts } from './PromptContext.js'
-import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
+import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
 import { SilenceWatch } from './SilenceWatch.js'
 
-/** A request that was read whole and belongs to a route. */
-export interface RoutedRequest {
-  readonly id: string
-  readonly route: Route
-  readonly service: ReplicatedService
-  readonly customer: SiteCustomer | undefined
-  readonly fields: CallerFields
-  readonly body: Buffer | undefined
-  /** Monotonic milliseconds when its head was read. */
-  readonly arrivedAt: number
-  /** Version of the site under which it was admitted. */
-  readonly siteVersion: number
-}
-
-/** What a request needs from around it. */
-export interface RoutedPorts extends PromptPorts {
-  readonly codec: RequestCodec
-  readonly allowance: RetryAllowance
-  readonly retries: LabelledCounter
-  readonly refusals: LabelledCounter
-  readonly firstEvent: (milliseconds: number) => void
-  readonly telemetry: Telemetry
-  readonly stop: PlannedStop
-  readonly durations: RouteDurations
-}
-
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: the work of other hosts is known twenty times a second. */
 const ROOM_LOOK_MS = 40
 
@@ -126,8 +96,7 @@
     this.logStop('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
     this.#cancelAttempt(undefined)
     if (this.exchange.hasHead) {
-      this.#finish('broken-off', { failure: 'stop' })
-      this.exchange.breakOff()
+      this.#breakOff('stop')
       return
     }
     this.#refuse(this.#dispatch.mayHaveRun ? 'endpoint-failed' : 'draining', 503, 'this host had to stop before the answer was there')
@@ -297,7 +266,7 @@
     }
     if (!isFailure) this.#recordDuration()
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
-    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...this.#placement(attempt.choice) })
+    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#firstEventMs) })
     this.#relay.complete()
   }
 
@@ -321,8 +290,7 @@
       endpoint: endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
     })
     if (this.exchange.hasHead && !this.#relay.canResume) {
-      this.#finish('broken-off', { endpoint: endpoint.id, failure, detail })
-      this.exchange.breakOff()
+      this.#breakOff(failure, detail)
       return
     }
     if (this.#mayRepeat(failure)) return
@@ -355,8 +323,7 @@
 
   #giveUp (failure: AttemptFailure, detail: string): void {
     if (this.exchange.hasHead) {
-      this.#finish('broken-off', { failure, detail })
-      this.exchange.breakOff()
+      this.#breakOff(failure, detail)
       return
     }
     if (this.#dispatch.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
@@ -368,8 +335,7 @@
     // Some requests take longer than their route allows; only silence towards all is the endpoint's fault.
     this.#cancelAttempt(this.#isEndpointSilent() ? 'unanswered' : undefined)
     if (this.exchange.hasHead) {
-      this.#finish('broken-off', { failure: 'timeout' })
-      this.exchange.breakOff()
+      this.#breakOff('timeout')
       return
     }
     this.#refuse('deadline-passed', 504, 'the time of the request is over')
@@ -408,7 +374,17 @@
     attempt.cancel()
   }
 
+  #breakOff (failure: string, detail = ''): void {
+    this.#finish('broken-off', { endpoint: this.#attempt?.choice.endpoint.id ?? '', failure, detail })
+    this.exchange.breakOff()
+  }
+
   #refuse (reason: RefusalReason, wantedStatus: number, detail: string, wantedReturnMs = 0): void {
+    // Part of an answer is with the caller already: all that can be said is that no more comes.
+    if (this.exchange.hasHead) {
+      this.#breakOff(reason, detail)
+      return
+    }
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
     const remainingMs = this.#deadline - performance.now()
@@ -421,20 +397,6 @@
     this.exchange.refuse(refusal)
   }
 
-  /** What decided where the request went. */
-  #placement ({ estimatedMs, waitMs, fetchMs, tokensToRead, version }: EndpointChoice): Omit<DecisionFields<'answered'>, 'status' | 'endpoint'> {
-    return {
-      estimatedMs: Math.round(estimatedMs),
-      waitMs: Math.round(waitMs),
-      fetchMs: Math.round(fetchMs),
-      tokensToRead: Math.round(tokensToRead),
-      version: version ?? 0,
-      firstEventMs: Math.round(this.#firstEventMs ?? 0),
-      promptTokens: this.request.fields.prompt?.promptTokens ?? 0,
-      ...(version === undefined ? {} : this.#prompt?.describe(version))
-    }
-  }
-
   #finish<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
     this.#isDone = true
     clearTimeout(this.#timer)
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -234,6 +234,16 @@
       expect(asked).toBe(2)
     })
 
+    it('is broken off, and nothing else is, when no endpoint is left to go on with it', async () => {
+      const [only] = await serveBy((_request, response) => {
+        response.writeHead(200)
+        response.write(streamEvent(1), () => { response.socket?.resetAndDestroy() })
+      })
+      const answer = await ask('/resumable/a', { method: 'POST' })
+      expect(answer).toMatchObject({ status: 200, body: streamEvent(1), isWhole: false })
+      expect(only?.seen).toHaveLength(1)
+    })
+
     it('that may be resumed goes on elsewhere, each event once, half an event never', async () => {
       const serve = (isBroken: () => boolean): Behaviour => (request, response) => {
         const from = Number(request.headers[PLAIN_HEADERS.lastEvent] ?? 0)
--- a/apps/soak/src/lib/HttpEndpointSource.ts
+++ b/apps/soak/src/lib/HttpEndpointSource.ts
@@ -2,8 +2,9 @@
 import { request } from 'undici'
 import { z } from 'zod'
 import type { EndpointSource } from '@eelgrassmux/control/endpoints/EndpointListTask'
+import type { EndpointReading } from '@eelgrassmux/control/endpoints/EndpointRegister'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
-import { listedEndpointSchema, type ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
 
 /** Longest wait for the list, in milliseconds: it comes from the same machine. */
 const TIMEOUT_MS = 1000
@@ -13,10 +14,11 @@
   /** @param address - where the list is served */
   constructor (private readonly address: string) {}
 
-  async list (): Promise<Result<ListedEndpoint[], { readonly kind: string }>> {
+  async list (): Promise<Result<EndpointReading, { readonly kind: string }>> {
     try {
       const response = await request(`http://${this.address}/`, { signal: AbortSignal.timeout(TIMEOUT_MS) })
-      return succeed(z.array(listedEndpointSchema).parse(await response.body.json()))
+      const endpoints = z.array(listedEndpointSchema).parse(await response.body.json())
+      return succeed({ endpoints, rejected: [], incompleteBecause: undefined })
     } catch (error) {
       return fail({ kind: String(error) })
     }
--- a/apps/soak/src/lib/HttpWeightOrders.ts
+++ b/apps/soak/src/lib/HttpWeightOrders.ts
@@ -18,7 +18,7 @@
         headers: { [HEADER.instance]: endpoint.id }, signal: AbortSignal.timeout(TIMEOUT_MS)
       })
       const { model, version, isBusy, acceptedOrders } = reportSchema.parse(await response.body.json())
-      return succeed({ versions: new Map([[model, version]]), isBusy, acceptedOrders })
+      return succeed({ startedAtMs: undefined, versions: new Map([[model, version]]), isBusy, acceptedOrders })
     } catch (error) {
       return fail({ kind: String(error) })
     }
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -7,6 +7,8 @@
 import { Slot, type Incarnation, type SlotPlan } from './Slot.js'
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE } from './soakSite.js'
 
+const MILLISECONDS_PER_SECOND = 1000
+
 const DATA_CENTRES = ['hall-north', 'hall-central', 'hall-south']
 
 /** All processes log, and entry hosts keep each request's story: a seed that failed must be explained from these files. */
@@ -148,7 +150,7 @@
       ...this.#common('entry'),
       // Its own loopback address tells it from the others while its port is free.
       args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(',')],
-      environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_MS: String(this.settings.graceMs) },
+      environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
   }
