A stream leaves a silent endpoint only if it may run elsewhere

The attempt was cancelled before it was known whether a repeat is allowed; with the budget used up, or no other endpoint, the silence alone ended the answer. Same class as the streams cut at a planned stop: work is given up without asking who can finish it.

Now the other endpoint and the budget are asked for first, and without them the stream waits. Times of an answer move to AnswerTimes.

--- /dev/null
+++ b/apps/entry/src/lib/routed/AnswerTimes.ts
@@ -0,0 +1,35 @@
+/** When the parts of an answer came, and what that says of later requests. */
+import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
+
+/** Times of one request. */
+export class AnswerTimes {
+  #firstEventMs: number | undefined
+
+  /**
+   * @param request - the request
+   * @param ports - where times are counted
+   */
+  constructor (private readonly request: RoutedRequest, private readonly ports: Pick<RoutedPorts, 'firstEvent' | 'durations'>) {}
+
+  /** Milliseconds until the first event, once there was one. */
+  get firstEventMs (): number | undefined { return this.#firstEventMs }
+
+  /** Whether an event has come. */
+  get hasFirstEvent (): boolean { return this.#firstEventMs !== undefined }
+
+  /** Called at the first event. */
+  noteFirstEvent (): void {
+    this.#firstEventMs = this.#sinceArrivalMs
+    this.ports.firstEvent(this.#firstEventMs)
+  }
+
+  /** Called when the answer is whole. */
+  noteWhole (): void {
+    const wholeMs = this.#sinceArrivalMs
+    const startMs = this.#firstEventMs ?? wholeMs
+    const { route, fields } = this.request
+    this.ports.durations.record(route.name, startMs, wholeMs - startMs, fields.prompt?.outputTokens ?? 0)
+  }
+
+  get #sinceArrivalMs (): number { return performance.now() - this.request.arrivedAt }
+}
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -13,6 +13,7 @@
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { AnswerRelay } from './AnswerRelay.js'
+import { AnswerTimes } from './AnswerTimes.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
@@ -49,8 +50,7 @@
   readonly #prompt: PromptContext | undefined
   #isDone = false
   #isWaiting = false
-  #hasFirstEvent = false
-  #firstEventMs: number | undefined
+  readonly #times: AnswerTimes
 
   /**
    * @param request - what to do
@@ -65,6 +65,7 @@
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
+    this.#times = new AnswerTimes(request, ports)
     this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
@@ -82,7 +83,7 @@
    * @param details - what it was made of
    */
   logStop<Event extends keyof typeof stopDecisions> (event: Event, details: DecisionFields<Event>): void {
-    this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#hasFirstEvent })
+    this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#times.hasFirstEvent })
   }
 
   /**
@@ -110,7 +111,7 @@
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
       return
     }
-    const choice = this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
+    const choice = this.#choose()
     if (typeof choice === 'string') {
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
       return
@@ -159,9 +160,13 @@
     })
   }
 
+  #choose (): EndpointChoice | string {
+    return this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
+  }
+
   /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
   #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
-    if (choice.version === undefined || this.#hasFirstEvent) return { isExpectedLate: false }
+    if (choice.version === undefined || this.#times.hasFirstEvent) return { isExpectedLate: false }
     const now = performance.now()
     // Without the others' work no estimate may refuse or hold, but what is late already gives way all the same.
     if (!this.ports.fleet.knowsLoad) return { isExpectedLate: now - this.request.arrivedAt > this.request.route.targetLatencyMs }
@@ -232,16 +237,14 @@
   }
 
   #noteFirstEvent (attempt: RoutedAttempt): void {
-    if (this.#hasFirstEvent) return
-    this.#hasFirstEvent = true
+    if (this.#times.hasFirstEvent) return
     this.#requiredVersion = attempt.choice.version
     if (attempt.choice.version !== undefined) {
       const now = performance.now()
       attempt.choice.endpoint.slowness.observe(now - attempt.startedAt, attempt.choice.workMs, now)
       this.#routeSlowness().observe(now - attempt.startedAt, attempt.choice.estimatedMs, now)
     }
-    this.#firstEventMs = performance.now() - this.request.arrivedAt
-    this.ports.firstEvent(this.#firstEventMs)
+    this.#times.noteFirstEvent()
   }
 
   #onComplete (attempt: RoutedAttempt): void {
@@ -264,17 +267,16 @@
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
     }
-    if (!isFailure) this.#recordDuration()
+    if (!isFailure) this.#times.noteWhole()
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
-    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#firstEventMs) })
+    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
     this.#relay.complete()
   }
 
-  #recordDuration (): void {
-    const { route, arrivedAt, fields } = this.request
-    const wholeMs = performance.now() - arrivedAt
-    const startMs = this.#firstEventMs ?? wholeMs
-    this.ports.durations.record(route.name, startMs, wholeMs - startMs, fields.prompt?.outputTokens ?? 0)
+  #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
+    this.#decided('attempt-failed', {
+      endpoint: attempt.choice.endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
+    })
   }
 
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
@@ -286,9 +288,7 @@
       this.#dispatch.markNotStarted()
     }
     this.#relay.dropIncomplete()
-    this.#decided('attempt-failed', {
-      endpoint: endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
-    })
+    this.#attemptFailed(attempt, failure, detail)
     if (this.exchange.hasHead && !this.#relay.canResume) {
       this.#breakOff(failure, detail)
       return
@@ -298,6 +298,14 @@
   }
 
   #mayRepeat (failure: AttemptFailure): boolean {
+    if (!this.#reserveRepeat(failure)) return false
+    this.ports.retries.count(failure)
+    this.#tryNext()
+    return true
+  }
+
+  /** Whether a further attempt is allowed after such a failure; spends the budget for it. */
+  #reserveRepeat (failure: AttemptFailure): boolean {
     const { route } = this.request
     const step = nextStep({
       kind: route.kind,
@@ -314,8 +322,6 @@
       this.#decided('retry-budget-used-up', { failure })
       return false
     }
-    this.ports.retries.count(failure)
-    this.#tryNext()
     return true
   }
 
@@ -345,7 +351,7 @@
     if (this.#isDone) return
     const isSilent = this.#isEndpointSilent()
     this.#cancelAttempt(isSilent ? 'unanswered' : undefined)
-    this.#finish('caller-left', { endpoint: this.#attempt?.choice.endpoint.id ?? '', isSilent, hadEvents: this.#hasFirstEvent })
+    this.#finish('caller-left', { endpoint: this.#attempt?.choice.endpoint.id ?? '', isSilent, hadEvents: this.#times.hasFirstEvent })
   }
 
   #isEndpointSilent (): boolean {
@@ -354,14 +360,18 @@
 
   /**
    * A stream that may be resumed does not wait for an endpoint that has fallen silent
-   * towards everybody. On the last endpoint that it may run on it waits all the same:
-   * silence alone is no reason to end an answer.
+   * towards everybody. If it may not run elsewhere it waits all the same: silence alone is
+   * no reason to end an answer.
    */
   #watchSilence (attempt: RoutedAttempt): void {
     this.#silence.start(() => !this.#isDone && attempt === this.#attempt && this.#isEndpointSilent(), () => {
+      if (typeof this.#choose() === 'string' || !this.#reserveRepeat('broken-stream')) return
       attempt.cancel()
       this.ports.fleet.observe(attempt.choice.endpoint, 'unanswered')
-      this.#onFailure(attempt, 'broken-stream', 'the endpoint has fallen silent', this.#relay.head)
+      this.#relay.dropIncomplete()
+      this.#attemptFailed(attempt, 'broken-stream', 'the endpoint has fallen silent')
+      this.ports.retries.count('broken-stream')
+      this.#tryNext()
     })
   }
 
