--- a/apps/entry/src/lib/PlannedStop.ts
+++ b/apps/entry/src/lib/PlannedStop.ts
@@ -125,7 +125,8 @@
   async #finish (edge: CallerEdge): Promise<void> {
     await sleep(Math.max(0, this.#lagMs - this.sinceSignalMs))
     this.#log('balancer-lag-over')
-    const lagOverAt = performance.now()
+    // Not now: the process may have been held up since.
+    const lagOverAt = performance.now() - this.sinceSignalMs + this.#lagMs
     edge.closeIdleConnections()
     // While earlier work keeps the process, it may as well serve whoever still comes.
     await this.work.whenPresentEnds()
