The formation test's ports can't be taken by others, and each founder has its turn

Cause: the tenth of ten runs of the whole suite beside load failed with "bind EADDRINUSE" in this file. The test took ports that the system hands out for any use and tried them for calls only; a control host binds the same number for datagrams, too. Other hosts' sockets live in that range.

The ports now come from below that range and are tried for both. Which host founded the group hung on the order of those ports, so in a third of the runs no command was sent early; now the test runs with each of the three founders. Nothing is asked less than before.

--- a/apps/control/src/lib/formation.test.ts
+++ b/apps/control/src/lib/formation.test.ts
@@ -1,5 +1,6 @@
+import { createSocket } from 'node:dgram'
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -19,12 +20,40 @@
 
 const SITE: Site = { version: 4, routes: [], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
 
+/**
+ * Ports of the hosts under test lie below the range (from 32768 on) out of which the
+ * system serves whoever asks for any port: one from there that was free a moment ago
+ * may be somebody's connection or datagram socket when a host binds it, or binds it again.
+ */
+const FIRST_PORT = 20_000
+const PORTS = 12_000
+
+/** Begins anywhere, since other runs on the same machine look for ports, too. */
+let nextPort = Math.floor(Math.random() * PORTS)
+
+/** Hosts serve calls and datagrams on the same number. */
 async function freePort (): Promise<number> {
+  for (;;) {
+    nextPort = (nextPort + 1) % PORTS
+    const port = FIRST_PORT + nextPort
+    if (await isFreeForCalls(port) && await isFreeForDatagrams(port)) return port
+  }
+}
+
+async function isFreeForCalls (port: number): Promise<boolean> {
   const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => { server.close(() => { resolve() }) })
-  return port
+  return await new Promise(resolve => {
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
+}
+
+async function isFreeForDatagrams (port: number): Promise<boolean> {
+  const socket = createSocket('udp4')
+  return await new Promise(resolve => {
+    socket.once('error', () => { socket.close(() => { resolve(false) }) })
+    socket.bind(port, '127.0.0.1', () => { socket.close(() => { resolve(true) }) })
+  })
 }
 
 describe('a group of five control hosts that know three addresses', () => {
@@ -35,7 +64,8 @@
 
   beforeEach(async () => {
     folder = await mkdtemp(join(tmpdir(), 'formation-'))
-    ports = await Promise.all(Array.from({ length: VOTERS }, freePort))
+    ports = []
+    while (ports.length < VOTERS) ports.push(await freePort())
     hosts = []
   })
 
@@ -99,13 +129,20 @@
     return 'never'
   }
 
-  it('forms once, in any order of starts, and takes nothing before it is complete', async () => {
+  /** Gives a host the first address in order. */
+  function letFound (host: number): void {
+    const [first = 0, ...others] = [...ports].sort((left, right) => left - right)
+    ports = [...others.slice(0, host), first, ...others.slice(host)]
+  }
+
+  it.each([0, 2, 4])('forms once, also if its founder (host %i) does not start first, and takes nothing before it is complete', async founder => {
+    letFound(founder)
     for (const host of [3, 4, 1]) await start(host, `disk-${host}`, true)
     await start(2, 'disk-2', true)
-    const founder = [0, 2, 4].map(address).sort()[0]
-    if (founder !== address(0)) {
+    // Host 0 has not started.
+    if (founder !== 0) {
       // Four voters at most: a command now would be lost with three disks of a group meant to bear two.
-      const early = await rpc.call(founder ?? '', propose, { command: { kind: 'put-site', site: SITE, source: Buffer.from('early') } }, CALL_MS)
+      const early = await rpc.call(address(founder), propose, { command: { kind: 'put-site', site: SITE, source: Buffer.from('early') } }, CALL_MS)
       expect(early.ok && early.value.kind, `hosts after the answer: ${JSON.stringify(await views())}`).not.toBe('applied')
     }
     await start(0, 'disk-0', true)
