Requests begin on older weights only while that is allowed

Cause: while no engine with the named weights can be used (crashed, tried, leaving), requests fall back to engines with older ones, for however long. Change: entry hosts know the bound and when they heard of the weights; a request that would begin after it is refused as not run.

Ports of tests are tried for calls and datagrams below the ephemeral range, in one place; that may have been the cause of the entry host that was once not ready (not shown).

--- a/apps/control/src/lib/formation.test.ts
+++ b/apps/control/src/lib/formation.test.ts
@@ -1,10 +1,9 @@
-import { createSocket } from 'node:dgram'
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { freePort } from '@eelgrassmux/daemon/testing/freePort'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { listHosts, propose, readSite, type HostsResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
@@ -20,42 +19,6 @@
 
 const SITE: Site = { version: 4, routes: [], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
 
-/**
- * Ports of the hosts under test lie below the range (from 32768 on) out of which the
- * system serves whoever asks for any port: one from there that was free a moment ago
- * may be somebody's connection or datagram socket when a host binds it, or binds it again.
- */
-const FIRST_PORT = 20_000
-const PORTS = 12_000
-
-/** Begins anywhere, since other runs on the same machine look for ports, too. */
-let nextPort = Math.floor(Math.random() * PORTS)
-
-/** Hosts serve calls and datagrams on the same number. */
-async function freePort (): Promise<number> {
-  for (;;) {
-    nextPort = (nextPort + 1) % PORTS
-    const port = FIRST_PORT + nextPort
-    if (await isFreeForCalls(port) && await isFreeForDatagrams(port)) return port
-  }
-}
-
-async function isFreeForCalls (port: number): Promise<boolean> {
-  const server = createServer()
-  return await new Promise(resolve => {
-    server.once('error', () => { resolve(false) })
-    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
-  })
-}
-
-async function isFreeForDatagrams (port: number): Promise<boolean> {
-  const socket = createSocket('udp4')
-  return await new Promise(resolve => {
-    socket.once('error', () => { socket.close(() => { resolve(false) }) })
-    socket.bind(port, '127.0.0.1', () => { socket.close(() => { resolve(true) }) })
-  })
-}
-
 describe('a group of five control hosts that know three addresses', () => {
   const rpc = new RpcClient()
   let folder = ''
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -3,7 +3,8 @@
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { addressListSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
+import { OlderWeights } from '@eelgrassmux/routing/prompts/OlderWeights'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -23,6 +24,7 @@
   staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
   stopGraceSeconds: stopGraceSetting,
+  weightsBoundMs: boundSetting.describe('time after weights were named from which no request may begin on older ones, in milliseconds; without bound if empty'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
@@ -79,6 +81,7 @@
   }, telemetry)
   await loads.start(settings.host)
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
+  const olderWeights = new OlderWeights(settings.weightsBoundMs)
   const server = new RoutedServer({
     fleet,
     codec: platform.codec,
@@ -87,6 +90,7 @@
     telemetry,
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
+    olderWeightsLeftMs: model => olderWeights.leftMs(model, performance.now()),
     desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
     mayAct,
     // Parts that nobody vouches for may have been freed meanwhile.
@@ -107,6 +111,7 @@
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
   }
   link.onChange(() => {
+    olderWeights.observe(link.weights, performance.now())
     fleet.update(link.endpoints)
     putInForce(link.site)
     server.releaseWaiting()
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -14,6 +14,8 @@
   readonly fleet: RoutedFleet
   /** Version of the weights that a model's engines should run. */
   desiredVersion (model: string): number
+  /** Milliseconds within which a request may begin on older weights. */
+  olderWeightsLeftMs (model: string): number
   /** Whether what this host knows of stores may be acted on. */
   storesUsable (now: number): boolean
   /** The stores' clock in milliseconds, once it is known. */
@@ -58,6 +60,7 @@
       prompt: {
         description: this.description,
         desiredVersion: this.ports.desiredVersion(this.description.model),
+        olderLeftMs: this.ports.olderWeightsLeftMs(this.description.model),
         requiredVersion,
         memoryTokens: this.engine.cacheTokens,
         scope: version => this.scope(version),
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -31,6 +31,8 @@
   readonly budget: RetryBudgetTerms
   liveHosts (): number
   desiredVersion (model: string): number
+  /** Milliseconds within which a request may begin on older weights than the named ones. */
+  olderWeightsLeftMs (model: string): number
   /** Whether this host may act on the site it knows. */
   mayAct (): boolean
   /** Whether what this host knows of stores may be acted on. */
@@ -284,6 +286,7 @@
       refusals: this.#refusals,
       firstEvent: this.#firstEvent,
       desiredVersion: model => this.ports.desiredVersion(model),
+      olderWeightsLeftMs: model => this.ports.olderWeightsLeftMs(model),
       storesUsable: now => this.ports.storesUsable(now),
       storeClockMs: now => this.ports.storeClockMs(now)
     })
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -33,6 +33,12 @@
   return z.preprocess(given => given === '' ? undefined : given, seconds)
 }
 
+/** A duration in milliseconds that may be left empty for "without bound". */
+export const boundSetting: z.ZodType<number, unknown> = z.preprocess(
+  given => given === '' ? undefined : given,
+  z.coerce.number().min(1).default(Number.POSITIVE_INFINITY)
+)
+
 /** Time from SIGTERM to SIGKILL where nobody says otherwise, in seconds: what orchestrators commonly give. */
 const DEFAULT_STOP_GRACE_SECONDS = 30
 
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -36,6 +36,8 @@
   readonly description: PromptDescription
   /** Weights that engines should run; older ones are taken only if nothing else is there. */
   readonly desiredVersion: number
+  /** Milliseconds within which the request may begin on older weights. */
+  readonly olderLeftMs: number
   /** Tokens that fit into an engine's memory; 0 if that is not stated. */
   readonly memoryTokens: number
   /** Set when the request must go on under the weights it began with. */
@@ -154,7 +156,15 @@
   const choices = looked.map(sight => estimate(sight, ask, home, holdersFor(sight.endpoint, ask.prompt, memory, holders, now), now))
   const least = Math.min(...choices.map(choice => choice.estimatedMs))
   const ties = choices.filter(choice => choice.estimatedMs <= least + TIE_MS)
-  return ties[Math.floor(random * ties.length)] ?? 'none-listed'
+  const chosen = ties[Math.floor(random * ties.length)]
+  if (chosen === undefined) return 'none-listed'
+  return beginsInTime(chosen, ask.prompt) ? chosen : 'none-of-version'
+}
+
+/** Whether a request that falls back to older weights will begin while that is allowed. */
+function beginsInTime ({ version, estimatedMs }: EndpointChoice, prompt: PromptAsk | undefined): boolean {
+  if (prompt === undefined || prompt.requiredVersion !== undefined || version === undefined) return true
+  return version >= prompt.desiredVersion || estimatedMs < prompt.olderLeftMs
 }
 
 /** The newest weights that may be used; a request that began under a version goes on under it. */
