--- a/apps/entry/src/lib/PlannedStop.test.ts
+++ b/apps/entry/src/lib/PlannedStop.test.ts
@@ -83,7 +83,7 @@
     const fleet = new RoutedFleet('n', () => 1, telemetry)
     stop = new PlannedStop(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, telemetry)
     server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work, stop, telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, olderWeightsLeftMs: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => false
+      fleet, codec: new PlainCodec(), work, stop, telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => false
     }, startedAt)
     port = await server.listen('127.0.0.1', 0)
     server.configure({ ...TEST_SITE, routes: [...TEST_SITE.routes, testRoute('/silent/', { timeoutMs: 20_000 })] })
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -90,7 +90,7 @@
     telemetry,
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
-    olderWeightsLeftMs: model => olderWeights.leftMs(model, performance.now()),
+    leftMsOn: (model, version) => olderWeights.leftMs(model, version, performance.now()),
     desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
     mayAct,
     // Parts that nobody vouches for may have been freed meanwhile.
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -14,8 +14,8 @@
   readonly fleet: RoutedFleet
   /** Version of the weights that a model's engines should run. */
   desiredVersion (model: string): number
-  /** Milliseconds within which a request may begin on older weights. */
-  olderWeightsLeftMs (model: string): number
+  /** Milliseconds within which a request may begin on weights of that version. */
+  leftMsOn (model: string, version: number): number
   /** Whether what this host knows of stores may be acted on. */
   storesUsable (now: number): boolean
   /** The stores' clock in milliseconds, once it is known. */
@@ -60,7 +60,7 @@
       prompt: {
         description: this.description,
         desiredVersion: this.ports.desiredVersion(this.description.model),
-        olderLeftMs: this.ports.olderWeightsLeftMs(this.description.model),
+        leftMsOn: version => this.ports.leftMsOn(this.description.model, version),
         requiredVersion,
         memoryTokens: this.engine.cacheTokens,
         scope: version => this.scope(version),
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -31,8 +31,8 @@
   readonly budget: RetryBudgetTerms
   liveHosts (): number
   desiredVersion (model: string): number
-  /** Milliseconds within which a request may begin on older weights than the named ones. */
-  olderWeightsLeftMs (model: string): number
+  /** Milliseconds within which a request may begin on weights of that version. */
+  leftMsOn (model: string, version: number): number
   /** Whether this host may act on the site it knows. */
   mayAct (): boolean
   /** Whether what this host knows of stores may be acted on. */
@@ -286,7 +286,7 @@
       refusals: this.#refusals,
       firstEvent: this.#firstEvent,
       desiredVersion: model => this.ports.desiredVersion(model),
-      olderWeightsLeftMs: model => this.ports.olderWeightsLeftMs(model),
+      leftMsOn: (model, version) => this.ports.leftMsOn(model, version),
       storesUsable: now => this.ports.storesUsable(now),
       storeClockMs: now => this.ports.storeClockMs(now)
     })
--- a/apps/entry/src/lib/routed/silentEndpoint.test.ts
+++ b/apps/entry/src/lib/routed/silentEndpoint.test.ts
@@ -43,7 +43,7 @@
     const fleet = new RoutedFleet('n', () => 1, telemetry)
     stop = new PlannedStop(work, { balancerLagMs: 100, graceMs: 60_000 }, telemetry)
     server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work, stop, telemetry, budget, liveHosts: () => 1, desiredVersion: () => 1, olderWeightsLeftMs: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => false
+      fleet, codec: new PlainCodec(), work, stop, telemetry, budget, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => false
     }, performance.now() - LONG_AGO_MS)
     const port = await server.listen('127.0.0.1', 0)
     server.configure(TEST_SITE)
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -32,7 +32,7 @@
       parts: [{ id: 'common', tokens: 500 }, { id: 'trip', tokens: 8600 }, { id: 'own', tokens: 2900 }]
     },
     desiredVersion: 1,
-    olderLeftMs: Number.POSITIVE_INFINITY,
+    leftMsOn: () => Number.POSITIVE_INFINITY,
     requiredVersion: undefined,
     memoryTokens: 110_000,
     scope: version => `v${version}`,
@@ -138,12 +138,12 @@
     })
 
     it('are not used any more when it would begin on them too late', () => {
-      expect(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2, olderLeftMs: 0 })), new PromptMemory(), 0, 0)).toBe('none-of-version')
-      expect(chosen(chooseEndpoint([old(), fresh()], ask(promptAsk({ desiredVersion: 2, olderLeftMs: 0 })), new PromptMemory(), 0, 0)).version).toBe(2)
+      expect(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2, leftMsOn: () => 0 })), new PromptMemory(), 0, 0)).toBe('none-of-version')
+      expect(chosen(chooseEndpoint([old(), fresh()], ask(promptAsk({ desiredVersion: 2, leftMsOn: () => 0 })), new PromptMemory(), 0, 0)).version).toBe(2)
     })
 
     it('are used to the end by a request that began on them', () => {
-      expect(chosen(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2, requiredVersion: 1, olderLeftMs: 0 })), new PromptMemory(), 0, 0)).version).toBe(1)
+      expect(chosen(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2, requiredVersion: 1, leftMsOn: () => 0 })), new PromptMemory(), 0, 0)).version).toBe(1)
     })
 
     it('never change under a request that has begun', () => {
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -36,8 +36,8 @@
   readonly description: PromptDescription
   /** Weights that engines should run; older ones are taken only if nothing else is there. */
   readonly desiredVersion: number
-  /** Milliseconds within which the request may begin on older weights. */
-  readonly olderLeftMs: number
+  /** Milliseconds within which the request may begin on weights of that version. */
+  leftMsOn (version: number): number
   /** Tokens that fit into an engine's memory; 0 if that is not stated. */
   readonly memoryTokens: number
   /** Set when the request must go on under the weights it began with. */
@@ -164,7 +164,7 @@
 /** Whether a request that falls back to older weights will begin while that is allowed. */
 function beginsInTime ({ version, estimatedMs }: EndpointChoice, prompt: PromptAsk | undefined): boolean {
   if (prompt === undefined || prompt.requiredVersion !== undefined || version === undefined) return true
-  return version >= prompt.desiredVersion || estimatedMs < prompt.olderLeftMs
+  return version >= prompt.desiredVersion || estimatedMs < prompt.leftMsOn(version)
 }
 
 /** The newest weights that may be used; a request that began under a version goes on under it. */
--- a/packages/routing/src/lib/endpoints/sample.test.ts
+++ b/packages/routing/src/lib/endpoints/sample.test.ts
@@ -46,7 +46,7 @@
     return {
       description: { model: 'm', promptTokens: 12_000, outputTokens: 60, parts: [{ id: `session-${request}`, tokens: 9000 }, { id: `own-${request}`, tokens: 3000 }] },
       desiredVersion: 1,
-      olderLeftMs: Number.POSITIVE_INFINITY,
+      leftMsOn: () => Number.POSITIVE_INFINITY,
       requiredVersion: undefined,
       memoryTokens: 102_801,
       scope: version => `v${version}`,
--- a/packages/routing/src/lib/prompts/OlderWeights.ts
+++ b/packages/routing/src/lib/prompts/OlderWeights.ts
@@ -25,12 +25,16 @@
 /** Share of the agreed time that a host grants which finds weights named when it starts: they may have been named long ago. */
 const FOUND_SHARE = 0.5
 
+/** Namings kept of a model: an engine that is further behind is bounded by the oldest of these. */
+const MOST_NAMINGS = 20
+
 /** First weights of a model: there are no older ones. */
 const FIRST_VERSION = 1
 
 /** What one host has heard named. */
 export class OlderWeights {
-  readonly #namings = new Map<string, Naming>()
+  /** In order of their versions. */
+  readonly #namings = new Map<string, Naming[]>()
   #hasHeard = false
 
   /** @param boundMs - time after which no request may begin on older weights; infinite if nobody bounds it */
@@ -44,19 +48,20 @@
     const grantedMs = this.boundMs * (this.#hasHeard ? 1 : FOUND_SHARE) - MARGIN_MS
     this.#hasHeard = true
     for (const { model, version } of named) {
-      if (this.#namings.get(model)?.version === version) continue
-      const endsAt = version === FIRST_VERSION ? Number.POSITIVE_INFINITY : now + Math.max(0, grantedMs)
-      this.#namings.set(model, { version, endsAt })
+      const namings = this.#namings.get(model) ?? []
+      if (version === FIRST_VERSION || (namings.at(-1)?.version ?? 0) >= version) continue
+      this.#namings.set(model, [...namings, { version, endsAt: now + Math.max(0, grantedMs) }].slice(-MOST_NAMINGS))
     }
   }
 
   /**
    * @param model - model of a request
+   * @param held - version that an engine holds
    * @param now - monotonic milliseconds
-   * @returns milliseconds within which it may begin on older weights
+   * @returns milliseconds within which it may begin there; later weights don't prolong what earlier ones have ended
    */
-  leftMs (model: string, now: number): number {
-    const naming = this.#namings.get(model)
-    return naming === undefined ? Number.POSITIVE_INFINITY : Math.max(0, naming.endsAt - now)
+  leftMs (model: string, held: number, now: number): number {
+    const next = this.#namings.get(model)?.find(({ version }) => version > held)
+    return next === undefined ? Number.POSITIVE_INFINITY : Math.max(0, next.endsAt - now)
   }
 }
