--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -4,7 +4,6 @@
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
-import { returnAfterMs } from '@eelgrassmux/routing/admission/returnAfter'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
@@ -19,6 +18,7 @@
 import type { EndpointConnections } from './EndpointConnections.js'
 import { describePlacement } from './describePlacement.js'
 import { learnFromFailure } from './learnFromFailure.js'
+import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
 import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
@@ -30,11 +30,6 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
-/** Longest pause before a caller of a stopping host asks another one, in milliseconds: spreads those that are sent away in one moment. */
-const OTHER_HOST_SPREAD_MS = 100
-
-const MILLISECONDS_PER_SECOND = 1000
-
 /** One request. */
 export class RoutedRequestTask {
   readonly #dispatch = new DispatchRecord()
@@ -397,10 +392,7 @@
     }
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
-    const remainingMs = this.#deadline - performance.now()
-    // Other hosts have places now; only callers of this one have to leave.
-    const returnMs = reason === 'draining' ? Math.random() * OTHER_HOST_SPREAD_MS : returnAfterMs(wantedReturnMs, remainingMs, Math.random())
-    const retryAfterSeconds = status === 503 ? returnMs / MILLISECONDS_PER_SECOND : undefined
+    const retryAfterSeconds = status === 503 ? pauseSeconds(reason, wantedReturnMs, this.#deadline - performance.now()) : undefined
     const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
     this.ports.refusals.count(reason)
     this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
--- /dev/null
+++ b/apps/entry/src/lib/routed/pauseSeconds.ts
@@ -0,0 +1,20 @@
+/** When the caller of a refused request had better ask again. */
+import { returnAfterMs } from '@eelgrassmux/routing/admission/returnAfter'
+import type { RefusalReason } from '@eelgrassmux/schema/Refusal'
+
+/** Longest pause before a caller of a stopping host asks another one, in milliseconds: spreads those that are sent away in one moment. */
+const OTHER_HOST_SPREAD_MS = 100
+
+const MILLISECONDS_PER_SECOND = 1000
+
+/**
+ * @param reason - why it was refused
+ * @param wantedReturnMs - milliseconds after which a place is expected
+ * @param remainingMs - milliseconds that the caller has left
+ * @returns seconds
+ */
+export function pauseSeconds (reason: RefusalReason, wantedReturnMs: number, remainingMs: number): number {
+  // Other hosts have places now; only callers of this one have to leave.
+  const returnMs = reason === 'draining' ? Math.random() * OTHER_HOST_SPREAD_MS : returnAfterMs(wantedReturnMs, remainingMs, Math.random())
+  return returnMs / MILLISECONDS_PER_SECOND
+}
