--- a/apps/entry/src/lib/PlannedStop.test.ts
+++ b/apps/entry/src/lib/PlannedStop.test.ts
@@ -11,29 +11,13 @@
  * first test: with requests coming all the time, a stream that outlasts the grace period is
  * passed on and cut.
  */
-import { request as httpRequest } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import { PlannedStop } from './PlannedStop.js'
 import { answerOk, EndpointStandin, rejectNotRun, streamEvent, type Behaviour } from './routed/harness/EndpointStandin.js'
-import { PLAIN_HEADERS, PlainCodec } from './routed/harness/PlainCodec.js'
+import { PLAIN_HEADERS } from './routed/harness/PlainCodec.js'
+import { BALANCER_LAG_MS, RoutedHost, type RoutedHostOptions } from './routed/harness/RoutedHost.js'
 import { TEST_SITE, testRoute } from './routed/harness/testSite.js'
-import { RoutedFleet } from './routed/RoutedFleet.js'
-import { RoutedServer } from './routed/RoutedServer.js'
-
-interface Outcome {
-  readonly status: number
-  readonly isWhole: boolean
-}
-
-/** The balancer's lag in these tests, in milliseconds. */
-const BALANCER_LAG_MS = 100
-
-/** Age of a host that does not let requests wait for the site any more, in milliseconds. */
-const LONG_AGO_MS = 60_000
 
 /** Streams begin and go on until the test lets them end; silent ones never answer; others answer at once. */
 const byPath: Behaviour = (request, response, body) => {
@@ -67,81 +51,59 @@
   return Buffer.concat(chunks).toString()
 }
 
+/** With a route whose requests may wait for longer than any grace period here. */
+const SITE = { ...TEST_SITE, routes: [...TEST_SITE.routes, testRoute('/silent/', { timeoutMs: 20_000 })] }
+
 describe('PlannedStop', () => {
-  let server: RoutedServer
-  let stop: PlannedStop
+  let host: RoutedHost
   let endpoint: EndpointStandin
-  let others: EndpointStandin[] = []
-  let telemetry: Telemetry
-  let port = 0
-  let connectionHeader: string | undefined
   let headCame: () => void
   let whenHeadCame: Promise<void>
 
-  async function serve (behaviour: Behaviour, graceMs: number, startedAt = performance.now() - LONG_AGO_MS): Promise<void> {
-    const work = new WorkGate()
-    const fleet = new RoutedFleet('n', () => 1, telemetry)
-    stop = new PlannedStop(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, telemetry)
-    server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work, stop, telemetry, budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, isLagging: () => false
-    }, startedAt)
-    port = await server.listen('127.0.0.1', 0)
-    server.configure({ ...TEST_SITE, routes: [...TEST_SITE.routes, testRoute('/silent/', { timeoutMs: 20_000 })] })
-    endpoint = new EndpointStandin('e0', behaviour)
-    const listed = await endpoint.listen()
-    fleet.update([listed, ...await Promise.all(others.map(async each => await each.listen()))])
+  async function serve (behaviour: Behaviour, options: RoutedHostOptions, endpoints = 1): Promise<void> {
+    const standins = Array.from({ length: endpoints }, (_, number) => new EndpointStandin(`e${number}`, behaviour))
+    endpoint = standins[0] ?? new EndpointStandin('none', behaviour)
+    host = new RoutedHost(standins, { site: SITE, ...options })
+    await host.start()
   }
 
   async function openRaw (): Promise<Socket> {
-    const socket = connect({ host: '127.0.0.1', port })
+    const socket = connect({ host: '127.0.0.1', port: host.port })
     await new Promise(resolve => { socket.once('connect', resolve) })
     return socket
   }
 
-  async function ask (path: string): Promise<Outcome> {
-    return await new Promise(resolve => {
-      const request = httpRequest({ host: '127.0.0.1', port, path, headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1' } }, response => {
-        response.resume()
-        headCame()
-        connectionHeader = response.headers.connection
-        response.on('close', () => { resolve({ status: response.statusCode ?? 0, isWhole: response.complete }) })
-      })
-      request.on('error', () => { resolve({ status: 0, isWhole: false }) })
-      request.end()
-    })
+  /** @returns status, and whether the answer was whole */
+  async function ask (path: string): Promise<{ readonly status: number, readonly isWhole: boolean }> {
+    const { status, isWhole } = await host.ask(path, () => { headCame() })
+    return { status, isWhole }
   }
 
   beforeEach(() => {
-    telemetry = new Telemetry('test')
     whenHeadCame = new Promise(resolve => { headCame = resolve })
   })
 
-  afterEach(async () => {
-    await server.close()
-    endpoint.close()
-    for (const other of others) other.close()
-    others = []
-  })
+  afterEach(async () => { await host.close() })
 
   describe('once the balancer has noticed', () => {
     it('takes no stream that could outlast the process, although requests keep coming', async () => {
-      await serve(byPath, 5000)
-      stop.begin(performance.now() - BALANCER_LAG_MS, server)
-      void stop.drain(server)
+      await serve(byPath, { graceMs: 5000 })
+      host.stop.begin(performance.now() - BALANCER_LAG_MS, host.server)
+      void host.stop.drain(host.server)
       const asked = ask('/resumable/1')
       await Promise.race([asked, endpoint.whenSeen()])
       // What the platform does when the grace period is over.
-      await server.close()
+      await host.server.close()
       expect(await asked).toEqual({ status: 503, isWhole: true })
       expect(endpoint.seen).toHaveLength(0)
     })
 
     it('serves what will end in time for as long as earlier work keeps the process', async () => {
-      await serve(byPath, 60_000)
+      await serve(byPath, { graceMs: 60_000 })
       const earlier = ask('/resumable/1')
       await endpoint.whenSeen()
-      stop.begin(performance.now(), server)
-      const drained = stop.drain(server)
+      host.stop.begin(performance.now(), host.server)
+      const drained = host.stop.drain(host.server)
       expect(await ask('/safe/2')).toEqual({ status: 200, isWhole: true })
       // Later than the quiet for which a stop without work waits.
       await sleep(600)
@@ -155,13 +117,13 @@
 
   describe('work that has begun', () => {
     it('ends only when its answer has left the process', async () => {
-      await serve(answerLarge, 60_000)
+      await serve(answerLarge, { graceMs: 60_000 })
       const caller = await openRaw()
       caller.pause()
       caller.write(rawRequest('/safe/1'))
       await endpoint.whenSeen()
-      stop.begin(performance.now(), server)
-      const closed = stop.drain(server).then(async () => { await server.close() })
+      host.stop.begin(performance.now(), host.server)
+      const closed = host.stop.drain(host.server).then(async () => { await host.server.close() })
       await sleep(1000)
       const received = readAll(caller)
       await closed
@@ -170,24 +132,24 @@
     })
 
     it('includes each request of a connection on which several were sent at once', async () => {
-      await serve(byPath, 60_000)
+      await serve(byPath, { graceMs: 60_000 })
       const caller = await openRaw()
-      stop.begin(performance.now(), server)
+      host.stop.begin(performance.now(), host.server)
       caller.write(rawRequest('/safe/1') + rawRequest('/safe/2'))
       const received = await readAll(caller)
       expect(received.match(/HTTP\/1.1 200/g)).toHaveLength(2)
       expect(received.match(/Connection: close/g)).toHaveLength(1)
-      await stop.drain(server)
+      await host.stop.drain(host.server)
     })
 
     it('includes a request whose body is still being read', async () => {
-      await serve(byPath, 60_000)
+      await serve(byPath, { graceMs: 60_000 })
       const caller = await openRaw()
       caller.write(rawRequest('/unsafe/1', 'POST', 10) + 'half ')
       const received = readAll(caller)
       await sleep(50)
-      stop.begin(performance.now(), server)
-      const closed = stop.drain(server).then(async () => { await server.close() })
+      host.stop.begin(performance.now(), host.server)
+      const closed = host.stop.drain(host.server).then(async () => { await host.server.close() })
       // Later than the quiet for which a stop without work waits.
       await sleep(1000)
       caller.write('whole')
@@ -196,60 +158,58 @@
     })
 
     it('includes a request that waits for what the host has still to learn', async () => {
-      await serve(byPath, 60_000, performance.now())
+      await serve(byPath, { graceMs: 60_000, startedAt: performance.now() })
       const asked = ask('/safe/1')
       await sleep(50)
-      stop.begin(performance.now(), server)
-      await stop.drain(server)
-      await server.close()
+      host.stop.begin(performance.now(), host.server)
+      await host.stop.drain(host.server)
+      await host.server.close()
       expect(await asked).toEqual({ status: 200, isWhole: true })
     })
   })
 
   describe('from the signal on', () => {
     it('counts the time since the signal, however late it is noticed', async () => {
-      await serve(byPath, 5000)
-      stop.begin(performance.now() - 4000, server)
-      expect(stop.admits({ remainingMs: 2000, expectedMs: 10 })).toBe(false)
-      await stop.drain(server)
+      await serve(byPath, { graceMs: 5000 })
+      host.stop.begin(performance.now() - 4000, host.server)
+      expect(host.stop.admits({ remainingMs: 2000, expectedMs: 10 })).toBe(false)
+      await host.stop.drain(host.server)
     })
 
     it('sends nothing a second time that could outlast the process', async () => {
       let served = 0
       const rejectOnceStopping: Behaviour = (request, response, body) => {
         served += 1
-        if (!stop.isStopping) stop.begin(performance.now() - 55_000, server)
+        if (!host.stop.isStopping) host.stop.begin(performance.now() - 55_000, host.server)
         rejectNotRun(request, response, body)
       }
-      others = [new EndpointStandin('e1', rejectOnceStopping)]
-      await serve(rejectOnceStopping, 60_000)
+      await serve(rejectOnceStopping, { graceMs: 60_000 }, 2)
       expect(await ask('/resumable/1')).toEqual({ status: 503, isWhole: true })
       expect(served).toBe(1)
-      await stop.drain(server)
+      await host.stop.drain(host.server)
     })
 
     it('takes a stream while the balancer may not have noticed, and asks its caller to leave the connection', async () => {
-      await serve(byPath, 5000)
-      stop.begin(performance.now(), server)
-      const asked = ask('/resumable/1')
+      await serve(byPath, { graceMs: 5000 })
+      host.stop.begin(performance.now(), host.server)
+      const asked = host.ask('/resumable/1')
       await endpoint.whenSeen()
       endpoint.finishStreams()
-      expect(await asked).toEqual({ status: 200, isWhole: true })
-      expect(connectionHeader).toBe('close')
+      expect(await asked).toMatchObject({ status: 200, isWhole: true, connection: 'close' })
     })
   })
 
   describe('when the grace period is over', () => {
     it('ends what is left by itself, none of it as complete, and says which', async () => {
       const lines: string[] = []
-      telemetry.decided = (event, request) => { lines.push(`${event} ${request}`) }
-      await serve(byPath, 300)
+      await serve(byPath, { graceMs: 300 })
+      host.telemetry.decided = (event, request) => { lines.push(`${event} ${request}`) }
       const begun = ask('/resumable/1')
       await whenHeadCame
       const silent = ask('/silent/2')
       await endpoint.whenSeen()
-      stop.begin(performance.now(), server)
-      await stop.drain(server)
+      host.stop.begin(performance.now(), host.server)
+      await host.stop.drain(host.server)
       expect(await begun).toEqual({ status: 200, isWhole: false })
       // It ran, so its caller is told nothing else.
       expect(await silent).toEqual({ status: 502, isWhole: true })
--- /dev/null
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -0,0 +1,105 @@
+/** A server for routed requests with everything around it, for tests. */
+import { request as httpRequest } from 'node:http'
+import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { PlannedStop } from '../../PlannedStop.js'
+import { RoutedFleet } from '../RoutedFleet.js'
+import { RoutedServer } from '../RoutedServer.js'
+import type { EndpointStandin } from './EndpointStandin.js'
+import { PLAIN_HEADERS, PlainCodec } from './PlainCodec.js'
+import { TEST_SITE } from './testSite.js'
+
+/** The balancer's lag, in milliseconds. */
+export const BALANCER_LAG_MS = 100
+
+/** Age of a host that does not let requests wait for the site any more, in milliseconds. */
+const LONG_AGO_MS = 60_000
+
+/** What a test may want otherwise. */
+export interface RoutedHostOptions {
+  readonly graceMs?: number
+  readonly budget?: RetryBudgetTerms
+  readonly site?: Site
+  /** Monotonic milliseconds at which the host started. */
+  readonly startedAt?: number
+}
+
+/** What a caller got. */
+export interface CallerOutcome {
+  /** 0 if the connection broke before there was an answer. */
+  readonly status: number
+  readonly body: string
+  readonly isWhole: boolean
+  /** Value of the answer's header of that name. */
+  readonly connection: string | undefined
+}
+
+/** One host and its endpoints. */
+export class RoutedHost {
+  readonly telemetry = new Telemetry('test')
+  readonly stop: PlannedStop
+  readonly server: RoutedServer
+  port = 0
+  readonly #fleet = new RoutedFleet('n', () => 1, this.telemetry)
+  readonly #site: Site
+
+  /**
+   * @param endpoints - all of the site's only service
+   * @param options - what differs
+   */
+  constructor (private readonly endpoints: readonly EndpointStandin[], options: RoutedHostOptions = {}) {
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - LONG_AGO_MS } = options
+    const work = new WorkGate()
+    this.#site = site
+    this.stop = new PlannedStop(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, this.telemetry)
+    this.server = new RoutedServer({
+      fleet: this.#fleet,
+      codec: new PlainCodec(),
+      work,
+      stop: this.stop,
+      telemetry: this.telemetry,
+      budget,
+      liveHosts: () => 1,
+      desiredVersion: () => 1,
+      leftMsOn: () => Number.POSITIVE_INFINITY,
+      mayAct: () => true,
+      storesUsable: () => false,
+      storeClockMs: () => undefined,
+      isLagging: () => false
+    }, startedAt)
+  }
+
+  async start (): Promise<void> {
+    this.port = await this.server.listen('127.0.0.1', 0)
+    this.server.configure(this.#site)
+    this.#fleet.update(await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen())))
+  }
+
+  async close (): Promise<void> {
+    await this.server.close()
+    for (const endpoint of this.endpoints) endpoint.close()
+  }
+
+  /**
+   * Asks as a caller does.
+   *
+   * @param path - with the prefix of a route
+   * @param onHead - called when the answer begins
+   */
+  async ask (path: string, onHead: () => void = () => {}): Promise<CallerOutcome> {
+    return await new Promise(resolve => {
+      const request = httpRequest({ host: '127.0.0.1', port: this.port, path, headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1' } }, response => {
+        let body = ''
+        onHead()
+        response.on('data', chunk => { body += String(chunk) })
+        response.on('close', () => {
+          resolve({ status: response.statusCode ?? 0, body, isWhole: response.complete, connection: response.headers.connection })
+        })
+      })
+      request.on('error', () => { resolve({ status: 0, body: '', isWhole: false, connection: undefined }) })
+      request.end()
+    })
+  }
+}
