Store links are learnt and shared; a fetch that costs more than reading is left; engine times are learnt

Cause: store links counted at their stated speed, with each host's own transfers times the number of hosts, and every stored part fetched whatever that took. While a link is four times slower, transfers wait for up to two seconds; prompts that wait keep places and memory of engines, and chats wait behind them. Ruled out: the reading rate alone (a trial of the issue), engines (13 engines, no refusal, reading at half of what they can).

What requests without a fetch show of an engine or route is no longer put down to a link.

The list of fetches had become shorter than the prompt, and an address that stands alone is asked for the whole prompt, also for a part that another engine is still saving.

--- a/apps/control/src/lib/load/LoadBoardServer.ts
+++ b/apps/control/src/lib/load/LoadBoardServer.ts
@@ -61,7 +61,7 @@
   }
 
   #encode (totals: Totals): Uint8Array {
-    if (this.#encoded?.totals !== totals) this.#encoded = { totals, bytes: encodeLoadTotals(totals.work) }
+    if (this.#encoded?.totals !== totals) this.#encoded = { totals, bytes: encodeLoadTotals(totals) }
     return this.#encoded.bytes
   }
 }
--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -1,8 +1,7 @@
 /** Tells a control host of this host's work at endpoints, and hears of the others'. */
 import { createSocket, type Socket } from 'node:dgram'
 import { decodeLoadTotals, encodeLoadReport } from '@eelgrassmux/routing/load/loadCodec'
-import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
-import type { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
+import type { HostWork, OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /**
@@ -49,7 +48,7 @@
     private readonly host: string,
     private readonly board: () => string | undefined,
     private readonly liveHosts: () => number,
-    private readonly ownWork: () => EndpointWork[],
+    private readonly ownWork: () => HostWork,
     private readonly others: OthersWork,
     private readonly onAnswer: () => void,
     telemetry: Telemetry
@@ -92,17 +91,16 @@
   #report (): void {
     const [address, port] = this.board()?.split(':') ?? []
     if (address === undefined || port === undefined) return
-    const work = this.ownWork()
+    const own = this.ownWork()
     this.#sequence += 1
-    this.others.sent(this.#sequence, work)
+    this.others.sent(this.#sequence, own)
     this.#outcomes.count('sent')
-    this.#socket.send(encodeLoadReport({ host: this.host, sequence: this.#sequence, work }), Number(port), address)
+    this.#socket.send(encodeLoadReport({ host: this.host, sequence: this.#sequence, ...own }), Number(port), address)
   }
 
   #take (bytes: Buffer): void {
     try {
-      const { sequence, work } = decodeLoadTotals(bytes)
-      this.others.answered(sequence, work, performance.now())
+      this.others.answered(decodeLoadTotals(bytes), performance.now())
       this.#outcomes.count('answered')
       this.onAnswer()
     } catch {
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -1,5 +1,5 @@
 /** What concerns the prompt of one routed request: where its parts are kept, and what is asked of engines and stores. */
-import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { EndpointChoice, PromptAsk } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
 import type { PromptDescription, PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
 import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
@@ -31,6 +31,7 @@
   readonly #shared: readonly PromptPart[]
 
   private constructor (
+    private readonly request: RoutedRequest,
     private readonly description: PromptDescription,
     private readonly engine: EngineTraits,
     private readonly isolatedCustomer: string | undefined,
@@ -45,9 +46,10 @@
    * @param ports - surroundings
    * @returns its prompt, or undefined if it has none or its service has no engines
    */
-  static of ({ fields, service, customer }: RoutedRequest, ports: PromptPorts): PromptContext | undefined {
+  static of (request: RoutedRequest, ports: PromptPorts): PromptContext | undefined {
+    const { fields, service, customer } = request
     if (fields.prompt === undefined || service.engine === undefined) return undefined
-    return new PromptContext(fields.prompt, service.engine, customer?.isIsolated === true ? customer.name : undefined, ports)
+    return new PromptContext(request, fields.prompt, service.engine, customer?.isIsolated === true ? customer.name : undefined, ports)
   }
 
   /**
@@ -56,12 +58,15 @@
    * @param requiredVersion - set when the request must go on under the weights it began with
    */
   ask (requiredVersion: number | undefined): { readonly prompt: PromptAsk } {
+    const { route, service, arrivedAt } = this.request
     return {
       prompt: {
         description: this.description,
         desiredVersion: this.ports.desiredVersion(this.description.model),
+        leftToObjectiveMs: arrivedAt + route.targetLatencyMs - performance.now(),
         leftMsOn: version => this.ports.leftMsOn(this.description.model, version),
         requiredVersion,
+        engine: this.ports.fleet.engineModel(service.name),
         memoryTokens: this.engine.cacheTokens,
         scope: version => this.scope(version),
         stored: version => this.#plan(version),
@@ -80,7 +85,7 @@
   }
 
   /**
-   * Transfers to ask of the chosen engine; what they add to the stores' links counts from now on.
+   * Transfers to ask of the chosen engine.
    *
    * @param choice - the engine
    * @param version - of its weights
@@ -91,12 +96,13 @@
     if (plan === NO_STORES) return undefined
     const now = performance.now()
     const clockMs = this.ports.storeClockMs(now)
+    const saves = this.#eachPart(index => plan.saves[index])
     // Without the stores' clock a late fetch could not be thrown away, so there is none.
-    if (clockMs === undefined) return { fetches: [], saves: plan.saves, fetchUntilMs: undefined }
-    this.#recordFetches(choice, version, plan, now)
+    if (clockMs === undefined) return { fetches: [], saves, fetchUntilMs: undefined }
     // A request that has waited needs its fetch all the more: without it the engine reads
     // the whole prompt, its queue grows, and the fetches of all others come too late as well.
-    return { fetches: plan.fetches.map(store => store?.address), saves: plan.saves, fetchUntilMs: clockMs + deadline - now }
+    const fetches = this.#eachPart(index => index < choice.reading.partsFromStores ? plan.fetches[index]?.address : undefined)
+    return { fetches, saves, fetchUntilMs: clockMs + deadline - now }
   }
 
   /** @param choice - the engine to which the request was sent */
@@ -132,6 +138,11 @@
     }
   }
 
+  /** An address that stands alone, with no entry for the other parts, would be asked for the whole prompt. */
+  #eachPart (address: (index: number) => string | undefined): Array<string | undefined> {
+    return this.description.parts.map((_, index) => address(index))
+  }
+
   /** Planned once for each version: all candidates are weighed against the same plan. */
   #plan (version: number): StorePlan {
     const present = this.#plans.get(version)
@@ -142,17 +153,4 @@
     this.#plans.set(version, plan)
     return plan
   }
-
-  /** Parts that the engine holds already are named as well, but move no bytes. */
-  #recordFetches ({ endpoint }: EndpointChoice, version: number, plan: StorePlan, now: number): void {
-    const { storeLinks, memory } = this.ports.fleet
-    const held = memory.holders(this.scope(version), this.#shared, now).tokensAt(endpoint.incarnation)
-    let position = 0
-    this.#shared.forEach((part, index) => {
-      position += part.tokens
-      const store = plan.fetches[index]
-      if (store === undefined || position <= held) return
-      storeLinks.record(store, storeLinks.transferMs(store, part.tokens * this.engine.bytesPerToken, endpoint.listed.dataCentre), now)
-    })
-  }
 }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -1,6 +1,7 @@
 /** One send of a routed request to one endpoint, from its connection to the end of the answer. */
-import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
+import type { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import type { CancelRequest, EndpointConnection, EndpointRequest } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
 import type { AnswerFields, RequestCodec } from './RequestCodec.js'
@@ -39,6 +40,7 @@
    * @param requestId - id that the answer must bear
    * @param connections - this host's connections to that endpoint
    * @param connection - the one to use
+   * @param links - where the transfers that it causes are counted
    * @param codec - reads the answer's headers
    * @param listener - told of the answer
    */
@@ -47,6 +49,7 @@
     private readonly requestId: string,
     private readonly connections: EndpointConnections,
     private readonly connection: EndpointConnection,
+    private readonly links: StoreLinks,
     private readonly codec: RequestCodec,
     private readonly listener: AttemptListener
   ) {}
@@ -57,7 +60,8 @@
 
   /** @param request - what to send */
   send (request: EndpointRequest): void {
-    this.choice.endpoint.begin(this.choice.tokensToRead, this.choice.tokensHeld, performance.now())
+    this.choice.endpoint.begin(this.choice.reading.tokensToRead, this.choice.tokensHeld, performance.now())
+    this.links.begin(this.choice.reading.transfers)
     this.#cancel = this.connection.send(request, {
       sending: () => {
         this.#wasSent = true
@@ -85,11 +89,12 @@
     this.choice.endpoint.end(this.choice.tokensHeld)
   }
 
-  /** With the first event, the prompt has been read. */
+  /** With the first event, the prompt has been fetched and read. */
   #endReading (): void {
     if (!this.#isReading) return
     this.#isReading = false
-    this.choice.endpoint.firstEvent(this.choice.tokensToRead)
+    this.choice.endpoint.firstEvent(this.choice.reading.tokensToRead)
+    this.links.end(this.choice.reading.transfers)
   }
 
   #onHead (status: number, headers: string[], resume: () => void): void {
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,11 +1,12 @@
 /** Endpoints of routed requests: what is known of each, and this host's connections to it. */
-import { chooseEndpoint, type EndpointAsk, type EndpointChoice, type NoEndpointReason } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
+import { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { EjectionWatch, type EjectionChange } from '@eelgrassmux/routing/endpoints/EjectionWatch'
-import type { EndpointWork } from '@eelgrassmux/routing/load/loadReport'
-import { OthersWork } from '@eelgrassmux/routing/load/OthersWork'
+import { OthersWork, type HostWork } from '@eelgrassmux/routing/load/OthersWork'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
 import { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
@@ -34,6 +35,7 @@
   readonly storeLinks: StoreLinks
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #routes = new Map<string, Slowness>()
+  readonly #engines = new Map<string, EngineModel>()
   readonly #opened: LabelledCounter
   readonly #ejections = new EjectionWatch()
 
@@ -66,6 +68,18 @@
     return fresh
   }
 
+  /**
+   * @param service - name of a service of engines
+   * @returns what its engines take
+   */
+  engineModel (service: string): EngineModel {
+    const present = this.#engines.get(service)
+    if (present !== undefined) return present
+    const fresh = new EngineModel()
+    this.#engines.set(service, fresh)
+    return fresh
+  }
+
   /** Whether the work of other hosts is known, so that estimates may decide about refusals. */
   get knowsLoad (): boolean { return this.others.isRecent(performance.now()) }
   /** Whether any endpoint is known. */
@@ -83,6 +97,7 @@
   /** Notes what other hosts have told since the last time; call when it was heard. */
   noteSight (): void {
     const now = performance.now()
+    this.storeLinks.heard(this.others.links, now)
     for (const service of this.#pool.services) {
       for (const change of this.#ejections.look(this.#pool.ofService(service), this.others, now)) this.#logEjection(change)
     }
@@ -124,11 +139,12 @@
     return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection }, this.memory, now, Math.random())
   }
 
-  /** @returns this host's work at each endpoint that has any, or of which there is something to tell */
-  ownWork (): EndpointWork[] {
+  /** @returns this host's work at each endpoint that has any, or of which there is something to tell, and on links */
+  ownWork (): HostWork {
     const now = performance.now()
-    return this.#pool.all.map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
-      .filter(work => work.inFlight > 0 || work.avoiders > 0 || work.outcomes >= LEAST_TOLD_OUTCOMES)
+    const work = this.#pool.all.map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
+      .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= LEAST_TOLD_OUTCOMES)
+    return { work, links: this.storeLinks.ownWork(now) }
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -6,7 +6,7 @@
 import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
-import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
@@ -18,6 +18,7 @@
 import type { EndpointConnections } from './EndpointConnections.js'
 import { describePlacement } from './describePlacement.js'
 import { learnFromFailure } from './learnFromFailure.js'
+import { learnFromFirstEvent } from './learnFromFirstEvent.js'
 import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
@@ -172,8 +173,8 @@
       remainingMs: this.#deadline - now,
       ownMemoryShare: this.#prompt?.memoryShareOf(choice) ?? 0,
       memoryShare: choice.memoryShare,
-      tokensToRead: choice.tokensToRead,
-      tokensAhead: choice.tokensAhead
+      tokensToRead: choice.reading.tokensToRead,
+      tokensAhead: choice.load.tokensAhead
     })
     if (admission.kind === 'send') return admission
     if (admission.kind === 'wait') {
@@ -190,7 +191,7 @@
   /** Looks again in a moment; the plan of stores is made anew, because more may be stored by then. */
   #waitForRoom (choice: EndpointChoice): void {
     if (!this.#isWaiting) {
-      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.tokensAhead) })
+      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.load.tokensAhead) })
     }
     this.#isWaiting = true
     this.#prompt?.forgetPlans()
@@ -203,7 +204,7 @@
   }
 
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
-    const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.codec, {
+    const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.fleet.storeLinks, this.ports.codec, {
       sending: () => {
         this.#runs += 1
         this.#dispatch.markDispatched()
@@ -235,9 +236,7 @@
     if (this.#times.hasFirstEvent) return
     this.#requiredVersion = attempt.choice.version
     if (attempt.choice.version !== undefined) {
-      const now = performance.now()
-      attempt.choice.endpoint.slowness.observe(now - attempt.startedAt, attempt.choice.workMs, now)
-      this.#routeSlowness().observe(now - attempt.startedAt, attempt.choice.estimatedMs, now)
+      learnFromFirstEvent(this.ports.fleet, this.request, attempt)
     }
     this.#times.noteFirstEvent()
   }
--- a/apps/entry/src/lib/routed/describePlacement.ts
+++ b/apps/entry/src/lib/routed/describePlacement.ts
@@ -1,5 +1,5 @@
 /** What decided where a request went, for its line. */
-import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { PromptContext } from './PromptContext.js'
 import type { RoutedRequest } from './RoutedRequest.js'
@@ -13,12 +13,14 @@
 export function describePlacement (
   choice: EndpointChoice, request: RoutedRequest, prompt: PromptContext | undefined, firstEventMs: number | undefined
 ): Omit<DecisionFields<'answered'>, 'status' | 'endpoint'> {
-  const { estimatedMs, waitMs, fetchMs, tokensToRead, version } = choice
+  const { estimatedMs, waitMs, reading, version } = choice
   return {
     estimatedMs: Math.round(estimatedMs),
     waitMs: Math.round(waitMs),
-    fetchMs: Math.round(fetchMs),
-    tokensToRead: Math.round(tokensToRead),
+    fetchMs: Math.round(reading.fetchMs),
+    tokensToRead: Math.round(reading.tokensToRead),
+    partsFromStores: reading.partsFromStores,
+    linkDoublings: Number((reading.slowest?.doublings ?? 0).toFixed(2)),
     version: version ?? 0,
     firstEventMs: Math.round(firstEventMs ?? 0),
     promptTokens: request.fields.prompt?.promptTokens ?? 0,
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -0,0 +1,59 @@
+/** Who may take a request. */
+import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
+import type { EndpointAsk, NoEndpointReason, PromptAsk } from './endpointAsk.js'
+import type { EndpointState } from './EndpointState.js'
+import { ejectionReason, sharedFailureShare } from './sharedSight.js'
+
+/** An endpoint with what other hosts have told of it. */
+export interface Candidate {
+  readonly endpoint: EndpointState
+  readonly others: WorkFigures
+  readonly failureShare: number
+}
+
+/**
+ * @param endpoints - all of the service
+ * @param ask - what is asked
+ * @param now - monotonic milliseconds
+ * @returns those that may take the request, or why there is none
+ */
+export function candidatesFor (endpoints: readonly EndpointState[], ask: EndpointAsk, now: number): readonly Candidate[] | NoEndpointReason {
+  const present = endpoints.filter(endpoint => !endpoint.isLeaving)
+  if (present.length === 0) return 'none-listed'
+  const untried = present.filter(endpoint => !ask.excluded.has(endpoint.id))
+  if (untried.length === 0) return 'all-tried'
+  const able = ofVersion(untried, ask.prompt)
+  if (able.length === 0) return 'none-of-version'
+  return preferred(able.map(endpoint => asCandidate(endpoint, ask, now)), now)
+}
+
+/** The newest weights that may be used; a request that began under a version goes on under it. */
+function ofVersion (endpoints: readonly EndpointState[], prompt: PromptAsk | undefined): readonly EndpointState[] {
+  if (prompt === undefined) return endpoints
+  const { model } = prompt.description
+  const serving = endpoints.filter(endpoint => endpoint.version(model) !== undefined)
+  if (prompt.requiredVersion !== undefined) return serving.filter(endpoint => endpoint.version(model) === prompt.requiredVersion)
+  const desired = serving.filter(endpoint => (endpoint.version(model) ?? 0) >= prompt.desiredVersion)
+  return desired.length > 0 ? desired : serving
+}
+
+function asCandidate (endpoint: EndpointState, ask: EndpointAsk, now: number): Candidate {
+  const others = ask.others?.at(endpoint.incarnation) ?? NO_WORK
+  return { endpoint, others, failureShare: sharedFailureShare(endpoint, others, now) }
+}
+
+/** Healthy endpoints with room; else any that are healthy, else any. */
+function preferred (candidates: readonly Candidate[], now: number): readonly Candidate[] {
+  const meanShare = candidates.reduce((sum, candidate) => sum + candidate.failureShare, 0) / candidates.length
+  const healthy = candidates.filter(candidate => isHealthy(candidate, meanShare, now))
+  const able = healthy.length > 0 ? healthy : candidates
+  const idle = able.filter(({ endpoint }) => !endpoint.isBusy(now))
+  const awake = idle.length > 0 ? idle : able
+  const withRoom = awake.filter(({ endpoint }) => !endpoint.isFull(now))
+  return withRoom.length > 0 ? withRoom : awake
+}
+
+function isHealthy ({ endpoint, others, failureShare }: Candidate, meanShare: number, now: number): boolean {
+  if (endpoint.health.isPaused(now) || endpoint.isSilent(now)) return false
+  return ejectionReason(endpoint, others, failureShare - meanShare, now) === undefined
+}
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/planReading.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest'
+import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
+import { PromptMemory } from '../prompts/PromptMemory.js'
+import { StoreLinks, type StoreTransfer } from '../stores/StoreLinks.js'
+import type { PromptAsk } from './endpointAsk.js'
+import { EndpointState } from './EndpointState.js'
+import { EngineModel } from './EngineModel.js'
+import { planReading, type PromptReading } from './planReading.js'
+
+const fast: StoreService = { type: 'store', name: 'fast', address: '10.0.0.1:1', dataCentre: 'north', cacheTokens: 1e6, linkMbps: 400_000, firstByteMs: 1, isManaged: true }
+const other: StoreService = { ...fast, name: 'other', address: '10.0.0.2:1' }
+
+const BYTES_PER_TOKEN = 300_000
+
+const engine = new EndpointState({
+  id: 'e', service: 'pool', address: '10.0.0.3:1', dataCentre: 'north', slots: 48, isLeaving: false, isBusy: false, models: [{ model: 'm', version: 1 }]
+})
+
+const parts = [{ id: 'rules', tokens: 2500 }, { id: 'inventory', tokens: 5000 }, { id: 'own', tokens: 1700 }]
+
+function plan (fetches: ReadonlyArray<StoreService | undefined>, links: StoreLinks, memory = new PromptMemory()): PromptReading {
+  const prompt: PromptAsk = {
+    description: { model: 'm', promptTokens: 9200, outputTokens: 20, parts },
+    desiredVersion: 1,
+    leftToObjectiveMs: 600,
+    leftMsOn: () => Number.POSITIVE_INFINITY,
+    requiredVersion: undefined,
+    engine: new EngineModel(),
+    memoryTokens: 49_000,
+    scope: version => `v${version}`,
+    stored: () => ({ fetches, saves: [], storedTokens: 0 }),
+    links,
+    bytesPerToken: BYTES_PER_TOKEN
+  }
+  return planReading(engine, prompt, 1, false, memory.holders('v1', parts.slice(0, -1), 0), 0)
+}
+
+/** Links over which so many prompts of this size are under way. */
+function busyWith (prompts: number, store: StoreService): StoreLinks {
+  const links = new StoreLinks(() => 1)
+  const transfer: StoreTransfer = { store, dataCentre: 'north', bytes: 7500 * BYTES_PER_TOKEN }
+  links.begin(Array.from({ length: prompts }, () => transfer))
+  return links
+}
+
+describe('planReading', () => {
+  describe('stores that are sound', () => {
+    it('send all that they hold', () => {
+      const { tokensToRead, partsFromStores, fetchMs, transfers } = plan([fast, fast], busyWith(0, fast))
+      expect({ tokensToRead, partsFromStores }).toEqual({ tokensToRead: 1700, partsFromStores: 2 })
+      expect(transfers.map(({ bytes }) => bytes / BYTES_PER_TOKEN)).toEqual([2500, 5000])
+      // Both parts one after the other, the first byte, and the price of a fetch.
+      expect(fetchMs).toBeCloseTo(45 + 1 + 3)
+    })
+
+    it('send nothing that follows a part which none of them holds', () => {
+      expect(plan([undefined, fast], busyWith(0, fast))).toMatchObject({ tokensToRead: 9200, partsFromStores: 0, againMs: 0 })
+    })
+
+    it('move nothing that the engine holds, and are named for it all the same', () => {
+      const memory = new PromptMemory()
+      memory.recordSend('v1', parts.slice(0, 1), 'e', 0)
+      expect(plan([fast, fast], busyWith(0, fast), memory)).toMatchObject({ partsFromStores: 2, transfers: [{ bytes: 5000 * BYTES_PER_TOKEN }] })
+    })
+  })
+
+  describe('a store of which more is asked than its link can send', () => {
+    it('is left alone while reading takes less', () => {
+      expect(plan([fast, fast], busyWith(2, fast)).partsFromStores).toBe(2)
+      expect(plan([fast, fast], busyWith(20, fast))).toMatchObject({ tokensToRead: 9200, partsFromStores: 0, transfers: [], fetchMs: 0 })
+    })
+
+    it('does not keep the parts of another from being fetched', () => {
+      expect(plan([other, fast], busyWith(20, fast))).toMatchObject({ tokensToRead: 6700, partsFromStores: 1 })
+    })
+
+    it('puts the price of reading again on what it holds', () => {
+      expect(plan([fast, fast], busyWith(20, fast)).againMs).toBeGreaterThan(100)
+    })
+  })
+})
--- a/packages/routing/src/lib/endpoints/sample.test.ts
+++ b/packages/routing/src/lib/endpoints/sample.test.ts
@@ -2,8 +2,10 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { PromptMemory } from '../prompts/PromptMemory.js'
 import { StoreLinks } from '../stores/StoreLinks.js'
-import { chooseEndpoint, type PromptAsk } from './chooseEndpoint.js'
+import { chooseEndpoint } from './chooseEndpoint.js'
+import type { PromptAsk } from './endpointAsk.js'
 import { EndpointState } from './EndpointState.js'
+import { EngineModel } from './EngineModel.js'
 import { sample } from './sample.js'
 
 /** Repeatable numbers in [0, 1). */
@@ -46,8 +48,10 @@
     return {
       description: { model: 'm', promptTokens: 12_000, outputTokens: 60, parts: [{ id: `session-${request}`, tokens: 9000 }, { id: `own-${request}`, tokens: 3000 }] },
       desiredVersion: 1,
+      leftToObjectiveMs: 600,
       leftMsOn: () => Number.POSITIVE_INFINITY,
       requiredVersion: undefined,
+      engine: new EngineModel(),
       memoryTokens: 102_801,
       scope: version => `v${version}`,
       stored: () => ({ fetches: [], saves: [], storedTokens: 9000 }),
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -7,6 +7,7 @@
  * come when the queue is over. Reports and answers grow with the number of
  * hosts, not with its square; the adding up does not grow with reports at all.
  */
+import { addLinks, IDLE_LINK, type LinkWork } from './linkWork.js'
 import type { EndpointWork, LoadReport } from './loadReport.js'
 
 /** Silence after which a host's work is taken to have ended with it, in milliseconds: five to twenty reports. */
@@ -23,6 +24,7 @@
 /** Work of all hosts at one time. */
 export interface Totals {
   readonly work: readonly EndpointWork[]
+  readonly links: readonly LinkWork[]
   /** The newest report of each host that is in it. */
   readonly sequences: ReadonlyMap<string, number>
 }
@@ -30,7 +32,7 @@
 /** Latest report of each host. */
 export class LoadBoard {
   readonly #hosts = new Map<string, HostEntry>()
-  #totals: Totals = { work: [], sequences: new Map() }
+  #totals: Totals = { work: [], links: [], sequences: new Map() }
   #addedAt = Number.NEGATIVE_INFINITY
 
   /**
@@ -57,6 +59,7 @@
 
   #addUp (now: number): Totals {
     const work = new Map<string, EndpointWork>()
+    const links = new Map<string, LinkWork>()
     const sequences = new Map<string, number>()
     for (const [host, { report, heardAt }] of this.#hosts) {
       if (now - heardAt > FORGET_MS) {
@@ -65,8 +68,9 @@
       }
       sequences.set(host, report.sequence)
       for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), entry))
+      for (const entry of report.links) links.set(entry.link, { link: entry.link, ...addLinks(links.get(entry.link) ?? IDLE_LINK, entry) })
     }
-    return { work: [...work.values()], sequences }
+    return { work: [...work.values()], links: [...links.values()], sequences }
   }
 }
 
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -1,13 +1,18 @@
-/** Work of the other entry hosts at each endpoint, as last heard. */
-import { NO_WORK, type EndpointWork, type WorkFigures } from './loadReport.js'
+/** Work of the other entry hosts at each endpoint and on each link, as last heard. */
+import { IDLE_LINK, type LinkFigures, type LinkWork } from './linkWork.js'
+import { NO_WORK, type EndpointWork, type LoadReport, type LoadTotals, type WorkFigures } from './loadReport.js'
 
 /** Age after which it says nothing any more, in milliseconds: a few lost datagrams. */
 const LIFETIME_MS = 400
 
+/** Work of one host or of all. */
+export type HostWork = Pick<LoadReport, 'work' | 'links'>
+
 /** What this host reported under one sequence number, to be taken off the totals that answer it. */
 interface OwnReport {
   readonly sequence: number
   readonly work: ReadonlyMap<string, EndpointWork>
+  readonly links: ReadonlyMap<string, LinkWork>
 }
 
 /** Reports kept until they are answered. */
@@ -17,6 +22,7 @@
 export class OthersWork {
   #reports: OwnReport[] = []
   #others = new Map<string, WorkFigures>()
+  #links = new Map<string, LinkFigures>()
   #heardAt = Number.NEGATIVE_INFINITY
   #answered = -1
 
@@ -24,26 +30,30 @@
    * Notes a report that is about to be sent.
    *
    * @param sequence - its number
-   * @param work - this host's own work
+   * @param own - this host's own work
    */
-  sent (sequence: number, work: readonly EndpointWork[]): void {
-    this.#reports.push({ sequence, work: new Map(work.map(entry => [entry.endpoint, entry])) })
+  sent (sequence: number, { work, links }: HostWork): void {
+    this.#reports.push({
+      sequence,
+      work: new Map(work.map(entry => [entry.endpoint, entry])),
+      links: new Map(links.map(entry => [entry.link, entry]))
+    })
     if (this.#reports.length > KEPT_REPORTS) this.#reports.shift()
   }
 
   /**
    * Takes the totals that answer a report.
    *
-   * @param sequence - number of the report
-   * @param totals - work of all hosts, this one included
+   * @param totals - work of all hosts, this one included, with the number of the report
    * @param now - monotonic milliseconds
    */
-  answered (sequence: number, totals: readonly EndpointWork[], now: number): void {
+  answered ({ sequence, work, links }: LoadTotals, now: number): void {
     const own = this.#reports.find(report => report.sequence === sequence)
     if (own === undefined || sequence < this.#answered) return
     this.#answered = sequence
     this.#heardAt = now
-    this.#others = new Map(totals.map(total => [total.endpoint, subtract(total, own.work.get(total.endpoint))]))
+    this.#others = new Map(work.map(total => [total.endpoint, subtract(total, own.work.get(total.endpoint))]))
+    this.#links = new Map(links.map(total => [total.link, subtractLink(total, own.links.get(total.link))]))
   }
 
   /**
@@ -61,6 +71,9 @@
   at (endpoint: string): WorkFigures {
     return this.#others.get(endpoint) ?? NO_WORK
   }
+
+  /** What all other hosts have on links, by the links' names. */
+  get links (): ReadonlyMap<string, LinkFigures> { return this.#links }
 }
 
 function subtract (total: EndpointWork, own: EndpointWork | undefined): WorkFigures {
@@ -76,3 +89,12 @@
     failures: Math.max(0, total.failures - (own?.failures ?? 0))
   }
 }
+
+function subtractLink (total: LinkFigures, own: LinkFigures = IDLE_LINK): LinkFigures {
+  return {
+    pendingBytes: Math.max(0, total.pendingBytes - own.pendingBytes),
+    samples: Math.max(0, total.samples - own.samples),
+    slower: Math.max(0, total.slower - own.slower),
+    faster: Math.max(0, total.faster - own.faster)
+  }
+}
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -1,14 +1,15 @@
 /**
  * Bytes of load reports and of the totals that answer them.
  *
- * Names of endpoints, then whole numbers of two bytes: these datagrams go to every
- * host many times a second, and reading 98 endpoints as ordinary messages took 0.5 ms
- * where this takes hundredths. The totals are the same for all hosts and are encoded
- * once; only the sequence in front differs.
+ * Names, then whole numbers of two bytes: these datagrams go to every host many times a
+ * second, and reading 98 endpoints as ordinary messages took 0.5 ms where this takes
+ * hundredths. The totals are the same for all hosts and are encoded once; only the
+ * sequence in front differs.
  */
 import { decode, encode } from '@msgpack/msgpack'
 import { z } from 'zod'
-import type { EndpointWork, LoadReport, LoadTotals } from './loadReport.js'
+import type { LinkFigures, LinkWork } from './linkWork.js'
+import type { EndpointWork, LoadReport, LoadTotals, WorkFigures } from './loadReport.js'
 
 /** Bytes of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
@@ -22,19 +23,30 @@
 /** Tokens are counted in blocks of an engine's memory. */
 const BLOCK_TOKENS = 16
 
-/** Between the names of endpoints. */
+/** Bytes under way on a link are counted in these: the most that can be written are 275 GB, a minute of a fast link. */
+const LINK_BLOCK_BYTES = 2 ** 22
+
+/** Steps in which samples of a link and their doublings are counted. */
+const SAMPLE_STEP = 1 / 64
+
+/** Between names. */
 const SEPARATOR = ','
 
-/** Figures of an endpoint in their order on the wire, with the unit of each. */
-const FIGURES = [
+/** Figures of a row in their order on the wire, with the unit of each. */
+type Figures<Row> = ReadonlyArray<readonly [name: keyof Row, unit: number]>
+
+const ENDPOINT_FIGURES: Figures<WorkFigures> = [
   ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['heardAgoMs', 1], ['waitedMs', 1],
   ['avoiders', 1], ['outcomes', 1], ['failures', 1]
-] as const
+]
 
-const ROW_BYTES = FIGURES.length * FIGURE_BYTES
+const LINK_FIGURES: Figures<LinkFigures> = [
+  ['pendingBytes', LINK_BLOCK_BYTES], ['samples', SAMPLE_STEP], ['slower', SAMPLE_STEP], ['faster', SAMPLE_STEP]
+]
 
 const tableSchema = z.tuple([z.string(), z.instanceof(Uint8Array)])
-const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema])
+const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema, tableSchema])
+const totalsSchema = z.tuple([tableSchema, tableSchema])
 
 type Table = z.infer<typeof tableSchema>
 
@@ -42,8 +54,8 @@
  * @param report - of one host
  * @returns its bytes
  */
-export function encodeLoadReport ({ host, sequence, work }: LoadReport): Uint8Array {
-  return encode([host, sequence, toTable(work)])
+export function encodeLoadReport ({ host, sequence, work, links }: LoadReport): Uint8Array {
+  return encode([host, sequence, toEndpointTable(work), toLinkTable(links)])
 }
 
 /**
@@ -52,16 +64,16 @@
  * @throws if the bytes are no report
  */
 export function decodeLoadReport (bytes: Uint8Array): LoadReport {
-  const [host, sequence, table] = reportSchema.parse(decode(bytes))
-  return { host, sequence, work: toWork(table) }
+  const [host, sequence, work, links] = reportSchema.parse(decode(bytes))
+  return { host, sequence, work: toEndpointWork(work), links: toLinkWork(links) }
 }
 
 /**
- * @param work - of all hosts
+ * @param totals - of all hosts
  * @returns bytes to follow a sequence, see {@link frameLoadTotals}
  */
-export function encodeLoadTotals (work: readonly EndpointWork[]): Uint8Array {
-  return encode(toTable(work))
+export function encodeLoadTotals ({ work, links }: Omit<LoadTotals, 'sequence'>): Uint8Array {
+  return encode([toEndpointTable(work), toLinkTable(links)])
 }
 
 /**
@@ -82,42 +94,66 @@
  * @throws if the bytes are no answer
  */
 export function decodeLoadTotals (bytes: Buffer): LoadTotals {
-  const table = tableSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
-  return { sequence: bytes.readUInt32BE(0), work: toWork(table) }
+  const [work, links] = totalsSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
+  return { sequence: bytes.readUInt32BE(0), work: toEndpointWork(work), links: toLinkWork(links) }
+}
+
+function toEndpointTable (work: readonly EndpointWork[]): Table {
+  return toTable(work.map(entry => entry.endpoint), work, ENDPOINT_FIGURES)
 }
 
-function toTable (work: readonly EndpointWork[]): Table {
-  const bytes = Buffer.allocUnsafe(work.length * ROW_BYTES)
+function toLinkTable (links: readonly LinkWork[]): Table {
+  return toTable(links.map(entry => entry.link), links, LINK_FIGURES)
+}
+
+function toTable<Row extends { readonly [Name in keyof Row]: unknown }> (names: readonly string[], rows: readonly Row[], figures: Figures<Row>): Table {
+  const bytes = Buffer.allocUnsafe(rows.length * figures.length * FIGURE_BYTES)
   let at = 0
-  for (const entry of work) {
-    for (const [figure, unit] of FIGURES) {
-      bytes.writeUInt16BE(Math.min(LARGEST_FIGURE, Math.round(entry[figure] / unit)), at)
+  for (const row of rows) {
+    for (const [figure, unit] of figures) {
+      bytes.writeUInt16BE(Math.min(LARGEST_FIGURE, Math.round(Number(row[figure]) / unit)), at)
       at += FIGURE_BYTES
     }
   }
-  return [work.map(entry => entry.endpoint).join(SEPARATOR), bytes]
-}
-
-function toWork ([names, figures]: Table): EndpointWork[] {
-  const endpoints = names === '' ? [] : names.split(SEPARATOR)
-  if (figures.length !== endpoints.length * ROW_BYTES) {
-    throw new RangeError(`${endpoints.length} endpoints have ${figures.length} bytes of figures`)
-  }
-  const view = new DataView(figures.buffer, figures.byteOffset, figures.length)
-  return endpoints.map((endpoint, row) => readRow(endpoint, view, row * ROW_BYTES))
+  return [names.join(SEPARATOR), bytes]
 }
 
-function readRow (endpoint: string, view: DataView, start: number): EndpointWork {
-  const figure = (column: number): number => view.getUint16(start + column * FIGURE_BYTES) * (FIGURES[column]?.[1] ?? 1)
-  return {
-    endpoint,
+function toEndpointWork (table: Table): EndpointWork[] {
+  return readRows(table, ENDPOINT_FIGURES.length).map(({ name, figure }) => ({
+    endpoint: name,
     inFlight: figure(0),
-    pendingTokens: figure(1),
-    heldTokens: figure(2),
+    pendingTokens: figure(1) * BLOCK_TOKENS,
+    heldTokens: figure(2) * BLOCK_TOKENS,
     heardAgoMs: figure(3),
     waitedMs: figure(4),
     avoiders: figure(5),
     outcomes: figure(6),
     failures: figure(7)
+  }))
+}
+
+function toLinkWork (table: Table): LinkWork[] {
+  return readRows(table, LINK_FIGURES.length).map(({ name, figure }) => ({
+    link: name,
+    pendingBytes: figure(0) * LINK_BLOCK_BYTES,
+    samples: figure(1) * SAMPLE_STEP,
+    slower: figure(2) * SAMPLE_STEP,
+    faster: figure(3) * SAMPLE_STEP
+  }))
+}
+
+interface TableRow {
+  readonly name: string
+  /** @returns the whole number in a column */
+  figure (column: number): number
+}
+
+function readRows ([names, figures]: Table, columns: number): TableRow[] {
+  const rowNames = names === '' ? [] : names.split(SEPARATOR)
+  const rowBytes = columns * FIGURE_BYTES
+  if (figures.length !== rowNames.length * rowBytes) {
+    throw new RangeError(`${rowNames.length} endpoints or links have ${figures.length} bytes of figures`)
   }
+  const view = new DataView(figures.buffer, figures.byteOffset, figures.length)
+  return rowNames.map((name, row) => ({ name, figure: column => view.getUint16(row * rowBytes + column * FIGURE_BYTES) }))
 }
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,4 +1,5 @@
 /** What entry hosts tell of the work that they have under way at endpoints. */
+import type { LinkWork } from './linkWork.js'
 
 /** Work of one or all hosts at one endpoint, and what they have seen of it. */
 export interface EndpointWork extends EndpointSight {
@@ -43,6 +44,7 @@
   /** Rises with each report. */
   readonly sequence: number
   readonly work: readonly EndpointWork[]
+  readonly links: readonly LinkWork[]
 }
 
 /** Work of all hosts, as it is answered to one of them. */
@@ -50,4 +52,5 @@
   /** The report of the asking host that the work includes. */
   readonly sequence: number
   readonly work: readonly EndpointWork[]
+  readonly links: readonly LinkWork[]
 }
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -18,6 +18,8 @@
     waitMs: z.number(),
     fetchMs: z.number(),
     tokensToRead: z.number(),
+    partsFromStores: z.number().optional(),
+    linkDoublings: z.number().optional(),
     version: z.number(),
     firstEventMs: z.number(),
     promptTokens: z.number(),
