What waited for the site is let go step by step, newest first

Load: all hosts stop, callers come back within a second, and every host learns the site at the same moment. Ruled out: the election (0.3 s after a quorum was up) and the port (open 0.1 s after power). Change: the newest tenth at once, then a tenth every 50 ms, in which hosts hear of each other's sends.

--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -126,7 +126,8 @@
 
   /** Lets requests go that waited for what this host has learnt. */
   releaseWaiting (): void {
-    if (this.#mayServe() || this.ports.stop.isStopping) this.#startup.release()
+    if (this.ports.stop.isStopping) this.#startup.releaseAll()
+    else if (this.#mayServe()) this.#startup.release()
   }
 
   /** Whether a site is known. */
--- a/apps/entry/src/lib/routed/StartupQueue.ts
+++ b/apps/entry/src/lib/routed/StartupQueue.ts
@@ -6,6 +6,12 @@
  * again. A refusal would use up the few attempts that a caller has, although the
  * site is tenths of a second away. Only a host that has just started makes
  * requests wait; one that does not learn the site refuses them.
+ *
+ * All hosts learn the site at the same moment. Let go all at once, what waited would fill
+ * the engines' memory with requests that are late already, and those that arrive next
+ * would be late or refused for it (45 long requests in the four seconds after a return of 8
+ * hosts before 13 engines). So the newest go first, and the others step by step, at a pace at
+ * which hosts hear of each other's sends.
  */
 import type { CallerExchange } from './CallerExchange.js'
 
@@ -18,6 +24,12 @@
 /** Share of the caller's time that may be spent waiting, so that the rest is enough for an answer. */
 const WAITING_SHARE = 0.5
 
+/** Time between steps in which requests are let go, in milliseconds: hosts report their work so often. */
+const STEP_MS = 50
+
+/** Steps in which all are let go: late requests are worth little more for half a second less. */
+const STEPS = 10
+
 /** Most requests that wait; a few seconds of a busy host's arrivals. */
 const MOST_WAITING = 1000
 
@@ -29,6 +41,7 @@
 /** Holds requests until they are released or their time is up. */
 export class StartupQueue {
   readonly #waiting = new Set<Waiting>()
+  #release: NodeJS.Timeout | undefined
 
   /** @param startedAt - monotonic milliseconds at which the process began */
   constructor (private readonly startedAt = 0) {}
@@ -53,11 +66,26 @@
     return true
   }
 
-  /** Lets all go that wait, in the order in which they came. */
+  /** Begins to let requests go, the newest first: those can still be on time. */
   release (): void {
+    if (this.#release !== undefined) return
+    this.#step(Math.ceil(this.#waiting.size / STEPS))
+  }
+
+  /** Lets all go that wait. */
+  releaseAll (): void {
+    clearTimeout(this.#release)
+    this.#release = undefined
     for (const waiting of [...this.#waiting]) this.#let(waiting)
   }
 
+  #step (count: number): void {
+    this.#release = undefined
+    if (this.#waiting.size === 0) return
+    for (const waiting of [...this.#waiting].reverse().slice(0, count)) this.#let(waiting)
+    this.#release = setTimeout(() => { this.#step(count) }, STEP_MS)
+  }
+
   #let (waiting: Waiting): void {
     if (this.#forget(waiting)) waiting.go()
   }
