Mechanisms of routing can be left out, to measure what each is worth

--leave-out names them; the composition root puts a mechanism that does nothing in place of each, and no decision asks whether it is there. Bounds of admission are one object for it. Bad names are refused with the setting's name (test).

--- a/apps/entry/src/lib/RoutedDaemon.test.ts
+++ b/apps/entry/src/lib/RoutedDaemon.test.ts
@@ -11,7 +11,7 @@
   })
 
   it.each([
-    ['retryRatio', '1.5'], ['retrySlack', '-1'], ['retrySlack', 'many'], ['staleView', 'sometimes'], ['control', 'host:1'], ['keptStories', '0']
+    ['retryRatio', '1.5'], ['retrySlack', '-1'], ['retrySlack', 'many'], ['staleView', 'sometimes'], ['control', 'host:1'], ['keptStories', '0'], ['leaveOut', 'homes,luck']
   ])('refuse %s = %s and name it', (name, value) => {
     const parsed = schema.safeParse({ ...GIVEN, [name]: value })
     expect(parsed.success ? '' : parsed.error.issues[0]?.path[0]).toBe(name)
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -3,7 +3,8 @@
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
+import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
+import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { OlderWeights } from '@eelgrassmux/routing/prompts/OlderWeights'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
@@ -25,6 +26,7 @@
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
   stopGraceSeconds: stopGraceSetting,
   weightsBoundMs: boundSetting.describe('time after weights were named from which no request may begin on older ones, in milliseconds; without bound if empty'),
+  leaveOut: listSetting(mechanismSchema).describe('mechanisms to do without, separated by commas, to measure what they are worth; none in service'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
@@ -70,7 +72,8 @@
     freshnessMs: settings.freshnessMs,
     watchesEndpoints: true
   }, rpc)
-  const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry)
+  const mechanisms = composeMechanisms(new Set(settings.leaveOut))
+  const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry, mechanisms)
   const stored = link.followStores({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
@@ -94,10 +97,10 @@
     desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
     mayAct,
     // Parts that nobody vouches for may have been freed meanwhile.
-    storesUsable: now => stored.isVouched(now),
+    storesUsable: now => mechanisms.usesStores && stored.isVouched(now),
     storeClockMs: now => stored.storeClockMs(now),
     isLagging: () => loads.lagMs > LAGGING_MS
-  })
+  }, mechanisms.waitsForSite ? 0 : Number.NEGATIVE_INFINITY)
   const port = await server.listen(settings.host, settings.port, platform.early)
   const isReady = (): boolean => !stop.isStopping && server.isConfigured && fleet.isKnown && mayAct()
   const edges = await platform.openEdges(isReady)
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,14 +1,15 @@
 /** Endpoints of routed requests: what is known of each, and this host's connections to it. */
 import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
-import { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
+import type { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
-import { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
+import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { EjectionWatch, type EjectionChange } from '@eelgrassmux/routing/endpoints/EjectionWatch'
-import { OthersWork, type HostWork } from '@eelgrassmux/routing/load/OthersWork'
+import type { HostWork, OthersWork } from '@eelgrassmux/routing/load/OthersWork'
+import { composeMechanisms, type RoutingMechanisms } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
-import { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
+import type { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -28,9 +29,9 @@
 
 /** Follows the list, chooses endpoints and keeps connections to them. */
 export class RoutedFleet {
-  readonly #pool = new EndpointPool()
+  readonly #pool: EndpointPool
   readonly memory = new PromptMemory()
-  readonly others = new OthersWork()
+  readonly others: OthersWork
   readonly storedParts = new StoredPartsIndex()
   readonly storeLinks: StoreLinks
   readonly #connections = new Map<string, EndpointConnections>()
@@ -43,9 +44,17 @@
    * @param dataCentre - where this host stands
    * @param liveHosts - entry hosts that may be alive, as of now
    * @param telemetry - log and metrics
+   * @param mechanisms - that decide where requests go
    */
-  constructor (private readonly dataCentre: string, private readonly liveHosts: () => number, private readonly telemetry: Telemetry) {
-    this.storeLinks = new StoreLinks(liveHosts)
+  constructor (
+    private readonly dataCentre: string,
+    private readonly liveHosts: () => number,
+    private readonly telemetry: Telemetry,
+    readonly mechanisms: RoutingMechanisms = composeMechanisms()
+  ) {
+    this.#pool = new EndpointPool(mechanisms.slowness)
+    this.others = mechanisms.others
+    this.storeLinks = mechanisms.storeLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
@@ -63,7 +72,7 @@
   routeSlowness (route: string): Slowness {
     const present = this.#routes.get(route)
     if (present !== undefined) return present
-    const fresh = new Slowness()
+    const fresh = this.mechanisms.slowness()
     this.#routes.set(route, fresh)
     return fresh
   }
@@ -75,7 +84,7 @@
   engineModel (service: string): EngineModel {
     const present = this.#engines.get(service)
     if (present !== undefined) return present
-    const fresh = new EngineModel()
+    const fresh = this.mechanisms.engineModel()
     this.#engines.set(service, fresh)
     return fresh
   }
@@ -136,7 +145,7 @@
     const now = performance.now()
     const others = this.others.isRecent(now) ? this.others : undefined
     const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.incarnation)?.hasIdle === true
-    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection }, this.memory, now, Math.random())
+    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection, homeEndpoint: this.mechanisms.homeEndpoint }, this.memory, now, Math.random())
   }
 
   /** @returns this host's work at each endpoint that has any, or of which there is something to tell, and on links */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -7,7 +7,6 @@
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
-import { engineRank } from '@eelgrassmux/routing/prompts/engineRank'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
@@ -135,7 +134,7 @@
         remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
         customer: this.request.customer?.name,
         lastEventId: this.#relay.lastEventId,
-        priority: choice.version === undefined ? undefined : engineRank(this.request.customer?.priority, this.request.route.priority, admission.isExpectedLate),
+        priority: choice.version === undefined ? undefined : this.ports.fleet.mechanisms.engineRank(this.request.customer?.priority, this.request.route.priority, admission.isExpectedLate),
         version: choice.version,
         cacheSalt: choice.version === undefined ? undefined : this.#prompt?.scope(choice.version),
         stores: choice.version === undefined ? undefined : this.#prompt?.transfers(choice, choice.version, this.#deadline)
@@ -175,7 +174,7 @@
       memoryShare: choice.memoryShare,
       tokensToRead: choice.reading.tokensToRead,
       tokensAhead: choice.load.tokensAhead
-    })
+    }, this.ports.fleet.mechanisms.admission)
     if (admission.kind === 'send') return admission
     if (admission.kind === 'wait') {
       this.#waitForRoom(choice)
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -18,6 +18,16 @@
   return addresses
 })
 
+/**
+ * Names separated by commas; none if nothing is given.
+ *
+ * @param nameSchema - one name
+ */
+export function listSetting<Name> (nameSchema: z.ZodType<Name, string>): z.ZodType<Name[], unknown> {
+  const split = z.string().transform(text => text.split(',').map(part => part.trim()).filter(part => part !== ''))
+  return split.pipe(z.array(nameSchema)).default([])
+}
+
 /** A whole number within bounds. */
 export function integerSetting (least: number, most: number): z.ZodType<number, unknown> {
   return z.coerce.number().int().min(least).max(most)
--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -8,8 +8,8 @@
  * - late but still awaited: sent behind everything that can be on time;
  * - later than any caller waits: refused at once, with the time to come back.
  *
- * Large requests wait for memory here and not in an engine (see {@link MEMORY_LIMIT}),
- * and long ones for their turn to be read (see {@link READ_AHEAD}).
+ * Large requests wait for memory here and not in an engine (see {@link AdmissionLimits}),
+ * and long ones for their turn to be read (likewise).
  */
 import type { Route } from '@eelgrassmux/schema/site/siteSchema'
 
@@ -60,35 +60,39 @@
  */
 const LARGE_SHARE = 0.05
 
-/**
- * Share of an engine's memory up to which large requests are sent. Beyond it the
- * engine puts one off to make room and reads its whole prompt again later; that
- * reading slows all others, which then hold their memory longer. Kept below, the
- * same load runs through.
- */
-const MEMORY_LIMIT = 0.85
-
 /** A request of which more tokens have to be read waits until its engine has read most of what is ahead; in tokens. */
 const LONG_READ = 1500
 
-/**
- * Tokens that an engine may have ahead of it when a long request is sent there: one
- * long prompt, some 150 ms. Engines read in the order in which requests began, so
- * what is ahead is what an urgent short request will have to wait for.
- */
-const READ_AHEAD = 12_000
-
 /** Share of the objective within which a long request may wait for that. */
 const READ_WAIT_SHARE = 0.8
 
-/**
- * Tokens that an engine may have ahead of it, and share of its memory that may be in
- * use, when a long request is sent there that will be late anyway: what it would
- * delay can still be on time. After all hosts have restarted, a second's worth of
- * such requests arrives at once (lscsa trouble-1: 196 of the next 314 were late).
- */
-const LATE_READ_AHEAD = 3000
-const LATE_MEMORY_LIMIT = 0.6
+/** Bounds of what is sent. */
+export interface AdmissionLimits {
+  /**
+   * Share of an engine's memory up to which large requests are sent. Beyond it the
+   * engine puts one off to make room and reads its whole prompt again later; that
+   * reading slows all others, which then hold their memory longer. Kept below, the
+   * same load runs through.
+   */
+  readonly memoryShare: number
+  /**
+   * Tokens that an engine may have ahead of it when a long request is sent there.
+   * Engines read in the order in which requests began, so what is ahead is what an
+   * urgent short request will have to wait for.
+   */
+  readonly tokensAhead: number
+  /**
+   * Tokens that an engine may have ahead of it, and share of its memory that may be in
+   * use, when a long request is sent there that will be late anyway: what it would
+   * delay can still be on time. After all hosts have restarted, a second's worth of
+   * such requests arrives at once (lscsa trouble-1: 196 of the next 314 were late).
+   */
+  readonly lateTokensAhead: number
+  readonly lateMemoryShare: number
+}
+
+/** In service: one long prompt ahead, some 150 ms; grounds of the shares as in docs/PLATFORM.md. */
+export const ADMISSION_LIMITS: AdmissionLimits = { memoryShare: 0.85, tokensAhead: 12_000, lateTokensAhead: 3000, lateMemoryShare: 0.6 }
 
 /** Share of the time for which a caller still waits that a late request may give way to others. */
 const GIVE_WAY_SHARE = 0.6
@@ -96,29 +100,30 @@
 /**
  * @param route - route of the request
  * @param situation - what is known
+ * @param limits - bounds of what is sent
  */
-export function admitStream (route: Route, situation: StreamSituation): StreamAdmission {
+export function admitStream (route: Route, situation: StreamSituation, limits = ADMISSION_LIMITS): StreamAdmission {
   const { waitedMs, estimatedMs, remainingMs, ownMemoryShare, memoryShare } = situation
   const firstEventMs = waitedMs + estimatedMs
   const awaitedMs = Math.min(callerPatienceMs(route) - waitedMs, remainingMs)
   const isLate = firstEventMs > route.targetLatencyMs * DOUBT
-  const needsRoom = ownMemoryShare > LARGE_SHARE && memoryShare > MEMORY_LIMIT
+  const needsRoom = ownMemoryShare > LARGE_SHARE && memoryShare > limits.memoryShare
   // Alone on an engine it will never find more room than it has.
   const isAlone = memoryShare <= ownMemoryShare
   if (needsRoom && !isAlone) {
     return waitedMs < route.targetLatencyMs ? { kind: 'wait' } : { kind: 'refuse', cause: 'engine-memory', returnAfterMs: route.targetLatencyMs }
   }
-  const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > READ_AHEAD
+  const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > limits.tokensAhead
   if (isLongRead && firstEventMs < route.targetLatencyMs * READ_WAIT_SHARE) return { kind: 'wait' }
-  if (isLate && givesWay(situation, awaitedMs)) return { kind: 'wait' }
+  if (isLate && givesWay(situation, awaitedMs, limits)) return { kind: 'wait' }
   if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', cause: 'wait', returnAfterMs: estimatedMs - awaitedMs / 2 }
   return { kind: 'send', isExpectedLate: isLate }
 }
 
 /** A long request that is late waits while its engine has other work, as long as its caller will still be there. */
-function givesWay (situation: StreamSituation, awaitedMs: number): boolean {
+function givesWay (situation: StreamSituation, awaitedMs: number, limits: AdmissionLimits): boolean {
   const { waitedMs, estimatedMs, tokensToRead, tokensAhead, memoryShare, ownMemoryShare } = situation
   if (tokensToRead <= LONG_READ || memoryShare <= ownMemoryShare) return false
-  const isEngineBusy = tokensAhead > LATE_READ_AHEAD || memoryShare > LATE_MEMORY_LIMIT
+  const isEngineBusy = tokensAhead > limits.lateTokensAhead || memoryShare > limits.lateMemoryShare
   return isEngineBusy && waitedMs + estimatedMs * DOUBT < (waitedMs + awaitedMs) * GIVE_WAY_SHARE
 }
--- a/packages/routing/src/lib/endpoints/EndpointPool.ts
+++ b/packages/routing/src/lib/endpoints/EndpointPool.ts
@@ -2,6 +2,7 @@
 import { isLaterStart } from '@eelgrassmux/schema/site/isLaterStart'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { EndpointState } from './EndpointState.js'
+import { Slowness } from './Slowness.js'
 
 /**
  * Follows the platform's list; an endpoint that leaves the list gets no new work, and
@@ -12,6 +13,9 @@
   #byId = new Map<string, EndpointState>()
   #byService = new Map<string, EndpointState[]>()
 
+  /** @param makeSlowness - for each incarnation */
+  constructor (private readonly makeSlowness: () => Slowness = () => new Slowness()) {}
+
   /**
    * @param listed - the whole list; it may lag behind what is known of a start
    * @returns incarnations that are gone: not listed any more, or replaced by a later start
@@ -21,7 +25,7 @@
     this.#byId = new Map()
     for (const entry of listed) {
       const present = this.#byId.get(entry.id) ?? before.get(entry.id)
-      this.#byId.set(entry.id, advance(present, entry))
+      this.#byId.set(entry.id, this.#advance(present, entry))
     }
     this.#groupByService()
     return [...before.values()].filter(state => this.#byId.get(state.id) !== state)
@@ -41,6 +45,15 @@
   /** All endpoints. */
   get all (): readonly EndpointState[] { return [...this.#byId.values()] }
 
+  /** The incarnation that an entry tells of, or the known one if that is the later. */
+  #advance (present: EndpointState | undefined, entry: ListedEndpoint): EndpointState {
+    const known = present?.listed.startedAtMs
+    if (present === undefined || isLaterStart(entry.startedAtMs, known)) return new EndpointState(entry, this.makeSlowness())
+    const isFormer = entry.startedAtMs !== undefined && isLaterStart(known, entry.startedAtMs)
+    if (!isFormer) present.update(entry)
+    return present
+  }
+
   #groupByService (): void {
     this.#byService = new Map()
     for (const state of this.#byId.values()) {
@@ -49,12 +62,3 @@
     }
   }
 }
-
-/** The incarnation that an entry tells of, or the known one if that is the later. */
-function advance (present: EndpointState | undefined, entry: ListedEndpoint): EndpointState {
-  const known = present?.listed.startedAtMs
-  if (present === undefined || isLaterStart(entry.startedAtMs, known)) return new EndpointState(entry)
-  const isFormer = entry.startedAtMs !== undefined && isLaterStart(known, entry.startedAtMs)
-  if (!isFormer) present.update(entry)
-  return present
-}
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -29,7 +29,6 @@
 /** One incarnation of an endpoint. */
 export class EndpointState {
   readonly health = new EndpointHealth()
-  readonly slowness = new Slowness()
   #listed: ListedEndpoint
   #isLeaving: boolean
   #heardAt = 0
@@ -44,8 +43,11 @@
   #busyUntil = Number.NEGATIVE_INFINITY
   #latencyMs: number | undefined
 
-  /** @param listed - as first listed */
-  constructor (listed: ListedEndpoint) {
+  /**
+   * @param listed - as first listed
+   * @param slowness - how much slower it is than estimated
+   */
+  constructor (listed: ListedEndpoint, readonly slowness = new Slowness()) {
     this.#listed = listed
     this.#isLeaving = listed.isLeaving
     this.#learnVersions(listed)
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -34,7 +34,7 @@
 ): EndpointChoice | NoEndpointReason {
   const candidates = candidatesFor(endpoints, ask, now)
   if (typeof candidates === 'string') return candidates
-  const home = homeOf(candidates, ask.prompt)
+  const home = homeOf(candidates, ask)
   const holders = new Map<number, PromptHolders>()
   const looked = sample(candidates, random, ({ endpoint }) =>
     endpoint.id === home || (holdersFor(endpoint, ask.prompt, memory, holders, now)?.tokensAt(endpoint.incarnation) ?? 0) > 0)
@@ -57,9 +57,9 @@
   return version >= prompt.desiredVersion || estimatedMs < prompt.leftMsOn(version)
 }
 
-function homeOf (candidates: readonly Candidate[], prompt: PromptAsk | undefined): string | undefined {
+function homeOf (candidates: readonly Candidate[], { prompt, homeEndpoint: findHome = homeEndpoint }: EndpointAsk): string | undefined {
   const shared = prompt === undefined ? undefined : sharedPartOf(prompt.description)
-  return shared === undefined ? undefined : homeEndpoint(shared.id, candidates.map(({ endpoint }) => endpoint.id))
+  return shared === undefined ? undefined : findHome(shared.id, candidates.map(({ endpoint }) => endpoint.id))
 }
 
 /** Looked up once for each version of the weights, whatever the number of engines. */
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -17,6 +17,8 @@
   readonly others: OthersWork | undefined
   /** Whether this host has an idle connection to an endpoint; a new one costs the endpoint time. */
   hasConnection? (endpoint: EndpointState): boolean
+  /** Finds the endpoint that hosts agree on for a shared part; as by rendezvous hashing unless it is given. */
+  readonly homeEndpoint?: (part: string, endpoints: readonly string[]) => string | undefined
   readonly prompt?: PromptAsk
 }
 
--- /dev/null
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -0,0 +1,112 @@
+/**
+ * The mechanisms that decide where requests go, as one object that is put together at the
+ * start of a program.
+ *
+ * A mechanism is worth its code only while leaving it out costs something. Experiments name
+ * the ones to leave out, and each is then replaced by one that does nothing; no decision
+ * asks whether it is there.
+ */
+import { z } from 'zod'
+import { ADMISSION_LIMITS, type AdmissionLimits } from '../admission/admitStream.js'
+import { EngineModel } from '../endpoints/EngineModel.js'
+import { Slowness } from '../endpoints/Slowness.js'
+import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
+import { OthersWork } from '../load/OthersWork.js'
+import { engineRank } from '../prompts/engineRank.js'
+import { homeEndpoint } from '../prompts/homeEndpoint.js'
+import { StoreLinks } from '../stores/StoreLinks.js'
+
+/** Mechanisms that can be left out. */
+export const mechanismSchema = z.enum([
+  /** Agreed homes of shared parts. */
+  'homes',
+  /** Fetches from stores. */
+  'store-fetches',
+  /** Learning how fast stores' links are, and counting the transfers of all hosts. */
+  'link-speeds',
+  /** Learning what engines take. */
+  'engine-times',
+  /** Learning which engines and routes are slower than estimated. */
+  'slowness',
+  /** Counting the work of other hosts. */
+  'others-work',
+  /** Keeping away from endpoints that other hosts find silent, out of reach or failing. */
+  'shared-sight',
+  /** Holding large requests back while no engine has memory. */
+  'memory-limit',
+  /** Holding long reads back while their engine reads others. */
+  'read-ahead',
+  /** Late long requests giving way to others. */
+  'giving-way',
+  /** Ranks at engines. */
+  'ranks',
+  /** Requests waiting for the site at a host that has just started. */
+  'startup-queue'
+])
+
+/** A mechanism that can be left out. */
+export type Mechanism = z.infer<typeof mechanismSchema>
+
+/** What differs when mechanisms are left out. */
+export interface RoutingMechanisms {
+  readonly homeEndpoint: typeof homeEndpoint | (() => undefined)
+  readonly engineRank: typeof engineRank
+  readonly admission: AdmissionLimits
+  readonly usesStores: boolean
+  readonly waitsForSite: boolean
+  readonly others: OthersWork
+  engineModel (): EngineModel
+  slowness (): Slowness
+  storeLinks (liveHosts: () => number): StoreLinks
+}
+
+/**
+ * @param leftOut - mechanisms that do nothing; none in service
+ */
+export function composeMechanisms (leftOut: ReadonlySet<Mechanism> = new Set()): RoutingMechanisms {
+  const has = (mechanism: Mechanism): boolean => !leftOut.has(mechanism)
+  return {
+    homeEndpoint: has('homes') ? homeEndpoint : () => undefined,
+    engineRank: has('ranks') ? engineRank : () => 0,
+    admission: {
+      ...ADMISSION_LIMITS,
+      ...(has('memory-limit') ? {} : { memoryShare: Number.POSITIVE_INFINITY }),
+      ...(has('read-ahead') ? {} : { tokensAhead: Number.POSITIVE_INFINITY }),
+      ...(has('giving-way') ? {} : { lateTokensAhead: Number.POSITIVE_INFINITY, lateMemoryShare: Number.POSITIVE_INFINITY })
+    },
+    usesStores: has('store-fetches'),
+    waitsForSite: has('startup-queue'),
+    others: new PartOfOthersWork(has('others-work'), has('shared-sight')),
+    engineModel: () => has('engine-times') ? new EngineModel() : new AssumedEngineModel(),
+    slowness: () => has('slowness') ? new Slowness() : new EvenSlowness(),
+    storeLinks: liveHosts => has('link-speeds') ? new StoreLinks(liveHosts) : new StatedStoreLinks(liveHosts)
+  }
+}
+
+/** Engines that take what is assumed of them. */
+class AssumedEngineModel extends EngineModel {
+  override observe (): void {}
+}
+
+/** Endpoints that are all as fast as estimated. */
+class EvenSlowness extends Slowness {
+  override observe (): void {}
+}
+
+/** Links that are as fast as the site states, with this host's transfers only. */
+class StatedStoreLinks extends StoreLinks {
+  override observe (): void {}
+  override heard (): void {}
+}
+
+/** What other hosts tell, without their work or without what they see. */
+class PartOfOthersWork extends OthersWork {
+  constructor (private readonly hasWork: boolean, private readonly hasSight: boolean) {
+    super()
+  }
+
+  override at (endpoint: string): WorkFigures {
+    const { inFlight, pendingTokens, heldTokens, ...sight } = super.at(endpoint)
+    return { ...NO_WORK, ...(this.hasWork ? { inFlight, pendingTokens, heldTokens } : {}), ...(this.hasSight ? sight : {}) }
+  }
+}
