--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -9,7 +9,7 @@
 import type { HostWork, OthersWork } from '@eelgrassmux/routing/load/OthersWork'
 import { composeMechanisms, type RoutingMechanisms } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { PromptMemory } from '@eelgrassmux/routing/prompts/PromptMemory'
-import type { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
+import type { LinkChange, StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -21,6 +21,9 @@
 /** Fewest connections of a host to an endpoint, however many hosts share its bound. */
 const LEAST_CONNECTIONS = 2
 
+/** In seconds: a tenth to several times of what first events take. */
+const ESTIMATE_ERROR_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6]
+
 /** Outcomes of late that are worth telling other hosts. */
 const LEAST_TOLD_OUTCOMES = 0.5
 
@@ -39,6 +42,7 @@
   readonly #engines = new Map<string, EngineModel>()
   readonly #opened: LabelledCounter
   readonly #ejections = new EjectionWatch()
+  readonly #estimateError: (milliseconds: number) => void
 
   /**
    * @param dataCentre - where this host stands
@@ -56,6 +60,7 @@
     this.others = mechanisms.others
     this.storeLinks = mechanisms.storeLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
+    this.#estimateError = telemetry.durationHistogram('first_event_error_seconds', 'By how much first events came before or after their estimate', ESTIMATE_ERROR_BUCKETS)
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
     telemetry.gauge('endpoints_ejected', 'Endpoints without new work because of what all hosts have seen', () => this.#ejections.size)
@@ -89,6 +94,16 @@
     return fresh
   }
 
+  /**
+   * Counts how far an estimate was off.
+   *
+   * @param estimatedMs - when the endpoint was chosen
+   * @param actualMs - until the first event
+   */
+  noteEstimate (estimatedMs: number, actualMs: number): void {
+    this.#estimateError(Math.abs(actualMs - estimatedMs))
+  }
+
   /** Whether the work of other hosts is known, so that estimates may decide about refusals. */
   get knowsLoad (): boolean { return this.others.isRecent(performance.now()) }
   /** Whether any endpoint is known. */
@@ -106,12 +121,18 @@
   /** Notes what other hosts have told since the last time; call when it was heard. */
   noteSight (): void {
     const now = performance.now()
-    this.storeLinks.heard(this.others.links, now)
+    for (const change of this.storeLinks.heard(this.others.links, now)) this.#logLink(change)
     for (const service of this.#pool.services) {
       for (const change of this.#ejections.look(this.#pool.ofService(service), this.others, now)) this.#logEjection(change)
     }
   }
 
+  #logLink ({ link, isSlow, slowerBy, samples }: LinkChange): void {
+    this.telemetry.stateChanged(isSlow ? 'store-link-slow' : 'store-link-sound', {
+      link, slowerBy: Number(slowerBy.toFixed(2)), samples: Number(samples.toFixed(1))
+    })
+  }
+
   #logEjection ({ endpoint, reason, others, failureShare, meanShare }: EjectionChange): void {
     const { inFlight, heardAgoMs, waitedMs, avoiders } = others
     this.telemetry.stateChanged(reason === undefined ? 'endpoint-readmitted' : 'endpoint-ejected', {
--- a/apps/entry/src/lib/routed/learnFromFirstEvent.ts
+++ b/apps/entry/src/lib/routed/learnFromFirstEvent.ts
@@ -19,18 +19,19 @@
   const now = performance.now()
   const actualMs = now - startedAt
   const { endpoint, reading, workMs, estimatedMs, memoryWaitMs } = choice
-  learnOfLink(fleet, route.name, choice, actualMs, now)
+  fleet.noteEstimate(estimatedMs, actualMs)
+  learnOfLink(fleet, choice, actualMs, now)
   if (reading.fetchMs > workMs * FETCHING_SHARE) return
   if (fleet.knowsLoad) fleet.engineModel(service.name).observe(choice.load, actualMs - reading.fetchMs - memoryWaitMs)
   endpoint.slowness.observe(actualMs, workMs, now)
   fleet.routeSlowness(route.name).observe(actualMs, estimatedMs, now)
 }
 
-/** What requests without a fetch have shown of the engine and of the route is not the link's fault. */
-function learnOfLink (fleet: RoutedFleet, route: string, { endpoint, reading, workMs }: EndpointChoice, actualMs: number, now: number): void {
+/** What requests without a fetch have shown of the engine is not the link's fault. */
+function learnOfLink (fleet: RoutedFleet, { endpoint, reading, workMs }: EndpointChoice, actualMs: number, now: number): void {
   const { slowest, fetchMs } = reading
   if (slowest === undefined) return
   const { transfer: { store, dataCentre }, doublings } = slowest
-  const otherMs = (workMs - fetchMs) * endpoint.slowness.factor(now) * fleet.routeSlowness(route).factor(now)
+  const otherMs = (workMs - fetchMs) * endpoint.slowness.factor(now)
   fleet.storeLinks.observe(store, dataCentre, { fetchMs, otherMs, doublings }, actualMs, now)
 }
--- a/packages/routing/src/lib/endpoints/planReading.ts
+++ b/packages/routing/src/lib/endpoints/planReading.ts
@@ -44,9 +44,26 @@
  */
 const READ_AGAIN_MS_PER_TOKEN = 0.05
 
-/** What a first event after its objective costs beyond its time, in milliseconds; in the same measure. */
+/** What a first event after its objective costs, in milliseconds; in the same measure. */
 const LATE_MS = 300
 
+/**
+ * Shares of the time to the objective up to which a first event will be on time, and from
+ * which it will be late: three in four come within 1.3 times the estimate.
+ */
+const SAFE_SHARE = 0.6
+const LATE_SHARE = 1.2
+
+/**
+ * What a millisecond of fetching costs against one of reading, for a prompt that needs all
+ * of an engine's memory: while it waits nobody else is kept from anything but that memory. A
+ * fifth of it weighs as much as reading, and the least of them a third as much. Weighed in
+ * full for all, short prompts were read again for a backlog of 40 ms (900 of 2,500 chats);
+ * weighed less, prompts wait for a slow link until they are late.
+ */
+const FETCHING_WEIGHT = 5
+const LEAST_FETCHING_WEIGHT = 0.3
+
 /** What any fetch costs beside its bytes, in milliseconds: its place on the links, and its price. */
 const FETCH_MS = 3
 
@@ -116,10 +133,18 @@
 }
 
 /** Cost of fetching for so long, and reading so many tokens that stores hold. */
-function costOf (fetchMs: number, tokens: number, { engine, leftToObjectiveMs, description }: PromptAsk): number {
+function costOf (fetchMs: number, tokens: number, { engine, leftToObjectiveMs, description, memoryTokens }: PromptAsk): number {
   const ownTokens = description.parts.at(-1)?.tokens ?? 0
-  const isLate = fetchMs + engine.readMs(tokens + ownTokens) > leftToObjectiveMs
-  return fetchMs + engine.readMs(tokens) + tokens * READ_AGAIN_MS_PER_TOKEN + (isLate ? LATE_MS : 0)
+  const riskMs = LATE_MS * lateRisk(fetchMs + engine.readMs(tokens + ownTokens), leftToObjectiveMs)
+  const memoryShare = memoryTokens === 0 ? 1 : description.promptTokens / memoryTokens
+  return fetchMs * Math.min(1, Math.max(LEAST_FETCHING_WEIGHT, memoryShare * FETCHING_WEIGHT)) + engine.readMs(tokens) + tokens * READ_AGAIN_MS_PER_TOKEN + riskMs
+}
+
+/** Chance of a first event to be late, from 0 to 1. */
+function lateRisk (estimatedMs: number, leftToObjectiveMs: number): number {
+  if (leftToObjectiveMs <= 0) return 1
+  const share = estimatedMs / leftToObjectiveMs
+  return Math.min(1, Math.max(0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)))
 }
 
 /** Stores send side by side, so the slowest decides; parts that the engine holds move no bytes. */
--- a/packages/routing/src/lib/mechanisms/mechanisms.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -14,7 +14,7 @@
 import { OthersWork } from '../load/OthersWork.js'
 import { engineRank } from '../prompts/engineRank.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
-import { StoreLinks } from '../stores/StoreLinks.js'
+import { StoreLinks, type LinkChange } from '../stores/StoreLinks.js'
 
 /** Mechanisms that can be left out. */
 export const mechanismSchema = z.enum([
@@ -96,7 +96,7 @@
 /** Links that are as fast as the site states, with this host's transfers only. */
 class StatedStoreLinks extends StoreLinks {
   override observe (): void {}
-  override heard (): void {}
+  override heard (): LinkChange[] { return [] }
 }
 
 /** What other hosts tell, without their work or without what they see. */
--- a/packages/routing/src/lib/stores/StoreLinks.test.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.test.ts
@@ -100,6 +100,22 @@
       expect(slowed().believed('south')).toBeGreaterThan(2.5)
     })
 
+    it('is told of once, and once more when it is sound', () => {
+      const links = new StoreLinks(() => 1)
+      const told: unknown[] = []
+      const fetchFor = (slowerBy: number, from: number): void => {
+        for (let now = from; now < from + 3000; now += 50) {
+          const fetchMs = links.transferMs(transfer(), now)
+          links.observe(store, 'north', { fetchMs, otherMs: 0, doublings: links.doublings(store, 'north', now) }, 10 * slowerBy, now)
+          told.push(...links.heard(new Map(), now).map(({ link, isSlow }) => [link, isSlow]))
+        }
+      }
+      fetchFor(1, 0)
+      fetchFor(8, 3000)
+      fetchFor(1, 6000)
+      expect(told).toEqual([['large>north', true], ['large>north', false]])
+    })
+
     it('is used again soon after it is well', () => {
       const world = slowed()
       for (let round = 0; round < 10; round += 1) {
--- a/packages/routing/src/lib/stores/StoreLinks.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.ts
@@ -30,7 +30,7 @@
  * comparison: short transfers say little, and so do all while engines are overloaded.
  */
 const OTHER_REASONS_MS = 30
-const OTHER_REASONS_SHARE = 0.4
+const OTHER_REASONS_SHARE = 0.15
 
 /** What was expected of a fetch when its engine was chosen. */
 export interface ExpectedFetch {
@@ -45,6 +45,20 @@
 /** Samples by which all links of a store speak for one of them: a slow store is found on each link, a slow pair of places on its own. */
 const STORE_SAMPLES = 2
 
+/** Doublings from which a link counts as slow, and below which it counts as sound again. */
+const SLOW_DOUBLINGS = 1
+const SOUND_DOUBLINGS = 0.5
+
+/** A change of belief about one link. */
+export interface LinkChange {
+  readonly link: string
+  readonly isSlow: boolean
+  /** Times that a transfer takes of what the site states. */
+  readonly slowerBy: number
+  /** Transfers of all hosts that tell so, older ones counting less. */
+  readonly samples: number
+}
+
 /** A transfer that an engine is told to make. */
 export interface StoreTransfer {
   readonly store: StoreService
@@ -58,6 +72,7 @@
   readonly #pending = new Map<string, number>()
   readonly #samples = new Map<string, SpeedSamples>()
   readonly #speeds = new Map<string, LinkSpeed>()
+  readonly #slow = new Set<string>()
   #others: ReadonlyMap<string, LinkFigures> = new Map()
   #heardAt = Number.NEGATIVE_INFINITY
 
@@ -147,14 +162,26 @@
    *
    * @param others - figures by link
    * @param now - monotonic milliseconds
+   * @returns links that are believed to be slow, or sound again, from now on
    */
-  heard (others: ReadonlyMap<string, LinkFigures>, now: number): void {
+  heard (others: ReadonlyMap<string, LinkFigures>, now: number): LinkChange[] {
     this.#others = others
     this.#heardAt = now
-    this.#learn(now)
+    const evidence = this.#learn(now)
+    return [...evidence].flatMap(([link, { samples }]) => this.#changeOf(link, samples, now))
+  }
+
+  #changeOf (link: string, samples: number, now: number): LinkChange[] {
+    const doublings = this.#speed(link, now).doublings(now)
+    const wasSlow = this.#slow.has(link)
+    const isSlow = doublings > (wasSlow ? SOUND_DOUBLINGS : SLOW_DOUBLINGS)
+    if (isSlow === wasSlow) return []
+    if (isSlow) this.#slow.add(link)
+    else this.#slow.delete(link)
+    return [{ link, isSlow, slowerBy: 2 ** doublings, samples }]
   }
 
-  #learn (now: number): void {
+  #learn (now: number): Map<string, SpeedEvidence> {
     const own = new Map(this.ownWork(now).map(work => [work.link, work]))
     const links = new Set([...own.keys(), ...this.#others.keys()])
     const evidence = new Map([...links].map(link => [link, evidenceOf(addLinks(own.get(link) ?? IDLE_LINK, this.#others.get(link) ?? IDLE_LINK))]))
@@ -164,6 +191,7 @@
       const store = stores.get(storeOfLink(link)) ?? shown
       this.#speed(link, now).learn(drawnTowards(shown, store), now)
     }
+    return evidence
   }
 
   #speed (name: string, now: number): LinkSpeed {
