A fetch over a sound link costs a third of its time, over a slow one all of it; being late costs more than reading again

Lateness is weighed above reading all of a quote again: for its caller being on time goes first. The backlog of a store is added up once for all candidates of a choice (12 to 50 times before).

--- a/packages/routing/src/lib/endpoints/planReading.test.ts
+++ b/packages/routing/src/lib/endpoints/planReading.test.ts
@@ -18,11 +18,15 @@
 
 const parts = [{ id: 'rules', tokens: 2500 }, { id: 'inventory', tokens: 5000 }, { id: 'own', tokens: 1700 }]
 
-function plan (fetches: ReadonlyArray<StoreService | undefined>, links: StoreLinks, memory = new PromptMemory()): PromptReading {
+const chat = [{ id: 'house', tokens: 120 }, { id: 'flat', tokens: 530 }, { id: 'question', tokens: 180 }]
+
+function plan (
+  fetches: ReadonlyArray<StoreService | undefined>, links: StoreLinks, memory = new PromptMemory(), chain = parts, leftToObjectiveMs = 600
+): PromptReading {
   const prompt: PromptAsk = {
-    description: { model: 'm', promptTokens: 9200, outputTokens: 20, parts },
+    description: { model: 'm', promptTokens: chain.reduce((sum, part) => sum + part.tokens, 0), outputTokens: 20, parts: chain },
     desiredVersion: 1,
-    leftToObjectiveMs: 600,
+    leftToObjectiveMs,
     leftMsOn: () => Number.POSITIVE_INFINITY,
     requiredVersion: undefined,
     engine: new EngineModel(),
@@ -32,7 +36,7 @@
     links,
     bytesPerToken: BYTES_PER_TOKEN
   }
-  return planReading(engine, prompt, 1, false, memory.holders('v1', parts.slice(0, -1), 0), 0)
+  return planReading(engine, prompt, 1, false, memory.holders('v1', chain.slice(0, -1), 0), 0)
 }
 
 /** Links over which so many prompts of this size are under way. */
@@ -43,7 +47,42 @@
   return links
 }
 
+/** Links of which one is four times slower than stated, with nothing under way. */
+function slowed (store: StoreService): StoreLinks {
+  const links = new StoreLinks(() => 1)
+  for (let now = -3000; now < 0; now += 50) {
+    links.observe(store, 'north', { fetchMs: 500, otherMs: 0, doublings: links.doublings(store, 'north', now) }, 500 * 2 ** (2 - links.doublings(store, 'north', now)), now)
+    links.heard(new Map(), now)
+  }
+  return links
+}
+
 describe('planReading', () => {
+  describe('short prompts', () => {
+    it('wait some tens of milliseconds for a sound link rather than being read again', () => {
+      expect(plan([fast, fast], busyWith(1, fast), new PromptMemory(), chat)).toMatchObject({ partsFromStores: 2, tokensToRead: 180 })
+    })
+
+    it('leave a slow link to the long ones that need it', () => {
+      const links = slowed(fast)
+      links.begin([{ store: fast, dataCentre: 'north', bytes: 2500 * BYTES_PER_TOKEN }])
+      expect(links.doublings(fast, 'north', 0)).toBeGreaterThan(1.5)
+      expect(plan([fast, fast], links, new PromptMemory(), chat)).toMatchObject({ partsFromStores: 0, tokensToRead: 830 })
+      expect(plan([fast, fast], links).partsFromStores).toBe(2)
+    })
+  })
+
+  describe('an answer that would be late for its fetch', () => {
+    it('has its prompt read where that is in time', () => {
+      expect(plan([fast, fast], busyWith(8, fast)).partsFromStores).toBe(2)
+      expect(plan([fast, fast], busyWith(8, fast), new PromptMemory(), parts, 330).partsFromStores).toBe(0)
+    })
+
+    it('is fetched all the same where reading would be late as well', () => {
+      expect(plan([fast, fast], busyWith(8, fast), new PromptMemory(), parts, -100).partsFromStores).toBe(2)
+    })
+  })
+
   describe('stores that are sound', () => {
     it('send all that they hold', () => {
       const { tokensToRead, partsFromStores, fetchMs, transfers } = plan([fast, fast], busyWith(0, fast))
--- a/packages/routing/src/lib/endpoints/planReading.ts
+++ b/packages/routing/src/lib/endpoints/planReading.ts
@@ -44,8 +44,11 @@
  */
 const READ_AGAIN_MS_PER_TOKEN = 0.05
 
-/** What a first event after its objective costs, in milliseconds; in the same measure. */
-const LATE_MS = 300
+/**
+ * What a first event after its objective costs, in milliseconds: more than reading all of
+ * a quote again, because for its caller being on time goes before what the reading costs.
+ */
+const LATE_MS = 500
 
 /**
  * Shares of the time to the objective up to which a first event will be on time, and from
@@ -55,14 +58,13 @@
 const LATE_SHARE = 1.2
 
 /**
- * What a millisecond of fetching costs against one of reading, for a prompt that needs all
- * of an engine's memory: while it waits nobody else is kept from anything but that memory. A
- * fifth of it weighs as much as reading, and the least of them a third as much. Weighed in
- * full for all, short prompts were read again for a backlog of 40 ms (900 of 2,500 chats);
- * weighed less, prompts wait for a slow link until they are late.
+ * What a millisecond of fetching over a sound link costs against one of reading: while the
+ * answer is on time nobody is worse off for it. It grows to the full with the first doubling
+ * of the link's stated time. Weighed in full also over sound links, short prompts are read
+ * again for a backlog of 40 ms (900 of 2,500 chats); weighed less over slow ones, prompts
+ * wait for them until they are late.
  */
-const FETCHING_WEIGHT = 5
-const LEAST_FETCHING_WEIGHT = 0.3
+const SOUND_FETCHING_WEIGHT = 0.3
 
 /** What any fetch costs beside its bytes, in milliseconds: its place on the links, and its price. */
 const FETCH_MS = 3
@@ -121,10 +123,10 @@
 function worthFetching (endpoint: EndpointState, prompt: PromptAsk, stored: readonly PartInStore[], now: number): readonly PartInStore[] {
   const tokens = stored.at(-1)?.end ?? 0
   let best: readonly PartInStore[] = []
-  let leastMs = costOf(0, tokens, prompt)
+  let leastMs = costOf(NOTHING_TO_READ, tokens, prompt)
   for (let count = 1; count <= stored.length; count += 1) {
     const fetched = stored.slice(0, count)
-    const costMs = costOf(transfersOf(endpoint, prompt, fetched, 0, now).fetchMs, tokens - (fetched.at(-1)?.end ?? 0), prompt)
+    const costMs = costOf(transfersOf(endpoint, prompt, fetched, 0, now), tokens - (fetched.at(-1)?.end ?? 0), prompt)
     if (costMs > leastMs) continue
     leastMs = costMs
     best = fetched
@@ -132,12 +134,13 @@
   return best
 }
 
-/** Cost of fetching for so long, and reading so many tokens that stores hold. */
-function costOf (fetchMs: number, tokens: number, { engine, leftToObjectiveMs, description, memoryTokens }: PromptAsk): number {
+/** Cost of fetching, and of reading so many tokens that stores hold. */
+function costOf ({ fetchMs, slowest }: Pick<PromptReading, 'fetchMs' | 'slowest'>, tokens: number, { engine, leftToObjectiveMs, description }: PromptAsk): number {
   const ownTokens = description.parts.at(-1)?.tokens ?? 0
   const riskMs = LATE_MS * lateRisk(fetchMs + engine.readMs(tokens + ownTokens), leftToObjectiveMs)
-  const memoryShare = memoryTokens === 0 ? 1 : description.promptTokens / memoryTokens
-  return fetchMs * Math.min(1, Math.max(LEAST_FETCHING_WEIGHT, memoryShare * FETCHING_WEIGHT)) + engine.readMs(tokens) + tokens * READ_AGAIN_MS_PER_TOKEN + riskMs
+  const slowed = Math.min(1, Math.max(0, slowest?.doublings ?? 0))
+  const weight = SOUND_FETCHING_WEIGHT + (1 - SOUND_FETCHING_WEIGHT) * slowed
+  return fetchMs * weight + engine.readMs(tokens) + tokens * READ_AGAIN_MS_PER_TOKEN + riskMs
 }
 
 /** Chance of a first event to be late, from 0 to 1. */
--- a/packages/routing/src/lib/stores/StoreLinks.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.ts
@@ -75,6 +75,9 @@
   readonly #slow = new Set<string>()
   #others: ReadonlyMap<string, LinkFigures> = new Map()
   #heardAt = Number.NEGATIVE_INFINITY
+  /** Added up once for all candidates of a choice, which is made at one moment. */
+  readonly #backlogs = new Map<string, number>()
+  #backlogsAt = Number.NaN
 
   /** @param liveHosts - hosts that share the links, as of now; counts while the others' transfers are not known */
   constructor (private readonly liveHosts: () => number) {}
@@ -109,6 +112,16 @@
    * @returns milliseconds until what all hosts have asked for so far has been sent
    */
   backlogMs (store: StoreService, now: number): number {
+    if (now !== this.#backlogsAt) this.#backlogs.clear()
+    this.#backlogsAt = now
+    const known = this.#backlogs.get(store.name)
+    if (known !== undefined) return known
+    const milliseconds = this.#addUpBacklog(store, now)
+    this.#backlogs.set(store.name, milliseconds)
+    return milliseconds
+  }
+
+  #addUpBacklog (store: StoreService, now: number): number {
     let milliseconds = 0
     for (const [link, bytes] of this.#pendingOfAll(store, now)) {
       milliseconds += this.transferMs({ store, bytes, dataCentre: link.slice(linkName(store.name, '').length) }, now)
@@ -167,6 +180,7 @@
   heard (others: ReadonlyMap<string, LinkFigures>, now: number): LinkChange[] {
     this.#others = others
     this.#heardAt = now
+    this.#backlogs.clear()
     const evidence = this.#learn(now)
     return [...evidence].flatMap(([link, { samples }]) => this.#changeOf(link, samples, now))
   }
@@ -215,6 +229,7 @@
   }
 
   #addPending (transfers: readonly StoreTransfer[], sign: 1 | -1): void {
+    this.#backlogs.clear()
     for (const { store, dataCentre, bytes } of transfers) {
       const link = linkName(store.name, dataCentre)
       this.#pending.set(link, Math.max(0, (this.#pending.get(link) ?? 0) + sign * bytes))
