--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -85,7 +85,7 @@
    * Tokens that an engine may have ahead of it, and share of its memory that may be in
    * use, when a long request is sent there that will be late anyway: what it would
    * delay can still be on time. After all hosts have restarted, a second's worth of
-   * such requests arrives at once (lscsa trouble-1: 196 of the next 314 were late).
+   * such requests arrives at once (196 of the next 314 were late on one day).
    */
   readonly lateTokensAhead: number
   readonly lateMemoryShare: number
--- a/packages/routing/src/lib/mechanisms/mechanisms.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -14,7 +14,8 @@
 import { OthersWork } from '../load/OthersWork.js'
 import { engineRank } from '../prompts/engineRank.js'
 import { homeEndpoint } from '../prompts/homeEndpoint.js'
-import { StoreLinks, type LinkChange } from '../stores/StoreLinks.js'
+import type { LinkChange } from '../stores/LinkSpeeds.js'
+import { StoreLinks } from '../stores/StoreLinks.js'
 
 /** Mechanisms that can be left out. */
 export const mechanismSchema = z.enum([
--- a/packages/routing/src/lib/stores/StoreLinks.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.ts
@@ -1,5 +1,5 @@
 /**
- * Links of stores: what is under way on them, and how fast they are now.
+ * Links of stores: what is under way on them, and how long a transfer takes now.
  *
  * Answers the load in which prompts return faster than their store can send them.
  * Transfers run one after another on a store's link and take twice as long to another
@@ -8,8 +8,8 @@
  * known to all hosts after some ten transfers of theirs together.
  */
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
-import { addLinks, IDLE_LINK, linkName, storeOfLink, type LinkFigures, type LinkWork } from '../load/linkWork.js'
-import { LinkSpeed, SpeedSamples, type SpeedEvidence } from './LinkSpeed.js'
+import { linkName, storeOfLink, type LinkFigures, type LinkWork } from '../load/linkWork.js'
+import { LinkSpeeds, type ExpectedFetch, type LinkChange } from './LinkSpeeds.js'
 
 const BITS_PER_BYTE = 8
 const BITS_PER_MEGABIT = 1e6
@@ -24,41 +24,6 @@
 /** Age up to which the others' transfers are counted as last heard, in milliseconds; as for their other work. */
 const OTHERS_LIFETIME_MS = 400
 
-/**
- * Milliseconds by which a first event may be late for other reasons than its transfer, and
- * the share of its other time by which it may be so besides. Added to both sides of the
- * comparison: short transfers say little, and so do all while engines are overloaded.
- */
-const OTHER_REASONS_MS = 30
-const OTHER_REASONS_SHARE = 0.15
-
-/** What was expected of a fetch when its engine was chosen. */
-export interface ExpectedFetch {
-  /** Until its last byte, waiting included. */
-  readonly fetchMs: number
-  /** Until the first event, without the fetch. */
-  readonly otherMs: number
-  /** Doublings of the link's stated time that were believed. */
-  readonly doublings: number
-}
-
-/** Samples by which all links of a store speak for one of them: a slow store is found on each link, a slow pair of places on its own. */
-const STORE_SAMPLES = 2
-
-/** Doublings from which a link counts as slow, and below which it counts as sound again. */
-const SLOW_DOUBLINGS = 1
-const SOUND_DOUBLINGS = 0.5
-
-/** A change of belief about one link. */
-export interface LinkChange {
-  readonly link: string
-  readonly isSlow: boolean
-  /** Times that a transfer takes of what the site states. */
-  readonly slowerBy: number
-  /** Transfers of all hosts that tell so, older ones counting less. */
-  readonly samples: number
-}
-
 /** A transfer that an engine is told to make. */
 export interface StoreTransfer {
   readonly store: StoreService
@@ -69,10 +34,8 @@
 
 /** Transfers on all stores' links. */
 export class StoreLinks {
+  readonly #speeds = new LinkSpeeds()
   readonly #pending = new Map<string, number>()
-  readonly #samples = new Map<string, SpeedSamples>()
-  readonly #speeds = new Map<string, LinkSpeed>()
-  readonly #slow = new Set<string>()
   #others: ReadonlyMap<string, LinkFigures> = new Map()
   #heardAt = Number.NEGATIVE_INFINITY
   /** Added up once for all candidates of a choice, which is made at one moment. */
@@ -102,8 +65,7 @@
    * @returns doublings of the time that the site states
    */
   doublings (store: StoreService, dataCentre: string, now: number): number {
-    const speed = this.#speeds.get(linkName(store.name, dataCentre)) ?? this.#speeds.get(store.name)
-    return speed?.doublings(now) ?? 0
+    return this.#speeds.doublings(linkName(store.name, dataCentre), now)
   }
 
   /**
@@ -121,14 +83,6 @@
     return milliseconds
   }
 
-  #addUpBacklog (store: StoreService, now: number): number {
-    let milliseconds = 0
-    for (const [link, bytes] of this.#pendingOfAll(store, now)) {
-      milliseconds += this.transferMs({ store, bytes, dataCentre: link.slice(linkName(store.name, '').length) }, now)
-    }
-    return Math.min(LONGEST_WAIT_MS, milliseconds)
-  }
-
   /** @param transfers - that an engine was told to make */
   begin (transfers: readonly StoreTransfer[]): void {
     this.#addPending(transfers, 1)
@@ -149,12 +103,7 @@
    * @param now - monotonic milliseconds
    */
   observe (store: StoreService, dataCentre: string, expected: ExpectedFetch, firstEventMs: number, now: number): void {
-    const doubtMs = OTHER_REASONS_MS + expected.otherMs * OTHER_REASONS_SHARE
-    const ratio = (Math.max(0, firstEventMs - expected.otherMs) + doubtMs) / (expected.fetchMs + doubtMs)
-    const link = linkName(store.name, dataCentre)
-    const samples = this.#samples.get(link) ?? new SpeedSamples()
-    this.#samples.set(link, samples)
-    samples.add(expected.doublings + Math.log2(ratio), now)
+    this.#speeds.observe(linkName(store.name, dataCentre), expected, firstEventMs, now)
   }
 
   /**
@@ -162,12 +111,8 @@
    * @returns what this host has to tell of links
    */
   ownWork (now: number): LinkWork[] {
-    const links = new Set([...this.#pending.keys(), ...this.#samples.keys()])
-    return [...links].map(link => ({
-      link,
-      pendingBytes: this.#pending.get(link) ?? 0,
-      ...(this.#samples.get(link)?.recent(now) ?? { samples: 0, slower: 0, faster: 0 })
-    }))
+    const links = new Set([...this.#pending.keys(), ...this.#speeds.sampled])
+    return [...links].map(link => ({ link, pendingBytes: this.#pending.get(link) ?? 0, ...this.#speeds.recent(link, now) }))
   }
 
   /**
@@ -181,39 +126,15 @@
     this.#others = others
     this.#heardAt = now
     this.#backlogs.clear()
-    const evidence = this.#learn(now)
-    return [...evidence].flatMap(([link, { samples }]) => this.#changeOf(link, samples, now))
+    return this.#speeds.learn(others, now)
   }
 
-  #changeOf (link: string, samples: number, now: number): LinkChange[] {
-    const doublings = this.#speed(link, now).doublings(now)
-    const wasSlow = this.#slow.has(link)
-    const isSlow = doublings > (wasSlow ? SOUND_DOUBLINGS : SLOW_DOUBLINGS)
-    if (isSlow === wasSlow) return []
-    if (isSlow) this.#slow.add(link)
-    else this.#slow.delete(link)
-    return [{ link, isSlow, slowerBy: 2 ** doublings, samples }]
-  }
-
-  #learn (now: number): Map<string, SpeedEvidence> {
-    const own = new Map(this.ownWork(now).map(work => [work.link, work]))
-    const links = new Set([...own.keys(), ...this.#others.keys()])
-    const evidence = new Map([...links].map(link => [link, evidenceOf(addLinks(own.get(link) ?? IDLE_LINK, this.#others.get(link) ?? IDLE_LINK))]))
-    const stores = sumByStore(evidence)
-    for (const [store, sum] of stores) this.#speed(store, now).learn(sum, now)
-    for (const [link, shown] of evidence) {
-      const store = stores.get(storeOfLink(link)) ?? shown
-      this.#speed(link, now).learn(drawnTowards(shown, store), now)
+  #addUpBacklog (store: StoreService, now: number): number {
+    let milliseconds = 0
+    for (const [link, bytes] of this.#pendingOfAll(store, now)) {
+      milliseconds += this.transferMs({ store, bytes, dataCentre: link.slice(linkName(store.name, '').length) }, now)
     }
-    return evidence
-  }
-
-  #speed (name: string, now: number): LinkSpeed {
-    const present = this.#speeds.get(name)
-    if (present !== undefined) return present
-    const fresh = new LinkSpeed(this.#speeds.get(storeOfLink(name))?.doublings(now) ?? 0, now)
-    this.#speeds.set(name, fresh)
-    return fresh
+    return Math.min(LONGEST_WAIT_MS, milliseconds)
   }
 
   #pendingOfAll (store: StoreService, now: number): Map<string, number> {
@@ -236,26 +157,3 @@
     }
   }
 }
-
-function evidenceOf ({ samples, slower, faster }: LinkFigures): SpeedEvidence {
-  return { samples, doublings: slower - faster }
-}
-
-function sumByStore (evidence: ReadonlyMap<string, SpeedEvidence>): Map<string, SpeedEvidence> {
-  const sums = new Map<string, SpeedEvidence>()
-  for (const [link, { samples, doublings }] of evidence) {
-    const sum = sums.get(storeOfLink(link)) ?? { samples: 0, doublings: 0 }
-    sums.set(storeOfLink(link), { samples: sum.samples + samples, doublings: sum.doublings + doublings })
-  }
-  return sums
-}
-
-/** What a link's own samples say, with some of what all links of its store say. */
-function drawnTowards (link: SpeedEvidence, store: SpeedEvidence): SpeedEvidence {
-  if (store.samples === 0) return link
-  const borrowed = Math.min(STORE_SAMPLES, store.samples)
-  return {
-    samples: link.samples + borrowed,
-    doublings: link.doublings + store.doublings / store.samples * borrowed
-  }
-}
