Any name of a store or endpoint crosses the load exchange; idle links are not told

A store named with a comma made every report unreadable, and with it all knowledge of the others' work (test seen to fail: 3 endpoints or links have 32 bytes of figures). Names without commas or percent signs are written as before. Links without transfers and with samples below a step of the figures are left out of reports.

--- a/packages/routing/src/lib/load/linkWork.ts
+++ b/packages/routing/src/lib/load/linkWork.ts
@@ -21,7 +21,7 @@
 /** A link of which nothing is known. */
 export const IDLE_LINK: LinkFigures = { pendingBytes: 0, samples: 0, slower: 0, faster: 0 }
 
-/** Between store and data centre; neither holds it. */
+/** Between store and data centre; a store's name may hold it as well. */
 const SEPARATOR = '>'
 
 /**
@@ -38,7 +38,7 @@
  * @returns name of its store
  */
 export function storeOfLink (link: string): string {
-  return link.split(SEPARATOR, 1)[0] ?? link
+  return link.includes(SEPARATOR) ? link.slice(0, link.lastIndexOf(SEPARATOR)) : link
 }
 
 /**
--- a/packages/routing/src/lib/load/loadCodec.test.ts
+++ b/packages/routing/src/lib/load/loadCodec.test.ts
@@ -23,6 +23,13 @@
     expect(decodeLoadReport(encodeLoadReport({ host: 'h', sequence: 1, work: [], links: [] })).work).toEqual([])
   })
 
+  it('brings any name across: operators name stores as they like', () => {
+    const named = { host: 'h', sequence: 1, work: [{ ...work(1), endpoint: 'a,b%2Cc' }, { ...work(1), endpoint: '%' }], links: [{ link: 'keep, all>north', pendingBytes: 0, samples: 1, slower: 0, faster: 0 }] }
+    const { work: readWork, links: readLinks } = decodeLoadReport(encodeLoadReport(named))
+    expect(readWork.map(entry => entry.endpoint)).toEqual(['a,b%2Cc', '%'])
+    expect(readLinks.map(entry => entry.link)).toEqual(['keep, all>north'])
+  })
+
   it('keeps the totals of 98 endpoints and of six stores\' links to four data centres within three packets of an Ethernet link', () => {
     expect(frameLoadTotals(1, encodeLoadTotals({ work: pool, links: [] })).length).toBeLessThan(2 * 1472)
     expect(frameLoadTotals(1, encodeLoadTotals({ work: pool, links })).length).toBeLessThan(3 * 1472)
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -29,8 +29,11 @@
 /** Steps in which samples of a link and their doublings are counted. */
 const SAMPLE_STEP = 1 / 64
 
-/** Between names. */
+/** Between names, and what stands for it inside a name: operators name stores as they like. */
 const SEPARATOR = ','
+const ESCAPE = '%'
+const ESCAPED_SEPARATOR = '%2C'
+const ESCAPED_ESCAPE = '%25'
 
 /** Figures of a row in their order on the wire, with the unit of each. */
 type Figures<Row> = ReadonlyArray<readonly [name: keyof Row, unit: number]>
@@ -115,7 +118,15 @@
       at += FIGURE_BYTES
     }
   }
-  return [names.join(SEPARATOR), bytes]
+  return [names.map(escapeName).join(SEPARATOR), bytes]
+}
+
+function escapeName (name: string): string {
+  return name.replaceAll(ESCAPE, ESCAPED_ESCAPE).replaceAll(SEPARATOR, ESCAPED_SEPARATOR)
+}
+
+function unescapeName (name: string): string {
+  return name.replaceAll(ESCAPED_SEPARATOR, SEPARATOR).replaceAll(ESCAPED_ESCAPE, ESCAPE)
 }
 
 function toEndpointWork (table: Table): EndpointWork[] {
@@ -149,7 +160,7 @@
 }
 
 function readRows ([names, figures]: Table, columns: number): TableRow[] {
-  const rowNames = names === '' ? [] : names.split(SEPARATOR)
+  const rowNames = names === '' ? [] : names.split(SEPARATOR).map(unescapeName)
   const rowBytes = columns * FIGURE_BYTES
   if (figures.length !== rowNames.length * rowBytes) {
     throw new RangeError(`${rowNames.length} endpoints or links have ${figures.length} bytes of figures`)
--- a/packages/routing/src/lib/stores/StoreLinks.test.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.test.ts
@@ -157,6 +157,15 @@
       expect(world.believed('south')).toBeLessThan(1.5)
     })
 
+    it('is told to the others for a few seconds, and an idle link not at all', () => {
+      const links = new StoreLinks(() => 1)
+      links.begin([transfer('east')])
+      links.end([transfer('east')])
+      links.observe(store, 'south', { fetchMs: 20, otherMs: OTHER_MS, doublings: 0 }, 90, 0)
+      expect(links.ownWork(1000).map(({ link }) => link)).toEqual(['large>south'])
+      expect(links.ownWork(10_000)).toEqual([])
+    })
+
     it('that came at once counts within bounds', () => {
       const links = new StoreLinks(() => 1)
       links.observe(store, 'south', { fetchMs: 500, otherMs: OTHER_MS, doublings: 0 }, 0, 0)
--- a/packages/routing/src/lib/stores/StoreLinks.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.ts
@@ -24,6 +24,9 @@
 /** Age up to which the others' transfers are counted as last heard, in milliseconds; as for their other work. */
 const OTHERS_LIFETIME_MS = 400
 
+/** Samples that are worth telling other hosts: less is lost in the figures' steps. */
+const LEAST_TOLD_SAMPLES = 1 / 64
+
 /** A transfer that an engine is told to make. */
 export interface StoreTransfer {
   readonly store: StoreService
@@ -112,7 +115,9 @@
    */
   ownWork (now: number): LinkWork[] {
     const links = new Set([...this.#pending.keys(), ...this.#speeds.sampled])
-    return [...links].map(link => ({ link, pendingBytes: this.#pending.get(link) ?? 0, ...this.#speeds.recent(link, now) }))
+    return [...links]
+      .map(link => ({ link, pendingBytes: this.#pending.get(link) ?? 0, ...this.#speeds.recent(link, now) }))
+      .filter(({ pendingBytes, samples }) => pendingBytes > 0 || samples >= LEAST_TOLD_SAMPLES)
   }
 
   /**
