--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -6,22 +6,9 @@
 import type { EngineTraits } from '@eelgrassmux/schema/site/siteSchema'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { StoreTransfers } from './RequestCodec.js'
-import type { RoutedFleet } from './RoutedFleet.js'
+import type { PromptPorts } from './PromptPorts.js'
 import type { RoutedRequest } from './RoutedRequest.js'
 
-/** What it needs from around it. */
-export interface PromptPorts {
-  readonly fleet: RoutedFleet
-  /** Version of the weights that a model's engines should run. */
-  desiredVersion (model: string): number
-  /** Milliseconds within which a request may begin on weights of that version. */
-  leftMsOn (model: string, version: number): number
-  /** Whether what this host knows of stores may be acted on. */
-  storesUsable (now: number): boolean
-  /** The stores' clock in milliseconds, once it is known. */
-  storeClockMs (now: number): number | undefined
-}
-
 /** A plan that uses no store. */
 const NO_STORES: StorePlan = { fetches: [], saves: [], storedTokens: 0 }
 
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -4,7 +4,7 @@
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { PlannedStop } from '../PlannedStop.js'
-import type { PromptPorts } from './PromptContext.js'
+import type { PromptPorts } from './PromptPorts.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 
 /** A request that was read whole and belongs to a route. */
