--- a/apps/entry/src/lib/routed/PromptContext.test.ts
+++ b/apps/entry/src/lib/routed/PromptContext.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
-import { NOTHING_TO_READ } from '@eelgrassmux/routing/endpoints/planReading'
+import { NOTHING_TO_READ } from '@eelgrassmux/routing/endpoints/promptReading'
 import type { ReplicatedService, Route, StoreService } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { PromptContext } from './PromptContext.js'
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -5,7 +5,7 @@
 import type { StorePlan } from '../stores/StoredPartsIndex.js'
 import type { EndpointState } from './EndpointState.js'
 import type { EngineLoad, EngineModel } from './EngineModel.js'
-import type { PromptReading } from './planReading.js'
+import type { PromptReading } from './promptReading.js'
 
 /** What is asked of an endpoint. */
 export interface EndpointAsk {
--- a/packages/routing/src/lib/endpoints/estimateEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/estimateEndpoint.ts
@@ -5,7 +5,8 @@
 import type { EndpointAsk, EndpointChoice, PromptAsk } from './endpointAsk.js'
 import type { EndpointState } from './EndpointState.js'
 import type { EngineLoad } from './EngineModel.js'
-import { NOTHING_TO_READ, planReading } from './planReading.js'
+import { planReading } from './planReading.js'
+import { NOTHING_TO_READ } from './promptReading.js'
 
 /** Share of the most output tokens that a request has on average: callers' own estimates are about half of it. */
 const EXPECTED_OUTPUT_SHARE = 0.5
--- a/packages/routing/src/lib/endpoints/planReading.test.ts
+++ b/packages/routing/src/lib/endpoints/planReading.test.ts
@@ -5,7 +5,8 @@
 import type { PromptAsk } from './endpointAsk.js'
 import { EndpointState } from './EndpointState.js'
 import { EngineModel } from './EngineModel.js'
-import { planReading, type PromptReading } from './planReading.js'
+import { planReading } from './planReading.js'
+import type { PromptReading } from './promptReading.js'
 
 const fast: StoreService = { type: 'store', name: 'fast', address: '10.0.0.1:1', dataCentre: 'north', cacheTokens: 1e6, linkMbps: 400_000, firstByteMs: 1, isManaged: true }
 const other: StoreService = { ...fast, name: 'other', address: '10.0.0.2:1' }
