--- a/apps/entry/src/lib/routed/StartupQueue.ts
+++ b/apps/entry/src/lib/routed/StartupQueue.ts
@@ -9,7 +9,7 @@
  *
  * All hosts learn the site at the same moment. Let go all at once, what waited would fill
  * the engines' memory with requests that are late already, and those that arrive next
- * would be late or refused for it (45 long requests in the four seconds after a return of 8
+ * would be late or refused for it (46 long requests in the five seconds after a return of 8
  * hosts before 13 engines). So the newest go first, and the others step by step, at a pace at
  * which hosts hear of each other's sends.
  */
--- a/packages/routing/src/lib/endpoints/planReading.ts
+++ b/packages/routing/src/lib/endpoints/planReading.ts
@@ -40,7 +40,7 @@
  * What a millisecond of fetching over a sound link costs against one of reading: while the
  * answer is on time nobody is worse off for it. It grows to the full with the first doubling
  * of the link's stated time. Weighed in full also over sound links, short prompts are read
- * again for a backlog of 40 ms (900 of 2,500 chats); weighed less over slow ones, prompts
+ * again for a backlog of 40 ms (of 2,306 whose parts were stored 1,994 did without the fetch); weighed less over slow ones, prompts
  * wait for them until they are late.
  */
 const SOUND_FETCHING_WEIGHT = 0.3
