--- a/apps/bench/src/lib/measure/measureSlopes.ts
+++ b/apps/bench/src/lib/measure/measureSlopes.ts
@@ -7,6 +7,7 @@
 import { propose, reportStatus, type StatusResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import { lookupBlocks } from '@eelgrassmux/rpc/methods/directoryMethods'
 import { noticeDispatches } from '@eelgrassmux/rpc/methods/entryMethods'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { encodeMessage } from '@eelgrassmux/rpc/RpcMethod'
 import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
@@ -102,10 +103,18 @@
 
 function messageSizes (): string[] {
   const host = '10.0.0.1:7400'
-  const status = { host, role: 'entry', address: host, dataCentre: 'round-rock-hall', viewRevision: 123_456, accepting: true }
+  const status = { host, role: 'entry', address: host, dataCentre: 'round-rock-hall', viewRevision: 123_456, accepting: true, membershipIndex: 9, wantsPeers: false }
   const voters = [0, 1, 2, 3, 4].map(() => ({ id: randomUUID(), address: host }))
   const answer: StatusResponse = {
-    replicaId: randomUUID(), membership: { voters, learners: [] }, membershipIndex: 9, newestView: 123_456, appliedView: 123_456, leader: '', liveEntries: 340, entryPeers: []
+    replicaId: randomUUID(),
+    membership: { voters, learners: [] },
+    membershipIndex: 9,
+    newestView: 123_456,
+    appliedView: 123_456,
+    leader: '',
+    liveEntries: 340,
+    entryPeers: [],
+    watched: { incarnation: randomUUID(), endpointList: 12_345, listAgeMs: 123.4, storedParts: 12_345, storeClockMs: 1e12 }
   }
   const change = {
     kind: 'changes',
@@ -140,14 +149,16 @@
     engineArgs: ['--max-running', '200', '--decode-ms', '20']
   })
   const rpc = new RpcClient()
+  const datagrams = new DatagramClient()
+  await datagrams.bind('127.0.0.1')
   try {
     const entry = one(cluster.entries)
     const directory = one(cluster.directories)
     const leader = await findLeader(cluster)
     const rates = [100, 300, 600]
-    const status = { host: 'slope', role: 'directory' as const, address: '127.0.0.1:1', dataCentre: 'hall-north', viewRevision: 1, accepting: false }
+    const status = { host: 'slope', role: 'directory' as const, address: '127.0.0.1:1', dataCentre: 'hall-north', viewRevision: 1, accepting: false, membershipIndex: -1, wantsPeers: false }
     report('processor time of a status report on a control host', 'seconds', await processorTime(cluster, leader, rates, async () => {
-      await rpc.call(leader.addresses.rpc ?? '', reportStatus, status, CALL_MS)
+      await new Promise<void>(resolve => { datagrams.ask(leader.addresses.rpc ?? '', reportStatus, status, () => { resolve() }) })
     }))
     report('processor time of a commit on the leader', 'seconds', await processorTime(cluster, leader, rates, async () => {
       await rpc.call(leader.addresses.rpc ?? '', propose, { command: freshClaim() }, CALL_MS)
@@ -165,6 +176,7 @@
     }))
   } finally {
     rpc.close()
+    datagrams.close()
     await cluster.stop()
   }
 }
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -11,6 +11,7 @@
 import { NodeDataFolder } from '@eelgrassmux/durable/DataFolder'
 import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { exchangeRaft } from '@eelgrassmux/rpc/methods/controlMethods'
+import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
@@ -20,7 +21,7 @@
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
 import { HostTable } from './hosts/HostTable.js'
 import { planShards } from './hosts/planShards.js'
-import { LoadBoardServer } from './load/LoadBoardServer.js'
+import { serveLoadBoard } from './load/serveLoadBoard.js'
 import { OrderTask } from './orders/OrderTask.js'
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftTask } from './raft/RaftTask.js'
@@ -153,8 +154,11 @@
 
   const port = await server.listen(settings.host, settings.port)
   self.address = settings.advertise ?? `${settings.host}:${port}`
-  const loads = new LoadBoardServer(telemetry)
-  await loads.listen(settings.host, port)
+  const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams of hosts by what they ask, or why they were not taken', 'outcome')
+  const datagrams = new DatagramServer(outcome => { datagramOutcomes.count(outcome) })
+  controlServer.registerDatagrams(datagrams)
+  serveLoadBoard(datagrams)
+  await datagrams.listen(settings.host, port)
   registerGauges(telemetry, raft, hosts)
   orders.start()
   rollout?.start()
@@ -182,7 +186,7 @@
       clearInterval(shardTimer)
       clearInterval(expireTimer)
       keeper.stop()
-      loads.close()
+      datagrams.close()
       rollout?.stop()
       endpoints?.stop()
       stores?.stop()
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -1,11 +1,13 @@
 /** Serves a control host's methods to hosts, operators and other replicas. */
+import { randomUUID } from 'node:crypto'
 import { EventEmitter, once } from 'node:events'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
 import {
   changeMembership as changeMembershipMethod, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchStoredParts, watchView,
-  type EndpointListMessage, type ViewMessage
+  type EndpointListMessage, type StatusRequest, type StatusResponse, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { EndpointListTask } from './endpoints/EndpointListTask.js'
 import type { HostTable } from './hosts/HostTable.js'
@@ -15,9 +17,6 @@
 import type { StoreTask } from './stores/StoreTask.js'
 import type { SiteService } from './site/SiteService.js'
 
-/** Interval between messages of an endpoint watch that has nothing new to say, in milliseconds. */
-const SIGN_OF_LIFE_MS = 500
-
 /** The parts of a control host that serve sites. */
 export interface SiteParts {
   readonly service: SiteService
@@ -31,6 +30,8 @@
 export class ControlServer {
   readonly #changes = new EventEmitter()
   readonly #startedAt = performance.now()
+  /** Names this life of the process to hosts that watch it. */
+  readonly #incarnation = randomUUID()
 
   /**
    * @param raft - log and state
@@ -64,20 +65,6 @@
     })
     server.handle(propose, async ({ command }) => await this.raft.propose(command))
     server.handle(readSite, async () => await this.sites.service.readAsLeader())
-    server.handle(reportStatus, async report => {
-      const now = performance.now()
-      this.hosts.observe(report, now)
-      return {
-        replicaId: this.raft.core.self.id,
-        membership: this.raft.membership,
-        membershipIndex: this.raft.membershipIndex,
-        newestView: this.raft.newestView,
-        appliedView: this.raft.state.viewRevision,
-        leader: this.raft.core.leader?.address ?? '',
-        liveEntries: this.hosts.liveEntries(now),
-        entryPeers: this.hosts.entryPeers(now)
-      }
-    })
     server.handle(listHosts, async () => {
       const { core, state } = this.raft
       const now = performance.now()
@@ -101,6 +88,35 @@
     server.handleStream(watchStoredParts, async (_request, stream) => { await this.#watchStoredParts(stream) })
   }
 
+  /** @param datagrams - where to register what hosts ask again and again */
+  registerDatagrams (datagrams: DatagramServer): void {
+    datagrams.handle(reportStatus, report => this.#answerReport(report))
+  }
+
+  #answerReport ({ membershipIndex: known, wantsPeers, ...status }: StatusRequest): StatusResponse {
+    const now = performance.now()
+    const { membership, membershipIndex, core, state } = this.raft
+    const { endpoints, stores } = this.sites
+    this.hosts.observe(status, now)
+    return {
+      replicaId: core.self.id,
+      ...(membershipIndex === known ? {} : { membership }),
+      membershipIndex,
+      newestView: this.raft.newestView,
+      appliedView: state.viewRevision,
+      leader: core.leader?.address ?? '',
+      liveEntries: this.hosts.liveEntries(now),
+      entryPeers: wantsPeers ? this.hosts.entryPeers(now) : [],
+      watched: {
+        incarnation: this.#incarnation,
+        endpointList: endpoints?.version ?? 0,
+        listAgeMs: endpoints?.readAgeMs(now) ?? -1,
+        storedParts: stores?.version ?? 0,
+        storeClockMs: stores?.clockMs
+      }
+    }
+  }
+
   async #watch (from: number, stream: ResponseStream<ViewMessage>): Promise<void> {
     let sent = from
     while (!stream.signal.aborted) {
@@ -127,8 +143,8 @@
       while (!stream.signal.aborted) {
         const isNew = list.version > sent
         sent = list.version
-        const readAgeMs = list.readAgeMs(performance.now())
-        await stream.send(isNew ? { endpoints: [...list.endpoints], readAgeMs } : { readAgeMs })
+        const message = { incarnation: this.#incarnation, version: sent, readAgeMs: list.readAgeMs(performance.now()) }
+        await stream.send(isNew ? { ...message, endpoints: [...list.endpoints] } : message)
         if (list.version > sent) continue
         await nextChange(list.changes, stream.signal)
       }
@@ -144,7 +160,7 @@
     const watcher = stores.addWatcher(() => { changes.emit('change') })
     try {
       while (!stream.signal.aborted) {
-        await stream.send(stores.take(watcher))
+        await stream.send({ incarnation: this.#incarnation, ...stores.take(watcher) })
         if (watcher.pending.length === 0) await nextChange(changes, stream.signal)
       }
     } finally {
@@ -175,12 +191,10 @@
   }
 }
 
-/** Resolves at the next change, at the next time for a sign of life, or when the watch ends. */
+/** Resolves at the next change, or when the watch ends. */
 async function nextChange (changes: EventEmitter, signal: AbortSignal): Promise<void> {
   await new Promise<void>(resolve => {
-    const timer = setTimeout(finish, SIGN_OF_LIFE_MS)
     function finish (): void {
-      clearTimeout(timer)
       changes.off('change', finish)
       signal.removeEventListener('abort', finish)
       resolve()
--- a/apps/control/src/lib/hosts/HostTable.ts
+++ b/apps/control/src/lib/hosts/HostTable.ts
@@ -1,20 +1,24 @@
 /** Hosts that report to this control host, and how long ago. */
-import type { HostReport, StatusRequest } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { HostReport, HostStatus } from '@eelgrassmux/rpc/methods/controlMethods'
 
 /** Reports older than this are forgotten, in milliseconds. */
 const FORGET_MS = 60_000
 
+/** Interval between looks for such reports, in milliseconds: looked through with each of 340 hosts' reports they would cost more than those. */
+const FORGET_LOOK_MS = 1000
+
 /** Most entry hosts that tell each other of every dispatch: the messages grow with the square of their number. */
 const LARGEST_PEER_GROUP = 16
 
 interface HeardHost {
-  readonly report: StatusRequest
+  readonly report: HostStatus
   readonly heardAt: number
 }
 
 /** Last report of each host. */
 export class HostTable {
   readonly #hosts = new Map<string, HeardHost>()
+  #forgottenAt = Number.NEGATIVE_INFINITY
 
   /** @param freshnessMs - time for which a host may act on what it last confirmed */
   constructor (private readonly freshnessMs: number) {}
@@ -23,8 +27,10 @@
    * @param report - a host's report
    * @param now - monotonic milliseconds
    */
-  observe (report: StatusRequest, now: number): void {
+  observe (report: HostStatus, now: number): void {
     this.#hosts.set(`${report.role}/${report.host}`, { report, heardAt: now })
+    if (now - this.#forgottenAt < FORGET_LOOK_MS) return
+    this.#forgottenAt = now
     for (const [name, { heardAt }] of this.#hosts) {
       if (now - heardAt > FORGET_MS) this.#hosts.delete(name)
     }
@@ -37,7 +43,11 @@
    * @param now - monotonic milliseconds
    */
   liveEntries (now: number): number {
-    return this.#live(now).filter(report => report.role === 'entry').length
+    let count = 0
+    for (const { report, heardAt } of this.#hosts.values()) {
+      if (report.role === 'entry' && now - heardAt <= this.freshnessMs) count += 1
+    }
+    return count
   }
 
   /**
@@ -68,7 +78,7 @@
     return [...this.#hosts.values()].map(({ report, heardAt }) => ({ ...report, ageMs: now - heardAt }))
   }
 
-  #live (now: number): StatusRequest[] {
+  #live (now: number): HostStatus[] {
     return [...this.#hosts.values()].filter(({ heardAt }) => now - heardAt <= this.freshnessMs).map(({ report }) => report)
   }
 }
--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -39,6 +39,7 @@
   readonly #followers = new Map<string, StoreFollower>()
   readonly #watchers = new Set<Watcher>()
   readonly #changes = new EventEmitter()
+  #version = 0
   #clock: { readonly clockMs: number, readonly at: number } | undefined
   #timer: NodeJS.Timeout | undefined
   #isFreeing = false
@@ -60,6 +61,13 @@
     this.#changes.setMaxListeners(0)
   }
 
+  /** Changes of all stores so far. */
+  get version (): number { return this.#version }
+  /** The stores' clock now, in milliseconds; undefined until a store has stated it. */
+  get clockMs (): number | undefined {
+    return this.#clock === undefined ? undefined : this.#clock.clockMs + performance.now() - this.#clock.at
+  }
+
   /** Begins to follow the stores for one more watcher, which first gets all that is known. */
   addWatcher (wake: () => void): Watcher {
     const watcher: Watcher = { pending: this.#snapshot(), wake }
@@ -82,10 +90,10 @@
    *
    * @param watcher - as given by {@link StoreTask.addWatcher}
    */
-  take (watcher: Watcher): StoredPartsMessage {
-    const changes = watcher.pending.splice(0)
-    const clockMs = this.#clockNow()
-    return clockMs === undefined ? { changes } : { changes, clockMs }
+  take (watcher: Watcher): Omit<StoredPartsMessage, 'incarnation'> {
+    const news = { version: this.#version, changes: watcher.pending.splice(0) }
+    const { clockMs } = this
+    return clockMs === undefined ? news : { ...news, clockMs }
   }
 
   /** Follows the stores of a site as soon as it is known; call after the agreed state has changed. */
@@ -129,6 +137,7 @@
   }
 
   #publish (change: StoreChange): void {
+    this.#version += 1
     for (const watcher of this.#watchers) {
       if (watcher.pending.length === 0) setTimeout(watcher.wake, GATHER_MS)
       watcher.pending.push(change)
@@ -140,10 +149,6 @@
       .map(follower => ({ store: follower.store.name, kind: 'whole' as const, added: [...follower.parts], removed: [] }))
   }
 
-  #clockNow (): number | undefined {
-    return this.#clock === undefined ? undefined : this.#clock.clockMs + performance.now() - this.#clock.at
-  }
-
   /** On the leader only, and only while a quorum confirms that it is. */
   async #freeDeadParts (): Promise<void> {
     if (this.#isFreeing || this.raft.core.role !== 'leader') return
@@ -156,7 +161,7 @@
   }
 
   async #freeAt (follower: StoreFollower): Promise<void> {
-    const clockMs = this.#clockNow()
+    const { clockMs } = this
     if (!follower.isAnswering || follower.epoch === undefined || clockMs === undefined) return
     const dead = findDeadParts(follower.parts, this.endpoints()).slice(0, FREE_AT_ONCE)
     if (dead.length === 0 || !await this.raft.confirmRead()) return
--- a/apps/directory/src/lib/DirectoryDaemon.ts
+++ b/apps/directory/src/lib/DirectoryDaemon.ts
@@ -7,6 +7,7 @@
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { SystemClock } from '@eelgrassmux/daemon/SystemClock'
 import { addressListSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -40,6 +41,7 @@
 class DirectoryDaemon {
   readonly #clock = new SystemClock()
   readonly #rpc = new RpcClient()
+  readonly #datagrams = new DatagramClient()
   readonly #server = new RpcServer()
   readonly #residency = new ResidencyIndex()
   readonly #engines = new Map<string, EngineWatcher>()
@@ -50,6 +52,7 @@
 
   async start (): Promise<RunningDaemon> {
     const { settings, telemetry } = this
+    await this.#datagrams.bind(settings.host)
     const port = await this.#server.listen(settings.host, settings.port)
     const address = `${settings.host}:${port}`
     const link = new ControlLink({
@@ -59,7 +62,7 @@
       dataCentre: settings.dataCentre,
       controlAddresses: settings.control,
       freshnessMs: settings.freshnessMs
-    }, this.#rpc)
+    }, this.#rpc, this.#datagrams)
     const answers = telemetry.labelledCounter('directory_answers_total', 'Answers to entry hosts by kind', 'kind')
     new DirectoryServer(this.#residency, {
       shard: (shard, epoch) => this.#ownedShard(link, shard, epoch),
@@ -88,6 +91,7 @@
         link.stop()
         this.#server.close()
         this.#rpc.close()
+        this.#datagrams.close()
         for (const watcher of [...this.#engines.values(), ...this.#stores.values()]) await watcher.stop()
       }
     }
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -5,6 +5,7 @@
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { addressListSetting, addressSetting, commonSettingsShape, integerSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
 import { PLACEMENT_POLICIES, usesStores } from '@eelgrassmux/policy/placement/createPlacementPolicy'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -72,6 +73,8 @@
     graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
   }, telemetry)
   const rpc = new RpcClient()
+  const datagrams = new DatagramClient()
+  await datagrams.bind(settings.host)
   const peerServer = new RpcServer()
   const peerPort = await peerServer.listen(settings.host, settings.peerPort)
   const peerAddress = `${settings.host}:${peerPort}`
@@ -81,8 +84,9 @@
     address: peerAddress,
     dataCentre: settings.dataCentre,
     controlAddresses: settings.control,
-    freshnessMs: settings.freshnessMs
-  }, rpc)
+    freshnessMs: settings.freshnessMs,
+    wantsPeers: true
+  }, rpc, datagrams)
   const configuration = (): typeof link.configuration => link.configuration
   const fleet = new FleetWatcher(settings.membership)
   const directory = new DirectoryClient(rpc, () => link.shards)
@@ -174,6 +178,7 @@
       await fleet.stop()
       peerServer.close()
       rpc.close()
+      datagrams.close()
     }
   }
 }
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -6,6 +6,7 @@
 import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
 import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { OlderWeights } from '@eelgrassmux/routing/prompts/OlderWeights'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -62,6 +63,9 @@
     graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
   }, telemetry)
   const rpc = new RpcClient()
+  const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams to and from control hosts by outcome', 'outcome')
+  const datagrams = new DatagramClient(outcome => { datagramOutcomes.count(outcome) })
+  await datagrams.bind(settings.host)
   const address = `${settings.host}:${settings.port}`
   const link = new ControlLink({
     host: address,
@@ -71,18 +75,25 @@
     controlAddresses: settings.control,
     freshnessMs: settings.freshnessMs,
     watchesEndpoints: true
-  }, rpc)
+  }, rpc, datagrams)
   const mechanisms = composeMechanisms(new Set(settings.leaveOut))
   const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry, mechanisms)
   const stored = link.followStores({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
   })
-  const loads = new LoadReporter(address, () => link.leader, () => link.liveEntries, () => fleet.ownWork(), fleet.others, () => {
-    fleet.noteSight()
-    server.releaseWaiting()
+  const loads = new LoadReporter(address, {
+    datagrams,
+    board: () => link.leader,
+    liveHosts: () => link.liveEntries,
+    ownWork: () => fleet.ownWork(),
+    others: fleet.others,
+    onAnswer: () => {
+      fleet.noteSight()
+      server.releaseWaiting()
+    }
   }, telemetry)
-  await loads.start(settings.host)
+  loads.start()
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
   const olderWeights = new OlderWeights(settings.weightsBoundMs)
   const server = new RoutedServer({
@@ -99,7 +110,7 @@
     // Parts that nobody vouches for may have been freed meanwhile.
     storesUsable: now => mechanisms.usesStores && stored.isVouched(now),
     storeClockMs: now => stored.storeClockMs(now),
-    isLagging: () => loads.lagMs > LAGGING_MS
+    isLagging: () => link.lagMs > LAGGING_MS
   }, mechanisms.waitsForSite ? 0 : Number.NEGATIVE_INFINITY)
   const port = await server.listen(settings.host, settings.port, platform.early)
   const isReady = (): boolean => !stop.isStopping && server.isConfigured && fleet.isKnown && mayAct()
@@ -140,6 +151,7 @@
       loads.stop()
       await edges.close()
       rpc.close()
+      datagrams.close()
     }
   }
 }
--- a/apps/entry/src/lib/load/LoadReporter.ts
+++ b/apps/entry/src/lib/load/LoadReporter.ts
@@ -1,7 +1,9 @@
 /** Tells a control host of this host's work at endpoints, and hears of the others'. */
-import { createSocket, type Socket } from 'node:dgram'
-import { decodeLoadTotals, encodeLoadReport } from '@eelgrassmux/routing/load/loadCodec'
+import { decodeLoadTotals } from '@eelgrassmux/routing/load/loadCodec'
+import type { LoadTotals } from '@eelgrassmux/routing/load/loadReport'
 import type { HostWork, OthersWork } from '@eelgrassmux/routing/load/OthersWork'
+import type { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
+import { reportLoad } from '@eelgrassmux/rpc/methods/loadMethods'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /**
@@ -27,84 +29,72 @@
   return Math.min(LONGEST_REPORT_MS, Math.max(SHORTEST_REPORT_MS, sharedMs))
 }
 
+/** Where reports come from and answers go. */
+export interface LoadReporterPorts {
+  readonly datagrams: DatagramClient
+  /** Address of the control host that adds up, as of now. */
+  board (): string | undefined
+  /** Entry hosts that report, as of now. */
+  liveHosts (): number
+  /** This host's work, as of now. */
+  ownWork (): HostWork
+  /** Told of the others' work. */
+  readonly others: OthersWork
+  /** Called when the others' work was heard. */
+  onAnswer (): void
+}
+
 /** Reports until stopped. */
 export class LoadReporter {
-  readonly #socket: Socket = createSocket('udp4')
-  readonly #outcomes: LabelledCounter
+  readonly #malformed: LabelledCounter
   #sequence = 0
   #timer: NodeJS.Timeout | undefined
-  #lagMs = Number.POSITIVE_INFINITY
 
   /**
    * @param host - name of this host
-   * @param board - address of the control host that adds up, as of now
-   * @param liveHosts - entry hosts that report, as of now
-   * @param ownWork - this host's work, as of now
-   * @param others - told of the others' work
-   * @param onAnswer - called when the others' work was heard
+   * @param ports - surroundings
    * @param telemetry - metrics
    */
-  constructor (
-    private readonly host: string,
-    private readonly board: () => string | undefined,
-    private readonly liveHosts: () => number,
-    private readonly ownWork: () => HostWork,
-    private readonly others: OthersWork,
-    private readonly onAnswer: () => void,
-    telemetry: Telemetry
-  ) {
-    this.#outcomes = telemetry.labelledCounter('load_exchanges_total', 'Load reports and answers by outcome', 'outcome')
-    telemetry.gauge('others_work_recent', '1 while the work of other hosts is known', () => others.isRecent(performance.now()) ? 1 : 0)
-    this.#socket.on('message', bytes => { this.#take(bytes) })
-    // As good as a lost datagram.
-    this.#socket.on('error', () => { this.#outcomes.count('socket-error') })
+  constructor (private readonly host: string, private readonly ports: LoadReporterPorts, telemetry: Telemetry) {
+    this.#malformed = telemetry.labelledCounter('load_totals_malformed_total', 'Answers to load reports that could not be read')
+    telemetry.gauge('others_work_recent', '1 while the work of other hosts is known', () => ports.others.isRecent(performance.now()) ? 1 : 0)
   }
 
-  /** @param host - IP number to send from */
-  async start (host: string): Promise<void> {
-    await new Promise<void>(resolve => { this.#socket.bind(0, host, resolve) })
-    this.#schedule()
+  /** Begins to report. */
+  start (): void {
+    this.#timer = setTimeout(() => {
+      this.#report()
+      this.start()
+    }, reportIntervalMs(this.ports.liveHosts()))
   }
 
   /** Ends reporting. */
   stop (): void {
     clearTimeout(this.#timer)
-    this.#socket.close()
-  }
-
-  /**
-   * How late the last report was, in milliseconds: for so long this process did not get
-   * to its sockets. Infinite before the first: connections have waited while it was loaded.
-   */
-  get lagMs (): number { return this.#lagMs }
-
-  #schedule (): void {
-    const intervalMs = reportIntervalMs(this.liveHosts())
-    const dueAt = performance.now() + intervalMs
-    this.#timer = setTimeout(() => {
-      this.#lagMs = performance.now() - dueAt
-      this.#report()
-      this.#schedule()
-    }, intervalMs)
   }
 
   #report (): void {
-    const [address, port] = this.board()?.split(':') ?? []
-    if (address === undefined || port === undefined) return
-    const own = this.ownWork()
+    const address = this.ports.board()
+    if (address === undefined) return
+    const own = this.ports.ownWork()
     this.#sequence += 1
-    this.others.sent(this.#sequence, own)
-    this.#outcomes.count('sent')
-    this.#socket.send(encodeLoadReport({ host: this.host, sequence: this.#sequence, ...own }), Number(port), address)
+    this.ports.others.sent(this.#sequence, own)
+    this.ports.datagrams.ask(address, reportLoad, { host: this.host, sequence: this.#sequence, ...own }, totals => { this.#take(Buffer.from(totals)) })
   }
 
   #take (bytes: Buffer): void {
+    const totals = this.#read(bytes)
+    if (totals === undefined) return
+    this.ports.others.answered(totals, performance.now())
+    this.ports.onAnswer()
+  }
+
+  #read (bytes: Buffer): LoadTotals | undefined {
     try {
-      this.others.answered(decodeLoadTotals(bytes), performance.now())
-      this.#outcomes.count('answered')
-      this.onAnswer()
-    } catch {
-      this.#outcomes.count('malformed')
+      return decodeLoadTotals(bytes)
+    } catch (error) {
+      this.#malformed.count(error instanceof Error ? error.name : 'unknown')
+      return undefined
     }
   }
 }
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -60,8 +60,11 @@
 /** Longest wait for whoever reads the last log lines, in milliseconds: its callers are gone by then, and a busy machine takes some tenths of a second to write. */
 const LAST_LINES_MS = 1000
 
-/** Resolution of the event loop delay metric, in milliseconds. */
-const LOOP_RESOLUTION_MS = 20
+/**
+ * Interval at which the event loop's delay is measured, in milliseconds. Each wakes the process: at
+ * 20 and, for the metrics library's own, 10, a host at rest spent a sixth of its processor time on that.
+ */
+const LOOP_RESOLUTION_MS = 250
 
 /**
  * Runs a daemon until it is stopped. Never returns before the process may exit.
@@ -140,9 +143,10 @@
   const loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS })
   loopDelay.enable()
   telemetry.gauge('event_loop_delay_seconds', '99th percentile of event loop delay since the last reading', () => {
-    const seconds = loopDelay.percentile(99) / 1e9
+    // What it records is the time between two measurements.
+    const seconds = loopDelay.percentile(99) / 1e9 - LOOP_RESOLUTION_MS / 1000
     loopDelay.reset()
-    return Number.isFinite(seconds) ? seconds : 0
+    return Number.isFinite(seconds) ? Math.max(0, seconds) : 0
   })
   const daemon = await program.start(settings, telemetry, fail)
   let draining = false
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -7,6 +7,7 @@
 import { membershipSchema, raftMessageSchema, replicaSchema } from '@eelgrassmux/consensus/messages/raftMessages'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
 import { commandResultSchema, commandSchema, documentNameSchema, namedWeightsSchema, shardSchema } from '@eelgrassmux/state/commands'
+import { defineDatagram } from '../datagrams/DatagramMethod.js'
 import { defineStream, defineUnary } from '../RpcMethod.js'
 
 const count = z.number().int().min(0)
@@ -26,20 +27,48 @@
 /** What kind of process a host runs. */
 export const hostRoleSchema = z.enum(['entry', 'directory'])
 
-export const statusRequestSchema = z.strictObject({
-  host: z.string(),
+/** Longest name or address in a datagram that anybody may send, in characters; the longest data centre's name is a tenth of it. */
+const LONGEST_NAME = 256
+
+const nameSchema = z.string().max(LONGEST_NAME)
+
+/** What a host says of itself. */
+export const hostStatusSchema = z.strictObject({
+  host: nameSchema,
   role: hostRoleSchema,
-  address: z.string(),
-  dataCentre: z.string(),
+  address: nameSchema,
+  dataCentre: nameSchema,
   /** View that is in force on the host. */
   viewRevision: count,
   /** False once the host is stopping; it then gets no new shard. */
   accepting: z.boolean()
 })
 
+export const statusRequestSchema = hostStatusSchema.extend({
+  /** Index of the membership that the host knows; minus one if it knows none. */
+  membershipIndex: z.int().min(-1),
+  /** Whether the host tells other entry hosts of its dispatches. */
+  wantsPeers: z.boolean()
+})
+
+/** How far what a control host has to tell its watchers has got, so that those without news know that they have it all. */
+export const watchedStateSchema = z.strictObject({
+  /** Names this one life of the process: versions begin anew in the next. */
+  incarnation: z.string(),
+  /** Version of the endpoint list. */
+  endpointList: count,
+  /** Milliseconds since the platform stated the list; minus one before it ever did. */
+  listAgeMs: z.number(),
+  /** Changes of stored parts so far. */
+  storedParts: count,
+  /** Clock of stores and engines when the answer was sent, in milliseconds; absent until one has stated it. */
+  storeClockMs: z.number().optional()
+})
+
 export const statusResponseSchema = z.strictObject({
-  replicaId: z.string(),
-  membership: membershipSchema,
+  replicaId: nameSchema,
+  /** Absent if it is the one that the host knows. */
+  membership: membershipSchema.optional(),
   /** Index of the log entry that set the membership; the newest wins. */
   membershipIndex: count,
   /** Upper bound of any view in this replica's log, committed or not. */
@@ -50,19 +79,12 @@
   leader: z.string(),
   /** Entry hosts heard from lately; the share of each is one part of this many. */
   liveEntries: count,
-  /** Peer addresses of the live entry hosts; empty when they are too many to tell each other of every dispatch. */
-  entryPeers: z.array(z.string())
+  /** Peer addresses of the live entry hosts, if they were asked for; empty when they are too many to tell each other of every dispatch. */
+  entryPeers: z.array(nameSchema),
+  watched: watchedStateSchema
 })
 
-export const hostReportSchema = z.strictObject({
-  host: z.string(),
-  role: hostRoleSchema,
-  address: z.string(),
-  dataCentre: z.string(),
-  viewRevision: count,
-  accepting: z.boolean(),
-  ageMs: z.number()
-})
+export const hostReportSchema = hostStatusSchema.extend({ ageMs: z.number() })
 
 export const hostsResponseSchema = z.strictObject({
   replicaId: z.string(),
@@ -102,8 +124,10 @@
   })
 ])
 
-/** The endpoint list as a control host last read it; sent on each change, and again now and then as a sign of life. */
+/** The endpoint list as a control host last read it; sent on each change. In between, status answers say that nothing has changed. */
 export const endpointListSchema = z.strictObject({
+  incarnation: z.string(),
+  version: count,
   /** Absent if it is the same as in the message before. */
   endpoints: z.array(listedEndpointSchema).optional(),
   /** Milliseconds since the platform answered; minus one before it ever did. */
@@ -141,7 +165,10 @@
 
 export const exchangeRaft = defineUnary('/eelgrassmux.Control/ExchangeRaft', raftEnvelopeSchema, emptySchema)
 export const propose = defineUnary('/eelgrassmux.Control/Propose', z.strictObject({ command: commandSchema }), proposeResponseSchema)
-export const reportStatus = defineUnary('/eelgrassmux.Control/ReportStatus', statusRequestSchema, statusResponseSchema)
+/** Kind of the datagrams in which hosts report; those of load reports have another. */
+const STATUS_KIND = 1
+
+export const reportStatus = defineDatagram(STATUS_KIND, 'status', statusRequestSchema, statusResponseSchema)
 export const listHosts = defineUnary('/eelgrassmux.Control/ListHosts', emptySchema, hostsResponseSchema)
 export const listOrders = defineUnary('/eelgrassmux.Control/ListOrders', emptySchema, z.strictObject({ orders: z.array(orderReportSchema) }))
 export const changeMembership = defineUnary('/eelgrassmux.Control/ChangeMembership', membershipChangeSchema, membershipChangeResponseSchema)
@@ -153,6 +180,8 @@
 export type RaftEnvelope = z.infer<typeof raftEnvelopeSchema>
 export type ProposeResponse = z.infer<typeof proposeResponseSchema>
 export type HostRole = z.infer<typeof hostRoleSchema>
+export type HostStatus = z.infer<typeof hostStatusSchema>
+export type WatchedState = z.infer<typeof watchedStateSchema>
 export type StatusRequest = z.infer<typeof statusRequestSchema>
 export type StatusResponse = z.infer<typeof statusResponseSchema>
 export type HostReport = z.infer<typeof hostReportSchema>
--- a/packages/schema/src/lib/site/storedParts.ts
+++ b/packages/schema/src/lib/site/storedParts.ts
@@ -13,8 +13,12 @@
   removed: z.array(storedPartSchema)
 })
 
-/** One message of a watch; without changes it is a sign of life. */
+/** One message of a watch. In between, status answers say that nothing has changed. */
 export const storedPartsMessageSchema = z.strictObject({
+  /** Names the life of the process that counts the changes. */
+  incarnation: z.string(),
+  /** Changes of all stores that the process has seen, up to the last one in this message. */
+  version: z.int().min(0),
   changes: z.array(storeChangeSchema),
   /** Clock of stores and engines when the message was sent, in milliseconds; absent until one has stated it. */
   clockMs: z.number().optional()
--- a/packages/telemetry/src/lib/Telemetry.test.ts
+++ b/packages/telemetry/src/lib/Telemetry.test.ts
@@ -1,5 +1,6 @@
 import { spawnSync } from 'node:child_process'
 import { describe, expect, it } from 'vitest'
+import { Telemetry } from './Telemetry.js'
 
 /** Runs statements with a telemetry `log`, and reads what they left on standard output. */
 function linesOf (statements: string): Array<Record<string, unknown>> {
@@ -15,6 +16,13 @@
 }
 
 describe('Telemetry', () => {
+  it('shows the process, but no samples of its event loop that would wake it', async () => {
+    const metrics = await new Telemetry('test').registry.metrics()
+    expect(metrics).toContain('process_cpu_seconds_total')
+    expect(metrics).toContain('nodejs_eventloop_lag_seconds')
+    expect(metrics).not.toContain('nodejs_eventloop_lag_p99_seconds')
+  })
+
   it('writes lines of failures although many requests go well, and says what it left out', () => {
     const lines = linesOf('for (const id of \'abcdefgh\') answered(id); for (const id of \'ijk\') refused(id)')
     expect(lines.map(({ event, request, count }) => [event, request ?? count])).toEqual([
--- a/packages/telemetry/src/lib/Telemetry.ts
+++ b/packages/telemetry/src/lib/Telemetry.ts
@@ -22,6 +22,15 @@
 
 const DEFAULT_STORY_LIMITS: StoryLimits = { keptStories: 64, logLinesPerSecond: 200 }
 
+/**
+ * The metrics library samples the event loop's lag by waking the process a hundred times a
+ * second; daemons have a metric of their own that wakes it four times. In milliseconds.
+ */
+const NEVER_MS = 2 ** 31 - 1
+
+/** Names of the metrics that those samples would be shown by. */
+const SAMPLED_LOOP_LAG = /^nodejs_eventloop_lag_(?!seconds$)/
+
 /** Lines that requests without failure have as well. */
 const ORDINARY_EVENTS: ReadonlySet<DecisionEvent> = new Set<DecisionEvent>(['answered', 'waits-for-room', 'waits-for-site'])
 
@@ -38,7 +47,10 @@
    */
   constructor (readonly program: string, private readonly limits: StoryLimits = DEFAULT_STORY_LIMITS) {
     this.registry.setDefaultLabels({ program })
-    collectDefaultMetrics({ register: this.registry })
+    collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: NEVER_MS })
+    for (const name of this.registry.getMetricsAsArray().map(metric => metric.name)) {
+      if (SAMPLED_LOOP_LAG.test(name)) this.registry.removeSingleMetric(name)
+    }
     this.#log = Roarr.child({ program })
     this.#writer = new BoundedLogWriter(undefined, count => describeDroppedLines(program, count))
     ROARR.write = message => { this.#writer.write(message) }
--- a/packages/view/src/lib/ControlLink.test.ts
+++ b/packages/view/src/lib/ControlLink.test.ts
@@ -1,38 +1,86 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it } from 'vitest'
 import { reportStatus, watchView } from '@eelgrassmux/rpc/methods/controlMethods'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
+import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { ControlLink } from './ControlLink.js'
 
+interface ControlHost {
+  readonly address: string
+  close (): void
+}
+
 /** A control host that has applied a view, or none yet and then sends nothing. */
-async function controlHost (replicaId: string, appliedView: number): Promise<{ readonly address: string, readonly server: RpcServer }> {
+async function controlHost (replicaId: string, appliedView: number): Promise<ControlHost> {
   const server = new RpcServer()
-  server.handle(reportStatus, async () => ({
-    replicaId, membership: { voters: [], learners: [] }, membershipIndex: 1, newestView: appliedView, appliedView, leader: '', liveEntries: 1, entryPeers: []
+  const datagrams = new DatagramServer()
+  datagrams.handle(reportStatus, () => ({
+    replicaId,
+    membership: { voters: [], learners: [] },
+    membershipIndex: 1,
+    newestView: appliedView,
+    appliedView,
+    leader: '',
+    liveEntries: 1,
+    entryPeers: [],
+    watched: { incarnation: replicaId, endpointList: 0, listAgeMs: -1, storedParts: 0 }
   }))
   server.handleStream(watchView, async (_request, stream) => {
     if (appliedView > 0) await stream.send({ kind: 'snapshot', viewRevision: appliedView, revision: 1, documents: [], shards: [], weights: [] })
     await new Promise(resolve => { stream.signal.addEventListener('abort', resolve) })
   })
   const port = await server.listen('127.0.0.1', 0)
-  return { address: `127.0.0.1:${port}`, server }
+  await datagrams.listen('127.0.0.1', port)
+  return {
+    address: `127.0.0.1:${port}`,
+    close: () => {
+      server.close()
+      datagrams.close()
+    }
+  }
 }
 
 describe('ControlLink', () => {
+  const closers: Array<() => void> = []
+
+  async function openLink (controlAddresses: readonly string[]): Promise<ControlLink> {
+    const rpc = new RpcClient()
+    const datagrams = new DatagramClient()
+    await datagrams.bind('127.0.0.1')
+    const link = new ControlLink({ host: 'h', role: 'entry', address: '127.0.0.1:1', dataCentre: 'n', controlAddresses, freshnessMs: 3000 }, rpc, datagrams)
+    closers.push(() => {
+      link.stop()
+      rpc.close()
+      datagrams.close()
+    })
+    return link
+  }
+
+  afterEach(() => { for (const close of closers.splice(0)) close() })
+
   it('leaves a control host that has not caught up for one that has, before it knows any view', async () => {
     const behind = await controlHost('a', 0)
     const caughtUp = await controlHost('b', 5)
-    const rpc = new RpcClient()
-    const link = new ControlLink({
-      host: 'h', role: 'entry', address: '127.0.0.1:1', dataCentre: 'n', controlAddresses: [behind.address, caughtUp.address], freshnessMs: 3000
-    }, rpc)
+    closers.push(behind.close, caughtUp.close)
+    const link = await openLink([behind.address, caughtUp.address])
     link.start()
     for (let look = 0; look < 200 && link.viewRevision === 0; look += 1) await sleep(20)
     expect(link.viewRevision).toBe(5)
-    link.stop()
-    rpc.close()
-    behind.server.close()
-    caughtUp.server.close()
+  })
+
+  it('says that this process was held up: by its loading, and by work of any kind', async () => {
+    const host = await controlHost('a', 5)
+    closers.push(host.close)
+    const link = await openLink([host.address])
+    expect(link.lagMs).toBe(Number.POSITIVE_INFINITY)
+    link.start()
+    expect(link.lagMs).toBe(Number.POSITIVE_INFINITY)
+    const heldUpUntil = performance.now() + 400
+    while (performance.now() < heldUpUntil);
+    await sleep(10)
+    expect(link.lagMs).toBeGreaterThan(100)
+    expect(link.lagMs).toBeLessThan(Number.POSITIVE_INFINITY)
   })
 })
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -5,13 +5,15 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
-import { propose, reportStatus, watchView, type HostRole } from '@eelgrassmux/rpc/methods/controlMethods'
+import type { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
+import { propose, watchView, type HostRole, type StatusRequest, type StatusResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Command, CommandResult, NamedWeights, Shard } from '@eelgrassmux/state/commands'
 import { EndpointListFollower } from './EndpointListFollower.js'
 import { FreshnessLease } from './FreshnessLease.js'
+import { StatusReports } from './StatusReports.js'
 import { StoredPartsFollower, type StoredPartsListener } from './StoredPartsFollower.js'
 import { ViewFollower } from './ViewFollower.js'
 
@@ -27,6 +29,8 @@
   readonly freshnessMs: number
   /** Whether this host needs the platform's endpoint list. */
   readonly watchesEndpoints?: boolean
+  /** Whether this host tells other entry hosts of its dispatches. */
+  readonly wantsPeers?: boolean
 }
 
 /** Why a command has no result. */
@@ -36,18 +40,12 @@
   /** It may be applied now, later or never. */
   | { readonly kind: 'uncertain' }
 
-/** Interval between status reports to each control host, in milliseconds. */
-const REPORT_INTERVAL_MS = 500
-
-/** Interval before the first view has come, in milliseconds: callers wait for it. */
-const FIRST_REPORT_INTERVAL_MS = 200
-
-/** Deadline of one status report, in milliseconds. */
-const REPORT_DEADLINE_MS = 1000
-
 /** Pause before a broken watch is opened again, in milliseconds. */
 const WATCH_RETRY_MS = 100
 
+/** Time for which a view that some control host has applied may still be on its way through the watch, in milliseconds. */
+const ON_ITS_WAY_MS = 100
+
 /** Pause before another control host is asked to take a command, in milliseconds. */
 const PROPOSE_RETRY_MS = 50
 
@@ -65,18 +63,33 @@
   #watchRestart = new AbortController()
   #listeners: Array<() => void> = []
   readonly #endpoints: EndpointListFollower
-  /** Control host that is known to have applied a newer view than this host. */
-  #newerAt: string | undefined
+  /** Control host that stated that it has applied a newer view than this host. */
+  #newer: { readonly address: string, readonly view: number, readonly heardAt: number } | undefined
   #leader: string | undefined
   #watchFailures = 0
   #watched = ''
+  #lagMs = Number.POSITIVE_INFINITY
+  readonly #reports: StatusReports
+  readonly #storesFollowed: StoredPartsFollower[] = []
 
   /**
    * @param settings - who this host is
    * @param rpc - client for calls to the control hosts
+   * @param datagrams - client for questions to them
    */
-  constructor (private readonly settings: ControlLinkSettings, private readonly rpc: RpcClient) {
+  constructor (private readonly settings: ControlLinkSettings, private readonly rpc: RpcClient, datagrams: DatagramClient) {
     this.#lease = new FreshnessLease(settings.freshnessMs)
+    this.#reports = new StatusReports(datagrams, {
+      addresses: () => [...this.#addresses(), ...settings.controlAddresses],
+      report: () => this.#report(),
+      isHurried: () => this.viewRevision === 0 || this.#leader === undefined,
+      onStatement: (address, statement, askedAt) => { this.#takeStatement(address, statement, askedAt) },
+      onSilence: address => { if (this.#leader === address) this.#leader = undefined },
+      onLook: lateMs => {
+        this.#lagMs = lateMs
+        if (this.#isWatchStuck()) this.#watchRestart.abort()
+      }
+    })
     this.#endpoints = new EndpointListFollower(rpc, () => this.#watchOrder(), () => { this.#notify() })
   }
 
@@ -101,6 +114,11 @@
     return this.#endpoints.ageMs(now)
   }
 
+  /**
+   * How late this host came to its last report, in milliseconds: for so long the process did not get
+   * to its sockets. Infinite before the first: connections have waited while it was loaded.
+   */
+  get lagMs (): number { return this.#lagMs }
   /** Entry hosts that may be alive. */
   get liveEntries (): number { return this.#lease.liveEntries(performance.now()) }
 
@@ -131,13 +149,14 @@
    */
   followStores (listener: StoredPartsListener): StoredPartsFollower {
     const follower = new StoredPartsFollower(this.rpc, () => this.#watchOrder(), listener)
+    this.#storesFollowed.push(follower)
     void follower.run(this.#abort.signal)
     return follower
   }
 
   /** Starts to follow. */
   start (): void {
-    void this.#reportLoop()
+    this.#reports.start()
     void this.#watchLoop()
     if (this.settings.watchesEndpoints === true) void this.#endpoints.run(this.#abort.signal)
   }
@@ -145,12 +164,13 @@
   /** Tells the control hosts that this host takes no new work. */
   stopAccepting (): void {
     this.#accepting = false
-    void this.#reportAll()
+    this.#reports.askAll()
   }
 
   /** Stops following. */
   stop (): void {
     this.#abort.abort()
+    this.#reports.stop()
   }
 
   /**
@@ -190,48 +210,35 @@
     return addresses[turn % addresses.length] ?? ''
   }
 
-  async #reportLoop (): Promise<void> {
-    while (!this.#abort.signal.aborted) {
-      // Not awaited: a silent control host must not delay the reports to the others.
-      void this.#reportAll()
-      await sleep(this.viewRevision === 0 ? FIRST_REPORT_INTERVAL_MS : REPORT_INTERVAL_MS)
-      if (this.#isWatchStuck()) this.#watchRestart.abort()
-    }
-  }
-
   /** The watched control host may be cut off from the others, or not have caught up: another one knows more. */
   #isWatchStuck (): boolean {
-    const isBehind = this.#newerAt !== undefined
+    const isBehind = this.#newer !== undefined && this.#newer.view > this.viewRevision && performance.now() - this.#newer.heardAt > ON_ITS_WAY_MS
     if (this.viewRevision > 0) return isBehind || !this.isFresh()
-    return isBehind && this.#newerAt !== this.#watched
+    return isBehind && this.#newer?.address !== this.#watched
   }
 
-  async #reportAll (): Promise<void> {
-    const addresses = new Set([...this.#addresses(), ...this.settings.controlAddresses])
-    await Promise.all([...addresses].map(async address => { await this.#report(address) }))
+  #report (): StatusRequest {
+    const { host, role, address, dataCentre, wantsPeers = false } = this.settings
+    const { membershipIndex } = this.#lease
+    return { host, role, address, dataCentre, viewRevision: this.viewRevision, accepting: this.#accepting, membershipIndex, wantsPeers }
   }
 
-  async #report (address: string): Promise<void> {
-    const { host, role, dataCentre } = this.settings
-    const askedAt = performance.now()
-    const request = {
-      host, role, address: this.settings.address, dataCentre, viewRevision: this.viewRevision, accepting: this.#accepting
-    }
-    const answer = await this.rpc.call(address, reportStatus, request, REPORT_DEADLINE_MS)
-    if (!answer.ok) {
-      if (this.#leader === address) this.#leader = undefined
-      return
-    }
-    this.#lease.observe({ ...answer.value, askedAt })
-    // The view may still be on its way here; it counts as missed if it was applied there before we asked.
-    const isMissed = answer.value.appliedView > request.viewRevision && answer.value.appliedView > this.viewRevision
-    if (isMissed) this.#newerAt = address
-    if (answer.value.leader !== '') this.#leader = answer.value.leader
+  #takeStatement (address: string, statement: StatusResponse, askedAt: number): void {
+    const { membership, membershipIndex, appliedView, leader, watched } = statement
+    const known = membershipIndex === this.#lease.membershipIndex ? this.#lease.membership : undefined
+    const stated = membership ?? known
+    // It left out a membership that was known when it was asked, and has been overtaken since: the next answer has one.
+    if (stated === undefined) return
+    this.#lease.observe({ ...statement, membership: stated, askedAt })
+    if (appliedView > this.viewRevision && appliedView > (this.#newer?.view ?? 0)) this.#newer = { address, view: appliedView, heardAt: performance.now() }
+    if (leader !== '') this.#leader = leader
+    this.#endpoints.confirm(address, watched, askedAt)
+    for (const follower of this.#storesFollowed) follower.confirm(address, watched, askedAt)
   }
 
   /** The host that has what we miss, or the leader, so that few control hosts need to read the list; else any by turns. */
   #watchAddress (): string {
-    const preferred = this.#newerAt ?? (this.#watchFailures === 0 ? this.#leader : undefined)
+    const preferred = this.#newer?.address ?? (this.#watchFailures === 0 ? this.#leader : undefined)
     return preferred ?? this.#controlAddress(this.#watchTurn)
   }
 
@@ -248,7 +255,7 @@
     while (!this.#abort.signal.aborted) {
       const address = this.#watchAddress()
       this.#watched = address
-      this.#newerAt = undefined
+      this.#newer = undefined
       this.#watchTurn += 1
       this.#watchRestart = new AbortController()
       const restart = this.#watchRestart
@@ -259,7 +266,7 @@
         if (outcome !== 'advanced') return
         this.#notify()
         // Report the new view at once, so that those who wait for it to be in force hear of it.
-        void this.#reportAll()
+        this.#reports.askAll()
       }, signal)
       // After a failed watch the next host is tried, also if the failed one is the leader we know.
       this.#watchFailures = this.#watchFailures === 0 ? 1 : 0
--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -1,8 +1,8 @@
 /** Follows the platform's endpoint list through one control host at a time. */
-import { watchEndpoints } from '@eelgrassmux/rpc/methods/controlMethods'
+import { watchEndpoints, type WatchedState } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import { WatchRotation } from './WatchRotation.js'
+import { WatchRotation, type OpenWatch } from './WatchRotation.js'
 
 /** Age of the list after which another control host may know more, in milliseconds. */
 const STALE_MS = 3000
@@ -11,6 +11,7 @@
 export class EndpointListFollower {
   #endpoints: readonly ListedEndpoint[] = []
   #readAt = Number.NEGATIVE_INFINITY
+  #heard: { readonly incarnation: string, readonly version: number } | undefined
   readonly #rotation: WatchRotation
 
   /**
@@ -35,17 +36,36 @@
   /** @param signal - ends the following */
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
-      await this.rpc.stream(address, watchEndpoints, {}, ({ readAgeMs, endpoints }) => {
-        watch.heard()
-        const now = performance.now()
-        const readAt = readAgeMs < 0 ? Number.NEGATIVE_INFINITY : now - readAgeMs
-        // A host that can't reach the platform is left for another.
-        if (now - readAt > STALE_MS && now - watch.startedAt > STALE_MS) watch.leave()
-        this.#readAt = Math.max(this.#readAt, readAt)
+      this.#heard = undefined
+      await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
+        this.#heard = { incarnation, version }
+        this.#noteRead(watch, readAgeMs, performance.now())
         if (endpoints === undefined || readAgeMs < 0) return
         this.#endpoints = endpoints
         this.onChange()
       }, watch.signal)
     })
   }
+
+  /**
+   * Takes what a control host says of its list apart from the watch.
+   *
+   * @param address - control host
+   * @param state - how far its list has got
+   * @param askedAt - monotonic milliseconds when it was asked
+   */
+  confirm (address: string, { incarnation, endpointList, listAgeMs }: WatchedState, askedAt: number): void {
+    const watch = this.#rotation.openAt(address)
+    // What is newer than this host's list is on its way through the watch.
+    if (watch === undefined || this.#heard?.incarnation !== incarnation || this.#heard.version !== endpointList) return
+    this.#noteRead(watch, listAgeMs, askedAt)
+  }
+
+  #noteRead (watch: OpenWatch, readAgeMs: number, now: number): void {
+    watch.heard()
+    const readAt = readAgeMs < 0 ? Number.NEGATIVE_INFINITY : now - readAgeMs
+    // A host that can't reach the platform is left for another.
+    if (now - readAt > STALE_MS && now - watch.startedAt > STALE_MS) watch.leave()
+    this.#readAt = Math.max(this.#readAt, readAt)
+  }
 }
--- a/packages/view/src/lib/FreshnessLease.ts
+++ b/packages/view/src/lib/FreshnessLease.ts
@@ -32,6 +32,8 @@
   /** @param leaseMs - how long a confirmation lasts, in milliseconds */
   constructor (readonly leaseMs: number) {}
 
+  /** Index of the newest membership that was stated; minus one before any was. */
+  get membershipIndex (): number { return this.#membershipIndex }
   /** Voters as the newest statement lists them. */
   get membership (): Membership { return this.#membership }
 
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -1,5 +1,5 @@
 /** Follows what stores hold through one control host at a time. */
-import { watchStoredParts } from '@eelgrassmux/rpc/methods/controlMethods'
+import { watchStoredParts, type WatchedState } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { StoreChange } from '@eelgrassmux/schema/site/storedParts'
 import { WatchRotation } from './WatchRotation.js'
@@ -21,6 +21,7 @@
 export class StoredPartsFollower {
   #heardAt = Number.NEGATIVE_INFINITY
   #clockAhead: number | undefined
+  #known: { readonly incarnation: string, readonly version: number } | undefined
   readonly #rotation: WatchRotation
 
   /**
@@ -52,14 +53,31 @@
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
       this.#heardAt = Number.NEGATIVE_INFINITY
+      this.#known = undefined
       this.listener.reset()
-      await this.rpc.stream(address, watchStoredParts, {}, ({ changes, clockMs }) => {
+      await this.rpc.stream(address, watchStoredParts, {}, ({ incarnation, version, changes, clockMs }) => {
         watch.heard()
         const now = performance.now()
         this.#heardAt = now
+        this.#known = { incarnation, version }
         if (clockMs !== undefined) this.#clockAhead = clockMs - now
         for (const change of changes) this.listener.apply(change)
       }, watch.signal)
     })
   }
+
+  /**
+   * Takes a control host's word that there is nothing newer than what the watch has told.
+   *
+   * @param address - control host
+   * @param state - how many changes it has seen
+   * @param askedAt - monotonic milliseconds when it was asked
+   */
+  confirm (address: string, { incarnation, storedParts, storeClockMs }: WatchedState, askedAt: number): void {
+    const watch = this.#rotation.openAt(address)
+    if (watch === undefined || this.#known?.incarnation !== incarnation || this.#known.version !== storedParts) return
+    watch.heard()
+    this.#heardAt = Math.max(this.#heardAt, askedAt)
+    if (storeClockMs !== undefined) this.#clockAhead = storeClockMs - performance.now()
+  }
 }
--- a/packages/view/src/lib/WatchRotation.ts
+++ b/packages/view/src/lib/WatchRotation.ts
@@ -1,7 +1,7 @@
 /** Keeps one watch open, at another control host whenever the present one fails or falls silent. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-/** Silence after which the watched control host is left, in milliseconds; it sends a sign of life twice a second. */
+/** Silence after which the watched control host is left, in milliseconds; it answers status reports twice a second. */
 const SILENCE_MS = 1200
 
 /** Pause before the next watch, in milliseconds. */
@@ -16,7 +16,7 @@
   readonly signal: AbortSignal
   /** Monotonic milliseconds when it began. */
   readonly startedAt: number
-  /** Call for each message. */
+  /** Call for each message, and for each statement that there is none to send. */
   heard (): void
   /** Leaves this control host for another. */
   leave (): void
@@ -25,10 +25,19 @@
 /** Opens watches by turns until stopped. */
 export class WatchRotation {
   #turn = 0
+  #open: { readonly address: string, readonly watch: OpenWatch } | undefined
 
   /** @param candidates - control hosts to watch, the preferred one first, as of now */
   constructor (private readonly candidates: () => readonly string[]) {}
 
+  /**
+   * @param address - a control host
+   * @returns the watch that is open there, if there is one
+   */
+  openAt (address: string): OpenWatch | undefined {
+    return this.#open?.address === address ? this.#open.watch : undefined
+  }
+
   /**
    * @param signal - ends the rotation
    * @param open - opens a watch and resolves when it has ended
@@ -53,7 +62,10 @@
       clearTimeout(timer)
       timer = setTimeout(leave, SILENCE_MS)
     }
-    await open(address, { signal: AbortSignal.any([signal, left.signal]), startedAt, heard, leave })
+    const watch: OpenWatch = { signal: AbortSignal.any([signal, left.signal]), startedAt, heard, leave }
+    this.#open = { address, watch }
+    await open(address, watch)
+    this.#open = undefined
     clearTimeout(timer)
   }
 }
