--- a/packages/daemon/src/lib/AdminServer.ts
+++ b/packages/daemon/src/lib/AdminServer.ts
@@ -1,5 +1,6 @@
 /** HTTP endpoint for operators' tools: health, readiness and metrics. */
-import { H3, serve } from 'h3'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /** A running admin server. */
@@ -8,8 +9,11 @@
   close (): Promise<void>
 }
 
+type Handler = (request: IncomingMessage, response: ServerResponse) => unknown
+
 /**
- * Starts the admin server.
+ * Starts the admin server. Its routes are loaded when somebody asks for the first time: they
+ * rest on much of the runtime that a host does not need to serve.
  *
  * @param host - IP number to listen on
  * @param port - port, 0 for a free one
@@ -20,6 +24,32 @@
 export async function startAdminServer (
   host: string, port: number, telemetry: Telemetry, isReady: () => boolean
 ): Promise<AdminServer> {
+  let handler: Promise<Handler> | undefined
+  const server = createServer((request, response) => {
+    handler ??= loadHandler(telemetry, isReady)
+    handler.then(handle => handle(request, response)).catch((error: unknown) => {
+      telemetry.fault('admin-failed', { path: request.url ?? '', message: String(error) })
+      response.destroy()
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: async () => {
+      await new Promise<void>(resolve => {
+        server.close(() => { resolve() })
+        server.closeAllConnections()
+      })
+    }
+  }
+}
+
+async function loadHandler (telemetry: Telemetry, isReady: () => boolean): Promise<Handler> {
+  const { H3 } = await import('h3')
+  const { toNodeHandler } = await import('h3/node')
   const app = new H3()
   app.get('/healthz', () => 'ok\n')
   app.get('/readyz', event => {
@@ -31,9 +61,7 @@
     event.res.headers.set('content-type', telemetry.registry.contentType)
     return await telemetry.registry.metrics()
   })
-  const server = serve(app, { hostname: host, port, gracefulShutdown: false, silent: true })
-  await server.ready()
-  return { port: portOf(server.url), close: async () => { await server.close(true) } }
+  return toNodeHandler(app)
 }
 
 /**
--- a/packages/telemetry/src/lib/events/processFaults.ts
+++ b/packages/telemetry/src/lib/events/processFaults.ts
@@ -1,6 +1,9 @@
 import { z } from 'zod'
 
-/** Faults that end a process. */
+/** Faults of any process. */
 export const processFaults = {
-  fatal: z.strictObject({ invariant: z.string(), message: z.string() })
+  /** The process ends by it. */
+  fatal: z.strictObject({ invariant: z.string(), message: z.string() }),
+  /** An operator's tool got no answer. */
+  'admin-failed': z.strictObject({ path: z.string(), message: z.string() })
 }
