Short protocol messages of control hosts go as datagrams

Cause: heartbeats and their answers over gRPC were most of what a control host at rest spent: 33 a second for each follower. Ruled out: longer heartbeats (the election timeout rests on them).

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -10,7 +10,7 @@
 import { addressListSetting, addressSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
 import { NodeDataFolder } from '@eelgrassmux/durable/DataFolder'
 import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
-import { exchangeRaft } from '@eelgrassmux/rpc/methods/controlMethods'
+import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
@@ -24,6 +24,7 @@
 import { serveLoadBoard } from './load/serveLoadBoard.js'
 import { OrderTask } from './orders/OrderTask.js'
 import { GroupKeeper } from './raft/GroupKeeper.js'
+import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
@@ -78,9 +79,6 @@
 /** Interval between sweeps of expired records, in milliseconds. */
 const EXPIRE_MS = 60_000
 
-/** Deadline of one protocol message, in milliseconds. */
-const RAFT_DEADLINE_MS = 1000
-
 /** Start of this process on its monotonic clock, in milliseconds. */
 const PROCESS_START_MS = 0
 
@@ -112,6 +110,9 @@
   const server = new RpcServer()
   const rpc = new RpcClient()
   const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
+  const peers = new DatagramClient()
+  await peers.bind(settings.host)
+  const sender = new RaftSender(peers, rpc, reason => { messageFailures.count(reason) })
   const orderOutcomes = telemetry.labelledCounter('orders_total', 'Orders to endpoints by outcome', 'outcome')
 
   const learnt = new Map<string, string>()
@@ -122,10 +123,7 @@
   const raft = new RaftTask(core, storage, state, {
     send: (to, message) => {
       const address = to.address === '' ? learnt.get(to.id) : to.address
-      if (address === undefined) return
-      void rpc.call(address, exchangeRaft, { from: self, to: to.id, message }, RAFT_DEADLINE_MS).then(answer => {
-        if (!answer.ok) messageFailures.count(answer.error.kind)
-      })
+      if (address !== undefined) sender.send(address, { from: self, to: to.id, message })
     },
     applied: () => {
       controlServer.notify()
@@ -196,6 +194,7 @@
       await raft.close()
       server.close()
       rpc.close()
+      peers.close()
     }
   }
 }
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -4,8 +4,8 @@
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
 import {
-  changeMembership as changeMembershipMethod, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, watchEndpoints, watchStoredParts, watchView,
-  type EndpointListMessage, type StatusRequest, type StatusResponse, type ViewMessage
+  changeMembership as changeMembershipMethod, exchangeRaft, listHosts, listOrders, propose, readSite, reportStatus, tellRaft, watchEndpoints, watchStoredParts, watchView,
+  type EndpointListMessage, type RaftEnvelope, type StatusRequest, type StatusResponse, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import type { ResponseStream, RpcServer } from '@eelgrassmux/rpc/RpcServer'
@@ -58,9 +58,7 @@
   /** @param server - where to register all methods */
   register (server: RpcServer): void {
     server.handle(exchangeRaft, async envelope => {
-      this.learnReplica(envelope.from)
-      // A message for another identity at this address is for a replica that has lost its disk.
-      if (envelope.to === this.raft.core.self.id) this.raft.receive(envelope.message)
+      this.#receive(envelope)
       return {}
     })
     server.handle(propose, async ({ command }) => await this.raft.propose(command))
@@ -91,6 +89,16 @@
   /** @param datagrams - where to register what hosts ask again and again */
   registerDatagrams (datagrams: DatagramServer): void {
     datagrams.handle(reportStatus, report => this.#answerReport(report))
+    datagrams.handle(tellRaft, envelope => {
+      this.#receive(envelope)
+      return undefined
+    })
+  }
+
+  #receive ({ from, to, message }: RaftEnvelope): void {
+    this.learnReplica(from)
+    // A message for another identity at this address is for a replica that has lost its disk.
+    if (to === this.raft.core.self.id) this.raft.receive(message)
   }
 
   #answerReport ({ membershipIndex: known, wantsPeers, ...status }: StatusRequest): StatusResponse {
--- /dev/null
+++ b/apps/control/src/lib/raft/RaftSender.test.ts
@@ -0,0 +1,45 @@
+import { describe, expect, it } from 'vitest'
+import type { RaftMessage } from '@eelgrassmux/consensus/messages/raftMessages'
+import { RaftSender } from './RaftSender.js'
+
+const header = { from: 'a', term: 3 }
+const append = (entries: Extract<RaftMessage, { kind: 'append-request' }>['entries']): RaftMessage =>
+  ({ kind: 'append-request', ...header, previousIndex: 1, previousTerm: 1, entries, commitIndex: 1, sentAt: 0 })
+
+/** @returns whether a message went as a datagram or as a call */
+function wayOf (message: RaftMessage): string {
+  const ways: string[] = []
+  const sender = new RaftSender(
+    { tell: () => { ways.push('datagram') } },
+    {
+      call: async () => {
+        ways.push('call')
+        return { ok: false, error: { kind: 'unreachable', address: 'b', detail: '' } } as never
+      }
+    },
+    () => {})
+  sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message })
+  return ways.join(' ')
+}
+
+describe('RaftSender', () => {
+  it('sends as a datagram what is said again if it is lost', () => {
+    expect(wayOf(append([]))).toBe('datagram')
+    expect(wayOf({ kind: 'append-response', ...header, success: true, matchIndex: 1, sentAt: 0 })).toBe('datagram')
+    expect(wayOf({ kind: 'vote-request', ...header, preVote: true, lastIndex: 1, lastTerm: 1, transfer: false })).toBe('datagram')
+  })
+
+  it('calls with what is long, or is said only once', () => {
+    expect(wayOf(append([{ kind: 'command', index: 2, term: 3, command: new Uint8Array(10) }]))).toBe('call')
+    expect(wayOf({ kind: 'snapshot-request', ...header, sentAt: 0, snapshot: { index: 1, term: 1, membership: { voters: [], learners: [] }, state: new Uint8Array(1) } })).toBe('call')
+    expect(wayOf({ kind: 'timeout-now', ...header })).toBe('call')
+  })
+
+  it('counts calls that fail', async () => {
+    const reasons: string[] = []
+    const sender = new RaftSender({ tell: () => {} }, { call: async () => ({ ok: false, error: { kind: 'unreachable', address: 'b', detail: '' } }) as never }, reason => { reasons.push(reason) })
+    sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message: { kind: 'timeout-now', ...header } })
+    await Promise.resolve()
+    expect(reasons).toEqual(['unreachable'])
+  })
+})
