Endpoints that answer nobody are asked directly, and told of to all hosts until they answer

Load: engines that go dark before many hosts. Cause: isSilentToAll needs requests under way; nothing remembered that the engine had not answered. Ruled out: remembering alone (somebody's request would have to find out that it is back).

A request that may run elsewhere leaves such an endpoint at once.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -14,6 +14,7 @@
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { ReplicatedService } from '@eelgrassmux/schema/site/siteSchema'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
 import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -21,7 +22,7 @@
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
 import { HostTable } from './hosts/HostTable.js'
 import { planShards } from './hosts/planShards.js'
-import { serveLoadBoard } from './load/serveLoadBoard.js'
+import { LoadBoardTask, type EndpointProbe } from './load/LoadBoardTask.js'
 import { OrderTask } from './orders/OrderTask.js'
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftSender } from './raft/RaftSender.js'
@@ -61,6 +62,7 @@
   readonly endpoints: EndpointSource
   readonly engines: RolloutBackend
   readonly stores: StoreSource
+  readonly probe: EndpointProbe
   /** Addresses of control hosts that may know the group, as of now. */
   contacts (): readonly string[]
   /** Opens what operators call on this platform. */
@@ -155,7 +157,13 @@
   const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams of hosts by what they ask, or why they were not taken', 'outcome')
   const datagrams = new DatagramServer(outcome => { datagramOutcomes.count(outcome) })
   controlServer.registerDatagrams(datagrams)
-  serveLoadBoard(datagrams)
+  const loads = new LoadBoardTask({
+    probe: platform?.probe,
+    endpoints: () => endpoints?.endpointsOfSite ?? [],
+    service: name => state.sites.put?.site.services.find(service => service.type === 'replicated' && service.name === name) as ReplicatedService | undefined,
+    telemetry
+  })
+  loads.register(datagrams)
   await datagrams.listen(settings.host, port)
   registerGauges(telemetry, raft, hosts)
   orders.start()
@@ -185,6 +193,7 @@
       clearInterval(expireTimer)
       keeper.stop()
       datagrams.close()
+      loads.stop()
       rollout?.stop()
       endpoints?.stop()
       stores?.stop()
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -2,6 +2,7 @@
 import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
+import { isUnresponsive } from '@eelgrassmux/routing/endpoints/sharedSight'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
@@ -184,6 +185,15 @@
     return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection, homeEndpoint: this.mechanisms.homeEndpoint }, this.memory, now, Math.random())
   }
 
+  /**
+   * @param endpoint - with work of this host
+   * @returns whether it has fallen silent towards everybody, as far as is known
+   */
+  isSilent (endpoint: EndpointState): boolean {
+    const now = performance.now()
+    return endpoint.isSilent(now) || (this.others.isRecent(now) && isUnresponsive(endpoint, this.others.at(endpoint.incarnation), now))
+  }
+
   /** @param listener - told of each change of this host's work at endpoints */
   onWork (listener: (change: WorkChange) => void): void {
     this.#workListener = listener
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -353,7 +353,7 @@
   }
 
   #isEndpointSilent (): boolean {
-    return this.#attempt?.choice.endpoint.isSilent(performance.now()) === true
+    return this.#attempt !== undefined && this.ports.fleet.isSilent(this.#attempt.choice.endpoint)
   }
 
   /**
--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -3,6 +3,7 @@
 import { controlSettingsShape, startControl } from '@eelgrassmux/control/ControlDaemon'
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { addressSetting, booleanSetting } from '@eelgrassmux/daemon/settings'
+import { HttpEndpointProbe } from './lib/HttpEndpointProbe.js'
 import { HttpEndpointSource } from './lib/HttpEndpointSource.js'
 import { HttpWeightOrders } from './lib/HttpWeightOrders.js'
 import { NoStores } from './lib/NoStores.js'
@@ -22,6 +23,7 @@
     endpoints: new HttpEndpointSource(settings.list),
     engines: new HttpWeightOrders(),
     stores: new NoStores(),
+    probe: new HttpEndpointProbe(),
     contacts: () => settings.join,
     openOperatorEdge: async sites => await openOperatorEdge(settings.host, sites, settings.forgetful)
   })
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -2,6 +2,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { LONG_AGO_MS, type WorkFigures } from '../load/loadReport.js'
 import { EndpointHealth } from './EndpointHealth.js'
+import { incarnationName } from './incarnationName.js'
 import { Slowness } from './Slowness.js'
 
 /** Load as an endpoint states it in its answers. */
@@ -20,9 +21,6 @@
 /** Silence after which an endpoint with work gets no more if others can take it, in milliseconds: three times what a first event usually takes. */
 const SILENT_MS = 900
 
-/** Radix of the start in an incarnation's name: 8 digits in place of 13, because load reports carry the name many times a second. */
-const NAME_RADIX = 36
-
 /** Weight of the newest sample in the mean latency. */
 const LATENCY_SMOOTHING = 0.1
 
@@ -78,6 +76,7 @@
       heldTokens: this.#heldTokens,
       heardAgoMs: this.heardAgoMs(now),
       waitedMs: this.waitedMs(now),
+      unresponsive: 0,
       avoiders: this.health.isOutOfReach(now) ? 1 : 0,
       outcomes,
       failures
@@ -243,7 +242,3 @@
     }
   }
 }
-
-function incarnationName ({ id, startedAtMs }: ListedEndpoint): string {
-  return startedAtMs === undefined ? id : `${id}@${startedAtMs.toString(NAME_RADIX)}`
-}
--- a/packages/routing/src/lib/endpoints/sharedSight.ts
+++ b/packages/routing/src/lib/endpoints/sharedSight.ts
@@ -27,6 +27,9 @@
 /** Age up to which this host's own word from an endpoint goes before the others', in milliseconds. */
 const OWN_WORD_MS = 1000
 
+/** Age up to which a byte from an endpoint says that it lives, whatever others say, in milliseconds: less than it takes to find that it does not. */
+const HEARD_MS = 300
+
 /** Successes that an endpoint is credited with at first, so that one failure settles nothing. */
 const CREDITED_SUCCESSES = 8
 
@@ -49,6 +52,16 @@
   return heardAgoMs > SILENT_TO_ALL_MS && waitedMs > SILENT_TO_ALL_MS
 }
 
+/**
+ * @param endpoint - as this host knows it
+ * @param others - what the other hosts have told of it
+ * @param now - monotonic milliseconds
+ * @returns whether it answers nobody, and has sent nothing to this host since that was found
+ */
+export function isUnresponsive (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
+  return others.unresponsive > 0 && endpoint.heardAgoMs(now) > HEARD_MS
+}
+
 /**
  * @param endpoint - as this host knows it
  * @param others - what the other hosts have told of it
@@ -73,7 +86,7 @@
 }
 
 /** Why an endpoint gets no work if others can take it, by what all hosts have seen. */
-export type EjectionReason = 'silent-to-all' | 'avoided-by-others' | 'failing'
+export type EjectionReason = 'unresponsive' | 'silent-to-all' | 'avoided-by-others' | 'failing'
 
 /**
  * @param endpoint - as this host knows it
@@ -83,6 +96,7 @@
  * @returns why it is ejected, or undefined if it is not
  */
 export function ejectionReason (endpoint: EndpointState, others: WorkFigures, excessShare: number, now: number): EjectionReason | undefined {
+  if (isUnresponsive(endpoint, others, now)) return 'unresponsive'
   if (isSilentToAll(endpoint, others, now)) return 'silent-to-all'
   if (isAvoidedByOthers(endpoint, others, now)) return 'avoided-by-others'
   return excessShare > EXCESS_FAILING_SHARE ? 'failing' : undefined
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -8,7 +8,7 @@
  * hosts, not with its square; the adding up does not grow with reports at all.
  */
 import { addLinks, IDLE_LINK, type LinkWork } from './linkWork.js'
-import type { EndpointWork, LoadReport } from './loadReport.js'
+import { LONG_AGO_MS, NO_WORK, type EndpointWork, type LoadReport } from './loadReport.js'
 
 /** Silence after which a host's work is taken to have ended with it, in milliseconds: five to twenty reports. */
 const FORGET_MS = 1000
@@ -34,6 +34,7 @@
   readonly #hosts = new Map<string, HostEntry>()
   #totals: Totals = { work: [], links: [], sequences: new Map() }
   #addedAt = Number.NEGATIVE_INFINITY
+  #unresponsive: readonly string[] = []
 
   /**
    * @param report - of one host
@@ -46,6 +47,14 @@
     if (!isOld) this.#hosts.set(report.host, { report, heardAt: now })
   }
 
+  /** Whether no host has reported lately. */
+  get isIdle (): boolean { return this.#hosts.size === 0 }
+
+  /** @param endpoints - incarnations that answer nobody, from the next totals on */
+  setUnresponsive (endpoints: readonly string[]): void {
+    this.#unresponsive = endpoints
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns work of all hosts, for endpoints that have any; the same object until it is added up anew
@@ -67,13 +76,19 @@
         continue
       }
       sequences.set(host, report.sequence)
-      for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), entry))
+      for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), aged(entry, now - heardAt)))
       for (const entry of report.links) links.set(entry.link, { link: entry.link, ...addLinks(links.get(entry.link) ?? IDLE_LINK, entry) })
     }
+    for (const endpoint of this.#unresponsive) work.set(endpoint, { ...work.get(endpoint) ?? { ...NO_WORK, endpoint }, unresponsive: 1 })
     return { work: [...work.values()], links: [...links.values()], sequences }
   }
 }
 
+/** As it is some time after it was reported. */
+function aged (work: EndpointWork, ageMs: number): EndpointWork {
+  return { ...work, heardAgoMs: Math.min(LONG_AGO_MS, work.heardAgoMs + ageMs), waitedMs: work.inFlight === 0 ? 0 : Math.min(LONG_AGO_MS, work.waitedMs + ageMs) }
+}
+
 function add (sum: EndpointWork | undefined, work: EndpointWork): EndpointWork {
   if (sum === undefined) return work
   return {
@@ -84,6 +99,7 @@
     heardAgoMs: Math.min(sum.heardAgoMs, work.heardAgoMs),
     waitedMs: Math.max(sum.waitedMs, work.waitedMs),
     avoiders: sum.avoiders + work.avoiders,
+    unresponsive: 0,
     outcomes: sum.outcomes + work.outcomes,
     failures: sum.failures + work.failures
   }
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -85,6 +85,7 @@
     heardAgoMs: total.heardAgoMs,
     waitedMs: total.waitedMs,
     avoiders: Math.max(0, total.avoiders - (own?.avoiders ?? 0)),
+    unresponsive: total.unresponsive,
     outcomes: Math.max(0, total.outcomes - (own?.outcomes ?? 0)),
     failures: Math.max(0, total.failures - (own?.failures ?? 0))
   }
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -5,20 +5,36 @@
 
 const work = (endpoint: string, inFlight: number): EndpointWork => ({ ...NO_WORK, endpoint, inFlight, pendingTokens: inFlight * 100, heldTokens: inFlight * 1000 })
 
+/** As it is when it has waited for longer since it was reported. */
+const waited = (entry: EndpointWork, waitedMs: number): EndpointWork => ({ ...entry, waitedMs })
+
 describe('LoadBoard', () => {
+  it('knows how long ago an endpoint was heard although its hosts have not reported since', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 100, waitedMs: 50 }, { ...work('f', 0), heardAgoMs: 59_900 }], links: [] }, 0)
+    expect(board.totals(300).work).toMatchObject([{ heardAgoMs: 400, waitedMs: 350 }, { heardAgoMs: 60_000, waitedMs: 0 }])
+  })
+
+  it('tells of endpoints that answer nobody, also without work there', () => {
+    const board = new LoadBoard()
+    board.observe({ host: 'a', sequence: 1, work: [work('e', 1)], links: [] }, 0)
+    board.setUnresponsive(['e', 'f'])
+    expect(board.totals(0).work).toMatchObject([{ endpoint: 'e', inFlight: 1, unresponsive: 1 }, { endpoint: 'f', inFlight: 0, unresponsive: 1 }])
+  })
+
   it('adds up the newest report of each host', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 1, work: [work('e', 9)], links: [] }, 0)
     board.observe({ host: 'a', sequence: 2, work: [work('e', 2)], links: [] }, 10)
     board.observe({ host: 'b', sequence: 7, work: [work('e', 3), work('f', 1)], links: [] }, 10)
-    expect(board.totals(20).work).toEqual([work('e', 5), work('f', 1)])
+    expect(board.totals(20).work).toEqual([waited(work('e', 5), 10), waited(work('f', 1), 10)])
   })
 
   it('ignores a report that was overtaken, but not a host that started again', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 5, work: [work('e', 5)], links: [] }, 0)
     board.observe({ host: 'a', sequence: 4, work: [work('e', 9)], links: [] }, 10)
-    expect(board.totals(10).work).toEqual([work('e', 5)])
+    expect(board.totals(10).work).toEqual([waited(work('e', 5), 10)])
     board.observe({ host: 'a', sequence: 1, work: [work('e', 1)], links: [] }, 1500)
     expect(board.totals(1500).work).toEqual([work('e', 1)])
   })
@@ -45,7 +61,7 @@
     expect(board.totals(10)).toBe(totals)
     expect(board.totals(10).sequences.get('h0')).toBe(5)
     expect(board.totals(30).sequences.get('h0')).toBe(6)
-    expect(board.totals(30).work).toEqual([work('e', 81)])
+    expect(board.totals(30).work).toEqual([waited(work('e', 81), 30)])
   })
 })
 
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -40,7 +40,7 @@
 
 const ENDPOINT_FIGURES: Figures<WorkFigures> = [
   ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['heardAgoMs', 1], ['waitedMs', 1],
-  ['avoiders', 1], ['outcomes', 1], ['failures', 1]
+  ['avoiders', 1], ['unresponsive', 1], ['outcomes', 1], ['failures', 1]
 ]
 
 const LINK_FIGURES: Figures<LinkFigures> = [
@@ -138,8 +138,9 @@
     heardAgoMs: figure(3),
     waitedMs: figure(4),
     avoiders: figure(5),
-    outcomes: figure(6),
-    failures: figure(7)
+    unresponsive: figure(6),
+    outcomes: figure(7),
+    failures: figure(8)
   }))
 }
 
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -21,6 +21,8 @@
   readonly waitedMs: number
   /** Hosts that could not reach it, or got no answer, and give it no work for now. */
   readonly avoiders: number
+  /** 1 if it answers nobody, not even the host that adds up; of totals only. */
+  readonly unresponsive: number
   /** Requests that ended there lately; older ones count less. */
   readonly outcomes: number
   /** Of those, the ones that failed. */
@@ -35,7 +37,7 @@
 
 /** An endpoint without work of which nothing was seen. */
 export const NO_WORK: WorkFigures = {
-  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, outcomes: 0, failures: 0
+  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0
 }
 
 /** One host's own work. */
