A safe request leaves an endpoint that has fallen silent, as a resumable stream does

Cause: it waited there until its route's time was over, although it may run twice. Seen to fail first (504 after 2 s; now answered by the other endpoint).

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -148,7 +148,7 @@
     })
     this.#prompt?.recordSend(choice)
     this.#silence.stop()
-    const mayRunElsewhere = this.#relay.canResume && this.#sends < this.request.route.attempts
+    const mayRunElsewhere = (this.#relay.canResume || this.request.route.kind === 'safe') && this.#sends < this.request.route.attempts
     if (mayRunElsewhere) this.#watchSilence(attempt)
   }
 
@@ -357,7 +357,7 @@
   }
 
   /**
-   * A stream that may be resumed does not wait for an endpoint that has fallen silent
+   * A request that may run again does not wait for an endpoint that has fallen silent
    * towards everybody. If it may not run elsewhere it waits all the same: silence alone is
    * no reason to end an answer.
    */
--- a/apps/entry/src/lib/routed/SilenceWatch.ts
+++ b/apps/entry/src/lib/routed/SilenceWatch.ts
@@ -1,7 +1,7 @@
 /**
- * Looks whether the endpoint of a resumable stream has fallen silent towards everybody.
+ * Looks whether the endpoint of a request that may run elsewhere has fallen silent towards everybody.
  *
- * Answers endpoints that hang with streams under way: a stream that may run elsewhere
+ * Answers endpoints that hang with requests under way: one that may run elsewhere
  * goes on there, long before its caller's time is over.
  */
 
--- a/apps/entry/src/lib/routed/silentEndpoint.test.ts
+++ b/apps/entry/src/lib/routed/silentEndpoint.test.ts
@@ -7,13 +7,16 @@
  */
 import { afterEach, describe, expect, it } from 'vitest'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
-import { EndpointStandin, streamEvent, type Behaviour } from './harness/EndpointStandin.js'
+import { answerOk, EndpointStandin, streamEvent, type Behaviour } from './harness/EndpointStandin.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
 import { RoutedHost } from './harness/RoutedHost.js'
 
 /** Longer than the silence after which a stream goes on elsewhere where it may, in milliseconds. */
 const SILENT_MS = 2000
 
+/** Time after which the site's safe route gives a request up, in milliseconds. */
+const ROUTE_LIMIT_MS = 2000
+
 const WHOLE = streamEvent(1) + streamEvent(2)
 
 /** Sends the second event after a silence. */
@@ -23,6 +26,23 @@
   setTimeout(() => { response.end(streamEvent(2)) }, SILENT_MS)
 }
 
+/** Reads the request and never answers. */
+const hangs: Behaviour = () => {}
+
+describe('a safe request whose endpoint has fallen silent', () => {
+  it('goes on elsewhere long before its time is over', async () => {
+    const endpoints = [new EndpointStandin('silent', hangs), new EndpointStandin('well', answerOk)]
+    const host = new RoutedHost(endpoints, { budget: { ratio: 0.2, slack: 20 } })
+    await host.start()
+    const startedAt = performance.now()
+    const outcomes = await Promise.all([host.ask('/safe/1'), host.ask('/safe/1')])
+    expect(outcomes.map(({ status }) => status)).toEqual([200, 200])
+    expect(endpoints[0]?.seen.length).toBeGreaterThan(0)
+    expect(performance.now() - startedAt).toBeLessThan(ROUTE_LIMIT_MS)
+    await host.close()
+  })
+})
+
 describe('a stream whose endpoint has fallen silent', () => {
   let host: RoutedHost
   let endpoints: EndpointStandin[]
