Lines of lost attempts say what was asked and how long the endpoint had it

An on-call reader could not tell from the lines whether the requests that were under way when one endpoint after the other ended were the same one: each attempt has an id of its own. attempt-failed now bears a fingerprint of what the caller sent (customer, method, path, body), how long it ran and whether it had events, where the request may have run. It is worked out only then.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -7,6 +7,7 @@
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
+import { requestFingerprint } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
@@ -30,6 +31,9 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+/** Failures after which the request may have run. */
+const MAY_HAVE_RUN: ReadonlySet<AttemptFailure> = new Set(['lost', 'broken-stream'])
+
 /** One request. */
 export class RoutedRequestTask {
   readonly #dispatch = new DispatchRecord()
@@ -45,6 +49,8 @@
   readonly #prompt: PromptContext | undefined
   #isDone = false
   #isWaiting = false
+  /** Worked out only once it is needed: most requests never need it. */
+  #knownFingerprint: string | undefined
   readonly #times: AnswerTimes
 
   /**
@@ -273,10 +279,27 @@
 
   #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
     this.#decided('attempt-failed', {
-      endpoint: attempt.choice.endpoint.id, failure, detail, sends: this.#sends, runs: this.#runs, remainingMs: Math.round(this.#deadline - performance.now())
+      endpoint: attempt.choice.endpoint.id,
+      failure,
+      detail,
+      sends: this.#sends,
+      runs: this.#runs,
+      remainingMs: Math.round(this.#deadline - performance.now()),
+      ...(MAY_HAVE_RUN.has(failure) ? this.#describeRun(attempt) : {})
     })
   }
 
+  /** Tells requests that ended with an endpoint apart, and the same one under other ids. */
+  #describeRun (attempt: RoutedAttempt): { readonly fingerprint: string, readonly ranMs: number, readonly hadEvents: boolean } {
+    return { fingerprint: this.#fingerprint(), ranMs: Math.round(performance.now() - attempt.startedAt), hadEvents: this.#times.hasFirstEvent }
+  }
+
+  #fingerprint (): string {
+    const { method = 'GET', url = '/' } = this.exchange.request
+    this.#knownFingerprint ??= requestFingerprint({ customer: this.request.customer?.name, method, target: url, body: this.request.body })
+    return this.#knownFingerprint
+  }
+
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
     const { endpoint } = attempt.choice
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -8,7 +8,16 @@
   'waits-for-room': z.strictObject({ endpoint: z.string(), memoryShare: z.number(), tokensHeld: z.number(), tokensAhead: z.number() }),
   'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
   'attempt-failed': z.strictObject({
-    endpoint: z.string(), failure: z.string(), detail: z.string(), sends: z.number(), runs: z.number(), remainingMs: z.number()
+    endpoint: z.string(),
+    failure: z.string(),
+    detail: z.string(),
+    sends: z.number(),
+    runs: z.number(),
+    remainingMs: z.number(),
+    /** The three of requests that may have run: what was asked, and how long the endpoint had it. */
+    fingerprint: z.string().optional(),
+    ranMs: z.number().optional(),
+    hadEvents: z.boolean().optional()
   }),
   'retry-budget-used-up': z.strictObject({ failure: z.string() }),
   answered: z.strictObject({
