Soak: a request that ends each endpoint that runs it and comes again; its test fails

What callers saw: endpoints ended one after the other, with all that ran there. The soak's endpoint stand-in ends its process when a request asks for it. A caller sends that request again and again with the same customer, path and body through any host, beside the usual callers and beside one that repeats a harmless request as often. Two checks: three ends and 3 s later at most three more runs; nobody else is refused for it.

--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -25,8 +25,9 @@
   /**
    * @param identity - who it is
    * @param print - writes one line at once
+   * @param exit - ends the process at once
    */
-  constructor (private readonly identity: EndpointIdentity, private readonly print: (line: EndpointLine) => void) {
+  constructor (private readonly identity: EndpointIdentity, private readonly print: (line: EndpointLine) => void, private readonly exit: () => void) {
     this.#weights = new WeightsHolder(identity.version, () => this.#runs, version => {
       print({ event: 'weights', endpoint: identity.id, version })
     })
@@ -85,6 +86,7 @@
     this.#runs += 1
     try {
       this.#printRun(request, work)
+      if (work.endsEndpointAfterMs !== undefined) await this.#endAfter(work.endsEndpointAfterMs)
       if (work.fault === 'run-then-reject') this.#reject(response, UNAVAILABLE)
       else if (work.kind === 'plain') await this.#answer(request, response, work, body)
       else await this.#stream(request, response, work)
@@ -93,6 +95,11 @@
     }
   }
 
+  async #endAfter (milliseconds: number): Promise<void> {
+    await sleep(milliseconds)
+    this.exit()
+  }
+
   #printRun (request: IncomingMessage, { fault }: Work): void {
     const line: EndpointLine = {
       event: 'run',
--- a/apps/soak/src/lib/TimeLine.ts
+++ b/apps/soak/src/lib/TimeLine.ts
@@ -84,6 +84,16 @@
       entry.at <= to + EFFECT_MARGIN_MS && entry.until >= from - EFFECT_MARGIN_MS)
   }
 
+  /**
+   * @param slot - name of a slot, or what the names of several begin with
+   * @param from - start of the time asked about
+   * @param to - its end
+   * @returns whether anything was done to them then, their starts included
+   */
+  wasDisturbed (slot: string, from: number, to: number): boolean {
+    return this.#entries.some(entry => entry.process.startsWith(slot) && entry.at <= to && entry.until >= from)
+  }
+
   /** @returns one line for each act, with seconds since the first */
   describe (): string[] {
     const start = this.#entries[0]?.at ?? 0
--- /dev/null
+++ b/apps/soak/src/lib/checks/BystandersAreServedCheck.ts
@@ -0,0 +1,16 @@
+/** No request is refused for what another one did to the endpoint that both were at. */
+import type { RequestCheck } from '../Ledger.js'
+import type { Outcome } from '../observations.js'
+
+/** Reason of refusals of requests that are held to end endpoints. */
+const QUARANTINED = 'request-quarantined'
+
+/** {@link RequestCheck} of refusals of requests that end no endpoint. */
+export class BystandersAreServedCheck implements RequestCheck {
+  readonly promise = 'bystanders-are-served'
+
+  onOutcome ({ request, end }: Outcome): string | undefined {
+    if (request.work.endsEndpointAfterMs !== undefined || end.kind !== 'answered' || !end.body.includes(QUARANTINED)) return undefined
+    return `${request.kind} of ${request.customer} was refused as if it had ended endpoints`
+  }
+}
--- a/apps/soak/src/lib/checks/requestChecks.ts
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -1,7 +1,9 @@
 /** All promises about requests, ready for one run of the soak. */
 import type { RequestCheck } from '../Ledger.js'
 import { AtMostOnceCheck } from './AtMostOnceCheck.js'
+import { BystandersAreServedCheck } from './BystandersAreServedCheck.js'
 import { CustomersApartCheck } from './CustomersApartCheck.js'
+import { EndsFewEndpointsCheck } from './EndsFewEndpointsCheck.js'
 import { EventsInOrderCheck } from './EventsInOrderCheck.js'
 import { NothingIsCutCheck } from './NothingIsCutCheck.js'
 import { NotRunIsTrueCheck } from './NotRunIsTrueCheck.js'
@@ -12,6 +14,7 @@
 export function requestChecks (): RequestCheck[] {
   return [
     new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
-    new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck()
+    new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(),
+    new EndsFewEndpointsCheck(), new BystandersAreServedCheck()
   ]
 }
--- a/apps/soak/src/lib/endpointWork.ts
+++ b/apps/soak/src/lib/endpointWork.ts
@@ -9,10 +9,19 @@
 export const endpointBreakSchema = z.enum(ENDPOINT_BREAKS)
 export type EndpointBreak = z.infer<typeof endpointBreakSchema>
 
+/** Exit code of a stand-in that was ended by a request. */
+export const ENDED_BY_REQUEST_CODE = 86
+
+const anyWork = {
+  fault: endpointBreakSchema.optional(),
+  /** Milliseconds after which the process of the endpoint ends because of it; most requests end none. */
+  endsEndpointAfterMs: z.number().min(0).optional()
+}
+
 /** Travels in a header, as JSON. */
 export const workSchema = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('plain'), milliseconds: z.number().min(0), fault: endpointBreakSchema.optional() }),
-  z.strictObject({ kind: z.literal('stream'), events: z.number().int().min(1), intervalMs: z.number().min(0), fault: endpointBreakSchema.optional() })
+  z.strictObject({ kind: z.literal('plain'), milliseconds: z.number().min(0), ...anyWork }),
+  z.strictObject({ kind: z.literal('stream'), events: z.number().int().min(1), intervalMs: z.number().min(0), ...anyWork })
 ])
 export type Work = z.infer<typeof workSchema>
 
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -8,9 +8,11 @@
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { Draws } from './Draws.js'
-import type { EndpointBreak } from './endpointWork.js'
+import { ENDED_BY_REQUEST_CODE, type EndpointBreak } from './endpointWork.js'
 import { FaultDriver } from './FaultDriver.js'
 import { planFaults, type FaultKind, type SoakShape } from './faultPlan.js'
+import { planRepeatedRequests } from './planRepeatedRequests.js'
+import { RepeatingCaller } from './RepeatingCaller.js'
 import { Ledger, type Violation } from './Ledger.js'
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
@@ -34,6 +36,8 @@
   readonly recoveryMs?: number
   /** Kinds of faults to draw from. */
   readonly kinds?: readonly FaultKind[]
+  /** Requests that end each endpoint that runs them and come again and again, beside one that comes as often and ends none; 0 if absent. */
+  readonly deadlyRequests?: number
 }
 
 /** What a run has shown. */
@@ -56,6 +60,10 @@
 /** Tells apart the draws of faults, callers and the operator. */
 const OPERATOR_SEED = 500_000
 const CALLER_SEED = 1_000_000
+const REPEATING_SEED = 2_000_000
+
+/** Keeps the draws of repeated requests of two seeds apart. */
+const MOST_REPEATED = 100
 
 /**
  * @param plan - what to do
@@ -73,7 +81,7 @@
   readonly #cluster: SoakCluster
   readonly #operator: Operator
   readonly #balancer: Balancer
-  readonly #callers: Caller[]
+  readonly #callers: Array<Caller | RepeatingCaller>
 
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
@@ -94,8 +102,11 @@
       configuration: this.#configuration,
       breaks: breaks.filter(name => name !== 'abrupt-stop' && name !== 'forgetful-control')
     }
-    this.#callers = Array.from({ length: plan.callers }, (_, index) =>
+    const usual = Array.from({ length: plan.callers }, (_, index) =>
       new Caller(`r${index}`, new Draws(CALLER_SEED + seed * plan.callers + index), surroundings))
+    const repeating = planRepeatedRequests(seed, plan.deadlyRequests ?? 0).map((repeated, index) =>
+      new RepeatingCaller(repeated, new Draws(REPEATING_SEED + seed * MOST_REPEATED + index), surroundings))
+    this.#callers = [...usual, ...repeating]
   }
 
   async play (): Promise<SoakResult> {
@@ -117,6 +128,10 @@
 
   #noteEnd (label: string, code: number | null): void {
     this.#timeLine.note(label, `ended with ${code ?? 'a signal'}`, false)
+    if (code === ENDED_BY_REQUEST_CODE) {
+      this.#timeLine.note(label, 'ended by a request', true)
+      return
+    }
     const isExpected = code === null ? this.#timeLine.wasKilled(label) : code === 0 && this.#timeLine.stopOf(label) !== undefined
     if (!isExpected) this.#ledger.noteViolation('ends-when-told', `${label} ended with ${code ?? 'a signal that nobody sent'}`, [label])
   }
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -25,11 +25,12 @@
   readonly breaks?: readonly SoakBreak[]
   readonly kinds?: readonly FaultKind[]
   readonly recoveryMs?: number
+  readonly deadlyRequests?: number
 }
 
-async function play ({ seconds, breaks = [], kinds = FAULT_KINDS, recoveryMs = 60_000 }: ShortRun): Promise<SoakResult> {
+async function play ({ seconds, breaks = [], kinds = FAULT_KINDS, recoveryMs = 60_000, deadlyRequests = 0 }: ShortRun): Promise<SoakResult> {
   const shape = { controls: 3, entries: 4, plainEndpoints: 3, engines: 3 }
-  return await runSoak({ seed: 1, seconds, breaks, kinds, recoveryMs, shape, callers: 32, graceMs: 8000 })
+  return await runSoak({ seed: 1, seconds, breaks, kinds, recoveryMs, shape, callers: 32, graceMs: 8000, deadlyRequests })
 }
 
 function describeRun ({ violations, timeLine, logFiles }: SoakResult): string {
@@ -43,6 +44,17 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  /**
+   * Seen: engines ended one after the other, each 70 to 240 ms after the same short request had come to it, through
+   * whichever host it was sent; the one request ended ten of them in 14 s, and each took 5 to 19 others with it.
+   * The same customer, path and body under new ids: no host knew what an earlier attempt had done, since
+   * failures were counted against endpoints only.
+   */
+  it('stops sending a request that ends every endpoint that runs it, and serves those beside it', async () => {
+    const result = await play({ seconds: 12, kinds: ['new-site'], deadlyRequests: 1 })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   describe('with a break', () => {
     it('finds each that an endpoint shows', async () => {
       const { violations } = await play({ seconds: 6, breaks: ENDPOINT_BREAKS, kinds: ['new-site'] })
