A request that ends the endpoints that run it is held back on all entry hosts

One request, asked again under new ids at any host, ended ten and fourteen engines.

Cause: failures were counted against endpoints only. Nothing connected the attempts of the same request, within a host, over hosts or over time, so each host sent it on as if for the first time. Class: blame is kept for one of the two parties to a failure only.

Change: an entry host reports each request that was lost with its endpoint, by a fingerprint of customer, method, path and body, to the leading control host. The leader tells the cause from bystanders (three ends at different times, certain, not explained by another request, and it never came through in between) and puts the verdict into the agreed log; views carry it to all hosts, which refuse it at once as not run, with the time left. After 15 minutes it is on probation.

Why it holds: the verdict is agreed state, so it outlasts restarts, changes of leader and lost control hosts; reports are told again to a new leader. It is asked before every send, so requests that wait or go on elsewhere are covered.

--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -177,7 +177,7 @@
         ? { kind: 'snapshot' as const, ...common, documents: [...state.configuration.documents] }
         : { kind: 'changes' as const, ...common, fromViewRevision: known, upserts: changes.flatMap(change => [...change.upserts]), removes: [] }
       this.simulation.send(replica.self.id, host.name, () => {
-        if (incarnation === host.incarnation) host.follower.apply(message)
+        if (incarnation === host.incarnation) host.follower.apply(message, this.simulation.now())
       })
     })
   }
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -27,6 +27,7 @@
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
+import { QuarantineTask } from './quarantine/QuarantineTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
 import { StoreTask } from './stores/StoreTask.js'
@@ -151,18 +152,23 @@
   const sites = { service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { learnt.set(replica.id, replica.address) })
   controlServer.register(server)
+  const surroundings = {
+    probe: platform?.probe,
+    endpoints: () => endpoints?.endpointsOfSite ?? [],
+    service: (name: string) => state.sites.put?.site.services.find(service => service.type === 'replicated' && service.name === name) as ReplicatedService | undefined,
+    telemetry
+  }
+  const quarantine = new QuarantineTask({
+    ...surroundings, isLeader: () => core.role === 'leader', verdicts: state.verdicts, propose: async command => await raft.propose(command)
+  })
+  quarantine.register(server)
 
   const port = await server.listen(settings.host, settings.port)
   self.address = settings.advertise ?? `${settings.host}:${port}`
   const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams of hosts by what they ask, or why they were not taken', 'outcome')
   const datagrams = new DatagramServer(outcome => { datagramOutcomes.count(outcome) })
   controlServer.registerDatagrams(datagrams)
-  const loads = new LoadBoardTask({
-    probe: platform?.probe,
-    endpoints: () => endpoints?.endpointsOfSite ?? [],
-    service: name => state.sites.put?.site.services.find(service => service.type === 'replicated' && service.name === name) as ReplicatedService | undefined,
-    telemetry
-  })
+  const loads = new LoadBoardTask(surroundings)
   loads.register(datagrams)
   await datagrams.listen(settings.host, port)
   registerGauges(telemetry, raft, hosts)
@@ -194,6 +200,7 @@
       keeper.stop()
       datagrams.close()
       loads.stop()
+      quarantine.stop()
       rollout?.stop()
       endpoints?.stop()
       stores?.stop()
--- a/apps/control/src/lib/load/LoadBoardTask.test.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.test.ts
@@ -29,7 +29,8 @@
         answers: async () => {
           this.questions += 1
           return await Promise.resolve(this.isAlive)
-        }
+        },
+        hasEnded: async () => await Promise.resolve(undefined)
       },
       endpoints: () => [listed],
       service: () => service,
--- a/apps/control/src/lib/load/LoadBoardTask.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.ts
@@ -26,6 +26,13 @@
    * @returns whether it gave any answer, good or bad, in good time
    */
   answers (endpoint: ListedEndpoint, service: ReplicatedService): Promise<boolean>
+
+  /**
+   * @param endpoint - whom to ask
+   * @param service - that it belongs to
+   * @returns whether that very instance has ended: nobody listens at its address, or another one does; undefined if that can't be told
+   */
+  hasEnded (endpoint: ListedEndpoint, service: ReplicatedService): Promise<boolean | undefined>
 }
 
 /** What the task needs from around it. */
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -13,6 +13,8 @@
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { LoadExchange } from './load/LoadExchange.js'
 import { PlannedStop } from './PlannedStop.js'
+import { EndReporter } from './quarantine/EndReporter.js'
+import { RequestQuarantine } from './quarantine/RequestQuarantine.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { RoutedServer } from './routed/RoutedServer.js'
@@ -96,6 +98,8 @@
   fleet.onWork(change => { if (change === 'sent') loads.noteSend(); else loads.noteChange() })
   loads.start()
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
+  const endReporter = new EndReporter(address, { rpc, leader: () => link.leader, telemetry })
+  const quarantine = new RequestQuarantine(link.verdicts, endReporter, telemetry)
   const olderWeights = new OlderWeights(settings.weightsBoundMs)
   const server = new RoutedServer({
     fleet,
@@ -103,6 +107,7 @@
     work,
     stop,
     telemetry,
+    quarantine,
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
     leftMsOn: (model, version) => olderWeights.leftMs(model, version, performance.now()),
@@ -128,6 +133,7 @@
   }
   link.onChange(() => {
     olderWeights.observe(link.weights, performance.now())
+    quarantine.logChanges(link.viewRevision, performance.now())
     fleet.update(link.endpoints)
     putInForce(link.site)
     server.releaseWaiting()
@@ -151,6 +157,7 @@
       await server.close()
       link.stop()
       loads.stop()
+      endReporter.stop()
       await edges.close()
       rpc.close()
       datagrams.close()
--- /dev/null
+++ b/apps/entry/src/lib/quarantine/EndReporter.ts
@@ -0,0 +1,100 @@
+/**
+ * Tells the leading control host of requests that were lost with endpoints, and of suspected
+ * ones that came through. What is held is told again whenever another control host leads.
+ */
+import { EndEvidence, type LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
+import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/endReport'
+import { reportEnds } from '@eelgrassmux/rpc/methods/quarantineMethods'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+
+/** Pause in which the losses of one endpoint's end come together, in milliseconds. */
+const GATHER_MS = 20
+
+/** Interval at which it is looked whether something is to be told, in milliseconds, after the first look. */
+const LOOK_MS = 200
+
+/** Time after the last loss for which it is told to each new leader, in milliseconds: a request that ends endpoints comes again sooner. */
+const TELL_AGAIN_MS = 120_000
+
+/** Deadline of a call, in milliseconds. */
+const CALL_MS = 1000
+
+/** Where reports go. */
+export interface EndReporterPorts {
+  readonly rpc: Pick<RpcClient, 'call'>
+  /** Address of the leading control host, as far as it is known. */
+  leader (): string | undefined
+  readonly telemetry: Telemetry
+}
+
+/** Tells until all is told. */
+export class EndReporter {
+  readonly #evidence = new EndEvidence()
+  readonly #cameThrough = new Set<string>()
+  readonly #reports: LabelledCounter
+  #isUntold = false
+  #toldTo: string | undefined
+  #timer: NodeJS.Timeout | undefined
+  #isTelling = false
+
+  /**
+   * @param host - name of this host
+   * @param ports - surroundings
+   */
+  constructor (private readonly host: string, private readonly ports: EndReporterPorts) {
+    this.#reports = ports.telemetry.labelledCounter('end_reports_total', 'Reports of requests that were lost with an endpoint, by what became of them', 'outcome')
+  }
+
+  /** @param run - a request that was lost with its endpoint */
+  noteLost (run: LostRun): void {
+    this.#evidence.note(run, performance.now())
+    this.#isUntold = true
+    this.#schedule(GATHER_MS)
+  }
+
+  /** @param fingerprint - of a request with a verdict, which came through whole */
+  noteWhole (fingerprint: string): void {
+    this.#evidence.forget(fingerprint)
+    if (this.#cameThrough.size >= MOST_REPORTS_OF_HOST) return
+    this.#cameThrough.add(fingerprint)
+    this.#isUntold = true
+    this.#schedule(GATHER_MS)
+  }
+
+  /** Ends telling. */
+  stop (): void {
+    clearTimeout(this.#timer)
+    this.#timer = undefined
+  }
+
+  #schedule (delayMs: number): void {
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined
+      this.#look()
+    }, delayMs)
+  }
+
+  #look (): void {
+    const leader = this.ports.leader()
+    const isNewLeader = leader !== this.#toldTo && this.#evidence.size > 0
+    if (leader !== undefined && (this.#isUntold || isNewLeader) && !this.#isTelling) void this.#tell(leader)
+    if (this.#isUntold || this.#isTelling || performance.now() - this.#evidence.newestAt < TELL_AGAIN_MS) this.#schedule(LOOK_MS)
+  }
+
+  async #tell (leader: string): Promise<void> {
+    this.#isTelling = true
+    this.#isUntold = false
+    const cameThrough = [...this.#cameThrough]
+    const answer = await this.ports.rpc.call(leader, reportEnds, { host: this.host, ends: this.#evidence.reports(performance.now()), cameThrough }, CALL_MS)
+    this.#isTelling = false
+    if (answer.ok && answer.value.isTaken) {
+      this.#toldTo = leader
+      for (const fingerprint of cameThrough) this.#cameThrough.delete(fingerprint)
+      this.#reports.count('taken')
+      return
+    }
+    this.#isUntold = true
+    this.#reports.count(answer.ok ? 'not-leader' : answer.error.kind)
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/quarantine/quarantine.test.ts
@@ -0,0 +1,211 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, describe, expect, it } from 'vitest'
+import type { LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
+import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+import type { ReportEndsRequest } from '@eelgrassmux/rpc/methods/quarantineMethods'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import { fail, succeed } from '@eelgrassmux/schema/Result'
+import type { VerdictState } from '@eelgrassmux/schema/requestVerdict'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { answerOk, EndpointStandin, resetConnection, streamEvent, type Behaviour } from '../routed/harness/EndpointStandin.js'
+import { RoutedHost } from '../routed/harness/RoutedHost.js'
+import { EndReporter } from './EndReporter.js'
+import { RequestQuarantine } from './RequestQuarantine.js'
+
+const MINUTE_MS = 60_000
+
+/** A host whose reports a test reads and whose verdicts it sets. */
+class QuarantinedHost {
+  readonly lost: LostRun[] = []
+  readonly whole: string[] = []
+  readonly verdicts = new VerdictBook()
+  readonly endpoints: EndpointStandin[]
+  readonly host: RoutedHost
+
+  constructor (...behaviours: Behaviour[]) {
+    this.endpoints = behaviours.map((behaviour, index) => new EndpointStandin(`e${index}`, behaviour))
+    const reporter = { noteLost: (run: LostRun) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
+    this.host = new RoutedHost(this.endpoints, { quarantine: new RequestQuarantine(this.verdicts, reporter, new Telemetry('test')) })
+  }
+
+  get seen (): number { return this.endpoints.reduce((sum, { seen }) => sum + seen.length, 0) }
+
+  judge (fingerprint: string, state: VerdictState): void {
+    this.verdicts.replace([{ fingerprint, service: 'app', state, quarantines: 1, leftMs: 15 * MINUTE_MS }], performance.now())
+  }
+
+  /** Asks once, with endpoints that break every connection, to learn what identifies the request. */
+  async fingerprintOf (path: string): Promise<string> {
+    const behaviours = this.endpoints.map(({ behaviour }) => behaviour)
+    for (const endpoint of this.endpoints) endpoint.behaviour = resetConnection
+    await this.host.ask(path)
+    for (const [index, endpoint] of this.endpoints.entries()) endpoint.behaviour = behaviours[index] ?? answerOk
+    return this.lost.splice(0)[0]?.fingerprint ?? ''
+  }
+}
+
+describe('an entry host', () => {
+  let started: QuarantinedHost | undefined
+
+  afterEach(async () => {
+    await started?.host.close()
+    started = undefined
+  })
+
+  async function hostWith (...behaviours: Behaviour[]): Promise<QuarantinedHost> {
+    started = new QuarantinedHost(...behaviours)
+    await started.host.start()
+    return started
+  }
+
+  describe('reports a request that was lost with its endpoint', () => {
+    it('once for each endpoint, under the same fingerprint whatever its id', async () => {
+      const { host, lost } = await hostWith(resetConnection, resetConnection)
+      await host.ask('/safe/a')
+      await host.ask('/safe/a')
+      expect(new Set(lost.map(({ fingerprint }) => fingerprint)).size).toBe(1)
+      expect(new Set(lost.map(({ endpoint }) => endpoint))).toEqual(new Set(['e0', 'e1']))
+    })
+
+    it('and tells different requests apart', async () => {
+      const { host, lost } = await hostWith(resetConnection)
+      for (const path of ['/unsafe/a', '/unsafe/b']) await host.ask(path)
+      expect(new Set(lost.map(({ fingerprint }) => fingerprint)).size).toBe(2)
+    })
+
+    it('but none that was answered, rejected, or failed by the endpoint\'s own word', async () => {
+      const failing: Behaviour = (_request, response) => {
+        response.writeHead(500)
+        response.end()
+      }
+      const { host, lost } = await hostWith(failing)
+      await host.ask('/unsafe/a')
+      expect(lost).toEqual([])
+    })
+  })
+
+  describe('holds back a request that is quarantined', () => {
+    it('at once, as not run, and says for how long', async () => {
+      const world = await hostWith(answerOk)
+      const fingerprint = await world.fingerprintOf('/unsafe/a')
+      const before = world.seen
+      world.judge(fingerprint, 'quarantined')
+      const answer = await world.host.ask('/unsafe/a')
+      expect(answer.status).toBe(503)
+      const problem = JSON.parse(answer.body) as Record<string, unknown>
+      expect(problem).toMatchObject({ run: 'not-run' })
+      expect(String(problem['type'])).toContain('request-quarantined')
+      expect(String(problem['detail'])).toContain(fingerprint)
+      expect(Number(answer.retryAfter)).toBeGreaterThan(14 * 60)
+      expect(Number(answer.retryAfter)).toBeLessThanOrEqual(15 * 60)
+      expect(world.seen).toBe(before)
+    })
+
+    it('and serves every other one as before', async () => {
+      const world = await hostWith(answerOk)
+      world.judge(await world.fingerprintOf('/unsafe/a'), 'quarantined')
+      expect((await world.host.ask('/unsafe/b')).status).toBe(200)
+      expect((await world.host.ask('/safe/a')).status).toBe(200)
+    })
+
+    it('also between two endpoints of one attempt', async () => {
+      const world = await hostWith(answerOk, answerOk)
+      const fingerprint = await world.fingerprintOf('/safe/a')
+      const before = world.seen
+      const judged: Behaviour = (request, response, body) => {
+        world.judge(fingerprint, 'quarantined')
+        resetConnection(request, response, body)
+      }
+      for (const endpoint of world.endpoints) endpoint.behaviour = judged
+      const answer = await world.host.ask('/safe/a')
+      // It has run once, so nothing may say that it has not.
+      expect(answer.status).toBe(502)
+      expect(world.seen).toBe(before + 1)
+    })
+
+    it('also when a stream that has begun would go on elsewhere', async () => {
+      const world = await hostWith(answerOk, answerOk)
+      const fingerprint = await world.fingerprintOf('/resumable/a')
+      const before = world.seen
+      for (const endpoint of world.endpoints) {
+        endpoint.behaviour = (request, response) => {
+          response.writeHead(200)
+          response.write(streamEvent(1))
+          world.judge(fingerprint, 'quarantined')
+          setTimeout(() => { request.socket.resetAndDestroy() }, 50)
+        }
+      }
+      const answer = await world.host.ask('/resumable/a')
+      expect(answer.isWhole).toBe(false)
+      expect(world.seen).toBe(before + 1)
+    })
+
+    it.each(['suspected', 'released'] as const)('but runs one that is only %s, and tells when it comes through', async state => {
+      const world = await hostWith(answerOk)
+      const fingerprint = await world.fingerprintOf('/unsafe/a')
+      world.judge(fingerprint, state)
+      expect((await world.host.ask('/unsafe/a')).status).toBe(200)
+      await world.host.ask('/unsafe/b')
+      expect(world.whole).toEqual([fingerprint])
+    })
+  })
+})
+
+describe('EndReporter', () => {
+  const run: LostRun = { fingerprint: 'a'.repeat(32), service: 's', endpoint: 'e1', ranMs: 5 }
+  let reporter: EndReporter | undefined
+
+  afterEach(() => { reporter?.stop() })
+
+  interface Told { readonly leader: string, readonly request: ReportEndsRequest }
+
+  function reporterTo (leader: () => string | undefined, answer: (told: Told) => 'taken' | 'not-leader' | 'lost'): { readonly reporter: EndReporter, readonly told: Told[] } {
+    const told: Told[] = []
+    const call = async (address: string, _method: unknown, request: ReportEndsRequest): Promise<unknown> => {
+      const entry = { leader: address, request }
+      told.push(entry)
+      const outcome = answer(entry)
+      return outcome === 'lost' ? fail({ kind: 'unreachable', address, detail: '' }) : succeed({ isTaken: outcome === 'taken' })
+    }
+    const rpc = { call } as unknown as Pick<RpcClient, 'call'>
+    reporter = new EndReporter('host', { rpc, leader, telemetry: new Telemetry('test') })
+    return { reporter, told }
+  }
+
+  async function until (condition: () => boolean): Promise<void> {
+    while (!condition()) await sleep(10)
+  }
+
+  it('gathers what is lost with one end into one report', async () => {
+    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    for (let request = 0; request < 5; request += 1) reporter.noteLost(run)
+    await until(() => told.length > 0)
+    await sleep(300)
+    expect(told.map(({ request }) => request.ends.length)).toEqual([5])
+  })
+
+  it('tells again until it was taken, by whoever leads then', async () => {
+    const { reporter, told } = reporterTo(() => `c${told.length}`, ({ leader }) => leader === 'c0' ? 'lost' : leader === 'c1' ? 'not-leader' : 'taken')
+    reporter.noteLost(run)
+    await until(() => told.length === 3)
+    expect(told.every(({ request }) => request.ends[0]?.endpoint === 'e1')).toBe(true)
+  })
+
+  it('tells a new leader what it holds, although nothing new was lost', async () => {
+    let leader = 'c1'
+    const { reporter, told } = reporterTo(() => leader, () => 'taken')
+    reporter.noteLost(run)
+    await until(() => told.length === 1)
+    leader = 'c2'
+    await until(() => told.length === 2)
+    expect(told[1]).toMatchObject({ leader: 'c2', request: { ends: [{ endpoint: 'e1' }] } })
+  })
+
+  it('tells what came through, and holds no loss against it any more', async () => {
+    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    reporter.noteLost(run)
+    reporter.noteWhole(run.fingerprint)
+    await until(() => told.length === 1)
+    expect(told[0]?.request).toMatchObject({ ends: [], cameThrough: [run.fingerprint] })
+  })
+})
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -4,6 +4,7 @@
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { PlannedStop } from '../PlannedStop.js'
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { PromptPorts } from './PromptPorts.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 
@@ -31,6 +32,7 @@
   readonly telemetry: Telemetry
   readonly stop: PlannedStop
   readonly durations: RouteDurations
+  readonly quarantine: RequestQuarantine
   /** Has a request placed on what is known of the others' work: at once, or after a moment in which they are asked. */
   beforePlacing (place: () => void): void
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -112,6 +112,7 @@
   }
 
   #tryNext (): void {
+    if (this.#isHeldBack()) return
     // Also asked of requests that have waited since before the stop began.
     if (!this.#dispatch.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
@@ -158,6 +159,20 @@
     if (mayRunElsewhere) this.#watchSilence(attempt)
   }
 
+  /**
+   * Refused before every send, so that a request which waits or goes on elsewhere is not sent either once it is
+   * known. It takes an endpoint, with all that runs there, each time.
+   */
+  #isHeldBack (): boolean {
+    const { quarantine } = this.ports
+    if (quarantine.isIdle) return false
+    const fingerprint = this.#fingerprint()
+    const heldForMs = quarantine.heldForMs(fingerprint, performance.now())
+    if (heldForMs === undefined) return false
+    this.#refuse('request-quarantined', 503, `this request has ended the endpoints that ran it and is held back for now (fingerprint ${fingerprint})`, heldForMs)
+    return true
+  }
+
   #canEndBeforeStop (): boolean {
     const { route, fields } = this.request
     return this.ports.stop.admits({
@@ -271,13 +286,28 @@
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
     }
-    if (!isFailure) this.#times.noteWhole()
+    if (!isFailure) this.#noteWhole()
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
     this.#relay.complete()
   }
 
+  #noteWhole (): void {
+    this.#times.noteWhole()
+    if (!this.ports.quarantine.isIdle) this.ports.quarantine.noteWhole(this.#fingerprint())
+  }
+
+  /** Whoever was at an endpoint when it ended may be the one that ended it. One that leaves ends anyway. */
+  #noteLost (attempt: RoutedAttempt): void {
+    const { endpoint } = attempt.choice
+    if (!attempt.wasSent || endpoint.isLeaving) return
+    this.ports.quarantine.noteLost({
+      fingerprint: this.#fingerprint(), service: this.request.service.name, endpoint: endpoint.incarnation, ranMs: performance.now() - attempt.startedAt
+    })
+  }
+
   #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
+    if (MAY_HAVE_RUN.has(failure)) this.#noteLost(attempt)
     this.#decided('attempt-failed', {
       endpoint: attempt.choice.endpoint.id,
       failure,
@@ -401,6 +431,7 @@
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
+    if (outcome !== undefined) this.#noteLost(attempt)
     if (outcome !== undefined && !attempt.hasHead) this.ports.fleet.observe(endpoint, outcome)
     attempt.cancel()
   }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -15,6 +15,7 @@
 import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { PlannedStop } from '../PlannedStop.js'
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import { CallerExchange } from './CallerExchange.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
@@ -28,6 +29,7 @@
   readonly work: WorkGate
   readonly stop: PlannedStop
   readonly telemetry: Telemetry
+  readonly quarantine: RequestQuarantine
   readonly budget: RetryBudgetTerms
   liveHosts (): number
   desiredVersion (model: string): number
@@ -284,6 +286,7 @@
       allowance,
       telemetry,
       stop: this.ports.stop,
+      quarantine: this.ports.quarantine,
       durations: this.#durations,
       retries: this.#retries,
       refusals: this.#refusals,
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -5,9 +5,11 @@
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { PlannedStop } from '../../PlannedStop.js'
+import type { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 import { RoutedFleet } from '../RoutedFleet.js'
 import { RoutedServer } from '../RoutedServer.js'
 import type { EndpointStandin } from './EndpointStandin.js'
+import { idleQuarantine } from './idleQuarantine.js'
 import { PLAIN_HEADERS, PlainCodec } from './PlainCodec.js'
 import { TEST_SITE } from './testSite.js'
 
@@ -24,6 +26,7 @@
   readonly site?: Site
   /** Monotonic milliseconds at which the host started. */
   readonly startedAt?: number
+  readonly quarantine?: RequestQuarantine
 }
 
 /** What a caller got. */
@@ -34,6 +37,8 @@
   readonly isWhole: boolean
   /** Value of the answer's header of that name. */
   readonly connection: string | undefined
+  /** Likewise. */
+  readonly retryAfter: string | undefined
 }
 
 /** One host and its endpoints. */
@@ -50,7 +55,7 @@
    * @param options - what differs
    */
   constructor (private readonly endpoints: readonly EndpointStandin[], options: RoutedHostOptions = {}) {
-    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - LONG_AGO_MS } = options
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - LONG_AGO_MS, quarantine = idleQuarantine() } = options
     const work = new WorkGate()
     this.#site = site
     this.stop = new PlannedStop(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, this.telemetry)
@@ -60,6 +65,7 @@
       work,
       stop: this.stop,
       telemetry: this.telemetry,
+      quarantine,
       budget,
       liveHosts: () => 1,
       desiredVersion: () => 1,
@@ -96,10 +102,10 @@
         onHead()
         response.on('data', chunk => { body += String(chunk) })
         response.on('close', () => {
-          resolve({ status: response.statusCode ?? 0, body, isWhole: response.complete, connection: response.headers.connection })
+          resolve({ status: response.statusCode ?? 0, body, isWhole: response.complete, connection: response.headers.connection, retryAfter: response.headers['retry-after'] })
         })
       })
-      request.on('error', () => { resolve({ status: 0, body: '', isWhole: false, connection: undefined }) })
+      request.on('error', () => { resolve({ status: 0, body: '', isWhole: false, connection: undefined, retryAfter: undefined }) })
       request.end()
     })
   }
--- a/apps/entry/src/lib/routed/pauseSeconds.ts
+++ b/apps/entry/src/lib/routed/pauseSeconds.ts
@@ -14,6 +14,8 @@
  * @returns seconds
  */
 export function pauseSeconds (reason: RefusalReason, wantedReturnMs: number, remainingMs: number): number {
+  // No host has a place for it sooner, whatever time its caller has left.
+  if (reason === 'request-quarantined') return Math.ceil(wantedReturnMs / MILLISECONDS_PER_SECOND)
   // Other hosts have places now; only callers of this one have to leave.
   const returnMs = reason === 'draining' ? Math.random() * OTHER_HOST_SPREAD_MS : returnAfterMs(wantedReturnMs, remainingMs, Math.random())
   return returnMs / MILLISECONDS_PER_SECOND
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -27,6 +27,7 @@
   callers = Option.String('--callers', '32', { description: 'callers with one connection each' })
   graceMs = Option.String('--grace-ms', '8000', { description: 'time from SIGTERM to SIGKILL, in milliseconds' })
   kinds = Option.String('--kinds', { description: `faults to draw from, separated by commas: ${[...new Set(FAULT_KINDS)].join(', ')}` })
+  deadly = Option.String('--deadly', '1', { description: 'requests of a run that end each endpoint that runs them and come again' })
   skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not play the seeds that failed once first' })
   broken = Option.String('--break', { description: `break a promise on purpose: ${BREAKS.join(', ')}` })
 
@@ -41,7 +42,8 @@
     const breaks = broken === undefined ? [] : [broken]
     let failed = 0
     for (const plan of [...regressions, ...fresh]) {
-      const result = await this.#play(plan, breaks)
+      const deadlyRequests = fresh.includes(plan) ? Number(this.deadly) : 0
+      const result = await this.#play(plan, breaks, deadlyRequests)
       this.#print(result)
       if (result.violations.length > 0) failed += 1
     }
@@ -55,10 +57,12 @@
     return { seed, seconds: Number(this.seconds), entries: Number(this.entries), callers: Number(this.callers), kinds }
   }
 
-  async #play ({ seed, seconds, entries, callers, kinds = FAULT_KINDS }: Omit<RegressionSeed, 'cause'>, breaks: readonly SoakBreak[]): Promise<SoakResult> {
+  async #play (
+    { seed, seconds, entries, callers, kinds = FAULT_KINDS }: Omit<RegressionSeed, 'cause'>, breaks: readonly SoakBreak[], deadlyRequests: number
+  ): Promise<SoakResult> {
     const endpoints = Number(this.endpoints)
     const shape = { controls: CONTROLS, entries, plainEndpoints: endpoints, engines: endpoints }
-    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs) })
+    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs), deadlyRequests })
   }
 
   #print ({ seed, requests, ends, acts, violations, timeLine, logFiles }: SoakResult): void {
--- /dev/null
+++ b/packages/routing/src/lib/quarantine/EndTally.test.ts
@@ -0,0 +1,158 @@
+import { describe, expect, it } from 'vitest'
+import type { RequestVerdict } from '@eelgrassmux/schema/requestVerdict'
+import { EndTally, type VerdictLookup } from './EndTally.js'
+import { EVIDENCE_MS, FIRST_QUARANTINE_MS } from './quarantineTerms.js'
+
+const DEADLY = 'd'.repeat(32)
+const SETTLED_MS = 400
+
+/** Fingerprint of the bystander of that number. */
+const bystander = (number: number): string => number.toString(16).padStart(32, '0')
+
+const NOTHING_AGREED: VerdictLookup = () => undefined
+
+function agreed (...verdicts: ReadonlyArray<Pick<RequestVerdict, 'fingerprint' | 'state' | 'quarantines'>>): VerdictLookup {
+  return fingerprint => verdicts.find(verdict => verdict.fingerprint === fingerprint)
+}
+
+/** Ends of endpoints as hosts report them. */
+class Reports {
+  readonly tally = new EndTally()
+
+  /** One endpoint ends at a time with these requests; the longer they ran, the later in the list. */
+  end (endpoint: string, at: number, requests: readonly string[], ranMs = 100): void {
+    for (const [index, fingerprint] of requests.entries()) this.tally.observe({ fingerprint, service: 's', endpoint, agoMs: 0, ranMs: ranMs * (index + 1) }, at)
+  }
+
+  settleAll (now: number, verdictOn = NOTHING_AGREED): void {
+    for (const endpoint of this.tally.uncertainEnds(verdictOn)) this.tally.settle(endpoint, true, now)
+  }
+
+  judge (now: number, verdictOn = NOTHING_AGREED): Array<[string, string]> {
+    this.settleAll(now, verdictOn)
+    return this.tally.judge(verdictOn, now).map(({ fingerprint, judgement }) => [fingerprint, judgement])
+  }
+}
+
+describe('EndTally', () => {
+  describe('a request that was at each endpoint that ended', () => {
+    it('is suspected after two ends and quarantined after three, and nobody else is', () => {
+      const reports = new Reports()
+      const verdicts = [1, 2, 3].map(end => {
+        const at = end * 1000
+        reports.end(`e${end}`, at, [DEADLY, bystander(end * 10), bystander(end * 10 + 1)])
+        return reports.judge(at + SETTLED_MS)
+      })
+      expect(verdicts).toEqual([[], [[DEADLY, 'suspect']], [[DEADLY, 'quarantine']]])
+    })
+
+    it('waits until all hosts have had time to report who else was there', () => {
+      const reports = new Reports()
+      for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [DEADLY])
+      expect(reports.judge(3050).map(([, judgement]) => judgement)).toEqual(['suspect'])
+      expect(reports.judge(3000 + SETTLED_MS)).toEqual([[DEADLY, 'quarantine']])
+    })
+
+    it('is found in whatever order and however often its ends are reported', () => {
+      const reports = new Reports()
+      for (let again = 0; again < 3; again += 1) {
+        for (const end of [3, 1, 2]) reports.tally.observe({ fingerprint: DEADLY, service: 's', endpoint: `e${end}`, agoMs: 5000 - end * 1000, ranMs: 100 }, 5000)
+      }
+      expect(reports.judge(5000 + SETTLED_MS)).toEqual([[DEADLY, 'quarantine']])
+    })
+
+    it('is not found by ends that lie too far back', () => {
+      const reports = new Reports()
+      reports.end('e1', 0, [DEADLY])
+      for (const end of [2, 3]) reports.end(`e${end}`, EVIDENCE_MS + end * 1000, [DEADLY])
+      expect(reports.judge(EVIDENCE_MS + 4000)).toEqual([[DEADLY, 'suspect']])
+    })
+  })
+
+  describe('a request that merely ran beside it', () => {
+    it('is not charged with ends that the other one explains, although it was lost as often', () => {
+      const reports = new Reports()
+      const repeated = bystander(7)
+      for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [DEADLY, repeated])
+      expect(reports.judge(3000 + SETTLED_MS)).toEqual([[DEADLY, 'quarantine']])
+    })
+
+    it('is not charged with later ends of a request that is held back already', () => {
+      const reports = new Reports()
+      const verdictOn = agreed({ fingerprint: DEADLY, state: 'quarantined', quarantines: 1 })
+      for (const end of [1, 2, 3, 4]) reports.end(`e${end}`, end * 1000, [DEADLY, bystander(7)])
+      expect(reports.judge(4000 + SETTLED_MS, verdictOn)).toEqual([])
+    })
+
+    it('is not charged with anything once it came through', () => {
+      const reports = new Reports()
+      const popular = bystander(7)
+      reports.end('e1', 1000, [popular])
+      reports.end('e2', 2000, [popular])
+      expect(reports.judge(2000 + SETTLED_MS)).toEqual([[popular, 'suspect']])
+      reports.tally.clear(popular, 2500)
+      for (const end of [3, 4, 5, 6]) reports.end(`e${end}`, end * 1000, [popular])
+      expect(reports.judge(7000)).toEqual([])
+    })
+  })
+
+  describe('endpoints that end for another reason', () => {
+    it('count once if they end in the same moment', () => {
+      const reports = new Reports()
+      const popular = bystander(7)
+      for (let endpoint = 0; endpoint < 14; endpoint += 1) reports.end(`e${endpoint}`, 1000 + endpoint * 10, [popular])
+      expect(reports.judge(2000)).toEqual([])
+    })
+
+    it('do not count at all if only connections to them broke', () => {
+      const reports = new Reports()
+      for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [DEADLY])
+      for (const endpoint of reports.tally.uncertainEnds(NOTHING_AGREED)) reports.tally.settle(endpoint, false, 3100)
+      expect(reports.judge(4000)).toEqual([])
+      // Told again by a host that still holds it.
+      reports.tally.observe({ fingerprint: DEADLY, service: 's', endpoint: 'e1', agoMs: 3500, ranMs: 100 }, 4500)
+      expect(reports.tally.isEmpty).toBe(true)
+    })
+
+    it('are asked only where it matters', () => {
+      const reports = new Reports()
+      for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [bystander(end), bystander(end + 10)])
+      expect(reports.tally.uncertainEnds(NOTHING_AGREED)).toEqual([])
+      reports.end('e4', 4000, [bystander(1)])
+      expect(reports.tally.uncertainEnds(NOTHING_AGREED)).toEqual(['e1', 'e4'])
+    })
+  })
+
+  describe('a request that was released', () => {
+    const verdictOn = agreed({ fingerprint: DEADLY, state: 'released', quarantines: 1 })
+
+    it('is held back again after one end, for twice as long', () => {
+      const reports = new Reports()
+      reports.end('e1', 1000, [DEADLY, bystander(1)])
+      reports.settleAll(1000, verdictOn)
+      expect(reports.tally.judge(verdictOn, 1000 + SETTLED_MS)).toMatchObject([{ fingerprint: DEADLY, judgement: 'quarantine', forMs: 2 * FIRST_QUARANTINE_MS }])
+    })
+  })
+
+  describe('bounds', () => {
+    it('keep the newest ends, and every request of an end up to what two full endpoints hold', () => {
+      const reports = new Reports()
+      for (let end = 0; end < 2000; end += 1) reports.end(`e${end}`, end, [bystander(end)])
+      expect(reports.tally.endCount).toBe(512)
+      const many = Array.from({ length: 1000 }, (_, number) => bystander(number))
+      reports.end('full', 3000, many)
+      reports.end('again', 4000, many)
+      expect(reports.judge(4000 + SETTLED_MS)).toHaveLength(256)
+    })
+  })
+
+  it('finds two requests that end endpoints at the same time', () => {
+    const reports = new Reports()
+    const second = 'e'.repeat(32)
+    for (const end of [1, 2, 3]) {
+      reports.end(`a${end}`, end * 1000, [DEADLY, bystander(end)])
+      reports.end(`b${end}`, end * 1000 + 500, [second, bystander(end)])
+    }
+    expect(reports.judge(5000).sort()).toEqual([[DEADLY, 'quarantine'], [second, 'quarantine']])
+  })
+})
--- /dev/null
+++ b/packages/routing/src/lib/quarantine/evidenceAndVerdicts.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest'
+import type { ToldVerdict } from '@eelgrassmux/schema/requestVerdict'
+import { EndEvidence, type LostRun } from './EndEvidence.js'
+import { endReportSchema, MOST_REPORTS_OF_HOST } from './endReport.js'
+import { EVIDENCE_MS, FIRST_QUARANTINE_MS, LONGEST_QUARANTINE_MS, quarantineMs } from './quarantineTerms.js'
+import { VerdictBook } from './VerdictBook.js'
+
+const FINGERPRINT = 'a'.repeat(32)
+const run = (number: number): LostRun => ({ fingerprint: number.toString(16).padStart(32, '0'), service: 's', endpoint: `e${number}`, ranMs: 10 })
+
+describe('EndEvidence', () => {
+  it('tells how long ago each loss was, until it counts no more', () => {
+    const evidence = new EndEvidence()
+    evidence.note(run(1), 1000)
+    expect(evidence.reports(1500)).toEqual([{ ...run(1), agoMs: 500 }])
+    expect(evidence.reports(1000 + EVIDENCE_MS)).toEqual([])
+  })
+
+  it('forgets what came through', () => {
+    const evidence = new EndEvidence()
+    for (const number of [1, 2, 1]) evidence.note(run(number), number)
+    evidence.forget(run(1).fingerprint)
+    expect(evidence.reports(10).map(({ endpoint }) => endpoint)).toEqual(['e2'])
+  })
+
+  it('holds a bounded number, the newest', () => {
+    const evidence = new EndEvidence()
+    for (let number = 0; number < 1000; number += 1) evidence.note(run(number), number)
+    expect(evidence.size).toBe(MOST_REPORTS_OF_HOST)
+    expect(evidence.reports(1000).at(-1)?.endpoint).toBe('e999')
+  })
+})
+
+describe('the schema of reports', () => {
+  const report = { ...run(1), agoMs: 5 }
+
+  it('takes what hosts tell', () => {
+    expect(endReportSchema.safeParse(report).success).toBe(true)
+  })
+
+  it.each([
+    ['fingerprint', 'short'], ['fingerprint', FINGERPRINT.toUpperCase()], ['endpoint', ''], ['endpoint', 'e'.repeat(257)], ['service', ''],
+    ['agoMs', -1], ['agoMs', Number.NaN], ['ranMs', Number.POSITIVE_INFINITY], ['more', 1]
+  ])('refuses a wrong %s (%s) and names it', (field, value) => {
+    const parsed = endReportSchema.safeParse({ ...report, [field]: value })
+    expect(parsed.success).toBe(false)
+    expect(JSON.stringify(parsed.error?.issues)).toContain(field)
+  })
+})
+
+describe('quarantineMs', () => {
+  it('doubles with each, up to a day', () => {
+    expect([0, 1, 2].map(quarantineMs)).toEqual([1, 2, 4].map(factor => factor * FIRST_QUARANTINE_MS))
+    expect(quarantineMs(50)).toBe(LONGEST_QUARANTINE_MS)
+  })
+
+  it('outlasts all evidence that led to it', () => {
+    expect(FIRST_QUARANTINE_MS).toBeGreaterThan(EVIDENCE_MS)
+  })
+})
+
+describe('VerdictBook', () => {
+  const told = (overrides: Partial<ToldVerdict> = {}): ToldVerdict => ({ fingerprint: FINGERPRINT, service: 's', state: 'quarantined', quarantines: 1, leftMs: 5000, ...overrides })
+
+  it('ends verdicts on its own clock', () => {
+    const book = new VerdictBook()
+    book.replace([told()], 100)
+    expect(book.find(FINGERPRINT)?.endsAt).toBe(5100)
+  })
+
+  it('takes changes and removals, and leaves the others as they are', () => {
+    const book = new VerdictBook()
+    const other = 'b'.repeat(32)
+    book.replace([told(), told({ fingerprint: other, state: 'suspected' })], 0)
+    book.change({ verdicts: [told({ fingerprint: other, state: 'quarantined', leftMs: 9 })], verdictsGone: [FINGERPRINT] }, 50)
+    expect(book.all).toMatchObject([{ fingerprint: other, state: 'quarantined', endsAt: 59 }])
+    book.replace([], 60)
+    expect(book.isEmpty).toBe(true)
+  })
+})
--- /dev/null
+++ b/packages/routing/src/lib/quarantine/quarantineTerms.ts
@@ -0,0 +1,26 @@
+/** How long verdicts on requests hold. */
+
+const MINUTE_MS = 60_000
+
+/**
+ * Time for which an endpoint's end counts against the requests that were there, in milliseconds. Shorter than
+ * the shortest quarantine, so that what led to one can't lead to the next.
+ */
+export const EVIDENCE_MS = 10 * MINUTE_MS
+
+/** How long a suspicion holds without a further end, in milliseconds. */
+export const SUSPICION_MS = EVIDENCE_MS
+
+/** The first quarantine of a request, in milliseconds: time to look at what it ran on. Each further one lasts twice as long. */
+export const FIRST_QUARANTINE_MS = 15 * MINUTE_MS
+
+/** The longest one, in milliseconds. */
+export const LONGEST_QUARANTINE_MS = 24 * 60 * MINUTE_MS
+
+/**
+ * @param earlier - how many times the request was quarantined before
+ * @returns how long to hold it back now, in milliseconds
+ */
+export function quarantineMs (earlier: number): number {
+  return Math.min(LONGEST_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** earlier)
+}
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -1,6 +1,7 @@
 /** Methods of the control hosts. */
 import { z } from 'zod'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { fingerprintSchema, toldVerdictSchema } from '@eelgrassmux/schema/requestVerdict'
 import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
 import { storedPartsMessageSchema } from '@eelgrassmux/schema/site/storedParts'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
@@ -108,7 +109,9 @@
     documents: z.array(documentSchema),
     shards: z.array(shardSchema),
     site: siteSchema.optional(),
-    weights: z.array(namedWeightsSchema)
+    weights: z.array(namedWeightsSchema),
+    /** Absent if there are none. */
+    verdicts: z.array(toldVerdictSchema).optional()
   }),
   z.strictObject({
     kind: z.literal('changes'),
@@ -120,7 +123,11 @@
     shards: z.array(shardSchema),
     /** Absent if the site is the same as before. */
     site: siteSchema.optional(),
-    weights: z.array(namedWeightsSchema)
+    weights: z.array(namedWeightsSchema),
+    /** New and changed ones; absent if there are none. */
+    verdicts: z.array(toldVerdictSchema).optional(),
+    /** Requests on which there is no verdict any more; absent if there are none. */
+    verdictsGone: z.array(fingerprintSchema).optional()
   })
 ])
 
--- a/packages/state/src/lib/StateMachine.ts
+++ b/packages/state/src/lib/StateMachine.ts
@@ -7,6 +7,7 @@
   StateImage, StoredAnswer
 } from './commands.js'
 import { SiteRegister } from './SiteRegister.js'
+import { VerdictRegister } from './VerdictRegister.js'
 
 /** Settings that every control host must share. */
 export interface StateSettings {
@@ -27,8 +28,13 @@
   readonly removes: readonly DocumentName[]
   /** Whether the site was replaced in this step. */
   readonly replacesSite: boolean
+  /** Fingerprints of requests on which the verdict changed in this step. */
+  readonly judged: readonly string[]
 }
 
+/** A step that changes nothing of what is not named. */
+const NO_CHANGE: Omit<ViewChange, 'viewRevision'> = { upserts: [], removes: [], replacesSite: false, judged: [] }
+
 /** Changes kept for watchers that are only a little behind. */
 const REMEMBERED_CHANGES = 512
 
@@ -47,6 +53,8 @@
 
   /** Site, named weights and the holder of the right to give orders. */
   readonly sites = new SiteRegister()
+  /** Requests that are held back from endpoints. */
+  readonly verdicts = new VerdictRegister()
 
   /** @param settings - the same on all control hosts */
   constructor (private readonly settings: StateSettings = DEFAULT_STATE_SETTINGS) {}
@@ -87,6 +95,8 @@
       case 'put-site': return this.#recordOutcome(this.sites.putSite(command), true)
       case 'name-weights': return this.#recordOutcome(this.sites.nameWeights(command), false)
       case 'claim-orders': return this.sites.claimOrders(command.holder)
+      case 'judge-requests': return this.#recordVerdicts(this.verdicts.judge(command.judgements, this.#clock))
+      case 'expire-verdicts': return this.#recordVerdicts(this.verdicts.expire(this.#clock))
       default: return unreachable(command)
     }
   }
@@ -114,7 +124,8 @@
       requests: [...this.#requests].map(([requestId, result]) => ({ requestId, result })),
       records: [...this.#records.values()],
       releasedClaims: [...this.#releasedClaims].map(([claimId, releasedAt]) => ({ claimId, releasedAt })),
-      site: this.sites.image()
+      site: this.sites.image(),
+      verdicts: [...this.verdicts.all]
     }
   }
 
@@ -131,6 +142,7 @@
     this.#requests = new Map(image.requests.map(({ requestId, result }) => [requestId, result]))
     this.#records = new Map(image.records.map(record => [recordId(record.key), record]))
     this.sites.restore(image.site)
+    this.verdicts.restore(image.verdicts)
     this.#releasedClaims = new Map(image.releasedClaims.map(({ claimId, releasedAt }) => [claimId, releasedAt]))
   }
 
@@ -159,24 +171,29 @@
     }
     this.#documents = next
     this.#revision += 1
-    this.#recordChange(command.upserts, command.removes)
+    this.#recordChange({ upserts: command.upserts, removes: command.removes })
     return { kind: 'accepted', revision: this.#revision }
   }
 
   /** Watchers that are close behind get these changes instead of everything. */
-  #recordChange (upserts: readonly ConfigurationDocument[], removes: readonly DocumentName[], replacesSite = false): void {
+  #recordChange (change: Partial<Omit<ViewChange, 'viewRevision'>>): void {
     this.#viewRevision += 1
-    this.#recentChanges.push({ viewRevision: this.#viewRevision, upserts, removes, replacesSite })
+    this.#recentChanges.push({ ...NO_CHANGE, ...change, viewRevision: this.#viewRevision })
     if (this.#recentChanges.length > REMEMBERED_CHANGES) this.#recentChanges.shift()
   }
 
   #recordOutcome (outcome: { result: CommandResult, hasChanged: boolean }, replacesSite: boolean): CommandResult {
-    if (outcome.hasChanged) this.#recordChange([], [], replacesSite)
+    if (outcome.hasChanged) this.#recordChange({ replacesSite })
     return outcome.result
   }
 
+  #recordVerdicts (judged: readonly string[]): CommandResult {
+    if (judged.length > 0) this.#recordChange({ judged })
+    return { kind: 'done' }
+  }
+
   #assignShards (owners: readonly string[]): CommandResult {
-    this.#recordChange([], [])
+    this.#recordChange({})
     this.#shards = owners.map((owner, shard) => {
       const present = this.#shards[shard]
       if (present?.owner === owner) return present
--- a/packages/state/src/lib/commands.ts
+++ b/packages/state/src/lib/commands.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { judgementSchema, requestVerdictSchema } from '@eelgrassmux/schema/requestVerdict'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 
 const id = z.string().min(1).max(200)
@@ -58,7 +59,10 @@
   /** Weights that all engines of a model should run; only a higher version changes anything. */
   z.strictObject({ kind: z.literal('name-weights'), model: id, version: count }),
   /** The leader of a term takes over giving orders to engines. */
-  z.strictObject({ kind: z.literal('claim-orders'), holder: orderHolderSchema })
+  z.strictObject({ kind: z.literal('claim-orders'), holder: orderHolderSchema }),
+  /** Requests that are held back from endpoints, or no more. */
+  z.strictObject({ kind: z.literal('judge-requests'), judgements: z.array(judgementSchema) }),
+  z.strictObject({ kind: z.literal('expire-verdicts') })
 ])
 
 /** A command with the proposing leader's wall clock, which the state clamps to never go back. */
@@ -128,7 +132,9 @@
   records: z.array(recordSchema),
   releasedClaims: z.array(z.strictObject({ claimId: id, releasedAt: z.number() })),
   /** Absent in snapshots written before there were sites. */
-  site: siteImageSchema.default({ weights: [] })
+  site: siteImageSchema.default({ weights: [] }),
+  /** Absent in snapshots written before requests were judged. */
+  verdicts: z.array(requestVerdictSchema).default([])
 })
 
 export type SiteImage = { [Field in keyof z.infer<typeof siteImageSchema>]: z.infer<typeof siteImageSchema>[Field] }
--- a/packages/telemetry/src/lib/events/changeEvents.ts
+++ b/packages/telemetry/src/lib/events/changeEvents.ts
@@ -3,6 +3,7 @@
 import { endpointListChanges } from './endpointListChanges.js'
 import { groupChanges } from './groupChanges.js'
 import { processChanges } from './processChanges.js'
+import { quarantineChanges } from './quarantineChanges.js'
 import { rolloutChanges } from './rolloutChanges.js'
 import { siteChanges } from './siteChanges.js'
 import { stopChanges } from './stopChanges.js'
@@ -18,5 +19,6 @@
   ...storeChanges,
   ...rolloutChanges,
   ...directoryChanges,
-  ...stopChanges
+  ...stopChanges,
+  ...quarantineChanges
 }
--- a/packages/view/src/lib/ViewFollower.ts
+++ b/packages/view/src/lib/ViewFollower.ts
@@ -2,6 +2,7 @@
 import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import type { ConfigurationDocument } from '@eelgrassmux/schema/configuration'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
+import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
 import type { ViewMessage } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { NamedWeights, Shard } from '@eelgrassmux/state/commands'
@@ -17,6 +18,8 @@
   #site: Site | undefined
   #weights: readonly NamedWeights[] = []
   #index = new ConfigurationIndex(0, { documents: [] })
+  /** Requests that are held back from endpoints. */
+  readonly verdicts = new VerdictBook()
 
   get viewRevision (): number { return this.#viewRevision }
   get configuration (): ConfigurationIndex { return this.#index }
@@ -29,16 +32,19 @@
    * Takes a message of a watch. One from a control host that lags is ignored.
    *
    * @param message - snapshot or changes
+   * @param now - monotonic milliseconds
    * @returns what it did; after a gap the watch must start again
    */
-  apply (message: ViewMessage): ViewOutcome {
+  apply (message: ViewMessage, now: number): ViewOutcome {
     if (message.viewRevision <= this.#viewRevision) return 'stale'
     if (message.kind === 'snapshot') {
       this.#documents = new Map(message.documents.map(document => [keyOf(document), document]))
+      this.verdicts.replace(message.verdicts ?? [], now)
     } else {
       if (message.fromViewRevision !== this.#viewRevision) return 'gap'
       for (const name of message.removes) this.#documents.delete(keyOf(name))
       for (const document of message.upserts) this.#documents.set(keyOf(document), document)
+      this.verdicts.change({ verdicts: message.verdicts ?? [], verdictsGone: message.verdictsGone ?? [] }, now)
     }
     this.#advance(message)
     return 'advanced'
