Soak: a proxy takes another port where its own is taken for datagrams

Seen once in a run of the suite beside two other soaks: bind EADDRINUSE in "finds planned stops that end a host at once". Cause: the proxy took any port that was free for TCP and then the same number for UDP, where another process had it. It now goes on to another port. The test fails with the second look taken out.

--- a/apps/soak/src/lib/LoopbackProxy.test.ts
+++ b/apps/soak/src/lib/LoopbackProxy.test.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
@@ -32,6 +33,21 @@
     echo.close()
   })
 
+  /**
+   * Seen: the start of a soak failed with "address in use". A proxy took any port that was free for connections,
+   * and then the same one for datagrams, where another process of the machine had it.
+   */
+  it('takes another port where its own is taken for datagrams', async () => {
+    const other = createSocket('udp4')
+    await new Promise<void>(resolve => { other.bind(0, '127.0.0.1', resolve) })
+    const { port } = other.address()
+    const second = new LoopbackProxy()
+    const address = await second.listen(port)
+    expect(address).not.toBe(`127.0.0.1:${port}`)
+    second.close()
+    other.close()
+  })
+
   async function exchange (text: string): Promise<string> {
     const answer = once(caller, 'data')
     caller.write(text)
--- a/apps/soak/src/lib/LoopbackProxy.ts
+++ b/apps/soak/src/lib/LoopbackProxy.ts
@@ -43,7 +43,7 @@
 /** A proxy whose own address never changes. */
 export class LoopbackProxy {
   readonly #server: Server = createServer({ allowHalfOpen: true }, socket => { this.#carry(socket) })
-  readonly #datagrams: DatagramSocket = createSocket('udp4')
+  #datagrams: DatagramSocket = createSocket('udp4')
   readonly #returns = new Map<string, DatagramSocket>()
   readonly #sockets = new Set<Socket>()
   readonly #held = new Map<Direction, Set<HeldBytes>>([['towards', new Set()], ['back', new Set()]])
@@ -52,14 +52,17 @@
   /** Port behind the proxy; undefined while its process is gone. */
   target: number | undefined
 
-  /** @returns its address, once it listens */
-  async listen (): Promise<string> {
-    await new Promise<void>(resolve => { this.#server.listen(0, HOST, resolve) })
-    const { port } = this.#server.address() as AddressInfo
-    await new Promise<void>((resolve, reject) => {
-      this.#datagrams.once('error', reject)
-      this.#datagrams.bind(port, HOST, resolve)
-    })
+  /**
+   * @param firstPort - port to try first; 0 for any that is free
+   * @returns its address, once it listens
+   */
+  async listen (firstPort = 0): Promise<string> {
+    let port = await this.#openPort(firstPort)
+    // A port that is free for connections may be taken for datagrams.
+    while (!await this.#bindDatagrams(port)) {
+      await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+      port = await this.#openPort(0)
+    }
     this.#datagrams.on('message', (bytes, sender) => { this.#forward(bytes, sender) })
     this.#timer = setInterval(() => { this.#pump() }, PUMP_MS)
     return `${HOST}:${port}`
@@ -81,6 +84,25 @@
     this.#server.close()
   }
 
+  async #openPort (wanted: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(wanted, HOST, resolve)
+    })
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  async #bindDatagrams (port: number): Promise<boolean> {
+    return await new Promise<boolean>(resolve => {
+      this.#datagrams.once('error', () => {
+        this.#datagrams.close()
+        this.#datagrams = createSocket('udp4')
+        resolve(false)
+      })
+      this.#datagrams.bind(port, HOST, () => { resolve(true) })
+    })
+  }
+
   #carry (caller: Socket): void {
     this.#keep(caller)
     if (this.#fault === 'reset' || this.target === undefined) {
