A request is suspected before it is held back, and cleared if it comes through meanwhile

A request that is asked often is at most endpoints at any time, so it is lost with most that end. In the new world of prove (requests that end endpoints beside one that is at most of them, under kills of control hosts, restarts of entry hosts, racks that fail and connections that break) the break of "bystanders-are-served" finds it held back. The tally now asks for 0.7 s of suspicion first, in which hosts that see it come through say so; then it can't be held back for a moment either. Cost: 0.7 s after the second end at least, inside the 3 s.

Tests of the world at 8 and 195 hosts. The part of a request in this is a class of its own, so that RoutedRequestTask does not grow by it.

--- /dev/null
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
@@ -0,0 +1,27 @@
+import { describe, expect, it } from 'vitest'
+import { Ledger } from '../Ledger.js'
+import { FAULT_KINDS, Simulation } from '../Simulation.js'
+import { QuarantineWorld, SMALL_SHAPE, type QuarantineShape } from './QuarantineWorld.js'
+
+const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, deadly: 3, durationMs: 20_000 }
+
+const TIMEOUT_MS = 120_000
+
+/** Runs without any network; the same seed gives the same run. */
+async function play (seed: number, shape: QuarantineShape): Promise<Ledger> {
+  const simulation = new Simulation(seed, new Set(FAULT_KINDS))
+  const ledger = new Ledger(() => simulation.executed)
+  await new QuarantineWorld(simulation, ledger, undefined, shape).run()
+  return ledger
+}
+
+describe('requests that end endpoints', () => {
+  describe.each([['8 hosts', SMALL_SHAPE], ['195 hosts', LARGE_SHAPE]])('before %s', (_name, shape) => {
+    it.each([11, 12, 13])('are held back, and nobody else is (seed %i)', async seed => {
+      const ledger = await play(seed, shape)
+      expect(ledger.violations).toEqual([])
+      expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(0)
+      expect(ledger.checks.get('bystanders-are-served')).toBeGreaterThan(1000)
+    }, TIMEOUT_MS)
+  })
+})
--- /dev/null
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -0,0 +1,349 @@
+/**
+ * Entry hosts before endpoints, among whose requests some end each endpoint that runs them and come again
+ * at any host, under kills and freezes of control hosts, restarts of entry hosts, racks that fail and
+ * connections that break. Checks that such a request stops being sent, and that no other is held back.
+ */
+import type { PersistentState, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { tellVerdicts } from '@eelgrassmux/control/quarantine/tellVerdicts'
+import { EndEvidence } from '@eelgrassmux/routing/quarantine/EndEvidence'
+import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
+import type { EndReport } from '@eelgrassmux/routing/quarantine/endReport'
+import type { Judgement } from '@eelgrassmux/schema/requestVerdict'
+import { ViewFollower } from '@eelgrassmux/view/ViewFollower'
+import type { Ledger, PromiseName } from '../Ledger.js'
+import type { Simulation } from '../Simulation.js'
+import type { World } from '../World.js'
+import { ALL_MECHANISMS, SimulatedReplica } from './SimulatedReplica.js'
+import { SimulatedPool, type PoolRequest, type PoolRun } from './SimulatedPool.js'
+
+/** How large the world is. */
+export interface QuarantineShape {
+  readonly hosts: number
+  readonly endpoints: number
+  readonly requestsPerSecond: number
+  readonly deadly: number
+  /** Virtual time, in milliseconds. */
+  readonly durationMs: number
+}
+
+export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, deadly: 2, durationMs: 40_000 }
+
+const REPLICAS = 3
+
+/** Most events of a run, as a bound only. */
+const EVENTS = 2_000_000
+
+/** Ends after which a request must be known, time for all to hear of it, and runs that may still begin then. */
+const KNOWN_AFTER_ENDS = 3
+const HEARD_MS = 3000
+const MOST_LATE_RUNS = 3
+
+/** Intervals of reports, views, and the leader's looks, in milliseconds. */
+const REPORT_MS = 200
+const VIEW_MS = 200
+const LOOK_MS = 100
+
+/** Pause between two faults, and time until a process is back, in milliseconds. */
+const LEAST_FAULT_GAP_MS = 1500
+const MOST_FAULT_GAP_MS = 6000
+const RESTART_MS = 1000
+
+/** Endpoints of a rack. */
+const RACK = 3
+
+/** How often a request that was lost is sent again by its caller. */
+const REPEATS = 2
+
+interface SimulatedHost {
+  readonly name: string
+  incarnation: number
+  startedAt: number
+  evidence: EndEvidence
+  cameThrough: Set<string>
+  follower: ViewFollower
+  isUntold: boolean
+  toldTo: string | undefined
+}
+
+interface SimulatedLeader {
+  readonly replica: SimulatedReplica
+  readonly tally: EndTally
+  isProposing: boolean
+}
+
+/** The world. */
+export class QuarantineWorld implements World {
+  readonly #replicas: SimulatedLeader[]
+  readonly #hosts: SimulatedHost[]
+  readonly #pool: SimulatedPool
+  readonly #ends = new Map<string, number[]>()
+  readonly #lateRuns = new Map<string, number>()
+  #controlDisturbedAt = Number.NEGATIVE_INFINITY
+  #nextRequest = 0
+
+  /**
+   * @param simulation - schedule
+   * @param ledger - checks
+   * @param broken - promise whose mechanism is taken away
+   * @param shape - how large it is
+   */
+  constructor (
+    private readonly simulation: Simulation, private readonly ledger: Ledger, private readonly broken: PromiseName | undefined, private readonly shape = SMALL_SHAPE
+  ) {
+    const voters = Array.from({ length: REPLICAS }, (_, index): Replica => ({ id: `control-${index}`, address: `control-${index}` }))
+    const disk: PersistentState = { term: 1, votedFor: undefined, snapshot: undefined, entries: [{ kind: 'membership', index: 1, term: 1, membership: { voters, learners: [] } }] }
+    this.#replicas = voters.map(self => ({ replica: this.#newReplica(self, disk), tally: new EndTally(), isProposing: false }))
+    this.#hosts = Array.from({ length: shape.hosts }, (_, index) => newHost(`host-${index}`))
+    this.#pool = new SimulatedPool(simulation, shape.endpoints)
+  }
+
+  async run (): Promise<void> {
+    for (const host of this.#hosts) {
+      this.#reportLoop(host)
+      this.#viewLoop(host)
+    }
+    for (const leader of this.#replicas) this.#lookLoop(leader)
+    this.#trafficLoop()
+    // One that is at most endpoints at any time.
+    this.#repeatLoop(this.#newRequest(false, 100, 400), 5, 20)
+    for (let index = 0; index < this.shape.deadly; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
+    this.#faultLoop()
+    await this.simulation.run({ events: EVENTS, until: this.shape.durationMs })
+  }
+
+  // --- Requests ---
+
+  #newRequest (isDeadly: boolean, leastMs: number, mostMs: number): PoolRequest {
+    this.#nextRequest += 1
+    return { fingerprint: this.#nextRequest.toString(16).padStart(32, '0'), isDeadly, durationMs: () => this.#between(leastMs, mostMs) }
+  }
+
+  #between (least: number, most: number): number {
+    return least + this.simulation.random() * (most - least)
+  }
+
+  /** Requests that come once, but for what their callers repeat. */
+  #trafficLoop (): void {
+    this.simulation.after(-Math.log(1 - this.simulation.random()) * 1000 / this.shape.requestsPerSecond, () => {
+      this.#trafficLoop()
+      this.#send(this.#newRequest(false, 50, 3000), REPEATS)
+    })
+  }
+
+  #repeatLoop (request: PoolRequest, leastMs: number, mostMs: number): void {
+    this.simulation.after(this.#between(leastMs, mostMs), () => {
+      this.#repeatLoop(request, leastMs, mostMs)
+      this.#send(request, 0)
+    })
+  }
+
+  #send (request: PoolRequest, repeats: number): void {
+    const host = this.simulation.oneOf(this.#hosts)
+    // A host that knows no site yet serves nobody.
+    if (host.follower.viewRevision === 0) return
+    if (host.follower.verdicts.find(request.fingerprint)?.state === 'quarantined') {
+      if (request.isDeadly) this.ledger.check('ends-few-endpoints', true, () => '')
+      this.ledger.check('bystanders-are-served', request.isDeadly, () => `${request.fingerprint} ended no endpoint and is held back at ${host.name}`)
+      return
+    }
+    if (request.isDeadly) this.#checkDeadly(host, request)
+    const { incarnation } = host
+    this.#pool.run(request, {
+      whole: run => { if (host.incarnation === incarnation) this.#noteWhole(host, run) },
+      lost: run => {
+        if (request.isDeadly) this.#noteEnd(request, run)
+        if (host.incarnation === incarnation) this.#noteLost(host, run)
+        if (repeats > 0) this.simulation.after(this.#between(0, 300), () => { this.#send(request, repeats - 1) })
+      }
+    })
+  }
+
+  #noteWhole (host: SimulatedHost, { request }: PoolRun): void {
+    this.ledger.check('bystanders-are-served', true, () => '')
+    if (host.follower.verdicts.find(request.fingerprint) === undefined) return
+    host.cameThrough.add(request.fingerprint)
+    host.evidence.forget(request.fingerprint)
+    host.isUntold = true
+  }
+
+  #noteLost (host: SimulatedHost, { request, endpoint, startedAt }: PoolRun): void {
+    const now = this.simulation.now()
+    host.evidence.note({ fingerprint: request.fingerprint, service: 'pool', endpoint, ranMs: now - startedAt }, now)
+    host.isUntold = true
+  }
+
+  #noteEnd ({ fingerprint }: PoolRequest, { endpoint }: PoolRun): void {
+    if (!this.#pool.hasEnded(endpoint)) return
+    this.#ends.set(fingerprint, [...this.#ends.get(fingerprint) ?? [], this.simulation.now()])
+  }
+
+  /** As after any start or disturbance, a host that was just started and control hosts that were just disturbed have a moment. */
+  #checkDeadly (host: SimulatedHost, { fingerprint }: PoolRequest): void {
+    const now = this.simulation.now()
+    const knownAt = this.#ends.get(fingerprint)?.[KNOWN_AFTER_ENDS - 1]
+    if (knownAt === undefined || now - knownAt <= HEARD_MS || now - host.startedAt <= HEARD_MS || now - this.#controlDisturbedAt <= HEARD_MS) return
+    const lateRuns = (this.#lateRuns.get(fingerprint) ?? 0) + 1
+    this.#lateRuns.set(fingerprint, lateRuns)
+    this.ledger.check('ends-few-endpoints', lateRuns <= MOST_LATE_RUNS, () => `${fingerprint} is sent by ${host.name} for the ${lateRuns}. time, ${Math.round(now - knownAt)} ms after it had ended ${KNOWN_AFTER_ENDS} endpoints`)
+  }
+
+  // --- What hosts tell, and hear ---
+
+  #reportLoop (host: SimulatedHost): void {
+    this.simulation.after(REPORT_MS, () => {
+      this.#reportLoop(host)
+      const leader = this.#leader()
+      const { name } = leader?.replica.self === undefined ? { name: undefined } : { name: leader.replica.self.id }
+      if (leader === undefined || (!host.isUntold && (host.toldTo === name || host.evidence.size === 0))) return
+      this.#report(host, leader)
+    })
+  }
+
+  #report (host: SimulatedHost, { replica, tally }: SimulatedLeader): void {
+    const { incarnation } = host
+    const ends = host.evidence.reports(this.simulation.now())
+    const cameThrough = [...host.cameThrough]
+    host.isUntold = false
+    const leader = replica.self.id
+    this.simulation.send(host.name, leader, () => {
+      if (!replica.isAlive || replica.core.role !== 'leader') return
+      this.#observe(tally, ends, cameThrough, replica)
+      this.simulation.send(leader, host.name, () => {
+        if (host.incarnation !== incarnation) return
+        host.toldTo = leader
+        for (const fingerprint of cameThrough) host.cameThrough.delete(fingerprint)
+      })
+    })
+    // A report that got no answer is made again.
+    this.simulation.after(REPORT_MS, () => { if (host.incarnation === incarnation && host.toldTo !== leader) host.isUntold = true })
+    host.toldTo = undefined
+  }
+
+  #observe (tally: EndTally, ends: readonly EndReport[], cameThrough: readonly string[], replica: SimulatedReplica): void {
+    const now = this.simulation.now()
+    for (const end of ends) tally.observe(end, now)
+    if (this.broken === 'bystanders-are-served') return
+    const cleared = cameThrough.flatMap((fingerprint): Judgement[] => {
+      tally.clear(fingerprint, now)
+      return replica.state.verdicts.find(fingerprint) === undefined ? [] : [{ fingerprint, service: 'pool', judgement: 'clear', forMs: 0 }]
+    })
+    if (cleared.length > 0) replica.propose({ kind: 'judge-requests', judgements: cleared }, () => {})
+  }
+
+  #viewLoop (host: SimulatedHost): void {
+    this.simulation.after(this.simulation.random() * 2 * VIEW_MS, () => {
+      this.#viewLoop(host)
+      const { replica } = this.simulation.oneOf(this.#replicas)
+      const { incarnation } = host
+      this.simulation.send(host.name, replica.self.id, () => {
+        if (!replica.isAlive || host.incarnation !== incarnation) return
+        this.#answerView(host, replica)
+      })
+    })
+  }
+
+  #answerView (host: SimulatedHost, { state, self }: SimulatedReplica): void {
+    const { incarnation, follower } = host
+    const known = follower.viewRevision
+    const changes = known === 0 ? undefined : state.changesSince(known)
+    const told = this.broken === 'ends-few-endpoints' ? {} : tellVerdicts(state.verdicts, changes?.flatMap(({ judged }) => judged), this.simulation.wallClock())
+    const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [], weights: [], ...told }
+    const message = changes === undefined
+      ? { kind: 'snapshot' as const, ...common, documents: [] }
+      : { kind: 'changes' as const, ...common, fromViewRevision: known, upserts: [], removes: [] }
+    this.simulation.send(self.id, host.name, () => {
+      if (host.incarnation === incarnation) follower.apply(message, this.simulation.now())
+    })
+  }
+
+  // --- Control hosts ---
+
+  #newReplica (self: Replica, disk: PersistentState): SimulatedReplica {
+    return new SimulatedReplica(this.simulation, self, disk, ALL_MECHANISMS, {
+      send: (from, to, message) => {
+        this.simulation.send(from.id, to.id, () => { this.#replicas.find(({ replica }) => replica.self.id === to.id)?.replica.receive(message) })
+      },
+      applied: () => {}
+    })
+  }
+
+  #leader (): SimulatedLeader | undefined {
+    return this.#replicas.find(({ replica }) => replica.isAlive && replica.core.role === 'leader')
+  }
+
+  #lookLoop (leader: SimulatedLeader): void {
+    this.simulation.after(LOOK_MS, () => {
+      this.#lookLoop(leader)
+      const { replica, tally } = leader
+      if (!replica.isAlive) return
+      if (replica.core.role !== 'leader') {
+        tally.reset()
+        return
+      }
+      // Hosts serve once there is a view.
+      if (replica.state.viewRevision === 0) replica.propose({ kind: 'assign-shards', owners: [] }, () => {})
+      this.#judge(leader)
+    })
+  }
+
+  #judge (leader: SimulatedLeader): void {
+    const { replica: { state }, tally } = leader
+    const verdictOn = (fingerprint: string): ReturnType<typeof state.verdicts.find> => state.verdicts.find(fingerprint)
+    for (const endpoint of tally.uncertainEnds(verdictOn)) this.#check(tally, endpoint)
+    if (leader.isProposing) return
+    const judgements = tally.judge(verdictOn, this.simulation.now())
+    if (judgements.length === 0) return
+    leader.isProposing = true
+    for (const { fingerprint, judgement } of judgements) this.simulation.note(`${leader.replica.self.id}: ${judgement} ${fingerprint}`)
+    leader.replica.propose({ kind: 'judge-requests', judgements }, () => { leader.isProposing = false })
+  }
+
+  /** Asks the endpoint, which takes a moment. */
+  #check (tally: EndTally, endpoint: string): void {
+    this.simulation.after(this.#between(1, 300), () => {
+      tally.settle(endpoint, this.broken === 'bystanders-are-served' || this.#pool.hasEnded(endpoint), this.simulation.now())
+    })
+  }
+
+  // --- Faults ---
+
+  #faultLoop (): void {
+    this.simulation.after(this.#between(LEAST_FAULT_GAP_MS, MOST_FAULT_GAP_MS), () => {
+      this.#faultLoop()
+      if (this.simulation.fault('kill', 0.25)) this.#killControl()
+      if (this.simulation.fault('freeze', 0.15)) this.#freezeControl()
+      if (this.simulation.fault('swap', 0.3)) this.#restartHost(this.simulation.oneOf(this.#hosts))
+      if (this.simulation.fault('lost-disk', 0.3)) this.#pool.endTogether(RACK)
+      if (this.simulation.fault('cut', 0.6)) this.#pool.breakConnections()
+    })
+  }
+
+  #killControl (): void {
+    const leader = this.#leader()
+    if (leader === undefined || this.#replicas.some(({ replica }) => !replica.isAlive)) return
+    this.#controlDisturbedAt = this.simulation.now()
+    leader.replica.kill()
+    leader.tally.reset()
+    leader.isProposing = false
+    this.simulation.after(this.simulation.random() * RESTART_MS, () => {
+      this.#controlDisturbedAt = this.simulation.now()
+      leader.replica.restart()
+    })
+  }
+
+  #freezeControl (): void {
+    const frozenMs = this.simulation.random() * RESTART_MS
+    this.#controlDisturbedAt = this.simulation.now() + frozenMs
+    this.#leader()?.replica.freeze(frozenMs)
+  }
+
+  #restartHost (host: SimulatedHost): void {
+    Object.assign(host, newHost(host.name), { incarnation: host.incarnation + 1, startedAt: this.simulation.now() })
+  }
+}
+
+function newHost (name: string): SimulatedHost {
+  return {
+    name, incarnation: 0, startedAt: 0, evidence: new EndEvidence(), cameThrough: new Set(), follower: new ViewFollower(), isUntold: false, toldTo: undefined
+  }
+}
--- /dev/null
+++ b/apps/bench/src/lib/prove/worlds/SimulatedPool.ts
@@ -0,0 +1,109 @@
+/** Endpoints that run requests in virtual time, and end, break connections and start again. */
+import type { Simulation } from '../Simulation.js'
+
+/** What is asked; the same object each time that it comes again. */
+export interface PoolRequest {
+  readonly fingerprint: string
+  readonly isDeadly: boolean
+  /** How long an endpoint needs for it or, if it is deadly, lives on with it, in milliseconds. */
+  durationMs (): number
+}
+
+/** A request at an endpoint. */
+export interface PoolRun {
+  readonly request: PoolRequest
+  /** Incarnation of the endpoint. */
+  readonly endpoint: string
+  readonly startedAt: number
+}
+
+/** Told of what becomes of a run, once. */
+export interface RunListener {
+  whole (run: PoolRun): void
+  lost (run: PoolRun): void
+}
+
+interface SimulatedEndpoint {
+  readonly name: string
+  incarnation: number
+  isUp: boolean
+  readonly runs: Map<PoolRun, RunListener>
+}
+
+/** Bounds of the time until an endpoint that ended is back, in milliseconds. */
+const LEAST_DOWN_MS = 500
+const MOST_DOWN_MS = 3000
+
+/** All endpoints of one service. */
+export class SimulatedPool {
+  readonly #endpoints: SimulatedEndpoint[]
+
+  /**
+   * @param simulation - schedule
+   * @param size - number of endpoints
+   */
+  constructor (private readonly simulation: Simulation, size: number) {
+    this.#endpoints = Array.from({ length: size }, (_, index) => ({ name: `endpoint-${index}`, incarnation: 1, isUp: true, runs: new Map() }))
+  }
+
+  /**
+   * @param request - to run at any endpoint that is up
+   * @param listener - told of the end
+   * @returns the run, or undefined if no endpoint is up
+   */
+  run (request: PoolRequest, listener: RunListener): PoolRun | undefined {
+    const up = this.#endpoints.filter(({ isUp }) => isUp)
+    if (up.length === 0) return undefined
+    const endpoint = this.simulation.oneOf(up)
+    const run: PoolRun = { request, endpoint: nameOf(endpoint), startedAt: this.simulation.now() }
+    endpoint.runs.set(run, listener)
+    this.simulation.after(request.durationMs(), () => {
+      if (!endpoint.runs.has(run)) return
+      if (request.isDeadly) {
+        this.#end(endpoint)
+        return
+      }
+      endpoint.runs.delete(run)
+      listener.whole(run)
+    })
+    return run
+  }
+
+  /** @returns whether that incarnation has ended */
+  hasEnded (incarnation: string): boolean {
+    return !this.#endpoints.some(endpoint => endpoint.isUp && nameOf(endpoint) === incarnation)
+  }
+
+  /** Ends some in the same moment, as a rack does. */
+  endTogether (count: number): void {
+    const first = this.simulation.pick(this.#endpoints.length)
+    for (let index = 0; index < count; index += 1) {
+      const endpoint = this.#endpoints[(first + index) % this.#endpoints.length]
+      if (endpoint?.isUp === true) this.#end(endpoint)
+    }
+  }
+
+  /** Breaks the connections of one that lives on. */
+  breakConnections (): void {
+    this.#lose(this.simulation.oneOf(this.#endpoints))
+  }
+
+  #end (endpoint: SimulatedEndpoint): void {
+    endpoint.isUp = false
+    this.#lose(endpoint)
+    this.simulation.after(LEAST_DOWN_MS + this.simulation.random() * (MOST_DOWN_MS - LEAST_DOWN_MS), () => {
+      endpoint.incarnation += 1
+      endpoint.isUp = true
+    })
+  }
+
+  #lose (endpoint: SimulatedEndpoint): void {
+    const lost = [...endpoint.runs]
+    endpoint.runs.clear()
+    for (const [run, listener] of lost) listener.lost(run)
+  }
+}
+
+function nameOf ({ name, incarnation }: SimulatedEndpoint): string {
+  return `${name}#${incarnation}`
+}
--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -4,6 +4,7 @@
 import { DirectoryWorld } from './DirectoryWorld.js'
 import { EndpointWorld } from './EndpointWorld.js'
 import { FormationWorld } from './FormationWorld.js'
+import { QuarantineWorld } from './QuarantineWorld.js'
 import { RunWorld } from './RunWorld.js'
 
 export const WORLDS: readonly WorldFactory[] = [
@@ -31,5 +32,10 @@
     name: 'formation',
     promises: ['complete-before-commands'],
     create: (simulation, ledger, broken) => new FormationWorld(simulation, ledger, broken)
+  },
+  {
+    name: 'quarantine',
+    promises: ['ends-few-endpoints', 'bystanders-are-served'],
+    create: (simulation, ledger, broken) => new QuarantineWorld(simulation, ledger, broken)
   }
 ]
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -7,10 +7,10 @@
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
-import { requestFingerprint } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
+import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import { AnswerTimes } from './AnswerTimes.js'
 import type { CallerExchange } from './CallerExchange.js'
@@ -49,8 +49,7 @@
   readonly #prompt: PromptContext | undefined
   #isDone = false
   #isWaiting = false
-  /** Worked out only once it is needed: most requests never need it. */
-  #knownFingerprint: string | undefined
+  readonly #guard: QuarantineGuard
   readonly #times: AnswerTimes
 
   /**
@@ -67,6 +66,7 @@
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
     this.#times = new AnswerTimes(request, ports)
+    this.#guard = new QuarantineGuard(request, exchange.request, ports.quarantine)
     this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
@@ -164,12 +164,9 @@
    * known. It takes an endpoint, with all that runs there, each time.
    */
   #isHeldBack (): boolean {
-    const { quarantine } = this.ports
-    if (quarantine.isIdle) return false
-    const fingerprint = this.#fingerprint()
-    const heldForMs = quarantine.heldForMs(fingerprint, performance.now())
+    const heldForMs = this.#guard.heldForMs(performance.now())
     if (heldForMs === undefined) return false
-    this.#refuse('request-quarantined', 503, `this request has ended the endpoints that ran it and is held back for now (fingerprint ${fingerprint})`, heldForMs)
+    this.#refuse('request-quarantined', 503, `this request has ended the endpoints that ran it and is held back for now (fingerprint ${this.#guard.fingerprint})`, heldForMs)
     return true
   }
 
@@ -286,50 +283,30 @@
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
     }
-    if (!isFailure) this.#noteWhole()
+    if (!isFailure) {
+      this.#times.noteWhole()
+      this.#guard.noteWhole()
+    }
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
     this.#relay.complete()
   }
 
-  #noteWhole (): void {
-    this.#times.noteWhole()
-    if (!this.ports.quarantine.isIdle) this.ports.quarantine.noteWhole(this.#fingerprint())
-  }
-
-  /** Whoever was at an endpoint when it ended may be the one that ended it. One that leaves ends anyway. */
-  #noteLost (attempt: RoutedAttempt): void {
-    const { endpoint } = attempt.choice
-    if (!attempt.wasSent || endpoint.isLeaving) return
-    this.ports.quarantine.noteLost({
-      fingerprint: this.#fingerprint(), service: this.request.service.name, endpoint: endpoint.incarnation, ranMs: performance.now() - attempt.startedAt
-    })
-  }
-
   #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
-    if (MAY_HAVE_RUN.has(failure)) this.#noteLost(attempt)
+    const now = performance.now()
+    const mayHaveRun = MAY_HAVE_RUN.has(failure)
+    if (mayHaveRun) this.#guard.noteLost(attempt, now)
     this.#decided('attempt-failed', {
       endpoint: attempt.choice.endpoint.id,
       failure,
       detail,
       sends: this.#sends,
       runs: this.#runs,
-      remainingMs: Math.round(this.#deadline - performance.now()),
-      ...(MAY_HAVE_RUN.has(failure) ? this.#describeRun(attempt) : {})
+      remainingMs: Math.round(this.#deadline - now),
+      ...(mayHaveRun ? this.#guard.describeLost(attempt, this.#times.hasFirstEvent, now) : {})
     })
   }
 
-  /** Tells requests that ended with an endpoint apart, and the same one under other ids. */
-  #describeRun (attempt: RoutedAttempt): { readonly fingerprint: string, readonly ranMs: number, readonly hadEvents: boolean } {
-    return { fingerprint: this.#fingerprint(), ranMs: Math.round(performance.now() - attempt.startedAt), hadEvents: this.#times.hasFirstEvent }
-  }
-
-  #fingerprint (): string {
-    const { method = 'GET', url = '/' } = this.exchange.request
-    this.#knownFingerprint ??= requestFingerprint({ customer: this.request.customer?.name, method, target: url, body: this.request.body })
-    return this.#knownFingerprint
-  }
-
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
     const { endpoint } = attempt.choice
@@ -431,7 +408,7 @@
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
-    if (outcome !== undefined) this.#noteLost(attempt)
+    if (outcome !== undefined) this.#guard.noteLost(attempt, performance.now())
     if (outcome !== undefined && !attempt.hasHead) this.ports.fleet.observe(endpoint, outcome)
     attempt.cancel()
   }
--- a/packages/routing/src/lib/quarantine/EndTally.ts
+++ b/packages/routing/src/lib/quarantine/EndTally.ts
@@ -5,7 +5,8 @@
  * endpoint that begins to run it ends, with everything else that ran there. Every request that
  * was lost with an endpoint is suspect at first. What is left after a few ends is
  * the request that was at all of them: the others are lost once or, if they are
- * repeated, now and then, and come through in between.
+ * repeated, now and then, and come through in between. Hosts can't keep what came through
+ * of all requests, so they are told first whom to look out for.
  */
 import type { Judgement, RequestVerdict } from '@eelgrassmux/schema/requestVerdict'
 import type { EndReport } from './endReport.js'
@@ -26,6 +27,12 @@
 /** Time for which a request that came through is not suspected again, in milliseconds. */
 const CLEARED_MS = EVIDENCE_MS
 
+/**
+ * Time for which a request is suspected before it may be quarantined, in milliseconds: hosts hear of it, and one
+ * that is asked often and ends nothing comes through somewhere.
+ */
+const HEARING_MS = 700
+
 /** Bounds of what is held: endpoints that ended, requests at each, requests cleared, endpoints found alive. */
 const MOST_ENDS = 512
 const MOST_SUSPECTS_OF_END = 256
@@ -66,6 +73,7 @@
   /** When endpoints were last seen to live although connections to them broke. */
   readonly #aliveAt = new Map<string, number>()
   readonly #clearedAt = new Map<string, number>()
+  readonly #suspectedAt = new Map<string, number>()
 
   /** Whether nothing is held that may lead to a judgement. */
   get isEmpty (): boolean { return this.#ends.size === 0 }
@@ -73,7 +81,7 @@
 
   /** Forgets everything; hosts tell the next leader what they hold. */
   reset (): void {
-    for (const map of [this.#ends, this.#suspects, this.#aliveAt, this.#clearedAt]) map.clear()
+    for (const map of [this.#ends, this.#suspects, this.#aliveAt, this.#clearedAt, this.#suspectedAt]) map.clear()
   }
 
   /**
@@ -150,7 +158,9 @@
       culprits.add(fingerprint)
       judgements.push({ fingerprint, service, judgement: 'quarantine', forMs: quarantineMs(verdictOn(fingerprint)?.quarantines ?? 0) })
     }
-    return [...judgements, ...this.#suspicions(culprits, verdictOn, now)]
+    const suspicions = this.#suspicions(culprits, verdictOn, now)
+    for (const { fingerprint } of suspicions) remember(this.#suspectedAt, fingerprint, now)
+    return [...judgements, ...suspicions]
   }
 
   /**
@@ -167,12 +177,22 @@
    * endpoints are judged without those ends.
    */
   #gravest (culprits: ReadonlySet<string>, verdictOn: VerdictLookup, now: number): Charge | undefined {
-    const charges = this.#charges(culprits, now).filter(({ fingerprint, occasions }) =>
-      occasions >= (verdictOn(fingerprint)?.state === 'released' ? 1 : ENDS_TO_QUARANTINE))
+    const charges = this.#charges(culprits, now).filter(charge => this.#isHeard(charge, verdictOn, now))
     // Among equals the one that endpoints survived for the shortest time.
     return charges.sort((left, right) => right.occasions - left.occasions || left.longestRunMs - right.longestRunMs)[0]
   }
 
+  /** Whether there are ends enough, and hosts have had time to say that it came through. */
+  #isHeard ({ fingerprint, occasions }: Charge, verdictOn: VerdictLookup, now: number): boolean {
+    const state = verdictOn(fingerprint)?.state
+    if (state === 'released') return occasions > 0
+    if (state !== 'suspected' || occasions < ENDS_TO_QUARANTINE) return false
+    const suspectedAt = this.#suspectedAt.get(fingerprint)
+    // Agreed on under another leader.
+    if (suspectedAt === undefined) remember(this.#suspectedAt, fingerprint, now)
+    return suspectedAt !== undefined && now - suspectedAt >= HEARING_MS
+  }
+
   #suspicions (culprits: ReadonlySet<string>, verdictOn: VerdictLookup, now: number): Judgement[] {
     return this.#charges(culprits, now)
       .filter(({ fingerprint, occasions }) => occasions >= ENDS_TO_SUSPECT && verdictOn(fingerprint) === undefined)
