The tally of ends looks at few requests only, and its size is bounded over all ends

A look of the leader went through every loss that it held: 99 ms at 80,000 losses, ten times a second after each report, on the process that also leads the group.

--- /dev/null
+++ b/apps/bench/src/lib/measure/measureQuarantineSlopes.ts
@@ -0,0 +1,102 @@
+/** What it costs to find and hold back requests that end endpoints. */
+import { randomBytes } from 'node:crypto'
+import { tellVerdicts } from '@eelgrassmux/control/quarantine/tellVerdicts'
+import { EndEvidence } from '@eelgrassmux/routing/quarantine/EndEvidence'
+import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
+import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/endReport'
+import { requestFingerprint } from '@eelgrassmux/routing/quarantine/requestFingerprint'
+import { encodeMessage } from '@eelgrassmux/rpc/RpcMethod'
+import type { RequestVerdict } from '@eelgrassmux/schema/requestVerdict'
+import { VerdictRegister } from '@eelgrassmux/state/VerdictRegister'
+import type { Point } from './fit.js'
+import { heapOf } from './heapOf.js'
+import { slopeReport } from './slopeReport.js'
+
+/** Requests at each endpoint that ends, the most that the tally keeps. */
+const REQUESTS_OF_END = 256
+
+/** Repeats of what takes too short to be timed once. */
+const REPEATS = 200
+
+/** One in so many losses is of a request that was lost before; this many different ones are. */
+const REPEATED_EACH = 20
+const MOST_REPEATED = 640
+
+/** Ends lie this far apart, in milliseconds, so that each is an occasion of its own. */
+const END_GAP_MS = 1000
+
+/** @param print - takes each line of the report */
+export function measureQuarantineSlopes (print: (line: string) => void): void {
+  const report = slopeReport(print)
+  const sizes = [2000, 8000, 32_000]
+  report('memory of a reported loss on the leader', 'bytes', heapOf(sizes, size => ({ tally: tallyOf(size) })))
+  report('memory of a loss on an entry host', 'bytes', heapOf([64, 128, MOST_REPORTS_OF_HOST], size => ({ evidence: evidenceOf(size) })))
+  report('memory of a verdict', 'bytes', heapOf([100, 300, 500], size => ({ register: registerOf(size) })))
+  report('processor time of a reported loss on the leader', 'seconds', secondsOf(sizes, size => { tallyOf(size) }))
+  report('processor time of a look of the leader, for each loss that it holds', 'seconds', sizes.map(size => timedLook(size)))
+  report('processor time of a fingerprint, for each byte of the body', 'seconds', secondsOf([1000, 10_000, 100_000], size => {
+    const body = Buffer.alloc(size)
+    for (let count = 0; count < REPEATS; count += 1) requestFingerprint({ customer: 'ward', method: 'POST', target: '/a', body })
+  }).map(({ size, value }) => ({ size, value: value / REPEATS })))
+  const ends = evidenceOf(MOST_REPORTS_OF_HOST).reports(0)
+  print(`size of the largest report of losses: ${encodeMessage({ host: '10.0.0.1:7400', ends, cameThrough: [] }).length} bytes, of one with 8: ${encodeMessage({ host: '10.0.0.1:7400', ends: ends.slice(0, 8), cameThrough: [] }).length}`)
+  const register = registerOf(500)
+  print(`size of 500 verdicts in a view: ${encodeMessage(tellVerdicts(register, undefined, 0)).length} bytes, of one: ${encodeMessage(tellVerdicts(register, [fingerprintOf(1)], 0)).length}`)
+}
+
+function fingerprintOf (number: number): string {
+  return number.toString(16).padStart(32, '0')
+}
+
+/** Strings of their own, as they come out of a message. */
+function freshFingerprint (): string {
+  return randomBytes(16).toString('hex')
+}
+
+function tallyOf (size: number): EndTally {
+  const tally = new EndTally()
+  for (let loss = 0; loss < size; loss += 1) {
+    const end = Math.floor(loss / REQUESTS_OF_END)
+    // One in twenty was lost before, as requests are that were repeated.
+    const fingerprint = loss % REPEATED_EACH === 0 ? fingerprintOf(loss % MOST_REPEATED) : freshFingerprint()
+    tally.observe({ fingerprint, service: 'pool', endpoint: `i-${end.toString(16).padStart(10, '0')}`, agoMs: 0, ranMs: 100 }, end * END_GAP_MS)
+  }
+  return tally
+}
+
+function evidenceOf (size: number): EndEvidence {
+  const evidence = new EndEvidence()
+  for (let loss = 0; loss < size; loss += 1) evidence.note({ fingerprint: freshFingerprint(), service: 'pool', endpoint: 'i-0123456789', ranMs: 123.456 }, 0)
+  return evidence
+}
+
+function registerOf (size: number): VerdictRegister {
+  const register = new VerdictRegister()
+  register.restore(Array.from({ length: size }, (_, number): RequestVerdict =>
+    ({ fingerprint: fingerprintOf(number), service: 'model-pool', state: 'quarantined', endsAt: 1_790_000_000_000 + number, quarantines: 1 })))
+  return register
+}
+
+function timedLook (size: number): Point {
+  const tally = tallyOf(size)
+  const agreed = new VerdictRegister()
+  for (const endpoint of tally.uncertainEnds(agreed)) tally.settle(endpoint, true, 0)
+  const now = size / REQUESTS_OF_END * END_GAP_MS
+  const startedAt = performance.now()
+  const looks = 10
+  for (let look = 0; look < looks; look += 1) {
+    tally.uncertainEnds(agreed)
+    tally.judge(agreed, now)
+  }
+  return { size, value: (performance.now() - startedAt) / looks / 1000 }
+}
+
+function secondsOf (sizes: readonly number[], work: (size: number) => void): Point[] {
+  return sizes.map(size => {
+    // Once before, so that compiled code is measured.
+    work(size)
+    const startedAt = performance.now()
+    work(size)
+    return { size, value: (performance.now() - startedAt) / 1000 }
+  })
+}
--- a/apps/bench/src/lib/measure/measureSlopes.ts
+++ b/apps/bench/src/lib/measure/measureSlopes.ts
@@ -16,7 +16,10 @@
 import { Cluster, type ClusterMember } from '../Cluster.js'
 import { TMTS_PROFILE } from '../profiles.js'
 import { findLeader, freshClaim } from './measureControl.js'
-import { fitLine, type Point } from './fit.js'
+import type { Point } from './fit.js'
+import { heapOf } from './heapOf.js'
+import { measureQuarantineSlopes } from './measureQuarantineSlopes.js'
+import { slopeReport, type Report } from './slopeReport.js'
 
 /** Time over which processor time is measured, in milliseconds. */
 const WINDOW_MS = 4000
@@ -29,42 +32,18 @@
  * @param print - takes each line of the report
  */
 export async function measureSlopes (print: (line: string) => void): Promise<void> {
-  const report = (name: string, unit: string, points: readonly Point[]): void => {
-    const { slope, intercept, fit } = fitLine(points)
-    const sizes = points.map(({ size, value }) => `${size}:${value.toPrecision(4)}`).join(' ')
-    print(`slope ${name}: ${slope.toPrecision(4)} ${unit}, intercept ${intercept.toPrecision(4)}, fit ${fit.toFixed(4)} (${sizes})`)
-  }
+  const report = slopeReport(print)
   report('memory of a customer on an entry host', 'bytes', heapOf([5000, 15_000, 45_000], customers))
   report('memory of a stored object in a directory', 'bytes', heapOf([5000, 20_000, 50_000], storedObjects))
   report('memory of a resident block in a directory', 'bytes', heapOf([20_000, 100_000, 200_000], residentBlocks))
   report('memory of an at-most-once record on a control host', 'bytes', heapOf([5000, 20_000, 50_000], records))
   for (const line of messageSizes()) print(line)
+  measureQuarantineSlopes(print)
   await measureProcessorTime(report)
 }
 
-type Report = (name: string, unit: string, points: readonly Point[]) => void
-
 // --- Memory ---
 
-function heapOf (sizes: readonly number[], build: (size: number) => object): Point[] {
-  return sizes.map(size => {
-    const before = heapUsed()
-    const held = build(size)
-    const value = heapUsed() - before
-    if (Object.keys(held).length < 0) throw new Error('unreachable: keeps the object alive')
-    return { size, value }
-  })
-}
-
-function heapUsed (): number {
-  const { gc } = globalThis
-  if (gc === undefined) throw new Error('run with --expose-gc')
-  gc()
-  gc()
-  const { heapUsed: heap, external } = process.memoryUsage()
-  return heap + external
-}
-
 function customers (size: number): object {
   const documents = Array.from({ length: size }, (_, index): ConfigurationDocument => ({
     kind: 'customer', name: `customer-${index}`, credentialSha256: index.toString(16).padStart(64, '0'), cacheSecret: `secret of customer ${index}`, share: 1
--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -287,11 +287,10 @@
   }
 
   #judge (leader: SimulatedLeader): void {
-    const { replica: { state }, tally } = leader
-    const verdictOn = (fingerprint: string): ReturnType<typeof state.verdicts.find> => state.verdicts.find(fingerprint)
-    for (const endpoint of tally.uncertainEnds(verdictOn)) this.#check(tally, endpoint)
+    const { replica: { state: { verdicts } }, tally } = leader
+    for (const endpoint of tally.uncertainEnds(verdicts)) this.#check(tally, endpoint)
     if (leader.isProposing) return
-    const judgements = tally.judge(verdictOn, this.simulation.now())
+    const judgements = tally.judge(verdicts, this.simulation.now())
     if (judgements.length === 0) return
     leader.isProposing = true
     for (const { fingerprint, judgement } of judgements) this.simulation.note(`${leader.replica.self.id}: ${judgement} ${fingerprint}`)
--- a/apps/bench/src/slopes.ts
+++ b/apps/bench/src/slopes.ts
@@ -1,4 +1,8 @@
-/** `npm run slopes`: the slopes behind docs/CAPACITY.md. */
+/** `npm run slopes [-- quarantine]`: the slopes behind docs/CAPACITY.md, all of them or those of one part. */
+import { measureQuarantineSlopes } from './lib/measure/measureQuarantineSlopes.js'
 import { measureSlopes } from './lib/measure/measureSlopes.js'
 
-await measureSlopes(line => { process.stdout.write(`${line}\n`) })
+const print = (line: string): void => { process.stdout.write(`${line}\n`) }
+
+if (process.argv.includes('quarantine')) measureQuarantineSlopes(print)
+else await measureSlopes(print)
--- a/apps/control/src/lib/quarantine/QuarantineTask.ts
+++ b/apps/control/src/lib/quarantine/QuarantineTask.ts
@@ -6,7 +6,7 @@
  * leader again what they hold, so that a change of leader loses no evidence.
  */
 import { incarnationName } from '@eelgrassmux/routing/endpoints/incarnationName'
-import { EndTally, type VerdictLookup } from '@eelgrassmux/routing/quarantine/EndTally'
+import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
 import { reportEnds, type ReportEndsRequest, type ReportEndsResponse } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import type { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { Judgement } from '@eelgrassmux/schema/requestVerdict'
@@ -119,13 +119,11 @@
     if (quietMs < ACTIVE_MS) this.#scheduleLook(quietMs < SETTLING_MS ? LOOK_MS : SLOW_LOOK_MS)
     this.#verify(now)
     // What is under way would be decided a second time.
-    if (!this.#isProposing) this.#propose(this.#tally.judge(this.#verdictOn, now))
+    if (!this.#isProposing) this.#propose(this.#tally.judge(this.ports.verdicts, now))
   }
 
-  readonly #verdictOn: VerdictLookup = fingerprint => this.ports.verdicts.find(fingerprint)
-
   #verify (now: number): void {
-    const uncertain = this.#tally.uncertainEnds(this.#verdictOn)
+    const uncertain = this.#tally.uncertainEnds(this.ports.verdicts)
     this.#check.retain(name => uncertain.includes(name))
     if (uncertain.length === 0) return
     const listed = new Map(this.ports.endpoints().map(endpoint => [incarnationName(endpoint), endpoint]))
--- a/packages/routing/src/lib/quarantine/EndTally.test.ts
+++ b/packages/routing/src/lib/quarantine/EndTally.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import type { RequestVerdict } from '@eelgrassmux/schema/requestVerdict'
-import { EndTally, type VerdictLookup } from './EndTally.js'
+import type { VerdictState } from '@eelgrassmux/schema/requestVerdict'
+import { EndTally, type AgreedVerdicts, type KnownVerdict } from './EndTally.js'
 import { EVIDENCE_MS, FIRST_QUARANTINE_MS } from './quarantineTerms.js'
 
 const DEADLY = 'd'.repeat(32)
@@ -15,8 +15,21 @@
 /** Ends of endpoints as hosts report them, and what is agreed. */
 class Reports {
   readonly tally = new EndTally()
-  readonly agreed = new Map<string, Pick<RequestVerdict, 'state' | 'quarantines'>>()
-  readonly verdictOn: VerdictLookup = fingerprint => this.agreed.get(fingerprint)
+  readonly #verdicts = new Map<string, KnownVerdict>()
+  readonly agreed: AgreedVerdicts
+
+  constructor () {
+    const verdicts = this.#verdicts
+    this.agreed = { get all () { return [...verdicts.values()] }, find: fingerprint => verdicts.get(fingerprint) }
+  }
+
+  agree (fingerprint: string, state: VerdictState, quarantines = 0): void {
+    this.#verdicts.set(fingerprint, { fingerprint, state, quarantines })
+  }
+
+  disagree (fingerprint: string): void {
+    this.#verdicts.delete(fingerprint)
+  }
 
   /** One endpoint ends at a time with these requests; the longer they ran, the later in the list. */
   end (endpoint: string, at: number, requests: readonly string[], ranMs = 100): void {
@@ -24,14 +37,14 @@
   }
 
   settleAll (now: number): void {
-    for (const endpoint of this.tally.uncertainEnds(this.verdictOn)) this.tally.settle(endpoint, true, now)
+    for (const endpoint of this.tally.uncertainEnds(this.agreed)) this.tally.settle(endpoint, true, now)
   }
 
   /** All uncertain endpoints turn out to have ended, and what follows is agreed at once. */
   judge (now: number): Array<[string, string]> {
     this.settleAll(now)
-    return this.tally.judge(this.verdictOn, now).map(({ fingerprint, judgement }) => {
-      this.agreed.set(fingerprint, { state: judgement === 'quarantine' ? 'quarantined' : 'suspected', quarantines: 0 })
+    return this.tally.judge(this.agreed, now).map(({ fingerprint, judgement }) => {
+      this.agree(fingerprint, judgement === 'quarantine' ? 'quarantined' : 'suspected')
       return [fingerprint, judgement]
     })
   }
@@ -70,7 +83,7 @@
     it('is quarantined by a leader that finds it suspected', () => {
       const reports = new Reports()
       for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [DEADLY])
-      reports.agreed.set(DEADLY, { state: 'suspected', quarantines: 0 })
+      reports.agree(DEADLY, 'suspected')
       expect(reports.judge(4000)).toEqual([])
       expect(reports.judge(4000 + HEARD_MS)).toEqual([[DEADLY, 'quarantine']])
     })
@@ -95,7 +108,7 @@
 
     it('is not charged with later ends of a request that is held back already', () => {
       const reports = new Reports()
-      reports.agreed.set(DEADLY, { state: 'quarantined', quarantines: 1 })
+      reports.agree(DEADLY, 'quarantined', 1)
       for (const end of [1, 2, 3, 4]) reports.end(`e${end}`, end * 1000, [DEADLY, bystander(7)])
       expect(reports.judge(5000)).toEqual([])
     })
@@ -108,7 +121,7 @@
       expect(reports.judge(2500)).toEqual([])
       // It comes through at a host that has heard of the suspicion by then.
       reports.tally.clear(popular, 2600)
-      reports.agreed.delete(popular)
+      reports.disagree(popular)
       expect(reports.judge(5000)).toEqual([])
     })
 
@@ -135,7 +148,7 @@
     it('do not count at all if only connections to them broke', () => {
       const reports = new Reports()
       for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [DEADLY])
-      for (const endpoint of reports.tally.uncertainEnds(reports.verdictOn)) reports.tally.settle(endpoint, false, 3100)
+      for (const endpoint of reports.tally.uncertainEnds(reports.agreed)) reports.tally.settle(endpoint, false, 3100)
       expect(reports.judge(4000)).toEqual([])
       // Told again by a host that still holds it.
       reports.tally.observe({ fingerprint: DEADLY, service: 's', endpoint: 'e1', agoMs: 3500, ranMs: 100 }, 4500)
@@ -145,19 +158,19 @@
     it('are asked only where it matters', () => {
       const reports = new Reports()
       for (const end of [1, 2, 3]) reports.end(`e${end}`, end * 1000, [bystander(end), bystander(end + 10)])
-      expect(reports.tally.uncertainEnds(reports.verdictOn)).toEqual([])
+      expect(reports.tally.uncertainEnds(reports.agreed)).toEqual([])
       reports.end('e4', 4000, [bystander(1)])
-      expect(reports.tally.uncertainEnds(reports.verdictOn)).toEqual(['e1', 'e4'])
+      expect(reports.tally.uncertainEnds(reports.agreed)).toEqual(['e1', 'e4'])
     })
   })
 
   describe('a request that was released', () => {
     it('is held back again after one end, for twice as long', () => {
       const reports = new Reports()
-      reports.agreed.set(DEADLY, { state: 'released', quarantines: 1 })
+      reports.agree(DEADLY, 'released', 1)
       reports.end('e1', 1000, [DEADLY, bystander(1)])
       reports.settleAll(1000)
-      expect(reports.tally.judge(reports.verdictOn, 1000 + SETTLED_MS)).toMatchObject([{ fingerprint: DEADLY, judgement: 'quarantine', forMs: 2 * FIRST_QUARANTINE_MS }])
+      expect(reports.tally.judge(reports.agreed, 1000 + SETTLED_MS)).toMatchObject([{ fingerprint: DEADLY, judgement: 'quarantine', forMs: 2 * FIRST_QUARANTINE_MS }])
     })
   })
 
@@ -171,6 +184,24 @@
       reports.end('again', 4000, many)
       expect(reports.judge(4000 + SETTLED_MS)).toHaveLength(256)
     })
+
+    it('let the gravest be suspected first, and no more than there is room for', () => {
+      const reports = new Reports()
+      const many = Array.from({ length: 250 }, (_, number) => bystander(number))
+      for (const end of [1, 2]) reports.end(`a${end}`, end * 1000, many)
+      for (const end of [3, 4]) reports.end(`b${end}`, end * 1000, [...many.map((_, number) => bystander(1000 + number)), DEADLY])
+      reports.end('c', 5000, [DEADLY])
+      const first = reports.judge(6000)
+      expect(first).toHaveLength(256)
+      expect(first[0]).toEqual([DEADLY, 'suspect'])
+      expect(reports.judge(6100)).toEqual([])
+    })
+
+    it('hold over all ends together, so that the oldest end goes before its time', () => {
+      const reports = new Reports()
+      for (let end = 0; end < 200; end += 1) reports.end(`e${end}`, end * 1000, Array.from({ length: 256 }, (_, number) => bystander(end * 256 + number)))
+      expect(reports.tally.endCount).toBe(128)
+    })
   })
 
   it('finds two requests that end endpoints at the same time', () => {
--- a/packages/routing/src/lib/quarantine/EndTally.ts
+++ b/packages/routing/src/lib/quarantine/EndTally.ts
@@ -33,9 +33,13 @@
  */
 const HEARING_MS = 700
 
-/** Bounds of what is held: endpoints that ended, requests at each, requests cleared, endpoints found alive. */
+/** Requests that are suspected at the same time, the gravest first: well within what the agreed state holds, so that none pushes another out. */
+const MOST_SUSPECTED = 256
+
+/** Bounds of what is held: endpoints that ended, requests at each and at all of them, requests cleared, endpoints found alive. */
 const MOST_ENDS = 512
 const MOST_SUSPECTS_OF_END = 256
+const MOST_LOSSES = 32_768
 const MOST_REMEMBERED = 4096
 
 /** Endpoints named in a line of the log. */
@@ -63,13 +67,22 @@
   readonly longestRunMs: number
 }
 
-/** What is agreed on a request so far. */
-export type VerdictLookup = (fingerprint: string) => Pick<RequestVerdict, 'state' | 'quarantines'> | undefined
+/** A verdict, as far as it matters here. */
+export type KnownVerdict = Pick<RequestVerdict, 'fingerprint' | 'state' | 'quarantines'>
+
+/** What is agreed so far. */
+export interface AgreedVerdicts {
+  readonly all: readonly KnownVerdict[]
+  find (fingerprint: string): KnownVerdict | undefined
+}
 
 /** Reports of all hosts. */
 export class EndTally {
   readonly #ends = new Map<string, ReportedEnd>()
   readonly #suspects = new Map<string, Suspect>()
+  /** Those that were at more than one endpoint: few, so that a look does not grow with all that was lost. */
+  readonly #repeated = new Set<string>()
+  #losses = 0
   /** When endpoints were last seen to live although connections to them broke. */
   readonly #aliveAt = new Map<string, number>()
   readonly #clearedAt = new Map<string, number>()
@@ -81,7 +94,8 @@
 
   /** Forgets everything; hosts tell the next leader what they hold. */
   reset (): void {
-    for (const map of [this.#ends, this.#suspects, this.#aliveAt, this.#clearedAt, this.#suspectedAt]) map.clear()
+    for (const held of [this.#ends, this.#suspects, this.#repeated, this.#aliveAt, this.#clearedAt, this.#suspectedAt]) held.clear()
+    this.#losses = 0
   }
 
   /**
@@ -96,20 +110,23 @@
     if (isOld || this.#isCleared(fingerprint, now)) return
     const end = this.#ends.get(endpoint) ?? this.#addEnd(endpoint, at)
     if (end.suspects.size >= MOST_SUSPECTS_OF_END && !end.suspects.has(fingerprint)) return
+    if (!end.suspects.has(fingerprint)) this.#losses += 1
     end.suspects.set(fingerprint, Math.max(ranMs, end.suspects.get(fingerprint) ?? 0))
     const suspect = this.#suspects.get(fingerprint) ?? { service, endpoints: new Set() }
     suspect.endpoints.add(endpoint)
     this.#suspects.set(fingerprint, suspect)
+    if (suspect.endpoints.size > 1) this.#repeated.add(fingerprint)
+    this.#makeRoom()
   }
 
   /**
-   * @param verdictOn - what is agreed so far
+   * @param agreed - verdicts so far
    * @returns endpoints of which it matters whether they have ended: asking costs, so most are never asked
    */
-  uncertainEnds (verdictOn: VerdictLookup): string[] {
+  uncertainEnds (agreed: AgreedVerdicts): string[] {
     const wanted = new Set<string>()
-    for (const [fingerprint, { endpoints }] of this.#suspects) {
-      const needed = verdictOn(fingerprint)?.state === 'released' ? 1 : ENDS_TO_SUSPECT
+    for (const [fingerprint, { endpoints }] of this.#candidates(agreed)) {
+      const needed = agreed.find(fingerprint)?.state === 'released' ? 1 : ENDS_TO_SUSPECT
       if (this.#occasions([...endpoints]) < needed) continue
       for (const endpoint of endpoints) if (this.#ends.get(endpoint)?.isCertain === false) wanted.add(endpoint)
     }
@@ -140,25 +157,28 @@
    */
   clear (fingerprint: string, now: number): void {
     remember(this.#clearedAt, fingerprint, now)
-    for (const endpoint of this.#suspects.get(fingerprint)?.endpoints ?? []) this.#ends.get(endpoint)?.suspects.delete(fingerprint)
+    for (const endpoint of this.#suspects.get(fingerprint)?.endpoints ?? []) {
+      if (this.#ends.get(endpoint)?.suspects.delete(fingerprint) === true) this.#losses -= 1
+    }
     this.#suspects.delete(fingerprint)
+    this.#repeated.delete(fingerprint)
   }
 
   /**
-   * @param verdictOn - what is agreed so far
+   * @param agreed - verdicts so far
    * @param now - monotonic milliseconds
    * @returns what follows from what is held now
    */
-  judge (verdictOn: VerdictLookup, now: number): Judgement[] {
+  judge (agreed: AgreedVerdicts, now: number): Judgement[] {
     this.#forgetOld(now)
-    const culprits = new Set([...this.#suspects.keys()].filter(fingerprint => verdictOn(fingerprint)?.state === 'quarantined'))
+    const culprits = new Set(agreed.all.filter(({ state }) => state === 'quarantined').map(({ fingerprint }) => fingerprint))
     const judgements: Judgement[] = []
-    for (let charge = this.#gravest(culprits, verdictOn, now); charge !== undefined; charge = this.#gravest(culprits, verdictOn, now)) {
+    for (let charge = this.#gravest(culprits, agreed, now); charge !== undefined; charge = this.#gravest(culprits, agreed, now)) {
       const { fingerprint, service } = charge
       culprits.add(fingerprint)
-      judgements.push({ fingerprint, service, judgement: 'quarantine', forMs: quarantineMs(verdictOn(fingerprint)?.quarantines ?? 0) })
+      judgements.push({ fingerprint, service, judgement: 'quarantine', forMs: quarantineMs(agreed.find(fingerprint)?.quarantines ?? 0) })
     }
-    const suspicions = this.#suspicions(culprits, verdictOn, now)
+    const suspicions = this.#suspicions(culprits, agreed, now)
     for (const { fingerprint } of suspicions) remember(this.#suspectedAt, fingerprint, now)
     return [...judgements, ...suspicions]
   }
@@ -176,15 +196,14 @@
    * The request that is most likely the cause of what nobody else explains yet. The others at its
    * endpoints are judged without those ends.
    */
-  #gravest (culprits: ReadonlySet<string>, verdictOn: VerdictLookup, now: number): Charge | undefined {
-    const charges = this.#charges(culprits, now).filter(charge => this.#isHeard(charge, verdictOn, now))
-    // Among equals the one that endpoints survived for the shortest time.
-    return charges.sort((left, right) => right.occasions - left.occasions || left.longestRunMs - right.longestRunMs)[0]
+  #gravest (culprits: ReadonlySet<string>, agreed: AgreedVerdicts, now: number): Charge | undefined {
+    const charges = this.#charges(culprits, agreed, now).filter(charge => this.#isHeard(charge, agreed, now))
+    return charges.sort(compareGravity)[0]
   }
 
   /** Whether there are ends enough, and hosts have had time to say that it came through. */
-  #isHeard ({ fingerprint, occasions }: Charge, verdictOn: VerdictLookup, now: number): boolean {
-    const state = verdictOn(fingerprint)?.state
+  #isHeard ({ fingerprint, occasions }: Charge, agreed: AgreedVerdicts, now: number): boolean {
+    const state = agreed.find(fingerprint)?.state
     if (state === 'released') return occasions > 0
     if (state !== 'suspected' || occasions < ENDS_TO_QUARANTINE) return false
     const suspectedAt = this.#suspectedAt.get(fingerprint)
@@ -193,16 +212,33 @@
     return suspectedAt !== undefined && now - suspectedAt >= HEARING_MS
   }
 
-  #suspicions (culprits: ReadonlySet<string>, verdictOn: VerdictLookup, now: number): Judgement[] {
-    return this.#charges(culprits, now)
-      .filter(({ fingerprint, occasions }) => occasions >= ENDS_TO_SUSPECT && verdictOn(fingerprint) === undefined)
+  #suspicions (culprits: ReadonlySet<string>, agreed: AgreedVerdicts, now: number): Judgement[] {
+    const room = MOST_SUSPECTED - agreed.all.filter(({ state }) => state === 'suspected').length
+    return this.#charges(culprits, agreed, now)
+      .filter(({ fingerprint, occasions }) => occasions >= ENDS_TO_SUSPECT && agreed.find(fingerprint) === undefined)
+      .sort(compareGravity)
+      .slice(0, Math.max(0, room))
       .map(({ fingerprint, service }) => ({ fingerprint, service, judgement: 'suspect', forMs: SUSPICION_MS }))
   }
 
-  #charges (culprits: ReadonlySet<string>, now: number): Charge[] {
-    const counted = new Set([...this.#ends].filter(([, end]) => this.#counts(end, culprits, now)).map(([endpoint]) => endpoint))
-    return [...this.#suspects].filter(([fingerprint]) => !culprits.has(fingerprint)).map(([fingerprint, { service, endpoints }]) => {
-      const ends = [...endpoints].filter(endpoint => counted.has(endpoint))
+  /** Requests that may be judged: at several endpoints or, if they are known, at one. */
+  #candidates (agreed: AgreedVerdicts): Array<[fingerprint: string, suspect: Suspect]> {
+    const released = agreed.all.filter(({ state }) => state === 'released').map(({ fingerprint }) => fingerprint)
+    return [...new Set([...this.#repeated, ...released])].flatMap(fingerprint => {
+      const suspect = this.#suspects.get(fingerprint)
+      return suspect === undefined ? [] : [[fingerprint, suspect]]
+    })
+  }
+
+  #charges (culprits: ReadonlySet<string>, agreed: AgreedVerdicts, now: number): Charge[] {
+    const counted = new Map<string, boolean>()
+    const counts = (endpoint: string): boolean => {
+      const known = counted.get(endpoint) ?? this.#counts(endpoint, culprits, now)
+      counted.set(endpoint, known)
+      return known
+    }
+    return this.#candidates(agreed).filter(([fingerprint]) => !culprits.has(fingerprint)).map(([fingerprint, { service, endpoints }]) => {
+      const ends = [...endpoints].filter(counts)
       return { fingerprint, service, occasions: this.#occasions(ends), longestRunMs: this.#longestRunMs(fingerprint, ends) }
     })
   }
@@ -212,8 +248,10 @@
   }
 
   /** Certain, reported by all who had to, and not explained by a request that is known for it. */
-  #counts ({ at, isCertain, suspects }: ReportedEnd, culprits: ReadonlySet<string>, now: number): boolean {
-    return isCertain && now - at >= SETTLING_MS && ![...suspects.keys()].some(fingerprint => culprits.has(fingerprint))
+  #counts (endpoint: string, culprits: ReadonlySet<string>, now: number): boolean {
+    const end = this.#ends.get(endpoint)
+    if (end?.isCertain !== true || now - end.at < SETTLING_MS) return false
+    return culprits.size === 0 || ![...end.suspects.keys()].some(fingerprint => culprits.has(fingerprint))
   }
 
   /** Ends that are far enough from each other to have causes of their own. */
@@ -237,11 +275,17 @@
   #addEnd (endpoint: string, at: number): ReportedEnd {
     const end: ReportedEnd = { at, isCertain: false, suspects: new Map() }
     this.#ends.set(endpoint, end)
-    const [oldest] = this.#ends.keys()
-    if (this.#ends.size > MOST_ENDS && oldest !== undefined) this.#dropEnd(oldest)
     return end
   }
 
+  #makeRoom (): void {
+    while (this.#ends.size > MOST_ENDS || this.#losses > MOST_LOSSES) {
+      const [oldest] = this.#ends.keys()
+      if (oldest === undefined) return
+      this.#dropEnd(oldest)
+    }
+  }
+
   #forgetOld (now: number): void {
     for (const [endpoint, { at }] of this.#ends) if (now - at >= EVIDENCE_MS) this.#dropEnd(endpoint)
   }
@@ -250,12 +294,20 @@
     for (const fingerprint of this.#ends.get(endpoint)?.suspects.keys() ?? []) {
       const suspect = this.#suspects.get(fingerprint)
       suspect?.endpoints.delete(endpoint)
-      if (suspect?.endpoints.size === 0) this.#suspects.delete(fingerprint)
+      this.#losses -= 1
+      if (suspect === undefined || suspect.endpoints.size > 1) continue
+      this.#repeated.delete(fingerprint)
+      if (suspect.endpoints.size === 0) this.#suspects.delete(fingerprint)
     }
     this.#ends.delete(endpoint)
   }
 }
 
+/** More ends first; among equals the one that endpoints survived for the shortest time. */
+function compareGravity (left: Charge, right: Charge): number {
+  return right.occasions - left.occasions || left.longestRunMs - right.longestRunMs
+}
+
 /** Keeps the newest entries of a bounded map. */
 function remember (map: Map<string, number>, key: string, at: number): void {
   map.delete(key)
--- a/packages/routing/src/lib/quarantine/quarantineTerms.ts
+++ b/packages/routing/src/lib/quarantine/quarantineTerms.ts
@@ -8,8 +8,8 @@
  */
 export const EVIDENCE_MS = 10 * MINUTE_MS
 
-/** How long a suspicion holds without a further end, in milliseconds. */
-export const SUSPICION_MS = EVIDENCE_MS
+/** How long a suspicion holds, in milliseconds; if its ends still count then, it is made anew. */
+export const SUSPICION_MS = MINUTE_MS
 
 /** The first quarantine of a request, in milliseconds: time to look at what it ran on. Each further one lasts twice as long. */
 export const FIRST_QUARANTINE_MS = 15 * MINUTE_MS
