--- a/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
+++ b/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
@@ -1,4 +1,5 @@
 /** The story of one request, from the collected log files of several processes. */
+import { EndedEndpoints } from './EndedEndpoints.js'
 import { LossReports, type Loss, type Span } from './LossReports.js'
 import { readLogFile } from './readLogFile.js'
 import { processOf, type TracedLine } from './TracedLine.js'
@@ -69,6 +70,23 @@
     })
   }
 
+  /**
+   * Reads what is known of the endpoints that the request was lost with, and of the request under other ids;
+   * call after {@link readRequest}.
+   *
+   * @param files - paths, also of processes that the request did not meet
+   * @param marginMs - how long before and after the request counts for others, in milliseconds
+   */
+  async readEnds (files: readonly string[], marginMs: number): Promise<void> {
+    const ends = new EndedEndpoints(this.#ofRequest)
+    const { from, to } = this.#span()
+    const span = { from: from - marginMs, to: to + marginMs }
+    await this.#readAll(files, text => ends.mayConcern(text), (_text, lines) => {
+      const known = new Set(this.#around.map(placeOf))
+      this.#around.push(...lines.filter(line => line.request !== this.requestId && !known.has(placeOf(line)) && ends.concerns(line, span)))
+    })
+  }
+
   /** A request that was refused at once has one line, which says how long it had been there. */
   #span (): Span {
     const times = this.#ofRequest.filter(({ time }) => !Number.isNaN(time))
@@ -90,6 +108,10 @@
   }
 }
 
+function placeOf ({ file, lineNumber }: TracedLine): string {
+  return `${file}:${lineNumber}`
+}
+
 function compareTimes (left: TracedLine, right: TracedLine): number {
   return left.time < right.time ? -1 : left.time > right.time ? 1 : 0
 }
--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
@@ -48,6 +48,50 @@
     return objects(written).map(({ event }) => event)
   }
 
+  describe('the ends of endpoints', () => {
+    const deadly = 'd'.repeat(32)
+    const bystander = 'b'.repeat(32)
+
+    async function logs (): Promise<string[]> {
+      const lost = (request: string, endpoint: string, fingerprint: string): Record<string, unknown> => ({ request, endpoint, fingerprint, failure: 'lost' })
+      return [
+        await file('a.log', [
+          line(-5000, 'attempt-failed', lost('d1', 'e1', deadly)), line(0, 'attempt-failed', lost('r1', 'e2', bystander)), line(1, 'refused', { request: 'r1' }),
+          line(900, 'verdict-in-force', { fingerprint: deadly, state: 'quarantined' }), line(901, 'endpoint-paused', { endpoint: 'e2' })
+        ]),
+        await file('b.log', [
+          line(0, 'attempt-failed', lost('d2', 'e2', deadly)), line(1, 'attempt-failed', { request: 'd3', endpoint: 'e2', failure: 'not-connected' }),
+          line(800, 'request-judged', { fingerprint: deadly, judgement: 'quarantine', endpoints: 'e1 e2 e3' }, 'eelgrassmux-control'),
+          line(2000, 'refused', { request: 'd4', detail: `held back (fingerprint ${deadly})` })
+        ])
+      ]
+    }
+
+    it('lead from a request that was lost to the one that ended its endpoint', async () => {
+      const written = await trace('--ends', '--json', 'r1', ...await logs())
+      expect(objects(written).map(({ event, request }) => [event, request])).toEqual([
+        ['attempt-failed', 'r1'], ['attempt-failed', 'd2'], ['refused', 'r1'], ['request-judged', undefined]
+      ])
+    })
+
+    it('show whose line is whose', async () => {
+      const { output } = await trace('--ends', 'r1', ...await logs())
+      const lines = output.trimEnd().split('\n')
+      expect(lines.filter(text => text.includes('~attempt-failed') && text.includes('request=d2'))).toHaveLength(1)
+      expect(lines.filter(text => text.includes('request=r1'))).toEqual([])
+    })
+
+    it('lead from a request that is held back to all that it did', async () => {
+      const written = await trace('--ends', '--json', 'd4', ...await logs())
+      expect(events(written)).toEqual(['attempt-failed', 'attempt-failed', 'request-judged', 'verdict-in-force', 'refused'])
+    })
+
+    it('show nothing more of a request that was lost with none', async () => {
+      const path = await file('c.log', [line(0, 'refused', { request: 'r9', detail: 'full' }), line(1, 'endpoint-end-checked', { endpoint: 'e1' })])
+      expect(events(await trace('--ends', '--json', 'r9', path))).toEqual(['refused'])
+    })
+  })
+
   describe('the lines of a request', () => {
     it('come from all files in order of time, and no others', async () => {
       const first = await file('a.log', [line(40, 'attempt-failed', { request: 'r1' }), line(90, 'refused', { request: 'r1' }), line(91, 'refused', { request: 'r11' })])
--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
@@ -10,27 +10,33 @@
   static override paths = [['trace']]
   static override usage = Command.Usage({
     description: 'put the lines of one request, from the log files of several processes, in order of time',
-    details: 'Files hold the standard output of one or more processes, as written or with a prefix before each line, such as a time and a host\'s name; other text and cut lines are passed over. Order between hosts is as good as their clocks. With --around lines marked ~ show what the same processes came to believe meanwhile (the files are read twice). Exits with 1 if no line of the request is there or a file can\'t be read, with 2 for wrong use.',
-    examples: [['Why a request failed', 'eelgrassmux trace --around cfda17a27da19b09 entry-*.log']]
+    details: 'Files hold the standard output of one or more processes, as written or with a prefix before each line, such as a time and a host\'s name; other text and cut lines are passed over. Order between hosts is as good as their clocks. With --around lines marked ~ show what the same processes came to believe meanwhile, with --ends who else was lost with the same endpoints, what the same request did under other ids and what was judged of it (the files are read twice). Exits with 1 if no line of the request is there or a file can\'t be read, with 2 for wrong use.',
+    examples: [
+      ['Why a request failed', 'eelgrassmux trace --around cfda17a27da19b09 entry-*.log'],
+      ['Which request ended its endpoint', 'eelgrassmux trace --ends cfda17a27da19b09 entry-*.log control-*.log']
+    ]
   })
 
   id = Option.String({ required: true, name: 'ID' })
   files = Option.Rest({ required: 1, name: 'FILE' })
   around = Option.Boolean('--around', false, { description: 'also show changes of belief of the same processes' })
-  margin = Option.String('--margin-ms', '1000', { description: 'how long before and after the request --around looks, in milliseconds' })
+  ends = Option.Boolean('--ends', false, { description: 'also show who was lost with the same endpoints, and what was judged' })
+  margin = Option.String('--margin-ms', '1000', { description: 'how long before and after the request --around and --ends look at others, in milliseconds' })
   json = Option.Boolean('--json', false, { description: 'print a JSON object for each line' })
 
   override async execute (): Promise<number> {
     const marginMs = Number(this.margin)
     if (this.id === '') return this.#complain('ID must not be empty', EXIT_USAGE)
     if (this.margin === '' || !Number.isInteger(marginMs) || marginMs < 0) return this.#complain('--margin-ms must be a whole number of milliseconds', EXIT_USAGE)
-    if (this.around) {
+    if (this.around || this.ends) {
       const pipe = await findPipe(this.files)
-      if (pipe !== undefined) return this.#complain(`--around reads files twice, and ${pipe} is no regular file`, EXIT_USAGE)
+      if (pipe !== undefined) return this.#complain(`--${this.around ? 'around' : 'ends'} reads files twice, and ${pipe} is no regular file`, EXIT_USAGE)
     }
     const trace = new RequestTrace(this.id)
-    await trace.readRequest([...new Set(this.files)])
+    const files = [...new Set(this.files)]
+    await trace.readRequest(files)
     if (this.around && trace.isFound) await trace.readAround(marginMs)
+    if (this.ends && trace.isFound) await trace.readEnds(files, marginMs)
     this.#print(trace)
     this.#printDoubts(trace)
     if (!trace.isFound) return this.#complain(`no line of request ${this.id} in ${this.files.length} files`, EXIT_FAILED)
@@ -40,7 +46,7 @@
   #print (trace: RequestTrace): void {
     const texts = this.json
       ? trace.lines.map(({ time, ...line }) => JSON.stringify({ time: Number.isNaN(time) ? null : new Date(time).toISOString(), ...line }))
-      : describeLines(trace.lines)
+      : describeLines(trace.lines, this.id)
     for (const text of texts) this.context.stdout.write(`${text}\n`)
   }
 
--- a/apps/soak/src/lib/checks/requestChecks.test.ts
+++ b/apps/soak/src/lib/checks/requestChecks.test.ts
@@ -56,6 +56,42 @@
     })
   })
 
+  describe('few endpoints end', () => {
+    const deadly = (id: string): AskedRequest => asked({ id, kind: 'unsafe', work: { kind: 'plain', milliseconds: 0, endsEndpointAfterMs: 50 } })
+    const times = [0, 400, 800, 4000, 4500, 5000, 5500]
+
+    function deadlyRuns (count: number, line = timeLine(), from = Date.now() - 60_000): PromiseName[] {
+      const ids = times.slice(0, count).map((_, index) => `r${index}`)
+      return broken(ids.map(deadly), ids.map((requestId, index) => ran({ requestId, endpoint: `endpoint-0#${index}`, at: from + (times[index] ?? 0) })), line)
+    }
+
+    it('takes three more runs once the request is known', () => {
+      expect(deadlyRuns(6)).toEqual([])
+    })
+
+    it('finds the fourth', () => {
+      expect(deadlyRuns(7)).toEqual(['ends-few-endpoints'])
+    })
+
+    it('leaves out runs right after a disturbance of control hosts', () => {
+      const line = timeLine()
+      line.noteKill('control-1#1', true)
+      expect(deadlyRuns(7, line, Date.now() - 3000)).toEqual([])
+    })
+  })
+
+  describe('bystanders', () => {
+    const refused: CallerEnd = { kind: 'answered', status: 503, answerId: undefined, body: '{"type":"urn:eelgrassmux:problem:request-quarantined"}', events: [] }
+
+    it('are not refused for what another request did', () => {
+      expect(broken([asked()], [], timeLine(), refused)).toEqual(['bystanders-are-served'])
+    })
+
+    it('are others than the request that ends endpoints', () => {
+      expect(broken([asked({ work: { kind: 'plain', milliseconds: 0, endsEndpointAfterMs: 50 } })], [], timeLine(), refused)).toEqual([])
+    })
+  })
+
   describe('not run', () => {
     it('finds a run that begins after the refusal', () => {
       const ledger = new Ledger(timeLine(), requestChecks())
