--- /dev/null
+++ b/apps/bench/src/deadlyPrompt.test.ts
@@ -0,0 +1,72 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { streamCompletion, type CompletionCall, type StreamedAnswer } from '@eelgrassmux/load/completionStream'
+import { Cluster } from './lib/Cluster.js'
+import { TMTS_PROFILE } from './lib/profiles.js'
+
+const WARD = { name: 'ward', credential: 'ward-credential', share: 1 }
+const CLINIC = { name: 'clinic', credential: 'clinic-credential', share: 1 }
+const DEADLY_TEXT = 'ends the engine'
+const DEADLY_PROMPT = `history that ${DEADLY_TEXT} `.repeat(20)
+
+/** Enough for the prompt to end some more than it takes to know it. */
+const ENGINES = 6
+
+/** Repeats of the prompt, each of which may be tried on several engines. */
+const REPEATS = 8
+
+/** Pause of a caller that asks again, in milliseconds. */
+const PAUSE_MS = 1500
+
+const PLAN = {
+  dataCentres: ['hall-north', 'hall-central', 'hall-south'],
+  controls: 3,
+  directories: 1,
+  entries: 3,
+  engines: ENGINES,
+  stores: 1,
+  services: 0,
+  customers: [WARD, CLINIC],
+  profiles: [TMTS_PROFILE],
+  modelProfile: 'tmts',
+  engineArgs: ['--decode-ms', '20', '--deadly-text', DEADLY_TEXT]
+}
+
+/**
+ * The completions interface repeats what is lost on the next engine by itself, so that one call ends as many engines
+ * as its profile allows attempts, and its caller's next call as many again: failures were counted against engines only.
+ */
+describe('a prompt that ends every engine that runs it', () => {
+  let cluster: Cluster
+  beforeAll(async () => { cluster = await Cluster.start(PLAN) })
+  afterAll(async () => { await cluster.stop() })
+
+  const call = (entry: number, prompt: string, credential = WARD.credential): CompletionCall =>
+    ({ url: cluster.entryUrl(entry), credential, service: 'summaries', prompt, maxTokens: 5 })
+
+  const running = (): number => cluster.engines.filter(({ process }) => process.isRunning).length
+
+  async function problemOf (entry: number): Promise<Record<string, unknown>> {
+    const answer = await request(`${cluster.entryUrl(entry)}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${WARD.credential}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ model: 'summaries', prompt: DEADLY_PROMPT, max_tokens: 5 })
+    })
+    return await answer.body.json() as Record<string, unknown>
+  }
+
+  it('is held back on every entry host before all engines have ended, and nobody else is', async () => {
+    const answers: StreamedAnswer[] = []
+    for (let repeat = 0; repeat < REPEATS; repeat += 1) {
+      answers.push(await streamCompletion(call(repeat % 3, DEADLY_PROMPT)))
+      await sleep(PAUSE_MS)
+    }
+    expect(running()).toBeGreaterThan(0)
+    expect(answers.at(-1)?.status).toBe(503)
+    for (const entry of [0, 1, 2]) {
+      expect(await problemOf(entry)).toMatchObject({ type: 'urn:eelgrassmux:problem:request-quarantined', run: 'not-run' })
+      expect((await streamCompletion(call(entry, 'history of a trip '.repeat(20)))).status).toBe(200)
+    }
+  }, 120_000)
+})
--- a/apps/standin/src/lib/EngineStandin.ts
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -25,6 +25,10 @@
   readonly reportLagMs: number
   readonly weightStore: string
   readonly honoursFencing: boolean
+  /** A run whose prompt contains this text ends the engine; empty for none. */
+  readonly deadlyText: string
+  /** Told some time after such a run began; ends the process. */
+  readonly end: () => void
   /** Sends some chunks twice and swaps neighbours, as a lossy stream would. */
   readonly disorder: boolean
   readonly incarnation: number
@@ -55,6 +59,9 @@
 /** Lifetime of an import that no run used, in milliseconds. */
 const IMPORT_KEPT_MS = 30_000
 
+/** Time that an engine lives on with a deadly run, in milliseconds. */
+const DEADLY_AFTER_MS = 300
+
 /** One stand-in engine. */
 export class EngineStandin {
   readonly #cache: PrefixCache
@@ -136,6 +143,7 @@
       ended: false
     }
     this.#runs.set(request.run, run)
+    if (this.settings.deadlyText !== '' && request.prompt.includes(this.settings.deadlyText)) setTimeout(this.settings.end, DEADLY_AFTER_MS)
     this.#cache.store(importedKeys, performance.now())
     const cachedBlocks = this.#cache.leading(keys)
     this.#cache.store(keys.slice(0, cachedBlocks), performance.now())
--- a/apps/standin/src/main.ts
+++ b/apps/standin/src/main.ts
@@ -38,6 +38,7 @@
   weightStore = Option.String('--weight-store', '127.0.0.1:1')
   ignoresFencing = Option.Boolean('--ignores-fencing', false)
   disorder = Option.Boolean('--disorder', false)
+  deadlyText = Option.String('--deadly-text', '', { description: 'a run whose prompt contains it ends the process' })
 
   protected override routes (): H3 {
     const incarnation = Number(this.incarnation)
@@ -54,6 +55,8 @@
       weightStore: this.weightStore,
       honoursFencing: !this.ignoresFencing,
       disorder: this.disorder,
+      deadlyText: this.deadlyText,
+      end: () => { process.exit(1) },
       incarnation
     })
     return engineRoutes(engine, incarnation)
