Prompts and plain calls that end endpoints are held back behind the product's own interface, too

Cause: the same as of routed requests; looked for elsewhere, it acts in RunTask, which repeats what was lost by itself, and in PlainHandler. Change: both ask before each send and report what was lost or came through (CallQuarantine). Endpoints there are named by the configuration and count their starts, so the leader asks for the incarnation (ConfiguredEnds); how it is known whether an endpoint ended is an interface of its own now (EndpointEnds). A keyed call whose answer is stored still gets it.

--- a/apps/bench/src/lib/prove/worlds/RunWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/RunWorld.ts
@@ -10,6 +10,7 @@
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { Placer } from '@eelgrassmux/entry/runs/Placer'
 import { Run } from '@eelgrassmux/entry/runs/Run'
+import { UNGUARDED } from '@eelgrassmux/entry/quarantine/CallQuarantine'
 import { RunTask } from '@eelgrassmux/entry/runs/RunTask'
 import { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
 import { EngineLoadTable } from '@eelgrassmux/policy/health/EngineLoadTable'
@@ -258,6 +259,7 @@
         exporter: { consider: async () => {} },
         announce: () => {},
         budget: new RetryBudget(),
+        guard: UNGUARDED,
         retries: SILENT,
         promptTokens: SILENT
       })
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -27,6 +27,8 @@
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
+import { ConfiguredEnds } from './quarantine/ConfiguredEnds.js'
+import { ListedEnds } from './quarantine/EndpointEnds.js'
 import { QuarantineTask } from './quarantine/QuarantineTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
@@ -159,7 +161,11 @@
     telemetry
   }
   const quarantine = new QuarantineTask({
-    ...surroundings, isLeader: () => core.role === 'leader', verdicts: state.verdicts, propose: async command => await raft.propose(command)
+    isLeader: () => core.role === 'leader',
+    verdicts: state.verdicts,
+    propose: async command => await raft.propose(command),
+    ends: platform === undefined ? new ConfiguredEnds(() => state.configuration) : new ListedEnds(surroundings),
+    telemetry
   })
   quarantine.register(server)
 
--- a/apps/control/src/lib/quarantine/QuarantineTask.test.ts
+++ b/apps/control/src/lib/quarantine/QuarantineTask.test.ts
@@ -2,7 +2,11 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { StateMachine } from '@eelgrassmux/state/StateMachine'
 import type { Command } from '@eelgrassmux/state/commands'
+import type { EngineEndpoint } from '@eelgrassmux/schema/configuration'
+import { fail, succeed } from '@eelgrassmux/schema/Result'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { ConfiguredEnds } from './ConfiguredEnds.js'
+import { ListedEnds } from './EndpointEnds.js'
 import { QuarantineTask } from './QuarantineTask.js'
 import { tellVerdicts } from './tellVerdicts.js'
 
@@ -32,15 +36,17 @@
       else this.state.apply({ stampedAt: Date.now(), command })
       await Promise.resolve()
     },
-    endpoints: () => [...this.listed.values()],
-    service: () => service,
-    probe: {
-      answers: async () => await Promise.resolve(true),
-      hasEnded: async ({ id }) => {
-        this.asked.push(id)
-        return await Promise.resolve(this.hasEnded)
+    ends: new ListedEnds({
+      endpoints: () => [...this.listed.values()],
+      service: () => service,
+      probe: {
+        answers: async () => await Promise.resolve(true),
+        hasEnded: async ({ id }) => {
+          this.asked.push(id)
+          return await Promise.resolve(this.hasEnded)
+        }
       }
-    },
+    }),
     telemetry: new Telemetry('test')
   })
 
@@ -153,6 +159,28 @@
   })
 })
 
+describe('ConfiguredEnds', () => {
+  const engine: EngineEndpoint = { kind: 'endpoint', type: 'engine', name: 'engine-0', address: '10.0.0.1:80', dataCentre: 'n', model: 'base', honoursFencing: true }
+
+  async function hasEnded (name: string, answer: Awaited<ReturnType<ConstructorParameters<typeof ConfiguredEnds>[1] & object>>): Promise<boolean | undefined> {
+    const knowledge = new ConfiguredEnds(() => ({ documents: [engine] }), async () => await Promise.resolve(answer)).look([name]).get(name)
+    return typeof knowledge === 'function' ? await knowledge() : knowledge === 'ended'
+  }
+
+  it.each([
+    ['counts another start', succeed({ incarnation: 8 }), true],
+    ['counts the same', succeed({ incarnation: 7 }), false],
+    ['can\'t be reached', fail({ kind: 'connect-failed' as const }), true],
+    ['says nothing in time', fail({ kind: 'timeout' as const }), undefined]
+  ])('asks the endpoint, which %s', async (_case, answer, expected) => {
+    expect(await hasEnded('engine-0#7', answer)).toBe(expected)
+  })
+
+  it.each(['engine-9#7', 'engine-0', 'engine-0#'])('takes what the configuration does not name for ended (%s)', async name => {
+    expect(await hasEnded(name, succeed({ incarnation: 7 }))).toBe(true)
+  })
+})
+
 describe('tellVerdicts', () => {
   const state = new StateMachine()
   state.apply({ stampedAt: 1000, command: { kind: 'judge-requests', judgements: [{ fingerprint: DEADLY, service: 's', judgement: 'quarantine', forMs: 5000 }] } })
--- a/apps/control/src/lib/quarantine/QuarantineTask.ts
+++ b/apps/control/src/lib/quarantine/QuarantineTask.ts
@@ -5,18 +5,15 @@
  * Only the leader adds up, in memory; what is decided is in the agreed log. Hosts tell a new
  * leader again what they hold, so that a change of leader loses no evidence.
  */
-import { incarnationName } from '@eelgrassmux/routing/endpoints/incarnationName'
 import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
 import { reportEnds, type ReportEndsRequest, type ReportEndsResponse } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import type { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { Judgement } from '@eelgrassmux/schema/requestVerdict'
-import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import type { ReplicatedService } from '@eelgrassmux/schema/site/siteSchema'
 import type { Command } from '@eelgrassmux/state/commands'
 import type { VerdictRegister } from '@eelgrassmux/state/VerdictRegister'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import type { EndpointProbe } from '../load/LoadBoardTask.js'
 import { EndCheck } from './EndCheck.js'
+import type { EndpointEnds } from './EndpointEnds.js'
 
 /** Interval between looks while reports settle and endpoints answer, in milliseconds. */
 const LOOK_MS = 100
@@ -38,12 +35,7 @@
   isLeader (): boolean
   readonly verdicts: VerdictRegister
   propose (command: Command): Promise<unknown>
-  /** Endpoints of the site, as of now. */
-  endpoints (): readonly ListedEndpoint[]
-  /** @returns the service of that name, if the site has it */
-  service (name: string): ReplicatedService | undefined
-  /** Absent where endpoints are not asked: then only those that are listed no more have ended. */
-  readonly probe?: EndpointProbe | undefined
+  readonly ends: EndpointEnds
   readonly telemetry: Telemetry
 }
 
@@ -67,7 +59,7 @@
     this.#reports = telemetry.labelledCounter('end_reports_total', 'Reports of requests that were lost with an endpoint, by what became of them', 'outcome')
     telemetry.gauge('requests_quarantined', 'Requests that are held back from endpoints', () => ports.verdicts.all.filter(({ state }) => state === 'quarantined').length)
     telemetry.gauge('endpoint_ends_held', 'Ends of endpoints that still count against the requests that were there', () => this.#tally.endCount)
-    this.#check = new EndCheck(ports.probe, (endpoint, hasEnded) => { this.#settle(endpoint, hasEnded) })
+    this.#check = new EndCheck((endpoint, hasEnded) => { this.#settle(endpoint, hasEnded) })
     this.#expireTimer = setInterval(() => { this.#expire() }, EXPIRE_MS)
   }
 
@@ -126,12 +118,9 @@
     const uncertain = this.#tally.uncertainEnds(this.ports.verdicts)
     this.#check.retain(name => uncertain.includes(name))
     if (uncertain.length === 0) return
-    const listed = new Map(this.ports.endpoints().map(endpoint => [incarnationName(endpoint), endpoint]))
-    for (const name of uncertain) {
-      const endpoint = listed.get(name)
-      const service = endpoint === undefined ? undefined : this.ports.service(endpoint.service)
-      if (endpoint === undefined || service === undefined) this.#settle(name, true)
-      else this.#check.ask(name, endpoint, service, now)
+    for (const [name, knowledge] of this.ports.ends.look(uncertain)) {
+      if (knowledge === 'ended') this.#settle(name, true)
+      else if (knowledge !== undefined) this.#check.ask(name, knowledge, now)
     }
   }
 
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -17,6 +17,9 @@
 import { AtMostOnce } from './plain/AtMostOnce.js'
 import { PlainHandler } from './plain/PlainHandler.js'
 import { PlannedStop, type CallerEdge } from './PlannedStop.js'
+import { CallQuarantine } from './quarantine/CallQuarantine.js'
+import { EndReporter } from './quarantine/EndReporter.js'
+import { RequestQuarantine } from './quarantine/RequestQuarantine.js'
 import { AdmissionGate } from './runs/AdmissionGate.js'
 import { DirectoryClient } from './runs/DirectoryClient.js'
 import { Exporter } from './runs/Exporter.js'
@@ -106,7 +109,10 @@
   const exporter = usesStores(settings.policy) ? storeExporter : { consider: async () => {} }
   const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
   const firstToken = telemetry.durationHistogram('first_token_seconds', 'Time to first token', FIRST_TOKEN_BUCKETS)
-  const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, stop, {
+  const endReporter = new EndReporter(peerAddress, { rpc, leader: () => link.leader, telemetry })
+  const requestQuarantine = new RequestQuarantine(link.verdicts, endReporter, telemetry)
+  const quarantine = new CallQuarantine(requestQuarantine, () => performance.now())
+  const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, stop, quarantine, {
     clock,
     fleet,
     placer,
@@ -123,7 +129,7 @@
     work,
     outcomes: telemetry.labelledCounter('at_most_once_total', 'Calls with an idempotency key by outcome', 'outcome')
   })
-  const plain = new PlainHandler(fleet, once, configuration, retries, settings.recordWindowHours, stop)
+  const plain = new PlainHandler(fleet, once, configuration, retries, settings.recordWindowHours, stop, quarantine)
   const completions = new CompletionHandler(runs, new PeerRuns(rpc), configuration)
   const callers = new CallerServer(completions, plain, {
     configuration,
@@ -136,6 +142,7 @@
 
   link.onChange(() => {
     fleet.configure(link.configuration)
+    requestQuarantine.logChanges(link.viewRevision, performance.now())
     telemetry.stateChanged('view-in-force', { view: link.viewRevision, revision: link.configuration.revision })
   })
   fleet.start()
@@ -174,6 +181,7 @@
       clearInterval(capacityTimer)
       link.stop()
       runs.stop()
+      endReporter.stop()
       gate.stop()
       await fleet.stop()
       peerServer.close()
--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -1,5 +1,5 @@
 /** Routes calls to plain services: repeats only what may be repeated. */
-import { isNotStarted } from '@eelgrassmux/backends/BackendError'
+import { isNotStarted, type BackendError } from '@eelgrassmux/backends/BackendError'
 import type { ServiceAnswer, ServiceCall } from '@eelgrassmux/backends/ServiceClient'
 import { RetryBudget } from '@eelgrassmux/policy/limits/RetryBudget'
 import type { Customer, PlainEndpoint, Profile, Service } from '@eelgrassmux/schema/configuration'
@@ -9,6 +9,7 @@
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
 import type { PlannedStop } from '../PlannedStop.js'
+import type { CallGuard, CallQuarantine } from '../quarantine/CallQuarantine.js'
 import { readBody, refuseUnseen } from '../callers/readBody.js'
 import type { FleetWatcher } from '../fleet/FleetWatcher.js'
 import type { AtMostOnce } from './AtMostOnce.js'
@@ -24,6 +25,9 @@
 /** Methods that have no effect and may always be repeated. */
 const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS'])
 
+/** Answers from this status on say that the endpoint failed. */
+const FIRST_FAILURE_STATUS = 500
+
 /** Marks an answer that was stored by an earlier call with the same key. */
 const REPEAT_HEADER = 'eelgrassmux-repeated'
 
@@ -42,6 +46,7 @@
    * @param retries - counts retries by reason
    * @param windowHours - how long keys are remembered
    * @param stop - the planned stop
+   * @param quarantine - of calls that end endpoints
    */
   constructor (
     private readonly fleet: FleetWatcher,
@@ -49,7 +54,8 @@
     private readonly configuration: () => ConfigurationIndex,
     private readonly retries: LabelledCounter,
     private readonly windowHours: number,
-    private readonly stop: PlannedStop
+    private readonly stop: PlannedStop,
+    private readonly quarantine: CallQuarantine
   ) {}
 
   /**
@@ -79,16 +85,19 @@
       body: body.value.length === 0 ? undefined : body.value,
       timeoutMs: profile.deadlineMs
     }
-    if (SAFE_METHODS.has(request.method)) return await this.#repeatable(service, profile, call)
-    if (service.atMostOnce) return await this.#atMostOnce(customer, service, call, request.headers.get('idempotency-key'))
-    return await this.#repeatable(service, { ...profile, retries: 0 }, call)
+    const identity = { customer: customer.name, method: request.method, target: `/services/${service.name}/${path}`, body: call.body === undefined ? undefined : Buffer.from(call.body) }
+    const guard = this.quarantine.guard(service.name, this.fleet.serviceTable, identity)
+    if (SAFE_METHODS.has(request.method)) return await this.#repeatable(service, profile, call, guard)
+    if (service.atMostOnce) return await this.#atMostOnce(customer, service, call, request.headers.get('idempotency-key'), guard)
+    return await this.#repeatable(service, { ...profile, retries: 0 }, call, guard)
   }
 
-  async #atMostOnce (customer: Customer, service: PlainService, call: ServiceCall, key: string | null): Promise<Result<Response, Refusal>> {
+  async #atMostOnce (customer: Customer, service: PlainService, call: ServiceCall, key: string | null, guard: CallGuard): Promise<Result<Response, Refusal>> {
     if (key === null || key === '' || key.length > KEY_LIMIT) {
       const detail = `calls to ${service.name} that change something need an Idempotency-Key of 1 to ${KEY_LIMIT} characters`
       return fail(refuseUnseen({ reason: 'idempotency-key-required', status: 400, detail, field: 'Idempotency-Key' }))
     }
+    // A repeat of a call that has an answer is not sent to any endpoint, so it isn't asked here whether it is held back.
     const answered = await this.once.run({
       record: { customer: customer.name, service: service.name, idempotencyKey: key },
       fingerprint: Buffer.concat([Buffer.from(JSON.stringify([call.method, call.path, call.contentType ?? ''])), call.body ?? new Uint8Array()]),
@@ -96,11 +105,12 @@
       dispatch: async timeoutMs => {
         const endpoint = this.#choose(service.name, new Set())
         const client = endpoint === undefined ? undefined : this.fleet.service(endpoint.name)
-        if (client === undefined) return fail({ kind: 'not-started', reason: 'other' })
-        return await client.callOnce({ ...call, timeoutMs })
+        if (endpoint === undefined || client === undefined || guard.refusal() !== undefined) return fail({ kind: 'not-started', reason: 'other' })
+        return await this.#guarded(guard, endpoint.name, async () => await client.callOnce({ ...call, timeoutMs }))
       }
     })
-    if (!answered.ok) return answered
+    const held = answered.ok ? undefined : guard.refusal()
+    if (!answered.ok) return held !== undefined && answered.error.run === 'not-run' ? fail(refuse(held, new DispatchRecord())) : answered
     const response = toResponse(answered.value.answer)
     response.headers.set(REPEAT_HEADER, String(answered.value.isRepeat))
     response.headers.set(WINDOW_HEADER, String(this.windowHours))
@@ -108,13 +118,15 @@
   }
 
   /** Retries only while no endpoint has started the call, or, for a safe method, under the budget. */
-  async #repeatable (service: PlainService, profile: Profile, call: ServiceCall): Promise<Result<Response, Refusal>> {
+  async #repeatable (service: PlainService, profile: Profile, call: ServiceCall, guard: CallGuard): Promise<Result<Response, Refusal>> {
     const dispatch = new DispatchRecord()
     const budget = this.#budget(service.name)
     budget.recordRequest()
     const deadline = performance.now() + profile.deadlineMs
     const tried = new Set<string>()
     for (;;) {
+      const held = guard.refusal()
+      if (held !== undefined) return fail(refuse({ ...held, status: dispatch.mayHaveRun ? 502 : held.status }, dispatch))
       const endpoint = this.#choose(service.name, tried)
       const client = endpoint === undefined ? undefined : this.fleet.service(endpoint.name)
       if (endpoint === undefined || client === undefined) {
@@ -122,7 +134,7 @@
       }
       tried.add(endpoint.name)
       dispatch.markDispatched()
-      const answer = await client.call({ ...call, timeoutMs: Math.max(1, deadline - performance.now()) })
+      const answer = await this.#guarded(guard, endpoint.name, async () => await client.call({ ...call, timeoutMs: Math.max(1, deadline - performance.now()) }))
       if (answer.ok) {
         this.fleet.serviceTable.observeSuccess(endpoint.name)
         return succeed(toResponse(answer.value))
@@ -139,6 +151,15 @@
     }
   }
 
+  /** Notes what a call shows of itself: that its endpoint broke off under it, or that it came through. */
+  async #guarded (guard: CallGuard, endpoint: string, send: () => Promise<Result<ServiceAnswer, BackendError>>): Promise<Result<ServiceAnswer, BackendError>> {
+    const sentAt = performance.now()
+    const answer = await send()
+    if (answer.ok && answer.value.status < FIRST_FAILURE_STATUS) guard.noteWhole()
+    if (!answer.ok && answer.error.kind === 'lost') guard.noteLost(endpoint, performance.now() - sentAt)
+    return answer
+  }
+
   #choose (service: string, tried: ReadonlySet<string>): PlainEndpoint | undefined {
     const now = performance.now()
     const eligible = this.configuration().endpointsOf(service)
--- /dev/null
+++ b/apps/entry/src/lib/quarantine/CallQuarantine.test.ts
@@ -0,0 +1,122 @@
+import { createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, describe, expect, it } from 'vitest'
+import { ServiceClient } from '@eelgrassmux/backends/ServiceClient'
+import { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
+import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import type { LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
+import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
+import type { ConfigurationDocument, Customer } from '@eelgrassmux/schema/configuration'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { FleetWatcher } from '../fleet/FleetWatcher.js'
+import { PlannedStop } from '../PlannedStop.js'
+import type { AtMostOnce } from '../plain/AtMostOnce.js'
+import { PlainHandler } from '../plain/PlainHandler.js'
+import { CallQuarantine } from './CallQuarantine.js'
+import { RequestQuarantine } from './RequestQuarantine.js'
+
+const MINUTE_MS = 60_000
+const WARD: Customer = { kind: 'customer', name: 'ward', credentialSha256: 'a'.repeat(64), cacheSecret: 'secret of the ward', share: 1 }
+
+/** One endpoint of one plain service behind the handler. */
+class World {
+  readonly lost: LostRun[] = []
+  readonly whole: string[] = []
+  readonly verdicts = new VerdictBook()
+  readonly table = new EndpointTable()
+  calls = 0
+  #server: Server | undefined
+  #client: ServiceClient | undefined
+  handler: PlainHandler | undefined
+
+  async start (answer: RequestListener): Promise<void> {
+    this.#server = createServer((request, response) => {
+      this.calls += 1
+      answer(request, response)
+    })
+    await new Promise<void>(resolve => { this.#server?.listen(0, '127.0.0.1', resolve) })
+    const address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`
+    const documents: ConfigurationDocument[] = [
+      { kind: 'profile', name: 'p', weights: { firstTokenMillisecond: 1, recomputedToken: 1, linkKilobyte: 1 }, deadlineMs: 5000, firstTokenLimitMs: 1000, keep: 'never', returnChance: 0, expectedGapSeconds: 1, retries: 1, hedgeAfterMs: 0, priority: 5 },
+      { kind: 'service', type: 'plain', name: 'app', profile: 'p', atMostOnce: false },
+      { kind: 'endpoint', type: 'plain', name: 'app-0', address, dataCentre: 'n', service: 'app' }
+    ]
+    const configuration = new ConfigurationIndex(1, { documents })
+    this.#client = new ServiceClient(address)
+    this.table.retain(new Set(['app-0']))
+    this.table.observeReport('app-0', { leaving: false, incarnation: 7 }, performance.now())
+    const fleet = { serviceTable: this.table, service: () => this.#client } as unknown as FleetWatcher
+    const telemetry = new Telemetry('test')
+    const reporter = { noteLost: (run: LostRun) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
+    const quarantine = new CallQuarantine(new RequestQuarantine(this.verdicts, reporter, telemetry), () => performance.now())
+    const stop = new PlannedStop(new WorkGate(), { balancerLagMs: 100, graceMs: 1000 }, telemetry)
+    this.handler = new PlainHandler(fleet, {} as AtMostOnce, () => configuration, telemetry.labelledCounter('retries_total', 'retries'), 1, stop, quarantine)
+  }
+
+  async get (path: string): Promise<{ readonly status: number, readonly reason: string | undefined, readonly run: string | undefined }> {
+    const answer = await this.handler?.handle(new Request(`http://host/${path}`), WARD, 'app', path)
+    if (answer === undefined) throw new Error('not started')
+    return answer.ok ? { status: answer.value.status, reason: undefined, run: undefined } : { status: answer.error.status, reason: answer.error.reason, run: answer.error.run }
+  }
+
+  hold (fingerprint: string): void {
+    this.verdicts.replace([{ fingerprint, service: 'app', state: 'quarantined', quarantines: 1, leftMs: MINUTE_MS }], performance.now())
+  }
+
+  async close (): Promise<void> {
+    await this.#client?.close()
+    this.#server?.closeAllConnections()
+    this.#server?.close()
+  }
+}
+
+describe('calls to plain services', () => {
+  let world: World
+  afterEach(async () => { await world.close() })
+
+  async function started (answer: RequestListener): Promise<World> {
+    world = new World()
+    await world.start(answer)
+    return world
+  }
+
+  const breakOff: RequestListener = request => { request.socket.destroy() }
+  const serve: RequestListener = (_request, response) => { response.end('whole') }
+
+  it('are reported with the incarnation of the endpoint that broke off under them', async () => {
+    const { lost } = await started(breakOff)
+    await world.get('/a')
+    expect(lost).toMatchObject([{ service: 'app', endpoint: 'app-0#7' }])
+  })
+
+  it('are not reported if the endpoint is leaving, as it ends anyway', async () => {
+    const { lost, table } = await started((request, response) => {
+      table.observeLeaving('app-0')
+      breakOff(request, response)
+    })
+    await world.get('/a')
+    expect(lost).toEqual([])
+  })
+
+  it('are refused at once while they are held back, and others are not', async () => {
+    const { lost } = await started(breakOff)
+    await world.get('/a')
+    const { calls } = world
+    world.hold(lost[0]?.fingerprint ?? '')
+    expect(await world.get('/a')).toEqual({ status: 503, reason: 'request-quarantined', run: 'not-run' })
+    expect(world.calls).toBe(calls)
+    expect((await world.get('/b')).reason).not.toBe('request-quarantined')
+  })
+
+  it('are cleared when they come through with a verdict on them', async () => {
+    let answer = breakOff
+    const { lost, whole, verdicts } = await started((request, response) => { answer(request, response) })
+    await world.get('/a')
+    const fingerprint = lost[0]?.fingerprint ?? ''
+    verdicts.replace([{ fingerprint, service: 'app', state: 'suspected', quarantines: 0, leftMs: MINUTE_MS }], performance.now())
+    answer = serve
+    expect((await world.get('/a')).status).toBe(200)
+    expect(whole).toEqual([fingerprint])
+  })
+})
--- a/apps/entry/src/lib/runs/RunManager.ts
+++ b/apps/entry/src/lib/runs/RunManager.ts
@@ -7,6 +7,7 @@
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
 import type { PlannedStop } from '../PlannedStop.js'
+import type { CallGuard, CallQuarantine } from '../quarantine/CallQuarantine.js'
 import type { AdmissionGate } from './AdmissionGate.js'
 import { Run } from './Run.js'
 import { heldTokens, RunTask, type RunPorts, type RunRequest } from './RunTask.js'
@@ -49,14 +50,16 @@
    * @param gate - admission
    * @param work - what a planned stop waits for
    * @param plannedStop - the planned stop
-   * @param ports - what runs need, but for the budget, which is one for each service
+   * @param quarantine - of requests that end engines
+   * @param ports - what runs need, but for the budget, which is one for each service, and the guard, which is one for each run
    */
   constructor (
     private readonly settings: RunManagerSettings,
     private readonly gate: AdmissionGate,
     private readonly work: WorkGate,
     private readonly plannedStop: PlannedStop,
-    private readonly ports: Omit<RunPorts, 'budget'>
+    private readonly quarantine: CallQuarantine,
+    private readonly ports: Omit<RunPorts, 'budget' | 'guard'>
   ) {
     this.#sweeper = setInterval(() => { this.#sweep() }, SWEEP_MS)
   }
@@ -78,6 +81,9 @@
    */
   async start (service: string, request: RunRequest, gone: AbortSignal): Promise<Result<Run, Refusal>> {
     const run = new Run(createRunId(this.settings.peerAddress), request.customer.name, this.ports.clock)
+    const guard = this.#guard(service, request)
+    const held = guard.refusal()
+    if (held !== undefined) return fail(refuse(held, run.dispatch))
     const tokens = heldTokens(request)
     this.#requestTokens += (tokens - this.#requestTokens) * (this.#requestTokens === 0 ? 1 : 0.05)
     const decision = await this.gate.request({
@@ -102,7 +108,7 @@
       this.gate.release(run.id)
       return fail(refusal)
     }
-    const task = new RunTask(run, request, { ...this.ports, budget: this.#budget(service) })
+    const task = new RunTask(run, request, { ...this.ports, budget: this.#budget(service), guard })
     this.#runs.add(run.id, { customer: request.customer.name, run, task, ticket: this.work.beginFollowUp() })
     this.#underWay += 1
     void this.#observeFirstToken(run)
@@ -158,6 +164,11 @@
     }
   }
 
+  #guard (service: string, { customer, prompt, maxTokens }: RunRequest): CallGuard {
+    const identity = { customer: customer.name, method: 'POST', target: `/v1/completions/${service}/${maxTokens}`, body: Buffer.from(prompt) }
+    return this.quarantine.guard(service, this.ports.fleet.engineTable, identity)
+  }
+
   #budget (service: string): RetryBudget {
     const present = this.#budgets.get(service)
     if (present !== undefined) return present
--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -16,6 +16,7 @@
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import type { EngineLoadTable } from '@eelgrassmux/policy/health/EngineLoadTable'
 import type { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
+import type { CallGuard } from '../quarantine/CallQuarantine.js'
 import type { FinishedRun } from './Exporter.js'
 import type { PlacedRun, PlaceRequest } from './Placer.js'
 import type { Run } from './Run.js'
@@ -61,6 +62,8 @@
   /** Tells other hosts of a dispatch. */
   announce (engine: string, tokens: number): void
   readonly budget: RetryBudget
+  /** Tells whether this request ended engines before. */
+  readonly guard: CallGuard
   readonly retries: LabelledCounter
   /** Counts prompt tokens: `computed` or `reused`. */
   readonly promptTokens: LabelledCounter
@@ -80,6 +83,7 @@
   readonly engineRun: string
   readonly items: AsyncGenerator<RunStreamItem>
   readonly abort: AbortController
+  readonly startedAt: number
   first?: Promise<IteratorResult<RunStreamItem>>
 }
 
@@ -143,6 +147,9 @@
     const patienceEnds = this.ports.clock.now() + NO_ENGINE_PATIENCE_MS
     for (;;) {
       if (this.#abort.signal.aborted) return this.#fail({ reason: 'endpoint-failed', status: 499, detail: 'the caller left' })
+      const held = this.ports.guard.refusal()
+      // A status that promises that nothing ran needs the proof.
+      if (held !== undefined) return this.#fail({ ...held, status: this.run.dispatch.mayHaveRun ? 502 : held.status })
       if (this.ports.clock.now() >= this.#deadline) return this.#fail({ reason: 'deadline-passed', status: 504, detail: 'the deadline of the profile has passed' })
       const ranked = await this.ports.placer.place({
         customer: this.request.customer,
@@ -194,6 +201,7 @@
     const engineRun = `${this.run.id}-a${this.#attempts}`
     const abort = new AbortController()
     this.run.dispatch.markDispatched()
+    const startedAt = this.ports.clock.now()
     const started = await engine.startRun({
       run: engineRun,
       prompt: this.request.prompt,
@@ -204,12 +212,13 @@
       produced: [...this.run.tokens],
       ...(importId === undefined ? {} : { importId })
     }, this.#remainingMs(), AbortSignal.any([abort.signal, this.#abort.signal]))
-    if (!started.ok) return this.#startFailed(name, started.error)
-    return { placed, engine, engineRun, items: started.value, abort }
+    if (!started.ok) return this.#startFailed(name, started.error, startedAt)
+    return { placed, engine, engineRun, items: started.value, abort, startedAt }
   }
 
-  #startFailed (engine: string, error: BackendError): AttemptOutcome {
+  #startFailed (engine: string, error: BackendError, startedAt: number): AttemptOutcome {
     if (isNotStarted(error)) this.run.dispatch.markNotStarted()
+    else this.#noteLost(engine, startedAt)
     if (error.kind === 'not-started') {
       if (error.reason === 'leaving') this.ports.fleet.engineTable.observeLeaving(engine)
       // An unknown import only means that the blocks must be computed: the same engine may do that.
@@ -221,6 +230,10 @@
     return { kind: 'retry', reason: error.kind === 'connect-failed' ? 'connect-failed' : 'engine-lost' }
   }
 
+  #noteLost (engine: string, startedAt: number): void {
+    if (!this.#abort.signal.aborted) this.ports.guard.noteLost(engine, this.ports.clock.now() - startedAt)
+  }
+
   /** Starts a second engine when the first token is late and the profile asks for it; the loser is cancelled. */
   async #maybeHedge (primary: StartedStream): Promise<StartedStream> {
     const { hedgeAfterMs } = this.request.profile
@@ -268,6 +281,7 @@
       }
       const resumed = await this.#resume(current, assembler.nextOffset)
       if (!resumed.ok) {
+        this.#noteLost(current.placed.placement.engine.name, current.startedAt)
         this.#abandon(current)
         this.ports.fleet.engineTable.observeFailure(current.placed.placement.engine.name, this.ports.clock.now())
         this.#excluded.add(current.placed.placement.engine.name)
@@ -328,6 +342,7 @@
     const cachedTokens = Math.min(end.cachedTokens, end.promptTokens)
     this.ports.promptTokens.count('computed', end.promptTokens - cachedTokens)
     this.ports.promptTokens.count('reused', cachedTokens)
+    this.ports.guard.noteWhole()
     this.run.finish({ kind: 'complete', finishReason: end.finishReason, promptTokens: end.promptTokens, cachedTokens })
     void this.ports.exporter.consider({
       customer: this.request.customer,
--- a/apps/standin/src/lib/EngineStandin.ts
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -143,7 +143,10 @@
       ended: false
     }
     this.#runs.set(request.run, run)
-    if (this.settings.deadlyText !== '' && request.prompt.includes(this.settings.deadlyText)) setTimeout(this.settings.end, DEADLY_AFTER_MS)
+    if (this.settings.deadlyText !== '' && request.prompt.includes(this.settings.deadlyText)) {
+      setTimeout(this.settings.end, DEADLY_AFTER_MS)
+      return undefined
+    }
     this.#cache.store(importedKeys, performance.now())
     const cachedBlocks = this.#cache.leading(keys)
     this.#cache.store(keys.slice(0, cachedBlocks), performance.now())
--- a/packages/policy/src/lib/health/EndpointTable.ts
+++ b/packages/policy/src/lib/health/EndpointTable.ts
@@ -116,6 +116,19 @@
     return true
   }
 
+  /**
+   * @param name - endpoint
+   * @returns its incarnation as last heard of; 0 if nothing was heard
+   */
+  incarnation (name: string): number {
+    return this.#endpoints.get(name)?.incarnation ?? 0
+  }
+
+  /** @returns whether the endpoint said itself, or the list did, that it is leaving */
+  isLeaving (name: string): boolean {
+    return this.#endpoints.get(name)?.leaving ?? false
+  }
+
   /**
    * Says why an endpoint may not get new work.
    *
