--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -3,14 +3,13 @@
  * on, and goes on elsewhere where that is allowed. The bytes of request and
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
-import { admitStream } from '@eelgrassmux/routing/admission/admitStream'
 import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
-import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
+import { admitRouted, type RoutedAdmission } from './admitRouted.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import { AnswerTimes } from './AnswerTimes.js'
 import type { CallerExchange } from './CallerExchange.js'
@@ -182,31 +181,11 @@
     return this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
   }
 
-  /** Plain requests are always sent; endpoints that are full say so at once. A stream that has begun goes on. */
-  #admit (choice: EndpointChoice): { readonly isExpectedLate: boolean } | undefined {
-    if (choice.version === undefined || this.#times.hasFirstEvent) return { isExpectedLate: false }
-    const now = performance.now()
-    // Without the others' work no estimate may refuse or hold, but what is late already gives way all the same.
-    if (!this.ports.fleet.knowsLoad) return { isExpectedLate: now - this.request.arrivedAt > this.request.route.targetLatencyMs }
-    const expectedMs = choice.estimatedMs * this.#routeSlowness().factor(now)
-    const admission = admitStream(this.request.route, {
-      waitedMs: now - this.request.arrivedAt,
-      estimatedMs: expectedMs,
-      remainingMs: this.#deadline - now,
-      ownMemoryShare: this.#prompt?.memoryShareOf(choice) ?? 0,
-      memoryShare: choice.memoryShare,
-      tokensToRead: choice.reading.tokensToRead,
-      tokensAhead: choice.load.tokensAhead
-    }, this.ports.fleet.mechanisms.admission)
+  #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
+    const admission = admitRouted(this.request, choice, this.ports.fleet, { prompt: this.#prompt, hasFirstEvent: this.#times.hasFirstEvent, deadline: this.#deadline }, performance.now())
     if (admission.kind === 'send') return admission
-    if (admission.kind === 'wait') {
-      this.#waitForRoom(choice)
-      return undefined
-    }
-    const detail = admission.cause === 'engine-memory'
-      ? `no engine has memory for ${Math.round(choice.tokensHeld)} tokens: the best, ${choice.endpoint.id}, would be ${Math.round(choice.memoryShare * 100)}% full`
-      : `the first event would take ${Math.round(expectedMs)} ms at the best engine, ${choice.endpoint.id}`
-    this.#refuse('deadline-unreachable', 503, detail, admission.returnAfterMs)
+    if (admission.kind === 'wait') this.#waitForRoom(choice)
+    else this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
     return undefined
   }
 
@@ -220,11 +199,6 @@
     setTimeout(() => { if (!this.#isDone) this.#placeNext() }, ROOM_LOOK_MS)
   }
 
-  /** Estimates count all work at an engine; urgent routes overtake much of it, and how much shows in their outcomes. */
-  #routeSlowness (): Slowness {
-    return this.ports.fleet.routeSlowness(this.request.route.name)
-  }
-
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
     const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.fleet, this.ports.codec, {
       sending: () => {
