--- a/apps/bench/src/deadlyPrompt.test.ts
+++ b/apps/bench/src/deadlyPrompt.test.ts
@@ -68,5 +68,13 @@
       expect(await problemOf(entry)).toMatchObject({ type: 'urn:eelgrassmux:problem:request-quarantined', run: 'not-run' })
       expect((await streamCompletion(call(entry, 'history of a trip '.repeat(20)))).status).toBe(200)
     }
+    const listed = await cluster.command(['verdicts'])
+    const [fingerprint = ''] = listed.stdout.split(' ')
+    expect(listed.stdout).toMatch(/^[0-9a-f]{32} summaries quarantined for \d+ s, held back 1 times so far\n$/)
+    expect((await cluster.command(['doctor'])).stdout).toContain(`request ${fingerprint} of summaries is held back`)
+    expect(await cluster.command(['verdicts', '--lift', 'x'])).toMatchObject({ code: 2, stderr: 'eelgrassmux: --lift: a fingerprint has 32 hexadecimal digits\n' })
+    expect((await cluster.command(['verdicts', '--lift', 'f'.repeat(32)])).stderr).toContain('there is no verdict on')
+    expect((await cluster.command(['verdicts', '--lift', fingerprint])).stdout).toBe('lifted\n')
+    expect((await cluster.command(['verdicts'])).stdout).toBe('no request is held back\n')
   }, 120_000)
 })
--- a/apps/eelgrassmux/src/lib/ControlClient.ts
+++ b/apps/eelgrassmux/src/lib/ControlClient.ts
@@ -6,7 +6,9 @@
   changeMembership, listHosts, listOrders, propose, watchView, type HostsResponse, type MembershipChange,
   type OrderReport, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
+import { reportEnds } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { ToldVerdict } from '@eelgrassmux/schema/requestVerdict'
 import type { Command, CommandResult } from '@eelgrassmux/state/commands'
 
 /** Why an operator's request has no answer. */
@@ -16,6 +18,9 @@
   | { readonly kind: 'refused', readonly reason: string }
   | { readonly kind: 'no-answer' }
 
+/** Under which name an operator reports. */
+const OPERATOR = 'operator'
+
 /** Deadline of each call, in milliseconds. */
 const CALL_MS = 2000
 
@@ -92,6 +97,35 @@
     return succeed({ revision: message.revision, configuration: { documents: message.documents } })
   }
 
+  /** @returns requests that are suspected, held back or on probation, as a majority knows them */
+  async verdicts (): Promise<Result<readonly ToldVerdict[], ControlError>> {
+    const majority = await this.majority()
+    if (!majority.ok) return majority
+    const newest = Math.max(...majority.value.answers.map(answer => answer.viewRevision))
+    if (newest === 0) return succeed([])
+    const message = await this.#firstView(newest)
+    return message === undefined ? fail({ kind: 'no-answer' }) : succeed(message.verdicts ?? [])
+  }
+
+  /**
+   * Lets a request through again, as if it had come through.
+   *
+   * @param fingerprint - of a request with a verdict
+   * @returns nothing once it is agreed
+   */
+  async liftVerdict (fingerprint: string): Promise<Result<undefined, ControlError>> {
+    const deadline = performance.now() + this.timeoutMs
+    while (performance.now() < deadline) {
+      const majority = await this.majority()
+      const leader = majority.ok ? leaderAddress(majority.value.answers) : undefined
+      if (leader !== undefined) await this.#rpc.call(leader, reportEnds, { host: OPERATOR, ends: [], cameThrough: [fingerprint] }, CALL_MS)
+      const verdicts = await this.verdicts()
+      if (verdicts.ok && !verdicts.value.some(verdict => verdict.fingerprint === fingerprint)) return succeed(undefined)
+      await sleep(RETRY_MS)
+    }
+    return fail({ kind: 'uncertain' })
+  }
+
   /** @returns each engine's state against the desired one, from the leader */
   async orders (): Promise<Result<OrderReport[], ControlError>> {
     const majority = await this.majority()
--- /dev/null
+++ b/apps/eelgrassmux/src/lib/ControlCommand.ts
@@ -0,0 +1,44 @@
+/** What all commands share that ask the control hosts. */
+import { Command, Option } from 'clipanion'
+import { addressListSetting } from '@eelgrassmux/daemon/settings'
+import { ControlClient, type ControlError } from './ControlClient.js'
+import { EXIT_FAILED, EXIT_USAGE } from './exitCodes.js'
+
+/** Options, and how failures are told. */
+export abstract class ControlCommand extends Command {
+  control = Option.String('--control', '', { env: 'EELGRASSMUX_CONTROL', description: 'control hosts, separated by commas' })
+  timeout = Option.String('--timeout-ms', '10000', { env: 'EELGRASSMUX_TIMEOUT_MS', description: 'how long to try, in milliseconds' })
+
+  override async execute (): Promise<number> {
+    const addresses = addressListSetting.safeParse(this.control)
+    const timeoutMs = Number(this.timeout)
+    if (!addresses.success || addresses.data.length === 0) return this.complain(`--control ${addresses.error?.issues[0]?.message ?? 'names no control host'}`, EXIT_USAGE)
+    if (!Number.isInteger(timeoutMs) || timeoutMs < 1) return this.complain('--timeout-ms must be a whole number of milliseconds', EXIT_USAGE)
+    const client = new ControlClient(addresses.data, timeoutMs)
+    try {
+      return await this.run(client, timeoutMs)
+    } finally {
+      client.close()
+    }
+  }
+
+  protected abstract run (client: ControlClient, timeoutMs: number): Promise<number>
+
+  protected print (line: string): void {
+    this.context.stdout.write(`${line}\n`)
+  }
+
+  protected complain (line: string, code = EXIT_FAILED): number {
+    this.context.stderr.write(`eelgrassmux: ${line}\n`)
+    return code
+  }
+
+  protected complainOf (error: ControlError): number {
+    switch (error.kind) {
+      case 'no-majority': return this.complain(`${error.answered} of ${error.voters} control hosts answered; a majority is needed`)
+      case 'uncertain': return this.complain('no answer in time: the change may have been accepted; send it again with the same --request-id')
+      case 'refused': return this.complain(`refused: ${error.reason}`)
+      case 'no-answer': return this.complain('no control host answered')
+    }
+  }
+}
--- a/apps/eelgrassmux/src/lib/commands.ts
+++ b/apps/eelgrassmux/src/lib/commands.ts
@@ -3,55 +3,16 @@
 import { readFile } from 'node:fs/promises'
 import { Command, Option } from 'clipanion'
 import { stringify } from 'yaml'
-import { addressListSetting } from '@eelgrassmux/daemon/settings'
 import type { ConfigurationDocument } from '@eelgrassmux/schema/configuration'
 import { parseConfiguration } from '@eelgrassmux/schema/parseConfiguration'
 import { checkReferences } from '@eelgrassmux/schema/checkReferences'
 import type { DocumentName } from '@eelgrassmux/state/commands'
-import { ControlClient, type ControlError } from './ControlClient.js'
+import type { ControlClient } from './ControlClient.js'
+import { ControlCommand } from './ControlCommand.js'
 import { diffDocuments, describeDifference } from './diffDocuments.js'
-import { EXIT_FAILED, EXIT_USAGE } from './exitCodes.js'
+import { EXIT_FAILED } from './exitCodes.js'
 import { waitInForce } from './waitInForce.js'
 
-/** Options that all commands share. */
-abstract class ControlCommand extends Command {
-  control = Option.String('--control', '', { env: 'EELGRASSMUX_CONTROL', description: 'control hosts, separated by commas' })
-  timeout = Option.String('--timeout-ms', '10000', { env: 'EELGRASSMUX_TIMEOUT_MS', description: 'how long to try, in milliseconds' })
-
-  override async execute (): Promise<number> {
-    const addresses = addressListSetting.safeParse(this.control)
-    const timeoutMs = Number(this.timeout)
-    if (!addresses.success || addresses.data.length === 0) return this.complain(`--control ${addresses.error?.issues[0]?.message ?? 'names no control host'}`, EXIT_USAGE)
-    if (!Number.isInteger(timeoutMs) || timeoutMs < 1) return this.complain('--timeout-ms must be a whole number of milliseconds', EXIT_USAGE)
-    const client = new ControlClient(addresses.data, timeoutMs)
-    try {
-      return await this.run(client, timeoutMs)
-    } finally {
-      client.close()
-    }
-  }
-
-  protected abstract run (client: ControlClient, timeoutMs: number): Promise<number>
-
-  protected print (line: string): void {
-    this.context.stdout.write(`${line}\n`)
-  }
-
-  protected complain (line: string, code = EXIT_FAILED): number {
-    this.context.stderr.write(`eelgrassmux: ${line}\n`)
-    return code
-  }
-
-  protected complainOf (error: ControlError): number {
-    switch (error.kind) {
-      case 'no-majority': return this.complain(`${error.answered} of ${error.voters} control hosts answered; a majority is needed`)
-      case 'uncertain': return this.complain('no answer in time: the change may have been accepted; send it again with the same --request-id')
-      case 'refused': return this.complain(`refused: ${error.reason}`)
-      case 'no-answer': return this.complain('no control host answered')
-    }
-  }
-}
-
 /** Reads and checks configuration files; complains with line and field. */
 async function readDocuments (files: readonly string[], complain: (line: string) => void): Promise<ConfigurationDocument[] | undefined> {
   const texts = await Promise.all(files.map(async file => await readFile(file, 'utf8')))
@@ -279,6 +240,9 @@
     const orders = await client.orders()
     const unsettled = orders.ok ? orders.value.filter(order => order.state !== 'as-desired') : []
     for (const order of unsettled) findings.push(`engine ${order.endpoint} is ${order.state}`)
+    const verdicts = await client.verdicts()
+    const heldBack = verdicts.ok ? verdicts.value.filter(({ state }) => state === 'quarantined') : []
+    for (const { fingerprint, service } of heldBack) findings.push(`request ${fingerprint} of ${service} is held back: it ended the endpoints that ran it`)
     for (const finding of findings) this.print(finding)
     if (findings.length === 0) this.print('all is well')
     return findings.length === 0 ? 0 : EXIT_FAILED
