--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -79,7 +79,8 @@
       unresponsive: 0,
       avoiders: this.health.isOutOfReach(now) ? 1 : 0,
       outcomes,
-      failures
+      failures,
+      ...this.slowness.recent(now)
     }
   }
 
