--- a/apps/entry/src/lib/routed/learnFromFirstEvent.ts
+++ b/apps/entry/src/lib/routed/learnFromFirstEvent.ts
@@ -28,10 +28,10 @@
 }
 
 /** What requests without a fetch have shown of the engine is not the link's fault. */
-function learnOfLink (fleet: RoutedFleet, { reading, workMs, slowness }: EndpointChoice, actualMs: number, now: number): void {
+function learnOfLink (fleet: RoutedFleet, { endpoint, reading, workMs }: EndpointChoice, actualMs: number, now: number): void {
   const { slowest, fetchMs } = reading
   if (slowest === undefined) return
   const { transfer: { store, dataCentre }, doublings } = slowest
-  const otherMs = (workMs - fetchMs) * slowness
+  const otherMs = (workMs - fetchMs) * endpoint.slowness.factor(now)
   fleet.storeLinks.observe(store, dataCentre, { fetchMs, otherMs, doublings }, actualMs, now)
 }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -79,8 +79,7 @@
       unresponsive: 0,
       avoiders: this.health.isOutOfReach(now) ? 1 : 0,
       outcomes,
-      failures,
-      ...this.slowness.recent(now)
+      failures
     }
   }
 
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -69,8 +69,6 @@
   readonly memoryShare: number
   /** The estimate as it would be at an endpoint that is neither slow nor fast. */
   readonly workMs: number
-  /** How much slower than that it is taken to be; a factor. */
-  readonly slowness: number
 }
 
 /** Why no endpoint was chosen. */
--- a/packages/routing/src/lib/endpoints/estimateEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/estimateEndpoint.ts
@@ -50,7 +50,7 @@
   const priceMs = distanceMs + connectionMs + failureShare * FAILURE_MS
   if (ask.prompt === undefined || holders === undefined) {
     const estimatedMs = plainMs(endpoint, ask, others, now)
-    return { endpoint, version: undefined, reading: NOTHING_TO_READ, tokensHeld: 0, estimatedMs, costMs: estimatedMs + priceMs, waitMs: estimatedMs, memoryWaitMs: 0, workMs: estimatedMs, slowness: 1, load: NO_LOAD, memoryShare: 0 }
+    return { endpoint, version: undefined, reading: NOTHING_TO_READ, tokensHeld: 0, estimatedMs, costMs: estimatedMs + priceMs, waitMs: estimatedMs, memoryWaitMs: 0, workMs: estimatedMs, load: NO_LOAD, memoryShare: 0 }
   }
   const { description, engine } = ask.prompt
   const version = endpoint.version(description.model) ?? 0
@@ -61,11 +61,10 @@
   const waitMs = engine.waitMs(ahead) + memoryWaitMs
   const reading = planReading(endpoint, { ...ask.prompt, leftToObjectiveMs: ask.prompt.leftToObjectiveMs - engine.fixedMs - waitMs }, version, isHome, holders, now)
   const workMs = engine.fixedMs + waitMs + reading.fetchMs + engine.readMs(reading.tokensToRead)
-  const slowness = endpoint.slowness.factor(now, others)
-  const estimatedMs = workMs * slowness
+  const estimatedMs = workMs * endpoint.slowness.factor(now)
   const costMs = estimatedMs + reading.againMs + priceMs
   const load = { ...ahead, tokensToRead: reading.tokensToRead }
-  return { endpoint, version, reading, tokensHeld, estimatedMs, costMs, waitMs, memoryWaitMs, workMs, slowness, load, memoryShare: share }
+  return { endpoint, version, reading, tokensHeld, estimatedMs, costMs, waitMs, memoryWaitMs, workMs, load, memoryShare: share }
 }
 
 function plainMs (endpoint: EndpointState, ask: EndpointAsk, others: WorkFigures, now: number): number {
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -101,8 +101,6 @@
     avoiders: sum.avoiders + work.avoiders,
     unresponsive: 0,
     outcomes: sum.outcomes + work.outcomes,
-    failures: sum.failures + work.failures,
-    timed: sum.timed + work.timed,
-    doublings: sum.doublings + work.doublings
+    failures: sum.failures + work.failures
   }
 }
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -87,9 +87,7 @@
     avoiders: Math.max(0, total.avoiders - (own?.avoiders ?? 0)),
     unresponsive: total.unresponsive,
     outcomes: Math.max(0, total.outcomes - (own?.outcomes ?? 0)),
-    failures: Math.max(0, total.failures - (own?.failures ?? 0)),
-    timed: Math.max(0, total.timed - (own?.timed ?? 0)),
-    doublings: total.doublings - (own?.doublings ?? 0)
+    failures: Math.max(0, total.failures - (own?.failures ?? 0))
   }
 }
 
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -11,8 +11,8 @@
 describe('LoadBoard', () => {
   it('knows how long ago an endpoint was heard although its hosts have not reported since', () => {
     const board = new LoadBoard()
-    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 100, waitedMs: 50 }, { ...work('f', 0), heardAgoMs: 4900 }], links: [] }, 0)
-    expect(board.totals(300).work).toMatchObject([{ heardAgoMs: 400, waitedMs: 350 }, { heardAgoMs: 5000, waitedMs: 0 }])
+    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 100, waitedMs: 50 }, { ...work('f', 0), heardAgoMs: 59_900 }], links: [] }, 0)
+    expect(board.totals(300).work).toMatchObject([{ heardAgoMs: 400, waitedMs: 350 }, { heardAgoMs: 60_000, waitedMs: 0 }])
   })
 
   it('tells of endpoints that answer nobody, also without work there', () => {
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -1,7 +1,7 @@
 /**
  * Bytes of load reports and of the totals that answer them.
  *
- * Names, then whole numbers of one or two bytes: these datagrams go to every host many times a
+ * Names, then whole numbers of two bytes: these datagrams go to every host many times a
  * second, and reading 98 endpoints as ordinary messages took 0.5 ms where this takes
  * hundredths. The totals are the same for all hosts and are encoded once; only the
  * sequence in front differs.
@@ -14,13 +14,19 @@
 /** Bytes of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
 
+/** Bytes of one figure. */
+const FIGURE_BYTES = 2
+
+/** Largest figure; larger ones are written as this. */
+const LARGEST_FIGURE = 2 ** 16 - 1
+
 /** Tokens are counted in blocks of an engine's memory. */
 const BLOCK_TOKENS = 16
 
 /** Bytes under way on a link are counted in these: the most that can be written are 275 GB, a minute of a fast link. */
 const LINK_BLOCK_BYTES = 2 ** 22
 
-/** Steps in which samples of a link or an endpoint and their doublings are counted. */
+/** Steps in which samples of a link and their doublings are counted. */
 const SAMPLE_STEP = 1 / 64
 
 /** Between names, and what stands for it inside a name: operators name stores as they like. */
@@ -29,39 +35,16 @@
 const ESCAPED_SEPARATOR = '%2C'
 const ESCAPED_ESCAPE = '%25'
 
-/** Step in which times since something are told, in milliseconds; the longest that fits is beyond all that matters. */
-const AGO_STEP_MS = 20
-
-/** How a figure is written; what is beyond its bounds is written as the bound. */
-interface FigureForm {
-  readonly bytes: number
-  readonly least: number
-  readonly most: number
-}
-
-const SMALL: FigureForm = { bytes: 1, least: 0, most: 2 ** 8 - 1 }
-const PLAIN: FigureForm = { bytes: 2, least: 0, most: 2 ** 16 - 1 }
-const SIGNED: FigureForm = { bytes: 2, least: -(2 ** 15), most: 2 ** 15 - 1 }
-
-/** Figures of a row in their order on the wire, with the unit and form of each. */
-type Figures<Row> = ReadonlyArray<readonly [name: keyof Row, unit: number, form: FigureForm]>
+/** Figures of a row in their order on the wire, with the unit of each. */
+type Figures<Row> = ReadonlyArray<readonly [name: keyof Row, unit: number]>
 
 const ENDPOINT_FIGURES: Figures<WorkFigures> = [
-  ['inFlight', 1, PLAIN],
-  ['pendingTokens', BLOCK_TOKENS, PLAIN],
-  ['heldTokens', BLOCK_TOKENS, PLAIN],
-  ['heardAgoMs', AGO_STEP_MS, SMALL],
-  ['waitedMs', AGO_STEP_MS, SMALL],
-  ['avoiders', 1, SMALL],
-  ['unresponsive', 1, SMALL],
-  ['outcomes', 1, PLAIN],
-  ['failures', 1, PLAIN],
-  ['timed', SAMPLE_STEP, PLAIN],
-  ['doublings', SAMPLE_STEP, SIGNED]
+  ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['heardAgoMs', 1], ['waitedMs', 1],
+  ['avoiders', 1], ['unresponsive', 1], ['outcomes', 1], ['failures', 1]
 ]
 
 const LINK_FIGURES: Figures<LinkFigures> = [
-  ['pendingBytes', LINK_BLOCK_BYTES, PLAIN], ['samples', SAMPLE_STEP, PLAIN], ['slower', SAMPLE_STEP, PLAIN], ['faster', SAMPLE_STEP, PLAIN]
+  ['pendingBytes', LINK_BLOCK_BYTES], ['samples', SAMPLE_STEP], ['slower', SAMPLE_STEP], ['faster', SAMPLE_STEP]
 ]
 
 const tableSchema = z.tuple([z.string(), z.instanceof(Uint8Array)])
@@ -127,26 +110,17 @@
 }
 
 function toTable<Row extends { readonly [Name in keyof Row]: unknown }> (names: readonly string[], rows: readonly Row[], figures: Figures<Row>): Table {
-  const bytes = Buffer.allocUnsafe(rows.length * bytesOf(figures))
+  const bytes = Buffer.allocUnsafe(rows.length * figures.length * FIGURE_BYTES)
   let at = 0
   for (const row of rows) {
-    for (const [figure, unit, form] of figures) {
-      at = writeFigure(bytes, at, Math.round(Number(row[figure]) / unit), form)
+    for (const [figure, unit] of figures) {
+      bytes.writeUInt16BE(Math.min(LARGEST_FIGURE, Math.round(Number(row[figure]) / unit)), at)
+      at += FIGURE_BYTES
     }
   }
   return [names.map(escapeName).join(SEPARATOR), bytes]
 }
 
-function bytesOf<Row> (figures: Figures<Row>): number {
-  return figures.reduce((sum, [, , form]) => sum + form.bytes, 0)
-}
-
-/** @returns where the next figure goes */
-function writeFigure (bytes: Buffer, at: number, value: number, { bytes: length, least, most }: FigureForm): number {
-  const bounded = Math.min(most, Math.max(least, value))
-  return least < 0 ? bytes.writeIntBE(bounded, at, length) : bytes.writeUIntBE(bounded, at, length)
-}
-
 function escapeName (name: string): string {
   return name.replaceAll(ESCAPE, ESCAPED_ESCAPE).replaceAll(SEPARATOR, ESCAPED_SEPARATOR)
 }
@@ -156,35 +130,42 @@
 }
 
 function toEndpointWork (table: Table): EndpointWork[] {
-  return readRows(table, ENDPOINT_FIGURES).map(({ name, figures }) => ({ endpoint: name, ...figures }))
+  return readRows(table, ENDPOINT_FIGURES.length).map(({ name, figure }) => ({
+    endpoint: name,
+    inFlight: figure(0),
+    pendingTokens: figure(1) * BLOCK_TOKENS,
+    heldTokens: figure(2) * BLOCK_TOKENS,
+    heardAgoMs: figure(3),
+    waitedMs: figure(4),
+    avoiders: figure(5),
+    unresponsive: figure(6),
+    outcomes: figure(7),
+    failures: figure(8)
+  }))
 }
 
 function toLinkWork (table: Table): LinkWork[] {
-  return readRows(table, LINK_FIGURES).map(({ name, figures }) => ({ link: name, ...figures }))
+  return readRows(table, LINK_FIGURES.length).map(({ name, figure }) => ({
+    link: name,
+    pendingBytes: figure(0) * LINK_BLOCK_BYTES,
+    samples: figure(1) * SAMPLE_STEP,
+    slower: figure(2) * SAMPLE_STEP,
+    faster: figure(3) * SAMPLE_STEP
+  }))
 }
 
-interface TableRow<Row> {
+interface TableRow {
   readonly name: string
-  readonly figures: Row
+  /** @returns the whole number in a column */
+  figure (column: number): number
 }
 
-function readRows<Row> ([names, bytes]: Table, figures: Figures<Row>): Array<TableRow<Row>> {
+function readRows ([names, figures]: Table, columns: number): TableRow[] {
   const rowNames = names === '' ? [] : names.split(SEPARATOR).map(unescapeName)
-  const rowBytes = bytesOf(figures)
-  if (bytes.length !== rowNames.length * rowBytes) {
-    throw new RangeError(`${rowNames.length} endpoints or links have ${bytes.length} bytes of figures`)
-  }
-  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length)
-  return rowNames.map((name, row) => ({ name, figures: readFigures(buffer, row * rowBytes, figures) }))
-}
-
-function readFigures<Row> (bytes: Buffer, from: number, figures: Figures<Row>): Row {
-  let at = from
-  const row: Partial<Record<keyof Row, number>> = {}
-  for (const [figure, unit, form] of figures) {
-    row[figure] = unit * (form.least < 0 ? bytes.readIntBE(at, form.bytes) : bytes.readUIntBE(at, form.bytes))
-    at += form.bytes
+  const rowBytes = columns * FIGURE_BYTES
+  if (figures.length !== rowNames.length * rowBytes) {
+    throw new RangeError(`${rowNames.length} endpoints or links have ${figures.length} bytes of figures`)
   }
-  // Every figure of the row is in the list.
-  return row as Row
+  const view = new DataView(figures.buffer, figures.byteOffset, figures.length)
+  return rowNames.map((name, row) => ({ name, figure: column => view.getUint16(row * rowBytes + column * FIGURE_BYTES) }))
 }
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,5 +1,4 @@
 /** What entry hosts tell of the work that they have under way at endpoints. */
-import { NOTHING_TIMED, type TimedRequests } from '../endpoints/Slowness.js'
 import type { LinkWork } from './linkWork.js'
 
 /** Work of one or all hosts at one endpoint, and what they have seen of it. */
@@ -15,7 +14,7 @@
 }
 
 /** What requests have shown of an endpoint. */
-export interface EndpointSight extends TimedRequests {
+export interface EndpointSight {
   /** Milliseconds since any byte came from it; over all hosts the least. */
   readonly heardAgoMs: number
   /** Milliseconds for which it has had work without a break; over all hosts the most. */
@@ -34,11 +33,11 @@
 export type WorkFigures = Omit<EndpointWork, 'endpoint'>
 
 /** Milliseconds beyond which it does not matter how long ago something was. */
-export const LONG_AGO_MS = 5000
+export const LONG_AGO_MS = 60_000
 
 /** An endpoint without work of which nothing was seen. */
 export const NO_WORK: WorkFigures = {
-  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0, ...NOTHING_TIMED
+  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0
 }
 
 /** One host's own work. */
--- a/packages/routing/src/lib/mechanisms/mechanisms.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -92,7 +92,6 @@
 /** Endpoints that are all as fast as estimated. */
 class EvenSlowness extends Slowness {
   override observe (): void {}
-  override factor (): number { return 1 }
 }
 
 /** Links that are as fast as the site states, with this host's transfers only. */
