--- a/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/AgreementWorld.ts
@@ -3,24 +3,19 @@
  * freezes and races. Checks that accepted configurations never revert and reach
  * hosts in time, and that keyed calls run at most once.
  */
-import type { BackendError } from '@eelgrassmux/backends/BackendError'
-import type { ServiceAnswer } from '@eelgrassmux/backends/ServiceClient'
 import type { LogEntry, PersistentState, RaftMessage, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
-import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { AtMostOnce } from '@eelgrassmux/entry/plain/AtMostOnce'
-import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
-import type { Command, CommandResult } from '@eelgrassmux/state/commands'
+import type { AtMostOnce } from '@eelgrassmux/entry/plain/AtMostOnce'
+import type { Command } from '@eelgrassmux/state/commands'
 import { FreshnessLease } from '@eelgrassmux/view/FreshnessLease'
-import type { ProposeError } from '@eelgrassmux/view/ControlLink'
 import { ViewFollower } from '@eelgrassmux/view/ViewFollower'
 import type { Ledger, PromiseName } from '../Ledger.js'
 import type { Simulation } from '../Simulation.js'
 import type { World } from '../World.js'
+import { SimulatedKeyedCalls } from './SimulatedKeyedCalls.js'
+import { SimulatedProposer, type Proposed } from './SimulatedProposer.js'
 import { ALL_MECHANISMS, SimulatedReplica } from './SimulatedReplica.js'
 
 const HOSTS = 3
-const KEYS = 8
-const CUSTOMERS = ['ward', 'clinic']
 
 /** Lease of the hosts, in milliseconds. */
 const FRESHNESS_MS = 1000
@@ -43,9 +38,6 @@
   frozenUntil: number
 }
 
-/** What a host or operator learns of one proposal. */
-type Proposed = Result<CommandResult, ProposeError>
-
 /** The world. */
 export class AgreementWorld implements World {
   readonly #replicas = new Map<string, SimulatedReplica>()
@@ -55,8 +47,8 @@
   readonly #acceptedAt = new Map<number, number>()
   readonly #acceptedBy = new Map<number, string>()
   readonly #answers = new Map<string, string>()
-  readonly #executions = new Map<string, number>()
-  readonly #executedRequests = new Set<string>()
+  readonly #proposer: SimulatedProposer
+  readonly #keyedCalls: SimulatedKeyedCalls
   #repairing = false
   #nextReplica = 0
   #nextRequest = 0
@@ -68,6 +60,8 @@
    * @param broken - promise whose mechanism is taken away
    */
   constructor (private readonly simulation: Simulation, private readonly ledger: Ledger, private readonly broken: PromiseName | undefined) {
+    this.#proposer = new SimulatedProposer(simulation, this.#replicas)
+    this.#keyedCalls = new SimulatedKeyedCalls(simulation, ledger, broken, this.#proposer)
     const founders = [0, 1, 2].map(() => this.#newReplicaName())
     const membership = { voters: founders, learners: [] }
     const disk: PersistentState = {
@@ -132,7 +126,7 @@
       incarnation: 0,
       frozenUntil: 0
     }
-    host.once = this.#newOnce(host)
+    host.once = this.#keyedCalls.newOnce(host)
     return host
   }
 
@@ -217,11 +211,11 @@
       upserts: [{ kind: 'model', name: 'base', version: requestId, servingFloor: 0 }],
       removes: []
     }
-    void this.#propose('operator', command, 3000, () => true).then(result => { this.#onChangeAnswer(command, result) })
+    void this.#proposer.propose('operator', command, 3000, () => true).then(result => { this.#onChangeAnswer(command, result) })
     // A resend, as after a lost answer.
     if (this.simulation.chance(0.3)) {
       this.simulation.after(this.simulation.random() * 2000, () => {
-        void this.#propose('operator', command, 3000, () => true).then(result => { this.#onChangeAnswer(command, result) })
+        void this.#proposer.propose('operator', command, 3000, () => true).then(result => { this.#onChangeAnswer(command, result) })
       })
     }
   }
@@ -241,107 +235,17 @@
     this.#acceptedBy.set(revision, command.requestId)
   }
 
-  /** As hosts and the command line do it: tries replicas until one has applied the command. */
-  async #propose (from: string, command: Command, deadlineMs: number, isAlive: () => boolean): Promise<Proposed> {
-    const deadline = this.simulation.now() + deadlineMs
-    let mayApply = false
-    let hint: string | undefined
-    while (this.simulation.now() < deadline && isAlive()) {
-      const target = hint ?? this.simulation.oneOf([...this.#replicas.keys()])
-      const outcome = await this.#proposeOnce(from, target, command)
-      if (outcome.kind === 'applied') return succeed(outcome.result)
-      if (outcome.kind === 'uncertain') mayApply = true
-      hint = outcome.kind === 'not-leader' ? outcome.leader : undefined
-      await this.simulation.sleep(30)
-    }
-    return fail({ kind: mayApply ? 'uncertain' : 'not-proposed' })
-  }
-
-  async #proposeOnce (from: string, target: string, command: Command): Promise<
-    { kind: 'applied', result: CommandResult } | { kind: 'not-leader', leader: string | undefined } | { kind: 'uncertain' }
-  > {
-    return await new Promise(resolve => {
-      this.simulation.after(800, () => { resolve({ kind: 'uncertain' }) })
-      this.simulation.send(from, target, () => {
-        const replica = this.#replicas.get(target)
-        if (replica?.isAlive !== true) return
-        replica.propose(command, outcome => {
-          this.simulation.send(target, from, () => { resolve(outcome) })
-        })
-      })
-    })
-  }
-
   // --- Keyed calls ---
 
-  #newOnce (host: SimulatedHost): AtMostOnce {
-    const { incarnation } = host
-    const isAlive = (): boolean => host.incarnation === incarnation
-    return new AtMostOnce({
-      clock: this.simulation,
-      outcomes: { count: () => {} },
-      work: new WorkGate(),
-      propose: async (command, deadlineMs) => {
-        if (this.broken === 'at-most-once' && command.kind === 'claim') return succeed({ kind: 'claim', result: { kind: 'claimed' } })
-        const result = await this.#propose(host.name, command, deadlineMs, isAlive)
-        await this.#thaw(host)
-        return isAlive() ? result : await new Promise<never>(() => {})
-      }
-    })
-  }
-
-  async #thaw (host: SimulatedHost): Promise<void> {
-    while (this.simulation.now() < host.frozenUntil) await this.simulation.sleep(host.frozenUntil - this.simulation.now())
-  }
-
   #callerLoop (): void {
     this.simulation.after(20 + this.simulation.random() * 150, () => {
       if (this.#isCalm) return
       this.#callerLoop()
       const host = this.simulation.oneOf(this.#hosts)
       if (this.simulation.now() < host.frozenUntil) return
-      void this.#callOnce(host)
-    })
-  }
-
-  async #callOnce (host: SimulatedHost): Promise<void> {
-    this.#nextRequest += 1
-    const request = `request-${this.#nextRequest}`
-    const customer = this.simulation.oneOf(CUSTOMERS)
-    const key = `key-${this.simulation.pick(KEYS) + Math.floor(this.simulation.now() / 5000) * KEYS}`
-    const name = `${customer}/${key}`
-    const { incarnation } = host
-    const result = await host.once.run({
-      record: { customer, service: 'accounts', idempotencyKey: key },
-      fingerprint: Buffer.from(name),
-      timeoutMs: 400,
-      dispatch: async timeoutMs => {
-        await this.#thaw(host)
-        if (incarnation !== host.incarnation) return await new Promise<never>(() => {})
-        return await this.#dispatch(request, name, timeoutMs)
-      }
+      this.#nextRequest += 1
+      void this.#keyedCalls.call(host, `request-${this.#nextRequest}`)
     })
-    if (!result.ok) {
-      this.ledger.check('not-run-is-true', result.error.run !== 'not-run' || !this.#executedRequests.has(request),
-        () => `${request} was refused as not run, but ran`)
-      return
-    }
-    const body = Buffer.from(result.value.answer.body).toString()
-    this.ledger.check('customers-apart', body.startsWith(`${name}#`), () => `${name} was answered ${body}`)
-  }
-
-  async #dispatch (request: string, name: string, timeoutMs: number): Promise<Result<ServiceAnswer, BackendError>> {
-    if (this.simulation.fault('loss', 0.1)) return fail({ kind: 'connect-failed' })
-    await this.simulation.sleep(this.simulation.random() * 50)
-    const runs = (this.#executions.get(name) ?? 0) + 1
-    this.#executions.set(name, runs)
-    this.#executedRequests.add(request)
-    this.ledger.check('at-most-once', runs === 1, () => `${name} ran ${runs} times`)
-    if (this.simulation.fault('loss', 0.15)) {
-      await this.simulation.sleep(timeoutMs)
-      return this.broken === 'not-run-is-true' ? fail({ kind: 'connect-failed' }) : fail({ kind: 'timeout' })
-    }
-    return succeed({ status: 200, contentType: 'text/plain', body: Buffer.from(`${name}#${request}`) })
   }
 
   // --- Faults ---
@@ -378,7 +282,7 @@
     host.frozenUntil = 0
     host.follower = new ViewFollower()
     host.lease = new FreshnessLease(FRESHNESS_MS)
-    host.once = this.#newOnce(host)
+    host.once = this.#keyedCalls.newOnce(host)
   }
 
   /** Silent, one way or both ways; from one process to another, or to all. */
--- /dev/null
+++ b/apps/bench/src/lib/prove/worlds/SimulatedKeyedCalls.ts
@@ -0,0 +1,108 @@
+/** Calls under idempotency keys, through hosts that freeze and restart, to endpoints that may lose answers. */
+import type { BackendError } from '@eelgrassmux/backends/BackendError'
+import type { ServiceAnswer } from '@eelgrassmux/backends/ServiceClient'
+import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import { AtMostOnce } from '@eelgrassmux/entry/plain/AtMostOnce'
+import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import type { Ledger, PromiseName } from '../Ledger.js'
+import type { Simulation } from '../Simulation.js'
+import type { SimulatedProposer } from './SimulatedProposer.js'
+
+/** A host as far as keyed calls go. */
+export interface KeyedHost {
+  readonly name: string
+  readonly incarnation: number
+  readonly frozenUntil: number
+  readonly once: AtMostOnce
+}
+
+/** Keys in use at the same time, and how long, in milliseconds. */
+const KEYS = 8
+const KEYS_MS = 5000
+
+const CUSTOMERS = ['ward', 'clinic']
+
+/** Longest wait for an endpoint, in milliseconds. */
+const CALL_MS = 400
+
+/** Makes calls and checks that each key runs once and each customer gets its own answer. */
+export class SimulatedKeyedCalls {
+  readonly #executions = new Map<string, number>()
+  readonly #executedRequests = new Set<string>()
+
+  /**
+   * @param simulation - schedule
+   * @param ledger - checks
+   * @param broken - promise whose mechanism is taken away
+   * @param proposer - the way to the control hosts
+   */
+  constructor (
+    private readonly simulation: Simulation, private readonly ledger: Ledger, private readonly broken: PromiseName | undefined, private readonly proposer: SimulatedProposer
+  ) {}
+
+  /**
+   * @param host - that runs calls
+   * @returns what it runs them with in its present incarnation
+   */
+  newOnce (host: KeyedHost): AtMostOnce {
+    const { incarnation } = host
+    const isAlive = (): boolean => host.incarnation === incarnation
+    return new AtMostOnce({
+      clock: this.simulation,
+      outcomes: { count: () => {} },
+      work: new WorkGate(),
+      propose: async (command, deadlineMs) => {
+        if (this.broken === 'at-most-once' && command.kind === 'claim') return succeed({ kind: 'claim', result: { kind: 'claimed' } })
+        const result = await this.proposer.propose(host.name, command, deadlineMs, isAlive)
+        await this.#thaw(host)
+        return isAlive() ? result : await new Promise<never>(() => {})
+      }
+    })
+  }
+
+  /**
+   * @param host - that is called
+   * @param request - name of this call, unique
+   */
+  async call (host: KeyedHost, request: string): Promise<void> {
+    const customer = this.simulation.oneOf(CUSTOMERS)
+    const key = `key-${this.simulation.pick(KEYS) + Math.floor(this.simulation.now() / KEYS_MS) * KEYS}`
+    const name = `${customer}/${key}`
+    const { incarnation } = host
+    const result = await host.once.run({
+      record: { customer, service: 'accounts', idempotencyKey: key },
+      fingerprint: Buffer.from(name),
+      timeoutMs: CALL_MS,
+      dispatch: async timeoutMs => {
+        await this.#thaw(host)
+        if (incarnation !== host.incarnation) return await new Promise<never>(() => {})
+        return await this.#dispatch(request, name, timeoutMs)
+      }
+    })
+    if (!result.ok) {
+      this.ledger.check('not-run-is-true', result.error.run !== 'not-run' || !this.#executedRequests.has(request),
+        () => `${request} was refused as not run, but ran`)
+      return
+    }
+    const body = Buffer.from(result.value.answer.body).toString()
+    this.ledger.check('customers-apart', body.startsWith(`${name}#`), () => `${name} was answered ${body}`)
+  }
+
+  async #thaw (host: KeyedHost): Promise<void> {
+    while (this.simulation.now() < host.frozenUntil) await this.simulation.sleep(host.frozenUntil - this.simulation.now())
+  }
+
+  async #dispatch (request: string, name: string, timeoutMs: number): Promise<Result<ServiceAnswer, BackendError>> {
+    if (this.simulation.fault('loss', 0.1)) return fail({ kind: 'connect-failed' })
+    await this.simulation.sleep(this.simulation.random() * 50)
+    const runs = (this.#executions.get(name) ?? 0) + 1
+    this.#executions.set(name, runs)
+    this.#executedRequests.add(request)
+    this.ledger.check('at-most-once', runs === 1, () => `${name} ran ${runs} times`)
+    if (this.simulation.fault('loss', 0.15)) {
+      await this.simulation.sleep(timeoutMs)
+      return this.broken === 'not-run-is-true' ? fail({ kind: 'connect-failed' }) : fail({ kind: 'timeout' })
+    }
+    return succeed({ status: 200, contentType: 'text/plain', body: Buffer.from(`${name}#${request}`) })
+  }
+}
