--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { Ledger } from '../Ledger.js'
-import { FAULT_KINDS, Simulation } from '../Simulation.js'
+import { FAULT_KINDS, Simulation, type FaultKind } from '../Simulation.js'
 import { QuarantineWorld, SMALL_SHAPE, type QuarantineShape } from './QuarantineWorld.js'
 
 const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, deadly: 3, durationMs: 20_000 }
@@ -8,8 +8,8 @@
 const TIMEOUT_MS = 120_000
 
 /** Runs without any network; the same seed gives the same run. */
-async function play (seed: number, shape: QuarantineShape): Promise<Ledger> {
-  const simulation = new Simulation(seed, new Set(FAULT_KINDS))
+async function play (seed: number, shape: QuarantineShape, kinds: readonly FaultKind[] = FAULT_KINDS): Promise<Ledger> {
+  const simulation = new Simulation(seed, new Set(kinds))
   const ledger = new Ledger(() => simulation.executed)
   await new QuarantineWorld(simulation, ledger, undefined, shape).run()
   return ledger
@@ -24,4 +24,17 @@
       expect(ledger.checks.get('bystanders-are-served')).toBeGreaterThan(1000)
     }, TIMEOUT_MS)
   })
+
+  /** No other fault, so that every run that is not allowed counts. */
+  it.each([21, 22, 23])('stay held back when the leading control host is lost for good and all entry hosts start anew (seed %i)', async seed => {
+    const ledger = await play(seed, { ...SMALL_SHAPE, leaderLostAtMs: 8000, hostsRestartAtMs: 14_000 }, ['loss', 'delay', 'duplicate'])
+    expect(ledger.violations).toEqual([])
+    expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(50)
+  }, TIMEOUT_MS)
+
+  it('are found after the loss of the leader that held the first reports', async () => {
+    const ledger = await play(31, { ...SMALL_SHAPE, leaderLostAtMs: 1500 }, ['loss', 'delay', 'duplicate'])
+    expect(ledger.violations).toEqual([])
+    expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(50)
+  }, TIMEOUT_MS)
 })
--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -24,6 +24,10 @@
   readonly deadly: number
   /** Virtual time, in milliseconds. */
   readonly durationMs: number
+  /** When the leading control host is lost for good, in milliseconds; never if absent. */
+  readonly leaderLostAtMs?: number
+  /** When all entry hosts start anew at once, in milliseconds; never if absent. */
+  readonly hostsRestartAtMs?: number
 }
 
 export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, deadly: 2, durationMs: 40_000 }
@@ -108,6 +112,7 @@
     this.#repeatLoop(this.#newRequest(false, 100, 400), 5, 20)
     for (let index = 0; index < this.shape.deadly; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
     this.#faultLoop()
+    this.#scheduleLosses()
     await this.simulation.run({ events: EVENTS, until: this.shape.durationMs })
   }
 
@@ -317,13 +322,26 @@
     })
   }
 
-  #killControl (): void {
+  #scheduleLosses (): void {
+    const { leaderLostAtMs, hostsRestartAtMs } = this.shape
+    if (leaderLostAtMs !== undefined) this.simulation.after(leaderLostAtMs, () => { this.#killLeader() })
+    if (hostsRestartAtMs !== undefined) this.simulation.after(hostsRestartAtMs, () => { for (const host of this.#hosts) this.#restartHost(host) })
+  }
+
+  /** @returns the one that was killed, if the others are enough */
+  #killLeader (): SimulatedLeader | undefined {
     const leader = this.#leader()
-    if (leader === undefined || this.#replicas.some(({ replica }) => !replica.isAlive)) return
+    if (leader === undefined || this.#replicas.some(({ replica }) => !replica.isAlive)) return undefined
     this.#controlDisturbedAt = this.simulation.now()
     leader.replica.kill()
     leader.tally.reset()
     leader.isProposing = false
+    return leader
+  }
+
+  #killControl (): void {
+    const leader = this.#killLeader()
+    if (leader === undefined) return
     this.simulation.after(this.simulation.random() * RESTART_MS, () => {
       this.#controlDisturbedAt = this.simulation.now()
       leader.replica.restart()
