--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -198,9 +198,9 @@
     this.simulation.after(REPORT_MS, () => {
       this.#reportLoop(host)
       const leader = this.#leader()
-      const { name } = leader?.replica.self === undefined ? { name: undefined } : { name: leader.replica.self.id }
-      if (leader === undefined || (!host.isUntold && (host.toldTo === name || host.evidence.size === 0))) return
-      this.#report(host, leader)
+      if (leader === undefined) return
+      const isNewLeader = host.toldTo !== leader.replica.self.id && host.evidence.size > 0
+      if (host.isUntold || isNewLeader) this.#report(host, leader)
     })
   }
 
