--- a/packages/routing/src/lib/endpoints/EngineModel.ts
+++ b/packages/routing/src/lib/endpoints/EngineModel.ts
@@ -28,7 +28,7 @@
 
 /**
  * Assumed until requests say otherwise: 55 ms to a first event, 80 tokens read in a
- * millisecond, and a step that ten running requests make 60 ms longer.
+ * millisecond, and 60 ms more where ten requests run.
  */
 const ASSUMED: Coefficients = [55, 12.5, 12.5, 60]
 
