--- a/apps/entry/src/lib/quarantine/CallQuarantine.ts
+++ b/apps/entry/src/lib/quarantine/CallQuarantine.ts
@@ -1,8 +1,9 @@
 /** The quarantine for calls to endpoints that the configuration names: completions and plain services. */
 import type { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
 import { configuredEndName } from '@eelgrassmux/routing/quarantine/configuredEndName'
-import { requestFingerprint, type RequestIdentity } from '@eelgrassmux/routing/quarantine/requestFingerprint'
+import type { RequestIdentity } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import type { RefusalDetails } from '@eelgrassmux/schema/Refusal'
+import { QuarantineGuard, type HeldBack } from './QuarantineGuard.js'
 import type { RequestQuarantine } from './RequestQuarantine.js'
 
 const MILLISECONDS_PER_SECOND = 1000
@@ -34,32 +35,21 @@
    * @param identity - the call
    */
   guard (service: string, table: EndpointTable, identity: RequestIdentity): CallGuard {
-    let known: string | undefined
-    const fingerprint = (): string => {
-      known ??= requestFingerprint(identity)
-      return known
-    }
+    const guard = new QuarantineGuard(service, identity, this.quarantine)
     return {
-      refusal: () => this.quarantine.isIdle ? undefined : this.#refusal(fingerprint()),
+      refusal: () => toRefusal(guard.heldBack(this.now())),
       noteLost: (endpoint, ranMs) => {
         // One that leaves ends anyway.
-        if (table.isLeaving(endpoint)) return
-        this.quarantine.noteLost({ fingerprint: fingerprint(), service, endpoint: configuredEndName({ endpoint, incarnation: table.incarnation(endpoint) }), ranMs })
+        if (!table.isLeaving(endpoint)) guard.noteLost(configuredEndName({ endpoint, incarnation: table.incarnation(endpoint) }), ranMs)
       },
-      noteWhole: () => { if (!this.quarantine.isIdle) this.quarantine.noteWhole(fingerprint()) }
+      noteWhole: () => { guard.noteWhole() }
     }
   }
+}
 
-  #refusal (fingerprint: string): RefusalDetails | undefined {
-    const heldForMs = this.quarantine.heldForMs(fingerprint, this.now())
-    if (heldForMs === undefined) return undefined
-    return {
-      reason: 'request-quarantined',
-      status: 503,
-      detail: `this request has ended the endpoints that ran it and is held back for now (fingerprint ${fingerprint})`,
-      retryAfterSeconds: Math.ceil(heldForMs / MILLISECONDS_PER_SECOND)
-    }
-  }
+function toRefusal (held: HeldBack | undefined): RefusalDetails | undefined {
+  if (held === undefined) return undefined
+  return { reason: 'request-quarantined', status: 503, detail: held.detail, retryAfterSeconds: Math.ceil(held.forMs / MILLISECONDS_PER_SECOND) }
 }
 
 /** For callers of the tasks that have no quarantine. */
--- a/apps/entry/src/lib/quarantine/QuarantineGuard.ts
+++ b/apps/entry/src/lib/quarantine/QuarantineGuard.ts
@@ -1,14 +1,12 @@
 /** What one request has to do with the quarantine: whether it is held back, and what its attempts show. */
-import { requestFingerprint } from '@eelgrassmux/routing/quarantine/requestFingerprint'
-import type { RoutedAttempt } from '../routed/RoutedAttempt.js'
-import type { RoutedRequest } from '../routed/RoutedRequest.js'
+import { requestFingerprint, type RequestIdentity } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import type { RequestQuarantine } from './RequestQuarantine.js'
 
-/** How a line tells a request that was lost. */
-export interface LostRunFields {
-  readonly fingerprint: string
-  readonly ranMs: number
-  readonly hadEvents: boolean
+/** Why a request is not sent. */
+export interface HeldBack {
+  readonly detail: string
+  /** Milliseconds. */
+  readonly forMs: number
 }
 
 /** Guards one request. */
@@ -17,28 +15,26 @@
   #fingerprint: string | undefined
 
   /**
-   * @param request - what is asked
-   * @param message - method and target as its caller sent them
+   * @param service - that is asked
+   * @param identity - the request
    * @param quarantine - of this host
    */
-  constructor (
-    private readonly request: RoutedRequest,
-    private readonly message: { readonly method?: string | undefined, readonly url?: string | undefined },
-    private readonly quarantine: RequestQuarantine
-  ) {}
+  constructor (private readonly service: string, private readonly identity: RequestIdentity, private readonly quarantine: RequestQuarantine) {}
 
   get fingerprint (): string {
-    const { method = 'GET', url = '/' } = this.message
-    this.#fingerprint ??= requestFingerprint({ customer: this.request.customer?.name, method, target: url, body: this.request.body })
+    this.#fingerprint ??= requestFingerprint(this.identity)
     return this.#fingerprint
   }
 
   /**
    * @param now - monotonic milliseconds
-   * @returns milliseconds for which the request is held back; undefined if it may be sent
+   * @returns undefined if the request may be sent
    */
-  heldForMs (now: number): number | undefined {
-    return this.quarantine.isIdle ? undefined : this.quarantine.heldForMs(this.fingerprint, now)
+  heldBack (now: number): HeldBack | undefined {
+    if (this.quarantine.isIdle) return undefined
+    const forMs = this.quarantine.heldForMs(this.fingerprint, now)
+    if (forMs === undefined) return undefined
+    return { forMs, detail: `this request has ended the endpoints that ran it and is held back for now (fingerprint ${this.fingerprint})` }
   }
 
   /** Notes that the request came through whole. */
@@ -47,24 +43,12 @@
   }
 
   /**
-   * Whoever was at an endpoint when it ended may be the one that ended it. One that leaves ends anyway.
+   * Whoever was at an endpoint when it ended may be the one that ended it.
    *
-   * @param attempt - that was lost
-   * @param now - monotonic milliseconds
-   */
-  noteLost ({ choice: { endpoint }, wasSent, startedAt }: RoutedAttempt, now: number): void {
-    if (!wasSent || endpoint.isLeaving) return
-    this.quarantine.noteLost({ fingerprint: this.fingerprint, service: this.request.service.name, endpoint: endpoint.incarnation, ranMs: now - startedAt })
-  }
-
-  /**
-   * Tells requests that ended with an endpoint apart, and the same one under other ids.
-   *
-   * @param attempt - that was lost
-   * @param hadEvents - whether any event came
-   * @param now - monotonic milliseconds
+   * @param endpoint - incarnation with which the request was lost
+   * @param ranMs - milliseconds since it was sent there
    */
-  describeLost ({ startedAt }: RoutedAttempt, hadEvents: boolean, now: number): LostRunFields {
-    return { fingerprint: this.fingerprint, ranMs: Math.round(now - startedAt), hadEvents }
+  noteLost (endpoint: string, ranMs: number): void {
+    this.quarantine.noteLost({ fingerprint: this.fingerprint, service: this.service, endpoint, ranMs })
   }
 }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -56,6 +56,8 @@
 
   /** Whether the first byte may have left. */
   get wasSent (): boolean { return this.#wasSent }
+  /** Milliseconds since it was made. */
+  get ageMs (): number { return performance.now() - this.startedAt }
   get hasHead (): boolean { return this.#head !== undefined }
 
   /** @param request - what to send */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -3,21 +3,24 @@
  * on, and goes on elsewhere where that is allowed. The bytes of request and
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
-import { nextStep, type AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
+import type { AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
-import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
+import { refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
 import { admitRouted, type RoutedAdmission } from './admitRouted.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import { AnswerTimes } from './AnswerTimes.js'
+import { AttemptRecord, MAY_HAVE_RUN } from './AttemptRecord.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { EndpointConnection } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
 import { describePlacement } from './describePlacement.js'
+import { endpointFields } from './endpointFields.js'
 import { learnFromFailure } from './learnFromFailure.js'
 import { learnFromFirstEvent } from './learnFromFirstEvent.js'
+import { learnFromHead } from './learnFromHead.js'
 import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
@@ -30,17 +33,12 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
-/** Failures after which the request may have run. */
-const MAY_HAVE_RUN: ReadonlySet<AttemptFailure> = new Set(['lost', 'broken-stream'])
-
 /** One request. */
 export class RoutedRequestTask {
-  readonly #dispatch = new DispatchRecord()
+  readonly #attempts = new AttemptRecord()
   readonly #tried = new Set<string>()
   readonly #deadline: number
   #attempt: RoutedAttempt | undefined
-  #sends = 0
-  #runs = 0
   readonly #relay: AnswerRelay
   #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
@@ -65,7 +63,8 @@
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
     this.#times = new AnswerTimes(request, ports)
-    this.#guard = new QuarantineGuard(request, exchange.request, ports.quarantine)
+    const { method = 'GET', url: target = '/' } = exchange.request
+    this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine)
     this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
@@ -83,7 +82,7 @@
    * @param details - what it was made of
    */
   logStop<Event extends keyof typeof stopDecisions> (event: Event, details: DecisionFields<Event>): void {
-    this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, hadEvents: this.#times.hasFirstEvent })
+    this.#decided(event, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, hadEvents: this.#times.hasFirstEvent })
   }
 
   /**
@@ -100,7 +99,7 @@
       this.#breakOff('stop')
       return
     }
-    this.#refuse(this.#dispatch.mayHaveRun ? 'endpoint-failed' : 'draining', 503, 'this host had to stop before the answer was there')
+    this.#refuse(this.#attempts.mayHaveRun ? 'endpoint-failed' : 'draining', 503, 'this host had to stop before the answer was there')
   }
 
   // --- Attempts ---
@@ -113,7 +112,7 @@
   #tryNext (): void {
     if (this.#isHeldBack()) return
     // Also asked of requests that have waited since before the stop began.
-    if (!this.#dispatch.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
+    if (!this.#attempts.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
       return
     }
@@ -133,28 +132,21 @@
       this.#tryNext()
       return
     }
-    this.#sends += 1
+    this.#attempts.noteSend()
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
     attempt.send({
       method: this.exchange.request.method ?? 'GET',
       target: this.exchange.request.url ?? '/',
-      headers: this.ports.codec.writeEndpoint(this.exchange.request.rawHeaders, {
-        instance: endpoint.id,
-        remainingMs: Math.max(1, Math.floor(this.#deadline - performance.now())),
-        customer: this.request.customer?.name,
-        lastEventId: this.#relay.lastEventId,
-        priority: choice.version === undefined ? undefined : this.ports.fleet.mechanisms.engineRank(this.request.customer?.priority, this.request.route.priority, admission.isExpectedLate),
-        version: choice.version,
-        cacheSalt: choice.version === undefined ? undefined : this.#prompt?.scope(choice.version),
-        stores: choice.version === undefined ? undefined : this.#prompt?.transfers(choice, choice.version, this.#deadline)
-      }),
+      headers: this.ports.codec.writeEndpoint(this.exchange.request.rawHeaders, endpointFields(this.request, choice, this.ports.fleet, {
+        prompt: this.#prompt, lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate: admission.isExpectedLate
+      }, performance.now())),
       body: this.request.body
     })
     this.#prompt?.recordSend(choice)
     this.#silence.stop()
-    const mayRunElsewhere = (this.#relay.canResume || this.request.route.kind === 'safe') && this.#sends < this.request.route.attempts
+    const mayRunElsewhere = (this.#relay.canResume || this.request.route.kind === 'safe') && this.#attempts.sends < this.request.route.attempts
     if (mayRunElsewhere) this.#watchSilence(attempt)
   }
 
@@ -163,10 +155,9 @@
    * known. It takes an endpoint, with all that runs there, each time.
    */
   #isHeldBack (): boolean {
-    const heldForMs = this.#guard.heldForMs(performance.now())
-    if (heldForMs === undefined) return false
-    this.#refuse('request-quarantined', 503, `this request has ended the endpoints that ran it and is held back for now (fingerprint ${this.#guard.fingerprint})`, heldForMs)
-    return true
+    const held = this.#guard.heldBack(performance.now())
+    if (held !== undefined) this.#refuse('request-quarantined', 503, held.detail, held.forMs)
+    return held !== undefined
   }
 
   #canEndBeforeStop (): boolean {
@@ -201,10 +192,7 @@
 
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
     const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.fleet, this.ports.codec, {
-      sending: () => {
-        this.#runs += 1
-        this.#dispatch.markDispatched()
-      },
+      sending: () => { this.#attempts.noteRun() },
       head: (head, resume) => { this.#onHead(attempt, head, resume) },
       data: chunk => this.#onData(attempt, chunk),
       complete: () => { this.#onComplete(attempt) },
@@ -214,11 +202,7 @@
   }
 
   #onHead (attempt: RoutedAttempt, head: AnswerHead, resume: () => void): void {
-    const { endpoint } = attempt.choice
-    const now = performance.now()
-    if (head.fields.load !== undefined) endpoint.observeLoad(head.fields.load, now)
-    const model = this.request.fields.prompt?.model
-    if (model !== undefined && head.fields.version !== undefined) endpoint.learnVersion(model, head.fields.version)
+    learnFromHead(attempt.choice.endpoint, this.request.fields.prompt?.model, head, performance.now())
     if (!head.fields.isNotExecuted) this.#relay.begin(head, resume)
   }
 
@@ -261,34 +245,35 @@
       this.#times.noteWhole()
       this.#guard.noteWhole()
     }
-    if (this.request.route.kind !== 'stream') endpoint.observeLatency(performance.now() - attempt.startedAt)
+    if (this.request.route.kind !== 'stream') endpoint.observeLatency(attempt.ageMs)
     this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
     this.#relay.complete()
   }
 
   #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
-    const now = performance.now()
     const mayHaveRun = MAY_HAVE_RUN.has(failure)
-    if (mayHaveRun) this.#guard.noteLost(attempt, now)
+    if (mayHaveRun) this.#noteLost(attempt)
     this.#decided('attempt-failed', {
       endpoint: attempt.choice.endpoint.id,
       failure,
       detail,
-      sends: this.#sends,
-      runs: this.#runs,
-      remainingMs: Math.round(this.#deadline - now),
-      ...(mayHaveRun ? this.#guard.describeLost(attempt, this.#times.hasFirstEvent, now) : {})
+      sends: this.#attempts.sends,
+      runs: this.#attempts.runs,
+      remainingMs: Math.round(this.#deadline - performance.now()),
+      ...(mayHaveRun ? { fingerprint: this.#guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: this.#times.hasFirstEvent } : {})
     })
   }
 
+  /** One that leaves ends anyway, whatever it runs. */
+  #noteLost ({ choice: { endpoint }, wasSent, ageMs }: RoutedAttempt): void {
+    if (wasSent && !endpoint.isLeaving) this.#guard.noteLost(endpoint.incarnation, ageMs)
+  }
+
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
     const { endpoint } = attempt.choice
     learnFromFailure(this.ports.fleet, endpoint, failure, head)
-    if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) {
-      this.#runs -= 1
-      this.#dispatch.markNotStarted()
-    }
+    if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) this.#attempts.noteNotRun()
     this.#relay.dropIncomplete()
     this.#attemptFailed(attempt, failure, detail)
     if (this.exchange.hasHead && !this.#relay.canResume) {
@@ -308,16 +293,7 @@
 
   /** Whether a further attempt is allowed after such a failure; spends the budget for it. */
   #reserveRepeat (failure: AttemptFailure): boolean {
-    const { route } = this.request
-    const step = nextStep({
-      kind: route.kind,
-      isResumable: route.isResumable,
-      failure,
-      runs: this.#runs,
-      sends: this.#sends,
-      maximumRuns: route.attempts,
-      remainingMs: this.#deadline - performance.now()
-    })
+    const step = this.#attempts.nextStep(this.request.route, failure, this.#deadline - performance.now())
     if (step.kind === 'give-up') return false
     if (!this.exchange.hasHead && !this.#canEndBeforeStop()) return false
     if (step.spendsBudget && !this.ports.allowance.trySpend()) {
@@ -334,7 +310,7 @@
       this.#breakOff(failure, detail)
       return
     }
-    if (this.#dispatch.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
+    if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
   }
 
@@ -382,7 +358,7 @@
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
-    if (outcome !== undefined) this.#guard.noteLost(attempt, performance.now())
+    if (outcome !== undefined) this.#noteLost(attempt)
     if (outcome !== undefined && !attempt.hasHead) this.ports.fleet.observe(endpoint, outcome)
     attempt.cancel()
   }
@@ -399,9 +375,9 @@
       return
     }
     // A status that promises that nothing ran needs the proof.
-    const status = wantedStatus === 503 && this.#dispatch.mayHaveRun ? 502 : wantedStatus
+    const status = wantedStatus === 503 && this.#attempts.mayHaveRun ? 502 : wantedStatus
     const retryAfterSeconds = status === 503 ? pauseSeconds(reason, wantedReturnMs, this.#deadline - performance.now()) : undefined
-    const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#dispatch)
+    const refusal = refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, this.#attempts.dispatch)
     this.ports.refusals.count(reason)
     this.#finish('refused', { reason, status, run: refusal.run, detail, retryAfterSeconds: retryAfterSeconds ?? 0 })
     this.exchange.refuse(refusal)
@@ -412,7 +388,7 @@
     clearTimeout(this.#timer)
     this.#silence.stop()
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
-      this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#sends, runs: this.#runs })
+      this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, runs: this.#attempts.runs })
     }
   }
 
