Losses are told to a new leader when there is one, not looked for five times a second

EndReporter looked for a new leader every 0.2 s for two minutes after a loss; ControlLink now says when another control host leads. Less to wake for, and all that is held is told, not only by hosts with a loss of the last two minutes.

--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -140,6 +140,7 @@
   })
   const port = await callers.listen(settings.host, settings.port)
 
+  link.onLeader(() => { endReporter.leaderChanged() })
   link.onChange(() => {
     fleet.configure(link.configuration)
     requestQuarantine.logChanges(link.viewRevision, performance.now())
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -131,6 +131,7 @@
     fleet.storedParts.configure(site.services.filter(service => service.type === 'store'))
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
   }
+  link.onLeader(() => { endReporter.leaderChanged() })
   link.onChange(() => {
     olderWeights.observe(link.weights, performance.now())
     quarantine.logChanges(link.viewRevision, performance.now())
--- a/apps/entry/src/lib/quarantine/EndReporter.ts
+++ b/apps/entry/src/lib/quarantine/EndReporter.ts
@@ -11,11 +11,8 @@
 /** Pause in which the losses of one endpoint's end come together, in milliseconds. */
 const GATHER_MS = 20
 
-/** Interval at which it is looked whether something is to be told, in milliseconds, after the first look. */
-const LOOK_MS = 200
-
-/** Time after the last loss for which it is told to each new leader, in milliseconds: a request that ends endpoints comes again sooner. */
-const TELL_AGAIN_MS = 120_000
+/** Pause before it is told again what was not taken, in milliseconds. */
+const RETRY_MS = 200
 
 /** Deadline of a call, in milliseconds. */
 const CALL_MS = 1000
@@ -34,9 +31,9 @@
   readonly #cameThrough = new Set<string>()
   readonly #reports: LabelledCounter
   #isUntold = false
-  #toldTo: string | undefined
   #timer: NodeJS.Timeout | undefined
   #isTelling = false
+  #isStopped = false
 
   /**
    * @param host - name of this host
@@ -62,13 +59,21 @@
     this.#schedule(GATHER_MS)
   }
 
+  /** Call when another control host leads: it has heard nothing yet. */
+  leaderChanged (): void {
+    if (this.#evidence.size === 0) return
+    this.#isUntold = true
+    this.#schedule(GATHER_MS)
+  }
+
   /** Ends telling. */
   stop (): void {
+    this.#isStopped = true
     clearTimeout(this.#timer)
-    this.#timer = undefined
   }
 
   #schedule (delayMs: number): void {
+    if (this.#isStopped) return
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined
       this.#look()
@@ -77,9 +82,9 @@
 
   #look (): void {
     const leader = this.ports.leader()
-    const isNewLeader = leader !== this.#toldTo && this.#evidence.size > 0
-    if (leader !== undefined && (this.#isUntold || isNewLeader) && !this.#isTelling) void this.#tell(leader)
-    if (this.#isUntold || this.#isTelling || performance.now() - this.#evidence.newestAt < TELL_AGAIN_MS) this.#schedule(LOOK_MS)
+    if (!this.#isUntold || this.#isTelling) return
+    if (leader === undefined) this.#schedule(RETRY_MS)
+    else void this.#tell(leader)
   }
 
   async #tell (leader: string): Promise<void> {
@@ -88,13 +93,10 @@
     const cameThrough = [...this.#cameThrough]
     const answer = await this.ports.rpc.call(leader, reportEnds, { host: this.host, ends: this.#evidence.reports(performance.now()), cameThrough }, CALL_MS)
     this.#isTelling = false
-    if (answer.ok && answer.value.isTaken) {
-      this.#toldTo = leader
-      for (const fingerprint of cameThrough) this.#cameThrough.delete(fingerprint)
-      this.#reports.count('taken')
-      return
-    }
-    this.#isUntold = true
-    this.#reports.count(answer.ok ? 'not-leader' : answer.error.kind)
+    const isTaken = answer.ok && answer.value.isTaken
+    if (isTaken) for (const fingerprint of cameThrough) this.#cameThrough.delete(fingerprint)
+    else this.#isUntold = true
+    this.#reports.count(isTaken ? 'taken' : answer.ok ? 'not-leader' : answer.error.kind)
+    if (this.#isUntold) this.#schedule(isTaken ? GATHER_MS : RETRY_MS)
   }
 }
--- a/apps/entry/src/lib/quarantine/quarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/quarantine.test.ts
@@ -197,10 +197,28 @@
     reporter.noteLost(run)
     await until(() => told.length === 1)
     leader = 'c2'
+    reporter.leaderChanged()
     await until(() => told.length === 2)
     expect(told[1]).toMatchObject({ leader: 'c2', request: { ends: [{ endpoint: 'e1' }] } })
   })
 
+  it('tells nobody anything of a change of leader while it holds nothing', async () => {
+    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    reporter.leaderChanged()
+    await sleep(100)
+    expect(told).toEqual([])
+  })
+
+  it('tells what is lost while it is telling', async () => {
+    const { reporter, told } = reporterTo(() => 'c1', () => {
+      if (told.length === 1) reporter.noteLost(run)
+      return 'taken'
+    })
+    reporter.noteLost(run)
+    await until(() => told.length === 2)
+    expect(told.map(({ request }) => request.ends.length)).toEqual([1, 2])
+  })
+
   it('tells what came through, and holds no loss against it any more', async () => {
     const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
     reporter.noteLost(run)
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -63,6 +63,7 @@
   #watchTurn = 0
   #watchRestart = new AbortController()
   #listeners: Array<() => void> = []
+  readonly #leaderListeners: Array<() => void> = []
   readonly #endpoints: EndpointListFollower
   /** Control host that stated that it has applied a newer view than this host. */
   #newer: { readonly address: string, readonly view: number, readonly heardAt: number } | undefined
@@ -86,7 +87,7 @@
       report: () => this.#report(),
       isHurried: () => this.viewRevision === 0 || this.#leader === undefined,
       onStatement: (address, statement, askedAt) => { this.#takeStatement(address, statement, askedAt) },
-      onSilence: address => { if (this.#leader === address) this.#leader = undefined },
+      onSilence: address => { if (this.#leader === address) this.#setLeader(undefined) },
       onLook: lateMs => {
         this.#lagMs = lateMs
         if (this.#isWatchStuck()) this.#watchRestart.abort()
@@ -146,6 +147,11 @@
     this.#listeners.push(listener)
   }
 
+  /** @param listener - called when another control host leads, or none is known to */
+  onLeader (listener: () => void): void {
+    this.#leaderListeners.push(listener)
+  }
+
   /**
    * Follows what stores hold, through a watch of its own.
    *
@@ -235,7 +241,7 @@
     if (stated === undefined) return
     this.#lease.observe({ ...statement, membership: stated, askedAt })
     if (appliedView > this.viewRevision && appliedView > (this.#newer?.view ?? 0)) this.#newer = { address, view: appliedView, heardAt: performance.now() }
-    if (leader !== '') this.#leader = leader
+    if (leader !== '') this.#setLeader(leader)
     this.#endpoints.confirm(address, watched, askedAt)
     for (const follower of this.#storesFollowed) follower.confirm(address, watched, askedAt)
   }
@@ -251,6 +257,12 @@
     return this.#leader === undefined ? addresses : [this.#leader, ...addresses.filter(address => address !== this.#leader)]
   }
 
+  #setLeader (leader: string | undefined): void {
+    if (leader === this.#leader) return
+    this.#leader = leader
+    for (const listener of this.#leaderListeners) listener()
+  }
+
   #notify (): void {
     for (const listener of this.#listeners) listener()
   }
