--- a/apps/bench/src/lib/measure/measureQuarantineSlopes.ts
+++ b/apps/bench/src/lib/measure/measureQuarantineSlopes.ts
@@ -1,18 +1,18 @@
-/** What it costs to find and hold back requests that end endpoints. */
+/** What it costs to find and quarantine requests that crash endpoints. */
 import { randomBytes } from 'node:crypto'
-import { tellVerdicts } from '@eelgrassmux/control/quarantine/tellVerdicts'
-import { EndEvidence } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
-import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/endReport'
+import { quarantineMessage } from '@eelgrassmux/control/quarantine/quarantineMessage'
+import { CrashEvidence } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import { CrashCorrelator } from '@eelgrassmux/routing/quarantine/CrashCorrelator'
+import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/crashReport'
 import { requestFingerprint } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import { encodeMessage } from '@eelgrassmux/rpc/RpcMethod'
-import type { RequestVerdict } from '@eelgrassmux/schema/requestVerdict'
-import { VerdictRegister } from '@eelgrassmux/state/VerdictRegister'
+import type { QuarantineEntry } from '@eelgrassmux/schema/quarantineEntry'
+import { QuarantineRegister } from '@eelgrassmux/state/QuarantineRegister'
 import type { Point } from './fit.js'
 import { heapOf } from './heapOf.js'
 import { slopeReport } from './slopeReport.js'
 
-/** Requests at each endpoint that ends, the most that the tally keeps. */
+/** Requests at each endpoint that ends, the most that the correlator keeps. */
 const REQUESTS_OF_END = 256
 
 /** Repeats of what takes too short to be timed once. */
@@ -29,19 +29,19 @@
 export function measureQuarantineSlopes (print: (line: string) => void): void {
   const report = slopeReport(print)
   const sizes = [2000, 8000, 32_000]
-  report('memory of a reported loss on the leader', 'bytes', heapOf(sizes, size => ({ tally: tallyOf(size) })))
+  report('memory of a reported loss on the leader', 'bytes', heapOf(sizes, size => ({ correlator: correlatorOf(size) })))
   report('memory of a loss on an entry host', 'bytes', heapOf([64, 128, MOST_REPORTS_OF_HOST], size => ({ evidence: evidenceOf(size) })))
-  report('memory of a verdict', 'bytes', heapOf([100, 300, 500], size => ({ register: registerOf(size) })))
-  report('processor time of a reported loss on the leader', 'seconds', secondsOf(sizes, size => { tallyOf(size) }))
+  report('memory of an entry', 'bytes', heapOf([100, 300, 500], size => ({ register: registerOf(size) })))
+  report('processor time of a reported loss on the leader', 'seconds', secondsOf(sizes, size => { correlatorOf(size) }))
   report('processor time of a look of the leader, for each loss that it holds', 'seconds', sizes.map(size => timedLook(size)))
   report('processor time of a fingerprint, for each byte of the body', 'seconds', secondsOf([1000, 10_000, 100_000], size => {
     const body = Buffer.alloc(size)
     for (let count = 0; count < REPEATS; count += 1) requestFingerprint({ customer: 'ward', method: 'POST', target: '/a', body })
   }).map(({ size, value }) => ({ size, value: value / REPEATS })))
-  const ends = evidenceOf(MOST_REPORTS_OF_HOST).reports(0)
-  print(`size of the largest report of losses: ${encodeMessage({ host: '10.0.0.1:7400', ends, cameThrough: [] }).length} bytes, of one with 8: ${encodeMessage({ host: '10.0.0.1:7400', ends: ends.slice(0, 8), cameThrough: [] }).length}`)
+  const losses = evidenceOf(MOST_REPORTS_OF_HOST).reports(0)
+  print(`size of the largest report of losses: ${encodeMessage({ host: '10.0.0.1:7400', losses, completed: [] }).length} bytes, of one with 8: ${encodeMessage({ host: '10.0.0.1:7400', losses: losses.slice(0, 8), completed: [] }).length}`)
   const register = registerOf(500)
-  print(`size of 500 verdicts in a view: ${encodeMessage(tellVerdicts(register, undefined, 0)).length} bytes, of one: ${encodeMessage(tellVerdicts(register, [fingerprintOf(1)], 0)).length}`)
+  print(`size of 500 entries in a view: ${encodeMessage(quarantineMessage(register, undefined, 0)).length} bytes, of one: ${encodeMessage(quarantineMessage(register, [fingerprintOf(1)], 0)).length}`)
 }
 
 function fingerprintOf (number: number): string {
@@ -53,40 +53,40 @@
   return randomBytes(16).toString('hex')
 }
 
-function tallyOf (size: number): EndTally {
-  const tally = new EndTally()
+function correlatorOf (size: number): CrashCorrelator {
+  const correlator = new CrashCorrelator()
   for (let loss = 0; loss < size; loss += 1) {
     const end = Math.floor(loss / REQUESTS_OF_END)
     // One in twenty was lost before, as requests are that were repeated.
     const fingerprint = loss % REPEATED_EACH === 0 ? fingerprintOf(loss % MOST_REPEATED) : freshFingerprint()
-    tally.observe({ fingerprint, service: 'pool', endpoint: `i-${end.toString(16).padStart(10, '0')}`, agoMs: 0, ranMs: 100 }, end * END_GAP_MS)
+    correlator.observe({ fingerprint, service: 'pool', endpoint: `i-${end.toString(16).padStart(10, '0')}`, agoMs: 0, ranMs: 100 }, end * END_GAP_MS)
   }
-  return tally
+  return correlator
 }
 
-function evidenceOf (size: number): EndEvidence {
-  const evidence = new EndEvidence()
+function evidenceOf (size: number): CrashEvidence {
+  const evidence = new CrashEvidence()
   for (let loss = 0; loss < size; loss += 1) evidence.note({ fingerprint: freshFingerprint(), service: 'pool', endpoint: 'i-0123456789', ranMs: 123.456 }, 0)
   return evidence
 }
 
-function registerOf (size: number): VerdictRegister {
-  const register = new VerdictRegister()
-  register.restore(Array.from({ length: size }, (_, number): RequestVerdict =>
+function registerOf (size: number): QuarantineRegister {
+  const register = new QuarantineRegister()
+  register.restore(Array.from({ length: size }, (_, number): QuarantineEntry =>
     ({ fingerprint: fingerprintOf(number), service: 'model-pool', state: 'quarantined', endsAt: 1_790_000_000_000 + number, quarantines: 1 })))
   return register
 }
 
 function timedLook (size: number): Point {
-  const tally = tallyOf(size)
-  const agreed = new VerdictRegister()
-  for (const endpoint of tally.uncertainEnds(agreed)) tally.settle(endpoint, true, 0)
+  const correlator = correlatorOf(size)
+  const agreed = new QuarantineRegister()
+  for (const endpoint of correlator.unconfirmedCrashes(agreed)) correlator.settle(endpoint, true, 0)
   const now = size / REQUESTS_OF_END * END_GAP_MS
   const startedAt = performance.now()
   const looks = 10
   for (let look = 0; look < looks; look += 1) {
-    tally.uncertainEnds(agreed)
-    tally.judge(agreed, now)
+    correlator.unconfirmedCrashes(agreed)
+    correlator.decide(agreed, now)
   }
   return { size, value: (performance.now() - startedAt) / looks / 1000 }
 }
--- a/apps/bench/src/lib/prove/Ledger.ts
+++ b/apps/bench/src/lib/prove/Ledger.ts
@@ -3,7 +3,7 @@
 /** The promises of the product. */
 export const PROMISES = [
   'no-freed-or-partial-block', 'customers-apart', 'one-weight-version', 'whole-answers', 'not-run-is-true', 'at-most-once',
-  'leaving-gets-no-work', 'graceful-stop', 'configuration-never-reverts', 'complete-before-commands', 'ends-few-endpoints',
+  'leaving-gets-no-work', 'graceful-stop', 'configuration-never-reverts', 'complete-before-commands', 'poison-requests-stop',
   'bystanders-are-served'
 ] as const
 
--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
@@ -3,7 +3,7 @@
 import { FAULT_KINDS, Simulation, type FaultKind } from '../Simulation.js'
 import { QuarantineWorld, SMALL_SHAPE, type QuarantineShape } from './QuarantineWorld.js'
 
-const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, deadly: 3, durationMs: 20_000 }
+const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, poison: 3, durationMs: 20_000 }
 
 const TIMEOUT_MS = 120_000
 
@@ -15,26 +15,26 @@
   return ledger
 }
 
-describe('requests that end endpoints', () => {
+describe('requests that crash endpoints', () => {
   describe.each([['8 hosts', SMALL_SHAPE], ['195 hosts', LARGE_SHAPE]])('before %s', (_name, shape) => {
-    it.each([11, 12, 13])('are held back, and nobody else is (seed %i)', async seed => {
+    it.each([11, 12, 13])('are quarantined, and nobody else is (seed %i)', async seed => {
       const ledger = await play(seed, shape)
       expect(ledger.violations).toEqual([])
-      expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(0)
+      expect(ledger.checks.get('poison-requests-stop')).toBeGreaterThan(0)
       expect(ledger.checks.get('bystanders-are-served')).toBeGreaterThan(1000)
     }, TIMEOUT_MS)
   })
 
   /** No other fault, so that every run that is not allowed counts. */
-  it.each([21, 22, 23])('stay held back when the leading control host is lost for good and all entry hosts start anew (seed %i)', async seed => {
+  it.each([21, 22, 23])('stay quarantined when the leading control host is lost for good and all entry hosts start anew (seed %i)', async seed => {
     const ledger = await play(seed, { ...SMALL_SHAPE, leaderLostAtMs: 8000, hostsRestartAtMs: 14_000 }, ['loss', 'delay', 'duplicate'])
     expect(ledger.violations).toEqual([])
-    expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(50)
+    expect(ledger.checks.get('poison-requests-stop')).toBeGreaterThan(50)
   }, TIMEOUT_MS)
 
   it('are found after the loss of the leader that held the first reports', async () => {
     const ledger = await play(31, { ...SMALL_SHAPE, leaderLostAtMs: 1500 }, ['loss', 'delay', 'duplicate'])
     expect(ledger.violations).toEqual([])
-    expect(ledger.checks.get('ends-few-endpoints')).toBeGreaterThan(50)
+    expect(ledger.checks.get('poison-requests-stop')).toBeGreaterThan(50)
   }, TIMEOUT_MS)
 })
--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -1,14 +1,14 @@
 /**
  * Entry hosts before endpoints, among whose requests some end each endpoint that runs them and come again
  * at any host, under kills and freezes of control hosts, restarts of entry hosts, racks that fail and
- * connections that break. Checks that such a request stops being sent, and that no other is held back.
+ * connections that break. Checks that such a request stops being sent, and that no other is quarantined.
  */
 import type { PersistentState, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
-import { tellVerdicts } from '@eelgrassmux/control/quarantine/tellVerdicts'
-import { EndEvidence } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import { EndTally } from '@eelgrassmux/routing/quarantine/EndTally'
-import type { EndReport } from '@eelgrassmux/routing/quarantine/endReport'
-import type { Judgement } from '@eelgrassmux/schema/requestVerdict'
+import { quarantineMessage } from '@eelgrassmux/control/quarantine/quarantineMessage'
+import { CrashEvidence } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import { CrashCorrelator } from '@eelgrassmux/routing/quarantine/CrashCorrelator'
+import type { CrashReport } from '@eelgrassmux/routing/quarantine/crashReport'
+import type { QuarantineDecision } from '@eelgrassmux/schema/quarantineEntry'
 import { ViewFollower } from '@eelgrassmux/view/ViewFollower'
 import type { Ledger, PromiseName } from '../Ledger.js'
 import type { Simulation } from '../Simulation.js'
@@ -21,7 +21,7 @@
   readonly hosts: number
   readonly endpoints: number
   readonly requestsPerSecond: number
-  readonly deadly: number
+  readonly poison: number
   /** Virtual time, in milliseconds. */
   readonly durationMs: number
   /** When the leading control host is lost for good, in milliseconds; never if absent. */
@@ -30,7 +30,7 @@
   readonly hostsRestartAtMs?: number
 }
 
-export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, deadly: 2, durationMs: 40_000 }
+export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, poison: 2, durationMs: 40_000 }
 
 const REPLICAS = 3
 
@@ -62,8 +62,8 @@
   readonly name: string
   incarnation: number
   startedAt: number
-  evidence: EndEvidence
-  cameThrough: Set<string>
+  evidence: CrashEvidence
+  completed: Set<string>
   follower: ViewFollower
   isUntold: boolean
   toldTo: string | undefined
@@ -71,7 +71,7 @@
 
 interface SimulatedLeader {
   readonly replica: SimulatedReplica
-  readonly tally: EndTally
+  readonly correlator: CrashCorrelator
   isProposing: boolean
 }
 
@@ -96,7 +96,7 @@
   ) {
     const voters = Array.from({ length: REPLICAS }, (_, index): Replica => ({ id: `control-${index}`, address: `control-${index}` }))
     const disk: PersistentState = { term: 1, votedFor: undefined, snapshot: undefined, entries: [{ kind: 'membership', index: 1, term: 1, membership: { voters, learners: [] } }] }
-    this.#replicas = voters.map(self => ({ replica: this.#newReplica(self, disk), tally: new EndTally(), isProposing: false }))
+    this.#replicas = voters.map(self => ({ replica: this.#newReplica(self, disk), correlator: new CrashCorrelator(), isProposing: false }))
     this.#hosts = Array.from({ length: shape.hosts }, (_, index) => newHost(`host-${index}`))
     this.#pool = new SimulatedPool(simulation, shape.endpoints)
   }
@@ -110,7 +110,7 @@
     this.#trafficLoop()
     // One that is at most endpoints at any time.
     this.#repeatLoop(this.#newRequest(false, 100, 400), 5, 20)
-    for (let index = 0; index < this.shape.deadly; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
+    for (let index = 0; index < this.shape.poison; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
     this.#faultLoop()
     this.#scheduleLosses()
     await this.simulation.run({ events: EVENTS, until: this.shape.durationMs })
@@ -118,9 +118,9 @@
 
   // --- Requests ---
 
-  #newRequest (isDeadly: boolean, leastMs: number, mostMs: number): PoolRequest {
+  #newRequest (isPoison: boolean, leastMs: number, mostMs: number): PoolRequest {
     this.#nextRequest += 1
-    return { fingerprint: this.#nextRequest.toString(16).padStart(32, '0'), isDeadly, durationMs: () => this.#between(leastMs, mostMs) }
+    return { fingerprint: this.#nextRequest.toString(16).padStart(32, '0'), isPoison, durationMs: () => this.#between(leastMs, mostMs) }
   }
 
   #between (least: number, most: number): number {
@@ -146,17 +146,17 @@
     const host = this.simulation.oneOf(this.#hosts)
     // A host that knows no site yet serves nobody.
     if (host.follower.viewRevision === 0) return
-    if (host.follower.verdicts.find(request.fingerprint)?.state === 'quarantined') {
-      if (request.isDeadly) this.ledger.check('ends-few-endpoints', true, () => '')
-      this.ledger.check('bystanders-are-served', request.isDeadly, () => `${request.fingerprint} ended no endpoint and is held back at ${host.name}`)
+    if (host.follower.quarantine.find(request.fingerprint)?.state === 'quarantined') {
+      if (request.isPoison) this.ledger.check('poison-requests-stop', true, () => '')
+      this.ledger.check('bystanders-are-served', request.isPoison, () => `${request.fingerprint} ended no endpoint and is quarantined at ${host.name}`)
       return
     }
-    if (request.isDeadly) this.#checkDeadly(host, request)
+    if (request.isPoison) this.#checkPoison(host, request)
     const { incarnation } = host
     this.#pool.run(request, {
       whole: run => { if (host.incarnation === incarnation) this.#noteWhole(host, run) },
       lost: run => {
-        if (request.isDeadly) this.#noteEnd(request, run)
+        if (request.isPoison) this.#noteEnd(request, run)
         if (host.incarnation === incarnation) this.#noteLost(host, run)
         if (repeats > 0) this.simulation.after(this.#between(0, 300), () => { this.#send(request, repeats - 1) })
       }
@@ -165,8 +165,8 @@
 
   #noteWhole (host: SimulatedHost, { request }: PoolRun): void {
     this.ledger.check('bystanders-are-served', true, () => '')
-    if (host.follower.verdicts.find(request.fingerprint) === undefined) return
-    host.cameThrough.add(request.fingerprint)
+    if (host.follower.quarantine.find(request.fingerprint) === undefined) return
+    host.completed.add(request.fingerprint)
     host.evidence.forget(request.fingerprint)
     host.isUntold = true
   }
@@ -178,18 +178,18 @@
   }
 
   #noteEnd ({ fingerprint }: PoolRequest, { endpoint }: PoolRun): void {
-    if (!this.#pool.hasEnded(endpoint)) return
+    if (!this.#pool.hasCrashed(endpoint)) return
     this.#ends.set(fingerprint, [...this.#ends.get(fingerprint) ?? [], this.simulation.now()])
   }
 
   /** As after any start or disturbance, a host that was just started and control hosts that were just disturbed have a moment. */
-  #checkDeadly (host: SimulatedHost, { fingerprint }: PoolRequest): void {
+  #checkPoison (host: SimulatedHost, { fingerprint }: PoolRequest): void {
     const now = this.simulation.now()
     const knownAt = this.#ends.get(fingerprint)?.[KNOWN_AFTER_ENDS - 1]
     if (knownAt === undefined || now - knownAt <= HEARD_MS || now - host.startedAt <= HEARD_MS || now - this.#controlDisturbedAt <= HEARD_MS) return
     const lateRuns = (this.#lateRuns.get(fingerprint) ?? 0) + 1
     this.#lateRuns.set(fingerprint, lateRuns)
-    this.ledger.check('ends-few-endpoints', lateRuns <= MOST_LATE_RUNS, () => `${fingerprint} is sent by ${host.name} for the ${lateRuns}. time, ${Math.round(now - knownAt)} ms after it had ended ${KNOWN_AFTER_ENDS} endpoints`)
+    this.ledger.check('poison-requests-stop', lateRuns <= MOST_LATE_RUNS, () => `${fingerprint} is sent by ${host.name} for the ${lateRuns}. time, ${Math.round(now - knownAt)} ms after it had ended ${KNOWN_AFTER_ENDS} endpoints`)
   }
 
   // --- What hosts tell, and hear ---
@@ -204,19 +204,19 @@
     })
   }
 
-  #report (host: SimulatedHost, { replica, tally }: SimulatedLeader): void {
+  #report (host: SimulatedHost, { replica, correlator }: SimulatedLeader): void {
     const { incarnation } = host
     const ends = host.evidence.reports(this.simulation.now())
-    const cameThrough = [...host.cameThrough]
+    const completed = [...host.completed]
     host.isUntold = false
     const leader = replica.self.id
     this.simulation.send(host.name, leader, () => {
       if (!replica.isAlive || replica.core.role !== 'leader') return
-      this.#observe(tally, ends, cameThrough, replica)
+      this.#observe(correlator, ends, completed, replica)
       this.simulation.send(leader, host.name, () => {
         if (host.incarnation !== incarnation) return
         host.toldTo = leader
-        for (const fingerprint of cameThrough) host.cameThrough.delete(fingerprint)
+        for (const fingerprint of completed) host.completed.delete(fingerprint)
       })
     })
     // A report that got no answer is made again.
@@ -224,15 +224,15 @@
     host.toldTo = undefined
   }
 
-  #observe (tally: EndTally, ends: readonly EndReport[], cameThrough: readonly string[], replica: SimulatedReplica): void {
+  #observe (correlator: CrashCorrelator, ends: readonly CrashReport[], completed: readonly string[], replica: SimulatedReplica): void {
     const now = this.simulation.now()
-    for (const end of ends) tally.observe(end, now)
+    for (const end of ends) correlator.observe(end, now)
     if (this.broken === 'bystanders-are-served') return
-    const cleared = cameThrough.flatMap((fingerprint): Judgement[] => {
-      tally.clear(fingerprint, now)
-      return replica.state.verdicts.find(fingerprint) === undefined ? [] : [{ fingerprint, service: 'pool', judgement: 'clear', forMs: 0 }]
+    const cleared = completed.flatMap((fingerprint): QuarantineDecision[] => {
+      correlator.clear(fingerprint, now)
+      return replica.state.quarantine.find(fingerprint) === undefined ? [] : [{ fingerprint, service: 'pool', decision: 'clear', forMs: 0 }]
     })
-    if (cleared.length > 0) replica.propose({ kind: 'judge-requests', judgements: cleared }, () => {})
+    if (cleared.length > 0) replica.propose({ kind: 'change-quarantine', decisions: cleared }, () => {})
   }
 
   #viewLoop (host: SimulatedHost): void {
@@ -251,7 +251,7 @@
     const { incarnation, follower } = host
     const known = follower.viewRevision
     const changes = known === 0 ? undefined : state.changesSince(known)
-    const told = this.broken === 'ends-few-endpoints' ? {} : tellVerdicts(state.verdicts, changes?.flatMap(({ judged }) => judged), this.simulation.wallClock())
+    const told = this.broken === 'poison-requests-stop' ? {} : quarantineMessage(state.quarantine, changes?.flatMap(({ quarantineChanged }) => quarantineChanged), this.simulation.wallClock())
     const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [], weights: [], ...told }
     const message = changes === undefined
       ? { kind: 'snapshot' as const, ...common, documents: [] }
@@ -279,33 +279,33 @@
   #lookLoop (leader: SimulatedLeader): void {
     this.simulation.after(LOOK_MS, () => {
       this.#lookLoop(leader)
-      const { replica, tally } = leader
+      const { replica, correlator } = leader
       if (!replica.isAlive) return
       if (replica.core.role !== 'leader') {
-        tally.reset()
+        correlator.reset()
         return
       }
       // Hosts serve once there is a view.
       if (replica.state.viewRevision === 0) replica.propose({ kind: 'assign-shards', owners: [] }, () => {})
-      this.#judge(leader)
+      this.#decide(leader)
     })
   }
 
-  #judge (leader: SimulatedLeader): void {
-    const { replica: { state: { verdicts } }, tally } = leader
-    for (const endpoint of tally.uncertainEnds(verdicts)) this.#check(tally, endpoint)
+  #decide (leader: SimulatedLeader): void {
+    const { replica: { state: { quarantine } }, correlator } = leader
+    for (const endpoint of correlator.unconfirmedCrashes(quarantine)) this.#check(correlator, endpoint)
     if (leader.isProposing) return
-    const judgements = tally.judge(verdicts, this.simulation.now())
-    if (judgements.length === 0) return
+    const decisions = correlator.decide(quarantine, this.simulation.now())
+    if (decisions.length === 0) return
     leader.isProposing = true
-    for (const { fingerprint, judgement } of judgements) this.simulation.note(`${leader.replica.self.id}: ${judgement} ${fingerprint}`)
-    leader.replica.propose({ kind: 'judge-requests', judgements }, () => { leader.isProposing = false })
+    for (const { fingerprint, decision } of decisions) this.simulation.note(`${leader.replica.self.id}: ${decision} ${fingerprint}`)
+    leader.replica.propose({ kind: 'change-quarantine', decisions }, () => { leader.isProposing = false })
   }
 
   /** Asks the endpoint, which takes a moment. */
-  #check (tally: EndTally, endpoint: string): void {
+  #check (correlator: CrashCorrelator, endpoint: string): void {
     this.simulation.after(this.#between(1, 300), () => {
-      tally.settle(endpoint, this.broken === 'bystanders-are-served' || this.#pool.hasEnded(endpoint), this.simulation.now())
+      correlator.settle(endpoint, this.broken === 'bystanders-are-served' || this.#pool.hasCrashed(endpoint), this.simulation.now())
     })
   }
 
@@ -334,7 +334,7 @@
     if (leader === undefined || this.#replicas.some(({ replica }) => !replica.isAlive)) return undefined
     this.#controlDisturbedAt = this.simulation.now()
     leader.replica.kill()
-    leader.tally.reset()
+    leader.correlator.reset()
     leader.isProposing = false
     return leader
   }
@@ -361,6 +361,6 @@
 
 function newHost (name: string): SimulatedHost {
   return {
-    name, incarnation: 0, startedAt: 0, evidence: new EndEvidence(), cameThrough: new Set(), follower: new ViewFollower(), isUntold: false, toldTo: undefined
+    name, incarnation: 0, startedAt: 0, evidence: new CrashEvidence(), completed: new Set(), follower: new ViewFollower(), isUntold: false, toldTo: undefined
   }
 }
--- a/apps/bench/src/lib/prove/worlds/SimulatedPool.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedPool.ts
@@ -4,8 +4,8 @@
 /** What is asked; the same object each time that it comes again. */
 export interface PoolRequest {
   readonly fingerprint: string
-  readonly isDeadly: boolean
-  /** How long an endpoint needs for it or, if it is deadly, lives on with it, in milliseconds. */
+  readonly isPoison: boolean
+  /** How long an endpoint needs for it or, if it is poison, lives on with it, in milliseconds. */
   durationMs (): number
 }
 
@@ -59,7 +59,7 @@
     endpoint.runs.set(run, listener)
     this.simulation.after(request.durationMs(), () => {
       if (!endpoint.runs.has(run)) return
-      if (request.isDeadly) {
+      if (request.isPoison) {
         this.#end(endpoint)
         return
       }
@@ -70,7 +70,7 @@
   }
 
   /** @returns whether that incarnation has ended */
-  hasEnded (incarnation: string): boolean {
+  hasCrashed (incarnation: string): boolean {
     return !this.#endpoints.some(endpoint => endpoint.isUp && nameOf(endpoint) === incarnation)
   }
 
--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -35,7 +35,7 @@
   },
   {
     name: 'quarantine',
-    promises: ['ends-few-endpoints', 'bystanders-are-served'],
+    promises: ['poison-requests-stop', 'bystanders-are-served'],
     create: (simulation, ledger, broken) => new QuarantineWorld(simulation, ledger, broken)
   }
 ]
--- a/apps/bench/src/deadlyPrompt.test.ts
+++ b/apps/bench/src/poisonPrompt.test.ts
@@ -7,8 +7,8 @@
 
 const WARD = { name: 'ward', credential: 'ward-credential', share: 1 }
 const CLINIC = { name: 'clinic', credential: 'clinic-credential', share: 1 }
-const DEADLY_TEXT = 'ends the engine'
-const DEADLY_PROMPT = `history that ${DEADLY_TEXT} `.repeat(20)
+const POISON_TEXT = 'ends the engine'
+const POISON_PROMPT = `history that ${POISON_TEXT} `.repeat(20)
 
 /** Enough for the prompt to end some more than it takes to know it. */
 const ENGINES = 6
@@ -30,7 +30,7 @@
   customers: [WARD, CLINIC],
   profiles: [TMTS_PROFILE],
   modelProfile: 'tmts',
-  engineArgs: ['--decode-ms', '20', '--deadly-text', DEADLY_TEXT]
+  engineArgs: ['--decode-ms', '20', '--poison-text', POISON_TEXT]
 }
 
 /**
@@ -51,7 +51,7 @@
     const answer = await request(`${cluster.entryUrl(entry)}/v1/completions`, {
       method: 'POST',
       headers: { authorization: `Bearer ${WARD.credential}`, 'content-type': 'application/json' },
-      body: JSON.stringify({ model: 'summaries', prompt: DEADLY_PROMPT, max_tokens: 5 })
+      body: JSON.stringify({ model: 'summaries', prompt: POISON_PROMPT, max_tokens: 5 })
     })
     return await answer.body.json() as Record<string, unknown>
   }
@@ -59,7 +59,7 @@
   it('is held back on every entry host before all engines have ended, and nobody else is', async () => {
     const answers: StreamedAnswer[] = []
     for (let repeat = 0; repeat < REPEATS; repeat += 1) {
-      answers.push(await streamCompletion(call(repeat % 3, DEADLY_PROMPT)))
+      answers.push(await streamCompletion(call(repeat % 3, POISON_PROMPT)))
       await sleep(PAUSE_MS)
     }
     expect(running()).toBeGreaterThan(0)
@@ -68,13 +68,13 @@
       expect(await problemOf(entry)).toMatchObject({ type: 'urn:eelgrassmux:problem:request-quarantined', run: 'not-run' })
       expect((await streamCompletion(call(entry, 'history of a trip '.repeat(20)))).status).toBe(200)
     }
-    const listed = await cluster.command(['verdicts'])
+    const listed = await cluster.command(['quarantine'])
     const [fingerprint = ''] = listed.stdout.split(' ')
-    expect(listed.stdout).toMatch(/^[0-9a-f]{32} summaries quarantined for \d+ s, held back 1 times so far\n$/)
-    expect((await cluster.command(['doctor'])).stdout).toContain(`request ${fingerprint} of summaries is held back`)
-    expect(await cluster.command(['verdicts', '--lift', 'x'])).toMatchObject({ code: 2, stderr: 'eelgrassmux: --lift: a fingerprint has 32 hexadecimal digits\n' })
-    expect((await cluster.command(['verdicts', '--lift', 'f'.repeat(32)])).stderr).toContain('there is no verdict on')
-    expect((await cluster.command(['verdicts', '--lift', fingerprint])).stdout).toBe('lifted\n')
-    expect((await cluster.command(['verdicts'])).stdout).toBe('no request is held back\n')
+    expect(listed.stdout).toMatch(/^[0-9a-f]{32} summaries quarantined for \d+ s, quarantined 1 times so far\n$/)
+    expect((await cluster.command(['doctor'])).stdout).toContain(`request ${fingerprint} of summaries is quarantined`)
+    expect(await cluster.command(['quarantine', '--lift', 'x'])).toMatchObject({ code: 2, stderr: 'eelgrassmux: --lift: a fingerprint has 32 hexadecimal digits\n' })
+    expect((await cluster.command(['quarantine', '--lift', 'f'.repeat(32)])).stderr).toContain('there is no entry on')
+    expect((await cluster.command(['quarantine', '--lift', fingerprint])).stdout).toBe('lifted\n')
+    expect((await cluster.command(['quarantine'])).stdout).toBe('no request is quarantined\n')
   }, 120_000)
 })
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -27,8 +27,8 @@
 import { GroupKeeper } from './raft/GroupKeeper.js'
 import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
-import { ConfiguredEnds } from './quarantine/ConfiguredEnds.js'
-import { ListedEnds } from './quarantine/EndpointEnds.js'
+import { ConfiguredCrashDetector } from './quarantine/ConfiguredCrashDetector.js'
+import { ListedCrashDetector } from './quarantine/CrashDetector.js'
 import { QuarantineTask } from './quarantine/QuarantineTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
@@ -162,9 +162,9 @@
   }
   const quarantine = new QuarantineTask({
     isLeader: () => core.role === 'leader',
-    verdicts: state.verdicts,
+    register: state.quarantine,
     propose: async command => await raft.propose(command),
-    ends: platform === undefined ? new ConfiguredEnds(() => state.configuration) : new ListedEnds(surroundings),
+    detector: platform === undefined ? new ConfiguredCrashDetector(() => state.configuration) : new ListedCrashDetector(surroundings),
     telemetry
   })
   quarantine.register(server)
--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -16,7 +16,7 @@
 import type { RaftTask } from './raft/RaftTask.js'
 import type { StoreTask } from './stores/StoreTask.js'
 import type { SiteService } from './site/SiteService.js'
-import { tellVerdicts } from './quarantine/tellVerdicts.js'
+import { quarantineMessage } from './quarantine/quarantineMessage.js'
 
 /** The parts of a control host that serve sites. */
 export interface SiteParts {
@@ -185,13 +185,13 @@
     const { weights, put } = state.sites
     const site = put === undefined || changes?.some(change => change.replacesSite) === false ? {} : { site: put.site }
     if (changes === undefined) {
-      return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards, weights, ...site, ...tellVerdicts(state.verdicts, undefined, Date.now()) }
+      return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards, weights, ...site, ...quarantineMessage(state.quarantine, undefined, Date.now()) }
     }
     const upserts = new Map(changes.flatMap(change => change.upserts.map(document => [`${document.kind}/${document.name}`, document])))
     const removes = changes.flatMap(change => change.removes)
     const kept = this.#stillRemoved(removes)
     for (const { kind, name } of kept) upserts.delete(`${kind}/${name}`)
-    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards, weights, ...site, ...tellVerdicts(state.verdicts, changes.flatMap(change => change.judged), Date.now()) }
+    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards, weights, ...site, ...quarantineMessage(state.quarantine, changes.flatMap(change => change.quarantineChanged), Date.now()) }
   }
 
   /** A document removed and later created again within the same changes is not removed. */
--- a/apps/control/src/lib/load/LoadBoardTask.test.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.test.ts
@@ -30,7 +30,7 @@
           this.questions += 1
           return await Promise.resolve(this.isAlive)
         },
-        hasEnded: async () => await Promise.resolve(undefined)
+        hasCrashed: async () => await Promise.resolve(undefined)
       },
       endpoints: () => [listed],
       service: () => service,
--- a/apps/control/src/lib/load/LoadBoardTask.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.ts
@@ -32,7 +32,7 @@
    * @param service - that it belongs to
    * @returns whether that very instance has ended: nobody listens at its address, or another one does; undefined if that can't be told
    */
-  hasEnded (endpoint: ListedEndpoint, service: ReplicatedService): Promise<boolean | undefined>
+  hasCrashed (endpoint: ListedEndpoint, service: ReplicatedService): Promise<boolean | undefined>
 }
 
 /** What the task needs from around it. */
--- a/apps/control/src/lib/quarantine/ConfiguredEnds.ts
+++ b/apps/control/src/lib/quarantine/ConfiguredCrashDetector.ts
@@ -1,33 +1,33 @@
-/** {@link EndpointEnds} of endpoints that the configuration names: they count their starts and say so. */
+/** {@link CrashDetector} of endpoints that the configuration names: they count their starts and say so. */
 import { EngineClient } from '@eelgrassmux/backends/EngineClient'
 import type { BackendError } from '@eelgrassmux/backends/BackendError'
 import { ServiceClient } from '@eelgrassmux/backends/ServiceClient'
-import { parseConfiguredEnd } from '@eelgrassmux/routing/quarantine/configuredEndName'
+import { parseConfiguredIncarnation } from '@eelgrassmux/routing/quarantine/configuredIncarnationName'
 import type { Configuration, EngineEndpoint, PlainEndpoint } from '@eelgrassmux/schema/configuration'
 import type { Result } from '@eelgrassmux/schema/Result'
-import type { EndKnowledge, EndpointEnds } from './EndpointEnds.js'
+import type { CrashKnowledge, CrashDetector } from './CrashDetector.js'
 
 /** Asks an endpoint for its incarnation. */
 export type IncarnationQuestion = (endpoint: EngineEndpoint | PlainEndpoint) => Promise<Result<{ readonly incarnation: number }, BackendError>>
 
 /** Knows the endpoints of the configuration in force. */
-export class ConfiguredEnds implements EndpointEnds {
+export class ConfiguredCrashDetector implements CrashDetector {
   /**
    * @param configuration - in force, as of now
    * @param ask - asks an endpoint
    */
   constructor (private readonly configuration: () => Configuration, private readonly ask: IncarnationQuestion = askIncarnation) {}
 
-  look (names: readonly string[]): Map<string, EndKnowledge> {
+  look (names: readonly string[]): Map<string, CrashKnowledge> {
     const endpoints = new Map(this.configuration().documents.flatMap(document => document.kind === 'endpoint' ? [[document.name, document]] : []))
     return new Map(names.map(name => {
-      const end = parseConfiguredEnd(name)
+      const end = parseConfiguredIncarnation(name)
       const endpoint = end === undefined ? undefined : endpoints.get(end.endpoint)
-      return [name, end === undefined || endpoint === undefined ? 'ended' : async () => await this.#hasEnded(endpoint, end.incarnation)]
+      return [name, end === undefined || endpoint === undefined ? 'ended' : async () => await this.#hasCrashed(endpoint, end.incarnation)]
     }))
   }
 
-  async #hasEnded (endpoint: EngineEndpoint | PlainEndpoint, incarnation: number): Promise<boolean | undefined> {
+  async #hasCrashed (endpoint: EngineEndpoint | PlainEndpoint, incarnation: number): Promise<boolean | undefined> {
     const answer = await this.ask(endpoint)
     if (answer.ok) return answer.value.incarnation !== incarnation
     return answer.error.kind === 'connect-failed' ? true : undefined
--- a/apps/control/src/lib/quarantine/EndpointEnds.ts
+++ b/apps/control/src/lib/quarantine/CrashDetector.ts
@@ -5,22 +5,22 @@
 import type { EndpointProbe } from '../load/LoadBoardTask.js'
 
 /** Asks an endpoint; the answer is undefined where it can't be told yet. */
-export type EndQuestion = () => Promise<boolean | undefined>
+export type CrashQuestion = () => Promise<boolean | undefined>
 
 /** What is known without asking: that it has ended, how to ask, or nothing. */
-export type EndKnowledge = 'ended' | EndQuestion | undefined
+export type CrashKnowledge = 'ended' | CrashQuestion | undefined
 
 /** Knows endpoints. */
-export interface EndpointEnds {
+export interface CrashDetector {
   /**
    * @param names - incarnations
    * @returns what is known of each
    */
-  look (names: readonly string[]): Map<string, EndKnowledge>
+  look (names: readonly string[]): Map<string, CrashKnowledge>
 }
 
-/** What {@link ListedEnds} needs from around it. */
-export interface ListedEndsPorts {
+/** What {@link ListedCrashDetector} needs from around it. */
+export interface ListedCrashDetectorPorts {
   /** Endpoints of the site, as of now. */
   endpoints (): readonly ListedEndpoint[]
   /** @returns the service of that name, if the site has it */
@@ -29,25 +29,25 @@
   readonly probe?: EndpointProbe | undefined
 }
 
-/** {@link EndpointEnds} by the platform's list: what is listed no more has ended. */
-export class ListedEnds implements EndpointEnds {
+/** {@link CrashDetector} by the platform's list: what is listed no more has ended. */
+export class ListedCrashDetector implements CrashDetector {
   /** @param ports - surroundings */
-  constructor (private readonly ports: ListedEndsPorts) {}
+  constructor (private readonly ports: ListedCrashDetectorPorts) {}
 
-  look (names: readonly string[]): Map<string, EndKnowledge> {
+  look (names: readonly string[]): Map<string, CrashKnowledge> {
     const listed = new Map(this.ports.endpoints().map(endpoint => [incarnationName(endpoint), endpoint]))
     return new Map(names.map(name => [name, this.#knowledge(listed.get(name))]))
   }
 
-  #knowledge (endpoint: ListedEndpoint | undefined): EndKnowledge {
+  #knowledge (endpoint: ListedEndpoint | undefined): CrashKnowledge {
     const service = endpoint === undefined ? undefined : this.ports.service(endpoint.service)
     if (endpoint === undefined || service === undefined) return 'ended'
     const { probe } = this.ports
     if (probe === undefined) return undefined
     return async () => {
-      const hasEnded = await probe.hasEnded(endpoint, service)
+      const hasCrashed = await probe.hasCrashed(endpoint, service)
       // One that may start again under its id would answer for its next incarnation: only the list tells.
-      return hasEnded === false && endpoint.startedAtMs !== undefined ? undefined : hasEnded
+      return hasCrashed === false && endpoint.startedAtMs !== undefined ? undefined : hasCrashed
     }
   }
 }
--- a/apps/eelgrassmux/src/lib/ControlClient.ts
+++ b/apps/eelgrassmux/src/lib/ControlClient.ts
@@ -6,9 +6,9 @@
   changeMembership, listHosts, listOrders, propose, watchView, type HostsResponse, type MembershipChange,
   type OrderReport, type ViewMessage
 } from '@eelgrassmux/rpc/methods/controlMethods'
-import { reportEnds } from '@eelgrassmux/rpc/methods/quarantineMethods'
+import { reportCrashes } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import type { ToldVerdict } from '@eelgrassmux/schema/requestVerdict'
+import type { QuarantineEntryMessage } from '@eelgrassmux/schema/quarantineEntry'
 import type { Command, CommandResult } from '@eelgrassmux/state/commands'
 
 /** Why an operator's request has no answer. */
@@ -97,30 +97,30 @@
     return succeed({ revision: message.revision, configuration: { documents: message.documents } })
   }
 
-  /** @returns requests that are suspected, held back or on probation, as a majority knows them */
-  async verdicts (): Promise<Result<readonly ToldVerdict[], ControlError>> {
+  /** @returns requests that are suspected, quarantined or on probation, as a majority knows them */
+  async entries (): Promise<Result<readonly QuarantineEntryMessage[], ControlError>> {
     const majority = await this.majority()
     if (!majority.ok) return majority
     const newest = Math.max(...majority.value.answers.map(answer => answer.viewRevision))
     if (newest === 0) return succeed([])
     const message = await this.#firstView(newest)
-    return message === undefined ? fail({ kind: 'no-answer' }) : succeed(message.verdicts ?? [])
+    return message === undefined ? fail({ kind: 'no-answer' }) : succeed(message.quarantine ?? [])
   }
 
   /**
    * Lets a request through again, as if it had come through.
    *
-   * @param fingerprint - of a request with a verdict
+   * @param fingerprint - of a request with an entry
    * @returns nothing once it is agreed
    */
-  async liftVerdict (fingerprint: string): Promise<Result<undefined, ControlError>> {
+  async clearRequest (fingerprint: string): Promise<Result<undefined, ControlError>> {
     const deadline = performance.now() + this.timeoutMs
     while (performance.now() < deadline) {
       const majority = await this.majority()
       const leader = majority.ok ? leaderAddress(majority.value.answers) : undefined
-      if (leader !== undefined) await this.#rpc.call(leader, reportEnds, { host: OPERATOR, ends: [], cameThrough: [fingerprint] }, CALL_MS)
-      const verdicts = await this.verdicts()
-      if (verdicts.ok && !verdicts.value.some(verdict => verdict.fingerprint === fingerprint)) return succeed(undefined)
+      if (leader !== undefined) await this.#rpc.call(leader, reportCrashes, { host: OPERATOR, losses: [], completed: [fingerprint] }, CALL_MS)
+      const entries = await this.entries()
+      if (entries.ok && !entries.value.some(entry => entry.fingerprint === fingerprint)) return succeed(undefined)
       await sleep(RETRY_MS)
     }
     return fail({ kind: 'uncertain' })
--- a/apps/eelgrassmux/src/lib/VerdictsCommand.ts
+++ b/apps/eelgrassmux/src/lib/QuarantineCommand.ts
@@ -1,19 +1,20 @@
-/** `verdicts`: requests that are held back because they ended the endpoints that ran them. */
+/** `quarantine`: requests that are quarantined because they crashed the endpoints that ran them. */
 import { Command, Option } from 'clipanion'
-import { fingerprintSchema } from '@eelgrassmux/schema/requestVerdict'
+import { fingerprintSchema } from '@eelgrassmux/schema/quarantineEntry'
 import type { ControlClient } from './ControlClient.js'
 import { ControlCommand } from './ControlCommand.js'
 import { EXIT_USAGE } from './exitCodes.js'
 
 const MILLISECONDS_PER_SECOND = 1000
 
-/** Lists verdicts, and lifts one. */
-export class VerdictsCommand extends ControlCommand {
-  static override paths = [['verdicts']]
+/** Lists entries, and lifts one. */
+export class QuarantineCommand extends ControlCommand {
+  /** The second name is the one of earlier releases. */
+  static override paths = [['quarantine'], ['verdicts']]
   static override usage = Command.Usage({
-    description: 'list requests that are suspected, held back or on probation, or let one through again',
+    description: 'list requests that are suspected, quarantined or on probation, or let one through again',
     details: 'A request that is let through is not suspected again for ten minutes, whatever it does.',
-    examples: [['Let a request through again', 'eelgrassmux verdicts --lift 55b32bac81f8c24df242df5152195935']]
+    examples: [['Let a request through again', 'eelgrassmux quarantine --lift 55b32bac81f8c24df242df5152195935']]
   })
 
   lift = Option.String('--lift', { description: 'fingerprint of a request to let through again' })
@@ -23,22 +24,22 @@
   }
 
   async #list (client: ControlClient): Promise<number> {
-    const verdicts = await client.verdicts()
-    if (!verdicts.ok) return this.complainOf(verdicts.error)
-    for (const { fingerprint, service, state, quarantines, leftMs } of verdicts.value) {
-      this.print(`${fingerprint} ${service} ${state} for ${Math.round(leftMs / MILLISECONDS_PER_SECOND)} s, held back ${quarantines} times so far`)
+    const entries = await client.entries()
+    if (!entries.ok) return this.complainOf(entries.error)
+    for (const { fingerprint, service, state, quarantines, leftMs } of entries.value) {
+      this.print(`${fingerprint} ${service} ${state} for ${Math.round(leftMs / MILLISECONDS_PER_SECOND)} s, quarantined ${quarantines} times so far`)
     }
-    if (verdicts.value.length === 0) this.print('no request is held back')
+    if (entries.value.length === 0) this.print('no request is quarantined')
     return 0
   }
 
   async #lift (client: ControlClient, text: string): Promise<number> {
     const fingerprint = fingerprintSchema.safeParse(text)
     if (!fingerprint.success) return this.complain(`--lift: ${fingerprint.error.issues[0]?.message ?? ''}`, EXIT_USAGE)
-    const verdicts = await client.verdicts()
-    if (!verdicts.ok) return this.complainOf(verdicts.error)
-    if (!verdicts.value.some(verdict => verdict.fingerprint === fingerprint.data)) return this.complain(`--lift: there is no verdict on ${fingerprint.data}`)
-    const lifted = await client.liftVerdict(fingerprint.data)
+    const entries = await client.entries()
+    if (!entries.ok) return this.complainOf(entries.error)
+    if (!entries.value.some(entry => entry.fingerprint === fingerprint.data)) return this.complain(`--lift: there is no entry on ${fingerprint.data}`)
+    const lifted = await client.clearRequest(fingerprint.data)
     if (!lifted.ok) return this.complainOf(lifted.error)
     this.print('lifted')
     return 0
--- a/apps/eelgrassmux/src/lib/commands.ts
+++ b/apps/eelgrassmux/src/lib/commands.ts
@@ -240,9 +240,9 @@
     const orders = await client.orders()
     const unsettled = orders.ok ? orders.value.filter(order => order.state !== 'as-desired') : []
     for (const order of unsettled) findings.push(`engine ${order.endpoint} is ${order.state}`)
-    const verdicts = await client.verdicts()
-    const heldBack = verdicts.ok ? verdicts.value.filter(({ state }) => state === 'quarantined') : []
-    for (const { fingerprint, service } of heldBack) findings.push(`request ${fingerprint} of ${service} is held back: it ended the endpoints that ran it`)
+    const entries = await client.entries()
+    const heldBack = entries.ok ? entries.value.filter(({ state }) => state === 'quarantined') : []
+    for (const { fingerprint, service } of heldBack) findings.push(`request ${fingerprint} of ${service} is quarantined: it crashed the endpoints that ran it`)
     for (const finding of findings) this.print(finding)
     if (findings.length === 0) this.print('all is well')
     return findings.length === 0 ? 0 : EXIT_FAILED
--- a/apps/eelgrassmux/src/lib/trace/EndedEndpoints.ts
+++ b/apps/eelgrassmux/src/lib/trace/CrashedEndpoints.ts
@@ -9,7 +9,7 @@
 const LOSS = 'attempt-failed'
 
 /** Endpoints and fingerprints that lines of one request name. */
-export class EndedEndpoints {
+export class CrashedEndpoints {
   readonly #endpoints: ReadonlySet<string>
   readonly #fingerprints: ReadonlySet<string>
 
@@ -36,6 +36,6 @@
     if (this.#fingerprints.has(String(fields['fingerprint'] ?? ''))) return true
     if (event === LOSS) return fields['fingerprint'] !== undefined && this.#endpoints.has(String(fields['endpoint'])) && time >= span.from && time <= span.to
     const named = `${String(fields['endpoints'] ?? '')} ${String(fields['endpoint'] ?? '')}`.split(' ')
-    return (event === 'request-judged' || event === 'endpoint-end-checked') && named.some(name => this.#endpoints.has(name))
+    return (event === 'quarantine-decided' || event === 'endpoint-crash-checked') && named.some(name => this.#endpoints.has(name))
   }
 }
--- a/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
+++ b/apps/eelgrassmux/src/lib/trace/RequestTrace.ts
@@ -1,5 +1,5 @@
 /** The story of one request, from the collected log files of several processes. */
-import { EndedEndpoints } from './EndedEndpoints.js'
+import { CrashedEndpoints } from './CrashedEndpoints.js'
 import { LossReports, type Loss, type Span } from './LossReports.js'
 import { readLogFile } from './readLogFile.js'
 import { processOf, type TracedLine } from './TracedLine.js'
@@ -77,8 +77,8 @@
    * @param files - paths, also of processes that the request did not meet
    * @param marginMs - how long before and after the request counts for others, in milliseconds
    */
-  async readEnds (files: readonly string[], marginMs: number): Promise<void> {
-    const ends = new EndedEndpoints(this.#ofRequest)
+  async readCrashes (files: readonly string[], marginMs: number): Promise<void> {
+    const ends = new CrashedEndpoints(this.#ofRequest)
     const { from, to } = this.#span()
     const span = { from: from - marginMs, to: to + marginMs }
     await this.#readAll(files, text => ends.mayConcern(text), (_text, lines) => {
--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.test.ts
@@ -49,20 +49,20 @@
   }
 
   describe('the ends of endpoints', () => {
-    const deadly = 'd'.repeat(32)
+    const poison = 'd'.repeat(32)
     const bystander = 'b'.repeat(32)
 
     async function logs (): Promise<string[]> {
       const lost = (request: string, endpoint: string, fingerprint: string): Record<string, unknown> => ({ request, endpoint, fingerprint, failure: 'lost' })
       return [
         await file('a.log', [
-          line(-5000, 'attempt-failed', lost('d1', 'e1', deadly)), line(0, 'attempt-failed', lost('r1', 'e2', bystander)), line(1, 'refused', { request: 'r1' }),
-          line(900, 'verdict-in-force', { fingerprint: deadly, state: 'quarantined' }), line(901, 'endpoint-paused', { endpoint: 'e2' })
+          line(-5000, 'attempt-failed', lost('d1', 'e1', poison)), line(0, 'attempt-failed', lost('r1', 'e2', bystander)), line(1, 'refused', { request: 'r1' }),
+          line(900, 'quarantine-in-force', { fingerprint: poison, state: 'quarantined' }), line(901, 'endpoint-paused', { endpoint: 'e2' })
         ]),
         await file('b.log', [
-          line(0, 'attempt-failed', lost('d2', 'e2', deadly)), line(1, 'attempt-failed', { request: 'd3', endpoint: 'e2', failure: 'not-connected' }),
-          line(800, 'request-judged', { fingerprint: deadly, judgement: 'quarantine', endpoints: 'e1 e2 e3' }, 'eelgrassmux-control'),
-          line(2000, 'refused', { request: 'd4', detail: `held back (fingerprint ${deadly})` })
+          line(0, 'attempt-failed', lost('d2', 'e2', poison)), line(1, 'attempt-failed', { request: 'd3', endpoint: 'e2', failure: 'not-connected' }),
+          line(800, 'quarantine-decided', { fingerprint: poison, decision: 'quarantine', endpoints: 'e1 e2 e3' }, 'eelgrassmux-control'),
+          line(2000, 'refused', { request: 'd4', detail: `quarantined (fingerprint ${poison})` })
         ])
       ]
     }
@@ -70,7 +70,7 @@
     it('lead from a request that was lost to the one that ended its endpoint', async () => {
       const written = await trace('--ends', '--json', 'r1', ...await logs())
       expect(objects(written).map(({ event, request }) => [event, request])).toEqual([
-        ['attempt-failed', 'r1'], ['attempt-failed', 'd2'], ['refused', 'r1'], ['request-judged', undefined]
+        ['attempt-failed', 'r1'], ['attempt-failed', 'd2'], ['refused', 'r1'], ['quarantine-decided', undefined]
       ])
     })
 
@@ -81,13 +81,13 @@
       expect(lines.filter(text => text.includes('request=r1'))).toEqual([])
     })
 
-    it('lead from a request that is held back to all that it did', async () => {
+    it('lead from a request that is quarantined to all that it did', async () => {
       const written = await trace('--ends', '--json', 'd4', ...await logs())
-      expect(events(written)).toEqual(['attempt-failed', 'attempt-failed', 'request-judged', 'verdict-in-force', 'refused'])
+      expect(events(written)).toEqual(['attempt-failed', 'attempt-failed', 'quarantine-decided', 'quarantine-in-force', 'refused'])
     })
 
     it('show nothing more of a request that was lost with none', async () => {
-      const path = await file('c.log', [line(0, 'refused', { request: 'r9', detail: 'full' }), line(1, 'endpoint-end-checked', { endpoint: 'e1' })])
+      const path = await file('c.log', [line(0, 'refused', { request: 'r9', detail: 'full' }), line(1, 'endpoint-crash-checked', { endpoint: 'e1' })])
       expect(events(await trace('--ends', '--json', 'r9', path))).toEqual(['refused'])
     })
   })
--- a/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
+++ b/apps/eelgrassmux/src/lib/trace/TraceCommand.ts
@@ -36,7 +36,7 @@
     const files = [...new Set(this.files)]
     await trace.readRequest(files)
     if (this.around && trace.isFound) await trace.readAround(marginMs)
-    if (this.ends && trace.isFound) await trace.readEnds(files, marginMs)
+    if (this.ends && trace.isFound) await trace.readCrashes(files, marginMs)
     this.#print(trace)
     this.#printDoubts(trace)
     if (!trace.isFound) return this.#complain(`no line of request ${this.id} in ${this.files.length} files`, EXIT_FAILED)
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -18,7 +18,7 @@
 import { PlainHandler } from './plain/PlainHandler.js'
 import { PlannedStop, type CallerEdge } from './PlannedStop.js'
 import { CallQuarantine } from './quarantine/CallQuarantine.js'
-import { EndReporter } from './quarantine/EndReporter.js'
+import { CrashReporter } from './quarantine/CrashReporter.js'
 import { RequestQuarantine } from './quarantine/RequestQuarantine.js'
 import { AdmissionGate } from './runs/AdmissionGate.js'
 import { DirectoryClient } from './runs/DirectoryClient.js'
@@ -109,8 +109,8 @@
   const exporter = usesStores(settings.policy) ? storeExporter : { consider: async () => {} }
   const gate = new AdmissionGate(INITIAL_CAPACITY_TOKENS, settings.queueLimit)
   const firstToken = telemetry.durationHistogram('first_token_seconds', 'Time to first token', FIRST_TOKEN_BUCKETS)
-  const endReporter = new EndReporter(peerAddress, { rpc, leader: () => link.leader, telemetry })
-  const requestQuarantine = new RequestQuarantine(link.verdicts, endReporter, telemetry)
+  const crashReporter = new CrashReporter(peerAddress, { rpc, leader: () => link.leader, telemetry })
+  const requestQuarantine = new RequestQuarantine(link.quarantine, crashReporter, telemetry)
   const quarantine = new CallQuarantine(requestQuarantine, () => performance.now())
   const runs = new RunManager({ peerAddress, resumeGraceMs: settings.resumeGraceMs, firstToken }, gate, work, stop, quarantine, {
     clock,
@@ -140,7 +140,7 @@
   })
   const port = await callers.listen(settings.host, settings.port)
 
-  link.onLeader(() => { endReporter.leaderChanged() })
+  link.onLeader(() => { crashReporter.leaderChanged() })
   link.onChange(() => {
     fleet.configure(link.configuration)
     requestQuarantine.logChanges(link.viewRevision, performance.now())
@@ -182,7 +182,7 @@
       clearInterval(capacityTimer)
       link.stop()
       runs.stop()
-      endReporter.stop()
+      crashReporter.stop()
       gate.stop()
       await fleet.stop()
       peerServer.close()
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -13,7 +13,7 @@
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { LoadExchange } from './load/LoadExchange.js'
 import { PlannedStop } from './PlannedStop.js'
-import { EndReporter } from './quarantine/EndReporter.js'
+import { CrashReporter } from './quarantine/CrashReporter.js'
 import { RequestQuarantine } from './quarantine/RequestQuarantine.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
@@ -98,8 +98,8 @@
   fleet.onWork(change => { if (change === 'sent') loads.noteSend(); else loads.noteChange() })
   loads.start()
   const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
-  const endReporter = new EndReporter(address, { rpc, leader: () => link.leader, telemetry })
-  const quarantine = new RequestQuarantine(link.verdicts, endReporter, telemetry)
+  const crashReporter = new CrashReporter(address, { rpc, leader: () => link.leader, telemetry })
+  const quarantine = new RequestQuarantine(link.quarantine, crashReporter, telemetry)
   const olderWeights = new OlderWeights(settings.weightsBoundMs)
   const server = new RoutedServer({
     fleet,
@@ -131,7 +131,7 @@
     fleet.storedParts.configure(site.services.filter(service => service.type === 'store'))
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
   }
-  link.onLeader(() => { endReporter.leaderChanged() })
+  link.onLeader(() => { crashReporter.leaderChanged() })
   link.onChange(() => {
     olderWeights.observe(link.weights, performance.now())
     quarantine.logChanges(link.viewRevision, performance.now())
@@ -158,7 +158,7 @@
       await server.close()
       link.stop()
       loads.stop()
-      endReporter.stop()
+      crashReporter.stop()
       await edges.close()
       rpc.close()
       datagrams.close()
--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -97,7 +97,7 @@
       const detail = `calls to ${service.name} that change something need an Idempotency-Key of 1 to ${KEY_LIMIT} characters`
       return fail(refuseUnseen({ reason: 'idempotency-key-required', status: 400, detail, field: 'Idempotency-Key' }))
     }
-    // A repeat of a call that has an answer is not sent to any endpoint, so it isn't asked here whether it is held back.
+    // A repeat of a call that has an answer is not sent to any endpoint, so it isn't asked here whether it is quarantined.
     const answered = await this.once.run({
       record: { customer: customer.name, service: service.name, idempotencyKey: key },
       fingerprint: Buffer.concat([Buffer.from(JSON.stringify([call.method, call.path, call.contentType ?? ''])), call.body ?? new Uint8Array()]),
--- a/apps/entry/src/lib/quarantine/CallQuarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/CallQuarantine.test.ts
@@ -4,8 +4,8 @@
 import { ServiceClient } from '@eelgrassmux/backends/ServiceClient'
 import { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import type { LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+import type { LostRun } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import type { ConfigurationDocument, Customer } from '@eelgrassmux/schema/configuration'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -23,7 +23,7 @@
 class World {
   readonly lost: LostRun[] = []
   readonly whole: string[] = []
-  readonly verdicts = new VerdictBook()
+  readonly quarantined = new QuarantineTable()
   readonly table = new EndpointTable()
   calls = 0
   #server: Server | undefined
@@ -49,7 +49,7 @@
     const fleet = { serviceTable: this.table, service: () => this.#client } as unknown as FleetWatcher
     const telemetry = new Telemetry('test')
     const reporter = { noteLost: (run: LostRun) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
-    const quarantine = new CallQuarantine(new RequestQuarantine(this.verdicts, reporter, telemetry), () => performance.now())
+    const quarantine = new CallQuarantine(new RequestQuarantine(this.quarantined, reporter, telemetry), () => performance.now())
     const stop = new PlannedStop(new WorkGate(), { balancerLagMs: 100, graceMs: 1000 }, telemetry)
     this.handler = new PlainHandler(fleet, {} as AtMostOnce, () => configuration, telemetry.labelledCounter('retries_total', 'retries'), 1, stop, quarantine)
   }
@@ -61,7 +61,7 @@
   }
 
   hold (fingerprint: string): void {
-    this.verdicts.replace([{ fingerprint, service: 'app', state: 'quarantined', quarantines: 1, leftMs: MINUTE_MS }], performance.now())
+    this.quarantined.replace([{ fingerprint, service: 'app', state: 'quarantined', quarantines: 1, leftMs: MINUTE_MS }], performance.now())
   }
 
   async close (): Promise<void> {
@@ -99,7 +99,7 @@
     expect(lost).toEqual([])
   })
 
-  it('are refused at once while they are held back, and others are not', async () => {
+  it('are refused at once while they are quarantined, and others are not', async () => {
     const { lost } = await started(breakOff)
     await world.get('/a')
     const { calls } = world
@@ -109,12 +109,12 @@
     expect((await world.get('/b')).reason).not.toBe('request-quarantined')
   })
 
-  it('are cleared when they come through with a verdict on them', async () => {
+  it('are cleared when they come through with an entry on them', async () => {
     let answer = breakOff
-    const { lost, whole, verdicts } = await started((request, response) => { answer(request, response) })
+    const { lost, whole, quarantined } = await started((request, response) => { answer(request, response) })
     await world.get('/a')
     const fingerprint = lost[0]?.fingerprint ?? ''
-    verdicts.replace([{ fingerprint, service: 'app', state: 'suspected', quarantines: 0, leftMs: MINUTE_MS }], performance.now())
+    quarantined.replace([{ fingerprint, service: 'app', state: 'suspected', quarantines: 0, leftMs: MINUTE_MS }], performance.now())
     answer = serve
     expect((await world.get('/a')).status).toBe(200)
     expect(whole).toEqual([fingerprint])
--- a/apps/entry/src/lib/quarantine/CallQuarantine.ts
+++ b/apps/entry/src/lib/quarantine/CallQuarantine.ts
@@ -1,9 +1,9 @@
 /** The quarantine for calls to endpoints that the configuration names: completions and plain services. */
 import type { EndpointTable } from '@eelgrassmux/policy/health/EndpointTable'
-import { configuredEndName } from '@eelgrassmux/routing/quarantine/configuredEndName'
+import { configuredIncarnationName } from '@eelgrassmux/routing/quarantine/configuredIncarnationName'
 import type { RequestIdentity } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import type { RefusalDetails } from '@eelgrassmux/schema/Refusal'
-import { QuarantineGuard, type HeldBack } from './QuarantineGuard.js'
+import { QuarantineGuard, type QuarantineRejection } from './QuarantineGuard.js'
 import type { RequestQuarantine } from './RequestQuarantine.js'
 
 const MILLISECONDS_PER_SECOND = 1000
@@ -40,14 +40,14 @@
       refusal: () => toRefusal(guard.heldBack(this.now())),
       noteLost: (endpoint, ranMs) => {
         // One that leaves ends anyway.
-        if (!table.isLeaving(endpoint)) guard.noteLost(configuredEndName({ endpoint, incarnation: table.incarnation(endpoint) }), ranMs)
+        if (!table.isLeaving(endpoint)) guard.noteLost(configuredIncarnationName({ endpoint, incarnation: table.incarnation(endpoint) }), ranMs)
       },
       noteWhole: () => { guard.noteWhole() }
     }
   }
 }
 
-function toRefusal (held: HeldBack | undefined): RefusalDetails | undefined {
+function toRefusal (held: QuarantineRejection | undefined): RefusalDetails | undefined {
   if (held === undefined) return undefined
   return { reason: 'request-quarantined', status: 503, detail: held.detail, retryAfterSeconds: Math.ceil(held.forMs / MILLISECONDS_PER_SECOND) }
 }
--- a/apps/entry/src/lib/quarantine/EndReporter.ts
+++ b/apps/entry/src/lib/quarantine/CrashReporter.ts
@@ -2,9 +2,9 @@
  * Tells the leading control host of requests that were lost with endpoints, and of suspected
  * ones that came through. What is held is told again whenever another control host leads.
  */
-import { EndEvidence, type LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/endReport'
-import { reportEnds } from '@eelgrassmux/rpc/methods/quarantineMethods'
+import { CrashEvidence, type LostRun } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import { MOST_REPORTS_OF_HOST } from '@eelgrassmux/routing/quarantine/crashReport'
+import { reportCrashes } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
@@ -18,7 +18,7 @@
 const CALL_MS = 1000
 
 /** Where reports go. */
-export interface EndReporterPorts {
+export interface CrashReporterPorts {
   readonly rpc: Pick<RpcClient, 'call'>
   /** Address of the leading control host, as far as it is known. */
   leader (): string | undefined
@@ -26,9 +26,9 @@
 }
 
 /** Tells until all is told. */
-export class EndReporter {
-  readonly #evidence = new EndEvidence()
-  readonly #cameThrough = new Set<string>()
+export class CrashReporter {
+  readonly #evidence = new CrashEvidence()
+  readonly #completed = new Set<string>()
   readonly #reports: LabelledCounter
   #isUntold = false
   #timer: NodeJS.Timeout | undefined
@@ -39,8 +39,8 @@
    * @param host - name of this host
    * @param ports - surroundings
    */
-  constructor (private readonly host: string, private readonly ports: EndReporterPorts) {
-    this.#reports = ports.telemetry.labelledCounter('end_reports_total', 'Reports of requests that were lost with an endpoint, by what became of them', 'outcome')
+  constructor (private readonly host: string, private readonly ports: CrashReporterPorts) {
+    this.#reports = ports.telemetry.labelledCounter('crash_reports_total', 'Reports of requests that were lost with an endpoint, by what became of them', 'outcome')
   }
 
   /** @param run - a request that was lost with its endpoint */
@@ -50,11 +50,11 @@
     this.#schedule(GATHER_MS)
   }
 
-  /** @param fingerprint - of a request with a verdict, which came through whole */
+  /** @param fingerprint - of a request with an entry, which came through whole */
   noteWhole (fingerprint: string): void {
     this.#evidence.forget(fingerprint)
-    if (this.#cameThrough.size >= MOST_REPORTS_OF_HOST) return
-    this.#cameThrough.add(fingerprint)
+    if (this.#completed.size >= MOST_REPORTS_OF_HOST) return
+    this.#completed.add(fingerprint)
     this.#isUntold = true
     this.#schedule(GATHER_MS)
   }
@@ -90,11 +90,11 @@
   async #tell (leader: string): Promise<void> {
     this.#isTelling = true
     this.#isUntold = false
-    const cameThrough = [...this.#cameThrough]
-    const answer = await this.ports.rpc.call(leader, reportEnds, { host: this.host, ends: this.#evidence.reports(performance.now()), cameThrough }, CALL_MS)
+    const completed = [...this.#completed]
+    const answer = await this.ports.rpc.call(leader, reportCrashes, { host: this.host, losses: this.#evidence.reports(performance.now()), completed }, CALL_MS)
     this.#isTelling = false
     const isTaken = answer.ok && answer.value.isTaken
-    if (isTaken) for (const fingerprint of cameThrough) this.#cameThrough.delete(fingerprint)
+    if (isTaken) for (const fingerprint of completed) this.#completed.delete(fingerprint)
     else this.#isUntold = true
     this.#reports.count(isTaken ? 'taken' : answer.ok ? 'not-leader' : answer.error.kind)
     if (this.#isUntold) this.#schedule(isTaken ? GATHER_MS : RETRY_MS)
--- a/apps/entry/src/lib/quarantine/QuarantineGuard.ts
+++ b/apps/entry/src/lib/quarantine/QuarantineGuard.ts
@@ -1,9 +1,9 @@
-/** What one request has to do with the quarantine: whether it is held back, and what its attempts show. */
+/** What one request has to do with the quarantine: whether it is quarantined, and what its attempts show. */
 import { requestFingerprint, type RequestIdentity } from '@eelgrassmux/routing/quarantine/requestFingerprint'
 import type { RequestQuarantine } from './RequestQuarantine.js'
 
 /** Why a request is not sent. */
-export interface HeldBack {
+export interface QuarantineRejection {
   readonly detail: string
   /** Milliseconds. */
   readonly forMs: number
@@ -30,11 +30,11 @@
    * @param now - monotonic milliseconds
    * @returns undefined if the request may be sent
    */
-  heldBack (now: number): HeldBack | undefined {
+  heldBack (now: number): QuarantineRejection | undefined {
     if (this.quarantine.isIdle) return undefined
-    const forMs = this.quarantine.heldForMs(this.fingerprint, now)
+    const forMs = this.quarantine.quarantinedForMs(this.fingerprint, now)
     if (forMs === undefined) return undefined
-    return { forMs, detail: `this request has ended the endpoints that ran it and is held back for now (fingerprint ${this.fingerprint})` }
+    return { forMs, detail: `this request has crashed the endpoints that ran it and is quarantined (fingerprint ${this.fingerprint})` }
   }
 
   /** Notes that the request came through whole. */
--- a/apps/entry/src/lib/quarantine/RequestQuarantine.ts
+++ b/apps/entry/src/lib/quarantine/RequestQuarantine.ts
@@ -1,34 +1,34 @@
-/** What an entry host does about requests that end the endpoints that run them: reports them, and holds back those that are known. */
-import type { LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import type { HeldVerdict, VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+/** What an entry host does about requests that crash the endpoints that run them: reports them, and quarantines those that are known. */
+import type { LostRun } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import type { LocalQuarantineEntry, QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
-import type { EndReporter } from './EndReporter.js'
+import type { CrashReporter } from './CrashReporter.js'
 
-/** Verdicts in force, and the way of what this host sees to the control hosts. */
+/** Entries in force, and the way of what this host sees to the control hosts. */
 export class RequestQuarantine {
-  #logged = new Map<string, HeldVerdict>()
+  #logged = new Map<string, LocalQuarantineEntry>()
 
   /**
-   * @param verdicts - as agreed
+   * @param table - as agreed
    * @param reporter - tells what this host sees
    * @param telemetry - log and metrics
    */
-  constructor (private readonly verdicts: VerdictBook, private readonly reporter: Pick<EndReporter, 'noteLost' | 'noteWhole'>, private readonly telemetry: Telemetry) {
-    telemetry.gauge('request_verdicts', 'Requests that are suspected, held back or on probation', () => verdicts.all.length)
+  constructor (private readonly table: QuarantineTable, private readonly reporter: Pick<CrashReporter, 'noteLost' | 'noteWhole'>, private readonly telemetry: Telemetry) {
+    telemetry.gauge('quarantine_entries', 'Requests that are suspected, quarantined or on probation', () => table.all.length)
   }
 
   /** Whether no request is watched: then none has to be identified. */
-  get isIdle (): boolean { return this.verdicts.isEmpty }
+  get isIdle (): boolean { return this.table.isEmpty }
 
   /**
    * @param fingerprint - of a request that is to be sent
    * @param now - monotonic milliseconds
-   * @returns milliseconds for which it is held back; undefined if it may be sent
+   * @returns milliseconds for which it is quarantined; undefined if it may be sent
    */
-  heldForMs (fingerprint: string, now: number): number | undefined {
-    const verdict = this.verdicts.find(fingerprint)
+  quarantinedForMs (fingerprint: string, now: number): number | undefined {
+    const entry = this.table.find(fingerprint)
     // Until the control hosts have agreed that it is over, it holds.
-    return verdict?.state === 'quarantined' ? Math.max(0, verdict.endsAt - now) : undefined
+    return entry?.state === 'quarantined' ? Math.max(0, entry.endsAt - now) : undefined
   }
 
   /** @param run - a request that was lost with its endpoint */
@@ -38,7 +38,7 @@
 
   /** @param fingerprint - of a request that came through whole */
   noteWhole (fingerprint: string): void {
-    if (this.verdicts.find(fingerprint) !== undefined) this.reporter.noteWhole(fingerprint)
+    if (this.table.find(fingerprint) !== undefined) this.reporter.noteWhole(fingerprint)
   }
 
   /**
@@ -49,17 +49,17 @@
    */
   logChanges (view: number, now: number): void {
     if (this.isIdle && this.#logged.size === 0) return
-    const present = new Map(this.verdicts.all.map(verdict => [verdict.fingerprint, verdict]))
-    for (const verdict of present.values()) {
-      if (this.#logged.get(verdict.fingerprint)?.state !== verdict.state) this.#logVerdict(verdict, view, now)
+    const present = new Map(this.table.all.map(entry => [entry.fingerprint, entry]))
+    for (const entry of present.values()) {
+      if (this.#logged.get(entry.fingerprint)?.state !== entry.state) this.#logEntry(entry, view, now)
     }
     for (const { fingerprint, service, state } of this.#logged.values()) {
-      if (!present.has(fingerprint)) this.telemetry.stateChanged('verdict-over', { fingerprint, service, state, view })
+      if (!present.has(fingerprint)) this.telemetry.stateChanged('quarantine-removed', { fingerprint, service, state, view })
     }
     this.#logged = present
   }
 
-  #logVerdict ({ fingerprint, service, state, quarantines, endsAt }: HeldVerdict, view: number, now: number): void {
-    this.telemetry.stateChanged('verdict-in-force', { fingerprint, service, state, quarantines, leftMs: Math.round(endsAt - now), view })
+  #logEntry ({ fingerprint, service, state, quarantines, endsAt }: LocalQuarantineEntry, view: number, now: number): void {
+    this.telemetry.stateChanged('quarantine-in-force', { fingerprint, service, state, quarantines, leftMs: Math.round(endsAt - now), view })
   }
 }
--- a/apps/entry/src/lib/quarantine/quarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/quarantine.test.ts
@@ -1,37 +1,37 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
-import type { LostRun } from '@eelgrassmux/routing/quarantine/EndEvidence'
-import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
-import type { ReportEndsRequest } from '@eelgrassmux/rpc/methods/quarantineMethods'
+import type { LostRun } from '@eelgrassmux/routing/quarantine/CrashEvidence'
+import { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
+import type { ReportCrashesRequest } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { fail, succeed } from '@eelgrassmux/schema/Result'
-import type { VerdictState } from '@eelgrassmux/schema/requestVerdict'
+import type { QuarantineState } from '@eelgrassmux/schema/quarantineEntry'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { answerOk, EndpointStandin, resetConnection, streamEvent, type Behaviour } from '../routed/harness/EndpointStandin.js'
 import { RoutedHost } from '../routed/harness/RoutedHost.js'
-import { EndReporter } from './EndReporter.js'
+import { CrashReporter } from './CrashReporter.js'
 import { RequestQuarantine } from './RequestQuarantine.js'
 
 const MINUTE_MS = 60_000
 
-/** A host whose reports a test reads and whose verdicts it sets. */
+/** A host whose reports a test reads and whose entries it sets. */
 class QuarantinedHost {
   readonly lost: LostRun[] = []
   readonly whole: string[] = []
-  readonly verdicts = new VerdictBook()
+  readonly table = new QuarantineTable()
   readonly endpoints: EndpointStandin[]
   readonly host: RoutedHost
 
   constructor (...behaviours: Behaviour[]) {
     this.endpoints = behaviours.map((behaviour, index) => new EndpointStandin(`e${index}`, behaviour))
     const reporter = { noteLost: (run: LostRun) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
-    this.host = new RoutedHost(this.endpoints, { quarantine: new RequestQuarantine(this.verdicts, reporter, new Telemetry('test')) })
+    this.host = new RoutedHost(this.endpoints, { quarantine: new RequestQuarantine(this.table, reporter, new Telemetry('test')) })
   }
 
   get seen (): number { return this.endpoints.reduce((sum, { seen }) => sum + seen.length, 0) }
 
-  judge (fingerprint: string, state: VerdictState): void {
-    this.verdicts.replace([{ fingerprint, service: 'app', state, quarantines: 1, leftMs: 15 * MINUTE_MS }], performance.now())
+  decide (fingerprint: string, state: QuarantineState): void {
+    this.table.replace([{ fingerprint, service: 'app', state, quarantines: 1, leftMs: 15 * MINUTE_MS }], performance.now())
   }
 
   /** Asks once, with endpoints that break every connection, to learn what identifies the request. */
@@ -84,12 +84,12 @@
     })
   })
 
-  describe('holds back a request that is quarantined', () => {
+  describe('quarantines a request that is quarantined', () => {
     it('at once, as not run, and says for how long', async () => {
       const world = await hostWith(answerOk)
       const fingerprint = await world.fingerprintOf('/unsafe/a')
       const before = world.seen
-      world.judge(fingerprint, 'quarantined')
+      world.decide(fingerprint, 'quarantined')
       const answer = await world.host.ask('/unsafe/a')
       expect(answer.status).toBe(503)
       const problem = JSON.parse(answer.body) as Record<string, unknown>
@@ -103,7 +103,7 @@
 
     it('and serves every other one as before', async () => {
       const world = await hostWith(answerOk)
-      world.judge(await world.fingerprintOf('/unsafe/a'), 'quarantined')
+      world.decide(await world.fingerprintOf('/unsafe/a'), 'quarantined')
       expect((await world.host.ask('/unsafe/b')).status).toBe(200)
       expect((await world.host.ask('/safe/a')).status).toBe(200)
     })
@@ -113,7 +113,7 @@
       const fingerprint = await world.fingerprintOf('/safe/a')
       const before = world.seen
       const judged: Behaviour = (request, response, body) => {
-        world.judge(fingerprint, 'quarantined')
+        world.decide(fingerprint, 'quarantined')
         resetConnection(request, response, body)
       }
       for (const endpoint of world.endpoints) endpoint.behaviour = judged
@@ -131,7 +131,7 @@
         endpoint.behaviour = (request, response) => {
           response.writeHead(200)
           response.write(streamEvent(1))
-          world.judge(fingerprint, 'quarantined')
+          world.decide(fingerprint, 'quarantined')
           setTimeout(() => { request.socket.resetAndDestroy() }, 50)
         }
       }
@@ -143,7 +143,7 @@
     it.each(['suspected', 'released'] as const)('but runs one that is only %s, and tells when it comes through', async state => {
       const world = await hostWith(answerOk)
       const fingerprint = await world.fingerprintOf('/unsafe/a')
-      world.judge(fingerprint, state)
+      world.decide(fingerprint, state)
       expect((await world.host.ask('/unsafe/a')).status).toBe(200)
       await world.host.ask('/unsafe/b')
       expect(world.whole).toEqual([fingerprint])
@@ -151,24 +151,24 @@
   })
 })
 
-describe('EndReporter', () => {
+describe('CrashReporter', () => {
   const run: LostRun = { fingerprint: 'a'.repeat(32), service: 's', endpoint: 'e1', ranMs: 5 }
-  let reporter: EndReporter | undefined
+  let reporter: CrashReporter | undefined
 
   afterEach(() => { reporter?.stop() })
 
-  interface Told { readonly leader: string, readonly request: ReportEndsRequest }
+  interface Told { readonly leader: string, readonly request: ReportCrashesRequest }
 
-  function reporterTo (leader: () => string | undefined, answer: (told: Told) => 'taken' | 'not-leader' | 'lost'): { readonly reporter: EndReporter, readonly told: Told[] } {
+  function reporterTo (leader: () => string | undefined, answer: (told: Told) => 'taken' | 'not-leader' | 'lost'): { readonly reporter: CrashReporter, readonly told: Told[] } {
     const told: Told[] = []
-    const call = async (address: string, _method: unknown, request: ReportEndsRequest): Promise<unknown> => {
+    const call = async (address: string, _method: unknown, request: ReportCrashesRequest): Promise<unknown> => {
       const entry = { leader: address, request }
       told.push(entry)
       const outcome = answer(entry)
       return outcome === 'lost' ? fail({ kind: 'unreachable', address, detail: '' }) : succeed({ isTaken: outcome === 'taken' })
     }
     const rpc = { call } as unknown as Pick<RpcClient, 'call'>
-    reporter = new EndReporter('host', { rpc, leader, telemetry: new Telemetry('test') })
+    reporter = new CrashReporter('host', { rpc, leader, telemetry: new Telemetry('test') })
     return { reporter, told }
   }
 
@@ -181,14 +181,14 @@
     for (let request = 0; request < 5; request += 1) reporter.noteLost(run)
     await until(() => told.length > 0)
     await sleep(300)
-    expect(told.map(({ request }) => request.ends.length)).toEqual([5])
+    expect(told.map(({ request }) => request.losses.length)).toEqual([5])
   })
 
   it('tells again until it was taken, by whoever leads then', async () => {
     const { reporter, told } = reporterTo(() => `c${told.length}`, ({ leader }) => leader === 'c0' ? 'lost' : leader === 'c1' ? 'not-leader' : 'taken')
     reporter.noteLost(run)
     await until(() => told.length === 3)
-    expect(told.every(({ request }) => request.ends[0]?.endpoint === 'e1')).toBe(true)
+    expect(told.every(({ request }) => request.losses[0]?.endpoint === 'e1')).toBe(true)
   })
 
   it('tells a new leader what it holds, although nothing new was lost', async () => {
@@ -199,7 +199,7 @@
     leader = 'c2'
     reporter.leaderChanged()
     await until(() => told.length === 2)
-    expect(told[1]).toMatchObject({ leader: 'c2', request: { ends: [{ endpoint: 'e1' }] } })
+    expect(told[1]).toMatchObject({ leader: 'c2', request: { losses: [{ endpoint: 'e1' }] } })
   })
 
   it('tells nobody anything of a change of leader while it holds nothing', async () => {
@@ -216,7 +216,7 @@
     })
     reporter.noteLost(run)
     await until(() => told.length === 2)
-    expect(told.map(({ request }) => request.ends.length)).toEqual([1, 2])
+    expect(told.map(({ request }) => request.losses.length)).toEqual([1, 2])
   })
 
   it('tells what came through, and holds no loss against it any more', async () => {
@@ -224,6 +224,6 @@
     reporter.noteLost(run)
     reporter.noteWhole(run.fingerprint)
     await until(() => told.length === 1)
-    expect(told[0]?.request).toMatchObject({ ends: [], cameThrough: [run.fingerprint] })
+    expect(told[0]?.request).toMatchObject({ losses: [], completed: [run.fingerprint] })
   })
 })
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -31,7 +31,7 @@
   #cancel: CancelRequest = () => {}
   #head: AnswerHead | undefined
   #wasSent = false
-  #hasEnded = false
+  #hasCrashed = false
   #isReading = true
   readonly startedAt = performance.now()
 
@@ -79,7 +79,7 @@
 
   /** Ends the attempt; the endpoint notices by the closed connection, and the listener hears nothing more. */
   cancel (): void {
-    if (this.#hasEnded) return
+    if (this.#hasCrashed) return
     this.#end()
     this.connection.close()
     this.#cancel()
@@ -87,7 +87,7 @@
 
   /** The endpoint's work ends here, as far as this host counts it. */
   #end (): void {
-    this.#hasEnded = true
+    this.#hasCrashed = true
     this.#endReading()
     this.choice.endpoint.end(this.choice.tokensHeld)
     this.fleet.noteWork('eased')
@@ -103,7 +103,7 @@
   }
 
   #onHead (status: number, headers: string[], resume: () => void): void {
-    if (this.#hasEnded) return
+    if (this.#hasCrashed) return
     this.choice.endpoint.heard(performance.now())
     const fields = this.codec.readAnswer(status, headers)
     if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
@@ -116,14 +116,14 @@
   }
 
   #onData (chunk: Buffer): boolean {
-    if (this.#hasEnded || this.#head === undefined) return true
+    if (this.#hasCrashed || this.#head === undefined) return true
     this.#endReading()
     this.choice.endpoint.heard(performance.now())
     return this.#head.fields.isNotExecuted || this.listener.data(chunk)
   }
 
   #onComplete (): void {
-    if (this.#hasEnded) return
+    if (this.#hasCrashed) return
     const head = this.#head
     if (head === undefined) {
       this.#fail('lost', 'the answer ended without a head')
@@ -139,7 +139,7 @@
   }
 
   #fail (failure: AttemptFailure, detail: string): void {
-    if (this.#hasEnded) return
+    if (this.#hasCrashed) return
     this.#end()
     this.connection.close()
     this.listener.failed(failure, detail, this.#head)
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -110,7 +110,7 @@
   }
 
   #tryNext (): void {
-    if (this.#isHeldBack()) return
+    if (this.#isQuarantineRejection()) return
     // Also asked of requests that have waited since before the stop began.
     if (!this.#attempts.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
@@ -154,7 +154,7 @@
    * Refused before every send, so that a request which waits or goes on elsewhere is not sent either once it is
    * known. It takes an endpoint, with all that runs there, each time.
    */
-  #isHeldBack (): boolean {
+  #isQuarantineRejection (): boolean {
     const held = this.#guard.heldBack(performance.now())
     if (held !== undefined) this.#refuse('request-quarantined', 503, held.detail, held.forMs)
     return held !== undefined
--- a/apps/entry/src/lib/routed/harness/idleQuarantine.ts
+++ b/apps/entry/src/lib/routed/harness/idleQuarantine.ts
@@ -1,9 +1,9 @@
-/** Nothing is held back and nobody is told, for tests of everything else. */
-import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+/** Nothing is quarantined and nobody is told, for tests of everything else. */
+import { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 
-/** @returns a quarantine without verdicts */
+/** @returns a quarantine without entries */
 export function idleQuarantine (): RequestQuarantine {
-  return new RequestQuarantine(new VerdictBook(), { noteLost: () => {}, noteWhole: () => {} }, new Telemetry('idle'))
+  return new RequestQuarantine(new QuarantineTable(), { noteLost: () => {}, noteWhole: () => {} }, new Telemetry('idle'))
 }
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -86,7 +86,7 @@
     this.#runs += 1
     try {
       this.#printRun(request, work)
-      if (work.endsEndpointAfterMs !== undefined) await this.#endAfter(work.endsEndpointAfterMs)
+      if (work.crashesEndpointAfterMs !== undefined) await this.#endAfter(work.crashesEndpointAfterMs)
       if (work.fault === 'run-then-reject') this.#reject(response, UNAVAILABLE)
       else if (work.kind === 'plain') await this.#answer(request, response, work, body)
       else await this.#stream(request, response, work)
--- a/apps/soak/src/lib/HttpEndpointProbe.ts
+++ b/apps/soak/src/lib/HttpEndpointProbe.ts
@@ -16,7 +16,7 @@
   }
 
   /** The proxy in front hides whether anybody listens, so only the next incarnation tells. */
-  async hasEnded (endpoint: ListedEndpoint): Promise<boolean | undefined> {
+  async hasCrashed (endpoint: ListedEndpoint): Promise<boolean | undefined> {
     const status = await this.#statusOf(endpoint)
     return status === undefined ? undefined : status === MISDIRECTED
   }
--- a/apps/soak/src/lib/Ledger.ts
+++ b/apps/soak/src/lib/Ledger.ts
@@ -6,7 +6,7 @@
 /** Promises that the soak checks. */
 export const PROMISES = [
   'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version',
-  'configuration-never-reverts', 'ends-when-told', 'recovers', 'ends-few-endpoints', 'bystanders-are-served'
+  'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served'
 ] as const
 export type PromiseName = typeof PROMISES[number]
 
--- a/apps/soak/src/lib/LoopbackProxy.ts
+++ b/apps/soak/src/lib/LoopbackProxy.ts
@@ -1,6 +1,6 @@
 /**
  * Stands between two processes and misbehaves as a network may: late, reset, cut
- * in one direction, or silent. Bytes that a cut holds back arrive once it is healed.
+ * in one direction, or silent. Bytes that a cut quarantines arrive once it is healed.
  * Carries TCP and, at the same port, datagrams.
  */
 import { createSocket, type RemoteInfo, type Socket as DatagramSocket } from 'node:dgram'
--- a/apps/soak/src/lib/checks/BystandersAreServedCheck.ts
+++ b/apps/soak/src/lib/checks/BystandersAreServedCheck.ts
@@ -10,7 +10,7 @@
   readonly promise = 'bystanders-are-served'
 
   onOutcome ({ request, end }: Outcome): string | undefined {
-    if (request.work.endsEndpointAfterMs !== undefined || end.kind !== 'answered' || !end.body.includes(QUARANTINED)) return undefined
+    if (request.work.crashesEndpointAfterMs !== undefined || end.kind !== 'answered' || !end.body.includes(QUARANTINED)) return undefined
     return `${request.kind} of ${request.customer} was refused as if it had ended endpoints`
   }
 }
--- a/apps/soak/src/lib/checks/EndsFewEndpointsCheck.ts
+++ b/apps/soak/src/lib/checks/PoisonRequestsStopCheck.ts
@@ -1,5 +1,5 @@
 /**
- * A request that ends the endpoints that run it stops being sent: once three have ended
+ * A request that crashes the endpoints that run it stops being sent: once three have ended
  * with it and hosts have had a moment to hear of it, it reaches three more at most,
  * whichever hosts are asked and however often.
  */
@@ -21,14 +21,14 @@
   lateRuns: number
 }
 
-/** {@link RequestCheck} of requests that end endpoints. */
-export class EndsFewEndpointsCheck implements RequestCheck {
-  readonly promise = 'ends-few-endpoints'
+/** {@link RequestCheck} of requests that crash endpoints. */
+export class PoisonRequestsStopCheck implements RequestCheck {
+  readonly promise = 'poison-requests-stop'
   readonly #seen = new Map<string, Ended>()
 
   onRun (run: RunLine, view: LedgerView): string | undefined {
     const request = view.asked(run.requestId)
-    const lifeMs = request?.work.endsEndpointAfterMs
+    const lifeMs = request?.work.crashesEndpointAfterMs
     if (request === undefined || lifeMs === undefined) return undefined
     const ended = this.#endedBy(request)
     const knownAt = (ended.ends[KNOWN_AFTER_ENDS - 1] ?? Number.POSITIVE_INFINITY) + HEARD_MS
--- a/apps/soak/src/lib/checks/requestChecks.test.ts
+++ b/apps/soak/src/lib/checks/requestChecks.test.ts
@@ -57,26 +57,26 @@
   })
 
   describe('few endpoints end', () => {
-    const deadly = (id: string): AskedRequest => asked({ id, kind: 'unsafe', work: { kind: 'plain', milliseconds: 0, endsEndpointAfterMs: 50 } })
+    const poison = (id: string): AskedRequest => asked({ id, kind: 'unsafe', work: { kind: 'plain', milliseconds: 0, crashesEndpointAfterMs: 50 } })
     const times = [0, 400, 800, 4000, 4500, 5000, 5500]
 
-    function deadlyRuns (count: number, line = timeLine(), from = Date.now() - 60_000): PromiseName[] {
+    function poisonRuns (count: number, line = timeLine(), from = Date.now() - 60_000): PromiseName[] {
       const ids = times.slice(0, count).map((_, index) => `r${index}`)
-      return broken(ids.map(deadly), ids.map((requestId, index) => ran({ requestId, endpoint: `endpoint-0#${index}`, at: from + (times[index] ?? 0) })), line)
+      return broken(ids.map(poison), ids.map((requestId, index) => ran({ requestId, endpoint: `endpoint-0#${index}`, at: from + (times[index] ?? 0) })), line)
     }
 
     it('takes three more runs once the request is known', () => {
-      expect(deadlyRuns(6)).toEqual([])
+      expect(poisonRuns(6)).toEqual([])
     })
 
     it('finds the fourth', () => {
-      expect(deadlyRuns(7)).toEqual(['ends-few-endpoints'])
+      expect(poisonRuns(7)).toEqual(['poison-requests-stop'])
     })
 
     it('leaves out runs right after a disturbance of control hosts', () => {
       const line = timeLine()
       line.noteKill('control-1#1', true)
-      expect(deadlyRuns(7, line, Date.now() - 3000)).toEqual([])
+      expect(poisonRuns(7, line, Date.now() - 3000)).toEqual([])
     })
   })
 
@@ -87,8 +87,8 @@
       expect(broken([asked()], [], timeLine(), refused)).toEqual(['bystanders-are-served'])
     })
 
-    it('are others than the request that ends endpoints', () => {
-      expect(broken([asked({ work: { kind: 'plain', milliseconds: 0, endsEndpointAfterMs: 50 } })], [], timeLine(), refused)).toEqual([])
+    it('are others than the request that crashes endpoints', () => {
+      expect(broken([asked({ work: { kind: 'plain', milliseconds: 0, crashesEndpointAfterMs: 50 } })], [], timeLine(), refused)).toEqual([])
     })
   })
 
--- a/apps/soak/src/lib/checks/requestChecks.ts
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -3,7 +3,7 @@
 import { AtMostOnceCheck } from './AtMostOnceCheck.js'
 import { BystandersAreServedCheck } from './BystandersAreServedCheck.js'
 import { CustomersApartCheck } from './CustomersApartCheck.js'
-import { EndsFewEndpointsCheck } from './EndsFewEndpointsCheck.js'
+import { PoisonRequestsStopCheck } from './PoisonRequestsStopCheck.js'
 import { EventsInOrderCheck } from './EventsInOrderCheck.js'
 import { NothingIsCutCheck } from './NothingIsCutCheck.js'
 import { NotRunIsTrueCheck } from './NotRunIsTrueCheck.js'
@@ -15,6 +15,6 @@
   return [
     new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
     new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(),
-    new EndsFewEndpointsCheck(), new BystandersAreServedCheck()
+    new PoisonRequestsStopCheck(), new BystandersAreServedCheck()
   ]
 }
--- a/apps/soak/src/lib/endpointWork.ts
+++ b/apps/soak/src/lib/endpointWork.ts
@@ -10,12 +10,12 @@
 export type EndpointBreak = z.infer<typeof endpointBreakSchema>
 
 /** Exit code of a stand-in that was ended by a request. */
-export const ENDED_BY_REQUEST_CODE = 86
+export const CRASHED_BY_REQUEST_CODE = 86
 
 const anyWork = {
   fault: endpointBreakSchema.optional(),
   /** Milliseconds after which the process of the endpoint ends because of it; most requests end none. */
-  endsEndpointAfterMs: z.number().min(0).optional()
+  crashesEndpointAfterMs: z.number().min(0).optional()
 }
 
 /** Travels in a header, as JSON. */
--- a/apps/soak/src/lib/planRepeatedRequests.ts
+++ b/apps/soak/src/lib/planRepeatedRequests.ts
@@ -17,9 +17,9 @@
 /** Tells these draws from those of faults and callers. */
 const REPEATED_SEED = 3_000_000
 
-const DEADLY_KINDS: readonly RequestKind[] = ['safe', 'unsafe', 'stream', 'resumable', 'generation']
+const POISON_KINDS: readonly RequestKind[] = ['safe', 'unsafe', 'stream', 'resumable', 'generation']
 
-/** Bounds of the time that an endpoint lives on with a deadly request, in milliseconds. */
+/** Bounds of the time that an endpoint lives on with a poison request, in milliseconds. */
 const LEAST_LIFE_MS = 20
 const MOST_LIFE_MS = 200
 
@@ -32,20 +32,20 @@
 
 /**
  * @param seed - decides everything
- * @param deadly - how many of them end the endpoints that run them
- * @returns the deadly ones and, if there are any, one that is only often beside them
+ * @param poison - how many of them end the endpoints that run them
+ * @returns the poison ones and, if there are any, one that is only often beside them
  */
-export function planRepeatedRequests (seed: number, deadly: number): RepeatedRequest[] {
-  if (deadly === 0) return []
+export function planRepeatedRequests (seed: number, poison: number): RepeatedRequest[] {
+  if (poison === 0) return []
   const draws = new Draws(REPEATED_SEED + seed)
-  return [...Array.from({ length: deadly }, (_, index) => drawDeadly(draws, index)), HARMLESS]
+  return [...Array.from({ length: poison }, (_, index) => drawPoison(draws, index)), HARMLESS]
 }
 
-function drawDeadly (draws: Draws, index: number): RepeatedRequest {
-  const kind = draws.pick(DEADLY_KINDS)
-  const endsEndpointAfterMs = Math.round(draws.between(LEAST_LIFE_MS, MOST_LIFE_MS))
+function drawPoison (draws: Draws, index: number): RepeatedRequest {
+  const kind = draws.pick(POISON_KINDS)
+  const crashesEndpointAfterMs = Math.round(draws.between(LEAST_LIFE_MS, MOST_LIFE_MS))
   const work: Work = kind === 'safe' || kind === 'unsafe'
-    ? { kind: 'plain', milliseconds: 0, endsEndpointAfterMs }
-    : { kind: 'stream', events: 3, intervalMs: 10, endsEndpointAfterMs }
-  return { name: `deadly-${index}`, kind, customer: draws.pick(CUSTOMERS).name, work, pauseMs: Math.round(draws.between(LEAST_PAUSE_MS, MOST_PAUSE_MS)) }
+    ? { kind: 'plain', milliseconds: 0, crashesEndpointAfterMs }
+    : { kind: 'stream', events: 3, intervalMs: 10, crashesEndpointAfterMs }
+  return { name: `poison-${index}`, kind, customer: draws.pick(CUSTOMERS).name, work, pauseMs: Math.round(draws.between(LEAST_PAUSE_MS, MOST_PAUSE_MS)) }
 }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -1,4 +1,4 @@
-/** One seeded run: start, faults under load, recovery, and the verdict. */
+/** One seeded run: start, faults under load, recovery, and what it found. */
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -8,7 +8,7 @@
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { Draws } from './Draws.js'
-import { ENDED_BY_REQUEST_CODE, type EndpointBreak } from './endpointWork.js'
+import { CRASHED_BY_REQUEST_CODE, type EndpointBreak } from './endpointWork.js'
 import { FaultDriver } from './FaultDriver.js'
 import { planFaults, type FaultKind, type SoakShape } from './faultPlan.js'
 import { planRepeatedRequests } from './planRepeatedRequests.js'
@@ -36,8 +36,8 @@
   readonly recoveryMs?: number
   /** Kinds of faults to draw from. */
   readonly kinds?: readonly FaultKind[]
-  /** Requests that end each endpoint that runs them and come again and again, beside one that comes as often and ends none; 0 if absent. */
-  readonly deadlyRequests?: number
+  /** Requests that crash each endpoint that runs them and come again and again, beside one that comes as often and ends none; 0 if absent. */
+  readonly poisonRequests?: number
 }
 
 /** What a run has shown. */
@@ -104,7 +104,7 @@
     }
     const usual = Array.from({ length: plan.callers }, (_, index) =>
       new Caller(`r${index}`, new Draws(CALLER_SEED + seed * plan.callers + index), surroundings))
-    const repeating = planRepeatedRequests(seed, plan.deadlyRequests ?? 0).map((repeated, index) =>
+    const repeating = planRepeatedRequests(seed, plan.poisonRequests ?? 0).map((repeated, index) =>
       new RepeatingCaller(repeated, new Draws(REPEATING_SEED + seed * MOST_REPEATED + index), surroundings))
     this.#callers = [...usual, ...repeating]
   }
@@ -128,7 +128,7 @@
 
   #noteEnd (label: string, code: number | null): void {
     this.#timeLine.note(label, `ended with ${code ?? 'a signal'}`, false)
-    if (code === ENDED_BY_REQUEST_CODE) {
+    if (code === CRASHED_BY_REQUEST_CODE) {
       this.#timeLine.note(label, 'ended by a request', true)
       return
     }
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -27,7 +27,7 @@
   callers = Option.String('--callers', '32', { description: 'callers with one connection each' })
   graceMs = Option.String('--grace-ms', '8000', { description: 'time from SIGTERM to SIGKILL, in milliseconds' })
   kinds = Option.String('--kinds', { description: `faults to draw from, separated by commas: ${[...new Set(FAULT_KINDS)].join(', ')}` })
-  deadly = Option.String('--deadly', '1', { description: 'requests of a run that end each endpoint that runs them and come again' })
+  poison = Option.String('--poison', '1', { description: 'requests of a run that crash each endpoint that runs them and come again' })
   skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not play the seeds that failed once first' })
   broken = Option.String('--break', { description: `break a promise on purpose: ${BREAKS.join(', ')}` })
 
@@ -42,8 +42,8 @@
     const breaks = broken === undefined ? [] : [broken]
     let failed = 0
     for (const plan of [...regressions, ...fresh]) {
-      const deadlyRequests = fresh.includes(plan) ? Number(this.deadly) : 0
-      const result = await this.#play(plan, breaks, deadlyRequests)
+      const poisonRequests = fresh.includes(plan) ? Number(this.poison) : 0
+      const result = await this.#play(plan, breaks, poisonRequests)
       this.#print(result)
       if (result.violations.length > 0) failed += 1
     }
@@ -58,11 +58,11 @@
   }
 
   async #play (
-    { seed, seconds, entries, callers, kinds = FAULT_KINDS }: Omit<RegressionSeed, 'cause'>, breaks: readonly SoakBreak[], deadlyRequests: number
+    { seed, seconds, entries, callers, kinds = FAULT_KINDS }: Omit<RegressionSeed, 'cause'>, breaks: readonly SoakBreak[], poisonRequests: number
   ): Promise<SoakResult> {
     const endpoints = Number(this.endpoints)
     const shape = { controls: CONTROLS, entries, plainEndpoints: endpoints, engines: endpoints }
-    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs), deadlyRequests })
+    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs), poisonRequests })
   }
 
   #print ({ seed, requests, ends, acts, violations, timeLine, logFiles }: SoakResult): void {
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -25,12 +25,12 @@
   readonly breaks?: readonly SoakBreak[]
   readonly kinds?: readonly FaultKind[]
   readonly recoveryMs?: number
-  readonly deadlyRequests?: number
+  readonly poisonRequests?: number
 }
 
-async function play ({ seconds, breaks = [], kinds = FAULT_KINDS, recoveryMs = 60_000, deadlyRequests = 0 }: ShortRun): Promise<SoakResult> {
+async function play ({ seconds, breaks = [], kinds = FAULT_KINDS, recoveryMs = 60_000, poisonRequests = 0 }: ShortRun): Promise<SoakResult> {
   const shape = { controls: 3, entries: 4, plainEndpoints: 3, engines: 3 }
-  return await runSoak({ seed: 1, seconds, breaks, kinds, recoveryMs, shape, callers: 32, graceMs: 8000, deadlyRequests })
+  return await runSoak({ seed: 1, seconds, breaks, kinds, recoveryMs, shape, callers: 32, graceMs: 8000, poisonRequests })
 }
 
 function describeRun ({ violations, timeLine, logFiles }: SoakResult): string {
@@ -51,7 +51,7 @@
    * failures were counted against endpoints only.
    */
   it('stops sending a request that ends every endpoint that runs it, and serves those beside it', async () => {
-    const result = await play({ seconds: 12, kinds: ['new-site'], deadlyRequests: 1 })
+    const result = await play({ seconds: 12, kinds: ['new-site'], poisonRequests: 1 })
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
--- a/apps/standin/src/lib/EngineStandin.ts
+++ b/apps/standin/src/lib/EngineStandin.ts
@@ -26,7 +26,7 @@
   readonly weightStore: string
   readonly honoursFencing: boolean
   /** A run whose prompt contains this text ends the engine; empty for none. */
-  readonly deadlyText: string
+  readonly poisonText: string
   /** Told some time after such a run began; ends the process. */
   readonly end: () => void
   /** Sends some chunks twice and swaps neighbours, as a lossy stream would. */
@@ -59,8 +59,8 @@
 /** Lifetime of an import that no run used, in milliseconds. */
 const IMPORT_KEPT_MS = 30_000
 
-/** Time that an engine lives on with a deadly run, in milliseconds. */
-const DEADLY_AFTER_MS = 300
+/** Time that an engine lives on with a poison run, in milliseconds. */
+const POISON_AFTER_MS = 300
 
 /** One stand-in engine. */
 export class EngineStandin {
@@ -143,8 +143,8 @@
       ended: false
     }
     this.#runs.set(request.run, run)
-    if (this.settings.deadlyText !== '' && request.prompt.includes(this.settings.deadlyText)) {
-      setTimeout(this.settings.end, DEADLY_AFTER_MS)
+    if (this.settings.poisonText !== '' && request.prompt.includes(this.settings.poisonText)) {
+      setTimeout(this.settings.end, POISON_AFTER_MS)
       return undefined
     }
     this.#cache.store(importedKeys, performance.now())
--- a/apps/standin/src/main.ts
+++ b/apps/standin/src/main.ts
@@ -38,7 +38,7 @@
   weightStore = Option.String('--weight-store', '127.0.0.1:1')
   ignoresFencing = Option.Boolean('--ignores-fencing', false)
   disorder = Option.Boolean('--disorder', false)
-  deadlyText = Option.String('--deadly-text', '', { description: 'a run whose prompt contains it ends the process' })
+  poisonText = Option.String('--poison-text', '', { description: 'a run whose prompt contains it ends the process' })
 
   protected override routes (): H3 {
     const incarnation = Number(this.incarnation)
@@ -55,7 +55,7 @@
       weightStore: this.weightStore,
       honoursFencing: !this.ignoresFencing,
       disorder: this.disorder,
-      deadlyText: this.deadlyText,
+      poisonText: this.poisonText,
       end: () => { process.exit(1) },
       incarnation
     })
--- a/packages/routing/src/lib/quarantine/EndEvidence.ts
+++ b/packages/routing/src/lib/quarantine/CrashEvidence.ts
@@ -1,23 +1,20 @@
 /** What one entry host holds of requests that were lost with an endpoint, until it counts no more. */
-import { MOST_REPORTS_OF_HOST, type EndReport } from './endReport.js'
+import { MOST_REPORTS_OF_HOST, type CrashReport } from './crashReport.js'
 import { EVIDENCE_MS } from './quarantineTerms.js'
 
 /** A request that was lost with its endpoint. */
-export type LostRun = Omit<EndReport, 'agoMs'>
+export type LostRun = Omit<CrashReport, 'agoMs'>
 
 interface HeldRun extends LostRun {
   readonly at: number
 }
 
 /** Bounded; the oldest go first. */
-export class EndEvidence {
+export class CrashEvidence {
   #held: HeldRun[] = []
 
   get size (): number { return this.#held.length }
 
-  /** Monotonic milliseconds of the newest loss; minus infinity if there is none. */
-  get newestAt (): number { return this.#held.at(-1)?.at ?? Number.NEGATIVE_INFINITY }
-
   /**
    * @param run - what was lost
    * @param now - monotonic milliseconds
@@ -28,7 +25,7 @@
     if (this.#held.length > MOST_REPORTS_OF_HOST) this.#held.shift()
   }
 
-  /** @param fingerprint - of a request that came through: it did not end endpoints, it was only there */
+  /** @param fingerprint - of a request that completed: it was only there */
   forget (fingerprint: string): void {
     this.#held = this.#held.filter(held => held.fingerprint !== fingerprint)
   }
@@ -37,7 +34,7 @@
    * @param now - monotonic milliseconds
    * @returns all that still counts
    */
-  reports (now: number): EndReport[] {
+  reports (now: number): CrashReport[] {
     return this.#held.filter(({ at }) => now - at < EVIDENCE_MS).map(({ at, ...run }) => ({ ...run, agoMs: now - at }))
   }
 }
--- a/packages/routing/src/lib/quarantine/configuredEndName.ts
+++ b/packages/routing/src/lib/quarantine/configuredIncarnationName.ts
@@ -4,13 +4,13 @@
 const NAME = new RegExp(`^(.+)${SEPARATOR}(\\d+)$`)
 
 /** One incarnation. */
-export interface ConfiguredEnd {
+export interface ConfiguredIncarnation {
   readonly endpoint: string
   readonly incarnation: number
 }
 
-/** @returns a name that {@link parseConfiguredEnd} reads */
-export function configuredEndName ({ endpoint, incarnation }: ConfiguredEnd): string {
+/** @returns a name that {@link parseConfiguredIncarnation} reads */
+export function configuredIncarnationName ({ endpoint, incarnation }: ConfiguredIncarnation): string {
   return `${endpoint}${SEPARATOR}${incarnation}`
 }
 
@@ -18,7 +18,7 @@
  * @param name - of an incarnation
  * @returns what it names; undefined if it is no such name
  */
-export function parseConfiguredEnd (name: string): ConfiguredEnd | undefined {
+export function parseConfiguredIncarnation (name: string): ConfiguredIncarnation | undefined {
   const [, endpoint, incarnation] = NAME.exec(name) ?? []
   return endpoint === undefined || incarnation === undefined ? undefined : { endpoint, incarnation: Number(incarnation) }
 }
--- a/packages/routing/src/lib/quarantine/endReport.ts
+++ b/packages/routing/src/lib/quarantine/crashReport.ts
@@ -1,6 +1,6 @@
 /** What entry hosts tell of requests that were under way at an endpoint when their connection to it broke. */
 import { z } from 'zod'
-import { fingerprintSchema } from '@eelgrassmux/schema/requestVerdict'
+import { fingerprintSchema } from '@eelgrassmux/schema/quarantineEntry'
 
 const LONGEST_NAME = 256
 
@@ -10,7 +10,7 @@
 /** Reports that one host holds at most, the newest ones: two endpoints full of its requests. */
 export const MOST_REPORTS_OF_HOST = 256
 
-export const endReportSchema = z.strictObject({
+export const crashReportSchema = z.strictObject({
   fingerprint: fingerprintSchema,
   service: nameSchema,
   /** Incarnation of the endpoint. */
@@ -22,4 +22,4 @@
 })
 
 /** One request that was lost with one endpoint. */
-export type EndReport = z.infer<typeof endReportSchema>
+export type CrashReport = z.infer<typeof crashReportSchema>
--- a/packages/routing/src/lib/quarantine/evidenceAndVerdicts.test.ts
+++ b/packages/routing/src/lib/quarantine/evidenceAndTable.test.ts
@@ -1,30 +1,30 @@
 import { describe, expect, it } from 'vitest'
-import type { ToldVerdict } from '@eelgrassmux/schema/requestVerdict'
-import { EndEvidence, type LostRun } from './EndEvidence.js'
-import { endReportSchema, MOST_REPORTS_OF_HOST } from './endReport.js'
+import type { QuarantineEntryMessage } from '@eelgrassmux/schema/quarantineEntry'
+import { CrashEvidence, type LostRun } from './CrashEvidence.js'
+import { crashReportSchema, MOST_REPORTS_OF_HOST } from './crashReport.js'
 import { EVIDENCE_MS, FIRST_QUARANTINE_MS, LONGEST_QUARANTINE_MS, quarantineMs } from './quarantineTerms.js'
-import { VerdictBook } from './VerdictBook.js'
+import { QuarantineTable } from './QuarantineTable.js'
 
 const FINGERPRINT = 'a'.repeat(32)
 const run = (number: number): LostRun => ({ fingerprint: number.toString(16).padStart(32, '0'), service: 's', endpoint: `e${number}`, ranMs: 10 })
 
-describe('EndEvidence', () => {
+describe('CrashEvidence', () => {
   it('tells how long ago each loss was, until it counts no more', () => {
-    const evidence = new EndEvidence()
+    const evidence = new CrashEvidence()
     evidence.note(run(1), 1000)
     expect(evidence.reports(1500)).toEqual([{ ...run(1), agoMs: 500 }])
     expect(evidence.reports(1000 + EVIDENCE_MS)).toEqual([])
   })
 
   it('forgets what came through', () => {
-    const evidence = new EndEvidence()
+    const evidence = new CrashEvidence()
     for (const number of [1, 2, 1]) evidence.note(run(number), number)
     evidence.forget(run(1).fingerprint)
     expect(evidence.reports(10).map(({ endpoint }) => endpoint)).toEqual(['e2'])
   })
 
   it('holds a bounded number, the newest', () => {
-    const evidence = new EndEvidence()
+    const evidence = new CrashEvidence()
     for (let number = 0; number < 1000; number += 1) evidence.note(run(number), number)
     expect(evidence.size).toBe(MOST_REPORTS_OF_HOST)
     expect(evidence.reports(1000).at(-1)?.endpoint).toBe('e999')
@@ -35,14 +35,14 @@
   const report = { ...run(1), agoMs: 5 }
 
   it('takes what hosts tell', () => {
-    expect(endReportSchema.safeParse(report).success).toBe(true)
+    expect(crashReportSchema.safeParse(report).success).toBe(true)
   })
 
   it.each([
     ['fingerprint', 'short'], ['fingerprint', FINGERPRINT.toUpperCase()], ['endpoint', ''], ['endpoint', 'e'.repeat(257)], ['service', ''],
     ['agoMs', -1], ['agoMs', Number.NaN], ['ranMs', Number.POSITIVE_INFINITY], ['more', 1]
   ])('refuses a wrong %s (%s) and names it', (field, value) => {
-    const parsed = endReportSchema.safeParse({ ...report, [field]: value })
+    const parsed = crashReportSchema.safeParse({ ...report, [field]: value })
     expect(parsed.success).toBe(false)
     expect(JSON.stringify(parsed.error?.issues)).toContain(field)
   })
@@ -59,22 +59,22 @@
   })
 })
 
-describe('VerdictBook', () => {
-  const told = (overrides: Partial<ToldVerdict> = {}): ToldVerdict => ({ fingerprint: FINGERPRINT, service: 's', state: 'quarantined', quarantines: 1, leftMs: 5000, ...overrides })
+describe('QuarantineTable', () => {
+  const told = (overrides: Partial<QuarantineEntryMessage> = {}): QuarantineEntryMessage => ({ fingerprint: FINGERPRINT, service: 's', state: 'quarantined', quarantines: 1, leftMs: 5000, ...overrides })
 
-  it('ends verdicts on its own clock', () => {
-    const book = new VerdictBook()
-    book.replace([told()], 100)
-    expect(book.find(FINGERPRINT)?.endsAt).toBe(5100)
+  it('ends entries on its own clock', () => {
+    const table = new QuarantineTable()
+    table.replace([told()], 100)
+    expect(table.find(FINGERPRINT)?.endsAt).toBe(5100)
   })
 
   it('takes changes and removals, and leaves the others as they are', () => {
-    const book = new VerdictBook()
+    const table = new QuarantineTable()
     const other = 'b'.repeat(32)
-    book.replace([told(), told({ fingerprint: other, state: 'suspected' })], 0)
-    book.change({ verdicts: [told({ fingerprint: other, state: 'quarantined', leftMs: 9 })], verdictsGone: [FINGERPRINT] }, 50)
-    expect(book.all).toMatchObject([{ fingerprint: other, state: 'quarantined', endsAt: 59 }])
-    book.replace([], 60)
-    expect(book.isEmpty).toBe(true)
+    table.replace([told(), told({ fingerprint: other, state: 'suspected' })], 0)
+    table.change({ quarantine: [told({ fingerprint: other, state: 'quarantined', leftMs: 9 })], quarantineRemoved: [FINGERPRINT] }, 50)
+    expect(table.all).toMatchObject([{ fingerprint: other, state: 'quarantined', endsAt: 59 }])
+    table.replace([], 60)
+    expect(table.isEmpty).toBe(true)
   })
 })
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -1,7 +1,7 @@
 /** Methods of the control hosts. */
 import { z } from 'zod'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
-import { fingerprintSchema, toldVerdictSchema } from '@eelgrassmux/schema/requestVerdict'
+import { fingerprintSchema, quarantineEntryMessageSchema } from '@eelgrassmux/schema/quarantineEntry'
 import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
 import { storedPartsMessageSchema } from '@eelgrassmux/schema/site/storedParts'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
@@ -111,7 +111,7 @@
     site: siteSchema.optional(),
     weights: z.array(namedWeightsSchema),
     /** Absent if there are none. */
-    verdicts: z.array(toldVerdictSchema).optional()
+    quarantine: z.array(quarantineEntryMessageSchema).optional()
   }),
   z.strictObject({
     kind: z.literal('changes'),
@@ -125,9 +125,9 @@
     site: siteSchema.optional(),
     weights: z.array(namedWeightsSchema),
     /** New and changed ones; absent if there are none. */
-    verdicts: z.array(toldVerdictSchema).optional(),
-    /** Requests on which there is no verdict any more; absent if there are none. */
-    verdictsGone: z.array(fingerprintSchema).optional()
+    quarantine: z.array(quarantineEntryMessageSchema).optional(),
+    /** Requests that are not in the quarantine any more; absent if there are none. */
+    quarantineRemoved: z.array(fingerprintSchema).optional()
   })
 ])
 
--- a/packages/state/src/lib/StateMachine.ts
+++ b/packages/state/src/lib/StateMachine.ts
@@ -7,7 +7,7 @@
   StateImage, StoredAnswer
 } from './commands.js'
 import { SiteRegister } from './SiteRegister.js'
-import { VerdictRegister } from './VerdictRegister.js'
+import { QuarantineRegister } from './QuarantineRegister.js'
 
 /** Settings that every control host must share. */
 export interface StateSettings {
@@ -28,12 +28,12 @@
   readonly removes: readonly DocumentName[]
   /** Whether the site was replaced in this step. */
   readonly replacesSite: boolean
-  /** Fingerprints of requests on which the verdict changed in this step. */
-  readonly judged: readonly string[]
+  /** Fingerprints of requests whose quarantine changed in this step. */
+  readonly quarantineChanged: readonly string[]
 }
 
 /** A step that changes nothing of what is not named. */
-const NO_CHANGE: Omit<ViewChange, 'viewRevision'> = { upserts: [], removes: [], replacesSite: false, judged: [] }
+const NO_CHANGE: Omit<ViewChange, 'viewRevision'> = { upserts: [], removes: [], replacesSite: false, quarantineChanged: [] }
 
 /** Changes kept for watchers that are only a little behind. */
 const REMEMBERED_CHANGES = 512
@@ -53,8 +53,8 @@
 
   /** Site, named weights and the holder of the right to give orders. */
   readonly sites = new SiteRegister()
-  /** Requests that are held back from endpoints. */
-  readonly verdicts = new VerdictRegister()
+  /** Requests that are not sent to endpoints. */
+  readonly quarantine = new QuarantineRegister()
 
   /** @param settings - the same on all control hosts */
   constructor (private readonly settings: StateSettings = DEFAULT_STATE_SETTINGS) {}
@@ -95,8 +95,8 @@
       case 'put-site': return this.#recordOutcome(this.sites.putSite(command), true)
       case 'name-weights': return this.#recordOutcome(this.sites.nameWeights(command), false)
       case 'claim-orders': return this.sites.claimOrders(command.holder)
-      case 'judge-requests': return this.#recordVerdicts(this.verdicts.judge(command.judgements, this.#clock))
-      case 'expire-verdicts': return this.#recordVerdicts(this.verdicts.expire(this.#clock))
+      case 'change-quarantine': return this.#recordQuarantine(this.quarantine.apply(command.decisions, this.#clock))
+      case 'expire-quarantine': return this.#recordQuarantine(this.quarantine.expire(this.#clock))
       default: return unreachable(command)
     }
   }
@@ -125,7 +125,7 @@
       records: [...this.#records.values()],
       releasedClaims: [...this.#releasedClaims].map(([claimId, releasedAt]) => ({ claimId, releasedAt })),
       site: this.sites.image(),
-      verdicts: [...this.verdicts.all]
+      quarantine: [...this.quarantine.all]
     }
   }
 
@@ -142,7 +142,7 @@
     this.#requests = new Map(image.requests.map(({ requestId, result }) => [requestId, result]))
     this.#records = new Map(image.records.map(record => [recordId(record.key), record]))
     this.sites.restore(image.site)
-    this.verdicts.restore(image.verdicts)
+    this.quarantine.restore(image.quarantine)
     this.#releasedClaims = new Map(image.releasedClaims.map(({ claimId, releasedAt }) => [claimId, releasedAt]))
   }
 
@@ -187,8 +187,8 @@
     return outcome.result
   }
 
-  #recordVerdicts (judged: readonly string[]): CommandResult {
-    if (judged.length > 0) this.#recordChange({ judged })
+  #recordQuarantine (quarantineChanged: readonly string[]): CommandResult {
+    if (quarantineChanged.length > 0) this.#recordChange({ quarantineChanged })
     return { kind: 'done' }
   }
 
--- a/packages/state/src/lib/commandCodec.ts
+++ b/packages/state/src/lib/commandCodec.ts
@@ -39,8 +39,8 @@
     case 'assign-shards':
     case 'put-site':
     case 'name-weights':
-    case 'judge-requests':
-    case 'expire-verdicts':
+    case 'change-quarantine':
+    case 'expire-quarantine':
       return true
     default:
       return false
--- a/packages/state/src/lib/commands.ts
+++ b/packages/state/src/lib/commands.ts
@@ -2,8 +2,9 @@
 import { z } from 'zod'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
-import { judgementSchema, requestVerdictSchema } from '@eelgrassmux/schema/requestVerdict'
+import { quarantineDecisionSchema, quarantineEntrySchema } from '@eelgrassmux/schema/quarantineEntry'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
+import { renameFormerCommand, renameFormerImage } from './readFormerNames.js'
 
 const id = z.string().min(1).max(200)
 const count = z.number().int().min(0)
@@ -60,13 +61,13 @@
   z.strictObject({ kind: z.literal('name-weights'), model: id, version: count }),
   /** The leader of a term takes over giving orders to engines. */
   z.strictObject({ kind: z.literal('claim-orders'), holder: orderHolderSchema }),
-  /** Requests that are held back from endpoints, or no more. */
-  z.strictObject({ kind: z.literal('judge-requests'), judgements: z.array(judgementSchema) }),
-  z.strictObject({ kind: z.literal('expire-verdicts') })
+  /** Which requests are kept from endpoints. */
+  z.strictObject({ kind: z.literal('change-quarantine'), decisions: z.array(quarantineDecisionSchema) }),
+  z.strictObject({ kind: z.literal('expire-quarantine') })
 ])
 
 /** A command with the proposing leader's wall clock, which the state clamps to never go back. */
-export const stampedCommandSchema = z.strictObject({ stampedAt: z.number(), command: commandSchema })
+export const stampedCommandSchema = z.strictObject({ stampedAt: z.number(), command: z.preprocess(renameFormerCommand, commandSchema) })
 
 export const shardSchema = z.strictObject({ owner: z.string(), epoch: count })
 
@@ -122,7 +123,7 @@
 })
 
 /** Image of the whole state, for snapshots. */
-export const stateImageSchema = z.strictObject({
+export const stateImageSchema = z.preprocess(renameFormerImage, z.strictObject({
   clock: z.number(),
   revision: count,
   viewRevision: count,
@@ -133,9 +134,9 @@
   releasedClaims: z.array(z.strictObject({ claimId: id, releasedAt: z.number() })),
   /** Absent in snapshots written before there were sites. */
   site: siteImageSchema.default({ weights: [] }),
-  /** Absent in snapshots written before requests were judged. */
-  verdicts: z.array(requestVerdictSchema).default([])
-})
+  /** Absent in snapshots written before there was a quarantine. */
+  quarantine: z.array(quarantineEntrySchema).default([])
+}))
 
 export type SiteImage = { [Field in keyof z.infer<typeof siteImageSchema>]: z.infer<typeof siteImageSchema>[Field] }
 export type StateImage = z.infer<typeof stateImageSchema>
--- a/packages/telemetry/src/lib/events/quarantineChanges.ts
+++ b/packages/telemetry/src/lib/events/quarantineChanges.ts
@@ -1,17 +1,17 @@
 import { z } from 'zod'
 
-/** What is believed of requests that may end the endpoints that run them. */
+/** What is believed of requests that may crash the endpoints that run them. */
 export const quarantineChanges = {
-  'endpoint-end-checked': z.strictObject({ endpoint: z.string(), hasEnded: z.boolean() }),
-  'request-judged': z.strictObject({
+  'endpoint-crash-checked': z.strictObject({ endpoint: z.string(), hasCrashed: z.boolean() }),
+  'quarantine-decided': z.strictObject({
     fingerprint: z.string(),
     service: z.string(),
-    judgement: z.string(),
+    decision: z.string(),
     forMs: z.number(),
-    ends: z.number(),
+    crashes: z.number(),
     longestRunMs: z.number(),
     endpoints: z.string()
   }),
-  'verdict-in-force': z.strictObject({ fingerprint: z.string(), service: z.string(), state: z.string(), quarantines: z.number(), leftMs: z.number(), view: z.number() }),
-  'verdict-over': z.strictObject({ fingerprint: z.string(), service: z.string(), state: z.string(), view: z.number() })
+  'quarantine-in-force': z.strictObject({ fingerprint: z.string(), service: z.string(), state: z.string(), quarantines: z.number(), leftMs: z.number(), view: z.number() }),
+  'quarantine-removed': z.strictObject({ fingerprint: z.string(), service: z.string(), state: z.string(), view: z.number() })
 }
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -9,7 +9,7 @@
 import { propose, watchView, type HostRole, type StatusRequest, type StatusResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
-import type { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+import type { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Command, CommandResult, NamedWeights, Shard } from '@eelgrassmux/state/commands'
 import { EndpointListFollower } from './EndpointListFollower.js'
@@ -106,8 +106,8 @@
   get site (): Site | undefined { return this.#follower.site }
   /** Weight version that each model should run. */
   get weights (): readonly NamedWeights[] { return this.#follower.weights }
-  /** Requests that are held back from endpoints. */
-  get verdicts (): VerdictBook { return this.#follower.verdicts }
+  /** Requests that are not sent to endpoints. */
+  get quarantine (): QuarantineTable { return this.#follower.quarantine }
   /** Endpoints as the platform lists them. */
   get endpoints (): readonly ListedEndpoint[] { return this.#endpoints.endpoints }
 
--- a/packages/view/src/lib/ViewFollower.ts
+++ b/packages/view/src/lib/ViewFollower.ts
@@ -2,7 +2,7 @@
 import { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import type { ConfigurationDocument } from '@eelgrassmux/schema/configuration'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
-import { VerdictBook } from '@eelgrassmux/routing/quarantine/VerdictBook'
+import { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import type { ViewMessage } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { NamedWeights, Shard } from '@eelgrassmux/state/commands'
@@ -18,8 +18,8 @@
   #site: Site | undefined
   #weights: readonly NamedWeights[] = []
   #index = new ConfigurationIndex(0, { documents: [] })
-  /** Requests that are held back from endpoints. */
-  readonly verdicts = new VerdictBook()
+  /** Requests that are not sent to endpoints. */
+  readonly quarantine = new QuarantineTable()
 
   get viewRevision (): number { return this.#viewRevision }
   get configuration (): ConfigurationIndex { return this.#index }
@@ -39,12 +39,12 @@
     if (message.viewRevision <= this.#viewRevision) return 'stale'
     if (message.kind === 'snapshot') {
       this.#documents = new Map(message.documents.map(document => [keyOf(document), document]))
-      this.verdicts.replace(message.verdicts ?? [], now)
+      this.quarantine.replace(message.quarantine ?? [], now)
     } else {
       if (message.fromViewRevision !== this.#viewRevision) return 'gap'
       for (const name of message.removes) this.#documents.delete(keyOf(name))
       for (const document of message.upserts) this.#documents.set(keyOf(document), document)
-      this.verdicts.change({ verdicts: message.verdicts ?? [], verdictsGone: message.verdictsGone ?? [] }, now)
+      this.quarantine.change({ quarantine: message.quarantine ?? [], quarantineRemoved: message.quarantineRemoved ?? [] }, now)
     }
     this.#advance(message)
     return 'advanced'
