Evacuation of a data centre, agreed and durable; cold endpoints get a bounded rate from all hosts together

Orders bear no number and may arrive late, so each command names the revision its proposer knew; an overtaken one changes nothing, and a caller that has left is noticed before each proposal. Entry hosts follow through the view, routed requests and completions alike; requests under way go on. Unknown data centres, verbs, names and bodies are refused with the field.

Cold endpoints, two ways weighed: an allowance leased by the leader (exact, but one more message for each cold endpoint and host, and none while there is no leader) and shares by hashing over the live hosts (nothing exchanged). The second: with n hosts and a stated rate r a host sends floor(r/n) in 1.1 s, or, if that is 0, a hash of host and endpoint draws 0.6 r of the n hosts, each with one request in 1.1 s. Without network: 1 to 340 hosts, 60 endpoints, every host sending whenever it may: at most 1.5 r + 5 in any second, also when half of 81 hosts know half of the others or the set changes; at least 0.4 r in the mean. An endpoint that was out of reach or evacuated counts as cold for 3 s more, since the list lags.

--- a/apps/control/src/lib/ControlServer.ts
+++ b/apps/control/src/lib/ControlServer.ts
@@ -77,7 +77,8 @@
         viewRevision: state.viewRevision,
         revision: state.revision,
         uptimeMs: now - this.#startedAt,
-        hosts: this.hosts.reports(now)
+        hosts: this.hosts.reports(now),
+        evacuations: state.evacuations.image()
       }
     })
     server.handle(listOrders, async () => ({ orders: this.orders.reports() }))
@@ -183,15 +184,17 @@
     const shards = [...state.shards]
     const changes = known === 0 ? undefined : state.changesSince(known)
     const { weights, put } = state.sites
+    const { evacuated } = state.evacuations
+    const evacuation = evacuated.length === 0 ? {} : { evacuated }
     const site = put === undefined || changes?.some(change => change.replacesSite) === false ? {} : { site: put.site }
     if (changes === undefined) {
-      return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards, weights, ...site, ...quarantineMessage(state.quarantine, undefined, Date.now()) }
+      return { kind: 'snapshot', viewRevision, revision, documents: [...state.configuration.documents], shards, weights, ...site, ...evacuation, ...quarantineMessage(state.quarantine, undefined, Date.now()) }
     }
     const upserts = new Map(changes.flatMap(change => change.upserts.map(document => [`${document.kind}/${document.name}`, document])))
     const removes = changes.flatMap(change => change.removes)
     const kept = this.#stillRemoved(removes)
     for (const { kind, name } of kept) upserts.delete(`${kind}/${name}`)
-    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards, weights, ...site, ...quarantineMessage(state.quarantine, changes.flatMap(change => change.quarantineChanged), Date.now()) }
+    return { kind: 'changes', fromViewRevision: known, viewRevision, revision, upserts: [...upserts.values()], removes: kept, shards, weights, ...site, ...evacuation, ...quarantineMessage(state.quarantine, changes.flatMap(change => change.quarantineChanged), Date.now()) }
   }
 
   /** A document removed and later created again within the same changes is not removed. */
--- a/apps/control/src/lib/endpoints/EndpointRegister.ts
+++ b/apps/control/src/lib/endpoints/EndpointRegister.ts
@@ -77,7 +77,7 @@
 function underLatestStart (entry: ListedEndpoint, startedAtMs: number | undefined): ListedEndpoint {
   if (!isLaterStart(startedAtMs, entry.startedAtMs)) return entry
   if (entry.startedAtMs === undefined) return { ...entry, startedAtMs }
-  // What the former start held and that it was leaving ended with it.
+  // What the former start held and that it was leaving ended with it; the new one has just begun.
   const models = entry.models.map(({ model }) => ({ model, version: UNKNOWN_VERSION }))
-  return { ...entry, startedAtMs, isLeaving: false, models }
+  return { ...entry, startedAtMs, isLeaving: false, isCold: true, models }
 }
--- a/apps/control/src/lib/site/SiteService.ts
+++ b/apps/control/src/lib/site/SiteService.ts
@@ -11,6 +11,19 @@
   /** It may be applied later or never; sending it again is safe. */
   | { readonly kind: 'unavailable' }
 
+/** Outcome of an order about a data centre. */
+export type EvacuationOutcome =
+  | { readonly kind: 'applied' }
+  /** There is room for no more. */
+  | { readonly kind: 'refused', readonly reason: string }
+  /** Newer orders came in between, or the caller has left: nothing was changed. */
+  | { readonly kind: 'overtaken' }
+  /** It may be applied later or never; sending it again is safe. */
+  | { readonly kind: 'unavailable' }
+
+/** Times that an order is proposed anew after others about the same data centre came in between. */
+const MOST_PROPOSALS = 3
+
 /** Deadline of a call to the leader, in milliseconds; operators turn to another host after a second. */
 const LEADER_CALL_MS = 900
 
@@ -42,6 +55,29 @@
     return await this.#propose({ kind: 'name-weights', model, version })
   }
 
+  /**
+   * Orders that a data centre's endpoints get no new work, or that they do again.
+   *
+   * @param dataCentre - checked name
+   * @param isEvacuated - false to end the evacuation
+   * @param hasLeft - whether the caller has left: it sends the order again, or has sent a newer one since
+   */
+  async orderEvacuation (dataCentre: string, isEvacuated: boolean, hasLeft: () => boolean): Promise<EvacuationOutcome> {
+    let knownRevision = this.raft.state.evacuations.revision
+    for (let proposals = 0; proposals < MOST_PROPOSALS && !hasLeft(); proposals += 1) {
+      const outcome = await this.#propose({ kind: 'order-evacuation', dataCentre, isEvacuated, knownRevision })
+      if (outcome.kind !== 'applied') return outcome
+      const { result } = outcome
+      if (result.kind === 'accepted') return { kind: 'applied' }
+      if (result.kind !== 'revision-conflict') return { kind: 'refused', reason: result.kind === 'invalid' ? result.message : result.kind }
+      knownRevision = result.revision
+    }
+    return { kind: 'overtaken' }
+  }
+
+  /** Data centres that are evacuated, as far as this host knows. */
+  get evacuated (): readonly string[] { return this.raft.state.evacuations.evacuated }
+
   /** @returns the newest accepted site, or `unconfirmed` if nobody can be sure which it is */
   async readSite (): Promise<ReadSiteResponse> {
     const own = await this.readAsLeader()
--- a/apps/eelgrassmux/src/lib/ControlClient.ts
+++ b/apps/eelgrassmux/src/lib/ControlClient.ts
@@ -9,7 +9,7 @@
 import { reportCrashes } from '@eelgrassmux/rpc/methods/quarantineMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { QuarantineEntryMessage } from '@eelgrassmux/schema/quarantineEntry'
-import type { Command, CommandResult } from '@eelgrassmux/state/commands'
+import type { Command, CommandResult, EvacuationImage } from '@eelgrassmux/state/commands'
 
 /** Why an operator's request has no answer. */
 export type ControlError =
@@ -126,6 +126,14 @@
     return fail({ kind: 'uncertain' })
   }
 
+  /** @returns the last orders about data centres, as a majority knows them */
+  async evacuations (): Promise<Result<EvacuationImage, ControlError>> {
+    const majority = await this.majority()
+    if (!majority.ok) return majority
+    const newest = majority.value.answers.map(({ evacuations }) => evacuations).sort((left, right) => right.revision - left.revision)[0]
+    return newest === undefined ? fail({ kind: 'no-answer' }) : succeed(newest)
+  }
+
   /** @returns each engine's state against the desired one, from the leader */
   async orders (): Promise<Result<OrderReport[], ControlError>> {
     const majority = await this.majority()
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -143,6 +143,7 @@
   link.onLeader(() => { crashReporter.leaderChanged() })
   link.onChange(() => {
     fleet.configure(link.configuration)
+    fleet.evacuate(link.configuration, link.evacuated)
     requestQuarantine.logChanges(link.viewRevision, performance.now())
     telemetry.stateChanged('view-in-force', { view: link.viewRevision, revision: link.configuration.revision })
   })
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -4,6 +4,7 @@
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
+import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { OlderWeights } from '@eelgrassmux/routing/prompts/OlderWeights'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
@@ -79,7 +80,8 @@
     watchesEndpoints: true
   }, rpc, datagrams)
   const mechanisms = composeMechanisms(new Set(settings.leaveOut))
-  const fleet = new RoutedFleet(settings.dataCentre, () => link.liveEntries, telemetry, mechanisms)
+  const liveHosts = (): number => link.liveEntries
+  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, new ColdAllowance(address, liveHosts))
   const stored = link.followStores({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
@@ -128,7 +130,7 @@
     if (site === undefined || site.version === siteVersion) return
     siteVersion = site.version
     server.configure(site)
-    fleet.storedParts.configure(site.services.filter(service => service.type === 'store'))
+    fleet.configure(site)
     telemetry.stateChanged('site-in-force', { version: site.version, routes: site.routes.length, view: link.viewRevision })
   }
   link.onLeader(() => { crashReporter.leaderChanged() })
@@ -136,6 +138,7 @@
     olderWeights.observe(link.weights, performance.now())
     quarantine.logChanges(link.viewRevision, performance.now())
     fleet.update(link.endpoints)
+    fleet.evacuate(link.evacuated, performance.now())
     putInForce(link.site)
     server.releaseWaiting()
   })
--- a/apps/entry/src/lib/fleet/FleetWatcher.ts
+++ b/apps/entry/src/lib/fleet/FleetWatcher.ts
@@ -58,6 +58,15 @@
     void this.#readList()
   }
 
+  /**
+   * @param configuration - configuration that is now in force
+   * @param dataCentres - whose endpoints get no new work
+   */
+  evacuate (configuration: ConfigurationIndex, dataCentres: ReadonlySet<string>): void {
+    this.engineTable.evacuate(namesIn(configuration.engines, dataCentres))
+    this.serviceTable.evacuate(namesIn(configuration.plainEndpoints, dataCentres))
+  }
+
   /**
    * @param name - engine
    * @returns its client
@@ -152,6 +161,10 @@
   }
 }
 
+function namesIn (endpoints: ReadonlyMap<string, { readonly dataCentre: string }>, dataCentres: ReadonlySet<string>): Set<string> {
+  return new Set([...endpoints].filter(([, { dataCentre }]) => dataCentres.has(dataCentre)).map(([name]) => name))
+}
+
 /** Polls now and then at an interval; a slow poll is not overtaken by the next. */
 function every (intervalMs: number, poll: () => Promise<void>): NodeJS.Timeout {
   let busy = false
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,5 +1,6 @@
 /** Endpoints of routed requests: what is known of each, and this host's connections to it. */
 import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
 import { isUnresponsive } from '@eelgrassmux/routing/endpoints/sharedSight'
@@ -14,6 +15,7 @@
 import type { StoreLinks } from '@eelgrassmux/routing/stores/StoreLinks'
 import { StoredPartsIndex } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { EndpointConnections } from './EndpointConnections.js'
 
@@ -55,6 +57,8 @@
   readonly #opened: LabelledCounter
   readonly #ejections = new EjectionWatch()
   readonly #estimateError: (milliseconds: number) => void
+  readonly #coldRates = new Map<string, number>()
+  #evacuated: ReadonlySet<string> = new Set()
   #workListener: (change: WorkChange) => void = () => {}
   #ejectionsLookedAt = Number.NEGATIVE_INFINITY
 
@@ -63,12 +67,14 @@
    * @param liveHosts - entry hosts that may be alive, as of now
    * @param telemetry - log and metrics
    * @param mechanisms - that decide where requests go
+   * @param coldAllowance - this host's part of what cold endpoints take
    */
   constructor (
     private readonly dataCentre: string,
     private readonly liveHosts: () => number,
     private readonly telemetry: Telemetry,
-    readonly mechanisms: RoutingMechanisms = composeMechanisms()
+    readonly mechanisms: RoutingMechanisms = composeMechanisms(),
+    private readonly coldAllowance = new ColdAllowance('', liveHosts)
   ) {
     this.#pool = new EndpointPool(mechanisms.slowness)
     this.others = mechanisms.others
@@ -78,6 +84,8 @@
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
     telemetry.gauge('endpoints_ejected', 'Endpoints without new work because of what all hosts have seen', () => this.#ejections.size)
+    telemetry.gauge('endpoints_cold', 'Endpoints that take few requests a second for now, as far as is known', () => this.#countCold(performance.now()))
+    telemetry.gauge('data_centres_evacuated', 'Data centres whose endpoints get no new work', () => this.#evacuated.size)
     telemetry.gauge('endpoints_paused', 'Endpoints without new work because of what requests to them showed', () => {
       const now = performance.now()
       return this.#pool.all.filter(endpoint => endpoint.health.isPaused(now)).length
@@ -132,6 +140,36 @@
     }
   }
 
+  /** @param site - that is now in force */
+  configure (site: Site): void {
+    this.#coldRates.clear()
+    for (const service of site.services) {
+      if (service.type === 'replicated' && service.coldRequestsPerSecond !== undefined) this.#coldRates.set(service.name, service.coldRequestsPerSecond)
+    }
+    this.storedParts.configure(site.services.filter(service => service.type === 'store'))
+  }
+
+  /**
+   * @param evacuated - data centres whose endpoints get no new work
+   * @param now - monotonic milliseconds
+   */
+  evacuate (evacuated: ReadonlySet<string>, now: number): void {
+    const ended = [...this.#evacuated].filter(name => !evacuated.has(name))
+    const begun = [...evacuated].filter(name => !this.#evacuated.has(name))
+    this.#evacuated = evacuated
+    for (const dataCentre of [...ended, ...begun]) {
+      const endpoints = this.#pool.all.filter(endpoint => endpoint.listed.dataCentre === dataCentre)
+      // They may have started anew meanwhile, and the list lags.
+      for (const endpoint of endpoints) endpoint.observeAbsence(now)
+      const underWay = endpoints.reduce((sum, endpoint) => sum + endpoint.inFlight, 0)
+      this.telemetry.stateChanged('evacuation-in-force', { dataCentre, isEvacuated: evacuated.has(dataCentre), endpoints: endpoints.length, underWay })
+    }
+  }
+
+  #countCold (now: number): number {
+    return this.#pool.all.filter(endpoint => this.#coldRates.has(endpoint.listed.service) && endpoint.isCold(now)).length
+  }
+
   /** Notes what other hosts have told since the last time; call when it was heard. */
   noteSight (): void {
     const now = performance.now()
@@ -178,11 +216,24 @@
    * @param service - service name
    * @param ask - what is asked
    */
-  choose (service: string, ask: Omit<EndpointAsk, 'dataCentre' | 'others'>): EndpointChoice | NoEndpointReason {
+  choose (service: string, ask: Pick<EndpointAsk, 'excluded' | 'prompt'>): EndpointChoice | NoEndpointReason {
     const now = performance.now()
     const others = this.others.isRecent(now) ? this.others : undefined
     const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.incarnation)?.hasIdle === true
-    return chooseEndpoint(this.#pool.ofService(service), { ...ask, dataCentre: this.dataCentre, others, hasConnection, homeEndpoint: this.mechanisms.homeEndpoint }, this.memory, now, Math.random())
+    return chooseEndpoint(this.#pool.ofService(service), {
+      ...ask,
+      dataCentre: this.dataCentre,
+      others,
+      hasConnection,
+      evacuated: this.#evacuated,
+      admitsCold: endpoint => this.#admitsCold(endpoint, now),
+      homeEndpoint: this.mechanisms.homeEndpoint
+    }, this.memory, now, Math.random())
+  }
+
+  #admitsCold (endpoint: EndpointState, now: number): boolean {
+    const rate = this.#coldRates.get(endpoint.listed.service)
+    return rate === undefined || this.coldAllowance.admits(endpoint, rate, now)
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -30,6 +30,9 @@
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: in that time an engine makes some ten steps. */
 const ROOM_LOOK_MS = 40
 
+/** Interval at which a request looks again for an endpoint that is not cold, or whose turn has come, in milliseconds. */
+const COLD_LOOK_MS = 60
+
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -117,6 +120,10 @@
       return
     }
     const choice = this.#choose()
+    if (choice === 'all-cold' && this.#mayStillBeOnTime()) {
+      this.#lookAgainIn(COLD_LOOK_MS)
+      return
+    }
     if (typeof choice === 'string') {
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
       return
@@ -180,14 +187,22 @@
     return undefined
   }
 
-  /** Looks again in a moment; the plan of stores is made anew, because more may be stored by then. */
+  /** The plan of stores is made anew, because more may be stored by then. */
   #waitForRoom (choice: EndpointChoice): void {
     if (!this.#isWaiting) {
       this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.load.tokensAhead) })
     }
     this.#isWaiting = true
+    this.#lookAgainIn(ROOM_LOOK_MS)
+  }
+
+  #lookAgainIn (milliseconds: number): void {
     this.#prompt?.forgetPlans()
-    setTimeout(() => { if (!this.#isDone) this.#placeNext() }, ROOM_LOOK_MS)
+    setTimeout(() => { if (!this.#isDone) this.#placeNext() }, milliseconds)
+  }
+
+  #mayStillBeOnTime (): boolean {
+    return performance.now() < Math.min(this.#deadline, this.request.arrivedAt + this.request.route.targetLatencyMs)
   }
 
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
--- a/packages/policy/src/lib/health/EndpointTable.ts
+++ b/packages/policy/src/lib/health/EndpointTable.ts
@@ -31,7 +31,7 @@
 }
 
 /** Why an endpoint gets no new work; also the metric label. */
-export type Ineligibility = 'leaving' | 'silent' | 'ejected' | 'unknown-endpoint'
+export type Ineligibility = 'leaving' | 'evacuated' | 'silent' | 'ejected' | 'unknown-endpoint'
 
 interface EndpointState {
   incarnation: number
@@ -45,6 +45,7 @@
 /** Eligibility of all configured endpoints. */
 export class EndpointTable {
   readonly #endpoints = new Map<string, EndpointState>()
+  #evacuated: ReadonlySet<string> = new Set()
 
   /** @param settings - timing and limits */
   constructor (private readonly settings: EndpointTableSettings = DEFAULT_ENDPOINT_SETTINGS) {}
@@ -129,6 +130,11 @@
     return this.#endpoints.get(name)?.leaving ?? false
   }
 
+  /** @param names - endpoints in data centres that are evacuated; all others are not */
+  evacuate (names: ReadonlySet<string>): void {
+    this.#evacuated = names
+  }
+
   /**
    * Says why an endpoint may not get new work.
    *
@@ -140,6 +146,7 @@
     const state = this.#endpoints.get(name)
     if (state === undefined) return 'unknown-endpoint'
     if (state.leaving) return 'leaving'
+    if (this.#evacuated.has(name)) return 'evacuated'
     if (now - state.reportedAt > this.settings.reportLifetimeMs) return 'silent'
     if (now < state.ejectedUntil) return 'ejected'
     return undefined
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -21,6 +21,15 @@
 /** Silence after which an endpoint with work gets no more if others can take it, in milliseconds: three times what a first event usually takes. */
 const SILENT_MS = 900
 
+/**
+ * Time for which an endpoint that is back may be cold without the list saying so, in milliseconds: lists lag by up
+ * to a second, and are read once a second.
+ */
+export const RETURN_MS = 3000
+
+/** Sends whose times are kept; no endpoint takes as many from one host while it is cold. */
+const KEPT_SENDS = 64
+
 /** Weight of the newest sample in the mean latency. */
 const LATENCY_SMOOTHING = 0.1
 
@@ -40,6 +49,8 @@
   #fullUntil = Number.NEGATIVE_INFINITY
   #busyUntil = Number.NEGATIVE_INFINITY
   #latencyMs: number | undefined
+  #mayBeColdUntil = Number.NEGATIVE_INFINITY
+  readonly #sentAt: number[] = []
 
   /**
    * @param listed - as first listed
@@ -99,6 +110,31 @@
     return this.#inFlight === 0 ? 0 : Math.min(LONG_AGO_MS, now - this.#busySince)
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether it takes few requests a second now, as far as is known
+   */
+  isCold (now: number): boolean {
+    return this.#listed.isCold === true || now < this.#mayBeColdUntil
+  }
+
+  /**
+   * Notes that it is out of use: nobody can tell yet whether it will come back cold.
+   *
+   * @param now - monotonic milliseconds
+   */
+  observeAbsence (now: number): void {
+    this.#mayBeColdUntil = now + RETURN_MS
+  }
+
+  /**
+   * @param since - monotonic milliseconds
+   * @returns requests that this host has sent there since then
+   */
+  sendsSince (since: number): number {
+    return this.#sentAt.filter(at => at > since).length
+  }
+
   /** Mean time of a plain answer, once there was one, in milliseconds. */
   get latencyMs (): number | undefined { return this.#latencyMs }
 
@@ -185,6 +221,8 @@
       this.#busySince = now
     }
     this.#inFlight += 1
+    this.#sentAt.push(now)
+    if (this.#sentAt.length > KEPT_SENDS) this.#sentAt.shift()
     this.#pendingTokens += pendingTokens
     this.#heldTokens += heldTokens
   }
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -2,7 +2,7 @@
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointAsk, NoEndpointReason, PromptAsk } from './endpointAsk.js'
 import type { EndpointState } from './EndpointState.js'
-import { ejectionReason, sharedFailureShare } from './sharedSight.js'
+import { ejectionReason, isAbsent, sharedFailureShare } from './sharedSight.js'
 
 /** An endpoint with what other hosts have told of it. */
 export interface Candidate {
@@ -20,11 +20,16 @@
 export function candidatesFor (endpoints: readonly EndpointState[], ask: EndpointAsk, now: number): readonly Candidate[] | NoEndpointReason {
   const present = endpoints.filter(endpoint => !endpoint.isLeaving)
   if (present.length === 0) return 'none-listed'
-  const untried = present.filter(endpoint => !ask.excluded.has(endpoint.id))
+  const open = present.filter(endpoint => ask.evacuated?.has(endpoint.listed.dataCentre) !== true)
+  if (open.length === 0) return 'all-evacuated'
+  const untried = open.filter(endpoint => !ask.excluded.has(endpoint.id))
   if (untried.length === 0) return 'all-tried'
   const able = ofVersion(untried, ask.prompt)
   if (able.length === 0) return 'none-of-version'
-  return preferred(able.map(endpoint => asCandidate(endpoint, ask, now)), now)
+  const candidates = able.map(endpoint => asCandidate(endpoint, ask, now))
+  for (const candidate of candidates) noteAbsence(candidate, now)
+  const allowed = candidates.filter(({ endpoint }) => !endpoint.isCold(now) || ask.admitsCold?.(endpoint) !== false)
+  return allowed.length === 0 ? 'all-cold' : preferred(allowed, now)
 }
 
 /** The newest weights that may be used; a request that began under a version goes on under it. */
@@ -42,6 +47,11 @@
   return { endpoint, others, failureShare: sharedFailureShare(endpoint, others, now) }
 }
 
+/** An endpoint that nobody reaches may have started anew by the time that it is reached again. */
+function noteAbsence ({ endpoint, others }: Candidate, now: number): void {
+  if (endpoint.health.isOutOfReach(now) || isAbsent(endpoint, others, now)) endpoint.observeAbsence(now)
+}
+
 /** Healthy endpoints with room; else any that are healthy, else any. */
 function preferred (candidates: readonly Candidate[], now: number): readonly Candidate[] {
   const meanShare = candidates.reduce((sum, candidate) => sum + candidate.failureShare, 0) / candidates.length
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -17,6 +17,10 @@
   readonly others: OthersWork | undefined
   /** Whether this host has an idle connection to an endpoint; a new one costs the endpoint time. */
   hasConnection? (endpoint: EndpointState): boolean
+  /** Data centres whose endpoints get no new work; none unless given. */
+  readonly evacuated?: ReadonlySet<string>
+  /** Whether this host may send a request to a cold endpoint now; always unless given. */
+  admitsCold? (endpoint: EndpointState): boolean
   /** Finds the endpoint that hosts agree on for a shared part; as by rendezvous hashing unless it is given. */
   readonly homeEndpoint?: (part: string, endpoints: readonly string[]) => string | undefined
   readonly prompt?: PromptAsk
@@ -72,4 +76,4 @@
 }
 
 /** Why no endpoint was chosen. */
-export type NoEndpointReason = 'none-listed' | 'all-tried' | 'none-of-version'
+export type NoEndpointReason = 'none-listed' | 'all-evacuated' | 'all-tried' | 'none-of-version' | 'all-cold'
--- a/packages/routing/src/lib/endpoints/sharedSight.ts
+++ b/packages/routing/src/lib/endpoints/sharedSight.ts
@@ -72,6 +72,16 @@
   return others.avoiders >= FOLLOWED_AVOIDERS && endpoint.heardAgoMs(now) > OWN_WORD_MS
 }
 
+/**
+ * @param endpoint - as this host knows it
+ * @param others - what the other hosts have told of it
+ * @param now - monotonic milliseconds
+ * @returns whether nobody reaches it, as far as all hosts have seen
+ */
+export function isAbsent (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
+  return isUnresponsive(endpoint, others, now) || isAvoidedByOthers(endpoint, others, now)
+}
+
 /**
  * @param endpoint - as this host knows it
  * @param others - what the other hosts have told of it
--- a/packages/rpc/src/lib/methods/controlMethods.ts
+++ b/packages/rpc/src/lib/methods/controlMethods.ts
@@ -2,12 +2,13 @@
 import { z } from 'zod'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
 import { fingerprintSchema, quarantineEntryMessageSchema } from '@eelgrassmux/schema/quarantineEntry'
+import { dataCentreNameSchema } from '@eelgrassmux/schema/site/evacuation'
 import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
 import { storedPartsMessageSchema } from '@eelgrassmux/schema/site/storedParts'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 import { membershipSchema, raftMessageSchema, replicaSchema } from '@eelgrassmux/consensus/messages/raftMessages'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
-import { commandResultSchema, commandSchema, documentNameSchema, namedWeightsSchema, shardSchema } from '@eelgrassmux/state/commands'
+import { commandResultSchema, commandSchema, documentNameSchema, evacuationImageSchema, namedWeightsSchema, shardSchema } from '@eelgrassmux/state/commands'
 import { defineDatagram } from '../datagrams/DatagramMethod.js'
 import { defineStream, defineUnary } from '../RpcMethod.js'
 
@@ -98,7 +99,9 @@
   revision: count,
   /** Hosts that spoke to a replica before it started are unknown to it. */
   uptimeMs: z.number(),
-  hosts: z.array(hostReportSchema)
+  hosts: z.array(hostReportSchema),
+  /** Last orders about data centres. */
+  evacuations: evacuationImageSchema
 })
 
 export const viewMessageSchema = z.discriminatedUnion('kind', [
@@ -110,6 +113,8 @@
     shards: z.array(shardSchema),
     site: siteSchema.optional(),
     weights: z.array(namedWeightsSchema),
+    /** Data centres whose endpoints get no new work; absent if there are none. */
+    evacuated: z.array(dataCentreNameSchema).optional(),
     /** Absent if there are none. */
     quarantine: z.array(quarantineEntryMessageSchema).optional()
   }),
@@ -124,6 +129,8 @@
     /** Absent if the site is the same as before. */
     site: siteSchema.optional(),
     weights: z.array(namedWeightsSchema),
+    /** All of them; absent if there are none. */
+    evacuated: z.array(dataCentreNameSchema).optional(),
     /** New and changed ones; absent if there are none. */
     quarantine: z.array(quarantineEntryMessageSchema).optional(),
     /** Requests that are not in the quarantine any more; absent if there are none. */
--- a/packages/schema/src/lib/site/listedEndpoint.ts
+++ b/packages/schema/src/lib/site/listedEndpoint.ts
@@ -17,7 +17,9 @@
   isLeaving: z.boolean(),
   /** Whether an order under way keeps it from starting new work. */
   isBusy: z.boolean(),
-  models: z.array(heldModelSchema)
+  models: z.array(heldModelSchema),
+  /** Whether it has started lately and takes few requests a second; absent if it does not say. */
+  isCold: z.boolean().optional()
 })
 
 export type HeldModel = z.infer<typeof heldModelSchema>
--- a/packages/schema/src/lib/site/siteSchema.ts
+++ b/packages/schema/src/lib/site/siteSchema.ts
@@ -58,6 +58,8 @@
     /** Connections that one endpoint takes from all callers together; 0 if it states none. */
     connectionsPerEndpoint: z.number().int().min(0),
     healthPath: z.string(),
+    /** Requests a second that one of its endpoints takes from all hosts together while it is cold; absent if it states none. */
+    coldRequestsPerSecond: positive.optional(),
     /** Set for services of model engines. */
     engine: engineTraitsSchema.optional()
   }),
--- /dev/null
+++ b/packages/state/src/lib/EvacuationRegister.test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest'
+import { decodeCommand, encodeCommand, mayChangeView } from './commandCodec.js'
+import { stateImageSchema, type Command, type CommandResult } from './commands.js'
+import { MOST_DATA_CENTRES } from './EvacuationRegister.js'
+import { StateMachine } from './StateMachine.js'
+
+const order = (dataCentre: string, isEvacuated: boolean, knownRevision = 0): Command => ({ kind: 'order-evacuation', dataCentre, isEvacuated, knownRevision })
+
+describe('evacuations', () => {
+  const apply = (state: StateMachine, command: Command, stampedAt = 0): CommandResult => state.apply({ stampedAt, command })
+
+  it('are in force from the order on, several at once, each with its time', () => {
+    const state = new StateMachine()
+    expect(apply(state, order('north', true), 5)).toEqual({ kind: 'accepted', revision: 1 })
+    expect(apply(state, order('south', true, 1), 9)).toEqual({ kind: 'accepted', revision: 2 })
+    expect(state.evacuations.evacuated).toEqual(['north', 'south'])
+    expect(state.evacuations.orders).toMatchObject([{ dataCentre: 'north', orderedAt: 5 }, { dataCentre: 'south', orderedAt: 9 }])
+    apply(state, order('north', false, 2))
+    expect(state.evacuations.evacuated).toEqual(['south'])
+  })
+
+  it('change nothing when an order is sent again, and raise no view', () => {
+    const state = new StateMachine()
+    apply(state, order('north', true))
+    const { viewRevision } = state
+    expect(apply(state, order('north', true, 1))).toEqual({ kind: 'accepted', revision: 1 })
+    expect(apply(state, order('never', false))).toEqual({ kind: 'accepted', revision: 1 })
+    expect(state.viewRevision).toBe(viewRevision)
+  })
+
+  it('are not begun again by an order that the end has overtaken', () => {
+    const state = new StateMachine()
+    apply(state, order('north', true))
+    apply(state, order('north', false, 1))
+    expect(apply(state, order('north', true, 1))).toEqual({ kind: 'revision-conflict', revision: 2 })
+    expect(state.evacuations.evacuated).toEqual([])
+  })
+
+  it('are not ended by an order that a newer start has overtaken', () => {
+    const state = new StateMachine()
+    apply(state, order('north', true))
+    apply(state, order('north', false, 1))
+    apply(state, order('north', true, 2))
+    expect(apply(state, order('north', false, 1)).kind).toBe('revision-conflict')
+    expect(state.evacuations.evacuated).toEqual(['north'])
+  })
+
+  it('are not hindered by orders about other data centres', () => {
+    const state = new StateMachine()
+    apply(state, order('north', true))
+    expect(apply(state, order('south', true, 0)).kind).toBe('accepted')
+  })
+
+  it('outlast a snapshot with what late orders are known by, and a snapshot without any is read', () => {
+    const state = new StateMachine()
+    apply(state, order('north', true))
+    apply(state, order('north', false, 1))
+    apply(state, order('south', true, 2))
+    const restored = new StateMachine()
+    restored.restore(stateImageSchema.parse(JSON.parse(JSON.stringify(state.image()))))
+    expect(restored.evacuations.evacuated).toEqual(['south'])
+    expect(apply(restored, order('north', true, 1)).kind).toBe('revision-conflict')
+    const { evacuations, ...older } = state.image()
+    expect(evacuations.revision).toBe(3)
+    expect(stateImageSchema.parse(older).evacuations).toEqual({ revision: 0, orders: [] })
+  })
+
+  it('hold a bounded number, and drop none that is in force', () => {
+    const state = new StateMachine()
+    apply(state, order('ended', true))
+    apply(state, order('ended', false, 1))
+    for (let index = 0; index < MOST_DATA_CENTRES; index += 1) expect(apply(state, order(`hall-${index}`, true, state.evacuations.revision)).kind).toBe('accepted')
+    expect(state.evacuations.orders).toHaveLength(MOST_DATA_CENTRES)
+    expect(apply(state, order('one-more', true, state.evacuations.revision))).toMatchObject({ kind: 'invalid' })
+    expect(state.evacuations.evacuated).toHaveLength(MOST_DATA_CENTRES)
+  })
+
+  it('are told from the log as changes of the view', () => {
+    const bytes = encodeCommand({ stampedAt: 1, command: order('north', true) })
+    expect(mayChangeView(bytes)).toBe(true)
+    expect(decodeCommand(bytes).command).toEqual(order('north', true))
+  })
+})
--- a/packages/state/src/lib/StateMachine.ts
+++ b/packages/state/src/lib/StateMachine.ts
@@ -6,6 +6,7 @@
   ChangeCommand, ClaimCommand, ClaimResult, CommandResult, ConfirmationRecord, DocumentName, RecordKey, Shard, StampedCommand,
   StateImage, StoredAnswer
 } from './commands.js'
+import { EvacuationRegister } from './EvacuationRegister.js'
 import { SiteRegister } from './SiteRegister.js'
 import { QuarantineRegister } from './QuarantineRegister.js'
 
@@ -55,6 +56,8 @@
   readonly sites = new SiteRegister()
   /** Requests that are not sent to endpoints. */
   readonly quarantine = new QuarantineRegister()
+  /** Data centres whose endpoints get no new work. */
+  readonly evacuations = new EvacuationRegister()
 
   /** @param settings - the same on all control hosts */
   constructor (private readonly settings: StateSettings = DEFAULT_STATE_SETTINGS) {}
@@ -97,6 +100,7 @@
       case 'claim-orders': return this.sites.claimOrders(command.holder)
       case 'change-quarantine': return this.#recordQuarantine(this.quarantine.apply(command.decisions, this.#clock))
       case 'expire-quarantine': return this.#recordQuarantine(this.quarantine.expire(this.#clock))
+      case 'order-evacuation': return this.#recordOutcome(this.evacuations.apply(command, this.#clock), false)
       default: return unreachable(command)
     }
   }
@@ -125,7 +129,8 @@
       records: [...this.#records.values()],
       releasedClaims: [...this.#releasedClaims].map(([claimId, releasedAt]) => ({ claimId, releasedAt })),
       site: this.sites.image(),
-      quarantine: [...this.quarantine.all]
+      quarantine: [...this.quarantine.all],
+      evacuations: this.evacuations.image()
     }
   }
 
@@ -143,6 +148,7 @@
     this.#records = new Map(image.records.map(record => [recordId(record.key), record]))
     this.sites.restore(image.site)
     this.quarantine.restore(image.quarantine)
+    this.evacuations.restore(image.evacuations)
     this.#releasedClaims = new Map(image.releasedClaims.map(({ claimId, releasedAt }) => [claimId, releasedAt]))
   }
 
--- a/packages/state/src/lib/commandCodec.ts
+++ b/packages/state/src/lib/commandCodec.ts
@@ -41,6 +41,7 @@
     case 'name-weights':
     case 'change-quarantine':
     case 'expire-quarantine':
+    case 'order-evacuation':
       return true
     default:
       return false
--- a/packages/state/src/lib/commands.ts
+++ b/packages/state/src/lib/commands.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { bytesSchema } from '@eelgrassmux/schema/bytesSchema'
 import { documentSchema } from '@eelgrassmux/schema/configuration'
+import { dataCentreNameSchema, evacuationSchema } from '@eelgrassmux/schema/site/evacuation'
 import { quarantineDecisionSchema, quarantineEntrySchema } from '@eelgrassmux/schema/quarantineEntry'
 import { siteSchema } from '@eelgrassmux/schema/site/siteSchema'
 import { renameFormerCommand, renameFormerImage } from './readFormerNames.js'
@@ -63,7 +64,15 @@
   z.strictObject({ kind: z.literal('claim-orders'), holder: orderHolderSchema }),
   /** Which requests are kept from endpoints. */
   z.strictObject({ kind: z.literal('change-quarantine'), decisions: z.array(quarantineDecisionSchema) }),
-  z.strictObject({ kind: z.literal('expire-quarantine') })
+  z.strictObject({ kind: z.literal('expire-quarantine') }),
+  /** An operator's order to send nothing more to a data centre's endpoints, or to do so again. */
+  z.strictObject({
+    kind: z.literal('order-evacuation'),
+    dataCentre: dataCentreNameSchema,
+    isEvacuated: z.boolean(),
+    /** Revision of the evacuations that the proposer knew: an order that a newer one has overtaken changes nothing. */
+    knownRevision: count
+  })
 ])
 
 /** A command with the proposing leader's wall clock, which the state clamps to never go back. */
@@ -100,6 +109,7 @@
 export type ChangeCommand = Extract<Command, { kind: 'change-configuration' }>
 export type PutSiteCommand = Extract<Command, { kind: 'put-site' }>
 export type NameWeightsCommand = Extract<Command, { kind: 'name-weights' }>
+export type EvacuationCommand = Extract<Command, { kind: 'order-evacuation' }>
 export type OrderHolder = z.infer<typeof orderHolderSchema>
 export type NamedWeights = z.infer<typeof namedWeightsSchema>
 export type StampedCommand = z.infer<typeof stampedCommandSchema>
@@ -122,6 +132,8 @@
   orderHolder: orderHolderSchema.optional()
 })
 
+export const evacuationImageSchema = z.strictObject({ revision: count, orders: z.array(evacuationSchema) })
+
 /** Image of the whole state, for snapshots. */
 export const stateImageSchema = z.preprocess(renameFormerImage, z.strictObject({
   clock: z.number(),
@@ -135,9 +147,12 @@
   /** Absent in snapshots written before there were sites. */
   site: siteImageSchema.default({ weights: [] }),
   /** Absent in snapshots written before there was a quarantine. */
-  quarantine: z.array(quarantineEntrySchema).default([])
+  quarantine: z.array(quarantineEntrySchema).default([]),
+  /** Absent in snapshots written before there were evacuations. */
+  evacuations: evacuationImageSchema.default({ revision: 0, orders: [] })
 }))
 
 export type SiteImage = { [Field in keyof z.infer<typeof siteImageSchema>]: z.infer<typeof siteImageSchema>[Field] }
+export type EvacuationImage = z.infer<typeof evacuationImageSchema>
 export type StateImage = z.infer<typeof stateImageSchema>
 export type ConfirmationRecord = z.infer<typeof recordSchema>
--- a/packages/telemetry/src/lib/events/siteChanges.ts
+++ b/packages/telemetry/src/lib/events/siteChanges.ts
@@ -6,6 +6,9 @@
   'site-refused': z.strictObject({ field: z.string(), reason: z.string() }),
   'site-read-refused': z.strictObject({ reason: z.string() }),
   'weights-named': z.strictObject({ model: z.string(), version: z.number(), outcome: z.string() }),
+  'evacuation-ordered': z.strictObject({ dataCentre: z.string(), isEvacuated: z.boolean(), outcome: z.string() }),
+  'evacuation-refused': z.strictObject({ field: z.string(), reason: z.string() }),
+  'evacuation-in-force': z.strictObject({ dataCentre: z.string(), isEvacuated: z.boolean(), endpoints: z.number(), underWay: z.number() }),
   'site-in-force': z.strictObject({ version: z.number(), routes: z.number(), view: z.number() }),
   'view-in-force': z.strictObject({ view: z.number(), revision: z.number() })
 }
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -106,6 +106,8 @@
   get site (): Site | undefined { return this.#follower.site }
   /** Weight version that each model should run. */
   get weights (): readonly NamedWeights[] { return this.#follower.weights }
+  /** Data centres whose endpoints get no new work. */
+  get evacuated (): ReadonlySet<string> { return this.#follower.evacuated }
   /** Requests that are not sent to endpoints. */
   get quarantine (): QuarantineTable { return this.#follower.quarantine }
   /** Endpoints as the platform lists them. */
--- a/packages/view/src/lib/ViewFollower.ts
+++ b/packages/view/src/lib/ViewFollower.ts
@@ -17,6 +17,7 @@
   #documents = new Map<string, ConfigurationDocument>()
   #site: Site | undefined
   #weights: readonly NamedWeights[] = []
+  #evacuated: ReadonlySet<string> = new Set()
   #index = new ConfigurationIndex(0, { documents: [] })
   /** Requests that are not sent to endpoints. */
   readonly quarantine = new QuarantineTable()
@@ -27,6 +28,8 @@
   get site (): Site | undefined { return this.#site }
   /** Weight version that each model should run. */
   get weights (): readonly NamedWeights[] { return this.#weights }
+  /** Data centres whose endpoints get no new work. */
+  get evacuated (): ReadonlySet<string> { return this.#evacuated }
 
   /**
    * Takes a message of a watch. One from a control host that lags is ignored.
@@ -64,6 +67,7 @@
     this.#viewRevision = viewRevision
     this.#shards = message.shards
     this.#weights = message.weights
+    this.#evacuated = new Set(message.evacuated)
     if (message.site !== undefined) this.#replaceSite(message.site)
     if (isNewRevision) this.#index = new ConfigurationIndex(revision, { documents: [...this.#documents.values()] })
   }
