Worlds of evacuations and cold endpoints in `prove`; a fault of the first rule for late orders, mended

An order that changes nothing now counts as newer too, and an overtaken one is a conflict even where the state is as it wants, so that its proposer looks again.

--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -1,8 +1,10 @@
 /** All worlds of the randomised runs. */
 import type { WorldFactory } from '../World.js'
 import { AgreementWorld } from './AgreementWorld.js'
+import { ColdEndpointWorld } from './ColdEndpointWorld.js'
 import { DirectoryWorld } from './DirectoryWorld.js'
 import { EndpointWorld } from './EndpointWorld.js'
+import { EvacuationWorld } from './EvacuationWorld.js'
 import { FormationWorld } from './FormationWorld.js'
 import { QuarantineWorld } from './QuarantineWorld.js'
 import { RunWorld } from './RunWorld.js'
@@ -37,5 +39,15 @@
     name: 'quarantine',
     promises: ['poison-requests-stop', 'bystanders-are-served'],
     create: (simulation, ledger, broken) => new QuarantineWorld(simulation, ledger, broken)
+  },
+  {
+    name: 'evacuation',
+    promises: ['evacuations-hold'],
+    create: (simulation, ledger, broken) => new EvacuationWorld(simulation, ledger, broken)
+  },
+  {
+    name: 'cold-endpoints',
+    promises: ['cold-endpoints-are-spared'],
+    create: (simulation, ledger, broken) => new ColdEndpointWorld(simulation, ledger, broken)
   }
 ]
--- a/packages/state/src/lib/EvacuationRegister.ts
+++ b/packages/state/src/lib/EvacuationRegister.ts
@@ -3,7 +3,8 @@
  *
  * Operators' orders bear no number, are sent again when no answer comes, and may arrive late.
  * Each command therefore names the revision up to which its proposer knew the orders: one that
- * has been overtaken by a newer order about the same data centre changes nothing.
+ * has been overtaken by a newer order about the same data centre changes nothing. An order to
+ * do what is done already counts as newer, too: the one before it may still be on its way.
  */
 import type { Evacuation } from '@eelgrassmux/schema/site/evacuation'
 import type { CommandResult, EvacuationCommand, EvacuationImage } from './commands.js'
@@ -16,7 +17,7 @@
   readonly #orders = new Map<string, Evacuation>()
   #revision = 0
 
-  /** Rises with each order that changes something. */
+  /** Rises with each order that was not overtaken. */
   get revision (): number { return this.#revision }
   /** Last order about each data centre that had one. */
   get orders (): readonly Evacuation[] { return [...this.#orders.values()] }
@@ -32,12 +33,13 @@
    */
   apply ({ dataCentre, isEvacuated, knownRevision }: EvacuationCommand, clock: number): { result: CommandResult, hasChanged: boolean } {
     const present = this.#orders.get(dataCentre)
-    if (present?.isEvacuated === isEvacuated || (present === undefined && !isEvacuated)) return this.#accept(false)
     if ((present?.revision ?? 0) > knownRevision) return { result: { kind: 'revision-conflict', revision: this.#revision }, hasChanged: false }
     if (present === undefined && !this.#makeRoom()) return { result: { kind: 'invalid', message: `data centre: ${MOST_DATA_CENTRES} are evacuated already` }, hasChanged: false }
+    const hasChanged = (present?.isEvacuated ?? false) !== isEvacuated
     this.#revision += 1
-    this.#orders.set(dataCentre, { dataCentre, isEvacuated, revision: this.#revision, orderedAt: clock })
-    return this.#accept(true)
+    const orderedAt = hasChanged ? clock : present?.orderedAt ?? clock
+    this.#orders.set(dataCentre, { dataCentre, isEvacuated, revision: this.#revision, orderedAt })
+    return { result: { kind: 'accepted', revision: this.#revision }, hasChanged }
   }
 
   /** @returns an image for a snapshot */
@@ -52,10 +54,6 @@
     for (const order of orders) this.#orders.set(order.dataCentre, order)
   }
 
-  #accept (hasChanged: boolean): { result: CommandResult, hasChanged: boolean } {
-    return { result: { kind: 'accepted', revision: this.#revision }, hasChanged }
-  }
-
   /** Never drops an evacuation that is in force. */
   #makeRoom (): boolean {
     if (this.#orders.size < MOST_DATA_CENTRES) return true
