A host that asks often tells its sends with its next question

Cause: with ten requests a second a host sent four datagrams for each request (question, send, first event, end), and the leader read as many: 18 in 100 of a core at 16 hosts. Two ways: a statement for each send at once (as it stood), or with the next question, 250 ms later at most. Kept, for hosts whose questions come within 150 ms in the mean; a host with rare questions, as in a fleet of 195 with five requests a second each, still tells at once, since its view would be a quarter of a second old.

--- a/apps/entry/src/lib/load/LoadExchange.ts
+++ b/apps/entry/src/lib/load/LoadExchange.ts
@@ -83,9 +83,10 @@
     this.#waitTimer ??= setTimeout(() => { this.#letGo() }, ANSWER_WAIT_MS)
   }
 
-  /** Call after a request was sent to an endpoint: the others are told at once, since a later moment would wake this host once more. */
+  /** Call after a request was sent to an endpoint. */
   noteSend (): void {
-    this.#tell()
+    if (this.#plan.noteSend(performance.now())) this.#tell()
+    else this.#scheduleTelling()
   }
 
   /** Call when an endpoint has less to do for this host. */
--- a/packages/routing/src/lib/load/ExchangePlan.ts
+++ b/packages/routing/src/lib/load/ExchangePlan.ts
@@ -8,6 +8,10 @@
  * when it has a request to place, and tells the others at once where it went. That is as many
  * questions as by the clock (1,030 requests a second against 975), a view that is some
  * milliseconds old, and none at all from a host at rest.
+ *
+ * A host with more requests asks again before long, and each question tells its work as well:
+ * statements of their own would double what the host that adds up has to read, for a view that is
+ * a tenth of a second newer. So a host tells its sends at once only if its questions are rare.
  */
 
 /** Age up to which a view is used without asking, in milliseconds: the host that adds up gives out the same totals for as long. */
@@ -28,11 +32,17 @@
 /** Questions that a host may ask at once, as its requests come in clusters. */
 const MOST_SAVED_QUESTIONS = 5
 
-/** Pause before the others are told of first events and ends, in milliseconds: they only make room. */
-const TELL_CHANGE_MS = 100
+/** Pause before the others are told of what the next question may tell as well, in milliseconds. */
+const TELL_CHANGE_MS = 250
 
 /** Interval at which a host with work tells it again, in milliseconds: so that silent endpoints are noticed, and a lost datagram is made good. */
-const TELL_AGAIN_MS = 300
+const TELL_AGAIN_MS = 350
+
+/** Mean interval between a host's questions up to which they tell its sends soon enough, in milliseconds. */
+const FREQUENT_QUESTIONS_MS = 150
+
+/** Weight of the newest interval in that mean. */
+const INTERVAL_SMOOTHING = 0.1
 
 const MILLISECONDS_PER_SECOND = 1000
 
@@ -50,6 +60,9 @@
   #viewAt = Number.NEGATIVE_INFINITY
   /** When the question was asked that has no answer yet. */
   #askedAt: number | undefined
+  /** Mean interval between questions; at the start the host is taken to ask rarely. */
+  #intervalMs = Number.POSITIVE_INFINITY
+  #lastAskedAt: number | undefined
   #vainWaits = 0
   #savedQuestions = MOST_SAVED_QUESTIONS
   #savedAt = 0
@@ -74,6 +87,7 @@
   asked (now: number): void {
     this.#askedAt = now
     this.#tellAt = undefined
+    this.#noteInterval(now)
   }
 
   /** @param askedAt - when the question was asked that has been answered */
@@ -83,7 +97,17 @@
     this.#vainWaits = 0
   }
 
-  /** @param now - monotonic milliseconds at which work at an endpoint got less */
+  /**
+   * @param now - monotonic milliseconds at which a request was sent to an endpoint
+   * @returns whether the others are to be told at once
+   */
+  noteSend (now: number): boolean {
+    const isFrequent = this.#intervalMs <= FREQUENT_QUESTIONS_MS
+    if (isFrequent) this.noteChange(now)
+    return !isFrequent
+  }
+
+  /** @param now - monotonic milliseconds at which work at an endpoint changed */
   noteChange (now: number): void {
     const at = now + TELL_CHANGE_MS
     this.#tellAt = Math.min(at, this.#tellAt ?? at)
@@ -100,6 +124,13 @@
   /** Monotonic milliseconds at which the others are to be told; undefined while there is nothing to tell. */
   get tellAt (): number | undefined { return this.#tellAt }
 
+  #noteInterval (now: number): void {
+    const intervalMs = now - (this.#lastAskedAt ?? Number.NEGATIVE_INFINITY)
+    this.#lastAskedAt = now
+    if (!Number.isFinite(this.#intervalMs)) this.#intervalMs = intervalMs
+    else this.#intervalMs += (intervalMs - this.#intervalMs) * INTERVAL_SMOOTHING
+  }
+
   #noteVain (): void {
     this.#askedAt = undefined
     this.#vainWaits += 1
