Regions that bind: requests, repeats and what is kept of prompts stay where route and customer allow

RegionBound takes both lists, both hold; endpoints and stores elsewhere are no candidates, and parts are kept under a scope of their own, so that no request that may go elsewhere finds them.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -3,6 +3,7 @@
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
+import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
 import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
@@ -30,6 +31,7 @@
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
   stopGraceSeconds: stopGraceSetting,
   weightsBoundMs: boundSetting.describe('time after weights were named from which no request may begin on older ones, in milliseconds; without bound if empty'),
+  dataCentres: dataCentresSetting.describe('data centres with the region of each, as a JSON object; needed where routes or customers are bound to regions'),
   leaveOut: listSetting(mechanismSchema).describe('mechanisms to do without, separated by commas, to measure what they are worth; none in service'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
@@ -110,6 +112,7 @@
     stop,
     telemetry,
     quarantine,
+    regions: new Map(Object.entries(settings.dataCentres)),
     budget: { ratio: settings.retryRatio, slack: settings.retrySlack },
     liveHosts: () => link.liveEntries,
     leftMsOn: (model, version) => olderWeights.leftMs(model, version, performance.now()),
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -68,7 +68,7 @@
    * @returns the text under which engines and stores keep the parts
    */
   scope (version: number): string {
-    return cacheScope(version, this.isolatedCustomer)
+    return cacheScope(version, this.isolatedCustomer, this.request.regionBound)
   }
 
   /**
@@ -135,7 +135,7 @@
     const present = this.#plans.get(version)
     if (present !== undefined) return present
     const plan = this.ports.storesUsable(performance.now())
-      ? this.ports.fleet.storedParts.plan(this.scope(version), this.#shared)
+      ? this.ports.fleet.storedParts.plan(this.scope(version), this.#shared, dataCentre => this.request.regionBound?.allows(dataCentre) !== false)
       : NO_STORES
     this.#plans.set(version, plan)
     return plan
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -1,4 +1,5 @@
 /** A routed request and what it needs from around it. */
+import type { RegionBound } from '@eelgrassmux/routing/places/RegionBound'
 import type { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import type { RetryAllowance } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
@@ -14,6 +15,8 @@
   readonly route: Route
   readonly service: ReplicatedService
   readonly customer: SiteCustomer | undefined
+  /** Regions in which it has to stay; undefined if it may go anywhere. */
+  readonly regionBound?: RegionBound | undefined
   readonly fields: CallerFields
   readonly body: Buffer | undefined
   /** Monotonic milliseconds when its head was read. */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -176,7 +176,12 @@
   }
 
   #choose (): EndpointChoice | string {
-    return this.ports.fleet.choose(this.request.service.name, { excluded: this.#tried, ...this.#prompt?.ask(this.#requiredVersion) })
+    const { service, regionBound } = this.request
+    return this.ports.fleet.choose(service.name, {
+      excluded: this.#tried,
+      ...(regionBound === undefined ? {} : { allowsDataCentre: (dataCentre: string) => regionBound.allows(dataCentre) }),
+      ...this.#prompt?.ask(this.#requiredVersion)
+    })
   }
 
   #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -32,7 +32,7 @@
     const work = new WorkGate()
     fleet = new RoutedFleet('n', () => 1, telemetry)
     server = new RoutedServer({
-      fleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, quarantine: idleQuarantine(), budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, beforePlacing: place => { place() }, isLagging: () => isLagging
+      fleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, quarantine: idleQuarantine(), regions: new Map(), budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, beforePlacing: place => { place() }, isLagging: () => isLagging
     })
     port = await server.listen('127.0.0.1', 0)
     server.configure(TEST_SITE)
@@ -297,7 +297,7 @@
       const work = new WorkGate()
       freshFleet = new RoutedFleet('n', () => 1, telemetry)
       fresh = new RoutedServer({
-        fleet: freshFleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, quarantine: idleQuarantine(), budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, beforePlacing: place => { place() }, isLagging: () => isLagging
+        fleet: freshFleet, codec: new PlainCodec(), work, stop: new PlannedStop(work, { balancerLagMs: 100, graceMs: 1000 }, telemetry), telemetry, quarantine: idleQuarantine(), regions: new Map(), budget: { ratio: 0.2, slack: 20 }, liveHosts: () => 1, desiredVersion: () => 1, leftMsOn: () => Number.POSITIVE_INFINITY, mayAct: () => true, storesUsable: () => false, storeClockMs: () => undefined, beforePlacing: place => { place() }, isLagging: () => isLagging
       }, performance.now())
     })
 
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -10,6 +10,7 @@
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { RetryAllowance, type RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import { regionBoundOf } from '@eelgrassmux/routing/places/RegionBound'
 import { SiteIndex } from '@eelgrassmux/routing/site/SiteIndex'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
@@ -31,6 +32,8 @@
   readonly telemetry: Telemetry
   readonly quarantine: RequestQuarantine
   readonly budget: RetryBudgetTerms
+  /** Region of each data centre. */
+  readonly regions: ReadonlyMap<string, string>
   liveHosts (): number
   desiredVersion (model: string): number
   /** Milliseconds within which a request may begin on weights of that version. */
@@ -279,7 +282,8 @@
     this.#requests.count(route.kind)
     const { fleet, codec, telemetry } = this.ports
     const id = fields.requestId ?? ''
-    const request = { id, route, service, customer, fields, body, arrivedAt, siteVersion: index.site.version }
+    const regionBound = regionBoundOf(route, customer, this.ports.regions)
+    const request = { id, route, service, customer, regionBound, fields, body, arrivedAt, siteVersion: index.site.version }
     const task: RoutedRequestTask = new RoutedRequestTask(request, exchange, {
       fleet,
       codec,
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -69,6 +69,7 @@
       budget,
       liveHosts: () => 1,
       desiredVersion: () => 1,
+      regions: new Map(),
       leftMsOn: () => Number.POSITIVE_INFINITY,
       mayAct: () => true,
       storesUsable: () => false,
--- a/platform/src/lib/dataCentresSetting.ts
+++ b/packages/daemon/src/lib/dataCentresSetting.ts
@@ -1,4 +1,4 @@
-/** The platform's data centres as a setting. */
+/** Data centres as a setting. */
 import { z } from 'zod'
 import { dataCentreNameSchema } from '@eelgrassmux/schema/site/evacuation'
 
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -20,7 +20,9 @@
 export function candidatesFor (endpoints: readonly EndpointState[], ask: EndpointAsk, now: number): readonly Candidate[] | NoEndpointReason {
   const present = endpoints.filter(endpoint => !endpoint.isLeaving)
   if (present.length === 0) return 'none-listed'
-  const open = present.filter(endpoint => ask.evacuated?.has(endpoint.listed.dataCentre) !== true)
+  const allowedThere = present.filter(endpoint => ask.allowsDataCentre?.(endpoint.listed.dataCentre) !== false)
+  if (allowedThere.length === 0) return 'none-in-regions'
+  const open = allowedThere.filter(endpoint => ask.evacuated?.has(endpoint.listed.dataCentre) !== true)
   if (open.length === 0) return 'all-evacuated'
   const untried = open.filter(endpoint => !ask.excluded.has(endpoint.id))
   if (untried.length === 0) return 'all-tried'
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -19,6 +19,8 @@
   hasConnection? (endpoint: EndpointState): boolean
   /** Data centres whose endpoints get no new work; none unless given. */
   readonly evacuated?: ReadonlySet<string>
+  /** Whether the request may go to a data centre; always unless given. */
+  allowsDataCentre? (dataCentre: string): boolean
   /** Whether this host may send a request to a cold endpoint now; always unless given. */
   admitsCold? (endpoint: EndpointState): boolean
   /** Finds the endpoint that hosts agree on for a shared part; as by rendezvous hashing unless it is given. */
@@ -76,4 +78,4 @@
 }
 
 /** Why no endpoint was chosen. */
-export type NoEndpointReason = 'none-listed' | 'all-evacuated' | 'all-tried' | 'none-of-version' | 'all-cold'
+export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | 'all-cold'
--- a/packages/routing/src/lib/stores/StoredPartsIndex.ts
+++ b/packages/routing/src/lib/stores/StoredPartsIndex.ts
@@ -54,9 +54,10 @@
    *
    * @param scope - cache salt of the request
    * @param parts - shared parts, in order
+   * @param allows - whether they may be kept in a data centre
    */
-  plan (scope: string, parts: readonly PromptPart[]): StorePlan {
-    const answering = this.#stores.filter(store => this.#held.has(store.name))
+  plan (scope: string, parts: readonly PromptPart[], allows: (dataCentre: string) => boolean = () => true): StorePlan {
+    const answering = this.#stores.filter(store => this.#held.has(store.name) && allows(store.dataCentre))
     const fetches: Array<StoreService | undefined> = []
     const saves: Array<string | undefined> = []
     let storedTokens = 0
--- a/packages/schema/src/lib/site/siteSchema.ts
+++ b/packages/schema/src/lib/site/siteSchema.ts
@@ -38,7 +38,9 @@
   keepsPrompts: z.boolean(),
   /** Longest pause between events of a stream that is still on time; 0 where none is stated. */
   longestPauseMs: z.number().min(0),
-  targets: z.array(routeTargetSchema).min(1)
+  targets: z.array(routeTargetSchema).min(1),
+  /** Regions in which its requests have to stay; absent or empty if they may go anywhere. */
+  allowedRegions: z.array(name).optional()
 })
 
 /** What the engines of a model service can do. */
@@ -84,7 +86,9 @@
   /** Goes before the rank of the route. */
   priority: z.number().int().min(0).optional(),
   /** Shares no kept prompt with anybody else. */
-  isIsolated: z.boolean()
+  isIsolated: z.boolean(),
+  /** Regions in which its requests have to stay; absent or empty if they may go anywhere. */
+  allowedRegions: z.array(name).optional()
 })
 
 /** Bounds on what a caller may send, and how long it may take. */
--- a/packages/telemetry/src/lib/events/siteChanges.ts
+++ b/packages/telemetry/src/lib/events/siteChanges.ts
@@ -3,6 +3,7 @@
 /** Sites and named weights: what operators sent, and what is in force. */
 export const siteChanges = {
   'site-put': z.strictObject({ version: z.number(), bytes: z.number(), outcome: z.string() }),
+  'site-regions-unknown': z.strictObject({ version: z.number(), regions: z.string() }),
   'site-refused': z.strictObject({ field: z.string(), reason: z.string() }),
   'site-read-refused': z.strictObject({ reason: z.string() }),
   'weights-named': z.strictObject({ model: z.string(), version: z.number(), outcome: z.string() }),
