Terms of the field for what hosts observe, defer and release

sight, givesWay, letGo and tally became observations, deferred, released and totals, also in the names of mechanisms that an entry host can do without. No behaviour changed; suites of packages and entry passed.

--- a/apps/bench/src/lib/prove/proveAll.ts
+++ b/apps/bench/src/lib/prove/proveAll.ts
@@ -23,7 +23,7 @@
   readonly simulation: Simulation
 }
 
-interface Tally {
+interface PromiseTotals {
   runs: number
   events: number
   faults: number
@@ -43,7 +43,7 @@
 export async function proveAll (options: ProveOptions, print: (line: string) => void): Promise<number> {
   const wanted = PROMISES.filter(promise => options.promise === undefined || promise === options.promise)
   const worlds = WORLDS.filter(world => world.promises.some(promise => wanted.includes(promise)))
-  const tallies = new Map(wanted.map(promise => [promise, { runs: 0, events: 0, faults: 0, violations: 0 }]))
+  const totals = new Map(wanted.map(promise => [promise, { runs: 0, events: 0, faults: 0, violations: 0 }]))
   const deadline = performance.now() + options.seconds * 1000
   const isDone = (round: number): boolean => options.runs === undefined ? performance.now() >= deadline : round >= options.runs
   let shown = 0
@@ -51,7 +51,7 @@
     for (const world of worlds) {
       const seed = options.seed + round
       const outcome = await runOnce(world, seed, new Set(FAULT_KINDS), options.broken)
-      addTo(tallies, world, outcome)
+      addTo(totals, world, outcome)
       for (const violation of outcome.ledger.violations.slice(0, 1)) {
         if (shown >= SHOWN_VIOLATIONS) break
         shown += 1
@@ -63,7 +63,7 @@
       }
     }
   }
-  return report(tallies, print)
+  return report(totals, print)
 }
 
 async function runOnce (world: WorldFactory, seed: number, kinds: ReadonlySet<FaultKind>, broken: PromiseName | undefined): Promise<RunOutcome> {
@@ -87,17 +87,17 @@
   return { ledger, simulation }
 }
 
-function addTo (tallies: ReadonlyMap<PromiseName, Tally>, world: WorldFactory, { ledger, simulation }: RunOutcome): void {
+function addTo (totals: ReadonlyMap<PromiseName, PromiseTotals>, world: WorldFactory, { ledger, simulation }: RunOutcome): void {
   for (const promise of world.promises) {
-    const tally = tallies.get(promise)
-    if (tally === undefined) continue
-    tally.runs += 1
-    tally.events += ledger.checks.get(promise) ?? 0
-    tally.faults += simulation.faults
+    const total = totals.get(promise)
+    if (total === undefined) continue
+    total.runs += 1
+    total.events += ledger.checks.get(promise) ?? 0
+    total.faults += simulation.faults
   }
   for (const { promise } of ledger.violations) {
-    const tally = tallies.get(promise)
-    if (tally !== undefined) tally.violations += 1
+    const total = totals.get(promise)
+    if (total !== undefined) total.violations += 1
   }
 }
 
@@ -119,9 +119,9 @@
   for (const line of before.slice(-12)) print(`    ${line}`)
 }
 
-function report (tallies: ReadonlyMap<PromiseName, Tally>, print: (line: string) => void): number {
+function report (totals: ReadonlyMap<PromiseName, PromiseTotals>, print: (line: string) => void): number {
   let isProved = true
-  for (const [promise, { runs, events, faults, violations }] of tallies) {
+  for (const [promise, { runs, events, faults, violations }] of totals) {
     const remark = events === 0 ? ' not proved: no events' : ''
     if (events === 0 || violations > 0) isProved = false
     print(`promise ${promise}: runs ${runs} events ${events} faults ${faults} violations ${violations}${remark}`)
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -95,7 +95,7 @@
     ownWork: () => fleet.ownWork(),
     others: fleet.others,
     onAnswer: () => {
-      fleet.noteSight()
+      fleet.noteObservations()
       server.releaseWaiting()
     }
   }, telemetry)
--- a/apps/entry/src/lib/load/LoadExchange.ts
+++ b/apps/entry/src/lib/load/LoadExchange.ts
@@ -64,7 +64,7 @@
   stop (): void {
     clearInterval(this.#startup)
     clearTimeout(this.#tellTimer)
-    this.#letGo()
+    this.#releaseWaiting()
   }
 
   /**
@@ -80,7 +80,7 @@
       return
     }
     this.#waiting.push(place)
-    this.#waitTimer ??= setTimeout(() => { this.#letGo() }, ANSWER_WAIT_MS)
+    this.#waitTimer ??= setTimeout(() => { this.#releaseWaiting() }, ANSWER_WAIT_MS)
   }
 
   /** Call after a request was sent to an endpoint. */
@@ -132,7 +132,7 @@
     this.ports.others.answered(totals, performance.now())
     this.#plan.answered(askedAt)
     this.ports.onAnswer()
-    this.#letGo()
+    this.#releaseWaiting()
   }
 
   #read (bytes: Buffer): LoadTotals | undefined {
@@ -144,7 +144,7 @@
     }
   }
 
-  #letGo (): void {
+  #releaseWaiting (): void {
     clearTimeout(this.#waitTimer)
     this.#waitTimer = undefined
     for (const place of this.#waiting.splice(0)) place()
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -3,7 +3,7 @@
 import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
-import { isUnresponsive } from '@eelgrassmux/routing/endpoints/sharedSight'
+import { isUnresponsive } from '@eelgrassmux/routing/endpoints/sharedObservations'
 import { EndpointPool } from '@eelgrassmux/routing/endpoints/EndpointPool'
 import type { Slowness } from '@eelgrassmux/routing/endpoints/Slowness'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
@@ -171,7 +171,7 @@
   }
 
   /** Notes what other hosts have told since the last time; call when it was heard. */
-  noteSight (): void {
+  noteObservations (): void {
     const now = performance.now()
     for (const change of this.storeLinks.heard(this.others.links, now)) this.#logLink(change)
     if (now - this.#ejectionsLookedAt < EJECTION_LOOK_MS) return
--- a/packages/routing/src/lib/admission/admitStream.ts
+++ b/packages/routing/src/lib/admission/admitStream.ts
@@ -115,13 +115,13 @@
   }
   const isLongRead = situation.tokensToRead > LONG_READ && situation.tokensAhead > limits.tokensAhead
   if (isLongRead && firstEventMs < route.targetLatencyMs * READ_WAIT_SHARE) return { kind: 'wait' }
-  if (isLate && givesWay(situation, awaitedMs, limits)) return { kind: 'wait' }
+  if (isLate && isDeferred(situation, awaitedMs, limits)) return { kind: 'wait' }
   if (estimatedMs > awaitedMs * DOUBT) return { kind: 'refuse', cause: 'wait', returnAfterMs: estimatedMs - awaitedMs / 2 }
   return { kind: 'send', isExpectedLate: isLate }
 }
 
 /** A long request that is late waits while its engine has other work, as long as its caller will still be there. */
-function givesWay (situation: StreamSituation, awaitedMs: number, limits: AdmissionLimits): boolean {
+function isDeferred (situation: StreamSituation, awaitedMs: number, limits: AdmissionLimits): boolean {
   const { waitedMs, estimatedMs, tokensToRead, tokensAhead, memoryShare, ownMemoryShare } = situation
   if (tokensToRead <= LONG_READ || memoryShare <= ownMemoryShare) return false
   const isEngineBusy = tokensAhead > limits.lateTokensAhead || memoryShare > limits.lateMemoryShare
--- a/packages/routing/src/lib/endpoints/EjectionWatch.ts
+++ b/packages/routing/src/lib/endpoints/EjectionWatch.ts
@@ -2,7 +2,7 @@
 import type { OthersWork } from '../load/OthersWork.js'
 import type { WorkFigures } from '../load/loadReport.js'
 import type { EndpointState } from './EndpointState.js'
-import { sharedFailureShare, ejectionReason, type EjectionReason } from './sharedSight.js'
+import { sharedFailureShare, ejectionReason, type EjectionReason } from './sharedObservations.js'
 
 /** A change of belief, with what decided it. */
 export interface EjectionChange {
@@ -27,19 +27,19 @@
    * @returns what has changed since the last look
    */
   look (endpoints: readonly EndpointState[], others: OthersWork, now: number): EjectionChange[] {
-    const sights = endpoints.map(endpoint => {
+    const observed = endpoints.map(endpoint => {
       const figures = others.at(endpoint.incarnation)
       return { endpoint, others: figures, failureShare: sharedFailureShare(endpoint, figures, now) }
     })
-    const meanShare = sights.reduce((sum, sight) => sum + sight.failureShare, 0) / Math.max(1, sights.length)
+    const meanShare = observed.reduce((sum, entry) => sum + entry.failureShare, 0) / Math.max(1, observed.length)
     const changes: EjectionChange[] = []
-    for (const sight of sights) {
-      const { incarnation } = sight.endpoint
-      const reason = ejectionReason(sight.endpoint, sight.others, sight.failureShare - meanShare, now)
+    for (const entry of observed) {
+      const { incarnation } = entry.endpoint
+      const reason = ejectionReason(entry.endpoint, entry.others, entry.failureShare - meanShare, now)
       if (reason === this.#reasons.get(incarnation)) continue
       if (reason === undefined) this.#reasons.delete(incarnation)
       else this.#reasons.set(incarnation, reason)
-      changes.push({ ...sight, reason, meanShare })
+      changes.push({ ...entry, reason, meanShare })
     }
     return changes
   }
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -2,7 +2,7 @@
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
 import type { EndpointAsk, NoEndpointReason, PromptAsk } from './endpointAsk.js'
 import type { EndpointState } from './EndpointState.js'
-import { ejectionReason, isAbsent, sharedFailureShare } from './sharedSight.js'
+import { ejectionReason, isAbsent, sharedFailureShare } from './sharedObservations.js'
 
 /** An endpoint with what other hosts have told of it. */
 export interface Candidate {
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -2,7 +2,7 @@
 import type { LinkWork } from './linkWork.js'
 
 /** Work of one or all hosts at one endpoint, and what they have seen of it. */
-export interface EndpointWork extends EndpointSight {
+export interface EndpointWork extends EndpointObservations {
   /** Incarnation, so that work at a former one is not added to that at the present one. */
   readonly endpoint: string
   /** Requests sent and not answered whole. */
@@ -14,7 +14,7 @@
 }
 
 /** What requests have shown of an endpoint. */
-export interface EndpointSight {
+export interface EndpointObservations {
   /** Milliseconds since any byte came from it; over all hosts the least. */
   readonly heardAgoMs: number
   /** Milliseconds for which it has had work without a break; over all hosts the most. */
--- a/packages/routing/src/lib/mechanisms/mechanisms.test.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.test.ts
@@ -32,7 +32,7 @@
     it('limits of admission, each by itself', () => {
       expect(without('memory-limit').admission).toEqual({ ...ADMISSION_LIMITS, memoryShare: Infinity })
       expect(without('read-ahead').admission).toEqual({ ...ADMISSION_LIMITS, tokensAhead: Infinity })
-      expect(without('giving-way').admission).toEqual({ ...ADMISSION_LIMITS, lateTokensAhead: Infinity, lateMemoryShare: Infinity })
+      expect(without('late-deferral').admission).toEqual({ ...ADMISSION_LIMITS, lateTokensAhead: Infinity, lateMemoryShare: Infinity })
     })
 
     it('stores and the wait for the site', () => {
@@ -67,7 +67,7 @@
       }
       expect(at()).toEqual(told)
       expect(at('others-work')).toEqual({ ...told, inFlight: 0, pendingTokens: 0, heldTokens: 0 })
-      expect(at('shared-sight')).toEqual({ ...NO_WORK, inFlight: 3, pendingTokens: 500, heldTokens: 900 })
+      expect(at('shared-observations')).toEqual({ ...NO_WORK, inFlight: 3, pendingTokens: 500, heldTokens: 900 })
     })
   })
 })
--- a/packages/routing/src/lib/mechanisms/mechanisms.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -32,13 +32,13 @@
   /** Counting the work of other hosts. */
   'others-work',
   /** Keeping away from endpoints that other hosts find silent, out of reach or failing. */
-  'shared-sight',
+  'shared-observations',
   /** Holding large requests back while no engine has memory. */
   'memory-limit',
   /** Holding long reads back while their engine reads others. */
   'read-ahead',
   /** Late long requests giving way to others. */
-  'giving-way',
+  'late-deferral',
   /** Ranks at engines. */
   'ranks',
   /** Requests waiting for the site at a host that has just started. */
@@ -73,11 +73,11 @@
       ...ADMISSION_LIMITS,
       ...(has('memory-limit') ? {} : { memoryShare: Number.POSITIVE_INFINITY }),
       ...(has('read-ahead') ? {} : { tokensAhead: Number.POSITIVE_INFINITY }),
-      ...(has('giving-way') ? {} : { lateTokensAhead: Number.POSITIVE_INFINITY, lateMemoryShare: Number.POSITIVE_INFINITY })
+      ...(has('late-deferral') ? {} : { lateTokensAhead: Number.POSITIVE_INFINITY, lateMemoryShare: Number.POSITIVE_INFINITY })
     },
     usesStores: has('store-fetches'),
     waitsForSite: has('startup-queue'),
-    others: new PartOfOthersWork(has('others-work'), has('shared-sight')),
+    others: new PartOfOthersWork(has('others-work'), has('shared-observations')),
     engineModel: () => has('engine-times') ? new EngineModel() : new AssumedEngineModel(),
     slowness: () => has('slowness') ? new Slowness() : new EvenSlowness(),
     storeLinks: liveHosts => has('link-speeds') ? new StoreLinks(liveHosts) : new StatedStoreLinks(liveHosts)
@@ -102,12 +102,12 @@
 
 /** What other hosts tell, without their work or without what they see. */
 class PartOfOthersWork extends OthersWork {
-  constructor (private readonly hasWork: boolean, private readonly hasSight: boolean) {
+  constructor (private readonly hasWork: boolean, private readonly hasObservations: boolean) {
     super()
   }
 
   override at (endpoint: string): WorkFigures {
-    const { inFlight, pendingTokens, heldTokens, ...sight } = super.at(endpoint)
-    return { ...NO_WORK, ...(this.hasWork ? { inFlight, pendingTokens, heldTokens } : {}), ...(this.hasSight ? sight : {}) }
+    const { inFlight, pendingTokens, heldTokens, ...observations } = super.at(endpoint)
+    return { ...NO_WORK, ...(this.hasWork ? { inFlight, pendingTokens, heldTokens } : {}), ...(this.hasObservations ? observations : {}) }
   }
 }
--- a/packages/state/src/lib/readFormerNames.test.ts
+++ b/packages/state/src/lib/readFormerNames.test.ts
@@ -14,9 +14,9 @@
 
 describe('logs of earlier releases', () => {
   it('keep the requests that were quarantined', () => {
-    const judgements = [{ fingerprint: FINGERPRINT, service: 'engines', judgement: 'quarantine', forMs: 900_000 }]
+    const formerDecisions = [{ fingerprint: FINGERPRINT, service: 'engines', judgement: 'quarantine', forMs: 900_000 }]
     const state = new StateMachine()
-    state.apply(decodeCommand(formerBytes({ kind: 'judge-requests', judgements })))
+    state.apply(decodeCommand(formerBytes({ kind: 'judge-requests', judgements: formerDecisions })))
     expect(state.quarantine.find(FINGERPRINT)).toMatchObject({ state: 'quarantined', quarantines: 1 })
   })
 
