--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -7,7 +7,6 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
-import { GatheredReads } from './GatheredReads.js'
 
 /** A request as it is sent. */
 export interface EndpointRequest {
@@ -51,13 +50,9 @@
   }
 }
 
-const gatheredReads = new GatheredReads()
-
 /** A connection that is opened with its first request. */
 export class EndpointConnection {
   readonly #client: Client
-  #socket: Socket | undefined
-  #isGathering = false
   #wasReset = false
   #isClosed = false
 
@@ -101,14 +96,9 @@
         if (status >= 200) reader.head(status, headers.map(header => header.toString('latin1')), resume)
         return true
       },
-      onData: (chunk: Buffer) => {
-        const goesOn = reader.data(chunk)
-        if (this.#isGathering) this.#holdReads()
-        return goesOn
-      },
+      onData: (chunk: Buffer) => reader.data(chunk),
       onComplete: () => {
         hasEnded = true
-        this.#endGathering()
         if (this.#wasReset) reader.failed(new AnswerReset())
         else reader.complete()
       },
@@ -122,34 +112,16 @@
     }
   }
 
-  /** From now on until the end of the answer, what comes is read together with other streams. */
-  gatherReads (): void {
-    this.#isGathering = true
-  }
-
-  /** Once all that has arrived is read. */
-  #holdReads (): void {
-    queueMicrotask(() => { if (this.#isGathering && this.#socket !== undefined) gatheredReads.hold(this.#socket) })
-  }
-
-  /** An idle connection has to show at once that its endpoint closes it. */
-  #endGathering (): void {
-    this.#isGathering = false
-    if (this.#socket !== undefined) gatheredReads.release(this.#socket)
-  }
-
   /** Closes at once; a request under way fails. */
   close (): void {
     if (this.#isClosed) return
     this.#isClosed = true
-    this.#endGathering()
     this.onClose(this)
     void this.#client.destroy()
   }
 
   #connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true })
-    this.#socket = socket
     const timer = setTimeout(() => { socket.destroy(new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
     let isSettled = false
     const settle = (error: Error | undefined, connected: Socket | undefined): void => {
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -77,11 +77,6 @@
     })
   }
 
-  /** Reads the rest of the answer together with other streams. */
-  gatherReads (): void {
-    this.connection.gatherReads()
-  }
-
   /** Ends the attempt; the endpoint notices by the closed connection, and the listener hears nothing more. */
   cancel (): void {
     if (this.#hasCrashed) return
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -18,7 +18,6 @@
 import type { EndpointConnections } from './EndpointConnections.js'
 import { describePlacement } from './describePlacement.js'
 import { endpointFields } from './endpointFields.js'
-import { LEAST_PAUSE_TO_GATHER_MS } from './GatheredReads.js'
 import { learnFromFailure } from './learnFromFailure.js'
 import { learnFromFirstEvent } from './learnFromFirstEvent.js'
 import { learnFromHead } from './learnFromHead.js'
@@ -230,7 +229,6 @@
   #onData (attempt: RoutedAttempt, chunk: Buffer): boolean {
     if (this.#isDone) return true
     if (this.request.route.kind === 'stream') this.#noteFirstEvent(attempt)
-    if (this.request.route.longestPauseMs >= LEAST_PAUSE_TO_GATHER_MS) attempt.gatherReads()
     return this.#relay.data(chunk)
   }
 
