--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -141,7 +141,7 @@
     olderWeights.observe(link.weights, performance.now())
     quarantine.logChanges(link.viewRevision, performance.now())
     fleet.update(link.endpoints)
-    fleet.evacuate(link.evacuated, performance.now())
+    fleet.limits.evacuate(link.evacuated, performance.now())
     putInForce(link.site)
     server.releaseWaiting()
   })
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -17,6 +17,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointConnections } from './EndpointConnections.js'
 
 /** Connections that a host may have at an endpoint that states no bound. */
@@ -48,6 +49,7 @@
 export class RoutedFleet {
   readonly #pool: EndpointPool
   readonly memory = new PromptMemory()
+  readonly limits: EndpointLimits
   readonly others: OthersWork
   readonly storedParts = new StoredPartsIndex()
   readonly storeLinks: StoreLinks
@@ -57,8 +59,6 @@
   readonly #opened: LabelledCounter
   readonly #ejections = new EjectionWatch()
   readonly #estimateError: (milliseconds: number) => void
-  readonly #coldRates = new Map<string, number>()
-  #evacuated: ReadonlySet<string> = new Set()
   #workListener: (change: WorkChange) => void = () => {}
   #ejectionsLookedAt = Number.NEGATIVE_INFINITY
 
@@ -74,9 +74,10 @@
     private readonly liveHosts: () => number,
     private readonly telemetry: Telemetry,
     readonly mechanisms: RoutingMechanisms = composeMechanisms(),
-    private readonly coldAllowance = new ColdAllowance('', liveHosts)
+    coldAllowance = new ColdAllowance('', liveHosts)
   ) {
     this.#pool = new EndpointPool(mechanisms.slowness)
+    this.limits = new EndpointLimits(coldAllowance, () => this.#pool.all, telemetry)
     this.others = mechanisms.others
     this.storeLinks = mechanisms.storeLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
@@ -84,8 +85,6 @@
     telemetry.gauge('endpoints_known', 'Endpoints that the platform lists', () => this.#pool.all.length)
     telemetry.gauge('stored_parts', 'Prompt parts that stores are known to hold', () => this.storedParts.size)
     telemetry.gauge('endpoints_ejected', 'Endpoints without new work because of what all hosts have seen', () => this.#ejections.size)
-    telemetry.gauge('endpoints_cold', 'Endpoints that take few requests a second for now, as far as is known', () => this.#countCold(performance.now()))
-    telemetry.gauge('data_centres_evacuated', 'Data centres whose endpoints get no new work', () => this.#evacuated.size)
     telemetry.gauge('endpoints_paused', 'Endpoints without new work because of what requests to them showed', () => {
       const now = performance.now()
       return this.#pool.all.filter(endpoint => endpoint.health.isPaused(now)).length
@@ -142,34 +141,10 @@
 
   /** @param site - that is now in force */
   configure (site: Site): void {
-    this.#coldRates.clear()
-    for (const service of site.services) {
-      if (service.type === 'replicated' && service.coldRequestsPerSecond !== undefined) this.#coldRates.set(service.name, service.coldRequestsPerSecond)
-    }
+    this.limits.configure(site)
     this.storedParts.configure(site.services.filter(service => service.type === 'store'))
   }
 
-  /**
-   * @param evacuated - data centres whose endpoints get no new work
-   * @param now - monotonic milliseconds
-   */
-  evacuate (evacuated: ReadonlySet<string>, now: number): void {
-    const ended = [...this.#evacuated].filter(name => !evacuated.has(name))
-    const begun = [...evacuated].filter(name => !this.#evacuated.has(name))
-    this.#evacuated = evacuated
-    for (const dataCentre of [...ended, ...begun]) {
-      const endpoints = this.#pool.all.filter(endpoint => endpoint.listed.dataCentre === dataCentre)
-      // They may have started anew meanwhile, and the list lags.
-      for (const endpoint of endpoints) endpoint.observeAbsence(now)
-      const underWay = endpoints.reduce((sum, endpoint) => sum + endpoint.inFlight, 0)
-      this.telemetry.stateChanged('evacuation-in-force', { dataCentre, isEvacuated: evacuated.has(dataCentre), endpoints: endpoints.length, underWay })
-    }
-  }
-
-  #countCold (now: number): number {
-    return this.#pool.all.filter(endpoint => this.#coldRates.has(endpoint.listed.service) && endpoint.isCold(now)).length
-  }
-
   /** Notes what other hosts have told since the last time; call when it was heard. */
   noteObservations (): void {
     const now = performance.now()
@@ -225,17 +200,12 @@
       dataCentre: this.dataCentre,
       others,
       hasConnection,
-      evacuated: this.#evacuated,
-      admitsCold: endpoint => this.#admitsCold(endpoint, now),
+      evacuated: this.limits.evacuated,
+      admitsCold: endpoint => this.limits.admitsCold(endpoint, now),
       homeEndpoint: this.mechanisms.homeEndpoint
     }, this.memory, now, Math.random())
   }
 
-  #admitsCold (endpoint: EndpointState, now: number): boolean {
-    const rate = this.#coldRates.get(endpoint.listed.service)
-    return rate === undefined || this.coldAllowance.admits(endpoint, rate, now)
-  }
-
   /**
    * @param endpoint - with work of this host
    * @returns whether it has fallen silent towards everybody, as far as is known
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -21,18 +21,13 @@
 import { learnFromFailure } from './learnFromFailure.js'
 import { learnFromFirstEvent } from './learnFromFirstEvent.js'
 import { learnFromHead } from './learnFromHead.js'
+import { PlacementWaits } from './PlacementWaits.js'
 import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
 import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
 import { SilenceWatch } from './SilenceWatch.js'
 
-/** Interval at which a request that waits for an engine's memory looks again, in milliseconds: in that time an engine makes some ten steps. */
-const ROOM_LOOK_MS = 40
-
-/** Interval at which a request looks again for an endpoint that is not cold, or whose turn has come, in milliseconds. */
-const COLD_LOOK_MS = 60
-
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
@@ -48,7 +43,7 @@
   readonly #silence = new SilenceWatch()
   readonly #prompt: PromptContext | undefined
   #isDone = false
-  #isWaiting = false
+  readonly #waits: PlacementWaits
   readonly #guard: QuarantineGuard
   readonly #times: AnswerTimes
 
@@ -68,6 +63,10 @@
     this.#times = new AnswerTimes(request, ports)
     const { method = 'GET', url: target = '/' } = exchange.request
     this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine)
+    this.#waits = new PlacementWaits(request, {
+      placeAgain: () => { this.#placeAgain() },
+      logWait: details => { this.#decided('waits-for-room', details) }
+    })
     this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
@@ -120,10 +119,7 @@
       return
     }
     const choice = this.#choose()
-    if (choice === 'all-cold' && this.#mayStillBeOnTime()) {
-      this.#lookAgainIn(COLD_LOOK_MS)
-      return
-    }
+    if (choice === 'all-cold' && this.#waits.waitForWarmEndpoint(this.#deadline)) return
     if (typeof choice === 'string') {
       this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
       return
@@ -187,27 +183,16 @@
   #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
     const admission = admitRouted(this.request, choice, this.ports.fleet, { prompt: this.#prompt, hasFirstEvent: this.#times.hasFirstEvent, deadline: this.#deadline }, performance.now())
     if (admission.kind === 'send') return admission
-    if (admission.kind === 'wait') this.#waitForRoom(choice)
+    if (admission.kind === 'wait') this.#waits.waitForRoom(choice)
     else this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
     return undefined
   }
 
   /** The plan of stores is made anew, because more may be stored by then. */
-  #waitForRoom (choice: EndpointChoice): void {
-    if (!this.#isWaiting) {
-      this.#decided('waits-for-room', { endpoint: choice.endpoint.id, memoryShare: Number(choice.memoryShare.toFixed(2)), tokensHeld: Math.round(choice.tokensHeld), tokensAhead: Math.round(choice.load.tokensAhead) })
-    }
-    this.#isWaiting = true
-    this.#lookAgainIn(ROOM_LOOK_MS)
-  }
-
-  #lookAgainIn (milliseconds: number): void {
+  #placeAgain (): void {
+    if (this.#isDone) return
     this.#prompt?.forgetPlans()
-    setTimeout(() => { if (!this.#isDone) this.#placeNext() }, milliseconds)
-  }
-
-  #mayStillBeOnTime (): boolean {
-    return performance.now() < Math.min(this.#deadline, this.request.arrivedAt + this.request.route.targetLatencyMs)
+    this.#placeNext()
   }
 
   #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
