--- a/apps/bench/src/evacuation.test.ts
+++ b/apps/bench/src/evacuation.test.ts
@@ -43,6 +43,7 @@
     expect(await statusOf(1)).toBe(503)
     expect((await evacuate('hall-north', 'start')).stdout).toContain('hall-north evacuated')
     expect((await evacuate('hall-north', 'status')).stdout).toMatch(/^hall-north evacuated, ordered \d+ s ago\n$/)
+    expect((await cluster.command(['doctor'])).stdout).toContain('data centre hall-north is evacuated\n')
     expect((await evacuate('hall-north', 'end')).stdout).toContain('hall-north in use')
     await sleep(500)
     expect(await statusOf(0)).toBe(200)
--- a/apps/eelgrassmux/src/lib/ControlClient.ts
+++ b/apps/eelgrassmux/src/lib/ControlClient.ts
@@ -130,8 +130,7 @@
   async evacuations (): Promise<Result<EvacuationImage, ControlError>> {
     const majority = await this.majority()
     if (!majority.ok) return majority
-    const newest = majority.value.answers.map(({ evacuations }) => evacuations).sort((left, right) => right.revision - left.revision)[0]
-    return newest === undefined ? fail({ kind: 'no-answer' }) : succeed(newest)
+    return succeed(newestEvacuations(majority.value.answers))
   }
 
   /** @returns each engine's state against the desired one, from the leader */
@@ -207,6 +206,15 @@
   }
 }
 
+/**
+ * @param answers - of a majority of control hosts, some of which may lag
+ * @returns the newest orders about data centres that any of them has
+ */
+export function newestEvacuations (answers: readonly HostsResponse[]): EvacuationImage {
+  const none: EvacuationImage = { revision: 0, orders: [] }
+  return answers.reduce((newest, { evacuations }) => evacuations.revision > newest.revision ? evacuations : newest, none)
+}
+
 function leaderAddress (answers: readonly HostsResponse[]): string | undefined {
   const newest = [...answers].sort((left, right) => right.term - left.term)
   for (const { leader, voters } of newest) {
--- a/apps/eelgrassmux/src/lib/commands.ts
+++ b/apps/eelgrassmux/src/lib/commands.ts
@@ -7,7 +7,7 @@
 import { parseConfiguration } from '@eelgrassmux/schema/parseConfiguration'
 import { checkReferences } from '@eelgrassmux/schema/checkReferences'
 import type { DocumentName } from '@eelgrassmux/state/commands'
-import type { ControlClient } from './ControlClient.js'
+import { newestEvacuations, type ControlClient } from './ControlClient.js'
 import { ControlCommand } from './ControlCommand.js'
 import { diffDocuments, describeDifference } from './diffDocuments.js'
 import { EXIT_FAILED } from './exitCodes.js'
@@ -237,6 +237,7 @@
       if (ageMs > Number(this.freshness)) findings.push(`host ${host} was heard of ${Math.round(ageMs)} ms ago`)
       else if (viewRevision < view) findings.push(`host ${host} has view ${viewRevision}, the newest is ${view}`)
     }
+    for (const { dataCentre, isEvacuated } of newestEvacuations(answers).orders) if (isEvacuated) findings.push(`data centre ${dataCentre} is evacuated`)
     const orders = await client.orders()
     const unsettled = orders.ok ? orders.value.filter(order => order.state !== 'as-desired') : []
     for (const order of unsettled) findings.push(`engine ${order.endpoint} is ${order.state}`)
