--- /dev/null
+++ b/apps/control/src/lib/site/SiteService.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from 'vitest'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { Command } from '@eelgrassmux/state/commands'
+import { StateMachine } from '@eelgrassmux/state/StateMachine'
+import type { ProposeOutcome, RaftTask } from '../raft/RaftTask.js'
+import { SiteService } from './SiteService.js'
+
+/** A leader whose proposals are applied at once, after what others have proposed in between. */
+class Leader {
+  readonly state = new StateMachine()
+  readonly proposed: Command[] = []
+  /** Applied before each proposal. */
+  before: () => void = () => {}
+  outcome: ProposeOutcome | undefined
+
+  async propose (command: Command): Promise<ProposeOutcome> {
+    this.proposed.push(command)
+    this.before()
+    return await Promise.resolve(this.outcome ?? { kind: 'applied', result: this.apply(command) })
+  }
+
+  apply (command: Command): ReturnType<StateMachine['apply']> {
+    return this.state.apply({ stampedAt: 0, command })
+  }
+
+  /** An order of another operator that knows all others. */
+  orderElsewhere (dataCentre: string, isEvacuated: boolean): void {
+    this.apply({ kind: 'order-evacuation', dataCentre, isEvacuated, knownRevision: this.state.evacuations.revision })
+  }
+}
+
+describe('SiteService', () => {
+  describe('orders of evacuations', () => {
+    const stays = (): boolean => false
+    const serve = (): { leader: Leader, service: SiteService } => {
+      const leader = new Leader()
+      return { leader, service: new SiteService(leader as unknown as RaftTask, {} as RpcClient) }
+    }
+
+    it('are acknowledged once they are applied, also when they come again', async () => {
+      const { leader, service } = serve()
+      expect(await service.orderEvacuation('north', true, stays)).toEqual({ kind: 'applied' })
+      expect(await service.orderEvacuation('north', true, stays)).toEqual({ kind: 'applied' })
+      expect(leader.state.evacuations.evacuated).toEqual(['north'])
+    })
+
+    it('are proposed anew if another came in between and the caller still waits', async () => {
+      const { leader, service } = serve()
+      leader.before = () => {
+        leader.before = () => {}
+        leader.orderElsewhere('north', false)
+      }
+      expect(await service.orderEvacuation('north', true, stays)).toEqual({ kind: 'applied' })
+      expect(leader.proposed).toHaveLength(2)
+      expect(leader.state.evacuations.evacuated).toEqual(['north'])
+    })
+
+    it('change nothing once their caller has left', async () => {
+      const { leader, service } = serve()
+      expect(await service.orderEvacuation('north', true, () => true)).toEqual({ kind: 'overtaken' })
+      expect(leader.proposed).toEqual([])
+    })
+
+    it('are given up when others keep coming in between', async () => {
+      const { leader, service } = serve()
+      leader.before = () => { leader.orderElsewhere('north', false) }
+      expect(await service.orderEvacuation('north', true, stays)).toEqual({ kind: 'overtaken' })
+      expect(leader.state.evacuations.evacuated).toEqual([])
+    })
+
+    it('are not acknowledged while nobody takes them', async () => {
+      const { leader, service } = serve()
+      leader.outcome = { kind: 'uncertain' }
+      expect(await service.orderEvacuation('north', true, stays)).toEqual({ kind: 'unavailable' })
+    })
+  })
+})
--- a/apps/control/src/lib/site/SiteService.ts
+++ b/apps/control/src/lib/site/SiteService.ts
@@ -75,9 +75,6 @@
     return { kind: 'overtaken' }
   }
 
-  /** Data centres that are evacuated, as far as this host knows. */
-  get evacuated (): readonly string[] { return this.raft.state.evacuations.evacuated }
-
   /** @returns the newest accepted site, or `unconfirmed` if nobody can be sure which it is */
   async readSite (): Promise<ReadSiteResponse> {
     const own = await this.readAsLeader()
--- a/packages/routing/src/lib/load/ExchangePlan.test.ts
+++ b/packages/routing/src/lib/load/ExchangePlan.test.ts
@@ -102,6 +102,38 @@
     })
   })
 
+  describe('budget of one host', () => {
+    /** Time that a request's work is told of, in milliseconds: until its end, and a moment after. */
+    const LIFE_MS = 700
+
+    it.each([[8, 30], [62, 9], [81, 10], [195, 5], [340, 24]])('of %i hosts with %i requests a second: at most a question and two statements a request', (hosts, perSecond) => {
+      const random = numbers(hosts)
+      const plan = new ExchangePlan(() => hosts)
+      let datagrams = 0
+      let requests = 0
+      let workUntil = 0
+      for (let at = 0; at < 60_000; at += 1) {
+        if ((plan.tellAt ?? Number.POSITIVE_INFINITY) <= at) {
+          datagrams += 1
+          plan.told(at < workUntil, at)
+        }
+        if (random() >= perSecond / 1000) continue
+        requests += 1
+        workUntil = at + LIFE_MS
+        if (plan.place(at).asks) {
+          datagrams += 1
+          plan.asked(at)
+          plan.answered(at)
+        }
+        if (plan.noteSend(at)) {
+          datagrams += 1
+          plan.told(true, at)
+        }
+      }
+      expect(datagrams / requests).toBeLessThan(3)
+    })
+  })
+
   describe('of 195 hosts with two requests a second each', () => {
     it('asks for every request, and tells every send at once', () => {
       const plan = new ExchangePlan(() => 195)
