--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -191,7 +191,7 @@
    * @param service - service name
    * @param ask - what is asked
    */
-  choose (service: string, ask: Pick<EndpointAsk, 'excluded' | 'prompt' | 'allowsDataCentre'>): EndpointChoice | NoEndpointReason {
+  choose (service: string, ask: Pick<EndpointAsk, 'excluded' | 'prompt' | 'regionBound'>): EndpointChoice | NoEndpointReason {
     const now = performance.now()
     const others = this.others.isRecent(now) ? this.others : undefined
     const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.incarnation)?.hasIdle === true
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -173,11 +173,7 @@
 
   #choose (): EndpointChoice | string {
     const { service, regionBound } = this.request
-    return this.ports.fleet.choose(service.name, {
-      excluded: this.#tried,
-      ...(regionBound === undefined ? {} : { allowsDataCentre: (dataCentre: string) => regionBound.allows(dataCentre) }),
-      ...this.#prompt?.ask(this.#requiredVersion)
-    })
+    return this.ports.fleet.choose(service.name, { excluded: this.#tried, regionBound, ...this.#prompt?.ask(this.#requiredVersion) })
   }
 
   #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -20,7 +20,7 @@
 export function candidatesFor (endpoints: readonly EndpointState[], ask: EndpointAsk, now: number): readonly Candidate[] | NoEndpointReason {
   const present = endpoints.filter(endpoint => !endpoint.isLeaving)
   if (present.length === 0) return 'none-listed'
-  const allowedThere = present.filter(endpoint => ask.allowsDataCentre?.(endpoint.listed.dataCentre) !== false)
+  const allowedThere = present.filter(endpoint => ask.regionBound?.allows(endpoint.listed.dataCentre) !== false)
   if (allowedThere.length === 0) return 'none-in-regions'
   const open = allowedThere.filter(endpoint => ask.evacuated?.has(endpoint.listed.dataCentre) !== true)
   if (open.length === 0) return 'all-evacuated'
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -1,5 +1,6 @@
 /** What is asked when an endpoint is chosen, and what comes of it. */
 import type { OthersWork } from '../load/OthersWork.js'
+import type { RegionBound } from '../places/RegionBound.js'
 import type { PromptDescription } from '../prompts/promptDescription.js'
 import type { StoreLinks } from '../stores/StoreLinks.js'
 import type { StorePlan } from '../stores/StoredPartsIndex.js'
@@ -19,8 +20,8 @@
   hasConnection? (endpoint: EndpointState): boolean
   /** Data centres whose endpoints get no new work; none unless given. */
   readonly evacuated?: ReadonlySet<string>
-  /** Whether the request may go to a data centre; always unless given. */
-  allowsDataCentre? (dataCentre: string): boolean
+  /** Regions in which the request has to stay; undefined if it may go anywhere. */
+  readonly regionBound?: RegionBound | undefined
   /** Whether this host may send a request to a cold endpoint now; always unless given. */
   admitsCold? (endpoint: EndpointState): boolean
   /** Finds the endpoint that hosts agree on for a shared part; as by rendezvous hashing unless it is given. */
--- a/packages/routing/src/lib/places/RegionBound.test.ts
+++ b/packages/routing/src/lib/places/RegionBound.test.ts
@@ -34,7 +34,7 @@
   const store = (name: string, dataCentre: string): StoreService =>
     ({ type: 'store', name, address: name, dataCentre, cacheTokens: 1000, linkMbps: 1000, firstByteMs: 1, isManaged: true })
   const bound = regionBoundOf({ allowedRegions: ['plain'] }, undefined, REGIONS)
-  const ask = { excluded: new Set<string>(), dataCentre: 'hall-a', others: undefined, allowsDataCentre: (name: string) => bound?.allows(name) === true }
+  const ask = { excluded: new Set<string>(), dataCentre: 'hall-a', others: undefined, regionBound: bound }
 
   it('goes to an endpoint there, however far and busy it is', () => {
     const far = new EndpointState(listed('far', 'hall-c'))
