--- a/packages/routing/src/lib/load/ExchangePlan.ts
+++ b/packages/routing/src/lib/load/ExchangePlan.ts
@@ -11,16 +11,13 @@
  *
  * A host with ten requests a second asks again before long, and each question tells its work as
  * well: statements of their own would double what the host that adds up has to read, for a view that
- * is a tenth of a second newer. So such a host tells its sends with its next question, and uses a
- * view a little longer; one with rare requests tells them at once.
+ * is a tenth of a second newer. So such a host tells its sends with its next question; one with
+ * rare requests tells them at once.
  */
 
 /** Age up to which a view is used without asking, in milliseconds: the host that adds up gives out the same totals for as long. */
 const FRESH_MS = 25
 
-/** The same at a host with frequent requests, in milliseconds: it asks for every other one. */
-const FREQUENT_FRESH_MS = 80
-
 /**
  * Longest wait for an answer, in milliseconds: three round trips between data centres of the users'
  * sheets, and little against the shortest objective there (120 ms).
@@ -85,7 +82,7 @@
    */
   place (now: number): PlacementStep {
     this.#noteInterval(now)
-    if (now - this.#viewAt <= (this.#isFrequent ? FREQUENT_FRESH_MS : FRESH_MS)) return { asks: false, waits: false }
+    if (now - this.#viewAt <= FRESH_MS) return { asks: false, waits: false }
     const isUnderWay = this.#askedAt !== undefined && now - this.#askedAt < ANSWER_WAIT_MS
     if (!isUnderWay && this.#askedAt !== undefined) this.#noteVain()
     const asks = !isUnderWay && this.#takeQuestion(now)
