--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -272,6 +272,8 @@
 
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
+    // Until the next send its silence would be taken for a second failure, and the request placed twice.
+    this.#silence.stop()
     const { endpoint } = attempt.choice
     learnFromFailure(this.ports.fleet, endpoint, failure, head)
     if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) this.#attempts.noteNotRun()
