--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -5,7 +5,6 @@
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, boundSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
-import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { OlderWeights } from '@eelgrassmux/routing/prompts/OlderWeights'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
@@ -83,7 +82,7 @@
   }, rpc, datagrams)
   const mechanisms = composeMechanisms(new Set(settings.leaveOut))
   const liveHosts = (): number => link.liveEntries
-  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, new ColdAllowance(address, liveHosts))
+  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, address)
   const stored = link.followStores({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -1,13 +1,21 @@
-/** What operators and services forbid of endpoints: data centres that are evacuated, rates of endpoints that are cold. */
+/** What operators, services and endpoints themselves forbid of endpoints: data centres that are evacuated, rates that are not to be exceeded. */
 import type { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
-import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { AnswerHead } from './RoutedAttempt.js'
+
+/** Time in which sends to an endpoint count as lately where its limit is logged, in milliseconds. */
+const LATELY_MS = 4000
+
+/** Status of an answer that may come from another instance at the endpoint's address. */
+const MISDIRECTED = 421
 
 /** Follows the site and the operators' orders. */
 export class EndpointLimits {
   readonly #coldRates = new Map<string, number>()
   #evacuated: ReadonlySet<string> = new Set()
+  readonly #sentDespiteLimit: LabelledCounter
 
   /**
    * @param coldAllowance - this host's part of what cold endpoints take
@@ -20,6 +28,8 @@
     private readonly telemetry: Telemetry
   ) {
     telemetry.gauge('endpoints_cold', 'Endpoints that take few requests a second for now, as far as is known', () => this.#countCold(performance.now()))
+    telemetry.gauge('endpoints_rate_limited', 'Endpoints that name a rate of requests which they take from all hosts together', () => this.#countRateLimited())
+    this.#sentDespiteLimit = telemetry.labelledCounter('rate_limited_sends_total', 'Requests sent to endpoints that name a rate, by service', 'service')
     telemetry.gauge('data_centres_evacuated', 'Data centres whose endpoints get no new work', () => this.#evacuated.size)
   }
 
@@ -60,6 +70,35 @@
     return rate === undefined || this.coldAllowance.admits(endpoint, rate, now)
   }
 
+  /**
+   * Takes what the head of an answer asks of hosts.
+   *
+   * @param endpoint - that answers
+   * @param head - of the answer
+   * @param now - monotonic milliseconds
+   */
+  observeAnswer (endpoint: EndpointState, { status, fields: { instance, requestsPerSecond } }: AnswerHead, now: number): void {
+    // Another instance at its address speaks for itself.
+    if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
+    if (endpoint.rateLimit.observe(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
+  }
+
+  /** @param endpoint - that a request is being sent to */
+  noteSend (endpoint: EndpointState): void {
+    if (endpoint.rateLimit.requestsPerSecond !== undefined) this.#sentDespiteLimit.count(endpoint.listed.service)
+  }
+
+  #logRateLimit (endpoint: EndpointState, now: number): void {
+    const { requestsPerSecond } = endpoint.rateLimit
+    const fields = { endpoint: endpoint.id, address: endpoint.listed.address, sentLately: endpoint.sendsSince(now - LATELY_MS) }
+    if (requestsPerSecond === undefined) this.telemetry.stateChanged('endpoint-rate-limit-lifted', fields)
+    else this.telemetry.stateChanged('endpoint-rate-limited', { ...fields, requestsPerSecond })
+  }
+
+  #countRateLimited (): number {
+    return this.endpoints().filter(endpoint => endpoint.rateLimit.requestsPerSecond !== undefined).length
+  }
+
   #countCold (now: number): number {
     return this.endpoints().filter(endpoint => this.#coldRates.has(endpoint.listed.service) && endpoint.isCold(now)).length
   }
--- a/apps/entry/src/lib/routed/RequestCodec.ts
+++ b/apps/entry/src/lib/routed/RequestCodec.ts
@@ -49,6 +49,8 @@
   readonly load: StatedLoad | undefined
   /** Version of the weights that it holds. */
   readonly version: number | undefined
+  /** Requests a second that it takes from all hosts together, for as long as it says so. */
+  readonly requestsPerSecond: number | undefined
 }
 
 /** Translates headers; lists of names and values by turns, as they came. */
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -67,17 +67,17 @@
    * @param liveHosts - entry hosts that may be alive, as of now
    * @param telemetry - log and metrics
    * @param mechanisms - that decide where requests go
-   * @param coldAllowance - this host's part of what cold endpoints take
+   * @param host - name of this host, unlike those of all others
    */
   constructor (
     private readonly dataCentre: string,
     private readonly liveHosts: () => number,
     private readonly telemetry: Telemetry,
     readonly mechanisms: RoutingMechanisms = composeMechanisms(),
-    coldAllowance = new ColdAllowance('', liveHosts)
+    host = ''
   ) {
     this.#pool = new EndpointPool(mechanisms.slowness)
-    this.limits = new EndpointLimits(coldAllowance, () => this.#pool.all, telemetry)
+    this.limits = new EndpointLimits(new ColdAllowance(host, liveHosts), () => this.#pool.all, telemetry)
     this.others = mechanisms.others
     this.storeLinks = mechanisms.storeLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -136,6 +136,7 @@
       return
     }
     this.#attempts.noteSend()
+    this.ports.fleet.limits.noteSend(endpoint)
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
@@ -203,7 +204,9 @@
   }
 
   #onHead (attempt: RoutedAttempt, head: AnswerHead, resume: () => void): void {
-    learnFromHead(attempt.choice.endpoint, this.request.fields.prompt?.model, head, performance.now())
+    const now = performance.now()
+    learnFromHead(attempt.choice.endpoint, this.request.fields.prompt?.model, head, now)
+    this.ports.fleet.limits.observeAnswer(attempt.choice.endpoint, head, now)
     if (!head.fields.isNotExecuted) this.#relay.begin(head, resume)
   }
 
--- a/apps/entry/src/lib/routed/harness/PlainCodec.ts
+++ b/apps/entry/src/lib/routed/harness/PlainCodec.ts
@@ -3,7 +3,7 @@
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '../RequestCodec.js'
 
 /** Names of the headers. */
-export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id' }
+export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit' }
 
 /** The smallest words that the product can be spoken to with. */
 export class PlainCodec implements RequestCodec {
@@ -22,7 +22,15 @@
   }
 
   readAnswer (_status: number, headers: readonly string[]): AnswerFields {
-    return { requestId: valueOf(headers, PLAIN_HEADERS.id), isNotExecuted: valueOf(headers, PLAIN_HEADERS.notRun) !== undefined, instance: undefined, load: undefined, version: undefined }
+    const rateLimit = valueOf(headers, PLAIN_HEADERS.rateLimit)
+    return {
+      requestId: valueOf(headers, PLAIN_HEADERS.id),
+      isNotExecuted: valueOf(headers, PLAIN_HEADERS.notRun) !== undefined,
+      instance: undefined,
+      load: undefined,
+      version: undefined,
+      requestsPerSecond: rateLimit === undefined ? undefined : Number(rateLimit)
+    }
   }
 }
 
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -37,7 +37,8 @@
       isNotExecuted: headerValue(headers, HEADER.notRun) !== undefined,
       instance: headerValue(headers, HEADER.answeredBy),
       load: undefined,
-      version: readNumber(headerValue(headers, HEADER.version))
+      version: readNumber(headerValue(headers, HEADER.version)),
+      requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit))
     }
   }
 }
--- a/apps/soak/src/lib/soakHeaders.ts
+++ b/apps/soak/src/lib/soakHeaders.ts
@@ -15,6 +15,8 @@
   /** Version of the weights: the one wanted in a request, the one held in an answer. */
   version: 'version',
   cacheSalt: 'cache-salt',
+  /** Requests a second that the endpoint takes from all hosts together. */
+  rateLimit: 'rate-limit',
   /** What the endpoint stand-in is to do; see {@link workSchema}. */
   work: 'work'
 } as const
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -4,6 +4,7 @@
 import { EndpointHealth } from './EndpointHealth.js'
 import { incarnationName } from './incarnationName.js'
 import { Slowness } from './Slowness.js'
+import { StatedRateLimit } from './StatedRateLimit.js'
 
 /** Load as an endpoint states it in its answers. */
 export interface StatedLoad {
@@ -36,6 +37,7 @@
 /** One incarnation of an endpoint. */
 export class EndpointState {
   readonly health = new EndpointHealth()
+  readonly rateLimit = new StatedRateLimit()
   #listed: ListedEndpoint
   #isLeaving: boolean
   #heardAt = 0
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -13,9 +13,14 @@
   meanShare: z.number()
 })
 
+const rateLimit = z.strictObject({ endpoint: z.string(), address: z.string(), sentLately: z.number() })
+
 /** What an entry host believes of endpoints. */
 export const endpointChanges = {
   'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
   'endpoint-ejected': ejection,
-  'endpoint-readmitted': ejection
+  'endpoint-readmitted': ejection,
+  /** It names a rate in its answers that all hosts together may send. */
+  'endpoint-rate-limited': rateLimit.extend({ requestsPerSecond: z.number() }),
+  'endpoint-rate-limit-lifted': rateLimit
 }
