LIMIT: hosts keep to the rate that an endpoint names, over all of them

What callers and operators saw: an endpoint in need that names 1.7 to 2.9 requests a second in its answers gets as many as any other, 24 to 38 in 4 s where 15 to 22 are allowed. Class: a bound on a sum over many hosts that no host takes for its own. Change: each host takes an equal part of what four seconds allow, hashing draws who takes the fractions (RateShare, beside the allowance of cold endpoints; both use the same draw). Nothing is asked for: a leader that dealt out leases would be exact, but its loss or a partition would stop sends or break the bound. What answers name is told to all hosts with the load exchange, as a host without a part has no answer to learn the end from; no byte is sent while nobody names a rate. Reasons for which an endpoint is held back are one place now (EndpointLimits.hold), with the time of release: a request waits for it within its objective, else it is refused at once with that time. Tests that named the former method ask the same of the new one; the one on cold rates has a cold endpoint now, where it had one that was not.

--- a/apps/entry/src/lib/routed/EndpointLimits.test.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest'
 import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
 import { EndpointState, RETURN_MS } from '@eelgrassmux/routing/endpoints/EndpointState'
+import { RateShare } from '@eelgrassmux/routing/endpoints/RateShare'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { EndpointLimits } from './EndpointLimits.js'
+import type { AnswerHead } from './RoutedAttempt.js'
 
 const listed = (id: string, dataCentre: string, service = 'engines'): ListedEndpoint =>
   ({ id, service, address: '10.0.0.1:1', dataCentre, slots: 8, isLeaving: false, isBusy: false, models: [] })
@@ -23,7 +25,7 @@
   const north = new EndpointState(listed('n', 'north'))
   const south = new EndpointState(listed('s', 'south'))
   const plain = new EndpointState(listed('p', 'north', 'plain'))
-  const limits = new EndpointLimits(new ColdAllowance('host', () => 1), () => [north, south, plain], new Telemetry('test'))
+  const limits = new EndpointLimits(new ColdAllowance('host', () => 1), new RateShare('host', () => 1), () => [north, south, plain], new Telemetry('test'))
   limits.configure(SITE)
 
   it('takes the endpoints of a data centre for cold for a while after its evacuation', () => {
@@ -37,10 +39,48 @@
   })
 
   it('bounds the rate of services that state one, and of no other', () => {
-    expect(limits.admitsCold(north, 70_000)).toBe(true)
-    north.begin(0, 0, 70_000)
-    expect(limits.admitsCold(north, 70_001)).toBe(false)
-    plain.begin(0, 0, 70_000)
-    expect(limits.admitsCold(plain, 70_001)).toBe(true)
+    const engine = new EndpointState({ ...listed('c', 'north'), isCold: true })
+    const app = new EndpointState({ ...listed('a', 'north', 'plain'), isCold: true })
+    expect(limits.hold(engine, 70_000)).toBeUndefined()
+    engine.begin(0, 0, 70_000)
+    expect(limits.hold(engine, 70_001)).toEqual({ reason: 'cold', until: 70_001 })
+    app.begin(0, 0, 70_000)
+    expect(limits.hold(app, 70_001)).toBeUndefined()
+  })
+
+  describe('with an endpoint that names a rate', () => {
+    const head = (requestsPerSecond: number | undefined, overrides: Partial<AnswerHead> = {}, instance?: string): AnswerHead => ({
+      status: 200, headers: [], fields: { requestId: undefined, isNotExecuted: false, instance, load: undefined, version: undefined, requestsPerSecond }, ...overrides
+    })
+
+    it('sends it this host\'s part, says when the next may go, and everything again once it names none', () => {
+      const endpoint = new EndpointState(listed('r', 'south', 'plain'))
+      limits.observeAnswer(endpoint, head(0.5), 0)
+      for (const now of [0, 100]) endpoint.begin(0, 0, now)
+      expect(limits.hold(endpoint, 200)).toMatchObject({ reason: 'rate-limited' })
+      const until = limits.firstRelease([plain, endpoint], 200)
+      expect(until).toBeGreaterThan(4000)
+      expect(limits.hold(endpoint, until)).toBeUndefined()
+      limits.observeAnswer(endpoint, head(undefined), 300)
+      expect(limits.hold(endpoint, 301)).toBeUndefined()
+    })
+
+    it('takes no word from another instance at its address', () => {
+      const endpoint = new EndpointState(listed('r', 'south', 'plain'))
+      limits.observeAnswer(endpoint, head(0.5, { status: 421 }), 0)
+      limits.observeAnswer(endpoint, head(0.5, {}, 'another'), 0)
+      expect(endpoint.rateLimit.requestsPerSecond).toBeUndefined()
+      limits.observeAnswer(endpoint, head(0.5, { status: 421 }, 'r'), 0)
+      expect(endpoint.rateLimit.requestsPerSecond).toBe(0.5)
+    })
+
+    it('believes the newest statement, whichever host has read it', () => {
+      const endpoint = new EndpointState(listed('r', 'south', 'plain'))
+      limits.observeAnswer(endpoint, head(2), 1000)
+      limits.observeStatement(endpoint, { requestsPerSecond: undefined, statedAgoMs: 500 }, 1400)
+      expect(endpoint.rateLimit.requestsPerSecond).toBe(2)
+      limits.observeStatement(endpoint, { requestsPerSecond: undefined, statedAgoMs: 100 }, 1400)
+      expect(endpoint.rateLimit.requestsPerSecond).toBeUndefined()
+    })
   })
 })
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -1,6 +1,9 @@
 /** What operators, services and endpoints themselves forbid of endpoints: data centres that are evacuated, rates that are not to be exceeded. */
 import type { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
+import type { HoldReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { RateShare } from '@eelgrassmux/routing/endpoints/RateShare'
+import type { RateLimitStatement } from '@eelgrassmux/routing/endpoints/StatedRateLimit'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { AnswerHead } from './RoutedAttempt.js'
@@ -11,7 +14,14 @@
 /** Status of an answer that may come from another instance at the endpoint's address. */
 const MISDIRECTED = 421
 
-/** Follows the site and the operators' orders. */
+/** That an endpoint is held back from this host. */
+export interface EndpointHold {
+  readonly reason: HoldReason
+  /** Monotonic milliseconds before which it gets nothing from this host. */
+  readonly until: number
+}
+
+/** Follows the site, the operators' orders and what endpoints ask for. */
 export class EndpointLimits {
   readonly #coldRates = new Map<string, number>()
   #evacuated: ReadonlySet<string> = new Set()
@@ -19,11 +29,13 @@
 
   /**
    * @param coldAllowance - this host's part of what cold endpoints take
+   * @param rateShare - this host's part of rates that endpoints name
    * @param endpoints - all endpoints, as of now
    * @param telemetry - log and metrics
    */
   constructor (
     private readonly coldAllowance: ColdAllowance,
+    private readonly rateShare: RateShare,
     private readonly endpoints: () => readonly EndpointState[],
     private readonly telemetry: Telemetry
   ) {
@@ -61,13 +73,24 @@
   }
 
   /**
-   * @param endpoint - a cold endpoint
+   * @param endpoint - that a request might go to
    * @param now - monotonic milliseconds
-   * @returns whether this host may send it one more request now
+   * @returns why this host may not send it one now, and until when at least; undefined if it may
    */
-  admitsCold (endpoint: EndpointState, now: number): boolean {
-    const rate = this.#coldRates.get(endpoint.listed.service)
-    return rate === undefined || this.coldAllowance.admits(endpoint, rate, now)
+  hold (endpoint: EndpointState, now: number): EndpointHold | undefined {
+    // Nobody can tell how soon it is warm.
+    if (!this.#admitsCold(endpoint, now)) return { reason: 'cold', until: now }
+    const until = this.rateShare.heldUntil(endpoint, now)
+    return until === undefined ? undefined : { reason: 'rate-limited', until }
+  }
+
+  /**
+   * @param endpoints - that a request may use
+   * @param now - monotonic milliseconds
+   * @returns when the first of them that is held back may get a request; infinity if there is none
+   */
+  firstRelease (endpoints: readonly EndpointState[], now: number): number {
+    return Math.min(...endpoints.map(endpoint => this.hold(endpoint, now)?.until ?? Number.POSITIVE_INFINITY))
   }
 
   /**
@@ -80,7 +103,18 @@
   observeAnswer (endpoint: EndpointState, { status, fields: { instance, requestsPerSecond } }: AnswerHead, now: number): void {
     // Another instance at its address speaks for itself.
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
-    if (endpoint.rateLimit.observe(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
+    if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
+  }
+
+  /**
+   * Takes what another host has read in answers of an endpoint.
+   *
+   * @param endpoint - that has said so
+   * @param statement - as told
+   * @param now - monotonic milliseconds
+   */
+  observeStatement (endpoint: EndpointState, statement: RateLimitStatement, now: number): void {
+    if (endpoint.rateLimit.observeStatement(statement, now)) this.#logRateLimit(endpoint, now)
   }
 
   /** @param endpoint - that a request is being sent to */
@@ -90,11 +124,16 @@
 
   #logRateLimit (endpoint: EndpointState, now: number): void {
     const { requestsPerSecond } = endpoint.rateLimit
-    const fields = { endpoint: endpoint.id, address: endpoint.listed.address, sentLately: endpoint.sendsSince(now - LATELY_MS) }
+    const fields = { endpoint: endpoint.id, address: endpoint.listed.address, sentLately: endpoint.sends.countSince(now - LATELY_MS) }
     if (requestsPerSecond === undefined) this.telemetry.stateChanged('endpoint-rate-limit-lifted', fields)
     else this.telemetry.stateChanged('endpoint-rate-limited', { ...fields, requestsPerSecond })
   }
 
+  #admitsCold (endpoint: EndpointState, now: number): boolean {
+    const rate = this.#coldRates.get(endpoint.listed.service)
+    return rate === undefined || !endpoint.isCold(now) || this.coldAllowance.admits(endpoint, rate, now)
+  }
+
   #countRateLimited (): number {
     return this.endpoints().filter(endpoint => endpoint.rateLimit.requestsPerSecond !== undefined).length
   }
--- a/apps/entry/src/lib/routed/PlacementWaits.ts
+++ b/apps/entry/src/lib/routed/PlacementWaits.ts
@@ -1,4 +1,4 @@
-/** Waits of one request for an endpoint that can take it: for memory, or for its turn at endpoints that are cold. */
+/** Waits of one request for an endpoint that can take it: for memory, or until one is not held back from this host any more. */
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { RoutedRequest } from './RoutedRequest.js'
@@ -6,8 +6,8 @@
 /** Interval at which a request that waits for an engine's memory looks again, in milliseconds: in that time an engine makes some ten steps. */
 const ROOM_LOOK_MS = 40
 
-/** Interval at which a request looks again for an endpoint that is not cold, or whose turn has come, in milliseconds. */
-const COLD_LOOK_MS = 60
+/** Shortest interval at which a request looks again for an endpoint that is not held back, in milliseconds. */
+const HELD_LOOK_MS = 60
 
 /** What the waits need from the request's task. */
 export interface PlacementWaitsPorts {
@@ -37,15 +37,17 @@
   }
 
   /**
-   * Waits while all endpoints that it may use are cold.
+   * Waits while all endpoints that it may use are held back.
    *
+   * @param until - monotonic milliseconds before which none is released
    * @param deadline - monotonic milliseconds at which its time is over
    * @returns false if it would be late
    */
-  waitForWarmEndpoint (deadline: number): boolean {
+  waitForRelease (until: number, deadline: number): boolean {
     const { arrivedAt, route } = this.request
-    if (performance.now() >= Math.min(deadline, arrivedAt + route.targetLatencyMs)) return false
-    setTimeout(() => { this.ports.placeAgain() }, COLD_LOOK_MS)
+    const now = performance.now()
+    if (Math.max(now, until) >= Math.min(deadline, arrivedAt + route.targetLatencyMs)) return false
+    setTimeout(() => { this.ports.placeAgain() }, Math.max(HELD_LOOK_MS, until - now))
     return true
   }
 }
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,6 +1,7 @@
 /** Endpoints of routed requests: what is known of each, and this host's connections to it. */
 import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
 import { ColdAllowance } from '@eelgrassmux/routing/endpoints/ColdAllowance'
+import { RateShare } from '@eelgrassmux/routing/endpoints/RateShare'
 import type { EndpointAsk, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { EngineModel } from '@eelgrassmux/routing/endpoints/EngineModel'
 import { isUnresponsive } from '@eelgrassmux/routing/endpoints/sharedObservations'
@@ -77,7 +78,7 @@
     host = ''
   ) {
     this.#pool = new EndpointPool(mechanisms.slowness)
-    this.limits = new EndpointLimits(new ColdAllowance(host, liveHosts), () => this.#pool.all, telemetry)
+    this.limits = new EndpointLimits(new ColdAllowance(host, liveHosts), new RateShare(host, liveHosts), () => this.#pool.all, telemetry)
     this.others = mechanisms.others
     this.storeLinks = mechanisms.storeLinks(liveHosts)
     this.#opened = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
@@ -149,6 +150,7 @@
   noteObservations (): void {
     const now = performance.now()
     for (const change of this.storeLinks.heard(this.others.links, now)) this.#logLink(change)
+    this.#noteLimits(now)
     if (now - this.#ejectionsLookedAt < EJECTION_LOOK_MS) return
     this.#ejectionsLookedAt = now
     for (const service of this.#pool.services) {
@@ -156,6 +158,15 @@
     }
   }
 
+  #noteLimits (now: number): void {
+    if (this.others.limits.length === 0) return
+    const stated = new Map(this.others.limits.map(limit => [limit.endpoint, limit]))
+    for (const endpoint of this.#pool.all) {
+      const statement = stated.get(endpoint.incarnation)
+      if (statement !== undefined) this.limits.observeStatement(endpoint, statement, now)
+    }
+  }
+
   #logLink ({ link, isSlow, slowerBy, samples }: LinkChange): void {
     this.telemetry.stateChanged(isSlow ? 'store-link-slow' : 'store-link-sound', {
       link, slowerBy: Number(slowerBy.toFixed(2)), samples: Number(samples.toFixed(1))
@@ -201,11 +212,20 @@
       others,
       hasConnection,
       evacuated: this.limits.evacuated,
-      admitsCold: endpoint => this.limits.admitsCold(endpoint, now),
+      holdBack: endpoint => this.limits.hold(endpoint, now)?.reason,
       homeEndpoint: this.mechanisms.homeEndpoint
     }, this.memory, now, Math.random())
   }
 
+  /**
+   * @param service - service name
+   * @param excluded - endpoints that can't be used again
+   * @returns when the first endpoint that is held back may get a request of this host, in monotonic milliseconds
+   */
+  firstRelease (service: string, excluded: ReadonlySet<string>): number {
+    return this.limits.firstRelease(this.#pool.ofService(service).filter(endpoint => !endpoint.isLeaving && !excluded.has(endpoint.id)), performance.now())
+  }
+
   /**
    * @param endpoint - with work of this host
    * @returns whether it has fallen silent towards everybody, as far as is known
@@ -230,7 +250,15 @@
     const now = performance.now()
     const work = this.#pool.all.map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
       .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= LEAST_TOLD_OUTCOMES)
-    return { work, links: this.storeLinks.ownWork(now) }
+    return { work, links: this.storeLinks.ownWork(now), ...this.#ownLimits(now) }
+  }
+
+  #ownLimits (now: number): Pick<HostWork, 'limits'> {
+    const limits = this.#pool.all.flatMap(endpoint => {
+      const statement = endpoint.rateLimit.statement(now)
+      return statement === undefined ? [] : [{ endpoint: endpoint.incarnation, ...statement }]
+    })
+    return limits.length === 0 ? {} : { limits }
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -4,7 +4,7 @@
  * answer are not looked into, but for the numbers of a resumable stream's events.
  */
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
-import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
+import type { EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import { refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
@@ -31,6 +31,9 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+/** Reasons that pass by themselves. */
+const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-held-back'])
+
 /** One request. */
 export class RoutedRequestTask {
   readonly #attempts = new AttemptRecord()
@@ -119,9 +122,8 @@
       return
     }
     const choice = this.#choose()
-    if (choice === 'all-cold' && this.#waits.waitForWarmEndpoint(this.#deadline)) return
     if (typeof choice === 'string') {
-      this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${choice}`)
+      this.#endWithoutEndpoint(choice)
       return
     }
     const admission = this.#admit(choice)
@@ -172,7 +174,15 @@
     })
   }
 
-  #choose (): EndpointChoice | string {
+  /** Waits if an endpoint that is held back is released in good time; else the caller learns at once when to come back. */
+  #endWithoutEndpoint (reason: NoEndpointReason): void {
+    const release = HELD_BACK.has(reason) ? this.ports.fleet.firstRelease(this.request.service.name, this.#tried) : Number.POSITIVE_INFINITY
+    if (this.#waits.waitForRelease(release, this.#deadline)) return
+    const returnMs = Number.isFinite(release) ? release - performance.now() : 0
+    this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, returnMs)
+  }
+
+  #choose (): EndpointChoice | NoEndpointReason {
     const { service, regionBound } = this.request
     return this.ports.fleet.choose(service.name, { excluded: this.#tried, regionBound, ...this.#prompt?.ask(this.#requiredVersion) })
   }
--- a/apps/entry/src/lib/routed/endpointRateLimit.test.ts
+++ b/apps/entry/src/lib/routed/endpointRateLimit.test.ts
@@ -45,4 +45,34 @@
       expect(hosts.unplaced).toBe(0)
     })
   })
+
+  describe.each(SHAPES.slice(0, 2))('before $hosts hosts', shape => {
+    it('gets a fair part of what it names', () => {
+      const hosts = limitedSimulation(shape, 2.3)
+      const since = performance.now()
+      hosts.run(8000)
+      const received = LIMITED.reduce((sum, endpoint) => sum + hosts.arrivals(endpoint, since).length, 0)
+      expect(received / LIMITED.length / 8).toBeGreaterThan(2.3 * 0.4)
+    })
+
+    it('gets as much as the others once it names none any more, also from hosts that had no part', () => {
+      const hosts = limitedSimulation(shape, 2.3)
+      hosts.run(3000)
+      for (const endpoint of LIMITED) hosts.state(endpoint, {})
+      hosts.run(5000)
+      const since = performance.now()
+      hosts.run(2000)
+      const unlimited = hosts.arrivals(LIMITED.length, since).length
+      for (const endpoint of LIMITED) expect(hosts.arrivals(endpoint, since).length).toBeGreaterThan(unlimited / 2)
+    })
+  })
+
+  it('sends callers away at once where all endpoints name less than is asked for', () => {
+    const shape = { hosts: 7, endpoints: LIMITED.length, requestsPerSecond: 20, seed: 4 }
+    const hosts = limitedSimulation(shape, 1)
+    const since = performance.now()
+    hosts.run(8000)
+    for (const endpoint of LIMITED) expect(mostInWindow(hosts.arrivals(endpoint, since))).toBeLessThanOrEqual(mostAllowed(1))
+    expect(hosts.unplaced).toBeGreaterThan(0)
+  })
 })
--- a/apps/entry/src/lib/routed/harness/HostsSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/HostsSimulation.ts
@@ -7,6 +7,7 @@
 import { LoadBoard, type Totals } from '@eelgrassmux/routing/load/LoadBoard'
 import { decodeLoadReport, decodeLoadTotals, encodeLoadReport, encodeLoadTotals, frameLoadTotals } from '@eelgrassmux/routing/load/loadCodec'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { LoadTotals } from '@eelgrassmux/routing/load/loadReport'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { AnswerHead } from '../RoutedAttempt.js'
@@ -59,7 +60,7 @@
   readonly #statements = new Map<string, Statement>()
   readonly #requestsPerSecond: number
   #pending: PendingAnswer[] = []
-  #encoded: { readonly totals: Totals, readonly bytes: Uint8Array } | undefined
+  #told: { readonly totals: Totals, readonly read: LoadTotals } | undefined
   /** Requests for which no endpoint was to be had. */
   unplaced = 0
 
@@ -112,7 +113,7 @@
    * @returns times at which requests reached it since then
    */
   arrivals (endpoint: number, since = 0): readonly number[] {
-    return (this.#arrivals.get(listedEndpoint(endpoint).id) ?? []).filter(at => at >= since)
+    return this.#arrivalsOf(listedEndpoint(endpoint).id).filter(at => at >= since)
   }
 
   #place (host: Host, now: number): void {
@@ -124,10 +125,16 @@
     }
     const { endpoint } = choice
     endpoint.begin(0, 0, now)
-    this.#arrivals.set(endpoint.id, [...this.#arrivals.get(endpoint.id) ?? [], now])
+    this.#arrivalsOf(endpoint.id).push(now)
     this.#pending.push({ host, endpoint, sentAt: now, hasHead: false })
   }
 
+  #arrivalsOf (endpoint: string): number[] {
+    const present = this.#arrivals.get(endpoint) ?? []
+    this.#arrivals.set(endpoint, present)
+    return present
+  }
+
   #answer (now: number): void {
     for (const pending of this.#pending) {
       const { host, endpoint, sentAt } = pending
@@ -159,8 +166,9 @@
     const totals = this.#board.totals(now)
     const sequence = totals.sequences.get(host.name)
     if (sequence === undefined) return
-    if (this.#encoded?.totals !== totals) this.#encoded = { totals, bytes: encodeLoadTotals(totals) }
-    host.fleet.others.answered(decodeLoadTotals(frameLoadTotals(sequence, this.#encoded.bytes)), now)
+    // Read once for all hosts, whatever their sequence.
+    if (this.#told?.totals !== totals) this.#told = { totals, read: decodeLoadTotals(frameLoadTotals(0, encodeLoadTotals(totals))) }
+    host.fleet.others.answered({ ...this.#told.read, sequence }, now)
     host.fleet.noteObservations()
   }
 }
--- a/packages/routing/src/lib/endpoints/ColdAllowance.test.ts
+++ b/packages/routing/src/lib/endpoints/ColdAllowance.test.ts
@@ -3,7 +3,7 @@
 import { PromptMemory } from '../prompts/PromptMemory.js'
 import { chooseEndpoint } from './chooseEndpoint.js'
 import { COLD_WINDOW_MS, ColdAllowance } from './ColdAllowance.js'
-import type { EndpointAsk } from './endpointAsk.js'
+import type { EndpointAsk, HoldReason } from './endpointAsk.js'
 import { EndpointState, RETURN_MS } from './EndpointState.js'
 
 const listed = (id: string, overrides: Partial<ListedEndpoint> = {}): ListedEndpoint => ({
@@ -84,6 +84,9 @@
   })
 })
 
+/** A host that may send nothing to cold endpoints. */
+const holdCold = (now: number) => (endpoint: EndpointState): HoldReason | undefined => endpoint.isCold(now) ? 'cold' : undefined
+
 describe('chooseEndpoint with cold endpoints', () => {
   const ask = (overrides: Partial<EndpointAsk> = {}): EndpointAsk => ({ excluded: new Set(), dataCentre: 'north', others: undefined, ...overrides })
   const choose = (endpoints: readonly EndpointState[], asked: EndpointAsk, now = 0): string => {
@@ -95,21 +98,21 @@
     const warm = new EndpointState(listed('warm'))
     for (let sent = 0; sent < 20; sent += 1) warm.begin(0, 0, 0)
     const cold = new EndpointState(listed('cold', { isCold: true }))
-    expect(choose([warm, cold], ask({ admitsCold: () => false }))).toBe('warm')
-    expect(choose([warm, cold], ask({ admitsCold: () => true }))).toBe('cold')
+    expect(choose([warm, cold], ask({ holdBack: holdCold(0) }))).toBe('warm')
+    expect(choose([warm, cold], ask())).toBe('cold')
   })
 
   it('says so when all are cold and none may be used', () => {
-    expect(choose([new EndpointState(listed('cold', { isCold: true }))], ask({ admitsCold: () => false }))).toBe('all-cold')
+    expect(choose([new EndpointState(listed('cold', { isCold: true }))], ask({ holdBack: holdCold(0) }))).toBe('all-cold')
   })
 
   it('takes one that was out of reach for cold until the list has had time to tell', () => {
     const returned = new EndpointState(listed('returned'))
     returned.health.observe('unreachable', 0)
-    expect(choose([returned], ask({ admitsCold: () => false }), 100)).toBe('all-cold')
+    expect(choose([returned], ask({ holdBack: holdCold(100) }), 100)).toBe('all-cold')
     expect(returned.health.isPaused(700)).toBe(false)
-    expect(choose([returned], ask({ admitsCold: () => false }), 700)).toBe('all-cold')
-    expect(choose([returned], ask({ admitsCold: () => false }), 100 + RETURN_MS + 1)).toBe('returned')
+    expect(choose([returned], ask({ holdBack: holdCold(700) }), 700)).toBe('all-cold')
+    expect(choose([returned], ask({ holdBack: holdCold(100 + RETURN_MS + 1) }), 100 + RETURN_MS + 1)).toBe('returned')
   })
 })
 
--- a/packages/routing/src/lib/endpoints/ColdAllowance.ts
+++ b/packages/routing/src/lib/endpoints/ColdAllowance.ts
@@ -8,9 +8,8 @@
  * keeps a strict rate if so. Nothing is exchanged. A host that knows too few of the others, is
  * frozen and goes on, or has just started adds at most its own few requests.
  */
-import { crc32 } from 'node:zlib'
-import { mix32 } from '../prompts/homeEndpoint.js'
 import type { EndpointState } from './EndpointState.js'
+import { hostDraw } from './hostDraw.js'
 
 /**
  * Part of the stated rate that hosts use between them where each may send one request a second
@@ -21,8 +20,6 @@
 /** Window in which a host keeps its part, in milliseconds: a second, and what requests take to arrive. */
 export const COLD_WINDOW_MS = 1100
 
-const RANGE_32 = 2 ** 32
-
 /** Decides without any exchange. */
 export class ColdAllowance {
   /**
@@ -38,14 +35,13 @@
    * @returns whether this host may send it one more request now
    */
   admits (endpoint: EndpointState, requestsPerSecond: number, now: number): boolean {
-    return endpoint.sendsSince(now - COLD_WINDOW_MS) < this.#requestsInWindow(endpoint.incarnation, requestsPerSecond)
+    return endpoint.sends.countSince(now - COLD_WINDOW_MS) < this.#requestsInWindow(endpoint.incarnation, requestsPerSecond)
   }
 
   #requestsInWindow (incarnation: string, requestsPerSecond: number): number {
     const hosts = Math.max(1, this.liveHosts())
     const each = Math.floor(requestsPerSecond / hosts)
     if (each >= 1) return each
-    const drawn = mix32(crc32(`${this.host} ${incarnation}`)) / RANGE_32
-    return drawn < DRAWN_SHARE * requestsPerSecond / hosts ? 1 : 0
+    return hostDraw(this.host, incarnation) < DRAWN_SHARE * requestsPerSecond / hosts ? 1 : 0
   }
 }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -3,6 +3,7 @@
 import { LONG_AGO_MS, type WorkFigures } from '../load/loadReport.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import { incarnationName } from './incarnationName.js'
+import { SendTimes } from './SendTimes.js'
 import { Slowness } from './Slowness.js'
 import { StatedRateLimit } from './StatedRateLimit.js'
 
@@ -28,9 +29,6 @@
  */
 export const RETURN_MS = 3000
 
-/** Sends whose times are kept; no endpoint takes as many from one host while it is cold. */
-const KEPT_SENDS = 64
-
 /** Weight of the newest sample in the mean latency. */
 const LATENCY_SMOOTHING = 0.1
 
@@ -38,6 +36,8 @@
 export class EndpointState {
   readonly health = new EndpointHealth()
   readonly rateLimit = new StatedRateLimit()
+  /** Requests that this host has sent there of late. */
+  readonly sends = new SendTimes()
   #listed: ListedEndpoint
   #isLeaving: boolean
   #heardAt = 0
@@ -52,7 +52,6 @@
   #busyUntil = Number.NEGATIVE_INFINITY
   #latencyMs: number | undefined
   #mayBeColdUntil = Number.NEGATIVE_INFINITY
-  readonly #sentAt: number[] = []
 
   /**
    * @param listed - as first listed
@@ -129,14 +128,6 @@
     this.#mayBeColdUntil = now + RETURN_MS
   }
 
-  /**
-   * @param since - monotonic milliseconds
-   * @returns requests that this host has sent there since then
-   */
-  sendsSince (since: number): number {
-    return this.#sentAt.filter(at => at > since).length
-  }
-
   /** Mean time of a plain answer, once there was one, in milliseconds. */
   get latencyMs (): number | undefined { return this.#latencyMs }
 
@@ -223,8 +214,7 @@
       this.#busySince = now
     }
     this.#inFlight += 1
-    this.#sentAt.push(now)
-    if (this.#sentAt.length > KEPT_SENDS) this.#sentAt.shift()
+    this.sends.add(now)
     this.#pendingTokens += pendingTokens
     this.#heldTokens += heldTokens
   }
--- a/packages/routing/src/lib/endpoints/StatedRateLimit.ts
+++ b/packages/routing/src/lib/endpoints/StatedRateLimit.ts
@@ -1,13 +1,25 @@
 /**
  * The rate of requests that an endpoint says it takes, from all hosts together.
  *
- * It holds for as long as answers name it; the first one that does not lifts it.
+ * It holds for as long as answers name it; the first one that does not lifts it. Hosts tell each other what they have
+ * read, as a host that may send nothing there for a while does not learn otherwise that the limit is lifted.
  */
 
+/** Age up to which a host tells the others what it has read, in milliseconds: a few reports, as datagrams get lost. */
+const TELL_MS = 2000
+
+/** What an endpoint said last, as hosts tell each other. */
+export interface RateLimitStatement {
+  /** Undefined if it names no limit any more. */
+  readonly requestsPerSecond: number | undefined
+  readonly statedAgoMs: number
+}
+
 /** Mutable statement of one endpoint. */
 export class StatedRateLimit {
   #requestsPerSecond: number | undefined
   #statedAt = Number.NEGATIVE_INFINITY
+  #readAt = Number.NEGATIVE_INFINITY
 
   /** As stated last; undefined if it names none. */
   get requestsPerSecond (): number | undefined { return this.#requestsPerSecond }
@@ -16,14 +28,39 @@
   get statedAt (): number { return this.#statedAt }
 
   /**
-   * Takes a statement; one that is older than what is known is ignored.
+   * Takes what an answer to this host says.
    *
    * @param requestsPerSecond - as stated, undefined if the answer names no limit
-   * @param at - monotonic milliseconds at which it was stated
+   * @param now - monotonic milliseconds
    * @returns whether the limit is another one now
    */
-  observe (requestsPerSecond: number | undefined, at: number): boolean {
+  observeAnswer (requestsPerSecond: number | undefined, now: number): boolean {
     // Most endpoints never state a limit; nothing is remembered of those.
+    if (requestsPerSecond !== undefined || this.#requestsPerSecond !== undefined) this.#readAt = now
+    return this.#take(requestsPerSecond, now)
+  }
+
+  /**
+   * Takes what another host has read; one that is older than what is known is ignored.
+   *
+   * @param statement - as told
+   * @param now - monotonic milliseconds
+   * @returns whether the limit is another one now
+   */
+  observeStatement ({ requestsPerSecond, statedAgoMs }: RateLimitStatement, now: number): boolean {
+    return this.#take(requestsPerSecond, now - statedAgoMs)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns what the others are to be told; undefined if this host has read nothing of late
+   */
+  statement (now: number): RateLimitStatement | undefined {
+    if (now - this.#readAt > TELL_MS) return undefined
+    return { requestsPerSecond: this.#requestsPerSecond, statedAgoMs: now - this.#statedAt }
+  }
+
+  #take (requestsPerSecond: number | undefined, at: number): boolean {
     if (requestsPerSecond === undefined && this.#requestsPerSecond === undefined) return false
     if (at < this.#statedAt) return false
     const isOther = requestsPerSecond !== this.#requestsPerSecond
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -1,6 +1,6 @@
 /** Who may take a request. */
 import { NO_WORK, type WorkFigures } from '../load/loadReport.js'
-import type { EndpointAsk, NoEndpointReason, PromptAsk } from './endpointAsk.js'
+import type { AllHeldBack, EndpointAsk, HoldReason, NoEndpointReason, PromptAsk } from './endpointAsk.js'
 import type { EndpointState } from './EndpointState.js'
 import { ejectionReason, isAbsent, sharedFailureShare } from './sharedObservations.js'
 
@@ -30,8 +30,18 @@
   if (able.length === 0) return 'none-of-version'
   const candidates = able.map(endpoint => asCandidate(endpoint, ask, now))
   for (const candidate of candidates) noteAbsence(candidate, now)
-  const allowed = candidates.filter(({ endpoint }) => !endpoint.isCold(now) || ask.admitsCold?.(endpoint) !== false)
-  return allowed.length === 0 ? 'all-cold' : preferred(allowed, now)
+  const held = new Set<HoldReason>()
+  const allowed = candidates.filter(({ endpoint }) => {
+    const reason = ask.holdBack?.(endpoint)
+    if (reason !== undefined) held.add(reason)
+    return reason === undefined
+  })
+  return allowed.length === 0 ? allHeldBack(held) : preferred(allowed, now)
+}
+
+function allHeldBack (reasons: ReadonlySet<HoldReason>): AllHeldBack {
+  const [reason] = reasons
+  return reasons.size > 1 || reason === undefined ? 'all-held-back' : `all-${reason}`
 }
 
 /** The newest weights that may be used; a request that began under a version goes on under it. */
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -22,8 +22,8 @@
   readonly evacuated?: ReadonlySet<string>
   /** Regions in which the request has to stay; undefined if it may go anywhere. */
   readonly regionBound?: RegionBound | undefined
-  /** Whether this host may send a request to a cold endpoint now; always unless given. */
-  admitsCold? (endpoint: EndpointState): boolean
+  /** Why this host may not send an endpoint a request now, undefined if it may; it may always unless given. */
+  holdBack? (endpoint: EndpointState): HoldReason | undefined
   /** Finds the endpoint that hosts agree on for a shared part; as by rendezvous hashing unless it is given. */
   readonly homeEndpoint?: (part: string, endpoints: readonly string[]) => string | undefined
   readonly prompt?: PromptAsk
@@ -78,5 +78,15 @@
   readonly workMs: number
 }
 
+/** Why a host sends an endpoint nothing for a while, however idle it is. */
+export type HoldReason =
+  /** It has just started and takes few requests a second. */
+  | 'cold'
+  /** It names a rate in its answers, and this host has sent its part of it. */
+  | 'rate-limited'
+
 /** Why no endpoint was chosen. */
-export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | 'all-cold'
+export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | AllHeldBack
+
+/** All endpoints are held back, for one reason or for several. */
+export type AllHeldBack = `all-${HoldReason}` | 'all-held-back'
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -8,7 +8,7 @@
  * hosts, not with its square; the adding up does not grow with reports at all.
  */
 import { addLinks, IDLE_LINK, type LinkWork } from './linkWork.js'
-import { LONG_AGO_MS, NO_WORK, type EndpointWork, type LoadReport } from './loadReport.js'
+import { LONG_AGO_MS, NO_WORK, type EndpointRateLimit, type EndpointWork, type LoadReport } from './loadReport.js'
 
 /** Silence after which a host's work is taken to have ended with it, in milliseconds: five to twenty reports. */
 const FORGET_MS = 1000
@@ -16,6 +16,9 @@
 /** Age up to which totals are given out again, in milliseconds: half of the shortest interval between reports. */
 const TOTALS_LIFETIME_MS = 25
 
+/** Age up to which a rate that an endpoint has stated is told, in milliseconds: no host may be due to ask there for so long. */
+const LIMIT_LIFETIME_MS = 10_000
+
 interface HostEntry {
   report: LoadReport
   heardAt: number
@@ -25,6 +28,7 @@
 export interface Totals {
   readonly work: readonly EndpointWork[]
   readonly links: readonly LinkWork[]
+  readonly limits: readonly EndpointRateLimit[]
   /** The newest report of each host that is in it. */
   readonly sequences: ReadonlyMap<string, number>
 }
@@ -32,7 +36,8 @@
 /** Latest report of each host. */
 export class LoadBoard {
   readonly #hosts = new Map<string, HostEntry>()
-  #totals: Totals = { work: [], links: [], sequences: new Map() }
+  readonly #limits = new Map<string, { readonly requestsPerSecond: number | undefined, readonly statedAt: number }>()
+  #totals: Totals = { work: [], links: [], limits: [], sequences: new Map() }
   #addedAt = Number.NEGATIVE_INFINITY
   #unresponsive: readonly string[] = []
 
@@ -45,6 +50,7 @@
     // A datagram may be overtaken; a host that started again begins at zero.
     const isOld = present !== undefined && report.sequence < present.report.sequence && now - present.heardAt < FORGET_MS
     if (!isOld) this.#hosts.set(report.host, { report, heardAt: now })
+    for (const limit of report.limits ?? []) this.#observeLimit(limit, now)
   }
 
   /** Whether no host has reported lately. */
@@ -66,6 +72,18 @@
     return this.#totals
   }
 
+  #observeLimit ({ endpoint, requestsPerSecond, statedAgoMs }: EndpointRateLimit, now: number): void {
+    const statedAt = now - statedAgoMs
+    if (statedAt >= (this.#limits.get(endpoint)?.statedAt ?? Number.NEGATIVE_INFINITY)) this.#limits.set(endpoint, { requestsPerSecond, statedAt })
+  }
+
+  #recentLimits (now: number): EndpointRateLimit[] {
+    for (const [endpoint, { statedAt }] of this.#limits) {
+      if (now - statedAt > LIMIT_LIFETIME_MS) this.#limits.delete(endpoint)
+    }
+    return [...this.#limits].map(([endpoint, { requestsPerSecond, statedAt }]) => ({ endpoint, requestsPerSecond, statedAgoMs: now - statedAt }))
+  }
+
   #addUp (now: number): Totals {
     const work = new Map<string, EndpointWork>()
     const links = new Map<string, LinkWork>()
@@ -80,7 +98,7 @@
       for (const entry of report.links) links.set(entry.link, { link: entry.link, ...addLinks(links.get(entry.link) ?? IDLE_LINK, entry) })
     }
     for (const endpoint of this.#unresponsive) work.set(endpoint, { ...work.get(endpoint) ?? { ...NO_WORK, endpoint }, unresponsive: 1 })
-    return { work: [...work.values()], links: [...links.values()], sequences }
+    return { work: [...work.values()], links: [...links.values()], limits: this.#recentLimits(now), sequences }
   }
 }
 
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -1,12 +1,12 @@
 /** Work of the other entry hosts at each endpoint and on each link, as last heard. */
 import { IDLE_LINK, type LinkFigures, type LinkWork } from './linkWork.js'
-import { NO_WORK, type EndpointWork, type LoadReport, type LoadTotals, type WorkFigures } from './loadReport.js'
+import { NO_WORK, type EndpointRateLimit, type EndpointWork, type LoadReport, type LoadTotals, type WorkFigures } from './loadReport.js'
 
 /** Age after which it says nothing any more, in milliseconds: a few lost datagrams. */
 const LIFETIME_MS = 400
 
 /** Work of one host or of all. */
-export type HostWork = Pick<LoadReport, 'work' | 'links'>
+export type HostWork = Pick<LoadReport, 'work' | 'links' | 'limits'>
 
 /** What this host reported under one sequence number, to be taken off the totals that answer it. */
 interface OwnReport {
@@ -23,6 +23,7 @@
   #reports: OwnReport[] = []
   #others = new Map<string, WorkFigures>()
   #links = new Map<string, LinkFigures>()
+  #limits: readonly EndpointRateLimit[] = []
   #heardAt = Number.NEGATIVE_INFINITY
   #answered = -1
 
@@ -47,11 +48,12 @@
    * @param totals - work of all hosts, this one included, with the number of the report
    * @param now - monotonic milliseconds
    */
-  answered ({ sequence, work, links }: LoadTotals, now: number): void {
+  answered ({ sequence, work, links, limits = [] }: LoadTotals, now: number): void {
     const own = this.#reports.find(report => report.sequence === sequence)
     if (own === undefined || sequence < this.#answered) return
     this.#answered = sequence
     this.#heardAt = now
+    this.#limits = limits
     this.#others = new Map(work.map(total => [total.endpoint, subtract(total, own.work.get(total.endpoint))]))
     this.#links = new Map(links.map(total => [total.link, subtractLink(total, own.links.get(total.link))]))
   }
@@ -72,6 +74,9 @@
     return this.#others.get(endpoint) ?? NO_WORK
   }
 
+  /** What endpoints have said of the rates that they take, as of the last answer. */
+  get limits (): readonly EndpointRateLimit[] { return this.#limits }
+
   /** What all other hosts have on links, by the links' names. */
   get links (): ReadonlyMap<string, LinkFigures> { return this.#links }
 }
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { LoadBoard } from './LoadBoard.js'
-import { NO_WORK, type EndpointWork } from './loadReport.js'
+import { NO_WORK, type EndpointRateLimit, type EndpointWork } from './loadReport.js'
 import { OthersWork } from './OthersWork.js'
 
 const work = (endpoint: string, inFlight: number): EndpointWork => ({ ...NO_WORK, endpoint, inFlight, pendingTokens: inFlight * 100, heldTokens: inFlight * 1000 })
@@ -22,6 +22,17 @@
     expect(board.totals(0).work).toMatchObject([{ endpoint: 'e', inFlight: 1, unresponsive: 1 }, { endpoint: 'f', inFlight: 0, unresponsive: 1 }])
   })
 
+  it('tells the newest statement of a rate limit, and none after a while', () => {
+    const board = new LoadBoard()
+    const limit = (requestsPerSecond: number | undefined, statedAgoMs: number): EndpointRateLimit => ({ endpoint: 'e', requestsPerSecond, statedAgoMs })
+    board.observe({ host: 'a', sequence: 1, work: [], links: [], limits: [limit(2, 50)] }, 100)
+    board.observe({ host: 'b', sequence: 1, work: [], links: [], limits: [limit(undefined, 80)] }, 100)
+    expect(board.totals(100).limits).toEqual([limit(2, 50)])
+    board.observe({ host: 'b', sequence: 2, work: [], links: [], limits: [limit(undefined, 0)] }, 200)
+    expect(board.totals(1500).limits).toEqual([limit(undefined, 1300)])
+    expect(board.totals(12_000).limits).toEqual([])
+  })
+
   it('adds up the newest report of each host', () => {
     const board = new LoadBoard()
     board.observe({ host: 'a', sequence: 1, work: [work('e', 9)], links: [] }, 0)
--- a/packages/routing/src/lib/load/loadCodec.test.ts
+++ b/packages/routing/src/lib/load/loadCodec.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { decodeLoadReport, decodeLoadTotals, encodeLoadReport, encodeLoadTotals, frameLoadTotals } from './loadCodec.js'
 import type { LinkWork } from './linkWork.js'
-import type { EndpointWork } from './loadReport.js'
+import type { EndpointRateLimit, EndpointWork } from './loadReport.js'
 
 const work = (number: number): EndpointWork => ({ endpoint: `i-${(0x7f3a91c2 + number).toString(16)}`, inFlight: 7, pendingTokens: 12_352, heldTokens: 98_768, heardAgoMs: 180, waitedMs: 2_400, avoiders: 2, unresponsive: 1, outcomes: 31, failures: 4 })
 const pool = Array.from({ length: 98 }, (_, number) => work(number))
@@ -15,6 +15,14 @@
     expect(decodeLoadTotals(frameLoadTotals(4_000_000, encodeLoadTotals({ work: pool, links })))).toEqual({ sequence: 4_000_000, work: pool, links })
   })
 
+  it('brings rate limits across, and takes no byte where nobody names one', () => {
+    const limits: EndpointRateLimit[] = [{ endpoint: 'i-1', requestsPerSecond: 2.25, statedAgoMs: 340 }, { endpoint: 'i-2', requestsPerSecond: 0, statedAgoMs: 0 }, { endpoint: 'i-3', requestsPerSecond: undefined, statedAgoMs: 9000 }]
+    const report = { host: 'h', sequence: 1, work: [], links: [] }
+    expect(decodeLoadReport(encodeLoadReport({ ...report, limits })).limits).toEqual(limits)
+    expect(decodeLoadTotals(frameLoadTotals(1, encodeLoadTotals({ work: [], links: [], limits }))).limits).toEqual(limits)
+    expect(encodeLoadReport({ ...report, limits: [] })).toEqual(encodeLoadReport(report))
+  })
+
   it('counts tokens in blocks of an engine\'s memory, and large figures as the largest', () => {
     const report = { host: 'h', sequence: 1, work: [{ ...work(1), pendingTokens: 12_345, heldTokens: 5_000_000 }], links: [] }
     const [read] = decodeLoadReport(encodeLoadReport(report)).work
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -9,7 +9,7 @@
 import { decode, encode } from '@msgpack/msgpack'
 import { z } from 'zod'
 import type { LinkFigures, LinkWork } from './linkWork.js'
-import type { EndpointWork, LoadReport, LoadTotals, WorkFigures } from './loadReport.js'
+import type { EndpointRateLimit, EndpointWork, LoadReport, LoadTotals, WorkFigures } from './loadReport.js'
 
 /** Bytes of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
@@ -29,6 +29,10 @@
 /** Steps in which samples of a link and their doublings are counted. */
 const SAMPLE_STEP = 1 / 64
 
+/** Step in which rates of requests a second are written, and what stands for none. */
+const RATE_STEP = 1 / 32
+const NO_RATE = LARGEST_FIGURE * RATE_STEP
+
 /** Between names, and what stands for it inside a name: operators name stores as they like. */
 const SEPARATOR = ','
 const ESCAPE = '%'
@@ -47,9 +51,12 @@
   ['pendingBytes', LINK_BLOCK_BYTES], ['samples', SAMPLE_STEP], ['slower', SAMPLE_STEP], ['faster', SAMPLE_STEP]
 ]
 
+const LIMIT_FIGURES: Figures<Omit<EndpointRateLimit, 'endpoint'>> = [['requestsPerSecond', RATE_STEP], ['statedAgoMs', 1]]
+
 const tableSchema = z.tuple([z.string(), z.instanceof(Uint8Array)])
-const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema, tableSchema])
-const totalsSchema = z.tuple([tableSchema, tableSchema])
+const limitsSchema = tableSchema.optional()
+const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema, tableSchema, limitsSchema])
+const totalsSchema = z.tuple([tableSchema, tableSchema, limitsSchema])
 
 type Table = z.infer<typeof tableSchema>
 
@@ -57,8 +64,8 @@
  * @param report - of one host
  * @returns its bytes
  */
-export function encodeLoadReport ({ host, sequence, work, links }: LoadReport): Uint8Array {
-  return encode([host, sequence, toEndpointTable(work), toLinkTable(links)])
+export function encodeLoadReport ({ host, sequence, work, links, limits }: LoadReport): Uint8Array {
+  return encode([host, sequence, toEndpointTable(work), toLinkTable(links), ...toLimitTables(limits)])
 }
 
 /**
@@ -67,16 +74,16 @@
  * @throws if the bytes are no report
  */
 export function decodeLoadReport (bytes: Uint8Array): LoadReport {
-  const [host, sequence, work, links] = reportSchema.parse(decode(bytes))
-  return { host, sequence, work: toEndpointWork(work), links: toLinkWork(links) }
+  const [host, sequence, work, links, limits] = reportSchema.parse(decode(bytes))
+  return { host, sequence, work: toEndpointWork(work), links: toLinkWork(links), ...toLimits(limits) }
 }
 
 /**
  * @param totals - of all hosts
  * @returns bytes to follow a sequence, see {@link frameLoadTotals}
  */
-export function encodeLoadTotals ({ work, links }: Omit<LoadTotals, 'sequence'>): Uint8Array {
-  return encode([toEndpointTable(work), toLinkTable(links)])
+export function encodeLoadTotals ({ work, links, limits }: Omit<LoadTotals, 'sequence'>): Uint8Array {
+  return encode([toEndpointTable(work), toLinkTable(links), ...toLimitTables(limits)])
 }
 
 /**
@@ -97,8 +104,8 @@
  * @throws if the bytes are no answer
  */
 export function decodeLoadTotals (bytes: Buffer): LoadTotals {
-  const [work, links] = totalsSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
-  return { sequence: bytes.readUInt32BE(0), work: toEndpointWork(work), links: toLinkWork(links) }
+  const [work, links, limits] = totalsSchema.parse(decode(bytes.subarray(SEQUENCE_BYTES)))
+  return { sequence: bytes.readUInt32BE(0), work: toEndpointWork(work), links: toLinkWork(links), ...toLimits(limits) }
 }
 
 function toEndpointTable (work: readonly EndpointWork[]): Table {
@@ -109,6 +116,13 @@
   return toTable(links.map(entry => entry.link), links, LINK_FIGURES)
 }
 
+/** Nothing where nobody names a limit: hosts of earlier releases can read that. */
+function toLimitTables (limits: readonly EndpointRateLimit[] = []): Table[] {
+  if (limits.length === 0) return []
+  const rows = limits.map(limit => ({ ...limit, requestsPerSecond: limit.requestsPerSecond ?? NO_RATE }))
+  return [toTable(limits.map(limit => limit.endpoint), rows, LIMIT_FIGURES)]
+}
+
 function toTable<Row extends { readonly [Name in keyof Row]: unknown }> (names: readonly string[], rows: readonly Row[], figures: Figures<Row>): Table {
   const bytes = Buffer.allocUnsafe(rows.length * figures.length * FIGURE_BYTES)
   let at = 0
@@ -154,6 +168,17 @@
   }))
 }
 
+function toLimits (table: Table | undefined): Pick<LoadTotals, 'limits'> {
+  if (table === undefined) return {}
+  return {
+    limits: readRows(table, LIMIT_FIGURES.length).map(({ name, figure }) => ({
+      endpoint: name,
+      requestsPerSecond: figure(0) === LARGEST_FIGURE ? undefined : figure(0) * RATE_STEP,
+      statedAgoMs: figure(1)
+    }))
+  }
+}
+
 interface TableRow {
   readonly name: string
   /** @returns the whole number in a column */
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,4 +1,5 @@
 /** What entry hosts tell of the work that they have under way at endpoints. */
+import type { RateLimitStatement } from '../endpoints/StatedRateLimit.js'
 import type { LinkWork } from './linkWork.js'
 
 /** Work of one or all hosts at one endpoint, and what they have seen of it. */
@@ -40,6 +41,12 @@
   inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0
 }
 
+/** What an endpoint said last of the rate that it takes. */
+export interface EndpointRateLimit extends RateLimitStatement {
+  /** Incarnation. */
+  readonly endpoint: string
+}
+
 /** One host's own work. */
 export interface LoadReport {
   readonly host: string
@@ -47,6 +54,8 @@
   readonly sequence: number
   readonly work: readonly EndpointWork[]
   readonly links: readonly LinkWork[]
+  /** What the host has read of late; absent if it has read of no limit. */
+  readonly limits?: readonly EndpointRateLimit[]
 }
 
 /** Work of all hosts, as it is answered to one of them. */
@@ -55,4 +64,6 @@
   readonly sequence: number
   readonly work: readonly EndpointWork[]
   readonly links: readonly LinkWork[]
+  /** Newest statements that any host has read; absent if there are none. */
+  readonly limits?: readonly EndpointRateLimit[]
 }
