A host that reaches no control host does not take itself for the only one

With no statement, as when the core is cut off or all of it is killed, it was 1: each of 81 hosts took the whole. Just started control hosts count only who has reported since, which is the same for a second. Class: 'unknown' read as 'none'. Change: the largest count of the last ten seconds holds, and the last one where there was none (LiveHostCount). After hosts have left, shares stay smaller for that long.

--- a/packages/view/src/lib/FreshnessLease.ts
+++ b/packages/view/src/lib/FreshnessLease.ts
@@ -9,6 +9,7 @@
  * no leader, so it goes on through elections.
  */
 import type { Membership } from '@eelgrassmux/consensus/messages/raftMessages'
+import { LiveHostCount } from './LiveHostCount.js'
 
 /** What one voter stated. */
 export interface VoterStatement {
@@ -26,6 +27,7 @@
 export class FreshnessLease {
   /** For each voter its newest statement, and before it the last one of each older view, oldest first. */
   readonly #statements = new Map<string, VoterStatement[]>()
+  readonly #liveEntries = new LiveHostCount()
   #membership: Membership = { voters: [], learners: [] }
   #membershipIndex = -1
 
@@ -46,6 +48,7 @@
     const kept = history.filter(earlier =>
       earlier.newestView < statement.newestView && statement.askedAt - earlier.askedAt <= this.leaseMs)
     this.#statements.set(statement.replicaId, [...kept, statement])
+    this.#liveEntries.observe(statement.liveEntries, statement.askedAt)
     if (statement.membershipIndex <= this.#membershipIndex) return
     this.#membershipIndex = statement.membershipIndex
     this.#membership = statement.membership
@@ -77,17 +80,12 @@
   }
 
   /**
-   * Number of entry hosts that may be alive: the largest number stated lately.
+   * Number of entry hosts that may be alive.
    *
    * @param now - monotonic milliseconds
    */
   liveEntries (now: number): number {
-    let largest = 1
-    for (const history of this.#statements.values()) {
-      const statement = history.at(-1)
-      if (statement !== undefined && now - statement.askedAt <= this.leaseMs) largest = Math.max(largest, statement.liveEntries)
-    }
-    return largest
+    return this.#liveEntries.at(now)
   }
 
   /**
