--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -14,6 +14,9 @@
 /** Status of an answer that may come from another instance at the endpoint's address. */
 const MISDIRECTED = 421
 
+/** Status of a rejection that may ask for a pause. */
+const UNAVAILABLE = 503
+
 /** That an endpoint is held back from this host. */
 export interface EndpointHold {
   readonly reason: HoldReason
@@ -26,6 +29,7 @@
   readonly #coldRates = new Map<string, number>()
   #evacuated: ReadonlySet<string> = new Set()
   readonly #sentDespiteLimit: LabelledCounter
+  readonly #sentDespitePause: LabelledCounter
 
   /**
    * @param coldAllowance - this host's part of what cold endpoints take
@@ -42,6 +46,8 @@
     telemetry.gauge('endpoints_cold', 'Endpoints that take few requests a second for now, as far as is known', () => this.#countCold(performance.now()))
     telemetry.gauge('endpoints_rate_limited', 'Endpoints that name a rate of requests which they take from all hosts together', () => this.#countRateLimited())
     this.#sentDespiteLimit = telemetry.labelledCounter('rate_limited_sends_total', 'Requests sent to endpoints that name a rate, by service', 'service')
+    telemetry.gauge('endpoints_asked_to_pause', 'Endpoints that rejected a request and want nothing from this host for now', () => this.#countPausing(performance.now()))
+    this.#sentDespitePause = telemetry.labelledCounter('sends_despite_requested_pause_total', 'Requests sent to endpoints that want nothing for now, by service', 'service')
     telemetry.gauge('data_centres_evacuated', 'Data centres whose endpoints get no new work', () => this.#evacuated.size)
   }
 
@@ -100,10 +106,11 @@
    * @param head - of the answer
    * @param now - monotonic milliseconds
    */
-  observeAnswer (endpoint: EndpointState, { status, fields: { instance, requestsPerSecond } }: AnswerHead, now: number): void {
+  observeAnswer (endpoint: EndpointState, { status, fields: { instance, requestsPerSecond, retryAfterMs } }: AnswerHead, now: number): void {
     // Another instance at its address speaks for itself.
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
+    if (status === UNAVAILABLE && retryAfterMs !== undefined) this.#takePause(endpoint, retryAfterMs, now)
   }
 
   /**
@@ -117,11 +124,22 @@
     if (endpoint.rateLimit.observeStatement(statement, now)) this.#logRateLimit(endpoint, now)
   }
 
-  /** @param endpoint - that a request is being sent to */
-  noteSend (endpoint: EndpointState): void {
+  /**
+   * @param endpoint - that a request is being sent to
+   * @param now - monotonic milliseconds
+   */
+  noteSend (endpoint: EndpointState, now: number): void {
+    if (endpoint.requestedPause.isUnderWay(now)) this.#sentDespitePause.count(endpoint.listed.service)
     if (endpoint.rateLimit.requestsPerSecond !== undefined) this.#sentDespiteLimit.count(endpoint.listed.service)
   }
 
+  #takePause (endpoint: EndpointState, pauseMs: number, now: number): void {
+    if (!endpoint.requestedPause.request(pauseMs, now)) return
+    this.telemetry.stateChanged('endpoint-asked-to-pause', {
+      endpoint: endpoint.id, address: endpoint.listed.address, pauseMs: Math.round(pauseMs), sentLately: endpoint.sends.countSince(now - LATELY_MS)
+    })
+  }
+
   #logRateLimit (endpoint: EndpointState, now: number): void {
     const { requestsPerSecond } = endpoint.rateLimit
     const fields = { endpoint: endpoint.id, address: endpoint.listed.address, sentLately: endpoint.sends.countSince(now - LATELY_MS) }
@@ -138,6 +156,10 @@
     return this.endpoints().filter(endpoint => endpoint.rateLimit.requestsPerSecond !== undefined).length
   }
 
+  #countPausing (now: number): number {
+    return this.endpoints().filter(endpoint => endpoint.requestedPause.isUnderWay(now)).length
+  }
+
   #countCold (now: number): number {
     return this.endpoints().filter(endpoint => this.#coldRates.has(endpoint.listed.service) && endpoint.isCold(now)).length
   }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -138,7 +138,7 @@
       return
     }
     this.#attempts.noteSend()
-    this.ports.fleet.limits.noteSend(endpoint)
+    this.ports.fleet.limits.noteSend(endpoint, performance.now())
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
--- a/apps/entry/src/lib/routed/endpointRateLimit.test.ts
+++ b/apps/entry/src/lib/routed/endpointRateLimit.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { HostsSimulation, type HostsShape } from './harness/HostsSimulation.js'
+import { HostsSimulation, type Arrival, type HostsShape } from './harness/HostsSimulation.js'
 
 const WINDOW_MS = 4000
 
@@ -27,8 +27,8 @@
   return simulation
 }
 
-function mostInWindow (arrivals: readonly number[]): number {
-  return Math.max(0, ...arrivals.map(from => arrivals.filter(at => at >= from && at < from + WINDOW_MS).length))
+function mostInWindow (arrivals: readonly Arrival[]): number {
+  return Math.max(0, ...arrivals.map(({ at: from }) => arrivals.filter(({ at }) => at >= from && at < from + WINDOW_MS).length))
 }
 
 /** Half as much again as what it names, and some. */
--- a/apps/entry/src/lib/routed/harness/HostsSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/HostsSimulation.ts
@@ -12,6 +12,7 @@
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { AnswerHead } from '../RoutedAttempt.js'
 import type { AnswerFields } from '../RequestCodec.js'
+import { learnFromFailure } from '../learnFromFailure.js'
 import { RoutedFleet } from '../RoutedFleet.js'
 
 /** Step of the virtual clock, in milliseconds. */
@@ -26,8 +27,11 @@
 
 const SERVICE = 'pool'
 
-/** What an endpoint says in its answers, beside that they are whole. */
-export type Statement = Partial<Pick<AnswerFields, 'requestsPerSecond'>>
+/** What an endpoint says in its answers; they are whole unless it says otherwise. */
+export interface Statement extends Partial<Pick<AnswerFields, 'requestsPerSecond'>> {
+  /** It rejects what comes and wants nothing more from that host for so long. */
+  readonly rejectsForMs?: number
+}
 
 /** What a simulation consists of. */
 export interface HostsShape {
@@ -45,24 +49,33 @@
   sequence: number
 }
 
+/** One request at an endpoint. */
+export interface Arrival {
+  readonly host: string
+  readonly at: number
+}
+
 interface PendingAnswer {
   readonly host: Host
   readonly endpoint: EndpointState
   readonly sentAt: number
   hasHead: boolean
+  hasEnded: boolean
 }
 
 /** Hosts, endpoints and the requests between them. */
 export class HostsSimulation {
   readonly #hosts: readonly Host[]
   readonly #board = new LoadBoard()
-  readonly #arrivals = new Map<string, number[]>()
+  readonly #arrivals = new Map<string, Arrival[]>()
   readonly #statements = new Map<string, Statement>()
   readonly #requestsPerSecond: number
   #pending: PendingAnswer[] = []
   #told: { readonly totals: Totals, readonly read: LoadTotals } | undefined
   /** Requests for which no endpoint was to be had. */
   unplaced = 0
+  /** Requests that an endpoint has rejected. */
+  rejected = 0
 
   /**
    * Takes the clock of this process over; call {@link HostsSimulation.close} at the end.
@@ -110,10 +123,10 @@
   /**
    * @param endpoint - number of an endpoint
    * @param since - monotonic milliseconds
-   * @returns times at which requests reached it since then
+   * @returns requests that reached it since then
    */
-  arrivals (endpoint: number, since = 0): readonly number[] {
-    return this.#arrivalsOf(listedEndpoint(endpoint).id).filter(at => at >= since)
+  arrivals (endpoint: number, since = 0): readonly Arrival[] {
+    return this.#arrivalsOf(listedEndpoint(endpoint).id).filter(({ at }) => at >= since)
   }
 
   #place (host: Host, now: number): void {
@@ -125,11 +138,11 @@
     }
     const { endpoint } = choice
     endpoint.begin(0, 0, now)
-    this.#arrivalsOf(endpoint.id).push(now)
-    this.#pending.push({ host, endpoint, sentAt: now, hasHead: false })
+    this.#arrivalsOf(endpoint.id).push({ host: host.name, at: now })
+    this.#pending.push({ host, endpoint, sentAt: now, hasHead: false, hasEnded: false })
   }
 
-  #arrivalsOf (endpoint: string): number[] {
+  #arrivalsOf (endpoint: string): Arrival[] {
     const present = this.#arrivals.get(endpoint) ?? []
     this.#arrivals.set(endpoint, present)
     return present
@@ -137,23 +150,29 @@
 
   #answer (now: number): void {
     for (const pending of this.#pending) {
-      const { host, endpoint, sentAt } = pending
-      if (!pending.hasHead && now >= sentAt + HEAD_MS) {
-        pending.hasHead = true
-        endpoint.heard(now)
-        host.fleet.limits.observeAnswer(endpoint, this.#head(endpoint.id), now)
-      }
-      if (now >= sentAt + WHOLE_MS) {
-        endpoint.end(0)
-        host.fleet.observe(endpoint, 'success')
-      }
+      if (!pending.hasHead && now >= pending.sentAt + HEAD_MS) this.#answerHead(pending, now)
+      if (!pending.hasEnded && now >= pending.sentAt + WHOLE_MS) this.#end(pending)
     }
-    this.#pending = this.#pending.filter(({ sentAt }) => now < sentAt + WHOLE_MS)
+    this.#pending = this.#pending.filter(({ hasEnded }) => !hasEnded)
   }
 
-  #head (endpoint: string): AnswerHead {
-    const fields = { requestId: undefined, isNotExecuted: false, instance: undefined, load: undefined, version: undefined, requestsPerSecond: undefined }
-    return { status: 200, headers: [], fields: { ...fields, ...this.#statements.get(endpoint) } }
+  #answerHead (pending: PendingAnswer, now: number): void {
+    const { host, endpoint } = pending
+    const head = headOf(this.#statements.get(endpoint.id) ?? {})
+    pending.hasHead = true
+    endpoint.heard(now)
+    host.fleet.limits.observeAnswer(endpoint, head, now)
+    if (!head.fields.isNotExecuted) return
+    learnFromFailure(host.fleet, endpoint, 'rejected', head)
+    endpoint.end(0)
+    pending.hasEnded = true
+    this.rejected += 1
+  }
+
+  #end (pending: PendingAnswer): void {
+    pending.endpoint.end(0)
+    pending.host.fleet.observe(pending.endpoint, 'success')
+    pending.hasEnded = true
   }
 
   #exchange (host: Host, now: number): void {
@@ -177,6 +196,15 @@
   return { id: `e-${number}`, service: SERVICE, address: `10.1.0.${number}:80`, dataCentre: 'north', slots: 48, isLeaving: false, isBusy: false, models: [] }
 }
 
+function headOf ({ requestsPerSecond, rejectsForMs }: Statement): AnswerHead {
+  const isNotExecuted = rejectsForMs !== undefined
+  return {
+    status: isNotExecuted ? 503 : 200,
+    headers: [],
+    fields: { requestId: undefined, isNotExecuted, instance: undefined, load: undefined, version: undefined, requestsPerSecond, retryAfterMs: rejectsForMs }
+  }
+}
+
 /** Numbers in [0, 1) by a linear congruential generator. */
 function seededRandom (seed: number): () => number {
   let state = seed >>> 0
--- a/apps/entry/src/lib/routed/harness/PlainCodec.ts
+++ b/apps/entry/src/lib/routed/harness/PlainCodec.ts
@@ -1,9 +1,10 @@
 /** Headers of routed requests as the product's own tests write them. */
 import { endToEndHeaders } from '../headers.js'
+import { readRetryAfter } from '../readRetryAfter.js'
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '../RequestCodec.js'
 
 /** Names of the headers. */
-export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit' }
+export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit', retryAfter: 'retry-after' }
 
 /** The smallest words that the product can be spoken to with. */
 export class PlainCodec implements RequestCodec {
@@ -29,7 +30,8 @@
       instance: undefined,
       load: undefined,
       version: undefined,
-      requestsPerSecond: rateLimit === undefined ? undefined : Number(rateLimit)
+      requestsPerSecond: rateLimit === undefined ? undefined : Number(rateLimit),
+      retryAfterMs: readRetryAfter(valueOf(headers, PLAIN_HEADERS.retryAfter), Date.now())
     }
   }
 }
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -1,6 +1,7 @@
 /** Reads and writes the soak's headers on an entry host. */
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '@eelgrassmux/entry/routed/RequestCodec'
 import { endToEndHeaders } from '@eelgrassmux/entry/routed/headers'
+import { readRetryAfter } from '@eelgrassmux/entry/routed/readRetryAfter'
 import type { PromptDescription } from '@eelgrassmux/routing/prompts/promptDescription'
 import { HEADER, headerValue } from './soakHeaders.js'
 
@@ -38,7 +39,8 @@
       instance: headerValue(headers, HEADER.answeredBy),
       load: undefined,
       version: readNumber(headerValue(headers, HEADER.version)),
-      requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit))
+      requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit)),
+      retryAfterMs: readRetryAfter(headerValue(headers, HEADER.retryAfter), Date.now())
     }
   }
 }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -3,6 +3,7 @@
 import { LONG_AGO_MS, type WorkFigures } from '../load/loadReport.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import { incarnationName } from './incarnationName.js'
+import { RequestedPause } from './RequestedPause.js'
 import { SendTimes } from './SendTimes.js'
 import { Slowness } from './Slowness.js'
 import { StatedRateLimit } from './StatedRateLimit.js'
@@ -36,6 +37,7 @@
 export class EndpointState {
   readonly health = new EndpointHealth()
   readonly rateLimit = new StatedRateLimit()
+  readonly requestedPause = new RequestedPause()
   /** Requests that this host has sent there of late. */
   readonly sends = new SendTimes()
   #listed: ListedEndpoint
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -22,5 +22,7 @@
   'endpoint-readmitted': ejection,
   /** It names a rate in its answers that all hosts together may send. */
   'endpoint-rate-limited': rateLimit.extend({ requestsPerSecond: z.number() }),
-  'endpoint-rate-limit-lifted': rateLimit
+  'endpoint-rate-limit-lifted': rateLimit,
+  /** It rejected a request and wants nothing from this host for a while. */
+  'endpoint-asked-to-pause': z.strictObject({ endpoint: z.string(), address: z.string(), pauseMs: z.number(), sentLately: z.number() })
 }
