--- /dev/null
+++ b/apps/entry/src/lib/routed/requestedPause.test.ts
@@ -0,0 +1,42 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { HostsSimulation, type Arrival, type HostsShape } from './harness/HostsSimulation.js'
+
+const PAUSE_MS = 3000
+
+/** Time after a rejection in which what is under way may still arrive, in milliseconds. */
+const CROSSING_MS = 500
+
+/** Requests of one host that may reach an endpoint inside a pause all the same. */
+const MOST_INSIDE = 2
+
+/** Endpoints that reject, of those that there are. */
+const REJECTING = [0, 1, 2, 3]
+
+const SHAPES: readonly HostsShape[] = [
+  { hosts: 7, endpoints: 13, requestsPerSecond: 20, seed: 1 },
+  { hosts: 81, endpoints: 42, requestsPerSecond: 10, seed: 2 }
+]
+
+let simulation: HostsSimulation | undefined
+afterEach(() => { simulation?.close() })
+
+/** Most requests of one host that came inside any pause that it was asked for; each rejection begins one. */
+function mostInsidePauses (arrivals: readonly Arrival[]): number {
+  return Math.max(0, ...arrivals.map(({ host, at: from }) =>
+    arrivals.filter(({ host: other, at }) => other === host && at > from + CROSSING_MS && at < from + PAUSE_MS).length))
+}
+
+describe('an endpoint that rejects requests and asks for a pause', () => {
+  describe.each(SHAPES)('before $hosts hosts', shape => {
+    // Guards against hosts that send most to an endpoint which rejects at once, because it looks idle.
+    it('gets nothing more from a host that it has asked', () => {
+      simulation = new HostsSimulation(shape)
+      simulation.run(1000)
+      const since = performance.now()
+      for (const endpoint of REJECTING) simulation.state(endpoint, { rejectsForMs: PAUSE_MS })
+      simulation.run(8000)
+      for (const endpoint of REJECTING) expect(mostInsidePauses(simulation.arrivals(endpoint, since))).toBeLessThanOrEqual(MOST_INSIDE)
+      expect(simulation.unplaced).toBe(0)
+    })
+  })
+})
