BUDGET: a host sends nothing to an endpoint that has asked it for a pause

What callers saw: while four of thirteen engines rejected, two thirds of the callers were refused; those engines got 15 to 43 requests a second each, the nine others 1 to 11, and the retry budget was used up within a second. Cause: the pause that a rejection names was not read. A rejection counted for 60 ms, and an endpoint that rejects at once holds no work, so the estimate takes it for the least busy. Class: what an endpoint asks for is not read; fast failure looks like spare capacity. Change: such an endpoint is held back from this host until the pause ends (RequestedPause), then one request goes ahead of the others. It is one more reason of EndpointLimits.hold, so a request waits for the first release within its objective, else is refused at once with that time.

--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -86,6 +86,8 @@
   hold (endpoint: EndpointState, now: number): EndpointHold | undefined {
     // Nobody can tell how soon it is warm.
     if (!this.#admitsCold(endpoint, now)) return { reason: 'cold', until: now }
+    const pauseUntil = endpoint.requestedPause.heldUntil(endpoint.sends.newest(1), now)
+    if (pauseUntil !== undefined) return { reason: 'asked-to-pause', until: pauseUntil }
     const until = this.rateShare.heldUntil(endpoint, now)
     return until === undefined ? undefined : { reason: 'rate-limited', until }
   }
@@ -110,7 +112,8 @@
     // Another instance at its address speaks for itself.
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
-    if (status === UNAVAILABLE && retryAfterMs !== undefined) this.#takePause(endpoint, retryAfterMs, now)
+    if (status !== UNAVAILABLE) endpoint.requestedPause.accept(now)
+    else if (retryAfterMs !== undefined) this.#takePause(endpoint, retryAfterMs, now)
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -32,7 +32,7 @@
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /** Reasons that pass by themselves. */
-const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-held-back'])
+const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-held-back'])
 
 /** One request. */
 export class RoutedRequestTask {
--- a/apps/entry/src/lib/routed/requestedPause.test.ts
+++ b/apps/entry/src/lib/routed/requestedPause.test.ts
@@ -38,5 +38,17 @@
       for (const endpoint of REJECTING) expect(mostInsidePauses(simulation.arrivals(endpoint, since))).toBeLessThanOrEqual(MOST_INSIDE)
       expect(simulation.unplaced).toBe(0)
     })
+
+    it('gets as much as the others once it takes requests again', () => {
+      simulation = new HostsSimulation(shape)
+      for (const endpoint of REJECTING) simulation.state(endpoint, { rejectsForMs: 1000 })
+      simulation.run(2000)
+      for (const endpoint of REJECTING) simulation.state(endpoint, {})
+      simulation.run(3000)
+      const since = performance.now()
+      simulation.run(2000)
+      const others = simulation.arrivals(REJECTING.length, since).length
+      for (const endpoint of REJECTING) expect(simulation.arrivals(endpoint, since).length).toBeGreaterThan(others / 2)
+    })
   })
 })
--- a/packages/routing/src/lib/endpoints/RequestedPause.ts
+++ b/packages/routing/src/lib/endpoints/RequestedPause.ts
@@ -1,8 +1,12 @@
 /** The time for which an endpoint that rejected a request wants nothing more from this host. */
 
+/** Time for which a request that follows a pause has to be answered before another one may try, in milliseconds. */
+const TRIAL_MS = 1000
+
 /** Mutable pause of one endpoint. */
 export class RequestedPause {
   #until = Number.NEGATIVE_INFINITY
+  #hasAcceptedSince = true
 
   /** Monotonic milliseconds at which the pause ends, or ended; minus infinity if none was ever asked for. */
   get until (): number { return this.#until }
@@ -15,6 +19,24 @@
     return now < this.#until
   }
 
+  /**
+   * After a pause one request goes ahead of the others: an endpoint that still rejects would reject them all.
+   *
+   * @param lastSentAt - monotonic milliseconds of this host's last send there
+   * @param now - monotonic milliseconds
+   * @returns until when the endpoint gets nothing from this host, in monotonic milliseconds; undefined if it may get a request now
+   */
+  heldUntil (lastSentAt: number, now: number): number | undefined {
+    if (this.isUnderWay(now)) return this.#until
+    const isOnTrial = !this.#hasAcceptedSince && lastSentAt >= this.#until && now - lastSentAt < TRIAL_MS
+    return isOnTrial ? now : undefined
+  }
+
+  /** @param now - monotonic milliseconds at which an answer came that is no rejection */
+  accept (now: number): void {
+    if (!this.isUnderWay(now)) this.#hasAcceptedSince = true
+  }
+
   /**
    * Takes what a rejection asks for; a pause under way never becomes shorter.
    *
@@ -25,6 +47,7 @@
   request (milliseconds: number, now: number): boolean {
     const isNew = !this.isUnderWay(now)
     this.#until = Math.max(this.#until, now + milliseconds)
+    this.#hasAcceptedSince = false
     return isNew
   }
 }
--- a/packages/routing/src/lib/endpoints/endpointAsk.ts
+++ b/packages/routing/src/lib/endpoints/endpointAsk.ts
@@ -84,6 +84,8 @@
   | 'cold'
   /** It names a rate in its answers, and this host has sent its part of it. */
   | 'rate-limited'
+  /** It has rejected a request of this host and wants nothing more for a while. */
+  | 'asked-to-pause'
 
 /** Why no endpoint was chosen. */
 export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | AllHeldBack
