DRAIN: an endpoint that says in an answer that it is leaving gets nothing more

What was new: an endpoint that is about to end says so in all its answers, and nothing may reach it from a host later than the bound after that host has passed such an answer on. Change: such an endpoint is leaving for this host from that answer on, with a line (endpoint-leaving).

--- a/apps/entry/src/lib/routed/EndpointLimits.test.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.test.ts
@@ -50,7 +50,7 @@
 
   describe('with an endpoint that names a rate', () => {
     const head = (requestsPerSecond: number | undefined, overrides: Partial<AnswerHead> = {}, instance?: string): AnswerHead => ({
-      status: 200, headers: [], fields: { requestId: undefined, isNotExecuted: false, instance, load: undefined, version: undefined, requestsPerSecond, retryAfterMs: undefined }, ...overrides
+      status: 200, headers: [], fields: { requestId: undefined, isNotExecuted: false, instance, load: undefined, version: undefined, requestsPerSecond, isLeaving: false, retryAfterMs: undefined }, ...overrides
     })
 
     it('sends it this host\'s part, says when the next may go, and everything again once it names none', () => {
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -108,9 +108,10 @@
    * @param head - of the answer
    * @param now - monotonic milliseconds
    */
-  observeAnswer (endpoint: EndpointState, { status, fields: { instance, requestsPerSecond, retryAfterMs } }: AnswerHead, now: number): void {
+  observeAnswer (endpoint: EndpointState, { status, fields: { instance, isLeaving, requestsPerSecond, retryAfterMs } }: AnswerHead, now: number): void {
     // Another instance at its address speaks for itself.
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
+    if (isLeaving) this.#takeLeaving(endpoint)
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
     if (status !== UNAVAILABLE) endpoint.requestedPause.accept(now)
     else if (retryAfterMs !== undefined) this.#takePause(endpoint, retryAfterMs, now)
@@ -136,6 +137,12 @@
     if (endpoint.rateLimit.requestsPerSecond !== undefined) this.#sentDespiteLimit.count(endpoint.listed.service)
   }
 
+  #takeLeaving (endpoint: EndpointState): void {
+    if (endpoint.isLeaving) return
+    endpoint.markLeaving()
+    this.telemetry.stateChanged('endpoint-leaving', { endpoint: endpoint.id, address: endpoint.listed.address, underWay: endpoint.inFlight })
+  }
+
   #takePause (endpoint: EndpointState, pauseMs: number, now: number): void {
     if (!endpoint.requestedPause.request(pauseMs, now)) return
     this.telemetry.stateChanged('endpoint-asked-to-pause', {
--- a/apps/entry/src/lib/routed/RequestCodec.ts
+++ b/apps/entry/src/lib/routed/RequestCodec.ts
@@ -51,6 +51,8 @@
   readonly version: number | undefined
   /** Requests a second that it takes from all hosts together, for as long as it says so. */
   readonly requestsPerSecond: number | undefined
+  /** It takes no new work for much longer. */
+  readonly isLeaving: boolean
   /** Of a rejection: milliseconds for which the endpoint wants nothing more from this host. */
   readonly retryAfterMs: number | undefined
 }
--- a/apps/entry/src/lib/routed/harness/HostsSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/HostsSimulation.ts
@@ -201,7 +201,7 @@
   return {
     status: isNotExecuted ? 503 : 200,
     headers: [],
-    fields: { requestId: undefined, isNotExecuted, instance: undefined, load: undefined, version: undefined, requestsPerSecond, retryAfterMs: rejectsForMs }
+    fields: { requestId: undefined, isNotExecuted, instance: undefined, load: undefined, version: undefined, requestsPerSecond, isLeaving: false, retryAfterMs: rejectsForMs }
   }
 }
 
--- a/apps/entry/src/lib/routed/harness/PlainCodec.ts
+++ b/apps/entry/src/lib/routed/harness/PlainCodec.ts
@@ -4,7 +4,7 @@
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '../RequestCodec.js'
 
 /** Names of the headers. */
-export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit', retryAfter: 'retry-after' }
+export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit', retryAfter: 'retry-after', leaving: 'leaving' }
 
 /** The smallest words that the product can be spoken to with. */
 export class PlainCodec implements RequestCodec {
@@ -31,6 +31,7 @@
       load: undefined,
       version: undefined,
       requestsPerSecond: rateLimit === undefined ? undefined : Number(rateLimit),
+      isLeaving: valueOf(headers, PLAIN_HEADERS.leaving) === '1',
       retryAfterMs: readRetryAfter(valueOf(headers, PLAIN_HEADERS.retryAfter), Date.now())
     }
   }
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -40,6 +40,7 @@
       load: undefined,
       version: readNumber(headerValue(headers, HEADER.version)),
       requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit)),
+      isLeaving: headerValue(headers, HEADER.leaving) === '1',
       retryAfterMs: readRetryAfter(headerValue(headers, HEADER.retryAfter), Date.now())
     }
   }
--- a/apps/soak/src/lib/soakHeaders.ts
+++ b/apps/soak/src/lib/soakHeaders.ts
@@ -17,6 +17,8 @@
   cacheSalt: 'cache-salt',
   /** Requests a second that the endpoint takes from all hosts together. */
   rateLimit: 'rate-limit',
+  /** Of answers: `1` if the endpoint is about to end. */
+  leaving: 'leaving',
   /** Of rejections: seconds for which the endpoint wants nothing more from that host. */
   retryAfter: 'retry-after',
   /** What the endpoint stand-in is to do; see {@link workSchema}. */
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -23,6 +23,8 @@
   /** It names a rate in its answers that all hosts together may send. */
   'endpoint-rate-limited': rateLimit.extend({ requestsPerSecond: z.number() }),
   'endpoint-rate-limit-lifted': rateLimit,
+  /** It says in an answer that it is about to end, before the list does. */
+  'endpoint-leaving': z.strictObject({ endpoint: z.string(), address: z.string(), underWay: z.number() }),
   /** It rejected a request and wants nothing from this host for a while. */
   'endpoint-asked-to-pause': z.strictObject({ endpoint: z.string(), address: z.string(), pauseMs: z.number(), sentLately: z.number() })
 }
