A pause that an endpoint of the product's own interface asks for is kept, too

Worse, a plain service that rejected a call, for whatever reason, counted as leaving until it started again: one moment of being full took it out for good. Change: HttpBackend and ServiceClient read Retry-After of rejections, EndpointTable keeps the endpoint away until then; a rejection without one counts as leaving with 503 only, else as a failure, whether the call may be repeated or not. The reader of the header moves to the schema package, which all can use.

--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -141,8 +141,7 @@
       }
       const isUnstarted = isNotStarted(answer.error)
       if (isUnstarted) dispatch.markNotStarted()
-      if (answer.error.kind === 'not-started') this.fleet.serviceTable.observeLeaving(endpoint.name)
-      else this.fleet.serviceTable.observeFailure(endpoint.name, performance.now())
+      if (answer.error.kind !== 'not-started') this.fleet.serviceTable.observeFailure(endpoint.name, performance.now())
       const mayRepeat = isUnstarted || (profile.retries > 0 && budget.tryRetry())
       if (!mayRepeat || tried.size > Math.max(profile.retries, 1) || performance.now() >= deadline) {
         return fail(refuse({ reason: 'endpoint-failed', status: 502, detail: `the last attempt ended with ${answer.error.kind}`, retryAfterSeconds: 1 }, dispatch))
@@ -157,9 +156,18 @@
     const answer = await send()
     if (answer.ok && answer.value.status < FIRST_FAILURE_STATUS) guard.noteWhole()
     if (!answer.ok && answer.error.kind === 'lost') guard.noteLost(endpoint, performance.now() - sentAt)
+    if (!answer.ok && answer.error.kind === 'not-started') this.#noteRejection(endpoint, answer.error)
     return answer
   }
 
+  /** Takes what an endpoint asks for that did not start a call. */
+  #noteRejection (endpoint: string, { reason, retryAfterMs }: Extract<BackendError, { kind: 'not-started' }>): void {
+    const now = performance.now()
+    if (retryAfterMs !== undefined) this.fleet.serviceTable.observePause(endpoint, retryAfterMs, now)
+    else if (reason === 'leaving') this.fleet.serviceTable.observeLeaving(endpoint)
+    else this.fleet.serviceTable.observeFailure(endpoint, now)
+  }
+
   #choose (service: string, tried: ReadonlySet<string>): PlainEndpoint | undefined {
     const now = performance.now()
     const eligible = this.configuration().endpointsOf(service)
--- a/apps/entry/src/lib/routed/harness/PlainCodec.ts
+++ b/apps/entry/src/lib/routed/harness/PlainCodec.ts
@@ -1,6 +1,6 @@
 /** Headers of routed requests as the product's own tests write them. */
 import { endToEndHeaders } from '../headers.js'
-import { readRetryAfter } from '../readRetryAfter.js'
+import { readRetryAfter } from '@eelgrassmux/schema/readRetryAfter'
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '../RequestCodec.js'
 
 /** Names of the headers. */
--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -221,6 +221,7 @@
     else this.#noteLost(engine, startedAt)
     if (error.kind === 'not-started') {
       if (error.reason === 'leaving') this.ports.fleet.engineTable.observeLeaving(engine)
+      if (error.retryAfterMs !== undefined) this.ports.fleet.engineTable.observePause(engine, error.retryAfterMs, this.ports.clock.now())
       // An unknown import only means that the blocks must be computed: the same engine may do that.
       if (error.reason !== 'unknown-import') this.#excluded.add(engine)
       return { kind: 'retry', reason: error.reason === 'version-mismatch' ? 'version-mismatch' : 'engine-refused' }
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -1,7 +1,7 @@
 /** Reads and writes the soak's headers on an entry host. */
 import type { AnswerFields, CallerFields, EndpointFields, RequestCodec } from '@eelgrassmux/entry/routed/RequestCodec'
 import { endToEndHeaders } from '@eelgrassmux/entry/routed/headers'
-import { readRetryAfter } from '@eelgrassmux/entry/routed/readRetryAfter'
+import { readRetryAfter } from '@eelgrassmux/schema/readRetryAfter'
 import type { PromptDescription } from '@eelgrassmux/routing/prompts/promptDescription'
 import { HEADER, headerValue } from './soakHeaders.js'
 
--- a/packages/backends/src/lib/BackendError.ts
+++ b/packages/backends/src/lib/BackendError.ts
@@ -3,7 +3,12 @@
   /** No connection was made: the back end never saw the request. */
   | { readonly kind: 'connect-failed' }
   /** The back end itself says that it did not start the request. */
-  | { readonly kind: 'not-started', readonly reason: 'leaving' | 'full' | 'version-mismatch' | 'unknown-import' | 'other' }
+  | {
+    readonly kind: 'not-started'
+    readonly reason: 'leaving' | 'full' | 'version-mismatch' | 'unknown-import' | 'other'
+    /** Milliseconds for which it wants nothing more from this host, if it says so. */
+    readonly retryAfterMs?: number
+  }
   /** The back end may have acted on it. */
   | { readonly kind: 'lost', readonly detail: string }
   | { readonly kind: 'timeout' }
--- a/packages/backends/src/lib/HttpBackend.ts
+++ b/packages/backends/src/lib/HttpBackend.ts
@@ -2,6 +2,7 @@
 import { errors, Pool, type Dispatcher } from 'undici'
 import type { z } from 'zod'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
+import { readRetryAfter } from '@eelgrassmux/schema/readRetryAfter'
 import type { BackendError } from './BackendError.js'
 
 /** Connections kept to one back end; runs hold one each. */
@@ -65,7 +66,7 @@
         signal: call.signal ?? null
       })
       if (response.statusCode < 300) return succeed(response)
-      return fail(statusError(response.statusCode, await response.body.text()))
+      return fail(statusError(response, await response.body.text()))
     } catch (error) {
       return fail(toBackendError(error))
     }
@@ -90,14 +91,24 @@
   return { kind: 'lost', detail: error instanceof Error ? error.message : String(error) }
 }
 
-function statusError (status: number, body: string): BackendError {
+/**
+ * @param headers - of an answer that says that the request was not started
+ * @returns the pause that it asks for, if it asks for one
+ */
+export function requestedPause (headers: Dispatcher.ResponseData['headers']): { readonly retryAfterMs?: number } {
+  const value = headers['retry-after']
+  const retryAfterMs = readRetryAfter(Array.isArray(value) ? value[0] : value, Date.now())
+  return retryAfterMs === undefined ? {} : { retryAfterMs }
+}
+
+function statusError ({ statusCode: status, headers }: Dispatcher.ResponseData, body: string): BackendError {
   const reason = reasonOf(body)
   switch (reason) {
     case 'leaving':
     case 'full':
     case 'version-mismatch':
     case 'unknown-import':
-      return { kind: 'not-started', reason }
+      return { kind: 'not-started', reason, ...requestedPause(headers) }
     default:
       return { kind: 'rejected', status, detail: reason === '' ? body.slice(0, 200) : reason }
   }
--- a/packages/backends/src/lib/ServiceClient.ts
+++ b/packages/backends/src/lib/ServiceClient.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { BackendError } from './BackendError.js'
-import { CONNECT_TIMEOUT_MS, HttpBackend, toBackendError } from './HttpBackend.js'
+import { CONNECT_TIMEOUT_MS, HttpBackend, requestedPause, toBackendError } from './HttpBackend.js'
 
 /** Header by which a service states that it did not start a request. */
 export const RUN_STATE_HEADER = 'eelgrassmux-run'
@@ -77,6 +77,13 @@
   }
 }
 
+/** An endpoint that names the time after which to come back is not leaving. */
+function notStarted ({ statusCode, headers }: Dispatcher.ResponseData): BackendError {
+  const pause = requestedPause(headers)
+  if (pause.retryAfterMs !== undefined) return { kind: 'not-started', reason: 'full', ...pause }
+  return { kind: 'not-started', reason: statusCode === 503 ? 'leaving' : 'other' }
+}
+
 async function send (dispatcher: Dispatcher, call: ServiceCall): Promise<Result<ServiceAnswer, BackendError>> {
   try {
     const response = await dispatcher.request({
@@ -89,7 +96,7 @@
     })
     const body = new Uint8Array(await response.body.arrayBuffer())
     if (response.headers[RUN_STATE_HEADER] === 'not-run') {
-      return fail({ kind: 'not-started', reason: response.statusCode === 503 ? 'leaving' : 'other' })
+      return fail(notStarted(response))
     }
     return succeed({ status: response.statusCode, contentType: String(response.headers['content-type'] ?? 'application/octet-stream'), body })
   } catch (error) {
--- a/packages/policy/src/lib/health/EndpointTable.test.ts
+++ b/packages/policy/src/lib/health/EndpointTable.test.ts
@@ -39,6 +39,23 @@
     })
   })
 
+  describe('a pause that an endpoint asks for', () => {
+    it('keeps work away until its end, and a shorter one asked for meanwhile does not end it sooner', () => {
+      const endpoints = table('a')
+      endpoints.observePause('a', 1000, 0)
+      endpoints.observePause('a', 10, 500)
+      expect(endpoints.ineligibility('a', 999)).toBe('asked-to-pause')
+      expect(endpoints.ineligibility('a', 1000)).toBeUndefined()
+    })
+
+    it('ends with a new incarnation', () => {
+      const endpoints = table('a')
+      endpoints.observePause('a', 1000, 0)
+      endpoints.observeReport('a', { leaving: false, incarnation: 2 }, 5)
+      expect(endpoints.ineligibility('a', 6)).toBeUndefined()
+    })
+  })
+
   describe('silence', () => {
     it('counts against an endpoint although the list goes on to show it live', () => {
       const endpoints = table('a')
--- a/packages/policy/src/lib/health/EndpointTable.ts
+++ b/packages/policy/src/lib/health/EndpointTable.ts
@@ -31,7 +31,7 @@
 }
 
 /** Why an endpoint gets no new work; also the metric label. */
-export type Ineligibility = 'leaving' | 'evacuated' | 'silent' | 'ejected' | 'unknown-endpoint'
+export type Ineligibility = 'leaving' | 'evacuated' | 'silent' | 'ejected' | 'asked-to-pause' | 'unknown-endpoint'
 
 interface EndpointState {
   incarnation: number
@@ -40,6 +40,7 @@
   failures: number
   ejections: number
   ejectedUntil: number
+  pausedUntil: number
 }
 
 /** Eligibility of all configured endpoints. */
@@ -89,6 +90,16 @@
     if (state !== undefined) state.leaving = true
   }
 
+  /**
+   * @param name - endpoint that rejected a request and wants nothing more from this host for a while
+   * @param milliseconds - for how long; a pause under way never becomes shorter
+   * @param now - monotonic milliseconds
+   */
+  observePause (name: string, milliseconds: number, now: number): void {
+    const state = this.#endpoints.get(name)
+    if (state !== undefined) state.pausedUntil = Math.max(state.pausedUntil, now + milliseconds)
+  }
+
   /** @param name - endpoint that served a request */
   observeSuccess (name: string): void {
     const state = this.#endpoints.get(name)
@@ -149,6 +160,7 @@
     if (this.#evacuated.has(name)) return 'evacuated'
     if (now - state.reportedAt > this.settings.reportLifetimeMs) return 'silent'
     if (now < state.ejectedUntil) return 'ejected'
+    if (now < state.pausedUntil) return 'asked-to-pause'
     return undefined
   }
 
@@ -172,6 +184,7 @@
     state.leaving = false
     state.failures = 0
     state.ejectedUntil = Number.NEGATIVE_INFINITY
+    state.pausedUntil = Number.NEGATIVE_INFINITY
   }
 
   #stateOf (name: string): EndpointState {
@@ -183,7 +196,8 @@
       reportedAt: Number.NEGATIVE_INFINITY,
       failures: 0,
       ejections: 0,
-      ejectedUntil: Number.NEGATIVE_INFINITY
+      ejectedUntil: Number.NEGATIVE_INFINITY,
+      pausedUntil: Number.NEGATIVE_INFINITY
     }
     this.#endpoints.set(name, fresh)
     return fresh
