A stream that goes on at another engine is held to the bound of older weights

Cause: a stream that began under a version was never held to the bound of requests that fall back to older weights; a test said so. The bound holds for whatever begins at an engine, and a stream that goes on elsewhere does. Evidence: the test fails on the code before. The former test asserted the exemption; the rule of the service has none, so it is replaced by the opposite, and by one that the stream still goes on inside the bound, and under no other weights. Change: the exemption is gone.

--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -146,8 +146,12 @@
       expect(chosen(chooseEndpoint([old(), fresh()], ask(promptAsk({ desiredVersion: 2, leftMsOn: () => 0 })), new PromptMemory(), 0, 0)).version).toBe(2)
     })
 
-    it('are used to the end by a request that began on them', () => {
-      expect(chosen(chooseEndpoint([old()], ask(promptAsk({ desiredVersion: 2, requiredVersion: 1, leftMsOn: () => 0 })), new PromptMemory(), 0, 0)).version).toBe(1)
+    // Guards against a stream that is resumed at another engine long after its weights were to be used no more.
+    it('hold a stream that goes on elsewhere to the same time, and it goes on under no others', () => {
+      const goesOn = (leftMs: number): ReturnType<typeof chooseEndpoint> =>
+        chooseEndpoint([old(), fresh()], ask(promptAsk({ desiredVersion: 2, requiredVersion: 1, leftMsOn: () => leftMs })), new PromptMemory(), 0, 0)
+      expect(goesOn(0)).toBe('none-of-version')
+      expect(chosen(goesOn(60_000)).version).toBe(1)
     })
 
     it('never change under a request that has begun', () => {
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -51,9 +51,9 @@
   return ties[Math.floor(random * ties.length)]
 }
 
-/** Whether a request that falls back to older weights will begin while that is allowed. */
+/** Whether a request that falls back to older weights, or goes on under them, will begin while that is allowed. */
 function beginsInTime ({ version, estimatedMs }: EndpointChoice, prompt: PromptAsk | undefined): boolean {
-  if (prompt === undefined || prompt.requiredVersion !== undefined || version === undefined) return true
+  if (prompt === undefined || version === undefined) return true
   return version >= prompt.desiredVersion || estimatedMs < prompt.leftMsOn(version)
 }
 
