A test that an attempt which has failed is not watched for silence

Each endpoint has other work, and the budget for repeats allows the second one, else the fault does not show.

--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -27,6 +27,8 @@
   /** Monotonic milliseconds at which the host started. */
   readonly startedAt?: number
   readonly quarantine?: RequestQuarantine
+  /** Has a request placed, at once unless given. */
+  readonly beforePlacing?: (place: () => void) => void
 }
 
 /** What a caller got. */
@@ -55,7 +57,7 @@
    * @param options - what differs
    */
   constructor (private readonly endpoints: readonly EndpointStandin[], options: RoutedHostOptions = {}) {
-    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - LONG_AGO_MS, quarantine = idleQuarantine() } = options
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - LONG_AGO_MS, quarantine = idleQuarantine(), beforePlacing = place => { place() } } = options
     const work = new WorkGate()
     this.#site = site
     this.stop = new PlannedStop(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, this.telemetry)
@@ -74,7 +76,7 @@
       mayAct: () => true,
       storesUsable: () => false,
       storeClockMs: () => undefined,
-      beforePlacing: place => { place() },
+      beforePlacing,
       isLagging: () => false
     }, startedAt)
   }
--- a/apps/entry/src/lib/routed/silentEndpoint.test.ts
+++ b/apps/entry/src/lib/routed/silentEndpoint.test.ts
@@ -5,6 +5,7 @@
  * up it may not, and then nothing was left of it. A silent endpoint alone is no reason to end an
  * answer.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import { answerOk, EndpointStandin, streamEvent, type Behaviour } from './harness/EndpointStandin.js'
@@ -40,6 +41,36 @@
   })
 })
 
+describe('a request whose attempt has failed', () => {
+  const RESET_MS = 700
+  const PLACING_MS = 400
+  const ANSWER_MS = 500
+  const ENDPOINTS = ['e0', 'e1', 'e2']
+  const OTHER_REQUESTS = 12
+
+  // Guards against a second placement, beside the one that waits, when the endpoint falls silent after the failure.
+  it('is placed once more, though its endpoint falls silent before it is', async () => {
+    let sends = 0
+    const behave: Behaviour = (request, response, body) => {
+      if (request.url === '/unsafe/hangs') return
+      sends += 1
+      if (sends === 1) setTimeout(() => { request.socket.resetAndDestroy() }, RESET_MS)
+      else setTimeout(() => { answerOk(request, response, body) }, ANSWER_MS)
+    }
+    const host = new RoutedHost(ENDPOINTS.map(id => new EndpointStandin(id, behave)), {
+      budget: { ratio: 1, slack: 100 },
+      beforePlacing: place => { if (sends === 0) place(); else setTimeout(place, PLACING_MS) }
+    })
+    await host.start()
+    // Each endpoint has other work that it never answers.
+    for (let asked = 0; asked < OTHER_REQUESTS; asked += 1) void host.ask('/unsafe/hangs')
+    await sleep(50)
+    expect(await host.ask('/safe/resets')).toMatchObject({ status: 200, isWhole: true })
+    expect(sends).toBe(2)
+    await host.close()
+  })
+})
+
 describe('a stream whose endpoint has fallen silent', () => {
   let host: RoutedHost
   let endpoints: EndpointStandin[]
