An endpoint that rejects far more than its peers gets less, also where it asks for nothing

Cause: a rejection says nothing of the endpoint's runs, so it was no outcome, and hosts told each other of outcomes only. Evidence: the test of several hosts failed (61 and 169 requests where others got 49 and 89) and passes now. Change: rejections count among the outcomes that hosts tell each other, for a second or two; an endpoint whose share is beyond that of its peers by the present bound is ejected, as one that fails is. Where all reject alike nobody is.

--- a/apps/entry/src/lib/routed/harness/HostsSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/HostsSimulation.ts
@@ -29,7 +29,7 @@
 
 /** What an endpoint says in its answers; they are whole unless it says otherwise. */
 export interface Statement extends Partial<Pick<AnswerFields, 'requestsPerSecond'>> {
-  /** It rejects what comes and wants nothing more from that host for so long. */
+  /** It rejects what comes and wants nothing more from that host for so long; 0 if it asks for no pause. */
   readonly rejectsForMs?: number
 }
 
@@ -201,7 +201,7 @@
   return {
     status: isNotExecuted ? 503 : 200,
     headers: [],
-    fields: { requestId: undefined, isNotExecuted, instance: undefined, load: undefined, version: undefined, requestsPerSecond, isLeaving: false, retryAfterMs: rejectsForMs }
+    fields: { requestId: undefined, isNotExecuted, instance: undefined, load: undefined, version: undefined, requestsPerSecond, isLeaving: false, retryAfterMs: rejectsForMs === 0 ? undefined : rejectsForMs }
   }
 }
 
--- a/apps/entry/src/lib/routed/learnFromFailure.ts
+++ b/apps/entry/src/lib/routed/learnFromFailure.ts
@@ -21,6 +21,7 @@
       break
     case 'rejected':
       endpoint.observeRejection(now)
+      endpoint.health.observeRejection(now)
       break
     case 'misdirected':
       if (head?.fields.instance !== undefined && head.fields.instance !== endpoint.id) endpoint.markLeaving()
--- a/apps/entry/src/lib/routed/requestedPause.test.ts
+++ b/apps/entry/src/lib/routed/requestedPause.test.ts
@@ -52,3 +52,17 @@
     })
   })
 })
+
+describe('an endpoint that rejects requests without a word', () => {
+  // Guards against the same attraction where nothing is asked for.
+  it.each(SHAPES)('gets far fewer than the others from $hosts hosts', shape => {
+    simulation = new HostsSimulation(shape)
+    simulation.run(1000)
+    const since = performance.now()
+    for (const endpoint of REJECTING) simulation.state(endpoint, { rejectsForMs: 0 })
+    simulation.run(5000)
+    const others = simulation.arrivals(REJECTING.length, since).length
+    for (const endpoint of REJECTING) expect(simulation.arrivals(endpoint, since).length).toBeLessThan(others / 2)
+    expect(simulation.unplaced).toBe(0)
+  })
+})
--- a/packages/routing/src/lib/endpoints/EndpointHealth.ts
+++ b/packages/routing/src/lib/endpoints/EndpointHealth.ts
@@ -25,6 +25,9 @@
 /** Time in which an outcome loses two thirds of its weight in what hosts tell each other, in milliseconds: faults last for some seconds. */
 const RECENT_MS = 4000
 
+/** The same for rejections, in milliseconds: an endpoint that was full or busy takes work again within a second or two. */
+const RECENT_REJECTION_MS = 1500
+
 /** Outcomes of late; older ones count less. */
 export interface RecentOutcomes {
   readonly outcomes: number
@@ -39,6 +42,8 @@
   #isOutOfReach = false
   #recent: RecentOutcomes = { outcomes: 0, failures: 0 }
   #recentAt = 0
+  #rejections = 0
+  #rejectedAt = 0
 
   /** Share of recent requests that failed. */
   get failureShare (): number { return this.#failureShare }
@@ -61,11 +66,23 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns outcomes of late at this host
+   * @returns outcomes of late at this host, rejections among the failures
    */
   recent (now: number): RecentOutcomes {
-    const kept = Math.exp(-(now - this.#recentAt) / RECENT_MS)
-    return { outcomes: this.#recent.outcomes * kept, failures: this.#recent.failures * kept }
+    const { outcomes, failures } = this.#recentRuns(now)
+    const rejections = this.#recentRejections(now)
+    return { outcomes: outcomes + rejections, failures: failures + rejections }
+  }
+
+  /**
+   * Takes a rejection. It says nothing of what the endpoint runs, but one that rejects much more than its peers has
+   * nothing to run and would seem the least busy of all.
+   *
+   * @param now - monotonic milliseconds
+   */
+  observeRejection (now: number): void {
+    this.#rejections = this.#recentRejections(now) + 1
+    this.#rejectedAt = now
   }
 
   /**
@@ -79,7 +96,7 @@
   observe (outcome: RequestOutcome, now: number, peersFailureShare = 0): boolean {
     const sample = outcome === 'success' ? 0 : 1
     this.#failureShare += (sample - this.#failureShare) * SMOOTHING
-    const { outcomes, failures } = this.recent(now)
+    const { outcomes, failures } = this.#recentRuns(now)
     this.#recent = { outcomes: outcomes + 1, failures: failures + sample }
     this.#recentAt = now
     if (outcome === 'success') {
@@ -94,6 +111,15 @@
     return this.#pause(FAILING_PAUSE_MS, now)
   }
 
+  #recentRuns (now: number): RecentOutcomes {
+    const kept = Math.exp(-(now - this.#recentAt) / RECENT_MS)
+    return { outcomes: this.#recent.outcomes * kept, failures: this.#recent.failures * kept }
+  }
+
+  #recentRejections (now: number): number {
+    return this.#rejections * Math.exp(-(now - this.#rejectedAt) / RECENT_REJECTION_MS)
+  }
+
   #pause (firstMs: number, now: number): boolean {
     this.#pausedUntil = now + Math.min(LONGEST_PAUSE_MS, firstMs * 2 ** this.#pauses)
     this.#pauses += 1
