--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -1,15 +1,21 @@
 /** The entry host for routed requests with the soak's headers. */
 import { z } from 'zod'
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
-import { routedSettingsShape, startRouted, type RoutedSettings } from '@eelgrassmux/entry/RoutedDaemon'
+import { booleanSetting } from '@eelgrassmux/daemon/settings'
+import { routedSettingsShape, startRouted } from '@eelgrassmux/entry/RoutedDaemon'
 import { SoakCodec } from './lib/SoakCodec.js'
 
-const program: DaemonProgram<RoutedSettings> = {
+const settingsSchema = z.object({
+  ...routedSettingsShape,
+  deaf: booleanSetting.default(false).describe('does not read what endpoints ask of it in their answers: a break for the checks')
+})
+
+const program: DaemonProgram<z.infer<typeof settingsSchema>> = {
   name: 'soak-entry',
   description: 'Takes the soak\'s requests and runs them on endpoints',
-  settings: z.object(routedSettingsShape),
+  settings: settingsSchema,
   start: async (settings, telemetry) => await startRouted(settings, telemetry, {
-    codec: new SoakCodec(),
+    codec: new SoakCodec(settings.deaf),
     // Readiness is asked for on the admin port.
     openEdges: async () => ({ close: async () => {} })
   })
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { orderSchema, workSchema, type EndpointLine, type StreamEvent, type Work } from './endpointWork.js'
+import { ASKED_PAUSE_MS, ASKED_RATE, orderSchema, restraintSchema, workSchema, type EndpointLine, type RestraintKind, type StreamEvent, type Work } from './endpointWork.js'
+import { RestraintHolder } from './RestraintHolder.js'
 import { HEADER } from './soakHeaders.js'
 import { WeightsHolder } from './WeightsHolder.js'
 
@@ -16,11 +17,14 @@
 const UNAVAILABLE = 503
 const MISDIRECTED = 421
 
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Serves until closed. */
 export class EndpointStandin {
   readonly #weights: WeightsHolder
   readonly #server: Server
   #runs = 0
+  readonly #restraint = new RestraintHolder()
 
   /**
    * @param identity - who it is
@@ -57,6 +61,7 @@
     response.setHeader(HEADER.answeredBy, this.identity.id)
     if (request.headers[HEADER.instance] !== this.identity.id) this.#reject(response, MISDIRECTED)
     else if (request.url === '/weights') this.#answerWeights(request, response, body)
+    else if (request.url === '/restraint') this.#takeRestraint(response, body)
     else await this.#work(request, response, body)
   }
 
@@ -65,6 +70,18 @@
     response.end()
   }
 
+  #takeRestraint (response: ServerResponse, body: string): void {
+    this.#restraint.order(restraintSchema.parse(JSON.parse(body)), performance.now())
+    response.end()
+  }
+
+  /** A pause is asked for with a rejection, anything else with whatever is answered. */
+  #rejectForPause (request: IncomingMessage, response: ServerResponse): void {
+    this.print({ event: 'rejected', requestId: headerOf(request, HEADER.requestId), endpoint: this.identity.id, at: Date.now() })
+    response.setHeader(HEADER.retryAfter, String(ASKED_PAUSE_MS / MILLISECONDS_PER_SECOND))
+    this.#reject(response, UNAVAILABLE)
+  }
+
   #answerWeights (request: IncomingMessage, response: ServerResponse, body: string): void {
     const { held, isBusy, acceptedOrders } = this.#weights
     if (request.method === 'GET') {
@@ -82,10 +99,17 @@
       this.#reject(response, UNAVAILABLE)
       return
     }
+    const asks = this.#restraint.present(performance.now())
+    if (asks === 'pause') {
+      this.#rejectForPause(request, response)
+      return
+    }
+    if (asks === 'rate') response.setHeader(HEADER.rateLimit, String(ASKED_RATE))
+    if (asks === 'leaving') response.setHeader(HEADER.leaving, '1')
     const work = workSchema.parse(JSON.parse(headerOf(request, HEADER.work)))
     this.#runs += 1
     try {
-      this.#printRun(request, work)
+      this.#printRun(request, work, asks)
       if (work.crashesEndpointAfterMs !== undefined) await this.#endAfter(work.crashesEndpointAfterMs)
       if (work.fault === 'run-then-reject') this.#reject(response, UNAVAILABLE)
       else if (work.kind === 'plain') await this.#answer(request, response, work, body)
@@ -100,7 +124,7 @@
     this.exit()
   }
 
-  #printRun (request: IncomingMessage, { fault }: Work): void {
+  #printRun (request: IncomingMessage, { fault }: Work, asks: Exclude<RestraintKind, 'pause'> | undefined): void {
     const line: EndpointLine = {
       event: 'run',
       requestId: headerOf(request, HEADER.requestId),
@@ -110,6 +134,7 @@
       hasKey: request.headers[HEADER.key] !== undefined,
       version: this.#weights.held,
       after: Number(request.headers[HEADER.lastEvent] ?? 0),
+      ...(asks === undefined ? {} : { asks }),
       at: Date.now()
     }
     this.print(line)
--- a/apps/soak/src/lib/FaultDriver.ts
+++ b/apps/soak/src/lib/FaultDriver.ts
@@ -1,11 +1,17 @@
 /** Carries a plan of faults out, in series and overlapping, and keeps the time line. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
 import type { PlannedFault, SlotRole } from './faultPlan.js'
 import type { Operator } from './Operator.js'
+import type { Restraint } from './endpointWork.js'
 import type { Incarnation, Slot } from './Slot.js'
 import type { SoakCluster } from './SoakCluster.js'
+import { HEADER } from './soakHeaders.js'
 import type { TimeLine } from './TimeLine.js'
 
+/** Longest wait for an endpoint to take an order, in milliseconds; it may be paused. */
+const ORDER_MS = 500
+
 /** How planned stops are made. */
 export interface StopTerms {
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
@@ -48,6 +54,7 @@
       case 'kill': return this.#kill(this.#slot(fault.role, fault.slot))
       case 'pause': return await this.#pause(this.#slot(fault.role, fault.slot), fault.durationMs)
       case 'link': return await this.#breakLink(fault)
+      case 'restraint': return await this.#restrain(fault)
       case 'new-site':
         this.timeLine.note('operator', 'puts a site', false)
         return await this.operator.putSite()
@@ -105,6 +112,16 @@
     proxy.misbehave(undefined)
   }
 
+  /** An endpoint that says that it is leaving is stopped after a while. */
+  async #restrain ({ slot: index, asks, durationMs }: Extract<PlannedFault, { kind: 'restraint' }>): Promise<void> {
+    const slot = this.#slot('endpoint', index)
+    const { present } = slot
+    if (present === undefined || !await takesOrder(present, { kind: asks, durationMs })) return
+    this.timeLine.note(present.label, `asks for ${asks}`, false, durationMs)
+    await sleep(durationMs)
+    if (asks === 'leaving' && isSame(slot, present)) await this.#stop(slot, 'endpoint')
+  }
+
   #slot (role: SlotRole, index: number): Slot {
     const slot = this.cluster.slots(role)[index]
     if (slot === undefined) throw new Error(`no ${role} ${index}`)
@@ -112,6 +129,19 @@
   }
 }
 
+async function takesOrder ({ label, addresses }: Incarnation, restraint: Restraint): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(`http://${addresses.http ?? ''}/restraint`, {
+      method: 'POST', headers: { [HEADER.instance]: label }, body: JSON.stringify(restraint), signal: AbortSignal.timeout(ORDER_MS)
+    })
+    await body.dump()
+    return statusCode === 200
+  } catch {
+    // It is paused, or has just ended.
+    return false
+  }
+}
+
 function isSame ({ present }: Slot, incarnation: Incarnation): boolean {
   return present === incarnation
 }
--- a/apps/soak/src/lib/Ledger.ts
+++ b/apps/soak/src/lib/Ledger.ts
@@ -1,12 +1,13 @@
 /** All that callers and endpoints have seen, and what it breaks. */
-import type { EndpointBreak, RunLine } from './endpointWork.js'
+import type { EndpointBreak, RejectionLine, RunLine } from './endpointWork.js'
 import type { AskedRequest, Outcome } from './observations.js'
 import type { TimeLine } from './TimeLine.js'
 
 /** Promises that the soak checks. */
 export const PROMISES = [
   'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version',
-  'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served'
+  'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
+  'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded'
 ] as const
 export type PromiseName = typeof PROMISES[number]
 
@@ -34,6 +35,8 @@
   readonly promise: PromiseName
   /** Told of each run as it begins. */
   onRun? (run: RunLine, view: LedgerView): string | undefined
+  /** Told of each rejection that asks for a pause. */
+  onRejection? (rejection: RejectionLine, view: LedgerView): string | undefined
   /** Told of each end, a moment later, when endpoints have said what they ran. */
   onOutcome? (outcome: Outcome, view: LedgerView): string | undefined
 }
@@ -76,6 +79,14 @@
     }
   }
 
+  /** @param rejection - of an endpoint that asks for a pause */
+  noteRejection (rejection: RejectionLine): void {
+    for (const check of this.checks) {
+      const detail = check.onRejection?.(rejection, this)
+      if (detail !== undefined) this.#noteRequest(check.promise, rejection.requestId, detail)
+    }
+  }
+
   /** @param outcome - a request's end */
   noteOutcome (outcome: Outcome): void {
     const { id } = outcome.request
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -1,7 +1,7 @@
 /** All processes of one run: control hosts and endpoints behind proxies, entry hosts as callers reach them. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { EndpointListServer } from './EndpointListServer.js'
-import { endpointLineSchema, type RunLine } from './endpointWork.js'
+import { endpointLineSchema, type RejectionLine, type RunLine } from './endpointWork.js'
 import type { SlotRole, SoakShape } from './faultPlan.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
 import { Slot, type Incarnation, type SlotPlan } from './Slot.js'
@@ -23,6 +23,10 @@
   readonly graceMs: number
   /** Control hosts acknowledge sites that they do not put: a break for the checks. */
   readonly isForgetful: boolean
+  /** Hosts do not read what endpoints ask of them: a break for the checks. */
+  readonly isDeaf: boolean
+  /** Told of each rejection at an endpoint that asks for a pause. */
+  onRejection (rejection: RejectionLine): void
   /** Told of each run at an endpoint. */
   onRun (run: RunLine): void
   /** Told of each process that started. */
@@ -149,7 +153,7 @@
       name: `entry-${index}`,
       ...this.#common('entry'),
       // Its own loopback address tells it from the others while its port is free.
-      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(',')],
+      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(','), '--deaf', String(this.settings.isDeaf)],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
@@ -174,6 +178,7 @@
     // The line that says where it listens is read elsewhere.
     if (!line.success) return
     if (line.data.event === 'run') this.settings.onRun(line.data)
+    else if (line.data.event === 'rejected') this.settings.onRejection(line.data)
     else this.list.setWeights(line.data.endpoint, MODEL, line.data.version)
   }
 }
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -12,6 +12,9 @@
 
 /** {@link RequestCodec} of the soak. */
 export class SoakCodec implements RequestCodec {
+  /** @param isDeaf - does not read what endpoints ask of hosts: a break for the checks */
+  constructor (private readonly isDeaf = false) {}
+
   readCaller (headers: readonly string[]): CallerFields {
     return {
       requestId: headerValue(headers, HEADER.requestId),
@@ -39,13 +42,20 @@
       instance: headerValue(headers, HEADER.answeredBy),
       load: undefined,
       version: readNumber(headerValue(headers, HEADER.version)),
-      requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit)),
-      isLeaving: headerValue(headers, HEADER.leaving) === '1',
-      retryAfterMs: readRetryAfter(headerValue(headers, HEADER.retryAfter), Date.now())
+      ...readRequests(this.isDeaf ? [] : headers)
     }
   }
 }
 
+/** What the endpoint asks of the host. */
+function readRequests (headers: readonly string[]): Pick<AnswerFields, 'requestsPerSecond' | 'isLeaving' | 'retryAfterMs'> {
+  return {
+    requestsPerSecond: readNumber(headerValue(headers, HEADER.rateLimit)),
+    isLeaving: headerValue(headers, HEADER.leaving) === '1',
+    retryAfterMs: readRetryAfter(headerValue(headers, HEADER.retryAfter), Date.now())
+  }
+}
+
 function readPrompt (headers: readonly string[]): PromptDescription | undefined {
   const model = headerValue(headers, HEADER.model)
   if (model === undefined) return undefined
--- a/apps/soak/src/lib/checks/requestChecks.ts
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -5,9 +5,12 @@
 import { CustomersApartCheck } from './CustomersApartCheck.js'
 import { PoisonRequestsStopCheck } from './PoisonRequestsStopCheck.js'
 import { EventsInOrderCheck } from './EventsInOrderCheck.js'
+import { LeavingIsHeededCheck } from './LeavingIsHeededCheck.js'
 import { NothingIsCutCheck } from './NothingIsCutCheck.js'
 import { NotRunIsTrueCheck } from './NotRunIsTrueCheck.js'
 import { OneWeightVersionCheck } from './OneWeightVersionCheck.js'
+import { PausesAreKeptCheck } from './PausesAreKeptCheck.js'
+import { RatesAreKeptCheck } from './RatesAreKeptCheck.js'
 import { WholeAnswersCheck } from './WholeAnswersCheck.js'
 
 /** @returns new checks */
@@ -15,6 +18,7 @@
   return [
     new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
     new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(),
-    new PoisonRequestsStopCheck(), new BystandersAreServedCheck()
+    new PoisonRequestsStopCheck(), new BystandersAreServedCheck(),
+    new PausesAreKeptCheck(), new RatesAreKeptCheck(), new LeavingIsHeededCheck()
   ]
 }
--- a/apps/soak/src/lib/endpointWork.ts
+++ b/apps/soak/src/lib/endpointWork.ts
@@ -18,6 +18,20 @@
   crashesEndpointAfterMs: z.number().min(0).optional()
 }
 
+/** What a stand-in asks of hosts in its answers: to send nothing for a while, to keep a rate, or to take it for leaving. */
+export const RESTRAINT_KINDS = ['pause', 'rate', 'leaving'] as const
+export type RestraintKind = typeof RESTRAINT_KINDS[number]
+
+/** Order to a stand-in to ask for it from now on; one that leaves goes on saying so. */
+export const restraintSchema = z.strictObject({ kind: z.enum(RESTRAINT_KINDS), durationMs: z.number().min(0) })
+export type Restraint = z.infer<typeof restraintSchema>
+
+/** Pause that a rejection asks for, in milliseconds. */
+export const ASKED_PAUSE_MS = 1500
+
+/** Requests a second that a stand-in names, for all hosts together. */
+export const ASKED_RATE = 3
+
 /** Travels in a header, as JSON. */
 export const workSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('plain'), milliseconds: z.number().min(0), ...anyWork }),
@@ -32,7 +46,7 @@
 /** Body of a plain answer. */
 export const plainAnswerSchema = z.strictObject({ requestId: z.string(), echo: z.string(), customer: z.string() })
 
-/** A line of a stand-in: a run has begun, or it holds other weights. */
+/** A line of a stand-in: a run has begun, a request was rejected with a pause asked for, or it holds other weights. */
 export const endpointLineSchema = z.discriminatedUnion('event', [
   z.strictObject({
     event: z.literal('run'),
@@ -45,13 +59,17 @@
     version: z.number().int(),
     /** Behind which event of the stream it begins; 0 from the start. */
     after: z.number().int(),
+    /** What its answer asks of the host. */
+    asks: z.enum(['rate', 'leaving']).optional(),
     /** Wall clock, in milliseconds. */
     at: z.number()
   }),
+  z.strictObject({ event: z.literal('rejected'), requestId: z.string(), endpoint: z.string(), at: z.number() }),
   z.strictObject({ event: z.literal('weights'), endpoint: z.string(), version: z.number().int() })
 ])
 export type EndpointLine = z.infer<typeof endpointLineSchema>
 export type RunLine = Extract<EndpointLine, { event: 'run' }>
+export type RejectionLine = Extract<EndpointLine, { event: 'rejected' }>
 
 /** An order to load weights. */
 export const orderSchema = z.strictObject({ model: z.string(), version: z.number().int(), expectedOrders: z.number().int() })
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,5 +1,6 @@
 /** Draws which faults come when, from a seed alone. */
 import { Draws } from './Draws.js'
+import { RESTRAINT_KINDS, type RestraintKind } from './endpointWork.js'
 import { LINK_FAULTS, type LinkFault } from './LoopbackProxy.js'
 
 /** Number of processes of each kind. */
@@ -18,6 +19,7 @@
   | { readonly kind: 'stop' | 'kill', readonly role: SlotRole, readonly slot: number }
   | { readonly kind: 'pause', readonly role: SlotRole, readonly slot: number, readonly durationMs: number }
   | { readonly kind: 'link', readonly role: 'control' | 'endpoint', readonly slot: number, readonly fault: LinkFault, readonly durationMs: number }
+  | { readonly kind: 'restraint', readonly slot: number, readonly asks: RestraintKind, readonly durationMs: number }
   | { readonly kind: 'new-site' | 'new-weights' }
 )
 
@@ -35,14 +37,21 @@
 const LEAST_DURATION_MS = 200
 const MOST_DURATION_MS = 4500
 
+/** Bounds of how long an endpoint asks hosts for less, in milliseconds: a rate is to be kept in any four seconds. */
+const LEAST_RESTRAINT_MS = 4000
+const MOST_RESTRAINT_MS = 9000
+
 export type FaultKind = PlannedFault['kind']
 
-/** Kinds by how often they come. */
+/** Kinds by how often they come, as the seeds that failed once were drawn from. */
 export const FAULT_KINDS: readonly FaultKind[] = [
   'rolling-stop', 'stop', 'stop', 'kill', 'kill', 'pause', 'pause', 'pause', 'link', 'link', 'link', 'link',
   'new-site', 'new-site', 'new-weights', 'new-weights'
 ]
 
+/** The same, and endpoints that ask hosts for less. */
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, 'restraint', 'restraint', 'restraint']
+
 /**
  * @param seed - decides everything
  * @param seconds - how long faults go on
@@ -70,6 +79,13 @@
       const role = draws.pick(['control', 'endpoint'] as const)
       return { atMs, kind, role, slot: draws.index(slotCount(role, shape)), fault: draws.pick(LINK_FAULTS), durationMs }
     }
+    case 'restraint': return {
+      atMs,
+      kind,
+      slot: draws.index(slotCount('endpoint', shape)),
+      asks: draws.pick(RESTRAINT_KINDS),
+      durationMs: Math.round(draws.between(LEAST_RESTRAINT_MS, MOST_RESTRAINT_MS))
+    }
     case 'new-site':
     case 'new-weights': return { atMs, kind }
   }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -8,7 +8,7 @@
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { Draws } from './Draws.js'
-import { CRASHED_BY_REQUEST_CODE, type EndpointBreak } from './endpointWork.js'
+import { CRASHED_BY_REQUEST_CODE, ENDPOINT_BREAKS, type EndpointBreak } from './endpointWork.js'
 import { FaultDriver } from './FaultDriver.js'
 import { planFaults, type FaultKind, type SoakShape } from './faultPlan.js'
 import { planRepeatedRequests } from './planRepeatedRequests.js'
@@ -20,7 +20,8 @@
 import { TimeLine } from './TimeLine.js'
 
 /** Ways to break a promise on purpose, beyond those of the endpoints. */
-export type SoakBreak = EndpointBreak | 'abrupt-stop' | 'forgetful-control'
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts'] as const
+export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** What a run is to do. */
 export interface SoakPlan {
@@ -90,6 +91,8 @@
       folder,
       graceMs,
       isForgetful: breaks.includes('forgetful-control'),
+      isDeaf: breaks.includes('deaf-hosts'),
+      onRejection: line => { this.#ledger.noteRejection(line) },
       onRun: line => { this.#ledger.noteRun(line) },
       onStart: label => { this.#timeLine.note(label, 'started', false) },
       onEnd: (label, code) => { this.#noteEnd(label, code) }
@@ -100,7 +103,7 @@
       balancer: this.#balancer,
       ledger: this.#ledger,
       configuration: this.#configuration,
-      breaks: breaks.filter(name => name !== 'abrupt-stop' && name !== 'forgetful-control')
+      breaks: ENDPOINT_BREAKS.filter(name => breaks.includes(name))
     }
     const usual = Array.from({ length: plan.callers }, (_, index) =>
       new Caller(`r${index}`, new Draws(CALLER_SEED + seed * plan.callers + index), surroundings))
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -1,11 +1,11 @@
 /** `npm run soak`: real processes under seeded faults; see docs/PROOFS.md. */
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import { ENDPOINT_BREAKS } from './lib/endpointWork.js'
-import { FAULT_KINDS } from './lib/faultPlan.js'
+import { ALL_FAULT_KINDS, FAULT_KINDS } from './lib/faultPlan.js'
 import { REGRESSION_SEEDS, type RegressionSeed } from './lib/regressionSeeds.js'
-import { runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
+import { PROCESS_BREAKS, runSoak, type SoakBreak, type SoakResult } from './lib/runSoak.js'
 
-const BREAKS: readonly SoakBreak[] = [...ENDPOINT_BREAKS, 'abrupt-stop', 'forgetful-control']
+const BREAKS: readonly SoakBreak[] = [...ENDPOINT_BREAKS, ...PROCESS_BREAKS]
 
 /** Control hosts: the smallest group that bears the loss of one. */
 const CONTROLS = 3
@@ -26,7 +26,7 @@
   endpoints = Option.String('--endpoints', '3', { description: 'plain endpoints, and as many engines' })
   callers = Option.String('--callers', '32', { description: 'callers with one connection each' })
   graceMs = Option.String('--grace-ms', '8000', { description: 'time from SIGTERM to SIGKILL, in milliseconds' })
-  kinds = Option.String('--kinds', { description: `faults to draw from, separated by commas: ${[...new Set(FAULT_KINDS)].join(', ')}` })
+  kinds = Option.String('--kinds', { description: `faults to draw from, separated by commas: ${[...new Set(ALL_FAULT_KINDS)].join(', ')}` })
   poison = Option.String('--poison', '1', { description: 'requests of a run that crash each endpoint that runs them and come again' })
   skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not play the seeds that failed once first' })
   broken = Option.String('--break', { description: `break a promise on purpose: ${BREAKS.join(', ')}` })
@@ -53,7 +53,7 @@
 
   #planOf (seed: number): Omit<RegressionSeed, 'cause'> {
     const named = this.kinds?.split(',')
-    const kinds = named === undefined ? FAULT_KINDS : FAULT_KINDS.filter(kind => named.includes(kind))
+    const kinds = named === undefined ? ALL_FAULT_KINDS : ALL_FAULT_KINDS.filter(kind => named.includes(kind))
     return { seed, seconds: Number(this.seconds), entries: Number(this.entries), callers: Number(this.callers), kinds }
   }
 
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -55,7 +55,19 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against hosts that do not keep to what endpoints ask of them in their answers.
+  it('keeps pauses and rates that endpoints ask for, and sends nothing to those that say they leave', async () => {
+    const result = await play({ seconds: 12, kinds: ['new-site', 'restraint', 'restraint', 'kill'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   describe('with a break', () => {
+    it('finds hosts that do not read what endpoints ask of them', async () => {
+      const { violations } = await play({ seconds: 14, breaks: ['deaf-hosts'], kinds: ['restraint'] })
+      const promises = new Set(violations.map(({ promise }) => promise))
+      expect([...promises]).toEqual(expect.arrayContaining(['pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded']))
+    }, TIMEOUT_MS)
+
     it('finds each that an endpoint shows', async () => {
       const { violations } = await play({ seconds: 6, breaks: ENDPOINT_BREAKS, kinds: ['new-site'] })
       const found = ENDPOINT_BREAKS.filter(name => violations.some(({ promise, provokedBy }) => provokedBy === name && promise === SHOWN_BY[name]))
