Soak: data centres that are evacuated, and endpoints that come back cold

Two checks (evacuations-hold, cold-rates-are-kept), drawn for fresh seeds; the site states a cold rate only in runs with cold returns, so that seeds that failed once are played as they were.

--- a/apps/soak/src/lib/EndpointListServer.ts
+++ b/apps/soak/src/lib/EndpointListServer.ts
@@ -26,6 +26,11 @@
     this.#endpoints.set(slot, endpoint)
   }
 
+  /** @param id - incarnation that is not cold any more */
+  markWarm (id: string): void {
+    this.#change(id, { isCold: false })
+  }
+
   /** @param id - incarnation that leaves */
   markLeaving (id: string): void {
     this.#change(id, { isLeaving: true })
--- a/apps/soak/src/lib/FaultDriver.ts
+++ b/apps/soak/src/lib/FaultDriver.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici'
 import type { PlannedFault, SlotRole } from './faultPlan.js'
 import type { Operator } from './Operator.js'
+import type { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import type { Restraint } from './endpointWork.js'
 import type { Incarnation, Slot } from './Slot.js'
 import type { SoakCluster } from './SoakCluster.js'
@@ -23,15 +24,18 @@
 /** Injects faults until its plan is over. */
 export class FaultDriver {
   readonly #underWay: Array<Promise<void>> = []
+  readonly #evacuated = new Set<string>()
 
   /**
    * @param cluster - processes and links
    * @param operator - changes sites and weights
    * @param timeLine - takes what was done
+   * @param evacuations - told of evacuations
    * @param terms - of planned stops
    */
   constructor (
-    private readonly cluster: SoakCluster, private readonly operator: Operator, private readonly timeLine: TimeLine, private readonly terms: StopTerms
+    private readonly cluster: SoakCluster, private readonly operator: Operator, private readonly timeLine: TimeLine,
+    private readonly evacuations: EvacuationsHoldCheck, private readonly terms: StopTerms
   ) {}
 
   /**
@@ -55,6 +59,8 @@
       case 'pause': return await this.#pause(this.#slot(fault.role, fault.slot), fault.durationMs)
       case 'link': return await this.#breakLink(fault)
       case 'restraint': return await this.#restrain(fault)
+      case 'evacuation': return await this.#evacuate(fault.dataCentre, fault.durationMs)
+      case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
       case 'new-site':
         this.timeLine.note('operator', 'puts a site', false)
         return await this.operator.putSite()
@@ -122,6 +128,17 @@
     if (asks === 'leaving' && isSame(slot, present)) await this.#stop(slot, 'endpoint')
   }
 
+  async #evacuate (dataCentre: string, durationMs: number): Promise<void> {
+    if (this.#evacuated.has(dataCentre)) return
+    this.#evacuated.add(dataCentre)
+    this.timeLine.note('operator', `evacuates ${dataCentre}`, false, durationMs)
+    if (await this.operator.evacuate(dataCentre, true)) this.evacuations.noteAcknowledged(dataCentre)
+    await sleep(durationMs)
+    this.evacuations.noteEnding(dataCentre)
+    await this.operator.evacuate(dataCentre, false)
+    this.#evacuated.delete(dataCentre)
+  }
+
   #slot (role: SlotRole, index: number): Slot {
     const slot = this.cluster.slots(role)[index]
     if (slot === undefined) throw new Error(`no ${role} ${index}`)
--- a/apps/soak/src/lib/Ledger.ts
+++ b/apps/soak/src/lib/Ledger.ts
@@ -7,7 +7,7 @@
 export const PROMISES = [
   'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version',
   'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
-  'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded'
+  'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded', 'evacuations-hold', 'cold-rates-are-kept'
 ] as const
 export type PromiseName = typeof PROMISES[number]
 
--- a/apps/soak/src/lib/Operator.ts
+++ b/apps/soak/src/lib/Operator.ts
@@ -34,8 +34,11 @@
    * @param controls - control hosts
    * @param draws - decides which is asked
    * @param check - told of what was sent, acknowledged and read
+   * @param hasColdRate - whether the sites state what cold endpoints take
    */
-  constructor (private readonly controls: readonly Slot[], private readonly draws: Draws, private readonly check: ConfigurationCheck) {}
+  constructor (
+    private readonly controls: readonly Slot[], private readonly draws: Draws, private readonly check: ConfigurationCheck, private readonly hasColdRate: boolean
+  ) {}
 
   /** The newest version of the weights that was acknowledged. */
   get newestWeights (): number { return this.#newestWeights }
@@ -44,7 +47,7 @@
   async putSite (): Promise<void> {
     this.#site += 1
     const version = this.#site
-    const source = JSON.stringify(soakSite(version))
+    const source = JSON.stringify(soakSite(version, this.hasColdRate))
     this.check.noteSent(version, source)
     if (await this.#send('/site', source)) this.check.noteAcknowledged(version)
   }
@@ -56,6 +59,17 @@
     if (await this.#send('/weights', JSON.stringify({ model: MODEL, version }))) this.#newestWeights = Math.max(this.#newestWeights, version)
   }
 
+  /**
+   * Orders an evacuation or its end.
+   *
+   * @param dataCentre - which one
+   * @param isEvacuated - false to end it
+   * @returns whether it was acknowledged
+   */
+  async evacuate (dataCentre: string, isEvacuated: boolean): Promise<boolean> {
+    return await this.#send('/evacuations', JSON.stringify({ dataCentre, isEvacuated }))
+  }
+
   /** Reads again and again until stopped. */
   async readOn (): Promise<void> {
     while (!this.#isStopped) {
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -5,11 +5,12 @@
 import type { SlotRole, SoakShape } from './faultPlan.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
 import { Slot, type Incarnation, type SlotPlan } from './Slot.js'
-import { MODEL, MODEL_SERVICE, PLAIN_SERVICE } from './soakSite.js'
+import { COLD_MS, dataCentreOf, MODEL, MODEL_SERVICE, PLAIN_SERVICE } from './soakSite.js'
 
 const MILLISECONDS_PER_SECOND = 1000
 
-const DATA_CENTRES = ['hall-north', 'hall-central', 'hall-south']
+/** How labels of processes end that have not started again. */
+export const FIRST_INCARNATION = '#1'
 
 /** All processes log, and entry hosts keep each request's story: a seed that failed must be explained from these files. */
 const LOG_ENVIRONMENT = { ROARR_LOG: 'true', EELGRASSMUX_KEPT_STORIES: '1', EELGRASSMUX_LOG_LINES_PER_SECOND: '5000' }
@@ -23,6 +24,8 @@
   readonly graceMs: number
   /** Control hosts acknowledge sites that they do not put: a break for the checks. */
   readonly isForgetful: boolean
+  /** Endpoints that have started again are listed as cold for a while. */
+  readonly hasColdReturns: boolean
   /** Hosts do not read what endpoints ask of them: a break for the checks. */
   readonly isDeaf: boolean
   /** Told of each rejection at an endpoint that asks for a pause. */
@@ -125,12 +128,14 @@
           id: incarnation.label,
           service: isEngine ? MODEL_SERVICE : PLAIN_SERVICE,
           address,
-          dataCentre: dataCentre(index),
+          dataCentre: dataCentreOf(index),
           slots: 16,
           isLeaving: false,
           isBusy: false,
+          isCold: this.settings.hasColdReturns && !incarnation.label.endsWith(FIRST_INCARNATION),
           models: isEngine ? [{ model: MODEL, version: 1 }] : []
         })
+        setTimeout(() => { this.list.markWarm(incarnation.label) }, COLD_MS).unref()
       }
     })
   }
@@ -141,7 +146,7 @@
       name,
       ...this.#common('control'),
       args: () => [
-        '--data-centre', dataCentre(index), '--data-folder', `${this.settings.folder}/${name}`, '--advertise', address, '--list', listAddress,
+        '--data-centre', dataCentreOf(index), '--data-folder', `${this.settings.folder}/${name}`, '--advertise', address, '--list', listAddress,
         '--bootstrap', 'true', '--join', all.join(','), '--minimum-voters', String(all.length), '--forgetful', String(this.settings.isForgetful)
       ],
       onStart: incarnation => { this.#aim(this.proxy('control', index), incarnation, 'rpc') }
@@ -153,7 +158,7 @@
       name: `entry-${index}`,
       ...this.#common('entry'),
       // Its own loopback address tells it from the others while its port is free.
-      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentre(index), '--control', control.join(','), '--deaf', String(this.settings.isDeaf)],
+      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentreOf(index), '--control', control.join(','), '--deaf', String(this.settings.isDeaf)],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
@@ -182,7 +187,3 @@
     else this.list.setWeights(line.data.endpoint, MODEL, line.data.version)
   }
 }
-
-function dataCentre (index: number): string {
-  return DATA_CENTRES[index % DATA_CENTRES.length] ?? ''
-}
--- a/apps/soak/src/lib/checks/requestChecks.ts
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -2,6 +2,7 @@
 import type { RequestCheck } from '../Ledger.js'
 import { AtMostOnceCheck } from './AtMostOnceCheck.js'
 import { BystandersAreServedCheck } from './BystandersAreServedCheck.js'
+import { ColdRatesAreKeptCheck } from './ColdRatesAreKeptCheck.js'
 import { CustomersApartCheck } from './CustomersApartCheck.js'
 import { PoisonRequestsStopCheck } from './PoisonRequestsStopCheck.js'
 import { EventsInOrderCheck } from './EventsInOrderCheck.js'
@@ -13,12 +14,15 @@
 import { RatesAreKeptCheck } from './RatesAreKeptCheck.js'
 import { WholeAnswersCheck } from './WholeAnswersCheck.js'
 
-/** @returns new checks */
-export function requestChecks (): RequestCheck[] {
+/**
+ * @param hasColdReturns - whether endpoints come back cold in this run
+ * @returns new checks
+ */
+export function requestChecks (hasColdReturns = false): RequestCheck[] {
   return [
     new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
     new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(),
     new PoisonRequestsStopCheck(), new BystandersAreServedCheck(),
-    new PausesAreKeptCheck(), new RatesAreKeptCheck(), new LeavingIsHeededCheck()
+    new PausesAreKeptCheck(), new RatesAreKeptCheck(), new LeavingIsHeededCheck(), new ColdRatesAreKeptCheck(hasColdReturns)
   ]
 }
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,6 +1,7 @@
 /** Draws which faults come when, from a seed alone. */
 import { Draws } from './Draws.js'
 import { RESTRAINT_KINDS, type RestraintKind } from './endpointWork.js'
+import { DATA_CENTRES } from './soakSite.js'
 import { LINK_FAULTS, type LinkFault } from './LoopbackProxy.js'
 
 /** Number of processes of each kind. */
@@ -20,6 +21,9 @@
   | { readonly kind: 'pause', readonly role: SlotRole, readonly slot: number, readonly durationMs: number }
   | { readonly kind: 'link', readonly role: 'control' | 'endpoint', readonly slot: number, readonly fault: LinkFault, readonly durationMs: number }
   | { readonly kind: 'restraint', readonly slot: number, readonly asks: RestraintKind, readonly durationMs: number }
+  | { readonly kind: 'evacuation', readonly dataCentre: string, readonly durationMs: number }
+  /** An endpoint is killed and comes back cold. */
+  | { readonly kind: 'cold-return', readonly slot: number }
   | { readonly kind: 'new-site' | 'new-weights' }
 )
 
@@ -49,8 +53,8 @@
   'new-site', 'new-site', 'new-weights', 'new-weights'
 ]
 
-/** The same, and endpoints that ask hosts for less. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, 'restraint', 'restraint', 'restraint']
+/** The same, and endpoints that ask hosts for less, data centres that are evacuated and endpoints that come back cold. */
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return']
 
 /**
  * @param seed - decides everything
@@ -86,6 +90,8 @@
       asks: draws.pick(RESTRAINT_KINDS),
       durationMs: Math.round(draws.between(LEAST_RESTRAINT_MS, MOST_RESTRAINT_MS))
     }
+    case 'evacuation': return { atMs, kind, dataCentre: draws.pick(DATA_CENTRES), durationMs: Math.round(draws.between(LEAST_RESTRAINT_MS, MOST_RESTRAINT_MS)) }
+    case 'cold-return': return { atMs, kind, slot: draws.index(slotCount('endpoint', shape)) }
     case 'new-site':
     case 'new-weights': return { atMs, kind }
   }
--- a/apps/soak/src/lib/operatorEdge.ts
+++ b/apps/soak/src/lib/operatorEdge.ts
@@ -7,6 +7,8 @@
 
 const weightsSchema = z.strictObject({ model: z.string(), version: z.number().int() })
 
+const evacuationSchema = z.strictObject({ dataCentre: z.string(), isEvacuated: z.boolean() })
+
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -31,6 +33,11 @@
     if (isForgetful) return status(OK)
     return status((await sites.nameWeights(model, version)).kind === 'applied' ? OK : UNAVAILABLE)
   })
+  app.put('/evacuations', async event => {
+    const { dataCentre, isEvacuated } = evacuationSchema.parse(await event.req.json())
+    if (isForgetful) return status(OK)
+    return status((await sites.orderEvacuation(dataCentre, isEvacuated, () => false)).kind === 'applied' ? OK : UNAVAILABLE)
+  })
   app.get('/site', async () => {
     const site = await sites.readSite()
     return site.kind === 'site' ? new Response(Buffer.from(site.source)) : status(site.kind === 'none' ? 404 : UNAVAILABLE)
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -6,6 +6,7 @@
 import { Balancer } from './Balancer.js'
 import { Caller } from './Caller.js'
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
+import { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { Draws } from './Draws.js'
 import { CRASHED_BY_REQUEST_CODE, ENDPOINT_BREAKS, type EndpointBreak } from './endpointWork.js'
@@ -20,7 +21,7 @@
 import { TimeLine } from './TimeLine.js'
 
 /** Ways to break a promise on purpose, beyond those of the endpoints. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** What a run is to do. */
@@ -77,8 +78,9 @@
 
 class SoakRun {
   readonly #timeLine = new TimeLine()
-  readonly #ledger = new Ledger(this.#timeLine, requestChecks())
-  readonly #configuration = new ConfigurationCheck(this.#ledger)
+  readonly #evacuations = new EvacuationsHoldCheck()
+  readonly #ledger: Ledger
+  readonly #configuration: ConfigurationCheck
   readonly #cluster: SoakCluster
   readonly #operator: Operator
   readonly #balancer: Balancer
@@ -86,19 +88,23 @@
 
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
+    const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
+    this.#ledger = new Ledger(this.#timeLine, [...requestChecks(hasColdReturns), this.#evacuations])
+    this.#configuration = new ConfigurationCheck(this.#ledger)
     this.#cluster = new SoakCluster({
       shape,
       folder,
       graceMs,
       isForgetful: breaks.includes('forgetful-control'),
       isDeaf: breaks.includes('deaf-hosts'),
+      hasColdReturns,
       onRejection: line => { this.#ledger.noteRejection(line) },
       onRun: line => { this.#ledger.noteRun(line) },
       onStart: label => { this.#timeLine.note(label, 'started', false) },
       onEnd: (label, code) => { this.#noteEnd(label, code) }
     })
     this.#balancer = new Balancer(this.#cluster.entries)
-    this.#operator = new Operator(this.#cluster.controls, new Draws(seed + OPERATOR_SEED), this.#configuration)
+    this.#operator = new Operator(this.#cluster.controls, new Draws(seed + OPERATOR_SEED), this.#configuration, hasColdReturns && !breaks.includes('no-cold-rate'))
     const surroundings = {
       balancer: this.#balancer,
       ledger: this.#ledger,
@@ -143,7 +149,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readOn()
-    const driver = new FaultDriver(this.#cluster, this.#operator, this.#timeLine, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const driver = new FaultDriver(this.#cluster, this.#operator, this.#timeLine, this.#evacuations, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await driver.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeLine.note('soak', 'the last fault is over', false)
--- a/apps/soak/src/lib/soakSite.ts
+++ b/apps/soak/src/lib/soakSite.ts
@@ -6,6 +6,23 @@
 export const PLAIN_SERVICE = 'app'
 export const MODEL_SERVICE = 'engines'
 
+/** Data centres; processes of each role are spread over them in turn. */
+export const DATA_CENTRES = ['hall-north', 'hall-central', 'hall-south'] as const
+
+/** Requests a second that an endpoint takes while it is cold, in runs in which endpoints come back cold. */
+export const COLD_RATE = 4
+
+/** How long it is cold after its start, in milliseconds. */
+export const COLD_MS = 3000
+
+/**
+ * @param index - number of a process in its role
+ * @returns where it stands
+ */
+export function dataCentreOf (index: number): string {
+  return DATA_CENTRES[index % DATA_CENTRES.length] ?? ''
+}
+
 /** How long a request may take, in milliseconds: longer than any that the callers make, pauses included. */
 export const REQUEST_LIMIT_MS = 12_000
 
@@ -26,9 +43,11 @@
 
 /**
  * @param version - from 1
+ * @param hasColdRate - whether its services state what cold endpoints take
  * @returns the whole site
  */
-export function soakSite (version: number): Site {
+export function soakSite (version: number, hasColdRate = false): Site {
+  const coldRate = hasColdRate ? { coldRequestsPerSecond: COLD_RATE } : {}
   return {
     version,
     routes: [
@@ -42,12 +61,13 @@
       ...Array.from({ length: version }, (_, index) => route(probePath(index + 1), { attempts: 2 }))
     ],
     services: [
-      { type: 'replicated', name: PLAIN_SERVICE, connectionsPerEndpoint: 0, healthPath: '/health' },
+      { type: 'replicated', name: PLAIN_SERVICE, connectionsPerEndpoint: 0, healthPath: '/health', ...coldRate },
       {
         type: 'replicated',
         name: MODEL_SERVICE,
         connectionsPerEndpoint: 0,
         healthPath: '/health',
+        ...coldRate,
         engine: { slots: 16, cacheTokens: 1_000_000, bytesPerToken: 1, linkMbps: 0, models: [MODEL] }
       }
     ],
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -61,6 +61,11 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  it('sends nothing to data centres that are evacuated, and little to endpoints that come back cold', async () => {
+    const result = await play({ seconds: 12, kinds: ['evacuation', 'cold-return', 'cold-return', 'pause'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   describe('with a break', () => {
     it('finds hosts that do not read what endpoints ask of them', async () => {
       const { violations } = await play({ seconds: 14, breaks: ['deaf-hosts'], kinds: ['restraint'] })
@@ -87,5 +92,11 @@
       expect(promises).toContain('configuration-never-reverts')
       expect(promises).toContain('recovers')
     }, TIMEOUT_MS)
+
+    it('finds evacuations that were acknowledged and are not in force, and cold endpoints that get too much', async () => {
+      const { violations } = await play({ seconds: 12, breaks: ['forgetful-control', 'no-cold-rate'], kinds: ['evacuation', 'cold-return'], recoveryMs: 1000 })
+      const promises = new Set(violations.map(({ promise }) => promise))
+      expect([...promises]).toEqual(expect.arrayContaining(['evacuations-hold', 'cold-rates-are-kept']))
+    }, TIMEOUT_MS)
   })
 })
