--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -65,8 +65,8 @@
   evidence: CrashEvidence
   completed: Set<string>
   follower: ViewFollower
-  isUntold: boolean
-  toldTo: string | undefined
+  hasUnreported: boolean
+  reportedTo: string | undefined
 }
 
 interface SimulatedLeader {
@@ -168,13 +168,13 @@
     if (host.follower.quarantine.find(request.fingerprint) === undefined) return
     host.completed.add(request.fingerprint)
     host.evidence.forget(request.fingerprint)
-    host.isUntold = true
+    host.hasUnreported = true
   }
 
   #noteLost (host: SimulatedHost, { request, endpoint, startedAt }: PoolRun): void {
     const now = this.simulation.now()
     host.evidence.note({ fingerprint: request.fingerprint, service: 'pool', endpoint, ranMs: now - startedAt }, now)
-    host.isUntold = true
+    host.hasUnreported = true
   }
 
   #noteEnd ({ fingerprint }: PoolRequest, { endpoint }: PoolRun): void {
@@ -199,8 +199,8 @@
       this.#reportLoop(host)
       const leader = this.#leader()
       if (leader === undefined) return
-      const isNewLeader = host.toldTo !== leader.replica.self.id && host.evidence.size > 0
-      if (host.isUntold || isNewLeader) this.#report(host, leader)
+      const isNewLeader = host.reportedTo !== leader.replica.self.id && host.evidence.size > 0
+      if (host.hasUnreported || isNewLeader) this.#report(host, leader)
     })
   }
 
@@ -208,20 +208,20 @@
     const { incarnation } = host
     const ends = host.evidence.reports(this.simulation.now())
     const completed = [...host.completed]
-    host.isUntold = false
+    host.hasUnreported = false
     const leader = replica.self.id
     this.simulation.send(host.name, leader, () => {
       if (!replica.isAlive || replica.core.role !== 'leader') return
       this.#observe(correlator, ends, completed, replica)
       this.simulation.send(leader, host.name, () => {
         if (host.incarnation !== incarnation) return
-        host.toldTo = leader
+        host.reportedTo = leader
         for (const fingerprint of completed) host.completed.delete(fingerprint)
       })
     })
     // A report that got no answer is made again.
-    this.simulation.after(REPORT_MS, () => { if (host.incarnation === incarnation && host.toldTo !== leader) host.isUntold = true })
-    host.toldTo = undefined
+    this.simulation.after(REPORT_MS, () => { if (host.incarnation === incarnation && host.reportedTo !== leader) host.hasUnreported = true })
+    host.reportedTo = undefined
   }
 
   #observe (correlator: CrashCorrelator, ends: readonly CrashReport[], completed: readonly string[], replica: SimulatedReplica): void {
@@ -251,8 +251,8 @@
     const { incarnation, follower } = host
     const known = follower.viewRevision
     const changes = known === 0 ? undefined : state.changesSince(known)
-    const told = this.broken === 'poison-requests-stop' ? {} : quarantineMessage(state.quarantine, changes?.flatMap(({ quarantineChanged }) => quarantineChanged), this.simulation.wallClock())
-    const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [], weights: [], ...told }
+    const quarantined = this.broken === 'poison-requests-stop' ? {} : quarantineMessage(state.quarantine, changes?.flatMap(({ quarantineChanged }) => quarantineChanged), this.simulation.wallClock())
+    const common = { viewRevision: state.viewRevision, revision: state.revision, shards: [], weights: [], ...quarantined }
     const message = changes === undefined
       ? { kind: 'snapshot' as const, ...common, documents: [] }
       : { kind: 'changes' as const, ...common, fromViewRevision: known, upserts: [], removes: [] }
@@ -361,6 +361,6 @@
 
 function newHost (name: string): SimulatedHost {
   return {
-    name, incarnation: 0, startedAt: 0, evidence: new CrashEvidence(), completed: new Set(), follower: new ViewFollower(), isUntold: false, toldTo: undefined
+    name, incarnation: 0, startedAt: 0, evidence: new CrashEvidence(), completed: new Set(), follower: new ViewFollower(), hasUnreported: false, reportedTo: undefined
   }
 }
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -237,8 +237,8 @@
   const { core, state } = raft
   if (!core.canRead(now)) return
   // After a restart, directories that have not reported yet are not taken for dead.
-  const heardAll = now - startedAt > settings.freshnessMs
-  if (!heardAll && state.shards.length > 0) return
+  const areReportsComplete = now - startedAt > settings.freshnessMs
+  if (!areReportsComplete && state.shards.length > 0) return
   const owners = planShards(state.shards, settings.shards, hosts.liveDirectories(now))
   if (owners !== undefined) await raft.propose({ kind: 'assign-shards', owners })
 }
--- a/apps/control/src/lib/hosts/HostTable.ts
+++ b/apps/control/src/lib/hosts/HostTable.ts
@@ -10,14 +10,14 @@
 /** Most entry hosts that tell each other of every dispatch: the messages grow with the square of their number. */
 const LARGEST_PEER_GROUP = 16
 
-interface HeardHost {
+interface ReportedHost {
   readonly report: HostStatus
-  readonly heardAt: number
+  readonly reportedAt: number
 }
 
 /** Last report of each host. */
 export class HostTable {
-  readonly #hosts = new Map<string, HeardHost>()
+  readonly #hosts = new Map<string, ReportedHost>()
   #forgottenAt = Number.NEGATIVE_INFINITY
 
   /** @param freshnessMs - time for which a host may act on what it last confirmed */
@@ -28,11 +28,11 @@
    * @param now - monotonic milliseconds
    */
   observe (report: HostStatus, now: number): void {
-    this.#hosts.set(`${report.role}/${report.host}`, { report, heardAt: now })
+    this.#hosts.set(`${report.role}/${report.host}`, { report, reportedAt: now })
     if (now - this.#forgottenAt < FORGET_LOOK_MS) return
     this.#forgottenAt = now
-    for (const [name, { heardAt }] of this.#hosts) {
-      if (now - heardAt > FORGET_MS) this.#hosts.delete(name)
+    for (const [name, { reportedAt }] of this.#hosts) {
+      if (now - reportedAt > FORGET_MS) this.#hosts.delete(name)
     }
   }
 
@@ -44,8 +44,8 @@
    */
   liveEntries (now: number): number {
     let count = 0
-    for (const { report, heardAt } of this.#hosts.values()) {
-      if (report.role === 'entry' && now - heardAt <= this.freshnessMs) count += 1
+    for (const { report, reportedAt } of this.#hosts.values()) {
+      if (report.role === 'entry' && now - reportedAt <= this.freshnessMs) count += 1
     }
     return count
   }
@@ -75,10 +75,10 @@
    * @returns all reports with their age
    */
   reports (now: number): HostReport[] {
-    return [...this.#hosts.values()].map(({ report, heardAt }) => ({ ...report, ageMs: now - heardAt }))
+    return [...this.#hosts.values()].map(({ report, reportedAt }) => ({ ...report, ageMs: now - reportedAt }))
   }
 
   #live (now: number): HostStatus[] {
-    return [...this.#hosts.values()].filter(({ heardAt }) => now - heardAt <= this.freshnessMs).map(({ report }) => report)
+    return [...this.#hosts.values()].filter(({ reportedAt }) => now - reportedAt <= this.freshnessMs).map(({ report }) => report)
   }
 }
--- a/apps/control/src/lib/load/LoadBoardTask.test.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.test.ts
@@ -11,7 +11,7 @@
 /** Its name with its start. */
 const INCARNATION = 'e@zzz'
 const service = { type: 'replicated' as const, name: 's', connectionsPerEndpoint: 1, healthPath: '/well' }
-const silent: EndpointWork = { ...NO_WORK, endpoint: INCARNATION, inFlight: 4, heardAgoMs: 900, waitedMs: 900 }
+const silent: EndpointWork = { ...NO_WORK, endpoint: INCARNATION, inFlight: 4, lastByteAgoMs: 900, waitedMs: 900 }
 
 type Answer = (report: LoadReport) => Uint8Array | undefined
 
--- a/apps/control/src/lib/load/LoadBoardTask.ts
+++ b/apps/control/src/lib/load/LoadBoardTask.ts
@@ -125,7 +125,7 @@
   #note ({ endpoint, isUnresponsive }: ResponseChange): void {
     const work = this.#board.totals(performance.now()).work.find(entry => entry.endpoint === endpoint)
     this.ports.telemetry.stateChanged(isUnresponsive ? 'endpoint-unresponsive' : 'endpoint-responds', {
-      endpoint, inFlight: work?.inFlight ?? 0, heardAgoMs: Math.round(work?.heardAgoMs ?? -1), avoiders: work?.avoiders ?? 0
+      endpoint, inFlight: work?.inFlight ?? 0, lastByteAgoMs: Math.round(work?.lastByteAgoMs ?? -1), avoiders: work?.avoiders ?? 0
     })
   }
 }
--- a/apps/control/src/lib/raft/RaftTask.test.ts
+++ b/apps/control/src/lib/raft/RaftTask.test.ts
@@ -24,14 +24,14 @@
   }
 }
 
-/** What a task told its surroundings. */
-class Told {
+/** Records what a task decides and reports. */
+class DecisionRecorder {
   readonly decisions: CommandDecision[] = []
   readonly failures: unknown[] = []
   readonly lostWhileClosing: unknown[] = []
 }
 
-function newTask (persist: () => Promise<void>, close: () => Promise<void>, minimumVoters: number, told = new Told()): RaftTask {
+function newTask (persist: () => Promise<void>, close: () => Promise<void>, minimumVoters: number, recorder = new DecisionRecorder()): RaftTask {
   const storage = { persist, close } as unknown as RaftStorage
   const core = new RaftCore(
     { id: 'a', address: 'a' }, { term: 0, votedFor: undefined, snapshot: undefined, entries: [] }, { ...DEFAULT_RAFT_SETTINGS, minimumVoters }, () => 0, 0
@@ -40,9 +40,9 @@
     send: () => {},
     applied: () => {},
     roleChanged: () => {},
-    commandDecided: decision => { told.decisions.push(decision) },
-    lostWhileClosing: error => { told.lostWhileClosing.push(error) },
-    fail: error => { told.failures.push(error) }
+    commandDecided: decision => { recorder.decisions.push(decision) },
+    lostWhileClosing: error => { recorder.lostWhileClosing.push(error) },
+    fail: error => { recorder.failures.push(error) }
   }, Date.now)
 }
 
@@ -69,22 +69,22 @@
 
   describe('when a write fails', () => {
     /** Founds a group on a disk whose write waits, lets the task begin to close or not, and lets the write fail. */
-    async function failWrite (error: Error, isClosing: boolean): Promise<Told> {
-      const told = new Told()
+    async function failWrite (error: Error, isClosing: boolean): Promise<DecisionRecorder> {
+      const recorder = new DecisionRecorder()
       const writing = new Step()
       const mayFail = new Step()
       const task = newTask(async () => {
         writing.reach()
         await mayFail.reached
         throw error
-      }, nothing, 1, told)
+      }, nothing, 1, recorder)
       void task.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
       await writing.reached
       const closing = isClosing ? task.close() : undefined
       mayFail.reach()
       await new Promise(resolve => setImmediate(resolve))
       await (closing ?? task.close())
-      return told
+      return recorder
     }
 
     it('stops the process', async () => {
@@ -105,8 +105,8 @@
 
   describe('in a group that is still forming', () => {
     it('holds back a command that came before the founder was elected and is stepped after', async () => {
-      const told = new Told()
-      const task = newTask(nothing, nothing, 5, told)
+      const recorder = new DecisionRecorder()
+      const task = newTask(nothing, nothing, 5, recorder)
       const founded = task.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
       const elected = task.change((group, now) => ({ ok: true, value: group.tick(now) }))
       expect(task.core.role).toBe('follower')
@@ -116,31 +116,31 @@
       expect(task.core.role).toBe('leader')
       expect(outcome).toEqual({ kind: 'not-leader', leader: '' })
       expect(task.state.sites.weights).toEqual([])
-      expect(told.decisions).toMatchObject([{ isTaken: false, formation: { isFormed: false, voters: 1, needed: 5, membershipIndex: 1 } }])
+      expect(recorder.decisions).toMatchObject([{ isTaken: false, formation: { isFormed: false, voters: 1, needed: 5, membershipIndex: 1 } }])
     })
 
     it('tells of a decision once, and again when it has changed', async () => {
-      const told = new Told()
-      const task = newTask(nothing, nothing, 5, told)
+      const recorder = new DecisionRecorder()
+      const task = newTask(nothing, nothing, 5, recorder)
       await task.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
       await task.change((group, now) => ({ ok: true, value: group.tick(now) }))
       await task.propose(COMMAND)
       await task.propose(COMMAND)
-      expect(told.decisions).toHaveLength(1)
+      expect(recorder.decisions).toHaveLength(1)
       await task.change((group, now) => group.addLearner({ id: 'b', address: 'b' }, now))
       await task.propose(COMMAND)
       await task.close()
-      expect(told.decisions.map(({ isTaken, formation }) => [isTaken, formation.membershipIndex])).toEqual([[false, 1], [false, 3]])
+      expect(recorder.decisions.map(({ isTaken, formation }) => [isTaken, formation.membershipIndex])).toEqual([[false, 1], [false, 3]])
     })
 
     it('takes a command of a group that needs one voter only', async () => {
-      const told = new Told()
-      const task = newTask(nothing, nothing, 1, told)
+      const recorder = new DecisionRecorder()
+      const task = newTask(nothing, nothing, 1, recorder)
       await task.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
       await task.change((group, now) => ({ ok: true, value: group.tick(now) }))
       expect(await task.propose(COMMAND)).toMatchObject({ kind: 'applied' })
       await task.close()
-      expect(told.decisions).toMatchObject([{ isTaken: true, formation: { voters: 1, needed: 1 } }])
+      expect(recorder.decisions).toMatchObject([{ isTaken: true, formation: { voters: 1, needed: 1 } }])
     })
   })
 })
--- a/apps/entry/src/lib/load/LoadExchange.test.ts
+++ b/apps/entry/src/lib/load/LoadExchange.test.ts
@@ -9,7 +9,7 @@
 /** One host and the one that adds up, which has 5 requests of others at an endpoint; all on a virtual clock. */
 class World {
   asked = 0
-  told: LoadReport[] = []
+  reports: LoadReport[] = []
   answers = true
   own: HostWork = { work: [], links: [] }
   readonly others = new OthersWork()
@@ -24,7 +24,7 @@
         const totals = frameLoadTotals(sequence, encodeLoadTotals({ work: [{ ...NO_WORK, endpoint: 'e', inFlight: 5 }], links: [] }))
         if (this.answers) setTimeout(() => { onAnswer(totals as never, askedAt) }, 2)
       },
-      tell: (_address, _method, request) => { this.told.push(request as LoadReport) }
+      tell: (_address, _method, request) => { this.reports.push(request as LoadReport) }
     },
     board: () => this.board,
     liveHosts: () => 8,
@@ -80,17 +80,17 @@
   it('that rarely asks tells of its sends at once, and again while there is work; a host at rest is silent', () => {
     const world = new World()
     vi.advanceTimersByTime(1000)
-    expect(world.told).toHaveLength(0)
+    expect(world.reports).toHaveLength(0)
     world.own = { work: [{ ...NO_WORK, endpoint: 'e', inFlight: 1 }], links: [] }
     world.exchange.noteSend()
-    expect(world.told.at(-1)?.work[0]?.inFlight).toBe(1)
+    expect(world.reports.at(-1)?.work[0]?.inFlight).toBe(1)
     vi.advanceTimersByTime(1000)
-    expect(world.told).toHaveLength(3)
+    expect(world.reports).toHaveLength(3)
     world.own = { work: [], links: [] }
     world.exchange.noteChange()
     vi.advanceTimersByTime(2000)
-    expect(world.told.at(-1)?.work).toEqual([])
-    expect(world.told).toHaveLength(4)
+    expect(world.reports.at(-1)?.work).toEqual([])
+    expect(world.reports).toHaveLength(4)
   })
 
   it('that asks often tells of its sends with the next question, or a moment later if none comes', () => {
@@ -101,15 +101,15 @@
     }
     world.own = { work: [{ ...NO_WORK, endpoint: 'e', inFlight: 1 }], links: [] }
     world.exchange.noteSend()
-    expect(world.told).toHaveLength(0)
+    expect(world.reports).toHaveLength(0)
     vi.advanceTimersByTime(249)
-    expect(world.told).toHaveLength(0)
+    expect(world.reports).toHaveLength(0)
     world.place()
     vi.advanceTimersByTime(100)
-    expect(world.told).toHaveLength(0)
+    expect(world.reports).toHaveLength(0)
     world.exchange.noteSend()
     vi.advanceTimersByTime(250)
-    expect(world.told).toHaveLength(1)
+    expect(world.reports).toHaveLength(1)
   })
 
   it('asks by the clock while a host starts, so that what waits there is let go', () => {
--- a/apps/entry/src/lib/load/LoadExchange.ts
+++ b/apps/entry/src/lib/load/LoadExchange.ts
@@ -102,7 +102,7 @@
     const report = this.#report()
     this.#plan.asked(performance.now())
     this.ports.datagrams.ask(board, askLoad, report, (totals, askedAt) => { this.#take(Buffer.from(totals), askedAt) })
-    this.#noteTold(report)
+    this.#noteReported(report)
     return true
   }
 
@@ -111,7 +111,7 @@
     if (board === undefined) return
     const report = this.#report()
     this.ports.datagrams.tell(board, tellLoad, report)
-    this.#noteTold(report)
+    this.#noteReported(report)
   }
 
   #report (): LoadReport {
@@ -121,8 +121,8 @@
     return { host: this.host, sequence: this.#sequence, ...own }
   }
 
-  #noteTold ({ work, links }: HostWork): void {
-    this.#plan.told(work.length > 0 || links.length > 0, performance.now())
+  #noteReported ({ work, links }: HostWork): void {
+    this.#plan.reported(work.length > 0 || links.length > 0, performance.now())
     this.#scheduleTelling()
   }
 
--- a/apps/entry/src/lib/quarantine/CrashReporter.ts
+++ b/apps/entry/src/lib/quarantine/CrashReporter.ts
@@ -30,9 +30,9 @@
   readonly #evidence = new CrashEvidence()
   readonly #completed = new Set<string>()
   readonly #reports: LabelledCounter
-  #isUntold = false
+  #hasUnreported = false
   #timer: NodeJS.Timeout | undefined
-  #isTelling = false
+  #isReporting = false
   #isStopped = false
 
   /**
@@ -46,7 +46,7 @@
   /** @param run - a request that was lost with its endpoint */
   noteLost (run: LostRun): void {
     this.#evidence.note(run, performance.now())
-    this.#isUntold = true
+    this.#hasUnreported = true
     this.#schedule(GATHER_MS)
   }
 
@@ -55,14 +55,14 @@
     this.#evidence.forget(fingerprint)
     if (this.#completed.size >= MOST_REPORTS_OF_HOST) return
     this.#completed.add(fingerprint)
-    this.#isUntold = true
+    this.#hasUnreported = true
     this.#schedule(GATHER_MS)
   }
 
   /** Call when another control host leads: it has heard nothing yet. */
   leaderChanged (): void {
     if (this.#evidence.size === 0) return
-    this.#isUntold = true
+    this.#hasUnreported = true
     this.#schedule(GATHER_MS)
   }
 
@@ -82,21 +82,21 @@
 
   #look (): void {
     const leader = this.ports.leader()
-    if (!this.#isUntold || this.#isTelling) return
+    if (!this.#hasUnreported || this.#isReporting) return
     if (leader === undefined) this.#schedule(RETRY_MS)
     else void this.#tell(leader)
   }
 
   async #tell (leader: string): Promise<void> {
-    this.#isTelling = true
-    this.#isUntold = false
+    this.#isReporting = true
+    this.#hasUnreported = false
     const completed = [...this.#completed]
     const answer = await this.ports.rpc.call(leader, reportCrashes, { host: this.host, losses: this.#evidence.reports(performance.now()), completed }, CALL_MS)
-    this.#isTelling = false
+    this.#isReporting = false
     const isTaken = answer.ok && answer.value.isTaken
     if (isTaken) for (const fingerprint of completed) this.#completed.delete(fingerprint)
-    else this.#isUntold = true
+    else this.#hasUnreported = true
     this.#reports.count(isTaken ? 'taken' : answer.ok ? 'not-leader' : answer.error.kind)
-    if (this.#isUntold) this.#schedule(isTaken ? GATHER_MS : RETRY_MS)
+    if (this.#hasUnreported) this.#schedule(isTaken ? GATHER_MS : RETRY_MS)
   }
 }
--- a/apps/entry/src/lib/quarantine/quarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/quarantine.test.ts
@@ -157,19 +157,19 @@
 
   afterEach(() => { reporter?.stop() })
 
-  interface Told { readonly leader: string, readonly request: ReportCrashesRequest }
+  interface SentReport { readonly leader: string, readonly request: ReportCrashesRequest }
 
-  function reporterTo (leader: () => string | undefined, answer: (told: Told) => 'taken' | 'not-leader' | 'lost'): { readonly reporter: CrashReporter, readonly told: Told[] } {
-    const told: Told[] = []
+  function reporterTo (leader: () => string | undefined, answer: (report: SentReport) => 'taken' | 'not-leader' | 'lost'): { readonly reporter: CrashReporter, readonly reports: SentReport[] } {
+    const reports: SentReport[] = []
     const call = async (address: string, _method: unknown, request: ReportCrashesRequest): Promise<unknown> => {
       const entry = { leader: address, request }
-      told.push(entry)
+      reports.push(entry)
       const outcome = answer(entry)
       return outcome === 'lost' ? fail({ kind: 'unreachable', address, detail: '' }) : succeed({ isTaken: outcome === 'taken' })
     }
     const rpc = { call } as unknown as Pick<RpcClient, 'call'>
     reporter = new CrashReporter('host', { rpc, leader, telemetry: new Telemetry('test') })
-    return { reporter, told }
+    return { reporter, reports }
   }
 
   async function until (condition: () => boolean): Promise<void> {
@@ -177,53 +177,53 @@
   }
 
   it('gathers what is lost with one end into one report', async () => {
-    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    const { reporter, reports } = reporterTo(() => 'c1', () => 'taken')
     for (let request = 0; request < 5; request += 1) reporter.noteLost(run)
-    await until(() => told.length > 0)
+    await until(() => reports.length > 0)
     await sleep(300)
-    expect(told.map(({ request }) => request.losses.length)).toEqual([5])
+    expect(reports.map(({ request }) => request.losses.length)).toEqual([5])
   })
 
   it('tells again until it was taken, by whoever leads then', async () => {
-    const { reporter, told } = reporterTo(() => `c${told.length}`, ({ leader }) => leader === 'c0' ? 'lost' : leader === 'c1' ? 'not-leader' : 'taken')
+    const { reporter, reports } = reporterTo(() => `c${reports.length}`, ({ leader }) => leader === 'c0' ? 'lost' : leader === 'c1' ? 'not-leader' : 'taken')
     reporter.noteLost(run)
-    await until(() => told.length === 3)
-    expect(told.every(({ request }) => request.losses[0]?.endpoint === 'e1')).toBe(true)
+    await until(() => reports.length === 3)
+    expect(reports.every(({ request }) => request.losses[0]?.endpoint === 'e1')).toBe(true)
   })
 
   it('tells a new leader what it holds, although nothing new was lost', async () => {
     let leader = 'c1'
-    const { reporter, told } = reporterTo(() => leader, () => 'taken')
+    const { reporter, reports } = reporterTo(() => leader, () => 'taken')
     reporter.noteLost(run)
-    await until(() => told.length === 1)
+    await until(() => reports.length === 1)
     leader = 'c2'
     reporter.leaderChanged()
-    await until(() => told.length === 2)
-    expect(told[1]).toMatchObject({ leader: 'c2', request: { losses: [{ endpoint: 'e1' }] } })
+    await until(() => reports.length === 2)
+    expect(reports[1]).toMatchObject({ leader: 'c2', request: { losses: [{ endpoint: 'e1' }] } })
   })
 
   it('tells nobody anything of a change of leader while it holds nothing', async () => {
-    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    const { reporter, reports } = reporterTo(() => 'c1', () => 'taken')
     reporter.leaderChanged()
     await sleep(100)
-    expect(told).toEqual([])
+    expect(reports).toEqual([])
   })
 
   it('tells what is lost while it is telling', async () => {
-    const { reporter, told } = reporterTo(() => 'c1', () => {
-      if (told.length === 1) reporter.noteLost(run)
+    const { reporter, reports } = reporterTo(() => 'c1', () => {
+      if (reports.length === 1) reporter.noteLost(run)
       return 'taken'
     })
     reporter.noteLost(run)
-    await until(() => told.length === 2)
-    expect(told.map(({ request }) => request.losses.length)).toEqual([1, 2])
+    await until(() => reports.length === 2)
+    expect(reports.map(({ request }) => request.losses.length)).toEqual([1, 2])
   })
 
   it('tells what came through, and holds no loss against it any more', async () => {
-    const { reporter, told } = reporterTo(() => 'c1', () => 'taken')
+    const { reporter, reports } = reporterTo(() => 'c1', () => 'taken')
     reporter.noteLost(run)
     reporter.noteWhole(run.fingerprint)
-    await until(() => told.length === 1)
-    expect(told[0]?.request).toMatchObject({ losses: [], completed: [run.fingerprint] })
+    await until(() => reports.length === 1)
+    expect(reports[0]?.request).toMatchObject({ losses: [], completed: [run.fingerprint] })
   })
 })
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -104,7 +104,7 @@
 
   #onHead (status: number, headers: string[], resume: () => void): void {
     if (this.#hasCrashed) return
-    this.choice.endpoint.heard(performance.now())
+    this.choice.endpoint.observeBytes(performance.now())
     const fields = this.codec.readAnswer(status, headers)
     if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
       // An extra answer to an earlier request: what follows on this connection can't be trusted.
@@ -118,7 +118,7 @@
   #onData (chunk: Buffer): boolean {
     if (this.#hasCrashed || this.#head === undefined) return true
     this.#endReading()
-    this.choice.endpoint.heard(performance.now())
+    this.choice.endpoint.observeBytes(performance.now())
     return this.#head.fields.isNotExecuted || this.listener.data(chunk)
   }
 
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -31,7 +31,7 @@
 const ESTIMATE_ERROR_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6]
 
 /** Outcomes of late that are worth telling other hosts. */
-const LEAST_TOLD_OUTCOMES = 0.5
+const LEAST_REPORTED_OUTCOMES = 0.5
 
 /** Share of an endpoint's connections that hosts plan with; the rest covers hosts that are just leaving or starting. */
 const PLANNED_SHARE = 0.9
@@ -127,7 +127,7 @@
   }
 
   /** Whether the work of other hosts is known, so that estimates may decide about refusals. */
-  get knowsLoad (): boolean { return this.others.isRecent(performance.now()) }
+  get isLoadKnown (): boolean { return this.others.isRecent(performance.now()) }
   /** Whether any endpoint is known. */
   get isKnown (): boolean { return this.#pool.all.length > 0 }
 
@@ -149,7 +149,7 @@
   /** Notes what other hosts have told since the last time; call when it was heard. */
   noteObservations (): void {
     const now = performance.now()
-    for (const change of this.storeLinks.heard(this.others.links, now)) this.#logLink(change)
+    for (const change of this.storeLinks.observeOthers(this.others.links, now)) this.#logLink(change)
     this.#noteLimits(now)
     if (now - this.#ejectionsLookedAt < EJECTION_LOOK_MS) return
     this.#ejectionsLookedAt = now
@@ -174,13 +174,13 @@
   }
 
   #logEjection ({ endpoint, reason, others, failureShare, meanShare }: EjectionChange): void {
-    const { inFlight, heardAgoMs, waitedMs, avoiders } = others
+    const { inFlight, lastByteAgoMs, waitedMs, avoiders } = others
     this.telemetry.stateChanged(reason === undefined ? 'endpoint-readmitted' : 'endpoint-ejected', {
       endpoint: endpoint.id,
       address: endpoint.listed.address,
       reason: reason ?? '',
       othersInFlight: inFlight,
-      heardAgoMs,
+      lastByteAgoMs,
       waitedMs,
       avoiders,
       failureShare: Number(failureShare.toFixed(2)),
@@ -249,7 +249,7 @@
   ownWork (): HostWork {
     const now = performance.now()
     const work = this.#pool.all.map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
-      .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= LEAST_TOLD_OUTCOMES)
+      .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= LEAST_REPORTED_OUTCOMES)
     return { work, links: this.storeLinks.ownWork(now), ...this.#ownLimits(now) }
   }
 
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -175,7 +175,7 @@
   /** Whether this host knows what it needs to serve. The others' work is part of it: all hosts release what waits at the same moment. */
   #mayServe (): boolean {
     const { fleet } = this.ports
-    return this.#index !== undefined && this.ports.mayAct() && fleet.isKnown && fleet.knowsLoad
+    return this.#index !== undefined && this.ports.mayAct() && fleet.isKnown && fleet.isLoadKnown
   }
 
   #accept (message: IncomingMessage, response: ServerResponse): void {
@@ -201,7 +201,7 @@
       return
     }
     this.ports.telemetry.decided('waits-for-site', fields.requestId ?? '', {
-      siteVersion: this.#index?.site.version ?? -1, knowsEndpoints: this.ports.fleet.isKnown, knowsLoad: this.ports.fleet.knowsLoad, waiting: this.#startup.length
+      siteVersion: this.#index?.site.version ?? -1, areEndpointsKnown: this.ports.fleet.isKnown, isLoadKnown: this.ports.fleet.isLoadKnown, waiting: this.#startup.length
     })
   }
 
--- a/apps/entry/src/lib/routed/admitRouted.ts
+++ b/apps/entry/src/lib/routed/admitRouted.ts
@@ -32,7 +32,7 @@
   if (choice.version === undefined || state.hasFirstEvent) return { kind: 'send', isExpectedLate: false }
   const waitedMs = now - request.arrivedAt
   // Without the others' work no estimate may refuse or hold, but what is late already gives way all the same.
-  if (!fleet.knowsLoad) return { kind: 'send', isExpectedLate: waitedMs > request.route.targetLatencyMs }
+  if (!fleet.isLoadKnown) return { kind: 'send', isExpectedLate: waitedMs > request.route.targetLatencyMs }
   // Estimates count all work at an engine; urgent routes overtake much of it, and how much shows in their outcomes.
   const expectedMs = choice.estimatedMs * fleet.routeSlowness(request.route.name).factor(now)
   const admission = admitStream(request.route, {
--- a/apps/entry/src/lib/routed/harness/HostsSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/HostsSimulation.ts
@@ -71,7 +71,7 @@
   readonly #statements = new Map<string, Statement>()
   readonly #requestsPerSecond: number
   #pending: PendingAnswer[] = []
-  #told: { readonly totals: Totals, readonly read: LoadTotals } | undefined
+  #readTotals: { readonly totals: Totals, readonly read: LoadTotals } | undefined
   /** Requests for which no endpoint was to be had. */
   unplaced = 0
   /** Requests that an endpoint has rejected. */
@@ -160,7 +160,7 @@
     const { host, endpoint } = pending
     const head = headOf(this.#statements.get(endpoint.id) ?? {})
     pending.hasHead = true
-    endpoint.heard(now)
+    endpoint.observeBytes(now)
     host.fleet.limits.observeAnswer(endpoint, head, now)
     if (!head.fields.isNotExecuted) return
     learnFromFailure(host.fleet, endpoint, 'rejected', head)
@@ -186,8 +186,8 @@
     const sequence = totals.sequences.get(host.name)
     if (sequence === undefined) return
     // Read once for all hosts, whatever their sequence.
-    if (this.#told?.totals !== totals) this.#told = { totals, read: decodeLoadTotals(frameLoadTotals(0, encodeLoadTotals(totals))) }
-    host.fleet.others.answered({ ...this.#told.read, sequence }, now)
+    if (this.#readTotals?.totals !== totals) this.#readTotals = { totals, read: decodeLoadTotals(frameLoadTotals(0, encodeLoadTotals(totals))) }
+    host.fleet.others.answered({ ...this.#readTotals.read, sequence }, now)
     host.fleet.noteObservations()
   }
 }
--- a/apps/entry/src/lib/routed/learnFromFirstEvent.ts
+++ b/apps/entry/src/lib/routed/learnFromFirstEvent.ts
@@ -22,7 +22,7 @@
   fleet.noteEstimate(estimatedMs, actualMs)
   learnOfLink(fleet, choice, actualMs, now)
   if (reading.fetchMs > workMs * FETCHING_SHARE) return
-  if (fleet.knowsLoad) fleet.engineModel(service.name).observe(choice.load, actualMs - reading.fetchMs - memoryWaitMs)
+  if (fleet.isLoadKnown) fleet.engineModel(service.name).observe(choice.load, actualMs - reading.fetchMs - memoryWaitMs)
   endpoint.slowness.observe(actualMs, workMs, now)
   fleet.routeSlowness(route.name).observe(actualMs, estimatedMs, now)
 }
--- a/apps/soak/src/lib/checks/RatesAreKeptCheck.ts
+++ b/apps/soak/src/lib/checks/RatesAreKeptCheck.ts
@@ -1,4 +1,4 @@
-/** An endpoint that names a rate gets no more from all hosts that were told, once they have had time to agree on it. */
+/** An endpoint that names a rate gets no more from all hosts that were informed, once they have had time to agree on it. */
 import { ASKED_RATE, type RunLine } from '../endpointWork.js'
 import type { LedgerView, RequestCheck } from '../Ledger.js'
 import { headMs } from './LeavingIsHeededCheck.js'
@@ -11,14 +11,14 @@
 /** Time after the first answer that names the rate in which hosts may exceed it, in milliseconds. */
 const NOTICE_MS = 3000
 
-/** Time after which a host that got such an answer counts as told, in milliseconds. */
-const TOLD_MS = 500
+/** Time after which a host that got such an answer counts as informed, in milliseconds. */
+const INFORMED_MS = 500
 
 interface Limited {
   readonly since: number
-  /** When each host was told. */
-  readonly toldAt: Map<string, number>
-  /** Times of requests of hosts that were told. */
+  /** When each host was informed. */
+  readonly informedAt: Map<string, number>
+  /** Times of requests of hosts that were informed. */
   arrivals: number[]
 }
 
@@ -34,12 +34,12 @@
     }
     const request = view.asked(run.requestId)
     if (request === undefined) return undefined
-    const limited = this.#limited.get(run.endpoint) ?? { since: run.at, toldAt: new Map(), arrivals: [] }
+    const limited = this.#limited.get(run.endpoint) ?? { since: run.at, informedAt: new Map(), arrivals: [] }
     this.#limited.set(run.endpoint, limited)
     const { host } = request
-    const toldAt = limited.toldAt.get(host)
-    limited.toldAt.set(host, Math.min(toldAt ?? Number.POSITIVE_INFINITY, run.at + headMs(request.work) + TOLD_MS))
-    const counts = toldAt !== undefined && run.at >= toldAt && run.at > limited.since + NOTICE_MS && !isExcused(run, host, limited.since, view)
+    const informedAt = limited.informedAt.get(host)
+    limited.informedAt.set(host, Math.min(informedAt ?? Number.POSITIVE_INFINITY, run.at + headMs(request.work) + INFORMED_MS))
+    const counts = informedAt !== undefined && run.at >= informedAt && run.at > limited.since + NOTICE_MS && !isExcused(run, host, limited.since, view)
     if (!counts) return undefined
     limited.arrivals = [...limited.arrivals.filter(at => at > run.at - WINDOW_MS), run.at]
     return limited.arrivals.length > MOST_IN_WINDOW ? `${run.endpoint} had named ${ASKED_RATE} requests a second and got ${limited.arrivals.length} in ${WINDOW_MS} ms` : undefined
--- a/packages/routing/src/lib/endpoints/EjectionWatch.test.ts
+++ b/packages/routing/src/lib/endpoints/EjectionWatch.test.ts
@@ -8,7 +8,7 @@
   id, service: 'pool', address: '10.0.0.1:1', dataCentre: 'north', slots: 16, isLeaving: false, isBusy: false, models: []
 })
 
-function told (figures: Partial<WorkFigures>): OthersWork {
+function othersWith (figures: Partial<WorkFigures>): OthersWork {
   const others = new OthersWork()
   others.sent(1, { work: [], links: [] })
   others.answered({ sequence: 1, work: [{ ...NO_WORK, endpoint: 'a', ...figures }], links: [] }, 0)
@@ -19,14 +19,14 @@
   it('tells each change once, with its reason, and the return', () => {
     const watch = new EjectionWatch()
     const endpoints = [endpoint('a'), endpoint('b')]
-    const dark = told({ inFlight: 4, heardAgoMs: 800, waitedMs: 900 })
-    expect(watch.look(endpoints, told({ inFlight: 4, heardAgoMs: 10, waitedMs: 900 }), 0)).toEqual([])
+    const dark = othersWith({ inFlight: 4, lastByteAgoMs: 800, waitedMs: 900 })
+    expect(watch.look(endpoints, othersWith({ inFlight: 4, lastByteAgoMs: 10, waitedMs: 900 }), 0)).toEqual([])
     expect(watch.look(endpoints, dark, 0).map(({ endpoint, reason }) => [endpoint.id, reason])).toEqual([['a', 'silent-to-all']])
     expect(watch.look(endpoints, dark, 0)).toEqual([])
-    expect(watch.look(endpoints, told({ avoiders: 3 }), 0).map(({ reason }) => reason)).toEqual(['avoided-by-others'])
-    expect(watch.look(endpoints, told({ outcomes: 40, failures: 36 }), 0).map(({ reason }) => reason)).toEqual(['failing'])
+    expect(watch.look(endpoints, othersWith({ avoiders: 3 }), 0).map(({ reason }) => reason)).toEqual(['avoided-by-others'])
+    expect(watch.look(endpoints, othersWith({ outcomes: 40, failures: 36 }), 0).map(({ reason }) => reason)).toEqual(['failing'])
     expect(watch.size).toBe(1)
-    expect(watch.look(endpoints, told({}), 0).map(({ reason }) => reason)).toEqual([undefined])
+    expect(watch.look(endpoints, othersWith({}), 0).map(({ reason }) => reason)).toEqual([undefined])
     expect(watch.size).toBe(0)
   })
 })
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -42,7 +42,7 @@
   readonly sends = new SendTimes()
   #listed: ListedEndpoint
   #isLeaving: boolean
-  #heardAt = 0
+  #silentSince = 0
   #bytesAt = Number.NEGATIVE_INFINITY
   #busySince = 0
   #versions = new Map<string, number>()
@@ -88,7 +88,7 @@
       inFlight: this.#inFlight,
       pendingTokens: this.#pendingTokens,
       heldTokens: this.#heldTokens,
-      heardAgoMs: this.heardAgoMs(now),
+      lastByteAgoMs: this.lastByteAgoMs(now),
       waitedMs: this.waitedMs(now),
       unresponsive: 0,
       avoiders: this.health.isOutOfReach(now) ? 1 : 0,
@@ -101,7 +101,7 @@
    * @param now - monotonic milliseconds
    * @returns milliseconds since any byte came from it to this host
    */
-  heardAgoMs (now: number): number {
+  lastByteAgoMs (now: number): number {
     return Math.min(LONG_AGO_MS, now - this.#bytesAt)
   }
 
@@ -212,7 +212,7 @@
    */
   begin (pendingTokens: number, heldTokens: number, now: number): void {
     if (this.#inFlight === 0) {
-      this.#heardAt = now
+      this.#silentSince = now
       this.#busySince = now
     }
     this.#inFlight += 1
@@ -222,8 +222,8 @@
   }
 
   /** @param now - monotonic milliseconds at which bytes of any answer came from it */
-  heard (now: number): void {
-    this.#heardAt = now
+  observeBytes (now: number): void {
+    this.#silentSince = now
     this.#bytesAt = now
   }
 
@@ -234,7 +234,7 @@
    * @returns whether it has work of this host and has sent nothing to it for long
    */
   isSilent (now: number): boolean {
-    return this.#inFlight > 0 && now - this.#heardAt > SILENT_MS
+    return this.#inFlight > 0 && now - this.#silentSince > SILENT_MS
   }
 
   /** @param pendingTokens - as given at the beginning */
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -179,7 +179,7 @@
       dark?.begin(0, 0, 0)
       expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 100, 0)).endpoint.id).toBe(home)
       expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 1500, 0)).endpoint.id).not.toBe(home)
-      dark?.heard(1500)
+      dark?.observeBytes(1500)
       expect(chosen(chooseEndpoint(fleet, ask(promptAsk()), new PromptMemory(), 1600, 0)).endpoint.id).toBe(home)
     })
 
@@ -194,7 +194,7 @@
   })
 
   describe('what other hosts have seen', () => {
-    function told (figures: Partial<WorkFigures>, endpoint = 'e0'): OthersWork {
+    function othersWith (figures: Partial<WorkFigures>, endpoint = 'e0'): OthersWork {
       const others = new OthersWork()
       others.sent(1, { work: [], links: [] })
       others.answered({ sequence: 1, work: [{ ...NO_WORK, endpoint, ...figures }], links: [] }, 0)
@@ -202,30 +202,30 @@
     }
 
     const chooses = (figures: Partial<WorkFigures>, fleet = engines(2)): string =>
-      chosen(chooseEndpoint(fleet, ask(undefined, { others: told(figures) }), new PromptMemory(), 0, 0)).endpoint.id
+      chosen(chooseEndpoint(fleet, ask(undefined, { others: othersWith(figures) }), new PromptMemory(), 0, 0)).endpoint.id
 
     it('keeps a host from an endpoint that sends nothing to anybody, though it never sent there itself', () => {
       expect(chooses({ inFlight: 0 })).toBe('e0')
-      expect(chooses({ inFlight: 3, heardAgoMs: 501, waitedMs: 900 }, engines(1))).toBe('e0')
-      const dark = { inFlight: 3, heardAgoMs: 501, waitedMs: 900 }
+      expect(chooses({ inFlight: 3, lastByteAgoMs: 501, waitedMs: 900 }, engines(1))).toBe('e0')
+      const dark = { inFlight: 3, lastByteAgoMs: 501, waitedMs: 900 }
       const busy = [new EndpointState(listed('e0')), new EndpointState(listed('e1'))]
       for (let request = 0; request < 20; request += 1) busy[1]?.begin(0, 0, 0)
-      expect(chooses({ ...dark, heardAgoMs: 20 }, busy)).toBe('e0')
+      expect(chooses({ ...dark, lastByteAgoMs: 20 }, busy)).toBe('e0')
       expect(chooses(dark, busy)).toBe('e1')
     })
 
     it('does not take an endpoint for silent that has only just got its work', () => {
       const busy = engines(2)
       for (let request = 0; request < 20; request += 1) busy[1]?.begin(0, 0, 0)
-      expect(chooses({ inFlight: 9, heardAgoMs: 60_000, waitedMs: 300 }, busy)).toBe('e0')
+      expect(chooses({ inFlight: 9, lastByteAgoMs: 60_000, waitedMs: 300 }, busy)).toBe('e0')
     })
 
     it('keeps it from one that two hosts could not reach, unless it has heard from it itself', () => {
       expect(chooses({ avoiders: 1 })).toBe('e0')
       expect(chooses({ avoiders: 2 })).toBe('e1')
-      const heard = engines(2)
-      heard[0]?.heard(0)
-      expect(chooses({ avoiders: 2 }, heard)).toBe('e0')
+      const contacted = engines(2)
+      contacted[0]?.observeBytes(0)
+      expect(chooses({ avoiders: 2 }, contacted)).toBe('e0')
     })
 
     it('keeps it from one that fails half of what all hosts send there', () => {
--- a/packages/routing/src/lib/endpoints/planReading.test.ts
+++ b/packages/routing/src/lib/endpoints/planReading.test.ts
@@ -53,7 +53,7 @@
   const links = new StoreLinks(() => 1)
   for (let now = -3000; now < 0; now += 50) {
     links.observe(store, 'north', { fetchMs: 500, otherMs: 0, doublings: links.doublings(store, 'north', now) }, 500 * 2 ** (2 - links.doublings(store, 'north', now)), now)
-    links.heard(new Map(), now)
+    links.observeOthers(new Map(), now)
   }
   return links
 }
--- a/packages/routing/src/lib/endpoints/sharedObservations.ts
+++ b/packages/routing/src/lib/endpoints/sharedObservations.ts
@@ -47,9 +47,9 @@
  */
 function isSilentToAll (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
   if (endpoint.inFlight + others.inFlight < SILENT_REQUESTS) return false
-  const heardAgoMs = Math.min(endpoint.heardAgoMs(now), others.heardAgoMs)
+  const lastByteAgoMs = Math.min(endpoint.lastByteAgoMs(now), others.lastByteAgoMs)
   const waitedMs = Math.max(endpoint.waitedMs(now), others.waitedMs)
-  return heardAgoMs > SILENT_TO_ALL_MS && waitedMs > SILENT_TO_ALL_MS
+  return lastByteAgoMs > SILENT_TO_ALL_MS && waitedMs > SILENT_TO_ALL_MS
 }
 
 /**
@@ -59,7 +59,7 @@
  * @returns whether it answers nobody, and has sent nothing to this host since that was found
  */
 export function isUnresponsive (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
-  return others.unresponsive > 0 && endpoint.heardAgoMs(now) > HEARD_MS
+  return others.unresponsive > 0 && endpoint.lastByteAgoMs(now) > HEARD_MS
 }
 
 /**
@@ -69,7 +69,7 @@
  * @returns whether other hosts could not reach it, and this host knows nothing better
  */
 function isAvoidedByOthers (endpoint: EndpointState, others: WorkFigures, now: number): boolean {
-  return others.avoiders >= FOLLOWED_AVOIDERS && endpoint.heardAgoMs(now) > OWN_WORD_MS
+  return others.avoiders >= FOLLOWED_AVOIDERS && endpoint.lastByteAgoMs(now) > OWN_WORD_MS
 }
 
 /**
--- a/packages/routing/src/lib/load/ExchangePlan.test.ts
+++ b/packages/routing/src/lib/load/ExchangePlan.test.ts
@@ -82,7 +82,7 @@
       for (let at = 0; at < 60_000; at += 1) {
         if ((plan.tellAt ?? Number.POSITIVE_INFINITY) <= at) {
           statements += 1
-          plan.told(true, at)
+          plan.reported(true, at)
         }
         if (random() >= 0.01) continue
         requests += 1
@@ -93,7 +93,7 @@
         }
         if (plan.noteSend(at)) {
           statements += 1
-          plan.told(true, at)
+          plan.reported(true, at)
         }
       }
       expect(questions).toBeGreaterThan(requests * 2 / 3)
@@ -114,7 +114,7 @@
       for (let at = 0; at < 60_000; at += 1) {
         if ((plan.tellAt ?? Number.POSITIVE_INFINITY) <= at) {
           datagrams += 1
-          plan.told(at < workUntil, at)
+          plan.reported(at < workUntil, at)
         }
         if (random() >= perSecond / 1000) continue
         requests += 1
@@ -126,7 +126,7 @@
         }
         if (plan.noteSend(at)) {
           datagrams += 1
-          plan.told(true, at)
+          plan.reported(true, at)
         }
       }
       expect(datagrams / requests).toBeLessThan(3)
@@ -162,12 +162,12 @@
     it('of what makes room a moment later, and of work again and again until there is none', () => {
       const plan = new ExchangePlan(() => 8)
       expect(plan.tellAt).toBeUndefined()
-      plan.told(true, 112)
+      plan.reported(true, 112)
       expect(plan.tellAt).toBe(462)
       plan.noteChange(150)
       plan.noteChange(180)
       expect(plan.tellAt).toBe(400)
-      plan.told(false, 400)
+      plan.reported(false, 400)
       expect(plan.tellAt).toBeUndefined()
     })
 
--- a/packages/routing/src/lib/load/ExchangePlan.ts
+++ b/packages/routing/src/lib/load/ExchangePlan.ts
@@ -122,7 +122,7 @@
    * @param hasWork - whether there was anything to tell
    * @param now - monotonic milliseconds at which it was told
    */
-  told (hasWork: boolean, now: number): void {
+  reported (hasWork: boolean, now: number): void {
     this.#tellAt = hasWork ? now + TELL_AGAIN_MS : undefined
   }
 
--- a/packages/routing/src/lib/load/LoadBoard.ts
+++ b/packages/routing/src/lib/load/LoadBoard.ts
@@ -21,7 +21,7 @@
 
 interface HostEntry {
   report: LoadReport
-  heardAt: number
+  receivedAt: number
 }
 
 /** Work of all hosts at one time. */
@@ -48,8 +48,8 @@
   observe (report: LoadReport, now: number): void {
     const present = this.#hosts.get(report.host)
     // A datagram may be overtaken; a host that started again begins at zero.
-    const isOld = present !== undefined && report.sequence < present.report.sequence && now - present.heardAt < FORGET_MS
-    if (!isOld) this.#hosts.set(report.host, { report, heardAt: now })
+    const isOld = present !== undefined && report.sequence < present.report.sequence && now - present.receivedAt < FORGET_MS
+    if (!isOld) this.#hosts.set(report.host, { report, receivedAt: now })
     for (const limit of report.limits ?? []) this.#observeLimit(limit, now)
   }
 
@@ -88,13 +88,13 @@
     const work = new Map<string, EndpointWork>()
     const links = new Map<string, LinkWork>()
     const sequences = new Map<string, number>()
-    for (const [host, { report, heardAt }] of this.#hosts) {
-      if (now - heardAt > FORGET_MS) {
+    for (const [host, { report, receivedAt }] of this.#hosts) {
+      if (now - receivedAt > FORGET_MS) {
         this.#hosts.delete(host)
         continue
       }
       sequences.set(host, report.sequence)
-      for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), aged(entry, now - heardAt)))
+      for (const entry of report.work) work.set(entry.endpoint, add(work.get(entry.endpoint), aged(entry, now - receivedAt)))
       for (const entry of report.links) links.set(entry.link, { link: entry.link, ...addLinks(links.get(entry.link) ?? IDLE_LINK, entry) })
     }
     for (const endpoint of this.#unresponsive) work.set(endpoint, { ...work.get(endpoint) ?? { ...NO_WORK, endpoint }, unresponsive: 1 })
@@ -104,7 +104,7 @@
 
 /** As it is some time after it was reported. */
 function aged (work: EndpointWork, ageMs: number): EndpointWork {
-  return { ...work, heardAgoMs: Math.min(LONG_AGO_MS, work.heardAgoMs + ageMs), waitedMs: work.inFlight === 0 ? 0 : Math.min(LONG_AGO_MS, work.waitedMs + ageMs) }
+  return { ...work, lastByteAgoMs: Math.min(LONG_AGO_MS, work.lastByteAgoMs + ageMs), waitedMs: work.inFlight === 0 ? 0 : Math.min(LONG_AGO_MS, work.waitedMs + ageMs) }
 }
 
 function add (sum: EndpointWork | undefined, work: EndpointWork): EndpointWork {
@@ -114,7 +114,7 @@
     inFlight: sum.inFlight + work.inFlight,
     pendingTokens: sum.pendingTokens + work.pendingTokens,
     heldTokens: sum.heldTokens + work.heldTokens,
-    heardAgoMs: Math.min(sum.heardAgoMs, work.heardAgoMs),
+    lastByteAgoMs: Math.min(sum.lastByteAgoMs, work.lastByteAgoMs),
     waitedMs: Math.max(sum.waitedMs, work.waitedMs),
     avoiders: sum.avoiders + work.avoiders,
     unresponsive: 0,
--- a/packages/routing/src/lib/load/OthersWork.ts
+++ b/packages/routing/src/lib/load/OthersWork.ts
@@ -24,7 +24,7 @@
   #others = new Map<string, WorkFigures>()
   #links = new Map<string, LinkFigures>()
   #limits: readonly EndpointRateLimit[] = []
-  #heardAt = Number.NEGATIVE_INFINITY
+  #receivedAt = Number.NEGATIVE_INFINITY
   #answered = -1
 
   /**
@@ -52,7 +52,7 @@
     const own = this.#reports.find(report => report.sequence === sequence)
     if (own === undefined || sequence < this.#answered) return
     this.#answered = sequence
-    this.#heardAt = now
+    this.#receivedAt = now
     this.#limits = limits
     this.#others = new Map(work.map(total => [total.endpoint, subtract(total, own.work.get(total.endpoint))]))
     this.#links = new Map(links.map(total => [total.link, subtractLink(total, own.links.get(total.link))]))
@@ -63,7 +63,7 @@
    * @returns whether the figures are recent
    */
   isRecent (now: number): boolean {
-    return now - this.#heardAt < LIFETIME_MS
+    return now - this.#receivedAt < LIFETIME_MS
   }
 
   /**
@@ -87,7 +87,7 @@
     pendingTokens: Math.max(0, total.pendingTokens - (own?.pendingTokens ?? 0)),
     heldTokens: Math.max(0, total.heldTokens - (own?.heldTokens ?? 0)),
     // The least and the most can't be taken apart; this host's own part in them is true as well.
-    heardAgoMs: total.heardAgoMs,
+    lastByteAgoMs: total.lastByteAgoMs,
     waitedMs: total.waitedMs,
     avoiders: Math.max(0, total.avoiders - (own?.avoiders ?? 0)),
     unresponsive: total.unresponsive,
--- a/packages/routing/src/lib/load/SilentEndpoints.test.ts
+++ b/packages/routing/src/lib/load/SilentEndpoints.test.ts
@@ -4,14 +4,14 @@
 import { SilentEndpoints } from './SilentEndpoints.js'
 
 const work = (endpoint: string, figures: Partial<EndpointWork>): EndpointWork => ({ ...NO_WORK, endpoint, ...figures })
-const silent = (endpoint: string): EndpointWork => work(endpoint, { inFlight: 5, heardAgoMs: 900, waitedMs: 900 })
-const busy = (endpoint: string): EndpointWork => work(endpoint, { inFlight: 5, heardAgoMs: 20, waitedMs: 900 })
+const silent = (endpoint: string): EndpointWork => work(endpoint, { inFlight: 5, lastByteAgoMs: 900, waitedMs: 900 })
+const busy = (endpoint: string): EndpointWork => work(endpoint, { inFlight: 5, lastByteAgoMs: 20, waitedMs: 900 })
 
 describe('SilentEndpoints', () => {
   it('asks one that is silent to all, or avoided by several, and no other', () => {
     const silence = new SilentEndpoints()
     silence.observe([
-      silent('dark'), busy('busy'), work('idle', {}), work('starting', { inFlight: 2, heardAgoMs: 900, waitedMs: 900 }),
+      silent('dark'), busy('busy'), work('idle', {}), work('starting', { inFlight: 2, lastByteAgoMs: 900, waitedMs: 900 }),
       work('avoided', { avoiders: 2 }), work('missed', { avoiders: 1 })
     ], 1000)
     expect(silence.takeDue(1000)).toEqual(['dark', 'avoided'])
@@ -59,8 +59,8 @@
 
     it('responds again once some host hears from it after it was found, and not by what was heard before', () => {
       const silence = darkAt(0)
-      expect(silence.observe([work('dark', { inFlight: 1, heardAgoMs: 1200 })], 1000)).toEqual([])
-      expect(silence.observe([work('dark', { inFlight: 1, heardAgoMs: 30 })], 1000)).toEqual([{ endpoint: 'dark', isUnresponsive: false }])
+      expect(silence.observe([work('dark', { inFlight: 1, lastByteAgoMs: 1200 })], 1000)).toEqual([])
+      expect(silence.observe([work('dark', { inFlight: 1, lastByteAgoMs: 30 })], 1000)).toEqual([{ endpoint: 'dark', isUnresponsive: false }])
     })
 
     it('is forgotten when it is listed no more', () => {
@@ -85,15 +85,15 @@
       const board = new LoadBoard()
       const silence = new SilentEndpoints()
       const underWay = Array.from({ length: hosts }, () => new Map<string, number[]>())
-      const heard = Array.from({ length: hosts }, () => new Map<string, number>())
+      const lastBytes = Array.from({ length: hosts }, () => new Map<string, number>())
       const lost: number[] = []
       const asked: Array<{ readonly endpoint: string, readonly at: number }> = []
       const isDark = (engine: number, now: number): boolean => engine < darkEngines && now >= 2000
       for (let now = 0; now < 8000; now += 4) {
         for (let arrival = 0; arrival < 3; arrival += 1) {
           const host = Math.floor(random() * hosts)
-          const avoided = new Set(board.totals(now).work.filter(({ unresponsive, inFlight, heardAgoMs, waitedMs }) =>
-            unresponsive > 0 || (inFlight >= 3 && heardAgoMs > 500 && waitedMs > 500)).map(({ endpoint }) => endpoint))
+          const avoided = new Set(board.totals(now).work.filter(({ unresponsive, inFlight, lastByteAgoMs, waitedMs }) =>
+            unresponsive > 0 || (inFlight >= 3 && lastByteAgoMs > 500 && waitedMs > 500)).map(({ endpoint }) => endpoint))
           let engine = Math.floor(random() * engines)
           for (let turn = 0; turn < 20 && avoided.has(`e${engine}`); turn += 1) engine = Math.floor(random() * engines)
           const sent = underWay[host]
@@ -119,14 +119,14 @@
           const left = times.filter(at => now - at < (isDark(engine, now) ? 2500 : 500))
           if (left.length === 0) sent.delete(endpoint)
           else sent.set(endpoint, left)
-          if (!isDark(engine, now)) heard[host]?.set(endpoint, now)
+          if (!isDark(engine, now)) lastBytes[host]?.set(endpoint, now)
         }
         board.observe({
           host: `h${host}`,
           sequence: now,
           links: [],
           work: [...sent].map(([endpoint, times]) =>
-            work(endpoint, { inFlight: times.length, heardAgoMs: now - (heard[host]?.get(endpoint) ?? -60_000), waitedMs: now - (times[0] ?? now) }))
+            work(endpoint, { inFlight: times.length, lastByteAgoMs: now - (lastBytes[host]?.get(endpoint) ?? -60_000), waitedMs: now - (times[0] ?? now) }))
         }, now)
       }
     }
--- a/packages/routing/src/lib/load/SilentEndpoints.ts
+++ b/packages/routing/src/lib/load/SilentEndpoints.ts
@@ -63,7 +63,7 @@
     for (const entry of work) {
       const suspect = this.#suspects.get(entry.endpoint)
       if (suspect === undefined) this.#suspect(entry, now)
-      else if (suspect.unresponsiveSince !== undefined && now - entry.heardAgoMs > suspect.unresponsiveSince) changes.push(this.#clear(entry.endpoint, now))
+      else if (suspect.unresponsiveSince !== undefined && now - entry.lastByteAgoMs > suspect.unresponsiveSince) changes.push(this.#clear(entry.endpoint, now))
     }
     return changes
   }
@@ -111,8 +111,8 @@
     }
   }
 
-  #suspect ({ endpoint, inFlight, heardAgoMs, waitedMs, avoiders }: EndpointWork, now: number): void {
-    const isSilent = inFlight >= SUSPECT_REQUESTS && heardAgoMs > SUSPECT_MS && waitedMs > SUSPECT_MS
+  #suspect ({ endpoint, inFlight, lastByteAgoMs, waitedMs, avoiders }: EndpointWork, now: number): void {
+    const isSilent = inFlight >= SUSPECT_REQUESTS && lastByteAgoMs > SUSPECT_MS && waitedMs > SUSPECT_MS
     const isAvoided = avoiders >= SUSPECT_AVOIDERS
     if ((!isSilent && !isAvoided) || now < (this.#trustedUntil.get(endpoint) ?? Number.NEGATIVE_INFINITY)) return
     this.#suspects.set(endpoint, { unresponsiveSince: undefined, askAt: now, pauseMs: FIRST_PAUSE_MS, isAsked: false })
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -11,8 +11,8 @@
 describe('LoadBoard', () => {
   it('knows how long ago an endpoint was heard although its hosts have not reported since', () => {
     const board = new LoadBoard()
-    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 100, waitedMs: 50 }, { ...work('f', 0), heardAgoMs: 59_900 }], links: [] }, 0)
-    expect(board.totals(300).work).toMatchObject([{ heardAgoMs: 400, waitedMs: 350 }, { heardAgoMs: 60_000, waitedMs: 0 }])
+    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), lastByteAgoMs: 100, waitedMs: 50 }, { ...work('f', 0), lastByteAgoMs: 59_900 }], links: [] }, 0)
+    expect(board.totals(300).work).toMatchObject([{ lastByteAgoMs: 400, waitedMs: 350 }, { lastByteAgoMs: 60_000, waitedMs: 0 }])
   })
 
   it('tells of endpoints that answer nobody, also without work there', () => {
@@ -52,9 +52,9 @@
 
   it('keeps the latest word from an endpoint, the longest wait for it, and the sum of what failed', () => {
     const board = new LoadBoard()
-    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 900, waitedMs: 200, avoiders: 1, outcomes: 4, failures: 3 }], links: [] }, 0)
-    board.observe({ host: 'b', sequence: 1, work: [{ ...work('e', 1), heardAgoMs: 30, waitedMs: 700, avoiders: 1, outcomes: 2, failures: 0 }], links: [] }, 0)
-    expect(board.totals(0).work[0]).toMatchObject({ heardAgoMs: 30, waitedMs: 700, avoiders: 2, outcomes: 6, failures: 3 })
+    board.observe({ host: 'a', sequence: 1, work: [{ ...work('e', 1), lastByteAgoMs: 900, waitedMs: 200, avoiders: 1, outcomes: 4, failures: 3 }], links: [] }, 0)
+    board.observe({ host: 'b', sequence: 1, work: [{ ...work('e', 1), lastByteAgoMs: 30, waitedMs: 700, avoiders: 1, outcomes: 2, failures: 0 }], links: [] }, 0)
+    expect(board.totals(0).work[0]).toMatchObject({ lastByteAgoMs: 30, waitedMs: 700, avoiders: 2, outcomes: 6, failures: 3 })
   })
 
   it('forgets the work of a host that fell silent', () => {
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -43,7 +43,7 @@
 type Figures<Row> = ReadonlyArray<readonly [name: keyof Row, unit: number]>
 
 const ENDPOINT_FIGURES: Figures<WorkFigures> = [
-  ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['heardAgoMs', 1], ['waitedMs', 1],
+  ['inFlight', 1], ['pendingTokens', BLOCK_TOKENS], ['heldTokens', BLOCK_TOKENS], ['lastByteAgoMs', 1], ['waitedMs', 1],
   ['avoiders', 1], ['unresponsive', 1], ['outcomes', 1], ['failures', 1]
 ]
 
@@ -149,7 +149,7 @@
     inFlight: figure(0),
     pendingTokens: figure(1) * BLOCK_TOKENS,
     heldTokens: figure(2) * BLOCK_TOKENS,
-    heardAgoMs: figure(3),
+    lastByteAgoMs: figure(3),
     waitedMs: figure(4),
     avoiders: figure(5),
     unresponsive: figure(6),
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -17,7 +17,7 @@
 /** What requests have shown of an endpoint. */
 export interface EndpointObservations {
   /** Milliseconds since any byte came from it; over all hosts the least. */
-  readonly heardAgoMs: number
+  readonly lastByteAgoMs: number
   /** Milliseconds for which it has had work without a break; over all hosts the most. */
   readonly waitedMs: number
   /** Hosts that could not reach it, or got no answer, and give it no work for now. */
@@ -38,7 +38,7 @@
 
 /** An endpoint without work of which nothing was seen. */
 export const NO_WORK: WorkFigures = {
-  inFlight: 0, pendingTokens: 0, heldTokens: 0, heardAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0
+  inFlight: 0, pendingTokens: 0, heldTokens: 0, lastByteAgoMs: LONG_AGO_MS, waitedMs: 0, avoiders: 0, unresponsive: 0, outcomes: 0, failures: 0
 }
 
 /** What an endpoint said last of the rate that it takes. */
--- a/packages/routing/src/lib/mechanisms/mechanisms.test.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.test.ts
@@ -51,22 +51,22 @@
         slowness.observe(2000, 100, 0)
         links.observe(store, 'north', { fetchMs: 20, otherMs: 50, doublings: 0 }, 2000, 0)
       }
-      links.heard(new Map(), 0)
+      links.observeOthers(new Map(), 0)
       expect(engine.tokensPerMs).toBe(assumed)
       expect(slowness.factor(0)).toBe(1)
       expect(links.doublings(store, 'north', 0)).toBe(0)
     })
 
     it('the others\' work and what they have seen, each by itself', () => {
-      const told = { ...NO_WORK, inFlight: 3, pendingTokens: 500, heldTokens: 900, avoiders: 2, outcomes: 9, failures: 8 }
+      const figures = { ...NO_WORK, inFlight: 3, pendingTokens: 500, heldTokens: 900, avoiders: 2, outcomes: 9, failures: 8 }
       const at = (...leftOut: Mechanism[]): unknown => {
         const { others } = without(...leftOut)
         others.sent(1, { work: [], links: [] })
-        others.answered({ sequence: 1, work: [{ endpoint: 'e', ...told }], links: [] }, 0)
+        others.answered({ sequence: 1, work: [{ endpoint: 'e', ...figures }], links: [] }, 0)
         return others.at('e')
       }
-      expect(at()).toEqual(told)
-      expect(at('others-work')).toEqual({ ...told, inFlight: 0, pendingTokens: 0, heldTokens: 0 })
+      expect(at()).toEqual(figures)
+      expect(at('others-work')).toEqual({ ...figures, inFlight: 0, pendingTokens: 0, heldTokens: 0 })
       expect(at('shared-observations')).toEqual({ ...NO_WORK, inFlight: 3, pendingTokens: 500, heldTokens: 900 })
     })
   })
--- a/packages/routing/src/lib/mechanisms/mechanisms.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.ts
@@ -97,7 +97,7 @@
 /** Links that are as fast as the site states, with this host's transfers only. */
 class StatedStoreLinks extends StoreLinks {
   override observe (): void {}
-  override heard (): LinkChange[] { return [] }
+  override observeOthers (): LinkChange[] { return [] }
 }
 
 /** What other hosts tell, without their work or without what they see. */
--- a/packages/routing/src/lib/prompts/OlderWeights.ts
+++ b/packages/routing/src/lib/prompts/OlderWeights.ts
@@ -35,7 +35,7 @@
 export class OlderWeights {
   /** In order of their versions. */
   readonly #namings = new Map<string, Naming[]>()
-  #hasHeard = false
+  #hasObserved = false
 
   /** @param boundMs - time after which no request may begin on older weights; infinite if nobody bounds it */
   constructor (private readonly boundMs: number) {}
@@ -45,8 +45,8 @@
    * @param now - monotonic milliseconds
    */
   observe (named: readonly NamedVersion[], now: number): void {
-    const grantedMs = this.boundMs * (this.#hasHeard ? 1 : FOUND_SHARE) - MARGIN_MS
-    this.#hasHeard = true
+    const grantedMs = this.boundMs * (this.#hasObserved ? 1 : FOUND_SHARE) - MARGIN_MS
+    this.#hasObserved = true
     for (const { model, version } of named) {
       const namings = this.#namings.get(model) ?? []
       if (version === FIRST_VERSION || (namings.at(-1)?.version ?? 0) >= version) continue
--- a/packages/routing/src/lib/quarantine/evidenceAndTable.test.ts
+++ b/packages/routing/src/lib/quarantine/evidenceAndTable.test.ts
@@ -60,19 +60,19 @@
 })
 
 describe('QuarantineTable', () => {
-  const told = (overrides: Partial<QuarantineEntryMessage> = {}): QuarantineEntryMessage => ({ fingerprint: FINGERPRINT, service: 's', state: 'quarantined', quarantines: 1, leftMs: 5000, ...overrides })
+  const entryOf = (overrides: Partial<QuarantineEntryMessage> = {}): QuarantineEntryMessage => ({ fingerprint: FINGERPRINT, service: 's', state: 'quarantined', quarantines: 1, leftMs: 5000, ...overrides })
 
   it('ends entries on its own clock', () => {
     const table = new QuarantineTable()
-    table.replace([told()], 100)
+    table.replace([entryOf()], 100)
     expect(table.find(FINGERPRINT)?.endsAt).toBe(5100)
   })
 
   it('takes changes and removals, and leaves the others as they are', () => {
     const table = new QuarantineTable()
     const other = 'b'.repeat(32)
-    table.replace([told(), told({ fingerprint: other, state: 'suspected' })], 0)
-    table.change({ quarantine: [told({ fingerprint: other, state: 'quarantined', leftMs: 9 })], quarantineRemoved: [FINGERPRINT] }, 50)
+    table.replace([entryOf(), entryOf({ fingerprint: other, state: 'suspected' })], 0)
+    table.change({ quarantine: [entryOf({ fingerprint: other, state: 'quarantined', leftMs: 9 })], quarantineRemoved: [FINGERPRINT] }, 50)
     expect(table.all).toMatchObject([{ fingerprint: other, state: 'quarantined', endsAt: 59 }])
     table.replace([], 60)
     expect(table.isEmpty).toBe(true)
--- a/packages/routing/src/lib/stores/StoreLinks.test.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.test.ts
@@ -34,7 +34,7 @@
       const totals = this.#board.totals(this.now)
       for (const { links, others } of this.hosts) {
         others.answered({ sequence: this.#sequence, work: totals.work, links: totals.links }, this.now)
-        links.heard(others.links, this.now)
+        links.observeOthers(others.links, this.now)
       }
     }
   }
@@ -102,18 +102,18 @@
 
     it('is told of once, and once more when it is sound', () => {
       const links = new StoreLinks(() => 1)
-      const told: unknown[] = []
+      const changes: unknown[] = []
       const fetchFor = (slowerBy: number, from: number): void => {
         for (let now = from; now < from + 3000; now += 50) {
           const fetchMs = links.transferMs(transfer(), now)
           links.observe(store, 'north', { fetchMs, otherMs: 0, doublings: links.doublings(store, 'north', now) }, 10 * slowerBy, now)
-          told.push(...links.heard(new Map(), now).map(({ link, isSlow }) => [link, isSlow]))
+          changes.push(...links.observeOthers(new Map(), now).map(({ link, isSlow }) => [link, isSlow]))
         }
       }
       fetchFor(1, 0)
       fetchFor(8, 3000)
       fetchFor(1, 6000)
-      expect(told).toEqual([['large>north', true], ['large>north', false]])
+      expect(changes).toEqual([['large>north', true], ['large>north', false]])
     })
 
     it('is used again soon after it is well', () => {
--- a/packages/routing/src/lib/stores/StoreLinks.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.ts
@@ -40,7 +40,7 @@
   readonly #speeds = new LinkSpeeds()
   readonly #pending = new Map<string, number>()
   #others: ReadonlyMap<string, LinkFigures> = new Map()
-  #heardAt = Number.NEGATIVE_INFINITY
+  #observedAt = Number.NEGATIVE_INFINITY
   /** Added up once for all candidates of a choice, which is made at one moment. */
   readonly #backlogs = new Map<string, number>()
   #backlogsAt = Number.NaN
@@ -127,9 +127,9 @@
    * @param now - monotonic milliseconds
    * @returns links that are believed to be slow, or sound again, from now on
    */
-  heard (others: ReadonlyMap<string, LinkFigures>, now: number): LinkChange[] {
+  observeOthers (others: ReadonlyMap<string, LinkFigures>, now: number): LinkChange[] {
     this.#others = others
-    this.#heardAt = now
+    this.#observedAt = now
     this.#backlogs.clear()
     return this.#speeds.learn(others, now)
   }
@@ -143,7 +143,7 @@
   }
 
   #pendingOfAll (store: StoreService, now: number): Map<string, number> {
-    const areOthersKnown = now - this.#heardAt < OTHERS_LIFETIME_MS
+    const areOthersKnown = now - this.#observedAt < OTHERS_LIFETIME_MS
     const pending = new Map<string, number>()
     const add = (link: string, bytes: number): void => {
       if (storeOfLink(link) === store.name) pending.set(link, (pending.get(link) ?? 0) + bytes)
--- a/packages/telemetry/src/lib/RejectedEntries.test.ts
+++ b/packages/telemetry/src/lib/RejectedEntries.test.ts
@@ -3,7 +3,7 @@
 import type { ChangeEvent, ChangeFields, FieldArguments } from './events/eventFields.js'
 import { Telemetry } from './Telemetry.js'
 
-class HeardTelemetry extends Telemetry {
+class RecordingTelemetry extends Telemetry {
   readonly lines: object[] = []
 
   override stateChanged<Event extends ChangeEvent> (_event: Event, ...[fields]: FieldArguments<ChangeFields<Event>>): void {
@@ -16,7 +16,7 @@
   const second = [rejectEntry('no object', 'xyz'), ...first]
 
   it('says what is wrong once, and again only when it changes and ten seconds have passed', () => {
-    const telemetry = new HeardTelemetry('test')
+    const telemetry = new RecordingTelemetry('test')
     const rejected = new RejectedEntries(telemetry)
     rejected.note('list', [], 0)
     for (let now = 0; now < 60_000; now += 250) rejected.note('list', first, now)
@@ -26,7 +26,7 @@
   })
 
   it('counts the entries of each reading', async () => {
-    const telemetry = new HeardTelemetry('test')
+    const telemetry = new RecordingTelemetry('test')
     const rejected = new RejectedEntries(telemetry)
     rejected.note('list', second, 0)
     rejected.note('list', second, 1)
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -6,7 +6,7 @@
   /** Empty when it is readmitted. */
   reason: z.string(),
   othersInFlight: z.number(),
-  heardAgoMs: z.number(),
+  lastByteAgoMs: z.number(),
   waitedMs: z.number(),
   avoiders: z.number(),
   failureShare: z.number(),
--- a/packages/telemetry/src/lib/events/endpointListChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointListChanges.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 
-const response = z.strictObject({ endpoint: z.string(), inFlight: z.number(), heardAgoMs: z.number(), avoiders: z.number() })
+const response = z.strictObject({ endpoint: z.string(), inFlight: z.number(), lastByteAgoMs: z.number(), avoiders: z.number() })
 
 /** What a control host reads of the platform's endpoints. */
 export const endpointListChanges = {
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -4,7 +4,7 @@
 
 /** Decisions of an entry host about a routed request. */
 export const requestDecisions = {
-  'waits-for-site': z.strictObject({ knowsEndpoints: z.boolean(), knowsLoad: z.boolean(), waiting: z.number() }),
+  'waits-for-site': z.strictObject({ areEndpointsKnown: z.boolean(), isLoadKnown: z.boolean(), waiting: z.number() }),
   'waits-for-room': z.strictObject({ endpoint: z.string(), memoryShare: z.number(), tokensHeld: z.number(), tokensAhead: z.number() }),
   'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
   'attempt-failed': z.strictObject({
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -66,7 +66,7 @@
   readonly #leaderListeners: Array<() => void> = []
   readonly #endpoints: EndpointListFollower
   /** Control host that stated that it has applied a newer view than this host. */
-  #newer: { readonly address: string, readonly view: number, readonly heardAt: number } | undefined
+  #newer: { readonly address: string, readonly view: number, readonly statedAt: number } | undefined
   #leader: string | undefined
   #watchFailures = 0
   #watched = ''
@@ -224,7 +224,7 @@
 
   /** The watched control host may be cut off from the others, or not have caught up: another one knows more. */
   #isWatchStuck (): boolean {
-    const isBehind = this.#newer !== undefined && this.#newer.view > this.viewRevision && performance.now() - this.#newer.heardAt > ON_ITS_WAY_MS
+    const isBehind = this.#newer !== undefined && this.#newer.view > this.viewRevision && performance.now() - this.#newer.statedAt > ON_ITS_WAY_MS
     if (this.viewRevision > 0) return isBehind || !this.isFresh()
     return isBehind && this.#newer?.address !== this.#watched
   }
@@ -242,7 +242,7 @@
     // It left out a membership that was known when it was asked, and has been overtaken since: the next answer has one.
     if (stated === undefined) return
     this.#lease.observe({ ...statement, membership: stated, askedAt })
-    if (appliedView > this.viewRevision && appliedView > (this.#newer?.view ?? 0)) this.#newer = { address, view: appliedView, heardAt: performance.now() }
+    if (appliedView > this.viewRevision && appliedView > (this.#newer?.view ?? 0)) this.#newer = { address, view: appliedView, statedAt: performance.now() }
     if (leader !== '') this.#setLeader(leader)
     this.#endpoints.confirm(address, watched, askedAt)
     for (const follower of this.#storesFollowed) follower.confirm(address, watched, askedAt)
--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -11,7 +11,7 @@
 export class EndpointListFollower {
   #endpoints: readonly ListedEndpoint[] = []
   #readAt = Number.NEGATIVE_INFINITY
-  #heard: { readonly incarnation: string, readonly version: number } | undefined
+  #received: { readonly incarnation: string, readonly version: number } | undefined
   readonly #rotation: WatchRotation
 
   /**
@@ -44,9 +44,9 @@
   /** @param signal - ends the following */
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
-      this.#heard = undefined
+      this.#received = undefined
       await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
-        this.#heard = { incarnation, version }
+        this.#received = { incarnation, version }
         this.#noteRead(watch, readAgeMs, performance.now())
         if (endpoints === undefined || readAgeMs < 0) return
         this.#endpoints = endpoints
@@ -65,12 +65,12 @@
   confirm (address: string, { incarnation, endpointList, listAgeMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     // What is newer than this host's list is on its way through the watch.
-    if (watch === undefined || this.#heard?.incarnation !== incarnation || this.#heard.version !== endpointList) return
+    if (watch === undefined || this.#received?.incarnation !== incarnation || this.#received.version !== endpointList) return
     this.#noteRead(watch, listAgeMs, askedAt)
   }
 
   #noteRead (watch: OpenWatch, readAgeMs: number, now: number): void {
-    watch.heard()
+    watch.markAlive()
     const readAt = readAgeMs < 0 ? Number.NEGATIVE_INFINITY : now - readAgeMs
     // A host that can't reach the platform is left for another.
     if (now - readAt > STALE_MS && now - watch.startedAt > STALE_MS) watch.leave()
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -19,7 +19,7 @@
 
 /** Keeps in step with one control host. */
 export class StoredPartsFollower {
-  #heardAt = Number.NEGATIVE_INFINITY
+  #receivedAt = Number.NEGATIVE_INFINITY
   #clockAhead: number | undefined
   #known: { readonly incarnation: string, readonly version: number } | undefined
   readonly #rotation: WatchRotation
@@ -38,7 +38,7 @@
    * @returns whether what is known may be acted on
    */
   isVouched (now: number): boolean {
-    return now - this.#heardAt < VOUCHED_MS
+    return now - this.#receivedAt < VOUCHED_MS
   }
 
   /**
@@ -52,13 +52,13 @@
   /** @param signal - ends the following */
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
-      this.#heardAt = Number.NEGATIVE_INFINITY
+      this.#receivedAt = Number.NEGATIVE_INFINITY
       this.#known = undefined
       this.listener.reset()
       await this.rpc.stream(address, watchStoredParts, {}, ({ incarnation, version, changes, clockMs }) => {
-        watch.heard()
+        watch.markAlive()
         const now = performance.now()
-        this.#heardAt = now
+        this.#receivedAt = now
         this.#known = { incarnation, version }
         if (clockMs !== undefined) this.#clockAhead = clockMs - now
         for (const change of changes) this.listener.apply(change)
@@ -76,8 +76,8 @@
   confirm (address: string, { incarnation, storedParts, storeClockMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     if (watch === undefined || this.#known?.incarnation !== incarnation || this.#known.version !== storedParts) return
-    watch.heard()
-    this.#heardAt = Math.max(this.#heardAt, askedAt)
+    watch.markAlive()
+    this.#receivedAt = Math.max(this.#receivedAt, askedAt)
     if (storeClockMs !== undefined) this.#clockAhead = storeClockMs - performance.now()
   }
 }
--- a/packages/view/src/lib/WatchRotation.ts
+++ b/packages/view/src/lib/WatchRotation.ts
@@ -17,7 +17,7 @@
   /** Monotonic milliseconds when it began. */
   readonly startedAt: number
   /** Call for each message, and for each statement that there is none to send. */
-  heard (): void
+  markAlive (): void
   /** Leaves this control host for another. */
   leave (): void
 }
@@ -58,11 +58,11 @@
     const left = new AbortController()
     const leave = (): void => { left.abort() }
     let timer = setTimeout(leave, SILENCE_MS)
-    const heard = (): void => {
+    const markAlive = (): void => {
       clearTimeout(timer)
       timer = setTimeout(leave, SILENCE_MS)
     }
-    const watch: OpenWatch = { signal: AbortSignal.any([signal, left.signal]), startedAt, heard, leave }
+    const watch: OpenWatch = { signal: AbortSignal.any([signal, left.signal]), startedAt, markAlive, leave }
     this.#open = { address, watch }
     await open(address, watch)
     this.#open = undefined
