--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
 import { toProblem } from '../callers/problem.js'
+import type { EndpointRequest } from './EndpointConnection.js'
 import { endToEndHeaders } from './headers.js'
 
 /** What the requests of one connection have to know of each other. */
@@ -43,6 +44,16 @@
     connectionStates.set(request.socket, this.#connection)
   }
 
+  /**
+   * @param writeHeaders - makes the endpoint's headers of the caller's
+   * @param body - that was read
+   * @returns the request as it goes on
+   */
+  toEndpoint (writeHeaders: (headers: readonly string[]) => string[], body: Buffer | undefined): EndpointRequest {
+    const { method = 'GET', url: target = '/', rawHeaders } = this.request
+    return { method, target, headers: writeHeaders(rawHeaders), body }
+  }
+
   /** Whether the caller made a connection for this request. */
   get isFirstOnConnection (): boolean { return this.#isFirstOnConnection }
 
--- a/apps/entry/src/lib/routed/PlacementWaits.ts
+++ b/apps/entry/src/lib/routed/PlacementWaits.ts
@@ -1,5 +1,5 @@
 /** Waits of one request for an endpoint that can take it: for memory, or until one is not held back from this host any more. */
-import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
+import type { EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointAsk'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { RoutedRequest } from './RoutedRequest.js'
 
@@ -9,6 +9,17 @@
 /** Shortest interval at which a request looks again for an endpoint that is not held back, in milliseconds. */
 const HELD_LOOK_MS = 60
 
+/** Reasons that pass by themselves. */
+const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-held-back'])
+
+/**
+ * @param reason - why no endpoint was chosen
+ * @returns whether some endpoint is held back from this host for a time only
+ */
+export function isHeldBack (reason: NoEndpointReason): boolean {
+  return HELD_BACK.has(reason)
+}
+
 /** What the waits need from the request's task. */
 export interface PlacementWaitsPorts {
   /** Looks for an endpoint again. */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -21,7 +21,7 @@
 import { learnFromFailure } from './learnFromFailure.js'
 import { learnFromFirstEvent } from './learnFromFirstEvent.js'
 import { learnFromHead } from './learnFromHead.js'
-import { PlacementWaits } from './PlacementWaits.js'
+import { isHeldBack, PlacementWaits } from './PlacementWaits.js'
 import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
@@ -31,9 +31,6 @@
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
-/** Reasons that pass by themselves. */
-const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-held-back'])
-
 /** One request. */
 export class RoutedRequestTask {
   readonly #attempts = new AttemptRecord()
@@ -122,10 +119,7 @@
       return
     }
     const choice = this.#choose()
-    if (typeof choice === 'string') {
-      this.#endWithoutEndpoint(choice)
-      return
-    }
+    if (typeof choice === 'string') return this.#endWithoutEndpoint(choice)
     const admission = this.#admit(choice)
     if (admission === undefined) return
     const { endpoint } = choice
@@ -142,14 +136,10 @@
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
     const attempt = this.#open(choice, connections, connection)
     this.#attempt = attempt
-    attempt.send({
-      method: this.exchange.request.method ?? 'GET',
-      target: this.exchange.request.url ?? '/',
-      headers: this.ports.codec.writeEndpoint(this.exchange.request.rawHeaders, endpointFields(this.request, choice, this.ports.fleet, {
-        prompt: this.#prompt, lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate: admission.isExpectedLate
-      }, performance.now())),
-      body: this.request.body
-    })
+    const fields = endpointFields(this.request, choice, this.ports.fleet, {
+      prompt: this.#prompt, lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate: admission.isExpectedLate
+    }, performance.now())
+    attempt.send(this.exchange.toEndpoint(headers => this.ports.codec.writeEndpoint(headers, fields), this.request.body))
     this.#prompt?.recordSend(choice)
     this.#silence.stop()
     const mayRunElsewhere = (this.#relay.canResume || this.request.route.kind === 'safe') && this.#attempts.sends < this.request.route.attempts
@@ -176,10 +166,9 @@
 
   /** Waits if an endpoint that is held back is released in good time; else the caller learns at once when to come back. */
   #endWithoutEndpoint (reason: NoEndpointReason): void {
-    const release = HELD_BACK.has(reason) ? this.ports.fleet.firstRelease(this.request.service.name, this.#tried) : Number.POSITIVE_INFINITY
+    const release = isHeldBack(reason) ? this.ports.fleet.firstRelease(this.request.service.name, this.#tried) : Number.POSITIVE_INFINITY
     if (this.#waits.waitForRelease(release, this.#deadline)) return
-    const returnMs = Number.isFinite(release) ? release - performance.now() : 0
-    this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, returnMs)
+    this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, Number.isFinite(release) ? release - performance.now() : 0)
   }
 
   #choose (): EndpointChoice | NoEndpointReason {
@@ -267,15 +256,10 @@
   #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
     const mayHaveRun = MAY_HAVE_RUN.has(failure)
     if (mayHaveRun) this.#noteLost(attempt)
-    this.#decided('attempt-failed', {
-      endpoint: attempt.choice.endpoint.id,
-      failure,
-      detail,
-      sends: this.#attempts.sends,
-      runs: this.#attempts.runs,
-      remainingMs: Math.round(this.#deadline - performance.now()),
-      ...(mayHaveRun ? { fingerprint: this.#guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: this.#times.hasFirstEvent } : {})
-    })
+    const { sends, runs } = this.#attempts
+    const run = mayHaveRun ? { fingerprint: this.#guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: this.#times.hasFirstEvent } : {}
+    const remainingMs = Math.round(this.#deadline - performance.now())
+    this.#decided('attempt-failed', { endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs, ...run })
   }
 
   /** One that leaves ends anyway, whatever it runs. */
--- /dev/null
+++ b/packages/routing/src/lib/endpoints/StatedRateLimit.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest'
+import { StatedRateLimit } from './StatedRateLimit.js'
+
+describe('StatedRateLimit', () => {
+  it('is lifted by the first answer that names no rate, and not by an older word of another host', () => {
+    const limit = new StatedRateLimit()
+    expect(limit.observeAnswer(2, 1000)).toBe(true)
+    expect(limit.observeStatement({ requestsPerSecond: undefined, statedAgoMs: 200 }, 1100)).toBe(false)
+    expect(limit.requestsPerSecond).toBe(2)
+    expect(limit.observeAnswer(undefined, 1200)).toBe(true)
+    expect(limit.requestsPerSecond).toBeUndefined()
+  })
+
+  it('takes each rate, and calls only those notable that differ by a quarter', () => {
+    const limit = new StatedRateLimit()
+    limit.observeAnswer(2, 0)
+    expect(limit.observeAnswer(2.1, 10)).toBe(false)
+    expect(limit.requestsPerSecond).toBe(2.1)
+    expect(limit.observeAnswer(3, 20)).toBe(true)
+    expect(limit.observeAnswer(0, 30)).toBe(true)
+  })
+
+  it('is told to others only for a while after this host has read it itself', () => {
+    const limit = new StatedRateLimit()
+    expect(limit.statement(0)).toBeUndefined()
+    limit.observeStatement({ requestsPerSecond: 2, statedAgoMs: 0 }, 0)
+    expect(limit.statement(10)).toBeUndefined()
+    limit.observeAnswer(2, 100)
+    expect(limit.statement(200)).toEqual({ requestsPerSecond: 2, statedAgoMs: 100 })
+    expect(limit.statement(5000)).toBeUndefined()
+  })
+})
--- a/packages/routing/src/lib/endpoints/StatedRateLimit.ts
+++ b/packages/routing/src/lib/endpoints/StatedRateLimit.ts
@@ -8,6 +8,9 @@
 /** Age up to which a host tells the others what it has read, in milliseconds: a few reports, as datagrams get lost. */
 const TELL_MS = 2000
 
+/** Change of a rate that is worth a line, as a part of it: endpoints may work it out anew for each answer. */
+const NOTABLE_CHANGE = 0.25
+
 /** What an endpoint said last, as hosts tell each other. */
 export interface RateLimitStatement {
   /** Undefined if it names no limit any more. */
@@ -32,7 +35,7 @@
    *
    * @param requestsPerSecond - as stated, undefined if the answer names no limit
    * @param now - monotonic milliseconds
-   * @returns whether the limit is another one now
+   * @returns whether the limit is notably another one now
    */
   observeAnswer (requestsPerSecond: number | undefined, now: number): boolean {
     // Most endpoints never state a limit; nothing is remembered of those.
@@ -45,7 +48,7 @@
    *
    * @param statement - as told
    * @param now - monotonic milliseconds
-   * @returns whether the limit is another one now
+   * @returns whether the limit is notably another one now
    */
   observeStatement ({ requestsPerSecond, statedAgoMs }: RateLimitStatement, now: number): boolean {
     return this.#take(requestsPerSecond, now - statedAgoMs)
@@ -63,9 +66,14 @@
   #take (requestsPerSecond: number | undefined, at: number): boolean {
     if (requestsPerSecond === undefined && this.#requestsPerSecond === undefined) return false
     if (at < this.#statedAt) return false
-    const isOther = requestsPerSecond !== this.#requestsPerSecond
+    const isOther = isOtherRate(requestsPerSecond, this.#requestsPerSecond)
     this.#requestsPerSecond = requestsPerSecond
     this.#statedAt = at
     return isOther
   }
 }
+
+function isOtherRate (now: number | undefined, before: number | undefined): boolean {
+  if (now === undefined || before === undefined) return now !== before
+  return Math.abs(now - before) > before * NOTABLE_CHANGE
+}
