A proxy of the soak takes another port where its own is taken for connections

Cause: the test asks for a port that it holds for datagrams; another test's process had the same one for connections, and the proxy fell back for datagrams only.

--- a/apps/soak/src/lib/LoopbackProxy.test.ts
+++ b/apps/soak/src/lib/LoopbackProxy.test.ts
@@ -48,6 +48,16 @@
     other.close()
   })
 
+  // Guards against a start that fails because another process has the first port for connections.
+  it('takes another port where its own is taken for connections', async () => {
+    const second = new LoopbackProxy()
+    const port = Number((await second.listen()).split(':')[1])
+    const third = new LoopbackProxy()
+    expect(await third.listen(port)).not.toBe(`127.0.0.1:${port}`)
+    second.close()
+    third.close()
+  })
+
   async function exchange (text: string): Promise<string> {
     const answer = once(caller, 'data')
     caller.write(text)
--- a/apps/soak/src/lib/LoopbackProxy.ts
+++ b/apps/soak/src/lib/LoopbackProxy.ts
@@ -84,14 +84,23 @@
     this.#server.close()
   }
 
+  /** Another process may have the wanted port for connections; any that is free is taken then. */
   async #openPort (wanted: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(wanted, HOST, resolve)
-    })
+    if (!await this.#bindConnections(wanted) && !await this.#bindConnections(0)) throw new Error(`no port is free at ${HOST}`)
     return (this.#server.address() as AddressInfo).port
   }
 
+  async #bindConnections (port: number): Promise<boolean> {
+    return await new Promise<boolean>(resolve => {
+      const fail = (): void => { resolve(false) }
+      this.#server.once('error', fail)
+      this.#server.listen(port, HOST, () => {
+        this.#server.off('error', fail)
+        resolve(true)
+      })
+    })
+  }
+
   async #bindDatagrams (port: number): Promise<boolean> {
     return await new Promise<boolean>(resolve => {
       this.#datagrams.once('error', () => {
