A stream leaves a silent endpoint only once another has accepted the rest

Cause: an attempt was cancelled as soon as some candidate existed, and only then was the other endpoint asked. An endpoint that had been tried once stayed excluded, so the last rejection ended a stream whose caller would have waited.

Endpoints that rejected it or fell silent may be asked again, with pauses, ten sends in all. The watch for silence goes on looking. The listener of attempts is made once for each request.

--- a/apps/entry/src/lib/routed/AnswerRelay.ts
+++ b/apps/entry/src/lib/routed/AnswerRelay.ts
@@ -1,4 +1,5 @@
 /** Passes an endpoint's answer on to the caller: events as they come, everything else when it is whole. */
+import type { AttemptFailure } from '@eelgrassmux/routing/attempts/nextStep'
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import type { CallerExchange } from './CallerExchange.js'
 import type { AnswerHead } from './RoutedAttempt.js'
@@ -8,6 +9,9 @@
 
 const OK = 200
 
+/** Answers from this status on are failures of the endpoint. */
+const FIRST_FAILURE_STATUS = 500
+
 /** What kind of answer is expected. */
 export interface RelayKind {
   readonly isStream: boolean
@@ -17,6 +21,12 @@
   readonly lastEventId: number | undefined
 }
 
+/** Why an answer that has ended can't be passed on. */
+export interface AnswerFault {
+  readonly failure: AttemptFailure
+  readonly detail: string
+}
+
 /** The answer to one request, over all its attempts. */
 export class AnswerRelay {
   readonly #cursor: EventCursor | undefined
@@ -35,13 +45,23 @@
 
   /** Whether a further attempt may go on behind what was passed on. */
   get canResume (): boolean { return this.#cursor !== undefined }
-  /** Whether the bytes so far end inside an event that will not be passed on. */
-  get isInsideEvent (): boolean { return this.#cursor?.isInsideEvent === true }
   /** Event behind which the next attempt goes on. */
   get lastEventId (): number | undefined { return this.#cursor?.lastId ?? this.kind.lastEventId }
   get head (): AnswerHead | undefined { return this.#head }
-  /** Whether the present attempt answers a stream that has begun with something that is not its rest. */
-  get breaksStream (): boolean { return this.exchange.hasHead && this.#cursor !== undefined && this.#head?.status !== OK }
+  /** Why the present attempt's answer, which has ended, is not the rest of what the caller has. */
+  get fault (): AnswerFault | undefined {
+    if (this.#cursor?.isInsideEvent === true) return { failure: 'lost', detail: 'the stream ended inside an event' }
+    if (this.canResume && this.exchange.hasHead && this.#head?.status !== OK) return { failure: 'failed', detail: `status ${this.#head?.status ?? 0} in place of the rest of the stream` }
+    return undefined
+  }
+
+  /**
+   * @param head - of another attempt's answer
+   * @returns whether it could be passed on behind what the caller has
+   */
+  canTake ({ status }: AnswerHead): boolean {
+    return this.canResume && this.exchange.hasHead ? status === OK : status < FIRST_FAILURE_STATUS
+  }
 
   /**
    * Takes the head of an attempt's answer.
--- a/apps/entry/src/lib/routed/AttemptRecord.ts
+++ b/apps/entry/src/lib/routed/AttemptRecord.ts
@@ -39,8 +39,9 @@
    * @param route - of the request
    * @param failure - of the last attempt
    * @param remainingMs - that its caller has left
+   * @param hasBegun - whether its caller has part of the answer
    */
-  nextStep ({ kind, isResumable, attempts }: Route, failure: AttemptFailure, remainingMs: number): NextStep {
-    return nextStep({ kind, isResumable, failure, runs: this.#runs, sends: this.#sends, maximumRuns: attempts, remainingMs })
+  nextStep ({ kind, isResumable, attempts }: Route, failure: AttemptFailure, remainingMs: number, hasBegun: boolean): NextStep {
+    return nextStep({ kind, isResumable, failure, runs: this.#runs, sends: this.#sends, maximumRuns: attempts, remainingMs, hasBegun })
   }
 }
--- /dev/null
+++ b/apps/entry/src/lib/routed/AttemptSender.ts
@@ -0,0 +1,49 @@
+/** Sends one routed request to the endpoints chosen for it. */
+import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointAsk'
+import type { CallerExchange } from './CallerExchange.js'
+import { endpointFields, type SendState } from './endpointFields.js'
+import type { PromptContext } from './PromptContext.js'
+import { RoutedAttempt, type AttemptListener } from './RoutedAttempt.js'
+import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
+
+/** Sender of one request. */
+export class AttemptSender {
+  /**
+   * @param request - what is asked
+   * @param exchange - the caller's side
+   * @param ports - surroundings
+   * @param prompt - of the request, if it has one
+   * @param listener - told of the answers
+   */
+  constructor (
+    private readonly request: RoutedRequest,
+    private readonly exchange: CallerExchange,
+    private readonly ports: Pick<RoutedPorts, 'fleet' | 'codec'>,
+    private readonly prompt: PromptContext | undefined,
+    private readonly listener: AttemptListener
+  ) {}
+
+  /**
+   * @param choice - where it is to go
+   * @returns an attempt with a connection of its own; undefined if all connections are in use
+   */
+  open (choice: EndpointChoice): RoutedAttempt | undefined {
+    const { fleet, codec } = this.ports
+    const connections = fleet.connectionsTo(choice.endpoint)
+    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint))
+    return connection === undefined ? undefined : new RoutedAttempt(choice, this.request.id, connections, connection, fleet, codec, this.listener)
+  }
+
+  /**
+   * @param attempt - that was opened
+   * @param state - how far the request is
+   */
+  send (attempt: RoutedAttempt, state: Omit<SendState, 'prompt'>): void {
+    const now = performance.now()
+    const { fleet, codec } = this.ports
+    fleet.limits.noteSend(attempt.choice.endpoint, now)
+    const fields = endpointFields(this.request, attempt.choice, fleet, { ...state, prompt: this.prompt }, now)
+    attempt.send(this.exchange.toEndpoint(headers => codec.writeEndpoint(headers, fields), this.request.body))
+    this.prompt?.recordSend(attempt.choice)
+  }
+}
--- a/apps/entry/src/lib/routed/PlacementWaits.ts
+++ b/apps/entry/src/lib/routed/PlacementWaits.ts
@@ -9,6 +9,9 @@
 /** Shortest interval at which a request looks again for an endpoint that is not held back, in milliseconds. */
 const HELD_LOOK_MS = 60
 
+/** Shortest interval at which a stream that has begun looks again for an endpoint that takes the rest, in milliseconds. */
+const RESUME_LOOK_MS = 100
+
 /** Reasons that pass by themselves. */
 const HELD_BACK: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-held-back'])
 
@@ -61,4 +64,20 @@
     setTimeout(() => { this.ports.placeAgain() }, Math.max(HELD_LOOK_MS, until - now))
     return true
   }
+
+  /**
+   * Waits with a stream that has begun: with its caller gone or its time over, nothing is left to wait for.
+   *
+   * @param until - monotonic milliseconds before which it can't go on
+   * @param patienceEnds - monotonic milliseconds at which its caller leaves
+   * @param goOn - called then; looks for an endpoint again unless given
+   * @returns false if its caller would have left by then
+   */
+  waitToResume (until: number, patienceEnds: number, goOn: () => void = () => { this.ports.placeAgain() }): boolean {
+    const now = performance.now()
+    const at = Math.max(now + RESUME_LOOK_MS, until)
+    if (at >= patienceEnds) return false
+    setTimeout(goOn, at - now)
+    return true
+  }
 }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -17,11 +17,11 @@
 export interface AttemptListener {
   /** The first byte may leave from now on. */
   sending (): void
-  head (head: AnswerHead, resume: () => void): void
+  head (attempt: RoutedAttempt, head: AnswerHead, resume: () => void): void
   /** @returns false to pause until `resume` */
-  data (chunk: Buffer): boolean
-  complete (): void
-  failed (failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void
+  data (attempt: RoutedAttempt, chunk: Buffer): boolean
+  complete (attempt: RoutedAttempt): void
+  failed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void
 }
 
 const MISDIRECTED = 421
@@ -112,14 +112,14 @@
       return
     }
     this.#head = { status, headers, fields }
-    this.listener.head(this.#head, resume)
+    this.listener.head(this, this.#head, resume)
   }
 
   #onData (chunk: Buffer): boolean {
     if (this.#hasCrashed || this.#head === undefined) return true
     this.#endReading()
     this.choice.endpoint.observeBytes(performance.now())
-    return this.#head.fields.isNotExecuted || this.listener.data(chunk)
+    return this.#head.fields.isNotExecuted || this.listener.data(this, chunk)
   }
 
   #onComplete (): void {
@@ -132,16 +132,16 @@
     this.#end()
     this.connections.release(this.connection)
     if (!head.fields.isNotExecuted) {
-      this.listener.complete()
+      this.listener.complete(this)
       return
     }
-    this.listener.failed(head.status === MISDIRECTED ? 'misdirected' : 'rejected', `status ${head.status}, not executed`, head)
+    this.listener.failed(this, head.status === MISDIRECTED ? 'misdirected' : 'rejected', `status ${head.status}, not executed`, head)
   }
 
   #fail (failure: AttemptFailure, detail: string): void {
     if (this.#hasCrashed) return
     this.#end()
     this.connection.close()
-    this.listener.failed(failure, detail, this.#head)
+    this.listener.failed(this, failure, detail, this.#head)
   }
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -9,24 +9,24 @@
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
-import { admitRouted, type RoutedAdmission } from './admitRouted.js'
+import type { RoutedAdmission } from './admitRouted.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import { AnswerTimes } from './AnswerTimes.js'
-import { AttemptRecord, MAY_HAVE_RUN } from './AttemptRecord.js'
+import { AttemptFailures } from './AttemptFailures.js'
+import { AttemptRecord } from './AttemptRecord.js'
+import { AttemptSender } from './AttemptSender.js'
 import type { CallerExchange } from './CallerExchange.js'
-import type { EndpointConnection } from './EndpointConnection.js'
-import type { EndpointConnections } from './EndpointConnections.js'
 import { describePlacement } from './describePlacement.js'
-import { endpointFields } from './endpointFields.js'
-import { learnFromFailure } from './learnFromFailure.js'
 import { learnFromFirstEvent } from './learnFromFirstEvent.js'
 import { learnFromHead } from './learnFromHead.js'
-import { isHeldBack, PlacementWaits } from './PlacementWaits.js'
+import { PlacementWaits } from './PlacementWaits.js'
 import { pauseSeconds } from './pauseSeconds.js'
 import { PromptContext } from './PromptContext.js'
-import { RoutedAttempt, type AnswerHead } from './RoutedAttempt.js'
+import { RequestPlacement } from './RequestPlacement.js'
+import { RepeatReservation, type RepeatOutcome } from './RepeatReservation.js'
+import type { AnswerHead, RoutedAttempt } from './RoutedAttempt.js'
 import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
-import { SilenceWatch } from './SilenceWatch.js'
+import { SilenceFailover } from './SilenceFailover.js'
 
 /** Statuses that callers take for a promise that the request has not run. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -34,14 +34,16 @@
 /** One request. */
 export class RoutedRequestTask {
   readonly #attempts = new AttemptRecord()
-  readonly #tried = new Set<string>()
   readonly #deadline: number
   #attempt: RoutedAttempt | undefined
   readonly #relay: AnswerRelay
-  #requiredVersion: number | undefined
   #timer: NodeJS.Timeout | undefined
-  readonly #silence = new SilenceWatch()
+  readonly #failover: SilenceFailover
+  readonly #repeats: RepeatReservation
+  readonly #sender: AttemptSender
   readonly #prompt: PromptContext | undefined
+  readonly #placement: RequestPlacement
+  readonly #failures: AttemptFailures
   #isDone = false
   readonly #waits: PlacementWaits
   readonly #guard: QuarantineGuard
@@ -61,12 +63,32 @@
     this.#deadline = request.arrivedAt + limitMs
     this.#prompt = PromptContext.of(request, ports)
     this.#times = new AnswerTimes(request, ports)
+    this.#placement = new RequestPlacement(request, ports, this.#prompt, this.#times, this.#deadline)
     const { method = 'GET', url: target = '/' } = exchange.request
     this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine)
+    this.#failures = new AttemptFailures(ports.fleet, {
+      attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, deadline: this.#deadline, log: details => { this.#decided('attempt-failed', details) }
+    })
     this.#waits = new PlacementWaits(request, {
       placeAgain: () => { this.#placeAgain() },
       logWait: details => { this.#decided('waits-for-room', details) }
     })
+    this.#repeats = new RepeatReservation(request, ports, this.#attempts, failure => { this.#decided('retry-budget-used-up', { failure }) })
+    this.#failover = new SilenceFailover({
+      isWanted: () => this.#wantsStandby(),
+      isSilent: () => this.#isEndpointSilent(),
+      beforePlacing: place => { ports.beforePlacing(place) },
+      open: () => this.#openStandby(),
+      send: attempt => { this.#send(attempt, false) },
+      replace: standby => { this.#replaceAttempt(standby) }
+    })
+    this.#sender = new AttemptSender(request, exchange, ports, this.#prompt, {
+      sending: () => { this.#attempts.noteRun() },
+      head: (attempt, head, resume) => { this.#onHead(attempt, head, resume) },
+      data: (attempt, chunk) => this.#onData(attempt, chunk),
+      complete: attempt => { this.#onComplete(attempt) },
+      failed: (attempt, failure, detail, head) => { this.#onFailure(attempt, failure, detail, head) }
+    })
     this.#relay = new AnswerRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
   }
 
@@ -97,10 +119,7 @@
     if (this.#isDone) return
     this.logStop('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
     this.#cancelAttempt(undefined)
-    if (this.exchange.hasHead) {
-      this.#breakOff('stop')
-      return
-    }
+    if (this.exchange.hasHead) return this.#breakOff('stop')
     this.#refuse(this.#attempts.mayHaveRun ? 'endpoint-failed' : 'draining', 503, 'this host had to stop before the answer was there')
   }
 
@@ -114,36 +133,33 @@
   #tryNext (): void {
     if (this.#isQuarantineRejection()) return
     // Also asked of requests that have waited since before the stop began.
-    if (!this.#attempts.mayHaveRun && !this.exchange.hasHead && !this.#canEndBeforeStop()) {
+    if (!this.#attempts.mayHaveRun && !this.exchange.hasHead && !this.#placement.canEndBeforeStop) {
       this.#refuse('draining', 503, 'this host is stopping and could not finish it; ask another')
       return
     }
-    const choice = this.#choose()
+    const choice = this.#placement.choose()
     if (typeof choice === 'string') return this.#endWithoutEndpoint(choice)
     const admission = this.#admit(choice)
     if (admission === undefined) return
+    const attempt = this.#open(choice)
+    if (attempt === undefined) return this.#tryNext()
+    this.#attempt = attempt
+    this.#send(attempt, admission.isExpectedLate)
+    if (this.#relay.canResume || this.request.route.kind === 'safe') this.#failover.watch()
+  }
+
+  #open (choice: EndpointChoice): RoutedAttempt | undefined {
     const { endpoint } = choice
-    const connections = this.ports.fleet.connectionsTo(endpoint)
-    const connection = connections.acquire(this.ports.fleet.connectionLimit(this.request.service.connectionsPerEndpoint))
-    this.#tried.add(endpoint.id)
-    if (connection === undefined) {
-      this.#decided('connections-used-up', { endpoint: endpoint.id, open: connections.count })
-      this.#tryNext()
-      return
-    }
+    this.#placement.tried.add(endpoint.id)
+    const attempt = this.#sender.open(choice)
+    if (attempt === undefined) this.#decided('connections-used-up', { endpoint: endpoint.id, open: this.ports.fleet.connectionsTo(endpoint).count })
+    return attempt
+  }
+
+  #send (attempt: RoutedAttempt, isExpectedLate: boolean): void {
     this.#attempts.noteSend()
-    this.ports.fleet.limits.noteSend(endpoint, performance.now())
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
-    const attempt = this.#open(choice, connections, connection)
-    this.#attempt = attempt
-    const fields = endpointFields(this.request, choice, this.ports.fleet, {
-      prompt: this.#prompt, lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate: admission.isExpectedLate
-    }, performance.now())
-    attempt.send(this.exchange.toEndpoint(headers => this.ports.codec.writeEndpoint(headers, fields), this.request.body))
-    this.#prompt?.recordSend(choice)
-    this.#silence.stop()
-    const mayRunElsewhere = (this.#relay.canResume || this.request.route.kind === 'safe') && this.#attempts.sends < this.request.route.attempts
-    if (mayRunElsewhere) this.#watchSilence(attempt)
+    this.#sender.send(attempt, { lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate })
   }
 
   /**
@@ -156,28 +172,19 @@
     return held !== undefined
   }
 
-  #canEndBeforeStop (): boolean {
-    const { route, fields } = this.request
-    return this.ports.stop.admits({
-      remainingMs: this.#deadline - performance.now(),
-      expectedMs: this.ports.durations.expectedMs(route.name, fields.prompt?.outputTokens ?? 0)
-    })
-  }
-
   /** Waits if an endpoint that is held back is released in good time; else the caller learns at once when to come back. */
   #endWithoutEndpoint (reason: NoEndpointReason): void {
-    const release = isHeldBack(reason) ? this.ports.fleet.firstRelease(this.request.service.name, this.#tried) : Number.POSITIVE_INFINITY
+    const release = this.#placement.releasedAt(reason)
+    if (this.#hasBegun) {
+      if (!this.#waitToResume(Number.isFinite(release) ? release : 0)) this.#breakOff('no-endpoint', reason)
+      return
+    }
     if (this.#waits.waitForRelease(release, this.#deadline)) return
     this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, Number.isFinite(release) ? release - performance.now() : 0)
   }
 
-  #choose (): EndpointChoice | NoEndpointReason {
-    const { service, regionBound } = this.request
-    return this.ports.fleet.choose(service.name, { excluded: this.#tried, regionBound, ...this.#prompt?.ask(this.#requiredVersion) })
-  }
-
   #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
-    const admission = admitRouted(this.request, choice, this.ports.fleet, { prompt: this.#prompt, hasFirstEvent: this.#times.hasFirstEvent, deadline: this.#deadline }, performance.now())
+    const admission = this.#placement.admit(choice)
     if (admission.kind === 'send') return admission
     if (admission.kind === 'wait') this.#waits.waitForRoom(choice)
     else this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
@@ -191,54 +198,37 @@
     this.#placeNext()
   }
 
-  #open (choice: EndpointChoice, connections: EndpointConnections, connection: EndpointConnection): RoutedAttempt {
-    const attempt: RoutedAttempt = new RoutedAttempt(choice, this.request.id, connections, connection, this.ports.fleet, this.ports.codec, {
-      sending: () => { this.#attempts.noteRun() },
-      head: (head, resume) => { this.#onHead(attempt, head, resume) },
-      data: chunk => this.#onData(attempt, chunk),
-      complete: () => { this.#onComplete(attempt) },
-      failed: (failure, detail, head) => { this.#onFailure(attempt, failure, detail, head) }
-    })
-    return attempt
-  }
-
   #onHead (attempt: RoutedAttempt, head: AnswerHead, resume: () => void): void {
     const now = performance.now()
     learnFromHead(attempt.choice.endpoint, this.request.fields.prompt?.model, head, now)
     this.ports.fleet.limits.observeAnswer(attempt.choice.endpoint, head, now)
-    if (!head.fields.isNotExecuted) this.#relay.begin(head, resume)
+    if (head.fields.isNotExecuted) return
+    if (this.#failover.isStandby(attempt) && !this.#failover.settle(this.#relay.canTake(head))) return
+    this.#relay.begin(head, resume)
   }
 
   #onData (attempt: RoutedAttempt, chunk: Buffer): boolean {
     if (this.#isDone) return true
-    if (this.request.route.kind === 'stream') this.#noteFirstEvent(attempt)
+    if (this.request.route.kind === 'stream') this.#noteEvent(attempt)
     return this.#relay.data(chunk)
   }
 
-  #noteFirstEvent (attempt: RoutedAttempt): void {
-    if (this.#times.hasFirstEvent) return
-    this.#requiredVersion = attempt.choice.version
-    if (attempt.choice.version !== undefined) {
-      learnFromFirstEvent(this.ports.fleet, this.request, attempt)
-    }
-    this.#times.noteFirstEvent()
+  #noteEvent (attempt: RoutedAttempt): void {
+    this.#placement.tried.observeProgress()
+    if (!this.#times.noteEvent()) return
+    this.#placement.requireVersion(attempt.choice.version)
+    if (attempt.choice.version !== undefined) learnFromFirstEvent(this.ports.fleet, this.request, attempt)
   }
 
   #onComplete (attempt: RoutedAttempt): void {
     const { endpoint } = attempt.choice
     const { head } = this.#relay
     if (this.#isDone || head === undefined) return
-    if (this.#relay.isInsideEvent) {
-      this.#onFailure(attempt, 'lost', 'the stream ended inside an event', head)
-      return
-    }
-    if (this.#relay.breaksStream) {
-      this.#onFailure(attempt, 'failed', `status ${head.status} in place of the rest of the stream`, head)
-      return
-    }
+    const { fault } = this.#relay
+    if (fault !== undefined) return this.#onFailure(attempt, fault.failure, fault.detail, head)
     const isFailure = head.status >= 500
     this.ports.fleet.observe(endpoint, isFailure ? 'failure' : 'success')
-    if (isFailure && !this.exchange.hasHead && this.#mayRepeat('failed')) return
+    if (isFailure && !this.exchange.hasHead && (this.#goOnAtStandby() || this.#mayRepeat('failed'))) return
     if (PROMISES_NOT_RUN.has(head.status)) {
       // The endpoint does not say that the request has not run; its caller would take the status for that.
       this.#refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
@@ -253,63 +243,93 @@
     this.#relay.complete()
   }
 
-  #attemptFailed (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
-    const mayHaveRun = MAY_HAVE_RUN.has(failure)
-    if (mayHaveRun) this.#noteLost(attempt)
-    const { sends, runs } = this.#attempts
-    const run = mayHaveRun ? { fingerprint: this.#guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: this.#times.hasFirstEvent } : {}
-    const remainingMs = Math.round(this.#deadline - performance.now())
-    this.#decided('attempt-failed', { endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs, ...run })
-  }
-
-  /** One that leaves ends anyway, whatever it runs. */
-  #noteLost ({ choice: { endpoint }, wasSent, ageMs }: RoutedAttempt): void {
-    if (wasSent && !endpoint.isLeaving) this.#guard.noteLost(endpoint.incarnation, ageMs)
-  }
-
   #onFailure (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head: AnswerHead | undefined): void {
     if (this.#isDone) return
-    // Until the next send its silence would be taken for a second failure, and the request placed twice.
-    this.#silence.stop()
-    const { endpoint } = attempt.choice
-    learnFromFailure(this.ports.fleet, endpoint, failure, head)
-    if (attempt.wasSent && (failure === 'rejected' || failure === 'misdirected')) this.#attempts.noteNotRun()
-    this.#relay.dropIncomplete()
-    this.#attemptFailed(attempt, failure, detail)
-    if (this.exchange.hasHead && !this.#relay.canResume) {
-      this.#breakOff(failure, detail)
+    this.#failures.observe(attempt, failure, detail, head)
+    if (this.#failover.isStandby(attempt)) {
+      this.#failover.takeStandby()
       return
     }
-    if (this.#mayRepeat(failure)) return
-    this.#giveUp(failure, detail)
+    this.#relay.dropIncomplete()
+    if (this.#goOnAtStandby()) return
+    // Until the next send its silence would be taken for a second failure, and the request placed twice.
+    this.#failover.stop()
+    if (this.exchange.hasHead && !this.#relay.canResume) return this.#breakOff(failure, detail)
+    this.#repeatOrGiveUp(failure, detail)
+  }
+
+  /** @returns whether a second attempt is under way already */
+  #goOnAtStandby (): boolean {
+    const standby = this.#failover.takeStandby()
+    if (standby === undefined) return false
+    this.#attempt = standby
+    return true
+  }
+
+  #repeatOrGiveUp (failure: AttemptFailure, detail: string): void {
+    if (!this.#mayRepeat(failure)) this.#giveUp(failure, detail)
   }
 
   #mayRepeat (failure: AttemptFailure): boolean {
-    if (!this.#reserveRepeat(failure)) return false
+    const reservation = this.#reserveRepeat(failure)
+    if (reservation === 'no-budget' && this.#hasBegun) {
+      // Requests that come meanwhile add to the budget.
+      return this.#waits.waitToResume(0, this.#placement.patienceEnds, () => { if (!this.#isDone) this.#repeatOrGiveUp(failure, 'the budget for repeats is used up') })
+    }
+    if (reservation !== 'reserved') return false
     this.ports.retries.count(failure)
+    if (this.#hasBegun && this.#placement.tried.askAgainAt > performance.now()) return this.#waits.waitToResume(this.#placement.tried.askAgainAt, this.#placement.patienceEnds)
     this.#placeNext()
     return true
   }
 
-  /** Whether a further attempt is allowed after such a failure; spends the budget for it. */
-  #reserveRepeat (failure: AttemptFailure): boolean {
-    const step = this.#attempts.nextStep(this.request.route, failure, this.#deadline - performance.now())
-    if (step.kind === 'give-up') return false
-    if (!this.exchange.hasHead && !this.#canEndBeforeStop()) return false
-    if (step.spendsBudget && !this.ports.allowance.trySpend()) {
-      this.#decided('retry-budget-used-up', { failure })
-      return false
+  #reserveRepeat (failure: AttemptFailure): RepeatOutcome {
+    if (!this.exchange.hasHead && !this.#placement.canEndBeforeStop) return 'not-allowed'
+    return this.#repeats.reserve(failure, this.#deadline - performance.now(), this.#hasBegun)
+  }
+
+  /** Whether its caller has part of a stream that may go on at another endpoint. */
+  get #hasBegun (): boolean { return this.exchange.hasHead && this.#relay.canResume }
+
+  #waitToResume (until: number): boolean {
+    this.#placement.tried.allowAgain(undefined)
+    return this.#waits.waitToResume(Math.max(until, this.#placement.tried.askAgainAt), this.#placement.patienceEnds)
+  }
+
+  // --- Failover ---
+
+  #wantsStandby (): boolean {
+    return !this.#isDone && this.#attempts.runs < this.request.route.attempts && this.#isEndpointSilent()
+  }
+
+  /** A request that no other endpoint takes stays where it is: silence alone is no reason to end an answer. */
+  #openStandby (): RoutedAttempt | undefined {
+    const now = performance.now()
+    if (this.#guard.heldBack(now) !== undefined || now < this.#placement.tried.askAgainAt) return undefined
+    const choice = this.#placement.choose()
+    if (typeof choice === 'string') {
+      if (this.#hasBegun) this.#placement.tried.allowAgain(this.#attempt?.choice.endpoint.id)
+      return undefined
     }
-    return true
+    const admission = this.#placement.admit(choice)
+    if (admission.kind !== 'send' || this.#reserveRepeat('broken-stream') !== 'reserved') return undefined
+    this.ports.retries.count('broken-stream')
+    return this.#open(choice)
+  }
+
+  #replaceAttempt (standby: RoutedAttempt): void {
+    const left = this.#attempt
+    this.#attempt = standby
+    if (left === undefined) return
+    left.cancel()
+    this.#relay.dropIncomplete()
+    this.#failures.observeSilence(left)
   }
 
   // --- Ends ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
-    if (this.exchange.hasHead) {
-      this.#breakOff(failure, detail)
-      return
-    }
+    if (this.exchange.hasHead) return this.#breakOff(failure, detail)
     if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
   }
@@ -318,10 +338,7 @@
     if (this.#isDone) return
     // Some requests take longer than their route allows; only silence towards all is the endpoint's fault.
     this.#cancelAttempt(this.#isEndpointSilent() ? 'unanswered' : undefined)
-    if (this.exchange.hasHead) {
-      this.#breakOff('timeout')
-      return
-    }
+    if (this.exchange.hasHead) return this.#breakOff('timeout')
     this.#refuse('deadline-passed', 504, 'the time of the request is over')
   }
 
@@ -336,29 +353,12 @@
     return this.#attempt !== undefined && this.ports.fleet.isSilent(this.#attempt.choice.endpoint)
   }
 
-  /**
-   * A request that may run again does not wait for an endpoint that has fallen silent
-   * towards everybody. If it may not run elsewhere it waits all the same: silence alone is
-   * no reason to end an answer.
-   */
-  #watchSilence (attempt: RoutedAttempt): void {
-    this.#silence.start(() => !this.#isDone && attempt === this.#attempt && this.#isEndpointSilent(), () => {
-      if (typeof this.#choose() === 'string' || !this.#reserveRepeat('broken-stream')) return
-      attempt.cancel()
-      this.ports.fleet.observe(attempt.choice.endpoint, 'unanswered')
-      this.#relay.dropIncomplete()
-      this.#attemptFailed(attempt, 'broken-stream', 'the endpoint has fallen silent')
-      this.ports.retries.count('broken-stream')
-      this.#placeNext()
-    })
-  }
-
   /** An endpoint that answered nothing for all the time there was is to blame, and one that has fallen silent towards everybody. */
   #cancelAttempt (outcome: 'unanswered' | undefined): void {
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
-    if (outcome !== undefined) this.#noteLost(attempt)
+    if (outcome !== undefined) this.#failures.noteLost(attempt)
     if (outcome !== undefined && !attempt.hasHead) this.ports.fleet.observe(endpoint, outcome)
     attempt.cancel()
   }
@@ -370,10 +370,7 @@
 
   #refuse (reason: RefusalReason, wantedStatus: number, detail: string, wantedReturnMs = 0): void {
     // Part of an answer is with the caller already: all that can be said is that no more comes.
-    if (this.exchange.hasHead) {
-      this.#breakOff(reason, detail)
-      return
-    }
+    if (this.exchange.hasHead) return this.#breakOff(reason, detail)
     // A status that promises that nothing ran needs the proof.
     const status = wantedStatus === 503 && this.#attempts.mayHaveRun ? 502 : wantedStatus
     const retryAfterSeconds = status === 503 ? pauseSeconds(reason, wantedReturnMs, this.#deadline - performance.now()) : undefined
@@ -386,7 +383,7 @@
   #finish<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
     this.#isDone = true
     clearTimeout(this.#timer)
-    this.#silence.stop()
+    this.#failover.end()
     if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
       this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, runs: this.#attempts.runs })
     }
--- a/packages/routing/src/lib/attempts/attempts.test.ts
+++ b/packages/routing/src/lib/attempts/attempts.test.ts
@@ -3,7 +3,7 @@
 import { RetryAllowance } from './RetryAllowance.js'
 
 function situation (overrides: Partial<AttemptSituation>): AttemptSituation {
-  return { kind: 'safe', isResumable: false, failure: 'lost', runs: 1, sends: 1, maximumRuns: 2, remainingMs: 500, ...overrides }
+  return { kind: 'safe', isResumable: false, failure: 'lost', runs: 1, sends: 1, maximumRuns: 2, remainingMs: 500, hasBegun: false, ...overrides }
 }
 
 describe('nextStep', () => {
@@ -40,6 +40,12 @@
     expect(nextStep(situation({ remainingMs: 5 })).kind).toBe('give-up')
     expect(nextStep(situation({ failure: 'rejected', sends: 4 })).kind).toBe('give-up')
   })
+
+  it('asks more endpoints, but not without end, once the caller has part of the answer', () => {
+    const begun = { kind: 'stream', isResumable: true, failure: 'rejected', hasBegun: true } as const
+    expect(nextStep(situation({ ...begun, sends: 9 })).kind).toBe('repeat')
+    expect(nextStep(situation({ ...begun, sends: 10 })).kind).toBe('give-up')
+  })
 })
 
 describe('RetryAllowance', () => {
--- a/packages/routing/src/lib/attempts/nextStep.ts
+++ b/packages/routing/src/lib/attempts/nextStep.ts
@@ -33,6 +33,8 @@
   /** Endpoints on which the operator lets one request run. */
   readonly maximumRuns: number
   readonly remainingMs: number
+  /** Whether its caller has part of the answer. */
+  readonly hasBegun: boolean
 }
 
 /** Whether a further attempt makes sense, and whether it counts against the shared budget. */
@@ -43,6 +45,9 @@
 /** Most sends of one request; after so many rejections the whole service is full, and the caller had better come back. */
 const MAXIMUM_SENDS = 4
 
+/** Most sends of a request whose caller has part of the answer and can't come back for the rest. */
+const MAXIMUM_SENDS_ONCE_BEGUN = 10
+
 /** Time below which no further attempt can bring an answer, in milliseconds: a send, the shortest work, and the way back. */
 const LEAST_REMAINING_MS = 15
 
@@ -51,8 +56,8 @@
  * @returns what to do
  */
 export function nextStep (situation: AttemptSituation): NextStep {
-  const { failure, sends, runs, maximumRuns, remainingMs } = situation
-  if (remainingMs < LEAST_REMAINING_MS || sends >= MAXIMUM_SENDS) return { kind: 'give-up' }
+  const { failure, sends, runs, maximumRuns, remainingMs, hasBegun } = situation
+  if (remainingMs < LEAST_REMAINING_MS || sends >= (hasBegun ? MAXIMUM_SENDS_ONCE_BEGUN : MAXIMUM_SENDS)) return { kind: 'give-up' }
   if (failure === 'not-connected') return { kind: 'repeat', spendsBudget: false }
   if (failure === 'rejected' || failure === 'misdirected') return { kind: 'repeat', spendsBudget: true }
   if (!mayRunAgain(situation) || runs >= maximumRuns) return { kind: 'give-up' }
