A stream that goes on elsewhere has nothing of the failure that was held back

What a caller would have seen: status 200 and, as one answer, the body of an endpoint's failure followed by the events of the endpoint where the stream went on.

Cause: the body of a failure is held back until it is known whether the request goes on elsewhere. The next attempt's head opened a new hold only where its own answer is held, so events were appended to the old one.

Change: each head decides anew whether the answer is held, and from nothing.

--- a/apps/entry/src/lib/routed/AnswerRelay.ts
+++ b/apps/entry/src/lib/routed/AnswerRelay.ts
@@ -72,8 +72,9 @@
   begin (head: AnswerHead, resume: () => void): void {
     this.#head = head
     this.#resume = resume
-    // A failure is looked at whole before anything is passed on.
-    if (!this.kind.isStream || head.status !== OK) this.#held = []
+    // A failure is looked at whole before anything is passed on; what an earlier attempt left of one is not part of this answer.
+    this.#held = !this.kind.isStream || head.status !== OK ? [] : undefined
+    this.#heldBytes = 0
   }
 
   /**
