Completions: engines that refuse the rest of an answer may be asked again

What a caller would have seen: an answer that had begun was cut, 503 endpoint-refused, when its engine had died and the only other one refused the rest once, as engines do while they load weights.

Cause: the same as for routed streams; each refusal counted as one of the attempts that the profile allows, and the wait for an engine was two seconds.

Change: refusals of an answer that has begun don't count as attempts; engines are asked again with pauses that grow to a second, for 8 s without a token and at most 30 times. Before the first token nothing has changed.

--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -90,9 +90,18 @@
 /** Pause before engines are looked for again when there is none, in milliseconds. */
 const NO_ENGINE_PAUSE_MS = 100
 
+/** Longest pause of that kind after all engines have refused a run again and again, in milliseconds. */
+const LONGEST_NO_ENGINE_PAUSE_MS = 1000
+
 /** Longest wait for any engine, in milliseconds. */
 const NO_ENGINE_PATIENCE_MS = 2000
 
+/** Longest wait for an engine once the caller has part of the answer and can't come back for the rest, in milliseconds. */
+const RESUME_PATIENCE_MS = 8000
+
+/** Most refusals of the rest of one answer. */
+const MOST_REFUSED_RESUMPTIONS = 30
+
 /** Longest silence of a stream before it is read again from the gap, in milliseconds. */
 const STALL_MS = 3000
 
@@ -106,6 +115,10 @@
   readonly #excluded = new Set<string>()
   #assembler: AnswerAssembler | undefined
   #attempts = 0
+  /** Refusals by engines since the caller has part of the answer. */
+  #refusedResumptions = 0
+  #noEnginePauseMs = NO_ENGINE_PAUSE_MS
+  #lastTokenAt = 0
   #lastRetry: RetryReason | undefined
 
   /**
@@ -144,7 +157,7 @@
   // --- Placement ---
 
   async #place (): Promise<PlacedRun | undefined> {
-    const patienceEnds = this.ports.clock.now() + NO_ENGINE_PATIENCE_MS
+    const patienceEnds = this.#hasBegun ? this.#resumePatienceEnds : this.ports.clock.now() + NO_ENGINE_PATIENCE_MS
     for (;;) {
       if (this.#abort.signal.aborted) return this.#fail({ reason: 'endpoint-failed', status: 499, detail: 'the caller left' })
       const held = this.ports.guard.refusal()
@@ -167,10 +180,15 @@
         const detail = this.run.version === undefined ? 'no engine of the model can take the request' : `no engine runs version ${this.run.version} any more`
         return this.#fail({ reason: 'no-endpoint', status: 503, detail, retryAfterSeconds: RETRY_AFTER_SECONDS })
       }
-      await this.ports.clock.sleep(NO_ENGINE_PAUSE_MS)
+      await this.ports.clock.sleep(this.#noEnginePauseMs)
+      if (this.#hasBegun) this.#noEnginePauseMs = Math.min(LONGEST_NO_ENGINE_PAUSE_MS, this.#noEnginePauseMs * 2)
     }
   }
 
+  get #hasBegun (): boolean { return this.run.length > 0 }
+
+  get #resumePatienceEnds (): number { return this.#lastTokenAt + RESUME_PATIENCE_MS }
+
   #withinLimit (best: PlacedRun): PlacedRun | undefined {
     const { firstTokenLimitMs } = this.request.profile
     const excessMs = best.placement.firstTokenMs - firstTokenLimitMs
@@ -317,7 +335,7 @@
         end = message
       } else {
         const accepted = assembler.accept(message)
-        if (accepted.kind === 'progress') this.run.push(accepted.tokens, assembler.version)
+        if (accepted.kind === 'progress') this.#pass(accepted.tokens, assembler.version)
         if (this.run.isTooFarAhead) await this.run.waitForRoom(this.#abort.signal)
       }
       if (assembler.completed !== undefined && end !== undefined) {
@@ -327,6 +345,12 @@
     }
   }
 
+  #pass (tokens: readonly string[], version: string): void {
+    this.run.push(tokens, version)
+    this.#lastTokenAt = this.ports.clock.now()
+    this.#noEnginePauseMs = NO_ENGINE_PAUSE_MS
+  }
+
   async #nextItem (stream: StartedStream): Promise<IteratorResult<RunStreamItem> | 'stalled'> {
     const pending = stream.first ?? stream.items.next()
     delete stream.first
@@ -357,8 +381,11 @@
 
   #mayRetry (reason: RetryReason): boolean {
     this.#lastRetry = reason
-    const isWithinProfile = this.#attempts <= this.request.profile.retries
     const isSafe = reason === 'engine-refused' || reason === 'connect-failed' || reason === 'version-mismatch'
+    // Engines that refuse the rest of an answer have not run it, and may take it a moment later.
+    const waitsToResume = isSafe && this.#hasBegun && this.#refusedResumptions < MOST_REFUSED_RESUMPTIONS && this.ports.clock.now() < this.#resumePatienceEnds
+    if (waitsToResume) this.#refusedResumptions += 1
+    const isWithinProfile = this.#attempts - this.#refusedResumptions <= this.request.profile.retries
     // A refusal by a full or leaving engine costs nothing; only work that may be done twice spends the budget.
     if (isWithinProfile && (isSafe || this.ports.budget.tryRetry())) {
       this.ports.retries.count(reason)
