One timer looks at all requests whose endpoints may fall silent

What it cost: each resumable stream and safe request had a timer of its own that woke the process every 200 ms, at ten requests a second several wake-ups for each.

Change: one timer for all of them, which runs only while there are some; what requests need from around them is put together once for a service, and how a request was placed is described only where it is logged.

--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -8,6 +8,7 @@
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { PromptPorts } from './PromptPorts.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import type { SharedLooks } from './SharedLooks.js'
 
 /** A request that was read whole and belongs to a route. */
 export interface RoutedRequest {
@@ -36,6 +37,8 @@
   readonly stop: PlannedStop
   readonly durations: RouteDurations
   readonly quarantine: RequestQuarantine
+  /** Looks at requests whose endpoints may fall silent. */
+  readonly silenceLooks: SharedLooks
   /** Has a request placed on what is known of the others' work: at once, or after a moment in which they are asked. */
   beforePlacing (place: () => void): void
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -9,7 +9,6 @@
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
-import type { RoutedAdmission } from './admitRouted.js'
 import { AnswerRelay } from './AnswerRelay.js'
 import { AnswerTimes } from './AnswerTimes.js'
 import { AttemptFailures } from './AttemptFailures.js'
@@ -74,7 +73,7 @@
       logWait: details => { this.#decided('waits-for-room', details) }
     })
     this.#repeats = new RepeatReservation(request, ports, this.#attempts, failure => { this.#decided('retry-budget-used-up', { failure }) })
-    this.#failover = new SilenceFailover({
+    this.#failover = new SilenceFailover(ports.silenceLooks, {
       isWanted: () => this.#wantsStandby(),
       isSilent: () => this.#isEndpointSilent(),
       beforePlacing: place => { ports.beforePlacing(place) },
@@ -139,8 +138,9 @@
     }
     const choice = this.#placement.choose()
     if (typeof choice === 'string') return this.#endWithoutEndpoint(choice)
-    const admission = this.#admit(choice)
-    if (admission === undefined) return
+    const admission = this.#placement.admit(choice)
+    if (admission.kind === 'wait') return this.#waits.waitForRoom(choice)
+    if (admission.kind === 'refuse') return this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
     const attempt = this.#open(choice)
     if (attempt === undefined) return this.#tryNext()
     this.#attempt = attempt
@@ -183,14 +183,6 @@
     this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, Number.isFinite(release) ? release - performance.now() : 0)
   }
 
-  #admit (choice: EndpointChoice): Extract<RoutedAdmission, { kind: 'send' }> | undefined {
-    const admission = this.#placement.admit(choice)
-    if (admission.kind === 'send') return admission
-    if (admission.kind === 'wait') this.#waits.waitForRoom(choice)
-    else this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
-    return undefined
-  }
-
   /** The plan of stores is made anew, because more may be stored by then. */
   #placeAgain (): void {
     if (this.#isDone) return
@@ -239,7 +231,10 @@
       this.#guard.noteWhole()
     }
     if (this.request.route.kind !== 'stream') endpoint.observeLatency(attempt.ageMs)
-    this.#finish('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
+    this.#end()
+    if (this.ports.telemetry.keepsStory(this.request.id)) {
+      this.#decidedEnd('answered', { status: head.status, endpoint: endpoint.id, ...describePlacement(attempt.choice, this.request, this.#prompt, this.#times.firstEventMs) })
+    }
     this.#relay.complete()
   }
 
@@ -381,12 +376,18 @@
   }
 
   #finish<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
+    this.#end()
+    this.#decidedEnd(outcome, details)
+  }
+
+  #end (): void {
     this.#isDone = true
     clearTimeout(this.#timer)
     this.#failover.end()
-    if (outcome !== 'answered' || this.ports.telemetry.keepsStory(this.request.id)) {
-      this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, runs: this.#attempts.runs })
-    }
+  }
+
+  #decidedEnd<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
+    this.#decided(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, runs: this.#attempts.runs })
   }
 
   #decided<Event extends DecisionEvent> (event: Event, details: DecisionFields<Event>): void {
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -20,7 +20,10 @@
 import { CallerExchange } from './CallerExchange.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import type { RoutedFleet } from './RoutedFleet.js'
+import type { RoutedPorts } from './RoutedRequest.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
+import { SharedLooks } from './SharedLooks.js'
+import { SILENCE_LOOK_MS } from './SilenceFailover.js'
 import { StartupQueue } from './StartupQueue.js'
 
 /** What the server needs from around it. */
@@ -70,13 +73,15 @@
 /** Serves routed requests until drained. */
 export class RoutedServer {
   readonly #server: Server
-  readonly #allowances = new Map<string, RetryAllowance>()
+  /** What requests need from around them, by service. */
+  readonly #requestPorts = new Map<string, RoutedPorts>()
   readonly #refusals: LabelledCounter
   readonly #retries: LabelledCounter
   readonly #requests: LabelledCounter
   readonly #firstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
   readonly #durations = new RouteDurations()
+  readonly #silenceLooks = new SharedLooks(SILENCE_LOOK_MS)
   #index: SiteIndex | undefined
   #lastRequestAt = 0
   /** Requests that were read and not answered yet; the task only once there is one. */
@@ -277,30 +282,13 @@
       this.#refuse(exchange, fields, 'no-endpoint', 503, `route ${route.name} leads to no service`, ASK_AGAIN_SECONDS)
       return
     }
-    const allowance = this.#allowance(service.name)
-    allowance.recordRequest(this.ports.liveHosts())
+    const ports = this.#portsOf(service.name)
+    ports.allowance.recordRequest(this.ports.liveHosts())
     this.#requests.count(route.kind)
-    const { fleet, codec, telemetry } = this.ports
     const id = fields.requestId ?? ''
     const regionBound = regionBoundOf(route, customer, this.ports.regions)
     const request = { id, route, service, customer, regionBound, fields, body, arrivedAt, siteVersion: index.site.version }
-    const task: RoutedRequestTask = new RoutedRequestTask(request, exchange, {
-      fleet,
-      codec,
-      allowance,
-      telemetry,
-      stop: this.ports.stop,
-      quarantine: this.ports.quarantine,
-      durations: this.#durations,
-      retries: this.#retries,
-      refusals: this.#refusals,
-      firstEvent: this.#firstEvent,
-      desiredVersion: model => this.ports.desiredVersion(model),
-      leftMsOn: (model, version) => this.ports.leftMsOn(model, version),
-      storesUsable: now => this.ports.storesUsable(now),
-      storeClockMs: now => this.ports.storeClockMs(now),
-      beforePlacing: place => { this.ports.beforePlacing(place) }
-    })
+    const task = new RoutedRequestTask(request, exchange, ports)
     this.#underWay.set(exchange, task)
     task.start()
   }
@@ -320,12 +308,30 @@
     exchange.refuse(refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, new DispatchRecord()))
   }
 
-  #allowance (service: string): RetryAllowance {
-    const present = this.#allowances.get(service)
+  #portsOf (service: string): RoutedPorts {
+    const present = this.#requestPorts.get(service)
     if (present !== undefined) return present
-    const allowance = new RetryAllowance(this.ports.budget)
-    this.#allowances.set(service, allowance)
-    return allowance
+    const { fleet, codec, telemetry, stop, quarantine, budget } = this.ports
+    const ports: RoutedPorts = {
+      fleet,
+      codec,
+      telemetry,
+      stop,
+      quarantine,
+      allowance: new RetryAllowance(budget),
+      durations: this.#durations,
+      retries: this.#retries,
+      refusals: this.#refusals,
+      firstEvent: this.#firstEvent,
+      silenceLooks: this.#silenceLooks,
+      desiredVersion: model => this.ports.desiredVersion(model),
+      leftMsOn: (model, version) => this.ports.leftMsOn(model, version),
+      storesUsable: now => this.ports.storesUsable(now),
+      storeClockMs: now => this.ports.storeClockMs(now),
+      beforePlacing: place => { this.ports.beforePlacing(place) }
+    }
+    this.#requestPorts.set(service, ports)
+    return ports
   }
 }
 
--- /dev/null
+++ b/apps/entry/src/lib/routed/SharedLooks.test.ts
@@ -0,0 +1,46 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { SharedLooks } from './SharedLooks.js'
+
+const INTERVAL_MS = 200
+
+describe('SharedLooks', () => {
+  beforeEach(() => { vi.useFakeTimers() })
+  afterEach(() => { vi.useRealTimers() })
+
+  it('calls everybody by one timer', () => {
+    const looks = new SharedLooks(INTERVAL_MS)
+    const called = [0, 0, 0]
+    called.forEach((_, index) => {
+      looks.join(() => { called[index] = (called[index] ?? 0) + 1 })
+      vi.advanceTimersByTime(10)
+    })
+    expect(vi.getTimerCount()).toBe(1)
+    vi.advanceTimersByTime(INTERVAL_MS * 3)
+    expect(called).toEqual([3, 3, 3])
+  })
+
+  it('has no timer while nobody has joined, and can be joined again', () => {
+    const looks = new SharedLooks(INTERVAL_MS)
+    let called = 0
+    const look = (): void => { called += 1 }
+    looks.join(look)
+    looks.leave(look)
+    expect(vi.getTimerCount()).toBe(0)
+    looks.join(look)
+    vi.advanceTimersByTime(INTERVAL_MS)
+    expect(called).toBe(1)
+  })
+
+  it('goes on if somebody leaves during a look, and does not call who has left', () => {
+    const looks = new SharedLooks(INTERVAL_MS)
+    const called: string[] = []
+    const first = (): void => {
+      called.push('first')
+      looks.leave(first)
+    }
+    looks.join(first)
+    looks.join(() => { called.push('second') })
+    vi.advanceTimersByTime(INTERVAL_MS * 2)
+    expect(called).toEqual(['first', 'second', 'second'])
+  })
+})
--- /dev/null
+++ b/apps/entry/src/lib/routed/SharedLooks.ts
@@ -0,0 +1,28 @@
+/**
+ * Looks that many requests want at the same interval.
+ *
+ * A timer for each request wakes the process once for each of them; one for all wakes it a few times a second.
+ */
+
+/** Calls everybody who has joined, by one timer that runs only while there is somebody. */
+export class SharedLooks {
+  readonly #looks = new Set<() => void>()
+  #timer: NodeJS.Timeout | undefined
+
+  /** @param intervalMs - between two looks, in milliseconds */
+  constructor (private readonly intervalMs: number) {}
+
+  /** @param look - called from now on; for the first time within one interval */
+  join (look: () => void): void {
+    this.#looks.add(look)
+    this.#timer ??= setInterval(() => { for (const joined of [...this.#looks]) joined() }, this.intervalMs)
+  }
+
+  /** @param look - not called any more */
+  leave (look: () => void): void {
+    this.#looks.delete(look)
+    if (this.#looks.size > 0) return
+    clearInterval(this.#timer)
+    this.#timer = undefined
+  }
+}
--- a/apps/entry/src/lib/routed/SilenceFailover.ts
+++ b/apps/entry/src/lib/routed/SilenceFailover.ts
@@ -6,9 +6,10 @@
  * is accepted, because endpoints reject what they can't take and silent ones may only have paused.
  */
 import type { RoutedAttempt } from './RoutedAttempt.js'
+import type { SharedLooks } from './SharedLooks.js'
 
 /** Interval between looks, in milliseconds: a quarter of the silence that counts. */
-const LOOK_MS = 200
+export const SILENCE_LOOK_MS = 200
 
 /**
  * Longest time for which both attempts are open, in milliseconds. A rejection comes within a few; two
@@ -34,24 +35,29 @@
 /** Watch over the attempts of one request, with at most one standby at a time. */
 export class SilenceFailover {
   #standby: RoutedAttempt | undefined
-  #looks: NodeJS.Timeout | undefined
+  #isWatching = false
+  readonly #look = (): void => {
+    if (this.#isWanted()) this.ports.beforePlacing(() => { if (this.#isWanted()) this.#open() })
+  }
+
   #overlap: NodeJS.Timeout | undefined
 
-  /** @param ports - the request's task */
-  constructor (private readonly ports: SilenceFailoverPorts) {}
+  /**
+   * @param looks - of all requests
+   * @param ports - the request's task
+   */
+  constructor (private readonly looks: SharedLooks, private readonly ports: SilenceFailoverPorts) {}
 
-  /** Starts to look, in place of any earlier watch. */
+  /** Starts to look. */
   watch (): void {
-    this.stop()
-    this.#looks = setInterval(() => {
-      if (this.#isWanted()) this.ports.beforePlacing(() => { if (this.#isWanted()) this.#open() })
-    }, LOOK_MS)
+    this.#isWatching = true
+    this.looks.join(this.#look)
   }
 
   /** Stops looking. */
   stop (): void {
-    clearInterval(this.#looks)
-    this.#looks = undefined
+    if (this.#isWatching) this.looks.leave(this.#look)
+    this.#isWatching = false
   }
 
   /** Stops looking, and ends the standby if there is one. */
@@ -89,7 +95,7 @@
   }
 
   #isWanted (): boolean {
-    return this.#looks !== undefined && this.#standby === undefined && this.ports.isWanted()
+    return this.#isWatching && this.#standby === undefined && this.ports.isWanted()
   }
 
   #open (): void {
--- /dev/null
+++ b/apps/entry/src/lib/routed/TriedEndpoints.test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from 'vitest'
+import { TriedEndpoints } from './TriedEndpoints.js'
+
+describe('TriedEndpoints', () => {
+  it('lets two endpoints be asked at once, and the next ones after pauses that grow up to a bound', () => {
+    const tried = new TriedEndpoints()
+    const pauses = Array.from({ length: 6 }, () => {
+      tried.observeRejection(1000)
+      return Math.max(0, tried.askAgainAt - 1000)
+    })
+    expect(pauses).toEqual([0, 150, 300, 500, 500, 500])
+  })
+
+  it('begins anew once the answer has gone on', () => {
+    const tried = new TriedEndpoints()
+    for (let rejection = 0; rejection < 4; rejection += 1) tried.observeRejection(1000)
+    tried.observeProgress()
+    expect(tried.askAgainAt).toBeLessThan(1000)
+    tried.observeRejection(2000)
+    expect(tried.askAgainAt).toBeLessThan(2000)
+  })
+
+  it('allows endpoints again that rejected the request or fell silent, not those where it failed or runs', () => {
+    const tried = new TriedEndpoints()
+    for (const id of ['rejected', 'silent', 'failed', 'running']) tried.add(id)
+    tried.observeFailure('failed')
+    tried.allowAgain('running')
+    expect([...tried.ids]).toEqual(['failed', 'running'])
+  })
+})
