--- a/apps/entry/src/lib/runs/RunManager.ts
+++ b/apps/entry/src/lib/runs/RunManager.ts
@@ -10,7 +10,8 @@
 import type { CallGuard, CallQuarantine } from '../quarantine/CallQuarantine.js'
 import type { AdmissionGate } from './AdmissionGate.js'
 import { Run } from './Run.js'
-import { heldTokens, RunTask, type RunPorts, type RunRequest } from './RunTask.js'
+import { heldTokens } from './heldTokens.js'
+import { RunTask, type RunPorts, type RunRequest } from './RunTask.js'
 
 /** Limits of the manager. Durations are in milliseconds. */
 export interface RunManagerSettings {
--- a/apps/entry/src/lib/runs/RunTask.ts
+++ b/apps/entry/src/lib/runs/RunTask.ts
@@ -6,7 +6,6 @@
 import { isNotStarted, type BackendError } from '@eelgrassmux/backends/BackendError'
 import type { RunStreamItem, EngineBackend } from '@eelgrassmux/backends/EngineClient'
 import type { RunMessage } from '@eelgrassmux/backends/engineProtocol'
-import { tokenCount } from '@eelgrassmux/cache/blockKeys'
 import type { RetryBudget, RetryReason } from '@eelgrassmux/policy/limits/RetryBudget'
 import { AnswerAssembler } from '@eelgrassmux/runs/AnswerAssembler'
 import type { Clock } from '@eelgrassmux/schema/Clock'
@@ -19,6 +18,7 @@
 import type { CallGuard } from '../quarantine/CallQuarantine.js'
 import type { FinishedRun } from './Exporter.js'
 import type { PlacedRun, PlaceRequest } from './Placer.js'
+import { ResumptionPatience } from './ResumptionPatience.js'
 import type { Run } from './Run.js'
 
 /** What a caller asked for. */
@@ -90,18 +90,9 @@
 /** Pause before engines are looked for again when there is none, in milliseconds. */
 const NO_ENGINE_PAUSE_MS = 100
 
-/** Longest pause of that kind after all engines have refused a run again and again, in milliseconds. */
-const LONGEST_NO_ENGINE_PAUSE_MS = 1000
-
 /** Longest wait for any engine, in milliseconds. */
 const NO_ENGINE_PATIENCE_MS = 2000
 
-/** Longest wait for an engine once the caller has part of the answer and can't come back for the rest, in milliseconds. */
-const RESUME_PATIENCE_MS = 8000
-
-/** Most refusals of the rest of one answer. */
-const MOST_REFUSED_RESUMPTIONS = 30
-
 /** Longest silence of a stream before it is read again from the gap, in milliseconds. */
 const STALL_MS = 3000
 
@@ -112,13 +103,10 @@
 export class RunTask {
   readonly #abort = new AbortController()
   readonly #deadline: number
+  readonly #patience: ResumptionPatience
   readonly #excluded = new Set<string>()
   #assembler: AnswerAssembler | undefined
   #attempts = 0
-  /** Refusals by engines since the caller has part of the answer. */
-  #refusedResumptions = 0
-  #noEnginePauseMs = NO_ENGINE_PAUSE_MS
-  #lastTokenAt = 0
   #lastRetry: RetryReason | undefined
 
   /**
@@ -128,6 +116,7 @@
    */
   constructor (private readonly run: Run, private readonly request: RunRequest, private readonly ports: RunPorts) {
     this.#deadline = run.startedAt + request.profile.deadlineMs
+    this.#patience = new ResumptionPatience(ports.clock)
   }
 
   /** Ends the run early and frees its engine. */
@@ -157,7 +146,7 @@
   // --- Placement ---
 
   async #place (): Promise<PlacedRun | undefined> {
-    const patienceEnds = this.#hasBegun ? this.#resumePatienceEnds : this.ports.clock.now() + NO_ENGINE_PATIENCE_MS
+    const patienceEnds = this.#hasBegun ? this.#patience.endsAt : this.ports.clock.now() + NO_ENGINE_PATIENCE_MS
     for (;;) {
       if (this.#abort.signal.aborted) return this.#fail({ reason: 'endpoint-failed', status: 499, detail: 'the caller left' })
       const held = this.ports.guard.refusal()
@@ -180,15 +169,12 @@
         const detail = this.run.version === undefined ? 'no engine of the model can take the request' : `no engine runs version ${this.run.version} any more`
         return this.#fail({ reason: 'no-endpoint', status: 503, detail, retryAfterSeconds: RETRY_AFTER_SECONDS })
       }
-      await this.ports.clock.sleep(this.#noEnginePauseMs)
-      if (this.#hasBegun) this.#noEnginePauseMs = Math.min(LONGEST_NO_ENGINE_PAUSE_MS, this.#noEnginePauseMs * 2)
+      await this.ports.clock.sleep(this.#hasBegun ? this.#patience.nextPauseMs() : NO_ENGINE_PAUSE_MS)
     }
   }
 
   get #hasBegun (): boolean { return this.run.length > 0 }
 
-  get #resumePatienceEnds (): number { return this.#lastTokenAt + RESUME_PATIENCE_MS }
-
   #withinLimit (best: PlacedRun): PlacedRun | undefined {
     const { firstTokenLimitMs } = this.request.profile
     const excessMs = best.placement.firstTokenMs - firstTokenLimitMs
@@ -335,7 +321,10 @@
         end = message
       } else {
         const accepted = assembler.accept(message)
-        if (accepted.kind === 'progress') this.#pass(accepted.tokens, assembler.version)
+        if (accepted.kind === 'progress') {
+          this.run.push(accepted.tokens, assembler.version)
+          this.#patience.noteTokens()
+        }
         if (this.run.isTooFarAhead) await this.run.waitForRoom(this.#abort.signal)
       }
       if (assembler.completed !== undefined && end !== undefined) {
@@ -345,12 +334,6 @@
     }
   }
 
-  #pass (tokens: readonly string[], version: string): void {
-    this.run.push(tokens, version)
-    this.#lastTokenAt = this.ports.clock.now()
-    this.#noEnginePauseMs = NO_ENGINE_PAUSE_MS
-  }
-
   async #nextItem (stream: StartedStream): Promise<IteratorResult<RunStreamItem> | 'stalled'> {
     const pending = stream.first ?? stream.items.next()
     delete stream.first
@@ -383,9 +366,8 @@
     this.#lastRetry = reason
     const isSafe = reason === 'engine-refused' || reason === 'connect-failed' || reason === 'version-mismatch'
     // Engines that refuse the rest of an answer have not run it, and may take it a moment later.
-    const waitsToResume = isSafe && this.#hasBegun && this.#refusedResumptions < MOST_REFUSED_RESUMPTIONS && this.ports.clock.now() < this.#resumePatienceEnds
-    if (waitsToResume) this.#refusedResumptions += 1
-    const isWithinProfile = this.#attempts - this.#refusedResumptions <= this.request.profile.retries
+    if (isSafe && this.#hasBegun) this.#patience.noteRefusal()
+    const isWithinProfile = this.#attempts - this.#patience.refusals <= this.request.profile.retries
     // A refusal by a full or leaving engine costs nothing; only work that may be done twice spends the budget.
     if (isWithinProfile && (isSafe || this.ports.budget.tryRetry())) {
       this.ports.retries.count(reason)
@@ -415,13 +397,3 @@
 function secondsWithJitter (milliseconds: number): number {
   return Math.max(1, Math.ceil(milliseconds / 1000 * (1 + Math.random() / 2)))
 }
-
-/**
- * Tokens that a request holds while it is in flight.
- *
- * @param request - what was asked
- * @returns prompt and longest answer, in tokens
- */
-export function heldTokens (request: RunRequest): number {
-  return tokenCount(request.prompt) + request.maxTokens
-}
