--- a/apps/entry/src/lib/routed/PlacementWaits.ts
+++ b/apps/entry/src/lib/routed/PlacementWaits.ts
@@ -29,11 +29,14 @@
   placeAgain (): void
   /** Logs that the request waits for memory. */
   logWait (details: DecisionFields<'waits-for-room'>): void
+  /** Logs that the stream waits for an endpoint that takes the rest. */
+  logResumption (details: DecisionFields<'waits-to-resume'>): void
 }
 
 /** Looks again after a moment, as long as that is of use. */
 export class PlacementWaits {
   #hasWaitedForRoom = false
+  #hasWaitedToResume = false
 
   /**
    * @param request - that waits
@@ -77,6 +80,8 @@
     const now = performance.now()
     const at = Math.max(now + RESUME_LOOK_MS, until)
     if (at >= patienceEnds) return false
+    if (!this.#hasWaitedToResume) this.ports.logResumption({ waitMs: Math.round(at - now), patienceMs: Math.round(patienceEnds - now) })
+    this.#hasWaitedToResume = true
     setTimeout(goOn, at - now)
     return true
   }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -70,7 +70,8 @@
     })
     this.#waits = new PlacementWaits(request, {
       placeAgain: () => { this.#placeAgain() },
-      logWait: details => { this.#decided('waits-for-room', details) }
+      logWait: details => { this.#decided('waits-for-room', details) },
+      logResumption: details => { this.#decided('waits-to-resume', details) }
     })
     this.#repeats = new RepeatReservation(request, ports, this.#attempts, failure => { this.#decided('retry-budget-used-up', { failure }) })
     this.#failover = new SilenceFailover(ports.silenceLooks, {
@@ -309,6 +310,7 @@
     const admission = this.#placement.admit(choice)
     if (admission.kind !== 'send' || this.#reserveRepeat('broken-stream') !== 'reserved') return undefined
     this.ports.retries.count('broken-stream')
+    this.#decided('standby-opened', { endpoint: this.#attempt?.choice.endpoint.id ?? '', standby: choice.endpoint.id, hadEvents: this.#times.hasFirstEvent, remainingMs: Math.round(this.#deadline - now) })
     return this.#open(choice)
   }
 
--- a/apps/entry/src/lib/routed/SilenceFailover.ts
+++ b/apps/entry/src/lib/routed/SilenceFailover.ts
@@ -35,13 +35,12 @@
 /** Watch over the attempts of one request, with at most one standby at a time. */
 export class SilenceFailover {
   #standby: RoutedAttempt | undefined
+  #overlap: NodeJS.Timeout | undefined
   #isWatching = false
   readonly #look = (): void => {
     if (this.#isWanted()) this.ports.beforePlacing(() => { if (this.#isWanted()) this.#open() })
   }
 
-  #overlap: NodeJS.Timeout | undefined
-
   /**
    * @param looks - of all requests
    * @param ports - the request's task
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -6,6 +6,10 @@
 export const requestDecisions = {
   'waits-for-site': z.strictObject({ areEndpointsKnown: z.boolean(), isLoadKnown: z.boolean(), waiting: z.number() }),
   'waits-for-room': z.strictObject({ endpoint: z.string(), memoryShare: z.number(), tokensHeld: z.number(), tokensAhead: z.number() }),
+  /** A second attempt is made beside one whose endpoint has fallen silent. */
+  'standby-opened': z.strictObject({ endpoint: z.string(), standby: z.string(), hadEvents: z.boolean(), remainingMs: z.number() }),
+  /** A stream that has begun waits for an endpoint that takes the rest, or for the budget. */
+  'waits-to-resume': z.strictObject({ waitMs: z.number(), patienceMs: z.number() }),
   'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
   'attempt-failed': z.strictObject({
     endpoint: z.string(),
