Count and log how the responses of endpoints end

Callers of streams got half an event in a response that looked complete, and the logs could not tell whether the endpoint had ended its connection in order, whether a reset was taken for that, or whether the endpoint framed it as complete. routed_response_ends_total counts ends by what marks the end of the body and whether it lies inside an event; attempt-failed says the same of responses that had begun. Nothing that decides is changed.

--- a/apps/entry/src/lib/routed/AttemptFailures.ts
+++ b/apps/entry/src/lib/routed/AttemptFailures.ts
@@ -2,6 +2,7 @@
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
+import { bodyFraming } from './responseBody.js'
 import type { ResponseTimes } from './ResponseTimes.js'
 import { FAILURES_THAT_MAY_HAVE_RUN, type AttemptRecord } from './AttemptRecord.js'
 import { learnFromFailure } from './learnFromFailure.js'
@@ -45,7 +46,7 @@
     learnFromFailure(this.fleet, endpoint, failure, head)
     if (TRANSIENT_FAILURES.has(failure)) tried.observeRejection(performance.now())
     else tried.observeFailure(endpoint.id)
-    this.#log(attempt, failure, detail)
+    this.#log(attempt, failure, detail, head)
   }
 
   /** @param attempt - attempt that was cancelled because its endpoint stopped responding */
@@ -64,11 +65,12 @@
     if (wasSent && !endpoint.isLeaving) this.records.guard.noteLost(endpoint.incarnation, ageMs)
   }
 
-  #log (attempt: RoutedAttempt, failure: AttemptFailure, detail: string): void {
+  #log (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head?: ResponseHead): void {
     const { attempts: { sends, runs }, guard, times, deadline, log } = this.records
     const mayHaveRun = FAILURES_THAT_MAY_HAVE_RUN.has(failure)
     if (mayHaveRun) this.noteLost(attempt)
     const run = mayHaveRun ? { fingerprint: guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: times.hasFirstEvent } : {}
-    log({ endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs: Math.round(deadline - performance.now()), ...run })
+    const body = mayHaveRun && head !== undefined ? { framing: bodyFraming(head.headers), bodyBytes: attempt.answerBytes } : {}
+    log({ endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs: Math.round(deadline - performance.now()), ...run, ...body })
   }
 }
--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -1,7 +1,9 @@
 /** Forwards an endpoint's response to the caller: streams as the events arrive, other responses once they are complete. */
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
+import { EventScanner } from '@eelgrassmux/runs/EventScanner'
 import type { CallerExchange } from './CallerExchange.js'
+import { bodyFraming, isEventStream, type BodyFraming } from './responseBody.js'
 import type { ResponseHead } from './RoutedAttempt.js'
 
 /** Responses other than streams are buffered up to this size, in bytes, so that the request can be retried if the response breaks off. */
@@ -32,6 +34,7 @@
   readonly #cursor: EventCursor | undefined
   #head: ResponseHead | undefined
   #resume: () => void = () => {}
+  #scanner: EventScanner | undefined
   #buffered: Buffer[] | undefined
   #bufferedBytes = 0
 
@@ -48,6 +51,10 @@
   /** Id of the event after which the next attempt has to continue. */
   get lastEventId (): number | undefined { return this.#cursor?.lastId ?? this.kind.lastEventId }
   get head (): ResponseHead | undefined { return this.#head }
+  /** What marks the end of the current response's body. */
+  get framing (): BodyFraming { return bodyFraming(this.#head?.headers ?? []) }
+  /** Whether the current response, as received so far, ends inside an event. */
+  get isInsideEvent (): boolean { return this.#scanner?.isInsideEvent ?? this.#cursor?.hasPartialEvent ?? false }
   /** Why the current attempt's response, which has ended, does not complete the response to the caller. */
   get fault (): ResponseFault | undefined {
     if (this.#cursor?.hasPartialEvent === true) return { failure: 'lost', detail: 'the stream ended inside an event' }
@@ -75,6 +82,7 @@
     // A failure is buffered, because the request may be retried. What an earlier attempt left in the buffer is not part of this response.
     this.#buffered = !this.kind.isStream || head.status !== OK ? [] : undefined
     this.#bufferedBytes = 0
+    this.#scanner = this.kind.isStream && this.#cursor === undefined && isEventStream(head) ? new EventScanner() : undefined
   }
 
   /**
@@ -83,6 +91,7 @@
    */
   data (chunk: Buffer): boolean {
     if (this.#buffered !== undefined) return this.#buffer(this.#buffered, chunk)
+    if (this.#scanner !== undefined) scanAll(this.#scanner, chunk)
     const bytes = this.#cursor === undefined ? chunk : this.#cursor.push(chunk)
     return bytes.length === 0 || this.#forward(bytes)
   }
@@ -121,3 +130,7 @@
     return false
   }
 }
+
+function scanAll (scanner: EventScanner, chunk: Buffer): void {
+  for (let at = 0; at >= 0;) at = scanner.scan(chunk, at)
+}
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -35,6 +35,8 @@
   readonly allowance: RetryTokens
   readonly retries: LabelledCounter
   readonly refusals: LabelledCounter
+  /** How endpoints' responses ended, by what marks their end and whether they were complete. */
+  readonly responseEnds: LabelledCounter
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
   readonly stop: GracefulShutdown
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -11,6 +11,7 @@
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
 import type { UsableGrant } from '../waiting/WaitingExchange.js'
 import { ResponseRelay } from './ResponseRelay.js'
+import { bodyFraming } from './responseBody.js'
 import { ResponseTimes } from './ResponseTimes.js'
 import { AttemptFailures } from './AttemptFailures.js'
 import { AttemptRecord } from './AttemptRecord.js'
@@ -108,7 +109,10 @@
       head: (attempt, head, resume) => { this.#onHead(attempt, head, resume) },
       data: (attempt, chunk) => this.#onData(attempt, chunk),
       complete: attempt => { this.#onComplete(attempt) },
-      failed: (attempt, failure, detail, head) => { this.#onFailure(attempt, failure, detail, head) },
+      failed: (attempt, failure, detail, head) => {
+        if (head?.fields.isNotExecuted === false) this.ports.responseEnds.count(`${bodyFraming(head.headers)}-broken`)
+        this.#onFailure(attempt, failure, detail, head)
+      },
       unread: (attempt, bytes) => this.#countUnread(attempt, bytes)
     })
     this.#relay = new ResponseRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
@@ -331,6 +335,7 @@
     const { endpoint } = attempt.choice
     const { head } = this.#relay
     if (this.#isDone || head === undefined) return
+    this.ports.responseEnds.count(`${this.#relay.framing}-${this.#relay.isInsideEvent ? 'inside-event' : 'complete'}`)
     const { fault } = this.#relay
     if (fault !== undefined) return this.#onFailure(attempt, fault.failure, fault.detail, head)
     const isFailure = head.status >= 500
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -91,6 +91,7 @@
   readonly #refusals: LabelledCounter
   readonly #retries: LabelledCounter
   readonly #requests: LabelledCounter
+  readonly #responseEnds: LabelledCounter
   readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
   readonly #durations = new RouteDurations()
@@ -111,6 +112,7 @@
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
     this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
+    this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
     this.#observeFirstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS_SECONDS)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
@@ -336,6 +338,7 @@
       durations: this.#durations,
       retries: this.#retries,
       refusals: this.#refusals,
+      responseEnds: this.#responseEnds,
       firstEvent: this.#observeFirstEvent,
       silenceChecks: this.#silenceChecks,
       slowReaders: this.ports.slowReaders,
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -295,6 +295,7 @@
       durations: new RouteDurations(),
       retries: counter,
       refusals: counter,
+      responseEnds: counter,
       firstEvent: () => {},
       silenceChecks: new SharedInterval(SILENCE_CHECK_INTERVAL_MS),
       desiredVersion: () => 1,
--- /dev/null
+++ b/packages/runs/src/lib/EventScanner.ts
@@ -0,0 +1,60 @@
+/**
+ * Finds where the events of a server-sent event stream end, without decoding them.
+ *
+ * Lines end with LF, CR or CRLF. An event consists of all lines up to a blank one; comments, which
+ * begin with a colon, and further blank lines belong to no event.
+ */
+
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const COLON = 0x3a
+
+/** Follows a stream that may be split at any byte. */
+export class EventScanner {
+  #isLineStarted = false
+  #isComment = false
+  #hasFields = false
+  #isAfterCarriageReturn = false
+
+  /** Whether the bytes scanned so far end inside an event. */
+  get isInsideEvent (): boolean { return this.#hasFields || (this.#isLineStarted && !this.#isComment) }
+
+  /**
+   * Scans up to the end of the next event.
+   *
+   * @param bytes - next bytes of the stream
+   * @param from - offset of the first byte that has not been scanned
+   * @returns offset after the blank line that ends the event; -1 if all bytes were scanned without reaching one
+   */
+  scan (bytes: Buffer, from: number): number {
+    for (let at = from; at < bytes.length; at += 1) {
+      const byte = bytes[at]
+      const isSecondOfLineEnd = byte === LINE_FEED && this.#isAfterCarriageReturn
+      this.#isAfterCarriageReturn = byte === CARRIAGE_RETURN
+      if (isSecondOfLineEnd) continue
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+        if (!this.#isLineStarted) this.#isComment = byte === COLON
+        this.#isLineStarted = true
+      } else if (this.#endLine()) {
+        return this.#afterLineEnd(bytes, at)
+      }
+    }
+    return -1
+  }
+
+  /** @returns whether the line that ends here is the blank line after an event */
+  #endLine (): boolean {
+    const isBlank = !this.#isLineStarted
+    const endsEvent = isBlank && this.#hasFields
+    this.#hasFields = !isBlank && (this.#hasFields || !this.#isComment)
+    this.#isLineStarted = false
+    return endsEvent
+  }
+
+  /** Includes the LF of a CRLF, if it has arrived. */
+  #afterLineEnd (bytes: Buffer, at: number): number {
+    if (!this.#isAfterCarriageReturn || bytes[at + 1] !== LINE_FEED) return at + 1
+    this.#isAfterCarriageReturn = false
+    return at + 2
+  }
+}
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -36,7 +36,10 @@
     /** The next three fields are set if the request may have run: what was requested, how long the endpoint had it, and whether events arrived. */
     fingerprint: z.string().optional(),
     ranMs: z.number().optional(),
-    hadEvents: z.boolean().optional()
+    hadEvents: z.boolean().optional(),
+    /** The next two fields are set if a response had begun: what marks the end of its body, and how much of that had arrived. */
+    framing: z.enum(['length', 'chunks', 'connection']).optional(),
+    bodyBytes: z.number().optional()
   }),
   'retry-budget-used-up': z.strictObject({ failure: z.string() }),
   'retry-granted': retryTokenFields,
