Break off streams that their endpoint ended inside an event

Cause: a response with neither a length nor chunks ends with its connection. The endpoint broke off and its connection closed in order, which HTTP can't tell from the end. Only resumable streams were looked at for half an event; all others were ended as complete, with a last chunk of our own.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -57,7 +57,7 @@
   get isInsideEvent (): boolean { return this.#scanner?.isInsideEvent ?? this.#cursor?.hasPartialEvent ?? false }
   /** Why the current attempt's response, which has ended, does not complete the response to the caller. */
   get fault (): ResponseFault | undefined {
-    if (this.#cursor?.hasPartialEvent === true) return { failure: 'lost', detail: 'the stream ended inside an event' }
+    if (this.isInsideEvent) return { failure: 'lost', detail: 'the stream ended inside an event' }
     if (this.canResume && this.exchange.hasHead && this.#head?.status !== OK) return { failure: 'failed', detail: `status ${this.#head?.status ?? 0} in place of the rest of the stream` }
     return undefined
   }
