Follow resumable streams with any line ends, up to their last byte

Cause: the position in a stream was found by looking for two line feeds, and whatever followed the last of them counted as half an event. The position now follows lines and fields like that of other streams, and passes on what belongs to no event at the end.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -112,6 +112,8 @@
       return
     }
     if (!this.exchange.hasHead) this.exchange.writeHead(head.status, head.headers)
+    const remainder = this.#cursor?.takeRemainder()
+    if (remainder !== undefined && remainder.length > 0) this.exchange.write(remainder)
     this.exchange.end()
   }
 
--- a/packages/runs/src/lib/EventCursor.ts
+++ b/packages/runs/src/lib/EventCursor.ts
@@ -5,12 +5,14 @@
  * event, so only complete events are forwarded, each exactly once.
  */
 
-const LINE_FEED = 0x0a
+import { EventScanner } from './EventScanner.js'
+
 const EMPTY = Buffer.alloc(0)
 
 /** Splits bytes into complete events and drops events that were already forwarded. */
 export class EventCursor {
   #pending: Buffer = EMPTY
+  #scanner = new EventScanner()
   #lastId: number | undefined
 
   /** @param lastId - id of the event after which the caller asked to continue */
@@ -21,11 +23,19 @@
   /** Id of the last complete event. */
   get lastId (): number | undefined { return this.#lastId }
   /** Whether the bytes received so far end inside an event. */
-  get hasPartialEvent (): boolean { return this.#pending.length > 0 }
+  get hasPartialEvent (): boolean { return this.#scanner.isInsideEvent }
 
   /** Discards an incomplete event after its run was interrupted. */
   discardPartialEvent (): void {
     this.#pending = EMPTY
+    this.#scanner = new EventScanner()
+  }
+
+  /** @returns comments and line ends after the last event, which belong to no event; empty inside an event */
+  takeRemainder (): Buffer {
+    const remainder = this.hasPartialEvent ? EMPTY : this.#pending
+    this.#pending = EMPTY
+    return remainder
   }
 
   /**
@@ -33,33 +43,23 @@
    * @returns complete new events; empty if there are none
    */
   push (chunk: Buffer): Buffer {
-    let bytes = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk])
+    const bytes = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk])
     const newEvents: Buffer[] = []
-    for (;;) {
-      const end = findEventEnd(bytes)
-      if (end < 0) break
-      const event = bytes.subarray(0, end)
-      bytes = bytes.subarray(end)
+    let start = 0
+    for (let end = this.#scanner.scan(bytes, this.#pending.length); end >= 0; end = this.#scanner.scan(bytes, end)) {
+      const event = bytes.subarray(start, end)
+      start = end
       const id = parseEventId(event)
       const isDuplicate = id !== undefined && this.#lastId !== undefined && id <= this.#lastId
       if (isDuplicate) continue
       if (id !== undefined) this.#lastId = id
       newEvents.push(event)
     }
-    this.#pending = Buffer.from(bytes)
+    this.#pending = Buffer.from(bytes.subarray(start))
     return newEvents.length === 1 ? newEvents[0] ?? EMPTY : Buffer.concat(newEvents)
   }
 }
 
-/** Returns the offset after the blank line that ends the first event, or -1. */
-function findEventEnd (bytes: Buffer): number {
-  for (let at = bytes.indexOf(LINE_FEED); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    if (bytes[at + 1] === LINE_FEED) return at + 2
-    if (bytes[at + 1] === 0x0d && bytes[at + 2] === LINE_FEED) return at + 3
-  }
-  return -1
-}
-
 function parseEventId (event: Buffer): number | undefined {
   const match = /^id: ?(\d+)/m.exec(event.toString('latin1'))
   return match === null ? undefined : Number(match[1])
