Drop the length of a stream that another endpoint may continue

A caller of a resumable stream got a broken response if its first endpoint stated a length and another one continued it (brokenOffResponse.test.ts, "goes on at another endpoint", the three cases with a length failed: no response). Cause: the length of the first run was passed on, while the rest came from a run of its own. Such streams are passed on in chunks.

--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -101,10 +101,11 @@
    *
    * @param status - status of the endpoint's response
    * @param headers - headers of the endpoint's response
+   * @param isLengthFinal - whether the body will be as long as the headers say, because no other endpoint may continue it
    */
-  writeHead (status: number, headers: readonly string[]): void {
+  writeHead (status: number, headers: readonly string[], isLengthFinal = true): void {
     this.#hasHead = true
-    const kept = endToEndHeaders(headers)
+    const kept = endToEndHeaders(headers, name => !isLengthFinal && name === 'content-length')
     if (this.#closesConnection()) kept.push('Connection', 'close')
     this.response.writeHead(status, kept)
   }
--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -111,7 +111,7 @@
       this.exchange.sendWhole(head.status, head.headers, Buffer.concat(this.#buffered))
       return
     }
-    if (!this.exchange.hasHead) this.exchange.writeHead(head.status, head.headers)
+    this.#writeHead(head)
     const remainder = this.#cursor?.takeRemainder()
     if (remainder !== undefined && remainder.length > 0) this.exchange.write(remainder)
     this.exchange.end()
@@ -125,8 +125,12 @@
     return this.#forward(Buffer.concat(held))
   }
 
+  #writeHead ({ status, headers }: ResponseHead): void {
+    if (!this.exchange.hasHead) this.exchange.writeHead(status, headers, !this.canResume)
+  }
+
   #forward (bytes: Buffer): boolean {
-    if (!this.exchange.hasHead && this.#head !== undefined) this.exchange.writeHead(this.#head.status, this.#head.headers)
+    if (this.#head !== undefined) this.#writeHead(this.#head)
     if (this.exchange.write(bytes)) return true
     this.exchange.onceDrained(() => { this.#resume() })
     return false
