Pass on responses without events on routes whose streams may be resumed

Cause: all of it counted as half an event. Only bodies of type text/event-stream, or of no stated type, without an encoding, are followed now; others are passed on as they come and never continued elsewhere, and never continue a stream.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -35,6 +35,9 @@
   #head: ResponseHead | undefined
   #resume: () => void = () => {}
   #scanner: EventScanner | undefined
+  #isContinuation = false
+  /** Whether the current response is no stream of events, so that nothing can continue it. */
+  #isOpaque = false
   #buffered: Buffer[] | undefined
   #bufferedBytes = 0
 
@@ -47,7 +50,7 @@
   }
 
   /** Whether another attempt may continue the stream after what was forwarded. */
-  get canResume (): boolean { return this.#cursor !== undefined }
+  get canResume (): boolean { return this.#cursor !== undefined && !this.#isOpaque }
   /** Id of the event after which the next attempt has to continue. */
   get lastEventId (): number | undefined { return this.#cursor?.lastId ?? this.kind.lastEventId }
   get head (): ResponseHead | undefined { return this.#head }
@@ -58,7 +61,7 @@
   /** Why the current attempt's response, which has ended, does not complete the response to the caller. */
   get fault (): ResponseFault | undefined {
     if (this.isInsideEvent) return { failure: 'lost', detail: 'the stream ended inside an event' }
-    if (this.canResume && this.exchange.hasHead && this.#head?.status !== OK) return { failure: 'failed', detail: `status ${this.#head?.status ?? 0} in place of the rest of the stream` }
+    if (this.#isContinuation && this.#buffered !== undefined) return { failure: 'failed', detail: `status ${this.#head?.status ?? 0} without events in place of the rest of the stream` }
     return undefined
   }
 
@@ -66,8 +69,8 @@
    * @param head - head of another attempt's response
    * @returns whether that response could be forwarded after what the caller already has
    */
-  canContinueWith ({ status }: ResponseHead): boolean {
-    return this.canResume && this.exchange.hasHead ? status === OK : status < FIRST_SERVER_ERROR_STATUS
+  canContinueWith (head: ResponseHead): boolean {
+    return this.canResume && this.exchange.hasHead ? isEventStream(head) : head.status < FIRST_SERVER_ERROR_STATUS
   }
 
   /**
@@ -79,10 +82,13 @@
   begin (head: ResponseHead, resume: () => void): void {
     this.#head = head
     this.#resume = resume
+    this.#isContinuation = this.#cursor !== undefined && this.exchange.hasHead
+    const hasEvents = this.kind.isStream && isEventStream(head)
+    this.#isOpaque = !hasEvents && !this.#isContinuation
     // A failure is buffered, because the request may be retried. What an earlier attempt left in the buffer is not part of this response.
-    this.#buffered = !this.kind.isStream || head.status !== OK ? [] : undefined
+    this.#buffered = !this.kind.isStream || head.status !== OK || (this.#isContinuation && !hasEvents) ? [] : undefined
     this.#bufferedBytes = 0
-    this.#scanner = this.kind.isStream && this.#cursor === undefined && isEventStream(head) ? new EventScanner() : undefined
+    this.#scanner = hasEvents && this.#cursor === undefined ? new EventScanner() : undefined
   }
 
   /**
@@ -92,7 +98,7 @@
   data (chunk: Buffer): boolean {
     if (this.#buffered !== undefined) return this.#buffer(this.#buffered, chunk)
     if (this.#scanner !== undefined) scanAll(this.#scanner, chunk)
-    const bytes = this.#cursor === undefined ? chunk : this.#cursor.push(chunk)
+    const bytes = this.#cursor === undefined || this.#isOpaque ? chunk : this.#cursor.push(chunk)
     return bytes.length === 0 || this.#forward(bytes)
   }
 
@@ -112,7 +118,7 @@
       return
     }
     this.#writeHead(head)
-    const remainder = this.#cursor?.takeRemainder()
+    const remainder = this.#isOpaque ? undefined : this.#cursor?.takeRemainder()
     if (remainder !== undefined && remainder.length > 0) this.exchange.write(remainder)
     this.exchange.end()
   }
