Take responses of no stated type as their own framing ends them

It is checked now only if its type says that it consists of events, or if nothing but the connection marks its end.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -3,7 +3,7 @@
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import { EventScanner } from '@eelgrassmux/runs/EventScanner'
 import type { CallerExchange } from './CallerExchange.js'
-import { bodyFraming, isEventStream, type BodyFraming } from './responseBody.js'
+import { bodyFraming, isEventStream, mustEndAfterEvent, type BodyFraming } from './responseBody.js'
 import type { ResponseHead } from './RoutedAttempt.js'
 
 /** Responses other than streams are buffered up to this size, in bytes, so that the request can be retried if the response breaks off. */
@@ -88,7 +88,7 @@
     // A failure is buffered, because the request may be retried. What an earlier attempt left in the buffer is not part of this response.
     this.#buffered = !this.kind.isStream || head.status !== OK || (this.#isContinuation && !hasEvents) ? [] : undefined
     this.#bufferedBytes = 0
-    this.#scanner = hasEvents && this.#cursor === undefined ? new EventScanner() : undefined
+    this.#scanner = this.kind.isStream && this.#cursor === undefined && mustEndAfterEvent(head) ? new EventScanner() : undefined
   }
 
   /**
--- a/apps/entry/src/lib/routed/responseBody.ts
+++ b/apps/entry/src/lib/routed/responseBody.ts
@@ -16,6 +16,14 @@
   return headerValue(headers, 'content-length') === undefined ? 'connection' : 'length'
 }
 
+/**
+ * @param head - head of a response to a request for a stream
+ * @returns whether its end has to be checked: a body of no stated type whose own framing marks the end is taken as it comes
+ */
+export function mustEndAfterEvent (head: ResponseHead): boolean {
+  return isEventStream(head) && (headerValue(head.headers, 'content-type') !== undefined || bodyFraming(head.headers) === 'connection')
+}
+
 /**
  * @param head - head of a response to a request for a stream
  * @returns whether the body is a stream of events whose bytes can be read
