Reset callers whose response is broken off and has neither length nor chunks

A caller of HTTP/1.0 takes the end of the connection for the end of the response, and got an orderly end after half a stream (brokenOffResponse.test.ts, "ends with a reset", failed before). Broken-off responses that are not chunked end with a reset now.

--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -149,6 +149,8 @@
 
   /** Closes the connection in the middle of the response, so that the caller can't take it for complete. */
   abort (): void {
+    // Without chunks, an orderly end of the connection can be the end of the response.
+    if (this.#hasHead && !this.response.chunkedEncoding) return this.reset()
     this.#hasEnded = true
     this.response.destroy()
   }
