Fail calls to plain services whose connection is reset inside the answer

Cause: undici takes a reset for the end of such an answer; routed requests watched their sockets for it, calls to plain services did not. The watch is shared now (resetDetection.ts).

--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -7,6 +7,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
+import { ResponseResetError, watchForReset } from '@eelgrassmux/backends/resetDetection'
 
 /** A request as it is sent to an endpoint. */
 export interface EndpointRequest {
@@ -49,19 +50,11 @@
 /** Subtracted from the idle limit that an endpoint states, in milliseconds, so that a request arrives before the endpoint closes the connection. */
 const IDLE_MARGIN_MS = 700
 
-/** The endpoint reset the connection inside a response. */
-class AnswerReset extends Error {
-  constructor () {
-    super('the connection was reset inside the answer')
-    this.name = 'AnswerReset'
-  }
-}
-
 /** A connection that is opened by its first request. */
 export class EndpointConnection {
   readonly #client: Client
   #socket: Socket | undefined
-  #wasReset = false
+  #wasReset: () => boolean = () => false
   #isClosed = false
 
   /**
@@ -114,7 +107,7 @@
       onData: (chunk: Buffer) => handler.data(chunk),
       onComplete: () => {
         hasEnded = true
-        if (this.#wasReset) handler.failed(new AnswerReset())
+        if (this.#wasReset()) handler.failed(new ResponseResetError())
         else handler.complete()
       },
       onError: (error: Error) => {
@@ -154,6 +147,7 @@
     const startedAt = performance.now()
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true })
     this.#socket = socket
+    this.#wasReset = watchForReset(socket)
     const timer = setTimeout(() => { socket.destroy(new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
     let isSettled = false
     const settle = (error: Error | undefined, connected: Socket | undefined): void => {
@@ -163,14 +157,7 @@
       if (connected === undefined) callback(error ?? new Error('not connected'), null)
       else callback(null, connected)
     }
-    socket.on('error', error => {
-      // Recorded before undici handles the error, because undici takes a reset for the end of a response without a length.
-      this.#wasReset = true
-      settle(error, undefined)
-    })
-    // A reset that arrives together with data is reported as an end. After a reset the
-    // socket has no remote address; after an orderly end it still has one.
-    socket.once('end', () => { this.#wasReset ||= socket.remoteAddress === undefined })
+    socket.on('error', error => { settle(error, undefined) })
     socket.once('connect', () => {
       this.onEstablished(performance.now() - startedAt)
       // On a busy host, a caller's disconnect may be read one turn after this event; the request must not be sent then.
--- a/packages/backends/src/lib/ServiceClient.test.ts
+++ b/packages/backends/src/lib/ServiceClient.test.ts
@@ -1,12 +1,13 @@
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
 import { RUN_STATE_HEADER, ServiceClient } from './ServiceClient.js'
 
 const CALL = { method: 'GET', path: '/', contentType: undefined, body: undefined, timeoutMs: 1000 }
 
 describe('ServiceClient', () => {
-  let server: Server | undefined
+  let server: Server | SocketServer | undefined
   let client: ServiceClient | undefined
   afterEach(async () => {
     await client?.close()
@@ -39,4 +40,36 @@
     expect(await callRejectingEndpoint(429, { 'retry-after': '0.5' })).toEqual({ kind: 'not-started', reason: 'full', retryAfterMs: 500 })
     expect(await callRejectingEndpoint(429, {})).toEqual({ kind: 'not-started', reason: 'other' })
   })
+
+  // Guards against half an answer that counts as complete, because the connection that marks its end was reset.
+  describe('an answer without a length', () => {
+    async function callEndpoint (respond: (socket: Socket) => void, isOnce: boolean): Promise<unknown> {
+      const listening = createSocketServer(socket => {
+        socket.on('error', () => {})
+        socket.once('data', () => { respond(socket) })
+      })
+      server = listening
+      await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
+      client = new ServiceClient(`127.0.0.1:${(listening.address() as AddressInfo).port}`)
+      const answer = await (isOnce ? client.callOnce(CALL) : client.call(CALL))
+      return answer.ok ? Buffer.from(answer.value.body).toString() : answer.error.kind
+    }
+
+    const head = 'HTTP/1.1 200 OK\r\n\r\n'
+
+    it.each([false, true])('is complete if the connection ends in order (once: %s)', async isOnce => {
+      expect(await callEndpoint(socket => { socket.end(`${head}whole`) }, isOnce)).toBe('whole')
+    })
+
+    it.each([false, true])('is lost if the connection is reset after its bytes (once: %s)', async isOnce => {
+      expect(await callEndpoint(socket => {
+        socket.write(`${head}half`)
+        void sleep(30).then(() => { socket.resetAndDestroy() })
+      }, isOnce)).toBe('lost')
+    })
+
+    it.each([false, true])('is lost if the reset arrives together with its bytes (once: %s)', async isOnce => {
+      expect(await callEndpoint(socket => { socket.write(`${head}half`, () => { socket.resetAndDestroy() }) }, isOnce)).toBe('lost')
+    })
+  })
 })
--- a/packages/backends/src/lib/ServiceClient.ts
+++ b/packages/backends/src/lib/ServiceClient.ts
@@ -1,9 +1,10 @@
 /** Client for an endpoint of a plain service. */
-import { Client, Pool, type Dispatcher } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
 import { z } from 'zod'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { BackendError } from './BackendError.js'
 import { CONNECT_TIMEOUT_MS, HttpBackend, requestedPause, toBackendError } from './HttpBackend.js'
+import { ResetDetectingClient } from './resetDetection.js'
 
 /** Header with which a service states that it did not start a request. */
 export const RUN_STATE_HEADER = 'eelgrassmux-run'
@@ -37,7 +38,7 @@
 
   /** @param address - IP address and port */
   constructor (readonly address: string) {
-    this.#pool = new Pool(`http://${address}`, { connect: { timeout: CONNECT_TIMEOUT_MS } })
+    this.#pool = new Pool(`http://${address}`, { factory: origin => new ResetDetectingClient(String(origin), CONNECT_TIMEOUT_MS) })
     this.#health = new HttpBackend(address)
   }
 
@@ -64,7 +65,7 @@
    * @returns the answer, or the error; only `connect-failed` and `not-started` mean that the call did not run
    */
   async callOnce (call: ServiceCall): Promise<Result<ServiceAnswer, BackendError>> {
-    const connection = new Client(`http://${this.address}`, { pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    const connection = new ResetDetectingClient(`http://${this.address}`, CONNECT_TIMEOUT_MS, { pipelining: 0 })
     const answer = await send(connection, call)
     await connection.destroy()
     return answer
