--- /dev/null
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -0,0 +1,52 @@
+/** Several hosts before the same endpoints, which exchange their load, for tests. */
+import { LoadAggregator } from '@eelgrassmux/routing/load/LoadAggregator'
+import type { FakeEndpoint } from './FakeEndpoint.js'
+import { RoutedHost, type RoutedHostOptions } from './RoutedHost.js'
+
+/** Interval at which the hosts exchange their load, in milliseconds. */
+const LOAD_EXCHANGE_INTERVAL_MS = 25
+
+/** Hosts that run in this process. */
+export class LinkedHosts {
+  readonly hosts: readonly RoutedHost[]
+  readonly #loads = new LoadAggregator()
+  #sequence = 0
+  #timer: NodeJS.Timeout | undefined
+
+  /**
+   * @param count - number of hosts
+   * @param endpoints - endpoints of the only service
+   * @param options - options of all hosts
+   */
+  constructor (count: number, private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
+    this.hosts = Array.from({ length: count }, () => new RoutedHost([], options))
+  }
+
+  async start (): Promise<void> {
+    const listed = await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
+    for (const host of this.hosts) await host.start(listed)
+    this.#timer = setInterval(() => { this.#exchangeLoads() }, LOAD_EXCHANGE_INTERVAL_MS)
+  }
+
+  async close (): Promise<void> {
+    clearInterval(this.#timer)
+    for (const host of this.hosts) await host.close()
+    for (const endpoint of this.endpoints) endpoint.close()
+  }
+
+  #exchangeLoads (): void {
+    const now = performance.now()
+    this.#sequence += 1
+    const sequence = this.#sequence
+    this.hosts.forEach(({ fleet }, number) => {
+      const own = fleet.ownWork()
+      fleet.otherHostsLoad.recordOwnReport(sequence, own)
+      this.#loads.observe({ host: `host-${number}`, sequence, ...own }, now)
+    })
+    const { work, links } = this.#loads.totals(now)
+    for (const { fleet } of this.hosts) {
+      fleet.otherHostsLoad.recordTotals({ sequence, work, links }, now)
+      fleet.applyObservations()
+    }
+  }
+}
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -107,10 +107,11 @@
     }, startedAt)
   }
 
-  async start (): Promise<void> {
+  /** @param known - endpoints that listen already; by default those of this host are started */
+  async start (known?: readonly ListedEndpoint[]): Promise<void> {
     this.port = await this.server.listen('127.0.0.1', 0)
     this.server.configure(this.#site)
-    const listed = await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
+    const listed = known ?? await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
     this.fleet.update(listed.map(endpoint => ({ ...endpoint, models: this.#models })))
   }
 
