Tell a host that has lost its links to a service from a service that is not well

Decisions only, nothing uses them yet. A service counts as cut off from a host when it hears from no endpoint of it and fails to reach at least two of them (all, if there are fewer) that other hosts have heard from since.

--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -1,6 +1,7 @@
 /** State that one entry host keeps about one endpoint. */
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { MAX_REPORTED_AGE_MS, type LoadFigures } from '../load/loadReport.js'
+import { ContactTimes } from '../reachability/ContactTimes.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import { incarnationName } from './incarnationName.js'
 import { MachinePace, USUAL_PACE, type PaceStatement } from './MachinePace.js'
@@ -48,6 +49,8 @@
   readonly runningStreams = new RunningStreams()
   /** Recent sends of this host to the endpoint. */
   readonly sends = new SendTimes()
+  /** Failures of this host to reach the endpoint. */
+  readonly contact = new ContactTimes()
   #listed: ListedEndpoint
   #incarnation: string
   #isLeaving: boolean
@@ -247,6 +250,15 @@
   observeBytes (now: number): void {
     this.#silentSince = now
     this.#lastByteAt = now
+    this.contact.observeBytes()
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds for which requests of this host have been in flight without a byte from the endpoint; 0 if there are none
+   */
+  unansweredMs (now: number): number {
+    return this.#inFlight === 0 ? 0 : now - this.#silentSince
   }
 
   /**
--- a/packages/routing/src/lib/load/PeerLoad.ts
+++ b/packages/routing/src/lib/load/PeerLoad.ts
@@ -76,6 +76,15 @@
     return now - this.#receivedAt < PEER_LOAD_LIFETIME_MS
   }
 
+  /**
+   * @param endpoint - incarnation of an endpoint
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since any host, this one included, received a byte from the endpoint, as last reported
+   */
+  heardAgoMs (endpoint: string, now: number): number {
+    return this.forEndpoint(endpoint).lastByteAgoMs + now - this.#receivedAt
+  }
+
   /**
    * @param endpoint - incarnation of an endpoint
    * @returns load of all other hosts at the endpoint
--- /dev/null
+++ b/packages/routing/src/lib/reachability/findCut.ts
@@ -0,0 +1,48 @@
+/**
+ * Tells a host that has lost its links to a service from a service that is not well.
+ *
+ * A host that reaches no endpoint can't know by itself whether the endpoints or its links are at fault. The
+ * reports of the other hosts decide: links are at fault if others hear from the very endpoints that this host fails to reach.
+ */
+import type { EndpointContact } from './ContactTimes.js'
+
+/**
+ * Silence of an endpoint with requests of this host that is evidence, in milliseconds. Endpoints may be silent for a
+ * second, but not to one host while they answer the others.
+ */
+const SILENCE_MS = 900
+
+/** Endpoints whose contact has to be lost, unless the service has fewer: a single one may have lost its own link. */
+const MIN_LOST_ENDPOINTS = 2
+
+/** Time without a byte from any endpoint before which nothing counts as a cut, in milliseconds. */
+const MIN_UNHEARD_MS = 250
+
+/** Error of the age of what other hosts have heard, in milliseconds. */
+const REPORT_MARGIN_MS = 50
+
+/** Why a service counts as cut off. */
+export interface CutEvidence {
+  /** Endpoints that this host fails to reach and others hear from. */
+  readonly lostEndpoints: number
+  /** Milliseconds since this host last heard from any endpoint of the service. */
+  readonly heardAgoMs: number
+}
+
+/**
+ * @param contacts - contact with each endpoint of one service
+ * @returns the evidence that this host has lost its links to them; undefined if there is too little
+ */
+export function findCut (contacts: readonly EndpointContact[]): CutEvidence | undefined {
+  const heardAgoMs = Math.min(...contacts.map(contact => contact.heardAgoMs))
+  if (contacts.length === 0 || heardAgoMs < MIN_UNHEARD_MS) return undefined
+  const lostEndpoints = contacts.filter(contact => isLost(contact, heardAgoMs)).length
+  if (lostEndpoints < Math.min(MIN_LOST_ENDPOINTS, contacts.length)) return undefined
+  return { lostEndpoints, heardAgoMs }
+}
+
+/** Whether this host has failed to reach an endpoint since it last heard from any, and another host has heard from that one meanwhile. */
+function isLost ({ failedAgoMs, failingForMs, unansweredMs, heardByAnyAgoMs }: EndpointContact, heardAgoMs: number): boolean {
+  if (failedAgoMs < heardAgoMs && heardByAnyAgoMs + REPORT_MARGIN_MS < Math.min(failingForMs, heardAgoMs)) return true
+  return unansweredMs > SILENCE_MS && heardAgoMs > SILENCE_MS && heardByAnyAgoMs < SILENCE_MS / 2
+}
