Relay requests through other hosts while the endpoints are out of reach

Cause: a host could serve a request only over its own links, and took the failure of all endpoints for a lack of endpoints.

A host that hears from no endpoint of a service, while others hear from one that it fails to reach, now has other entry hosts serve its requests. The leading control host names them and vouches for it with a ticket; the caller's request goes on unchanged, its key is checked again there, and it is never relayed twice. Only requests that have not run are relayed, also single ones whose endpoint could not be connected to while somebody hears from the service. What the host fails at meanwhile is not reported to the others.

Its endpoints answered requests for streams with a body that is no stream of events, which the host next to the cut-off one refused as well; they send events now.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -30,6 +30,7 @@
 import { ConfiguredCrashDetector } from './quarantine/ConfiguredCrashDetector.js'
 import { ListedCrashDetector } from './quarantine/CrashDetector.js'
 import { QuarantineTask } from './quarantine/QuarantineTask.js'
+import { RelayTask } from './relays/RelayTask.js'
 import { RetryPoolTask } from './retries/RetryPoolTask.js'
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
@@ -172,6 +173,7 @@
     telemetry
   })
   quarantine.register(server)
+  new RelayTask({ isLeader: () => core.role === 'leader', entryAddresses: now => hosts.acceptingEntries(now), telemetry }).register(server)
 
   const port = await server.listen(settings.host, settings.port)
   self.address = settings.advertise ?? `${settings.host}:${port}`
--- a/apps/control/src/lib/hosts/HostTable.ts
+++ b/apps/control/src/lib/hosts/HostTable.ts
@@ -62,6 +62,14 @@
     return entries.length > MAX_PEER_GROUP_SIZE ? [] : entries.map(report => report.address)
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns addresses of the live entry hosts that accept requests
+   */
+  acceptingEntries (now: number): string[] {
+    return this.#live(now).filter(report => report.role === 'entry' && report.accepting).map(report => report.address)
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns addresses of directories that may own shards
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -19,6 +19,9 @@
 import { GracefulShutdown } from './GracefulShutdown.js'
 import { CrashReporter } from './quarantine/CrashReporter.js'
 import { RequestQuarantine } from './quarantine/RequestQuarantine.js'
+import { RelayDirectoryClient } from './relays/RelayDirectoryClient.js'
+import { RelayHosts } from './relays/RelayHosts.js'
+import { RelayTicketChecks } from './relays/RelayTicketChecks.js'
 import { RetryExchange } from './retries/RetryExchange.js'
 import type { EngineReservations } from './routed/EngineReservations.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
@@ -132,10 +135,13 @@
   const quarantine = new RequestQuarantine(link.quarantine, crashReporter, telemetry)
   const budget = { ratio: settings.retryRatio, slack: settings.retrySlack }
   const retries = new RetryExchange(address, { datagrams, leader: () => link.leader }, budget, telemetry)
+  const relayDirectory = new RelayDirectoryClient(address, { rpc, leader: () => link.leader })
+  const relayHosts = new RelayHosts(relayDirectory)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const server = new RoutedServer({
     slowReaders: new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry),
     waiting,
+    relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
     fleet,
     codec: platform.codec,
@@ -204,6 +210,7 @@
       retries.stop()
       waiting.stop()
       crashReporter.stop()
+      relayHosts.close()
       await platformServers.close()
       await platform.close?.()
       rpc.close()
--- /dev/null
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -0,0 +1,136 @@
+/** A request that this host has another entry host serve, because it does not reach the endpoints itself. */
+import type { CallerExchange } from '../routed/CallerExchange.js'
+import type { CancelRequest } from '../routed/EndpointConnection.js'
+import { RELAY_REFUSED_HEADER, isRelayRefused, writeRelayHeaders } from './relayHeaders.js'
+import type { RelayConnection, RelayHosts } from './RelayHosts.js'
+
+/** Most hosts that one request is offered to. */
+const MAX_OFFERS = 3
+
+/** Receives the course of a relayed request. `unavailable`, `lost` or `complete` is the last call. */
+export interface RelayListener {
+  /** Called before the first byte may be sent to another host. */
+  sending (host: string): void
+  /** The host has stated that the request did not run. */
+  refused (host: string): void
+  /** No host has taken the request, which did not run. */
+  unavailable (): void
+  /** The response broke off, or never began; the request may have run. */
+  lost (host: string, detail: string): void
+  /** Called before the end of the response is written. */
+  complete (host: string, status: number): void
+}
+
+/** Offers one request to other hosts in turn, and passes the response on. */
+export class RelayedRequest {
+  readonly #tried = new Set<string>()
+  #cancelSend: CancelRequest = () => {}
+  #isDone = false
+  #hasHead = false
+
+  /**
+   * @param exchange - connection to the caller, whose request has been read
+   * @param body - body of the request
+   * @param arrivedAt - when the request was read, in monotonic milliseconds
+   * @param hosts - other hosts
+   * @param listener - receives the course of the request
+   */
+  constructor (
+    private readonly exchange: CallerExchange,
+    private readonly body: Buffer | undefined,
+    private readonly arrivedAt: number,
+    private readonly hosts: RelayHosts,
+    private readonly listener: RelayListener
+  ) {}
+
+  /** Whether a response has begun. */
+  get isAnswering (): boolean { return this.#hasHead }
+
+  /** Offers the request to the first host, once hosts are known. */
+  start (): void {
+    this.hosts.prepare(() => { this.#offer() })
+  }
+
+  /** Ends the request without calling the listener. The other host learns of it because the connection closes. */
+  cancel (): void {
+    if (this.#isDone) return
+    this.#isDone = true
+    this.#cancelSend()
+  }
+
+  #offer (): void {
+    if (this.#isDone) return
+    const now = performance.now()
+    const relay = this.#tried.size < MAX_OFFERS ? this.hosts.acquire(this.#tried, now) : undefined
+    if (relay === undefined) {
+      this.#isDone = true
+      this.listener.unavailable()
+      return
+    }
+    this.#tried.add(relay.host)
+    const statement = { ticket: relay.ticket, ageMs: now - this.arrivedAt }
+    this.#send(relay, this.exchange.toEndpoint(headers => writeRelayHeaders(headers, statement), this.body))
+  }
+
+  #send (relay: RelayConnection, request: Parameters<RelayConnection['connection']['send']>[0]): void {
+    const { host, connection } = relay
+    let wasSent = false
+    let head: { readonly status: number, readonly isRefused: boolean } | undefined
+    const fail = (error: Error): void => {
+      connection.close()
+      if (this.#isDone) return
+      if (!wasSent || head?.isRefused === true) this.#offerNext(host, wasSent)
+      else this.#lose(host, error.message)
+    }
+    this.#cancelSend = connection.send(request, {
+      sending: () => {
+        wasSent = true
+        if (!this.#isDone) this.listener.sending(host)
+      },
+      head: (status, headers, resume) => {
+        if (this.#isDone) return
+        head = { status, isRefused: isRelayRefused(headers) }
+        if (head.isRefused) return
+        this.#hasHead = true
+        this.#resume = resume
+        this.exchange.writeHead(status, withoutRelayHeaders(headers))
+      },
+      data: chunk => this.#isDone || head?.isRefused === true || this.#forward(chunk),
+      complete: () => {
+        relay.release()
+        if (this.#isDone || head === undefined) return
+        if (head.isRefused) {
+          this.#offerNext(host, true)
+          return
+        }
+        this.#isDone = true
+        this.listener.complete(host, head.status)
+        this.exchange.end()
+      },
+      failed: fail
+    })
+  }
+
+  #resume: () => void = () => {}
+
+  #forward (chunk: Buffer): boolean {
+    if (this.exchange.write(chunk)) return true
+    this.exchange.onceDrained(() => { this.#resume() })
+    return false
+  }
+
+  #offerNext (host: string, wasSent: boolean): void {
+    this.hosts.avoid(host, performance.now())
+    if (wasSent) this.listener.refused(host)
+    this.#offer()
+  }
+
+  #lose (host: string, detail: string): void {
+    this.#isDone = true
+    this.listener.lost(host, detail)
+  }
+}
+
+function withoutRelayHeaders (headers: readonly string[]): string[] {
+  return headers.flatMap((header, at) => at % 2 === 0 && header.toLowerCase() !== RELAY_REFUSED_HEADER ? [header, headers[at + 1] ?? ''] : [])
+}
--- /dev/null
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -0,0 +1,128 @@
+/** The links of this host to the services, and probes of those that are cut off. */
+import { ServiceReachability } from '@eelgrassmux/routing/reachability/ServiceReachability'
+import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { RoutedFleet } from '../routed/RoutedFleet.js'
+
+/** Interval at which a service is checked at most, in milliseconds. */
+const CHECK_INTERVAL_MS = 50
+
+/** Time after which a probe is given up, in milliseconds. */
+const PROBE_TIMEOUT_MS = 1000
+
+/** Age of a byte that any host has received from a service up to which its endpoints count as well, in milliseconds. */
+const WELL_AFTER_BYTE_MS = 3000
+
+interface ServiceLink {
+  readonly reachability: ServiceReachability
+  checkedAt: number
+}
+
+/** Tells whether requests go to the endpoints of a service or to other hosts. */
+export class ServiceLinks {
+  readonly #links = new Map<string, ServiceLink>()
+  #cutOffCount = 0
+
+  /**
+   * @param fleet - endpoints, and connections to them
+   * @param telemetry - log and metrics
+   */
+  constructor (private readonly fleet: Pick<RoutedFleet, 'endpointsOf' | 'otherHostsLoad' | 'connectionsTo' | 'connectionLimit' | 'observeBytes' | 'closeIdleConnectionsTo'>, private readonly telemetry: Telemetry) {
+    telemetry.gauge('services_cut_off', 'Services whose endpoints other hosts reach and this one does not', () => this.#cutOffCount)
+  }
+
+  /**
+   * @param service - service name
+   * @returns whether its endpoints are out of this host's reach
+   */
+  isCutOff (service: string): boolean {
+    return this.#cutOffCount > 0 && this.#links.get(service)?.reachability.isCutOff === true
+  }
+
+  /**
+   * Looks for a cut, and decides where a request goes.
+   *
+   * @param service - service name
+   * @param healthPath - path at which its endpoints answer probes
+   * @param isLagging - whether this process was blocked, so that answers may not have been read yet
+   * @returns whether the request goes to the endpoints; otherwise to another host
+   */
+  admitsDirect (service: string, healthPath: string, isLagging: boolean): boolean {
+    const now = performance.now()
+    const link = this.#linkTo(service)
+    if (!isLagging && now - link.checkedAt >= CHECK_INTERVAL_MS) this.#check(service, link, now)
+    if (link.reachability.takeDueProbe(now)) this.#probe(service, healthPath)
+    return link.reachability.admitsDirect(now, Math.random())
+  }
+
+  /**
+   * @param service - service name
+   * @returns whether any host has heard from its endpoints lately, as far as is known
+   */
+  isHeardByAnyHost (service: string): boolean {
+    const now = performance.now()
+    const { otherHostsLoad } = this.fleet
+    if (!otherHostsLoad.isRecent(now)) return false
+    return this.fleet.endpointsOf(service).some(({ incarnation }) => otherHostsLoad.heardAgoMs(incarnation, now) < WELL_AFTER_BYTE_MS)
+  }
+
+  /** @param endpoint - endpoint that has just sent a byte */
+  observeBytes ({ listed: { service } }: EndpointState): void {
+    if (this.#cutOffCount === 0) return
+    const cutForMs = this.#links.get(service)?.reachability.observeBytes(performance.now())
+    if (cutForMs === undefined) return
+    this.#cutOffCount -= 1
+    this.telemetry.logStateChange('service-in-reach', { service, cutForMs: Math.round(cutForMs) })
+  }
+
+  #linkTo (service: string): ServiceLink {
+    const present = this.#links.get(service)
+    if (present !== undefined) return present
+    const fresh = { reachability: new ServiceReachability(), checkedAt: Number.NEGATIVE_INFINITY }
+    this.#links.set(service, fresh)
+    return fresh
+  }
+
+  #check (service: string, link: ServiceLink, now: number): void {
+    link.checkedAt = now
+    const { otherHostsLoad } = this.fleet
+    if (link.reachability.isCutOff || !otherHostsLoad.isRecent(now)) return
+    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const evidence = link.reachability.check(endpoints.map(endpoint => ({
+      heardAgoMs: endpoint.lastByteAgoMs(now),
+      failedAgoMs: endpoint.contact.failedAgoMs(now),
+      failingForMs: endpoint.contact.failingForMs(now),
+      unansweredMs: endpoint.unansweredMs(now),
+      heardByAnyAgoMs: otherHostsLoad.heardAgoMs(endpoint.incarnation, now)
+    })), now)
+    if (evidence === undefined) return
+    this.#cutOffCount += 1
+    // Connections from before the cut may hang when the links come back.
+    for (const endpoint of endpoints) this.fleet.closeIdleConnectionsTo(endpoint)
+    this.telemetry.logStateChange('service-out-of-reach', { service, endpoints: endpoints.length, ...evidence, heardAgoMs: Math.round(evidence.heardAgoMs) })
+  }
+
+  /** Asks a random endpoint for its health; any answer shows that the links are back. */
+  #probe (service: string, healthPath: string): void {
+    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const endpoint = endpoints[Math.floor(Math.random() * endpoints.length)]
+    if (endpoint === undefined) return
+    const connections = this.fleet.connectionsTo(endpoint)
+    const connection = connections.acquire(this.fleet.connectionLimit(0))
+    if (connection === undefined) return
+    const timer = setTimeout(() => { connection.close() }, PROBE_TIMEOUT_MS)
+    connection.send({ method: 'GET', target: healthPath, headers: ['host', endpoint.listed.address], body: undefined }, {
+      sending: () => {},
+      head: () => { this.fleet.observeBytes(endpoint) },
+      data: () => true,
+      complete: () => {
+        clearTimeout(timer)
+        connections.release(connection)
+      },
+      failed: () => {
+        clearTimeout(timer)
+        connection.close()
+      }
+    })
+  }
+}
--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -4,9 +4,10 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
-import { FakeEndpoint, respondOk } from '../routed/harness/FakeEndpoint.js'
+import { FakeEndpoint, respondOk, streamEvent, type Behaviour } from '../routed/harness/FakeEndpoint.js'
 import { LinkCut, type CutKind } from '../routed/harness/LinkCut.js'
 import { LinkedHosts } from '../routed/harness/LinkedHosts.js'
+import { PLAIN_HEADERS } from '../routed/harness/PlainCodec.js'
 import type { CallerOutcome, RoutedHost } from '../routed/harness/RoutedHost.js'
 
 /** Time after the start of a cut from which requests have to be served as before, in milliseconds. */
@@ -14,6 +15,14 @@
 
 const REQUEST_INTERVAL_MS = 20
 
+/** Answers calls with a summary, and other requests with a stream. */
+const respond: Behaviour = (request, response, body) => {
+  const isStream = /^.(stream|resumable)/.test(request.url ?? '')
+  if (!isStream) return respondOk(request, response, body)
+  response.writeHead(200, { 'content-type': 'text/event-stream', [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
+  response.end(streamEvent(1) + streamEvent(2))
+}
+
 const ROUTES = ['/safe/1', '/unsafe/1', '/stream/1', '/resumable/1']
 
 describe('a host that is cut off from all endpoints', () => {
@@ -22,7 +31,7 @@
   let cuts: LinkCut[] = []
 
   async function start (count: number): Promise<readonly RoutedHost[]> {
-    endpoints = Array.from({ length: 4 }, (_, number) => new FakeEndpoint(`e${number}`, respondOk))
+    endpoints = Array.from({ length: 4 }, (_, number) => new FakeEndpoint(`e${number}`, respond))
     linked = new LinkedHosts(count, endpoints)
     await linked.start()
     return linked.hosts
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -5,6 +5,7 @@
 import { toProblem } from '../callers/problem.js'
 import type { EndpointRequest } from './EndpointConnection.js'
 import { endToEndHeaders } from './headers.js'
+import { RELAY_HEADER, RELAY_REFUSED_HEADER } from '../relays/relayHeaders.js'
 import type { SlowReader } from './SlowReaders.js'
 
 /** State that the requests of one connection share. */
@@ -15,6 +16,9 @@
   isClosing: boolean
 }
 
+/** Refusals of relayed requests that another host may accept. */
+const REASONS_OF_THIS_HOST: ReadonlySet<Refusal['reason']> = new Set(['draining', 'configuration-stale', 'endpoints-out-of-reach'])
+
 const connectionStates = new WeakMap<Socket, ConnectionState>()
 
 /** Reads a caller's request and writes the response. */
@@ -53,9 +57,12 @@
    */
   toEndpoint (writeHeaders: (headers: readonly string[]) => string[], body: Buffer | undefined): EndpointRequest {
     const { method = 'GET', url: target = '/', rawHeaders } = this.request
-    return { method, target, headers: writeHeaders(rawHeaders), body }
+    return { method, target, headers: writeHeaders(this.isRelayed ? withoutRelayHeader(rawHeaders) : rawHeaders), body }
   }
 
+  /** Whether the request claims to be relayed by another host. */
+  get isRelayed (): boolean { return this.request.headers[RELAY_HEADER] !== undefined }
+
   /** Whether this is the first request on its connection. */
   get isFirstOnConnection (): boolean { return this.#isFirstOnConnection }
 
@@ -173,6 +180,7 @@
     const body = Buffer.from(JSON.stringify(toProblem(refusal)))
     const headers = ['Content-Type', 'application/problem+json', 'Content-Length', String(body.length)]
     if (refusal.retryAfterSeconds !== undefined) headers.push('Retry-After', refusal.retryAfterSeconds.toFixed(2))
+    if (this.isRelayed && refusal.run === 'not-run' && REASONS_OF_THIS_HOST.has(refusal.reason)) headers.push(RELAY_REFUSED_HEADER, refusal.reason)
     // Unread bytes of this request would be parsed as the next request.
     if (this.#closesConnection() || !this.request.complete) headers.push('Connection', 'close')
     this.#hasHead = true
@@ -188,3 +196,7 @@
     return true
   }
 }
+
+function withoutRelayHeader (headers: readonly string[]): string[] {
+  return headers.filter((_, at) => headers[at - at % 2]?.toLowerCase() !== RELAY_HEADER)
+}
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -54,7 +54,7 @@
     private readonly requestId: string,
     private readonly connections: EndpointConnections,
     private readonly connection: EndpointConnection,
-    private readonly fleet: Pick<RoutedFleet, 'storeLinks' | 'noteWork' | 'transit' | 'observeTransitFailure'>,
+    private readonly fleet: Pick<RoutedFleet, 'storeLinks' | 'noteWork' | 'transit' | 'observeTransitFailure' | 'observeBytes'>,
     private readonly codec: RequestCodec,
     private readonly listener: AttemptListener
   ) {}
@@ -145,7 +145,7 @@
 
   #onHead (status: number, headers: string[], resume: () => void): void {
     if (this.#hasEnded) return
-    this.choice.endpoint.observeBytes(performance.now())
+    this.fleet.observeBytes(this.choice.endpoint)
     const fields = this.codec.readResponseHeaders(status, headers)
     if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
       // This is a surplus response to an earlier request, so nothing that follows on this connection can be trusted.
@@ -162,7 +162,7 @@
     if (this.#hasEnded || this.#head === undefined) return true
     this.#endPromptReading()
     this.#answerBytes += chunk.length
-    this.choice.endpoint.observeBytes(performance.now())
+    this.fleet.observeBytes(this.choice.endpoint)
     return this.#head.fields.isNotExecuted || this.listener.data(this, chunk)
   }
 
@@ -185,6 +185,7 @@
   #fail (failure: AttemptFailure, detail: string): void {
     if (this.#hasEnded) return
     if (failure === 'lost' && !this.choice.endpoint.isLeaving) this.#observeTransitFailure()
+    if (this.#head === undefined) this.choice.endpoint.contact.observeFailure(performance.now())
     this.#end()
     this.connection.close()
     // The head alone states that the request was not executed, also if the connection breaks before the body is complete.
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -13,6 +13,7 @@
 import { EjectionTracker, type EjectionChange } from '@eelgrassmux/routing/endpoints/EjectionTracker'
 import { LoadFeatures } from '@eelgrassmux/routing/features/LoadFeatures'
 import { StreamPaceModel } from '@eelgrassmux/routing/endpoints/StreamPaceModel'
+import type { LoadFigures } from '@eelgrassmux/routing/load/loadReport'
 import type { HostLoad, PeerLoad } from '@eelgrassmux/routing/load/PeerLoad'
 import { composeMechanisms, type RoutingMechanisms } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { PromptResidencyTracker } from '@eelgrassmux/routing/prompts/PromptResidencyTracker'
@@ -22,6 +23,7 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { ServiceLinks } from '../relays/ServiceLinks.js'
 import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointConnections } from './EndpointConnections.js'
 import { PlainPlaces } from './PlainPlaces.js'
@@ -65,6 +67,8 @@
   readonly traffic: TrafficBetweenDataCentres
   /** Bytes of requests that are in transit to endpoints. */
   readonly transit = new TransitBytes()
+  /** Links of this host to the services. */
+  readonly links: ServiceLinks
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #routeSlowness = new Map<string, Slowness>()
   readonly #engineModels = new Map<string, EngineModel>()
@@ -98,6 +102,7 @@
     this.otherHostsLoad = mechanisms.peerLoad
     this.storeLinks = mechanisms.createStoreLinks(liveHosts)
     this.traffic = new TrafficBetweenDataCentres(dataCentre, features, telemetry)
+    this.links = new ServiceLinks(this, telemetry)
     this.#openedConnections = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     this.#learntTransitBounds = telemetry.labelledCounter('transit_bounds_learnt_total', 'Bounds learnt on the bytes in transit to an endpoint by service', 'service')
     this.#streamPauses = telemetry.labelledCounter('stream_pauses_total', 'Pauses between events of streams whose pauses are limited', 'outcome')
@@ -352,11 +357,16 @@
   ownWork (): HostLoad {
     const now = performance.now()
     const work = this.#pool.all.filter(endpoint => endpoint.hasAnythingToReport(now))
-      .map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
+      .map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now), ...this.#ownFailures(endpoint) }))
       .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= MIN_REPORTED_OUTCOMES)
     return { work, links: this.storeLinks.localLoad(now), ...this.#ownLimits(now), ...this.#ownPaces(now), ...this.#ownStreams() }
   }
 
+  /** Hides failures from the other hosts that are due to the links of this host. */
+  #ownFailures ({ listed: { service } }: EndpointState): Partial<LoadFigures> {
+    return this.links.isCutOff(service) ? { avoiders: 0, outcomes: 0, failures: 0 } : {}
+  }
+
   /** Returns what engines have stated about their machines, for the other hosts; nothing while the feature is off. */
   #ownPaces (now: number): Pick<HostLoad, 'paces'> {
     if (!this.features.isEnabled('machine-pace')) return {}
@@ -400,6 +410,17 @@
     return connections
   }
 
+  /** @param endpoint - endpoint that has just sent this host a byte */
+  observeBytes (endpoint: EndpointState): void {
+    endpoint.observeBytes(performance.now())
+    this.links.observeBytes(endpoint)
+  }
+
+  /** @param endpoint - endpoint whose idle connections are not to be used again */
+  closeIdleConnectionsTo ({ incarnation }: EndpointState): void {
+    this.#connections.get(incarnation)?.closeIdle()
+  }
+
   /**
    * @param connectionsPerEndpoint - the service's limit over all hosts; 0 if it states none
    * @returns this host's share of the limit
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -6,6 +6,7 @@
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../retries/RetryTokens.js'
+import type { RelayHosts } from '../relays/RelayHosts.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
 import type { PromptPorts } from './PromptPorts.js'
@@ -23,6 +24,8 @@
   readonly regionBound?: RegionBound | undefined
   readonly fields: CallerFields
   readonly body: Buffer | undefined
+  /** Whether another host relays the request to this one, so that it must not be relayed again. */
+  readonly isRelayed?: boolean
   /** When the request's head was read, in monotonic milliseconds. */
   readonly arrivedAt: number
   /** Version of the site configuration under which the request was admitted. */
@@ -46,6 +49,10 @@
   readonly silenceChecks: SharedInterval
   /** Bounds on what slow readers hold; absent if they are never counted. */
   readonly slowReaders?: SlowReaders | undefined
+  /** Other hosts, for requests to services that are out of this host's reach; undefined if they are not known. */
+  readonly relays?: RelayHosts | undefined
+  /** Whether the event loop of this process was blocked for a while, so that its sockets were not read. */
+  isLagging (): boolean
   /** Queue of all hosts; undefined if this host has none. */
   readonly waiting: WaitingExchange | undefined
   /** Reservations at engines; undefined if the platform has none. */
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -19,6 +19,9 @@
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import { SwitchedRetryTokens, type RetryTokens } from '../retries/RetryTokens.js'
+import { readRelayHeader } from '../relays/relayHeaders.js'
+import type { RelayHosts } from '../relays/RelayHosts.js'
+import type { RelayTicketChecks } from '../relays/RelayTicketChecks.js'
 import { CallerExchange } from './CallerExchange.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
@@ -44,6 +47,8 @@
   readonly sharedRetryTokens?: (service: string) => RetryTokens
   /** Bounds on what slow readers hold; absent if they are never counted. */
   readonly slowReaders?: SlowReaders
+  /** Other hosts, and checks of the requests that they relay; absent if there are none. */
+  readonly relays?: { readonly hosts: RelayHosts, readonly tickets: RelayTicketChecks }
   /** Queue of all hosts; absent if this host has none. */
   readonly waiting?: WaitingExchange
   /** Reservations at engines; absent if the platform has none. */
@@ -92,6 +97,7 @@
   readonly #retries: LabelledCounter
   readonly #requests: LabelledCounter
   readonly #responseEnds: LabelledCounter
+  readonly #relayed: LabelledCounter
   readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
   readonly #durations = new RouteDurations()
@@ -113,6 +119,7 @@
     this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
     this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
+    this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
     this.#observeFirstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS_SECONDS)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
@@ -215,6 +222,10 @@
       ticket.end()
     })
     const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
+    if (exchange.isRelayed) {
+      this.#acceptRelayed(message, exchange, fields, arrivedAt)
+      return
+    }
     const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
     if (this.#isReadyToServe() || this.ports.stop.isStopping || !this.#startup.enqueue(exchange, fields.deadlineMs, arrivedAt, route)) {
       route()
@@ -225,7 +236,20 @@
     })
   }
 
-  #route (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
+  /** Serves a request that another host relays. It is not held until this host is ready, because another one may be. */
+  #acceptRelayed (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, receivedAt: number): void {
+    const { ticket, ageMs } = readRelayHeader(message.rawHeaders) ?? { ticket: '', ageMs: 0 }
+    const route = (isVerified: boolean): void => {
+      if (exchange.isAbandoned) return
+      this.#relayed.count(isVerified ? 'verified' : 'unverified')
+      if (!this.#isReadyToServe()) this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host is not ready yet', RETRY_AFTER_SECONDS)
+      else this.#route(message, exchange, fields, receivedAt - ageMs, isVerified)
+    }
+    if (this.ports.relays === undefined) route(false)
+    else this.ports.relays.tickets.check(ticket, route)
+  }
+
+  #route (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number, isCountedElsewhere = false): void {
     const index = this.#index
     if (index === undefined || !this.ports.isSiteUsable()) {
       this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host does not know the site yet', RETRY_AFTER_SECONDS)
@@ -246,7 +270,7 @@
       return
     }
     this.#readBody(message, exchange, fields, index, body => {
-      this.#unlessAbandoned(exchange, fields, () => { this.#start(exchange, fields, index, route, customer, body, arrivedAt) })
+      this.#unlessAbandoned(exchange, fields, () => { this.#start(exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere) })
     })
   }
 
@@ -291,7 +315,7 @@
 
   #start (
     exchange: CallerExchange, fields: CallerFields, index: SiteIndex, route: Route, customer: SiteCustomer | undefined,
-    body: Buffer | undefined, arrivedAt: number
+    body: Buffer | undefined, arrivedAt: number, isCountedElsewhere: boolean
   ): void {
     const service = index.services.get(index.selectService(route, Math.random()))
     if (service === undefined) {
@@ -299,11 +323,11 @@
       return
     }
     const ports = this.#portsOf(service.name)
-    ports.allowance.recordRequest(this.ports.liveHosts())
+    if (!isCountedElsewhere) ports.allowance.recordRequest(this.ports.liveHosts())
     this.#requests.count(route.kind)
     const id = fields.requestId ?? ''
     const regionBound = regionBoundOf(route, customer, this.ports.regions)
-    const request = { id, route, service, customer, regionBound, fields, body, arrivedAt, siteVersion: index.site.version }
+    const request = { id, route, service, customer, regionBound, fields, body, isRelayed: exchange.isRelayed, arrivedAt, siteVersion: index.site.version }
     const task = new RoutedRequestTask(request, exchange, ports)
     this.#pendingRequests.set(exchange, task)
     task.start()
@@ -344,6 +368,8 @@
       slowReaders: this.ports.slowReaders,
       waiting: this.ports.waiting,
       reservations: this.ports.reservations,
+      relays: this.ports.relays?.hosts,
+      isLagging: () => this.ports.isLagging(),
       desiredVersion: model => this.ports.desiredVersion(model),
       remainingMsForVersion: (model, version) => this.ports.remainingMsForVersion(model, version),
       areStoresUsable: now => this.ports.areStoresUsable(now),
--- a/apps/entry/src/lib/routed/harness/LinkCut.ts
+++ b/apps/entry/src/lib/routed/harness/LinkCut.ts
@@ -21,6 +21,7 @@
     this.#sockets.push(socket)
     if (this.kind === 'resets') socket.resetAndDestroy()
   })
+
   #address = ''
   #isHealed = false
 
--- a/apps/entry/src/lib/routed/harness/LinkedHosts.ts
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -1,5 +1,9 @@
 /** Several hosts before the same endpoints, which exchange their load, for tests. */
+import { randomUUID } from 'node:crypto'
 import { LoadAggregator } from '@eelgrassmux/routing/load/LoadAggregator'
+import { RelayTickets } from '@eelgrassmux/routing/reachability/RelayTickets'
+import { RelayHosts, type RelayDirectory } from '../../relays/RelayHosts.js'
+import { RelayTicketChecks } from '../../relays/RelayTicketChecks.js'
 import type { FakeEndpoint } from './FakeEndpoint.js'
 import { RoutedHost, type RoutedHostOptions } from './RoutedHost.js'
 
@@ -10,6 +14,7 @@
 export class LinkedHosts {
   readonly hosts: readonly RoutedHost[]
   readonly #loads = new LoadAggregator()
+  readonly #tickets = new RelayTickets(randomUUID)
   #sequence = 0
   #timer: NodeJS.Timeout | undefined
 
@@ -19,7 +24,10 @@
    * @param options - options of all hosts
    */
   constructor (count: number, private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
-    this.hosts = Array.from({ length: count }, () => new RoutedHost([], options))
+    this.hosts = Array.from({ length: count }, (_, number) => {
+      const directory = this.#directoryOf(number)
+      return new RoutedHost([], { ...options, relays: { hosts: new RelayHosts(directory), tickets: new RelayTicketChecks(directory) } })
+    })
   }
 
   async start (): Promise<void> {
@@ -34,6 +42,19 @@
     for (const endpoint of this.endpoints) endpoint.close()
   }
 
+  /** Answers a host as the leading control host does. */
+  #directoryOf (number: number): RelayDirectory {
+    const address = (host: RoutedHost | undefined): string => `127.0.0.1:${host?.port ?? 0}`
+    return {
+      open: async () => {
+        const now = performance.now()
+        const own = address(this.hosts[number])
+        return { ticket: this.#tickets.open(own, now), hosts: this.#tickets.candidates(this.hosts.map(address), own, this.hosts.length, now, Math.random) }
+      },
+      holderOf: async ticket => this.#tickets.holderOf(ticket, performance.now()) ?? ''
+    }
+  }
+
   #exchangeLoads (): void {
     const now = performance.now()
     this.#sequence += 1
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -297,6 +297,7 @@
       refusals: counter,
       responseEnds: counter,
       firstEvent: () => {},
+      isLagging: () => false,
       silenceChecks: new SharedInterval(SILENCE_CHECK_INTERVAL_MS),
       desiredVersion: () => 1,
       remainingMsForVersion: () => Number.POSITIVE_INFINITY,
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -40,6 +40,8 @@
   readonly models?: ListedEndpoint['models']
   /** Queue and reservations of the host. */
   readonly waiting?: Pick<RoutedServerPorts, 'waiting' | 'reservations'>
+  /** Other hosts, and checks of the requests that they relay. */
+  readonly relays?: RoutedServerPorts['relays']
   /** Features for hard load; by default none, or `shared-retry-budget` if there are tokens of it. */
   readonly features?: readonly LoadFeatureChoice[]
   /** Bounds on what slow readers hold. */
@@ -76,7 +78,7 @@
    * @param options - options that differ from the defaults
    */
   constructor (private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
-    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, sharedRetryTokens, heldBytes = heldBytesBounds(0) } = options
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, relays, sharedRetryTokens, heldBytes = heldBytesBounds(0) } = options
     const features = new LoadFeatures(options.features ?? (sharedRetryTokens === undefined ? [] : ['shared-retry-budget']))
     this.fleet = new RoutedFleet('n', () => 1, this.telemetry, undefined, undefined, features)
     this.slowReaders = new SlowReaders(features, heldBytes, this.telemetry)
@@ -94,6 +96,7 @@
       telemetry: this.telemetry,
       quarantine,
       budget,
+      ...(relays === undefined ? {} : { relays }),
       ...(sharedRetryTokens === undefined ? {} : { sharedRetryTokens: () => sharedRetryTokens }),
       liveHosts: () => 1,
       desiredVersion: () => 1,
--- a/packages/routing/src/lib/reachability/findCut.ts
+++ b/packages/routing/src/lib/reachability/findCut.ts
@@ -23,8 +23,10 @@
 
 /** Why a service counts as cut off. */
 export interface CutEvidence {
-  /** Endpoints that this host fails to reach and others hear from. */
+  /** Endpoints that this host has failed to reach since it last heard from any. */
   readonly lostEndpoints: number
+  /** Those of them that other hosts have heard from meanwhile. */
+  readonly heardByOthers: number
   /** Milliseconds since this host last heard from any endpoint of the service. */
   readonly heardAgoMs: number
 }
@@ -36,13 +38,12 @@
 export function findCut (contacts: readonly EndpointContact[]): CutEvidence | undefined {
   const heardAgoMs = Math.min(...contacts.map(contact => contact.heardAgoMs))
   if (contacts.length === 0 || heardAgoMs < MIN_UNHEARD_MS) return undefined
-  const lostEndpoints = contacts.filter(contact => isLost(contact, heardAgoMs)).length
-  if (lostEndpoints < Math.min(MIN_LOST_ENDPOINTS, contacts.length)) return undefined
-  return { lostEndpoints, heardAgoMs }
-}
-
-/** Whether this host has failed to reach an endpoint since it last heard from any, and another host has heard from that one meanwhile. */
-function isLost ({ failedAgoMs, failingForMs, unansweredMs, heardByAnyAgoMs }: EndpointContact, heardAgoMs: number): boolean {
-  if (failedAgoMs < heardAgoMs && heardByAnyAgoMs + REPORT_MARGIN_MS < Math.min(failingForMs, heardAgoMs)) return true
-  return unansweredMs > SILENCE_MS && heardAgoMs > SILENCE_MS && heardByAnyAgoMs < SILENCE_MS / 2
+  const refusing = contacts.filter(({ failedAgoMs }) => failedAgoMs < heardAgoMs)
+  const silent = contacts.filter(contact => !refusing.includes(contact) && contact.unansweredMs > SILENCE_MS && heardAgoMs > SILENCE_MS)
+  const lostEndpoints = refusing.length + silent.length
+  const heardByOthers = refusing.filter(({ failingForMs, heardByAnyAgoMs }) => heardByAnyAgoMs + REPORT_MARGIN_MS < Math.min(failingForMs, heardAgoMs)).length +
+    silent.filter(({ heardByAnyAgoMs }) => heardByAnyAgoMs < SILENCE_MS / 2).length
+  // The endpoints are well if one of them is that this host can't reach either; hosts with little to do keep to few of them.
+  if (lostEndpoints < Math.min(MIN_LOST_ENDPOINTS, contacts.length) || heardByOthers === 0) return undefined
+  return { lostEndpoints, heardByOthers, heardAgoMs }
 }
--- a/packages/routing/src/lib/reachability/reachability.test.ts
+++ b/packages/routing/src/lib/reachability/reachability.test.ts
@@ -16,6 +16,7 @@
     it.each([
       ['endpoints that refuse connections', [refused, refused, contact()]],
       ['endpoints that do not answer', [unanswered, unanswered, contact()]],
+      ['endpoints of which others use one', [refused, { ...refused, heardByAnyAgoMs: 60_000 }, contact()]],
       ['the only endpoint', [refused]]
     ])('by %s while others hear from them', (_text, contacts) => {
       expect(findCut(contacts)).toMatchObject({ heardAgoMs: 2000 })
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -17,6 +17,9 @@
 
 /** Changes of an entry host's view of endpoints. */
 export const endpointChanges = {
+  /** This host hears from no endpoint of the service, and fails to reach some that others hear from. */
+  'service-out-of-reach': z.strictObject({ service: z.string(), endpoints: z.number(), lostEndpoints: z.number(), heardByOthers: z.number(), heardAgoMs: z.number() }),
+  'service-in-reach': z.strictObject({ service: z.string(), cutForMs: z.number() }),
   'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
   'endpoint-ejected': ejection,
   'endpoint-readmitted': ejection,
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -25,6 +25,10 @@
   'standby-opened': z.strictObject({ endpoint: z.string(), standby: z.string(), hadEvents: z.boolean(), remainingMs: z.number() }),
   /** A stream that has begun waits for an endpoint that can resume it, or for the retry budget. */
   'waits-to-resume': z.strictObject({ waitMs: z.number(), patienceMs: z.number() }),
+  /** Another host serves the request, because this one does not reach the endpoints. */
+  relayed: z.strictObject({ host: z.string(), reason: z.string() }),
+  'relay-refused': z.strictObject({ host: z.string() }),
+  'relay-answered': z.strictObject({ host: z.string(), status: z.number() }),
   'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
   'attempt-failed': z.strictObject({
     endpoint: z.string(),
