Serve requests with an invalid relay ticket like any other request

A request that claims to be relayed, without a valid ticket, was refused by a host that did not know the load of the others yet, instead of waiting like those of any caller (hostCutOff.test.ts, "forged ticket", failed). Its stated age counted as well. Such a request now takes the ordinary way; it is only never relayed. Tests for old connections that live on, links that come back, a cut of all hosts, and callers that leave.

--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -2,12 +2,14 @@
  * Guards against callers that are refused by a host that has lost its links to all endpoints, while the other hosts
  * reach them. A refused or failed request counts as a failed first attempt, so the host has to get it served.
  */
+import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { afterEach, describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it, vi } from 'vitest'
 import { FakeEndpoint, respondOk, streamEvent, type Behaviour } from '../routed/harness/FakeEndpoint.js'
 import { LinkCut, type CutKind } from '../routed/harness/LinkCut.js'
 import { LinkedHosts } from '../routed/harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from '../routed/harness/PlainCodec.js'
+import { RELAY_HEADER } from './relayHeaders.js'
 import type { CallerOutcome, RoutedHost } from '../routed/harness/RoutedHost.js'
 
 /** Time after the start of a cut from which requests have to be served as before, in milliseconds. */
@@ -59,7 +61,7 @@
     await linked.close()
   })
 
-  describe.each<CutKind>(['refuses', 'resets', 'hangs'])('by a link that %s', kind => {
+  describe.each<CutKind>(['refuses', 'resets', 'refuses-new', 'hangs'])('by a link that %s', kind => {
     it.each([['one host', 1, 2], ['two hosts of three', 2, 3]])('gets its callers served three seconds after the cut (%s)', async (_text, cutOff, count) => {
       const hosts = await start(count)
       await sendFor(300, hosts)
@@ -69,4 +71,57 @@
       for (const ofHost of outcomes) expect(servedShare(ofHost)).toBeGreaterThan(0.95)
     })
   })
+
+  it('sends requests to the endpoints itself once its links are back, and serves its callers all the while', async () => {
+    const [host, other] = await start(2)
+    if (host === undefined || other === undefined) throw new Error('two hosts are needed')
+    await sendFor(300, [host, other])
+    await cut([host], 'refuses')
+    await sendFor(1500, [host, other])
+    expect(host.fleet.links.isCutOff('app')).toBe(true)
+    for (const each of cuts.splice(0)) each.heal()
+    const [outcomes = []] = await sendFor(3000, [host, other])
+    expect(servedShare(outcomes)).toBe(1)
+    expect(host.fleet.links.isCutOff('app')).toBe(false)
+    expect(host.fleet.links.admitsDirect('app', '/health', false)).toBe(true)
+  })
+
+  it('refuses at once, as not run, if the other hosts are cut off as well', async () => {
+    const hosts = await start(3)
+    await sendFor(300, hosts)
+    await cut(hosts, 'refuses')
+    await sendFor(1000, hosts)
+    const startedAt = performance.now()
+    const outcomes = await Promise.all(hosts.map(async host => await host.sendRequest('/unsafe/1')))
+    for (const { status } of outcomes) expect(status).toBe(503)
+    expect(performance.now() - startedAt).toBeLessThan(1000)
+  })
+
+  it('ends the work of a caller that leaves, at the host that serves it and at the endpoint', async () => {
+    const [host, other] = await start(2)
+    if (host === undefined || other === undefined) throw new Error('two hosts are needed')
+    await sendFor(300, [host, other])
+    await cut([host], 'refuses')
+    await sendFor(1000, [host, other])
+    for (const endpoint of endpoints) endpoint.behaviour = () => {}
+    const received = Promise.race(endpoints.map(async endpoint => { await endpoint.nextRequest() }))
+    const caller = connect(host.port, '127.0.0.1', () => { caller.write(`GET /unsafe/1 HTTP/1.1\r\nhost: h\r\n${PLAIN_HEADERS.id}: r1\r\n\r\n`) })
+    await received
+    const abortedBefore = endpoints.reduce((sum, { abortedResponses }) => sum + abortedResponses, 0)
+    caller.destroy()
+    await vi.waitFor(() => { expect(endpoints.reduce((sum, { abortedResponses }) => sum + abortedResponses, 0)).toBe(abortedBefore + 1) }, 500)
+  })
+
+  // Guards against callers that claim to be hosts, and against requests that are passed from host to host.
+  it('serves a request with a forged ticket like any other, never relays it, and keeps the ticket from the endpoint', async () => {
+    const [host, other] = await start(2)
+    if (host === undefined || other === undefined) throw new Error('two hosts are needed')
+    const forged = { [RELAY_HEADER]: 'forged 0' }
+    expect(await other.sendRequest('/safe/1', undefined, forged)).toMatchObject({ status: 200 })
+    expect(endpoints.flatMap(({ receivedRequests }) => receivedRequests).some(({ headers }) => RELAY_HEADER in headers)).toBe(false)
+    await sendFor(300, [host, other])
+    await cut([host], 'refuses')
+    await sendFor(1000, [host, other])
+    expect(await host.sendRequest('/safe/1', undefined, forged)).toMatchObject({ status: 503 })
+  })
 })
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -222,10 +222,11 @@
       ticket.end()
     })
     const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
-    if (exchange.isRelayed) {
-      this.#acceptRelayed(message, exchange, fields, arrivedAt)
-      return
-    }
+    if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
+    else this.#acceptDirect(message, exchange, fields, arrivedAt)
+  }
+
+  #acceptDirect (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
     const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
     if (this.#isReadyToServe() || this.ports.stop.isStopping || !this.#startup.enqueue(exchange, fields.deadlineMs, arrivedAt, route)) {
       route()
@@ -236,14 +237,18 @@
     })
   }
 
-  /** Serves a request that another host relays. It is not held until this host is ready, because another one may be. */
+  /**
+   * Serves a request that another host relays. It is not held until this host is ready, because another one may be.
+   * A request without a valid ticket is served like any other, but never relayed.
+   */
   #acceptRelayed (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, receivedAt: number): void {
     const { ticket, ageMs } = readRelayHeader(message.rawHeaders) ?? { ticket: '', ageMs: 0 }
     const route = (isVerified: boolean): void => {
       if (exchange.isAbandoned) return
       this.#relayed.count(isVerified ? 'verified' : 'unverified')
-      if (!this.#isReadyToServe()) this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host is not ready yet', RETRY_AFTER_SECONDS)
-      else this.#route(message, exchange, fields, receivedAt - ageMs, isVerified)
+      if (!isVerified) this.#acceptDirect(message, exchange, fields, receivedAt)
+      else if (this.#isReadyToServe()) this.#route(message, exchange, fields, receivedAt - ageMs, true)
+      else this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host is not ready yet', RETRY_AFTER_SECONDS)
     }
     if (this.ports.relays === undefined) route(false)
     else this.ports.relays.tickets.check(ticket, route)
--- a/apps/entry/src/lib/routed/harness/LinkCut.ts
+++ b/apps/entry/src/lib/routed/harness/LinkCut.ts
@@ -10,6 +10,8 @@
   | 'refuses'
   /** New connections are reset as soon as they are established. */
   | 'resets'
+  /** New connections are refused; those that are open go on working. */
+  | 'refuses-new'
   /** New connections are established, and nothing that is sent on them is answered. */
   | 'hangs'
 
@@ -36,11 +38,12 @@
     const cut = new LinkCut(kind)
     await new Promise<void>(resolve => { cut.#server.listen(0, '127.0.0.1', resolve) })
     cut.#address = `127.0.0.1:${(cut.#server.address() as AddressInfo).port}`
-    if (kind === 'refuses') cut.#server.close()
+    if (kind === 'refuses' || kind === 'refuses-new') cut.#server.close()
     const original = fleet.connectionsTo.bind(fleet)
     const replaced = new Map<string, EndpointConnections>()
     vi.spyOn(fleet, 'connectionsTo').mockImplementation(endpoint => {
       if (cut.#isHealed) return original(endpoint)
+      if (kind === 'refuses-new' && original(endpoint).hasIdle) return original(endpoint)
       const present = replaced.get(endpoint.id) ?? new EndpointConnections(cut.#address, () => {})
       replaced.set(endpoint.id, present)
       return present
@@ -52,6 +55,6 @@
   heal (): void {
     this.#isHealed = true
     for (const socket of this.#sockets) socket.destroy()
-    if (this.kind !== 'refuses') this.#server.close()
+    if (this.#server.listening) this.#server.close()
   }
 }
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -128,10 +128,11 @@
    *
    * @param path - path with the prefix of a route
    * @param onHead - called when the response begins
+   * @param headers - headers to add
    */
-  async sendRequest (path: string, onHead: () => void = () => {}): Promise<CallerOutcome> {
+  async sendRequest (path: string, onHead: () => void = () => {}, headers: Readonly<Record<string, string>> = {}): Promise<CallerOutcome> {
     return await new Promise(resolve => {
-      const request = httpRequest({ host: '127.0.0.1', port: this.port, path, headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1' } }, response => {
+      const request = httpRequest({ host: '127.0.0.1', port: this.port, path, headers: { host: 'h', [PLAIN_HEADERS.id]: 'r1', ...headers } }, response => {
         let body = ''
         onHead()
         response.on('data', chunk => { body += String(chunk) })
