Bound the rejections that all hosts cause at brittle endpoints

New rule: endpoints may state how many rejections a second they bear from all hosts together (Server-Brittle), and fall over beyond. Nothing read it. Each host now takes an equal share of two thirds of the bound; where that is less than one a second, a hash selects the hosts that may send without knowing of a free place, and the others send only where one is known to be free.

--- a/apps/entry/src/lib/routed/EndpointLimits.test.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { BrittleEndpointLimiter } from '@eelgrassmux/routing/endpoints/BrittleEndpointLimiter'
 import { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import { EndpointState, ASSUMED_COLD_MS } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { SharedRateLimiter } from '@eelgrassmux/routing/endpoints/SharedRateLimiter'
@@ -25,7 +26,7 @@
   const north = new EndpointState(listed('n', 'north'))
   const south = new EndpointState(listed('s', 'south'))
   const plain = new EndpointState(listed('p', 'north', 'plain'))
-  const limits = new EndpointLimits(new ColdEndpointLimiter('host', () => 1), new SharedRateLimiter('host', () => 1), () => [north, south, plain], new Telemetry('test'))
+  const limits = new EndpointLimits(new ColdEndpointLimiter('host', () => 1), new SharedRateLimiter('host', () => 1), new BrittleEndpointLimiter('host', () => 1), () => 0, () => [north, south, plain], new Telemetry('test'))
   limits.configure(SITE)
 
   it('treats the endpoints of a data centre as cold for a while after its evacuation', () => {
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -1,4 +1,5 @@
 /** Limits on new requests to endpoints, set by operators, services and the endpoints themselves: evacuated data centres, rate limits and pauses. */
+import type { BrittleEndpointLimiter } from '@eelgrassmux/routing/endpoints/BrittleEndpointLimiter'
 import type { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import type { HoldBackReason } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
@@ -34,12 +35,16 @@
   /**
    * @param coldAllowance - this host's share of the requests that cold endpoints accept
    * @param rateShare - this host's share of the rate limits that endpoints state
+   * @param brittleShare - this host's share of the rejections that brittle endpoints bear
+   * @param occupancyOf - returns the requests of all hosts at an endpoint, as far as is known
    * @param endpoints - returns all known endpoints
    * @param telemetry - log and metrics
    */
   constructor (
     private readonly coldAllowance: ColdEndpointLimiter,
     private readonly rateShare: SharedRateLimiter,
+    private readonly brittleShare: BrittleEndpointLimiter,
+    private readonly occupancyOf: (endpoint: EndpointState) => number,
     private readonly endpoints: () => readonly EndpointState[],
     private readonly telemetry: Telemetry
   ) {
@@ -48,6 +53,7 @@
     this.#sendsDespiteLimit = telemetry.labelledCounter('rate_limited_sends_total', 'Requests sent to endpoints that name a rate, by service', 'service')
     telemetry.gauge('endpoints_asked_to_pause', 'Endpoints that rejected a request and want nothing from this host for now', () => this.#countPausing(performance.now()))
     this.#sendsDespitePause = telemetry.labelledCounter('sends_despite_requested_pause_total', 'Requests sent to endpoints that want nothing for now, by service', 'service')
+    telemetry.gauge('endpoints_brittle', 'Endpoints that fall over if they have to reject too many requests', () => this.endpoints().filter(({ brittleness }) => brittleness.rejectionsPerSecond !== undefined).length)
     telemetry.gauge('data_centres_evacuated', 'Data centres whose endpoints get no new work', () => this.#evacuated.size)
   }
 
@@ -89,7 +95,14 @@
     const pauseUntil = endpoint.requestedPause.pausedUntil(endpoint.sends.newest(1), now)
     if (pauseUntil !== undefined) return { reason: 'asked-to-pause', until: pauseUntil }
     const until = this.rateShare.heldBackUntil(endpoint, now)
-    return until === undefined ? undefined : { reason: 'rate-limited', until }
+    if (until !== undefined) return { reason: 'rate-limited', until }
+    return this.#holdBrittle(endpoint, now)
+  }
+
+  #holdBrittle (endpoint: EndpointState, now: number): EndpointHold | undefined {
+    if (endpoint.brittleness.rejectionsPerSecond === undefined) return undefined
+    const until = this.brittleShare.heldBackUntil(endpoint, this.occupancyOf(endpoint), now)
+    return until === undefined ? undefined : { reason: 'brittle', until }
   }
 
   /**
@@ -108,11 +121,13 @@
    * @param head - head of the response
    * @param now - monotonic milliseconds
    */
-  observeAnswer (endpoint: EndpointState, { status, fields: { instance, isLeaving, requestsPerSecond, retryAfterMs } }: ResponseHead, now: number): void {
+  observeAnswer (endpoint: EndpointState, { status, fields: { instance, isLeaving, isNotExecuted, requestsPerSecond, rejectionsPerSecond, retryAfterMs } }: ResponseHead, now: number): void {
     // The response may come from another instance at the same address, and then says nothing about this endpoint.
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
     if (isLeaving) this.#markLeaving(endpoint)
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
+    if (endpoint.brittleness.observeAnswer(rejectionsPerSecond)) this.telemetry.logStateChange('endpoint-brittle', { endpoint: endpoint.id, address: endpoint.listed.address, rejectionsPerSecond: rejectionsPerSecond ?? -1 })
+    if (isNotExecuted && status === UNAVAILABLE) endpoint.brittleness.observeRejection(now)
     if (status !== UNAVAILABLE) endpoint.requestedPause.recordAccepted(now)
     else if (retryAfterMs !== undefined) this.#recordPause(endpoint, retryAfterMs, now)
   }
--- a/apps/entry/src/lib/routed/PlacementWaits.ts
+++ b/apps/entry/src/lib/routed/PlacementWaits.ts
@@ -15,7 +15,7 @@
 const MIN_RESUME_RETRY_INTERVAL_MS = 100
 
 /** Reasons that cease to apply after a time. */
-const TEMPORARY_REASONS: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-held-back'])
+const TEMPORARY_REASONS: ReadonlySet<NoEndpointReason> = new Set(['all-cold', 'all-rate-limited', 'all-asked-to-pause', 'all-brittle', 'all-held-back'])
 
 /**
  * @param reason - why no endpoint was chosen
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -1,6 +1,7 @@
 /** The endpoints of routed requests, with the state and the connections that this host keeps for each. */
 import { TransitBytes } from '@eelgrassmux/routing/admission/TransitBytes'
 import { chooseEndpoint } from '@eelgrassmux/routing/endpoints/chooseEndpoint'
+import { BrittleEndpointLimiter } from '@eelgrassmux/routing/endpoints/BrittleEndpointLimiter'
 import { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import { SharedRateLimiter } from '@eelgrassmux/routing/endpoints/SharedRateLimiter'
 import type { EndpointQuery, EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointQuery'
@@ -98,7 +99,7 @@
     readonly features = new LoadFeatures()
   ) {
     this.#pool = new EndpointPool(mechanisms.createSlownessEstimator)
-    this.limits = new EndpointLimits(new ColdEndpointLimiter(host, liveHosts), new SharedRateLimiter(host, liveHosts), () => this.#pool.all, telemetry)
+    this.limits = new EndpointLimits(new ColdEndpointLimiter(host, liveHosts), new SharedRateLimiter(host, liveHosts), new BrittleEndpointLimiter(host, liveHosts), endpoint => this.occupancyOf(endpoint), () => this.#pool.all, telemetry)
     this.otherHostsLoad = mechanisms.peerLoad
     this.storeLinks = mechanisms.createStoreLinks(liveHosts)
     this.traffic = new TrafficBetweenDataCentres(dataCentre, features, telemetry)
--- a/apps/entry/src/lib/routed/endpointStatements.test.ts
+++ b/apps/entry/src/lib/routed/endpointStatements.test.ts
@@ -49,6 +49,13 @@
     expect(statuses(second)).toEqual(ALL_SERVED)
   })
 
+  // Guards against hosts that go on sending to an endpoint that rejects, although it falls over if it has to reject too many.
+  it('sends nothing for a second to an endpoint that bears few rejections and has rejected one', async () => {
+    const { first, second, sentAfterwards } = await sendTwoRounds(new FakeEndpoint('e0', withHeader(PLAIN_HEADERS.brittle, '1', rejectNotExecuted)), new FakeEndpoint('e1', respondOk))
+    expect(sentAfterwards).toBe(0)
+    expect([...statuses(first), ...statuses(second)]).toEqual([...ALL_SERVED, ...ALL_SERVED])
+  })
+
   it('refuses at once, with the time of the first release, if all endpoints have asked for a pause', async () => {
     const [one, other] = ['e0', 'e1'].map(id => new FakeEndpoint(id, withHeader(PLAIN_HEADERS.retryAfter, '1.5', rejectNotExecuted)))
     if (one === undefined || other === undefined) throw new Error('two endpoints are needed')
--- a/apps/entry/src/lib/routed/harness/PlainCodec.ts
+++ b/apps/entry/src/lib/routed/harness/PlainCodec.ts
@@ -4,7 +4,7 @@
 import type { ResponseFields, CallerFields, EndpointFields, RequestCodec } from '../RequestCodec.js'
 
 /** Header names, in lower case. */
-export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit', retryAfter: 'retry-after', leaving: 'leaving' }
+export const PLAIN_HEADERS = { id: 'request-id', key: 'key', deadline: 'deadline', notRun: 'not-run', lastEvent: 'last-event-id', rateLimit: 'rate-limit', retryAfter: 'retry-after', leaving: 'leaving', brittle: 'brittle' }
 
 /** A codec that supports the fewest fields that the product needs. */
 export class PlainCodec implements RequestCodec {
@@ -23,6 +23,7 @@
   }
 
   readResponseHeaders (_status: number, headers: readonly string[]): ResponseFields {
+    const brittle = valueOf(headers, PLAIN_HEADERS.brittle)
     const rateLimit = valueOf(headers, PLAIN_HEADERS.rateLimit)
     return {
       requestId: valueOf(headers, PLAIN_HEADERS.id),
@@ -31,6 +32,7 @@
       load: undefined,
       version: undefined,
       requestsPerSecond: rateLimit === undefined ? undefined : Number(rateLimit),
+      rejectionsPerSecond: brittle === undefined ? undefined : Number(brittle),
       isLeaving: valueOf(headers, PLAIN_HEADERS.leaving) === '1',
       retryAfterMs: parseRetryAfter(valueOf(headers, PLAIN_HEADERS.retryAfter), Date.now())
     }
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -1,6 +1,7 @@
 /** State that one entry host keeps about one endpoint. */
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { MAX_REPORTED_AGE_MS, type LoadFigures } from '../load/loadReport.js'
+import { Brittleness } from './Brittleness.js'
 import { ContactTimes } from '../reachability/ContactTimes.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import { incarnationName } from './incarnationName.js'
@@ -43,6 +44,7 @@
   readonly health = new EndpointHealth()
   readonly rateLimit = new StatedRateLimit()
   readonly requestedPause = new RequestedPause()
+  readonly brittleness = new Brittleness()
   /** What the endpoint states about the pace of its machine. */
   readonly paceStatements = new MachinePace()
   /** Streams of this host that run at the endpoint. */
--- a/packages/routing/src/lib/endpoints/endpointQuery.ts
+++ b/packages/routing/src/lib/endpoints/endpointQuery.ts
@@ -105,6 +105,8 @@
   | 'rate-limited'
   /** The endpoint has rejected a request of this host and asked for a pause. */
   | 'asked-to-pause'
+  /** The endpoint falls over if it has to reject too many requests, and this host has caused its share of them or knows of no free place. */
+  | 'brittle'
 
 /** Why no endpoint was chosen. */
 export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | AllHeldBack
