Keep large failures out of streams that another endpoint continues

A failure of more than 256 KB in place of the rest of a stream was passed on as that rest (answerAfterFailure.test.ts, "too large to be held back": the caller got the failure's body after the first event). Cause: what is too large to be held is passed on, which was meant for responses that begin. What answers a continuation without events is dropped as it comes.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -124,6 +124,8 @@
   }
 
   #buffer (held: Buffer[], chunk: Buffer): boolean {
+    // It is not passed on in any case.
+    if (this.#isContinuation) return true
     held.push(chunk)
     this.#bufferedBytes += chunk.length
     if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return true
