Open no second attempt for a response that can't go on elsewhere

A response of more than 256 KB to a safe call whose endpoint paused for a second was broken off, or followed by bytes of another endpoint's (failover.test.ts, "has part of its response": no end within 60 s). Cause: the silence of an endpoint opened a second attempt whatever the caller had. It does so only while the caller has nothing, or part of a stream that may be resumed.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -381,7 +381,7 @@
     if (this.#switchToStandby()) return
     // If the check went on until the next send, the endpoint's silence would count as a second failure and the request would be placed twice.
     this.#failover.stop()
-    if (this.exchange.hasHead && !this.#relay.canResume) return this.#abort(failure, detail)
+    if (!this.#canGoOnElsewhere) return this.#abort(failure, detail)
     if (failure === 'rejected' && attempt.choice.version === undefined && this.#queue.isEnabled) return this.#placeAfterRejection(attempt)
     this.#retryOrGiveUp(failure, detail)
   }
@@ -438,6 +438,9 @@
     return this.#retries.reserve(failure, this.#deadline - performance.now(), this.#canResumeStream)
   }
 
+  /** Whether another endpoint's response could reach the caller: it has nothing yet, or part of a stream that may be resumed. */
+  get #canGoOnElsewhere (): boolean { return !this.exchange.hasHead || this.#relay.canResume }
+
   /** Whether the caller has received part of a stream that may be resumed at another endpoint. */
   get #canResumeStream (): boolean { return this.exchange.hasHead && this.#relay.canResume }
 
@@ -504,7 +507,7 @@
   // --- Failover ---
 
   #shouldOpenStandby (): boolean {
-    return !this.#isDone && this.#attempts.runs < this.request.route.attempts && this.#isEndpointSilent()
+    return !this.#isDone && this.#canGoOnElsewhere && this.#attempts.runs < this.request.route.attempts && this.#isEndpointSilent()
   }
 
   /** Opens a standby attempt if another endpoint can take the request. Otherwise the request stays where it is, because silence alone is no reason to end a response. */
--- a/apps/entry/src/lib/routed/failover.test.ts
+++ b/apps/entry/src/lib/routed/failover.test.ts
@@ -173,6 +173,20 @@
       expect(countReceived()).toBeGreaterThan(1)
     })
 
+    // Guards against a second response that is appended to the part of the first one that the caller has.
+    it('stays at its endpoint if the caller has part of its response', async () => {
+      const half = 'x'.repeat(300 * 1024)
+      await serve(2, firstThen((request, response) => {
+        response.writeHead(200, { [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
+        response.write(half)
+        setTimeout(() => { response.end('the rest') }, 1500)
+      }, respondOk))
+      const { body, isWhole } = await host.sendRequest('/safe/1')
+      expect(isWhole).toBe(true)
+      expect(body).toBe(`${half}the rest`)
+      expect(countReceived()).toBe(1)
+    })
+
     it('is sent to another endpoint while its endpoint hangs', async () => {
       await serve(2, firstThen(hangs, respondOk))
       expect(await host.sendRequest('/safe/1')).toMatchObject({ status: 200, isWhole: true })
