Report the address at which a host listens

A host whose port the system chooses reported port 0, so that no other host could have relayed requests to it.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -87,11 +87,13 @@
   const datagrams = new DatagramClient(outcome => { datagramOutcomes.count(outcome) })
   await datagrams.bind(settings.host)
   const address = `${settings.host}:${settings.port}`
+  /** Address at which callers and other hosts reach this host; known for certain once it listens. */
+  let listenAddress = address
   const features = new LoadFeatures(settings.loadFeatures, settings.competingCallers)
   const link = new ControlLink({
     host: address,
     role: 'entry',
-    address,
+    get address () { return listenAddress },
     dataCentre: settings.dataCentre,
     controlAddresses: settings.control,
     freshnessMs: settings.freshnessMs,
@@ -135,7 +137,7 @@
   const quarantine = new RequestQuarantine(link.quarantine, crashReporter, telemetry)
   const budget = { ratio: settings.retryRatio, slack: settings.retrySlack }
   const retries = new RetryExchange(address, { datagrams, leader: () => link.leader }, budget, telemetry)
-  const relayDirectory = new RelayDirectoryClient(address, { rpc, leader: () => link.leader })
+  const relayDirectory = new RelayDirectoryClient(() => listenAddress, { rpc, leader: () => link.leader })
   const relayHosts = new RelayHosts(relayDirectory)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const server = new RoutedServer({
@@ -163,6 +165,7 @@
     isLagging: () => link.eventLoopLagMs > EVENT_LOOP_LAG_LIMIT_MS
   }, mechanisms.waitsForSite ? 0 : Number.NEGATIVE_INFINITY)
   const port = await server.listen(settings.host, settings.port, platform.earlyListener)
+  listenAddress = `${settings.host}:${port}`
   const isReady = (): boolean => !stop.isStopping && server.isConfigured && fleet.hasEndpoints && mayAct()
   const platformServers = await platform.openPlatformServers(isReady)
 
--- a/apps/entry/src/lib/relays/RelayDirectoryClient.ts
+++ b/apps/entry/src/lib/relays/RelayDirectoryClient.ts
@@ -16,15 +16,15 @@
 /** {@link RelayDirectory} over RPC. Control hosts that do not know the methods count as giving no answer. */
 export class RelayDirectoryClient implements RelayDirectory {
   /**
-   * @param host - address of this host
+   * @param host - returns the address of this host
    * @param ports - dependencies
    */
-  constructor (private readonly host: string, private readonly ports: RelayDirectoryPorts) {}
+  constructor (private readonly host: () => string, private readonly ports: RelayDirectoryPorts) {}
 
   async open (ticket: string): Promise<OpenedRelays | undefined> {
     const leader = this.ports.leader()
     if (leader === undefined) return undefined
-    const answer = await this.ports.rpc.call(leader, openRelays, { host: this.host, ticket }, QUESTION_TIMEOUT_MS)
+    const answer = await this.ports.rpc.call(leader, openRelays, { host: this.host(), ticket }, QUESTION_TIMEOUT_MS)
     return answer.ok && answer.value.isTaken ? answer.value : undefined
   }
 
