Soak: cut hosts off from all endpoints

Entry hosts connect from addresses of their own, so that the links of single hosts, or of all in a data centre, can be reset, silenced, or closed to new connections. A check compares what they serve from the third second of a cut on with the other hosts.

--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -3,10 +3,12 @@
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { booleanSetting } from '@eelgrassmux/daemon/settings'
 import { routedSettingsShape, startRoutedDaemon } from '@eelgrassmux/entry/RoutedDaemon'
+import { bindOutgoingConnections } from './lib/bindOutgoingConnections.js'
 import { SoakCodec } from './lib/SoakCodec.js'
 
 const settingsSchema = z.object({
   ...routedSettingsShape,
+  alone: booleanSetting.default(false).describe('reaches no other entry host: a break that the checks must detect'),
   deaf: booleanSetting.default(false).describe('ignores what endpoints ask of it in their answers: a break that the checks must detect')
 })
 
@@ -14,11 +16,14 @@
   name: 'soak-entry',
   description: 'Entry host of the soak: accepts requests and forwards them to endpoints',
   settings: settingsSchema,
-  start: async (settings, telemetry) => await startRoutedDaemon(settings, telemetry, {
-    codec: new SoakCodec(settings.deaf),
-    // The admin port serves readiness, so no further servers are needed.
-    openPlatformServers: async () => ({ close: async () => {} })
-  })
+  start: async (settings, telemetry) => {
+    bindOutgoingConnections(settings.host, !settings.alone)
+    return await startRoutedDaemon(settings, telemetry, {
+      codec: new SoakCodec(settings.deaf),
+      // The admin port serves readiness, so no further servers are needed.
+      openPlatformServers: async () => ({ close: async () => {} })
+    })
+  }
 }
 
 await runDaemon(program, process.argv.slice(2))
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -6,6 +6,7 @@
 import type { Operator } from './Operator.js'
 import { planBurst, planSlowReaders } from './planRepeatedRequests.js'
 import type { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
+import type { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
 import type { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import type { Condition, Restraint } from './standinProtocol.js'
 import type { Incarnation, ProcessSlot } from './ProcessSlot.js'
@@ -34,6 +35,7 @@
 export interface InformedChecks {
   readonly evacuations: EvacuationsHoldCheck
   readonly customers: CustomersAreServedCheck
+  readonly cutOffHosts: CutOffHostsServeCheck
 }
 
 /** Injects all faults of a plan. */
@@ -45,7 +47,7 @@
    * @param cluster - processes and links to disturb
    * @param operator - changes sites and weights
    * @param timeline - records the faults
-   * @param checks - notified of acknowledged evacuations and of bursts
+   * @param checks - notified of acknowledged evacuations, of bursts and of cuts
    * @param extraCallers - starts callers of bursts
    * @param options - options of planned stops
    */
@@ -80,6 +82,7 @@
       case 'slow-readers': return await this.#slowReaders(fault.callers, fault.durationMs)
       case 'slow-machine': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'slow', pace: fault.pace, durationMs: fault.durationMs })
       case 'full-service': return await this.#fillService(fault.durationMs)
+      case 'host-cut': return await this.#cutHosts(fault)
       case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
       case 'new-site':
         this.timeline.record('operator', 'stores a new site', false)
@@ -138,6 +141,15 @@
     proxy.setFault(undefined)
   }
 
+  async #cutHosts ({ slots, cut, durationMs }: Extract<PlannedFault, { kind: 'host-cut' }>): Promise<void> {
+    const hosts = slots.map(slot => this.#slot('entry', slot).name)
+    for (const host of hosts) this.timeline.record(host, `cut off from all endpoints: ${cut}`, true, durationMs)
+    this.checks.cutOffHosts.recordCut(hosts, durationMs)
+    for (const slot of slots) this.cluster.setHostCut(slot, cut)
+    await sleep(durationMs)
+    for (const slot of slots) this.cluster.setHostCut(slot, undefined)
+  }
+
   /** Orders an endpoint to ask for a restraint; an endpoint that announces that it is leaving is stopped afterwards. */
   async #restrain ({ slot: index, asks, durationMs }: Extract<PlannedFault, { kind: 'restraint' }>): Promise<void> {
     const slot = this.#slot('endpoint', index)
--- a/apps/soak/src/lib/LoopbackProxy.ts
+++ b/apps/soak/src/lib/LoopbackProxy.ts
@@ -10,6 +10,10 @@
 export const LINK_FAULTS = ['delay', 'reset', 'cut-towards', 'cut-back', 'silence'] as const
 export type LinkFault = typeof LINK_FAULTS[number]
 
+/** What becomes of the connections of one host: all are reset, none carries anything, or those that are open go on and new ones are reset. */
+export const HOST_CUTS = ['reset', 'silence', 'refuse-new'] as const
+export type HostCut = typeof HOST_CUTS[number]
+
 /** Delay of each chunk while the link is slow, in milliseconds: far above that of loopback, below most timeouts. */
 const DELAY_MS = 120
 
@@ -25,13 +29,18 @@
 class DirectionBuffer {
   readonly #chunks: BufferedChunk[] = []
 
-  constructor (private readonly to: Socket) {}
+  /**
+   * @param to - socket to write to
+   * @param isSilenced - whether nothing is written for now
+   */
+  constructor (private readonly to: Socket, private readonly isSilenced: () => boolean) {}
 
   push (bytes: Buffer | 'end', dueAt: number): void {
     this.#chunks.push({ bytes, dueAt })
   }
 
   flush (now: number): void {
+    if (this.isSilenced()) return
     while (this.#chunks[0] !== undefined && this.#chunks[0].dueAt <= now) {
       const bytes = this.#chunks.shift()?.bytes
       if (bytes === 'end') this.to.end()
@@ -49,6 +58,7 @@
   readonly #buffers = new Map<Direction, Set<DirectionBuffer>>([['towards', new Set()], ['back', new Set()]])
   #timer: NodeJS.Timeout | undefined
   #fault: LinkFault | undefined
+  readonly #cutHosts = new Map<string, HostCut>()
   /** Port of the process behind the proxy; undefined before its first start. */
   target: number | undefined
 
@@ -75,6 +85,21 @@
     for (const socket of this.#sockets) socket.resetAndDestroy()
   }
 
+  /**
+   * @param host - IP address of a host that connects to this proxy
+   * @param cut - what becomes of its connections from now on; undefined if its link is sound again
+   */
+  setHostCut (host: string, cut: HostCut | undefined): void {
+    if (cut !== undefined) this.#cutHosts.set(host, cut)
+    else if (this.#cutHosts.get(host) === 'silence') this.#resetAllOf(host)
+    if (cut === undefined) this.#cutHosts.delete(host)
+    if (cut === 'reset') this.#resetAllOf(host)
+  }
+
+  #resetAllOf (host: string): void {
+    for (const socket of this.#sockets) if (socket.remoteAddress === host) socket.resetAndDestroy()
+  }
+
   /** Closes the proxy and all its connections. */
   close (): void {
     clearInterval(this.#timer)
@@ -114,19 +139,22 @@
 
   #accept (caller: Socket): void {
     this.#track(caller)
-    if (this.#fault === 'reset' || this.target === undefined) {
+    const host = caller.remoteAddress ?? ''
+    const cut = this.#cutHosts.get(host)
+    if (this.#fault === 'reset' || this.target === undefined || cut === 'reset' || cut === 'refuse-new') {
       caller.resetAndDestroy()
       return
     }
     const callee = connect({ port: this.target, host: HOST, allowHalfOpen: true, noDelay: true })
     caller.setNoDelay(true)
     this.#track(callee)
-    this.#pipe(caller, callee, 'towards')
-    this.#pipe(callee, caller, 'back')
+    const isSilenced = (): boolean => this.#cutHosts.get(host) === 'silence'
+    this.#pipe(caller, callee, 'towards', isSilenced)
+    this.#pipe(callee, caller, 'back', isSilenced)
   }
 
-  #pipe (from: Socket, to: Socket, direction: Direction): void {
-    const held = new DirectionBuffer(to)
+  #pipe (from: Socket, to: Socket, direction: Direction, isSilenced: () => boolean): void {
+    const held = new DirectionBuffer(to, isSilenced)
     this.#buffers.get(direction)?.add(held)
     const push = (bytes: Buffer | 'end'): void => {
       held.push(bytes, this.#fault === 'delay' ? performance.now() + DELAY_MS : 0)
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -4,7 +4,7 @@
 import { EndpointListServer } from './EndpointListServer.js'
 import { endpointLineSchema, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
 import type { SlotRole, SoakShape } from './faultPlan.js'
-import { LoopbackProxy } from './LoopbackProxy.js'
+import { LoopbackProxy, type HostCut } from './LoopbackProxy.js'
 import { ProcessSlot, type Incarnation, type SlotPlan } from './ProcessSlot.js'
 import { COLD_DURATION_MS, dataCentreOf, MODEL, MODEL_SERVICE, PLAIN_SERVICE, RETRY_BUDGET } from './soakSite.js'
 
@@ -32,6 +32,8 @@
   readonly hasColdReturns: boolean
   /** Entry hosts ignore what endpoints ask of them: a break that the checks must detect. */
   readonly isDeaf: boolean
+  /** Entry hosts do not reach each other: a break that the checks must detect. */
+  readonly areHostsAlone: boolean
   /** Features for hard load that entry hosts use. */
   readonly loadFeatures: readonly LoadFeature[]
   /** Entry hosts get a retry budget without limit: a break that the checks must detect. */
@@ -92,9 +94,18 @@
     return proxy
   }
 
+  /**
+   * @param entry - index of an entry host
+   * @param cut - what becomes of its links to all endpoints; undefined if they are sound
+   */
+  setHostCut (entry: number, cut: HostCut | undefined): void {
+    for (const proxy of this.#endpointProxies) proxy.setHostCut(addressOfEntry(entry), cut)
+  }
+
   /** Removes the faults of all links and resumes all paused processes. */
   heal (): void {
     for (const proxy of [...this.#controlProxies, ...this.#endpointProxies]) proxy.setFault(undefined)
+    this.entries.forEach((_, index) => { this.setHostCut(index, undefined) })
     for (const slot of this.#allSlots()) slot.current?.process.signal('SIGCONT')
   }
 
@@ -171,7 +182,7 @@
       name: `entry-${index}`,
       ...this.#commonPlan('entry'),
       // Each entry host has its own loopback address, which identifies it although its port is assigned by the system.
-      args: () => ['--host', `127.0.1.${index + 1}`, '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), ...this.#loadArguments()],
+      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), ...this.#loadArguments()],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
@@ -212,3 +223,7 @@
     else this.endpointList.setWeights(line.data.endpoint, MODEL, line.data.version)
   }
 }
+
+function addressOfEntry (index: number): string {
+  return `127.0.1.${index + 1}`
+}
--- /dev/null
+++ b/apps/soak/src/lib/checks/CutOffHostsServeCheck.ts
@@ -0,0 +1,69 @@
+/** Hosts that are cut off from all endpoints get their callers served nearly as often as the other hosts. */
+import type { HistoryView, RequestCheck } from '../RequestHistory.js'
+import type { Outcome } from '../observations.js'
+
+/** Time from the start of a cut from which requests count, in milliseconds. */
+const NOTICE_MS = 3000
+
+/** Smallest share of the requests at hosts that are cut off that is served, compared with the share at the others. */
+const MIN_RELATIVE_SHARE = 2 / 3
+
+/** Failures at hosts that are cut off that never break the guarantee: so many, and one in so many of their requests. */
+const ALLOWED_FAILURES = 10
+const ALLOWED_FAILURE_SHARE = 1 / 50
+
+const OK = 200
+
+interface Cut {
+  readonly hosts: readonly string[]
+  readonly from: number
+  readonly until: number
+}
+
+interface CountedOutcome {
+  readonly slot: string
+  readonly sentAt: number
+  readonly isServed: boolean
+}
+
+/** {@link RequestCheck} of the requests at hosts that are cut off. */
+export class CutOffHostsServeCheck implements RequestCheck {
+  readonly guarantee = 'cut-off-hosts-serve'
+  readonly #cuts: Cut[] = []
+  readonly #outcomes: CountedOutcome[] = []
+
+  /**
+   * Records a cut that starts now.
+   *
+   * @param hosts - slots of the hosts that are cut off
+   * @param durationMs - how long the cut lasts, in milliseconds
+   */
+  recordCut (hosts: readonly string[], durationMs: number): void {
+    const now = Date.now()
+    this.#cuts.push({ hosts, from: now + NOTICE_MS, until: now + durationMs })
+  }
+
+  onOutcome ({ request, end, endedAt }: Outcome, { timeline }: HistoryView): undefined {
+    // Hosts that are stopped, killed or paused are not served, and neither are requests that crash their endpoint.
+    const isDisturbed = timeline.entries.some(({ process, action, at, until }) => process === request.host && action.startsWith('SIG') && at <= endedAt && until >= request.sentAt - NOTICE_MS)
+    if (isDisturbed || request.work.crashesEndpointAfterMs !== undefined || request.kind === 'probe') return
+    this.#outcomes.push({ slot: request.host.split('#')[0] ?? '', sentAt: request.sentAt, isServed: end.kind === 'answered' && end.status === OK })
+  }
+
+  onEnd (): string[] {
+    return this.#cuts.flatMap(cut => this.#unservedIn(cut))
+  }
+
+  #unservedIn ({ hosts, from, until }: Cut): string[] {
+    const during = this.#outcomes.filter(({ sentAt }) => sentAt >= from && sentAt <= until)
+    const isCutOff = ({ slot, sentAt }: CountedOutcome): boolean => this.#cuts.some(cut => cut.hosts.includes(slot) && sentAt >= cut.from - NOTICE_MS && sentAt <= cut.until)
+    const there = during.filter(({ slot }) => hosts.includes(slot))
+    const elsewhere = during.filter(outcome => !isCutOff(outcome))
+    const served = there.filter(({ isServed }) => isServed).length
+    const failures = there.length - served
+    if (elsewhere.length === 0 || failures <= ALLOWED_FAILURES + there.length * ALLOWED_FAILURE_SHARE) return []
+    const servedElsewhere = elsewhere.filter(({ isServed }) => isServed).length
+    const isUnserved = served / there.length < MIN_RELATIVE_SHARE * servedElsewhere / elsewhere.length
+    return isUnserved ? [`${hosts.join(' ')} served ${served} of ${there.length} requests while cut off, the others ${servedElsewhere} of ${elsewhere.length}`] : []
+  }
+}
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,8 +1,8 @@
 /** Plans which faults are injected and when, determined by a seed alone. */
 import { SeededRandom } from './SeededRandom.js'
 import { RESTRAINT_KINDS, type RestraintKind } from './standinProtocol.js'
-import { CUSTOMERS, DATA_CENTRES } from './soakSite.js'
-import { LINK_FAULTS, type LinkFault } from './LoopbackProxy.js'
+import { CUSTOMERS, DATA_CENTRES, dataCentreOf } from './soakSite.js'
+import { HOST_CUTS, LINK_FAULTS, type HostCut, type LinkFault } from './LoopbackProxy.js'
 
 /** Number of processes of each role. */
 export interface SoakShape {
@@ -32,6 +32,8 @@
   | { readonly kind: 'slow-machine', readonly slot: number, readonly pace: number, readonly durationMs: number }
   /** All plain endpoints run few requests at once and reject the others. */
   | { readonly kind: 'full-service', readonly durationMs: number }
+  /** Some entry hosts lose their links to all endpoints. */
+  | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
   | { readonly kind: 'new-site' | 'new-weights' }
 )
 
@@ -64,6 +66,10 @@
 const SERVICE_RESTRAINT_MS = ONLY_RATE_MS + ALL_PAUSE_MS + ONLY_LEAVING_MS
 
 /** Bounds of the number of connections of a burst; all other callers have 32 by default. */
+/** Bounds on the duration of a cut of hosts, in milliseconds: some seconds beyond the time in which hosts have to notice. */
+const MIN_HOST_CUT_MS = 5000
+const MAX_HOST_CUT_MS = 9000
+
 const MIN_BURST_CALLERS = 6
 const MAX_BURST_CALLERS = 12
 
@@ -88,7 +94,7 @@
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, restraints that endpoints ask for, evacuations of data centres, and endpoints that come back cold. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut']
 
 /**
  * @param seed - determines all faults
@@ -159,6 +165,7 @@
     case 'slow-readers': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), durationMs }
     case 'slow-machine': return { atMs, kind, slot: random.index(slotCount('endpoint', shape)), pace: Math.round(random.between(MIN_PACE, MAX_PACE)), durationMs }
     case 'full-service': return { atMs, kind, durationMs }
+    case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'new-site':
     case 'new-weights': return { atMs, kind }
   }
@@ -168,6 +175,14 @@
   return random.pick(CUSTOMERS).name
 }
 
+/** Draws one host, or all hosts of a data centre; at least one other host keeps its links. */
+function drawHosts (random: SeededRandom, { entries }: SoakShape): number[] {
+  const slots = Array.from({ length: entries }, (_, slot) => slot)
+  if (random.index(2) === 0) return [random.pick(slots)]
+  const dataCentre = random.pick(DATA_CENTRES)
+  return slots.filter(slot => dataCentreOf(slot) === dataCentre).slice(0, entries - 1)
+}
+
 function drawSlot (random: SeededRandom, shape: SoakShape): { role: SlotRole, slot: number } {
   const role = random.pick(['entry', 'control', 'endpoint'] as const)
   return { role, slot: random.index(slotCount(role, shape)) }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -8,6 +8,7 @@
 import { Caller } from './Caller.js'
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
+import { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
 import { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { SeededRandom } from './SeededRandom.js'
@@ -24,7 +25,7 @@
 import { Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** Parameters of a run. */
@@ -86,6 +87,7 @@
   readonly #timeline = new Timeline()
   readonly #evacuations = new EvacuationsHoldCheck()
   readonly #customers = new CustomersAreServedCheck()
+  readonly #cutOffHosts = new CutOffHostsServeCheck()
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
   readonly #cluster: SoakCluster
@@ -97,7 +99,7 @@
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
     const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
-    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers])
+    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts])
     this.#configuration = new ConfigurationCheck(this.#history)
     this.#cluster = new SoakCluster({
       shape,
@@ -105,6 +107,7 @@
       graceMs,
       isForgetful: breaks.includes('forgetful-control'),
       isDeaf: breaks.includes('deaf-hosts'),
+      areHostsAlone: breaks.includes('hosts-alone'),
       hasColdReturns,
       loadFeatures: plan.loadFeatures ?? [],
       hasUnlimitedRetries: breaks.includes('unlimited-retries'),
@@ -161,7 +164,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readRepeatedly()
-    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers }, this.#extraCallers, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts }, this.#extraCallers, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await injector.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeline.record('soak', 'the last fault has ended', false)
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -63,6 +63,12 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against hosts that refuse their callers while they are cut off from all endpoints and other hosts are not.
+  it('serves callers of hosts that are cut off from all endpoints', async () => {
+    const result = await play({ seconds: 12, kinds: ['host-cut', 'new-site'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   it('sends nothing to data centres that are evacuated, and little to endpoints that come back cold', async () => {
     const result = await play({ seconds: 12, kinds: ['evacuation', 'cold-return', 'cold-return', 'pause'] })
     expect(result.violations, describeRun(result)).toEqual([])
@@ -80,6 +86,11 @@
       expect(violations.map(({ guarantee }) => guarantee)).toContain('retry-budget-is-kept')
     }, TIMEOUT_MS)
 
+    it('finds hosts that serve nobody while they are cut off', async () => {
+      const { violations } = await play({ seconds: 12, breaks: ['hosts-alone'], kinds: ['host-cut'] })
+      expect(violations.map(({ guarantee }) => guarantee)).toContain('cut-off-hosts-serve')
+    }, TIMEOUT_MS)
+
     it('finds hosts that do not read what endpoints ask of them', async () => {
       const { violations } = await play({ seconds: 14, breaks: ['deaf-hosts'], kinds: ['restraint', 'restrained-service'] })
       const guarantees = new Set(violations.map(({ guarantee }) => guarantee))
