Move the choice between endpoints and other hosts out of the request task

RoutedRequestTask keeps the order of steps; RequestRelay decides whether another host serves the request, and follows it there. No change of behaviour.

--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -9,7 +9,7 @@
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
-import { RelayedRequest } from '../relays/RelayedRequest.js'
+import { RequestRelay } from '../relays/RequestRelay.js'
 import type { UsableGrant } from '../waiting/WaitingExchange.js'
 import { ResponseRelay } from './ResponseRelay.js'
 import { bodyFraming } from './responseBody.js'
@@ -53,11 +53,11 @@
   readonly #placement: RequestPlacement
   readonly #failures: AttemptFailures
   #isDone = false
-  #relayed: RelayedRequest | undefined
   #lastFailure: AttemptFailure | undefined
   #nextStandbyRequestAt = Number.NEGATIVE_INFINITY
   readonly #waits: PlacementWaits
   readonly #queue: QueuedPlacement
+  readonly #hosts: RequestRelay
   readonly #guard: QuarantineGuard
   readonly #times: ResponseTimes
   readonly #pauses: StreamPauses
@@ -99,6 +99,15 @@
       refused: retryAfterMs => { this.#refuse('deadline-unreachable', 503, 'the requests that go first leave no capacity within the time that callers wait', retryAfterMs) },
       expired: () => { this.#refuse('deadline-unreachable', 503, 'no endpoint had capacity within the time that callers wait') }
     }, details => { this.#logDecision('waits-in-order', details) })
+    this.#hosts = new RequestRelay(request, exchange, ports, this.#attempts, {
+      isDone: () => this.#isDone,
+      leaveEndpoints: () => { this.#leaveEndpoints() },
+      logRelayed: details => { this.#logDecision('relayed', details) },
+      logRefused: details => { this.#logDecision('relay-refused', details) },
+      refuse: detail => { this.#refuse('endpoints-out-of-reach', 503, detail) },
+      lost: detail => { this.#refuse('endpoint-failed', 502, detail) },
+      complete: (host, status) => { this.#endAtOtherHost(host, status) }
+    })
     this.#failover = new SilenceFailover(ports.silenceChecks, {
       shouldOpenStandby: () => this.#shouldOpenStandby(),
       isSilent: () => this.#isEndpointSilent(),
@@ -163,7 +172,7 @@
   }
 
   #sendToNextEndpoint (): void {
-    if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.#relayIfCutOff()) return
+    if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.#hosts.takeIfOutOfReach()) return
     const choice = this.#placement.choose()
     if (typeof choice === 'string') return this.#endWithoutEndpoint(choice)
     const admission = this.#placement.admit(choice)
@@ -211,7 +220,7 @@
     if (attempt === undefined) {
       reservation?.release()
       // The leader grants another endpoint next.
-      if (!this.#isDone && !this.#relayIfCutOff()) this.#waitInQueue()
+      if (!this.#isDone && !this.#hosts.takeIfOutOfReach()) this.#waitInQueue()
       return
     }
     this.#logDecision('granted', { endpoint: attempt.choice.endpoint.id, hasReservation: reservation !== undefined, waitedMs: Math.round(performance.now() - this.request.arrivedAt) })
@@ -291,7 +300,7 @@
       if (!this.#waitToResume(Number.isFinite(releaseAt) ? releaseAt : 0)) this.#abort('no-endpoint', reason)
       return
     }
-    if (this.#lastFailure === 'not-connected' && this.#tryRelay('endpoint-unreachable')) return
+    if (this.#lastFailure === 'not-connected' && this.#hosts.tryTake('endpoint-unreachable')) return
     // With the queue of all hosts, requests wait as long as their callers do.
     const { arrivedAt, route } = this.request
     const waitsUntil = this.#queue.isEnabled ? this.#placement.patienceUntil : Math.min(this.#deadline, arrivedAt + route.targetLatencyMs)
@@ -449,61 +458,6 @@
     return this.#waits.waitToResume(Math.max(until, this.#placement.tried.retryAt), this.#placement.callerTimeoutAt)
   }
 
-  // --- Relays ---
-
-  /** @returns whether the endpoints are out of this host's reach, so that the request has been relayed or refused */
-  #relayIfCutOff (): boolean {
-    if (this.#relayed !== undefined) return true
-    const { service, isRelayed } = this.request
-    const { links } = this.ports.fleet
-    if (this.exchange.hasHead || links.admitsDirect(service.name, service.healthPath, this.ports.isLagging())) return false
-    if (this.#tryRelay('out-of-reach')) return true
-    // Requests that return while links come back are sent directly if no other host may take them.
-    if (!links.isCutOff(service.name) || this.#attempts.mayHaveRun) return false
-    this.#refuse('endpoints-out-of-reach', 503, isRelayed === true ? 'this host does not reach the endpoints either' : 'this host does not reach the endpoints')
-    return true
-  }
-
-  /**
-   * Has another host serve the request if that is allowed: it has not run, and other hosts hear from the endpoints.
-   *
-   * @param reason - why this host does not send it to an endpoint
-   * @returns whether the request has been relayed
-   */
-  #tryRelay (reason: string): boolean {
-    const { relays, fleet } = this.ports
-    const { service, body, arrivedAt, isRelayed } = this.request
-    if (relays === undefined || isRelayed === true || this.#relayed !== undefined || this.#isDone) return false
-    if (this.#attempts.mayHaveRun || this.exchange.hasHead) return false
-    // Without a cut, the endpoints may be at fault, and the other hosts would fail to reach them as well.
-    if (!fleet.links.isCutOff(service.name) && !fleet.links.isHeardByAnyHost(service.name)) return false
-    this.#queue.leave()
-    this.#failover.end()
-    this.#retries.cancelWait()
-    this.#relayed = new RelayedRequest(this.exchange, body, arrivedAt, relays, {
-      sending: host => {
-        this.#attempts.recordSend()
-        this.#attempts.recordRun()
-        this.#logDecision('relayed', { host, reason })
-      },
-      refused: host => {
-        this.#attempts.retractRun()
-        this.#logDecision('relay-refused', { host })
-      },
-      unavailable: () => { this.#refuse('endpoints-out-of-reach', 503, 'this host does not reach the endpoints, and no other host has taken the request') },
-      lost: (host, detail) => {
-        if (this.exchange.hasHead) this.#abort('lost', `host ${host}: ${detail}`)
-        else this.#refuse('endpoint-failed', 502, `host ${host}: ${detail}`)
-      },
-      complete: (host, status) => {
-        this.#end()
-        if (this.ports.telemetry.isSampled(this.request.id)) this.#logEnd('relay-answered', { host, status })
-      }
-    })
-    this.#relayed.start()
-    return true
-  }
-
   // --- Failover ---
 
   #shouldOpenStandby (): boolean {
@@ -554,7 +508,7 @@
   // --- Completion ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
-    if (failure === 'not-connected' && this.#tryRelay('endpoint-unreachable')) return
+    if (failure === 'not-connected' && this.#hosts.tryTake('endpoint-unreachable')) return
     if (this.exchange.hasHead) return this.#abort(failure, detail)
     if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
@@ -568,7 +522,7 @@
   /** @param mayFinish - whether a response that has begun gets {@link RESPONSE_COMPLETION_MS} to complete */
   #endAfterDeadline (mayFinish: boolean): void {
     if (this.#isDone) return
-    if (mayFinish && (this.#attempt?.isAnswering === true || this.#relayed?.isAnswering === true)) {
+    if (mayFinish && (this.#attempt?.isAnswering === true || this.#hosts.isAnswering)) {
       this.#timer = setTimeout(() => { this.#endAfterDeadline(false) }, RESPONSE_COMPLETION_MS)
       return
     }
@@ -596,7 +550,7 @@
    * @param outcome - set if the endpoint has stopped responding to all hosts; it is then counted against the endpoint, unless a response head has come
    */
   #cancelAttempt (outcome: 'unanswered' | undefined): void {
-    this.#relayed?.cancel()
+    this.#hosts.cancel()
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
@@ -663,11 +617,20 @@
   #end (): void {
     this.#isDone = true
     clearTimeout(this.#timer)
+    this.#leaveEndpoints()
+  }
+
+  #leaveEndpoints (): void {
     this.#queue.leave()
     this.#failover.end()
     this.#retries.cancelWait()
   }
 
+  #endAtOtherHost (host: string, status: number): void {
+    this.#end()
+    if (this.ports.telemetry.isSampled(this.request.id)) this.#logEnd('relay-answered', { host, status })
+  }
+
   #logEnd<Event extends DecisionEvent> (outcome: Event, details: DecisionFields<Event>): void {
     this.#logDecision(outcome, { ...details, elapsedMs: Math.round(performance.now() - this.request.arrivedAt), sends: this.#attempts.sends, runs: this.#attempts.runs })
   }
