--- a/apps/entry/src/lib/relays/RelayDirectoryClient.ts
+++ b/apps/entry/src/lib/relays/RelayDirectoryClient.ts
@@ -21,10 +21,10 @@
    */
   constructor (private readonly host: () => string, private readonly ports: RelayDirectoryPorts) {}
 
-  async open (ticket: string): Promise<OpenedRelays | undefined> {
+  async open (): Promise<OpenedRelays | undefined> {
     const leader = this.ports.leader()
     if (leader === undefined) return undefined
-    const answer = await this.ports.rpc.call(leader, openRelays, { host: this.host(), ticket }, QUESTION_TIMEOUT_MS)
+    const answer = await this.ports.rpc.call(leader, openRelays, { host: this.host() }, QUESTION_TIMEOUT_MS)
     return answer.ok && answer.value.isTaken ? answer.value : undefined
   }
 
--- a/apps/entry/src/lib/relays/RelayHosts.ts
+++ b/apps/entry/src/lib/relays/RelayHosts.ts
@@ -31,7 +31,7 @@
 /** Asks the leading control host. */
 export interface RelayDirectory {
   /** @returns the ticket and hosts, or undefined if there is no answer */
-  open (ticket: string): Promise<OpenedRelays | undefined>
+  open (): Promise<OpenedRelays | undefined>
   /** @returns the host that holds a ticket; empty if nobody does, undefined if there is no answer */
   holderOf (ticket: string): Promise<string | undefined>
 }
@@ -106,7 +106,7 @@
     if (this.#isAsking || now < this.#nextQuestionAt) return
     this.#isAsking = true
     this.#nextQuestionAt = now + RETRY_DELAY_MS
-    void this.directory.open(this.#opened.ticket).then(opened => {
+    void this.directory.open().then(opened => {
       this.#isAsking = false
       if (opened !== undefined) {
         this.#opened = opened
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -57,7 +57,7 @@
   #nextStandbyRequestAt = Number.NEGATIVE_INFINITY
   readonly #waits: PlacementWaits
   readonly #queue: QueuedPlacement
-  readonly #hosts: RequestRelay
+  readonly #otherHosts: RequestRelay
   readonly #guard: QuarantineGuard
   readonly #times: ResponseTimes
   readonly #pauses: StreamPauses
@@ -99,7 +99,7 @@
       refused: retryAfterMs => { this.#refuse('deadline-unreachable', 503, 'the requests that go first leave no capacity within the time that callers wait', retryAfterMs) },
       expired: () => { this.#refuse('deadline-unreachable', 503, 'no endpoint had capacity within the time that callers wait') }
     }, details => { this.#logDecision('waits-in-order', details) })
-    this.#hosts = new RequestRelay(request, exchange, ports, this.#attempts, {
+    this.#otherHosts = new RequestRelay(request, exchange, ports, this.#attempts, {
       isDone: () => this.#isDone,
       leaveEndpoints: () => { this.#leaveEndpoints() },
       logRelayed: details => { this.#logDecision('relayed', details) },
@@ -172,7 +172,7 @@
   }
 
   #sendToNextEndpoint (): void {
-    if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.#hosts.takeIfOutOfReach()) return
+    if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.#otherHosts.takeIfOutOfReach()) return
     const choice = this.#placement.choose()
     if (typeof choice === 'string') return this.#endWithoutEndpoint(choice)
     const admission = this.#placement.admit(choice)
@@ -220,7 +220,7 @@
     if (attempt === undefined) {
       reservation?.release()
       // The leader grants another endpoint next.
-      if (!this.#isDone && !this.#hosts.takeIfOutOfReach()) this.#waitInQueue()
+      if (!this.#isDone && !this.#otherHosts.takeIfOutOfReach()) this.#waitInQueue()
       return
     }
     this.#logDecision('granted', { endpoint: attempt.choice.endpoint.id, hasReservation: reservation !== undefined, waitedMs: Math.round(performance.now() - this.request.arrivedAt) })
@@ -300,7 +300,7 @@
       if (!this.#waitToResume(Number.isFinite(releaseAt) ? releaseAt : 0)) this.#abort('no-endpoint', reason)
       return
     }
-    if (this.#lastFailure === 'not-connected' && this.#hosts.tryTake('endpoint-unreachable')) return
+    if (this.#lastFailure === 'not-connected' && this.#otherHosts.tryTake('endpoint-unreachable')) return
     // With the queue of all hosts, requests wait as long as their callers do.
     const { arrivedAt, route } = this.request
     const waitsUntil = this.#queue.isEnabled ? this.#placement.patienceUntil : Math.min(this.#deadline, arrivedAt + route.targetLatencyMs)
@@ -508,7 +508,7 @@
   // --- Completion ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
-    if (failure === 'not-connected' && this.#hosts.tryTake('endpoint-unreachable')) return
+    if (failure === 'not-connected' && this.#otherHosts.tryTake('endpoint-unreachable')) return
     if (this.exchange.hasHead) return this.#abort(failure, detail)
     if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
@@ -522,7 +522,7 @@
   /** @param mayFinish - whether a response that has begun gets {@link RESPONSE_COMPLETION_MS} to complete */
   #endAfterDeadline (mayFinish: boolean): void {
     if (this.#isDone) return
-    if (mayFinish && (this.#attempt?.isAnswering === true || this.#hosts.isAnswering)) {
+    if (mayFinish && (this.#attempt?.isAnswering === true || this.#otherHosts.isAnswering)) {
       this.#timer = setTimeout(() => { this.#endAfterDeadline(false) }, RESPONSE_COMPLETION_MS)
       return
     }
@@ -550,7 +550,7 @@
    * @param outcome - set if the endpoint has stopped responding to all hosts; it is then counted against the endpoint, unless a response head has come
    */
   #cancelAttempt (outcome: 'unanswered' | undefined): void {
-    this.#hosts.cancel()
+    this.#otherHosts.cancel()
     const attempt = this.#attempt
     if (attempt === undefined) return
     const { endpoint } = attempt.choice
--- a/packages/rpc/src/lib/methods/relayMethods.ts
+++ b/packages/rpc/src/lib/methods/relayMethods.ts
@@ -11,9 +11,7 @@
 
 export const openRelaysRequestSchema = z.strictObject({
   /** Name and address of the host that is cut off. */
-  host: nameSchema,
-  /** Ticket that the host holds already; empty if it has none. */
-  ticket: nameSchema
+  host: nameSchema
 })
 
 export const openRelaysResponseSchema = z.strictObject({
