--- a/apps/control/src/lib/relays/RelayTask.ts
+++ b/apps/control/src/lib/relays/RelayTask.ts
@@ -1,7 +1,7 @@
 /**
- * Names hosts that relay requests to those that are cut off from endpoints, and vouches for the latter.
+ * Names hosts that relay requests to those that are partitioned from the endpoints, and authenticates the latter.
  *
- * Only the leader does, in memory: a new leader learns of the hosts that are cut off with their next questions.
+ * Only the leader does, in memory: a new leader learns of the hosts that are partitioned with their next questions.
  */
 import { randomUUID } from 'node:crypto'
 import { RelayTickets } from '@eelgrassmux/routing/reachability/RelayTickets'
@@ -17,7 +17,7 @@
   readonly telemetry: Telemetry
 }
 
-/** Answers hosts that are cut off, and hosts that were asked to relay. */
+/** Answers hosts that are partitioned, and hosts that were asked to relay. */
 export class RelayTask {
   readonly #tickets = new RelayTickets(randomUUID)
   readonly #questions: LabelledCounter
@@ -33,7 +33,7 @@
     server.handle(checkRelayTicket, async ({ ticket }) => this.check(ticket))
   }
 
-  /** @param request - question of a host that is cut off */
+  /** @param request - question of a host that is partitioned */
   open ({ host }: OpenRelaysRequest): OpenRelaysResponse {
     if (!this.#isAnswered('opened')) return { isTaken: false, ticket: '', hosts: [] }
     const now = performance.now()
@@ -41,7 +41,7 @@
     return { isTaken: true, ticket, hosts: this.#tickets.candidates(this.ports.entryAddresses(now), host, MAX_RELAY_HOSTS, now, Math.random) }
   }
 
-  /** @param ticket - ticket that a relayed request bears */
+  /** @param ticket - ticket that a relayed request carries */
   check (ticket: string): CheckRelayTicketResponse {
     if (!this.#isAnswered('checked')) return { isTaken: false, host: '' }
     return { isTaken: true, host: this.#tickets.holderOf(ticket, performance.now()) ?? '' }
--- a/apps/entry/src/lib/relays/RelayHosts.ts
+++ b/apps/entry/src/lib/relays/RelayHosts.ts
@@ -1,8 +1,8 @@
 /**
- * Other entry hosts, as relays for requests to services that are cut off from this host.
+ * Other entry hosts, as relays for requests to services that are partitioned from this host.
  *
  * The leading control host names them and gives this host a ticket, with which the others recognise it. It is asked
- * again while relays are in use, so that hosts that are cut off as well are left out.
+ * again while relays are in use, so that hosts that are partitioned as well are left out.
  */
 import { EndpointConnections } from '../routed/EndpointConnections.js'
 import type { EndpointConnection } from '../routed/EndpointConnection.js'
--- a/apps/entry/src/lib/relays/RelayTicketChecks.ts
+++ b/apps/entry/src/lib/relays/RelayTicketChecks.ts
@@ -27,7 +27,7 @@
   constructor (private readonly directory: Pick<RelayDirectory, 'holderOf'>) {}
 
   /**
-   * @param ticket - ticket that a request bears
+   * @param ticket - ticket that a request carries
    * @param done - called with whether a host of this system holds it, at once if that is known; false if nobody answers in time
    */
   check (ticket: string, done: (isValid: boolean) => void): void {
--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -58,7 +58,7 @@
     const { fleet: { links } } = this.ports
     if (this.exchange.hasHead || links.admitsDirect(service.name, service.healthPath, this.ports.isLagging())) return false
     if (this.tryTake('out-of-reach')) return true
-    // While the links come back, requests that no other host may take are sent to the endpoints.
+    // While the links recover, requests that no other host may take are sent to the endpoints.
     if (!links.isCutOff(service.name) || this.attempts.mayHaveRun) return false
     this.task.refuse(isRelayed === true ? 'this host does not reach the endpoints either' : 'this host does not reach the endpoints')
     return true
--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -1,4 +1,4 @@
-/** The links of this host to the services, and probes of those that are cut off. */
+/** The links of this host to the services, and probes of those that are partitioned. */
 import { ServiceReachability } from '@eelgrassmux/routing/reachability/ServiceReachability'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -97,7 +97,7 @@
     })), now)
     if (evidence === undefined) return
     this.#cutOffCount += 1
-    // Connections from before the cut may hang when the links come back.
+    // Connections from before the cut may hang when the links recover.
     for (const endpoint of endpoints) this.fleet.closeIdleConnectionsTo(endpoint)
     this.telemetry.logStateChange('service-out-of-reach', { service, endpoints: endpoints.length, ...evidence, heardAgoMs: Math.round(evidence.heardAgoMs) })
   }
--- a/apps/entry/src/lib/relays/relayHeaders.ts
+++ b/apps/entry/src/lib/relays/relayHeaders.ts
@@ -1,7 +1,7 @@
 /** Headers between entry hosts about requests that one relays to another. */
 import { endToEndHeaders } from '../routed/headers.js'
 
-/** Header of a relayed request: the ticket of the host that is cut off, and the age of the request in milliseconds. */
+/** Header of a relayed request: the ticket of the host that is partitioned, and the age of the request in milliseconds. */
 export const RELAY_HEADER = 'eelgrassmux-relay'
 
 /** Header of a refusal of a relayed request that another host may accept; the request has not run. */
--- a/apps/entry/src/lib/routed/RequestCodec.ts
+++ b/apps/entry/src/lib/routed/RequestCodec.ts
@@ -53,7 +53,7 @@
   readonly version: number | undefined
   /** Requests a second that the endpoint accepts from all hosts together; the limit applies until a response without it. */
   readonly requestsPerSecond: number | undefined
-  /** Rejections a second that the endpoint bears from all hosts together before it falls over; absent if it states no bound. */
+  /** Rejections a second that the endpoint tolerates from all hosts together before it fails; absent if it states no bound. */
   readonly rejectionsPerSecond?: number | undefined
   /** Whether the endpoint is about to stop accepting requests. */
   readonly isLeaving: boolean
--- a/apps/entry/src/lib/routed/endpointStatements.test.ts
+++ b/apps/entry/src/lib/routed/endpointStatements.test.ts
@@ -49,7 +49,7 @@
     expect(statuses(second)).toEqual(ALL_SERVED)
   })
 
-  // Guards against hosts that go on sending to an endpoint that rejects, although it falls over if it has to reject too many.
+  // Guards against hosts that go on sending to an endpoint that rejects, although it fails if it has to reject too many.
   it('sends nothing for a second to an endpoint that bears few rejections and has rejected one', async () => {
     const { first, second, sentAfterwards } = await sendTwoRounds(new FakeEndpoint('e0', withHeader(PLAIN_HEADERS.brittle, '1', rejectNotExecuted)), new FakeEndpoint('e1', respondOk))
     expect(sentAfterwards).toBe(0)
--- a/apps/entry/src/lib/routed/retryAfterSecondsFor.ts
+++ b/apps/entry/src/lib/routed/retryAfterSecondsFor.ts
@@ -2,7 +2,7 @@
 import { retryAfterMs } from '@eelgrassmux/routing/admission/retryAfter'
 import type { RefusalReason } from '@eelgrassmux/schema/Refusal'
 
-/** Longest Retry-After of a host that is stopping or cut off from the endpoints, in milliseconds. The random value spreads the retries of callers that are refused at the same moment. */
+/** Longest Retry-After of a host that is stopping or partitioned from the endpoints, in milliseconds. The random value spreads the retries of callers that are refused at the same moment. */
 const MAX_DRAINING_RETRY_MS = 100
 
 const MILLISECONDS_PER_SECOND = 1000
--- a/apps/soak/src/lib/ConditionState.ts
+++ b/apps/soak/src/lib/ConditionState.ts
@@ -41,7 +41,7 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns rejections in a second that the stand-in bears; undefined if it bears any number
+   * @returns rejections in a second that the stand-in tolerates; undefined if it tolerates any number
    */
   bears (now: number): number | undefined {
     const condition = this.#activeAt('brittle', now)
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -149,7 +149,7 @@
     }
   }
 
-  /** States with each answer how many rejections are borne, and how many requests may run at once. */
+  /** States with each answer how many rejections are tolerated, and how many requests may run at once. */
   #stateBrittleness (response: ServerResponse, now: number): void {
     const bears = this.#conditions.bears(now)
     if (bears === undefined) return
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -21,7 +21,7 @@
 /** Number of requests that each plain endpoint runs at once while its service is full; 32 callers send some 14 a second to three of them. */
 const PLACES_WHILE_FULL = 2
 
-/** Rejections in a second that a brittle endpoint bears. */
+/** Rejections in a second that a brittle endpoint tolerates. */
 const BORNE_REJECTIONS = 4
 
 /** Customer whose callers read slowly. */
--- a/apps/soak/src/lib/checks/BrittleEndpointsStandCheck.ts
+++ b/apps/soak/src/lib/checks/BrittleEndpointsStandCheck.ts
@@ -1,7 +1,7 @@
-/** In one time in which the endpoints of a service are brittle, few of them fall over. */
+/** In one time in which the endpoints of a service are brittle, few of them fail. */
 import type { RequestCheck } from '../RequestHistory.js'
 
-/** Falls that never break the guarantee: so many, and a share of the number of endpoints. */
+/** Failures that never break the guarantee: so many, and a share of the number of endpoints. */
 const ALLOWED_FALLS = 2
 const ALLOWED_SHARE = 0.1
 
@@ -11,7 +11,7 @@
   until: number
 }
 
-/** {@link RequestCheck} of endpoints that fall over if they have to reject too many requests. */
+/** {@link RequestCheck} of endpoints that fail if they have to reject too many requests. */
 export class BrittleEndpointsStandCheck implements RequestCheck {
   readonly guarantee = 'brittle-endpoints-stand'
   readonly #times: BrittleTime[] = []
@@ -31,7 +31,7 @@
     else this.#times.push({ slots, from: now, until: now + durationMs })
   }
 
-  /** @param incarnation - endpoint that has just fallen over */
+  /** @param incarnation - endpoint that has just failed */
   recordFall (incarnation: string): void {
     this.#falls.push({ slot: incarnation.split('#')[0] ?? '', at: Date.now() })
   }
--- a/apps/soak/src/lib/checks/CutOffHostsServeCheck.ts
+++ b/apps/soak/src/lib/checks/CutOffHostsServeCheck.ts
@@ -1,14 +1,14 @@
-/** Hosts that are cut off from all endpoints get their callers served nearly as often as the other hosts. */
+/** Hosts that are partitioned from all endpoints get their callers served nearly as often as the other hosts. */
 import type { HistoryView, RequestCheck } from '../RequestHistory.js'
 import type { Outcome } from '../observations.js'
 
 /** Time from the start of a cut from which requests count, in milliseconds. */
 const NOTICE_MS = 3000
 
-/** Smallest share of the requests at hosts that are cut off that is served, compared with the share at the others. */
+/** Smallest share of the requests at hosts that are partitioned that is served, compared with the share at the others. */
 const MIN_RELATIVE_SHARE = 2 / 3
 
-/** Failures at hosts that are cut off that never break the guarantee: so many, and one in so many of their requests. */
+/** Failures at hosts that are partitioned that never break the guarantee: so many, and one in so many of their requests. */
 const ALLOWED_FAILURES = 10
 const ALLOWED_FAILURE_SHARE = 1 / 50
 
@@ -26,7 +26,7 @@
   readonly isServed: boolean
 }
 
-/** {@link RequestCheck} of the requests at hosts that are cut off. */
+/** {@link RequestCheck} of the requests at hosts that are partitioned. */
 export class CutOffHostsServeCheck implements RequestCheck {
   readonly guarantee = 'cut-off-hosts-serve'
   readonly #cuts: Cut[] = []
@@ -35,7 +35,7 @@
   /**
    * Records a cut that starts now.
    *
-   * @param hosts - slots of the hosts that are cut off
+   * @param hosts - slots of the hosts that are partitioned
    * @param durationMs - how long the cut lasts, in milliseconds
    */
   recordCut (hosts: readonly string[], durationMs: number): void {
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -32,7 +32,7 @@
   | { readonly kind: 'slow-machine', readonly slot: number, readonly pace: number, readonly durationMs: number }
   /** All plain endpoints run few requests at once and reject the others. */
   | { readonly kind: 'full-service', readonly durationMs: number }
-  /** All plain endpoints run few requests at once, and fall over if they have to reject many. */
+  /** All plain endpoints run few requests at once, and fail if they have to reject many. */
   | { readonly kind: 'brittle-service', readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
--- a/apps/soak/src/lib/soakHeaders.ts
+++ b/apps/soak/src/lib/soakHeaders.ts
@@ -17,7 +17,7 @@
   cacheSalt: 'cache-salt',
   /** Number of requests per second that the endpoint accepts from all hosts together. */
   rateLimit: 'rate-limit',
-  /** In answers: number of rejections in a second that the endpoint bears from all hosts together. */
+  /** In answers: number of rejections in a second that the endpoint tolerates from all hosts together. */
   brittle: 'brittle',
   /** In answers: `1` if the endpoint is about to exit. */
   leaving: 'leaving',
--- a/apps/soak/src/lib/standinProtocol.ts
+++ b/apps/soak/src/lib/standinProtocol.ts
@@ -39,7 +39,7 @@
 export const conditionSchema = z.discriminatedUnion('kind', [
   /** `pace` is the time that work takes, in hundredths of the usual time. */
   z.strictObject({ kind: z.literal('slow'), pace: z.number().min(1), durationMs: z.number().min(0) }),
-  /** Like `full`, and the stand-in falls over if it has to reject more than `bears` requests in a second. */
+  /** Like `full`, and the stand-in fails if it has to reject more than `bears` requests in a second. */
   z.strictObject({ kind: z.literal('brittle'), places: z.number().int().min(0), bears: z.number().int().min(0), durationMs: z.number().min(0) }),
   z.strictObject({ kind: z.literal('full'), places: z.number().int().min(0), durationMs: z.number().min(0) })
 ])
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -63,13 +63,13 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
-  // Guards against hosts that refuse their callers while they are cut off from all endpoints and other hosts are not.
+  // Guards against hosts that refuse their callers while they are partitioned from all endpoints and other hosts are not.
   it('serves callers of hosts that are cut off from all endpoints', async () => {
     const result = await play({ seconds: 12, kinds: ['host-cut', 'new-site'] })
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
-  // Guards against hosts that together send a brittle endpoint more than it can reject without falling over.
+  // Guards against hosts that together send a brittle endpoint more than it can reject without failing.
   it('lets no more brittle endpoints fall over than may', async () => {
     const result = await play({ seconds: 12, kinds: ['brittle-service', 'new-site'] })
     expect(result.violations, describeRun(result)).toEqual([])
--- a/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.test.ts
+++ b/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.test.ts
@@ -1,4 +1,4 @@
-/** Guards against hosts that together send a brittle endpoint more than it can reject without falling over. */
+/** Guards against hosts that together send a brittle endpoint more than it can reject without failing. */
 import { describe, expect, it } from 'vitest'
 import { BrittleEndpointLimiter } from './BrittleEndpointLimiter.js'
 import { EndpointState } from './EndpointState.js'
@@ -6,7 +6,7 @@
 const SLOTS = 6
 const ENDPOINTS = 200
 
-/** Share of the endpoints of a service that may fall over in one time in which they are brittle. */
+/** Share of the endpoints of a service that may fail in one time in which they are brittle. */
 const ALLOWED_FALLS_SHARE = 0.1
 
 interface Host {
--- a/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.ts
+++ b/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.ts
@@ -1,10 +1,10 @@
 /**
- * Limits what this host sends to endpoints that fall over if they have to reject too many requests.
+ * Limits what this host sends to endpoints that fail if they have to reject too many requests.
  *
- * The rejections that an endpoint bears are one number for all hosts together, and no host knows in time what the
+ * The rejections that an endpoint tolerates are one number for all hosts together, and no host knows in time what the
  * others send. Each host therefore keeps to an equal share of the endpoint's slots; a hash selects the hosts that may
  * use the fractional part. Beyond its share a host sends only while half of the slots are free. After a rejection it
- * sends nothing for a time in which its share of the borne rejections is used up.
+ * sends nothing for a time in which its share of the tolerated rejections is used up.
  */
 import type { EndpointState } from './EndpointState.js'
 import { hostHashFraction } from './hostHashFraction.js'
@@ -15,7 +15,7 @@
 /** Time added to the window, in milliseconds: rejections of two windows may be closer together at the endpoint. */
 const ARRIVAL_JITTER_MS = 100
 
-/** Share of the borne rejections that is handed out; the rest covers hosts that happen to come back together. */
+/** Share of the tolerated rejections that is handed out; the rest covers hosts that happen to come back together. */
 const REJECTIONS_SHARE = 0.5
 
 /** Share of the slots that is handed out; the rest covers hosts that have just started. */
@@ -36,7 +36,7 @@
   constructor (private readonly host: string, private readonly liveHosts: () => number) {}
 
   /**
-   * @param endpoint - endpoint that may state how many rejections it bears
+   * @param endpoint - endpoint that may state how many rejections it tolerates
    * @param occupied - requests of all hosts at the endpoint, as far as is known
    * @param now - monotonic milliseconds
    * @returns monotonic milliseconds until which this host must not send the endpoint another request; undefined if it may now
--- a/packages/routing/src/lib/endpoints/Brittleness.ts
+++ b/packages/routing/src/lib/endpoints/Brittleness.ts
@@ -1,4 +1,4 @@
-/** How many rejections a second an endpoint bears, as it states, and those that this host has caused. */
+/** How many rejections a second an endpoint tolerates, as it states, and those that this host has caused. */
 
 /** Rejections that are remembered. */
 const MAX_REJECTIONS = 16
@@ -8,7 +8,7 @@
   #rejectionsPerSecond: number | undefined
   #rejectedAt: number[] = []
 
-  /** Rejections a second that the endpoint bears from all hosts together; undefined while it states no bound. */
+  /** Rejections a second that the endpoint tolerates from all hosts together; undefined while it states no bound. */
   get rejectionsPerSecond (): number | undefined { return this.#rejectionsPerSecond }
 
   /**
--- a/packages/routing/src/lib/endpoints/endpointQuery.ts
+++ b/packages/routing/src/lib/endpoints/endpointQuery.ts
@@ -105,7 +105,7 @@
   | 'rate-limited'
   /** The endpoint has rejected a request of this host and asked for a pause. */
   | 'asked-to-pause'
-  /** The endpoint falls over if it has to reject too many requests, and this host has caused its share of them or knows of no free place. */
+  /** The endpoint fails if it has to reject too many requests, and this host has caused its share of them or knows of no free place. */
   | 'brittle'
 
 /** Why no endpoint was chosen. */
--- a/packages/routing/src/lib/reachability/RelayTickets.test.ts
+++ b/packages/routing/src/lib/reachability/RelayTickets.test.ts
@@ -17,7 +17,7 @@
     expect(tickets.holderOf('forged', 1000)).toBeUndefined()
   })
 
-  // Guards against chains and loops of hosts that are cut off together.
+  // Guards against chains and loops of hosts that are partitioned together.
   it('names neither the host that asks nor others that are cut off', () => {
     const tickets = create()
     tickets.open('a', 0)
--- a/packages/routing/src/lib/reachability/RelayTickets.ts
+++ b/packages/routing/src/lib/reachability/RelayTickets.ts
@@ -1,9 +1,9 @@
-/** Hosts that are cut off from endpoints, the tickets that they hold, and the hosts that may relay for them. */
+/** Hosts that are partitioned from the endpoints, the tickets that they hold, and the hosts that may relay for them. */
 
 /** Time for which a ticket is valid after its host last asked, in milliseconds. */
 const TICKET_LIFETIME_MS = 15_000
 
-/** Time after its last question for which a host counts as cut off and is not named to others, in milliseconds. */
+/** Time after its last question for which a host counts as partitioned and is not named to others, in milliseconds. */
 const CUT_OFF_LIFETIME_MS = 2500
 
 interface Holder {
@@ -19,7 +19,7 @@
   constructor (private readonly createTicket: () => string) {}
 
   /**
-   * Records that a host is cut off.
+   * Records that a host is partitioned.
    *
    * @param host - address of the host
    * @param now - monotonic milliseconds
@@ -34,7 +34,7 @@
   }
 
   /**
-   * @param ticket - ticket that a request bears
+   * @param ticket - ticket that a request carries
    * @param now - monotonic milliseconds
    * @returns the host that holds it, if it is valid
    */
@@ -50,7 +50,7 @@
    * @param most - most hosts to name
    * @param now - monotonic milliseconds
    * @param random - returns numbers in [0, 1)
-   * @returns a random selection of the hosts that are not known to be cut off themselves
+   * @returns a random selection of the hosts that are not known to be partitioned themselves
    */
   candidates (entries: readonly string[], asking: string, most: number, now: number, random: () => number): string[] {
     const usable = entries.filter(host => host !== asking && now - (this.#holders.get(host)?.askedAt ?? Number.NEGATIVE_INFINITY) > CUT_OFF_LIFETIME_MS)
--- a/packages/routing/src/lib/reachability/ServiceReachability.ts
+++ b/packages/routing/src/lib/reachability/ServiceReachability.ts
@@ -2,7 +2,7 @@
 import type { EndpointContact } from './ContactTimes.js'
 import { findCut, type CutEvidence } from './findCut.js'
 
-/** Interval between probes while the service is cut off, in milliseconds. It doubles each time the links break again soon. */
+/** Interval between probes while the service is partitioned, in milliseconds. It doubles each time the links fail again soon. */
 const MIN_PROBE_INTERVAL_MS = 400
 const MAX_PROBE_INTERVAL_MS = 1600
 
@@ -22,7 +22,7 @@
   #probeAt = Number.POSITIVE_INFINITY
   #probeIntervalMs = MIN_PROBE_INTERVAL_MS
 
-  /** Whether the service is cut off from this host. */
+  /** Whether the service is partitioned from this host. */
   get isCutOff (): boolean { return this.#cutSince !== undefined }
 
   /**
@@ -30,7 +30,7 @@
    *
    * @param contacts - contact with each endpoint of the service
    * @param now - monotonic milliseconds
-   * @returns the evidence if the service has just turned out to be cut off
+   * @returns the evidence if the service has just turned out to be partitioned
    */
   check (contacts: readonly EndpointContact[], now: number): CutEvidence | undefined {
     if (this.isCutOff) return undefined
@@ -57,7 +57,7 @@
    * Records that an endpoint of the service has sent this host a byte.
    *
    * @param now - monotonic milliseconds
-   * @returns milliseconds for which the service was cut off, if that has just ended
+   * @returns milliseconds for which the service was partitioned, if that has just ended
    */
   observeBytes (now: number): number | undefined {
     if (this.#cutSince === undefined) return undefined
--- a/packages/routing/src/lib/reachability/findCut.ts
+++ b/packages/routing/src/lib/reachability/findCut.ts
@@ -21,7 +21,7 @@
 /** Error of the age of what other hosts have heard, in milliseconds. */
 const REPORT_MARGIN_MS = 50
 
-/** Why a service counts as cut off. */
+/** Why a service counts as partitioned. */
 export interface CutEvidence {
   /** Endpoints that this host has failed to reach since it last heard from any. */
   readonly lostEndpoints: number
--- a/packages/rpc/src/lib/methods/relayMethods.ts
+++ b/packages/rpc/src/lib/methods/relayMethods.ts
@@ -10,7 +10,7 @@
 export const MAX_RELAY_HOSTS = 8
 
 export const openRelaysRequestSchema = z.strictObject({
-  /** Name and address of the host that is cut off. */
+  /** Name and address of the host that is partitioned. */
   host: nameSchema
 })
 
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -26,7 +26,7 @@
   /** The endpoint's responses state a request rate that all hosts together may not exceed. */
   'endpoint-rate-limited': rateLimit.extend({ requestsPerSecond: z.number() }),
   'endpoint-rate-limit-lifted': rateLimit,
-  /** The endpoint's response states how many rejections a second it bears before it falls over; -1 if it does not any more. */
+  /** The endpoint's response states how many rejections a second it tolerates before it fails; -1 if it does not any more. */
   'endpoint-brittle': z.strictObject({ endpoint: z.string(), address: z.string(), rejectionsPerSecond: z.number() }),
   /** The endpoint's response says that it is about to shut down, before the endpoint list does. */
   'endpoint-leaving': z.strictObject({ endpoint: z.string(), address: z.string(), underWay: z.number() }),
