Failing test: a relayed request that its second host fails to connect either

With the refusals printed, the same test failed once of 104 plays at load 15 to 45, and once of 12 with an event loop that is blocked for up to 600 ms at a time: 503 endpoint-refused, 'the last attempt ended with not-connected', as not run.

Hypotheses: (a) a report of load older than 400 ms, so that nobody counts as having heard from the service; ruled out for this refusal, the trace of that condition is silent; (b) the port of the cut taken by another test's server; played with servers that hang, reset, close, and answer 404 and 503: nothing fails; (c) the host that relays has lost its links too, without having noticed, and its refusal reaches the caller. The trace shows (c).

--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -86,6 +86,16 @@
     expect(host.fleet.links.admitsDirect('app', '/health', false)).toBe(true)
   })
 
+  // Guards against callers that get the refusal of a relaying host which has lost its links as well.
+  it('gets a request served by a third host if the second one fails to connect as well', async () => {
+    const [host, second, third] = await start(3)
+    if (host === undefined || second === undefined || third === undefined) throw new Error('three hosts are needed')
+    await sendFor(300, [host, second, third])
+    await cut([host, second], 'refuses')
+    const outcomes = await Promise.all(Array.from({ length: 20 }, async () => await host.sendRequest('/unsafe/1')))
+    expect(outcomes.filter(({ status }) => status !== 200)).toEqual([])
+  })
+
   it('refuses at once, as not run, if the other hosts are cut off as well', async () => {
     const hosts = await start(3)
     await sendFor(300, hosts)
