Relays: a host that can't connect refuses so that the next host is asked

Callers of a host that had lost its links got 503 endpoint-refused, although a third host reached the endpoints. Cause: the host that was asked to serve the request had lost its links as well and had not noticed the cut yet, or its old connections were alive and new ones refused, so that there was no cut to notice. It gave up with 'endpoint-refused', which is not among the reasons that only concern one host, and the first host passed it to the caller.

A relayed request that certainly has not run is now refused with endpoints-out-of-reach when the host fails to connect, and offered to the next host. If all hosts fail, the caller gets a 503 as not run, as before.

--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -57,20 +57,32 @@
     const { service, isRelayed } = this.request
     const { fleet: { links } } = this.ports
     if (this.exchange.hasHead || links.admitsDirect(service.name, service.healthPath, this.ports.isLagging())) return false
-    if (this.tryTake('out-of-reach')) return true
+    if (this.#tryTake('out-of-reach')) return true
     // While the links recover, requests that no other host may take are sent to the endpoints.
     if (!links.isCutOff(service.name) || this.attempts.mayHaveRun) return false
     this.task.refuse(isRelayed === true ? 'this host does not reach the endpoints either' : 'this host does not reach the endpoints')
     return true
   }
 
+  /**
+   * Called when this host can't connect to an endpoint for the request, and knows of no cut.
+   *
+   * @returns whether the request has been relayed, or refused so that the host that relayed it asks another one
+   */
+  takeIfUnreachable (): boolean {
+    if (this.request.isRelayed !== true) return this.#tryTake('endpoint-unreachable')
+    if (this.attempts.mayHaveRun || this.exchange.hasHead) return false
+    this.task.refuse('this host does not reach the endpoints either')
+    return true
+  }
+
   /**
    * Relays the request if that is allowed.
    *
    * @param reason - why this host does not send it to an endpoint
    * @returns whether it has been relayed
    */
-  tryTake (reason: RelayReason): boolean {
+  #tryTake (reason: RelayReason): boolean {
     const { relays, fleet: { links } } = this.ports
     const { service, body, arrivedAt, isRelayed } = this.request
     if (relays === undefined || isRelayed === true || this.#relayed !== undefined || this.task.isDone()) return false
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -300,7 +300,7 @@
       if (!this.#waitToResume(Number.isFinite(releaseAt) ? releaseAt : 0)) this.#abort('no-endpoint', reason)
       return
     }
-    if (this.#lastFailure === 'not-connected' && this.#otherHosts.tryTake('endpoint-unreachable')) return
+    if (this.#lastFailure === 'not-connected' && this.#otherHosts.takeIfUnreachable()) return
     // With the queue of all hosts, requests wait as long as their callers do.
     const { arrivedAt, route } = this.request
     const waitsUntil = this.#queue.isEnabled ? this.#placement.patienceUntil : Math.min(this.#deadline, arrivedAt + route.targetLatencyMs)
@@ -508,7 +508,7 @@
   // --- Completion ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
-    if (failure === 'not-connected' && this.#otherHosts.tryTake('endpoint-unreachable')) return
+    if (failure === 'not-connected' && this.#otherHosts.takeIfUnreachable()) return
     if (this.exchange.hasHead) return this.#abort(failure, detail)
     if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
