Relays: work while reports of load are older than usual

Callers of a host that had lost its links were refused while no control host led, or while the event loop had been blocked: both sides asked for a report of load of the last 400 ms, which an election outlasts. The host that is cut off took 'nobody has reported' for 'nobody has heard from the service', and the others refused relayed requests as 'not ready yet', although they served their own callers.

The age of what others have heard includes the age of the report, so the bound of 3 s is enough. A relayed request is refused as not ready only by a host that has just started, and that would hold its own requests for the same reason, or that knows no endpoint.

--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -61,9 +61,8 @@
    */
   isHeardByAnyHost (service: string): boolean {
     const now = performance.now()
-    const { otherHostsLoad } = this.fleet
-    if (!otherHostsLoad.isRecent(now)) return false
-    return this.fleet.endpointsOf(service).some(({ incarnation }) => otherHostsLoad.heardAgoMs(incarnation, now) < WELL_AFTER_BYTE_MS)
+    // The age includes that of the report, which is older than usual while no control host leads.
+    return this.fleet.endpointsOf(service).some(({ incarnation }) => this.fleet.otherHostsLoad.heardAgoMs(incarnation, now) < WELL_AFTER_BYTE_MS)
   }
 
   /** @param endpoint - endpoint that has just sent a byte */
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -238,7 +238,7 @@
   }
 
   /**
-   * Serves a request that another host relays. It is not held until this host is ready, because another one may be.
+   * Serves a request that another host relays. It is not held until a host that has just started is ready, because another one may be.
    * A request without a valid ticket is served like any other, but never relayed.
    */
   #acceptRelayed (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, receivedAt: number): void {
@@ -247,7 +247,7 @@
       if (exchange.isAbandoned) return
       this.#relayed.count(isVerified ? 'verified' : 'unverified')
       if (!isVerified) this.#acceptDirect(message, exchange, fields, receivedAt)
-      else if (this.#isReadyToServe()) this.#route(message, exchange, fields, receivedAt - ageMs, true)
+      else if (this.#isReadyToServe() || (this.ports.fleet.hasEndpoints && !this.#startup.isStarting(receivedAt))) this.#route(message, exchange, fields, receivedAt - ageMs, true)
       else this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host is not ready yet', RETRY_AFTER_SECONDS)
     }
     if (this.ports.relays === undefined) route(false)
--- a/apps/entry/src/lib/routed/StartupQueue.ts
+++ b/apps/entry/src/lib/routed/StartupQueue.ts
@@ -48,6 +48,12 @@
 
   get length (): number { return this.#waiting.size }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether this host has just started, so that it queues requests
+   */
+  isStarting (now: number): boolean { return now - this.startedAt <= MAX_HOST_AGE_MS }
+
   /**
    * Queues a request if this host has just started and the queue is not full.
    *
@@ -58,7 +64,7 @@
    * @returns whether the request was queued
    */
   enqueue (exchange: CallerExchange, deadlineMs: number | undefined, now: number, resume: () => void): boolean {
-    if (now - this.startedAt > MAX_HOST_AGE_MS || this.#waiting.size >= MAX_WAITING) return false
+    if (!this.isStarting(now) || this.#waiting.size >= MAX_WAITING) return false
     const waitMs = Math.min(MAX_WAIT_MS, (deadlineMs ?? MAX_WAIT_MS) * MAX_WAIT_SHARE)
     const waiting: WaitingRequest = { resume, timer: setTimeout(() => { this.#resume(waiting) }, waitMs) }
     this.#waiting.add(waiting)
