Failing test: a connection that is established while the event loop is blocked

On loopback that is only the process itself: expired timers run before sockets are read, so the connect timeout destroys a connection that the kernel has established long ago.

--- a/apps/entry/src/lib/routed/EndpointConnection.test.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.test.ts
@@ -19,7 +19,7 @@
     establishedMs = []
   })
 
-  async function respondWith (respond: (socket: Socket) => void): Promise<Outcome> {
+  async function respondWith (respond: (socket: Socket) => void, onSent: () => void = () => {}): Promise<Outcome> {
     const listening = createServer(socket => {
       socket.on('error', () => {})
       socket.once('data', () => { respond(socket) })
@@ -40,6 +40,7 @@
         complete: () => { resolve('complete') },
         failed: () => { resolve('failed') }
       })
+      onSent()
     })
     connection.close()
     return { kind, status, body: Buffer.concat(body).toString() }
@@ -86,6 +87,18 @@
     })
   })
 
+  // Guards against endpoints that count as unreachable because this process was busy while the connection was established.
+  it('is established although the event loop is blocked for longer than the connect timeout', async () => {
+    const block = (): void => {
+      const endsAt = performance.now() + 400
+      while (performance.now() < endsAt);
+    }
+    // In the third tick the connection has been requested, and its establishment has not been read yet.
+    const blockSoon = (): void => { process.nextTick(() => { process.nextTick(() => { process.nextTick(block) }) }) }
+    const outcome = await respondWith(socket => { socket.end('HTTP/1.1 200 OK\r\n\r\nwhole') }, blockSoon)
+    expect(outcome).toEqual({ kind: 'complete', status: 200, body: 'whole' })
+  })
+
   it('reports once how long it took to establish, without the time of the response', async () => {
     await respondWith(socket => { void sleep(300).then(() => { socket.end('HTTP/1.1 200 OK\r\n\r\nwhole') }) })
     expect(establishedMs.length).toBe(1)
