Connections: count as timed out only if they are still not established

Beside load, requests were refused as not connected, and endpoints counted as unreachable for half a second, although the kernel had established their connections: after a blocked event loop the expired connect timeout runs before the socket's event is read. Such a failure is also taken as evidence that the links of this host are cut.

The timeout now ends a connection in the phase after sockets are read, and only if it is still connecting. The same holds for connections to stores and plain services.

--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -7,7 +7,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
-import { ResponseResetError, watchForReset } from '@eelgrassmux/backends/resetDetection'
+import { ResponseResetError, destroyIfConnecting, watchForReset } from '@eelgrassmux/backends/resetDetection'
 
 /** A request as it is sent to an endpoint. */
 export interface EndpointRequest {
@@ -148,7 +148,7 @@
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true })
     this.#socket = socket
     this.#wasReset = watchForReset(socket)
-    const timer = setTimeout(() => { socket.destroy(new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
+    const timer = setTimeout(() => { destroyIfConnecting(socket, new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
     let isSettled = false
     const settle = (error: Error | undefined, connected: Socket | undefined): void => {
       if (isSettled) return
--- a/packages/backends/src/lib/resetDetection.ts
+++ b/packages/backends/src/lib/resetDetection.ts
@@ -62,9 +62,20 @@
   }
 }
 
+/**
+ * Ends the attempt to connect after its timeout. Expired timers run before sockets are read, so the connection may
+ * have been established while the event loop was blocked.
+ *
+ * @param socket - socket whose connect timeout has expired
+ * @param error - error that the socket ends with
+ */
+export function destroyIfConnecting (socket: Socket, error: Error): void {
+  setImmediate(() => { if (socket.connecting) socket.destroy(error) })
+}
+
 function connectSocket ({ hostname, port }: buildConnector.Options, timeoutMs: number, callback: buildConnector.Callback): Socket {
   const socket = connect({ host: hostname, port: Number(port), noDelay: true })
-  const timer = setTimeout(() => { socket.destroy(Object.assign(new Error('no connection in time'), { syscall: 'connect' })) }, timeoutMs)
+  const timer = setTimeout(() => { destroyIfConnecting(socket, Object.assign(new Error('no connection in time'), { syscall: 'connect' })) }, timeoutMs)
   const onError = (error: Error): void => {
     clearTimeout(timer)
     callback(error, null)
