--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -5,7 +5,7 @@
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it, vi } from 'vitest'
-import { FakeEndpoint, respondOk, streamEvent, type Behaviour } from '../routed/harness/FakeEndpoint.js'
+import { FakeEndpoint, rejectNotExecuted, respondOk, streamEvent, type Behaviour } from '../routed/harness/FakeEndpoint.js'
 import { LinkCut, type CutKind } from '../routed/harness/LinkCut.js'
 import { LinkedHosts } from '../routed/harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from '../routed/harness/PlainCodec.js'
@@ -108,6 +108,26 @@
     expect(outcomes.filter(({ status }) => status !== 200)).toEqual([])
   })
 
+  // Guards against relayed requests that are returned although an endpoint that is only held back would serve them in time.
+  it('has a relayed request wait for an endpoint that is held back if another one is unreachable', async () => {
+    const rejectForASecond: Behaviour = (request, response, body) => {
+      response.setHeader(PLAIN_HEADERS.retryAfter, '1')
+      rejectNotExecuted(request, response, body)
+    }
+    const paused = new FakeEndpoint('paused', rejectForASecond)
+    endpoints = [new FakeEndpoint('unreachable', respond), paused]
+    linked = new LinkedHosts(1, endpoints)
+    await linked.start()
+    endpoints[0]?.close()
+    const [host] = linked.hosts
+    if (host === undefined) throw new Error('a host is needed')
+    expect(await host.sendRequest('/unsafe/1')).toMatchObject({ status: 503 })
+    paused.behaviour = respond
+    // The pause ends after a second, and the route's callers wait for a tenth of a second.
+    await sleep(930)
+    expect(await host.sendRequest('/unsafe/1', undefined, { [RELAY_HEADER]: 'forged 0' })).toMatchObject({ status: 200 })
+  })
+
   it('refuses at once, as not run, if the other hosts are cut off as well', async () => {
     const hosts = await start(3)
     await sendFor(300, hosts)
