Relays: return a request only if no endpoint is released in time

Callers whose request was relayed got 503 although an endpoint that had asked for a pause, was cold or rate-limited would have taken it within the time that they wait: since 'a host that can't connect refuses', the relaying host returned the request as soon as another endpoint was unreachable.

It waits for the release first now, as it does for its own callers, and returns the request only where it would refuse it. hostCutOff.test.ts: failed 3 of 3 before; 32 tests of relays, failover and statements pass twice of twice.

--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -64,14 +64,18 @@
     return true
   }
 
+  /** @returns whether the request, for which this host can't connect to an endpoint, has been relayed */
+  takeIfUnreachable (): boolean {
+    return this.#tryTake('endpoint-unreachable')
+  }
+
   /**
-   * Called when this host can't connect to an endpoint for the request, and knows of no cut.
+   * Refuses a relayed request because this host can't connect to an endpoint either, although it knows of no cut.
    *
-   * @returns whether the request has been relayed, or refused so that the host that relayed it asks another one
+   * @returns whether it has been refused, so that the host that relayed it asks another one
    */
-  takeIfUnreachable (): boolean {
-    if (this.request.isRelayed !== true) return this.#tryTake('endpoint-unreachable')
-    if (this.attempts.mayHaveRun || this.exchange.hasHead) return false
+  returnIfUnreachable (): boolean {
+    if (this.request.isRelayed !== true || this.attempts.mayHaveRun || this.exchange.hasHead) return false
     this.task.refuse('this host does not reach the endpoints either')
     return true
   }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -300,11 +300,12 @@
       if (!this.#waitToResume(Number.isFinite(releaseAt) ? releaseAt : 0)) this.#abort('no-endpoint', reason)
       return
     }
-    if (this.#lastFailure === 'not-connected' && this.#otherHosts.takeIfUnreachable()) return
+    const isUnreachable = this.#lastFailure === 'not-connected'
+    if (isUnreachable && this.#otherHosts.takeIfUnreachable()) return
     // With the queue of all hosts, requests wait as long as their callers do.
     const { arrivedAt, route } = this.request
     const waitsUntil = this.#queue.isEnabled ? this.#placement.patienceUntil : Math.min(this.#deadline, arrivedAt + route.targetLatencyMs)
-    if (this.#waits.waitForRelease(releaseAt, waitsUntil)) return
+    if (this.#waits.waitForRelease(releaseAt, waitsUntil) || (isUnreachable && this.#otherHosts.returnIfUnreachable())) return
     this.#refuse('no-endpoint', 503, `no endpoint of ${this.request.service.name}: ${reason}`, Number.isFinite(releaseAt) ? releaseAt - performance.now() : 0)
   }
 
@@ -508,7 +509,7 @@
   // --- Completion ---
 
   #giveUp (failure: AttemptFailure, detail: string): void {
-    if (failure === 'not-connected' && this.#otherHosts.takeIfUnreachable()) return
+    if (failure === 'not-connected' && (this.#otherHosts.takeIfUnreachable() || this.#otherHosts.returnIfUnreachable())) return
     if (this.exchange.hasHead) return this.#abort(failure, detail)
     if (this.#attempts.mayHaveRun) this.#refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
