Relays: ask the host with the fewest unanswered requests

Hosts were drawn at random. One that is frozen, or has no room, got as many requests as the others until the control hosts took it off the list, and once 64 connections to it were in use, a request that drew it was refused although others would have served it.

The choice is a function in packages/routing now: hosts that are not avoided, then the fewest pending requests of this host, then at random.

--- a/apps/entry/src/lib/relays/RelayHosts.ts
+++ b/apps/entry/src/lib/relays/RelayHosts.ts
@@ -4,6 +4,7 @@
  * The leading control host names them and gives this host a ticket, with which the others recognise it. It is asked
  * again while relays are in use, so that hosts that are partitioned as well are left out.
  */
+import { chooseRelayHost } from '@eelgrassmux/routing/reachability/chooseRelayHost'
 import { EndpointConnections } from '../routed/EndpointConnections.js'
 import type { EndpointConnection } from '../routed/EndpointConnection.js'
 
@@ -79,9 +80,11 @@
     if (now - this.#openedAt > MAX_AGE_MS) return undefined
     const { ticket } = this.#opened
     const untried = this.#opened.hosts.filter(host => !tried.has(host))
-    const preferred = untried.filter(host => now >= (this.#avoidedUntil.get(host) ?? Number.NEGATIVE_INFINITY))
-    const usable = preferred.length > 0 ? preferred : untried
-    const host = usable[Math.floor(Math.random() * usable.length)]
+    const host = chooseRelayHost(untried.map(candidate => ({
+      host: candidate,
+      pending: this.#connections.get(candidate)?.inUse ?? 0,
+      isAvoided: now < (this.#avoidedUntil.get(candidate) ?? Number.NEGATIVE_INFINITY)
+    })), Math.random())
     if (host === undefined) return undefined
     const connections = this.#connectionsTo(host)
     const connection = connections.acquire(MAX_CONNECTIONS)
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -16,6 +16,9 @@
   /** Number of open connections, including idle ones. */
   get count (): number { return this.#open.size }
 
+  /** Number of open connections that carry a request. */
+  get inUse (): number { return this.#open.size - this.#idle.length }
+
   /** Whether a request can be sent without opening a connection. */
   get hasIdle (): boolean { return this.#idle.some(connection => connection.isUsable) }
 
