--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -55,7 +55,9 @@
     return await Promise.all(outcomes.map(async ofHost => await Promise.all(ofHost)))
   }
 
-  const servedShare = (outcomes: readonly CallerOutcome[]): number => outcomes.filter(({ status, isWhole }) => status === 200 && isWhole).length / outcomes.length
+  const isServed = ({ status, isWhole }: CallerOutcome): boolean => status === 200 && isWhole
+  const servedShare = (outcomes: readonly CallerOutcome[]): number => outcomes.filter(isServed).length / outcomes.length
+  const unserved = (outcomes: readonly CallerOutcome[]): string => JSON.stringify(outcomes.filter(outcome => !isServed(outcome)))
 
   afterEach(async () => {
     for (const each of cuts.splice(0)) each.heal()
@@ -69,7 +71,7 @@
       await cut(hosts.slice(0, cutOff), kind)
       await sendFor(NOTICE_MS, hosts)
       const outcomes = await sendFor(500, hosts)
-      for (const ofHost of outcomes) expect(servedShare(ofHost)).toBeGreaterThan(0.95)
+      for (const ofHost of outcomes) expect(servedShare(ofHost), unserved(ofHost)).toBeGreaterThan(0.95)
     })
   })
 
