--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -238,7 +238,7 @@
   }
 
   /**
-   * Serves a request that another host relays. It is not held until a host that has just started is ready, because another one may be.
+   * Serves a request that another host relays. A host that has just started refuses it instead of holding it, because another one may be ready.
    * A request without a valid ticket is served like any other, but never relayed.
    */
   #acceptRelayed (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, receivedAt: number): void {
