--- a/apps/entry/src/lib/relays/RelayHosts.test.ts
+++ b/apps/entry/src/lib/relays/RelayHosts.test.ts
@@ -3,7 +3,7 @@
 import { RelayHosts } from './RelayHosts.js'
 
 describe('RelayHosts', () => {
-  // Guards against requests that are lost one after another at a host that is frozen, until the control hosts notice.
+  // Guards against requests that are lost one after another at an unresponsive host, until the control hosts detect it.
   it('sends few requests to a host that leaves them unanswered', async () => {
     const hosts = new RelayHosts({ open: async () => ({ ticket: 't', hosts: ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'] }), holderOf: async () => '' })
     await new Promise<void>(resolve => { hosts.prepare(resolve) })
--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -70,7 +70,7 @@
   }
 
   /**
-   * Refuses a relayed request because this host can't connect to an endpoint either, although it knows of no cut.
+   * Refuses a relayed request because this host can't connect to an endpoint either, although it has detected no partition.
    *
    * @returns whether it has been refused, so that the host that relayed it asks another one
    */
--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -89,7 +89,7 @@
     expect(host.fleet.links.admitsDirect('app', '/health', false)).toBe(true)
   })
 
-  // Guards against callers that get the refusal of a relaying host which has lost its links as well.
+  // Guards against callers that get the refusal of a relaying host that is partitioned as well.
   it('gets a request served by a third host if the second one fails to connect as well', async () => {
     const [host, second, third] = await start(3)
     if (host === undefined || second === undefined || third === undefined) throw new Error('three hosts are needed')
@@ -111,7 +111,7 @@
     expect(outcomes.filter(({ status }) => status !== 200)).toEqual([])
   })
 
-  // Guards against relayed requests that are returned although an endpoint that is only held back would serve them in time.
+  // Guards against relayed requests that are returned although a paused endpoint would serve them in time.
   it('has a relayed request wait for an endpoint that is held back if another one is unreachable', async () => {
     const rejectForASecond: Behaviour = (request, response, body) => {
       response.setHeader(PLAIN_HEADERS.retryAfter, '1')
--- a/packages/routing/src/lib/reachability/chooseRelayHost.ts
+++ b/packages/routing/src/lib/reachability/chooseRelayHost.ts
@@ -10,8 +10,8 @@
 }
 
 /**
- * Prefers hosts that are not avoided, then those with the fewest pending requests: a host that is frozen or has no room
- * keeps what it has, and gets no more while the others answer.
+ * Prefers hosts that are not avoided, then those with the fewest pending requests: an unresponsive or overloaded host
+ * accumulates pending requests, and gets no more while the others respond.
  *
  * @param candidates - hosts that the request was not offered to yet
  * @param random - number in [0, 1) that breaks ties
