Lines and a counter: at which software version a stream goes on, and who resumed it

The list's software version is kept with the endpoint, the attempt that a caller names is read, and resumes-stream states both with the event after which the stream goes on. eelgrassmux_streams_resumed_total counts them by who resumed. No decision changes.

--- a/apps/entry/src/lib/routed/RequestCodec.ts
+++ b/apps/entry/src/lib/routed/RequestCodec.ts
@@ -12,6 +12,8 @@
   readonly prompt: PromptDescription | undefined
   /** Id of the event after which the caller wants a stream to resume. */
   readonly lastEventId: number | undefined
+  /** Id of the attempt that brought the first event of the stream that the caller wants to resume; absent if it names none. */
+  readonly resumes?: string | undefined
 }
 
 /** Fields that the product adds to a request to an endpoint. */
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -40,6 +40,8 @@
   readonly refusals: LabelledCounter
   /** How endpoints' responses ended, by what marks their end and whether they were complete. */
   readonly responseEnds: LabelledCounter
+  /** Streams that were sent to go on after an event, by who resumed them. */
+  readonly resumptions: LabelledCounter
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
   readonly stop: GracefulShutdown
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -277,7 +277,16 @@
   #send (attempt: RoutedAttempt, isExpectedLate: boolean, reservation?: string): void {
     this.#attempts.recordSend()
     if (this.ports.stop.isStopping) this.logStop('taken-while-stopping', { sinceSignalMs: Math.round(this.ports.stop.sinceSignalMs), isFirstOnConnection: this.exchange.isFirstOnConnection })
-    this.#sender.send(attempt, { lastEventId: this.#relay.lastEventId, deadline: this.#deadline, isExpectedLate, reservation })
+    const { lastEventId } = this.#relay
+    if (lastEventId !== undefined) this.#logResumption(attempt, lastEventId)
+    this.#sender.send(attempt, { lastEventId, deadline: this.#deadline, isExpectedLate, reservation })
+  }
+
+  #logResumption ({ choice: { endpoint } }: RoutedAttempt, lastEventId: number): void {
+    const { resumes } = this.request.fields
+    const by = this.#times.hasFirstEvent ? 'host' : 'caller'
+    this.ports.resumptions.count(by)
+    this.#logDecision('resumes-stream', { endpoint: endpoint.id, software: endpoint.listed.software ?? '', lastEventId, by, ...(resumes === undefined ? {} : { resumes }) })
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -98,6 +98,7 @@
   readonly #requests: LabelledCounter
   readonly #responseEnds: LabelledCounter
   readonly #relayed: LabelledCounter
+  readonly #resumptions: LabelledCounter
   readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
   readonly #durations = new RouteDurations()
@@ -120,6 +121,7 @@
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
     this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
     this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
+    this.#resumptions = telemetry.labelledCounter('streams_resumed_total', 'Streams that were sent to an endpoint to go on after an event, by who resumed them', 'by')
     this.#observeFirstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS_SECONDS)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
@@ -368,6 +370,7 @@
       retries: this.#retries,
       refusals: this.#refusals,
       responseEnds: this.#responseEnds,
+      resumptions: this.#resumptions,
       firstEvent: this.#observeFirstEvent,
       silenceChecks: this.#silenceChecks,
       slowReaders: this.ports.slowReaders,
--- a/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
+++ b/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
@@ -15,7 +15,12 @@
   readonly #responses = new Set<ServerResponse>()
   #server: Server | undefined
 
-  constructor (readonly id: string, public behaviour: Behaviour) {}
+  /**
+   * @param id - id in the list
+   * @param behaviour - handles all requests
+   * @param software - version of its software in the list; none by default
+   */
+  constructor (readonly id: string, public behaviour: Behaviour, private readonly software?: string) {}
 
   async listen (): Promise<ListedEndpoint> {
     const server = createServer((request, response) => {
@@ -33,7 +38,7 @@
     this.#server = server
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-    return { id: this.id, service: 'app', address, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [] }
+    return { id: this.id, service: 'app', address, dataCentre: 'n', slots: 4, isLeaving: false, isBusy: false, models: [], ...(this.software === undefined ? {} : { software: this.software }) }
   }
 
   /** Resolves when the next request has been received. */
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -296,6 +296,7 @@
       retries: counter,
       refusals: counter,
       responseEnds: counter,
+      resumptions: counter,
       firstEvent: () => {},
       isLagging: () => false,
       silenceChecks: new SharedInterval(SILENCE_CHECK_INTERVAL_MS),
--- a/packages/schema/src/lib/site/listedEndpoint.ts
+++ b/packages/schema/src/lib/site/listedEndpoint.ts
@@ -18,6 +18,8 @@
   /** Whether an order in progress keeps the endpoint from starting new work. */
   isBusy: z.boolean(),
   models: z.array(loadedModelSchema),
+  /** Version of the endpoint's software; versions have no order. Absent if the endpoint states none. */
+  software: z.string().optional(),
   /** Whether the endpoint has started recently and accepts few requests per second; absent if the endpoint does not state it. */
   isCold: z.boolean().optional()
 })
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -25,6 +25,16 @@
   'standby-opened': z.strictObject({ endpoint: z.string(), standby: z.string(), hadEvents: z.boolean(), remainingMs: z.number() }),
   /** A stream that has begun waits for an endpoint that can resume it, or for the retry budget. */
   'waits-to-resume': z.strictObject({ waitMs: z.number(), patienceMs: z.number() }),
+  /** A stream is sent to an endpoint to go on after an event, because its attempt ended or its caller has taken it up. */
+  'resumes-stream': z.strictObject({
+    endpoint: z.string(),
+    /** Version of the endpoint's software; empty if it states none. */
+    software: z.string(),
+    lastEventId: z.number(),
+    by: z.enum(['host', 'caller']),
+    /** The caller's attempt that brought the first event, if the caller names one. */
+    resumes: z.string().optional()
+  }),
   /** Another host serves the request, because this one does not reach the endpoints. */
   relayed: z.strictObject({ host: z.string(), reason: z.string() }),
   'relay-refused': z.strictObject({ host: z.string() }),
