Streams go on at the software version that began them, within one response

Callers saw streams whose events came from two software versions of a service. Once a response had begun, the choice of the next endpoint was bound to the version of the weights only; the software version was dropped when the list was read. The first event that reaches the host now binds the request to the version that its endpoint has in the list, and candidates of another version are left out (none-of-software). An endpoint whose restart is known before the list shows it has no version, because it may have been updated.

--- a/apps/control/src/lib/endpoints/EndpointRegistry.ts
+++ b/apps/control/src/lib/endpoints/EndpointRegistry.ts
@@ -77,7 +77,8 @@
 function withLatestStart (entry: ListedEndpoint, startedAtMs: number | undefined): ListedEndpoint {
   if (!isLaterStart(startedAtMs, entry.startedAtMs)) return entry
   if (entry.startedAtMs === undefined) return { ...entry, startedAtMs }
-  // The held weights and the leaving state belong to the earlier start. The new process is cold.
+  // The held weights, the software and the leaving state belong to the earlier start. The new process is cold.
   const models = entry.models.map(({ model }) => ({ model, version: UNKNOWN_VERSION }))
-  return { ...entry, startedAtMs, isLeaving: false, isCold: true, models }
+  const { software, ...location } = entry
+  return { ...location, startedAtMs, isLeaving: false, isCold: true, models }
 }
--- a/apps/entry/src/lib/routed/RequestPlacement.ts
+++ b/apps/entry/src/lib/routed/RequestPlacement.ts
@@ -1,5 +1,5 @@
 /** Chooses the next endpoint for a request, and decides whether to send the request there. */
-import type { EndpointChoice, NoEndpointReason } from '@eelgrassmux/routing/endpoints/endpointQuery'
+import type { EndpointChoice, NoEndpointReason, RequiredSoftware } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import { MAX_CANDIDATES } from '@eelgrassmux/routing/waiting/waitingMessages'
 import { admitRouted, type RoutedAdmission } from './admitRouted.js'
 import type { ResponseTimes } from './ResponseTimes.js'
@@ -23,6 +23,7 @@
 export class RequestPlacement {
   readonly tried = new TriedEndpoints()
   #requiredVersion: number | undefined
+  #requiredSoftware: RequiredSoftware | undefined
 
   /**
    * @param request - request to place
@@ -51,9 +52,10 @@
     })
   }
 
-  /** @param version - version of the weights under which the response has begun */
-  requireVersion (version: number | undefined): void {
+  /** @param choice - endpoint at which the response has begun; only endpoints with the same weights and software can go on with it */
+  requireSameAs ({ version, endpoint }: EndpointChoice): void {
     this.#requiredVersion = version
+    this.#requiredSoftware = { version: endpoint.listed.software }
   }
 
   /** Urgency of the request: the priority of its customer, or else of its route. */
@@ -174,6 +176,6 @@
     const { service, regionBound, route, body } = this.request
     const traffic = this.ports.fleet.traffic.ofRequest(route.name, body?.length ?? 0)
     const excluded = ids.length === 0 ? this.tried.ids : new Set([...this.tried.ids, ...ids])
-    return this.ports.fleet.choose(service.name, { excluded, regionBound, traffic, ...this.prompt?.requirements(this.#requiredVersion) })
+    return this.ports.fleet.choose(service.name, { excluded, regionBound, traffic, requiredSoftware: this.#requiredSoftware, ...this.prompt?.requirements(this.#requiredVersion) })
   }
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -350,7 +350,7 @@
     this.#retries.cancelWait()
     this.#pauses.observeEvent(attempt.choice.endpoint, performance.now())
     if (!this.#times.recordEvent()) return
-    this.#placement.requireVersion(attempt.choice.version)
+    this.#placement.requireSameAs(attempt.choice)
     if (attempt.choice.version !== undefined) learnFromFirstEvent(this.ports.fleet, this.request, attempt)
   }
 
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -24,7 +24,9 @@
   if (inRegions.length === 0) return 'none-in-regions'
   const open = inRegions.filter(endpoint => query.evacuated?.has(endpoint.listed.dataCentre) !== true)
   if (open.length === 0) return 'all-evacuated'
-  const untried = open.filter(endpoint => !query.excluded.has(endpoint.id))
+  const ofSoftware = query.requiredSoftware === undefined ? open : open.filter(({ listed }) => listed.software === query.requiredSoftware?.version)
+  if (ofSoftware.length === 0) return 'none-of-software'
+  const untried = ofSoftware.filter(endpoint => !query.excluded.has(endpoint.id))
   if (untried.length === 0) return 'all-tried'
   const ofWeights = ofVersion(untried, query.prompt)
   if (ofWeights.length === 0) return 'none-of-version'
--- a/packages/routing/src/lib/endpoints/endpointQuery.ts
+++ b/packages/routing/src/lib/endpoints/endpointQuery.ts
@@ -35,9 +35,17 @@
   readonly usesMachinePace?: boolean
   /** Model of the pauses of running streams; absent if choices do not account for these. */
   readonly streamPace?: StreamPaceModel
+  /** Software that the endpoint must have, because a stream began on it; undefined if any will do. */
+  readonly requiredSoftware?: RequiredSoftware | undefined
   readonly prompt?: PromptQuery
 }
 
+/** Software on which a stream began. */
+export interface RequiredSoftware {
+  /** Version as the list states it; undefined if it stated none. */
+  readonly version: string | undefined
+}
+
 /** Prompt of a request, and what engines and stores hold of it. */
 export interface PromptQuery {
   readonly description: PromptDescription
@@ -109,7 +117,7 @@
   | 'brittle'
 
 /** Why no endpoint was chosen. */
-export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-version' | AllHeldBack
+export type NoEndpointReason = 'none-listed' | 'none-in-regions' | 'all-evacuated' | 'all-tried' | 'none-of-software' | 'none-of-version' | AllHeldBack
 
 /** All endpoints are held back, for one reason or for several. */
 export type AllHeldBack = `all-${HoldBackReason}` | 'all-held-back'
