Standbys: cancelled if the response began at other weights or software

A standby that is opened while a stream has not begun may be at any version. If the first endpoint then sent an event and broke off, the standby took over and its events were appended to those of the other version; the same held for the weights. A standby now takes over only if it has the weights and the software that the first event has bound the request to; otherwise it is cancelled.

--- a/apps/entry/src/lib/routed/RequestPlacement.ts
+++ b/apps/entry/src/lib/routed/RequestPlacement.ts
@@ -58,6 +58,15 @@
     this.#requiredSoftware = { version: endpoint.listed.software }
   }
 
+  /**
+   * @param choice - endpoint to which the request was sent, possibly before the response began elsewhere
+   * @returns whether its response can go on with what the caller has
+   */
+  canContinueAt ({ version, endpoint }: EndpointChoice): boolean {
+    if (this.#requiredVersion !== undefined && version !== this.#requiredVersion) return false
+    return this.#requiredSoftware === undefined || endpoint.listed.software === this.#requiredSoftware.version
+  }
+
   /** Urgency of the request: the priority of its customer, or else of its route. */
   get urgency (): number { return this.request.customer?.priority ?? this.request.route.priority }
 
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -111,6 +111,7 @@
     this.#failover = new SilenceFailover(ports.silenceChecks, {
       shouldOpenStandby: () => this.#shouldOpenStandby(),
       isSilent: () => this.#isEndpointSilent(),
+      canContinueAt: standby => this.#placement.canContinueAt(standby.choice),
       withRecentLoad: place => { ports.withRecentLoad(place) },
       open: () => this.#openStandby(),
       send: attempt => { this.#send(attempt, false) },
@@ -409,6 +410,11 @@
   #switchToStandby (): boolean {
     const standby = this.#failover.takeStandby()
     if (standby === undefined) return false
+    // The response may have begun after the standby was opened.
+    if (!this.#placement.canContinueAt(standby.choice)) {
+      standby.cancel()
+      return false
+    }
     this.#attempt = standby
     return true
   }
--- a/apps/entry/src/lib/routed/SilenceFailover.ts
+++ b/apps/entry/src/lib/routed/SilenceFailover.ts
@@ -23,6 +23,8 @@
   shouldOpenStandby (): boolean
   /** Whether the current endpoint has stopped responding. */
   isSilent (): boolean
+  /** Whether the response of a standby can go on with what the caller has. */
+  canContinueAt (standby: RoutedAttempt): boolean
   /** Calls `place` once the load of the other hosts is known recently enough. */
   withRecentLoad (place: () => void): void
   /** @returns a standby attempt that is not sent yet; undefined if no endpoint can take the request */
@@ -92,7 +94,7 @@
   settle (isUsable: boolean): boolean {
     const standby = this.takeStandby()
     if (standby === undefined) return false
-    const replaces = isUsable && this.ports.isSilent()
+    const replaces = isUsable && this.ports.canContinueAt(standby) && this.ports.isSilent()
     if (replaces) this.ports.replace(standby)
     else standby.cancel()
     return replaces
