Streams that callers take up go on at the service and software version that began them

Callers that took a stream up at another host after theirs was killed got events of another software version: no host kept what had begun a stream. While a route has one origin, nothing is recorded, and a stream that nobody remembers can only have begun there. Once its service has two versions (or the route leads to two services), hosts report the streams that may be resumed, earlier ones included, to a majority of the control hosts, and a host that does not know a stream asks all of them for at most 250 ms. If it can't be found out it is refused as not run (stream-not-resumable). A new version gets no stream that may be resumed for 4 s, so that all hosts in touch list it before the first one begins there.

--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -9,6 +9,7 @@
 import { QuarantineWorld } from './QuarantineWorld.js'
 import { RetryBudgetWorld } from './RetryBudgetWorld.js'
 import { RunWorld } from './RunWorld.js'
+import { StreamVersionWorld } from './StreamVersionWorld.js'
 
 export const WORLDS: readonly WorldFactory[] = [
   {
@@ -55,5 +56,10 @@
     name: 'retry-budget',
     promises: ['retry-budget-kept'],
     create: (simulation, recorder, broken) => new RetryBudgetWorld(simulation, recorder, broken)
+  },
+  {
+    name: 'stream-versions',
+    promises: ['one-software-version', 'taken-up-streams-go-on'],
+    create: (simulation, recorder, broken) => new StreamVersionWorld(simulation, recorder, broken)
   }
 ]
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -35,6 +35,7 @@
 import { RolloutTask, type RolloutBackend } from './rollout/RolloutTask.js'
 import type { StoreSource } from './stores/StoreFollower.js'
 import { StoreTask } from './stores/StoreTask.js'
+import { StreamOriginTask } from './streams/StreamOriginTask.js'
 import { SiteService } from './site/SiteService.js'
 import { WaitingTask } from './waiting/WaitingTask.js'
 
@@ -138,6 +139,7 @@
     applied: () => {
       controlServer.notify()
       stores?.siteChanged()
+      streamOrigins.siteChanged()
     },
     roleChanged: (role, term) => { telemetry.logStateChange('role-changed', { role, term }) },
     commandDecided: ({ isTaken, term, formation }) => {
@@ -156,6 +158,14 @@
     ? undefined
     : new RolloutTask(raft, endpoints, platform.engines, settings.host, settings.orderLeaseMs, telemetry)
   const stores = platform === undefined ? undefined : new StoreTask(raft, platform.stores, () => endpoints?.endpointsOfSite ?? [], rejected, telemetry)
+  const streamOrigins = new StreamOriginTask({
+    site: () => state.sites.put?.site,
+    endpoints: () => endpoints?.endpointsOfSite ?? [],
+    listAgeMs: now => endpoints?.readAgeMs(now) ?? -1,
+    followedMs: now => endpoints?.followedMs(now) ?? 0,
+    telemetry
+  })
+  endpoints?.changes.on('change', () => { streamOrigins.listChanged() })
   const sites = { service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
   const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { addressesById.set(replica.id, replica.address) })
   controlServer.register(server)
@@ -189,6 +199,7 @@
   })
   loads.register(datagrams)
   new RetryPoolTask(core, { ratio: settings.retryRatio, slack: settings.retrySlack }, telemetry).register(datagrams)
+  streamOrigins.register(datagrams)
   const waiting = new WaitingTask({
     isLeader: () => core.role === 'leader',
     endpoints: () => ({ site: state.sites.put?.site, endpoints: endpointPorts.endpoints(), evacuated: state.evacuations.evacuated }),
--- a/apps/control/src/lib/endpoints/EndpointListTask.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -40,6 +40,7 @@
   #isReachable = true
   #watchers = 0
   #timer: NodeJS.Timeout | undefined
+  #followedSince = Number.POSITIVE_INFINITY
   #isReading = false
 
   /**
@@ -75,10 +76,19 @@
     return this.#readAt === undefined ? -1 : now - this.#readAt
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds for which the list has been read without a break, as far as the platform answered; 0 if it is not read
+   */
+  followedMs (now: number): number {
+    return Math.max(0, now - this.#followedSince)
+  }
+
   /** Adds a watcher and starts reading the list if it is the first one. */
   addWatcher (): void {
     this.#watchers += 1
     if (this.#timer !== undefined) return
+    this.#followedSince = performance.now()
     this.#timer = setInterval(() => { void this.#read() }, this.intervalMs)
     void this.#read()
   }
@@ -93,6 +103,7 @@
   stop (): void {
     clearInterval(this.#timer)
     this.#timer = undefined
+    this.#followedSince = Number.POSITIVE_INFINITY
   }
 
   /** @param overlays - overlays by endpoint id, which replace all previous ones */
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -28,6 +28,7 @@
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { RoutedServer } from './routed/RoutedServer.js'
 import { SlowReaders } from './routed/SlowReaders.js'
+import { StreamDirectoryClient } from './streams/StreamDirectoryClient.js'
 
 /** Settings of an entry host for routed requests. */
 export const routedSettingsShape = {
@@ -139,12 +140,14 @@
   const retries = new RetryExchange(address, { datagrams, leader: () => link.leader }, budget, telemetry)
   const relayDirectory = new RelayDirectoryClient(() => listenAddress, { rpc, leader: () => link.leader })
   const relayHosts = new RelayHosts(relayDirectory)
+  const streams = new StreamDirectoryClient(address, { datagrams, controlHosts: () => link.controlHosts, listAgeMs: now => link.endpointListAgeMs(now) }, telemetry)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const server = new RoutedServer({
     slowReaders: new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry),
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
+    streams,
     fleet,
     codec: platform.codec,
     work,
@@ -188,6 +191,7 @@
     fleet.update(link.endpoints)
     fleet.limits.evacuate(link.evacuated, performance.now())
     applySite(link.site)
+    if (link.site !== undefined) streams.observe(link.site, link.endpoints)
     server.releaseWaiting()
   })
   link.start()
@@ -214,6 +218,7 @@
       waiting.stop()
       crashReporter.stop()
       relayHosts.close()
+      streams.stop()
       await platformServers.close()
       await platform.close?.()
       rpc.close()
--- a/apps/entry/src/lib/routed/RequestPlacement.ts
+++ b/apps/entry/src/lib/routed/RequestPlacement.ts
@@ -34,11 +34,13 @@
    */
   constructor (
     private readonly request: RoutedRequest,
-    private readonly ports: Pick<RoutedPorts, 'fleet' | 'stop' | 'durations' | 'waiting' | 'reservations'>,
+    private readonly ports: Pick<RoutedPorts, 'fleet' | 'stop' | 'durations' | 'waiting' | 'reservations' | 'streams'>,
     private readonly prompt: PromptContext | undefined,
     private readonly times: ResponseTimes,
     private readonly deadline: number
-  ) {}
+  ) {
+    if (request.origin !== undefined) this.#requiredSoftware = { version: request.origin.software }
+  }
 
   /** When the deadline passes or the caller is expected to disconnect unless another event arrives, in monotonic milliseconds. */
   get callerTimeoutAt (): number { return Math.min(this.deadline, this.times.callerTimeoutAt) }
@@ -185,6 +187,8 @@
     const { service, regionBound, route, body } = this.request
     const traffic = this.ports.fleet.traffic.ofRequest(route.name, body?.length ?? 0)
     const excluded = ids.length === 0 ? this.tried.ids : new Set([...this.tried.ids, ...ids])
-    return this.ports.fleet.choose(service.name, { excluded, regionBound, traffic, requiredSoftware: this.#requiredSoftware, ...this.prompt?.requirements(this.#requiredVersion) })
+    const mustGoOn = this.#requiredSoftware !== undefined
+    const avoidedSoftware = route.isResumable && !mustGoOn ? this.ports.streams?.newVersionsOf(service.name) : undefined
+    return this.ports.fleet.choose(service.name, { excluded, regionBound, traffic, requiredSoftware: this.#requiredSoftware, avoidedSoftware, ...this.prompt?.requirements(this.#requiredVersion) })
   }
 }
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -253,7 +253,7 @@
    * @param ask - requirements of the request
    * @returns the chosen endpoint, or why there is none
    */
-  choose (service: string, ask: Pick<EndpointQuery, 'excluded' | 'prompt' | 'regionBound' | 'traffic' | 'requiredSoftware'>): EndpointChoice | NoEndpointReason {
+  choose (service: string, ask: Pick<EndpointQuery, 'excluded' | 'prompt' | 'regionBound' | 'traffic' | 'requiredSoftware' | 'avoidedSoftware'>): EndpointChoice | NoEndpointReason {
     const now = performance.now()
     const others = this.otherHostsLoad.isRecent(now) ? this.otherHostsLoad : undefined
     const hasConnection = (endpoint: EndpointState): boolean => this.#connections.get(endpoint.incarnation)?.hasIdle === true
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -1,12 +1,14 @@
 /** A routed request and its dependencies. */
 import type { RegionBound } from '@eelgrassmux/routing/places/RegionBound'
 import type { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
+import type { StreamOrigin } from '@eelgrassmux/routing/streams/streamOrigin'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../retries/RetryTokens.js'
 import type { RelayHosts } from '../relays/RelayHosts.js'
+import type { StreamDirectory } from '../streams/StreamDirectory.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
 import type { PromptPorts } from './PromptPorts.js'
@@ -23,6 +25,8 @@
   /** Regions that the request has to stay in; undefined if there is no restriction. */
   readonly regionBound?: RegionBound | undefined
   readonly fields: CallerFields
+  /** What began the stream that the caller takes up; undefined for other requests, and if the endpoints have no versions. */
+  readonly origin?: StreamOrigin | undefined
   readonly body: Buffer | undefined
   /** Whether another host relays the request to this one, so that it must not be relayed again. */
   readonly isRelayed?: boolean
@@ -42,6 +46,8 @@
   readonly responseEnds: LabelledCounter
   /** Streams that were sent to go on after an event, by who resumed them. */
   readonly resumptions: LabelledCounter
+  /** Origins of streams that may be resumed; undefined if they are not known. */
+  readonly streams?: StreamDirectory | undefined
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
   readonly stop: GracefulShutdown
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -39,6 +39,9 @@
 /** Time after the deadline in which a response whose head has arrived may complete, in milliseconds; a response that is not nearly complete is ended. */
 const RESPONSE_COMPLETION_MS = 20
 
+/** Time for which the origin of a stream is kept after its caller's deadline, in milliseconds. */
+const ORIGIN_MARGIN_MS = 1000
+
 /** Runs one request until its response is complete, refused or aborted. */
 export class RoutedRequestTask {
   readonly #attempts = new AttemptRecord()
@@ -352,9 +355,19 @@
     this.#pauses.observeEvent(attempt.choice.endpoint, performance.now())
     if (!this.#times.recordEvent()) return
     this.#placement.requireSameAs(attempt.choice)
+    this.#recordOrigin(attempt)
     if (attempt.choice.version !== undefined) learnFromFirstEvent(this.ports.fleet, this.request, attempt)
   }
 
+  /** Records what began a stream, so that it goes on there if its caller takes it up at any host. */
+  #recordOrigin ({ choice: { endpoint: { listed: { service, software } } } }: RoutedAttempt): void {
+    const { id, route, fields, arrivedAt } = this.request
+    if (!route.isResumable || fields.lastEventId !== undefined) return
+    const callerLeavesAt = arrivedAt + (fields.deadlineMs ?? 2 * route.timeoutMs)
+    const origin = software === undefined ? { service } : { service, software }
+    this.ports.streams?.record({ id, route: route.name, origin, keepMs: callerLeavesAt - performance.now() + ORIGIN_MARGIN_MS })
+  }
+
   #onComplete (attempt: RoutedAttempt): void {
     const { endpoint } = attempt.choice
     const { head } = this.#relay
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -11,6 +11,7 @@
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
+import type { StreamOrigin } from '@eelgrassmux/routing/streams/streamOrigin'
 import { regionBoundOf } from '@eelgrassmux/routing/places/RegionBound'
 import { SiteIndex } from '@eelgrassmux/routing/site/SiteIndex'
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
@@ -22,6 +23,7 @@
 import { readRelayHeader } from '../relays/relayHeaders.js'
 import type { RelayHosts } from '../relays/RelayHosts.js'
 import type { RelayTicketChecks } from '../relays/RelayTicketChecks.js'
+import type { StreamDirectory } from '../streams/StreamDirectory.js'
 import { CallerExchange } from './CallerExchange.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
@@ -49,6 +51,8 @@
   readonly slowReaders?: SlowReaders
   /** Other hosts, and checks of the requests that they relay; absent if there are none. */
   readonly relays?: { readonly hosts: RelayHosts, readonly tickets: RelayTicketChecks }
+  /** Origins of streams that callers take up; absent if they are not known. */
+  readonly streams?: StreamDirectory
   /** Queue of all hosts; absent if this host has none. */
   readonly waiting?: WaitingExchange
   /** Reservations at engines; absent if the platform has none. */
@@ -71,6 +75,18 @@
   isLagging (): boolean
 }
 
+/** A request that was read completely and may be served. */
+interface AdmittedRequest {
+  readonly exchange: CallerExchange
+  readonly fields: CallerFields
+  readonly index: SiteIndex
+  readonly route: Route
+  readonly customer: SiteCustomer | undefined
+  readonly body: Buffer | undefined
+  readonly arrivedAt: number
+  readonly isCountedElsewhere: boolean
+}
+
 /** Largest headers that Node accepts, in bytes. The site's own limit is lower and is checked afterwards. */
 const MAX_HEADER_BYTES = 64 * 1024
 
@@ -277,7 +293,7 @@
       return
     }
     this.#readBody(message, exchange, fields, index, body => {
-      this.#unlessAbandoned(exchange, fields, () => { this.#start(exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere) })
+      this.#unlessAbandoned(exchange, fields, () => { this.#startOrResume({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }) })
     })
   }
 
@@ -320,11 +336,30 @@
     })
   }
 
-  #start (
-    exchange: CallerExchange, fields: CallerFields, index: SiteIndex, route: Route, customer: SiteCustomer | undefined,
-    body: Buffer | undefined, arrivedAt: number, isCountedElsewhere: boolean
-  ): void {
-    const service = index.services.get(index.selectService(route, Math.random()))
+  /** Starts a request. A stream that its caller takes up waits until it is known what began it. */
+  #startOrResume (admitted: AdmittedRequest): void {
+    const { exchange, fields, route } = admitted
+    const { streams } = this.ports
+    if (fields.lastEventId === undefined || !route.isResumable) return this.#start(admitted)
+    const resume = (origin: StreamOrigin | undefined): void => {
+      if (exchange.isAbandoned) this.ports.telemetry.logDecision('caller-left', fields.requestId ?? '', { run: 'not-run' })
+      else this.#resume(admitted, origin)
+    }
+    if (streams === undefined) this.#start(admitted)
+    else streams.find({ id: fields.resumes, route: route.name, maxAgeMs: route.timeoutMs }, resume)
+  }
+
+  /** What two software versions write does not fit together, and endpoints do not check it. */
+  #resume (admitted: AdmittedRequest, origin: StreamOrigin | undefined): void {
+    const { exchange, fields, route } = admitted
+    const refuse = (detail: string): void => { this.#refuse(exchange, fields, 'stream-not-resumable', 503, detail, RETRY_AFTER_SECONDS) }
+    if (origin === undefined) refuse('it is not known which software version began the stream')
+    else if (!route.targets.some(({ service }) => service === origin.service)) refuse('the route no longer leads to the service that began the stream')
+    else this.#start(admitted, origin)
+  }
+
+  #start ({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }: AdmittedRequest, origin?: StreamOrigin): void {
+    const service = index.services.get(origin?.service ?? index.selectService(route, Math.random()))
     if (service === undefined) {
       this.#refuse(exchange, fields, 'no-endpoint', 503, `route ${route.name} leads to no service`, RETRY_AFTER_SECONDS)
       return
@@ -334,7 +369,7 @@
     this.#requests.count(route.kind)
     const id = fields.requestId ?? ''
     const regionBound = regionBoundOf(route, customer, this.ports.regions)
-    const request = { id, route, service, customer, regionBound, fields, body, isRelayed: exchange.isRelayed, arrivedAt, siteVersion: index.site.version }
+    const request = { id, route, service, customer, regionBound, fields, origin, body, isRelayed: exchange.isRelayed, arrivedAt, siteVersion: index.site.version }
     const task = new RoutedRequestTask(request, exchange, ports)
     this.#pendingRequests.set(exchange, task)
     task.start()
@@ -375,6 +410,7 @@
       silenceChecks: this.#silenceChecks,
       slowReaders: this.ports.slowReaders,
       waiting: this.ports.waiting,
+      streams: this.ports.streams,
       reservations: this.ports.reservations,
       relays: this.ports.relays?.hosts,
       isLagging: () => this.ports.isLagging(),
--- a/apps/entry/src/lib/routed/harness/LinkedHosts.ts
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -2,17 +2,25 @@
 import { randomUUID } from 'node:crypto'
 import { LoadAggregator } from '@eelgrassmux/routing/load/LoadAggregator'
 import { RelayTickets } from '@eelgrassmux/routing/reachability/RelayTickets'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { RelayHosts, type RelayDirectory } from '../../relays/RelayHosts.js'
 import { RelayTicketChecks } from '../../relays/RelayTicketChecks.js'
+import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
+import { OriginHolders } from './OriginHolders.js'
 import type { FakeEndpoint } from './FakeEndpoint.js'
 import { RoutedHost, type RoutedHostOptions } from './RoutedHost.js'
 
 /** Interval at which the hosts exchange their load, in milliseconds. */
 const LOAD_EXCHANGE_INTERVAL_MS = 25
 
+/** Number of control hosts. */
+const CONTROL_HOSTS = 3
+
 /** Hosts that run in this process. */
 export class LinkedHosts {
   readonly hosts: readonly RoutedHost[]
+  /** Control hosts that keep the origins of streams. */
+  readonly origins = new OriginHolders(CONTROL_HOSTS)
   readonly #loads = new LoadAggregator()
   readonly #tickets = new RelayTickets(randomUUID)
   #sequence = 0
@@ -26,7 +34,8 @@
   constructor (count: number, private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
     this.hosts = Array.from({ length: count }, (_, number) => {
       const directory = this.#directoryOf(number)
-      return new RoutedHost([], { ...options, relays: { hosts: new RelayHosts(directory), tickets: new RelayTicketChecks(directory) } })
+      const streams = new StreamDirectoryClient(`host-${number}`, this.origins, new Telemetry('test'))
+      return new RoutedHost([], { ...options, streams, relays: { hosts: new RelayHosts(directory), tickets: new RelayTicketChecks(directory) } })
     })
   }
 
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -10,11 +10,13 @@
 import { GracefulShutdown } from '../../GracefulShutdown.js'
 import type { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../../retries/RetryTokens.js'
+import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
 import { RoutedFleet } from '../RoutedFleet.js'
 import type { RequestCodec } from '../RequestCodec.js'
 import { RoutedServer, type RoutedServerPorts } from '../RoutedServer.js'
 import { SlowReaders } from '../SlowReaders.js'
 import type { FakeEndpoint } from './FakeEndpoint.js'
+import { OriginHolders } from './OriginHolders.js'
 import { emptyQuarantine } from './emptyQuarantine.js'
 import { PLAIN_HEADERS, PlainCodec } from './PlainCodec.js'
 import { TEST_SITE } from './testSite.js'
@@ -42,6 +44,8 @@
   readonly waiting?: Pick<RoutedServerPorts, 'waiting' | 'reservations'>
   /** Other hosts, and checks of the requests that they relay. */
   readonly relays?: RoutedServerPorts['relays']
+  /** Origins of streams; by default those of this host alone are known. */
+  readonly streams?: StreamDirectoryClient
   /** Features for hard load; by default none, or `shared-retry-budget` if there are tokens of it. */
   readonly features?: readonly LoadFeatureChoice[]
   /** Bounds on what slow readers hold. */
@@ -68,6 +72,7 @@
   readonly stop: GracefulShutdown
   readonly slowReaders: SlowReaders
   readonly server: RoutedServer
+  readonly streams: StreamDirectoryClient
   port = 0
   readonly fleet: RoutedFleet
   readonly #site: Site
@@ -86,8 +91,10 @@
     this.#site = site
     this.#models = models
     this.stop = new GracefulShutdown(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, this.telemetry)
+    this.streams = options.streams ?? new StreamDirectoryClient('test', new OriginHolders(0), this.telemetry)
     this.server = new RoutedServer({
       ...waiting,
+      streams: this.streams,
       fleet: this.fleet,
       slowReaders: this.slowReaders,
       codec,
@@ -115,7 +122,13 @@
     this.port = await this.server.listen('127.0.0.1', 0)
     this.server.configure(this.#site)
     const listed = known ?? await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
-    this.fleet.update(listed.map(endpoint => ({ ...endpoint, models: this.#models })))
+    this.list(listed.map(endpoint => ({ ...endpoint, models: this.#models })))
+  }
+
+  /** @param listed - the platform's list */
+  list (listed: readonly ListedEndpoint[]): void {
+    this.fleet.update(listed)
+    this.streams.observe(this.#site, listed)
   }
 
   async close (): Promise<void> {
--- a/apps/entry/src/lib/routed/softwareVersions.test.ts
+++ b/apps/entry/src/lib/routed/softwareVersions.test.ts
@@ -92,7 +92,7 @@
     const serving = await serve([new FakeEndpoint('e0', breaksOff('v1'), 'v1')])
     const begun = beginStream(serving, 'r1')
     const other = new FakeEndpoint('e1', breaksOff('v2'), 'v2')
-    serving.fleet.update([...serving.fleet.endpointsOf('app').map(({ listed }) => listed), await other.listen()])
+    serving.list([...serving.fleet.endpointsOf('app').map(({ listed }) => listed), await other.listen()])
     const { body, isWhole } = await begun
     other.close()
     expect({ versions: versionsIn(body).size, isWhole }).toEqual({ versions: 1, isWhole: false })
@@ -117,7 +117,7 @@
     const begun = beginStream(serving, 'r1')
     await first.nextRequest()
     const second = new FakeEndpoint('e1', answersLater, 'v2')
-    serving.fleet.update([...serving.fleet.endpointsOf('app').map(({ listed }) => listed), await second.listen()])
+    serving.list([...serving.fleet.endpointsOf('app').map(({ listed }) => listed), await second.listen()])
     const { body } = await begun
     second.close()
     expect({ standbys: second.receivedRequests.length, versions: [...versionsIn(body)] }).toEqual({ standbys: 1, versions: ['v1'] })
--- a/packages/routing/src/lib/endpoints/candidates.ts
+++ b/packages/routing/src/lib/endpoints/candidates.ts
@@ -38,7 +38,13 @@
     if (reason !== undefined) reasons.add(reason)
     return reason === undefined
   })
-  return allowed.length === 0 ? allHeldBack(reasons) : preferred(allowed, now)
+  return allowed.length === 0 ? allHeldBack(reasons) : preferred(withoutAvoided(allowed, query), now)
+}
+
+function withoutAvoided (candidates: readonly Candidate[], { avoidedSoftware }: EndpointQuery): readonly Candidate[] {
+  if (avoidedSoftware === undefined) return candidates
+  const others = candidates.filter(({ endpoint }) => !avoidedSoftware.has(endpoint.listed.software))
+  return others.length > 0 ? others : candidates
 }
 
 function allHeldBack (reasons: ReadonlySet<HoldBackReason>): AllHeldBack {
--- a/packages/routing/src/lib/endpoints/endpointQuery.ts
+++ b/packages/routing/src/lib/endpoints/endpointQuery.ts
@@ -37,6 +37,8 @@
   readonly streamPace?: StreamPaceModel
   /** Software that the endpoint must have, because a stream began on it; undefined if any will do. */
   readonly requiredSoftware?: RequiredSoftware | undefined
+  /** Software versions to use only if no other endpoint can take the request; absent if there are none. */
+  readonly avoidedSoftware?: ReadonlySet<string | undefined> | undefined
   readonly prompt?: PromptQuery
 }
 
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -104,6 +104,8 @@
   get viewRevision (): number { return this.#follower.viewRevision }
   /** Address of the leading control host, if this host knows it. */
   get leader (): string | undefined { return this.#leader }
+  /** Addresses of all control hosts that this host knows. */
+  get controlHosts (): readonly string[] { return this.#controlAddresses() }
   /** Site in force on this host; undefined until the first one arrives. */
   get site (): Site | undefined { return this.#follower.site }
   /** Version of the weights that each model should run. */
