--- a/apps/entry/src/lib/routed/AttemptFailures.ts
+++ b/apps/entry/src/lib/routed/AttemptFailures.ts
@@ -19,6 +19,8 @@
   readonly tried: TriedEndpoints
   readonly guard: QuarantineGuard
   readonly times: ResponseTimes
+  /** Ids of the parts of the prompt that other requests may have as well. */
+  readonly sharedParts: readonly string[]
   /** Deadline of the request, in monotonic milliseconds. */
   readonly deadline: number
   log (details: DecisionFields<'attempt-failed'>): void
@@ -65,11 +67,16 @@
     if (wasSent && !endpoint.isLeaving) this.records.guard.noteLost(endpoint.incarnation, ageMs)
   }
 
+  #describeParts (): { readonly parts?: string } {
+    const { times, sharedParts } = this.records
+    return times.hasFirstEvent || sharedParts.length === 0 ? {} : { parts: sharedParts.join(' ') }
+  }
+
   #log (attempt: RoutedAttempt, failure: AttemptFailure, detail: string, head?: ResponseHead): void {
     const { attempts: { sends, runs }, guard, times, deadline, log } = this.records
     const mayHaveRun = FAILURES_THAT_MAY_HAVE_RUN.has(failure)
     if (mayHaveRun) this.noteLost(attempt)
-    const run = mayHaveRun ? { fingerprint: guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: times.hasFirstEvent } : {}
+    const run = mayHaveRun ? { fingerprint: guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: times.hasFirstEvent, ...this.#describeParts() } : {}
     const body = mayHaveRun && head !== undefined ? { framing: bodyFraming(head.headers), bodyBytes: attempt.answerBytes } : {}
     log({ endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs: Math.round(deadline - performance.now()), ...run, ...body })
   }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -84,7 +84,7 @@
     const { method = 'GET', url: target = '/' } = exchange.request
     this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine)
     this.#failures = new AttemptFailures(ports.fleet, {
-      attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, deadline: this.#deadline, log: details => { this.#logDecision('attempt-failed', details) }
+      attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, sharedParts: request.fields.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [], deadline: this.#deadline, log: details => { this.#logDecision('attempt-failed', details) }
     })
     this.#waits = new PlacementWaits({
       retryPlacement: () => { this.#retryPlacement() },
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -51,6 +51,8 @@
     fingerprint: z.string().optional(),
     ranMs: z.number().optional(),
     hadEvents: z.boolean().optional(),
+    /** Shared parts of its prompt, set if the request was lost before it had begun to answer. */
+    parts: z.string().optional(),
     /** The next two fields are set if a response had begun: what marks the end of its body, and how much of that had arrived. */
     framing: z.enum(['length', 'chunks', 'connection']).optional(),
     bodyBytes: z.number().optional()
