--- a/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
+++ b/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
@@ -53,6 +53,11 @@
     }
   }
 
+  /** Breaks all connections, as a crash does. */
+  abortConnections (): void {
+    this.#server?.closeAllConnections()
+  }
+
   close (): void {
     this.#server?.closeAllConnections()
     this.#server?.close()
