Quarantine parts of prompts that crash endpoints

Callers saw endpoints crash one after the other under requests that were all different and had one part of their prompts in common. Only whole requests could be quarantined, and those that were suspected had run beside them. The shared parts of a request that is lost before it begins to answer are now suspects as well, under fingerprints of their own in the same reports and entries. Whole requests that were lost a few times do not explain crashes away that one of their parts caused.

--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.test.ts
@@ -3,7 +3,7 @@
 import { FAULT_KINDS, Simulation, type FaultKind } from '../Simulation.js'
 import { QuarantineWorld, SMALL_SHAPE, type QuarantineShape } from './QuarantineWorld.js'
 
-const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, poison: 3, durationMs: 20_000 }
+const LARGE_SHAPE: QuarantineShape = { hosts: 195, endpoints: 55, requestsPerSecond: 400, poison: 2, poisonParts: 1, durationMs: 20_000 }
 
 const TIMEOUT_MS = 120_000
 
--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -1,12 +1,13 @@
 /**
  * Entry hosts send requests to endpoints. Some requests crash every endpoint that runs them and are repeated
- * through any host. Control hosts are killed and frozen, entry hosts restart, racks fail and connections break.
+ * through any host; others come once each, and crash endpoints because of a part that they share. Control hosts are killed and frozen, entry hosts restart, racks fail and connections break.
  * Checks that poison requests stop being sent and that no other request is quarantined.
  */
 import type { PersistentState, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import { quarantineMessage } from '@eelgrassmux/control/quarantine/quarantineMessage'
 import { CrashEvidence } from '@eelgrassmux/routing/quarantine/CrashEvidence'
 import { CrashCorrelator } from '@eelgrassmux/routing/quarantine/CrashCorrelator'
+import { isPartFingerprint, partFingerprint } from '@eelgrassmux/routing/quarantine/partFingerprint'
 import type { CrashReport } from '@eelgrassmux/routing/quarantine/crashReport'
 import type { QuarantineDecision } from '@eelgrassmux/schema/quarantineEntry'
 import { ViewFollower } from '@eelgrassmux/view/ViewFollower'
@@ -22,6 +23,8 @@
   readonly endpoints: number
   readonly requestsPerSecond: number
   readonly poison: number
+  /** Number of parts of prompts that crash endpoints. */
+  readonly poisonParts: number
   /** Virtual duration of the run, in milliseconds. */
   readonly durationMs: number
   /** Time at which the leading control host is killed and not restarted, in milliseconds; never if absent. */
@@ -30,15 +33,19 @@
   readonly hostsRestartAtMs?: number
 }
 
-export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, poison: 2, durationMs: 40_000 }
+export const SMALL_SHAPE: QuarantineShape = { hosts: 8, endpoints: 13, requestsPerSecond: 150, poison: 1, poisonParts: 1, durationMs: 40_000 }
+
+/** Numbers of requests and of parts that crash endpoints at the same time. */
+const CAUSES = [{ poison: 2, poisonParts: 0 }, { poison: 1, poisonParts: 1 }, { poison: 0, poisonParts: 2 }]
 
 const REPLICAS = 3
 
 /** Safety limit for the number of events in a run. */
 const MAX_EVENTS = 2_000_000
 
-/** Crashes after which a request must be quarantined, time in milliseconds for the decision to reach all hosts, and number of runs that may still start later. */
+/** Crashes after which a request and a part must be quarantined, time in milliseconds for the decision to reach all hosts, and number of runs that may still start later. */
 const DETECTION_CRASHES = 3
+const PART_DETECTION_CRASHES = 5
 const PROPAGATION_MS = 3000
 const MAX_LATE_RUNS = 3
 
@@ -52,6 +59,20 @@
 const MAX_FAULT_INTERVAL_MS = 6000
 const MAX_RESTART_DELAY_MS = 1000
 
+/** Number of parts that sound requests share with some others, next to the one that all of them have. */
+const SUBJECTS = 40
+
+/** Longest time until a sound request begins to answer, in milliseconds. */
+const MAX_FIRST_EVENT_MS = 250
+
+/** Bounds of the interval between requests with a part that crashes endpoints, and of the pause after which they come again, in milliseconds. */
+const MIN_PART_INTERVAL_MS = 100
+const MAX_PART_INTERVAL_MS = 900
+const MAX_PART_PAUSE_MS = 6000
+
+/** Time before the first request that crashes endpoints, in milliseconds; hosts know most parts of sound requests by then. */
+const WARM_UP_MS = 4000
+
 /** Number of endpoints in a rack. */
 const RACK_SIZE = 3
 
@@ -67,6 +88,8 @@
   follower: ViewFollower
   hasUnreported: boolean
   reportedTo: string | undefined
+  /** Suspected fingerprints that the host has looked at. */
+  checkedSuspicions: Set<string>
 }
 
 interface SimulatedLeader {
@@ -92,7 +115,7 @@
    * @param shape - size, load and scheduled losses
    */
   constructor (
-    private readonly simulation: Simulation, private readonly recorder: CheckRecorder, private readonly broken: PromiseName | undefined, private readonly shape = SMALL_SHAPE
+    private readonly simulation: Simulation, private readonly recorder: CheckRecorder, private readonly broken: PromiseName | undefined, private readonly shape: QuarantineShape = { ...SMALL_SHAPE, ...simulation.pickFrom(CAUSES) }
   ) {
     const voters = Array.from({ length: REPLICAS }, (_, index): Replica => ({ id: `control-${index}`, address: `control-${index}` }))
     const disk: PersistentState = { term: 1, votedFor: undefined, snapshot: undefined, entries: [{ kind: 'membership', index: 1, term: 1, membership: { voters, learners: [] } }] }
@@ -110,7 +133,10 @@
     this.#trafficLoop()
     // This request runs on most endpoints at any time, so that most crashes interrupt it although it causes none of them.
     this.#repeatLoop(this.#newRequest(false, 100, 400), 5, 20)
-    for (let index = 0; index < this.shape.poison; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
+    this.simulation.schedule(WARM_UP_MS, () => {
+      for (let index = 0; index < this.shape.poison; index += 1) this.#repeatLoop(this.#newRequest(true, 20, 200), 200, 1500)
+      for (let index = 0; index < this.shape.poisonParts; index += 1) this.#partLoop(partNamed(`poison-${index}`))
+    })
     this.#faultLoop()
     this.#scheduleLosses()
     await this.simulation.run({ events: MAX_EVENTS, until: this.shape.durationMs })
@@ -118,9 +144,26 @@
 
   // --- Requests ---
 
-  #newRequest (isPoison: boolean, leastMs: number, mostMs: number): PoolRequest {
+  #newRequest (isPoison: boolean, leastMs: number, mostMs: number, poisonPart?: string): PoolRequest {
     this.#nextRequest += 1
-    return { fingerprint: this.#nextRequest.toString(16).padStart(32, '0'), isPoison, durationMs: () => this.#randomBetween(leastMs, mostMs) }
+    const subject = partNamed(`subject-${this.simulation.pick(SUBJECTS)}`)
+    const sharedParts = [partNamed('all'), subject]
+    return {
+      fingerprint: this.#nextRequest.toString(16).padStart(32, '0'),
+      isPoison,
+      parts: poisonPart === undefined ? sharedParts : this.simulation.pickFrom([[partNamed('all'), poisonPart], [poisonPart, subject], [partNamed('all'), poisonPart, subject]]),
+      firstEventMs: isPoison ? Number.POSITIVE_INFINITY : this.simulation.random() * MAX_FIRST_EVENT_MS,
+      durationMs: () => this.#randomBetween(leastMs, mostMs)
+    }
+  }
+
+  /** Sends requests that have nothing but shared parts in common, with pauses after which they come again. */
+  #partLoop (part: string): void {
+    const pauseMs = this.simulation.chance(0.03) ? this.simulation.random() * MAX_PART_PAUSE_MS : 0
+    this.simulation.schedule(pauseMs + this.#randomBetween(MIN_PART_INTERVAL_MS, MAX_PART_INTERVAL_MS), () => {
+      this.#partLoop(part)
+      this.#send(this.#newRequest(true, 20, 200, part), this.simulation.pick(2), part)
+    })
   }
 
   #randomBetween (min: number, max: number): number {
@@ -142,54 +185,76 @@
     })
   }
 
-  #send (request: PoolRequest, repeats: number): void {
+  /** @param cause - what of the request crashes endpoints, if it does */
+  #send (request: PoolRequest, repeats: number, cause = request.fingerprint): void {
     const host = this.simulation.pickFrom(this.#hosts)
     // A host without a view serves no requests.
     if (host.follower.viewRevision === 0) return
-    if (host.follower.quarantine.find(request.fingerprint)?.state === 'quarantined') {
+    const isQuarantined = [request.fingerprint, ...request.parts].some(fingerprint => host.follower.quarantine.find(fingerprint)?.state === 'quarantined')
+    if (isQuarantined) {
       if (request.isPoison) this.recorder.check('poison-requests-stop', true, () => '')
       this.recorder.check('bystanders-are-served', request.isPoison, () => `${request.fingerprint} ended no endpoint and is quarantined at ${host.name}`)
       return
     }
-    if (request.isPoison) this.#checkPoison(host, request)
+    if (request.isPoison) this.#checkPoison(host, cause)
     const { incarnation } = host
     this.#pool.run(request, {
+      onProgress: run => { if (host.incarnation === incarnation) this.#recordSoundParts(host, run) },
       onCompleted: run => { if (host.incarnation === incarnation) this.#recordCompletion(host, run) },
       onLost: run => {
-        if (request.isPoison) this.#recordCrash(request, run)
+        if (request.isPoison) this.#recordCrash(cause, run)
         if (host.incarnation === incarnation) this.#recordLoss(host, run)
-        if (repeats > 0) this.simulation.schedule(this.#randomBetween(0, 300), () => { this.#send(request, repeats - 1) })
+        if (repeats > 0) this.simulation.schedule(this.#randomBetween(0, 300), () => { this.#send(request, repeats - 1, cause) })
       }
     })
   }
 
-  #recordCompletion (host: SimulatedHost, { request }: PoolRun): void {
+  #recordCompletion (host: SimulatedHost, run: PoolRun): void {
+    const { request } = run
     this.recorder.check('bystanders-are-served', true, () => '')
-    if (host.follower.quarantine.find(request.fingerprint) === undefined) return
-    host.completed.add(request.fingerprint)
-    host.evidence.forget(request.fingerprint)
+    this.#recordSoundParts(host, run)
+    if (host.follower.quarantine.find(request.fingerprint) !== undefined) this.#reportCompletion(host, request.fingerprint)
+  }
+
+  #recordSoundParts (host: SimulatedHost, { request }: PoolRun): void {
+    for (const part of request.parts) {
+      host.evidence.recordSoundPart(part, this.simulation.now())
+      if (host.follower.quarantine.find(part) !== undefined) this.#reportCompletion(host, part)
+    }
+  }
+
+  #reportCompletion (host: SimulatedHost, fingerprint: string): void {
+    host.completed.add(fingerprint)
+    host.evidence.forget(fingerprint)
     host.hasUnreported = true
   }
 
   #recordLoss (host: SimulatedHost, { request, endpoint, startedAt }: PoolRun): void {
     const now = this.simulation.now()
-    host.evidence.record({ fingerprint: request.fingerprint, service: 'pool', endpoint, ranMs: now - startedAt }, now)
+    const ranMs = now - startedAt
+    host.evidence.record({ fingerprint: request.fingerprint, service: 'pool', endpoint, ranMs }, now)
     host.hasUnreported = true
+    if (ranMs >= request.firstEventMs) return
+    for (const part of request.parts) {
+      const reportedFrom = host.evidence.recordPart({ fingerprint: part, service: 'pool', endpoint, ranMs }, now)
+      this.simulation.schedule(reportedFrom - now, () => { host.hasUnreported = true })
+    }
   }
 
-  #recordCrash ({ fingerprint }: PoolRequest, { endpoint }: PoolRun): void {
+  #recordCrash (cause: string, { endpoint }: PoolRun): void {
     if (!this.#pool.hasCrashed(endpoint)) return
-    this.#crashes.set(fingerprint, [...this.#crashes.get(fingerprint) ?? [], this.simulation.now()])
+    this.#crashes.set(cause, [...this.#crashes.get(cause) ?? [], this.simulation.now()])
   }
 
   /** Counts late runs of a poison request. Runs shortly after a restart of the host or a fault of the control hosts are not counted, because the decision needs time to propagate. */
-  #checkPoison (host: SimulatedHost, { fingerprint }: PoolRequest): void {
+  #checkPoison (host: SimulatedHost, cause: string): void {
     const now = this.simulation.now()
-    const detectedAt = this.#crashes.get(fingerprint)?.[DETECTION_CRASHES - 1]
+    const crashes = isPartFingerprint(cause) ? PART_DETECTION_CRASHES : DETECTION_CRASHES
+    const detectedAt = this.#crashes.get(cause)?.[crashes - 1]
     if (detectedAt === undefined || now - detectedAt <= PROPAGATION_MS || now - host.startedAt <= PROPAGATION_MS || now - this.#controlDisturbedAt <= PROPAGATION_MS) return
-    const lateRuns = (this.#lateRuns.get(fingerprint) ?? 0) + 1
-    this.#lateRuns.set(fingerprint, lateRuns)
-    this.recorder.check('poison-requests-stop', lateRuns <= MAX_LATE_RUNS, () => `${fingerprint} is sent by ${host.name} for the ${lateRuns}. time, ${Math.round(now - detectedAt)} ms after it had ended ${DETECTION_CRASHES} endpoints`)
+    const lateRuns = (this.#lateRuns.get(cause) ?? 0) + 1
+    this.#lateRuns.set(cause, lateRuns)
+    this.recorder.check('poison-requests-stop', lateRuns <= MAX_LATE_RUNS, () => `${cause} is sent by ${host.name} for the ${lateRuns}. time, ${Math.round(now - detectedAt)} ms after it had ended ${crashes} endpoints`)
   }
 
   // --- Reports and views ---
@@ -257,10 +322,20 @@
       ? { kind: 'snapshot' as const, ...common, documents: [] }
       : { kind: 'changes' as const, ...common, fromViewRevision: known, upserts: [], removes: [] }
     this.simulation.send(self.id, host.name, () => {
-      if (host.incarnation === incarnation) follower.apply(message, this.simulation.now())
+      if (host.incarnation !== incarnation) return
+      follower.apply(message, this.simulation.now())
+      this.#disproveSuspicions(host)
     })
   }
 
+  #disproveSuspicions (host: SimulatedHost): void {
+    const suspected = host.follower.quarantine.all.filter(({ state }) => state === 'suspected').map(({ fingerprint }) => fingerprint)
+    for (const fingerprint of suspected) {
+      if (!host.checkedSuspicions.has(fingerprint) && host.evidence.disproves(fingerprint, this.simulation.now())) this.#reportCompletion(host, fingerprint)
+    }
+    host.checkedSuspicions = new Set(suspected)
+  }
+
   // --- Control hosts ---
 
   #newReplica (self: Replica, disk: PersistentState): SimulatedReplica {
@@ -361,6 +436,10 @@
 
 function newHost (name: string): SimulatedHost {
   return {
-    name, incarnation: 0, startedAt: 0, evidence: new CrashEvidence(), completed: new Set(), follower: new ViewFollower(), hasUnreported: false, reportedTo: undefined
+    name, incarnation: 0, startedAt: 0, evidence: new CrashEvidence(), completed: new Set(), follower: new ViewFollower(), hasUnreported: false, reportedTo: undefined, checkedSuspicions: new Set()
   }
 }
+
+function partNamed (part: string): string {
+  return partFingerprint({ model: 'model', customer: undefined, part })
+}
--- a/apps/bench/src/lib/prove/worlds/SimulatedPool.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedPool.ts
@@ -1,10 +1,15 @@
 /** Endpoints that run requests in virtual time, crash, break connections and restart. */
+import { PROOF_OF_PROGRESS_MS } from '@eelgrassmux/routing/quarantine/CrashEvidence'
 import type { Simulation } from '../Simulation.js'
 
 /** A request; repeats of it use the same object. */
 export interface PoolRequest {
   readonly fingerprint: string
   readonly isPoison: boolean
+  /** Fingerprints of the shared parts of its prompt. */
+  readonly parts: readonly string[]
+  /** Time until it begins to answer, in milliseconds; a request that is poison never does. */
+  readonly firstEventMs: number
   /** Time until the request completes or, if it is poison, crashes the endpoint, in milliseconds. */
   durationMs (): number
 }
@@ -19,6 +24,8 @@
 
 /** Called exactly once for each run, with its outcome. */
 export interface RunListener {
+  /** Called if the request still runs when it has answered for long enough to show that its prompt crashes nothing. */
+  onProgress (run: PoolRun): void
   onCompleted (run: PoolRun): void
   onLost (run: PoolRun): void
 }
@@ -57,6 +64,7 @@
     const endpoint = this.simulation.pickFrom(up)
     const run: PoolRun = { request, endpoint: incarnationName(endpoint), startedAt: this.simulation.now() }
     endpoint.runs.set(run, listener)
+    if (!request.isPoison) this.simulation.schedule(request.firstEventMs + PROOF_OF_PROGRESS_MS, () => { if (endpoint.runs.has(run)) listener.onProgress(run) })
     this.simulation.schedule(request.durationMs(), () => {
       if (!endpoint.runs.has(run)) return
       if (request.isPoison) {
--- a/apps/entry/src/lib/quarantine/CallQuarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/CallQuarantine.test.ts
@@ -14,6 +14,7 @@
 import type { AtMostOnceExecutor } from '../plain/AtMostOnceExecutor.js'
 import { PlainHandler } from '../plain/PlainHandler.js'
 import { CallQuarantine } from './CallQuarantine.js'
+import { IDLE_REPORTER } from '../routed/harness/emptyQuarantine.js'
 import { RequestQuarantine } from './RequestQuarantine.js'
 
 const MINUTE_MS = 60_000
@@ -48,7 +49,7 @@
     this.table.observeReport('app-0', { leaving: false, incarnation: 7 }, performance.now())
     const fleet = { serviceTable: this.table, service: () => this.#client } as unknown as FleetWatcher
     const telemetry = new Telemetry('test')
-    const reporter = { noteLost: (run: LostRequest) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
+    const reporter = { ...IDLE_REPORTER, noteLost: (run: LostRequest) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
     const quarantine = new CallQuarantine(new RequestQuarantine(this.quarantined, reporter, telemetry), () => performance.now())
     const stop = new GracefulShutdown(new WorkGate(), { balancerLagMs: 100, graceMs: 1000 }, telemetry)
     this.handler = new PlainHandler(fleet, {} as AtMostOnceExecutor, () => configuration, telemetry.labelledCounter('retries_total', 'retries'), 1, stop, quarantine)
--- a/apps/entry/src/lib/quarantine/CrashReporter.ts
+++ b/apps/entry/src/lib/quarantine/CrashReporter.ts
@@ -11,6 +11,9 @@
 /** Delay before a report, in milliseconds; it collects all losses of one endpoint crash. */
 const BATCH_WINDOW_MS = 20
 
+/** Time for which further losses are collected that are held back, in milliseconds. */
+const HELD_BATCH_WINDOW_MS = 100
+
 /** Delay before a report that was not accepted is sent again, in milliseconds. */
 const RETRY_DELAY_MS = 200
 
@@ -31,6 +34,7 @@
   readonly #reports: LabelledCounter
   #hasUnreported = false
   #timer: NodeJS.Timeout | undefined
+  #heldTimer: NodeJS.Timeout | undefined
   #isReporting = false
   #isStopped = false
 
@@ -49,7 +53,27 @@
     this.#schedule(BATCH_WINDOW_MS)
   }
 
-  /** @param fingerprint - fingerprint of a completed request that has a quarantine entry */
+  /** @param parts - parts of a request that was lost with its endpoint before it had begun to answer */
+  notePartsLost (parts: readonly LostRequest[]): void {
+    const now = performance.now()
+    for (const part of parts) this.#reportAt(this.#evidence.recordPart(part, now), now)
+  }
+
+  /** @param fingerprints - fingerprints of the shared parts of a request that has made progress */
+  notePartsSound (fingerprints: readonly string[]): void {
+    const now = performance.now()
+    for (const fingerprint of fingerprints) this.#evidence.recordSoundPart(fingerprint, now)
+  }
+
+  /**
+   * @param fingerprint - fingerprint of a part that has just become suspected
+   * @returns whether a request with the part has made progress at this host after the crashes for which it is suspected
+   */
+  isDisproved (fingerprint: string): boolean {
+    return this.#evidence.disproves(fingerprint, performance.now())
+  }
+
+  /** @param fingerprint - fingerprint of a completed request, or of a part of it, that has a quarantine entry */
   noteWhole (fingerprint: string): void {
     this.#evidence.forget(fingerprint)
     if (this.#completed.size >= MAX_REPORTS_PER_HOST) return
@@ -69,6 +93,22 @@
   stop (): void {
     this.#isStopped = true
     clearTimeout(this.#timer)
+    clearTimeout(this.#heldTimer)
+  }
+
+  /** Reports losses that are held back, in one go. A completion may have disproved them by then. */
+  #reportAt (at: number, now: number): void {
+    if (at <= now) {
+      this.#hasUnreported = true
+      this.#schedule(BATCH_WINDOW_MS)
+      return
+    }
+    if (this.#isStopped) return
+    this.#heldTimer ??= setTimeout(() => {
+      this.#heldTimer = undefined
+      this.#hasUnreported = true
+      this.#schedule(BATCH_WINDOW_MS)
+    }, at - now + HELD_BATCH_WINDOW_MS)
   }
 
   #schedule (delayMs: number): void {
--- a/apps/entry/src/lib/quarantine/RequestQuarantine.ts
+++ b/apps/entry/src/lib/quarantine/RequestQuarantine.ts
@@ -4,6 +4,9 @@
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { CrashReporter } from './CrashReporter.js'
 
+/** What is reported to the control hosts. */
+export type QuarantineReporter = Pick<CrashReporter, 'noteLost' | 'noteWhole' | 'notePartsLost' | 'notePartsSound' | 'isDisproved'>
+
 /** Quarantine entries in force, and the reporter for this host's observations. */
 export class RequestQuarantine {
   #logged = new Map<string, LocalQuarantineEntry>()
@@ -13,7 +16,7 @@
    * @param reporter - reports observations to the control hosts
    * @param telemetry - event log and metrics
    */
-  constructor (private readonly table: QuarantineTable, private readonly reporter: Pick<CrashReporter, 'noteLost' | 'noteWhole'>, private readonly telemetry: Telemetry) {
+  constructor (private readonly table: QuarantineTable, private readonly reporter: QuarantineReporter, private readonly telemetry: Telemetry) {
     telemetry.gauge('quarantine_entries', 'Requests that are suspected, quarantined or on probation', () => table.all.length)
   }
 
@@ -41,8 +44,19 @@
     if (this.table.find(fingerprint) !== undefined) this.reporter.noteWhole(fingerprint)
   }
 
+  /** @param parts - parts of a request that was lost with its endpoint before it had begun to answer */
+  notePartsLost (parts: readonly LostRequest[]): void {
+    this.reporter.notePartsLost(parts)
+  }
+
+  /** @param fingerprints - fingerprints of the shared parts of a request that has made progress, so that they did not cause earlier crashes */
+  notePartsSound (fingerprints: readonly string[]): void {
+    this.reporter.notePartsSound(fingerprints)
+    if (!this.isEmpty) for (const fingerprint of fingerprints) this.noteWhole(fingerprint)
+  }
+
   /**
-   * Logs changed entries; must be called after each view.
+   * Logs changed entries, and reports suspicions that this host can disprove; must be called after each view.
    *
    * @param view - revision of the view
    * @param now - current time, in monotonic milliseconds
@@ -51,7 +65,9 @@
     if (this.isEmpty && this.#logged.size === 0) return
     const present = new Map(this.table.all.map(entry => [entry.fingerprint, entry]))
     for (const entry of present.values()) {
-      if (this.#logged.get(entry.fingerprint)?.state !== entry.state) this.#logEntry(entry, view, now)
+      if (this.#logged.get(entry.fingerprint)?.state === entry.state) continue
+      this.#logEntry(entry, view, now)
+      if (entry.state === 'suspected' && this.reporter.isDisproved(entry.fingerprint)) this.reporter.noteWhole(entry.fingerprint)
     }
     for (const { fingerprint, service, state } of this.#logged.values()) {
       if (!present.has(fingerprint)) this.telemetry.logStateChange('quarantine-removed', { fingerprint, service, state, view })
--- a/apps/entry/src/lib/quarantine/quarantine.test.ts
+++ b/apps/entry/src/lib/quarantine/quarantine.test.ts
@@ -8,6 +8,7 @@
 import type { QuarantineState } from '@eelgrassmux/schema/quarantineEntry'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { respondOk, FakeEndpoint, resetConnection, streamEvent, type Behaviour } from '../routed/harness/FakeEndpoint.js'
+import { IDLE_REPORTER } from '../routed/harness/emptyQuarantine.js'
 import { RoutedHost } from '../routed/harness/RoutedHost.js'
 import { CrashReporter } from './CrashReporter.js'
 import { RequestQuarantine } from './RequestQuarantine.js'
@@ -24,7 +25,7 @@
 
   constructor (...behaviours: Behaviour[]) {
     this.endpoints = behaviours.map((behaviour, index) => new FakeEndpoint(`e${index}`, behaviour))
-    const reporter = { noteLost: (run: LostRequest) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
+    const reporter = { ...IDLE_REPORTER, noteLost: (run: LostRequest) => { this.lost.push(run) }, noteWhole: (fingerprint: string) => { this.whole.push(fingerprint) } }
     this.host = new RoutedHost(this.endpoints, { quarantine: new RequestQuarantine(this.table, reporter, new Telemetry('test')) })
   }
 
--- a/apps/entry/src/lib/routed/AttemptFailures.ts
+++ b/apps/entry/src/lib/routed/AttemptFailures.ts
@@ -64,7 +64,7 @@
    * @param attempt - attempt that was lost
    */
   noteLost ({ choice: { endpoint }, wasSent, ageMs }: RoutedAttempt): void {
-    if (wasSent && !endpoint.isLeaving) this.records.guard.noteLost(endpoint.incarnation, ageMs)
+    if (wasSent && !endpoint.isLeaving) this.records.guard.noteLost(endpoint.incarnation, ageMs, this.records.times.hasFirstEvent)
   }
 
   #describeParts (): { readonly parts?: string } {
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -8,7 +8,7 @@
 import { refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { DecisionEvent, DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
-import { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
+import { QuarantineGuard, type SharedPromptParts } from '../quarantine/QuarantineGuard.js'
 import { RequestRelay } from '../relays/RequestRelay.js'
 import type { UsableGrant } from '../waiting/WaitingExchange.js'
 import { ResponseRelay } from './ResponseRelay.js'
@@ -82,9 +82,10 @@
     this.#pauses = new StreamPauses(ports.fleet, request)
     this.#placement = new RequestPlacement(request, ports, this.#prompt, this.#times, this.#deadline)
     const { method = 'GET', url: target = '/' } = exchange.request
-    this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine)
+    const sharedParts = sharedPartsOf(request)
+    this.#guard = new QuarantineGuard(request.service.name, { customer: request.customer?.name, method, target, body: request.body }, ports.quarantine, sharedParts)
     this.#failures = new AttemptFailures(ports.fleet, {
-      attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, sharedParts: request.fields.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [], deadline: this.#deadline, log: details => { this.#logDecision('attempt-failed', details) }
+      attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, sharedParts: sharedParts?.ids ?? [], deadline: this.#deadline, log: details => { this.#logDecision('attempt-failed', details) }
     })
     this.#waits = new PlacementWaits({
       retryPlacement: () => { this.#retryPlacement() },
@@ -350,6 +351,7 @@
 
   #noteEvent (attempt: RoutedAttempt): void {
     this.#placement.tried.observeProgress()
+    this.#guard.noteEvent()
     // A stream that continues needs no standby.
     this.#retries.cancelWait()
     this.#pauses.observeEvent(attempt.choice.endpoint, performance.now())
@@ -669,3 +671,9 @@
     this.ports.telemetry.logDecision(event, this.request.id, { route: route.name, service: service.name, siteVersion, ...details })
   }
 }
+
+/** Returns the parts of the prompt that other requests may have as well; the last part is the request's own. */
+function sharedPartsOf ({ fields: { prompt }, customer }: RoutedRequest): SharedPromptParts | undefined {
+  if (prompt === undefined || prompt.parts.length < 2) return undefined
+  return { model: prompt.model, customer: customer?.isIsolated === true ? customer.name : undefined, ids: prompt.parts.slice(0, -1).map(({ id }) => id) }
+}
--- a/packages/routing/src/lib/quarantine/CrashCorrelator.ts
+++ b/packages/routing/src/lib/quarantine/CrashCorrelator.ts
@@ -1,5 +1,5 @@
 /**
- * Distinguishes requests that crash endpoints from requests that only ran on the same endpoints.
+ * Distinguishes requests and parts of prompts that crash endpoints from those that only were at the same endpoints.
  *
  * A poison request arrives repeatedly, at any host, and each endpoint that starts to run it
  * crashes and loses all of its other requests. Every request that was lost in a crash is
@@ -7,14 +7,22 @@
  * other requests are lost once or, if callers repeat them, occasionally, and they complete in
  * between. Hosts can't remember which requests completed, so they are told first which requests
  * to watch for.
+ *
+ * Requests that crash endpoints may have nothing in common but one part of their prompts. So the
+ * parts of requests that were lost before they began to answer are suspects as well, and any
+ * request with a part that is completed clears it.
  */
 import type { QuarantineDecision, QuarantineEntry } from '@eelgrassmux/schema/quarantineEntry'
 import type { CrashReport } from './crashReport.js'
+import { isPartFingerprint } from './partFingerprint.js'
 import { EVIDENCE_LIFETIME_MS, quarantineDurationMs, SUSPICION_DURATION_MS } from './quarantineDurations.js'
 
 /** Number of crashes after which a request that was present at all of them is considered the cause. */
 const CRASHES_TO_QUARANTINE = 3
 
+/** The same for a part of prompts. Requests that crash nothing often share one, so parts are at crashes by chance more often. */
+const CRASHES_TO_QUARANTINE_PART = 4
+
 /** Number of crashes after which hosts are asked to report whether the request completes. */
 const CRASHES_TO_SUSPECT = 2
 
@@ -33,6 +41,9 @@
  */
 const OBSERVATION_PERIOD_MS = 700
 
+/** The same for a part, in milliseconds. */
+const PART_OBSERVATION_PERIOD_MS = 1000
+
 /** Maximum number of suspected requests; those with the strongest correlation come first. The replicated state holds far more, so no entry evicts another. */
 const MAX_SUSPECTED = 256
 
@@ -106,7 +117,7 @@
   observe ({ fingerprint, service, endpoint, agoMs, ranMs }: CrashReport, now: number): void {
     const at = now - agoMs
     const isOld = agoMs >= EVIDENCE_LIFETIME_MS || at <= (this.#aliveAt.get(endpoint) ?? Number.NEGATIVE_INFINITY)
-    if (isOld || this.#isCleared(fingerprint, now)) return
+    if (isOld || this.#isCleared(fingerprint, at, now)) return
     const crash = this.#crashes.get(endpoint) ?? this.#addCrash(endpoint, at)
     if (crash.suspects.size >= MAX_SUSPECTS_PER_CRASH && !crash.suspects.has(fingerprint)) return
     if (!crash.suspects.has(fingerprint)) this.#lossCount += 1
@@ -204,11 +215,12 @@
   #mayQuarantine ({ fingerprint, distinctCrashes }: Correlation, committed: CommittedQuarantine, now: number): boolean {
     const state = committed.find(fingerprint)?.state
     if (state === 'released') return distinctCrashes > 0
-    if (state !== 'suspected' || distinctCrashes < CRASHES_TO_QUARANTINE) return false
+    const isPart = isPartFingerprint(fingerprint)
+    if (state !== 'suspected' || distinctCrashes < (isPart ? CRASHES_TO_QUARANTINE_PART : CRASHES_TO_QUARANTINE)) return false
     const suspectedAt = this.#suspectedAt.get(fingerprint)
     // The suspicion was committed under another leader.
     if (suspectedAt === undefined) setBounded(this.#suspectedAt, fingerprint, now)
-    return suspectedAt !== undefined && now - suspectedAt >= OBSERVATION_PERIOD_MS
+    return suspectedAt !== undefined && now - suspectedAt >= (isPart ? PART_OBSERVATION_PERIOD_MS : OBSERVATION_PERIOD_MS)
   }
 
   #suspicions (quarantined: ReadonlySet<string>, committed: CommittedQuarantine, now: number): QuarantineDecision[] {
@@ -230,16 +242,24 @@
   }
 
   #correlations (quarantined: ReadonlySet<string>, committed: CommittedQuarantine, now: number): Correlation[] {
+    const quarantinedParts = new Set([...quarantined].filter(isPartFingerprint))
+    const toRequests = this.#attributableTo(quarantined, now)
+    // A request that was repeated and lost a few times does not explain crashes away that one of its parts may have caused.
+    const toParts = this.#attributableTo(quarantinedParts, now)
+    return this.#candidates(committed).filter(([fingerprint]) => !quarantined.has(fingerprint)).map(([fingerprint, { service, endpoints }]) => {
+      const crashes = [...endpoints].filter(isPartFingerprint(fingerprint) ? toParts : toRequests)
+      return { fingerprint, service, distinctCrashes: this.#distinctCrashes(crashes), longestRunMs: this.#longestRunMs(fingerprint, crashes) }
+    })
+  }
+
+  /** Returns whether a crash may be attributed to a further cause; each crash is judged once. */
+  #attributableTo (quarantined: ReadonlySet<string>, now: number): (endpoint: string) => boolean {
     const cache = new Map<string, boolean>()
-    const isAttributable = (endpoint: string): boolean => {
+    return endpoint => {
       const result = cache.get(endpoint) ?? this.#isAttributable(endpoint, quarantined, now)
       cache.set(endpoint, result)
       return result
     }
-    return this.#candidates(committed).filter(([fingerprint]) => !quarantined.has(fingerprint)).map(([fingerprint, { service, endpoints }]) => {
-      const crashes = [...endpoints].filter(isAttributable)
-      return { fingerprint, service, distinctCrashes: this.#distinctCrashes(crashes), longestRunMs: this.#longestRunMs(fingerprint, crashes) }
-    })
   }
 
   #longestRunMs (fingerprint: string, endpoints: readonly string[]): number {
@@ -266,9 +286,11 @@
     return distinctCrashes
   }
 
-  #isCleared (fingerprint: string, now: number): boolean {
+  /** Whether a completion disproves that the crash was caused by the request or part. A part may begin to crash endpoints later, for instance new ones. */
+  #isCleared (fingerprint: string, crashedAt: number, now: number): boolean {
     const clearedAt = this.#clearedAt.get(fingerprint)
-    return clearedAt !== undefined && now - clearedAt < CLEARANCE_LIFETIME_MS
+    if (clearedAt === undefined) return false
+    return isPartFingerprint(fingerprint) ? crashedAt <= clearedAt : now - clearedAt < CLEARANCE_LIFETIME_MS
   }
 
   #addCrash (endpoint: string, at: number): ReportedCrash {
@@ -302,9 +324,14 @@
   }
 }
 
-/** Orders by descending number of crashes, then by ascending longest run before a crash. */
+/** Orders by descending number of crashes, then whole requests before parts, then by the longest run before a crash. */
 function compareStrength (left: Correlation, right: Correlation): number {
-  return right.distinctCrashes - left.distinctCrashes || left.longestRunMs - right.longestRunMs
+  const isLeftPart = isPartFingerprint(left.fingerprint)
+  const isRightPart = isPartFingerprint(right.fingerprint)
+  if (left.distinctCrashes !== right.distinctCrashes) return right.distinctCrashes - left.distinctCrashes
+  if (isLeftPart !== isRightPart) return isLeftPart ? 1 : -1
+  // A request that crashes endpoints does so soon. Of two parts, the one that comes first in prompts is in all requests that have the other one.
+  return isLeftPart ? right.longestRunMs - left.longestRunMs : left.longestRunMs - right.longestRunMs
 }
 
 /** Sets an entry of a bounded map and evicts the oldest entry if the map is full. */
