Bound the bytes of heads, events and rejections that come without end

An endpoint that sent bytes without end in place of a status line, of informational responses, of an event or after a rejection held its request until the deadline, and its host took all of them (158 MB in a second) and kept those of an event. A connection is now closed after 128 KiB before the head, a stream counts as lost after 1 MiB of one event, and a rejection holds from its head on: its body may have 64 KiB and 200 ms.

--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -50,11 +50,16 @@
 /** Subtracted from the idle limit that an endpoint states, in milliseconds, so that a request arrives before the endpoint closes the connection. */
 const IDLE_MARGIN_MS = 700
 
+/** Most bytes that an endpoint may send before the head of its response is complete, informational responses included. */
+const MAX_BYTES_BEFORE_HEAD = 128 * 1024
+
 /** A connection that is opened by its first request. */
 export class EndpointConnection {
   readonly #client: Client
   #socket: Socket | undefined
   #wasReset: () => boolean = () => false
+  /** Bytes that had been read when the pending request was sent; undefined once its head is complete. */
+  #readBeforeHead: number | undefined
   #isClosed = false
 
   /**
@@ -96,12 +101,15 @@
       body: request.body ?? null
     }, {
       onConnect: () => {
+        this.#readBeforeHead = this.#socket?.bytesRead
         handler.sending()
         // The request is written after this callback, in the same turn.
         if (request.body !== undefined) queueMicrotask(() => { this.#reportUnread(handler) })
       },
       onHeaders: (status: number, headers: Buffer[], resume: () => void) => {
-        if (status >= 200) handler.head(status, headers.map(header => header.toString('latin1')), resume)
+        if (status < 200) return true
+        this.#readBeforeHead = undefined
+        handler.head(status, headers.map(header => header.toString('latin1')), resume)
         return true
       },
       onData: (chunk: Buffer) => handler.data(chunk),
@@ -143,11 +151,17 @@
     socket.on('close', done)
   }
 
+  /** Ends a connection on which bytes come without end in place of a head. */
+  #boundHead (socket: Socket): void {
+    if (this.#readBeforeHead !== undefined && socket.bytesRead - this.#readBeforeHead > MAX_BYTES_BEFORE_HEAD) socket.destroy(new Error('the head of the response is too long'))
+  }
+
   #connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
     const startedAt = performance.now()
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true })
     this.#socket = socket
     this.#wasReset = watchForReset(socket)
+    socket.on('readable', () => { this.#boundHead(socket) })
     const timer = setTimeout(() => { destroyIfConnecting(socket, new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
     let isSettled = false
     const settle = (error: Error | undefined, connected: Socket | undefined): void => {
--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -9,6 +9,9 @@
 /** Responses other than streams are buffered up to this size, in bytes, so that the request can be retried if the response breaks off. */
 const MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 
+/** Longest event of a stream, in bytes. An endpoint that sends more sends no event. */
+const MAX_EVENT_BYTES = 1024 * 1024
+
 const OK = 200
 
 /** Lowest status that counts as a failure of the endpoint. */
@@ -58,6 +61,11 @@
   get framing (): BodyFraming { return bodyFraming(this.#head?.headers ?? []) }
   /** Whether the current response, as received so far, ends inside an event. */
   get isInsideEvent (): boolean { return this.#scanner?.isInsideEvent ?? this.#cursor?.hasPartialEvent ?? false }
+  /** Whether the current response sends bytes without end in place of an event. */
+  get isEventTooLong (): boolean {
+    return (this.#scanner?.unfinishedBytes ?? (this.#isOpaque ? undefined : this.#cursor?.unfinishedBytes) ?? 0) > MAX_EVENT_BYTES
+  }
+
   /** Why the current attempt's response, which has ended, does not complete the response to the caller. */
   get fault (): ResponseFault | undefined {
     if (this.isInsideEvent) return { failure: 'lost', detail: 'the stream ended inside an event' }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -28,6 +28,10 @@
 
 const MISDIRECTED = 421
 
+/** Most bytes and longest time, in milliseconds, of the body of a rejection. A connection on which it goes on is closed. */
+const MAX_REJECTION_BYTES = 64 * 1024
+const MAX_REJECTION_MS = 200
+
 /** Sends a request once. The connection is reused only after a complete response that belongs to the request. */
 export class RoutedAttempt {
   #cancel: CancelRequest = () => {}
@@ -38,6 +42,7 @@
   #answerBytes = 0
   #transitBytes = 0
   #longestPauseMs: number | undefined
+  #rejectionTimer: NodeJS.Timeout | undefined
   readonly startedAt = performance.now()
 
   /**
@@ -112,6 +117,7 @@
   /** Removes the attempt from the endpoint's load. */
   #end (): void {
     this.#hasEnded = true
+    clearTimeout(this.#rejectionTimer)
     this.#endTransit()
     this.#endPromptReading()
     if (this.#longestPauseMs !== undefined) this.choice.endpoint.runningStreams.end(this.#longestPauseMs)
@@ -153,7 +159,10 @@
       return
     }
     this.#head = { status, headers, fields }
-    if (fields.isNotExecuted) this.#observeTransitFailure()
+    if (fields.isNotExecuted) {
+      this.#observeTransitFailure()
+      this.#rejectionTimer = setTimeout(() => { this.#endRejection() }, MAX_REJECTION_MS)
+    }
     this.#endTransit()
     this.listener.head(this, this.#head, resume)
   }
@@ -163,7 +172,13 @@
     this.#endPromptReading()
     this.#answerBytes += chunk.length
     this.fleet.observeBytes(this.choice.endpoint)
-    return this.#head.fields.isNotExecuted || this.listener.data(this, chunk)
+    if (!this.#head.fields.isNotExecuted) return this.listener.data(this, chunk)
+    if (this.#answerBytes > MAX_REJECTION_BYTES) this.#endRejection()
+    return true
+  }
+
+  #endRejection (): void {
+    this.#fail('lost', `status ${this.#head?.status ?? 0}, not executed, and the body goes on`)
   }
 
   #onComplete (): void {
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -346,7 +346,11 @@
   #onData (attempt: RoutedAttempt, chunk: Buffer): boolean {
     if (this.#isDone) return true
     if (this.request.route.kind === 'stream') this.#noteEvent(attempt)
-    return this.#relay.data(chunk)
+    const isReady = this.#relay.data(chunk)
+    if (!this.#relay.isEventTooLong) return isReady
+    attempt.cancel()
+    this.#onFailure(attempt, 'lost', 'an event of the stream is too long', this.#relay.head)
+    return true
   }
 
   #noteEvent (attempt: RoutedAttempt): void {
--- a/packages/backends/src/lib/HttpBackend.ts
+++ b/packages/backends/src/lib/HttpBackend.ts
@@ -10,6 +10,9 @@
 
 export const CONNECT_TIMEOUT_MS = 1000
 
+/** Largest body of a response, in bytes; the stream of a long run has a tenth of this. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
 /** A request without a body or with a JSON body. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'
@@ -25,7 +28,7 @@
 
   /** @param address - IP address and port */
   constructor (readonly address: string) {
-    this.#pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    this.#pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, maxResponseSize: MAX_RESPONSE_BYTES, connect: { timeout: CONNECT_TIMEOUT_MS } })
   }
 
   /**
--- a/packages/runs/src/lib/EventCursor.ts
+++ b/packages/runs/src/lib/EventCursor.ts
@@ -25,6 +25,9 @@
   /** Whether the bytes received so far end inside an event. */
   get hasPartialEvent (): boolean { return this.#scanner.isInsideEvent }
 
+  /** Bytes received since the end of the last event. */
+  get unfinishedBytes (): number { return this.#scanner.unfinishedBytes }
+
   /** Discards an incomplete event after its run was interrupted. */
   discardPartialEvent (): void {
     this.#pending = EMPTY
--- a/packages/runs/src/lib/EventScanner.ts
+++ b/packages/runs/src/lib/EventScanner.ts
@@ -15,10 +15,14 @@
   #isComment = false
   #hasFields = false
   #isAfterCarriageReturn = false
+  #unfinishedBytes = 0
 
   /** Whether the bytes scanned so far end inside an event. */
   get isInsideEvent (): boolean { return this.#hasFields || (this.#isLineStarted && !this.#isComment) }
 
+  /** Bytes scanned since the end of the last event. */
+  get unfinishedBytes (): number { return this.#unfinishedBytes }
+
   /**
    * Scans up to the end of the next event.
    *
@@ -36,9 +40,11 @@
         if (!this.#isLineStarted) this.#isComment = byte === COLON
         this.#isLineStarted = true
       } else if (this.#endLine()) {
+        this.#unfinishedBytes = 0
         return this.#afterLineEnd(bytes, at)
       }
     }
+    this.#unfinishedBytes += bytes.length - from
     return -1
   }
 
