Close connections unread at a host that has three times its share of the requests

A balancer that hands most new connections to one host makes it fall behind with all its requests, while callers that find their connection closed unread ask another host within milliseconds. A host with 24 requests or more now closes new connections unread while it has more than three times the mean of all live hosts (1.25 times while its event loop lags).

--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -6,10 +6,11 @@
  * and each connection has to be closed, kept or aborted exactly as the response requires.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
+import { isOverShare } from '@eelgrassmux/routing/admission/isOverShare'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { StreamOrigin } from '@eelgrassmux/routing/streams/streamOrigin'
 import { regionBoundOf } from '@eelgrassmux/routing/places/RegionBound'
@@ -115,6 +116,7 @@
   readonly #responseEnds: LabelledCounter
   readonly #relayed: LabelledCounter
   readonly #resumptions: LabelledCounter
+  readonly #closedUnread: LabelledCounter
   readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
   readonly #durations = new RouteDurations()
@@ -141,6 +143,8 @@
     this.#observeFirstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS_SECONDS)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
+    this.#closedUnread = telemetry.labelledCounter('connections_closed_unread_total', 'Connections of callers that this host closed unread')
+    this.#server.on('connection', (socket: Socket) => { this.#closeIfOverShare(socket) })
     this.#server.on('request', (request, response) => { this.#accept(request, response) })
     this.#server.on('checkContinue', (request, response: ServerResponse) => {
       response.writeContinue()
@@ -223,6 +227,15 @@
     return this.#index !== undefined && this.ports.isSiteUsable() && fleet.hasEndpoints && fleet.isLoadKnown
   }
 
+  /** Closes a connection of the balancer unread if this host has far more than its share of the requests. */
+  #closeIfOverShare (socket: Socket): void {
+    const { fleet, liveHosts, isLagging } = this.ports
+    const share = { ownRequests: this.#pendingRequests.size, otherRequests: fleet.otherHostsLoad.requestsInFlight(performance.now()), liveHosts: liveHosts(), isLagging: isLagging() }
+    if (!isOverShare(share)) return
+    this.#closedUnread.count('over-share')
+    socket.destroy()
+  }
+
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -46,6 +46,8 @@
   readonly relays?: RoutedServerPorts['relays']
   /** Origins of streams; by default those of this host alone are known. */
   readonly streams?: StreamDirectoryClient
+  /** Number of hosts that are alive; 1 by default. */
+  readonly liveHosts?: number
   /** Features for hard load; by default none, or `shared-retry-budget` if there are tokens of it. */
   readonly features?: readonly LoadFeatureChoice[]
   /** Bounds on what slow readers hold. */
@@ -105,7 +107,7 @@
       budget,
       ...(relays === undefined ? {} : { relays }),
       ...(sharedRetryTokens === undefined ? {} : { sharedRetryTokens: () => sharedRetryTokens }),
-      liveHosts: () => 1,
+      liveHosts: () => options.liveHosts ?? 1,
       desiredVersion: () => 1,
       regions: new Map(),
       remainingMsForVersion: () => Number.POSITIVE_INFINITY,
--- a/packages/routing/src/lib/load/PeerLoad.ts
+++ b/packages/routing/src/lib/load/PeerLoad.ts
@@ -4,6 +4,9 @@
 import { IDLE_LINK, type LinkLoadFigures, type LinkLoad } from './linkLoad.js'
 import { NO_ENDPOINT_LOAD, type EndpointRateLimit, type EndpointLoad, type LoadReport, type LoadTotals, type LoadFigures } from './loadReport.js'
 
+/** Age up to which the number of requests of other hosts is used, in milliseconds. */
+const MAX_REQUESTS_AGE_MS = 5000
+
 /** Age after which the figures are no longer used, in milliseconds: a few lost datagrams. */
 const PEER_LOAD_LIFETIME_MS = 400
 
@@ -31,6 +34,7 @@
   #streams = new Map<string, StreamLimits>()
   #receivedAt = Number.NEGATIVE_INFINITY
   #latestSequence = -1
+  #requests = 0
 
   /**
    * Records a report that is about to be sent.
@@ -63,7 +67,12 @@
     this.#paces = new Map(paces.map(({ endpoint, factor, statedAgoMs }) => [endpoint, { factor, statedAt: now - statedAgoMs }]))
     this.#streams = new Map(streams.map(total => [total.endpoint, subtractStreams(total, own.streams.get(total.endpoint))]))
     this.#endpoints = new Map()
-    for (const total of work) this.#endpoints.set(total.endpoint, subtractEndpointLoad(total, own.work.get(total.endpoint)))
+    this.#requests = 0
+    for (const total of work) {
+      const others = subtractEndpointLoad(total, own.work.get(total.endpoint))
+      this.#endpoints.set(total.endpoint, others)
+      this.#requests += others.inFlight
+    }
     this.#links = new Map()
     for (const total of links) this.#links.set(total.link, subtractLinkLoad(total, own.links.get(total.link)))
   }
@@ -76,6 +85,14 @@
     return now - this.#receivedAt < PEER_LOAD_LIFETIME_MS
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns requests of all other hosts at endpoints, also if they are a few seconds old; undefined if they are not known
+   */
+  requestsInFlight (now: number): number | undefined {
+    return now - this.#receivedAt < MAX_REQUESTS_AGE_MS ? this.#requests : undefined
+  }
+
   /**
    * @param endpoint - incarnation of an endpoint
    * @param now - monotonic milliseconds
