Soak: two software versions side by side, and callers that take streams up

Endpoints of each service have one of two software versions, a restart may bring the other one, and callers ask any host for the rest of a stream that may be resumed. one-software-version compares the software of all events of a stream over all attempts; a stand-in that states another one in its last event is found (mixed-software). Events that a caller has already count in events-in-order.

--- a/apps/soak/src/endpoint.ts
+++ b/apps/soak/src/endpoint.ts
@@ -12,10 +12,12 @@
   model = Option.String('--model', '', { description: 'model whose weights are loaded; none if empty' })
   version = Option.String('--weights-version', '0', { description: 'version of the weights that are loaded at the start' })
 
+  software = Option.String('--software', 'v1', { description: 'version of the software' })
+
   override async execute (): Promise<number> {
     // Writes synchronously, so that no line about a run is lost if the process is killed.
     const print = (line: object): void => { writeSync(1, `${JSON.stringify(line)}\n`) }
-    const standin = new EndpointStandin({ id: this.id, model: this.model, version: Number(this.version) }, print, code => { process.exit(code) })
+    const standin = new EndpointStandin({ id: this.id, model: this.model, version: Number(this.version), software: this.software }, print, code => { process.exit(code) })
     const port = await standin.listen(HOST)
     print({ event: 'listening', http: `${HOST}:${port}` })
     await new Promise<void>(resolve => { process.once('SIGTERM', resolve) })
--- a/apps/soak/src/lib/Caller.ts
+++ b/apps/soak/src/lib/Caller.ts
@@ -7,7 +7,7 @@
 import type { SeededRandom } from './SeededRandom.js'
 import type { EndpointBreak, Work } from './standinProtocol.js'
 import type { RequestHistory } from './RequestHistory.js'
-import { REQUEST_KINDS, type SentRequest, type Outcome, type RequestKind } from './observations.js'
+import { REQUEST_KINDS, type SentRequest, type Outcome, type RequestEnd, type RequestKind } from './observations.js'
 import type { Incarnation } from './ProcessSlot.js'
 import { CUSTOMERS } from './soakSite.js'
 
@@ -36,12 +36,17 @@
 /** Maximum duration of a plain request, in milliseconds. */
 const MAX_PLAIN_MS = 1200
 
+/** Kinds of streams that a caller may take up at any host, and how often it does. */
+const RESUMABLE_KINDS: ReadonlySet<RequestKind> = new Set<RequestKind>(['resumable', 'generation'])
+const MAX_TAKE_UPS = 2
+
 /** Sends one request after another until stopped. */
 export class Caller {
   #isStopped = false
   #host: Incarnation | undefined
   #agent = new Agent()
   #count = 0
+  #takeUps = 0
 
   /**
    * @param name - unique among callers
@@ -73,14 +78,35 @@
   }
 
   async #sendNext (host: Incarnation): Promise<void> {
-    const request = this.#drawRequest(host.label)
+    const end = await this.#send(this.#drawRequest(host.label), host)
+    if (end.kind === 'cut' || end.status !== 200) await sleep(RETRY_DELAY_MS)
+  }
+
+  async #send (request: SentRequest, host: Incarnation): Promise<RequestEnd> {
     this.context.history.recordRequest(request)
     const { end, isReusable } = await sendRequest(request, host.addresses['http'] ?? '', this.#agent)
     const outcome = { request, end, endedAt: Date.now() }
     this.context.history.recordOutcome(outcome)
     this.#recordProbe(outcome)
     if (!isReusable) this.#host = undefined
-    if (end.kind === 'cut' || end.status !== 200) await sleep(RETRY_DELAY_MS)
+    await this.#takeUp(outcome)
+    return end
+  }
+
+  /** Asks any host for the rest of a stream whose connection broke, up to {@link MAX_TAKE_UPS} times. */
+  async #takeUp ({ request, end }: Outcome): Promise<void> {
+    const { takenUp, work, kind } = request
+    const lastEvent = (takenUp?.lastEvent ?? 0) + end.events.length
+    const mayTakeUp = RESUMABLE_KINDS.has(kind) && work.fault === undefined && end.kind === 'cut' && lastEvent > 0 && this.#takeUps < MAX_TAKE_UPS && !this.#isStopped
+    const host = mayTakeUp ? this.#connect() : undefined
+    if (host === undefined) {
+      this.#takeUps = 0
+      return
+    }
+    this.#takeUps += 1
+    this.#host = host
+    const first = takenUp?.first ?? request.id
+    await this.#send({ ...request, id: `${first}-again-${this.#takeUps}`, host: host.label, sentAt: Date.now(), takenUp: { first, lastEvent } }, host)
   }
 
   #drawRequest (host: string): SentRequest {
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -13,6 +13,8 @@
   readonly id: string
   readonly model: string
   readonly version: number
+  /** Version of the software, which each event states. */
+  readonly software: string
 }
 
 const UNAVAILABLE = 503
@@ -197,6 +199,11 @@
     }))
   }
 
+  /** A break on purpose: the last event states another version of the software. */
+  #softwareOf ({ fault, events }: Extract<Work, { kind: 'stream' }>, number: number): string {
+    return fault === 'mixed-software' && number === events ? `${this.identity.software}-other` : this.identity.software
+  }
+
   async #stream (request: IncomingMessage, response: ServerResponse, work: Extract<Work, { kind: 'stream' }>): Promise<void> {
     const requestId = headerOf(request, HEADER.requestId)
     const version = this.#weights.loadedVersion
@@ -214,7 +221,7 @@
       if (work.fault === 'event-missing' && number === 2) continue
       const reportedVersion = work.fault === 'mixed-weights' && number === lastNumber ? version + 1 : version
       const padding = work.paddingBytes === undefined ? '' : `: ${'.'.repeat(work.paddingBytes)}\n`
-      const text = padding + writeEvent({ requestId, number, of: work.events, version: reportedVersion })
+      const text = padding + writeEvent({ requestId, number, of: work.events, version: reportedVersion, software: this.#softwareOf(work, number) })
       response.write(work.fault === 'event-doubled' && number === 2 ? text + text : text)
     }
     response.end()
--- a/apps/soak/src/lib/RequestHistory.ts
+++ b/apps/soak/src/lib/RequestHistory.ts
@@ -5,7 +5,7 @@
 
 /** Guarantees of the product that the soak checks. */
 export const GUARANTEES = [
-  'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version',
+  'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version', 'one-software-version',
   'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
   'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded', 'evacuations-hold', 'cold-rates-are-kept', 'retry-budget-is-kept', 'customers-are-served', 'cut-off-hosts-serve', 'brittle-endpoints-stand'
 ] as const
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -1,5 +1,6 @@
 /** All processes of one run: control hosts and endpoints behind proxies, and entry hosts that callers reach directly. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { crc32 } from 'node:zlib'
 import type { LoadFeature } from '@eelgrassmux/routing/features/LoadFeatures'
 import { EndpointListServer } from './EndpointListServer.js'
 import { endpointLineSchema, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
@@ -144,7 +145,7 @@
     return new ProcessSlot({
       name,
       ...this.#commonPlan('endpoint'),
-      args: label => ['--id', label, ...isEngine ? ['--model', MODEL, '--weights-version', '1'] : []],
+      args: label => ['--id', label, '--software', softwareOf(label), ...isEngine ? ['--model', MODEL, '--weights-version', '1'] : []],
       onLine: line => { this.#onEndpointLine(line) },
       onStart: incarnation => {
         this.#attachProxy(this.proxy('endpoint', index), incarnation, 'http')
@@ -156,6 +157,7 @@
           slots: 16,
           isLeaving: false,
           isBusy: false,
+          software: softwareOf(incarnation.label),
           isCold: this.settings.hasColdReturns && !incarnation.label.endsWith(FIRST_INCARNATION),
           models: isEngine ? [{ model: MODEL, version: 1 }] : []
         })
@@ -227,3 +229,8 @@
 function addressOfEntry (index: number): string {
   return `127.0.1.${index + 1}`
 }
+
+/** Returns the software of an incarnation: endpoints of two versions serve side by side, and a restart may bring the other one. */
+function softwareOf (label: string): string {
+  return `v${1 + crc32(label) % 2}`
+}
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -25,7 +25,8 @@
       key: headerValue(headers, HEADER.key),
       deadlineMs: readNumber(headerValue(headers, HEADER.deadlineMs)),
       prompt: readPrompt(headers),
-      lastEventId: readNumber(headerValue(headers, HEADER.lastEvent))
+      lastEventId: readNumber(headerValue(headers, HEADER.lastEvent)),
+      resumes: headerValue(headers, HEADER.resumes)
     }
   }
 
--- a/apps/soak/src/lib/checks/EventsInOrderCheck.ts
+++ b/apps/soak/src/lib/checks/EventsInOrderCheck.ts
@@ -9,11 +9,12 @@
 
   onOutcome ({ request, end }: Outcome): string | undefined {
     if (request.work.kind !== 'stream') return undefined
-    const firstUnexpected = end.events.findIndex((event, index) => !isNext(event, index, request.id))
+    const before = request.takenUp?.lastEvent ?? 0
+    const firstUnexpected = end.events.findIndex((event, index) => !isNext(event, before + index, request.id))
     if (firstUnexpected >= 0) return `event ${firstUnexpected + 1} is ${JSON.stringify(end.events[firstUnexpected])}`
     const isComplete = end.kind === 'answered' && end.status === 200
-    if (!isComplete || end.events.length === request.work.events) return undefined
-    return `complete after ${end.events.length} of ${request.work.events} events`
+    if (!isComplete || before + end.events.length === request.work.events) return undefined
+    return `complete after ${before + end.events.length} of ${request.work.events} events`
   }
 }
 
--- a/apps/soak/src/lib/checks/requestChecks.ts
+++ b/apps/soak/src/lib/checks/requestChecks.ts
@@ -9,6 +9,7 @@
 import { LeavingIsHeededCheck } from './LeavingIsHeededCheck.js'
 import { NothingIsCutCheck } from './NothingIsCutCheck.js'
 import { NotRunIsTrueCheck } from './NotRunIsTrueCheck.js'
+import { OneSoftwareVersionCheck } from './OneSoftwareVersionCheck.js'
 import { OneWeightVersionCheck } from './OneWeightVersionCheck.js'
 import { PausesAreKeptCheck } from './PausesAreKeptCheck.js'
 import { RatesAreKeptCheck } from './RatesAreKeptCheck.js'
@@ -22,7 +23,7 @@
 export function requestChecks (hasColdReturns = false): RequestCheck[] {
   return [
     new AtMostOnceCheck(), new NotRunIsTrueCheck(), new WholeAnswersCheck(), new EventsInOrderCheck(),
-    new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(),
+    new NothingIsCutCheck(), new CustomersApartCheck(), new OneWeightVersionCheck(), new OneSoftwareVersionCheck(),
     new PoisonRequestsStopCheck(), new BystandersAreServedCheck(),
     new PausesAreKeptCheck(), new RatesAreKeptCheck(), new LeavingIsHeededCheck(), new ColdRatesAreKeptCheck(hasColdReturns),
     new RetryBudgetCheck()
--- a/apps/soak/src/lib/observations.ts
+++ b/apps/soak/src/lib/observations.ts
@@ -20,6 +20,16 @@
   readonly sentAt: number
   /** Site version that a probe tests; 0 for other kinds. */
   readonly siteVersion: number
+  /** The stream that the request takes up after its connection broke; absent for other requests. */
+  readonly takenUp?: TakenUpStream
+}
+
+/** Where a stream is taken up. */
+export interface TakenUpStream {
+  /** Id of the request that brought its first event. */
+  readonly first: string
+  /** Number of the last event that the caller has. */
+  readonly lastEvent: number
 }
 
 /** How a request ended for its caller. */
--- a/apps/soak/src/lib/soakHeaders.ts
+++ b/apps/soak/src/lib/soakHeaders.ts
@@ -6,6 +6,8 @@
   customer: 'customer',
   deadlineMs: 'deadline-ms',
   lastEvent: 'last-event-id',
+  /** Request id of the attempt that brought the first event of a stream that is taken up. */
+  resumes: 'resumes',
   /** Endpoint incarnation that a request is meant for. */
   instance: 'instance',
   answeredBy: 'answered-by',
--- a/apps/soak/src/lib/standinProtocol.ts
+++ b/apps/soak/src/lib/standinProtocol.ts
@@ -3,7 +3,7 @@
 
 /** Ways in which a stand-in can break a guarantee on purpose, to prove that the checks detect it. */
 export const ENDPOINT_BREAKS = [
-  'run-twice', 'run-then-reject', 'foreign-answer', 'event-missing', 'event-doubled', 'early-end', 'mixed-weights', 'other-customer', 'cut'
+  'run-twice', 'run-then-reject', 'foreign-answer', 'event-missing', 'event-doubled', 'early-end', 'mixed-weights', 'mixed-software', 'other-customer', 'cut'
 ] as const
 
 export const endpointBreakSchema = z.enum(ENDPOINT_BREAKS)
@@ -54,7 +54,7 @@
 export type Work = z.infer<typeof workSchema>
 
 /** One event of a stream; `number` counts from 1 and is also the event id. */
-export const eventSchema = z.strictObject({ requestId: z.string(), number: z.number().int(), of: z.number().int(), version: z.number().int() })
+export const eventSchema = z.strictObject({ requestId: z.string(), number: z.number().int(), of: z.number().int(), version: z.number().int(), software: z.string() })
 export type StreamEvent = z.infer<typeof eventSchema>
 
 /** Body of a plain answer. */
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -17,6 +17,7 @@
   'event-doubled': 'events-in-order',
   'early-end': 'events-in-order',
   'mixed-weights': 'one-weight-version',
+  'mixed-software': 'one-software-version',
   'other-customer': 'customers-apart',
   cut: 'nothing-is-cut'
 }
