Soak: parts of prompts that crash endpoints

--poison-parts adds requests of all customers that are different and have one part in common, which ends each endpoint that runs them; poison-requests-stop counts them by their part, from five crashes on.

--- a/apps/soak/src/lib/RepeatingCaller.ts
+++ b/apps/soak/src/lib/RepeatingCaller.ts
@@ -38,9 +38,10 @@
     const host = this.context.balancer.choose(this.random)
     if (host === undefined) return
     this.#count += 1
-    const { name, kind, customer, work, readPauseMs } = this.repeated
+    const { name, kind, customer, work, readPauseMs, part } = this.repeated
+    const id = `${name}-${this.#count}`
     const request: SentRequest = {
-      id: `${name}-${this.#count}`, kind, customer, work, body: `body of ${name}`, host: host.label, sentAt: Date.now(), siteVersion: 0
+      id, kind, customer, work, body: `body of ${part === undefined ? name : id}`, host: host.label, sentAt: Date.now(), siteVersion: 0, ...(part === undefined ? {} : { part })
     }
     this.context.history.recordRequest(request)
     const agent = new Agent()
--- a/apps/soak/src/lib/SoakCodec.ts
+++ b/apps/soak/src/lib/SoakCodec.ts
@@ -73,7 +73,9 @@
   const model = headerValue(headers, HEADER.model)
   if (model === undefined) return undefined
   const promptTokens = readNumber(headerValue(headers, HEADER.promptTokens)) ?? 0
-  return { model, promptTokens, outputTokens: 0, parts: [{ id: `shared-${promptTokens}`, tokens: promptTokens / 2 }] }
+  const part = headerValue(headers, HEADER.part)
+  const sharedParts = part === undefined ? [] : [{ id: part, tokens: promptTokens / 2 }]
+  return { model, promptTokens, outputTokens: 0, parts: [...sharedParts, { id: `shared-${promptTokens}`, tokens: promptTokens / 2 }] }
 }
 
 function readNumber (text: string | undefined): number | undefined {
--- a/apps/soak/src/lib/checks/PoisonRequestsStopCheck.ts
+++ b/apps/soak/src/lib/checks/PoisonRequestsStopCheck.ts
@@ -10,6 +10,9 @@
 /** Number of crashes after which the hosts must know that the request causes them. */
 const KNOWN_AFTER_CRASHES = 3
 
+/** The same for a part of prompts, whose requests are all different. */
+const PART_KNOWN_AFTER_CRASHES = 5
+
 /** How long it may take until all hosts know, in milliseconds. Runs within this time of a disturbance of their host or of a control host are not counted. */
 const PROPAGATION_MS = 3000
 
@@ -21,7 +24,7 @@
   lateRuns: number
 }
 
-/** {@link RequestCheck} of requests that crash endpoints, identified by kind, customer and body. */
+/** {@link RequestCheck} of requests that crash endpoints, identified by their shared part, or else by kind, customer and body. */
 export class PoisonRequestsStopCheck implements RequestCheck {
   readonly guarantee = 'poison-requests-stop'
   readonly #crashRecords = new Map<string, CrashRecord>()
@@ -31,7 +34,8 @@
     const crashDelayMs = request?.work.crashesEndpointAfterMs
     if (request === undefined || crashDelayMs === undefined) return undefined
     const record = this.#crashRecordOf(request)
-    const knownAt = (record.crashTimes[KNOWN_AFTER_CRASHES - 1] ?? Number.POSITIVE_INFINITY) + PROPAGATION_MS
+    const knownAfter = request.part === undefined ? KNOWN_AFTER_CRASHES : PART_KNOWN_AFTER_CRASHES
+    const knownAt = (record.crashTimes[knownAfter - 1] ?? Number.POSITIVE_INFINITY) + PROPAGATION_MS
     record.crashTimes.push(run.at + crashDelayMs)
     record.crashTimes.sort((left, right) => left - right)
     if (run.at <= knownAt || isExcused(run, request, view)) return undefined
@@ -40,8 +44,8 @@
     return `${request.kind} of ${request.customer} ran ${record.lateRuns} more times after hosts should have known that it crashes endpoints; ${record.crashTimes.length} crashes in total`
   }
 
-  #crashRecordOf ({ kind, customer, body }: SentRequest): CrashRecord {
-    const key = JSON.stringify([kind, customer, body])
+  #crashRecordOf ({ kind, customer, body, part }: SentRequest): CrashRecord {
+    const key = JSON.stringify(part === undefined ? [kind, customer, body] : [part])
     const existing = this.#crashRecords.get(key)
     if (existing !== undefined) return existing
     const fresh: CrashRecord = { crashTimes: [], lateRuns: 0 }
--- a/apps/soak/src/lib/observations.ts
+++ b/apps/soak/src/lib/observations.ts
@@ -22,6 +22,8 @@
   readonly siteVersion: number
   /** The stream that the request takes up after its connection broke; absent for other requests. */
   readonly takenUp?: TakenUpStream
+  /** Shared part of the prompt; absent for requests whose prompt is their own. */
+  readonly part?: string
 }
 
 /** Where a stream is taken up. */
--- a/apps/soak/src/lib/planRepeatedRequests.ts
+++ b/apps/soak/src/lib/planRepeatedRequests.ts
@@ -14,11 +14,20 @@
   readonly pauseMs: number
   /** Pause after each part of the answer that is read, in milliseconds; read as it comes if absent. */
   readonly readPauseMs?: number
+  /** Shared part of the prompt; the body then differs each time. */
+  readonly part?: string
 }
 
 /** Keeps this random sequence apart from those of the faults and callers. */
 const REPEATED_SEED_OFFSET = 3_000_000
 
+/** Keeps the random sequence of parts apart from the others. */
+const PARTS_SEED_OFFSET = 4_000_000
+
+/** Bounds of the pause before a customer sends another request with a part that crashes endpoints, in milliseconds. */
+const MIN_PART_PAUSE_MS = 800
+const MAX_PART_PAUSE_MS = 2500
+
 const POISON_KINDS: readonly RequestKind[] = ['safe', 'unsafe', 'stream', 'resumable', 'generation']
 
 /** Bounds of the time between the start of a poison request and the crash of its endpoint, in milliseconds. */
@@ -43,6 +52,23 @@
   return [...Array.from({ length: poison }, (_, index) => drawPoison(random, index)), HARMLESS]
 }
 
+/**
+ * @param seed - determines all requests
+ * @param parts - number of parts of prompts that crash the endpoints that run requests with them
+ * @returns for each part, requests of several customers that have nothing else in common
+ */
+export function planPoisonParts (seed: number, parts: number): RepeatedRequest[] {
+  const random = new SeededRandom(PARTS_SEED_OFFSET + seed)
+  return Array.from({ length: parts }, (_, index) => CUSTOMERS.map(({ name }): RepeatedRequest => ({
+    name: `part-${index}-of-${name}`,
+    kind: 'generation',
+    customer: name,
+    part: `part-${index}`,
+    work: { kind: 'stream', events: 3, intervalMs: 10, crashesEndpointAfterMs: Math.round(random.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS)) },
+    pauseMs: Math.round(random.between(MIN_PART_PAUSE_MS, MAX_PART_PAUSE_MS))
+  }))).flat()
+}
+
 /** Work of a request of a burst, in milliseconds, and the pause before the next one: some ten requests a second on each connection. */
 const BURST_WORK_MS = 40
 const BURST_PAUSE_MS = 50
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -17,7 +17,7 @@
 import { ExtraCallers } from './ExtraCallers.js'
 import { FaultInjector } from './FaultInjector.js'
 import { planFaults, type FaultKind, type SoakShape } from './faultPlan.js'
-import { planRepeatedRequests } from './planRepeatedRequests.js'
+import { planPoisonParts, planRepeatedRequests } from './planRepeatedRequests.js'
 import { RepeatingCaller } from './RepeatingCaller.js'
 import { RequestHistory, type Violation } from './RequestHistory.js'
 import { Operator } from './Operator.js'
@@ -45,6 +45,8 @@
   readonly kinds?: readonly FaultKind[]
   /** Number of requests that crash each endpoint that runs them and are sent repeatedly, beside a harmless one; 0 if absent. */
   readonly poisonRequests?: number
+  /** Number of parts of prompts that crash the endpoints that run requests with them. */
+  readonly poisonParts?: number
   /** Features for hard load that entry hosts use; none if absent. */
   readonly loadFeatures?: readonly LoadFeature[]
 }
@@ -130,7 +132,7 @@
     this.#extraCallers = new ExtraCallers(EXTRA_SEED_OFFSET + seed, context)
     const plainCallers = Array.from({ length: plan.callers }, (_, index) =>
       new Caller(`r${index}`, SeededRandom.ofNeighbour(CALLER_SEED_OFFSET + seed * plan.callers + index), context))
-    const repeatingCallers = planRepeatedRequests(seed, plan.poisonRequests ?? 0).map((repeated, index) =>
+    const repeatingCallers = [...planRepeatedRequests(seed, plan.poisonRequests ?? 0), ...planPoisonParts(seed, plan.poisonParts ?? 0)].map((repeated, index) =>
       new RepeatingCaller(repeated, SeededRandom.ofNeighbour(REPEATING_SEED_OFFSET + seed * MAX_REPEATED_REQUESTS + index), context))
     this.#callers = [...plainCallers, ...repeatingCallers]
   }
--- a/apps/soak/src/lib/sendRequest.ts
+++ b/apps/soak/src/lib/sendRequest.ts
@@ -66,6 +66,7 @@
     [HEADER.work]: JSON.stringify(callerRequest.work),
     'content-length': String(Buffer.byteLength(callerRequest.body)),
     ...(callerRequest.takenUp === undefined ? {} : { [HEADER.resumes]: callerRequest.takenUp.first, [HEADER.lastEvent]: String(callerRequest.takenUp.lastEvent) }),
+    ...(callerRequest.part === undefined ? {} : { [HEADER.part]: callerRequest.part }),
     ...(callerRequest.kind === 'generation' ? { [HEADER.model]: MODEL, [HEADER.promptTokens]: String(PROMPT_TOKENS) } : {})
   }
 }
--- a/apps/soak/src/lib/soakHeaders.ts
+++ b/apps/soak/src/lib/soakHeaders.ts
@@ -14,6 +14,8 @@
   notRun: 'not-run',
   model: 'model',
   promptTokens: 'prompt-tokens',
+  /** Id of the shared part of the prompt, if it has one. */
+  part: 'part',
   /** Version of the weights: in a request the required one, in an answer the loaded one. */
   version: 'version',
   cacheSalt: 'cache-salt',
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -31,6 +31,7 @@
   callers = Option.String('--callers', '32', { description: 'number of callers, with one connection each' })
   graceMs = Option.String('--grace-ms', '8000', { description: 'grace period from SIGTERM to SIGKILL, in milliseconds' })
   kinds = Option.String('--kinds', { description: `kinds of faults to choose from, separated by commas: ${[...new Set(KNOWN_KINDS)].join(', ')}` })
+  poisonParts = Option.String('--poison-parts', '0', { description: 'number of parts of prompts in each run that crash every endpoint that runs a request with them' })
   poison = Option.String('--poison', '1', { description: 'number of requests in each run that crash every endpoint that runs them and are sent repeatedly' })
   loadFeatures = Option.String('--load-features', '', { description: `features for hard load that entry hosts use, separated by commas; all for all of them: ${loadFeatureSchema.options.join(', ')}` })
   skipRegressions = Option.Boolean('--skip-regressions', false, { description: 'do not run the regression seeds first' })
@@ -67,7 +68,7 @@
   ): Promise<SoakResult> {
     const endpoints = Number(this.endpoints)
     const shape = { controls: CONTROL_HOSTS, entries, plainEndpoints: endpoints, engines: endpoints }
-    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs), poisonRequests, loadFeatures: this.#namedFeatures() })
+    return await runSoak({ seed, seconds, breaks, kinds, shape, callers, graceMs: Number(this.graceMs), poisonRequests, poisonParts: Number(this.poisonParts), loadFeatures: this.#namedFeatures() })
   }
 
   #namedFeatures (): LoadFeature[] {
