Quarantine of parts: count the crashes of all customers together

Ids of parts stand for their content, also where the cache is not shared, so the customer is left out.

--- a/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/QuarantineWorld.ts
@@ -441,5 +441,5 @@
 }
 
 function partNamed (part: string): string {
-  return partFingerprint({ model: 'model', customer: undefined, part })
+  return partFingerprint({ model: 'model', part })
 }
--- a/apps/entry/src/lib/quarantine/QuarantineGuard.ts
+++ b/apps/entry/src/lib/quarantine/QuarantineGuard.ts
@@ -14,8 +14,6 @@
 /** Parts of a prompt that other requests may have as well. */
 export interface SharedPromptParts {
   readonly model: string
-  /** Name of the customer if it shares no parts with others. */
-  readonly customer: string | undefined
   readonly ids: readonly string[]
 }
 
@@ -94,8 +92,8 @@
 
   get #parts (): readonly string[] {
     if (this.parts === undefined) return []
-    const { model, customer, ids } = this.parts
-    this.#partFingerprints ??= ids.map(part => partFingerprint({ model, customer, part }))
+    const { model, ids } = this.parts
+    this.#partFingerprints ??= ids.map(part => partFingerprint({ model, part }))
     return this.#partFingerprints
   }
 }
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -677,7 +677,7 @@
 }
 
 /** Returns the parts of the prompt that other requests may have as well; the last part is the request's own. */
-function sharedPartsOf ({ fields: { prompt }, customer }: RoutedRequest): SharedPromptParts | undefined {
+function sharedPartsOf ({ fields: { prompt } }: RoutedRequest): SharedPromptParts | undefined {
   if (prompt === undefined || prompt.parts.length < 2) return undefined
-  return { model: prompt.model, customer: customer?.isIsolated === true ? customer.name : undefined, ids: prompt.parts.slice(0, -1).map(({ id }) => id) }
+  return { model: prompt.model, ids: prompt.parts.slice(0, -1).map(({ id }) => id) }
 }
--- a/packages/routing/src/lib/quarantine/partFingerprint.ts
+++ b/packages/routing/src/lib/quarantine/partFingerprint.ts
@@ -8,8 +8,7 @@
 /** What identifies a part. */
 export interface PartIdentity {
   readonly model: string
-  /** Name of the customer if its parts are its own; undefined if customers share them. */
-  readonly customer: string | undefined
+  /** Id of the part. Customers that send the same id send the same content, also if they share no cache. */
   readonly part: string
 }
 
@@ -17,8 +16,8 @@
  * @param identity - what identifies the part
  * @returns its fingerprint, which is the same on every host
  */
-export function partFingerprint ({ model, customer, part }: PartIdentity): string {
-  const digest = createHash('sha256').update(JSON.stringify([model, customer ?? null, part])).digest('hex')
+export function partFingerprint ({ model, part }: PartIdentity): string {
+  const digest = createHash('sha256').update(JSON.stringify([model, part])).digest('hex')
   return PART_PREFIX + digest.slice(0, FINGERPRINT_DIGITS - PART_PREFIX.length)
 }
 
--- a/packages/rpc/src/lib/methods/streamMethods.ts
+++ b/packages/rpc/src/lib/methods/streamMethods.ts
@@ -10,5 +10,5 @@
 /** Reports streams that have begun. */
 export const recordStreams = defineDatagram(RECORD_STREAMS_KIND, 'record-streams', startedStreamsSchema, z.strictObject({}))
 
-/** Asks what began a stream. Every control host answers from what it was told, whether it leads or not. */
+/** Asks what began a stream. Every control host answers from its own records, whether it leads or not. */
 export const findOrigin = defineDatagram(FIND_ORIGIN_KIND, 'find-origin', originQuestionSchema, originAnswerSchema)
