Control: keep silent voters of a group whose size is not configured

The group of control hosts had no quorum, for good: "1 of 2 control hosts answered; a majority is needed".

The voter came back as a learner; until it was promoted the group had two voters, and the loss of one more disk left one of two.

Ruled out: a process that ended (all three ran), messages for an old id.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -52,7 +52,7 @@
   shards: integerSetting(1, 4096).default(8).describe('directory shards; the same on all control hosts'),
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long hosts may act on a confirmed view, in milliseconds'),
   recordWindowHours: integerSetting(1, 24 * 365).default(24).describe('how long at-most-once records are kept, in hours'),
-  minimumVoters: integerSetting(1, 9).default(1).describe('voters that a new group must have before it takes its first command; twice the disks it may lose, and one'),
+  minimumVoters: integerSetting(1, 9).optional().describe('voters that a new group must have before it takes its first command; twice the disks it may lose, and one; if set, silent voters above this number are removed'),
   heartbeatMs: integerSetting(10, 10_000).default(DEFAULT_RAFT_SETTINGS.heartbeatMs).describe('interval of the leader\'s messages, in milliseconds'),
   electionTimeoutMs: integerSetting(50, 60_000).default(DEFAULT_RAFT_SETTINGS.electionTimeoutMs).describe('silence of a leader after which another is elected, in milliseconds'),
   endpointListMs: integerSetting(50, 60_000).default(1000).describe('interval between readings of the platform\'s endpoint list while hosts watch it, in milliseconds'),
@@ -260,8 +260,8 @@
 }
 
 function raftSettings ({ heartbeatMs, electionTimeoutMs, minimumVoters }: ControlSettings): RaftSettings {
-  const { leaseMs, electionTimeoutMs: defaultTimeoutMs } = DEFAULT_RAFT_SETTINGS
-  return { ...DEFAULT_RAFT_SETTINGS, heartbeatMs, electionTimeoutMs, minimumVoters, leaseMs: electionTimeoutMs * leaseMs / defaultTimeoutMs }
+  const { leaseMs, electionTimeoutMs: defaultTimeoutMs, minimumVoters: defaultVoters } = DEFAULT_RAFT_SETTINGS
+  return { ...DEFAULT_RAFT_SETTINGS, heartbeatMs, electionTimeoutMs, minimumVoters: minimumVoters ?? defaultVoters, leaseMs: electionTimeoutMs * leaseMs / defaultTimeoutMs }
 }
 
 async function assignShards (raft: RaftTask, hosts: HostTable, settings: ControlSettings, startedAt: number): Promise<void> {
--- a/apps/control/src/lib/raft/MembershipTask.ts
+++ b/apps/control/src/lib/raft/MembershipTask.ts
@@ -32,14 +32,14 @@
    * @param raft - replica of this host
    * @param rpc - client for calls to other control hosts
    * @param contacts - returns the current addresses of control hosts that may be members of the group
-   * @param targetVoters - number of voters that the group needs
+   * @param targetVoters - number of voters that the group needs, or undefined if it is not configured
    * @param telemetry - log
    */
   constructor (
     private readonly raft: RaftTask,
     private readonly rpc: RpcClient,
     private readonly contacts: () => readonly string[],
-    private readonly targetVoters: number,
+    private readonly targetVoters: number | undefined,
     private readonly telemetry: Telemetry
   ) {}
 
--- a/apps/control/src/lib/raft/surplusReplicas.test.ts
+++ b/apps/control/src/lib/raft/surplusReplicas.test.ts
@@ -51,7 +51,7 @@
     }
   }
 
-  surplus (target: number): string | undefined {
+  surplus (target: number | undefined): string | undefined {
     return findSurplusReplica(this.leader, target, this.now)?.id
   }
 }
@@ -64,6 +64,15 @@
     expect(group.surplus(5)).toBeUndefined()
   })
 
+  // Guards against a group without a configured size that shrank while a host restarted, and lost its quorum with the next host.
+  it('keeps a silent voter of a group whose size is not configured', () => {
+    const group = new SimulatedGroup('a', 'b')
+    group.silence('b')
+    group.run(SURPLUS_VOTER_SILENCE_MS * 3)
+    expect(group.surplus(undefined)).toBeUndefined()
+    expect(group.leader.membership.voters.map(voter => voter.id)).toContain('b')
+  })
+
   it('returns the silent voter once there is one voter more than needed', () => {
     const group = new SimulatedGroup('a', 'b', 'c', 'd', 'successor')
     group.silence('b')
--- a/apps/control/src/lib/raft/surplusReplicas.ts
+++ b/apps/control/src/lib/raft/surplusReplicas.ts
@@ -18,18 +18,19 @@
  * Finds the replica to remove next. A silent voter is removed only once the group
  * has more voters than it needs, that is, after a replacement has joined. Without
  * a replacement the voter stays, because its removal would not make the group
- * tolerate more failures.
+ * tolerate more failures. If the size of the group is not configured, a replacement
+ * can't be told from growth, so voters are left to their replacements and to operators.
  *
  * @param core - replica of the leader
- * @param targetVoters - number of voters that the group needs
+ * @param targetVoters - number of voters that the group needs, or undefined if it is not configured
  * @param now - monotonic milliseconds
  * @returns the replica to remove next, or undefined
  */
-export function findSurplusReplica (core: RaftCore, targetVoters: number, now: number): Replica | undefined {
+export function findSurplusReplica (core: RaftCore, targetVoters: number | undefined, now: number): Replica | undefined {
   if (core.role !== 'leader' || core.isMembershipPending) return undefined
   const { voters, learners } = core.membership
   const silence = (replica: Replica): number => core.silenceMs(replica.id, now)
-  if (voters.length > targetVoters) {
+  if (targetVoters !== undefined && voters.length > targetVoters) {
     const mostSilent = [...voters].sort((left, right) => silence(right) - silence(left))[0]
     if (mostSilent !== undefined && silence(mostSilent) > SURPLUS_VOTER_SILENCE_MS) return mostSilent
   }
@@ -41,11 +42,11 @@
  *
  * @param core - replica of the leader
  * @param id - id of the replica that {@link findSurplusReplica} returned
- * @param targetVoters - number of voters that the group needs
+ * @param targetVoters - number of voters that the group needs, or undefined if it is not configured
  * @param now - monotonic milliseconds
  * @returns the effects of the removal, or the error `change-in-progress` if the replica is no longer the one to remove
  */
-export function removeIfStillSurplus (core: RaftCore, id: string, targetVoters: number, now: number): Result<RaftEffects, RaftError> {
+export function removeIfStillSurplus (core: RaftCore, id: string, targetVoters: number | undefined, now: number): Result<RaftEffects, RaftError> {
   if (findSurplusReplica(core, targetVoters, now)?.id !== id) return fail({ kind: 'change-in-progress' })
   return core.remove(id, now)
 }
