--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -4,11 +4,15 @@
 import { booleanSetting } from '@eelgrassmux/daemon/settings'
 import { routedSettingsShape, startRoutedDaemon } from '@eelgrassmux/entry/RoutedDaemon'
 import { bindOutgoingConnections } from './lib/bindOutgoingConnections.js'
+import { leaveOutgoingConnectionsOpen } from './lib/leaveOutgoingConnectionsOpen.js'
+import { refuseCrowds } from './lib/refuseCrowds.js'
 import { SoakCodec } from './lib/SoakCodec.js'
 
 const settingsSchema = z.object({
   ...routedSettingsShape,
   alone: booleanSetting.default(false).describe('reaches no other entry host: a break that the checks must detect'),
+  frail: booleanSetting.default(false).describe('refuses all requests beyond a few: a break that the checks must detect'),
+  leavesOpen: booleanSetting.default(false).describe('never closes its connections to endpoints: a break that the checks must detect'),
   deaf: booleanSetting.default(false).describe('ignores what endpoints ask of it in their answers: a break that the checks must detect')
 })
 
@@ -18,6 +22,8 @@
   settings: settingsSchema,
   start: async (settings, telemetry) => {
     bindOutgoingConnections(settings.host, !settings.alone)
+    if (settings.frail) refuseCrowds()
+    if (settings.leavesOpen) leaveOutgoingConnectionsOpen()
     return await startRoutedDaemon(settings, telemetry, {
       codec: new SoakCodec(settings.deaf),
       // The admin port serves readiness, so no further servers are needed.
--- a/apps/soak/src/lib/Balancer.ts
+++ b/apps/soak/src/lib/Balancer.ts
@@ -12,10 +12,14 @@
 /** Number of consecutive failed probes after which a host is taken out of rotation. */
 const UNREADY_THRESHOLD = 2
 
+/** Share of the new connections that go to one host while there is a crowd at it. */
+const CROWDED_SHARE = 0.8
+
 /** Probes the readiness of all hosts until closed. */
 export class Balancer {
   readonly #failures = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
+  #crowded: ProcessSlot | undefined
 
   /** @param slots - entry hosts */
   constructor (private readonly slots: readonly ProcessSlot[]) {}
@@ -30,6 +34,15 @@
     clearInterval(this.#timer)
   }
 
+  /**
+   * Hands most new connections to one host, until that is over or the host is out of rotation.
+   *
+   * @param slot - the host; undefined to hand connections to all again
+   */
+  crowd (slot: ProcessSlot | undefined): void {
+    this.#crowded = slot
+  }
+
   /** Whether all hosts are in rotation. */
   get areAllReady (): boolean {
     return this.slots.every(({ current }) => current !== undefined && this.#isReady(current))
@@ -37,13 +50,18 @@
 
   /**
    * @param random - chooses among the candidates
+   * @param avoided - labels of hosts that have just closed a connection of the caller; they are chosen only if there is no other
    * @returns a host in rotation, or any running host if fewer than half of all hosts are in rotation, because so few could not carry the whole load
    */
-  choose (random: SeededRandom): Incarnation | undefined {
+  choose (random: SeededRandom, avoided: readonly string[] = []): Incarnation | undefined {
     const running = this.slots.flatMap(({ current }) => current ?? [])
     const ready = running.filter(incarnation => this.#isReady(incarnation))
     const candidates = ready.length * 2 < this.slots.length ? running : ready
-    return candidates.length === 0 ? undefined : random.pick(candidates)
+    const others = candidates.filter(({ label }) => !avoided.includes(label))
+    const usable = others.length === 0 ? candidates : others
+    const crowded = usable.find(incarnation => incarnation === this.#crowded?.current)
+    if (crowded !== undefined && random.between(0, 1) < CROWDED_SHARE) return crowded
+    return usable.length === 0 ? undefined : random.pick(usable)
   }
 
   #isReady ({ label }: Incarnation): boolean {
--- a/apps/soak/src/lib/ConditionState.ts
+++ b/apps/soak/src/lib/ConditionState.ts
@@ -1,5 +1,5 @@
 /** The conditions under which an endpoint stand-in works at present. */
-import type { Condition } from './standinProtocol.js'
+import type { Condition, EndlessPart } from './standinProtocol.js'
 
 /** Pace of a machine that is not slow, in hundredths of the usual time. */
 const USUAL_PACE = 100
@@ -48,6 +48,15 @@
     return condition?.kind === 'brittle' ? condition.bears : undefined
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns the part of all answers that has no end; undefined if they end
+   */
+  endlessPart (now: number): EndlessPart | undefined {
+    const condition = this.#activeAt('endless', now)
+    return condition?.kind === 'endless' ? condition.part : undefined
+  }
+
   #activeAt (kind: Condition['kind'], now: number): Condition | undefined {
     const order = this.#orders.get(kind)
     return order !== undefined && now >= order.since && now < order.until ? order.condition : undefined
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -3,7 +3,8 @@
 import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { ConditionState } from './ConditionState.js'
-import { CRASHED_BY_REQUEST_EXIT_CODE, FELL_OVER_EXIT_CODE, REQUESTED_PAUSE_MS, REQUESTED_RATE_PER_SECOND, conditionSchema, orderSchema, restraintSchema, workSchema, type EndpointLine, type RestraintKind, type StreamEvent, type Work } from './standinProtocol.js'
+import { sendWithoutEnd } from './sendWithoutEnd.js'
+import { CRASHED_BY_REQUEST_EXIT_CODE, FELL_OVER_EXIT_CODE, REQUESTED_PAUSE_MS, REQUESTED_RATE_PER_SECOND, conditionSchema, orderSchema, restraintSchema, workSchema, type EndlessPart, type EndpointLine, type RestraintKind, type StreamEvent, type Work } from './standinProtocol.js'
 import { RestraintState } from './RestraintState.js'
 import { HEADER } from './soakHeaders.js'
 import { WeightsState } from './WeightsState.js'
@@ -17,6 +18,7 @@
   readonly software: string
 }
 
+const OK = 200
 const UNAVAILABLE = 503
 const MISDIRECTED = 421
 
@@ -139,6 +141,12 @@
     if (pace !== USUAL_PACE) response.setHeader(HEADER.load, `${this.#runs},0,${SLOTS},${pace}`)
     if (asks === 'leaving') response.setHeader(HEADER.leaving, '1')
     const work = workSchema.parse(JSON.parse(headerOf(request, HEADER.work)))
+    const endlessPart = this.#conditions.endlessPart(now)
+    if (endlessPart !== undefined) {
+      if (endlessPart !== 'rejection') this.#printRun(request, work, asks)
+      await this.#answerWithoutEnd(request, response, work, endlessPart)
+      return
+    }
     this.#runs += 1
     try {
       this.#printRun(request, work, asks)
@@ -151,6 +159,17 @@
     }
   }
 
+  /** Sends an answer until its connection is closed. */
+  async #answerWithoutEnd (request: IncomingMessage, response: ServerResponse, { kind }: Work, part: EndlessPart): Promise<void> {
+    const requestId = headerOf(request, HEADER.requestId)
+    const fields = part === 'rejection'
+      ? { [HEADER.answeredBy]: this.identity.id, [HEADER.notRun]: '1' }
+      : { [HEADER.answeredBy]: this.identity.id, [HEADER.requestId]: requestId, [HEADER.version]: String(this.#weights.loadedVersion), ...(kind === 'stream' ? { 'content-type': 'text/event-stream' } : {}) }
+    this.print({ event: 'endless-begun', requestId, endpoint: this.identity.id, part, at: Date.now() })
+    const bytes = await sendWithoutEnd(response, part, part === 'rejection' ? UNAVAILABLE : OK, fields)
+    this.print({ event: 'endless-closed', requestId, endpoint: this.identity.id, bytes, at: Date.now() })
+  }
+
   /** States with each answer how many rejections are tolerated, and how many requests may run at once. */
   #stateBrittleness (response: ServerResponse, now: number): void {
     const bears = this.#conditions.bears(now)
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -1,10 +1,12 @@
 /** Injects the planned faults at their times, so that they may overlap, and records them on the timeline. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
+import type { Balancer } from './Balancer.js'
 import type { PlannedFault, SlotRole } from './faultPlan.js'
 import type { ExtraCallers } from './ExtraCallers.js'
 import type { Operator } from './Operator.js'
-import { planBurst, planSlowReaders } from './planRepeatedRequests.js'
+import { planBurst, planCrowd, planSlowReaders } from './planRepeatedRequests.js'
+import type { CrowdedHostServesCheck } from './checks/CrowdedHostServesCheck.js'
 import type { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import type { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
 import type { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
@@ -41,24 +43,32 @@
   readonly customers: CustomersAreServedCheck
   readonly cutOffHosts: CutOffHostsServeCheck
   readonly brittleEndpoints: BrittleEndpointsStandCheck
+  readonly crowds: CrowdedHostServesCheck
+}
+
+/** What callers send, and to which hosts. */
+export interface CallerLoad {
+  readonly extraCallers: ExtraCallers
+  readonly balancer: Balancer
 }
 
 /** Injects all faults of a plan. */
 export class FaultInjector {
   readonly #pending: Array<Promise<void>> = []
   readonly #evacuated = new Set<string>()
+  #isHostCrowded = false
 
   /**
    * @param cluster - processes and links to disturb
    * @param operator - changes sites and weights
    * @param timeline - records the faults
    * @param checks - notified of acknowledged evacuations, of bursts, of cuts and of brittle endpoints
-   * @param extraCallers - starts callers of bursts
+   * @param load - starts further callers, and crowds one host
    * @param options - options of planned stops
    */
   constructor (
     private readonly cluster: SoakCluster, private readonly operator: Operator, private readonly timeline: Timeline,
-    private readonly checks: InformedChecks, private readonly extraCallers: ExtraCallers, private readonly options: StopOptions
+    private readonly checks: InformedChecks, private readonly load: CallerLoad, private readonly options: StopOptions
   ) {}
 
   /**
@@ -86,6 +96,8 @@
       case 'burst': return await this.#burst(fault)
       case 'slow-readers': return await this.#slowReaders(fault.callers, fault.durationMs)
       case 'slow-machine': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'slow', pace: fault.pace, durationMs: fault.durationMs })
+      case 'crowd': return await this.#crowdHost(fault)
+      case 'endless-answers': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'endless', part: fault.part, durationMs: fault.durationMs })
       case 'full-service': return await this.#fillService(fault.durationMs)
       case 'brittle-service': return await this.#makeBrittle(fault.durationMs)
       case 'host-cut': return await this.#cutHosts(fault)
@@ -169,12 +181,26 @@
   async #burst ({ customer, callers, durationMs }: Extract<PlannedFault, { kind: 'burst' }>): Promise<void> {
     this.timeline.record(customer, `sends a burst on ${callers} connections`, false, durationMs)
     this.checks.customers.recordBurst(customer, durationMs)
-    await this.extraCallers.run(planBurst(this.extraCallers.nextName('burst'), customer, callers), durationMs)
+    await this.load.extraCallers.run(planBurst(this.load.extraCallers.nextName('burst'), customer, callers), durationMs)
+  }
+
+  /** Crowds one host at a time. */
+  async #crowdHost ({ slot, callers, durationMs }: Extract<PlannedFault, { kind: 'crowd' }>): Promise<void> {
+    if (this.#isHostCrowded) return
+    this.#isHostCrowded = true
+    const host = this.#slot('entry', slot)
+    const { extraCallers, balancer } = this.load
+    this.timeline.record(host.name, `most new connections go there, ${callers} callers more`, false, durationMs)
+    this.checks.crowds.recordCrowd(host.name, durationMs)
+    balancer.crowd(host)
+    await extraCallers.run(planCrowd(extraCallers.nextName('crowd'), callers), durationMs)
+    balancer.crowd(undefined)
+    this.#isHostCrowded = false
   }
 
   async #slowReaders (callers: number, durationMs: number): Promise<void> {
     this.timeline.record(SLOW_READERS_CUSTOMER, `reads slowly on ${callers} connections`, false, durationMs)
-    await this.extraCallers.run(planSlowReaders(this.extraCallers.nextName('slow'), SLOW_READERS_CUSTOMER, callers), durationMs)
+    await this.load.extraCallers.run(planSlowReaders(this.load.extraCallers.nextName('slow'), SLOW_READERS_CUSTOMER, callers), durationMs)
   }
 
   async #fillService (durationMs: number): Promise<void> {
@@ -190,7 +216,8 @@
 
   async #setCondition ({ current }: ProcessSlot, condition: Condition): Promise<void> {
     if (current === undefined || !await sendOrder(current, '/condition', condition)) return
-    this.timeline.record(current.label, condition.kind === 'slow' ? `works at pace ${condition.pace}` : `has ${condition.places} places${condition.kind === 'brittle' ? `, bears ${condition.bears} rejections` : ''}`, false, condition.durationMs)
+    // Answers without end are cut off.
+    this.timeline.record(current.label, describeCondition(condition), condition.kind === 'endless', condition.durationMs)
     await sleep(condition.durationMs)
   }
 
@@ -225,6 +252,15 @@
   }
 }
 
+function describeCondition (condition: Condition): string {
+  switch (condition.kind) {
+    case 'slow': return `works at pace ${condition.pace}`
+    case 'full': return `has ${condition.places} places`
+    case 'brittle': return `has ${condition.places} places, bears ${condition.bears} rejections`
+    case 'endless': return `sends answers whose ${condition.part} has no end`
+  }
+}
+
 function isCurrent ({ current }: ProcessSlot, incarnation: Incarnation): boolean {
   return current === incarnation
 }
--- a/apps/soak/src/lib/RepeatingCaller.ts
+++ b/apps/soak/src/lib/RepeatingCaller.ts
@@ -2,9 +2,10 @@
 import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { CallerContext } from './Caller.js'
-import { sendRequest } from './sendRequest.js'
+import type { Incarnation } from './ProcessSlot.js'
+import { sendRequest, type Exchange } from './sendRequest.js'
 import type { SeededRandom } from './SeededRandom.js'
-import type { SentRequest } from './observations.js'
+import { isUnread, type SentRequest } from './observations.js'
 import type { RepeatedRequest } from './planRepeatedRequests.js'
 
 /** Sends one request after another until stopped, each on a new connection. */
@@ -35,18 +36,28 @@
   }
 
   async #sendNext (): Promise<void> {
-    const host = this.context.balancer.choose(this.random)
-    if (host === undefined) return
+    const tried: string[] = []
+    while (tried.length <= (this.repeated.retries ?? 0)) {
+      const host = this.context.balancer.choose(this.random, tried)
+      if (host === undefined) return
+      tried.push(host.label)
+      const { end } = await this.#sendTo(host, tried.length > 1)
+      if (!isUnread(end)) return
+    }
+  }
+
+  async #sendTo (host: Incarnation, isRetry: boolean): Promise<Exchange> {
     this.#count += 1
     const { name, kind, customer, work, readPauseMs, part } = this.repeated
     const id = `${name}-${this.#count}`
     const request: SentRequest = {
-      id, kind, customer, work, body: `body of ${part === undefined ? name : id}`, host: host.label, sentAt: Date.now(), siteVersion: 0, ...(part === undefined ? {} : { part })
+      id, kind, customer, work, body: `body of ${part === undefined ? name : id}`, host: host.label, sentAt: Date.now(), siteVersion: 0, ...(part === undefined ? {} : { part }), ...(isRetry ? { retries: `${name}-${this.#count - 1}` } : {})
     }
     this.context.history.recordRequest(request)
     const agent = new Agent()
-    const { end } = await sendRequest(request, host.addresses['http'] ?? '', agent, readPauseMs)
+    const exchange = await sendRequest(request, host.addresses['http'] ?? '', agent, readPauseMs)
     agent.destroy()
-    this.context.history.recordOutcome({ request, end, endedAt: Date.now() })
+    this.context.history.recordOutcome({ request, end: exchange.end, endedAt: Date.now() })
+    return exchange
   }
 }
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -3,7 +3,7 @@
 import { crc32 } from 'node:zlib'
 import type { LoadFeature } from '@eelgrassmux/routing/features/LoadFeatures'
 import { EndpointListServer } from './EndpointListServer.js'
-import { endpointLineSchema, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
+import { endpointLineSchema, type EndlessLine, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
 import type { SlotRole, SoakShape } from './faultPlan.js'
 import { LoopbackProxy, type HostCut } from './LoopbackProxy.js'
 import { ProcessSlot, type Incarnation, type SlotPlan } from './ProcessSlot.js'
@@ -33,6 +33,10 @@
   readonly hasColdReturns: boolean
   /** Entry hosts ignore what endpoints ask of them: a break that the checks must detect. */
   readonly isDeaf: boolean
+  /** Entry hosts refuse all requests beyond a few: a break that the checks must detect. */
+  readonly areHostsFrail: boolean
+  /** Entry hosts never close their connections to endpoints: a break that the checks must detect. */
+  readonly areConnectionsLeftOpen: boolean
   /** Entry hosts do not reach each other: a break that the checks must detect. */
   readonly areHostsAlone: boolean
   /** Features for hard load that entry hosts use. */
@@ -43,6 +47,8 @@
   onRejection (rejection: RejectionLine): void
   /** Called for each rejection by an endpoint that asks for nothing. */
   onTurnedAway (line: TurnedAwayLine): void
+  /** Called for each answer without end, when it begins and when its connection is closed. */
+  onEndless (line: EndlessLine): void
   /** Called for each run on an endpoint. */
   onRun (run: RunLine): void
   /** Called for each process that has started. */
@@ -184,7 +190,7 @@
       name: `entry-${index}`,
       ...this.#commonPlan('entry'),
       // Each entry host has its own loopback address, which identifies it although its port is assigned by the system.
-      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), ...this.#loadArguments()],
+      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--leaves-open', String(this.settings.areConnectionsLeftOpen), ...this.#loadArguments()],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
@@ -222,6 +228,7 @@
     if (line.data.event === 'run') this.settings.onRun(line.data)
     else if (line.data.event === 'rejected') this.settings.onRejection(line.data)
     else if (line.data.event === 'turned-away') this.settings.onTurnedAway(line.data)
+    else if (line.data.event !== 'weights') this.settings.onEndless(line.data)
     else this.endpointList.setWeights(line.data.endpoint, MODEL, line.data.version)
   }
 }
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,6 +1,6 @@
 /** Plans which faults are injected and when, determined by a seed alone. */
 import { SeededRandom } from './SeededRandom.js'
-import { RESTRAINT_KINDS, type RestraintKind } from './standinProtocol.js'
+import { ENDLESS_PARTS, RESTRAINT_KINDS, type EndlessPart, type RestraintKind } from './standinProtocol.js'
 import { CUSTOMERS, DATA_CENTRES, dataCentreOf } from './soakSite.js'
 import { HOST_CUTS, LINK_FAULTS, type HostCut, type LinkFault } from './LoopbackProxy.js'
 
@@ -34,6 +34,10 @@
   | { readonly kind: 'full-service', readonly durationMs: number }
   /** All plain endpoints run few requests at once, and fail if they have to reject many. */
   | { readonly kind: 'brittle-service', readonly durationMs: number }
+  /** The balancer hands most new connections to one entry host, while callers open more of them. */
+  | { readonly kind: 'crowd', readonly slot: number, readonly callers: number, readonly durationMs: number }
+  /** The answers of an endpoint have no end. */
+  | { readonly kind: 'endless-answers', readonly slot: number, readonly part: EndlessPart, readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
   | { readonly kind: 'new-site' | 'new-weights' }
@@ -75,6 +79,12 @@
 const MIN_BURST_CALLERS = 6
 const MAX_BURST_CALLERS = 12
 
+/** Number of connections of a crowd, each for one request; all other callers have 32 by default. */
+const CROWD_CALLERS = 48
+
+/** Time before the first crowd, in milliseconds: what is served meanwhile is what the crowd is compared with. */
+const BEFORE_CROWD_MS = 4000
+
 /** Bounds of the number of slow readers. */
 const MIN_SLOW_READERS = 2
 const MAX_SLOW_READERS = 6
@@ -95,8 +105,8 @@
 /** Kinds of load that hosts have to bear. */
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
-/** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, restraints that endpoints ask for, evacuations of data centres, and endpoints that come back cold. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service']
+/** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd']
 
 /**
  * @param seed - determines all faults
@@ -168,6 +178,8 @@
     case 'slow-machine': return { atMs, kind, slot: random.index(slotCount('endpoint', shape)), pace: Math.round(random.between(MIN_PACE, MAX_PACE)), durationMs }
     case 'full-service': return { atMs, kind, durationMs }
     case 'brittle-service': return { atMs, kind, durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
+    case 'crowd': return { atMs: Math.max(atMs, BEFORE_CROWD_MS), kind, slot: random.index(slotCount('entry', shape)), callers: CROWD_CALLERS, durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
+    case 'endless-answers': return { atMs, kind, slot: random.index(slotCount('endpoint', shape)), part: random.pick(ENDLESS_PARTS), durationMs }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'new-site':
     case 'new-weights': return { atMs, kind }
--- a/apps/soak/src/lib/observations.ts
+++ b/apps/soak/src/lib/observations.ts
@@ -22,6 +22,8 @@
   readonly siteVersion: number
   /** The stream that the request takes up after its connection broke; absent for other requests. */
   readonly takenUp?: TakenUpStream
+  /** Id of the request of which this is a retry, because a host has closed its connection unread; absent for first attempts. */
+  readonly retries?: string
   /** Shared part of the prompt; absent for requests whose prompt is their own. */
   readonly part?: string
 }
@@ -40,6 +42,14 @@
   /** The connection ended before the answer was complete. */
   | { readonly kind: 'cut', readonly hasHead: boolean, readonly reason: string, readonly events: readonly StreamEvent[] }
 
+/**
+ * @param end - how a request ended
+ * @returns whether the connection ended before any part of an answer came, as it does if a host closes it unread
+ */
+export function isUnread (end: RequestEnd): boolean {
+  return end.kind === 'cut' && !end.hasHead
+}
+
 /** A request and how it ended for its caller. */
 export interface Outcome {
   readonly request: SentRequest
--- a/apps/soak/src/lib/planRepeatedRequests.ts
+++ b/apps/soak/src/lib/planRepeatedRequests.ts
@@ -14,6 +14,8 @@
   readonly pauseMs: number
   /** Pause after each part of the answer that is read, in milliseconds; read as it comes if absent. */
   readonly readPauseMs?: number
+  /** How often the request is sent to another host if a host closes its connection unread; not at all if absent. */
+  readonly retries?: number
   /** Shared part of the prompt; the body then differs each time. */
   readonly part?: string
 }
@@ -85,6 +87,24 @@
   }))
 }
 
+/** Work of a request of a crowd, in milliseconds, and the pause before the next one. */
+const CROWD_WORK_MS = 150
+const CROWD_PAUSE_MS = 100
+
+/** Hosts that a request of a crowd is sent to after one that has closed its connection unread. */
+const CROWD_RETRIES = 2
+
+/**
+ * @param name - prefix of the names of the requests, unique in the run
+ * @param callers - number of connections at the same time
+ * @returns one short request for each connection, each time on a new one
+ */
+export function planCrowd (name: string, callers: number): RepeatedRequest[] {
+  return Array.from({ length: callers }, (_, index) => ({
+    name: `${name}-${index}`, kind: 'safe', customer: CUSTOMERS[index % CUSTOMERS.length]?.name ?? '', work: { kind: 'plain', milliseconds: CROWD_WORK_MS }, pauseMs: CROWD_PAUSE_MS, retries: CROWD_RETRIES
+  }))
+}
+
 /** A large answer, and the pause between two reads of 64 KB at most: reading takes some seconds, and more than what sockets hold is unread meanwhile. */
 const SLOWLY_READ: Work = { kind: 'stream', events: 30, intervalMs: 20, paddingBytes: 200_000 }
 const READ_PAUSE_MS = 40
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -8,8 +8,10 @@
 import { Caller } from './Caller.js'
 import { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
+import { CrowdedHostServesCheck } from './checks/CrowdedHostServesCheck.js'
 import { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
+import { EndlessAnswersAreClosedCheck } from './checks/EndlessAnswersAreClosedCheck.js'
 import { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import { requestChecks } from './checks/requestChecks.js'
 import { SeededRandom } from './SeededRandom.js'
@@ -26,7 +28,7 @@
 import { Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** Parameters of a run. */
@@ -92,6 +94,8 @@
   readonly #customers = new CustomersAreServedCheck()
   readonly #cutOffHosts = new CutOffHostsServeCheck()
   readonly #brittleEndpoints = new BrittleEndpointsStandCheck()
+  readonly #crowds = new CrowdedHostServesCheck(this.#timeline)
+  readonly #endlessAnswers = new EndlessAnswersAreClosedCheck(this.#timeline, id => this.#history.request(id)?.work.kind === 'plain')
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
   readonly #cluster: SoakCluster
@@ -103,7 +107,7 @@
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
     const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
-    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints])
+    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds])
     this.#configuration = new ConfigurationCheck(this.#history)
     this.#cluster = new SoakCluster({
       shape,
@@ -111,10 +115,13 @@
       graceMs,
       isForgetful: breaks.includes('forgetful-control'),
       isDeaf: breaks.includes('deaf-hosts'),
+      areHostsFrail: breaks.includes('frail-hosts'),
+      areConnectionsLeftOpen: breaks.includes('connections-left-open'),
       areHostsAlone: breaks.includes('hosts-alone'),
       hasColdReturns,
       loadFeatures: plan.loadFeatures ?? [],
       hasUnlimitedRetries: breaks.includes('unlimited-retries'),
+      onEndless: line => { this.#endlessAnswers.record(line) },
       onTurnedAway: line => { this.#history.recordTurnedAway(line) },
       onRejection: line => { this.#history.recordRejection(line) },
       onRun: line => { this.#history.recordRun(line) },
@@ -173,7 +180,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readRepeatedly()
-    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints }, this.#extraCallers, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await injector.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeline.record('soak', 'the last fault has ended', false)
--- a/apps/soak/src/lib/standinProtocol.ts
+++ b/apps/soak/src/lib/standinProtocol.ts
@@ -35,12 +35,17 @@
 /** Rate that a stand-in asks for, in requests per second from all hosts together. */
 export const REQUESTED_RATE_PER_SECOND = 3
 
-/** Order to a stand-in: its machine is slow, or it runs few requests at once, for some time. */
+/** Part of an answer that never ends: its head, its body, or the body of a rejection. */
+export const ENDLESS_PARTS = ['head', 'body', 'rejection'] as const
+export type EndlessPart = typeof ENDLESS_PARTS[number]
+
+/** Order to a stand-in: its machine is slow, it runs few requests at once, or its answers have no end, for some time. */
 export const conditionSchema = z.discriminatedUnion('kind', [
   /** `pace` is the time that work takes, in hundredths of the usual time. */
   z.strictObject({ kind: z.literal('slow'), pace: z.number().min(1), durationMs: z.number().min(0) }),
   /** Like `full`, and the stand-in fails if it has to reject more than `bears` requests in a second. */
   z.strictObject({ kind: z.literal('brittle'), places: z.number().int().min(0), bears: z.number().int().min(0), durationMs: z.number().min(0) }),
+  z.strictObject({ kind: z.literal('endless'), part: z.enum(ENDLESS_PARTS), durationMs: z.number().min(0) }),
   z.strictObject({ kind: z.literal('full'), places: z.number().int().min(0), durationMs: z.number().min(0) })
 ])
 export type Condition = z.infer<typeof conditionSchema>
@@ -60,7 +65,7 @@
 /** Body of a plain answer. */
 export const plainAnswerSchema = z.strictObject({ requestId: z.string(), echo: z.string(), customer: z.string() })
 
-/** A line that a stand-in prints: a run has started, a request was rejected with a request for a pause or without one, or other weights were loaded. */
+/** A line that a stand-in prints: a run has started, a request was rejected with a request for a pause or without one, an answer without end has begun or its connection was closed, or other weights were loaded. */
 export const endpointLineSchema = z.discriminatedUnion('event', [
   z.strictObject({
     event: z.literal('run'),
@@ -80,10 +85,14 @@
   }),
   z.strictObject({ event: z.literal('rejected'), requestId: z.string(), endpoint: z.string(), at: z.number() }),
   z.strictObject({ event: z.literal('turned-away'), requestId: z.string(), endpoint: z.string(), at: z.number() }),
+  z.strictObject({ event: z.literal('endless-begun'), requestId: z.string(), endpoint: z.string(), part: z.enum(ENDLESS_PARTS), at: z.number() }),
+  z.strictObject({ event: z.literal('endless-closed'), requestId: z.string(), endpoint: z.string(), bytes: z.number(), at: z.number() }),
   z.strictObject({ event: z.literal('weights'), endpoint: z.string(), version: z.number().int() })
 ])
 export type EndpointLine = z.infer<typeof endpointLineSchema>
 export type RunLine = Extract<EndpointLine, { event: 'run' }>
+/** An answer without end has begun, or the connection on which it came was closed. */
+export type EndlessLine = Extract<EndpointLine, { event: 'endless-begun' | 'endless-closed' }>
 export type TurnedAwayLine = Extract<EndpointLine, { event: 'turned-away' }>
 /** Any line about a request that has arrived at an endpoint. */
 export type ArrivalLine = RunLine | RejectionLine | TurnedAwayLine
