Relays: requests that need a new connection while only new connections are lost

Cause: a cut is only noticed while no byte of the service comes. Bytes on old connections hide it, and a request that is lost on a new connection may have run, so it is not relayed afterwards.

Change: the same evidence is kept for new connections alone. Once it shows that this host's new connections are lost while the endpoints are heard, a request whose endpoint has no idle connection is relayed before anything is sent. Requests before that moment are still lost as before.

Test: streams hold the old connections, new ones are reset once something is sent.

--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -1,4 +1,5 @@
 /** Decides whether one request goes to another host instead of an endpoint, and follows it there. */
+import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { AttemptRecord } from '../routed/AttemptRecord.js'
 import type { CallerExchange } from '../routed/CallerExchange.js'
@@ -6,7 +7,7 @@
 import { RelayedRequest } from './RelayedRequest.js'
 
 /** Why a request is relayed. */
-export type RelayReason = 'out-of-reach' | 'endpoint-unreachable'
+export type RelayReason = 'out-of-reach' | 'endpoint-unreachable' | 'new-connections-fail'
 
 /** Callbacks to the task of the request. `refuse`, `lost` or `complete` is the last call. */
 export interface RequestRelayPorts {
@@ -64,6 +65,16 @@
     return true
   }
 
+  /**
+   * @param endpoint - endpoint that was chosen
+   * @returns whether the request needs a new connection to it and new connections fail, so that it has been relayed or refused
+   */
+  takeIfNewConnectionsFail (endpoint: EndpointState): boolean {
+    const { fleet } = this.ports
+    if (fleet.links.admitsNewConnection(this.request.service.name) || fleet.connectionsTo(endpoint).hasIdle) return false
+    return this.#tryTake('new-connections-fail') || this.returnIfUnreachable()
+  }
+
   /** @returns whether the request, for which this host can't connect to an endpoint, has been relayed */
   takeIfUnreachable (): boolean {
     return this.#tryTake('endpoint-unreachable')
--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -15,6 +15,8 @@
 
 interface ServiceLink {
   readonly reachability: ServiceReachability
+  /** Whether new connections reach the service; those that are open may go on working while new ones fail. */
+  readonly newConnections: ServiceReachability
   checkedAt: number
 }
 
@@ -51,10 +53,18 @@
     const now = performance.now()
     const link = this.#linkTo(service)
     if (!isLagging && now - link.checkedAt >= CHECK_INTERVAL_MS) this.#check(service, link, now)
-    if (link.reachability.takeDueProbe(now)) this.#probe(service, healthPath)
+    if (link.reachability.takeDueProbe(now) || link.newConnections.takeDueProbe(now)) this.#probe(service, healthPath)
     return link.reachability.admitsDirect(now, Math.random())
   }
 
+  /**
+   * @param service - service name
+   * @returns whether a request that needs a new connection goes to the endpoints; otherwise to another host
+   */
+  admitsNewConnection (service: string): boolean {
+    return this.#links.get(service)?.newConnections.admitsDirect(performance.now(), Math.random()) !== false
+  }
+
   /**
    * @param service - service name
    * @returns whether any host has heard from its endpoints lately, as far as is known
@@ -74,10 +84,19 @@
     this.telemetry.logStateChange('service-in-reach', { service, cutForMs: Math.round(cutForMs) })
   }
 
+  /** @param endpoint - endpoint that has just sent the first head over a connection */
+  observeNewConnection (endpoint: EndpointState): void {
+    const now = performance.now()
+    endpoint.newConnections.observeBytes(now)
+    const { service } = endpoint.listed
+    const failedForMs = this.#links.get(service)?.newConnections.observeBytes(now)
+    if (failedForMs !== undefined) this.telemetry.logStateChange('new-connections-work', { service, failedForMs: Math.round(failedForMs) })
+  }
+
   #linkTo (service: string): ServiceLink {
     const present = this.#links.get(service)
     if (present !== undefined) return present
-    const fresh = { reachability: new ServiceReachability(), checkedAt: Number.NEGATIVE_INFINITY }
+    const fresh = { reachability: new ServiceReachability(), newConnections: new ServiceReachability(), checkedAt: Number.NEGATIVE_INFINITY }
     this.#links.set(service, fresh)
     return fresh
   }
@@ -86,6 +105,7 @@
     link.checkedAt = now
     const { otherHostsLoad } = this.fleet
     if (link.reachability.isCutOff || !otherHostsLoad.isRecent(now)) return
+    this.#checkNewConnections(service, link, now)
     const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
     const evidence = link.reachability.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.lastByteAgoMs(now),
@@ -101,24 +121,43 @@
     this.telemetry.logStateChange('service-out-of-reach', { service, endpoints: endpoints.length, ...evidence, heardAgoMs: Math.round(evidence.heardAgoMs) })
   }
 
-  /** Asks a random endpoint for its health; any answer shows that the links are back. */
+  /** Finds a service whose endpoints answer over old connections and lose the new ones of this host only. */
+  #checkNewConnections (service: string, { newConnections }: ServiceLink, now: number): void {
+    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const evidence = newConnections.check(endpoints.map(endpoint => ({
+      heardAgoMs: endpoint.newConnections.heardAgoMs(now),
+      failedAgoMs: endpoint.newConnections.failedAgoMs(now),
+      failingForMs: endpoint.newConnections.failingForMs(now),
+      unansweredMs: 0,
+      heardByAnyAgoMs: Math.min(endpoint.lastByteAgoMs(now), this.fleet.otherHostsLoad.heardAgoMs(endpoint.incarnation, now))
+    })), now)
+    if (evidence === undefined) return
+    const { lostEndpoints, heardByOthers } = evidence
+    this.telemetry.logStateChange('new-connections-fail', { service, endpoints: endpoints.length, lostEndpoints, heardByOthers })
+  }
+
+  /** Asks a random endpoint for its health over a new connection; any answer shows that the links are back. */
   #probe (service: string, healthPath: string): void {
     const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
     const endpoint = endpoints[Math.floor(Math.random() * endpoints.length)]
     if (endpoint === undefined) return
     const connections = this.fleet.connectionsTo(endpoint)
-    const connection = connections.acquire(this.fleet.connectionLimit(0))
-    if (connection === undefined) return
+    if (connections.count >= this.fleet.connectionLimit(0)) return
+    const connection = connections.open()
     const timer = setTimeout(() => { connection.close() }, PROBE_TIMEOUT_MS)
     connection.send({ method: 'GET', target: healthPath, headers: ['host', endpoint.listed.address], body: undefined }, {
       sending: () => {},
-      head: () => { this.fleet.observeBytes(endpoint) },
+      head: () => {
+        this.fleet.observeBytes(endpoint)
+        this.observeNewConnection(endpoint)
+      },
       data: () => true,
       complete: () => {
         clearTimeout(timer)
         connections.release(connection)
       },
       failed: () => {
+        endpoint.newConnections.observeFailure(performance.now())
         clearTimeout(timer)
         connection.close()
       }
--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -26,6 +26,18 @@
   response.end(streamEvent(1) + streamEvent(2))
 }
 
+/** Sends an event every 50 ms until it is told to end. */
+function streamUntil (signal: AbortSignal, request: Parameters<Behaviour>[0], response: Parameters<Behaviour>[1]): void {
+  response.writeHead(200, { 'content-type': 'text/event-stream', [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
+  let number = 0
+  const timer = setInterval(() => {
+    number += 1
+    response.write(streamEvent(number))
+  }, 50)
+  response.on('close', () => { clearInterval(timer) })
+  signal.addEventListener('abort', () => { response.end() })
+}
+
 const ROUTES = ['/safe/1', '/unsafe/1', '/stream/1', '/resumable/1']
 
 describe('a host that is cut off from all endpoints', () => {
@@ -64,7 +76,7 @@
     await linked.close()
   })
 
-  describe.each<CutKind>(['refuses', 'resets', 'refuses-new', 'hangs'])('by a link that %s', kind => {
+  describe.each<CutKind>(['refuses', 'resets', 'refuses-new', 'resets-new', 'hangs'])('by a link that %s', kind => {
     it.each([['one host', 1, 2], ['two hosts of three', 2, 3]])('gets its callers served three seconds after the cut (%s)', async (_text, cutOff, count) => {
       const hosts = await start(count)
       await sendFor(300, hosts)
@@ -75,6 +87,28 @@
     })
   })
 
+  // Guards against 502s at a host whose old connections go on answering while each new one is established and then reset.
+  it('gets its callers served while only its new connections are reset, and streams go on over the old ones', async () => {
+    const [host, other] = await start(2)
+    if (host === undefined || other === undefined) throw new Error('two hosts are needed')
+    await sendFor(300, [host, other])
+    const streaming = new AbortController()
+    for (const endpoint of endpoints) endpoint.behaviour = (request, response, body) => { request.url?.startsWith('/resumable') === true ? streamUntil(streaming.signal, request, response) : respond(request, response, body) }
+    const streams = Array.from({ length: 24 }, async () => await host.sendRequest('/resumable/1'))
+    await sleep(200)
+    await cut([host], 'resets-new')
+    const sendCalls = async (durationMs: number): Promise<CallerOutcome[]> => {
+      const calls: Array<Promise<CallerOutcome>> = []
+      for (const endsAt = performance.now() + durationMs; performance.now() < endsAt; await sleep(REQUEST_INTERVAL_MS)) calls.push(host.sendRequest('/unsafe/1'), other.sendRequest('/unsafe/1'))
+      return await Promise.all(calls)
+    }
+    await sendCalls(NOTICE_MS)
+    const outcomes = await sendCalls(500)
+    streaming.abort()
+    await Promise.all(streams)
+    expect(servedShare(outcomes), unserved(outcomes)).toBeGreaterThan(0.95)
+  }, 20_000)
+
   it('sends requests to the endpoints itself once its links are back, and serves its callers all the while', async () => {
     const [host, other] = await start(2)
     if (host === undefined || other === undefined) throw new Error('two hosts are needed')
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -61,6 +61,7 @@
   /** Bytes that had been read when the pending request was sent; undefined once its head is complete. */
   #readBeforeHead: number | undefined
   #isClosed = false
+  #responses = 0
 
   /**
    * @param address - IP address and port
@@ -82,6 +83,9 @@
     this.#client.on('connectionError', () => { this.close() })
   }
 
+  /** Number of responses of which at least the head has come. */
+  get responses (): number { return this.#responses }
+
   /** Whether another request can be sent on this connection. */
   get isUsable (): boolean { return !this.#isClosed }
 
@@ -109,6 +113,7 @@
       onHeaders: (status: number, headers: Buffer[], resume: () => void) => {
         if (status < 200) return true
         this.#readBeforeHead = undefined
+        this.#responses += 1
         handler.head(status, headers.map(header => header.toString('latin1')), resume)
         return true
       },
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -32,7 +32,11 @@
     for (let idle = this.#idle.pop(); idle !== undefined; idle = this.#idle.pop()) {
       if (idle.isUsable) return idle
     }
-    if (this.#open.size >= maximum) return undefined
+    return this.#open.size >= maximum ? undefined : this.open()
+  }
+
+  /** @returns a new connection */
+  open (): EndpointConnection {
     const connection = new EndpointConnection(this.address, closed => { this.#forget(closed) }, this.onEstablished)
     this.#open.add(connection)
     this.onOpen()
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -59,7 +59,7 @@
     private readonly requestId: string,
     private readonly connections: EndpointConnections,
     private readonly connection: EndpointConnection,
-    private readonly fleet: Pick<RoutedFleet, 'storeLinks' | 'noteWork' | 'transit' | 'observeTransitFailure' | 'observeBytes'>,
+    private readonly fleet: Pick<RoutedFleet, 'storeLinks' | 'noteWork' | 'transit' | 'observeTransitFailure' | 'observeBytes' | 'links'>,
     private readonly codec: RequestCodec,
     private readonly listener: AttemptListener
   ) {}
@@ -152,6 +152,7 @@
   #onHead (status: number, headers: string[], resume: () => void): void {
     if (this.#hasEnded) return
     this.fleet.observeBytes(this.choice.endpoint)
+    if (this.connection.responses === 1) this.fleet.links.observeNewConnection(this.choice.endpoint)
     const fields = this.codec.readResponseHeaders(status, headers)
     if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
       // This is a surplus response to an earlier request, so nothing that follows on this connection can be trusted.
@@ -197,10 +198,17 @@
     this.listener.failed(this, rejectionOf(head), `status ${head.status}, not executed`, head)
   }
 
+  #observeLostContact (): void {
+    const now = performance.now()
+    const { endpoint } = this.choice
+    endpoint.contact.observeFailure(now)
+    if (this.connection.responses === 0) endpoint.newConnections.observeFailure(now)
+  }
+
   #fail (failure: AttemptFailure, detail: string): void {
     if (this.#hasEnded) return
     if (failure === 'lost' && !this.choice.endpoint.isLeaving) this.#observeTransitFailure()
-    if (this.#head === undefined) this.choice.endpoint.contact.observeFailure(performance.now())
+    if (this.#head === undefined) this.#observeLostContact()
     this.#end()
     this.connection.close()
     // The head alone states that the request was not executed, also if the connection breaks before the body is complete.
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -183,6 +183,7 @@
     const admission = this.#placement.admit(choice)
     if (admission.kind === 'wait') return this.#queue.isEnabled ? this.#waitInQueue() : this.#waits.waitForMemory(choice)
     if (admission.kind === 'refuse') return this.#refuse('deadline-unreachable', 503, admission.detail, admission.returnAfterMs)
+    if (this.#otherHosts.takeIfNewConnectionsFail(choice.endpoint)) return
     if (!this.#queue.takeBudget()) return this.#waitInQueue()
     const attempt = this.#open(choice)
     if (attempt === undefined) return this.#sendToNextEndpoint()
@@ -236,7 +237,7 @@
     if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.ports.fleet.links.isCutOff(this.request.service.name)) return undefined
     this.#prompt?.forgetPlans()
     const choice = this.#placement.chooseGranted(endpoint)
-    if (typeof choice !== 'string') return this.#open(choice)
+    if (typeof choice !== 'string') return this.#otherHosts.takeIfNewConnectionsFail(choice.endpoint) ? undefined : this.#open(choice)
     if (this.#placement.isTransitBounded) this.#queue.postpone()
     return undefined
   }
--- a/apps/entry/src/lib/routed/harness/LinkCut.ts
+++ b/apps/entry/src/lib/routed/harness/LinkCut.ts
@@ -12,6 +12,8 @@
   | 'resets'
   /** New connections are refused; those that are open go on working. */
   | 'refuses-new'
+  /** New connections are established, and reset once something is sent; those that are open go on working. */
+  | 'resets-new'
   /** New connections are established, and nothing that is sent on them is answered. */
   | 'hangs'
 
@@ -22,6 +24,7 @@
     socket.on('error', () => {})
     this.#sockets.push(socket)
     if (this.kind === 'resets') socket.resetAndDestroy()
+    if (this.kind === 'resets-new') socket.once('data', () => { socket.resetAndDestroy() })
   })
 
   #address = ''
@@ -43,7 +46,7 @@
     const replaced = new Map<string, EndpointConnections>()
     vi.spyOn(fleet, 'connectionsTo').mockImplementation(endpoint => {
       if (cut.#isHealed) return original(endpoint)
-      if (kind === 'refuses-new' && original(endpoint).hasIdle) return original(endpoint)
+      if ((kind === 'refuses-new' || kind === 'resets-new') && original(endpoint).hasIdle) return original(endpoint)
       const present = replaced.get(endpoint.id) ?? new EndpointConnections(cut.#address, () => {})
       replaced.set(endpoint.id, present)
       return present
--- a/packages/routing/src/lib/endpoints/EndpointState.ts
+++ b/packages/routing/src/lib/endpoints/EndpointState.ts
@@ -53,6 +53,8 @@
   readonly sends = new SendTimes()
   /** Failures of this host to reach the endpoint. */
   readonly contact = new ContactTimes()
+  /** Contact over connections that had brought no response before. */
+  readonly newConnections = new ContactTimes()
   #listed: ListedEndpoint
   #incarnation: string
   #isLeaving: boolean
@@ -252,7 +254,7 @@
   observeBytes (now: number): void {
     this.#silentSince = now
     this.#lastByteAt = now
-    this.contact.observeBytes()
+    this.contact.observeBytes(now)
   }
 
   /**
--- a/packages/routing/src/lib/reachability/ContactTimes.ts
+++ b/packages/routing/src/lib/reachability/ContactTimes.ts
@@ -19,11 +19,13 @@
 
 /** Contact with one endpoint. */
 export class ContactTimes {
+  #heardAt = Number.NEGATIVE_INFINITY
   #failedAt = Number.NEGATIVE_INFINITY
   #failingSince: number | undefined
 
-  /** Records that a byte has arrived. */
-  observeBytes (): void {
+  /** @param now - when a byte arrived, in monotonic milliseconds */
+  observeBytes (now: number): void {
+    this.#heardAt = now
     this.#failingSince = undefined
   }
 
@@ -33,6 +35,14 @@
     this.#failingSince ??= now
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since the last byte; infinite if there was none
+   */
+  heardAgoMs (now: number): number {
+    return now - this.#heardAt
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns milliseconds since the last failure; infinite if that is no evidence any more
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -18,6 +18,8 @@
 /** Changes of an entry host's view of endpoints. */
 export const endpointChanges = {
   /** This host hears from no endpoint of the service, and fails to reach some that others hear from. */
+  'new-connections-fail': z.strictObject({ service: z.string(), endpoints: z.number(), lostEndpoints: z.number(), heardByOthers: z.number() }),
+  'new-connections-work': z.strictObject({ service: z.string(), failedForMs: z.number() }),
   'service-out-of-reach': z.strictObject({ service: z.string(), endpoints: z.number(), lostEndpoints: z.number(), heardByOthers: z.number(), heardAgoMs: z.number() }),
   'service-in-reach': z.strictObject({ service: z.string(), cutForMs: z.number() }),
   'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
