--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -40,6 +40,8 @@
   readonly codec?: RequestCodec
   /** Models that all endpoints serve. */
   readonly models?: ListedEndpoint['models']
+  /** Newest version of the weights of each model, and how long requests may begin on other versions; version 1 for any time by default. */
+  readonly weights?: Pick<RoutedServerPorts, 'desiredVersion' | 'remainingMsForVersion'>
   /** Queue and reservations of the host. */
   readonly waiting?: Pick<RoutedServerPorts, 'waiting' | 'reservations'>
   /** Other hosts, and checks of the requests that they relay. */
@@ -108,9 +110,8 @@
       ...(relays === undefined ? {} : { relays }),
       ...(sharedRetryTokens === undefined ? {} : { sharedRetryTokens: () => sharedRetryTokens }),
       liveHosts: () => options.liveHosts ?? 1,
-      desiredVersion: () => 1,
       regions: new Map(),
-      remainingMsForVersion: () => Number.POSITIVE_INFINITY,
+      ...options.weights ?? { desiredVersion: () => 1, remainingMsForVersion: () => Number.POSITIVE_INFINITY },
       isSiteUsable: () => true,
       areStoresUsable: () => false,
       storeClockMs: () => undefined,
