Weights: withdraw requests that have not begun when older weights may no longer be used

Cause: the host sends on older weights while its estimate of the time to the first event is below what is left of the bound. The estimate has no bound on its error: 0.7 s were left, the request waited for 1.34 s at its engine.

Change: an attempt knows how long it may begin. If no head has come by then, its connection is closed, so that the engine drops what still waits there, and the request goes to another engine where it may run again ("not-started"). Nothing is held against the engine. By the estimate the first event comes before that moment, so only requests whose estimate was too low are withdrawn.

--- a/apps/entry/src/lib/routed/AttemptSender.ts
+++ b/apps/entry/src/lib/routed/AttemptSender.ts
@@ -45,7 +45,7 @@
     fleet.traffic.countRequest(attempt.choice, this.request.body?.length ?? 0)
     const fields = endpointFields(this.request, attempt.choice, fleet, { ...state, prompt: this.prompt }, now)
     if (this.request.route.kind === 'stream') attempt.beginStream(this.request.route.longestPauseMs)
-    attempt.send(this.exchange.toEndpoint(headers => codec.writeRequestHeaders(headers, fields), this.request.body))
+    attempt.send(this.exchange.toEndpoint(headers => codec.writeRequestHeaders(headers, fields), this.request.body), this.prompt?.remainingMsOn(attempt.choice.version))
     this.prompt?.recordSend(attempt.choice)
   }
 }
--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -51,7 +51,7 @@
         description: this.description,
         desiredVersion: this.ports.desiredVersion(this.description.model),
         objectiveRemainingMs: arrivedAt + route.targetLatencyMs - performance.now(),
-        remainingMsOn: version => this.ports.remainingMsForVersion(this.description.model, version),
+        remainingMsOn: version => this.remainingMsOn(version),
         requiredVersion,
         engine: this.ports.fleet.engineModel(service.name),
         memoryTokens: this.engine.cacheTokens,
@@ -64,6 +64,14 @@
     }
   }
 
+  /**
+   * @param version - version of the weights; undefined if the endpoint stated none
+   * @returns milliseconds within which the request may begin on them
+   */
+  remainingMsOn (version: number | undefined): number {
+    return version === undefined ? Number.POSITIVE_INFINITY : this.ports.remainingMsForVersion(this.description.model, version)
+  }
+
   /**
    * @param version - version of the weights
    * @returns key under which engines and stores cache the parts
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -43,6 +43,7 @@
   #transitBytes = 0
   #longestPauseMs: number | undefined
   #rejectionTimer: NodeJS.Timeout | undefined
+  #startTimer: NodeJS.Timeout | undefined
   readonly startedAt = performance.now()
 
   /**
@@ -74,8 +75,11 @@
   /** Bytes of the response body that have arrived. */
   get answerBytes (): number { return this.#answerBytes }
 
-  /** @param request - request to send */
-  send (request: EndpointRequest): void {
+  /**
+   * @param request - request to send
+   * @param startWithinMs - time after which the request may not begin, in milliseconds; infinite if there is no bound
+   */
+  send (request: EndpointRequest, startWithinMs = Number.POSITIVE_INFINITY): void {
     this.choice.endpoint.beginRequest(this.choice.prefill.tokensToRead, this.choice.tokensHeld, performance.now())
     this.fleet.storeLinks.beginTransfers(this.choice.prefill.transfers)
     this.#noteWork('sent')
@@ -92,6 +96,13 @@
       unread: bytes => this.#hasEnded ? () => {} : this.listener.unread(this, bytes),
       failed: error => { this.#fail(this.#wasSent ? 'lost' : 'not-connected', error.message) }
     })
+    if (Number.isFinite(startWithinMs)) this.#startTimer = setTimeout(() => { this.#withdraw() }, startWithinMs)
+  }
+
+  /** Closes the connection, so that the endpoint drops a request that still waits there. */
+  #withdraw (): void {
+    // A head that arrived in time may not have been read yet.
+    setImmediate(() => { if (this.#head === undefined) this.#fail('not-started', 'it had not begun when the weights of the endpoint could no longer be used') })
   }
 
   /**
@@ -118,6 +129,7 @@
   #end (): void {
     this.#hasEnded = true
     clearTimeout(this.#rejectionTimer)
+    clearTimeout(this.#startTimer)
     this.#endTransit()
     this.#endPromptReading()
     if (this.#longestPauseMs !== undefined) this.choice.endpoint.runningStreams.end(this.#longestPauseMs)
@@ -160,6 +172,7 @@
       return
     }
     this.#head = { status, headers, fields }
+    clearTimeout(this.#startTimer)
     if (fields.isNotExecuted) {
       this.#observeTransitFailure()
       this.#rejectionTimer = setTimeout(() => { this.#endRejection() }, MAX_REJECTION_MS)
@@ -208,7 +221,7 @@
   #fail (failure: AttemptFailure, detail: string): void {
     if (this.#hasEnded) return
     if (failure === 'lost' && !this.choice.endpoint.isLeaving) this.#observeTransitFailure()
-    if (this.#head === undefined) this.#observeLostContact()
+    if (this.#head === undefined && failure !== 'not-started') this.#observeLostContact()
     this.#end()
     this.connection.close()
     // The head alone states that the request was not executed, also if the connection breaks before the body is complete.
--- a/packages/routing/src/lib/attempts/decideRetry.ts
+++ b/packages/routing/src/lib/attempts/decideRetry.ts
@@ -18,6 +18,8 @@
   | 'lost'
   /** The endpoint ran the request and answered with a failure. */
   | 'failed'
+  /** The endpoint had not begun to answer when its weights could no longer be used; it may have begun to run the request. */
+  | 'not-started'
   /** A stream broke after some events had been passed on. */
   | 'broken-stream'
 
