--- a/apps/soak/src/lib/checks/CutOffHostsServeCheck.ts
+++ b/apps/soak/src/lib/checks/CutOffHostsServeCheck.ts
@@ -45,6 +45,9 @@
 
   onOutcome ({ request, end, endedAt }: Outcome, { timeline }: HistoryView): undefined {
     // Hosts that are stopped, killed or paused are not served, and neither are requests that crash their endpoint.
+    const stop = timeline.stopOf(request.host)
+    // From SIGTERM on, a host refuses what it can't finish, until it exits.
+    if (stop !== undefined && endedAt >= stop.at) return
     const isDisturbed = timeline.entries.some(({ process, action, at, until }) => process === request.host && action.startsWith('SIG') && at <= endedAt && until >= request.sentAt - NOTICE_MS)
     if (isDisturbed || request.work.crashesEndpointAfterMs !== undefined || request.kind === 'probe') return
     this.#outcomes.push({ slot: request.host.split('#')[0] ?? '', sentAt: request.sentAt, isServed: end.kind === 'answered' && end.status === OK })
