Prove: a crowd at one host, at 7, 61 and 195 hosts

isOverShare was only shown by unit tests and one host in one process. The world hands four of five new connections to one host for 8 s, while three times as many are opened; hosts are killed, frozen and out of touch, reports of load come every 300 ms and may be lost or late, and are used for 5 s as in the product. What is served from 3 s on has to reach three quarters of what was served before, the bound of the rule.

--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -2,6 +2,7 @@
 import type { WorldFactory } from '../World.js'
 import { AgreementWorld } from './AgreementWorld.js'
 import { ColdEndpointWorld } from './ColdEndpointWorld.js'
+import { CrowdWorld } from './CrowdWorld.js'
 import { DirectoryWorld } from './DirectoryWorld.js'
 import { EndpointWorld } from './EndpointWorld.js'
 import { EvacuationWorld } from './EvacuationWorld.js'
@@ -61,5 +62,10 @@
     name: 'stream-versions',
     promises: ['one-software-version', 'taken-up-streams-go-on'],
     create: (simulation, recorder, broken) => new StreamVersionWorld(simulation, recorder, broken)
+  },
+  {
+    name: 'crowd',
+    promises: ['crowds-are-shared'],
+    create: (simulation, recorder, broken) => new CrowdWorld(simulation, recorder, broken)
   }
 ]
