--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -54,6 +54,10 @@
 
   /** Whether another attempt may continue the stream after what was forwarded. */
   get canResume (): boolean { return this.#cursor !== undefined && !this.#isOpaque }
+  /** Whether another endpoint's response could reach the caller: it has nothing yet, or part of a stream that may be resumed. */
+  get canGoOnElsewhere (): boolean { return !this.exchange.hasHead || this.canResume }
+  /** Whether the caller has received part of a stream that may be resumed at another endpoint. */
+  get canResumeStream (): boolean { return this.exchange.hasHead && this.canResume }
   /** Id of the event after which the next attempt has to continue. */
   get lastEventId (): number | undefined { return this.#cursor?.lastId ?? this.kind.lastEventId }
   get head (): ResponseHead | undefined { return this.#head }
