Links: look at new connections only after one was lost

Each host looked at the new connections to all endpoints of a service every 50 ms with requests, also while none had failed.

--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -10,6 +10,9 @@
 /** Time after which a probe is given up, in milliseconds. */
 const PROBE_TIMEOUT_MS = 1000
 
+/** Age of the last lost connection up to which new connections are looked at, in milliseconds. */
+const MAX_FAILURE_AGE_MS = 3000
+
 /** Age of a byte that any host has received from a service up to which its endpoints count as well, in milliseconds. */
 const WELL_AFTER_BYTE_MS = 3000
 
@@ -17,6 +20,8 @@
   readonly reachability: ServiceReachability
   /** Whether new connections reach the service; those that are open may go on working while new ones fail. */
   readonly newConnections: ServiceReachability
+  /** When a new connection was last lost before it brought a response, in monotonic milliseconds. */
+  newConnectionLostAt: number
   checkedAt: number
 }
 
@@ -93,10 +98,17 @@
     if (failedForMs !== undefined) this.telemetry.logStateChange('new-connections-work', { service, failedForMs: Math.round(failedForMs) })
   }
 
+  /** @param endpoint - endpoint to which a connection was lost that had brought no response */
+  observeLostNewConnection (endpoint: EndpointState): void {
+    const now = performance.now()
+    endpoint.newConnections.observeFailure(now)
+    this.#linkTo(endpoint.listed.service).newConnectionLostAt = now
+  }
+
   #linkTo (service: string): ServiceLink {
     const present = this.#links.get(service)
     if (present !== undefined) return present
-    const fresh = { reachability: new ServiceReachability(), newConnections: new ServiceReachability(), checkedAt: Number.NEGATIVE_INFINITY }
+    const fresh = { reachability: new ServiceReachability(), newConnections: new ServiceReachability(), newConnectionLostAt: Number.NEGATIVE_INFINITY, checkedAt: Number.NEGATIVE_INFINITY }
     this.#links.set(service, fresh)
     return fresh
   }
@@ -122,7 +134,8 @@
   }
 
   /** Finds a service whose endpoints answer over old connections and lose the new ones of this host only. */
-  #checkNewConnections (service: string, { newConnections }: ServiceLink, now: number): void {
+  #checkNewConnections (service: string, { newConnections, newConnectionLostAt }: ServiceLink, now: number): void {
+    if (now - newConnectionLostAt > MAX_FAILURE_AGE_MS) return
     const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
     const evidence = newConnections.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.newConnections.heardAgoMs(now),
@@ -157,7 +170,7 @@
         connections.release(connection)
       },
       failed: () => {
-        endpoint.newConnections.observeFailure(performance.now())
+        this.observeLostNewConnection(endpoint)
         clearTimeout(timer)
         connection.close()
       }
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -212,10 +212,9 @@
   }
 
   #observeLostContact (): void {
-    const now = performance.now()
     const { endpoint } = this.choice
-    endpoint.contact.observeFailure(now)
-    if (this.connection.responses === 0) endpoint.newConnections.observeFailure(now)
+    endpoint.contact.observeFailure(performance.now())
+    if (this.connection.responses === 0) this.fleet.links.observeLostNewConnection(endpoint)
   }
 
   #fail (failure: AttemptFailure, detail: string): void {
