Soak: at least one host keeps its links while others are cut off

The timeline shows all four hosts cut off at once for most of that time; the two requests elsewhere were sent after the first hosts had their links back. A cut is drawn so that another host keeps its links, but cuts overlap. The injector now leaves out a cut after which no host would have links; check and bound stay. Both tests with cuts pass.

--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -57,6 +57,8 @@
   readonly #pending: Array<Promise<void>> = []
   readonly #evacuated = new Set<string>()
   #isHostCrowded = false
+  /** Monotonic milliseconds until which each entry host is cut off. */
+  readonly #cutUntil = new Map<number, number>()
 
   /**
    * @param cluster - processes and links to disturb
@@ -159,7 +161,12 @@
     proxy.setFault(undefined)
   }
 
+  /** Cuts hosts off unless no other host would have its links: nobody could serve their callers then. */
   async #cutHosts ({ slots, cut, durationMs }: Extract<PlannedFault, { kind: 'host-cut' }>): Promise<void> {
+    const now = performance.now()
+    const hasOther = this.cluster.entries.some((_, slot) => !slots.includes(slot) && (this.#cutUntil.get(slot) ?? 0) <= now)
+    if (!hasOther) return
+    for (const slot of slots) this.#cutUntil.set(slot, Math.max(this.#cutUntil.get(slot) ?? 0, now + durationMs))
     const hosts = slots.map(slot => this.#slot('entry', slot).name)
     for (const host of hosts) this.timeline.record(host, `cut off from all endpoints: ${cut}`, true, durationMs)
     this.checks.cutOffHosts.recordCut(hosts, durationMs)
