--- a/apps/entry/src/lib/routed/softwareVersions.test.ts
+++ b/apps/entry/src/lib/routed/softwareVersions.test.ts
@@ -41,6 +41,16 @@
   setTimeout(() => { resetConnection(request, response, body) }, 20)
 }
 
+/** Sends one and a half events of new streams, and the rest of streams that go on; the end of the connection is that of the response. */
+const endsInsideEvent = (software: string): Behaviour => request => {
+  const { socket, headers } = request
+  const last = Number(headers[PLAIN_HEADERS.lastEvent] ?? 0)
+  socket.write(['HTTP/1.1 200 OK', `${PLAIN_HEADERS.id}: ${String(headers[PLAIN_HEADERS.id])}`, 'content-type: text/event-stream', 'connection: close', '', ''].join('\r\n'))
+  const rest = [1, 2, 3].filter(id => id > last).map(id => eventOf(software, id))
+  const isNew = rest.length === 3
+  setTimeout(() => { socket.end(isNew ? `${rest[0] ?? ''}id: 2\ndata: ${software}` : rest.join('')) }, 20)
+}
+
 /** Returns the software versions of the events in a body. */
 function versionsIn (body: string): Set<string> {
   return new Set([...body.matchAll(/^data: (.*)$/gm)].map(([, software = '']) => software))
@@ -88,6 +98,14 @@
     expect(outcomes.every(({ isWhole, body }) => isWhole && countEvents(body) === 3)).toBe(true)
   }, RESPONSE_TIMEOUT_MS)
 
+  // Guards against a stream that ends with its connection inside an event, which looks like a complete response.
+  it('go on at the version that began them after a response whose end only its connection marks has ended inside an event', async () => {
+    const serving = await serve(mixedEndpoints(endsInsideEvent))
+    const outcomes = await Promise.all(Array.from({ length: STREAMS }, async (_, number) => await beginStream(serving, `r${number}`)))
+    expect(outcomes.map(({ body }) => versionsIn(body).size)).toEqual(outcomes.map(() => 1))
+    expect(outcomes.every(({ isWhole, body }) => isWhole && countEvents(body) === 3)).toBe(true)
+  }, RESPONSE_TIMEOUT_MS)
+
   it('are broken off if no endpoint has the version that began them', async () => {
     const serving = await serve([new FakeEndpoint('e0', breaksOff('v1'), 'v1')])
     const begun = beginStream(serving, 'r1')
