--- a/apps/control/src/lib/raft/surplusReplicas.ts
+++ b/apps/control/src/lib/raft/surplusReplicas.ts
@@ -18,8 +18,8 @@
  * Finds the replica to remove next. A silent voter is removed only once the group
  * has more voters than it needs, that is, after a replacement has joined. Without
  * a replacement the voter stays, because its removal would not make the group
- * tolerate more failures. If the size of the group is not configured, a replacement
- * can't be told from growth, so voters are left to their replacements and to operators.
+ * tolerate more failures. If the size of the group is not configured, replacements look
+ * like growth, so no voter is removed; a host removes its former id, operators any other.
  *
  * @param core - replica of the leader
  * @param targetVoters - number of voters that the group needs, or undefined if it is not configured
--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -26,7 +26,7 @@
   response.end(streamEvent(1) + streamEvent(2))
 }
 
-/** Sends an event every 50 ms until it is told to end. */
+/** Sends an event every 50 ms until the signal is aborted. */
 function streamUntil (signal: AbortSignal, request: Parameters<Behaviour>[0], response: Parameters<Behaviour>[1]): void {
   response.writeHead(200, { 'content-type': 'text/event-stream', [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
   let number = 0
--- a/apps/entry/src/lib/routed/EndpointSearch.ts
+++ b/apps/entry/src/lib/routed/EndpointSearch.ts
@@ -42,6 +42,7 @@
 
 /** Searches for endpoints on behalf of one request. */
 export class EndpointSearch {
+  /** Delayed placements of the request. */
   readonly waits: PlacementWaits
   readonly #queue: QueuedPlacement
 
@@ -85,6 +86,25 @@
     this.ports.withRecentLoad(() => { if (!this.parts.end.isDone) this.#sendToNextEndpoint() })
   }
 
+  /**
+   * Places a call again that a full endpoint has rejected. The rejection costs the call nothing but time: it counts as no
+   * attempt, and the endpoint may get the call again.
+   *
+   * @param attempt - attempt that was rejected
+   */
+  placeAfterRejection ({ choice: { endpoint } }: RoutedAttempt): void {
+    const { fleet, waiting } = this.ports
+    const now = performance.now()
+    // The rejection itself states how many calls were there; the load that hosts report lags behind.
+    const occupancy = Math.max(fleet.occupancyOf(endpoint), endpoint.occupancy(now).total)
+    fleet.plainPlaces.recordRejection(endpoint.incarnation, occupancy, now)
+    waiting?.recordRejection({ endpoint: endpoint.incarnation, occupancy })
+    this.parts.attempts.discountSend()
+    this.parts.placement.tried.forget(endpoint.id)
+    this.#queue.requireBudget()
+    this.placeNext()
+  }
+
   #sendToNextEndpoint (): void {
     if (this.#refuseIfQuarantined() || this.#refuseIfStopping() || this.parts.otherHosts.takeIfOutOfReach()) return
     const choice = this.parts.placement.choose()
@@ -157,25 +177,6 @@
     this.#sendToNextEndpoint()
   }
 
-  /**
-   * Places a call again that a full endpoint has rejected. The rejection costs the call nothing but time: it counts as no
-   * attempt, and the endpoint may get the call again.
-   *
-   * @param attempt - attempt that was rejected
-   */
-  placeAfterRejection ({ choice: { endpoint } }: RoutedAttempt): void {
-    const { fleet, waiting } = this.ports
-    const now = performance.now()
-    // The rejection itself states how many calls were there; the load that hosts report lags behind.
-    const occupancy = Math.max(fleet.occupancyOf(endpoint), endpoint.occupancy(now).total)
-    fleet.plainPlaces.recordRejection(endpoint.incarnation, occupancy, now)
-    waiting?.recordRejection({ endpoint: endpoint.incarnation, occupancy })
-    this.parts.attempts.discountSend()
-    this.parts.placement.tried.forget(endpoint.id)
-    this.#queue.requireBudget()
-    this.placeNext()
-  }
-
   /**
    * Refuses a request that is known to crash endpoints. This is checked before every send, so that waiting
    * requests and retries are stopped as well: each send would end an endpoint with all requests that run there.
@@ -189,7 +190,7 @@
   /** Waits if an endpoint that is held back is released in time. Otherwise refuses at once, with the time to retry, or aborts a stream that has begun. */
   #endWithoutEndpoint (reason: PlacementFailure): void {
     if (reason === 'all-full') return this.#queue.isEnabled ? this.#waitInQueue() : this.#waitForTransit()
-    // A request that waits already is placed by a grant, or refused when its caller's patience is over.
+    // A request that waits already is placed by a grant, or refused when its caller waits no longer.
     if (this.#queue.isWaiting) return
     const releaseAt = this.parts.placement.releasedAt(reason)
     if (this.parts.relay.canResumeStream) {
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -71,11 +71,11 @@
 const ONLY_LEAVING_MS = 3500
 const SERVICE_RESTRAINT_MS = ONLY_RATE_MS + ALL_PAUSE_MS + ONLY_LEAVING_MS
 
-/** Bounds of the number of connections of a burst; all other callers have 32 by default. */
 /** Bounds on the duration of a cut of hosts, and of a time in which endpoints are brittle, in milliseconds: some seconds beyond the time in which hosts have to notice. */
 const MIN_HOST_CUT_MS = 5000
 const MAX_HOST_CUT_MS = 9000
 
+/** Bounds of the number of connections of a burst; all other callers have 32 by default. */
 const MIN_BURST_CALLERS = 6
 const MAX_BURST_CALLERS = 12
 
