Soak: hosts that leave connections to endpoints open close those of callers

The break ignored every request to close a socket whose other side is at the first loopback address. Callers connect from there as well, so a response that was broken off left its caller waiting for good.

--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -23,7 +23,7 @@
   start: async (settings, telemetry) => {
     bindOutgoingConnections(settings.host, !settings.alone)
     if (settings.frail) refuseCrowds()
-    if (settings.leavesOpen) leaveOutgoingConnectionsOpen()
+    if (settings.leavesOpen) leaveOutgoingConnectionsOpen(settings.control)
     return await startRoutedDaemon(settings, telemetry, {
       codec: new SoakCodec(settings.deaf),
       // The admin port serves readiness, so no further servers are needed.
--- a/apps/soak/src/soakBreaks.test.ts
+++ b/apps/soak/src/soakBreaks.test.ts
@@ -35,7 +35,7 @@
     }, TIMEOUT_MS)
 
     it('finds hosts that read answers without end', async () => {
-      const { violations } = await play({ seconds: 8, breaks: ['connections-left-open'], kinds: ['endless-answers'] })
+      const { violations } = await play({ seconds: 8, breaks: ['connections-left-open'], kinds: ['endless-answers'], recoveryMs: 1000 })
       expect(violations.map(({ guarantee }) => guarantee)).toContain('endless-answers-are-closed')
     }, TIMEOUT_MS)
 
