Test: a daemon whose start fails after a port was opened

Provoked on that code: with the datagram port that belongs to its port for calls taken by another process, a control host prints the error on standard output, then neither serves nor ends, and ignores SIGTERM.

--- a/packages/daemon/src/lib/runDaemon.test.ts
+++ b/packages/daemon/src/lib/runDaemon.test.ts
@@ -20,6 +20,29 @@
   await runDaemon({ name: 'slow', description: 'starts slowly', settings: z.object(commonSettingsShape), start }, ['--data-centre', 'north'])
 `
 
+/** A daemon whose start fails after it has opened a port. */
+const FAILING_DAEMON = `
+  import { createServer } from 'node:net'
+  import { z } from 'zod'
+  import { runDaemon } from ${JSON.stringify(RUN_DAEMON)}
+  import { commonSettingsShape } from ${JSON.stringify(SETTINGS)}
+  const start = async () => {
+    await new Promise(resolve => { createServer().listen(0, '127.0.0.1', resolve) })
+    throw new Error('the second port is taken')
+  }
+  await runDaemon({ name: 'failing', description: 'fails to start', settings: z.object(commonSettingsShape), start }, ['--data-centre', 'north'])
+`
+
+/** A program that has opened a port before its settings are read. */
+const EARLY_PORT_DAEMON = `
+  import { createServer } from 'node:net'
+  import { z } from 'zod'
+  import { runDaemon } from ${JSON.stringify(RUN_DAEMON)}
+  import { commonSettingsShape } from ${JSON.stringify(SETTINGS)}
+  await new Promise(resolve => { createServer().listen(0, '127.0.0.1', resolve) })
+  await runDaemon({ name: 'early', description: 'opens a port early', settings: z.object(commonSettingsShape), start: async () => {} }, [])
+`
+
 describe('runDaemon', () => {
   let daemon: ChildProcess
 
@@ -59,4 +82,22 @@
       expect(exit).toEqual([0, null])
     })
   })
+  // Guards against daemons that neither serve nor end after their start has failed, so that no supervisor restarts them.
+  describe('a start that fails after a port was opened', () => {
+    it('ends the process with the error', async () => {
+      daemon = spawn(process.execPath, ['--input-type=module', '-e', FAILING_DAEMON], { env: { ...process.env, ROARR_LOG: 'true' }, stdio: ['ignore', 'pipe', 'pipe'] })
+      let output = ''
+      let errors = ''
+      daemon.stdout?.on('data', chunk => { output += String(chunk) })
+      daemon.stderr?.on('data', chunk => { errors += String(chunk) })
+      expect(await once(daemon, 'close')).toEqual([3, null])
+      expect(errors).toContain('failing: Error: the second port is taken')
+      expect(output).toContain('"event":"fatal"')
+    })
+
+    it('ends the process if its settings are invalid', async () => {
+      daemon = spawn(process.execPath, ['--input-type=module', '-e', EARLY_PORT_DAEMON], { stdio: 'ignore' })
+      expect(await once(daemon, 'exit')).toEqual([2, null])
+    })
+  })
 })
