End a daemon whose start has failed

Callers of a host saw nothing yet; a control host that failed to start stayed for ever, neither listening nor ended, so that no supervisor restarted it. Cause: the command line library catches what a command throws, prints it on standard output and returns a code; the process was expected to end by itself, but ports that were opened before the failure keep it alive, and SIGTERM is only handled after the start. Same class: settings that are invalid while an early listener is open. Errors of the start now go the way of other fatal errors (log, standard error, exit code 3), and the process ends with the code of the command.

--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -54,7 +54,7 @@
 /** Exit code for settings that are missing or invalid. */
 const EXIT_INVALID_SETTINGS = 2
 
-/** Exit code for a broken invariant or a failed disk. */
+/** Exit code for a failed start, a broken invariant or a failed disk. */
 const EXIT_FATAL = 3
 
 /** Longest wait until the last log lines are read, in milliseconds: no caller is connected by then, and a busy machine takes some tenths of a second to write. */
@@ -67,7 +67,7 @@
 const LOOP_DELAY_RESOLUTION_MS = 500
 
 /**
- * Runs a daemon until it is stopped. Returns only when the process may exit.
+ * Runs a daemon until it is stopped, and ends the process.
  *
  * @param program - daemon to run
  * @param args - command line arguments
@@ -75,12 +75,13 @@
  */
 export async function runDaemon<Settings extends CommonSettings> (
   program: DaemonProgram<Settings>, args: readonly string[], signals = new ProcessSignals()
-): Promise<void> {
+): Promise<never> {
   const cli = new Cli({ binaryName: program.name, binaryLabel: program.description, binaryVersion: '0.1.0' })
   cli.register(commandFor(program, signals))
   cli.register(Builtins.HelpCommand)
   cli.register(Builtins.VersionCommand)
-  process.exitCode = await cli.run([...args], Cli.defaultContext)
+  // Ports that were opened before the settings were read would keep a process alive that never serves.
+  process.exit(await cli.run([...args], Cli.defaultContext))
 }
 
 function commandFor<Settings extends CommonSettings> (program: DaemonProgram<Settings>, signals: ProcessSignals): new () => Command {
@@ -130,7 +131,7 @@
 async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings, signals: ProcessSignals): Promise<number> {
   const telemetry = new Telemetry(program.name, settings)
   const violations = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
-  const fail = (error: unknown): void => {
+  const fail = (error: unknown): never => {
     const invariant = error instanceof InvariantViolation ? error.invariant : 'unexpected-error'
     violations.count(invariant)
     telemetry.logFault('fatal', { invariant, message: String(error) })
@@ -148,9 +149,9 @@
     loopDelay.reset()
     return Number.isFinite(seconds) ? Math.max(0, seconds) : 0
   })
-  const daemon = await program.start(settings, telemetry, fail)
   let isDraining = false
-  const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !isDraining && daemon.isReady())
+  const daemon = await program.start(settings, telemetry, fail).catch(fail)
+  const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !isDraining && daemon.isReady()).catch(fail)
   const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
   telemetry.logStateChange('started', addresses)
@@ -169,5 +170,5 @@
   await admin.close()
   await telemetry.flush(LOG_FLUSH_TIMEOUT_MS)
   telemetry.flushSync()
-  process.exit(0)
+  return 0
 }
