--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -12,6 +12,7 @@
 import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
+import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import type { ReplicatedService } from '@eelgrassmux/schema/site/siteSchema'
@@ -127,7 +128,7 @@
   const orderOutcomes = telemetry.labelledCounter('orders_total', 'Orders to endpoints by outcome', 'outcome')
 
   const addressesById = new Map<string, string>()
-  const self: Replica = { id: replicaId, address: '' }
+  const self: Replica = { id: replicaId, address: advertisedAddress(settings, settings.port) }
   // Any promise to a leader that an earlier process of this host made predates the start of this process.
   const core = new RaftCore(self, persisted, raftSettings(settings), Math.random, PROCESS_START_MS)
   const state = new StateMachine({ ...DEFAULT_STATE_SETTINGS, recordWindowMs: settings.recordWindowHours * HOUR_MS })
@@ -185,8 +186,6 @@
   quarantine.register(server)
   new RelayTask({ isLeader: () => core.role === 'leader', entryAddresses: now => hosts.acceptingEntries(now), telemetry }).register(server)
 
-  const port = await server.listen(settings.host, settings.port)
-  self.address = settings.advertise ?? `${settings.host}:${port}`
   const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams of hosts by what they ask, or why they were not taken', 'outcome')
   const datagrams = new DatagramServer(outcome => { datagramOutcomes.count(outcome) })
   controlServer.registerDatagrams(datagrams)
@@ -207,7 +206,8 @@
     telemetry
   })
   waiting.register(datagrams)
-  await datagrams.listen(settings.host, port)
+  const port = await listenOnSamePort(server, datagrams, settings.host, settings.port)
+  self.address = advertisedAddress(settings, port)
   registerGauges(telemetry, raft, hosts)
   orders.start()
   rollout?.start()
@@ -253,6 +253,11 @@
   }
 }
 
+/** Returns the address at which others reach this host. */
+function advertisedAddress ({ host, advertise }: ControlSettings, port: number): string {
+  return advertise ?? `${host}:${port}`
+}
+
 /** If several addresses are given to join, the host with the first address in sort order founds the group, so that all hosts choose the same one. */
 function isFounder (settings: ControlSettings, core: RaftCore): boolean {
   if (!settings.bootstrap || core.lastIndex > 0) return false
--- a/packages/rpc/src/lib/RpcServer.ts
+++ b/packages/rpc/src/lib/RpcServer.ts
@@ -83,6 +83,16 @@
     })
   }
 
+  /**
+   * Gives up a port.
+   *
+   * @param host - IP address
+   * @param port - port that the server listens on
+   */
+  stopListening (host: string, port: number): void {
+    this.#server.unbind(`${host}:${port}`)
+  }
+
   /** Stops immediately and cancels calls in progress. */
   close (): void {
     this.#server.forceShutdown()
--- a/packages/view/src/lib/ControlLink.test.ts
+++ b/packages/view/src/lib/ControlLink.test.ts
@@ -3,6 +3,7 @@
 import { reportStatus, watchView } from '@eelgrassmux/rpc/methods/controlMethods'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
+import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { ControlLink } from './ControlLink.js'
@@ -31,8 +32,7 @@
     if (appliedView > 0) await stream.send({ kind: 'snapshot', viewRevision: appliedView, revision: 1, documents: [], shards: [], weights: [] })
     await new Promise(resolve => { stream.signal.addEventListener('abort', resolve) })
   })
-  const port = await server.listen('127.0.0.1', 0)
-  await datagrams.listen('127.0.0.1', port)
+  const port = await listenOnSamePort(server, datagrams, '127.0.0.1', 0)
   return {
     address: `127.0.0.1:${port}`,
     close: () => {
