--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -11,7 +11,7 @@
 import { PLAIN_HEADERS } from '../routed/harness/PlainCodec.js'
 import { TEST_SITE } from '../routed/harness/testSite.js'
 import { RELAY_HEADER } from './relayHeaders.js'
-import type { CallerOutcome, RoutedHost } from '../routed/harness/RoutedHost.js'
+import type { CallerOutcome, RoutedHost, RoutedHostOptions } from '../routed/harness/RoutedHost.js'
 
 /** Time after the start of a cut from which requests have to be served as before, in milliseconds. */
 const NOTICE_MS = 3000
@@ -45,9 +45,9 @@
   let endpoints: FakeEndpoint[]
   let cuts: LinkCut[] = []
 
-  async function start (count: number): Promise<readonly RoutedHost[]> {
+  async function start (count: number, options: RoutedHostOptions = {}): Promise<readonly RoutedHost[]> {
     endpoints = Array.from({ length: 4 }, (_, number) => new FakeEndpoint(`e${number}`, respond))
-    linked = new LinkedHosts(count, endpoints)
+    linked = new LinkedHosts(count, endpoints, options)
     await linked.start()
     return linked.hosts
   }
@@ -133,6 +133,22 @@
     expect(outcomes.filter(({ status }) => status !== 200)).toEqual([])
   })
 
+  // Guards against relayed requests that are lost because a host with far more than its share closes new connections unread.
+  it('gets a request served by a third host if the second one closes new connections unread', async () => {
+    const [host, crowded, third] = await start(3, { liveHosts: 7 })
+    if (host === undefined || crowded === undefined || third === undefined) throw new Error('three hosts are needed')
+    await sendFor(300, [host, crowded, third])
+    const streaming = new AbortController()
+    for (const endpoint of endpoints) endpoint.behaviour = (request, response, body) => { request.url?.startsWith('/resumable') === true ? streamUntil(streaming.signal, request, response) : respond(request, response, body) }
+    const streams = Array.from({ length: 48 }, async () => await crowded.sendRequest('/resumable/1'))
+    await sleep(300)
+    await cut([host], 'refuses')
+    const outcomes = await Promise.all(Array.from({ length: 20 }, async () => await host.sendRequest('/unsafe/1')))
+    streaming.abort()
+    await Promise.all(streams)
+    expect(outcomes.filter(({ status }) => status !== 200)).toEqual([])
+  })
+
   // Guards against refusals while the control hosts elect a leader and the last report of load is older than usual.
   it('gets its callers served if the links break half a second after the last exchange of load', async () => {
     const [host, other] = await start(2)
