Relays: check a new connection to another host before it carries a request

Cause: the relaying host had far more than its share and closed the new connection unread after the request was written, so that it may have run and was not offered to the next host. Class: any request that is written on a connection nobody has answered yet; a frozen host held such requests too. A new connection carries a check first; unless it is answered within 300 ms, the next host is asked, and the request has not been sent.

--- a/apps/entry/src/lib/relays/RelayedRequest.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -1,12 +1,15 @@
 /** A request that this host has another entry host serve, because it does not reach the endpoints itself. */
 import type { CallerExchange } from '../routed/CallerExchange.js'
 import type { CancelRequest } from '../routed/EndpointConnection.js'
-import { RELAY_REFUSED_HEADER, isRelayRefused, writeRelayHeaders } from './relayHeaders.js'
+import { RELAY_REFUSED_HEADER, connectionCheck, isRelayRefused, writeRelayHeaders } from './relayHeaders.js'
 import type { RelayConnection, RelayHosts } from './RelayHosts.js'
 
 /** Most hosts that one request is offered to. */
 const MAX_OFFERS = 3
 
+/** Timeout of the check of a new connection, in milliseconds. Hosts answer it without any other work. */
+const CHECK_TIMEOUT_MS = 300
+
 /** Receives the course of a relayed request. `unavailable`, `lost` or `complete` is the last call. */
 export interface RelayListener {
   /** Called before the first byte may be sent to another host. */
@@ -68,12 +71,45 @@
       return
     }
     this.#tried.add(relay.host)
-    const statement = { ticket: relay.ticket, ageMs: now - this.arrivedAt }
-    this.#send(relay, this.exchange.toEndpoint(headers => writeRelayHeaders(headers, statement), this.body))
+    if (relay.connection.responses > 0) this.#send(relay)
+    else this.#checkNew(relay)
   }
 
-  #send (relay: RelayConnection, request: Parameters<RelayConnection['connection']['send']>[0]): void {
-    const { host, connection } = relay
+  /** Sends the request once the host has answered on the connection: a host with too many requests closes new connections unread, and a request that was sent by then may have run. */
+  #checkNew (relay: RelayConnection): void {
+    const { host, ticket, connection } = relay
+    let isTaken = false
+    let isSettled = false
+    const settle = (next: () => void): void => {
+      if (isSettled) return
+      isSettled = true
+      clearTimeout(timer)
+      if (!this.#isDone) next()
+    }
+    const fail = (): void => {
+      connection.close()
+      settle(() => { this.#offerNext(host, false) })
+    }
+    const timer = setTimeout(fail, CHECK_TIMEOUT_MS)
+    this.#cancelSend = connection.send(connectionCheck(ticket), {
+      sending: () => {},
+      head: (_status, headers) => { isTaken = !isRelayRefused(headers) },
+      data: () => true,
+      complete: () => {
+        // A host that is stopping closes the connection right after the response.
+        setImmediate(() => {
+          if (isTaken && connection.isUsable) settle(() => { this.#send(relay) })
+          else fail()
+        })
+      },
+      failed: fail
+    })
+  }
+
+  #send (relay: RelayConnection): void {
+    const { host, ticket, connection } = relay
+    const statement = { ticket, ageMs: performance.now() - this.arrivedAt }
+    const request = this.exchange.toEndpoint(headers => writeRelayHeaders(headers, statement), this.body)
     let wasSent = false
     let head: { readonly status: number, readonly isRefused: boolean } | undefined
     const fail = (error: Error): void => {
@@ -127,6 +163,7 @@
 
   #lose (host: string, detail: string): void {
     this.#isDone = true
+    this.hosts.avoid(host, performance.now())
     this.listener.lost(host, detail)
   }
 }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -21,7 +21,7 @@
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import { SwitchedRetryTokens, type RetryTokens } from '../retries/RetryTokens.js'
-import { readRelayHeader } from '../relays/relayHeaders.js'
+import { isConnectionCheck, readRelayHeader } from '../relays/relayHeaders.js'
 import type { RelayHosts } from '../relays/RelayHosts.js'
 import type { RelayTicketChecks } from '../relays/RelayTicketChecks.js'
 import type { StreamDirectory } from '../streams/StreamDirectory.js'
@@ -252,6 +252,10 @@
       this.#pendingRequests.delete(exchange)
       ticket.end()
     })
+    if (exchange.isRelayed && isConnectionCheck(message.method, message.url)) {
+      exchange.sendWhole(204, [], Buffer.alloc(0))
+      return
+    }
     const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
     if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
     else this.#acceptDirect(message, exchange, fields, arrivedAt)
