--- a/packages/routing/src/lib/load/LoadAggregator.ts
+++ b/packages/routing/src/lib/load/LoadAggregator.ts
@@ -7,9 +7,10 @@
  * and answers grows linearly with the number of hosts, not with its square. The cost of the
  * aggregation does not depend on the number of reports, because the totals are cached.
  */
-import { PACE_LIFETIME_MS, USUAL_PACE, type PaceStatement } from '../endpoints/MachinePace.js'
+import { PACE_LIFETIME_MS, USUAL_PACE } from '../endpoints/MachinePace.js'
 import { addLinkLoads, IDLE_LINK, type LinkLoad } from './linkLoad.js'
 import { MAX_REPORTED_AGE_MS, NO_ENDPOINT_LOAD, type EndpointPace, type EndpointRateLimit, type EndpointLoad, type EndpointStreams, type LoadReport } from './loadReport.js'
+import { NewestStatements } from './NewestStatements.js'
 
 /** Time without a report after which a host's load is dropped, in milliseconds: five to twenty reports. */
 const HOST_TIMEOUT_MS = 1000
@@ -39,8 +40,8 @@
 /** Keeps the latest report of each host and sums them. */
 export class LoadAggregator {
   readonly #hosts = new Map<string, HostEntry>()
-  readonly #limits = new Map<string, { readonly requestsPerSecond: number | undefined, readonly statedAt: number }>()
-  readonly #paces = new Map<string, PaceStatement>()
+  readonly #limits = new NewestStatements<number | undefined>(LIMIT_LIFETIME_MS)
+  readonly #paces = new NewestStatements<number>(PACE_LIFETIME_MS)
   #totals: AggregatedLoad = { work: [], links: [], limits: [], paces: [], streams: [], sequences: new Map() }
   #aggregatedAt = Number.NEGATIVE_INFINITY
   #unresponsive: readonly string[] = []
@@ -59,8 +60,8 @@
     // Datagrams may arrive out of order; a restarted host begins at sequence zero.
     const isOld = previous !== undefined && report.sequence < previous.report.sequence && now - previous.receivedAt < HOST_TIMEOUT_MS
     if (!isOld) this.#hosts.set(report.host, { report, receivedAt: now })
-    for (const limit of report.limits ?? []) this.#observeLimit(limit, now)
-    for (const pace of report.paces ?? []) this.#observePace(pace, now)
+    for (const { endpoint, requestsPerSecond, statedAgoMs } of report.limits ?? []) this.#limits.observe(endpoint, requestsPerSecond, now - statedAgoMs)
+    for (const { endpoint, factor, statedAgoMs } of report.paces ?? []) this.#paces.observe(endpoint, factor, now - statedAgoMs)
     return !isOld
   }
 
@@ -102,30 +103,13 @@
     return this.#totals
   }
 
-  #observeLimit ({ endpoint, requestsPerSecond, statedAgoMs }: EndpointRateLimit, now: number): void {
-    const statedAt = now - statedAgoMs
-    if (statedAt >= (this.#limits.get(endpoint)?.statedAt ?? Number.NEGATIVE_INFINITY)) this.#limits.set(endpoint, { requestsPerSecond, statedAt })
-  }
-
   #recentLimits (now: number): EndpointRateLimit[] {
-    for (const [endpoint, { statedAt }] of this.#limits) {
-      if (now - statedAt > LIMIT_LIFETIME_MS) this.#limits.delete(endpoint)
-    }
-    return [...this.#limits].map(([endpoint, { requestsPerSecond, statedAt }]) => ({ endpoint, requestsPerSecond, statedAgoMs: now - statedAt }))
-  }
-
-  #observePace ({ endpoint, factor, statedAgoMs }: EndpointPace, now: number): void {
-    const statedAt = now - statedAgoMs
-    if (statedAt >= (this.#paces.get(endpoint)?.statedAt ?? Number.NEGATIVE_INFINITY)) this.#paces.set(endpoint, { factor, statedAt })
+    return this.#limits.recent(now).map(({ endpoint, value, statedAgoMs }) => ({ endpoint, requestsPerSecond: value, statedAgoMs }))
   }
 
   /** Returns the paces to pass on. Usual ones are kept, so that an older statement that arrives later is not passed on. */
   #recentPaces (now: number): EndpointPace[] {
-    for (const [endpoint, { statedAt }] of this.#paces) {
-      if (now - statedAt > PACE_LIFETIME_MS) this.#paces.delete(endpoint)
-    }
-    return [...this.#paces].filter(([, { factor }]) => factor !== USUAL_PACE)
-      .map(([endpoint, { factor, statedAt }]) => ({ endpoint, factor, statedAgoMs: now - statedAt }))
+    return this.#paces.recent(now).filter(({ value }) => value !== USUAL_PACE).map(({ endpoint, value, statedAgoMs }) => ({ endpoint, factor: value, statedAgoMs }))
   }
 
   #aggregate (now: number): AggregatedLoad {
