--- a/apps/entry/src/lib/routed/endpointStatements.test.ts
+++ b/apps/entry/src/lib/routed/endpointStatements.test.ts
@@ -1,5 +1,7 @@
-import { afterEach, describe, expect, it } from 'vitest'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, describe, expect, it, vi } from 'vitest'
 import { respondOk, FakeEndpoint, rejectNotExecuted, type Behaviour } from './harness/FakeEndpoint.js'
+import { LinkedHosts } from './harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
 import { RoutedHost, type CallerOutcome } from './harness/RoutedHost.js'
 
@@ -56,6 +58,26 @@
     expect([...statuses(first), ...statuses(second)]).toEqual([...ALL_SERVED, ...ALL_SERVED])
   })
 
+  // Guards against hosts that have just started and make brittle endpoints fail, because they have read no answer of them yet.
+  it('holds back a host that has read nothing from an endpoint that bears few rejections, once another host has', async () => {
+    const endpoint = new FakeEndpoint('e0', withHeader(PLAIN_HEADERS.brittle, '4', respondOk))
+    const linked = new LinkedHosts(2, [endpoint])
+    await linked.start()
+    try {
+      const [informed, started] = linked.hosts
+      await informed?.sendRequest('/safe/a')
+      const known = (): Array<number | undefined> => started?.fleet.endpointsOf('app').map(({ brittleness }) => brittleness.rejectionsPerSecond) ?? []
+      await vi.waitFor(() => { expect(known()).toEqual([4]) }, 2000)
+      endpoint.behaviour = respondOk
+      await started?.sendRequest('/safe/a')
+      expect(known()).toEqual([undefined])
+      await sleep(500)
+      expect(known()).toEqual([undefined])
+    } finally {
+      await linked.close()
+    }
+  })
+
   it('refuses at once, with the time of the first release, if all endpoints have asked for a pause', async () => {
     const [one, other] = ['e0', 'e1'].map(id => new FakeEndpoint(id, withHeader(PLAIN_HEADERS.retryAfter, '1.5', rejectNotExecuted)))
     if (one === undefined || other === undefined) throw new Error('two endpoints are needed')
--- a/apps/entry/src/lib/routed/harness/LinkedHosts.ts
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -78,9 +78,9 @@
       fleet.otherHostsLoad.recordOwnReport(sequence, own)
       this.#loads.observe({ host: `host-${number}`, sequence, ...own }, now)
     })
-    const { work, links } = this.#loads.totals(now)
+    const totals = this.#loads.totals(now)
     for (const { fleet } of this.hosts) {
-      fleet.otherHostsLoad.recordTotals({ sequence, work, links }, now)
+      fleet.otherHostsLoad.recordTotals({ ...totals, sequence }, now)
       fleet.applyObservations()
     }
   }
