Hosts share the bounds on rejections that endpoints state

Part of the cause: a host knew the bound only from answers of its own, and one that has just started has none. Load reports and totals carry bounds that are at most 2 s and 5 s old, as they do rate limits, in a feature table that hosts of earlier releases ignore; no bytes are added while no endpoint states a bound. Hosts serve only once they know the load, so they know the bounds as well.

--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -1,5 +1,6 @@
 /** Limits on new requests to endpoints, set by operators, services and the endpoints themselves: evacuated data centres, rate limits and pauses. */
 import type { BrittleEndpointLimiter } from '@eelgrassmux/routing/endpoints/BrittleEndpointLimiter'
+import type { BrittlenessStatement } from '@eelgrassmux/routing/endpoints/Brittleness'
 import type { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import type { HoldBackReason } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
@@ -126,7 +127,7 @@
     if (instance === undefined ? status === MISDIRECTED : instance !== endpoint.id) return
     if (isLeaving) this.#markLeaving(endpoint)
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
-    if (endpoint.brittleness.observeAnswer(rejectionsPerSecond)) this.telemetry.logStateChange('endpoint-brittle', { endpoint: endpoint.id, address: endpoint.listed.address, rejectionsPerSecond: rejectionsPerSecond ?? -1 })
+    if (endpoint.brittleness.observeAnswer(rejectionsPerSecond, now)) this.#logBrittleness(endpoint)
     if (isNotExecuted && status === UNAVAILABLE) endpoint.brittleness.observeRejection(now)
     if (status !== UNAVAILABLE) endpoint.requestedPause.recordAccepted(now)
     else if (retryAfterMs !== undefined) this.#recordPause(endpoint, retryAfterMs, now)
@@ -143,6 +144,17 @@
     if (endpoint.rateLimit.observeStatement(statement, now)) this.#logRateLimit(endpoint, now)
   }
 
+  /**
+   * Applies a bound on rejections that another host has read from a response.
+   *
+   * @param endpoint - endpoint that stated the bound
+   * @param statement - bound as the other host reported it
+   * @param now - monotonic milliseconds
+   */
+  observeBrittleness (endpoint: EndpointState, statement: BrittlenessStatement, now: number): void {
+    if (endpoint.brittleness.observeStatement(statement, now)) this.#logBrittleness(endpoint)
+  }
+
   /**
    * Counts a send in the metrics if the endpoint has stated a limit.
    *
@@ -167,6 +179,10 @@
     })
   }
 
+  #logBrittleness ({ id, listed: { address }, brittleness: { rejectionsPerSecond } }: EndpointState): void {
+    this.telemetry.logStateChange('endpoint-brittle', { endpoint: id, address, rejectionsPerSecond: rejectionsPerSecond ?? -1 })
+  }
+
   #logRateLimit (endpoint: EndpointState, now: number): void {
     const { requestsPerSecond } = endpoint.rateLimit
     const fields = { endpoint: endpoint.id, address: endpoint.listed.address, sentLately: endpoint.sends.countSince(now - RECENT_SENDS_WINDOW_MS) }
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -209,11 +209,16 @@
   }
 
   #applyStatedLimits (now: number): void {
-    if (this.otherHostsLoad.limits.length === 0) return
-    const stated = new Map(this.otherHostsLoad.limits.map(limit => [limit.endpoint, limit]))
-    for (const endpoint of this.#pool.all) {
-      const statement = stated.get(endpoint.incarnation)
-      if (statement !== undefined) this.limits.observeStatement(endpoint, statement, now)
+    const { limits, brittle } = this.otherHostsLoad
+    if (limits.length === 0 && brittle.length === 0) return
+    const byIncarnation = new Map(this.#pool.all.map(endpoint => [endpoint.incarnation, endpoint]))
+    for (const statement of limits) {
+      const endpoint = byIncarnation.get(statement.endpoint)
+      if (endpoint !== undefined) this.limits.observeStatement(endpoint, statement, now)
+    }
+    for (const statement of brittle) {
+      const endpoint = byIncarnation.get(statement.endpoint)
+      if (endpoint !== undefined) this.limits.observeBrittleness(endpoint, statement, now)
     }
   }
 
@@ -360,7 +365,7 @@
     const work = this.#pool.all.filter(endpoint => endpoint.hasAnythingToReport(now))
       .map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now), ...this.#ownFailures(endpoint) }))
       .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= MIN_REPORTED_OUTCOMES)
-    return { work, links: this.storeLinks.localLoad(now), ...this.#ownLimits(now), ...this.#ownPaces(now), ...this.#ownStreams() }
+    return { work, links: this.storeLinks.localLoad(now), ...this.#ownLimits(now), ...this.#ownBrittleness(now), ...this.#ownPaces(now), ...this.#ownStreams() }
   }
 
   /** Hides failures from the other hosts that are due to the links of this host. */
@@ -396,6 +401,14 @@
     return limits.length === 0 ? {} : { limits }
   }
 
+  #ownBrittleness (now: number): Pick<HostLoad, 'brittle'> {
+    const brittle = this.#pool.all.flatMap(endpoint => {
+      const statement = endpoint.brittleness.statement(now)
+      return statement === undefined ? [] : [{ endpoint: endpoint.incarnation, ...statement }]
+    })
+    return brittle.length === 0 ? {} : { brittle }
+  }
+
   /**
    * @param endpoint - endpoint that was chosen
    * @returns this host's connections to it
--- a/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.test.ts
+++ b/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.test.ts
@@ -17,7 +17,7 @@
 function hostsBefore (endpoint: number, count: number, bound: number): Host[] {
   return Array.from({ length: count }, (_, number) => {
     const state = new EndpointState({ id: `e-${endpoint}`, service: 's', address: 'a', dataCentre: 'n', slots: SLOTS, isLeaving: false, isBusy: false, models: [] })
-    state.brittleness.observeAnswer(bound)
+    state.brittleness.observeAnswer(bound, 0)
     return { state, limiter: new BrittleEndpointLimiter(`host-${number}`, () => count) }
   })
 }
@@ -62,7 +62,7 @@
     const { state, limiter } = host
     expect(limiter.heldBackUntil(state, SLOTS / 2 - 1, 0)).toBeUndefined()
     expect(limiter.heldBackUntil(state, SLOTS / 2, 0)).toBeGreaterThan(0)
-    state.brittleness.observeAnswer(undefined)
+    state.brittleness.observeAnswer(undefined, 0)
     expect(limiter.heldBackUntil(state, SLOTS, 0)).toBeUndefined()
   })
 })
--- a/packages/routing/src/lib/endpoints/Brittleness.ts
+++ b/packages/routing/src/lib/endpoints/Brittleness.ts
@@ -3,21 +3,60 @@
 /** Rejections that are remembered. */
 const MAX_REJECTIONS = 16
 
+/** Age up to which a host reports what it has read to the others, in milliseconds: long enough for a few reports, as datagrams get lost. */
+const REPORTING_MS = 2000
+
+/** A bound that an endpoint states, as hosts report it to each other. */
+export interface BrittlenessStatement {
+  readonly rejectionsPerSecond: number
+  readonly statedAgoMs: number
+}
+
 /** Statement of one endpoint, and rejections of this host's requests. */
 export class Brittleness {
   #rejectionsPerSecond: number | undefined
+  #statedAt = Number.NEGATIVE_INFINITY
+  #observedAt = Number.NEGATIVE_INFINITY
   #rejectedAt: number[] = []
 
   /** Rejections a second that the endpoint tolerates from all hosts together; undefined while it states no bound. */
   get rejectionsPerSecond (): number | undefined { return this.#rejectionsPerSecond }
 
   /**
-   * @param rejectionsPerSecond - what an answer states; undefined if it states nothing
+   * @param rejectionsPerSecond - what an answer to this host states; undefined if it states nothing
+   * @param now - monotonic milliseconds
+   * @returns whether the statement has changed
+   */
+  observeAnswer (rejectionsPerSecond: number | undefined, now: number): boolean {
+    this.#observedAt = now
+    return this.#update(rejectionsPerSecond, now)
+  }
+
+  /**
+   * Records what another host has read; a statement that is older than the known one is ignored.
+   *
+   * @param statement - statement that the other host reported
+   * @param now - monotonic milliseconds
    * @returns whether the statement has changed
    */
-  observeAnswer (rejectionsPerSecond: number | undefined): boolean {
+  observeStatement ({ rejectionsPerSecond, statedAgoMs }: BrittlenessStatement, now: number): boolean {
+    return this.#update(rejectionsPerSecond, now - statedAgoMs)
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns statement to report to the other hosts; undefined if this host has read none recently
+   */
+  statement (now: number): BrittlenessStatement | undefined {
+    if (this.#rejectionsPerSecond === undefined || now - this.#observedAt > REPORTING_MS) return undefined
+    return { rejectionsPerSecond: this.#rejectionsPerSecond, statedAgoMs: now - this.#statedAt }
+  }
+
+  #update (rejectionsPerSecond: number | undefined, at: number): boolean {
+    if (at < this.#statedAt) return false
     const hasChanged = rejectionsPerSecond !== this.#rejectionsPerSecond
     this.#rejectionsPerSecond = rejectionsPerSecond
+    this.#statedAt = at
     return hasChanged
   }
 
--- a/packages/routing/src/lib/load/LoadAggregator.ts
+++ b/packages/routing/src/lib/load/LoadAggregator.ts
@@ -9,7 +9,7 @@
  */
 import { PACE_LIFETIME_MS, USUAL_PACE } from '../endpoints/MachinePace.js'
 import { addLinkLoads, IDLE_LINK, type LinkLoad } from './linkLoad.js'
-import { MAX_REPORTED_AGE_MS, NO_ENDPOINT_LOAD, type EndpointPace, type EndpointRateLimit, type EndpointLoad, type EndpointStreams, type LoadReport } from './loadReport.js'
+import { MAX_REPORTED_AGE_MS, NO_ENDPOINT_LOAD, type EndpointBrittleness, type EndpointPace, type EndpointRateLimit, type EndpointLoad, type EndpointStreams, type LoadReport } from './loadReport.js'
 import { NewestStatements } from './NewestStatements.js'
 
 /** Time without a report after which a host's load is dropped, in milliseconds: five to twenty reports. */
@@ -21,6 +21,9 @@
 /** Age up to which a stated rate limit is passed on, in milliseconds. With a low limit, it may take so long until any host is due to send there and reads the limit anew. */
 const LIMIT_LIFETIME_MS = 10_000
 
+/** Age up to which a bound on rejections is passed on, in milliseconds: hosts that have just started read it in the answers to their first reports. */
+const BRITTLENESS_LIFETIME_MS = 5000
+
 interface HostEntry {
   report: LoadReport
   receivedAt: number
@@ -31,6 +34,7 @@
   readonly work: readonly EndpointLoad[]
   readonly links: readonly LinkLoad[]
   readonly limits: readonly EndpointRateLimit[]
+  readonly brittle: readonly EndpointBrittleness[]
   readonly paces: readonly EndpointPace[]
   readonly streams: readonly EndpointStreams[]
   /** Sequence of the latest report that the totals include, by host. */
@@ -41,8 +45,9 @@
 export class LoadAggregator {
   readonly #hosts = new Map<string, HostEntry>()
   readonly #limits = new NewestStatements<number | undefined>(LIMIT_LIFETIME_MS)
+  readonly #brittle = new NewestStatements<number>(BRITTLENESS_LIFETIME_MS)
   readonly #paces = new NewestStatements<number>(PACE_LIFETIME_MS)
-  #totals: AggregatedLoad = { work: [], links: [], limits: [], paces: [], streams: [], sequences: new Map() }
+  #totals: AggregatedLoad = { work: [], links: [], limits: [], brittle: [], paces: [], streams: [], sequences: new Map() }
   #aggregatedAt = Number.NEGATIVE_INFINITY
   #unresponsive: readonly string[] = []
   #reportedSince = Number.POSITIVE_INFINITY
@@ -61,6 +66,7 @@
     const isOld = previous !== undefined && report.sequence < previous.report.sequence && now - previous.receivedAt < HOST_TIMEOUT_MS
     if (!isOld) this.#hosts.set(report.host, { report, receivedAt: now })
     for (const { endpoint, requestsPerSecond, statedAgoMs } of report.limits ?? []) this.#limits.observe(endpoint, requestsPerSecond, now - statedAgoMs)
+    for (const { endpoint, rejectionsPerSecond, statedAgoMs } of report.brittle ?? []) this.#brittle.observe(endpoint, rejectionsPerSecond, now - statedAgoMs)
     for (const { endpoint, factor, statedAgoMs } of report.paces ?? []) this.#paces.observe(endpoint, factor, now - statedAgoMs)
     return !isOld
   }
@@ -107,6 +113,10 @@
     return this.#limits.recent(now).map(({ endpoint, value, statedAgoMs }) => ({ endpoint, requestsPerSecond: value, statedAgoMs }))
   }
 
+  #recentBrittle (now: number): EndpointBrittleness[] {
+    return this.#brittle.recent(now).map(({ endpoint, value, statedAgoMs }) => ({ endpoint, rejectionsPerSecond: value, statedAgoMs }))
+  }
+
   /** Returns the paces to pass on. Usual ones are kept, so that an older statement that arrives later is not passed on. */
   #recentPaces (now: number): EndpointPace[] {
     return this.#paces.recent(now).filter(({ value }) => value !== USUAL_PACE).map(({ endpoint, value, statedAgoMs }) => ({ endpoint, factor: value, statedAgoMs }))
@@ -128,7 +138,7 @@
       for (const entry of report.links) links.set(entry.link, { link: entry.link, ...addLinkLoads(links.get(entry.link) ?? IDLE_LINK, entry) })
     }
     for (const endpoint of this.#unresponsive) work.set(endpoint, { ...work.get(endpoint) ?? { ...NO_ENDPOINT_LOAD, endpoint }, unresponsive: 1 })
-    return { work: [...work.values()], links: [...links.values()], limits: this.#recentLimits(now), paces: this.#recentPaces(now), streams: [...streams.values()], sequences }
+    return { work: [...work.values()], links: [...links.values()], limits: this.#recentLimits(now), brittle: this.#recentBrittle(now), paces: this.#recentPaces(now), streams: [...streams.values()], sequences }
   }
 }
 
--- a/packages/routing/src/lib/load/PeerLoad.ts
+++ b/packages/routing/src/lib/load/PeerLoad.ts
@@ -2,7 +2,7 @@
 import type { PaceStatement } from '../endpoints/MachinePace.js'
 import { NO_STREAM_LIMITS, type StreamLimits } from '../endpoints/RunningStreams.js'
 import { IDLE_LINK, type LinkLoadFigures, type LinkLoad } from './linkLoad.js'
-import { NO_ENDPOINT_LOAD, type EndpointRateLimit, type EndpointLoad, type LoadReport, type LoadTotals, type LoadFigures } from './loadReport.js'
+import { NO_ENDPOINT_LOAD, type EndpointBrittleness, type EndpointRateLimit, type EndpointLoad, type LoadReport, type LoadTotals, type LoadFigures } from './loadReport.js'
 
 /** Age up to which the number of requests of other hosts is used, in milliseconds. */
 const MAX_REQUESTS_AGE_MS = 5000
@@ -11,7 +11,7 @@
 const PEER_LOAD_LIFETIME_MS = 400
 
 /** Load of one host or of all. */
-export type HostLoad = Pick<LoadReport, 'work' | 'links' | 'limits' | 'paces' | 'streams'>
+export type HostLoad = Pick<LoadReport, 'work' | 'links' | 'limits' | 'brittle' | 'paces' | 'streams'>
 
 /** Load that this host reported under one sequence number, to be subtracted from the totals that include it. */
 interface OwnReport {
@@ -30,6 +30,7 @@
   #endpoints = new Map<string, LoadFigures>()
   #links = new Map<string, LinkLoadFigures>()
   #limits: readonly EndpointRateLimit[] = []
+  #brittle: readonly EndpointBrittleness[] = []
   #paces = new Map<string, PaceStatement>()
   #streams = new Map<string, StreamLimits>()
   #receivedAt = Number.NEGATIVE_INFINITY
@@ -58,12 +59,13 @@
    * @param totals - load of all hosts, this one included, with the sequence number of the report
    * @param now - monotonic milliseconds
    */
-  recordTotals ({ sequence, work, links, limits = [], paces = [], streams = [] }: LoadTotals, now: number): void {
+  recordTotals ({ sequence, work, links, limits = [], brittle = [], paces = [], streams = [] }: LoadTotals, now: number): void {
     const own = this.#reports.find(report => report.sequence === sequence)
     if (own === undefined || sequence < this.#latestSequence) return
     this.#latestSequence = sequence
     this.#receivedAt = now
     this.#limits = limits
+    this.#brittle = brittle
     this.#paces = new Map(paces.map(({ endpoint, factor, statedAgoMs }) => [endpoint, { factor, statedAt: now - statedAgoMs }]))
     this.#streams = new Map(streams.map(total => [total.endpoint, subtractStreams(total, own.streams.get(total.endpoint))]))
     this.#endpoints = new Map()
@@ -129,6 +131,9 @@
   /** Rate limits that endpoints have stated, as of the last answer. */
   get limits (): readonly EndpointRateLimit[] { return this.#limits }
 
+  /** Bounds on rejections that endpoints have stated, as of the last answer. */
+  get brittle (): readonly EndpointBrittleness[] { return this.#brittle }
+
   /** Load of all other hosts on links, by link name. */
   get links (): ReadonlyMap<string, LinkLoadFigures> { return this.#links }
 }
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -46,6 +46,13 @@
     expect(aggregator.totals(330).paces).toEqual([])
   })
 
+  it('returns the rejections that an endpoint tolerates, until it expires', () => {
+    const aggregator = new LoadAggregator()
+    aggregator.observe({ host: 'a', sequence: 1, work: [], links: [], brittle: [{ endpoint: 'e', rejectionsPerSecond: 4, statedAgoMs: 50 }] }, 100)
+    expect(aggregator.totals(300).brittle).toEqual([{ endpoint: 'e', rejectionsPerSecond: 4, statedAgoMs: 250 }])
+    expect(aggregator.totals(10_000).brittle).toEqual([])
+  })
+
   it('sums the running streams with a limited pause, and keeps the shortest limit', () => {
     const aggregator = new LoadAggregator()
     const report = (host: string, streams: number, shortestPauseMs: number): LoadReport => ({ host, sequence: 1, work: [], links: [], streams: [{ endpoint: 'e', streams, shortestPauseMs }] })
--- a/packages/routing/src/lib/load/loadCodec.test.ts
+++ b/packages/routing/src/lib/load/loadCodec.test.ts
@@ -42,6 +42,14 @@
     expect(encodeLoadReport({ ...report, streams: [] })).toEqual(encodeLoadReport(report))
   })
 
+  it('round-trips the rejections that endpoints tolerate, and adds no bytes if none state them', () => {
+    const brittle = [{ endpoint: 'i-1', rejectionsPerSecond: 4, statedAgoMs: 250 }]
+    const report = { host: 'h', sequence: 1, work: [work(1)], links: [] }
+    expect(decodeLoadReport(encodeLoadReport({ ...report, brittle }))).toEqual({ ...report, brittle })
+    expect(decodeLoadTotals(frameLoadTotals(1, encodeLoadTotals({ work: [], links: [], brittle }))).brittle).toEqual(brittle)
+    expect(encodeLoadReport({ ...report, brittle: [] })).toEqual(encodeLoadReport(report))
+  })
+
   it('ignores feature tables that it does not know, so that a later release can add some', () => {
     const empty = ['', new Uint8Array(0)]
     expect(decodeLoadReport(encode(['h', 1, empty, empty, null, { later: ['a', new Uint8Array(2)] }]))).toEqual({ host: 'h', sequence: 1, work: [], links: [] })
--- a/packages/routing/src/lib/load/loadCodec.ts
+++ b/packages/routing/src/lib/load/loadCodec.ts
@@ -9,7 +9,7 @@
 import { decode, encode } from '@msgpack/msgpack'
 import { z } from 'zod'
 import type { LinkLoadFigures, LinkLoad } from './linkLoad.js'
-import type { EndpointPace, EndpointRateLimit, EndpointLoad, EndpointStreams, LoadReport, LoadTotals, LoadFigures } from './loadReport.js'
+import type { EndpointBrittleness, EndpointPace, EndpointRateLimit, EndpointLoad, EndpointStreams, LoadReport, LoadTotals, LoadFigures } from './loadReport.js'
 
 /** Size of the sequence in front of totals. */
 const SEQUENCE_BYTES = 4
@@ -57,6 +57,8 @@
 
 const LIMIT_FIGURES: FigureColumns<Omit<EndpointRateLimit, 'endpoint'>> = [['requestsPerSecond', RATE_STEP], ['statedAgoMs', 1]]
 
+const BRITTLENESS_FIGURES: FigureColumns<Omit<EndpointBrittleness, 'endpoint'>> = [['rejectionsPerSecond', RATE_STEP], ['statedAgoMs', 1]]
+
 const PACE_FIGURES: FigureColumns<Omit<EndpointPace, 'endpoint'>> = [['factor', PACE_STEP], ['statedAgoMs', 1]]
 
 const STREAM_FIGURES: FigureColumns<Omit<EndpointStreams, 'endpoint'>> = [['streams', 1], ['shortestPauseMs', 1]]
@@ -65,13 +67,13 @@
 const limitsSchema = tableSchema.nullish()
 
 /** Tables of optional features. Unknown ones are ignored, so that hosts of different releases can exchange loads. */
-const featureTablesSchema = z.object({ paces: tableSchema.optional(), streams: tableSchema.optional() }).optional()
+const featureTablesSchema = z.object({ brittle: tableSchema.optional(), paces: tableSchema.optional(), streams: tableSchema.optional() }).optional()
 const reportSchema = z.tuple([z.string(), z.int().min(0), tableSchema, tableSchema, limitsSchema, featureTablesSchema])
 const totalsSchema = z.tuple([tableSchema, tableSchema, limitsSchema, featureTablesSchema])
 
 type Table = z.infer<typeof tableSchema>
 type FeatureTables = NonNullable<z.infer<typeof featureTablesSchema>>
-type FeatureLoad = Pick<LoadTotals, 'paces' | 'streams'>
+type FeatureLoad = Pick<LoadTotals, 'brittle' | 'paces' | 'streams'>
 
 /**
  * @param report - report of one host
@@ -195,15 +197,17 @@
   return Object.keys(tables).length === 0 ? limitTables : [limitTables[0] ?? null, tables]
 }
 
-function toFeatureTables ({ paces = [], streams = [] }: FeatureLoad, work: readonly EndpointLoad[]): FeatureTables {
+function toFeatureTables ({ brittle = [], paces = [], streams = [] }: FeatureLoad, work: readonly EndpointLoad[]): FeatureTables {
   return {
+    ...(brittle.length === 0 ? {} : { brittle: toTable(brittle.map(entry => entry.endpoint), brittle, BRITTLENESS_FIGURES) }),
     ...(paces.length === 0 ? {} : { paces: toTable(paces.map(entry => entry.endpoint), paces, PACE_FIGURES) }),
     ...(streams.length === 0 ? {} : { streams: toStreamTable(streams, work) })
   }
 }
 
-function toFeatureLoad ({ paces, streams }: FeatureTables = {}, work: readonly EndpointLoad[] = []): FeatureLoad {
+function toFeatureLoad ({ brittle, paces, streams }: FeatureTables = {}, work: readonly EndpointLoad[] = []): FeatureLoad {
   return {
+    ...(brittle === undefined ? {} : { brittle: toBrittleness(brittle) }),
     ...(paces === undefined ? {} : { paces: toPaces(paces) }),
     ...(streams === undefined ? {} : { streams: toStreams(streams, work) })
   }
@@ -226,6 +230,10 @@
   return present
 }
 
+function toBrittleness (table: Table): EndpointBrittleness[] {
+  return readRows(table, BRITTLENESS_FIGURES.length).map(({ name, figure }) => ({ endpoint: name, rejectionsPerSecond: figure(0) * RATE_STEP, statedAgoMs: figure(1) }))
+}
+
 function toPaces (table: Table): EndpointPace[] {
   return readRows(table, PACE_FIGURES.length).map(({ name, figure }) => ({ endpoint: name, factor: figure(0) * PACE_STEP, statedAgoMs: figure(1) }))
 }
--- a/packages/routing/src/lib/load/loadReport.ts
+++ b/packages/routing/src/lib/load/loadReport.ts
@@ -1,4 +1,5 @@
 /** The load that entry hosts have at endpoints, as they report it. */
+import type { BrittlenessStatement } from '../endpoints/Brittleness.js'
 import type { RateLimitStatement } from '../endpoints/StatedRateLimit.js'
 import type { StreamLimits } from '../endpoints/RunningStreams.js'
 import type { LinkLoad } from './linkLoad.js'
@@ -48,6 +49,12 @@
   readonly endpoint: string
 }
 
+/** Latest bound on rejections that an endpoint has stated. */
+export interface EndpointBrittleness extends BrittlenessStatement {
+  /** Incarnation. */
+  readonly endpoint: string
+}
+
 /** Latest pace that an endpoint has stated for the machine that it shares. */
 export interface EndpointPace {
   /** Incarnation. */
@@ -73,6 +80,8 @@
   readonly links: readonly LinkLoad[]
   /** Rate limits that the host has read recently; absent if there are none. */
   readonly limits?: readonly EndpointRateLimit[]
+  /** Bounds on rejections that the host has read recently; absent if there are none. */
+  readonly brittle?: readonly EndpointBrittleness[]
   /** Paces other than the usual one that the host has read recently, and usual ones that supersede them; absent if there are none. */
   readonly paces?: readonly EndpointPace[]
   /** Running streams with a limited pause, at endpoints with load; absent if there are none. */
@@ -87,6 +96,8 @@
   readonly links: readonly LinkLoad[]
   /** Latest rate limits that any host has read; absent if there are none. */
   readonly limits?: readonly EndpointRateLimit[]
+  /** Latest bounds on rejections that any host has read; absent if there are none. */
+  readonly brittle?: readonly EndpointBrittleness[]
   /** Latest paces other than the usual one that any host has read recently; absent if there are none. */
   readonly paces?: readonly EndpointPace[]
   /** Running streams with a limited pause, of all hosts; absent if there are none. */
