Rate limits: a host reports the age of what it has read itself

What a host had read came back to it in the totals with an age that leaves out the time in the cache and on the way; it took that as newer and reported it again with that age, so that a limit stayed as young as the exchange is late for the 2 s in which it is reported. A lifted limit could be put in force again by it.

--- a/packages/routing/src/lib/endpoints/StatedRateLimit.test.ts
+++ b/packages/routing/src/lib/endpoints/StatedRateLimit.test.ts
@@ -29,4 +29,14 @@
     expect(limit.statement(200)).toEqual({ requestsPerSecond: 2, statedAgoMs: 100 })
     expect(limit.statement(5000)).toBeUndefined()
   })
+  // Guards against limits that stay in force because a host passes on what it has read with the age at which it came back to it.
+  it('does not become newer when the statement of this host comes back late', () => {
+    const limit = new StatedRateLimit()
+    limit.observeAnswer(2, 0)
+    for (let now = 25; now <= 1000; now += 25) {
+      const reported = limit.statement(now)
+      if (reported !== undefined) limit.observeStatement(reported, now + 20)
+    }
+    expect(limit.statement(1100)).toEqual({ requestsPerSecond: 2, statedAgoMs: 1100 })
+  })
 })
--- a/packages/routing/src/lib/endpoints/StatedRateLimit.ts
+++ b/packages/routing/src/lib/endpoints/StatedRateLimit.ts
@@ -23,7 +23,8 @@
 export class StatedRateLimit {
   #requestsPerSecond: number | undefined
   #statedAt = Number.NEGATIVE_INFINITY
-  #observedAt = Number.NEGATIVE_INFINITY
+  /** What this host has read last itself. */
+  #observed: { readonly requestsPerSecond: number | undefined, readonly at: number } | undefined
 
   /** The rate that was stated last; undefined if none is stated. */
   get requestsPerSecond (): number | undefined { return this.#requestsPerSecond }
@@ -40,7 +41,7 @@
    */
   observeAnswer (requestsPerSecond: number | undefined, now: number): boolean {
     // Most endpoints never state a limit; nothing is stored for those.
-    if (requestsPerSecond !== undefined || this.#requestsPerSecond !== undefined) this.#observedAt = now
+    if (requestsPerSecond !== undefined || this.#requestsPerSecond !== undefined) this.#observed = { requestsPerSecond, at: now }
     return this.#update(requestsPerSecond, now)
   }
 
@@ -60,8 +61,9 @@
    * @returns statement to report to the other hosts; undefined if this host has read none recently
    */
   statement (now: number): RateLimitStatement | undefined {
-    if (now - this.#observedAt > REPORTING_MS) return undefined
-    return { requestsPerSecond: this.#requestsPerSecond, statedAgoMs: now - this.#statedAt }
+    if (this.#observed === undefined || now - this.#observed.at > REPORTING_MS) return undefined
+    // With the age of a statement that came back from the others, the same statement would become newer with each report.
+    return { requestsPerSecond: this.#observed.requestsPerSecond, statedAgoMs: now - this.#observed.at }
   }
 
   #update (requestsPerSecond: number | undefined, at: number): boolean {
