--- a/packages/routing/src/lib/endpoints/Brittleness.ts
+++ b/packages/routing/src/lib/endpoints/Brittleness.ts
@@ -16,7 +16,8 @@
 export class Brittleness {
   #rejectionsPerSecond: number | undefined
   #statedAt = Number.NEGATIVE_INFINITY
-  #observedAt = Number.NEGATIVE_INFINITY
+  /** What this host has read last itself. */
+  #observed: { readonly rejectionsPerSecond: number | undefined, readonly at: number } | undefined
   #rejectedAt: number[] = []
 
   /** Rejections a second that the endpoint tolerates from all hosts together; undefined while it states no bound. */
@@ -28,7 +29,7 @@
    * @returns whether the statement has changed
    */
   observeAnswer (rejectionsPerSecond: number | undefined, now: number): boolean {
-    this.#observedAt = now
+    if (rejectionsPerSecond !== undefined || this.#rejectionsPerSecond !== undefined) this.#observed = { rejectionsPerSecond, at: now }
     return this.#update(rejectionsPerSecond, now)
   }
 
@@ -48,8 +49,9 @@
    * @returns statement to report to the other hosts; undefined if this host has read none recently
    */
   statement (now: number): BrittlenessStatement | undefined {
-    if (this.#rejectionsPerSecond === undefined || now - this.#observedAt > REPORTING_MS) return undefined
-    return { rejectionsPerSecond: this.#rejectionsPerSecond, statedAgoMs: now - this.#statedAt }
+    if (this.#observed?.rejectionsPerSecond === undefined || now - this.#observed.at > REPORTING_MS) return undefined
+    // With the age of a statement that came back from the others, the same statement would become newer with each report.
+    return { rejectionsPerSecond: this.#observed.rejectionsPerSecond, statedAgoMs: now - this.#observed.at }
   }
 
   #update (rejectionsPerSecond: number | undefined, at: number): boolean {
