Brittle endpoints: a host tests how much they take before it sends its share of the slots

Cause: the share of the rejections counted only rejections that had come back, and neither a start nor a rejection bounded what was sent next. Now a host has no more in flight than its share of the rejections and the requests that the endpoint has accepted since its last rejection.

--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -128,7 +128,8 @@
     if (isLeaving) this.#markLeaving(endpoint)
     if (endpoint.rateLimit.observeAnswer(requestsPerSecond, now)) this.#logRateLimit(endpoint, now)
     if (endpoint.brittleness.observeAnswer(rejectionsPerSecond, now)) this.#logBrittleness(endpoint)
-    if (isNotExecuted && status === UNAVAILABLE) endpoint.brittleness.observeRejection(now)
+    if (!isNotExecuted) endpoint.brittleness.observeAccepted()
+    else if (status === UNAVAILABLE) endpoint.brittleness.observeRejection(now)
     if (status !== UNAVAILABLE) endpoint.requestedPause.recordAccepted(now)
     else if (retryAfterMs !== undefined) this.#recordPause(endpoint, retryAfterMs, now)
   }
--- a/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.ts
+++ b/packages/routing/src/lib/endpoints/BrittleEndpointLimiter.ts
@@ -47,18 +47,23 @@
     const until = this.#heldBackByRejectionUntil(endpoint, rejectionsPerSecond)
     if (until > now) return until
     const { slots } = endpoint.occupancy(now)
-    const mayUse = endpoint.inFlight < this.#slotsOfThisHost(endpoint.incarnation, slots) || occupied < slots * ROOMY_SHARE
-    return mayUse ? undefined : now + RECHECK_MS
+    const mostAtOnce = Math.max(1, Math.floor(this.#rejectionsOfThisHost(rejectionsPerSecond))) + endpoint.brittleness.accepted
+    const hasRoom = endpoint.inFlight < this.#slotsOfThisHost(endpoint.incarnation, slots) || occupied < slots * ROOMY_SHARE
+    return endpoint.inFlight < mostAtOnce && hasRoom ? undefined : now + RECHECK_MS
   }
 
   #heldBackByRejectionUntil ({ brittleness, incarnation }: EndpointState, rejectionsPerSecond: number): number {
-    const share = rejectionsPerSecond * REJECTIONS_SHARE / this.#hosts
+    const share = this.#rejectionsOfThisHost(rejectionsPerSecond)
     const spanMs = (WINDOW_MS + ARRIVAL_JITTER_MS) / Math.min(1, share)
     // Hosts that were rejected at the same moment come back at different ones.
     const spread = 1 + hostHashFraction(this.host, incarnation)
     return brittleness.newest(Math.max(1, Math.floor(share))) + spanMs * spread
   }
 
+  #rejectionsOfThisHost (rejectionsPerSecond: number): number {
+    return rejectionsPerSecond * REJECTIONS_SHARE / this.#hosts
+  }
+
   #slotsOfThisHost (incarnation: string, slots: number): number {
     const share = slots * SLOTS_SHARE / this.#hosts
     const whole = Math.floor(share)
--- a/packages/routing/src/lib/endpoints/Brittleness.ts
+++ b/packages/routing/src/lib/endpoints/Brittleness.ts
@@ -19,6 +19,7 @@
   /** What this host has read last itself. */
   #observed: { readonly rejectionsPerSecond: number | undefined, readonly at: number } | undefined
   #rejectedAt: number[] = []
+  #accepted = 0
 
   /** Rejections a second that the endpoint tolerates from all hosts together; undefined while it states no bound. */
   get rejectionsPerSecond (): number | undefined { return this.#rejectionsPerSecond }
@@ -62,8 +63,17 @@
     return hasChanged
   }
 
+  /** Requests of this host that the endpoint has accepted since it last rejected one. */
+  get accepted (): number { return this.#accepted }
+
+  /** Records that the endpoint has accepted a request of this host. */
+  observeAccepted (): void {
+    this.#accepted += 1
+  }
+
   /** @param now - when the endpoint rejected a request of this host, in monotonic milliseconds */
   observeRejection (now: number): void {
+    this.#accepted = 0
     this.#rejectedAt = [...this.#rejectedAt.slice(1 - MAX_REJECTIONS), now]
   }
 
