--- a/apps/entry/src/lib/routed/EndpointLimits.test.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.test.ts
@@ -3,6 +3,7 @@
 import { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import { EndpointState, ASSUMED_COLD_MS } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { SharedRateLimiter } from '@eelgrassmux/routing/endpoints/SharedRateLimiter'
+import type { PeerLoad } from '@eelgrassmux/routing/load/PeerLoad'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -76,12 +77,12 @@
     })
 
     it('applies the newest statement, whichever host has read it', () => {
-      const endpoint = new EndpointState(listed('r', 'south', 'plain'))
-      limits.observeAnswer(endpoint, head(2), 1000)
-      limits.observeStatement(endpoint, { requestsPerSecond: undefined, statedAgoMs: 500 }, 1400)
-      expect(endpoint.rateLimit.requestsPerSecond).toBe(2)
-      limits.observeStatement(endpoint, { requestsPerSecond: undefined, statedAgoMs: 100 }, 1400)
-      expect(endpoint.rateLimit.requestsPerSecond).toBeUndefined()
+      const lifted = (statedAgoMs: number): Pick<PeerLoad, 'limits' | 'brittle'> => ({ limits: [{ endpoint: plain.incarnation, requestsPerSecond: undefined, statedAgoMs }], brittle: [] })
+      limits.observeAnswer(plain, head(2), 1000)
+      limits.applyStatements(lifted(500), 1400)
+      expect(plain.rateLimit.requestsPerSecond).toBe(2)
+      limits.applyStatements(lifted(100), 1400)
+      expect(plain.rateLimit.requestsPerSecond).toBeUndefined()
     })
   })
 })
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -1,11 +1,11 @@
 /** Limits on new requests to endpoints, set by operators, services and the endpoints themselves: evacuated data centres, rate limits and pauses. */
 import type { BrittleEndpointLimiter } from '@eelgrassmux/routing/endpoints/BrittleEndpointLimiter'
-import type { BrittlenessStatement } from '@eelgrassmux/routing/endpoints/Brittleness'
 import type { ColdEndpointLimiter } from '@eelgrassmux/routing/endpoints/ColdEndpointLimiter'
 import type { HoldBackReason } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { SharedRateLimiter } from '@eelgrassmux/routing/endpoints/SharedRateLimiter'
-import type { RateLimitStatement } from '@eelgrassmux/routing/endpoints/StatedRateLimit'
+import type { EndpointBrittleness, EndpointRateLimit } from '@eelgrassmux/routing/load/loadReport'
+import type { HostLoad, PeerLoad } from '@eelgrassmux/routing/load/PeerLoad'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { ResponseHead } from './RoutedAttempt.js'
@@ -135,25 +135,38 @@
   }
 
   /**
-   * Applies a rate limit that another host has read from a response.
-   *
-   * @param endpoint - endpoint that stated the limit
-   * @param statement - limit as the other host reported it
    * @param now - monotonic milliseconds
+   * @returns what endpoints have stated to this host recently, for the other hosts
    */
-  observeStatement (endpoint: EndpointState, statement: RateLimitStatement, now: number): void {
-    if (endpoint.rateLimit.observeStatement(statement, now)) this.#logRateLimit(endpoint, now)
+  ownStatements (now: number): Pick<HostLoad, 'limits' | 'brittle'> {
+    const limits: EndpointRateLimit[] = []
+    const brittle: EndpointBrittleness[] = []
+    for (const { incarnation, rateLimit, brittleness } of this.endpoints()) {
+      const limit = rateLimit.statement(now)
+      if (limit !== undefined) limits.push({ endpoint: incarnation, ...limit })
+      const bound = brittleness.statement(now)
+      if (bound !== undefined) brittle.push({ endpoint: incarnation, ...bound })
+    }
+    return { ...(limits.length === 0 ? {} : { limits }), ...(brittle.length === 0 ? {} : { brittle }) }
   }
 
   /**
-   * Applies a bound on rejections that another host has read from a response.
+   * Applies what endpoints have stated to any host.
    *
-   * @param endpoint - endpoint that stated the bound
-   * @param statement - bound as the other host reported it
+   * @param stated - statements as the other hosts reported them
    * @param now - monotonic milliseconds
    */
-  observeBrittleness (endpoint: EndpointState, statement: BrittlenessStatement, now: number): void {
-    if (endpoint.brittleness.observeStatement(statement, now)) this.#logBrittleness(endpoint)
+  applyStatements ({ limits, brittle }: Pick<PeerLoad, 'limits' | 'brittle'>, now: number): void {
+    if (limits.length === 0 && brittle.length === 0) return
+    const byIncarnation = new Map(this.endpoints().map(endpoint => [endpoint.incarnation, endpoint]))
+    for (const statement of limits) {
+      const endpoint = byIncarnation.get(statement.endpoint)
+      if (endpoint?.rateLimit.observeStatement(statement, now) === true) this.#logRateLimit(endpoint, now)
+    }
+    for (const statement of brittle) {
+      const endpoint = byIncarnation.get(statement.endpoint)
+      if (endpoint?.brittleness.observeStatement(statement, now) === true) this.#logBrittleness(endpoint)
+    }
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -200,7 +200,7 @@
   applyObservations (): void {
     const now = performance.now()
     for (const change of this.storeLinks.observePeers(this.otherHostsLoad.links, now)) this.#logLink(change)
-    this.#applyStatedLimits(now)
+    this.limits.applyStatements(this.otherHostsLoad, now)
     if (now - this.#ejectionsCheckedAt < EJECTION_CHECK_INTERVAL_MS) return
     this.#ejectionsCheckedAt = now
     for (const service of this.#pool.services) {
@@ -208,20 +208,6 @@
     }
   }
 
-  #applyStatedLimits (now: number): void {
-    const { limits, brittle } = this.otherHostsLoad
-    if (limits.length === 0 && brittle.length === 0) return
-    const byIncarnation = new Map(this.#pool.all.map(endpoint => [endpoint.incarnation, endpoint]))
-    for (const statement of limits) {
-      const endpoint = byIncarnation.get(statement.endpoint)
-      if (endpoint !== undefined) this.limits.observeStatement(endpoint, statement, now)
-    }
-    for (const statement of brittle) {
-      const endpoint = byIncarnation.get(statement.endpoint)
-      if (endpoint !== undefined) this.limits.observeBrittleness(endpoint, statement, now)
-    }
-  }
-
   #logLink ({ link, isSlow, slowerBy, samples }: LinkSpeedChange): void {
     this.telemetry.logStateChange(isSlow ? 'store-link-slow' : 'store-link-sound', {
       link, slowerBy: Number(slowerBy.toFixed(2)), samples: Number(samples.toFixed(1))
@@ -365,7 +351,7 @@
     const work = this.#pool.all.filter(endpoint => endpoint.hasAnythingToReport(now))
       .map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now), ...this.#ownFailures(endpoint) }))
       .filter(({ inFlight, avoiders, outcomes }) => inFlight > 0 || avoiders > 0 || outcomes >= MIN_REPORTED_OUTCOMES)
-    return { work, links: this.storeLinks.localLoad(now), ...this.#ownLimits(now), ...this.#ownBrittleness(now), ...this.#ownPaces(now), ...this.#ownStreams() }
+    return { work, links: this.storeLinks.localLoad(now), ...this.limits.ownStatements(now), ...this.#ownPaces(now), ...this.#ownStreams() }
   }
 
   /** Hides failures from the other hosts that are due to the links of this host. */
@@ -393,22 +379,6 @@
     return streams.length === 0 ? {} : { streams }
   }
 
-  #ownLimits (now: number): Pick<HostLoad, 'limits'> {
-    const limits = this.#pool.all.flatMap(endpoint => {
-      const statement = endpoint.rateLimit.statement(now)
-      return statement === undefined ? [] : [{ endpoint: endpoint.incarnation, ...statement }]
-    })
-    return limits.length === 0 ? {} : { limits }
-  }
-
-  #ownBrittleness (now: number): Pick<HostLoad, 'brittle'> {
-    const brittle = this.#pool.all.flatMap(endpoint => {
-      const statement = endpoint.brittleness.statement(now)
-      return statement === undefined ? [] : [{ endpoint: endpoint.incarnation, ...statement }]
-    })
-    return brittle.length === 0 ? {} : { brittle }
-  }
-
   /**
    * @param endpoint - endpoint that was chosen
    * @returns this host's connections to it
