--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -9,7 +9,6 @@
 import type { AddressInfo, Socket } from 'node:net'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { isOverShare } from '@eelgrassmux/routing/admission/isOverShare'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { StreamOrigin } from '@eelgrassmux/routing/streams/streamOrigin'
@@ -20,7 +19,7 @@
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
-import { SwitchedRetryTokens, type RetryTokens } from '../retries/RetryTokens.js'
+import type { RetryTokens } from '../retries/RetryTokens.js'
 import { isConnectionCheck, readRelayHeader } from '../relays/relayHeaders.js'
 import type { RelayHosts } from '../relays/RelayHosts.js'
 import type { RelayTicketChecks } from '../relays/RelayTicketChecks.js'
@@ -29,11 +28,10 @@
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import { headerBytes, readBody } from './requestBytes.js'
 import type { RoutedFleet } from './RoutedFleet.js'
-import type { RoutedPorts } from './RoutedRequest.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
-import { SharedInterval } from './SharedInterval.js'
-import { SILENCE_CHECK_INTERVAL_MS } from './SilenceFailover.js'
+import { ServicePorts } from './ServicePorts.js'
 import type { SlowReaders } from './SlowReaders.js'
 import { StartupQueue } from './StartupQueue.js'
 
@@ -91,6 +89,8 @@
 /** Largest headers that Node accepts, in bytes. The site's own limit is lower and is checked afterwards. */
 const MAX_HEADER_BYTES = 64 * 1024
 
+const NO_CONTENT = 204
+
 /** Length of the listen backlog, in connections. */
 const ACCEPT_BACKLOG = 4096
 
@@ -103,24 +103,15 @@
 /** Retry-After of refusals after which the caller should try another host, in seconds. */
 const RETRY_AFTER_SECONDS = 0.3
 
-const FIRST_EVENT_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5, 10]
-
 /** Serves routed requests until drained. */
 export class RoutedServer {
   readonly #server: Server
-  /** Dependencies of requests, by service. */
-  readonly #requestPorts = new Map<string, RoutedPorts>()
+  readonly #servicePorts: ServicePorts
   readonly #refusals: LabelledCounter
-  readonly #retries: LabelledCounter
   readonly #requests: LabelledCounter
-  readonly #responseEnds: LabelledCounter
   readonly #relayed: LabelledCounter
-  readonly #resumptions: LabelledCounter
   readonly #closedUnread: LabelledCounter
-  readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #startup: StartupQueue
-  readonly #durations = new RouteDurations()
-  readonly #silenceChecks = new SharedInterval(SILENCE_CHECK_INTERVAL_MS)
   #index: SiteIndex | undefined
   #lastRequestAt = 0
   /** Requests without a complete response; the task is undefined until the request has been routed. */
@@ -135,12 +126,9 @@
     this.#startup = new StartupQueue(startedAt)
     telemetry.gauge('requests_waiting_for_site', 'Requests that wait until this host knows the site', () => this.#startup.length)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
-    this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
+    this.#servicePorts = new ServicePorts(ports, this.#refusals)
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
-    this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
     this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
-    this.#resumptions = telemetry.labelledCounter('streams_resumed_total', 'Streams that were sent to an endpoint to go on after an event, by who resumed them', 'by')
-    this.#observeFirstEvent = telemetry.durationHistogram('routed_first_event_seconds', 'Time to the first event of a routed stream', FIRST_EVENT_BUCKETS_SECONDS)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
     this.#closedUnread = telemetry.labelledCounter('connections_closed_unread_total', 'Connections of callers that this host closed unread')
@@ -253,7 +241,7 @@
       ticket.end()
     })
     if (exchange.isRelayed && isConnectionCheck(message.method, message.url)) {
-      exchange.sendWhole(204, [], Buffer.alloc(0))
+      exchange.sendWhole(NO_CONTENT, [], Buffer.alloc(0))
       return
     }
     const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
@@ -309,8 +297,12 @@
       this.#refuse(exchange, fields, 'unknown-credential', 401, 'send a key that a customer holds')
       return
     }
-    this.#readBody(message, exchange, fields, index, body => {
-      this.#unlessAbandoned(exchange, fields, () => { this.#startOrResume({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }) })
+    const limit = index.site.limits.bodyBytes
+    readBody(message, exchange, limit, {
+      tooLarge: () => { this.#refuse(exchange, fields, 'body-too-large', 413, `the body is larger than ${limit} bytes`) },
+      complete: body => {
+        this.#unlessAbandoned(exchange, fields, () => { this.#startOrResume({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }) })
+      }
     })
   }
 
@@ -331,28 +323,6 @@
     setImmediate(() => { setImmediate(check) })
   }
 
-  #readBody (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, index: SiteIndex, onBody: (body: Buffer | undefined) => void): void {
-    const limit = index.site.limits.bodyBytes
-    const refuseLarge = (): void => { this.#refuse(exchange, fields, 'body-too-large', 413, `the body is larger than ${limit} bytes`) }
-    if (Number(message.headers['content-length'] ?? 0) > limit) {
-      refuseLarge()
-      return
-    }
-    const chunks: Buffer[] = []
-    let bytes = 0
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (exchange.hasEnded) return
-      if (bytes > limit) refuseLarge()
-      else chunks.push(chunk)
-    })
-    message.on('end', () => {
-      if (exchange.hasEnded) return
-      const hasBody = bytes > 0 || message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
-      onBody(hasBody ? Buffer.concat(chunks) : undefined)
-    })
-  }
-
   /** Starts a request. A stream that its caller takes up waits until it is known what began it. */
   #startOrResume (admitted: AdmittedRequest): void {
     const { exchange, fields, route } = admitted
@@ -381,7 +351,7 @@
       this.#refuse(exchange, fields, 'no-endpoint', 503, `route ${route.name} leads to no service`, RETRY_AFTER_SECONDS)
       return
     }
-    const ports = this.#portsOf(service.name)
+    const ports = this.#servicePorts.of(service.name)
     if (!isCountedElsewhere) ports.allowance.recordRequest(this.ports.liveHosts())
     this.#requests.count(route.kind)
     const id = fields.requestId ?? ''
@@ -406,44 +376,4 @@
     })
     exchange.refuse(refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, new DispatchRecord()))
   }
-
-  #portsOf (service: string): RoutedPorts {
-    const present = this.#requestPorts.get(service)
-    if (present !== undefined) return present
-    const { fleet, codec, telemetry, stop, quarantine, budget, sharedRetryTokens } = this.ports
-    const ports: RoutedPorts = {
-      fleet,
-      codec,
-      telemetry,
-      stop,
-      quarantine,
-      allowance: new SwitchedRetryTokens(budget, sharedRetryTokens?.(service), () => fleet.features.isEnabled('shared-retry-budget')),
-      durations: this.#durations,
-      retries: this.#retries,
-      refusals: this.#refusals,
-      responseEnds: this.#responseEnds,
-      resumptions: this.#resumptions,
-      firstEvent: this.#observeFirstEvent,
-      silenceChecks: this.#silenceChecks,
-      slowReaders: this.ports.slowReaders,
-      waiting: this.ports.waiting,
-      streams: this.ports.streams,
-      reservations: this.ports.reservations,
-      relays: this.ports.relays?.hosts,
-      isLagging: () => this.ports.isLagging(),
-      desiredVersion: model => this.ports.desiredVersion(model),
-      remainingMsForVersion: (model, version) => this.ports.remainingMsForVersion(model, version),
-      areStoresUsable: now => this.ports.areStoresUsable(now),
-      storeClockMs: now => this.ports.storeClockMs(now),
-      withRecentLoad: place => { this.ports.withRecentLoad(place) }
-    }
-    this.#requestPorts.set(service, ports)
-    return ports
-  }
-}
-
-function headerBytes (message: IncomingMessage): number {
-  const { rawHeaders } = message
-  // Two bytes between name and value, two at the end of each line.
-  return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0)
 }
