Relays: a check that was answered during a blocked event loop does not count as refused

Found on reading: the timer of the check runs before the sockets are read, so after a block of 300 ms a host that had answered was passed over; and a late failure would have closed the connection of a request that was under way.

--- a/apps/entry/src/lib/relays/RelayedRequest.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -87,10 +87,11 @@
       if (!this.#isDone) next()
     }
     const fail = (): void => {
-      connection.close()
+      if (!isSettled) connection.close()
       settle(() => { this.#offerNext(host, false) })
     }
-    const timer = setTimeout(fail, CHECK_TIMEOUT_MS)
+    // After a blocked event loop, an answer that has come is read before the check fails.
+    const timer = setTimeout(() => { setImmediate(() => { setImmediate(fail) }) }, CHECK_TIMEOUT_MS)
     this.#cancelSend = connection.send(connectionCheck(ticket), {
       sending: () => {},
       head: (_status, headers) => { isTaken = !isRelayRefused(headers) },
