--- a/apps/entry/src/lib/relays/RelayedRequest.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -16,8 +16,12 @@
   sending (host: string): void
   /** The host has stated that the request did not run. */
   refused (host: string): void
-  /** No host has taken the request, which did not run. */
-  unavailable (): void
+  /**
+   * No host has taken the request, which did not run.
+   *
+   * @param asked - number of hosts that were asked
+   */
+  unavailable (asked: number): void
   /** The response broke off, or never began; the request may have run. */
   lost (host: string, detail: string): void
   /** Called before the end of the response is written. */
@@ -67,7 +71,7 @@
     const relay = this.#tried.size < MAX_OFFERS ? this.hosts.acquire(this.#tried, now) : undefined
     if (relay === undefined) {
       this.#isDone = true
-      this.listener.unavailable()
+      this.listener.unavailable(this.#tried.size)
       return
     }
     this.#tried.add(relay.host)
--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -115,7 +115,7 @@
         this.attempts.retractRun()
         this.task.logRefused({ host })
       },
-      unavailable: () => { this.task.refuse('this host does not reach the endpoints, and no other host has taken the request') },
+      unavailable: asked => { this.task.refuse(`this host does not reach the endpoints, and none of ${asked} other hosts has taken the request`) },
       lost: (host, detail) => { this.task.lost(`host ${host}: ${detail}`) },
       complete: (host, status) => { this.task.complete(host, status) }
     })
