Failed attempts name their send; callers' connections that fail behind a request are logged

The record of REFUSED and TWICE could not tell whether a promise was written by the HTTP server, which left no line, or followed from a statement of an endpoint, of which the line did not say to which send it belonged. attempt-failed has local port, number of earlier responses of the connection, age of the send and the id in the response now; caller-connection-failed is new. What the server writes is what Node writes by default, nothing else changes.

--- a/apps/entry/src/lib/routed/AttemptFailures.ts
+++ b/apps/entry/src/lib/routed/AttemptFailures.ts
@@ -78,6 +78,6 @@
     if (mayHaveRun) this.noteLost(attempt)
     const run = mayHaveRun ? { fingerprint: guard.fingerprint, ranMs: Math.round(attempt.ageMs), hadEvents: times.hasFirstEvent, ...this.#describeParts() } : {}
     const body = mayHaveRun && head !== undefined ? { framing: bodyFraming(head.headers), bodyBytes: attempt.answerBytes } : {}
-    log({ endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs: Math.round(deadline - performance.now()), ...run, ...body })
+    log({ endpoint: attempt.choice.endpoint.id, failure, detail, sends, runs, remainingMs: Math.round(deadline - performance.now()), ...run, ...body, ...attempt.sendIdentity, ...(head === undefined ? {} : { answerId: head.fields.requestId ?? '' }) })
   }
 }
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -86,6 +86,9 @@
   /** Number of responses of which at least the head has come. */
   get responses (): number { return this.#responses }
 
+  /** Local port of the connection; 0 before it is established. */
+  get localPort (): number { return this.#socket?.localPort ?? 0 }
+
   /** Whether another request can be sent on this connection. */
   get isUsable (): boolean { return !this.#isClosed }
 
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -13,6 +13,15 @@
   readonly fields: ResponseFields
 }
 
+/** Identifies one send of a request. */
+export interface SendIdentity {
+  /** Local port of the connection. */
+  readonly localPort: number
+  /** Responses that the connection had brought before. */
+  readonly carried: number
+  readonly sentAgoMs: number
+}
+
 /** Receives the response of an attempt; `failed` or `complete` is the last call. */
 export interface AttemptListener {
   /** Called before the first byte may be sent. */
@@ -36,7 +45,7 @@
 export class RoutedAttempt {
   #cancel: CancelRequest = () => {}
   #head: ResponseHead | undefined
-  #wasSent = false
+  #sent: { readonly at: number, readonly localPort: number, readonly carried: number } | undefined
   #hasEnded = false
   #isReadingPrompt = true
   #answerBytes = 0
@@ -66,7 +75,14 @@
   ) {}
 
   /** Whether the first byte may have been sent. */
-  get wasSent (): boolean { return this.#wasSent }
+  get wasSent (): boolean { return this.#sent !== undefined }
+  /** The send, for the log; undefined before it. */
+  get sendIdentity (): SendIdentity | undefined {
+    if (this.#sent === undefined) return undefined
+    const { at, localPort, carried } = this.#sent
+    return { localPort, carried, sentAgoMs: Math.round(performance.now() - at) }
+  }
+
   /** Milliseconds since the attempt was created. */
   get ageMs (): number { return performance.now() - this.startedAt }
   get hasHead (): boolean { return this.#head !== undefined }
@@ -87,14 +103,14 @@
     this.fleet.transit.begin(this.choice.endpoint.incarnation, this.#transitBytes)
     this.#cancel = this.connection.send(request, {
       sending: () => {
-        this.#wasSent = true
+        this.#sent = { at: performance.now(), localPort: this.connection.localPort, carried: this.connection.responses }
         this.listener.sending()
       },
       head: (status, headers, resume) => { this.#onHead(status, headers, resume) },
       data: chunk => this.#onData(chunk),
       complete: () => { this.#onComplete() },
       unread: bytes => this.#hasEnded ? () => {} : this.listener.unread(this, bytes),
-      failed: error => { this.#fail(this.#wasSent ? 'lost' : 'not-connected', error.message) }
+      failed: error => { this.#fail(this.wasSent ? 'lost' : 'not-connected', error.message) }
     })
     if (Number.isFinite(startWithinMs)) this.#startTimer = setTimeout(() => { this.#withdraw() }, startWithinMs)
   }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -7,6 +7,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { ClientErrors, type ClientError } from '@eelgrassmux/daemon/ClientErrors'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { isOverShare } from '@eelgrassmux/routing/admission/isOverShare'
@@ -112,6 +113,7 @@
   readonly #relayed: LabelledCounter
   readonly #closedUnread: LabelledCounter
   readonly #startup: StartupQueue
+  readonly #clientErrors: ClientErrors
   #index: SiteIndex | undefined
   #lastRequestAt = 0
   /** Requests without a complete response; the task is undefined until the request has been routed. */
@@ -138,6 +140,7 @@
       response.writeContinue()
       this.#accept(request, response)
     })
+    this.#clientErrors = new ClientErrors(this.#server, error => { this.#logClientError(error) })
   }
 
   /**
@@ -224,6 +227,13 @@
     socket.destroy()
   }
 
+  #logClientError ({ code, status, awaited }: ClientError): void {
+    for (const message of awaited) {
+      const { requestId = '' } = this.ports.codec.readRequestHeaders(message.rawHeaders)
+      this.ports.telemetry.logDecision('caller-connection-failed', requestId, { code, status, awaited: awaited.length })
+    }
+  }
+
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
--- a/apps/entry/src/lib/routed/promises.test.ts
+++ b/apps/entry/src/lib/routed/promises.test.ts
@@ -114,7 +114,10 @@
     let received = 0
     return (request, response, body) => {
       received += 1
-      if (received === 1) return void request.socket.write(rejection(idOf(request)))
+      if (received === 1) {
+        request.socket.write(rejection(idOf(request)))
+        return
+      }
       if (received === 2) request.socket.write(rejection(surplusId(request)))
       ran.push(idOf(request))
       setTimeout(() => { if (!response.destroyed) respondOk(request, response, body) }, 30)
@@ -149,7 +152,10 @@
     let received = 0
     const entry = await hostBefore(new FakeEndpoint('e0', (request, response, body) => {
       received += 1
-      if (received === 1) return void request.socket.write(rejection(idOf(request)))
+      if (received === 1) {
+        request.socket.write(rejection(idOf(request)))
+        return
+      }
       request.socket.write(rejection(undefined))
       ran.push(idOf(request))
       setTimeout(() => { if (!response.destroyed) respondOk(request, response, body) }, 30)
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -55,7 +55,13 @@
     parts: z.string().optional(),
     /** The next two fields are set if a response had begun: what marks the end of its body, and how much of that had arrived. */
     framing: z.enum(['length', 'chunks', 'connection']).optional(),
-    bodyBytes: z.number().optional()
+    bodyBytes: z.number().optional(),
+    /** The next three fields identify the send: local port of the connection, responses that it had brought before, and milliseconds since the send. */
+    localPort: z.number().optional(),
+    carried: z.number().optional(),
+    sentAgoMs: z.number().optional(),
+    /** Request id in the response; empty if it has none, absent if there was no response. */
+    answerId: z.string().optional()
   }),
   'retry-budget-used-up': z.strictObject({ failure: z.string() }),
   'retry-granted': retryTokenFields,
@@ -95,6 +101,8 @@
     unreadMs: z.number(),
     endpoint: z.string().optional()
   }),
+  /** The caller's connection failed because of bytes behind this request, of which the response was awaited; with the status that was written, 0 for none. */
+  'caller-connection-failed': z.strictObject({ code: z.string(), status: z.number(), awaited: z.number() }),
   'broken-off': z.strictObject({ endpoint: z.string().optional(), failure: z.string(), detail: z.string().optional() }),
   'caller-left': z.strictObject({
     endpoint: z.string().optional(), isSilent: z.boolean().optional(), hadEvents: z.boolean().optional(), run: runState.optional(), isLagging: z.boolean().optional()
