Callers' connections: an error behind a call is no answer to that call

Callers whose call ran were answered 408 (a promise that it never will), 400 or 431 if bytes behind it on a kept connection were incomplete, broken or too large: Node's HTTP server writes the status of a connection error at once, whatever request is under way there. Class: bytes written to a caller by code that does not know whose answer is awaited. ClientErrors lets the requests that were read completely end with their own answers, closes the connection behind the last, and takes no further request from it; without such a request it answers as before. Same cause elsewhere: the project's own interface, the operators' interface (an order that runs got 400) and the admin server have it too.

--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http'
 import { H3, serve, type H3Event } from 'h3'
 import { portOf } from '@eelgrassmux/daemon/AdminServer'
+import { handleClientErrors } from '@eelgrassmux/daemon/ClientErrors'
 import type { WorkGate, WorkTicket } from '@eelgrassmux/daemon/WorkGate'
 import type { Customer } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
@@ -55,6 +56,7 @@
   async listen (host: string, port: number): Promise<number> {
     const server = serve(this.#routes(), { hostname: host, port, gracefulShutdown: false, silent: true })
     this.#server = server
+    handleClientErrors(server.node?.server)
     await server.ready()
     return portOf(server.url)
   }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -239,7 +239,7 @@
     this.#lastRequestAt = arrivedAt
     const exchange = new CallerExchange(message, response, () => this.ports.stop.isStopping)
     // The caller sent this request before it saw that the connection is closing; it can't be answered.
-    if (exchange.isAfterLastResponse) return
+    if (exchange.isAfterLastResponse || this.#clientErrors.isEnding(message.socket)) return
     const ticket = this.ports.work.tryBegin()
     if (ticket === undefined) {
       this.#refuseDraining(exchange)
--- a/packages/daemon/src/lib/AdminServer.ts
+++ b/packages/daemon/src/lib/AdminServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for operators' tools: health, readiness and metrics. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { handleClientErrors } from './ClientErrors.js'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /** A running admin server. */
@@ -32,6 +33,7 @@
       response.destroy()
     })
   })
+  handleClientErrors(server)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
--- a/packages/daemon/src/lib/ClientErrors.ts
+++ b/packages/daemon/src/lib/ClientErrors.ts
@@ -1,10 +1,10 @@
 /**
  * Errors of callers' connections to an HTTP server: bytes that are no request, heads that are too large or not complete in time.
  *
- * Node answers them by itself, with a status for the bytes that caused the error. A caller takes that for the response to
- * the request that is under way on the connection.
+ * By default, Node answers them at once with a status for the bytes that caused the error. A caller takes that for the
+ * response to the request that is under way on the connection, and 408 states that this request will never be executed.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Server, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
 /** An error of one connection. */
@@ -27,6 +27,7 @@
 /** Handles the errors of all connections of one server. */
 export class ClientErrors {
   readonly #responses = new WeakMap<Socket, Set<ServerResponse>>()
+  readonly #ending = new WeakSet<Socket>()
 
   /**
    * @param server - server whose errors are handled
@@ -39,6 +40,14 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.#handle(error, socket as Socket) })
   }
 
+  /**
+   * @param socket - connection of a caller
+   * @returns whether it closes after the responses to the requests that had been read before an error
+   */
+  isEnding (socket: Socket): boolean {
+    return this.#ending.has(socket)
+  }
+
   #note (response: ServerResponse): void {
     const { socket } = response.req
     const responses = this.#responses.get(socket) ?? new Set()
@@ -51,9 +60,31 @@
     const responses = [...this.#responses.get(socket) ?? []]
     const awaited = responses.filter(({ req }) => req.complete)
     const code = error.code ?? ''
-    const status = socket.writable && !responses.some(({ headersSent }) => headersSent) ? STATUS_BY_CODE.get(code) ?? BAD_REQUEST : 0
+    if (this.#ending.has(socket) && socket.writable) return
+    const isAnswered = awaited.length > 0 || responses.some(({ headersSent }) => headersSent)
+    const status = socket.writable && !isAnswered ? STATUS_BY_CODE.get(code) ?? BAD_REQUEST : 0
     if (responses.length > 0) this.observe({ code, status, awaited: awaited.map(({ req }) => req) })
+    const last = awaited.at(-1)
+    if (last !== undefined && socket.writable) {
+      this.#endAfter(last, socket)
+      return
+    }
     if (status !== 0) socket.write(`HTTP/1.1 ${status} ${REASON_PHRASES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
     socket.destroy(error)
   }
+
+  /** Closes the connection once a response and those before it are complete. Responses are written in the order of the requests. */
+  #endAfter (response: ServerResponse, socket: Socket): void {
+    this.#ending.add(socket)
+    if (!response.headersSent) response.shouldKeepAlive = false
+    response.once('finish', () => { socket.destroySoon() })
+  }
+}
+
+/**
+ * @param server - server of a library, if it listens already
+ * @returns the handler of its errors; undefined if it is no HTTP/1 server of Node
+ */
+export function handleClientErrors (server: unknown): ClientErrors | undefined {
+  return server instanceof Server ? new ClientErrors(server) : undefined
 }
