Rejections: a copy of an earlier rejection does not count for a later send

Callers got 503 with the promise "not run" for calls that ran, and hosts sent calls once more that ran: an endpoint that rejects a call and answers twice sends the copy where the next answer is expected. A call that waits in the order of all hosts returns to the endpoint that rejected it over the connection that was used last, and a caller that tries again under its id does too. The id in the copy is that of the call, so it was believed for the send that runs. Class: a statement is matched to the request in place of the send. ResponseAttribution (packages/routing) remembers which requests each connection has seen rejected: such a connection does not carry them again, and a second rejection of one is no statement. A connection that has seen 64 of them is closed.

In these tests the copy is written on the connection that carried the rejection, where it was written on whatever connection came next before: an endpoint can't send a copy elsewhere.

--- a/apps/entry/src/lib/routed/AttemptSender.ts
+++ b/apps/entry/src/lib/routed/AttemptSender.ts
@@ -30,7 +30,7 @@
   open (choice: EndpointChoice): RoutedAttempt | undefined {
     const { fleet, codec } = this.ports
     const connections = fleet.connectionsTo(choice.endpoint)
-    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint))
+    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint), this.request.id)
     return connection === undefined ? undefined : new RoutedAttempt(choice, this.request.id, connections, connection, fleet, codec, this.listener)
   }
 
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -7,6 +7,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
+import { ResponseAttribution } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 import { ResponseResetError, destroyIfConnecting, watchForReset } from '@eelgrassmux/backends/resetDetection'
 
 /** A request as it is sent to an endpoint. */
@@ -62,6 +63,8 @@
   #readBeforeHead: number | undefined
   #isClosed = false
   #responses = 0
+  /** Whether responses belong to the requests of this connection. */
+  readonly attribution = new ResponseAttribution()
 
   /**
    * @param address - IP address and port
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -23,15 +23,17 @@
   get hasIdle (): boolean { return this.#idle.some(connection => connection.isUsable) }
 
   /**
-   * Takes an idle connection or opens a new one.
+   * Takes an idle connection that may carry the request, or opens a new one.
    *
    * @param maximum - most connections that this host may have open
+   * @param requestId - id of the request; empty if it has none
    * @returns the connection, or undefined if all are in use
    */
-  acquire (maximum: number): EndpointConnection | undefined {
-    for (let idle = this.#idle.pop(); idle !== undefined; idle = this.#idle.pop()) {
-      if (idle.isUsable) return idle
-    }
+  acquire (maximum: number, requestId = ''): EndpointConnection | undefined {
+    const at = this.#idle.findLastIndex(connection => connection.isUsable && connection.attribution.mayCarry(requestId))
+    const [idle] = at < 0 ? [] : this.#idle.splice(at, 1)
+    if (idle !== undefined) return idle
+    if (this.#open.size >= maximum) this.#idle.at(0)?.close()
     return this.#open.size >= maximum ? undefined : this.open()
   }
 
@@ -51,7 +53,8 @@
    */
   release (connection: EndpointConnection): void {
     setImmediate(() => {
-      if (connection.isUsable) this.#idle.push(connection)
+      if (connection.attribution.isFull) connection.close()
+      else if (connection.isUsable) this.#idle.push(connection)
     })
   }
 
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -182,9 +182,10 @@
     this.fleet.observeBytes(this.choice.endpoint)
     if (this.connection.responses === 1) this.fleet.links.observeNewConnection(this.choice.endpoint)
     const fields = this.codec.readResponseHeaders(status, headers)
-    if (fields.requestId !== undefined && fields.requestId !== this.requestId) {
-      // This is a surplus response to an earlier request, so nothing that follows on this connection can be trusted.
-      this.#fail('lost', `the answer bears the id ${fields.requestId}`)
+    const doubt = this.connection.attribution.attribute(this.requestId, fields)
+    if (doubt !== undefined) {
+      // Nothing that follows on this connection can be trusted.
+      this.#fail('lost', doubt)
       return
     }
     this.#head = { status, headers, fields }
--- a/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
+++ b/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
@@ -74,8 +74,8 @@
 }
 
 /** Rejects the request, stating that it was not executed. */
-export const rejectNotExecuted: Behaviour = (_request, response) => {
-  response.writeHead(503, { [PLAIN_HEADERS.notRun]: '1' })
+export const rejectNotExecuted: Behaviour = (request, response) => {
+  response.writeHead(503, { [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '', [PLAIN_HEADERS.notRun]: '1' })
   response.end()
 }
 
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -9,6 +9,7 @@
 import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import { SwitchedRetryTokens } from '../../retries/RetryTokens.js'
 import { incarnationName } from '@eelgrassmux/routing/endpoints/incarnationName'
+import { ResponseAttribution } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 import { LoadFeatures } from '@eelgrassmux/routing/features/LoadFeatures'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
@@ -313,6 +314,7 @@
   #connectionsTo (number: number): EndpointConnections {
     const endpoint = this.endpoints[number]
     const connection = {
+      attribution: new ResponseAttribution(),
       close: () => {},
       send: (_request: unknown, handler: ResponseHandler) => {
         let isCancelled = false
--- a/apps/entry/src/lib/routed/promises.test.ts
+++ b/apps/entry/src/lib/routed/promises.test.ts
@@ -109,16 +109,18 @@
 })
 
 describe('a call that an endpoint has rejected', () => {
-  /** Rejects the first request, and writes a second rejection ahead of the answer to the next one. */
-  function rejectTwice (ran: string[], surplusId: (request: Parameters<Behaviour>[0]) => string | undefined): Behaviour {
-    let received = 0
+  /** Rejects the first request, and writes a copy of the rejection ahead of the next answer on that connection. */
+  function rejectTwice (ran: string[]): Behaviour {
+    let rejectedOn: Socket | undefined
+    let copy = ''
     return (request, response, body) => {
-      received += 1
-      if (received === 1) {
-        request.socket.write(rejection(idOf(request)))
+      if (rejectedOn === undefined) {
+        rejectedOn = request.socket
+        copy = rejection(idOf(request))
+        request.socket.write(copy)
         return
       }
-      if (received === 2) request.socket.write(rejection(surplusId(request)))
+      if (request.socket === rejectedOn) request.socket.write(copy)
       ran.push(idOf(request))
       setTimeout(() => { if (!response.destroyed) respondOk(request, response, body) }, 30)
     }
@@ -127,7 +129,7 @@
   // Guards against a second rejection of an earlier send that is believed for the send that runs, with a promise to the caller.
   it('and that is sent again is not refused with a promise by the second rejection of the first send', async () => {
     const ran: string[] = []
-    const entry = await hostBefore(new FakeEndpoint('e0', rejectTwice(ran, idOf)))
+    const entry = await hostBefore(new FakeEndpoint('e0', rejectTwice(ran)))
     expect((await entry.sendRequest('/unsafe/a')).status).toBe(503)
     const { status } = await entry.sendRequest('/unsafe/a')
     expect(ran).toHaveLength(1)
@@ -138,7 +140,7 @@
   it('and that waits for the same endpoint runs once', async () => {
     const ran: string[] = []
     waiting = new WaitingExchange('h', { features: new LoadFeatures(['waiting-order']), leader: () => undefined, withRecentLoad: place => { place() }, datagrams: { ask: () => {} } }, new Telemetry('test'))
-    const entry = await hostBefore(new FakeEndpoint('e0', rejectTwice(ran, idOf)), { waiting: { waiting } })
+    const entry = await hostBefore(new FakeEndpoint('e0', rejectTwice(ran)), { waiting: { waiting } })
     const { status } = await entry.sendRequest('/unsafe/a')
     expect(ran).toHaveLength(1)
     expect(PROMISES).not.toContain(status)
