Rejections: one without an id is no statement on a connection that was used before

Callers got 503 with a promise for calls that ran if a rejection without an id stood ahead of their answer: only an id that differs was refused. Class as before, a statement that is not known to belong to the send. Without an id, a rejection counts only as the first response of its connection; where earlier responses bore ids, no response without one counts. The call is then one that may have run (502).

promises.test.ts "... by a rejection that bears no id": 503 before, 502 now; ResponseAttribution.test.ts.

--- a/packages/routing/src/lib/attempts/ResponseAttribution.test.ts
+++ b/packages/routing/src/lib/attempts/ResponseAttribution.test.ts
@@ -33,6 +33,22 @@
     it('accepts the rejection of another request', () => {
       expect(connection.attribute('b', rejection('b'))).toBeUndefined()
     })
+
+    it.each([rejection(undefined), answer(undefined)])('doubts a response without an id (%o)', head => {
+      expect(connection.attribute('b', head)).toBeDefined()
+    })
+  })
+
+  describe('after an answer without an id', () => {
+    beforeEach(() => { connection.attribute('a', answer(undefined)) })
+
+    it('accepts a further answer without an id, since the endpoint may not repeat ids', () => {
+      expect(connection.attribute('b', answer(undefined))).toBeUndefined()
+    })
+
+    it('doubts a rejection without an id', () => {
+      expect(connection.attribute('b', rejection(undefined))).toBeDefined()
+    })
   })
 
   it('is full after 64 rejected requests', () => {
--- a/packages/routing/src/lib/attempts/ResponseAttribution.ts
+++ b/packages/routing/src/lib/attempts/ResponseAttribution.ts
@@ -18,6 +18,8 @@
 
 /** Remembers the responses of one connection. */
 export class ResponseAttribution {
+  #responses = 0
+  #hasIds = false
   readonly #rejected = new Set<string>()
 
   /** Whether so many requests were rejected on the connection that it should not be reused. */
@@ -40,13 +42,17 @@
    */
   attribute (requestId: string, head: AttributedHead): string | undefined {
     const doubt = this.#doubt(requestId, head)
+    this.#responses += 1
+    this.#hasIds ||= head.requestId !== undefined
     if (doubt === undefined && head.isNotExecuted) this.#rejected.add(requestId)
     return doubt
   }
 
   #doubt (requestId: string, head: AttributedHead): string | undefined {
     if (head.requestId !== undefined && head.requestId !== requestId) return `the answer bears the id ${head.requestId}`
+    if (head.requestId === undefined && this.#hasIds) return 'the answer bears no id, unlike those before it on this connection'
     if (!head.isNotExecuted) return undefined
+    if (head.requestId === undefined && this.#responses > 0) return 'the rejection bears no id and may belong to an earlier request of this connection'
     if (this.#rejected.has(requestId)) return 'the request was rejected on this connection before, so this may be a copy of that rejection'
     return undefined
   }
