Responses: a long 503 without the endpoint's statement does not reach the caller

Callers got an endpoint's 503, 429, 408 or 421 for a request that ran if its body was longer than 256 KiB: the status was checked at the end of the response, when the head had been written already. Class: the promise is checked after the bytes leave.

--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -2,6 +2,7 @@
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
 import { EventCursor } from '@eelgrassmux/runs/EventCursor'
 import { EventScanner } from '@eelgrassmux/runs/EventScanner'
+import { NOT_RUN_STATUSES } from '@eelgrassmux/schema/Refusal'
 import type { CallerExchange } from './CallerExchange.js'
 import { bodyFraming, isEventStream, mustEndAfterEvent, type BodyFraming } from './responseBody.js'
 import type { ResponseHead } from './RoutedAttempt.js'
@@ -39,6 +40,8 @@
   #resume: () => void = () => {}
   #scanner: EventScanner | undefined
   #isContinuation = false
+  /** Whether the status of the current response states that the request was not executed, which the endpoint did not state otherwise. Nothing of it may reach the caller. */
+  #isWithheld = false
   /** Whether the current response is no stream of events, so that nothing can continue it. */
   #isOpaque = false
   #buffered: Buffer[] | undefined
@@ -94,6 +97,7 @@
   begin (head: ResponseHead, resume: () => void): void {
     this.#head = head
     this.#resume = resume
+    this.#isWithheld = NOT_RUN_STATUSES.has(head.status)
     this.#isContinuation = this.#cursor !== undefined && this.exchange.hasHead
     const hasEvents = this.kind.isStream && isEventStream(head)
     this.#isOpaque = !hasEvents && !this.#isContinuation
@@ -137,7 +141,7 @@
 
   #buffer (held: Buffer[], chunk: Buffer): boolean {
     // It is not passed on in any case.
-    if (this.#isContinuation) return true
+    if (this.#isContinuation || this.#isWithheld) return true
     held.push(chunk)
     this.#bufferedBytes += chunk.length
     if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return true
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -5,6 +5,7 @@
  */
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointQuery'
+import { NOT_RUN_STATUSES } from '@eelgrassmux/schema/Refusal'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
 import { QuarantineGuard, type SharedPromptParts } from '../quarantine/QuarantineGuard.js'
@@ -31,9 +32,6 @@
 import { StandbyPlacement } from './StandbyPlacement.js'
 import { StreamPauses } from './StreamPauses.js'
 
-/** Statuses from which callers conclude that the request was not executed. */
-const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
-
 /** Time after the deadline in which a response whose head has arrived may complete, in milliseconds; a response that is not nearly complete is ended. */
 const RESPONSE_COMPLETION_MS = 20
 
@@ -265,7 +263,7 @@
 
   #passOnResponse (attempt: RoutedAttempt, head: ResponseHead, isFailure: boolean): void {
     const { endpoint } = attempt.choice
-    if (NOT_EXECUTED_STATUSES.has(head.status)) {
+    if (NOT_RUN_STATUSES.has(head.status)) {
       // The endpoint did not state that the request was not executed, but the caller would conclude that from the status.
       this.#end.refuse('endpoint-failed', 502, `the endpoint answered ${head.status} without saying that it did not run the request`)
       return
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -10,6 +10,9 @@
 /** Whether a refused request may have been executed by an endpoint. */
 export type RunState = 'not-run' | 'unknown'
 
+/** Statuses from which callers conclude that a request was not executed and never will be. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
 /** Why a request was refused. Used as the last part of the problem type and as a metric label. */
 export const REFUSAL_REASONS = [
   'malformed-json', 'invalid-body', 'headers-too-large', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
