Sends: the last check stands where the bytes leave

A call that may run once was sent twice if two waits placed it at the same time: each opened a connection, and each send was only counted once its bytes left. No such pair of waits was found in the product by reading; a test that lets the wait for the load of other hosts call back twice shows what would follow (2 requests at the endpoints, 1 now). Class: permission to send is decided earlier than the send. Now the callback before the first byte decides: a request that has ended, or may run once while an earlier send may have run, is withheld, its connection closes, and send-withheld says so.

--- a/apps/entry/src/lib/relays/RelayedRequest.test.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.test.ts
@@ -37,7 +37,7 @@
   async function relay (hosts: RelayHosts): Promise<string> {
     return await new Promise(resolve => {
       new RelayedRequest(exchange, undefined, performance.now(), hosts, {
-        sending: () => {},
+        sending: () => true,
         refused: () => {},
         unavailable: () => { resolve('unavailable') },
         lost: (_host, detail) => { resolve(`lost: ${detail}`) },
--- a/apps/entry/src/lib/relays/RelayedRequest.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -12,8 +12,8 @@
 
 /** Receives the course of a relayed request. `unavailable`, `lost` or `complete` is the last call. */
 export interface RelayListener {
-  /** Called before the first byte may be sent to another host. */
-  sending (host: string): void
+  /** Called before the first byte may be sent to another host. @returns false if the request may not be sent any more */
+  sending (host: string): boolean
   /** The host has stated that the request did not run. */
   refused (host: string): void
   /**
@@ -97,7 +97,7 @@
     // After a blocked event loop, an answer that has come is read before the check fails.
     const timer = setTimeout(() => { setImmediate(() => { setImmediate(fail) }) }, CHECK_TIMEOUT_MS)
     this.#cancelSend = connection.send(connectionCheck(ticket), {
-      sending: () => {},
+      sending: () => !this.#isDone,
       head: (_status, headers) => { isTaken = !isRelayRefused(headers) },
       data: () => true,
       complete: () => {
@@ -125,8 +125,9 @@
     }
     this.#cancelSend = connection.send(request, {
       sending: () => {
-        wasSent = true
-        if (!this.#isDone) this.listener.sending(host)
+        wasSent = !this.#isDone && this.listener.sending(host)
+        if (!wasSent) this.#isDone = true
+        return wasSent
       },
       head: (status, headers, resume) => {
         if (this.#isDone) return
--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -107,9 +107,11 @@
     this.task.leaveEndpoints()
     this.#relayed = new RelayedRequest(this.exchange, body, arrivedAt, relays, {
       sending: host => {
+        if (this.task.isDone() || this.attempts.mayHaveRun) return false
         this.attempts.recordSend()
         this.attempts.recordRun()
         this.task.logRelayed({ host, reason })
+        return true
       },
       refused: host => {
         this.attempts.retractRun()
--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -159,7 +159,7 @@
     const connection = connections.open()
     const timer = setTimeout(() => { connection.close() }, PROBE_TIMEOUT_MS)
     connection.send({ method: 'GET', target: healthPath, headers: ['host', endpoint.listed.address], body: undefined }, {
-      sending: () => {},
+      sending: () => true,
       head: () => {
         this.fleet.observeBytes(endpoint)
         this.observeNewConnection(endpoint)
--- a/apps/entry/src/lib/routed/AttemptRecord.ts
+++ b/apps/entry/src/lib/routed/AttemptRecord.ts
@@ -1,5 +1,5 @@
 /** Counts how often a request was sent and may have been executed, and decides whether it may be retried. */
-import { decideRetry, type AttemptFailure, type RetryDecision } from '@eelgrassmux/routing/attempts/decideRetry'
+import { decideRetry, mayRunAgain, type AttemptFailure, type RetryDecision } from '@eelgrassmux/routing/attempts/decideRetry'
 import type { Route } from '@eelgrassmux/schema/site/siteSchema'
 import { DispatchRecord } from '@eelgrassmux/schema/Refusal'
 
@@ -19,6 +19,14 @@
   get runs (): number { return this.#runs }
   get mayHaveRun (): boolean { return this.dispatch.mayHaveRun }
 
+  /**
+   * @param route - route of the request
+   * @returns whether the request may be sent now: unless it may be executed repeatedly, no earlier send may have been executed
+   */
+  maySend ({ kind, isResumable }: Route): boolean {
+    return !this.mayHaveRun || mayRunAgain({ kind, isResumable })
+  }
+
   /** Call once an endpoint is chosen and a connection to it is available. */
   recordSend (): void {
     this.#sends += 1
--- a/apps/entry/src/lib/routed/EndpointConnection.test.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.test.ts
@@ -19,7 +19,7 @@
     establishedMs = []
   })
 
-  async function respondWith (respond: (socket: Socket) => void, onSent: () => void = () => {}): Promise<Outcome> {
+  async function respondWith (respond: (socket: Socket) => void, onSent: () => void = () => {}, maySend = true): Promise<Outcome> {
     const listening = createServer(socket => {
       socket.on('error', () => {})
       socket.once('data', () => { respond(socket) })
@@ -31,7 +31,7 @@
     const body: Buffer[] = []
     const kind = await new Promise<Outcome['kind']>(resolve => {
       connection.send({ method: 'GET', target: '/a', headers: ['host', 'h'], body: undefined }, {
-        sending: () => {},
+        sending: () => maySend,
         head: receivedStatus => { status = receivedStatus },
         data: chunk => {
           body.push(chunk)
@@ -46,6 +46,13 @@
     return { kind, status, body: Buffer.concat(body).toString() }
   }
 
+  // Guards against a request that is sent over a connection which was established after the request had ended.
+  it('sends nothing of a request that may not be sent any more', async () => {
+    let received = 0
+    const outcome = await respondWith(() => { received += 1 }, undefined, false)
+    expect({ kind: outcome.kind, received }).toEqual({ kind: 'failed', received: 0 })
+  })
+
   describe('a response without a length', () => {
     it('is complete if the connection ends in order', async () => {
       const outcome = await respondWith(socket => { socket.end('HTTP/1.1 200 OK\r\n\r\nwhole') })
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -20,8 +20,12 @@
 
 /** Receives a response as it arrives. */
 export interface ResponseHandler {
-  /** Called before the first byte of the request may be sent. */
-  sending (): void
+  /**
+   * Called before the first byte of the request may be sent.
+   *
+   * @returns false if nothing may be sent any more; the connection is then closed and the request fails
+   */
+  sending (): boolean
   /**
    * @param resume - resumes reading after {@link ResponseHandler.data} returned false
    */
@@ -110,9 +114,12 @@
       headers: request.headers,
       body: request.body ?? null
     }, {
-      onConnect: () => {
+      onConnect: abort => {
         this.#readBeforeHead = this.#socket?.bytesRead
-        handler.sending()
+        if (!handler.sending()) {
+          abort(new Error('the request may not be sent any more'))
+          return
+        }
         // The request is written after this callback, in the same turn.
         if (request.body !== undefined) queueMicrotask(() => { this.#reportUnread(handler) })
       },
--- a/apps/entry/src/lib/routed/RoutedAttempt.test.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.test.ts
@@ -14,7 +14,7 @@
     const connections = new EndpointConnections('127.0.0.1:1', () => {})
     const connection = connections.acquire(1)
     if (connection === undefined) throw new Error('a connection is needed')
-    const ignore = { sending: () => {}, head: () => {}, data: () => true, complete: () => {}, failed: () => {}, unread: () => () => {} }
+    const ignore = { sending: () => true, head: () => {}, data: () => true, complete: () => {}, failed: () => {}, unread: () => () => {} }
     const choice = { endpoint, version: undefined, prefill: EMPTY_PREFILL_PLAN, tokensHeld: 0, estimatedMs: 0, costMs: 0, waitMs: 0, memoryWaitMs: 0, workMs: 0, load: { tokensToRead: 0, tokensAhead: 0, requests: 0 }, memoryShare: 0 }
     const attempt = new RoutedAttempt(choice, 'r', connections, connection, new RoutedFleet('north', () => 1, new Telemetry('test')), new PlainCodec(), ignore)
     attempt.beginStream(300)
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -24,8 +24,8 @@
 
 /** Receives the response of an attempt; `failed` or `complete` is the last call. */
 export interface AttemptListener {
-  /** Called before the first byte may be sent. */
-  sending (): void
+  /** Called before the first byte may be sent. @returns false if the request may not be sent any more */
+  sending (): boolean
   head (attempt: RoutedAttempt, head: ResponseHead, resume: () => void): void
   /** @returns false to pause until `resume` */
   data (attempt: RoutedAttempt, chunk: Buffer): boolean
@@ -103,8 +103,13 @@
     this.fleet.transit.begin(this.choice.endpoint.incarnation, this.#transitBytes)
     this.#cancel = this.connection.send(request, {
       sending: () => {
+        if (this.#hasEnded) return false
+        if (!this.listener.sending()) {
+          this.cancel()
+          return false
+        }
         this.#sent = { at: performance.now(), localPort: this.connection.localPort, carried: this.connection.responses }
-        this.listener.sending()
+        return true
       },
       head: (status, headers, resume) => { this.#onHead(status, headers, resume) },
       data: chunk => this.#onData(chunk),
--- a/apps/entry/src/lib/routed/RoutedFleet.test.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.test.ts
@@ -61,7 +61,7 @@
       const [endpoint] = fleet.endpointsOf('pool')
       const connection = endpoint === undefined ? undefined : fleet.connectionsTo(endpoint).acquire(1)
       await new Promise<void>((resolve, reject) => {
-        connection?.send({ method: 'GET', target: '/', headers: ['host', 'h'], body: undefined }, { sending: () => {}, head: () => {}, data: () => true, complete: resolve, failed: reject })
+        connection?.send({ method: 'GET', target: '/', headers: ['host', 'h'], body: undefined }, { sending: () => true, head: () => {}, data: () => true, complete: resolve, failed: reject })
       })
       connection?.close()
       server.close()
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -124,7 +124,7 @@
       replace: standby => { this.#replaceAttempt(standby) }
     })
     this.#sender = new AttemptSender(request, exchange, ports, this.#prompt, {
-      sending: () => { this.#attempts.recordRun() },
+      sending: () => this.#beginSend(),
       head: (attempt, head, resume) => { this.#onHead(attempt, head, resume) },
       data: (attempt, chunk) => this.#onData(attempt, chunk),
       complete: attempt => { this.#onComplete(attempt) },
@@ -195,6 +195,14 @@
     this.#sender.send(attempt, { lastEventId, deadline: this.#deadline, isExpectedLate, reservation })
   }
 
+  /** The last check before bytes of the request leave: no promise has been given, and no other send may have been executed unless it may be repeated. */
+  #beginSend (): boolean {
+    const maySend = !this.#end.isDone && this.#attempts.maySend(this.request.route)
+    if (maySend) this.#attempts.recordRun()
+    else this.#end.logDecision('send-withheld', { hasEnded: this.#end.isDone, sends: this.#attempts.sends, runs: this.#attempts.runs })
+    return maySend
+  }
+
   #logResumption ({ choice: { endpoint } }: RoutedAttempt, lastEventId: number): void {
     const { resumes } = this.request.fields
     const by = this.#times.hasFirstEvent ? 'host' : 'caller'
--- a/apps/entry/src/lib/routed/promises.test.ts
+++ b/apps/entry/src/lib/routed/promises.test.ts
@@ -11,7 +11,7 @@
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { RELAY_REFUSED_HEADER } from '../relays/relayHeaders.js'
 import { WaitingExchange } from '../waiting/WaitingExchange.js'
-import { FakeEndpoint, respondOk, type Behaviour } from './harness/FakeEndpoint.js'
+import { FakeEndpoint, rejectNotExecuted, respondOk, type Behaviour } from './harness/FakeEndpoint.js'
 import { LinkCut } from './harness/LinkCut.js'
 import { LinkedHosts } from './harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
@@ -147,6 +147,39 @@
   })
 })
 
+describe('a call that is placed by two waits at once', () => {
+  // Guards against two sends of a call that may run once by two paths that both wait.
+  it('runs once and gets its answer', async () => {
+    const endpoints = [new FakeEndpoint('e0', respondAfter(50)), new FakeEndpoint('e1', respondAfter(50))]
+    host = new RoutedHost(endpoints, {
+      withRecentLoad: place => {
+        place()
+        place()
+      }
+    })
+    await host.start()
+    expect(await host.sendRequest('/unsafe/a')).toMatchObject({ status: 200, isWhole: true })
+    expect(endpoints.flatMap(({ receivedRequests }) => receivedRequests)).toHaveLength(1)
+  })
+
+  // Guards against a second send of a call that has been answered with a promise.
+  it('does not run after its refusal', async () => {
+    let placeAgain = (): void => {}
+    const endpoint = new FakeEndpoint('e0', rejectNotExecuted)
+    host = new RoutedHost([endpoint], {
+      withRecentLoad: place => {
+        placeAgain = place
+        place()
+      }
+    })
+    await host.start()
+    expect((await host.sendRequest('/unsafe/a')).status).toBe(503)
+    placeAgain()
+    await sleep(50)
+    expect(endpoint.receivedRequests).toHaveLength(1)
+  })
+})
+
 describe('a call that follows a rejected one over the same connection', () => {
   // Guards against a rejection without an id, which may belong to an earlier request of the connection.
   it('is not refused with a promise by a rejection that bears no id', async () => {
--- a/packages/routing/src/lib/attempts/decideRetry.ts
+++ b/packages/routing/src/lib/attempts/decideRetry.ts
@@ -66,7 +66,10 @@
   return { kind: 'repeat', spendsBudget: true }
 }
 
-/** Returns whether a second run is harmless: it has no side effects, and no event reaches the caller twice. */
-function mayRunAgain ({ kind, isResumable }: AttemptContext): boolean {
+/**
+ * @param context - kind of the route, and whether its streams may be resumed
+ * @returns whether a second run is harmless: it has no side effects, and no event reaches the caller twice
+ */
+export function mayRunAgain ({ kind, isResumable }: Pick<AttemptContext, 'kind' | 'isResumable'>): boolean {
   return kind === 'safe' || (kind === 'stream' && isResumable)
 }
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -63,6 +63,8 @@
     /** Request id in the response; empty if it has none, absent if there was no response. */
     answerId: z.string().optional()
   }),
+  /** A send was stopped before its first byte: the request had ended, or an earlier send of a request that may run once may have been executed. */
+  'send-withheld': z.strictObject({ hasEnded: z.boolean(), sends: z.number(), runs: z.number() }),
   'retry-budget-used-up': z.strictObject({ failure: z.string() }),
   'retry-granted': retryTokenFields,
   'retry-denied': retryTokenFields,
