Refusals: a status that promises "not run" needs the proof

The project's own interface answered 503 with run "unknown" where a call may have run: a safe call that was lost at one endpoint and found no other, a run that an engine refused after another had begun it, a call of which the claim could not be confirmed. The routed interface turned such a 503 into 502, and no other status. Class: status and proof are decided in different places. Now refuse() and refuseUnknown() decide both.

--- a/apps/entry/src/lib/plain/AtMostOnceExecutor.ts
+++ b/apps/entry/src/lib/plain/AtMostOnceExecutor.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '@eelgrassmux/schema/Clock'
 import { unreachable } from '@eelgrassmux/schema/invariant'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { DispatchRecord, refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
+import { DispatchRecord, refuse, refuseUnknown, type Refusal } from '@eelgrassmux/schema/Refusal'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { ClaimResult, Command, CommandResult, RecordKey } from '@eelgrassmux/state/commands'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
@@ -132,7 +132,7 @@
   ): Result<never, Refusal> {
     const field = status === 422 ? { field: 'Idempotency-Key' } : {}
     const retry = retryAfterSeconds === undefined ? {} : { retryAfterSeconds }
-    return fail({ reason, status, detail, run: 'unknown', ...field, ...retry })
+    return fail(refuseUnknown({ reason, status, detail, ...field, ...retry }))
   }
 
   /** Proposes a command until it is applied or the timeout has passed. */
--- a/packages/schema/src/lib/Refusal.test.ts
+++ b/packages/schema/src/lib/Refusal.test.ts
@@ -22,6 +22,14 @@
     expect(refuse(DETAILS, record).run).toBe('unknown')
   })
 
+  // Guards against a status that promises "not run" on a refusal that does not.
+  it.each([408, 421, 429, 503])('turns the status %d into 502 without the proof', status => {
+    const record = new DispatchRecord()
+    expect(refuse({ ...DETAILS, status }, record).status).toBe(status)
+    record.markDispatched()
+    expect(refuse({ ...DETAILS, status }, record)).toMatchObject({ status: 502, run: 'unknown' })
+  })
+
   it('issues no proof after a dispatch', () => {
     const record = new DispatchRecord()
     record.markDispatched()
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -13,6 +13,8 @@
 /** Statuses from which callers conclude that a request was not executed and never will be. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+const BAD_GATEWAY = 502
+
 /** Why a request was refused. Used as the last part of the problem type and as a metric label. */
 export const REFUSAL_REASONS = [
   'malformed-json', 'invalid-body', 'headers-too-large', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
@@ -103,7 +105,8 @@
 }
 
 /**
- * Creates a refusal that states "not run" if the record proves it, and "unknown" otherwise.
+ * Creates a refusal that states "not run" if the record proves it, and "unknown" otherwise. Without the proof, a status
+ * that states the same becomes 502.
  *
  * @param details - reason, status and text
  * @param record - record of the attempts so far
@@ -111,5 +114,16 @@
  */
 export function refuse (details: RefusalDetails, record: DispatchRecord): Refusal {
   const proof = record.proveNotRun()
-  return proof === undefined ? { ...details, run: 'unknown' } : refuseNotRun(details, proof)
+  return proof === undefined ? refuseUnknown(details) : refuseNotRun(details, proof)
+}
+
+/**
+ * Creates a refusal of a request that may have run.
+ *
+ * @param details - reason, status and text
+ * @returns the refusal, with status 502 in place of one from which callers conclude that the request has not run
+ */
+export function refuseUnknown (details: RefusalDetails): Refusal {
+  const status = NOT_RUN_STATUSES.has(details.status) ? BAD_GATEWAY : details.status
+  return { ...details, status, run: 'unknown' }
 }
