Plain services: calls that are not safe get connections of their own

A caller of the project's own interface got "not-run" for a call that ran: the copy of the rejection of an earlier call stood on the pooled connection ahead of its answer, and rejections of plain services name no call. Same class as the copy of a rejection on routed connections. Calls under an idempotency key had connections of their own already; now all calls that are not safe to repeat have. Cost: one connection for each such call.

--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -4,7 +4,7 @@
 import { RetryBudget } from '@eelgrassmux/policy/limits/RetryBudget'
 import type { Customer, PlainEndpoint, Profile, Service } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
-import { DispatchRecord, refuse, type Refusal } from '@eelgrassmux/schema/Refusal'
+import { DispatchRecord, NOT_RUN_STATUSES, refuse, refuseUnknown, type Refusal } from '@eelgrassmux/schema/Refusal'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import { refuseWhileStopping } from '../callers/refuseWhileStopping.js'
@@ -134,7 +134,10 @@
       }
       triedEndpoints.add(endpoint.name)
       dispatch.markDispatched()
-      const answer = await this.#callGuarded(guard, endpoint.name, async () => await client.call({ ...call, timeoutMs: Math.max(1, deadline - performance.now()) }))
+      const answer = await this.#callGuarded(guard, endpoint.name, async () => {
+        const timed = { ...call, timeoutMs: Math.max(1, deadline - performance.now()) }
+        return SAFE_METHODS.has(call.method) ? await client.call(timed) : await client.callOnce(timed)
+      })
       if (answer.ok) {
         this.fleet.serviceTable.observeSuccess(endpoint.name)
         return succeed(toResponse(answer.value))
--- a/packages/backends/src/lib/ServiceClient.ts
+++ b/packages/backends/src/lib/ServiceClient.ts
@@ -59,7 +59,8 @@
 
   /**
    * Makes a call that must reach the endpoint at most once, on a new connection.
-   * On a pooled connection that the endpoint has just closed, the outcome would be unknown.
+   * On a pooled connection that the endpoint has just closed, the outcome would be unknown, and a statement that arrives on
+   * it may belong to an earlier call.
    *
    * @param call - request to send
    * @returns the answer, or the error; only `connect-failed` and `not-started` mean that the call did not run
