Plain services: a status that promises "not run" is passed on only with the service's statement

A caller of the project's own interface got a service's own 503, 429, 408 or 421 for a call that ran. Routed calls got a 502 there already. Now calls that are not safe to repeat do, also from the stored answer of their key. PlainHandler.test.ts: 4 of 4 failed before, pass now.

--- a/apps/entry/src/lib/plain/PlainHandler.test.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.test.ts
@@ -38,4 +38,15 @@
     expect(calls).toBe(2)
     expect(run).not.toBe('not-run')
   })
+
+  // Guards against a service's own status that callers take for the promise that the call never ran.
+  it.each([408, 421, 429, 503])('does not get the status %d of a service that does not state that it did not run the call', async status => {
+    await started((_request, response) => { response.writeHead(status).end('busy') })
+    expect(await harness.call('POST', '/a')).toEqual({ status: 502, reason: 'endpoint-failed', run: 'unknown' })
+  })
+
+  it('gets the status of a service that ran it otherwise', async () => {
+    await started((_request, response) => { response.writeHead(409).end('taken') })
+    expect((await harness.call('POST', '/a')).status).toBe(409)
+  })
 })
--- a/apps/entry/src/lib/plain/PlainHandler.ts
+++ b/apps/entry/src/lib/plain/PlainHandler.ts
@@ -111,6 +111,7 @@
     })
     const rejection = answered.ok ? undefined : guard.refusal()
     if (!answered.ok) return rejection !== undefined && answered.error.run === 'not-run' ? fail(refuse(rejection, new DispatchRecord())) : answered
+    if (promisesTooMuch(call, answered.value.answer)) return fail(refuseStatus(answered.value.answer))
     const response = toResponse(answered.value.answer)
     response.headers.set(REPEAT_HEADER, String(answered.value.isRepeat))
     response.headers.set(WINDOW_HEADER, String(this.windowHours))
@@ -140,7 +141,7 @@
       })
       if (answer.ok) {
         this.fleet.serviceTable.observeSuccess(endpoint.name)
-        return succeed(toResponse(answer.value))
+        return promisesTooMuch(call, answer.value) ? fail(refuseStatus(answer.value)) : succeed(toResponse(answer.value))
       }
       const wasNotStarted = isNotStarted(answer.error)
       if (wasNotStarted) dispatch.markNotStarted()
@@ -188,6 +189,15 @@
   }
 }
 
+/** Whether callers would conclude from the status of an answer that the call was not executed. A call that is safe to repeat is harmed by no such conclusion. */
+function promisesTooMuch ({ method }: ServiceCall, { status }: ServiceAnswer): boolean {
+  return !SAFE_METHODS.has(method) && NOT_RUN_STATUSES.has(status)
+}
+
+function refuseStatus ({ status }: ServiceAnswer): Refusal {
+  return refuseUnknown({ reason: 'endpoint-failed', status: 502, detail: `the endpoint answered ${status} without stating that it did not run the call` })
+}
+
 function toResponse ({ status, contentType, body }: ServiceAnswer): Response {
   const hasBody = body.length > 0 && status !== 204 && status !== 304
   return new Response(hasBody ? Buffer.from(body) : null, { status, headers: { 'content-type': contentType } })
