Engines: each run has a connection of its own

A caller of the project's own interface could get "not-run" for a prompt that an engine went on to read and run: the engine's second rejection of the run before stood on the pooled connection ahead of the answer, and rejections of engines name no run. Same class as on routed connections. A run lasts seconds, its connection costs one round trip; calls that don't start runs stay on pooled connections. EngineClient.test.ts fails on the code before (the second run is refused), passes now; 81 tests of backends, bench and runs pass.

--- a/packages/backends/src/lib/EngineClient.ts
+++ b/packages/backends/src/lib/EngineClient.ts
@@ -54,7 +54,7 @@
   }
 
   async startRun (request: RunRequest, stallTimeoutMs: number, signal: AbortSignal): Promise<Result<AsyncGenerator<RunStreamItem>, BackendError>> {
-    const response = await this.#http.openResponse({ method: 'POST', path: '/runs', json: request, timeoutMs: stallTimeoutMs, signal })
+    const response = await this.#http.openResponse({ method: 'POST', path: '/runs', json: request, timeoutMs: stallTimeoutMs, signal, hasOwnConnection: true })
     return response.ok ? succeed(readRun(response.value)) : response
   }
 
--- a/packages/backends/src/lib/HttpBackend.ts
+++ b/packages/backends/src/lib/HttpBackend.ts
@@ -1,5 +1,5 @@
 /** HTTP calls to back ends. All failures are reported as {@link BackendError}. */
-import { errors, Pool, type Dispatcher } from 'undici'
+import { Client, errors, Pool, type Dispatcher } from 'undici'
 import type { z } from 'zod'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { parseRetryAfter } from '@eelgrassmux/schema/parseRetryAfter'
@@ -20,6 +20,8 @@
   readonly json?: unknown
   readonly timeoutMs: number
   readonly signal?: AbortSignal
+  /** Whether the call gets a connection of its own, so that all that arrives on it belongs to this call. */
+  readonly hasOwnConnection?: boolean
 }
 
 /** Connection pool for one back end. */
@@ -57,8 +59,10 @@
    * @returns the response, or the error
    */
   async openResponse (call: HttpCall): Promise<Result<Dispatcher.ResponseData, BackendError>> {
+    const connection = call.hasOwnConnection === true ? new Client(`http://${this.address}`, { pipelining: 0, maxResponseSize: MAX_RESPONSE_BYTES, connect: { timeout: CONNECT_TIMEOUT_MS } }) : undefined
+    const close = (): void => { void connection?.destroy() }
     try {
-      const response = await this.#pool.request({
+      const response = await (connection ?? this.#pool).request({
         method: call.method,
         path: call.path,
         headers: call.json === undefined ? {} : { 'content-type': 'application/json' },
@@ -67,9 +71,11 @@
         bodyTimeout: call.timeoutMs,
         signal: call.signal ?? null
       })
+      response.body.once('close', close)
       if (response.statusCode < 300) return succeed(response)
       return fail(statusError(response, await response.body.text()))
     } catch (error) {
+      close()
       return fail(toBackendError(error))
     }
   }
