Soak: endpoints that answer twice, bytes behind calls that run, tries of a call together

New kinds of faults: second-answers (an endpoint runs few requests at once, rejects the others, and sends copies of its answers at once or ahead of the next answer of the connection, whole, without the id, or cut off) and bytes-behind (half a head, no request, a head that is too large, half a head and the end, another call behind a call that runs). Rejections bear the id of their request now, as those of endpoints do.

--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -3,6 +3,7 @@
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { booleanSetting } from '@eelgrassmux/daemon/settings'
 import { routedSettingsShape, startRoutedDaemon } from '@eelgrassmux/entry/RoutedDaemon'
+import { answerConnectionErrors, believeStatements } from './lib/breakPromises.js'
 import { bindOutgoingConnections } from './lib/bindOutgoingConnections.js'
 import { leaveOutgoingConnectionsOpen } from './lib/leaveOutgoingConnectionsOpen.js'
 import { refuseCrowds } from './lib/refuseCrowds.js'
@@ -12,6 +13,8 @@
   ...routedSettingsShape,
   alone: booleanSetting.default(false).describe('reaches no other entry host: a break that the checks must detect'),
   frail: booleanSetting.default(false).describe('refuses all requests beyond a few: a break that the checks must detect'),
+  credulous: booleanSetting.default(false).describe('believes statements of endpoints that may belong to other sends: a break that the checks must detect'),
+  hasty: booleanSetting.default(false).describe('answers connection errors while requests are under way: a break that the checks must detect'),
   leavesOpen: booleanSetting.default(false).describe('never closes its connections to endpoints: a break that the checks must detect'),
   deaf: booleanSetting.default(false).describe('ignores what endpoints ask of it in their answers: a break that the checks must detect')
 })
@@ -23,6 +26,8 @@
   start: async (settings, telemetry) => {
     bindOutgoingConnections(settings.host, !settings.alone)
     if (settings.frail) refuseCrowds()
+    if (settings.credulous) believeStatements()
+    if (settings.hasty) answerConnectionErrors()
     if (settings.leavesOpen) leaveOutgoingConnectionsOpen(settings.control)
     return await startRoutedDaemon(settings, telemetry, {
       codec: new SoakCodec(settings.deaf),
--- a/apps/soak/src/lib/ConditionState.ts
+++ b/apps/soak/src/lib/ConditionState.ts
@@ -1,5 +1,5 @@
 /** The conditions under which an endpoint stand-in works at present. */
-import type { Condition, EndlessPart } from './standinProtocol.js'
+import type { Condition, EndlessPart, SecondAnswerKind } from './standinProtocol.js'
 
 /** Pace of a machine that is not slow, in hundredths of the usual time. */
 const USUAL_PACE = 100
@@ -36,7 +36,8 @@
     const full = this.#activeAt('full', now)
     // Hosts first have time to read that the stand-in is brittle.
     const brittle = this.#activeAt('brittle', now - BRITTLE_NOTICE_MS) && this.#activeAt('brittle', now)
-    return Math.min(full?.kind === 'full' ? full.places : Number.POSITIVE_INFINITY, brittle?.kind === 'brittle' ? brittle.places : Number.POSITIVE_INFINITY)
+    const second = this.#activeAt('second-answers', now)
+    return Math.min(second?.kind === 'second-answers' ? second.places : Number.POSITIVE_INFINITY, full?.kind === 'full' ? full.places : Number.POSITIVE_INFINITY, brittle?.kind === 'brittle' ? brittle.places : Number.POSITIVE_INFINITY)
   }
 
   /**
@@ -57,6 +58,15 @@
     return condition?.kind === 'endless' ? condition.part : undefined
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns when second answers come; undefined if there are none
+   */
+  secondAnswers (now: number): SecondAnswerKind | undefined {
+    const condition = this.#activeAt('second-answers', now)
+    return condition?.kind === 'second-answers' ? condition.answers : undefined
+  }
+
   #activeAt (kind: Condition['kind'], now: number): Condition | undefined {
     const order = this.#orders.get(kind)
     return order !== undefined && now >= order.since && now < order.until ? order.condition : undefined
--- a/apps/soak/src/lib/EndpointStandin.ts
+++ b/apps/soak/src/lib/EndpointStandin.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { ConditionState } from './ConditionState.js'
+import { SecondAnswers } from './SecondAnswers.js'
 import { sendWithoutEnd } from './sendWithoutEnd.js'
 import { CRASHED_BY_REQUEST_EXIT_CODE, FELL_OVER_EXIT_CODE, REQUESTED_PAUSE_MS, REQUESTED_RATE_PER_SECOND, conditionSchema, orderSchema, restraintSchema, workSchema, type EndlessPart, type EndpointLine, type RestraintKind, type StreamEvent, type Work } from './standinProtocol.js'
 import { RestraintState } from './RestraintState.js'
@@ -37,6 +38,7 @@
   #runs = 0
   readonly #restraint = new RestraintState()
   readonly #conditions = new ConditionState()
+  readonly #secondAnswers = new SecondAnswers()
   /** Times of the rejections in the last second, in monotonic milliseconds. */
   #rejectedAt: number[] = []
 
@@ -73,6 +75,7 @@
     const body = await readBody(request)
     if (body === undefined) return
     response.setHeader(HEADER.answeredBy, this.identity.id)
+    this.#secondAnswers.writeDue(request.socket)
     if (request.headers[HEADER.instance] !== this.identity.id) this.#reject(response, MISDIRECTED)
     else if (request.url === '/weights') this.#answerWeights(request, response, body)
     else if (request.url === '/restraint') this.#setRestraint(response, body)
@@ -81,10 +84,17 @@
   }
 
   #reject (response: ServerResponse, status: number): void {
-    response.writeHead(status, { [HEADER.notRun]: '1', 'content-length': '0' })
+    const fields = { [HEADER.requestId]: headerOf(response.req, HEADER.requestId), [HEADER.notRun]: '1' }
+    this.#answerTwice(response, status, fields, '')
+    response.writeHead(status, { ...fields, 'content-length': '0' })
     response.end()
   }
 
+  #answerTwice (response: ServerResponse, status: number, fields: Readonly<Record<string, string>>, body: string): void {
+    const kind = this.#conditions.secondAnswers(performance.now())
+    if (kind !== undefined) this.#secondAnswers.add(response, kind, status, fields, body)
+  }
+
   #setRestraint (response: ServerResponse, body: string): void {
     this.#restraint.set(restraintSchema.parse(JSON.parse(body)), performance.now())
     response.end()
@@ -213,9 +223,9 @@
     }
     const requestId = headerOf(request, HEADER.requestId)
     response.setHeader(HEADER.requestId, requestId)
-    response.end(JSON.stringify({
-      requestId: work.fault === 'foreign-answer' ? 'another' : requestId, echo: body, customer: headerOf(request, HEADER.customer)
-    }))
+    const answer = JSON.stringify({ requestId: work.fault === 'foreign-answer' ? 'another' : requestId, echo: body, customer: headerOf(request, HEADER.customer) })
+    this.#answerTwice(response, OK, { [HEADER.requestId]: requestId }, answer)
+    response.end(answer)
   }
 
   /** A break on purpose: the last event states another version of the software. */
--- a/apps/soak/src/lib/ExtraCallers.ts
+++ b/apps/soak/src/lib/ExtraCallers.ts
@@ -1,6 +1,7 @@
 /** Callers that send requests for some time beside the callers of the whole run. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { CallerContext } from './Caller.js'
+import { CallerWithBytesBehind, type BytesBehind } from './CallerWithBytesBehind.js'
 import type { RepeatedRequest } from './planRepeatedRequests.js'
 import { RepeatingCaller } from './RepeatingCaller.js'
 import { SeededRandom } from './SeededRandom.js'
@@ -27,7 +28,25 @@
    * @returns a promise that resolves when the last request has ended
    */
   async run (requests: readonly RepeatedRequest[], durationMs: number): Promise<void> {
-    const callers = requests.map((repeated, index) => new RepeatingCaller(repeated, SeededRandom.ofNeighbour(this.seed + this.#count * requests.length + index), this.context))
+    await this.#runFor(requests.map((repeated, index) => new RepeatingCaller(repeated, this.#randomOf(requests.length, index), this.context)), durationMs)
+  }
+
+  /**
+   * @param count - number of callers
+   * @param bytes - what they send behind their calls
+   * @param durationMs - time after which no further call is sent, in milliseconds
+   * @returns a promise that resolves when the last call has ended
+   */
+  async runWithBytesBehind (count: number, bytes: BytesBehind, durationMs: number): Promise<void> {
+    const name = this.nextName('behind')
+    await this.#runFor(Array.from({ length: count }, (_, index) => new CallerWithBytesBehind(`${name}-${index}`, bytes, this.#randomOf(count, index), this.context)), durationMs)
+  }
+
+  #randomOf (count: number, index: number): SeededRandom {
+    return SeededRandom.ofNeighbour(this.seed + this.#count * count + index)
+  }
+
+  async #runFor (callers: ReadonlyArray<RepeatingCaller | CallerWithBytesBehind>, durationMs: number): Promise<void> {
     const running = Promise.all(callers.map(async caller => { await caller.run() }))
     await sleep(durationMs)
     for (const caller of callers) caller.stop()
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -100,6 +100,10 @@
       case 'slow-machine': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'slow', pace: fault.pace, durationMs: fault.durationMs })
       case 'crowd': return await this.#crowdHost(fault)
       case 'endless-answers': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'endless', part: fault.part, durationMs: fault.durationMs })
+      case 'second-answers': return await this.#setCondition(this.#slot('endpoint', fault.slot), { kind: 'second-answers', answers: fault.answers, places: PLACES_WHILE_FULL, durationMs: fault.durationMs })
+      case 'bytes-behind':
+        this.timeline.record('callers', `${fault.callers} send ${fault.bytes} behind their calls`, false, fault.durationMs)
+        return await this.load.extraCallers.runWithBytesBehind(fault.callers, fault.bytes, fault.durationMs)
       case 'full-service': return await this.#fillService(fault.durationMs)
       case 'brittle-service': return await this.#makeBrittle(fault.durationMs)
       case 'host-cut': return await this.#cutHosts(fault)
@@ -264,6 +268,7 @@
     case 'slow': return `works at pace ${condition.pace}`
     case 'full': return `has ${condition.places} places`
     case 'brittle': return `has ${condition.places} places, bears ${condition.bears} rejections`
+    case 'second-answers': return `answers twice (${condition.answers}), has ${condition.places} places`
     case 'endless': return `sends answers whose ${condition.part} has no end`
   }
 }
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -35,6 +35,10 @@
   readonly isDeaf: boolean
   /** Entry hosts refuse all requests beyond a few: a break that the checks must detect. */
   readonly areHostsFrail: boolean
+  /** Whether entry hosts believe statements that may belong to other sends. */
+  readonly areHostsCredulous: boolean
+  /** Whether entry hosts answer connection errors while requests are under way. */
+  readonly areHostsHasty: boolean
   /** Entry hosts never close their connections to endpoints: a break that the checks must detect. */
   readonly areConnectionsLeftOpen: boolean
   /** Entry hosts do not reach each other: a break that the checks must detect. */
@@ -190,7 +194,7 @@
       name: `entry-${index}`,
       ...this.#commonPlan('entry'),
       // Each entry host has its own loopback address, which identifies it although its port is assigned by the system.
-      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--leaves-open', String(this.settings.areConnectionsLeftOpen), ...this.#loadArguments()],
+      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--credulous', String(this.settings.areHostsCredulous), '--hasty', String(this.settings.areHostsHasty), '--leaves-open', String(this.settings.areConnectionsLeftOpen), ...this.#loadArguments()],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
--- /dev/null
+++ b/apps/soak/src/lib/breakPromises.ts
@@ -0,0 +1,17 @@
+/** Breaks a process on purpose: it believes statements that may belong to other sends, or answers connection errors as Node does by default. */
+import { Server } from 'node:http'
+import { ResponseAttribution, type AttributedHead } from '@eelgrassmux/routing/attempts/ResponseAttribution'
+
+/** Takes a response for the one to the last request unless it bears another id. */
+export function believeStatements (): void {
+  ResponseAttribution.prototype.mayCarry = () => true
+  ResponseAttribution.prototype.attribute = (requestId: string, head: AttributedHead) => head.requestId === undefined || head.requestId === requestId ? undefined : 'another id'
+}
+
+/** Ignores handlers of connection errors in all HTTP servers of this process. */
+export function answerConnectionErrors (): void {
+  const on = Server.prototype.on as (this: Server, event: string, listener: (...args: unknown[]) => void) => Server
+  Server.prototype.on = function (this: Server, event: string, listener: (...args: unknown[]) => void): Server {
+    return event === 'clientError' ? this : on.call(this, event, listener)
+  } as Server['on']
+}
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,6 +1,7 @@
 /** Plans which faults are injected and when, determined by a seed alone. */
 import { SeededRandom } from './SeededRandom.js'
-import { ENDLESS_PARTS, RESTRAINT_KINDS, type EndlessPart, type RestraintKind } from './standinProtocol.js'
+import { BYTES_BEHIND, type BytesBehind } from './CallerWithBytesBehind.js'
+import { ENDLESS_PARTS, RESTRAINT_KINDS, SECOND_ANSWER_KINDS, type EndlessPart, type RestraintKind, type SecondAnswerKind } from './standinProtocol.js'
 import { CUSTOMERS, DATA_CENTRES, dataCentreOf } from './soakSite.js'
 import { HOST_CUTS, LINK_FAULTS, type HostCut, type LinkFault } from './LoopbackProxy.js'
 
@@ -38,6 +39,10 @@
   | { readonly kind: 'crowd', readonly slot: number, readonly callers: number, readonly durationMs: number }
   /** The answers of an endpoint have no end. */
   | { readonly kind: 'endless-answers', readonly slot: number, readonly part: EndlessPart, readonly durationMs: number }
+  /** An endpoint runs few requests at once, rejects the others, and answers twice. */
+  | { readonly kind: 'second-answers', readonly slot: number, readonly answers: SecondAnswerKind, readonly durationMs: number }
+  /** Callers send other bytes behind calls that run. */
+  | { readonly kind: 'bytes-behind', readonly callers: number, readonly bytes: BytesBehind, readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
   | { readonly kind: 'new-site' | 'new-weights' }
@@ -106,7 +111,7 @@
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind']
 
 /**
  * @param seed - determines all faults
@@ -180,6 +185,8 @@
     case 'brittle-service': return { atMs, kind, durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'crowd': return { atMs: Math.max(atMs, BEFORE_CROWD_MS), kind, slot: random.index(slotCount('entry', shape)), callers: CROWD_CALLERS, durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'endless-answers': return { atMs, kind, slot: random.index(slotCount('endpoint', shape)), part: random.pick(ENDLESS_PARTS), durationMs }
+    case 'second-answers': return { atMs, kind, slot: random.index(shape.plainEndpoints), answers: random.pick(SECOND_ANSWER_KINDS), durationMs: Math.round(random.between(MIN_RESTRAINT_MS, MAX_RESTRAINT_MS)) }
+    case 'bytes-behind': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), bytes: random.pick(BYTES_BEHIND), durationMs }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'new-site':
     case 'new-weights': return { atMs, kind }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -28,7 +28,7 @@
 import { Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** Parameters of a run. */
@@ -116,6 +116,8 @@
       isForgetful: breaks.includes('forgetful-control'),
       isDeaf: breaks.includes('deaf-hosts'),
       areHostsFrail: breaks.includes('frail-hosts'),
+      areHostsCredulous: breaks.includes('credulous-hosts'),
+      areHostsHasty: breaks.includes('hasty-hosts'),
       areConnectionsLeftOpen: breaks.includes('connections-left-open'),
       areHostsAlone: breaks.includes('hosts-alone'),
       hasColdReturns,
--- a/apps/soak/src/lib/sendRequest.ts
+++ b/apps/soak/src/lib/sendRequest.ts
@@ -47,6 +47,15 @@
   })
 }
 
+/**
+ * @param callerRequest - request to send
+ * @returns the bytes of the request
+ */
+export function requestText (callerRequest: SentRequest): string {
+  const fields = Object.entries(headersOf(callerRequest)).map(([name, value]) => `${name}: ${value}\r\n`)
+  return `POST ${pathOf(callerRequest)} HTTP/1.1\r\n${fields.join('')}\r\n${callerRequest.body}`
+}
+
 function answered (callerRequest: SentRequest, response: IncomingMessage, text: string): RequestEnd {
   const answerId = response.headers[HEADER.requestId]
   return { kind: 'answered', status: response.statusCode ?? 0, answerId: answerId?.toString(), body: text, events: readEvents(callerRequest, text) }
--- a/apps/soak/src/lib/standinProtocol.ts
+++ b/apps/soak/src/lib/standinProtocol.ts
@@ -39,12 +39,18 @@
 export const ENDLESS_PARTS = ['head', 'body', 'rejection'] as const
 export type EndlessPart = typeof ENDLESS_PARTS[number]
 
+/** When a second answer comes: at once behind the first one, or ahead of the next answer on its connection, whole, without its request id, or cut off. */
+export const SECOND_ANSWER_KINDS = ['at-once', 'late', 'late-without-id', 'late-cut'] as const
+export type SecondAnswerKind = typeof SECOND_ANSWER_KINDS[number]
+
 /** Order to a stand-in: its machine is slow, it runs few requests at once, or its answers have no end, for some time. */
 export const conditionSchema = z.discriminatedUnion('kind', [
   /** `pace` is the time that work takes, in hundredths of the usual time. */
   z.strictObject({ kind: z.literal('slow'), pace: z.number().min(1), durationMs: z.number().min(0) }),
   /** Like `full`, and the stand-in fails if it has to reject more than `bears` requests in a second. */
   z.strictObject({ kind: z.literal('brittle'), places: z.number().int().min(0), bears: z.number().int().min(0), durationMs: z.number().min(0) }),
+  /** The stand-in answers requests that it rejects, and plain ones, twice; it runs at most `places` requests at once, and rejects the others. */
+  z.strictObject({ kind: z.literal('second-answers'), answers: z.enum(SECOND_ANSWER_KINDS), places: z.number().int().min(0), durationMs: z.number().min(0) }),
   z.strictObject({ kind: z.literal('endless'), part: z.enum(ENDLESS_PARTS), durationMs: z.number().min(0) }),
   z.strictObject({ kind: z.literal('full'), places: z.number().int().min(0), durationMs: z.number().min(0) })
 ])
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -52,6 +52,12 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against promises on the ground of second answers of endpoints, and on that of bytes behind calls that run.
+  it('gives promises only for what has not run while endpoints answer twice and callers send bytes behind their calls', async () => {
+    const result = await play({ seconds: 12, kinds: ['second-answers', 'second-answers', 'bytes-behind', 'pause', 'new-site'], loadFeatures: ['waiting-order'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   // Guards against a host that falls behind with all its requests because the balancer hands it most new connections.
   it('serves its callers while the balancer hands most new connections to one host', async () => {
     const result = await play({ seconds: 12, kinds: ['crowd', 'new-site'] })
--- a/apps/soak/src/soakBreaks.test.ts
+++ b/apps/soak/src/soakBreaks.test.ts
@@ -39,6 +39,16 @@
       expect(violations.map(({ guarantee }) => guarantee)).toContain('endless-answers-are-closed')
     }, TIMEOUT_MS)
 
+    it('finds hosts that believe statements of other sends', async () => {
+      const { violations } = await play({ seconds: 12, breaks: ['credulous-hosts'], kinds: ['second-answers'], loadFeatures: ['waiting-order'] })
+      expect(violations.map(({ guarantee }) => guarantee)).toContain('not-run-is-true')
+    }, TIMEOUT_MS)
+
+    it('finds hosts that answer bytes behind a call in place of the call', async () => {
+      const { violations } = await play({ seconds: 8, breaks: ['hasty-hosts'], kinds: ['bytes-behind'] })
+      expect(violations.map(({ guarantee }) => guarantee)).toContain('not-run-is-true')
+    }, TIMEOUT_MS)
+
     it('finds hosts that refuse the requests of a crowd', async () => {
       const { violations } = await play({ seconds: 12, breaks: ['frail-hosts'], kinds: ['crowd'] })
       expect(violations.map(({ guarantee }) => guarantee)).toContain('crowded-hosts-serve')
