--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -10,6 +10,7 @@
 import { QuarantineWorld } from './QuarantineWorld.js'
 import { RetryBudgetWorld } from './RetryBudgetWorld.js'
 import { RunWorld } from './RunWorld.js'
+import { SendWorld } from './SendWorld.js'
 import { StreamVersionWorld } from './StreamVersionWorld.js'
 
 export const WORLDS: readonly WorldFactory[] = [
@@ -67,5 +68,10 @@
     name: 'crowd',
     promises: ['crowds-are-shared'],
     create: (simulation, recorder, broken) => new CrowdWorld(simulation, recorder, broken)
+  },
+  {
+    name: 'sends',
+    promises: ['refused-calls-never-run', 'calls-run-once'],
+    create: (simulation, recorder, broken) => new SendWorld(simulation, recorder, broken)
   }
 ]
