--- a/apps/entry/src/lib/routed/endlessResponse.test.ts
+++ b/apps/entry/src/lib/routed/endlessResponse.test.ts
@@ -96,6 +96,8 @@
     ['in the line of the status', 'HTTP/1.1 200 '],
     ['in a header', `${HEAD}X-Long: `],
     ['in informational responses', '', Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(500))],
+    ['in the extension of a chunk', `${HEAD}Transfer-Encoding: chunked\r\n\r\n5;x=`],
+    ['in a trailer', `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: `],
     ['in the body of a rejection', `HTTP/1.1 503 Full\r\n${PLAIN_HEADERS.notRun}: 1\r\n\r\n`]
   ])('%s does not hold up a request that another endpoint serves', async (_where, first, rest = PIECE) => {
     const { status, tookMs } = await send('/safe/a', first, rest)
