--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -14,7 +14,7 @@
   alone: booleanSetting.default(false).describe('reaches no other entry host: a break that the checks must detect'),
   frail: booleanSetting.default(false).describe('refuses all requests beyond a few: a break that the checks must detect'),
   credulous: booleanSetting.default(false).describe('believes statements of endpoints that may belong to other sends: a break that the checks must detect'),
-  hasty: booleanSetting.default(false).describe('answers connection errors while requests are under way: a break that the checks must detect'),
+  hasty: booleanSetting.default(false).describe('answers connection errors while requests are pending: a break that the checks must detect'),
   leavesOpen: booleanSetting.default(false).describe('never closes its connections to endpoints: a break that the checks must detect'),
   deaf: booleanSetting.default(false).describe('ignores what endpoints ask of it in their answers: a break that the checks must detect')
 })
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -37,7 +37,7 @@
   readonly areHostsFrail: boolean
   /** Whether entry hosts believe statements that may belong to other sends. */
   readonly areHostsCredulous: boolean
-  /** Whether entry hosts answer connection errors while requests are under way. */
+  /** Whether entry hosts answer connection errors while requests are pending. */
   readonly areHostsHasty: boolean
   /** Entry hosts never close their connections to endpoints: a break that the checks must detect. */
   readonly areConnectionsLeftOpen: boolean
--- a/packages/daemon/src/lib/ClientErrors.ts
+++ b/packages/daemon/src/lib/ClientErrors.ts
@@ -2,7 +2,7 @@
  * Errors of callers' connections to an HTTP server: bytes that are no request, heads that are too large or not complete in time.
  *
  * By default, Node answers them at once with a status for the bytes that caused the error. A caller takes that for the
- * response to the request that is under way on the connection, and 408 states that this request will never be executed.
+ * response to the request that is pending on the connection, and 408 states that this request will never be executed.
  */
 import { Server, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -31,7 +31,7 @@
 
   /**
    * @param server - server whose errors are handled
-   * @param observe - called for each error while requests are under way on the connection
+   * @param observe - called for each error while requests are pending on the connection
    */
   constructor (server: Server, private readonly observe: (error: ClientError) => void = () => {}) {
     const note = (_request: IncomingMessage, response: ServerResponse): void => { this.#note(response) }
