Back ends: bytes without content inside a response are bounded for all clients

The clients of the project's own interface (engines, stores, plain services) read extensions of chunks without end: 747 MB in the 2 s of a call. OverheadBound, which connections of routed requests had inside, serves all of them; HttpBackend's connections are ResetDetectingClients now, as those of plain services were.

--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -8,6 +8,7 @@
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
 import { ResponseAttribution } from '@eelgrassmux/routing/attempts/ResponseAttribution'
+import { OverheadBound } from '@eelgrassmux/backends/OverheadBound'
 import { ResponseResetError, destroyIfConnecting, watchForReset } from '@eelgrassmux/backends/resetDetection'
 
 /** A request as it is sent to an endpoint. */
@@ -55,16 +56,12 @@
 /** Subtracted from the idle limit that an endpoint states, in milliseconds, so that a request arrives before the endpoint closes the connection. */
 const IDLE_MARGIN_MS = 700
 
-/** Most bytes that an endpoint may send without progress: before the head of its response is complete, informational responses included, and between two pieces of its body. */
-const MAX_BYTES_WITHOUT_PROGRESS = 128 * 1024
-
 /** A connection that is opened by its first request. */
 export class EndpointConnection {
   readonly #client: Client
   #socket: Socket | undefined
   #wasReset: () => boolean = () => false
-  /** Bytes that had been read when the pending request was sent, or when the last part of its response came; undefined while no request is pending. */
-  #readAtProgress: number | undefined
+  readonly #overhead = new OverheadBound()
   #isClosed = false
   #responses = 0
   /** Whether responses belong to the requests of this connection. */
@@ -115,7 +112,7 @@
       body: request.body ?? null
     }, {
       onConnect: abort => {
-        this.#noteProgress()
+        this.#overhead.noteProgress()
         if (!handler.sending()) {
           abort(new Error('the request may not be sent any more'))
           return
@@ -125,18 +122,18 @@
       },
       onHeaders: (status: number, headers: Buffer[], resume: () => void) => {
         if (status < 200) return true
-        this.#noteProgress()
+        this.#overhead.noteProgress()
         this.#responses += 1
         handler.head(status, headers.map(header => header.toString('latin1')), resume)
         return true
       },
       onData: (chunk: Buffer) => {
-        this.#noteProgress()
+        this.#overhead.noteProgress()
         return handler.data(chunk)
       },
       onComplete: () => {
         hasEnded = true
-        this.#readAtProgress = undefined
+        this.#overhead.end()
         if (this.#wasReset()) handler.failed(new ResponseResetError())
         else handler.complete()
       },
@@ -173,21 +170,12 @@
     socket.on('close', done)
   }
 
-  #noteProgress (): void {
-    this.#readAtProgress = this.#socket?.bytesRead
-  }
-
-  /** Ends a connection on which bytes come without end in place of a head, of the extension of a chunk, or of a trailer. */
-  #boundOverhead (socket: Socket): void {
-    if (this.#readAtProgress !== undefined && socket.bytesRead - this.#readAtProgress > MAX_BYTES_WITHOUT_PROGRESS) socket.destroy(new Error('the response has too many bytes without content'))
-  }
-
   #connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
     const startedAt = performance.now()
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true })
     this.#socket = socket
     this.#wasReset = watchForReset(socket)
-    socket.on('readable', () => { this.#boundOverhead(socket) })
+    this.#overhead.watch(socket)
     const timer = setTimeout(() => { destroyIfConnecting(socket, new Error('no connection in time')) }, CONNECT_TIMEOUT_MS)
     let isSettled = false
     const settle = (error: Error | undefined, connected: Socket | undefined): void => {
--- a/packages/backends/src/lib/HttpBackend.test.ts
+++ b/packages/backends/src/lib/HttpBackend.test.ts
@@ -51,7 +51,8 @@
   it.each([
     ['the body of an answer', 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"'],
     ['the body of a failure', 'HTTP/1.1 500 x\r\nconnection: close\r\n\r\n'],
-    ['the head', 'HTTP/1.1 200 OK\r\nfiller: ']
+    ['the head', 'HTTP/1.1 200 OK\r\nfiller: '],
+    ['the extension of a chunk', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;x=']
   ])('gives up %s that has no end', async (_part, sentHead) => {
     head = sentHead
     const answer = await backend.requestJson({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS }, z.string())
--- a/packages/backends/src/lib/HttpBackend.ts
+++ b/packages/backends/src/lib/HttpBackend.ts
@@ -1,9 +1,10 @@
 /** HTTP calls to back ends. All failures are reported as {@link BackendError}. */
-import { Client, errors, Pool, type Dispatcher } from 'undici'
+import { errors, Pool, type Dispatcher } from 'undici'
 import type { z } from 'zod'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { parseRetryAfter } from '@eelgrassmux/schema/parseRetryAfter'
 import type { BackendError } from './BackendError.js'
+import { ResetDetectingClient } from './resetDetection.js'
 
 /** Most connections to one back end. Each run occupies one. */
 const MAX_CONNECTIONS = 1024
@@ -30,7 +31,7 @@
 
   /** @param address - IP address and port */
   constructor (readonly address: string) {
-    this.#pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, maxResponseSize: MAX_RESPONSE_BYTES, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    this.#pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, factory: origin => new ResetDetectingClient(String(origin), CONNECT_TIMEOUT_MS, { maxResponseSize: MAX_RESPONSE_BYTES }) })
   }
 
   /**
@@ -59,7 +60,7 @@
    * @returns the response, or the error
    */
   async openResponse (call: HttpCall): Promise<Result<Dispatcher.ResponseData, BackendError>> {
-    const connection = call.hasOwnConnection === true ? new Client(`http://${this.address}`, { pipelining: 0, maxResponseSize: MAX_RESPONSE_BYTES, connect: { timeout: CONNECT_TIMEOUT_MS } }) : undefined
+    const connection = call.hasOwnConnection === true ? new ResetDetectingClient(`http://${this.address}`, CONNECT_TIMEOUT_MS, { pipelining: 0, maxResponseSize: MAX_RESPONSE_BYTES }) : undefined
     const close = (): void => { void connection?.destroy() }
     try {
       const response = await (connection ?? this.#pool).request({
--- a/packages/backends/src/lib/resetDetection.ts
+++ b/packages/backends/src/lib/resetDetection.ts
@@ -6,6 +6,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
+import { OverheadBound } from './OverheadBound.js'
 
 /** The back end reset the connection inside a response. */
 export class ResponseResetError extends Error {
@@ -30,9 +31,9 @@
   return () => wasReset
 }
 
-/** An undici client whose requests fail if their connection is reset inside the response. */
+/** An undici client whose requests fail if their connection is reset inside the response, or brings too many bytes without content. */
 export class ResetDetectingClient extends Client {
-  readonly #connection: { wasReset: () => boolean }
+  readonly #connection: { wasReset: () => boolean, readonly overhead: OverheadBound }
 
   /**
    * @param origin - scheme, address and port
@@ -40,21 +41,36 @@
    * @param options - further options of the client
    */
   constructor (origin: string, connectTimeoutMs: number, options: Omit<Client.Options, 'connect'> = {}) {
-    const connection = { wasReset: () => false }
+    const connection = { wasReset: () => false, overhead: new OverheadBound() }
     super(origin, {
       ...options,
-      connect: (target, callback) => { connection.wasReset = watchForReset(connectSocket(target, connectTimeoutMs, callback)) }
+      connect: (target, callback) => {
+        const socket = connectSocket(target, connectTimeoutMs, callback)
+        connection.wasReset = watchForReset(socket)
+        connection.overhead.watch(socket)
+      }
     })
     this.#connection = connection
   }
 
   override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    const { overhead } = this.#connection
     return super.dispatch(options, {
-      onConnect: (...connected) => { handler.onConnect?.(...connected) },
+      onConnect: (...connected) => {
+        overhead.noteProgress()
+        handler.onConnect?.(...connected)
+      },
       onError: error => { handler.onError?.(error) },
-      onHeaders: (status, headers, resume, statusText) => handler.onHeaders?.(status, headers, resume, statusText) ?? true,
-      onData: chunk => handler.onData?.(chunk) ?? true,
+      onHeaders: (status, headers, resume, statusText) => {
+        overhead.noteProgress()
+        return handler.onHeaders?.(status, headers, resume, statusText) ?? true
+      },
+      onData: chunk => {
+        overhead.noteProgress()
+        return handler.onData?.(chunk) ?? true
+      },
       onComplete: trailers => {
+        overhead.end()
         if (this.#connection.wasReset()) handler.onError?.(new ResponseResetError())
         else handler.onComplete?.(trailers)
       }
