Bounds on rejections and rates: statements of other hosts keep their age until they are applied

endpointStatements.test.ts "holds back a host that has read nothing ..." failed once (load 18; six plays passed then): a bound that the endpoint had lifted came back. Cause: the ages in the totals of all hosts are those of the moment at which they came, and were taken for those of the moment at which they were applied; a process that is descheduled in between makes an older statement of another host newer than what it has read itself. That the failure had this cause is likely, not shown: the harness takes the moment before the exchange as that of the arrival.

--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -153,8 +153,8 @@
   /**
    * Applies what endpoints have stated to any host.
    *
-   * @param stated - statements as the other hosts reported them
-   * @param now - monotonic milliseconds
+   * @param stated - statements as the other hosts reported them, with their ages
+   * @param now - when they came, in monotonic milliseconds
    */
   applyStatements ({ limits, brittle }: Pick<PeerLoad, 'limits' | 'brittle'>, now: number): void {
     if (limits.length === 0 && brittle.length === 0) return
--- a/apps/entry/src/lib/routed/RoutedFleet.test.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.test.ts
@@ -51,6 +51,21 @@
     })
   })
 
+  describe('when totals of the hosts are applied long after they came', () => {
+    // Guards against a lifted bound that comes back because an older statement of another host counts as newer.
+    it('keeps what this host has read itself after the statement of another host', () => {
+      const { fleet, incarnations: [endpoint] } = fleetAfter(1000)
+      if (endpoint === undefined) throw new Error('no endpoint')
+      const now = performance.now()
+      endpoint.brittleness.observeAnswer(4, now - 400)
+      endpoint.brittleness.observeAnswer(undefined, now - 250)
+      fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+      fleet.otherHostsLoad.recordTotals({ sequence: 1, work: [], links: [], brittle: [{ endpoint: endpoint.incarnation, rejectionsPerSecond: 4, statedAgoMs: 100 }] }, now - 200)
+      fleet.applyObservations()
+      expect(endpoint.brittleness.rejectionsPerSecond).toBeUndefined()
+    })
+  })
+
   describe('when a connection to another data centre is established', () => {
     /** Sends one request to an endpoint in another data centre and returns how many distances the fleet knows afterwards. */
     async function knownAfterRequest (features: readonly LoadFeature[]): Promise<number | undefined> {
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -200,7 +200,8 @@
   applyObservations (): void {
     const now = performance.now()
     for (const change of this.storeLinks.observePeers(this.otherHostsLoad.links, now)) this.#logLink(change)
-    this.limits.applyStatements(this.otherHostsLoad, now)
+    // The ages that the totals state are those of the moment at which they came.
+    this.limits.applyStatements(this.otherHostsLoad, this.otherHostsLoad.receivedAt)
     if (now - this.#ejectionsCheckedAt < EJECTION_CHECK_INTERVAL_MS) return
     this.#ejectionsCheckedAt = now
     for (const service of this.#pool.services) {
--- a/packages/routing/src/lib/load/PeerLoad.ts
+++ b/packages/routing/src/lib/load/PeerLoad.ts
@@ -79,6 +79,9 @@
     for (const total of links) this.#links.set(total.link, subtractLinkLoad(total, own.links.get(total.link)))
   }
 
+  /** When the latest totals came, in monotonic milliseconds; minus infinity before the first. */
+  get receivedAt (): number { return this.#receivedAt }
+
   /**
    * @param now - monotonic milliseconds
    * @returns whether the figures are recent enough to be used
