Callers' connections: a caller that closes its side inside a request has left

With half a head behind a call and the end of the connection, endpoints went on working for a caller that may have left, since the fix of connection errors waited for the answer; behind a whole request the end cancels it. Now both do, without a status. promises.test.ts "is cancelled without an answer ...": 200 after 300 ms before, nothing and a cancelled request now. 415 tests of routed requests, callers, daemon and platform pass.

--- a/packages/daemon/src/lib/ClientErrors.ts
+++ b/packages/daemon/src/lib/ClientErrors.ts
@@ -24,6 +24,9 @@
 
 const STATUS_BY_CODE: ReadonlyMap<string, number> = new Map([['ERR_HTTP_REQUEST_TIMEOUT', 408], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], ['HPE_HEADER_OVERFLOW', 431]])
 
+/** The caller has closed its side of the connection inside a request. */
+const CLOSED_BY_CALLER = 'HPE_INVALID_EOF_STATE'
+
 /** Handles the errors of all connections of one server. */
 export class ClientErrors {
   readonly #responses = new WeakMap<Socket, Set<ServerResponse>>()
@@ -61,11 +64,13 @@
     const awaited = responses.filter(({ req }) => req.complete)
     const code = error.code ?? ''
     if (this.#ending.has(socket) && socket.writable) return
-    const isAnswered = awaited.length > 0 || responses.some(({ headersSent }) => headersSent)
+    // As behind a complete request, a caller that closes its side is taken to have left.
+    const hasLeft = code === CLOSED_BY_CALLER && responses.length > 0
+    const isAnswered = hasLeft || awaited.length > 0 || responses.some(({ headersSent }) => headersSent)
     const status = socket.writable && !isAnswered ? STATUS_BY_CODE.get(code) ?? BAD_REQUEST : 0
     if (responses.length > 0) this.observe({ code, status, awaited: awaited.map(({ req }) => req) })
     const last = awaited.at(-1)
-    if (last !== undefined && socket.writable) {
+    if (last !== undefined && socket.writable && !hasLeft) {
       this.#endAfter(last, socket)
       return
     }
