--- a/apps/soak/src/lib/breakPromises.ts
+++ b/apps/soak/src/lib/breakPromises.ts
@@ -2,7 +2,7 @@
 import { Server } from 'node:http'
 import { ResponseAttribution, type AttributedHead } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 
-/** Takes a response for the one to the last request unless it bears another id. */
+/** Takes a response for the one to the last request unless it has another id. */
 export function believeStatements (): void {
   ResponseAttribution.prototype.mayCarry = () => true
   ResponseAttribution.prototype.attribute = (requestId: string, head: AttributedHead) => head.requestId === undefined || head.requestId === requestId ? undefined : 'another id'
