Control hosts report peers that lag, the steps of a join, and a group without a leader

New lines: peer-behind, peer-caught-up, join-step, group-undecided, group-decides; gauges raft_leaderless_seconds and raft_peers_behind. No change of logic.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -25,6 +25,7 @@
 import { planShards } from './hosts/planShards.js'
 import { LoadBoardTask, type EndpointProbe } from './load/LoadBoardTask.js'
 import { OrderTask } from './orders/OrderTask.js'
+import { GroupMonitor, MONITOR_INTERVAL_MS } from './raft/GroupMonitor.js'
 import { MembershipTask } from './raft/MembershipTask.js'
 import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
@@ -150,6 +151,7 @@
     lostWhileClosing: error => { telemetry.logFault('write-lost-while-closing', { message: String(error) }) },
     fail
   }, Date.now)
+  const groupMonitor = new GroupMonitor(core, telemetry)
   const hosts = new HostTable(settings.freshnessMs)
   const orders = new OrderTask(raft, address => new EngineClient(address), outcome => { orderOutcomes.count(outcome) })
   const service = new SiteService(raft, rpc)
@@ -168,7 +170,10 @@
   })
   endpoints?.changes.on('change', () => { streamOrigins.listChanged() })
   const sites = { service, ...(endpoints === undefined ? {} : { endpoints }), ...(stores === undefined ? {} : { stores }) }
-  const controlServer = new ControlServer(raft, hosts, orders, sites, replica => { addressesById.set(replica.id, replica.address) })
+  const controlServer = new ControlServer(raft, hosts, orders, sites, replica => {
+    addressesById.set(replica.id, replica.address)
+    groupMonitor.observeSender(replica)
+  })
   controlServer.register(server)
   const endpointPorts = {
     probe: platform?.probe,
@@ -208,7 +213,7 @@
   waiting.register(datagrams)
   const port = await listenOnSamePort(server, datagrams, settings.host, settings.port)
   self.address = advertisedAddress(settings, port)
-  registerGauges(telemetry, raft, hosts)
+  registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
   if (isFounder(settings, core)) {
@@ -221,6 +226,7 @@
   const operators = await platform?.openOperatorApi(service, telemetry)
   const startedAt = performance.now()
   const shardTimer = setInterval(() => { void assignShards(raft, hosts, settings, startedAt) }, SHARD_PLAN_INTERVAL_MS)
+  const monitorTimer = setInterval(() => { groupMonitor.check(performance.now()) }, MONITOR_INTERVAL_MS)
   const expireTimer = setInterval(() => { if (core.role === 'leader') void raft.propose({ kind: 'expire' }) }, EXPIRY_INTERVAL_MS)
 
   return {
@@ -234,6 +240,7 @@
     close: async () => {
       clearInterval(shardTimer)
       clearInterval(expireTimer)
+      clearInterval(monitorTimer)
       membershipTask.stop()
       datagrams.close()
       loads.stop()
@@ -280,9 +287,11 @@
   if (owners !== undefined) await raft.propose({ kind: 'assign-shards', owners })
 }
 
-function registerGauges (telemetry: Telemetry, raft: RaftTask, hosts: HostTable): void {
+function registerGauges (telemetry: Telemetry, raft: RaftTask, hosts: HostTable, groupMonitor: GroupMonitor): void {
   telemetry.gauge('raft_term', 'Present term', () => raft.core.term)
   telemetry.gauge('raft_is_leader', '1 on the leader', () => raft.core.role === 'leader' ? 1 : 0)
+  telemetry.gauge('raft_leaderless_seconds', 'Time for which this replica has known no leader', () => groupMonitor.leaderlessMs(performance.now()) / 1000)
+  telemetry.gauge('raft_peers_behind', 'Peers whose log lags behind that of this leader', () => groupMonitor.peersBehind)
   telemetry.gauge('raft_commit_index', 'Last committed log index', () => raft.core.commitIndex)
   telemetry.gauge('raft_syncs', 'Batches synced to the disk', () => raft.syncs)
   telemetry.gauge('view_revision', 'Newest applied view', () => raft.state.viewRevision)
--- a/apps/control/src/lib/raft/MembershipTask.ts
+++ b/apps/control/src/lib/raft/MembershipTask.ts
@@ -95,7 +95,9 @@
 
   async #join (core: RaftCore): Promise<void> {
     this.telemetry.logStateChange('joining', { replica: core.self.id, contacts: this.#otherContacts().join(' ') })
-    await joinGroup(this.rpc, core, () => this.#otherContacts(), () => this.#isStopped)
+    await joinGroup(this.rpc, core, () => this.#otherContacts(), () => this.#isStopped, step => {
+      this.telemetry.logStateChange('join-step', { replica: core.self.id, lastIndex: core.lastIndex, ...step })
+    })
     this.#leaderlessSince = undefined
     this.telemetry.logStateChange('joined', { replica: core.self.id })
   }
--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -24,6 +24,15 @@
 /** Returns the current addresses of replicas that may be members of the group. */
 type Contacts = () => readonly string[]
 
+/** A completed step of a join. */
+export interface JoinStep {
+  readonly step: string
+  readonly attempts: number
+  readonly tookMs: number
+  /** Answer to the last attempt before the one that succeeded, or `done` if the first succeeded. */
+  readonly lastAnswer: string
+}
+
 /**
  * Joins the group and retries until it succeeds.
  *
@@ -31,17 +40,20 @@
  * @param core - replica that joins
  * @param contacts - returns addresses of replicas that may be members of the group
  * @param isStopped - returns true to stop retrying
+ * @param onStep - called after each step
  */
-export async function joinGroup (rpc: RpcClient, core: JoiningReplica, contacts: Contacts, isStopped: () => boolean): Promise<void> {
+export async function joinGroup (rpc: RpcClient, core: JoiningReplica, contacts: Contacts, isStopped: () => boolean, onStep: (step: JoinStep) => void = () => {}): Promise<void> {
   const { self } = core
   const isCaughtUp = (): boolean => isInReceivedMembership(core)
   do {
-    await retryUntilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped)
+    await retryUntilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped, onStep)
+    const waitedFrom = performance.now()
     await waitFor(isCaughtUp, isStopped)
+    onStep({ step: 'catch-up', attempts: 1, tookMs: Math.round(performance.now() - waitedFrom), lastAnswer: isCaughtUp() ? 'done' : 'timeout' })
     // The leader that added this replica may have been replaced or may have removed the replica again, so repeat the request.
   } while (!isCaughtUp() && !isStopped())
-  for (const formerId of formerIdentities(core)) await retryUntilDone(rpc, contacts, { kind: 'remove', id: formerId }, isStopped)
-  await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped)
+  for (const formerId of formerIdentities(core)) await retryUntilDone(rpc, contacts, { kind: 'remove', id: formerId }, isStopped, onStep)
+  await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped, onStep)
 }
 
 async function waitFor (isReached: () => boolean, isStopped: () => boolean): Promise<void> {
@@ -49,18 +61,28 @@
   while (!isReached() && !isStopped() && performance.now() < deadline) await sleep(RETRY_INTERVAL_MS)
 }
 
-async function retryUntilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean): Promise<void> {
+async function retryUntilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean, onStep: (step: JoinStep) => void): Promise<void> {
+  const startedAt = performance.now()
+  let lastAnswer = 'done'
   let target: string | undefined
   for (let attempt = 0; !isStopped(); attempt += 1) {
     const known = contacts()
     const address = target ?? known[attempt % known.length] ?? ''
     const answer = await rpc.call(address, changeMembership, change, CALL_TIMEOUT_MS)
-    if (answer.ok && isDone(answer.value, change)) return
+    if (answer.ok && isDone(answer.value, change)) {
+      onStep({ step: change.kind, attempts: attempt + 1, tookMs: Math.round(performance.now() - startedAt), lastAnswer })
+      return
+    }
+    lastAnswer = answer.ok ? describeAnswer(answer.value) : answer.error.kind
     target = answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '' ? answer.value.leader : undefined
     await sleep(RETRY_INTERVAL_MS)
   }
 }
 
+function describeAnswer (response: MembershipChangeResponse): string {
+  return response.kind === 'refused' ? response.reason : response.kind
+}
+
 function isDone (response: MembershipChangeResponse, change: MembershipChange): boolean {
   if (response.kind === 'done') return true
   // The replica has already been removed by another caller.
--- a/packages/consensus/src/lib/Elections.ts
+++ b/packages/consensus/src/lib/Elections.ts
@@ -1,11 +1,13 @@
 /** Leader election: starts elections, requests votes and grants votes. */
 import type { LeaderReplication } from './LeaderReplication.js'
 import type { RaftState } from './RaftState.js'
-import type { RaftMessage, VoteRequest, VoteResponse } from './messages/raftMessages.js'
+import type { RaftMessage, Replica, VoteRequest, VoteResponse } from './messages/raftMessages.js'
 
 /** Election logic of one replica. A pre-vote precedes each election, so that a replica that cannot win does not depose a healthy leader. */
 export class Elections {
   #votes = new Set<string>()
+  /** Voters that have responded in this election, whether or not they granted their vote. */
+  #respondents = new Set<string>()
   #nextVoteRequestAt = 0
   /** Whether the leader requested this election, so that voters may vote although they still hear the leader. */
   #isTransfer = false
@@ -16,6 +18,12 @@
    */
   constructor (private readonly state: RaftState, private readonly replication: LeaderReplication) {}
 
+  /** Voters that have not responded to this replica's vote requests since it last started an election. */
+  get silentVoters (): Replica[] {
+    const { self, log } = this.state
+    return log.latestMembership().voters.filter(voter => voter.id !== self.id && !this.#respondents.has(voter.id))
+  }
+
   /**
    * Advances the election timers. Called only while this replica is not the leader.
    *
@@ -79,6 +87,7 @@
       state.adoptTerm(response.term, now)
       return
     }
+    this.#respondents.add(response.from)
     const expectedTerm = response.preVote ? state.term + 1 : state.term
     const expectedRole = response.preVote ? 'pre-candidate' : 'candidate'
     if (!response.granted || response.askedTerm !== expectedTerm || state.role !== expectedRole) return
@@ -92,6 +101,7 @@
     const { state } = this
     state.role = 'pre-candidate'
     state.leader = undefined
+    this.#respondents = new Set()
     this.#votes = new Set([state.self.id])
     state.electionDeadline = now + state.electionDelay()
     if (this.#hasQuorum()) {
--- a/packages/consensus/src/lib/LeaderReplication.ts
+++ b/packages/consensus/src/lib/LeaderReplication.ts
@@ -1,5 +1,6 @@
 /** Replication on the leader: tracks the progress of peers, sends them entries and advances the commit index. */
-import { PeerProgressTable } from './PeerProgressTable.js'
+import { PeerProgressTable, type PeerReport } from './PeerProgressTable.js'
+import { sumCommandBytes } from './RaftLog.js'
 import type { RaftState } from './RaftState.js'
 import type { AppendResponse, LogEntry, Replica } from './messages/raftMessages.js'
 
@@ -26,6 +27,15 @@
    */
   matchIndex (id: string): number { return this.#progress.matchIndex(id) }
 
+  /** Replication to each peer in this term. */
+  get peerReports (): PeerReport[] {
+    const peers = this.state.replicas.filter(replica => replica.id !== this.state.self.id)
+    return peers.map(replica => {
+      const { matchIndex, sentBytes, rejections } = this.#progress.progressOf(replica.id)
+      return { replica, matchIndex, sentBytes, rejections }
+    })
+  }
+
   /**
    * @param id - voter or learner
    * @param now - monotonic milliseconds
@@ -137,6 +147,7 @@
     const progress = this.#progress.progressOf(replica.id)
     progress.lastContactAt = Math.max(progress.lastContactAt, response.sentAt)
     if (!response.success) {
+      progress.rejections += 1
       progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, response.matchIndex + 1))
       progress.snapshotSentAt = Number.NEGATIVE_INFINITY
       this.#sendAppend(replica, now)
@@ -159,12 +170,14 @@
     if (previousTerm === undefined || progress.nextIndex <= log.snapshotIndex) {
       if (snapshot === undefined || now < progress.snapshotSentAt + SNAPSHOT_RESEND_MS) return
       progress.snapshotSentAt = now
+      progress.sentBytes += snapshot.state.length
       this.state.send(replica, { kind: 'snapshot-request', from: self.id, term, snapshot, sentAt: now })
       return
     }
     const entries = log.slice(progress.nextIndex, settings.maxEntriesPerAppend, settings.maxBytesPerAppend)
     // Pipelining: the next message continues after these entries without waiting for the response; a rejection resets the index.
     progress.nextIndex += entries.length
+    progress.sentBytes += sumCommandBytes(entries)
     this.state.send(replica, { kind: 'append-request', from: self.id, term, previousIndex, previousTerm, entries, commitIndex, sentAt: now })
   }
 
--- a/packages/consensus/src/lib/PeerProgressTable.ts
+++ b/packages/consensus/src/lib/PeerProgressTable.ts
@@ -12,6 +12,15 @@
   snapshotSentAt: number
   /** Leader's clock when it sent its first message to this peer; the silence of a peer that never responded starts there. */
   firstSentAt: number | undefined
+  /** Command bytes sent to the peer in this term, each copy counted. */
+  sentBytes: number
+  /** Messages that the peer rejected in this term because they did not continue its log. */
+  rejections: number
+}
+
+/** Replication to one peer, as the leader sees it. */
+export interface PeerReport extends Pick<PeerProgress, 'matchIndex' | 'sentBytes' | 'rejections'> {
+  readonly replica: Replica
 }
 
 /** Progress of all peers during one term of this leader. */
@@ -33,7 +42,9 @@
       matchIndex: 0,
       lastContactAt: Number.NEGATIVE_INFINITY,
       snapshotSentAt: Number.NEGATIVE_INFINITY,
-      firstSentAt: undefined
+      firstSentAt: undefined,
+      sentBytes: 0,
+      rejections: 0
     }
     this.#peers.set(id, created)
     return created
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -13,6 +13,7 @@
 import type { FormationState } from './Formation.js'
 import { LeaderReplication } from './LeaderReplication.js'
 import { MembershipChanges } from './MembershipChanges.js'
+import type { PeerReport } from './PeerProgressTable.js'
 import type { RaftError } from './RaftError.js'
 import type { RaftSettings } from './RaftSettings.js'
 import { RaftState, type RaftRole } from './RaftState.js'
@@ -64,6 +65,11 @@
   /** Progress of the initial group formation, according to the entries that this replica has committed. */
   get formation (): FormationState { return this.#state.formation.state }
 
+  /** Replication to each peer, on the leader; empty on other replicas. */
+  get peerReports (): PeerReport[] { return this.role === 'leader' ? this.#replication.peerReports : [] }
+  /** Voters that have not responded to this replica since it last started an election. */
+  get silentVoters (): Replica[] { return this.#elections.silentVoters }
+
   /** Current leader, if this replica knows it. */
   get leader (): Replica | undefined {
     return this.#state.replicas.find(replica => replica.id === this.#state.leader)
--- a/packages/consensus/src/lib/RaftLog.ts
+++ b/packages/consensus/src/lib/RaftLog.ts
@@ -12,7 +12,7 @@
   constructor (persisted: PersistentState) {
     this.#snapshot = persisted.snapshot
     this.#entries = persisted.entries.filter(entry => entry.index > this.snapshotIndex)
-    this.#commandBytes = sumBytes(this.#entries)
+    this.#commandBytes = sumCommandBytes(this.#entries)
   }
 
   get snapshot (): Snapshot | undefined {
@@ -86,7 +86,7 @@
   truncate (fromIndex: number): void {
     assertInvariant(fromIndex > this.snapshotIndex, 'log-truncate', () => `cannot truncate at ${fromIndex}: the index is covered by the snapshot`)
     this.#entries.length = fromIndex - this.snapshotIndex - 1
-    this.#commandBytes = sumBytes(this.#entries)
+    this.#commandBytes = sumCommandBytes(this.#entries)
   }
 
   /**
@@ -98,7 +98,7 @@
     const keepTail = this.termAt(snapshot.index) === snapshot.term
     this.#entries = keepTail ? this.slice(snapshot.index + 1, this.#entries.length) : []
     this.#snapshot = snapshot
-    this.#commandBytes = sumBytes(this.#entries)
+    this.#commandBytes = sumCommandBytes(this.#entries)
   }
 
   /** @returns the latest membership in the log or snapshot, committed or not */
@@ -127,6 +127,10 @@
   return entry?.kind === 'command' ? entry.command.length : 0
 }
 
-function sumBytes (entries: readonly LogEntry[]): number {
+/**
+ * @param entries - log entries
+ * @returns total bytes of their commands
+ */
+export function sumCommandBytes (entries: readonly LogEntry[]): number {
   return entries.reduce((sum, entry) => sum + commandBytes(entry), 0)
 }
