Replication: one message with entries at a time to each peer

Cause: the leader sent entries without waiting for acknowledgements. Heartbeats are datagrams and overtook entries on the gRPC connection, were rejected, and each rejection sent up to 1 MB again from the same index. Above what the link carries within the timeout of a call, no call arrived at all. The transport reports whether a call arrived; a lost one is sent again with the next heartbeat. After a rejection an empty message finds the index.

--- a/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
+++ b/apps/bench/src/lib/prove/worlds/SimulatedReplica.ts
@@ -13,7 +13,7 @@
 import type { Simulation } from '../Simulation.js'
 
 /** Raft settings of the simulated replicas; the lease is short so that faults often outlast it. */
-export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, maxBytesPerAppend: 1024 * 1024, promotionLag: 4, minimumVoters: 1 }
+export const SIMULATED_RAFT = { heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 16, maxBytesPerAppend: 1024 * 1024, deliveryTimeoutMs: 200, promotionLag: 4, minimumVoters: 1 }
 
 /** Outcome of a proposed command. */
 export type SimulatedOutcome =
--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -134,9 +134,10 @@
   const core = new RaftCore(self, persisted, raftSettings(settings), Math.random, PROCESS_START_MS)
   const state = new StateMachine({ ...DEFAULT_STATE_SETTINGS, recordWindowMs: settings.recordWindowHours * HOUR_MS })
   const raft = new RaftTask(core, storage, state, {
-    send: (to, message) => {
+    send: (to, message, onOutcome) => {
       const address = to.address === '' ? addressesById.get(to.id) : to.address
-      if (address !== undefined) sender.send(address, { from: self, to: to.id, message })
+      if (address === undefined) onOutcome(false)
+      else sender.send(address, { from: self, to: to.id, message }, onOutcome)
     },
     applied: () => {
       controlServer.notify()
--- a/apps/control/src/lib/raft/RaftSender.test.ts
+++ b/apps/control/src/lib/raft/RaftSender.test.ts
@@ -18,7 +18,7 @@
       }
     },
     () => {})
-  sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message })
+  sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message }, () => {})
   return transports.join(' ')
 }
 
@@ -35,11 +35,13 @@
     expect(transportOf({ kind: 'timeout-now', ...header })).toBe('call')
   })
 
-  it('reports the reason of a failed call', async () => {
+  it('reports the reason of a failed call, and that the message was not delivered', async () => {
     const reasons: string[] = []
+    const outcomes: boolean[] = []
     const sender = new RaftSender({ tell: () => {} }, { call: async () => ({ ok: false, error: { kind: 'unreachable', address: 'b', detail: '' } }) as never }, reason => { reasons.push(reason) })
-    sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message: { kind: 'timeout-now', ...header } })
+    sender.send('b', { from: { id: 'a', address: 'a' }, to: 'b', message: { kind: 'timeout-now', ...header } }, isDelivered => { outcomes.push(isDelivered) })
     await Promise.resolve()
     expect(reasons).toEqual(['unreachable'])
+    expect(outcomes).toEqual([false])
   })
 })
--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -9,7 +9,7 @@
 import { decode, encode } from '@msgpack/msgpack'
 import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
 import type { RaftError } from '@eelgrassmux/consensus/RaftError'
-import type { LogEntry, Membership, RaftEffects, RaftMessage, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import type { DeliveryReport, LogEntry, Membership, RaftEffects, RaftMessage, Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
 import { assertInvariant, InvariantViolation } from '@eelgrassmux/schema/invariant'
 import type { Result } from '@eelgrassmux/schema/Result'
@@ -27,8 +27,8 @@
 
 /** Dependencies and callbacks of the task. */
 export interface RaftTaskPorts {
-  /** Sends a message, which may be lost. */
-  send (to: Replica, message: RaftMessage): void
+  /** Sends a message, which may be lost. Calls `onOutcome` with false if it was lost and with true once the receiver has it; never for messages whose loss is not noticed. */
+  send (to: Replica, message: RaftMessage, onOutcome: (isDelivered: boolean) => void): void
   /** Called after the state machine has changed. */
   applied (): void
   roleChanged (role: string, term: number): void
@@ -48,6 +48,7 @@
 type MailboxItem =
   | { readonly kind: 'tick' }
   | { readonly kind: 'message', readonly message: RaftMessage }
+  | { readonly kind: 'delivery', readonly report: DeliveryReport }
   | { readonly kind: 'propose', readonly command: Command, readonly resolve: (outcome: ProposeOutcome) => void }
   | { readonly kind: 'change', readonly change: (core: RaftCore, now: number) => Result<RaftEffects, RaftError>, readonly resolve: (error: RaftError | undefined) => void }
   | { readonly kind: 'transfer' }
@@ -201,6 +202,9 @@
     switch (item.kind) {
       case 'tick': return [this.core.tick(now)]
       case 'message': return [this.core.receive(item.message, now)]
+      case 'delivery':
+        this.core.reportDelivery(item.report)
+        return []
       case 'transfer': return [this.core.transferLeadership(now)]
       case 'read': {
         this.#reads.push({ readAt: now, resolve: item.resolve })
@@ -245,7 +249,7 @@
   }
 
   #executeEffects (effects: RaftEffects): void {
-    for (const { to, message } of effects.messages) this.ports.send(to, message)
+    for (const { to, message } of effects.messages) this.#send(to, message)
     if (effects.installed !== undefined) {
       this.#restore(effects.installed.state)
       this.#appliedIndex = effects.installed.index
@@ -255,6 +259,13 @@
     if (effects.committed.length > 0) this.ports.applied()
   }
 
+  #send (to: Replica, message: RaftMessage): void {
+    this.ports.send(to, message, isDelivered => {
+      if (!('sentAt' in message)) return
+      this.#post({ kind: 'delivery', report: { to: to.id, term: message.term, sentAt: message.sentAt, isDelivered } })
+    })
+  }
+
   #apply (entry: LogEntry): void {
     if (entry.index <= this.#appliedIndex) return
     assertInvariant(entry.index === this.#appliedIndex + 1, 'apply-in-order', () => `${entry.index} after ${this.#appliedIndex}`)
--- a/apps/control/src/lib/raft/surplusReplicas.test.ts
+++ b/apps/control/src/lib/raft/surplusReplicas.test.ts
@@ -41,7 +41,10 @@
         const { messages } = effects
         effects = { writes: [], messages: [], committed: [], installed: undefined }
         for (const { to, message } of messages) {
-          if (message.kind !== 'append-request' || !this.#answering.has(to.id)) continue
+          if (message.kind !== 'append-request') continue
+          const isDelivered = this.#answering.has(to.id)
+          this.leader.reportDelivery({ to: to.id, term: message.term, sentAt: message.sentAt, isDelivered })
+          if (!isDelivered) continue
           const answer = this.leader.receive({
             kind: 'append-response', from: to.id, term: message.term, success: true, matchIndex: message.previousIndex + message.entries.length, sentAt: message.sentAt
           }, this.now)
--- a/packages/consensus/src/lib/LeaderReplication.ts
+++ b/packages/consensus/src/lib/LeaderReplication.ts
@@ -1,11 +1,8 @@
 /** Replication on the leader: tracks the progress of peers, sends them entries and advances the commit index. */
-import { PeerProgressTable, type PeerReport } from './PeerProgressTable.js'
+import { PeerProgressTable, type PeerProgress, type PeerReport } from './PeerProgressTable.js'
 import { sumCommandBytes } from './RaftLog.js'
 import type { RaftState } from './RaftState.js'
-import type { AppendResponse, LogEntry, Replica } from './messages/raftMessages.js'
-
-/** Minimum interval between two transmissions of the snapshot to the same peer, in milliseconds. */
-const SNAPSHOT_RESEND_MS = 1000
+import type { AppendResponse, DeliveryReport, LogEntry, Replica } from './messages/raftMessages.js'
 
 /** Replication state of a leader; reset whenever this replica becomes leader. */
 export class LeaderReplication {
@@ -147,38 +144,97 @@
     const progress = this.#progress.progressOf(replica.id)
     progress.lastContactAt = Math.max(progress.lastContactAt, response.sentAt)
     if (!response.success) {
-      progress.rejections += 1
-      progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, response.matchIndex + 1))
-      progress.snapshotSentAt = Number.NEGATIVE_INFINITY
-      this.#sendAppend(replica, now)
+      this.#onRejection(replica, progress, response, now)
       return
     }
     progress.matchIndex = Math.max(progress.matchIndex, response.matchIndex)
-    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1)
+    if (progress.inFlight !== undefined && progress.matchIndex >= progress.inFlight.lastIndex) progress.inFlight = undefined
+    if (progress.matchIndex >= progress.nextIndex - 1) {
+      progress.isProbing = false
+      progress.nextIndex = progress.matchIndex + 1
+    }
     this.#advanceCommit()
     this.#sendTimeoutNowIfCaughtUp()
-    if (progress.nextIndex <= state.log.lastIndex) this.#sendAppend(replica, now)
+    const canSendMore = progress.inFlight === undefined && !progress.isProbing
+    if (canSendMore && progress.nextIndex <= state.log.lastIndex) this.#sendAppend(replica, now)
   }
 
+  /**
+   * @param report - whether a message with entries or a snapshot reached its receiver
+   */
+  onDelivery ({ to, term, sentAt, isDelivered }: DeliveryReport): void {
+    if (this.state.role !== 'leader' || term !== this.state.term) return
+    const progress = this.#progress.progressOf(to)
+    if (progress.inFlight?.sentAt !== sentAt) return
+    if (isDelivered) {
+      progress.inFlight.isDelivered = true
+      return
+    }
+    // Sent again with the next heartbeat, which limits the rate of attempts while the peer is down.
+    progress.nextIndex = progress.inFlight.firstIndex
+    progress.inFlight = undefined
+  }
+
+  #onRejection (replica: Replica, progress: PeerProgress, { sentAt, matchIndex }: AppendResponse, now: number): void {
+    // Rejections of earlier messages say nothing about what has been sent since.
+    if (sentAt < (progress.inFlight?.sentAt ?? progress.probedAt)) return
+    progress.rejections += 1
+    progress.inFlight = undefined
+    progress.isProbing = true
+    progress.probedAt = Number.NEGATIVE_INFINITY
+    progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, matchIndex + 1))
+    this.#sendAppend(replica, now)
+  }
+
+  /** Sends what the peer lacks. While something is in flight, or it is not known what the peer lacks, sends a message without entries. */
   #sendAppend (replica: Replica, now: number): void {
-    const { log, settings, self, term, commitIndex } = this.state
+    const { log, settings, self, term } = this.state
     const progress = this.#progress.progressOf(replica.id)
     progress.firstSentAt ??= now
-    const previousIndex = progress.nextIndex - 1
-    const previousTerm = log.termAt(previousIndex)
-    const { snapshot } = log
-    if (previousTerm === undefined || progress.nextIndex <= log.snapshotIndex) {
-      if (snapshot === undefined || now < progress.snapshotSentAt + SNAPSHOT_RESEND_MS) return
-      progress.snapshotSentAt = now
-      progress.sentBytes += snapshot.state.length
-      this.state.send(replica, { kind: 'snapshot-request', from: self.id, term, snapshot, sentAt: now })
+    if (progress.inFlight !== undefined) {
+      // A message whose delivery is never reported counts as delivered after a while, so that its loss is found out.
+      if (now >= progress.inFlight.sentAt + settings.deliveryTimeoutMs) progress.inFlight.isDelivered = true
+      this.#sendHeartbeat(replica, progress.inFlight.isDelivered ? progress.inFlight.lastIndex : progress.matchIndex, now)
+      return
+    }
+    if (progress.nextIndex <= log.snapshotIndex || log.termAt(progress.nextIndex - 1) === undefined) {
+      this.#sendSnapshot(replica, progress, now)
+      return
+    }
+    if (progress.isProbing) {
+      // Only the answer to the last probe counts, so frequent broadcasts must not replace a probe that is on its way.
+      const isProbeDue = now >= progress.probedAt + settings.heartbeatMs
+      if (isProbeDue) progress.probedAt = now
+      this.#sendHeartbeat(replica, isProbeDue ? progress.nextIndex - 1 : progress.matchIndex, now)
       return
     }
     const entries = log.slice(progress.nextIndex, settings.maxEntriesPerAppend, settings.maxBytesPerAppend)
-    // Pipelining: the next message continues after these entries without waiting for the response; a rejection resets the index.
+    if (entries.length > 0) {
+      progress.inFlight = { firstIndex: progress.nextIndex, lastIndex: progress.nextIndex + entries.length - 1, sentAt: now, isDelivered: false }
+      progress.sentBytes += sumCommandBytes(entries)
+    }
+    const previousIndex = progress.nextIndex - 1
     progress.nextIndex += entries.length
-    progress.sentBytes += sumCommandBytes(entries)
-    this.state.send(replica, { kind: 'append-request', from: self.id, term, previousIndex, previousTerm, entries, commitIndex, sentAt: now })
+    this.state.send(replica, {
+      kind: 'append-request', from: self.id, term, previousIndex, previousTerm: log.termAt(previousIndex) ?? 0, entries, commitIndex: this.state.commitIndex, sentAt: now
+    })
+  }
+
+  #sendSnapshot (replica: Replica, progress: PeerProgress, now: number): void {
+    const { log: { snapshot }, self, term } = this.state
+    if (snapshot === undefined) return
+    progress.isProbing = false
+    progress.inFlight = { firstIndex: progress.nextIndex, lastIndex: snapshot.index, sentAt: now, isDelivered: false }
+    progress.sentBytes += snapshot.state.length
+    this.state.send(replica, { kind: 'snapshot-request', from: self.id, term, snapshot, sentAt: now })
+  }
+
+  #sendHeartbeat (replica: Replica, index: number, now: number): void {
+    const { log, self, term, commitIndex } = this.state
+    const previousTerm = log.termAt(index)
+    // Every log matches at index 0; the entries at a compacted index can't be compared.
+    const [previousIndex, comparedTerm] = previousTerm === undefined ? [0, 0] : [index, previousTerm]
+    this.state.send(replica, { kind: 'append-request', from: self.id, term, previousIndex, previousTerm: comparedTerm, entries: [], commitIndex, sentAt: now })
   }
 
   #advanceCommit (): void {
--- a/packages/consensus/src/lib/PeerProgressTable.ts
+++ b/packages/consensus/src/lib/PeerProgressTable.ts
@@ -1,15 +1,30 @@
 /** The leader's record of each peer: replicated log index and time of last contact. */
 import type { Replica } from './messages/raftMessages.js'
 
+/** Entries or a snapshot that a peer has not acknowledged yet. */
+export interface AppendInFlight {
+  readonly firstIndex: number
+  readonly lastIndex: number
+  /** Leader's clock at the time of sending. */
+  readonly sentAt: number
+  /** Whether the peer has received the message, so that heartbeats can no longer overtake it. */
+  isDelivered: boolean
+}
+
 /** Replication progress of one peer. */
 export interface PeerProgress {
   /** Index of the next entry to send. */
   nextIndex: number
+  /** Whether the peer has rejected entries, so that `nextIndex` is a guess which an empty message has to confirm. */
+  isProbing: boolean
+  /** Leader's clock when it sent the last empty message that has to confirm `nextIndex`. */
+  probedAt: number
+  /** The only message with entries or a snapshot that is on its way to the peer. */
+  inFlight: AppendInFlight | undefined
   /** Index of the last entry known to be on the disk of the peer. */
   matchIndex: number
   /** Leader's clock when it sent the newest message that the peer acknowledged. */
   lastContactAt: number
-  snapshotSentAt: number
   /** Leader's clock when it sent its first message to this peer; the silence of a peer that never responded starts there. */
   firstSentAt: number | undefined
   /** Command bytes sent to the peer in this term, each copy counted. */
@@ -39,9 +54,11 @@
     if (existing !== undefined) return existing
     const created = {
       nextIndex: this.firstIndex,
+      isProbing: false,
+      probedAt: Number.NEGATIVE_INFINITY,
+      inFlight: undefined,
       matchIndex: 0,
       lastContactAt: Number.NEGATIVE_INFINITY,
-      snapshotSentAt: Number.NEGATIVE_INFINITY,
       firstSentAt: undefined,
       sentBytes: 0,
       rejections: 0
--- a/packages/consensus/src/lib/RaftCore.test.ts
+++ b/packages/consensus/src/lib/RaftCore.test.ts
@@ -33,9 +33,12 @@
     const indexes = this.committed.get(from) ?? []
     this.committed.set(from, [...indexes, ...effects.committed.map(entry => entry.index)])
     for (const { to, message } of effects.messages) {
-      if (this.disconnected.has(from) || this.disconnected.has(to.id)) continue
       const target = this.cores.get(to.id)
-      if (target !== undefined) this.deliver(to.id, target.receive(message, this.now))
+      if (target === undefined || this.disconnected.has(from) || this.disconnected.has(to.id)) {
+        if ('sentAt' in message) this.get(from).reportDelivery({ to: to.id, term: message.term, sentAt: message.sentAt, isDelivered: false })
+        continue
+      }
+      this.deliver(to.id, target.receive(message, this.now))
     }
   }
 
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -17,7 +17,7 @@
 import type { RaftError } from './RaftError.js'
 import type { RaftSettings } from './RaftSettings.js'
 import { RaftState, type RaftRole } from './RaftState.js'
-import type { LogEntry, Membership, PersistentState, RaftEffects, RaftMessage, Replica, Snapshot } from './messages/raftMessages.js'
+import type { DeliveryReport, LogEntry, Membership, PersistentState, RaftEffects, RaftMessage, Replica, Snapshot } from './messages/raftMessages.js'
 
 /** Raft state machine of one replica. */
 export class RaftCore {
@@ -124,6 +124,13 @@
 
   // --- Inputs ---
 
+  /**
+   * Handles the outcome of the transport of a message. Without it, the loss of a message is noticed only after the delivery timeout.
+   *
+   * @param report - whether a message with entries or a snapshot reached its receiver
+   */
+  reportDelivery (report: DeliveryReport): void { this.#replication.onDelivery(report) }
+
   /**
    * Advances timers.
    *
--- a/packages/consensus/src/lib/RaftSettings.ts
+++ b/packages/consensus/src/lib/RaftSettings.ts
@@ -8,6 +8,8 @@
   readonly maxEntriesPerAppend: number
   /** Once the commands of a message reach this many bytes, no further entry is added; a single entry may be larger. */
   readonly maxBytesPerAppend: number
+  /** Time after which a message with entries or a snapshot counts as delivered although the transport has not reported it; longer than a call may take. */
+  readonly deliveryTimeoutMs: number
   /** A learner may be promoted to voter when its log is at most this many entries behind. */
   readonly promotionLag: number
   /** Number of committed voters that a new group must reach once before its leader accepts commands. */
@@ -16,5 +18,5 @@
 
 /** Defaults for control hosts in data centres with about a millisecond of latency between them. */
 export const DEFAULT_RAFT_SETTINGS: RaftSettings = {
-  heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 256, maxBytesPerAppend: 1024 * 1024, promotionLag: 16, minimumVoters: 1
+  heartbeatMs: 50, electionTimeoutMs: 300, leaseMs: 240, maxEntriesPerAppend: 256, maxBytesPerAppend: 256 * 1024, deliveryTimeoutMs: 10_000, promotionLag: 16, minimumVoters: 1
 }
--- a/packages/consensus/src/lib/messages/raftMessages.ts
+++ b/packages/consensus/src/lib/messages/raftMessages.ts
@@ -51,6 +51,16 @@
 export type AppendResponse = Extract<RaftMessage, { kind: 'append-response' }>
 export type SnapshotRequest = Extract<RaftMessage, { kind: 'snapshot-request' }>
 
+/** Outcome of the transport of a message with entries or a snapshot. */
+export interface DeliveryReport {
+  /** Id of the receiver. */
+  readonly to: string
+  readonly term: number
+  readonly sentAt: number
+  /** False if the message was lost, or may have been. */
+  readonly isDelivered: boolean
+}
+
 /** State that a replica must recover after a restart. */
 export interface PersistentState {
   readonly term: number
--- a/packages/consensus/src/lib/slowLinkReplication.test.ts
+++ b/packages/consensus/src/lib/slowLinkReplication.test.ts
@@ -66,7 +66,13 @@
     const arrivesAt = (bytes > 0 ? this.#linkFreeAt : this.now) + LATENCY_MS
     const isLost = bytes > 0 && (arrivesAt - sentAt > CALL_TIMEOUT_MS || this.lostCalls.has(this.#calls))
     const at = isLost ? sentAt + CALL_TIMEOUT_MS : arrivesAt
-    this.#due.push({ at, run: () => { if (!isLost) this.#run(to.receive(message, this.now)) } })
+    this.#due.push({
+      at,
+      run: () => {
+        if (bytes > 0) this.leader.reportDelivery({ to: to.self.id, term: message.term, sentAt, isDelivered: !isLost })
+        if (!isLost) this.#run(to.receive(message, this.now))
+      }
+    })
   }
 }
 
@@ -85,4 +91,12 @@
     expect(link.isCaughtUp).toBe(true)
     expect(link.sentBytes).toBeLessThan(1.2 * COMMANDS * COMMAND_BYTES)
   })
+
+  it('sends nothing twice but what was lost', () => {
+    const link = new SlowLink()
+    for (const lost of [1, 4, 5, 9]) link.lostCalls.add(lost)
+    link.runUntil(10_000, () => link.isCaughtUp)
+    expect(link.isCaughtUp).toBe(true)
+    expect(link.sentBytes).toBeLessThan(COMMANDS * COMMAND_BYTES + 5 * DEFAULT_RAFT_SETTINGS.maxBytesPerAppend)
+  })
 })
