Join: all contacts are asked at the same time

Operators: a host with an empty disk needed five to eight seconds to join where paused or replaced hosts were among its contacts; a disk counts as lost for four. Cause: contacts were asked one after the other, each with a timeout of 2 s, and the question whether a restarted host is still a member with 0.5 s each. Change: each attempt asks all contacts at once and takes the first success; the leader makes a repeated change once. The next attempt starts after 400 ms at most. A host that took the place of its former identity needs no promotion. Evidence: joinGroup.test.ts 'is not held up ...' did not end within 60 s on the code before, and 'is complete without ...' asked for a promotion; both pass.

--- a/apps/control/src/lib/raft/MembershipTask.ts
+++ b/apps/control/src/lib/raft/MembershipTask.ts
@@ -15,7 +15,7 @@
 import type { RaftTask } from './RaftTask.js'
 
 /** Interval between checks of the membership, in milliseconds. */
-const CHECK_INTERVAL_MS = 300
+const CHECK_INTERVAL_MS = 100
 
 /** Time without a leader after which a replica queries whether it is still a member, in milliseconds. */
 const LEADERLESS_TIMEOUT_MS = 1500
@@ -84,13 +84,11 @@
     }
     this.#leaderlessSince ??= now
     if (now - this.#leaderlessSince < LEADERLESS_TIMEOUT_MS) return false
-    for (const contact of this.#otherContacts()) {
-      const answer = await this.rpc.call(contact, listHosts, {}, MEMBERSHIP_QUERY_TIMEOUT_MS)
-      // Only the committed membership of the leader is certainly newer than this replica's own.
-      if (!answer.ok || answer.value.leader !== answer.value.replicaId) continue
-      return ![...answer.value.voters, ...answer.value.learners].some(replica => replica.id === core.self.id)
-    }
-    return false
+    const answers = await Promise.all(this.#otherContacts().map(async contact => await this.rpc.call(contact, listHosts, {}, MEMBERSHIP_QUERY_TIMEOUT_MS)))
+    // Only the committed membership of the leader is certainly newer than this replica's own.
+    const current = answers.find(answer => answer.ok && answer.value.leader === answer.value.replicaId)
+    if (current?.ok !== true) return false
+    return ![...current.value.voters, ...current.value.learners].some(replica => replica.id === core.self.id)
   }
 
   async #join (core: RaftCore): Promise<void> {
--- a/apps/control/src/lib/raft/joinGroup.test.ts
+++ b/apps/control/src/lib/raft/joinGroup.test.ts
@@ -29,4 +29,21 @@
     await joinGroup(contacts as unknown as RpcClient, core, () => [FRESH.address, LEADER.address], () => false)
     expect(contacts.changes).toEqual([{ kind: 'add-learner', replica: SELF }, { kind: 'remove', id: FORMER.id }, { kind: 'promote', id: SELF.id }])
   })
+
+  // Guards against joins of many seconds: each contact that did not answer was waited for before the next one was asked.
+  it('is not held up by contacts that do not answer', async () => {
+    const contacts = new FakeContacts()
+    const call = async (address: string, method: unknown, request: unknown): Promise<unknown> =>
+      address === 'dark' ? await new Promise(() => {}) : await contacts.call(address, method, request)
+    const core: JoiningReplica = { self: SELF, leader: LEADER, membership: { voters: [LEADER], learners: [SELF] } }
+    await joinGroup({ call } as unknown as RpcClient, core, () => ['dark', FRESH.address, LEADER.address], () => false)
+    expect(contacts.changes.map(({ kind }) => kind)).toContain('promote')
+  })
+
+  it('is complete without a promotion if it has taken the place of its earlier id', async () => {
+    const contacts = new FakeContacts()
+    const core: JoiningReplica = { self: SELF, leader: LEADER, membership: { voters: [LEADER, SELF], learners: [] } }
+    await joinGroup(contacts as unknown as RpcClient, core, () => [LEADER.address], () => false)
+    expect(contacts.changes).toEqual([{ kind: 'add-learner', replica: SELF }])
+  })
 })
--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -1,8 +1,7 @@
 /**
- * Adds a replica with an empty disk to the group. The replica joins as a learner
- * and is promoted to voter once it holds nearly all of the log. A voter with the
- * same address has lost its disk and is removed just before the promotion, so
- * that no host ever counts as two voters.
+ * Adds a replica with an empty disk to the group. If a voter with the same address
+ * has lost its disk, the replica takes its place at once. Otherwise it joins as a
+ * learner and is promoted to voter once it holds nearly all of the log.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
@@ -10,14 +9,20 @@
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 
 /** Delay between attempts, in milliseconds. */
-const RETRY_INTERVAL_MS = 200
+const RETRY_INTERVAL_MS = 100
 
 /** Timeout of each call, in milliseconds. */
 const CALL_TIMEOUT_MS = 2000
 
+/** Maximum wait for an answer before all contacts are asked again, in milliseconds. Earlier calls still count if they are answered later. */
+const ATTEMPT_TIMEOUT_MS = 400
+
 /** Maximum wait for the first messages of the leader before the call is repeated, in milliseconds. The messages normally arrive immediately. */
 const CATCH_UP_TIMEOUT_MS = 1500
 
+/** Interval between checks whether the leader's messages have arrived, in milliseconds. */
+const CATCH_UP_POLL_INTERVAL_MS = 20
+
 /** Live view of the joining replica. */
 export type JoiningReplica = Pick<RaftCore, 'self' | 'membership' | 'leader'>
 
@@ -53,32 +58,60 @@
     // The leader that added this replica may have been replaced or may have removed the replica again, so repeat the request.
   } while (!isCaughtUp() && !isStopped())
   for (const formerId of formerIdentities(core)) await retryUntilDone(rpc, contacts, { kind: 'remove', id: formerId }, isStopped, onStep)
-  await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped, onStep)
+  const isVoter = core.membership.voters.some(voter => voter.id === self.id)
+  if (!isVoter) await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped, onStep)
 }
 
 async function waitFor (isReached: () => boolean, isStopped: () => boolean): Promise<void> {
   const deadline = performance.now() + CATCH_UP_TIMEOUT_MS
-  while (!isReached() && !isStopped() && performance.now() < deadline) await sleep(RETRY_INTERVAL_MS)
+  while (!isReached() && !isStopped() && performance.now() < deadline) await sleep(CATCH_UP_POLL_INTERVAL_MS)
 }
 
 async function retryUntilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean, onStep: (step: JoinStep) => void): Promise<void> {
   const startedAt = performance.now()
-  let lastAnswer = 'done'
-  let target: string | undefined
-  for (let attempt = 0; !isStopped(); attempt += 1) {
-    const known = contacts()
-    const address = target ?? known[attempt % known.length] ?? ''
-    const answer = await rpc.call(address, changeMembership, change, CALL_TIMEOUT_MS)
-    if (answer.ok && isDone(answer.value, change)) {
-      onStep({ step: change.kind, attempts: attempt + 1, tookMs: Math.round(performance.now() - startedAt), lastAnswer })
+  const request = new RepeatedRequest(rpc, change)
+  for (let attempt = 1; !isStopped(); attempt += 1) {
+    const lastAnswer = request.lastAnswer
+    if (await request.askAll(contacts())) {
+      onStep({ step: change.kind, attempts: attempt, tookMs: Math.round(performance.now() - startedAt), lastAnswer })
       return
     }
-    lastAnswer = answer.ok ? describeAnswer(answer.value) : answer.error.kind
-    target = answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '' ? answer.value.leader : undefined
     await sleep(RETRY_INTERVAL_MS)
   }
 }
 
+/** One change that is requested from all contacts at the same time, since any of them may not answer; only the leader makes it, once. */
+class RepeatedRequest {
+  #isDone = false
+  #lastAnswer = 'done'
+
+  constructor (private readonly rpc: RpcClient, private readonly change: MembershipChange) {}
+
+  /** Last answer that was not a success, or `done` if there was none. */
+  get lastAnswer (): string { return this.#lastAnswer }
+
+  /** Resolves with true once any request has succeeded, and with false if all have failed or the attempt takes too long. */
+  async askAll (addresses: readonly string[]): Promise<boolean> {
+    const asked = new Set<string>()
+    const ask = async (address: string): Promise<void> => {
+      if (this.#isDone || asked.has(address)) return
+      asked.add(address)
+      const answer = await this.rpc.call(address, changeMembership, this.change, CALL_TIMEOUT_MS)
+      if (answer.ok && isDone(answer.value, this.change)) this.#isDone = true
+      else this.#lastAnswer = answer.ok ? describeAnswer(answer.value) : answer.error.kind
+      if (answer.ok && answer.value.kind === 'not-leader' && answer.value.leader !== '') await ask(answer.value.leader)
+    }
+    const succeeded = addresses.map(async address => {
+      await ask(address)
+      if (!this.#isDone) throw new Error(this.#lastAnswer)
+    })
+    const timeout = new AbortController()
+    await Promise.race([Promise.any(succeeded).catch(() => {}), sleep(ATTEMPT_TIMEOUT_MS, undefined, { signal: timeout.signal }).catch(() => {})])
+    timeout.abort()
+    return this.#isDone
+  }
+}
+
 function describeAnswer (response: MembershipChangeResponse): string {
   return response.kind === 'refused' ? response.reason : response.kind
 }
