Membership: a silent voter is removed before a new host takes its place

Cause: a host at a new address was promoted beside the voter that it replaces, which stayed for 2.5 s of silence, counted anew by each leader. Six voters with one of them gone need four, and two further losses leave three. Change: a promotion in a group that has all the voters it needs first removes a voter that has been silent for two election timeouts; the next request promotes. Between the two there are four voters, all of which answer. Voters that answer stay ('keep their vote ...').

--- a/packages/consensus/src/lib/MembershipChanges.ts
+++ b/packages/consensus/src/lib/MembershipChanges.ts
@@ -5,6 +5,9 @@
 import type { RaftState } from './RaftState.js'
 import type { Membership, RaftEffects, Replica } from './messages/raftMessages.js'
 
+/** Silence after which a voter gives its place to a new replica, in election timeouts. */
+const SILENT_ELECTION_TIMEOUTS = 2
+
 /** Validates membership changes and appends them in the same step. */
 export class MembershipChanges {
   /**
@@ -38,7 +41,9 @@
   }
 
   /**
-   * Promotes a learner to voter if its log is nearly complete.
+   * Promotes a learner to voter if its log is nearly complete. If the group has all the voters that it needs and one of them is
+   * silent, that one is removed first, and the learner is promoted by the next request: with both of them the group would need
+   * a larger majority and have no more replicas to form it.
    *
    * @param id - id of the learner
    * @param now - monotonic milliseconds
@@ -52,6 +57,8 @@
     if (learner === undefined) return fail({ kind: 'unknown-replica', id })
     const lag = state.log.lastIndex - this.replication.matchIndex(id)
     if (lag > state.settings.promotionLag) return fail({ kind: 'learner-lags', lag })
+    const silent = this.#findSilentVoter(voters, now)
+    if (silent !== undefined) return this.#appendChange({ voters: voters.filter(voter => voter.id !== silent.id), learners }, now)
     const rest = learners.filter(candidate => candidate.id !== id)
     return this.#appendChange({ voters: [...voters, learner], learners: rest }, now)
   }
@@ -73,6 +80,15 @@
     return this.#appendChange({ voters: without(voters), learners: without(learners) }, now)
   }
 
+  /** Returns the voter that has been silent for the longest time, if the group has enough voters without it and the size of the group is configured. */
+  #findSilentVoter (voters: readonly Replica[], now: number): Replica | undefined {
+    const { minimumVoters, electionTimeoutMs } = this.state.settings
+    if (minimumVoters === 1 || voters.length < minimumVoters) return undefined
+    const silences = voters.map(voter => ({ voter, silenceMs: this.replication.silenceMs(voter.id, now) }))
+    const [longest] = silences.sort((left, right) => right.silenceMs - left.silenceMs)
+    return longest !== undefined && longest.silenceMs > SILENT_ELECTION_TIMEOUTS * electionTimeoutMs ? longest.voter : undefined
+  }
+
   /** A replica that still answers has kept its disk, so another one at its address is a mistake in the settings. */
   #isAnswering ({ id }: Replica, now: number): boolean {
     return this.replication.silenceMs(id, now) < this.state.settings.electionTimeoutMs
--- a/packages/consensus/src/lib/lostDisks.test.ts
+++ b/packages/consensus/src/lib/lostDisks.test.ts
@@ -35,6 +35,19 @@
     this.#start(replicaAt(host, life), { term: 0, votedFor: undefined, snapshot: undefined, entries: [] })
   }
 
+  start (host: string): Replica {
+    const self = replicaAt(host)
+    this.#start(self, { term: 0, votedFor: undefined, snapshot: undefined, entries: [] })
+    return self
+  }
+
+  requestPromotion (host: string): string {
+    const { leader } = this
+    const promoted = leader?.promote(replicaAt(host).id, this.now)
+    if (leader !== undefined && promoted?.ok === true) this.#deliver(leader, promoted.value)
+    return promoted?.ok === true ? 'done' : promoted?.error.kind ?? 'no leader'
+  }
+
   requestJoin (host: string, self = this.cores.get(host)?.self): string {
     const { leader } = this
     if (leader === undefined || self === undefined) return 'no leader'
@@ -101,4 +114,35 @@
     expect(hosts.requestJoin('f', newHost)).toBe('done')
     expect(hosts.leader?.lastIndex).toBe(index)
   })
+
+  // Guards against a group of six voters that lost its quorum for good: a host that was gone still voted beside its successor, and two more lost their disks.
+  it('are removed in favour of a successor at another address before that one votes', () => {
+    const hosts = new Hosts()
+    hosts.run(1500)
+    const gone = ['a', 'b'].find(host => host !== hosts.leader?.self.address) ?? ''
+    hosts.down.add(gone)
+    const successor = hosts.start('f')
+    hosts.run(1000)
+    hosts.requestJoin('f')
+    for (let attempt = 0; attempt < 5; attempt += 1) {
+      hosts.requestPromotion('f')
+      hosts.run(100)
+      expect(hosts.leader?.membership.voters.length).toBeLessThanOrEqual(VOTERS)
+    }
+    const voters = hosts.leader?.committedMembership.voters.map(voter => voter.address)
+    expect(voters).toHaveLength(VOTERS)
+    expect(voters).toContain(successor.address)
+    expect(voters).not.toContain(gone)
+  })
+
+  it('keep their vote beside a new host while they answer', () => {
+    const hosts = new Hosts()
+    hosts.run(1500)
+    hosts.start('f')
+    hosts.requestJoin('f')
+    hosts.run(100)
+    expect(hosts.requestPromotion('f')).toBe('done')
+    hosts.run(100)
+    expect(hosts.leader?.committedMembership.voters).toHaveLength(VOTERS + 1)
+  })
 })
