Planned stop: a control host beside its successor leaves the group

Change: a host that is told to stop asks the leader to remove it if the group has more voters than it needs.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -26,6 +26,7 @@
 import { LoadBoardTask, type EndpointProbe } from './load/LoadBoardTask.js'
 import { OrderTask } from './orders/OrderTask.js'
 import { GroupMonitor, MONITOR_INTERVAL_MS } from './raft/GroupMonitor.js'
+import { leaveIfSurplus } from './raft/leaveGroup.js'
 import { MembershipTask } from './raft/MembershipTask.js'
 import { RaftSender } from './raft/RaftSender.js'
 import { RaftTask } from './raft/RaftTask.js'
@@ -237,6 +238,8 @@
       raft.transfer()
       const deadline = performance.now() + TRANSFER_TIMEOUT_MS
       while (core.role === 'leader' && core.membership.voters.length > 1 && performance.now() < deadline) await sleep(20)
+      membershipTask.stop()
+      if (await leaveIfSurplus(rpc, core, settings.minimumVoters)) telemetry.logStateChange('left-group', { replica: replicaId })
     },
     close: async () => {
       clearInterval(shardTimer)
--- a/packages/telemetry/src/lib/events/groupChanges.ts
+++ b/packages/telemetry/src/lib/events/groupChanges.ts
@@ -17,5 +17,6 @@
   'peer-caught-up': peerProgress,
   'group-undecided': z.strictObject({ role: z.string(), term: z.number(), lastIndex: z.number(), voters: z.number(), silent: z.string(), replaced: z.string(), forMs: z.number() }),
   'group-decides': z.strictObject({ leader: z.string(), term: z.number(), afterMs: z.number() }),
+  'left-group': z.strictObject({ replica: z.string() }),
   'replica-removed': z.strictObject({ replica: z.string(), address: z.string(), silentMs: z.number(), outcome: z.string() })
 }
