--- a/packages/durable/src/lib/PersistentImage.ts
+++ b/packages/durable/src/lib/PersistentImage.ts
@@ -42,6 +42,18 @@
     }
   }
 
+  /**
+   * Combines a log with the snapshot found beside it. A log that was not rewritten behind the snapshot still has entries that
+   * the snapshot covers; its end may conflict with the snapshot.
+   *
+   * @param snapshot - snapshot that was synced at the same time as the log, or after it
+   */
+  restoreSnapshot (snapshot: Snapshot): void {
+    const isRewritten = this.#entries.every(entry => entry.index > snapshot.index)
+    if (isRewritten) this.#snapshot = snapshot
+    else this.#applySnapshot(snapshot)
+  }
+
   /** Keeps the entries after the snapshot only if the log has the snapshot's last entry with the same term. */
   #applySnapshot (snapshot: Snapshot): void {
     const covered = this.#entries.find(entry => entry.index === snapshot.index)
--- a/packages/durable/src/lib/RaftStorage.test.ts
+++ b/packages/durable/src/lib/RaftStorage.test.ts
@@ -114,6 +114,31 @@
       expect(persisted).toMatchObject({ term: 2, entries: [entry(1), entry(2)] })
     })
 
+    // Guards against entries that the snapshot had replaced: they returned after a power loss and made the replica vote for one that lacked committed entries.
+    it('drops the conflicting end of a log that was not rewritten behind a received snapshot', async () => {
+      const first = await open()
+      await first.storage.persist([1, 2, 3, 4].map(index => ({ kind: 'append' as const, entry: entry(index) })))
+      const oldLog = await readFile(join(path, 'log'))
+      await first.storage.persist([{ kind: 'snapshot', snapshot: { index: 2, term: 5, membership, state: new Uint8Array([9]) } }])
+      await first.storage.close()
+      await writeFile(join(path, 'log'), oldLog)
+      const { storage, persisted } = await open()
+      await storage.close()
+      expect(persisted.entries).toEqual([])
+    })
+
+    it('keeps the end of a log that was not rewritten behind a snapshot of the same log', async () => {
+      const first = await open()
+      await first.storage.persist([1, 2, 3].map(index => ({ kind: 'append' as const, entry: entry(index) })))
+      const oldLog = await readFile(join(path, 'log'))
+      await first.storage.persist([{ kind: 'snapshot', snapshot: { index: 2, term: 1, membership, state: new Uint8Array([9]) } }])
+      await first.storage.close()
+      await writeFile(join(path, 'log'), oldLog)
+      const { storage, persisted } = await open()
+      await storage.close()
+      expect(persisted.entries).toEqual([entry(3)])
+    })
+
     it('rejects a log that is damaged in the middle, and reports the offset', async () => {
       await writeTwoBatches()
       const bytes = await readFile(join(path, 'log'))
--- a/packages/durable/src/lib/RaftStorage.ts
+++ b/packages/durable/src/lib/RaftStorage.ts
@@ -42,16 +42,13 @@
     const storage = new RaftStorage(folder)
     const replicaId = await readIdentity(folder)
     const snapshotBytes = await folder.read(SNAPSHOT_FILE)
-    if (snapshotBytes !== undefined) {
-      const { payloads } = scanRecords(snapshotBytes)
-      if (payloads[0] === undefined) return fail({ kind: 'snapshot-damaged', file: SNAPSHOT_FILE })
-      const snapshot = decode(payloads[0]) as Snapshot
-      storage.#image = new PersistentImage({ term: 0, votedFor: undefined, snapshot, entries: [] })
-    }
+    const snapshotRecord = snapshotBytes === undefined ? undefined : scanRecords(snapshotBytes).payloads[0]
+    if (snapshotBytes !== undefined && snapshotRecord === undefined) return fail({ kind: 'snapshot-damaged', file: SNAPSHOT_FILE })
     const logBytes = await folder.read(LOG_FILE) ?? new Uint8Array()
     const scan = scanRecords(logBytes)
     if (scan.hasDamagedMiddle) return fail({ kind: 'log-damaged', file: LOG_FILE, offset: scan.validLength })
     for (const write of scan.payloads.flatMap(decodeBatch)) storage.#image.applyWrite(write)
+    if (snapshotRecord !== undefined) storage.#image.restoreSnapshot(decode(snapshotRecord) as Snapshot)
     const persisted = storage.#image.state()
     const gap = findGap(persisted)
     if (gap !== undefined) return fail(gap)
