Entry hosts act on a view only once a majority has confirmed one since they started

Change: the first view of a process has to be confirmed by a majority, as with the freshness lease; after that the host goes on without confirmation as before. Evidence: ControlLink.test.ts; the property is new, on the code before a host with one of three voters acted at once.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -36,7 +36,7 @@
   port: integerSetting(0, 65535).default(0).describe('port for callers; 0 takes a free one'),
   control: addressListSetting.describe('control hosts, separated by commas'),
   freshnessMs: integerSetting(500, 60_000).default(3000).describe('how long a confirmed configuration may be acted on, in milliseconds'),
-  staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one'),
+  staleView: z.enum(['refuse', 'serve']).default('refuse').describe('what to do when no majority of control hosts confirms the configuration: refuse new work, or go on with the last one that a majority has confirmed since this process started'),
   balancerLagMs: integerSetting(0, 60_000).default(1000).describe('how long the balancer may send new work after readiness is withdrawn, in milliseconds'),
   stopGraceSeconds: stopGraceSetting,
   weightsBoundMs: durationLimitSetting.describe('time after weights were named from which no request may begin on older ones, in milliseconds; without bound if empty'),
@@ -133,7 +133,7 @@
     else loads.noteChange(features.isEnabled('waiting-order') && (waiting.isContended(service) || fleet.isPlain(service)))
   })
   loads.start()
-  const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined : link.isReady()
+  const mayAct = (): boolean => settings.staleView === 'serve' ? link.site !== undefined && link.wasConfirmed : link.isReady()
   const crashReporter = new CrashReporter(address, { rpc, leader: () => link.leader, telemetry })
   const quarantine = new RequestQuarantine(link.quarantine, crashReporter, telemetry)
   const budget = { ratio: settings.retryRatio, slack: settings.retrySlack }
--- a/packages/view/src/lib/ControlLink.test.ts
+++ b/packages/view/src/lib/ControlLink.test.ts
@@ -14,12 +14,12 @@
 }
 
 /** Starts a control host that has applied a view; with view 0 it has none yet and sends nothing. */
-async function controlHost (replicaId: string, appliedView: number): Promise<ControlHost> {
+async function controlHost (replicaId: string, appliedView: number, voters: readonly string[] = []): Promise<ControlHost> {
   const server = new RpcServer()
   const datagrams = new DatagramServer()
   datagrams.handle(reportStatus, () => ({
     replicaId,
-    membership: { voters: [], learners: [] },
+    membership: { voters: voters.map(id => ({ id, address: '' })), learners: [] },
     membershipIndex: 1,
     newestView: appliedView,
     appliedView,
@@ -70,6 +70,22 @@
     expect(link.viewRevision).toBe(5)
   })
 
+  // Guards against hosts that served the old configuration of a single control host after a restart, while the group had no leader.
+  it('counts a view as confirmed only once a majority of control hosts has confirmed it', async () => {
+    const voters = ['a', 'b', 'c']
+    const first = await controlHost('a', 5, voters)
+    const second = await controlHost('b', 5, voters)
+    closers.push(first.close, second.close)
+    const alone = await openLink([first.address])
+    const both = await openLink([first.address, second.address])
+    alone.start()
+    both.start()
+    for (let attempt = 0; attempt < 200 && (!both.wasConfirmed || alone.viewRevision === 0); attempt += 1) await sleep(20)
+    expect(both.wasConfirmed).toBe(true)
+    expect(alone.viewRevision).toBe(5)
+    expect(alone.wasConfirmed).toBe(false)
+  })
+
   it('reports the event loop lag: infinite while the process loads, then the time that other work blocked it', async () => {
     const host = await controlHost('a', 5)
     closers.push(host.close)
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -70,6 +70,7 @@
   /** Control host that reported a newer view than the one on this host. */
   #newerView: { readonly address: string, readonly view: number, readonly statedAt: number } | undefined
   #leader: string | undefined
+  #wasConfirmed = false
   #watchFailures = 0
   #watchedAddress = ''
   #eventLoopLagMs = Number.POSITIVE_INFINITY
@@ -87,7 +88,7 @@
       addresses: () => [...this.#controlAddresses(), ...settings.controlAddresses],
       isWatched: address => address === this.#leader || address === this.#watchedAddress || this.#endpoints.isWatching(address),
       report: () => this.#report(),
-      isUrgent: () => this.viewRevision === 0 || this.#leader === undefined,
+      isUrgent: () => !this.#wasConfirmed || this.#leader === undefined,
       onStatement: (address, statement, askedAt) => { this.#onStatement(address, statement, askedAt) },
       onSilence: address => { if (this.#leader === address) this.#setLeader(undefined) },
       onTimer: lateMs => {
@@ -143,6 +144,12 @@
     return this.#lease.isFresh(this.viewRevision, performance.now())
   }
 
+  /**
+   * Whether a majority has confirmed a view since this process started. Before that the view may be older than one that this
+   * host has acted on in an earlier process, since a control host that restarts first shows what its last snapshot holds.
+   */
+  get wasConfirmed (): boolean { return this.#wasConfirmed }
+
   /** Whether a first view has arrived and is fresh. */
   isReady (): boolean {
     return this.viewRevision > 0 && this.isFresh()
@@ -247,6 +254,7 @@
     // The response omits the membership because this host knew it at request time, but a newer one has arrived since. The next response will include one.
     if (knownMembership === undefined) return
     this.#lease.observe({ ...statement, membership: knownMembership, askedAt })
+    this.#noteConfirmation()
     if (appliedView > this.viewRevision && appliedView > (this.#newerView?.view ?? 0)) this.#newerView = { address, view: appliedView, statedAt: performance.now() }
     if (leader !== '') this.#setLeader(leader)
     this.#endpoints.confirm(address, watched, askedAt)
@@ -270,6 +278,12 @@
     for (const listener of this.#leaderListeners) listener()
   }
 
+  #noteConfirmation (): void {
+    if (this.#wasConfirmed || !this.isReady()) return
+    this.#wasConfirmed = true
+    this.#notifyChangeListeners()
+  }
+
   #notifyChangeListeners (): void {
     for (const listener of this.#changeListeners) listener()
   }
@@ -287,6 +301,7 @@
         const outcome = this.#follower.apply(message, performance.now())
         if (outcome === 'gap') restart.abort()
         if (outcome !== 'advanced') return
+        this.#noteConfirmation()
         this.#notifyChangeListeners()
         // Report the new view at once for callers that wait until it is in force on all hosts.
         this.#statusReporter.reportToAll()
