Streams taken up without a name need proof of what began them

Cause: a host that lists one version took it for the origin of any stream without a name, however short a time it had followed the list. Change: such a stream is looked up like one with a name: this host or a majority of the control hosts must have followed the list for as long as the stream can have lasted. Control hosts read the list for 15 s after the last watcher has left, so that they can say so when all entry hosts come back.

--- a/apps/control/src/lib/endpoints/EndpointListTask.test.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.test.ts
@@ -130,4 +130,17 @@
     await list.readOnce()
     expect(ids(await list.readOnce())).toEqual(['a', 'b'])
   })
+
+  describe('when all watchers have left', () => {
+    // Guards against streams refused after all entry hosts had restarted: no control host could say what was listed before.
+    it('has followed the list without a break once they are back', async () => {
+      const list = new ScriptedList([completeListing(listed('a')), completeListing(listed('a'))])
+      await list.readOnce()
+      const leftAt = performance.now()
+      await list.readOnce()
+      expect(list.task.followedMs(leftAt + 1000)).toBeGreaterThanOrEqual(1000)
+      list.task.stop()
+      expect(list.task.followedMs(leftAt + 1000)).toBe(0)
+    })
+  })
 })
--- a/apps/control/src/lib/endpoints/EndpointListTask.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -3,7 +3,7 @@
  *
  * The platform counts calls over all hosts together, so entry hosts do not read
  * the list themselves. A control host reads the list while at least one host
- * watches it and forwards the changes.
+ * watches it, and shortly after, and forwards the changes.
  */
 import { EventEmitter } from 'node:events'
 import type { LoadedModel, ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
@@ -14,6 +14,9 @@
 import { endpointsOfSite } from './endpointsOfSite.js'
 import { EndpointRegistry, type EndpointListing, type EndpointRestart } from './EndpointRegistry.js'
 
+/** How long the list is read after the last watcher has left, in milliseconds; hosts that restart are back earlier. */
+const LINGER_MS = 15_000
+
 /** Reads the endpoint list from the platform. */
 export interface EndpointSource {
   /** @returns the part of the list that could be read, or the reason why the platform did not answer */
@@ -40,6 +43,7 @@
   #isReachable = true
   #watchers = 0
   #timer: NodeJS.Timeout | undefined
+  #lingerTimer: NodeJS.Timeout | undefined
   #followedSince = Number.POSITIVE_INFINITY
   #isReading = false
 
@@ -87,20 +91,24 @@
   /** Adds a watcher and starts reading the list if it is the first one. */
   addWatcher (): void {
     this.#watchers += 1
-    if (this.#timer !== undefined) return
-    this.#followedSince = performance.now()
-    this.#timer = setInterval(() => { void this.#read() }, this.intervalMs)
+    if (this.#watchers > 1) return
+    clearTimeout(this.#lingerTimer)
+    if (this.#timer === undefined) {
+      this.#followedSince = performance.now()
+      this.#timer = setInterval(() => { void this.#read() }, this.intervalMs)
+    }
     void this.#read()
   }
 
-  /** Removes a watcher and stops reading the list if it was the last one. */
+  /** Removes a watcher. After the last one the list is read a while longer: hosts that restart ask what was listed before. */
   removeWatcher (): void {
     this.#watchers -= 1
-    if (this.#watchers === 0) this.stop()
+    if (this.#watchers === 0) this.#lingerTimer = setTimeout(() => { this.stop() }, LINGER_MS)
   }
 
   /** Stops reading the list. */
   stop (): void {
+    clearTimeout(this.#lingerTimer)
     clearInterval(this.#timer)
     this.#timer = undefined
     this.#followedSince = Number.POSITIVE_INFINITY
--- a/apps/entry/src/lib/streams/StreamDirectoryClient.ts
+++ b/apps/entry/src/lib/streams/StreamDirectoryClient.ts
@@ -30,10 +30,15 @@
   listAgeMs (now: number): number
 }
 
+/** Id in questions about streams that callers do not name. Control hosts know no stream by it, since no header can hold it. */
+const UNNAMED_STREAM = '\n'
+
 type Listener = (origin: StreamOrigin | undefined) => void
 
 interface OpenSearch {
-  readonly id: string
+  /** Id of the stream; undefined if callers do not name it, and then streams of a route that may be equally old share the search. */
+  readonly id: string | undefined
+  readonly key: string
   readonly route: string
   readonly search: OriginSearch
   readonly listeners: Listener[]
@@ -89,14 +94,15 @@
     if (known !== undefined) {
       this.#outcomes.count('this-host')
       done(known)
-    } else if (sole !== undefined && others.length === 0 && (id === undefined || (isRecent && observedMs >= maxAgeMs))) {
+    } else if (sole !== undefined && others.length === 0 && isRecent && observedMs >= maxAgeMs) {
       this.#outcomes.count('sole-version')
       done(sole)
-    } else if (id === undefined || (!this.#searches.has(id) && this.#searches.size >= MAX_SEARCHES)) {
+    } else if (id === undefined && others.length > 0) {
       this.#outcomes.count('nowhere')
       done(undefined)
     } else {
-      this.#search(id, route, new OriginSearch({ possible, isRecent, observedMs }, maxAgeMs, this.ports.controlHosts().length, now), done)
+      const search = new OriginSearch({ possible, isRecent, observedMs }, maxAgeMs, this.ports.controlHosts().length, now)
+      this.#search({ id, key: id === undefined ? `route ${maxAgeMs} ${route}` : `stream ${id}`, route, search, listeners: [done], timer: undefined })
     }
   }
 
@@ -126,19 +132,23 @@
     }
   }
 
-  #search (id: string, route: string, search: OriginSearch, done: Listener): void {
-    const open = this.#searches.get(id)
+  #search (search: OpenSearch): void {
+    const open = this.#searches.get(search.key)
     if (open !== undefined) {
-      open.listeners.push(done)
+      open.listeners.push(...search.listeners)
+      return
+    }
+    if (this.#searches.size >= MAX_SEARCHES) {
+      this.#outcomes.count('nowhere')
+      for (const done of search.listeners) done(undefined)
       return
     }
-    const opened = { id, route, search, listeners: [done], timer: undefined }
-    this.#searches.set(id, opened)
-    this.#advance(opened)
+    this.#searches.set(search.key, search)
+    this.#advance(search)
   }
 
   #advance (open: OpenSearch): void {
-    if (this.#searches.get(open.id) !== open) return
+    if (this.#searches.get(open.key) !== open) return
     clearTimeout(open.timer)
     const step = open.search.next(performance.now())
     if (step.kind === 'found') return this.#settle(open, step.origin, step.isSole ? 'sole-version' : 'control-host')
@@ -149,17 +159,17 @@
 
   #ask (open: OpenSearch): void {
     for (const address of this.ports.controlHosts()) {
-      this.ports.datagrams.ask(address, findOrigin, { id: open.id, route: open.route }, answer => {
+      this.ports.datagrams.ask(address, findOrigin, { id: open.id ?? UNNAMED_STREAM, route: open.route }, answer => {
         open.search.observeAnswer(address, answer)
         this.#advance(open)
       })
     }
   }
 
-  #settle ({ id, listeners }: OpenSearch, origin: StreamOrigin | undefined, found: string): void {
-    this.#searches.delete(id)
+  #settle ({ id, key, listeners }: OpenSearch, origin: StreamOrigin | undefined, found: string): void {
+    this.#searches.delete(key)
     this.#outcomes.count(found)
-    if (origin !== undefined) this.#origins.record({ id, origin, keepMs: FOUND_KEPT_MS }, performance.now())
+    if (id !== undefined && origin !== undefined) this.#origins.record({ id, origin, keepMs: FOUND_KEPT_MS }, performance.now())
     for (const done of listeners) done(origin)
   }
 }
