Membership: no promotion beside a voter that a new leader has not heard

Cause: a leader that was just elected counts the silence of a peer from its own first message, so a voter that was gone looked like one that answers, and its successor was promoted beside it. Change: a group that has all its voters takes another one only if each of them has answered this leader within an election timeout; one that stays silent for two is removed first.

--- a/apps/bench/src/lib/prove/CheckRecorder.ts
+++ b/apps/bench/src/lib/prove/CheckRecorder.ts
@@ -5,7 +5,8 @@
   'no-freed-or-partial-block', 'customers-apart', 'one-weight-version', 'whole-answers', 'not-run-is-true', 'at-most-once',
   'leaving-gets-no-work', 'graceful-stop', 'configuration-never-reverts', 'complete-before-commands', 'poison-requests-stop',
   'bystanders-are-served', 'evacuations-hold', 'cold-endpoints-are-spared', 'retry-budget-kept',
-  'one-software-version', 'taken-up-streams-go-on', 'crowds-are-shared', 'refused-calls-never-run', 'calls-run-once'
+  'one-software-version', 'taken-up-streams-go-on', 'crowds-are-shared', 'refused-calls-never-run', 'calls-run-once',
+  'groups-survive-lost-disks'
 ] as const
 
 /** @public */
--- a/apps/bench/src/lib/prove/worlds/worlds.ts
+++ b/apps/bench/src/lib/prove/worlds/worlds.ts
@@ -8,6 +8,7 @@
 import { EvacuationWorld } from './EvacuationWorld.js'
 import { FormationWorld } from './FormationWorld.js'
 import { QuarantineWorld } from './QuarantineWorld.js'
+import { RecoveryWorld } from './RecoveryWorld.js'
 import { RetryBudgetWorld } from './RetryBudgetWorld.js'
 import { RunWorld } from './RunWorld.js'
 import { SendWorld } from './SendWorld.js'
@@ -73,5 +74,10 @@
     name: 'sends',
     promises: ['refused-calls-never-run', 'calls-run-once'],
     create: (simulation, recorder, broken) => new SendWorld(simulation, recorder, broken)
+  },
+  {
+    name: 'recovery',
+    promises: ['groups-survive-lost-disks'],
+    create: (simulation, recorder, broken) => new RecoveryWorld(simulation, recorder, broken)
   }
 ]
--- a/packages/consensus/src/lib/LeaderReplication.ts
+++ b/packages/consensus/src/lib/LeaderReplication.ts
@@ -44,6 +44,12 @@
     return now - Math.max(lastContactAt, firstSentAt ?? now)
   }
 
+  /**
+   * @param id - peer id
+   * @returns send time of the newest message that the peer has acknowledged in this term, in monotonic milliseconds; minus infinity before the first
+   */
+  lastContactAt (id: string): number { return this.#progress.progressOf(id).lastContactAt }
+
   /**
    * @param now - monotonic milliseconds
    * @returns latest send time of messages that a quorum has acknowledged, in monotonic milliseconds
--- a/packages/consensus/src/lib/MembershipChanges.ts
+++ b/packages/consensus/src/lib/MembershipChanges.ts
@@ -41,9 +41,9 @@
   }
 
   /**
-   * Promotes a learner to voter if its log is nearly complete. If the group has all the voters that it needs and one of them is
-   * silent, that one is removed first, and the learner is promoted by the next request: with both of them the group would need
-   * a larger majority and have no more replicas to form it.
+   * Promotes a learner to voter if its log is nearly complete. If the group has all the voters that it needs, all of them have to
+   * answer: with a silent one and its successor the group would need a larger majority and have no more replicas to form it. A
+   * voter that stays silent is removed first, and the learner is promoted by a later request.
    *
    * @param id - id of the learner
    * @param now - monotonic milliseconds
@@ -57,8 +57,10 @@
     if (learner === undefined) return fail({ kind: 'unknown-replica', id })
     const lag = state.log.lastIndex - this.replication.matchIndex(id)
     if (lag > state.settings.promotionLag) return fail({ kind: 'learner-lags', lag })
-    const silent = this.#findSilentVoter(voters, now)
-    if (silent !== undefined) return this.#appendChange({ voters: voters.filter(voter => voter.id !== silent.id), learners }, now)
+    const unheard = this.#findUnheardVoter(voters, now)
+    const isSilent = unheard !== undefined && this.replication.silenceMs(unheard.id, now) > SILENT_ELECTION_TIMEOUTS * state.settings.electionTimeoutMs
+    if (unheard !== undefined && !isSilent) return fail({ kind: 'voter-unheard', id: unheard.id })
+    if (unheard !== undefined) return this.#appendChange({ voters: voters.filter(voter => voter.id !== unheard.id), learners }, now)
     const rest = learners.filter(candidate => candidate.id !== id)
     return this.#appendChange({ voters: [...voters, learner], learners: rest }, now)
   }
@@ -80,13 +82,14 @@
     return this.#appendChange({ voters: without(voters), learners: without(learners) }, now)
   }
 
-  /** Returns the voter that has been silent for the longest time, if the group has enough voters without it and the size of the group is configured. */
-  #findSilentVoter (voters: readonly Replica[], now: number): Replica | undefined {
-    const { minimumVoters, electionTimeoutMs } = this.state.settings
+  /** Returns the voter that has not answered for the longest time, if the group has enough voters without it and the size of the group is configured. */
+  #findUnheardVoter (voters: readonly Replica[], now: number): Replica | undefined {
+    const { settings: { minimumVoters, electionTimeoutMs }, self } = this.state
     if (minimumVoters === 1 || voters.length < minimumVoters) return undefined
-    const silences = voters.map(voter => ({ voter, silenceMs: this.replication.silenceMs(voter.id, now) }))
-    const [longest] = silences.sort((left, right) => right.silenceMs - left.silenceMs)
-    return longest !== undefined && longest.silenceMs > SILENT_ELECTION_TIMEOUTS * electionTimeoutMs ? longest.voter : undefined
+    // A new leader has heard nobody yet, so it can't tell a voter that is gone from one that answers.
+    const contacts = voters.filter(voter => voter.id !== self.id).map(voter => ({ voter, contactAt: this.replication.lastContactAt(voter.id) }))
+    const [longest] = contacts.sort((left, right) => left.contactAt - right.contactAt)
+    return longest !== undefined && longest.contactAt < now - electionTimeoutMs ? longest.voter : undefined
   }
 
   /** A replica that still answers has kept its disk, so another one at its address is a mistake in the settings. */
--- a/packages/consensus/src/lib/RaftError.ts
+++ b/packages/consensus/src/lib/RaftError.ts
@@ -10,3 +10,4 @@
   | { readonly kind: 'unknown-replica', readonly id: string }
   | { readonly kind: 'is-leader', readonly id: string }
   | { readonly kind: 'address-in-use', readonly id: string }
+  | { readonly kind: 'voter-unheard', readonly id: string }
--- a/packages/consensus/src/lib/lostDisks.test.ts
+++ b/packages/consensus/src/lib/lostDisks.test.ts
@@ -135,6 +135,24 @@
     expect(voters).not.toContain(gone)
   })
 
+  // Guards against the same after an election: a new leader took the voter that it had not heard yet for one that answers.
+  it('are not joined by their successor while a new leader has not heard them', () => {
+    const hosts = new Hosts()
+    hosts.run(1500)
+    hosts.start('f')
+    hosts.requestJoin('f')
+    hosts.run(300)
+    const former = hosts.leader?.self.address ?? ''
+    hosts.down.add(former)
+    for (let step = 0; step < 150; step += 1) {
+      hosts.run(10)
+      hosts.requestPromotion('f')
+      expect(hosts.leader?.membership.voters.length ?? 0).toBeLessThanOrEqual(VOTERS)
+    }
+    hosts.run(100)
+    expect(hosts.leader?.committedMembership.voters.map(voter => voter.address)).not.toContain(former)
+  })
+
   it('keep their vote beside a new host while they answer', () => {
     const hosts = new Hosts()
     hosts.run(1500)
