--- a/apps/bench/src/lib/prove/worlds/RecoveryWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/RecoveryWorld.ts
@@ -60,6 +60,7 @@
   #nextAddress = HOSTS
   #hasFaultsEnded = false
   #ledAt = 0
+  #term: number | undefined
   #membership = ''
 
   /**
@@ -137,9 +138,11 @@
   #observeLeader (): void {
     const now = this.simulation.now()
     const leader = this.#leader()
+    if (leader?.core.term !== this.#term) this.simulation.log(leader === undefined ? 'nobody leads' : `${leader.self.id} leads in term ${leader.core.term}`)
+    this.#term = leader?.core.term
     if (leader !== undefined) this.#ledAt = now
     const membership = leader?.core.membership.voters.map(({ id }) => id).join(' ') ?? ''
-    if (membership !== '' && membership !== this.#membership) this.simulation.log(`${leader?.self.id ?? ''} leads ${membership}`)
+    if (membership !== '' && membership !== this.#membership) this.simulation.log(`voters ${membership}`)
     if (membership !== '') this.#membership = membership
     if (now - this.#ledAt > MAX_LEADERLESS_MS) this.#hasFaultsEnded = true
   }
@@ -172,7 +175,9 @@
       const losing = this.#drawLosses(addresses, losses)
       for (const address of losing) this.#loseDisk(address, isReplaced)
       // The others lose power at the same moment, so that the change of the membership stops wherever it is.
-      if (this.simulation.drawFault('kill', 0.15)) for (const address of addresses) if (!losing.includes(address)) this.#losePower(address)
+      if (!this.simulation.drawFault('kill', 0.15)) return
+      this.simulation.log('all others lose power')
+      for (const address of addresses) if (!losing.includes(address)) this.#losePower(address)
     })
   }
 
