Storage: damaged state is set aside, and the host joins again as a new replica

Operators: a control host whose synced state is damaged ended at each start, for good, and its group had one voter fewer without knowing why. Change: the folder is kept beside the new one and named in a fault line (storage-set-aside), and the host starts with a new identity, which takes the place of the former one as after the loss of a disk. Such a host never founds a group. A new data folder is synced in its parent. Evidence: openOrSetAside.test.ts (new; before, startControl threw '--data-folder holds damaged state'). The sync of the parent has no test.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -8,8 +8,7 @@
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { addressListSetting, addressSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
-import { NodeDataFolder } from '@eelgrassmux/durable/DataFolder'
-import { RaftStorage } from '@eelgrassmux/durable/RaftStorage'
+import { openOrSetAside } from '@eelgrassmux/durable/openOrSetAside'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
@@ -118,9 +117,8 @@
 export async function startControl (
   settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, platform?: ControlPlatform
 ): Promise<RunningDaemon> {
-  const opened = await RaftStorage.open(await NodeDataFolder.open(join(settings.dataFolder, 'control')))
-  if (!opened.ok) throw new Error(`--data-folder holds damaged state: ${JSON.stringify(opened.error)}`)
-  const { storage, replicaId, persisted } = opened.value
+  const { opened: { storage, replicaId, persisted }, setAside } = await openOrSetAside(join(settings.dataFolder, 'control'))
+  if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
   const server = new RpcServer()
   const rpc = new RpcClient()
   const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
@@ -218,7 +216,7 @@
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
-  if (isFounder(settings, core)) {
+  if (setAside === undefined && isFounder(settings, core)) {
     await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
     telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
   }
--- a/packages/durable/src/lib/DataFolder.ts
+++ b/packages/durable/src/lib/DataFolder.ts
@@ -1,7 +1,7 @@
 /** The few file operations that durable state needs. The narrow interface lets tests simulate the loss of unsynced bytes. */
 import { constants } from 'node:fs'
 import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises'
-import { join } from 'node:path'
+import { dirname, join } from 'node:path'
 
 /** A file that is open for appending. */
 export interface AppendFile {
@@ -56,7 +56,8 @@
    * @returns the opened folder
    */
   static async open (path: string): Promise<NodeDataFolder> {
-    await mkdir(path, { recursive: true })
+    const created = await mkdir(path, { recursive: true })
+    if (created !== undefined) await syncParentFolder(path)
     const folder = new NodeDataFolder(path)
     for (const name of await folder.list()) {
       if (name.endsWith(TEMPORARY_SUFFIX)) await folder.remove(name)
@@ -103,12 +104,25 @@
   }
 
   async #syncFolder (): Promise<void> {
-    const handle = await open(this.path, 'r')
-    await handle.sync()
-    await handle.close()
+    await syncFolder(this.path)
   }
 }
 
+/**
+ * Makes a new or renamed folder durable under its name.
+ *
+ * @param path - path of the folder whose parent is synced
+ */
+export async function syncParentFolder (path: string): Promise<void> {
+  await syncFolder(dirname(path))
+}
+
+async function syncFolder (path: string): Promise<void> {
+  const handle = await open(path, 'r')
+  await handle.sync()
+  await handle.close()
+}
+
 function isMissing (error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ENOENT'
 }
--- a/packages/telemetry/src/lib/events/controlFaults.ts
+++ b/packages/telemetry/src/lib/events/controlFaults.ts
@@ -2,5 +2,6 @@
 
 /** Faults of a control host that do not end the process. */
 export const controlFaults = {
+  'storage-set-aside': z.strictObject({ error: z.string(), path: z.string(), replica: z.string() }),
   'write-lost-while-closing': z.strictObject({ message: z.string() })
 }
