--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -23,6 +23,9 @@
 /** Number of requests that each plain endpoint runs at once while its service is full; 32 callers send some 14 a second to three of them. */
 const PLACES_WHILE_FULL = 2
 
+/** How long a disk counts as lost: a restart, and four seconds to catch up, in milliseconds. */
+const LOST_DISK_MS = 6000
+
 /** Rejections in a second that a brittle endpoint tolerates. */
 const BORNE_REJECTIONS = 4
 
@@ -57,6 +60,7 @@
   readonly #pending: Array<Promise<void>> = []
   readonly #evacuated = new Set<string>()
   #isHostCrowded = false
+  #isDiskLost = false
   /** Monotonic milliseconds until which each entry host is cut off. */
   readonly #cutUntil = new Map<number, number>()
 
@@ -107,6 +111,8 @@
       case 'full-service': return await this.#fillService(fault.durationMs)
       case 'brittle-service': return await this.#makeBrittle(fault.durationMs)
       case 'host-cut': return await this.#cutHosts(fault)
+      case 'lost-disk': return await this.#loseDisk(fault)
+      case 'all-entries-killed': return this.cluster.entries.forEach(slot => { this.#kill(slot) })
       case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
       case 'new-site':
         this.timeline.record('operator', 'stores a new site', false)
@@ -147,6 +153,19 @@
     current.process.signal('SIGKILL')
   }
 
+  /** A disk counts as lost until some seconds after its host is back; the group of three tolerates one at a time. */
+  async #loseDisk ({ slot: index, areOthersKilled }: Extract<PlannedFault, { kind: 'lost-disk' }>): Promise<void> {
+    if (this.#isDiskLost) return
+    this.#isDiskLost = true
+    const slot = this.#slot('control', index)
+    this.timeline.record(slot.name, `loses its disk${areOthersKilled ? ', the other control hosts are killed' : ''}`, true, LOST_DISK_MS)
+    this.cluster.loseDisk(index)
+    this.#kill(slot)
+    if (areOthersKilled) for (const other of this.cluster.controls) if (other !== slot) this.#kill(other)
+    await sleep(LOST_DISK_MS)
+    this.#isDiskLost = false
+  }
+
   async #pause (slot: ProcessSlot, durationMs: number): Promise<void> {
     const { current } = slot
     if (current === undefined) return
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -69,6 +69,8 @@
   readonly endpoints: ProcessSlot[] = []
   readonly #controlProxies: LoopbackProxy[] = []
   readonly #endpointProxies: LoopbackProxy[] = []
+  /** Number of disks that each control host has lost. */
+  readonly #disks: number[] = []
 
   /** @param settings - settings of the processes */
   constructor (private readonly settings: ClusterSettings) {}
@@ -113,6 +115,15 @@
     for (const proxy of this.#endpointProxies) proxy.setHostCut(addressOfEntry(entry), cut)
   }
 
+  /**
+   * Empties the disk of a control host; takes effect with the next start of its process.
+   *
+   * @param control - index of the control host
+   */
+  loseDisk (control: number): void {
+    this.#disks[control] = (this.#disks[control] ?? 0) + 1
+  }
+
   /** Removes the faults of all links and resumes all paused processes. */
   heal (): void {
     for (const proxy of [...this.#controlProxies, ...this.#endpointProxies]) proxy.setFault(undefined)
@@ -140,6 +151,10 @@
     return this.#allSlots().find(slot => slot.failure !== undefined)?.failure
   }
 
+  #dataFolder (control: number): string {
+    return `${this.settings.folder}/control-${control}-disk-${this.#disks[control] ?? 0}`
+  }
+
   #allSlots (): ProcessSlot[] {
     return [...this.entries, ...this.controls, ...this.endpoints]
   }
@@ -181,9 +196,10 @@
     return new ProcessSlot({
       name,
       ...this.#commonPlan('control'),
-      args: () => [
-        '--data-centre', dataCentreOf(index), '--data-folder', `${this.settings.folder}/${name}`, '--advertise', address, '--list', listAddress,
-        '--bootstrap', 'true', '--join', controlAddresses.join(','), '--minimum-voters', String(controlAddresses.length), '--forgetful', String(this.settings.isForgetful), ...this.#budgetArguments()
+      args: label => [
+        '--data-centre', dataCentreOf(index), '--data-folder', this.#dataFolder(index), '--advertise', address, '--list', listAddress,
+        // A host that has lost its disk must not found a second group.
+        '--bootstrap', String(label.endsWith(FIRST_INCARNATION)), '--join', controlAddresses.join(','), '--minimum-voters', String(controlAddresses.length), '--forgetful', String(this.settings.isForgetful), ...this.#budgetArguments()
       ],
       onStart: incarnation => { this.#attachProxy(this.proxy('control', index), incarnation, 'rpc') }
     })
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -45,6 +45,10 @@
   | { readonly kind: 'bytes-behind', readonly callers: number, readonly bytes: BytesBehind, readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
+  /** A control host loses its disk, while the other control hosts are killed or not. */
+  | { readonly kind: 'lost-disk', readonly slot: number, readonly areOthersKilled: boolean }
+  /** All entry hosts are killed at the same moment, so that callers take their streams up at hosts that have just started. */
+  | { readonly kind: 'all-entries-killed' }
   | { readonly kind: 'new-site' | 'new-weights' }
 )
 
@@ -111,7 +115,7 @@
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed']
 
 /**
  * @param seed - determines all faults
@@ -188,6 +192,8 @@
     case 'second-answers': return { atMs, kind, slot: random.index(shape.plainEndpoints), answers: random.pick(SECOND_ANSWER_KINDS), durationMs: Math.round(random.between(MIN_RESTRAINT_MS, MAX_RESTRAINT_MS)) }
     case 'bytes-behind': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), bytes: random.pick(BYTES_BEHIND), durationMs }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
+    case 'lost-disk': return { atMs, kind, slot: random.index(shape.controls), areOthersKilled: random.index(2) === 0 }
+    case 'all-entries-killed':
     case 'new-site':
     case 'new-weights': return { atMs, kind }
   }
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -40,6 +40,12 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against a group of control hosts that loses what it acknowledged, or never decides again, when disks are lost while others are killed.
+  it('keeps its sites while control hosts lose their disks and all entry hosts are killed at once', async () => {
+    const result = await play({ seconds: 14, kinds: ['lost-disk', 'lost-disk', 'new-site', 'all-entries-killed'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   // Guards against hosts that together send a brittle endpoint more than it can reject without failing.
   it('lets no more brittle endpoints fall over than may', async () => {
     const result = await play({ seconds: 12, kinds: ['brittle-service', 'new-site'] })
