Storage: a batch waits for room on a full disk

Change: an append that fails for lack of room is taken back to the last complete batch and tried again every 100 ms; the replica sends and answers nothing that depends on it, so its lease ends and another host leads. The mailbox keeps one tick and a bounded number of messages meanwhile. A line tells of both ends. Evidence: RaftStorage.test.ts 'writes the batch again ...' fails without the retry.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -119,6 +119,7 @@
 ): Promise<RunningDaemon> {
   const { opened: { storage, replicaId, persisted }, setAside } = await openOrSetAside(join(settings.dataFolder, 'control'))
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
+  storage.onDiskFull = isFull => { telemetry.logFault('disk-full', { isFull }) }
   const server = new RpcServer()
   const rpc = new RpcClient()
   const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
--- a/apps/control/src/lib/raft/RaftTask.test.ts
+++ b/apps/control/src/lib/raft/RaftTask.test.ts
@@ -32,7 +32,7 @@
 }
 
 function newTask (persist: () => Promise<void>, close: () => Promise<void>, minimumVoters: number, recorder = new DecisionRecorder()): RaftTask {
-  const storage = { persist, close } as unknown as RaftStorage
+  const storage = { persist, close, stopWaiting: () => {} } as unknown as RaftStorage
   const core = new RaftCore(
     { id: 'a', address: 'a' }, { term: 0, votedFor: undefined, snapshot: undefined, entries: [] }, { ...DEFAULT_RAFT_SETTINGS, minimumVoters }, () => 0, 0
   )
--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -66,6 +66,9 @@
 /** Maximum wait for a quorum to confirm a read, in milliseconds. Callers switch to another host after one second. */
 const READ_TIMEOUT_MS = 700
 
+/** Length of the mailbox above which messages of other replicas are dropped. */
+const MAX_MAILBOX_LENGTH = 4096
+
 /** A read that waits until a quorum confirms this leader. */
 interface PendingRead {
   readonly readAt: number
@@ -160,19 +163,26 @@
   async close (): Promise<void> {
     this.#isClosed = true
     clearInterval(this.#ticker)
+    this.storage.stopWaiting()
     // The batch in progress may still write, so the file must stay open until it ends.
     await this.#processing
     await this.storage.close()
   }
 
   #post (item: MailboxItem): void {
-    if (this.#isClosed) return
+    if (this.#isClosed || this.#isRedundant(item)) return
     this.#mailbox.push(item)
     if (this.#isProcessing) return
     this.#isProcessing = true
     setImmediate(() => { this.#processing = this.#processMailbox().catch((error: unknown) => { this.#handleFailure(error) }) })
   }
 
+  /** While a write takes long, one tick is as good as many, and messages may be lost. */
+  #isRedundant ({ kind }: MailboxItem): boolean {
+    if (kind === 'tick') return this.#mailbox.some(item => item.kind === 'tick')
+    return kind === 'message' && this.#mailbox.length >= MAX_MAILBOX_LENGTH
+  }
+
   #handleFailure (error: unknown): void {
     const isWriteLostOnClose = this.#isClosed && !(error instanceof InvariantViolation)
     if (isWriteLostOnClose) this.ports.lostWhileClosing(error)
--- a/apps/control/src/lib/raft/changeMembership.test.ts
+++ b/apps/control/src/lib/raft/changeMembership.test.ts
@@ -19,7 +19,7 @@
       { id: 'a', address: 'a' }, { term: 1, votedFor: undefined, snapshot: undefined, entries: [FOUNDING] },
       { ...DEFAULT_RAFT_SETTINGS, electionTimeoutMs: 1_000_000, leaseMs: 1_000_000 }, () => 0, 0
     )
-    const storage = { persist: async () => {}, close: async () => {} } as unknown as RaftStorage
+    const storage = { persist: async () => {}, close: async () => {}, stopWaiting: () => {} } as unknown as RaftStorage
     task = new RaftTask(core, storage, new StateMachine(DEFAULT_STATE_SETTINGS), {
       send: () => {}, applied: () => {}, roleChanged: () => {}, commandDecided: () => {}, lostWhileClosing: error => { throw error }, fail: error => { throw error }
     }, Date.now)
--- a/packages/durable/src/lib/DataFolder.ts
+++ b/packages/durable/src/lib/DataFolder.ts
@@ -9,6 +9,8 @@
   append (bytes: Uint8Array): Promise<void>
   /** Makes everything appended so far durable; rejects if the disk reports an error. */
   sync (): Promise<void>
+  /** Removes everything after the given length, as after an append that failed halfway. */
+  truncate (length: number): Promise<void>
   close (): Promise<void>
 }
 
@@ -40,6 +42,10 @@
     await this.handle.datasync()
   }
 
+  async truncate (length: number): Promise<void> {
+    await this.handle.truncate(length)
+  }
+
   async close (): Promise<void> {
     await this.handle.close()
   }
@@ -123,6 +129,14 @@
   await handle.close()
 }
 
+/**
+ * @param error - error of a file operation
+ * @returns whether the disk has no room left, so that the same operation may succeed later
+ */
+export function isDiskFull (error: unknown): boolean {
+  return error instanceof Error && 'code' in error && (error.code === 'ENOSPC' || error.code === 'EDQUOT')
+}
+
 function isMissing (error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ENOENT'
 }
--- a/packages/durable/src/lib/RaftStorage.test.ts
+++ b/packages/durable/src/lib/RaftStorage.test.ts
@@ -157,12 +157,39 @@
     })
   })
 
+  describe('full disk', () => {
+    // Guards against a control host that ended and started again twice a second for as long as its disk was full.
+    it('writes the batch again once there is room, after removing what a failed append left', async () => {
+      const kept: string[] = []
+      let refusals = 2
+      const file: AppendFile = {
+        append: async () => {
+          kept.push('part')
+          if (refusals === 0) return
+          refusals -= 1
+          throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' })
+        },
+        sync: async () => { kept.push('synced') },
+        truncate: async () => { kept.length = 0 },
+        close: async () => {}
+      }
+      const opened = await RaftStorage.open({ list: async () => [], read: async () => undefined, replace: async () => {}, openAppend: async () => file, remove: async () => {} })
+      if (!opened.ok) throw new Error('not opened')
+      const reports: boolean[] = []
+      opened.value.storage.onDiskFull = isFull => { reports.push(isFull) }
+      await opened.value.storage.persist([{ kind: 'append', entry: entry(1) }])
+      expect(kept).toEqual(['part', 'synced'])
+      expect(reports).toEqual([true, false])
+    })
+  })
+
   describe('sync', () => {
     it('syncs a batch once, after the whole batch is written', async () => {
       const calls: string[] = []
       const file: AppendFile = {
         append: async () => { calls.push('append') },
         sync: async () => { calls.push('sync') },
+        truncate: async () => {},
         close: async () => {}
       }
       const folder: DataFolder = {
--- a/packages/durable/src/lib/RaftStorage.ts
+++ b/packages/durable/src/lib/RaftStorage.ts
@@ -1,10 +1,11 @@
 /** Durable state of one replica: identity, vote, log and snapshot in one data folder. */
 import { randomUUID } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { decode, encode } from '@msgpack/msgpack'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { DurableWrite, PersistentState, Snapshot } from '@eelgrassmux/consensus/messages/raftMessages'
-import type { AppendFile, DataFolder } from './DataFolder.js'
+import { isDiskFull, type AppendFile, type DataFolder } from './DataFolder.js'
 import { PersistentImage } from './PersistentImage.js'
 import { frameRecord, scanRecords } from './recordFraming.js'
 
@@ -12,6 +13,9 @@
 const LOG_FILE = 'log'
 const SNAPSHOT_FILE = 'snapshot'
 
+/** Interval at which a batch is written again while the disk is full, in milliseconds. */
+const DISK_FULL_RETRY_MS = 100
+
 /** Why durable state can't be used. */
 export type StorageError =
   | { readonly kind: 'log-damaged', readonly file: string, readonly offset: number }
@@ -29,6 +33,11 @@
 export class RaftStorage {
   #image = new PersistentImage()
   #file: AppendFile | undefined
+  /** Length of the log up to the last complete batch, in bytes. */
+  #length = 0
+  #isClosing = false
+  /** Called when the disk becomes full, and when it takes the batch that had to wait. */
+  onDiskFull: (isFull: boolean) => void = () => {}
 
   private constructor (private readonly folder: DataFolder) {}
 
@@ -53,6 +62,7 @@
     const gap = findGap(persisted)
     if (gap !== undefined) return fail(gap)
     storage.#file = await folder.openAppend(LOG_FILE, scan.validLength)
+    storage.#length = scan.validLength
     return succeed({ storage, replicaId, persisted })
   }
 
@@ -76,16 +86,38 @@
       return
     }
     const file = this.#openFile()
-    await file.append(encodeBatch(writes))
+    await this.#append(file, encodeBatch(writes))
     await file.sync()
   }
 
+  /** Ends a wait for a full disk; the batch then fails. Must be called before {@link RaftStorage.close}. */
+  stopWaiting (): void {
+    this.#isClosing = true
+  }
+
   /** Closes the log file. */
   async close (): Promise<void> {
     await this.#file?.close()
     this.#file = undefined
   }
 
+  /** Waits while the disk is full; nothing that depends on the batch is sent or answered meanwhile. */
+  async #append (file: AppendFile, bytes: Uint8Array): Promise<void> {
+    for (let isFull = false; ; isFull = true) {
+      try {
+        await file.append(bytes)
+        this.#length += bytes.length
+        if (isFull) this.onDiskFull(false)
+        return
+      } catch (error) {
+        if (!isDiskFull(error) || this.#isClosing) throw error
+        if (!isFull) this.onDiskFull(true)
+        await file.truncate(this.#length)
+        await sleep(DISK_FULL_RETRY_MS)
+      }
+    }
+  }
+
   #openFile (): AppendFile {
     assertInvariant(this.#file !== undefined, 'storage-open', () => 'write after close')
     return this.#file
@@ -100,6 +132,7 @@
     const bytes = encodeBatch([vote, ...appends])
     await this.folder.replace(LOG_FILE, bytes)
     this.#file = await this.folder.openAppend(LOG_FILE, bytes.length)
+    this.#length = bytes.length
   }
 }
 
--- a/packages/telemetry/src/lib/events/controlFaults.ts
+++ b/packages/telemetry/src/lib/events/controlFaults.ts
@@ -2,6 +2,7 @@
 
 /** Faults of a control host that do not end the process. */
 export const controlFaults = {
+  'disk-full': z.strictObject({ isFull: z.boolean() }),
   'storage-set-aside': z.strictObject({ error: z.string(), path: z.string(), replica: z.string() }),
   'write-lost-while-closing': z.strictObject({ message: z.string() })
 }
