--- a/apps/bench/src/lib/prove/worlds/RecoveryWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/RecoveryWorld.ts
@@ -127,6 +127,7 @@
     this.simulation.schedule(JOIN_INTERVAL_MS, () => {
       this.#removalLoop()
       this.#observeLeader()
+      this.#rejoinRemoved()
       for (const { replica } of this.#hosts.values()) {
         const surplus = findSurplusReplica(replica.core, HOSTS, this.simulation.now())
         if (replica.isAlive && surplus !== undefined) replica.change((core, now) => removeIfStillSurplus(core, surplus.id, HOSTS, now))
@@ -134,6 +135,21 @@
     })
   }
 
+  /** A replica that was removed while it was down or silent notices that from the leader's answer, and joins again. */
+  #rejoinRemoved (): void {
+    const leader = this.#leader()
+    if (leader === undefined) return
+    const { voters, learners } = leader.core.committedMembership
+    for (const [address, { replica }] of this.#hosts) {
+      const isMember = [...voters, ...learners].some(({ id }) => id === replica.self.id)
+      if (replica.isAlive && !isMember) this.simulation.send(address, leader.self.address, () => { this.#requestJoin(leader, replica.self) })
+    }
+    for (const { id, address } of learners) {
+      const host = this.#hosts.get(address)
+      if (host?.replica.self.id === id && host.replica.isAlive) this.simulation.send(address, leader.self.address, () => { this.#requestJoin(leader, host.replica.self) })
+    }
+  }
+
   /** Ends the faults once there has been no leader for long, since further losses would only hide the cause. */
   #observeLeader (): void {
     const now = this.simulation.now()
--- a/packages/consensus/src/lib/lostDisks.test.ts
+++ b/packages/consensus/src/lib/lostDisks.test.ts
@@ -104,6 +104,17 @@
     expect(hosts.leader?.committedMembership.voters.filter(voter => voter.address === other)).toEqual([replicaAt(other, 2)])
   })
 
+  // Guards against groups that ended because power was lost again before a new leader had waited an election timeout for a disk that was gone.
+  it('get their vote back within a few heartbeats of a new leader', () => {
+    const hosts = new Hosts()
+    hosts.run(1500)
+    const former = hosts.leader?.self.address ?? ''
+    hosts.loseDisk(former, 2)
+    for (let step = 0; step < 300 && hosts.leader === undefined; step += 1) hosts.run(10)
+    hosts.run(2 * DEFAULT_RAFT_SETTINGS.heartbeatMs + 10)
+    expect(hosts.requestJoin(former)).toBe('done')
+  })
+
   it('add nothing to the log when they ask again', () => {
     const hosts = new Hosts()
     hosts.run(1500)
