Membership: a lost voter and its successor change places in two entries

Cause: the one entry of 'a host that lost its disk gets its vote back with one change' was unsafe. The lost replica may have voted for a candidate right before; its successor has forgotten that and may acknowledge entries of an older term or vote again in the same one. A majority of each kind can have no other replica in common, so a committed entry could be overwritten. Change: the entry that adds the successor as a learner removes the lost voter; while a formed group has fewer voters than it needs, a learner is promoted at once, with an empty log. Both are changes of one voter, three of five and three of four always share two. The joining host asks for its promotion at once.

--- a/apps/control/src/lib/raft/joinGroup.ts
+++ b/apps/control/src/lib/raft/joinGroup.ts
@@ -1,7 +1,7 @@
 /**
- * Adds a replica with an empty disk to the group. If a voter with the same address
- * has lost its disk, the replica takes its place at once. Otherwise it joins as a
- * learner and is promoted to voter once it holds nearly all of the log.
+ * Adds a replica with an empty disk to the group. It joins as a learner, which removes
+ * a voter with the same address that has lost its disk. It is promoted to voter at once
+ * if the group lacks voters, and otherwise once it holds nearly all of the log.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { RaftCore } from '@eelgrassmux/consensus/RaftCore'
@@ -17,11 +17,8 @@
 /** Maximum wait for an answer before all contacts are asked again, in milliseconds. Earlier calls still count if they are answered later. */
 const ATTEMPT_TIMEOUT_MS = 400
 
-/** Maximum wait for the first messages of the leader before the call is repeated, in milliseconds. The messages normally arrive immediately. */
-const CATCH_UP_TIMEOUT_MS = 1500
-
-/** Interval between checks whether the leader's messages have arrived, in milliseconds. */
-const CATCH_UP_POLL_INTERVAL_MS = 20
+/** Time for which the promotion is requested before the replica is added again, in milliseconds. */
+const PROMOTION_TIMEOUT_MS = 1500
 
 /** Live view of the joining replica. */
 export type JoiningReplica = Pick<RaftCore, 'self' | 'membership' | 'leader'>
@@ -49,35 +46,29 @@
  */
 export async function joinGroup (rpc: RpcClient, core: JoiningReplica, contacts: Contacts, isStopped: () => boolean, onStep: (step: JoinStep) => void = () => {}): Promise<void> {
   const { self } = core
-  const isCaughtUp = (): boolean => isInReceivedMembership(core)
+  const isVoter = (): boolean => core.membership.voters.some(voter => voter.id === self.id)
   do {
     await retryUntilDone(rpc, contacts, { kind: 'add-learner', replica: self }, isStopped, onStep)
-    const waitedFrom = performance.now()
-    await waitFor(isCaughtUp, isStopped)
-    onStep({ step: 'catch-up', attempts: 1, tookMs: Math.round(performance.now() - waitedFrom), lastAnswer: isCaughtUp() ? 'done' : 'timeout' })
-    // The leader that added this replica may have been replaced or may have removed the replica again, so repeat the request.
-  } while (!isCaughtUp() && !isStopped())
-  for (const formerId of formerIdentities(core)) await retryUntilDone(rpc, contacts, { kind: 'remove', id: formerId }, isStopped, onStep)
-  const isVoter = core.membership.voters.some(voter => voter.id === self.id)
-  if (!isVoter) await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isStopped, onStep)
-}
-
-async function waitFor (isReached: () => boolean, isStopped: () => boolean): Promise<void> {
-  const deadline = performance.now() + CATCH_UP_TIMEOUT_MS
-  while (!isReached() && !isStopped() && performance.now() < deadline) await sleep(CATCH_UP_POLL_INTERVAL_MS)
+    for (const formerId of formerIdentities(core)) await retryUntilDone(rpc, contacts, { kind: 'remove', id: formerId }, isStopped, onStep)
+    // The leader that added this replica may have been replaced or may have removed the replica again, so the first request is repeated.
+    const deadline = performance.now() + PROMOTION_TIMEOUT_MS
+    const isOver = (): boolean => isStopped() || isVoter() || performance.now() > deadline
+    if (await retryUntilDone(rpc, contacts, { kind: 'promote', id: self.id }, isOver, onStep)) return
+  } while (!isVoter() && !isStopped())
 }
 
-async function retryUntilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean, onStep: (step: JoinStep) => void): Promise<void> {
+async function retryUntilDone (rpc: RpcClient, contacts: Contacts, change: MembershipChange, isStopped: () => boolean, onStep: (step: JoinStep) => void): Promise<boolean> {
   const startedAt = performance.now()
   const request = new RepeatedRequest(rpc, change)
   for (let attempt = 1; !isStopped(); attempt += 1) {
     const lastAnswer = request.lastAnswer
     if (await request.askAll(contacts())) {
       onStep({ step: change.kind, attempts: attempt, tookMs: Math.round(performance.now() - startedAt), lastAnswer })
-      return
+      return true
     }
     await sleep(RETRY_INTERVAL_MS)
   }
+  return false
 }
 
 /** One change that is requested from all contacts at the same time, since any of them may not answer; only the leader makes it, once. */
@@ -122,11 +113,6 @@
   return change.kind === 'remove' && response.kind === 'refused' && response.reason === 'unknown-replica'
 }
 
-/** Returns true if a leader has sent this replica a membership that contains it. */
-function isInReceivedMembership ({ self, membership, leader }: JoiningReplica): boolean {
-  return leader !== undefined && [...membership.voters, ...membership.learners].some(replica => replica.id === self.id)
-}
-
 /** Finds earlier ids of this host in its own log, which is newer than the join request. A contact might not know any members yet. */
 function formerIdentities ({ self, membership }: JoiningReplica): string[] {
   return membership.voters.filter(voter => voter.address === self.address && voter.id !== self.id).map(voter => voter.id)
--- a/packages/consensus/src/lib/RaftCore.ts
+++ b/packages/consensus/src/lib/RaftCore.ts
@@ -197,7 +197,7 @@
   }
 
   /**
-   * Adds a learner, or changes the address of an existing one. Takes the place of a voter with the same address, whose disk was lost.
+   * Adds a learner, or changes the address of an existing one. Removes a voter with the same address, whose disk was lost.
    *
    * @param replica - new replica, which receives the log
    * @param now - monotonic milliseconds
