Test: listenOnSamePort does not depend on a free connection port

Shown by a probe that occupies that port as well: 'No address added out of total 1 resolved errors: [listen EADDRINUSE: address already in use ...]' in place of 'EADDRINUSE host:port'. The test gives the port by a listener of its own now, and also demands that it is given up.

--- a/packages/rpc/src/lib/listenOnSamePort.test.ts
+++ b/packages/rpc/src/lib/listenOnSamePort.test.ts
@@ -47,9 +47,13 @@
     await new RpcServer().listen(HOST, taken)
   })
 
-  it('rejects if datagrams can not be received on the port that is asked for', async () => {
-    const { server, datagrams } = openServers()
+  it('rejects if datagrams can not be received on the port that is asked for, and gives the port up', async () => {
+    const { datagrams } = openServers()
     const taken = await occupy()
+    const given: number[] = []
+    // No real server: another process may have the number of the datagram socket as the port of a connection.
+    const server: PortListener = { listen: async (_host, wanted) => wanted, stopListening: (_host, port) => { given.push(port) } }
     await expect(listenOnSamePort(server, datagrams, HOST, taken)).rejects.toThrow(`EADDRINUSE ${HOST}:${taken}`)
+    expect(given).toEqual([taken])
   })
 })
