--- a/packages/consensus/src/lib/lostDisks.test.ts
+++ b/packages/consensus/src/lib/lostDisks.test.ts
@@ -91,6 +91,7 @@
     expect(hosts.leader?.membership.voters).toHaveLength(VOTERS)
   })
 
+  // Guards against a host that counts as two voters, and against one that takes over the address of a running replica by mistake.
   it('never count twice, and do not take the place of a replica that still answers', () => {
     const hosts = new Hosts()
     hosts.run(1500)
@@ -120,6 +121,7 @@
     expect(hosts.requestJoin(former)).toBe('done')
   })
 
+  // Guards against joining hosts that block each other's changes, because each repeated request appended another entry.
   it('add nothing to the log when they ask again', () => {
     const hosts = new Hosts()
     hosts.run(1500)
@@ -169,6 +171,7 @@
     expect(hosts.leader?.committedMembership.voters.map(voter => voter.address)).not.toContain(former)
   })
 
+  // Guards against running voters that are removed whenever a new host joins.
   it('keep their vote beside a new host while they answer', () => {
     const hosts = new Hosts()
     hosts.run(1500)
--- a/packages/consensus/src/lib/slowLinkReplication.test.ts
+++ b/packages/consensus/src/lib/slowLinkReplication.test.ts
@@ -92,6 +92,7 @@
     expect(link.sentBytes).toBeLessThan(1.2 * COMMANDS * COMMAND_BYTES)
   })
 
+  // Guards against a lost message after which everything that follows is sent again as well.
   it('sends nothing twice but what was lost', () => {
     const link = new SlowLink()
     for (const lost of [1, 4, 5, 9]) link.lostCalls.add(lost)
--- a/packages/durable/src/lib/PersistentImage.ts
+++ b/packages/durable/src/lib/PersistentImage.ts
@@ -43,7 +43,7 @@
   }
 
   /**
-   * Combines a log with the snapshot found beside it. A log that was not rewritten behind the snapshot still has entries that
+   * Combines a log with the snapshot in the same folder. A log that was not rewritten behind the snapshot still has entries that
    * the snapshot covers; its end may conflict with the snapshot.
    *
    * @param snapshot - snapshot that was synced at the same time as the log, or after it
