Entry hosts say how far their view is behind, control hosts why a read is not confirmed

The lines of the record can't tell a silent connection from a missing leader or a watch at a host that is behind. view-behind names the newest view, who stated it, since when, and which watch has not brought it; three gauges say the same; refusals carry it. site-read-refused states the cause: no leader, no quorum, or how the call to the leader ended.

--- a/apps/control/src/lib/site/SiteService.ts
+++ b/apps/control/src/lib/site/SiteService.ts
@@ -1,6 +1,7 @@
 /** Operations that operators may request from any control host: put or read the site, name weights, evacuate a data centre. */
 import { propose, readSite, type ReadSiteResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import type { RpcError } from '@eelgrassmux/rpc/RpcError'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Command, CommandResult } from '@eelgrassmux/state/commands'
 import type { ProposeOutcome, RaftTask } from '../raft/RaftTask.js'
@@ -21,6 +22,14 @@
   /** The order may be applied later or never. Sending it again is safe. */
   | { readonly kind: 'unavailable' }
 
+/** Why a read of the site was not confirmed, for the log. */
+export type UnconfirmedCause = 'no-leader' | 'no-quorum' | `leader-${'unconfirmed' | RpcError['kind']}`
+
+/** Result of a read of the site from any control host. */
+export type SiteReadOutcome =
+  | Exclude<ReadSiteResponse, { readonly kind: 'unconfirmed' }>
+  | { readonly kind: 'unconfirmed', readonly cause: UnconfirmedCause, readonly leader: string }
+
 /** Maximum number of proposals of one order if other orders for the same data centre are applied first. */
 const MAX_PROPOSALS = 3
 
@@ -76,11 +85,15 @@
   }
 
   /** @returns the newest accepted site, or `unconfirmed` if it could not be confirmed by the leader */
-  async readSite (): Promise<ReadSiteResponse> {
+  async readSite (): Promise<SiteReadOutcome> {
+    const wasLeader = this.raft.core.role === 'leader'
     const own = await this.readAsLeader()
-    if (own.kind !== 'unconfirmed' || own.leader === '') return own
-    const answer = await this.rpc.call(own.leader, readSite, {}, LEADER_CALL_TIMEOUT_MS)
-    return answer.ok ? answer.value : { kind: 'unconfirmed', leader: '' }
+    if (own.kind !== 'unconfirmed') return own
+    const { leader } = own
+    if (leader === '') return { kind: 'unconfirmed', cause: wasLeader ? 'no-quorum' : 'no-leader', leader }
+    const answer = await this.rpc.call(leader, readSite, {}, LEADER_CALL_TIMEOUT_MS)
+    if (!answer.ok) return { kind: 'unconfirmed', cause: `leader-${answer.error.kind}`, leader }
+    return answer.value.kind === 'unconfirmed' ? { kind: 'unconfirmed', cause: 'leader-unconfirmed', leader } : answer.value
   }
 
   /** @returns the newest accepted site if this host is the leader and a quorum confirms it, and `unconfirmed` otherwise */
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -87,7 +87,8 @@
     dataCentre: settings.dataCentre,
     controlAddresses: settings.control,
     freshnessMs: settings.freshnessMs,
-    wantsPeers: true
+    wantsPeers: true,
+    telemetry
   }, rpc, datagrams)
   const configuration = (): typeof link.configuration => link.configuration
   const fleet = new FleetWatcher(settings.membership)
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -99,6 +99,7 @@
     controlAddresses: settings.control,
     freshnessMs: settings.freshnessMs,
     watchesEndpoints: true,
+    telemetry,
     loadFeatures: () => features.enabled.length === 0 ? undefined : { names: [...features.enabled], reason: features.reason }
   }, rpc, datagrams)
   const mechanisms = composeMechanisms(new Set(settings.leaveOut))
@@ -161,6 +162,7 @@
     remainingMsForVersion: (model, version) => olderWeights.remainingMs(model, version, performance.now()),
     desiredVersion: model => link.weights.find(named => named.model === model)?.version ?? 1,
     isSiteUsable: mayAct,
+    viewLag: () => link.viewLag(),
     // Without a current confirmation from the control hosts, stored parts may have been freed already.
     areStoresUsable: now => mechanisms.usesStores && stored.isLeaseValid(now),
     storeClockMs: now => stored.storeClockMs(now),
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -18,6 +18,7 @@
 import { DispatchRecord, refuse, type RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { ViewLagReport } from '@eelgrassmux/view/ViewLag'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../retries/RetryTokens.js'
@@ -63,6 +64,8 @@
   desiredVersion (model: string): number
   /** Milliseconds during which requests may still begin on weights of that version. */
   remainingMsForVersion (model: string, version: number): number
+  /** How far this host is behind the newest configuration; absent if it is not known. */
+  viewLag? (): ViewLagReport
   /** Whether this host may serve requests under the site configuration that it has. */
   isSiteUsable (): boolean
   /** Whether this host's knowledge of the stores is recent enough to use. */
@@ -372,6 +375,11 @@
     task.start()
   }
 
+  #lagFields (): { viewsBehind?: number, viewBehindMs?: number, viewConfirmedMs?: number } {
+    const lag = this.ports.viewLag?.()
+    return lag === undefined ? {} : { viewsBehind: lag.viewsBehind, viewBehindMs: Math.round(lag.behindMs), viewConfirmedMs: Math.round(lag.confirmedMs) }
+  }
+
   #refuseDraining (exchange: CallerExchange): void {
     const fields = this.ports.codec.readRequestHeaders(exchange.request.rawHeaders)
     this.#refuse(exchange, fields, 'draining', 503, 'this host is stopping; ask another', RETRY_AFTER_SECONDS)
@@ -382,7 +390,7 @@
   ): void {
     this.#refusals.count(reason)
     this.ports.telemetry.logDecision('refused', fields.requestId ?? '', {
-      reason, status, run: 'not-run', detail, siteVersion: this.#index?.site.version ?? -1
+      reason, status, run: 'not-run', detail, siteVersion: this.#index?.site.version ?? -1, ...this.#lagFields()
     })
     exchange.refuse(refuse({ reason, status, detail, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) }, new DispatchRecord()))
   }
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -89,7 +89,15 @@
     delayedStreams: z.number().optional()
   }),
   refused: z.strictObject({
-    reason: z.string(), status: z.number(), run: runState, detail: z.string(), retryAfterSeconds: z.number().optional()
+    reason: z.string(),
+    status: z.number(),
+    run: runState,
+    detail: z.string(),
+    retryAfterSeconds: z.number().optional(),
+    /** Views by which the host is behind, for how long it has known that, and how long ago its view was confirmed. */
+    viewsBehind: z.number().optional(),
+    viewBehindMs: z.number().optional(),
+    viewConfirmedMs: z.number().optional()
   }),
   /** The bytes held for slow readers exceeded a bound, and this reader was the slowest of the customer that holds most. */
   'slow-reader-cut': z.strictObject({
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -12,10 +12,12 @@
 import type { QuarantineTable } from '@eelgrassmux/routing/quarantine/QuarantineTable'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Command, CommandResult, DesiredWeights, Shard } from '@eelgrassmux/state/commands'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { EndpointListFollower } from './EndpointListFollower.js'
 import { FreshnessLease } from './FreshnessLease.js'
 import { StatusReporter } from './StatusReporter.js'
 import { StoredPartsFollower, type StoredPartsListener } from './StoredPartsFollower.js'
+import { ViewLag, type ViewLagReport } from './ViewLag.js'
 import { ViewFollower } from './ViewFollower.js'
 
 /** Identity of this host, and addresses of the control hosts. */
@@ -34,6 +36,8 @@
   readonly wantsPeers?: boolean
   /** Returns the features for hard load that are in use, for operators; undefined if there are none. */
   loadFeatures? (): StatusRequest['loadFeatures']
+  /** Log of this host; absent in tests. */
+  readonly telemetry?: Pick<Telemetry, 'logStateChange' | 'gauge'>
 }
 
 /** Reason why a command has no result. */
@@ -43,12 +47,17 @@
   /** The command may have been applied, may be applied later, or may be lost. */
   | { readonly kind: 'uncertain' }
 
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Delay before a broken watch is reopened, in milliseconds. */
 const WATCH_RETRY_DELAY_MS = 100
 
 /** Time allowed for a view that some control host has applied to arrive through the watch, in milliseconds. */
 const VIEW_DELIVERY_TIMEOUT_MS = 100
 
+/** Time for which a newer view must be known before it is logged that this host is behind, in milliseconds; views usually arrive sooner. */
+const LOGGED_LAG_MS = 200
+
 /** Delay before a command is proposed to another control host, in milliseconds. */
 const PROPOSE_RETRY_DELAY_MS = 50
 
@@ -73,6 +82,9 @@
   #wasConfirmed = false
   #watchFailures = 0
   #watchedAddress = ''
+  #watchStartedAt = 0
+  readonly #viewLag = new ViewLag()
+  #isLagLogged = false
   #eventLoopLagMs = Number.POSITIVE_INFINITY
   readonly #statusReporter: StatusReporter
   readonly #storedPartsFollowers: StoredPartsFollower[] = []
@@ -93,10 +105,15 @@
       onSilence: address => { if (this.#leader === address) this.#setLeader(undefined) },
       onTimer: lateMs => {
         this.#eventLoopLagMs = lateMs
+        this.#logLag()
         if (this.#isWatchStuck()) this.#watchRestart.abort()
       }
     })
     this.#endpoints = new EndpointListFollower(rpc, () => this.#watchCandidates(), () => { this.#notifyChangeListeners() })
+    const { telemetry } = settings
+    telemetry?.gauge('views_behind', 'Views by which this host is behind the newest one that a control host has stated', () => this.viewLag().viewsBehind)
+    telemetry?.gauge('view_behind_seconds', 'Time for which this host has known of a newer view', () => this.viewLag().behindMs / MILLISECONDS_PER_SECOND)
+    telemetry?.gauge('view_confirmed_age_seconds', 'Time since a majority last confirmed the view in force', () => this.viewLag().confirmedMs / MILLISECONDS_PER_SECOND)
   }
 
   /** Configuration in force on this host. */
@@ -150,6 +167,11 @@
    */
   get wasConfirmed (): boolean { return this.#wasConfirmed }
 
+  /** How far the view in force is behind the newest one that is known, and when it was last confirmed. */
+  viewLag (): ViewLagReport {
+    return this.#viewLag.report(this.viewRevision, this.#lease.confirmedAt(this.viewRevision), performance.now())
+  }
+
   /** Whether a first view has arrived and is fresh. */
   isReady (): boolean {
     return this.viewRevision > 0 && this.isFresh()
@@ -255,6 +277,7 @@
     if (knownMembership === undefined) return
     this.#lease.observe({ ...statement, membership: knownMembership, askedAt })
     this.#noteConfirmation()
+    this.#viewLag.observeStatement(address, appliedView, this.viewRevision, performance.now())
     if (appliedView > this.viewRevision && appliedView > (this.#newerView?.view ?? 0)) this.#newerView = { address, view: appliedView, statedAt: performance.now() }
     if (leader !== '') this.#setLeader(leader)
     this.#endpoints.confirm(address, watched, askedAt)
@@ -284,6 +307,20 @@
     this.#notifyChangeListeners()
   }
 
+  /** Logs once that this host is behind, with what it watches, and once that it has caught up. */
+  #logLag (): void {
+    const { viewsBehind, behindMs, statedBy, newestView, confirmedMs } = this.viewLag()
+    if (viewsBehind > 0 && behindMs >= LOGGED_LAG_MS && !this.#isLagLogged) {
+      this.#isLagLogged = true
+      this.settings.telemetry?.logStateChange('view-behind', {
+        view: this.viewRevision, newestView, behindMs: Math.round(behindMs), statedBy, watched: this.#watchedAddress, watchMs: Math.round(performance.now() - this.#watchStartedAt), confirmedMs: Math.round(confirmedMs)
+      })
+    } else if (viewsBehind === 0 && this.#isLagLogged) {
+      this.#isLagLogged = false
+      this.settings.telemetry?.logStateChange('view-caught-up', { view: this.viewRevision, watched: this.#watchedAddress, watchMs: Math.round(performance.now() - this.#watchStartedAt) })
+    }
+  }
+
   #notifyChangeListeners (): void {
     for (const listener of this.#changeListeners) listener()
   }
@@ -292,6 +329,7 @@
     while (!this.#abort.signal.aborted) {
       const address = this.#watchAddress()
       this.#watchedAddress = address
+      this.#watchStartedAt = performance.now()
       this.#newerView = undefined
       this.#watchAttempt += 1
       this.#watchRestart = new AbortController()
@@ -301,6 +339,8 @@
         const outcome = this.#follower.apply(message, performance.now())
         if (outcome === 'gap') restart.abort()
         if (outcome !== 'advanced') return
+        this.#viewLag.observeView(this.viewRevision)
+        this.#logLag()
         this.#noteConfirmation()
         this.#notifyChangeListeners()
         // Report the new view at once for callers that wait until it is in force on all hosts.
--- a/packages/view/src/lib/FreshnessLease.ts
+++ b/packages/view/src/lib/FreshnessLease.ts
@@ -55,19 +55,29 @@
   }
 
   /**
-   * Time until which the host may act on a view.
+   * Time at which a majority last confirmed that there is no newer view.
    *
    * @param viewRevision - view in force on this host
    * @returns monotonic milliseconds; minus infinity if the view was never confirmed
    */
-  freshUntil (viewRevision: number): number {
+  confirmedAt (viewRevision: number): number {
     const { voters } = this.#membership
     const askedTimes = voters
-      .map(voter => this.#confirmedAt(voter.id, viewRevision))
+      .map(voter => this.#voterConfirmedAt(voter.id, viewRevision))
       .sort((left, right) => right - left)
     const quorum = Math.floor(voters.length / 2) + 1
     // The lease starts at the oldest statement of the most recent majority.
-    return (askedTimes[quorum - 1] ?? Number.NEGATIVE_INFINITY) + this.leaseMs
+    return askedTimes[quorum - 1] ?? Number.NEGATIVE_INFINITY
+  }
+
+  /**
+   * Time until which the host may act on a view.
+   *
+   * @param viewRevision - view in force on this host
+   * @returns monotonic milliseconds; minus infinity if the view was never confirmed
+   */
+  freshUntil (viewRevision: number): number {
+    return this.confirmedAt(viewRevision) + this.leaseMs
   }
 
   /**
@@ -103,7 +113,7 @@
     return [...peers]
   }
 
-  #confirmedAt (replicaId: string, viewRevision: number): number {
+  #voterConfirmedAt (replicaId: string, viewRevision: number): number {
     // A voter with another membership may belong to a majority with voters that this host does not know.
     const confirmation = this.#statements.get(replicaId)?.findLast(statement =>
       statement.membershipIndex === this.#membershipIndex && statement.newestView <= viewRevision)
