Failing tests: open connections that go silent keep hosts on an old view and reads unconfirmed

The loopback proxy, now beside the RPC client, silences open connections for good in one direction or both; the soak draws it (all, those of one entry host, those among control hosts, up to three times in a row) with a change of the site 0.2 s later, and checks that no host refuses a route 2 s after the acknowledgement and that reads are confirmed 1 s after the silence.

--- /dev/null
+++ b/apps/control/src/lib/site/silentLeader.test.ts
@@ -0,0 +1,51 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { propose, readSite } from '@eelgrassmux/rpc/methods/controlMethods'
+import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
+import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { StateMachine } from '@eelgrassmux/state/StateMachine'
+import type { RaftTask } from '../raft/RaftTask.js'
+import { SiteService } from './SiteService.js'
+
+const NO_KEEPALIVE_MS = 600_000
+
+describe('operators\' calls at a control host whose connection to the leader has gone silent', () => {
+  let proxy: LoopbackProxy
+  let leader: RpcServer
+  let rpc: RpcClient
+  let service: SiteService
+
+  beforeEach(async () => {
+    proxy = new LoopbackProxy()
+    leader = new RpcServer()
+    const state = new StateMachine()
+    leader.handle(readSite, async () => ({ kind: 'none' as const }))
+    leader.handle(propose, async ({ command }) => ({ kind: 'applied' as const, result: state.apply({ stampedAt: 0, command }) }))
+    const address = await proxy.listen()
+    proxy.target = await leader.listen('127.0.0.1', 0)
+    rpc = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
+    const follower = {
+      core: { role: 'follower', leader: { id: 'l', address } },
+      propose: async () => await Promise.resolve({ kind: 'not-leader', leader: address })
+    }
+    service = new SiteService(follower as unknown as RaftTask, rpc)
+    expect(await service.readSite()).toEqual({ kind: 'none' })
+    proxy.silenceOpenConnections()
+  })
+
+  afterEach(() => {
+    rpc.close()
+    leader.close()
+    proxy.close()
+  })
+
+  // Guards against reads that a group with a leader refuses at all other hosts until the keepalive of dead connections runs out.
+  it('reads the site at the first try', async () => {
+    expect(await service.readSite()).toEqual({ kind: 'none' })
+  })
+
+  // Guards against operators whose changes find no leader although there is one.
+  it('names weights at the first try', async () => {
+    expect(await service.nameWeights('m', 2)).toMatchObject({ kind: 'applied' })
+  })
+})
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -9,6 +9,7 @@
 import type { CrowdedHostServesCheck } from './checks/CrowdedHostServesCheck.js'
 import type { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import type { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
+import type { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import type { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
 import type { EvacuationsHoldCheck } from './checks/EvacuationsHoldCheck.js'
 import type { Condition, Restraint } from './standinProtocol.js'
@@ -26,6 +27,15 @@
 /** How long a disk counts as lost: a restart, and four seconds to catch up, in milliseconds. */
 const LOST_DISK_MS = 6000
 
+/** Time from a silence to the change of the site, in milliseconds. */
+const CHANGE_AFTER_SILENCE_MS = 200
+
+/** Time between silences in a row, in milliseconds: about as long as hosts take to find out the first. */
+const NEXT_SILENCE_MS = 500
+
+/** How long requests may still be sent over connections to endpoints that have gone silent, in milliseconds. */
+const SILENT_ENDPOINTS_MS = 6000
+
 /** Rejections in a second that a brittle endpoint tolerates. */
 const BORNE_REJECTIONS = 4
 
@@ -47,6 +57,7 @@
   readonly cutOffHosts: CutOffHostsServeCheck
   readonly brittleEndpoints: BrittleEndpointsStandCheck
   readonly crowds: CrowdedHostServesCheck
+  readonly configuration: ConfigurationCheck
 }
 
 /** What callers send, and to which hosts. */
@@ -111,6 +122,7 @@
       case 'full-service': return await this.#fillService(fault.durationMs)
       case 'brittle-service': return await this.#makeBrittle(fault.durationMs)
       case 'host-cut': return await this.#cutHosts(fault)
+      case 'silent-connections': return await this.#silenceConnections(fault)
       case 'lost-disk': return await this.#loseDisk(fault)
       case 'all-entries-killed': return this.cluster.entries.forEach(slot => { this.#kill(slot) })
       case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
@@ -208,6 +220,19 @@
     if (asks === 'leaving' && isCurrent(slot, current)) await this.#stop(slot, 'endpoint')
   }
 
+  async #silenceConnections ({ scope, directions, times }: Extract<PlannedFault, { kind: 'silent-connections' }>): Promise<void> {
+    for (let time = 0; time < times; time += 1) {
+      const count = this.cluster.silenceConnections(scope, directions)
+      this.timeline.record('connections', `${count} go silent (${JSON.stringify(scope)}, ${directions.join(' and ')})`, false)
+      if (scope === 'all') for (const { name } of this.cluster.endpoints) this.timeline.record(name, 'connections go silent', true, SILENT_ENDPOINTS_MS)
+      this.checks.configuration.recordSilence()
+      await sleep(CHANGE_AFTER_SILENCE_MS)
+      this.timeline.record('operator', 'stores a new site', false)
+      await this.operator.putSite()
+      await sleep(NEXT_SILENCE_MS)
+    }
+  }
+
   async #burst ({ customer, callers, durationMs }: Extract<PlannedFault, { kind: 'burst' }>): Promise<void> {
     this.timeline.record(customer, `sends a burst on ${callers} connections`, false, durationMs)
     this.checks.customers.recordBurst(customer, durationMs)
--- a/apps/soak/src/lib/Operator.ts
+++ b/apps/soak/src/lib/Operator.ts
@@ -21,6 +21,9 @@
 
 const OK = 200
 
+/** Answer of a control host that is not sure which site is the newest. */
+const UNCONFIRMED = 503
+
 interface ControlResponse { readonly status: number, readonly text: string }
 
 /** The operator of a run; its changes may overlap. */
@@ -89,6 +92,7 @@
     if (control === undefined) return false
     const startedAt = Date.now()
     const answer = await callControlHost(control, 'GET', '/site')
+    if (answer?.status === UNCONFIRMED) this.check.recordRefusedRead(control.label, startedAt)
     if (answer?.status !== OK) return false
     const { version } = siteSchema.parse(JSON.parse(answer.text))
     this.check.recordRead({ control: control.label, startedAt, version, source: answer.text })
--- a/apps/soak/src/lib/RequestHistory.ts
+++ b/apps/soak/src/lib/RequestHistory.ts
@@ -6,7 +6,7 @@
 /** Guarantees of the product that the soak checks. */
 export const GUARANTEES = [
   'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version', 'one-software-version',
-  'configuration-never-reverts', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
+  'configuration-never-reverts', 'configuration-arrives', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
   'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded', 'evacuations-hold', 'cold-rates-are-kept', 'retry-budget-is-kept', 'customers-are-served', 'cut-off-hosts-serve', 'brittle-endpoints-stand', 'endless-answers-are-closed', 'crowded-hosts-serve'
 ] as const
 export type GuaranteeName = typeof GUARANTEES[number]
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -4,8 +4,8 @@
 import type { LoadFeature } from '@eelgrassmux/routing/features/LoadFeatures'
 import { EndpointListServer } from './EndpointListServer.js'
 import { endpointLineSchema, type EndlessLine, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
-import type { SlotRole, SoakShape } from './faultPlan.js'
-import { LoopbackProxy, type HostCut } from './LoopbackProxy.js'
+import type { SilenceScope, SlotRole, SoakShape } from './faultPlan.js'
+import { LoopbackProxy, type Direction, type HostCut } from '@eelgrassmux/rpc/harness/LoopbackProxy'
 import { ProcessSlot, type Incarnation, type SlotPlan } from './ProcessSlot.js'
 import { COLD_DURATION_MS, dataCentreOf, MODEL, MODEL_SERVICE, PLAIN_SERVICE, RETRY_BUDGET } from './soakSite.js'
 
@@ -17,6 +17,9 @@
 /** All processes log, and entry hosts record the history of each request, because a failed seed must be explained from these files. */
 const LOG_ENVIRONMENT = { ROARR_LOG: 'true', EELGRASSMUX_KEPT_STORIES: '1', EELGRASSMUX_LOG_LINES_PER_SECOND: '5000' }
 
+/** Address from which control hosts connect to each other. */
+const CONTROL_HOST_IP = '127.0.0.1'
+
 /** The largest retry budget that the settings of an entry host allow. */
 const UNLIMITED_RETRIES = { ratio: 1, slack: 100_000 } as const
 
@@ -115,6 +118,19 @@
     for (const proxy of this.#endpointProxies) proxy.setHostCut(addressOfEntry(entry), cut)
   }
 
+  /**
+   * Silences connections that are open now, for good.
+   *
+   * @param scope - connections that go silent
+   * @param directions - directions in which nothing arrives any more
+   * @returns number of connections
+   */
+  silenceConnections (scope: SilenceScope, directions: readonly Direction[]): number {
+    const proxies = scope === 'all' ? [...this.#controlProxies, ...this.#endpointProxies] : this.#controlProxies
+    const host = scope === 'all' ? undefined : scope === 'control-hosts' ? CONTROL_HOST_IP : addressOfEntry(scope.entry)
+    return proxies.reduce((sum, proxy) => sum + proxy.silenceOpenConnections(directions, host), 0)
+  }
+
   /**
    * Empties the disk of a control host; takes effect with the next start of its process.
    *
--- a/apps/soak/src/lib/checks/requestChecks.test.ts
+++ b/apps/soak/src/lib/checks/requestChecks.test.ts
@@ -140,9 +140,9 @@
 })
 
 describe('ConfigurationCheck', () => {
-  function createCheck (): { history: RequestHistory, configuration: ConfigurationCheck } {
-    const history = new RequestHistory(new Timeline(), [])
-    const configuration = new ConfigurationCheck(history)
+  function createCheck (timeline = new Timeline()): { history: RequestHistory, configuration: ConfigurationCheck } {
+    const history = new RequestHistory(timeline, [])
+    const configuration = new ConfigurationCheck(history, timeline)
     configuration.recordSent(1, 'one')
     configuration.recordSent(2, 'two')
     configuration.recordAcknowledgement(2)
@@ -151,6 +151,20 @@
 
   const fromNow = (milliseconds: number): number => Date.now() + milliseconds
 
+  it('finds hosts that are behind after connections went silent, unless something else disturbed them', () => {
+    for (const disturbed of [[], ['entry-0#1'], ['control-1#1']]) {
+      const timeline = new Timeline()
+      for (const process of disturbed) timeline.record(process, 'SIGSTOP', true)
+      const { history, configuration } = createCheck(timeline)
+      configuration.recordSilence()
+      configuration.recordProbe({ host: 'entry-0#1', version: 2, sentAt: fromNow(2500), endedAt: fromNow(2510), status: 404 })
+      configuration.recordRefusedRead('control-0#1', fromNow(500))
+      configuration.recordRefusedRead('control-0#1', fromNow(1500))
+      const found = history.violations.map(({ processes }) => processes[0])
+      expect(found).toEqual(disturbed.length === 0 ? ['entry-0#1', 'control-0#1'] : disturbed[0] === 'entry-0#1' ? ['control-0#1'] : [])
+    }
+  })
+
   it('accepts acknowledged versions, and older ones that were read before the acknowledgement', () => {
     const { history, configuration } = createCheck()
     configuration.recordRead({ control: 'c', startedAt: fromNow(10), version: 2, source: 'two' })
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -3,7 +3,7 @@
 import { BYTES_BEHIND, type BytesBehind } from './CallerWithBytesBehind.js'
 import { ENDLESS_PARTS, RESTRAINT_KINDS, SECOND_ANSWER_KINDS, type EndlessPart, type RestraintKind, type SecondAnswerKind } from './standinProtocol.js'
 import { CUSTOMERS, DATA_CENTRES, dataCentreOf } from './soakSite.js'
-import { HOST_CUTS, LINK_FAULTS, type HostCut, type LinkFault } from './LoopbackProxy.js'
+import { HOST_CUTS, LINK_FAULTS, type Direction, type HostCut, type LinkFault } from '@eelgrassmux/rpc/harness/LoopbackProxy'
 
 /** Number of processes of each role. */
 export interface SoakShape {
@@ -13,6 +13,15 @@
   readonly engines: number
 }
 
+/** Connections that go silent: all, those of one entry host to control hosts, or those among control hosts. */
+export type SilenceScope = 'all' | 'control-hosts' | { readonly entry: number }
+
+/** Directions in which connections go silent. */
+const SILENT_DIRECTIONS: ReadonlyArray<readonly Direction[]> = [['towards', 'back'], ['towards', 'back'], ['towards'], ['back']]
+
+/** Highest number of times that connections go silent in a row, the new ones as well. */
+const MAX_SILENCES = 3
+
 export type SlotRole = 'entry' | 'control' | 'endpoint'
 
 /** A planned fault; times are in milliseconds from the start of the fault phase. */
@@ -45,6 +54,8 @@
   | { readonly kind: 'bytes-behind', readonly callers: number, readonly bytes: BytesBehind, readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
+  /** Open connections go silent for good, and new ones work; the site is changed meanwhile. */
+  | { readonly kind: 'silent-connections', readonly scope: SilenceScope, readonly directions: readonly Direction[], readonly times: number }
   /** A control host loses its disk, while the other control hosts are killed or not. */
   | { readonly kind: 'lost-disk', readonly slot: number, readonly areOthersKilled: boolean }
   /** All entry hosts are killed at the same moment, so that callers take their streams up at hosts that have just started. */
@@ -115,7 +126,7 @@
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed', 'silent-connections', 'silent-connections']
 
 /**
  * @param seed - determines all faults
@@ -192,6 +203,7 @@
     case 'second-answers': return { atMs, kind, slot: random.index(shape.plainEndpoints), answers: random.pick(SECOND_ANSWER_KINDS), durationMs: Math.round(random.between(MIN_RESTRAINT_MS, MAX_RESTRAINT_MS)) }
     case 'bytes-behind': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), bytes: random.pick(BYTES_BEHIND), durationMs }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
+    case 'silent-connections': return { atMs, kind, scope: random.pick<SilenceScope>(['all', 'control-hosts', { entry: random.index(shape.entries) }]), directions: random.pick(SILENT_DIRECTIONS), times: 1 + random.index(MAX_SILENCES) }
     case 'lost-disk': return { atMs, kind, slot: random.index(shape.controls), areOthersKilled: random.index(2) === 0 }
     case 'all-entries-killed':
     case 'new-site':
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -108,7 +108,7 @@
     const { seed, shape, graceMs, breaks } = plan
     const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
     this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds])
-    this.#configuration = new ConfigurationCheck(this.#history)
+    this.#configuration = new ConfigurationCheck(this.#history, this.#timeline)
     this.#cluster = new SoakCluster({
       shape,
       folder,
@@ -182,7 +182,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readRepeatedly()
-    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds, configuration: this.#configuration }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await injector.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeline.record('soak', 'the last fault has ended', false)
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -46,6 +46,12 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against hosts that obey an old site, and groups that confirm no read, until the keepalive of dead connections runs out.
+  it('puts sites in force and confirms reads while open connections go silent', async () => {
+    const result = await play({ seconds: 12, kinds: ['silent-connections'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   // Guards against hosts that together send a brittle endpoint more than it can reject without failing.
   it('lets no more brittle endpoints fall over than may', async () => {
     const result = await play({ seconds: 12, kinds: ['brittle-service', 'new-site'] })
--- a/packages/rpc/src/lib/RpcClient.ts
+++ b/packages/rpc/src/lib/RpcClient.ts
@@ -1,17 +1,21 @@
-import { Client, credentials, type ServiceError } from '@grpc/grpc-js'
+import { Client, credentials, type ChannelOptions, type ServiceError } from '@grpc/grpc-js'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { fromServiceError, type RpcError } from './RpcError.js'
 import { decodeMessage, encodeMessage, type RpcMethod } from './RpcMethod.js'
 import { KEEPALIVE_MS, MAX_MESSAGE_BYTES } from './RpcServer.js'
 
+/** Settings of a client. */
+export interface RpcClientSettings {
+  /** Interval of keepalive pings, and the time without an answer to a ping after which a connection is closed, in milliseconds. */
+  readonly keepaliveMs: number
+}
+
 const CHANNEL_OPTIONS = {
   // Only the caller retries: a transparent retry could execute a call twice.
   'grpc.enable_retries': 0,
   'grpc.enable_http_proxy': 0,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 200,
-  'grpc.keepalive_time_ms': KEEPALIVE_MS,
-  'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES
 }
@@ -19,6 +23,12 @@
 /** Calls methods at any address and keeps one channel open for each address. */
 export class RpcClient {
   readonly #channels = new Map<string, Client>()
+  readonly #channelOptions: ChannelOptions
+
+  /** @param settings - settings that differ from the defaults */
+  constructor ({ keepaliveMs = KEEPALIVE_MS }: Partial<RpcClientSettings> = {}) {
+    this.#channelOptions = { ...CHANNEL_OPTIONS, 'grpc.keepalive_time_ms': keepaliveMs, 'grpc.keepalive_timeout_ms': keepaliveMs }
+  }
 
   /**
    * Calls a method with one response.
@@ -93,7 +103,7 @@
   #channel (address: string): Client {
     const present = this.#channels.get(address)
     if (present !== undefined) return present
-    const channel = new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS)
+    const channel = new Client(address, credentials.createInsecure(), this.#channelOptions)
     this.#channels.set(address, channel)
     return channel
   }
--- a/apps/soak/src/lib/LoopbackProxy.test.ts
+++ b/packages/rpc/src/lib/harness/LoopbackProxy.test.ts
@@ -84,6 +84,20 @@
     expect(String((await answer)[0])).toBe('two')
   })
 
+  it('carries nothing on connections that went silent, and everything on new ones', async () => {
+    expect(await exchange('one')).toBe('one')
+    expect(proxy.silenceOpenConnections()).toBe(1)
+    caller.write('two')
+    const { remotePort = 0, remoteAddress = '' } = caller
+    const second = connect(remotePort, remoteAddress)
+    const answer = once(second, 'data')
+    second.write('three')
+    expect(String((await answer)[0])).toBe('three')
+    expect(arrived).toEqual(['one', 'three'])
+    expect(caller.closed).toBe(false)
+    second.destroy()
+  })
+
   it('resets open connections', async () => {
     expect(await exchange('one')).toBe('one')
     const answer = once(caller, 'data')
--- a/apps/soak/src/lib/LoopbackProxy.ts
+++ b/packages/rpc/src/lib/harness/LoopbackProxy.ts
@@ -1,6 +1,7 @@
 /**
  * Forwards traffic between two processes and simulates network faults: delay, resets, loss
  * of one direction, or of both. Bytes that a cut holds back arrive once it is healed.
+ * Open connections can also go silent for good, without a reset, while new ones work.
  * Forwards TCP connections and, on the same port, UDP datagrams.
  */
 import { createSocket, type RemoteInfo, type Socket as DatagramSocket } from 'node:dgram'
@@ -22,7 +23,14 @@
 
 const HOST = '127.0.0.1'
 
-type Direction = 'towards' | 'back'
+export type Direction = 'towards' | 'back'
+
+/** A forwarded connection, and the directions in which it carries nothing any more. */
+interface ForwardedConnection {
+  readonly host: string
+  readonly silent: Set<Direction>
+}
+
 interface BufferedChunk { readonly bytes: Buffer | 'end', readonly dueAt: number }
 
 /** Buffer of one direction of a connection. */
@@ -59,6 +67,7 @@
   #timer: NodeJS.Timeout | undefined
   #fault: LinkFault | undefined
   readonly #cutHosts = new Map<string, HostCut>()
+  readonly #connections = new Set<ForwardedConnection>()
   /** Port of the process behind the proxy; undefined before its first start. */
   target: number | undefined
 
@@ -96,6 +105,23 @@
     if (cut === 'reset') this.#resetAllOf(host)
   }
 
+  /**
+   * Silences the connections that are open now, for good and without a reset; new ones work.
+   *
+   * @param directions - directions in which nothing arrives any more
+   * @param host - IP address of the host whose connections are meant; all hosts if absent
+   * @returns number of connections that became silent
+   */
+  silenceOpenConnections (directions: readonly Direction[] = ['towards', 'back'], host?: string): number {
+    let count = 0
+    for (const connection of this.#connections) {
+      if (connection.silent.size > 0 || (host !== undefined && connection.host !== host)) continue
+      for (const direction of directions) connection.silent.add(direction)
+      count += 1
+    }
+    return count
+  }
+
   #resetAllOf (host: string): void {
     for (const socket of this.#sockets) if (socket.remoteAddress === host) socket.resetAndDestroy()
   }
@@ -148,12 +174,15 @@
     const callee = connect({ port: this.target, host: HOST, allowHalfOpen: true, noDelay: true })
     caller.setNoDelay(true)
     this.#track(callee)
-    const isSilenced = (): boolean => this.#cutHosts.get(host) === 'silence'
-    this.#pipe(caller, callee, 'towards', isSilenced)
-    this.#pipe(callee, caller, 'back', isSilenced)
+    const connection: ForwardedConnection = { host, silent: new Set() }
+    this.#connections.add(connection)
+    caller.on('close', () => { this.#connections.delete(connection) })
+    this.#pipe(caller, callee, 'towards', connection)
+    this.#pipe(callee, caller, 'back', connection)
   }
 
-  #pipe (from: Socket, to: Socket, direction: Direction, isSilenced: () => boolean): void {
+  #pipe (from: Socket, to: Socket, direction: Direction, connection: ForwardedConnection): void {
+    const isSilenced = (): boolean => connection.silent.has(direction) || this.#cutHosts.get(connection.host) === 'silence'
     const held = new DirectionBuffer(to, isSilenced)
     this.#buffers.get(direction)?.add(held)
     const push = (bytes: Buffer | 'end'): void => {
@@ -163,7 +192,7 @@
     from.on('data', push)
     from.on('end', () => { push('end') })
     from.on('close', hadError => {
-      if (hadError) to.resetAndDestroy()
+      if (hadError && !connection.silent.has(direction)) to.resetAndDestroy()
     })
     to.on('close', () => { this.#buffers.get(direction)?.delete(held) })
   }
