RPC: a connection that carries nothing any more is replaced, and what was waited for on it goes on

Callers saw 404 and 401 for routes and keys that had been acknowledged up to 5 s before, operators 503 for their reads for 4 s, and endpoints got requests up to 6 s after they were listed as leaving.

Cause: each RpcClient keeps one connection an address, and nothing but the keepalive (2 s and 2 s) decided that it is dead. Every user went around it by itself: watches were opened again, calls sent again, on the same connection.

Now RpcChannel decides for all users: an answer that is overdue for 200 ms, or a message on a watch that a status datagram says is due, has the connection checked by a small call; one without an answer within 200 ms replaces the connection. Calls stay on the old one until their deadline, so that late answers count; repeatable ones are also sent over the new one; watches are opened again at once. A server that is slow answers the check and keeps its connection; one that stands still gets fewer and fewer new ones (the time for the check doubles to 3.2 s). Nothing is sent at rest.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -17,6 +17,7 @@
 import type { ReplicatedService } from '@eelgrassmux/schema/site/siteSchema'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
 import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
+import { reportSilentConnections } from '@eelgrassmux/telemetry/reportSilentConnections'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlServer } from './ControlServer.js'
 import { EndpointListTask, type EndpointSource } from './endpoints/EndpointListTask.js'
@@ -121,7 +122,7 @@
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
   storage.onDiskFull = isFull => { telemetry.logFault('disk-full', { isFull }) }
   const server = new RpcServer()
-  const rpc = new RpcClient()
+  const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
   const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
   const peers = new DatagramClient()
   await peers.bind(settings.host)
--- a/apps/control/src/lib/site/SiteService.ts
+++ b/apps/control/src/lib/site/SiteService.ts
@@ -91,7 +91,7 @@
     if (own.kind !== 'unconfirmed') return own
     const { leader } = own
     if (leader === '') return { kind: 'unconfirmed', cause: wasLeader ? 'no-quorum' : 'no-leader', leader }
-    const answer = await this.rpc.call(leader, readSite, {}, LEADER_CALL_TIMEOUT_MS)
+    const answer = await this.rpc.call(leader, readSite, {}, LEADER_CALL_TIMEOUT_MS, { isRepeatable: true })
     if (!answer.ok) return { kind: 'unconfirmed', cause: `leader-${answer.error.kind}`, leader }
     return answer.value.kind === 'unconfirmed' ? { kind: 'unconfirmed', cause: 'leader-unconfirmed', leader } : answer.value
   }
@@ -108,11 +108,16 @@
   async #propose (command: Command): Promise<CommandOutcome> {
     const own = await this.raft.propose(command)
     if (own.kind !== 'not-leader' || own.leader === '') return toOutcome(own)
-    const answer = await this.rpc.call(own.leader, propose, { command }, LEADER_CALL_TIMEOUT_MS)
+    const answer = await this.rpc.call(own.leader, propose, { command }, LEADER_CALL_TIMEOUT_MS, { isRepeatable: isIdempotent(command) })
     return answer.ok ? toOutcome(answer.value) : { kind: 'unavailable' }
   }
 }
 
+/** An order for a data centre is based on a revision, and the second of two equal ones conflicts with the first. */
+function isIdempotent ({ kind }: Command): boolean {
+  return kind !== 'order-evacuation'
+}
+
 function toOutcome (outcome: ProposeOutcome): CommandOutcome {
   return outcome.kind === 'applied' ? outcome : { kind: 'unavailable' }
 }
--- a/apps/directory/src/lib/DirectoryDaemon.ts
+++ b/apps/directory/src/lib/DirectoryDaemon.ts
@@ -10,6 +10,7 @@
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { reportSilentConnections } from '@eelgrassmux/telemetry/reportSilentConnections'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { DirectoryServer } from './DirectoryServer.js'
@@ -40,7 +41,7 @@
 /** Owns the shards, and a watcher for each engine and store of the configuration. */
 class DirectoryDaemon {
   readonly #clock = new SystemClock()
-  readonly #rpc = new RpcClient()
+  readonly #rpc: RpcClient
   readonly #datagrams = new DatagramClient()
   readonly #server = new RpcServer()
   readonly #residency = new ResidencyIndex()
@@ -48,7 +49,9 @@
   readonly #stores = new Map<string, StoreWatcher>()
   readonly #shards = new Map<number, DirectoryShard>()
 
-  constructor (private readonly settings: DirectorySettings, private readonly telemetry: Telemetry) {}
+  constructor (private readonly settings: DirectorySettings, private readonly telemetry: Telemetry) {
+    this.#rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
+  }
 
   async start (): Promise<RunningDaemon> {
     const { settings, telemetry } = this
--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -8,6 +8,7 @@
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { reportSilentConnections } from '@eelgrassmux/telemetry/reportSilentConnections'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { CallerServer } from './callers/CallerServer.js'
@@ -74,7 +75,7 @@
     balancerLagMs: settings.balancerLagMs,
     graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
   }, telemetry)
-  const rpc = new RpcClient()
+  const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
   const datagrams = new DatagramClient()
   await datagrams.bind(settings.host)
   const peerServer = new RpcServer()
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -12,6 +12,7 @@
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
+import { reportSilentConnections } from '@eelgrassmux/telemetry/reportSilentConnections'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { ControlLink } from '@eelgrassmux/view/ControlLink'
 import { WaitingExchange } from './waiting/WaitingExchange.js'
@@ -83,7 +84,7 @@
     balancerLagMs: settings.balancerLagMs,
     graceMs: settings.stopGraceSeconds * MILLISECONDS_PER_SECOND
   }, telemetry)
-  const rpc = new RpcClient()
+  const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
   const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams to and from control hosts by outcome', 'outcome')
   const datagrams = new DatagramClient(outcome => { datagramOutcomes.count(outcome) })
   await datagrams.bind(settings.host)
--- a/packages/rpc/src/lib/RpcError.ts
+++ b/packages/rpc/src/lib/RpcError.ts
@@ -8,6 +8,8 @@
   /** The server failed while handling the call, or the connection broke. */
   | { readonly kind: 'failed', readonly address: string, readonly detail: string }
   | { readonly kind: 'cancelled', readonly address: string }
+  /** The connection carried nothing any more and was replaced. Only for streams, which can be opened again at once. */
+  | { readonly kind: 'silent', readonly address: string }
 
 /**
  * Converts an error of the gRPC library.
--- a/packages/rpc/src/lib/RpcServer.ts
+++ b/packages/rpc/src/lib/RpcServer.ts
@@ -2,6 +2,7 @@
   Server, ServerCredentials, status as grpcStatus, type handleServerStreamingCall, type handleUnaryCall,
   type ServerWritableStream
 } from '@grpc/grpc-js'
+import { ping } from './methods/ping.js'
 import { decodeMessage, encodeMessage, type RpcMethod } from './RpcMethod.js'
 
 /** Largest message that can be sent or received, in bytes. */
@@ -27,6 +28,10 @@
     'grpc.keepalive_timeout_ms': KEEPALIVE_MS
   })
 
+  constructor () {
+    this.handle(ping, async () => ({}))
+  }
+
   /**
    * Registers a method with one response.
    *
--- a/packages/telemetry/src/lib/events/processChanges.ts
+++ b/packages/telemetry/src/lib/events/processChanges.ts
@@ -23,6 +23,8 @@
   }),
   draining: z.strictObject({}),
   stopped: z.strictObject({}),
+  /** A connection to another host carried nothing any more and was replaced. */
+  'connection-silent': z.strictObject({ address: z.string() }),
   /** Lines about requests were omitted because they exceeded the limit per second; lines about failures are omitted last. */
   'request-lines-left-out': z.strictObject({ count: z.number() }),
   /** Lines were dropped because earlier ones were not read. */
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -231,7 +231,7 @@
     for (let attempt = 0; performance.now() < deadline; attempt += 1) {
       const address = this.#leaderHint ?? this.#controlAddressAt(attempt)
       const remaining = Math.min(PROPOSE_ATTEMPT_TIMEOUT_MS, deadline - performance.now())
-      const response = await this.rpc.call(address, propose, { command }, remaining)
+      const response = await this.rpc.call(address, propose, { command }, remaining, { isRepeatable: true })
       if (response.ok && response.value.kind === 'applied') {
         this.#leaderHint = address
         return succeed(response.value.result)
@@ -279,6 +279,7 @@
     this.#noteConfirmation()
     this.#viewLag.observeStatement(address, appliedView, this.viewRevision, performance.now())
     if (appliedView > this.viewRevision && appliedView > (this.#newerView?.view ?? 0)) this.#newerView = { address, view: appliedView, statedAt: performance.now() }
+    if (appliedView > this.viewRevision && address === this.#watchedAddress) this.rpc.expectMessage(address)
     if (leader !== '') this.#setLeader(leader)
     this.#endpoints.confirm(address, watched, askedAt)
     for (const follower of this.#storedPartsFollowers) follower.confirm(address, watched, askedAt)
@@ -328,6 +329,7 @@
   async #runWatch (): Promise<void> {
     while (!this.#abort.signal.aborted) {
       const address = this.#watchAddress()
+      const isResponseDue = this.#newerView?.address === address
       this.#watchedAddress = address
       this.#watchStartedAt = performance.now()
       this.#newerView = undefined
@@ -335,7 +337,7 @@
       this.#watchRestart = new AbortController()
       const restart = this.#watchRestart
       const signal = AbortSignal.any([restart.signal, this.#abort.signal])
-      await this.rpc.stream(address, watchView, { viewRevision: this.viewRevision }, message => {
+      const error = await this.rpc.stream(address, watchView, { viewRevision: this.viewRevision }, message => {
         const outcome = this.#follower.apply(message, performance.now())
         if (outcome === 'gap') restart.abort()
         if (outcome !== 'advanced') return
@@ -345,7 +347,9 @@
         this.#notifyChangeListeners()
         // Report the new view at once for callers that wait until it is in force on all hosts.
         this.#statusReporter.reportToAll()
-      }, signal)
+      }, signal, { isResponseDue })
+      // Only the connection was at fault, and there is a new one.
+      if (error?.kind === 'silent') continue
       // After a failed watch another host is tried, even if the failed one is the known leader.
       this.#watchFailures = this.#watchFailures === 0 ? 1 : 0
       await sleep(WATCH_RETRY_DELAY_MS)
--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -45,13 +45,13 @@
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
       this.#received = undefined
-      await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
+      return await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
         this.#received = { incarnation, version }
         this.#recordRead(watch, readAgeMs, performance.now())
         if (endpoints === undefined || readAgeMs < 0) return
         this.#endpoints = endpoints
         this.onChange()
-      }, watch.signal)
+      }, watch.signal, { isResponseDue: true })
     })
   }
 
@@ -64,8 +64,11 @@
    */
   confirm (address: string, { incarnation, endpointList, listAgeMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
-    // A newer list will arrive through the watch.
-    if (watch === undefined || this.#received?.incarnation !== incarnation || this.#received.version !== endpointList) return
+    if (watch === undefined) return
+    if (this.#received?.incarnation !== incarnation || this.#received.version !== endpointList) {
+      this.rpc.expectMessage(address)
+      return
+    }
     this.#recordRead(watch, listAgeMs, askedAt)
   }
 
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -56,14 +56,14 @@
       this.#confirmedAt = Number.NEGATIVE_INFINITY
       this.#received = undefined
       this.listener.reset()
-      await this.rpc.stream(address, watchStoredParts, {}, ({ incarnation, version, changes, clockMs }) => {
+      return await this.rpc.stream(address, watchStoredParts, {}, ({ incarnation, version, changes, clockMs }) => {
         watch.markAlive()
         const now = performance.now()
         this.#confirmedAt = now
         this.#received = { incarnation, version }
         if (clockMs !== undefined) this.#clockOffsetMs = clockMs - now
         for (const change of changes) this.listener.apply(change)
-      }, watch.signal)
+      }, watch.signal, { isResponseDue: true })
     })
   }
 
@@ -76,7 +76,11 @@
    */
   confirm (address: string, { incarnation, storedParts, storeClockMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
-    if (watch === undefined || this.#received?.incarnation !== incarnation || this.#received.version !== storedParts) return
+    if (watch === undefined) return
+    if (this.#received?.incarnation !== incarnation || this.#received.version !== storedParts) {
+      this.rpc.expectMessage(address)
+      return
+    }
     watch.markAlive()
     this.#confirmedAt = Math.max(this.#confirmedAt, askedAt)
     if (storeClockMs !== undefined) this.#clockOffsetMs = storeClockMs - performance.now()
--- a/packages/view/src/lib/WatchRotation.ts
+++ b/packages/view/src/lib/WatchRotation.ts
@@ -1,5 +1,6 @@
 /** Keeps one watch open and switches to another control host whenever the current one fails or becomes silent. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { RpcError } from '@eelgrassmux/rpc/RpcError'
 
 /** Silence after which another control host is watched, in milliseconds; a healthy one responds to status reports twice a second. */
 const SILENCE_TIMEOUT_MS = 1200
@@ -22,6 +23,8 @@
   leave (): void
 }
 
+type OpenAt = (address: string, watch: OpenWatch) => Promise<RpcError | undefined>
+
 /** Opens watches at the candidates in turn until stopped. */
 export class WatchRotation {
   #attempt = 0
@@ -40,21 +43,21 @@
 
   /**
    * @param signal - stops the rotation
-   * @param open - opens a watch; the promise resolves when the watch has ended
+   * @param open - opens a watch; the promise resolves when the watch has ended, with the error that broke it
    */
-  async run (signal: AbortSignal, open: (address: string, watch: OpenWatch) => Promise<void>): Promise<void> {
+  async run (signal: AbortSignal, open: OpenAt): Promise<void> {
     while (!signal.aborted) {
       const candidates = this.candidates()
       const startedAt = performance.now()
-      await this.#openWatch(candidates[this.#attempt % candidates.length] ?? '', signal, startedAt, open)
+      const error = await this.#openWatch(candidates[this.#attempt % candidates.length] ?? '', signal, startedAt, open)
+      // Only the connection was at fault, and there is a new one.
+      if (error?.kind === 'silent') continue
       this.#attempt = performance.now() - startedAt > STABLE_WATCH_MS ? 0 : this.#attempt + 1
       await sleep(RETRY_DELAY_MS)
     }
   }
 
-  async #openWatch (
-    address: string, signal: AbortSignal, startedAt: number, open: (address: string, watch: OpenWatch) => Promise<void>
-  ): Promise<void> {
+  async #openWatch (address: string, signal: AbortSignal, startedAt: number, open: OpenAt): Promise<RpcError | undefined> {
     const leaveController = new AbortController()
     const leave = (): void => { leaveController.abort() }
     let timer = setTimeout(leave, SILENCE_TIMEOUT_MS)
@@ -64,8 +67,9 @@
     }
     const watch: OpenWatch = { signal: AbortSignal.any([signal, leaveController.signal]), startedAt, markAlive, leave }
     this.#open = { address, watch }
-    await open(address, watch)
+    const error = await open(address, watch)
     this.#open = undefined
     clearTimeout(timer)
+    return error
   }
 }
