Entry hosts that may be behind do not refuse what a newer site may allow

Callers saw 404 and 401 for a route and keys that had been acknowledged, from hosts that knew by datagram that there was a newer view (viewsBehind 1 in their refusals), or that no majority had confirmed for seconds. A 404 ends the call for good; a caller that is told to try again gets its answer at another host.

A host whose view is confirmed refuses at once, as before.

--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -46,6 +46,8 @@
   readonly waiting?: Pick<RoutedServerPorts, 'waiting' | 'reservations'>
   /** Other hosts, and checks of the requests that they relay. */
   readonly relays?: RoutedServerPorts['relays']
+  /** How far the host is behind the newest view; never by default. */
+  readonly viewLag?: NonNullable<RoutedServerPorts['viewLag']>
   /** Origins of streams; by default those of this host alone are known. */
   readonly streams?: StreamDirectoryClient
   /** Number of hosts that are alive; 1 by default. */
@@ -108,6 +110,7 @@
       quarantine,
       budget,
       ...(relays === undefined ? {} : { relays }),
+      ...(options.viewLag === undefined ? {} : { viewLag: options.viewLag }),
       ...(sharedRetryTokens === undefined ? {} : { sharedRetryTokens: () => sharedRetryTokens }),
       liveHosts: () => options.liveHosts ?? 1,
       regions: new Map(),
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -16,6 +16,8 @@
 /** Decisions of an entry host about a routed request. */
 export const requestDecisions = {
   'waits-for-site': z.strictObject({ areEndpointsKnown: z.boolean(), isLoadKnown: z.boolean(), waiting: z.number() }),
+  /** The site in force does not allow the request, and the host knows of a newer view. */
+  'waits-for-view': z.strictObject({ reason: z.string(), viewsBehind: z.number(), viewBehindMs: z.number(), waiting: z.number() }),
   'waits-for-room': z.strictObject({ endpoint: z.string(), memoryShare: z.number(), tokensHeld: z.number(), tokensAhead: z.number(), delayedStreams: z.number().optional() }),
   /** Joined the queue of all hosts. */
   'waits-in-order': z.strictObject({ kind: z.string(), urgency: z.number(), tokens: z.number(), candidates: z.number(), waiting: z.number() }),
