Streams: a host asks what began a stream even if its own list is recent and shows one version

Callers' streams held events of two software versions: endpoints of a new version joined while all old ones were listed as leaving, streams began at the new version at once through hosts in touch, broke off, and were taken up at a host whose list was up to 2 s old and showed the old version alone. With no host out of touch they went on nowhere for seconds (503, none-of-software).

Cause: that new versions get no streams for 4 s holds only while others can take them, and the host that takes a stream up cannot see whether that is so. Now it asks the control hosts, and goes on nowhere without a majority; a version counts as used as soon as a stream is known to have begun there, and the first streams of a new version are reported at once.

--- a/apps/bench/src/lib/prove/worlds/StreamVersionWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/StreamVersionWorld.ts
@@ -1,10 +1,12 @@
 /**
  * Streams begin at endpoints with several software versions, and break off with their hosts, endpoints or connections.
  * Their callers take them up at other hosts, whose lists lag and which find out at the control hosts what began them.
+ * Releases replace endpoints one after the other, or list all old ones as leaving at the moment at which the new ones join.
  * Hosts are killed alone and together, cut off and frozen; control hosts are restarted and replaced by empty ones.
  * Checks that no stream goes on at another version, and that those taken up at hosts in touch do go on.
  */
 import { chooseOriginHolders } from '@eelgrassmux/routing/streams/chooseOriginHolders'
+import { OriginRecords } from '@eelgrassmux/routing/streams/OriginRecords'
 import { OriginSearch } from '@eelgrassmux/routing/streams/OriginSearch'
 import { MAX_LIST_SKEW_MS, PossibleOrigins } from '@eelgrassmux/routing/streams/PossibleOrigins'
 import { RecentStreams } from '@eelgrassmux/routing/streams/RecentStreams'
@@ -68,6 +70,14 @@
 /** Time without faults from which a host and the control hosts count as in touch, in milliseconds. */
 const STABLE_MS = 3000
 
+/** Share of releases in which all endpoints are replaced at the same moment, and time for which the old ones are still listed, in milliseconds. */
+const WHOLE_RELEASE_SHARE = 0.4
+const LEAVING_MS = 3000
+
+/** Share of runs whose first release begins late, so that hosts have seen a single version for longer than streams last, and the longest delay, in milliseconds. */
+const LATE_RELEASE_SHARE = 0.5
+const MAX_LATE_MS = 8000
+
 /** Streams from which the share of those that go on is checked, and the least share. */
 const MIN_JUDGED_STREAMS = 12
 const MIN_RESUMED_SHARE = 0.5
@@ -79,6 +89,8 @@
   readonly id: number
   readonly service: string
   readonly software: string
+  /** Whether the endpoint takes no new streams. */
+  readonly isLeaving: boolean
 }
 
 /** The endpoint list as some host has it. */
@@ -86,16 +98,16 @@
   endpoints: readonly SimulatedEndpoint[]
   /** When the platform stated the list. */
   readAt: number
-  possible: PossibleOrigins
 }
 
 interface SimulatedControlHost extends KnownList {
   readonly address: string
-  origins: StreamOrigins
+  readonly records: OriginRecords
 }
 
 interface SimulatedHost extends KnownList {
   readonly name: string
+  possible: PossibleOrigins
   origins: StreamOrigins
   recent: RecentStreams
   isReporting: boolean
@@ -129,6 +141,8 @@
   #outageUntil = 0
   #controlFaultAt = Number.NEGATIVE_INFINITY
   #created = 0
+  #release = 0
+  #isWhole = false
   #judged = 0
   #resumed = 0
 
@@ -161,7 +175,7 @@
 
   async run (): Promise<void> {
     this.simulation.schedule(WARM_UP_MS, () => { this.#streamLoop() })
-    this.#releaseLoop(2)
+    this.simulation.schedule(this.simulation.chance(LATE_RELEASE_SHARE) ? WARM_UP_MS + this.simulation.random() * MAX_LATE_MS : 0, () => { this.#releaseLoop(2) })
     this.#faultLoop()
     for (const control of this.#control.values()) this.#readLoop(control)
     for (const host of this.#hosts) this.#followLoop(host)
@@ -178,14 +192,14 @@
 
   #addControlHost (): SimulatedControlHost {
     const address = this.#newId('control')
-    const control = { address, origins: new StreamOrigins(), endpoints: [], readAt: Number.NEGATIVE_INFINITY, possible: new PossibleOrigins() }
+    const control = { address, records: new OriginRecords(), endpoints: [], readAt: Number.NEGATIVE_INFINITY }
     this.#control.set(address, control)
     return control
   }
 
   #newEndpoint (release: number): SimulatedEndpoint {
     this.#created += 1
-    return { id: this.#created, service: SERVICE, software: `v${release}` }
+    return { id: this.#created, service: SERVICE, software: `v${release}`, isLeaving: false }
   }
 
   // --- Lists ---
@@ -198,7 +212,10 @@
       const now = this.simulation.now()
       if (now < this.#outageUntil) return
       const stated = this.#stated.findLast(({ from }) => from <= now)
-      if (stated !== undefined) this.#observe(control, stated.endpoints, now)
+      if (stated === undefined) return
+      control.endpoints = stated.endpoints
+      control.readAt = now
+      control.records.observe(SITE, stated.endpoints, now)
     })
   }
 
@@ -211,17 +228,15 @@
       const isStale = now - host.readAt > MAX_LIST_SKEW_MS
       if (!this.#control.has(host.watched) || isStale) host.watched = this.simulation.pickFrom([...this.#control.keys()])
       const control = this.#control.get(host.watched)
-      if (control !== undefined && control.readAt > host.readAt) this.#observe(host, control.endpoints, control.readAt)
+      if (control !== undefined && control.readAt > host.readAt) {
+        host.endpoints = control.endpoints
+        host.readAt = control.readAt
+        host.possible.observe(SITE, control.endpoints, now)
+      }
       this.#scheduleReport(host)
     })
   }
 
-  #observe (known: KnownList, endpoints: readonly SimulatedEndpoint[], readAt: number): void {
-    known.endpoints = endpoints
-    known.readAt = readAt
-    known.possible.observe(SITE, endpoints, this.simulation.now())
-  }
-
   #isRecent ({ readAt }: KnownList): boolean {
     return this.simulation.now() - readAt <= MAX_LIST_SKEW_MS
   }
@@ -238,8 +253,9 @@
 
   #begin (host: SimulatedHost): void {
     const avoided = host.possible.newVersionsOf(SERVICE, this.simulation.now())
-    const usual = host.endpoints.filter(({ software }) => avoided?.has(software) !== true)
-    const usable = usual.length > 0 ? usual : host.endpoints
+    const open = host.endpoints.filter(({ isLeaving }) => !isLeaving)
+    const usual = open.filter(({ software }) => avoided?.has(software) !== true)
+    const usable = usual.length > 0 ? usual : open
     if (usable.length === 0) return
     const stream: SimulatedStream = { id: this.#newId('stream'), host, software: this.simulation.pickFrom(usable).software, isOver: false }
     this.#streams.add(stream)
@@ -255,7 +271,9 @@
     const started = { id, origin: { service: SERVICE, software }, keepMs: KEEP_MS }
     host.origins.record(started, this.simulation.now())
     host.recent.add(ROUTE, started, this.simulation.now())
-    this.#scheduleReport(host)
+    host.possible.noteBegun(started.origin, this.simulation.now())
+    if (host.possible.hasSeveral(ROUTE) && host.possible.newVersionsOf(SERVICE, this.simulation.now())?.has(software) === true) this.#report(host)
+    else this.#scheduleReport(host)
   }
 
   #scheduleReport (host: SimulatedHost): void {
@@ -271,7 +289,7 @@
     if (this.broken === 'taken-up-streams-go-on' || streams.length === 0) return
     for (const address of chooseOriginHolders(host.name, host.controlHosts)) {
       this.simulation.send(host.name, address, () => {
-        for (const stream of streams) this.#control.get(address)?.origins.record(stream, this.simulation.now())
+        this.#control.get(address)?.records.record({ streams }, this.simulation.now())
       })
     }
   }
@@ -307,9 +325,7 @@
     const known = host.origins.find(stream.id, now)
     const view = { possible: host.possible.begunBy(ROUTE, now), isRecent: this.#isRecent(host), observedMs: host.possible.observedMs(now) }
     const goOn = (origin: StreamOrigin | undefined): void => { done(this.#goOn(host, stream, origin)) }
-    const [sole, ...others] = view.possible
     if (known !== undefined) goOn(known)
-    else if (sole !== undefined && others.length === 0 && view.isRecent && view.observedMs >= KEEP_MS) goOn(sole)
     else this.#search(host, stream.id, new OriginSearch(view, KEEP_MS, host.controlHosts.length, now), goOn)
   }
 
@@ -335,7 +351,7 @@
     const control = this.#control.get(address)
     if (control === undefined) return undefined
     const now = this.simulation.now()
-    return { origin: control.origins.find(id, now), possible: [...control.possible.begunBy(ROUTE, now)], isRecent: this.#isRecent(control), observedMs: control.possible.observedMs(now) }
+    return control.records.answer({ id, route: ROUTE }, { isRecent: this.#isRecent(control), followedMs: Number.POSITIVE_INFINITY }, now)
   }
 
   #goOn (host: SimulatedHost, stream: SimulatedStream, origin: StreamOrigin | undefined): boolean {
@@ -360,7 +376,7 @@
   }
 
   #isOwed ({ software }: SimulatedStream): boolean {
-    return this.#endpoints.filter(endpoint => endpoint.software === software).length >= MIN_ENDPOINTS_OF_VERSION
+    return this.#endpoints.filter(endpoint => endpoint.software === software && !endpoint.isLeaving).length >= MIN_ENDPOINTS_OF_VERSION
   }
 
   // --- Releases and faults ---
@@ -368,14 +384,33 @@
   /** Replaces endpoints one after the other by those of the next version, then pauses. */
   #releaseLoop (release: number): void {
     this.simulation.schedule(MAX_RELEASE_STEP_MS * this.simulation.random(), () => {
-      this.#endpoints = [...this.#endpoints.slice(1), this.#newEndpoint(release)]
-      this.#stated.push({ from: this.simulation.now() + PLATFORM_LAG_MS * this.simulation.random(), endpoints: this.#endpoints })
-      this.#stated.sort((left, right) => left.from - right.from)
+      if (release !== this.#release) {
+        this.#release = release
+        this.#isWhole = this.simulation.chance(WHOLE_RELEASE_SHARE)
+      }
+      if (this.#isWhole) return this.#replaceAll(release)
+      this.#list([...this.#endpoints.slice(1), this.#newEndpoint(release)])
       if (!this.#endpoints.every(({ software }) => software === `v${release}`)) return this.#releaseLoop(release)
       this.simulation.schedule(this.simulation.random() * MAX_RELEASE_PAUSE_MS, () => { this.#releaseLoop(release + 1) })
     })
   }
 
+  /** Lists all endpoints as leaving while as many of the next version join, and removes them some seconds later. */
+  #replaceAll (release: number): void {
+    const joining = this.#endpoints.map(() => this.#newEndpoint(release))
+    this.#list([...this.#endpoints.map(endpoint => ({ ...endpoint, isLeaving: true })), ...joining])
+    this.simulation.schedule(LEAVING_MS, () => {
+      this.#list(joining)
+      this.simulation.schedule(this.simulation.random() * MAX_RELEASE_PAUSE_MS, () => { this.#releaseLoop(release + 1) })
+    })
+  }
+
+  #list (endpoints: readonly SimulatedEndpoint[]): void {
+    this.#endpoints = endpoints
+    this.#stated.push({ from: this.simulation.now() + PLATFORM_LAG_MS * this.simulation.random(), endpoints })
+    this.#stated.sort((left, right) => left.from - right.from)
+  }
+
   #faultLoop (): void {
     this.simulation.schedule(100 + this.simulation.random() * 700, () => {
       this.#faultLoop()
@@ -427,7 +462,7 @@
     this.#controlFaultAt = this.simulation.now()
     for (let restarts = this.simulation.pick(2); restarts >= 0; restarts -= 1) {
       const { address } = this.simulation.pickFrom([...this.#control.values()])
-      const restarted = { address, origins: new StreamOrigins(), endpoints: [], readAt: Number.NEGATIVE_INFINITY, possible: new PossibleOrigins() }
+      const restarted = { address, records: new OriginRecords(), endpoints: [], readAt: Number.NEGATIVE_INFINITY }
       this.#control.set(address, restarted)
       this.#readLoop(restarted)
     }
--- a/apps/control/src/lib/streams/StreamOriginTask.ts
+++ b/apps/control/src/lib/streams/StreamOriginTask.ts
@@ -1,7 +1,7 @@
 /** Keeps the origins of streams that entry hosts report, in memory, and answers questions about them. */
-import { MAX_LIST_SKEW_MS, PossibleOrigins } from '@eelgrassmux/routing/streams/PossibleOrigins'
-import { StreamOrigins } from '@eelgrassmux/routing/streams/StreamOrigins'
-import type { OriginAnswer } from '@eelgrassmux/routing/streams/streamOrigin'
+import { OriginRecords } from '@eelgrassmux/routing/streams/OriginRecords'
+import { MAX_LIST_SKEW_MS } from '@eelgrassmux/routing/streams/PossibleOrigins'
+import type { OriginAnswer, OriginQuestion } from '@eelgrassmux/routing/streams/streamOrigin'
 import type { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { findOrigin, recordStreams } from '@eelgrassmux/rpc/methods/streamMethods'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
@@ -22,31 +22,29 @@
 
 /** Holder of stream origins. Each control host keeps its own; they do not exchange them. */
 export class StreamOriginTask {
-  readonly #origins = new StreamOrigins()
-  readonly #possible = new PossibleOrigins()
+  readonly #records = new OriginRecords()
   readonly #questions: LabelledCounter
   #site: Site | undefined
 
   /** @param ports - dependencies */
   constructor (private readonly ports: StreamOriginPorts) {
-    ports.telemetry.gauge('stream_origins', 'Streams whose origin this control host keeps', () => this.#origins.size)
+    ports.telemetry.gauge('stream_origins', 'Streams whose origin this control host keeps', () => this.#records.size)
     this.#questions = ports.telemetry.labelledCounter('stream_origin_questions_total', 'Questions of entry hosts about streams by outcome', 'outcome')
   }
 
   /** @param datagrams - datagram server on which to register the methods */
   register (datagrams: DatagramServer): void {
-    datagrams.handle(recordStreams, ({ streams }) => {
-      const now = performance.now()
-      for (const stream of streams) this.#origins.record(stream, now)
+    datagrams.handle(recordStreams, report => {
+      this.#records.record(report, performance.now())
       return undefined
     })
-    datagrams.handle(findOrigin, ({ id, route }) => this.#answer(id, route))
+    datagrams.handle(findOrigin, question => this.#answer(question))
   }
 
   /** Must be called whenever the list has changed. */
   listChanged (): void {
     const site = this.ports.site()
-    if (site !== undefined) this.#possible.observe(site, this.ports.endpoints(), performance.now())
+    if (site !== undefined) this.#records.observe(site, this.ports.endpoints(), performance.now())
   }
 
   /** Must be called whenever the site may have changed. */
@@ -57,13 +55,11 @@
     this.listChanged()
   }
 
-  #answer (id: string, route: string): OriginAnswer {
+  #answer (question: OriginQuestion): OriginAnswer {
     const now = performance.now()
-    const origin = this.#origins.find(id, now)
-    this.#questions.count(origin === undefined ? 'unknown' : 'known')
     const listAgeMs = this.ports.listAgeMs(now)
-    const isRecent = listAgeMs >= 0 && listAgeMs <= MAX_LIST_SKEW_MS
-    const view = { possible: [...this.#possible.begunBy(route, now)], isRecent, observedMs: Math.min(this.#possible.observedMs(now), this.ports.followedMs(now)) }
-    return origin === undefined ? view : { origin, ...view }
+    const answer = this.#records.answer(question, { isRecent: listAgeMs >= 0 && listAgeMs <= MAX_LIST_SKEW_MS, followedMs: this.ports.followedMs(now) }, now)
+    this.#questions.count(answer.origin === undefined ? 'unknown' : 'known')
+    return answer
   }
 }
--- a/apps/entry/src/lib/routed/harness/LinkedHosts.ts
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -2,12 +2,14 @@
 import { randomUUID } from 'node:crypto'
 import { LoadAggregator } from '@eelgrassmux/routing/load/LoadAggregator'
 import { RelayTickets } from '@eelgrassmux/routing/reachability/RelayTickets'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { RelayHosts, type RelayDirectory } from '../../relays/RelayHosts.js'
 import { RelayTicketChecks } from '../../relays/RelayTicketChecks.js'
 import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
 import { OriginHolders } from './OriginHolders.js'
 import type { FakeEndpoint } from './FakeEndpoint.js'
+import { TEST_SITE } from './testSite.js'
 import { RoutedHost, type RoutedHostOptions } from './RoutedHost.js'
 
 /** Interval at which the hosts exchange their load, in milliseconds. */
@@ -21,6 +23,7 @@
   readonly hosts: readonly RoutedHost[]
   /** Control hosts that keep the origins of streams. */
   readonly origins = new OriginHolders(CONTROL_HOSTS)
+  private readonly site: Site
   readonly #loads = new LoadAggregator()
   readonly #tickets = new RelayTickets(randomUUID)
   #sequence = 0
@@ -32,6 +35,7 @@
    * @param options - options of all hosts
    */
   constructor (count: number, private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
+    this.site = options.site ?? TEST_SITE
     this.hosts = Array.from({ length: count }, (_, number) => {
       const directory = this.#directoryOf(number)
       const streams = new StreamDirectoryClient(`host-${number}`, this.origins, new Telemetry('test'))
@@ -40,6 +44,7 @@
   }
 
   async start (): Promise<void> {
+    this.origins.configure(this.site)
     const listed = await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
     for (const host of this.hosts) await host.start(listed)
     this.#timer = setInterval(() => { this.#exchangeLoads() }, LOAD_EXCHANGE_INTERVAL_MS)
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -97,7 +97,7 @@
     this.#site = site
     this.#models = models
     this.stop = new GracefulShutdown(work, { balancerLagMs: BALANCER_LAG_MS, graceMs }, this.telemetry)
-    this.streams = options.streams ?? new StreamDirectoryClient('test', new OriginHolders(0), this.telemetry)
+    this.streams = options.streams ?? new StreamDirectoryClient('test', new OriginHolders(1), this.telemetry)
     this.server = new RoutedServer({
       ...waiting,
       streams: this.streams,
--- a/apps/entry/src/lib/routed/softwareVersions.test.ts
+++ b/apps/entry/src/lib/routed/softwareVersions.test.ts
@@ -7,6 +7,7 @@
 import { FakeEndpoint, resetConnection, type Behaviour } from './harness/FakeEndpoint.js'
 import { LinkedHosts } from './harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
+import { TEST_SITE, testRoute } from './harness/testSite.js'
 import { RoutedHost, type CallerOutcome, type RoutedHostOptions } from './harness/RoutedHost.js'
 
 /** Time limit of a response, in milliseconds; callers disconnect after two seconds without an event. */
@@ -172,6 +173,52 @@
     expect(endpoints.flatMap(({ receivedRequests }) => receivedRequests)).toEqual([])
   }, RESPONSE_TIMEOUT_MS)
 
+  describe('that is replaced as a whole', () => {
+    const LIFETIME_MS = 400
+    const site = { ...TEST_SITE, routes: [testRoute('/resumable/', { kind: 'stream', isResumable: true, timeoutMs: LIFETIME_MS })] }
+    let newcomers: FakeEndpoint[]
+
+    /** Starts two hosts that have followed one version for longer than streams last, then lists a new version in place of it at the given ones. */
+    async function replaceVersion (informed: (hosts: readonly RoutedHost[]) => readonly RoutedHost[]): Promise<readonly RoutedHost[]> {
+      linked = new LinkedHosts(2, [0, 1, 2].map(number => new FakeEndpoint(`old${number}`, breaksOff('v1'), 'v1')), { ...OPTIONS, site })
+      await linked.start()
+      await sleep(LIFETIME_MS + EXCHANGE_MS)
+      newcomers = [0, 1, 2].map(number => new FakeEndpoint(`new${number}`, breaksOff('v2'), 'v2'))
+      const listed = await Promise.all(newcomers.map(async endpoint => await endpoint.listen()))
+      const { hosts } = linked
+      const leaving = hosts[0]?.fleet.endpointsOf('app').map(endpoint => ({ ...endpoint.listed, isLeaving: true })) ?? []
+      for (const host of informed(hosts)) host.list([...leaving, ...listed])
+      return hosts
+    }
+
+    afterEach(() => { for (const endpoint of newcomers) endpoint.close() })
+
+    /** Begins streams at the first host and takes them up at the second at once; returns the versions that wrote the rest of each, with the status. */
+    async function takeUpElsewhere ([first, second]: readonly RoutedHost[], isNamed: boolean): Promise<Array<{ status: number, versions: string[] }>> {
+      if (first === undefined || second === undefined) throw new Error('two hosts were started')
+      return await Promise.all(Array.from({ length: STREAMS }, async (_, number) => {
+        const id = `r${number}`
+        await first.sendRequest('/resumable/', () => {}, { [PLAIN_HEADERS.id]: id })
+        const { status, body } = await second.sendRequest('/resumable/', () => {}, { [PLAIN_HEADERS.id]: `${id}-again`, [PLAIN_HEADERS.lastEvent]: '1', ...isNamed ? { [PLAIN_HEADERS.resumes]: id } : {} })
+        return { status, versions: status === 200 ? [...versionsIn(body)] : [] }
+      }))
+    }
+
+    // Guards against a host whose recent list does not show a version yet that others have begun streams at.
+    it.each([['with', true], ['without', false]] as const)('do not go on at the old version at a host with an older list, %s their name', async (_case, isNamed) => {
+      const hosts = await replaceVersion(([first]) => first === undefined ? [] : [first])
+      const outcomes = await takeUpElsewhere(hosts, isNamed)
+      expect(outcomes).toEqual(outcomes.map(() => ({ status: 503, versions: [] })))
+    }, RESPONSE_TIMEOUT_MS)
+
+    // Guards against streams that go on nowhere in the first seconds of the version that began them.
+    it('go on at the new version at once at a host that lists it', async () => {
+      const hosts = await replaceVersion(all => all)
+      const outcomes = await takeUpElsewhere(hosts, true)
+      expect(outcomes).toEqual(outcomes.map(() => ({ status: 200, versions: ['v2'] })))
+    }, RESPONSE_TIMEOUT_MS)
+  })
+
   /** Begins a stream and returns the version that began it. */
   async function firstEventOf (serving: RoutedHost, id: string): Promise<string> {
     const { body } = await beginStream(serving, id)
--- a/apps/entry/src/lib/streams/StreamDirectoryClient.ts
+++ b/apps/entry/src/lib/streams/StreamDirectoryClient.ts
@@ -81,26 +81,27 @@
     const stream = { id, origin, keepMs: Math.min(MAX_KEPT_MS, Math.max(0, keepMs)) }
     this.#origins.record(stream, now)
     this.#recent.add(route, stream, now)
-    if (this.#possible.hasSeveral(route)) this.#scheduleReport()
+    this.#possible.noteBegun(origin, now)
+    if (!this.#possible.hasSeveral(route)) return
+    // Other hosts may not list the version yet; they find out from the control hosts that it has begun streams.
+    if (this.newVersionsOf(origin.service)?.has(origin.software) === true) this.#report()
+    else this.#scheduleReport()
   }
 
   find ({ id, route, maxAgeMs }: TakenUpStream, done: Listener): void {
     const now = performance.now()
     const known = id === undefined ? undefined : this.#origins.find(id, now)
     const possible = this.#possible.begunBy(route, now)
-    const isRecent = this.ports.listAgeMs(now) <= MAX_LIST_SKEW_MS
-    const observedMs = this.#possible.observedMs(now)
-    const [sole, ...others] = possible
     if (known !== undefined) {
       this.#outcomes.count('this-host')
       done(known)
-    } else if (sole !== undefined && others.length === 0 && isRecent && observedMs >= maxAgeMs) {
-      this.#outcomes.count('sole-version')
-      done(sole)
-    } else if (id === undefined && others.length > 0) {
+    } else if (id === undefined && possible.length > 1) {
       this.#outcomes.count('nowhere')
       done(undefined)
     } else {
+      // Even a recent list that shows one version does not tell what hosts with a newer list have begun.
+      const isRecent = this.ports.listAgeMs(now) <= MAX_LIST_SKEW_MS
+      const observedMs = this.#possible.observedMs(now)
       const search = new OriginSearch({ possible, isRecent, observedMs }, maxAgeMs, this.ports.controlHosts().length, now)
       this.#search({ id, key: id === undefined ? `route ${maxAgeMs} ${route}` : `stream ${id}`, route, search, listeners: [done], timer: undefined })
     }
--- a/packages/routing/src/lib/streams/OriginSearch.ts
+++ b/packages/routing/src/lib/streams/OriginSearch.ts
@@ -43,7 +43,7 @@
    * @param controlHosts - number of control hosts
    * @param startedAt - start of the search, in monotonic milliseconds
    */
-  constructor (private readonly own: OwnView, private readonly maxAgeMs: number, private readonly controlHosts: number, private readonly startedAt: number) {
+  constructor (own: OwnView, private readonly maxAgeMs: number, private readonly controlHosts: number, private readonly startedAt: number) {
     this.#hasRecentList = own.isRecent
     this.#observedMs = own.observedMs
     this.#possible = new Map(own.possible.map(origin => [originKey(origin), origin]))
@@ -73,8 +73,9 @@
     const isSole = sole !== undefined && others.length === 0 && this.#observedMs >= this.maxAgeMs
     if (isSole && hasMajority && this.#hasRecentList) return { kind: 'found', origin: sole, isSole }
     const endsAt = this.startedAt + MAX_SEARCH_MS
-    // If nobody can read the list, no host has found out about another version either.
-    if (now >= endsAt) return isSole && (hasMajority || this.own.isRecent) ? { kind: 'found', origin: sole, isSole } : { kind: 'unknown' }
+    // If nobody can read the list, no host has found out about another version either. A host that reaches no majority does not
+    // know what others have found out, however recent its own list is.
+    if (now >= endsAt) return isSole && hasMajority ? { kind: 'found', origin: sole, isSole } : { kind: 'unknown' }
     const nextRoundAt = this.#askedAt + ROUND_INTERVAL_MS
     if (now < nextRoundAt) return { kind: 'wait', until: Math.min(endsAt, nextRoundAt) }
     this.#askedAt = now
--- a/packages/routing/src/lib/streams/PossibleOrigins.ts
+++ b/packages/routing/src/lib/streams/PossibleOrigins.ts
@@ -18,7 +18,7 @@
 export const MAX_LIST_SKEW_MS = 2000
 
 /** What is used of a route. */
-type StreamRoute = Pick<Route, 'name' | 'isResumable' | 'targets'>
+export type StreamRoute = Pick<Route, 'name' | 'isResumable' | 'targets'>
 
 /** What is used of an endpoint. */
 type StreamEndpoint = Pick<ListedEndpoint, 'service' | 'software'>
@@ -35,6 +35,10 @@
 /** Origins by route. */
 export class PossibleOrigins {
   readonly #byRoute = new Map<string, Map<string, SeenOrigin>>()
+  /** Services that each route leads to. */
+  readonly #services = new Map<string, ReadonlySet<string>>()
+  /** Origins at which streams are known to have begun, and when the last one did. */
+  readonly #begun = new Map<string, { readonly origin: StreamOrigin, readonly at: number }>()
   /** When each version was added to a service that had others. */
   readonly #addedAt = new Map<string, Map<string | undefined, number>>()
   #versions: ReadonlyMap<string, Versions> = new Map()
@@ -49,6 +53,8 @@
    * @param now - monotonic milliseconds
    */
   observe (site: { readonly routes: readonly StreamRoute[] }, listed: readonly StreamEndpoint[], now: number): void {
+    this.#services.clear()
+    for (const { name, targets } of site.routes) this.#services.set(name, new Set(targets.map(({ service }) => service)))
     if (listed.length === 0) return
     const isFirst = this.#startedAt === undefined
     this.#startedAt ??= now
@@ -73,16 +79,33 @@
     return (this.#byRoute.get(route)?.size ?? 0) > 1
   }
 
+  /**
+   * @param origin - origin of a stream that is known to have begun, at any host
+   * @param now - monotonic milliseconds
+   */
+  noteBegun (origin: StreamOrigin, now: number): void {
+    this.#begun.set(originKey(origin), { origin, at: now })
+  }
+
   /**
    * @param route - route name
    * @param now - monotonic milliseconds
-   * @returns what may have begun streams of the route by now, at any host in touch
+   * @returns what may have begun streams of the route by now: what hosts in touch use, and what is known to have begun any
    */
   begunBy (route: string, now: number): readonly StreamOrigin[] {
-    const seen = [...this.#byRoute.get(route)?.values() ?? []]
     const isUsed = ({ origin: { service, software }, firstSeenAt }: SeenOrigin): boolean =>
       now - firstSeenAt >= MAX_LIST_SKEW_MS || this.newVersionsOf(service, now)?.has(software) !== true
-    return seen.filter(isUsed).map(({ origin }) => origin)
+    const used = [...this.#byRoute.get(route) ?? []].filter(([, seen]) => isUsed(seen)).map(([key, { origin }]) => [key, origin] as const)
+    return [...new Map([...used, ...this.#begunAt(this.#services.get(route) ?? new Set(), now)]).values()]
+  }
+
+  #begunAt (services: ReadonlySet<string>, now: number): Array<readonly [string, StreamOrigin]> {
+    const begun: Array<readonly [string, StreamOrigin]> = []
+    for (const [key, { origin, at }] of this.#begun) {
+      if (now - at >= POSSIBLE_MS) this.#begun.delete(key)
+      else if (services.has(origin.service)) begun.push([key, origin])
+    }
+    return begun
   }
 
   /**
--- a/packages/routing/src/lib/streams/streamOrigin.ts
+++ b/packages/routing/src/lib/streams/streamOrigin.ts
@@ -57,6 +57,9 @@
 /** A stream that has begun. */
 export type StartedStream = StartedStreams['streams'][number]
 
+/** Question of an entry host about one stream. */
+export type OriginQuestion = z.infer<typeof originQuestionSchema>
+
 /** Answer of a control host about one stream. */
 export type OriginAnswer = z.infer<typeof originAnswerSchema>
 
