--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,19 +1,21 @@
 /** Process settings: one schema defines the flags, environment variables, validation and types. */
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 
 /** Prefix of all environment variables. */
 export const ENVIRONMENT_PREFIX = 'EELGRASSMUX_'
 
-const address = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
+const PORT_PATTERN = /^\d{1,5}$/
+const MAX_PORT = 65_535
 
 /** An IP address and a port. */
-export const addressSetting = z.string().regex(address, 'must be an IP address and a port, such as 10.0.0.5:8000')
+export const addressSetting = z.string().refine(isAddress, 'must be an IP address and a port, such as 10.0.0.5:8000')
 
 /** Addresses separated by commas. */
 export const addressListSetting = z.string().transform((text, context) => {
   const addresses = text.split(',').map(part => part.trim()).filter(part => part !== '')
   for (const part of addresses) {
-    if (!address.test(part)) context.addIssue({ code: 'custom', message: `${part} is not an IP address and a port` })
+    if (!isAddress(part)) context.addIssue({ code: 'custom', message: `${part} is not an IP address and a port` })
   }
   return addresses
 })
@@ -61,7 +63,7 @@
 
 /** Settings that every daemon has. */
 export const commonSettingsShape = {
-  host: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/, 'must be an IP address').default('127.0.0.1').describe('IP number to listen on'),
+  host: z.string().refine(text => isIPv4(text), 'must be an IP address').default('127.0.0.1').describe('IP number to listen on'),
   adminPort: integerSetting(0, 65535).default(0).describe('port of /healthz, /readyz and /metrics; 0 takes a free one'),
   keptStories: integerSetting(1, 1_000_000).default(64).describe('of requests that go well, the log keeps the story of one in so many; failures are always kept'),
   logLinesPerSecond: integerSetting(1, 100_000).default(200).describe('most lines about requests that the log takes a second'),
@@ -102,3 +104,9 @@
     return { flag: flagName(name), variable: environmentVariableName(name), message: isMissing ? 'is required' : issue.message }
   })
 }
+
+/** Whether a connection to the address can be attempted; a number that no address or port has makes clients throw. */
+function isAddress (text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':')
+  return rest.length === 0 && isIPv4(host) && PORT_PATTERN.test(port) && Number(port) <= MAX_PORT
+}
