Cache scope: customers that share parts leave behind what one of them made once it becomes isolated

WALL: parts that a customer had left in engines and stores before it became isolated were used by requests of others for as long as they were kept, since the salt of all who share was the same before and after. Now the salt names the set of isolated customers, so all who share begin anew when that set changes; while nobody is isolated it is the one of before. Hosts agree on it without a state of their own, also those that have just started. Cost: shared parts are read once more after such a change.

--- a/apps/entry/src/lib/routed/PromptContext.ts
+++ b/apps/entry/src/lib/routed/PromptContext.ts
@@ -1,6 +1,6 @@
 /** The prompt of one routed request: where its parts are cached, and which transfers engines and stores should make. */
 import type { EndpointChoice, PromptQuery } from '@eelgrassmux/routing/endpoints/endpointQuery'
-import { cacheScope } from '@eelgrassmux/routing/prompts/cacheScope'
+import { cacheScope, type CacheOwner } from '@eelgrassmux/routing/prompts/cacheScope'
 import type { PromptDescription, PromptPart } from '@eelgrassmux/routing/prompts/promptDescription'
 import type { StorePlan } from '@eelgrassmux/routing/stores/StoredPartsIndex'
 import type { EngineTraits } from '@eelgrassmux/schema/site/siteSchema'
@@ -21,7 +21,7 @@
     private readonly request: RoutedRequest,
     private readonly description: PromptDescription,
     private readonly engine: EngineTraits,
-    private readonly isolatedCustomer: string | undefined,
+    private readonly owner: CacheOwner,
     private readonly ports: PromptPorts
   ) {
     // The last part is unique to this request.
@@ -34,9 +34,9 @@
    * @returns the request's prompt; undefined if it has none or its service has no engines
    */
   static of (request: RoutedRequest, ports: PromptPorts): PromptContext | undefined {
-    const { fields, service, customer } = request
+    const { fields, service, customer, sharingGroup = '' } = request
     if (fields.prompt === undefined || service.engine === undefined) return undefined
-    return new PromptContext(request, fields.prompt, service.engine, customer?.isIsolated === true ? customer.name : undefined, ports)
+    return new PromptContext(request, fields.prompt, service.engine, customer?.isIsolated === true ? { isolatedCustomer: customer.name } : { sharingGroup }, ports)
   }
 
   /**
@@ -77,7 +77,7 @@
    * @returns key under which engines and stores cache the parts
    */
   scope (version: number): string {
-    return cacheScope(version, this.isolatedCustomer, this.request.regionBound)
+    return cacheScope(version, this.owner, this.request.regionBound)
   }
 
   /**
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -22,6 +22,8 @@
   readonly route: Route
   readonly service: ReplicatedService
   readonly customer: SiteCustomer | undefined
+  /** Name of the group of customers that share cached parts, unless the customer is isolated. */
+  readonly sharingGroup?: string
   /** Regions that the request has to stay in; undefined if there is no restriction. */
   readonly regionBound?: RegionBound | undefined
   readonly fields: CallerFields
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -397,7 +397,7 @@
     this.#requests.count(route.kind)
     const id = fields.requestId ?? ''
     const regionBound = regionBoundOf(route, customer, this.ports.regions)
-    const request = { id, route, service, customer, regionBound, fields, origin, body, isRelayed: exchange.isRelayed, arrivedAt, siteVersion: index.site.version }
+    const request = { id, route, service, customer, sharingGroup: index.sharingGroup, regionBound, fields, origin, body, isRelayed: exchange.isRelayed, arrivedAt, siteVersion: index.site.version }
     const task = new RoutedRequestTask(request, exchange, ports)
     this.#pendingRequests.set(exchange, task)
     task.start()
--- a/packages/routing/src/lib/places/RegionBound.test.ts
+++ b/packages/routing/src/lib/places/RegionBound.test.ts
@@ -52,9 +52,9 @@
     for (const name of ['a', 'c']) index.apply({ store: name, kind: 'whole', added: [['v1', 'p']], removed: [] })
     const parts = Array.from({ length: 20 }, (_, number) => ({ id: `part-${number}`, tokens: 10 }))
     const allows = (dataCentre: string): boolean => bound?.allows(dataCentre) === true
-    expect(new Set(index.plan(cacheScope(1, undefined, bound), parts, allows).saves)).toEqual(new Set(['c']))
-    expect(index.plan(cacheScope(1, undefined, bound), [{ id: 'p', tokens: 10 }], allows).fetches).toEqual([undefined])
-    expect(cacheScope(1, undefined, bound)).not.toBe(cacheScope(1, undefined))
-    expect(cacheScope(1, 'ward', bound)).not.toBe(cacheScope(1, 'ward'))
+    expect(new Set(index.plan(cacheScope(1, { sharingGroup: '' }, bound), parts, allows).saves)).toEqual(new Set(['c']))
+    expect(index.plan(cacheScope(1, { sharingGroup: '' }, bound), [{ id: 'p', tokens: 10 }], allows).fetches).toEqual([undefined])
+    expect(cacheScope(1, { sharingGroup: '' }, bound)).not.toBe(cacheScope(1, { sharingGroup: '' }))
+    expect(cacheScope(1, { isolatedCustomer: 'ward' }, bound)).not.toBe(cacheScope(1, { isolatedCustomer: 'ward' }))
   })
 })
--- a/packages/routing/src/lib/site/SiteIndex.ts
+++ b/packages/routing/src/lib/site/SiteIndex.ts
@@ -1,5 +1,6 @@
 /** Index of a site, built once for each version. */
 import type { ReplicatedService, Route, Site, SiteCustomer, StoreService } from '@eelgrassmux/schema/site/siteSchema'
+import { sharingGroupOf } from '../prompts/cacheScope.js'
 import { RouteTable } from './RouteTable.js'
 
 /** Immutable lookup tables of a site. */
@@ -9,6 +10,8 @@
   readonly stores: readonly StoreService[]
   /** Whether requests to routes that are not public need a key. */
   readonly needsKeys: boolean
+  /** Name of the group of customers that share cached parts; see {@link sharingGroupOf}. */
+  readonly sharingGroup: string
   readonly #customersByKey = new Map<string, SiteCustomer>()
 
   /** @param site - validated site */
@@ -19,6 +22,7 @@
     }
     this.stores = site.services.filter(service => service.type === 'store')
     this.needsKeys = site.customers !== undefined
+    this.sharingGroup = sharingGroupOf(site.customers ?? [])
     for (const customer of site.customers ?? []) {
       for (const key of customer.keys) this.#customersByKey.set(key, customer)
     }
--- a/packages/routing/src/lib/stores/stores.test.ts
+++ b/packages/routing/src/lib/stores/stores.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
-import { cacheScope, versionOfScope } from '../prompts/cacheScope.js'
+import type { SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
+import { cacheScope, sharingGroupOf, versionOfScope } from '../prompts/cacheScope.js'
 import { homeStore } from './homeStore.js'
 import { StoredPartsIndex } from './StoredPartsIndex.js'
 
@@ -57,7 +58,7 @@
     const created = index(large)
     created.apply({ store: 'large', kind: 'delta', added: [['v1', 'common'], ['v1', 'trip']], removed: [] })
     expect(created.plan('v2', parts).storedTokens).toBe(0)
-    expect(created.plan(cacheScope(1, 'ward'), parts).storedTokens).toBe(0)
+    expect(created.plan(cacheScope(1, { isolatedCustomer: 'ward' }), parts).storedTokens).toBe(0)
   })
 
   it('finds a part that was saved elsewhere while its home was unavailable', () => {
@@ -78,13 +79,28 @@
 })
 
 describe('cacheScope', () => {
+  const SHARED = { sharingGroup: '' }
+  const customer = (name: string, isIsolated: boolean): SiteCustomer => ({ name, keys: [], isIsolated })
+
+  // Guards against parts that a customer left before it became isolated and that others go on to use.
+  it('is another one for all that share once a customer becomes isolated, whatever the order of customers', () => {
+    const scopeOf = (customers: readonly SiteCustomer[]): string => cacheScope(1, { sharingGroup: sharingGroupOf(customers) })
+    const before = scopeOf([customer('ward', false), customer('clinic', false)])
+    const after = scopeOf([customer('ward', true), customer('clinic', false)])
+    expect(before).toBe('v1')
+    expect(after).not.toBe(before)
+    expect(scopeOf([customer('ward', true), customer('clinic', true)])).not.toBe(after)
+    expect(scopeOf([customer('clinic', false), customer('ward', true)])).toBe(after)
+    expect(versionOfScope(after)).toBe(1)
+  })
+
   it('differs between versions and between isolated customers', () => {
-    const scopes = [cacheScope(1, undefined), cacheScope(2, undefined), cacheScope(1, 'ward'), cacheScope(1, 'clinic')]
+    const scopes = [cacheScope(1, SHARED), cacheScope(2, SHARED), cacheScope(1, { isolatedCustomer: 'ward' }), cacheScope(1, { isolatedCustomer: 'clinic' })]
     expect(new Set(scopes).size).toBe(4)
   })
 
   it('contains the version', () => {
-    expect(versionOfScope(cacheScope(12, 'ward'))).toBe(12)
+    expect(versionOfScope(cacheScope(12, { isolatedCustomer: 'ward' }))).toBe(12)
     expect(versionOfScope('something else')).toBeUndefined()
   })
 })
