Rollout: engines that are furthest behind are ordered first

Cause: planLoads took the first engines of the list that do not run the newest version, so each new version began at the head of the list again and the end never had its turn. Orders now go by rank: by the version that an engine holds, and on our own interface, whose versions are names, by when it was last ordered.

--- a/apps/control/src/lib/orders/OrderTask.ts
+++ b/apps/control/src/lib/orders/OrderTask.ts
@@ -118,6 +118,8 @@
     const desired = this.#index.models.get(endpoint.model)?.version
     return {
       endpoint,
+      // Versions of this interface are names, whose order is not known.
+      rank: orderedAt,
       runningVersion: report?.version,
       loadingVersion: report?.loadingVersion,
       orderPending: now - orderedAt < ORDER_EFFECT_TIMEOUT_MS && report?.version !== desired
--- a/apps/control/src/lib/orders/planLoads.ts
+++ b/apps/control/src/lib/orders/planLoads.ts
@@ -15,6 +15,8 @@
   readonly loadingVersion: string | undefined
   /** Whether an order was sent recently whose effect the engine does not report yet. */
   readonly orderPending: boolean
+  /** The lowest ones are ordered first. It rises with the version or the time of the last load, so that targets which change often reach every engine. */
+  readonly rank: number
 }
 
 /** Maximum number of concurrent weight loads. More than this slows down the weight store for all engines. */
@@ -35,7 +37,7 @@
   let permits = maxConcurrentLoads - engines.filter(isLoading).length
   const planned: Array<{ engine: ObservedEngine<Endpoint>, version: string }> = []
   for (const model of models.values()) {
-    const fleet = engines.filter(engine => engine.endpoint.model === model.name && engine.runningVersion !== undefined)
+    const fleet = engines.filter(engine => engine.endpoint.model === model.name && engine.runningVersion !== undefined).sort((left, right) => left.rank - right.rank)
     let serving = fleet.filter(engine => !isLoading(engine)).length
     for (const engine of fleet) {
       if (engine.runningVersion === model.version || isLoading(engine)) continue
--- a/apps/control/src/lib/rollout/RolloutPlan.test.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.test.ts
@@ -80,6 +80,14 @@
     expect(rollout.maxConcurrentLoads).toBe(atOnce)
   })
 
+  // Guards against engines at the end of the list that keep old weights for as long as new ones are named before all have the last.
+  it('orders the engines that are furthest behind first', () => {
+    const plan = new RolloutPlan()
+    const fleet = [listed('e0', 4), listed('e1', 3), listed('e2', 1), listed('e3', 4), listed('e4', 1), listed('e5', 2), listed('e6', 4)]
+    const polled = (): string[] => plan.next([{ model: MODEL, version: 5 }], fleet, true, 0).polls.map(({ id }) => id)
+    expect(new Set(polled())).toEqual(new Set(['e2', 'e4']))
+  })
+
   it('announces an engine as busy before it is ordered, so that hosts receive the announcement first', () => {
     const rollout = new RolloutSimulation(8, 270)
     rollout.play(50)
--- a/apps/control/src/lib/rollout/RolloutPlan.ts
+++ b/apps/control/src/lib/rollout/RolloutPlan.ts
@@ -206,10 +206,12 @@
 
   #observed (listed: ListedEndpoint, model: string, now: number): ObservedEngine<{ model: string, listed: ListedEndpoint }> {
     const progress = this.#engines.get(listed.id)
-    if (progress?.isSilent === true) return { endpoint: { model, listed }, runningVersion: undefined, loadingVersion: undefined, orderPending: false }
+    const version = this.versionOf(listed, model)
+    if (progress?.isSilent === true) return { endpoint: { model, listed }, runningVersion: undefined, loadingVersion: undefined, orderPending: false, rank: version }
     return {
       endpoint: { model, listed },
-      runningVersion: String(this.versionOf(listed, model)),
+      rank: version,
+      runningVersion: String(version),
       loadingVersion: progress?.status?.isBusy === true ? 'unknown' : undefined,
       orderPending: progress !== undefined && this.#isPending(progress, now)
     }
