--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -65,10 +65,9 @@
   confirm (address: string, { incarnation, endpointList, listAgeMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     if (watch === undefined) return
-    if (this.#received?.incarnation !== incarnation || this.#received.version !== endpointList) {
-      this.rpc.expectMessage(address)
-      return
-    }
+    const received = this.#received?.incarnation === incarnation ? this.#received.version : -1
+    if (received < endpointList) this.rpc.expectMessage(address)
+    if (received !== endpointList) return
     this.#recordRead(watch, listAgeMs, askedAt)
   }
 
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -77,10 +77,9 @@
   confirm (address: string, { incarnation, storedParts, storeClockMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     if (watch === undefined) return
-    if (this.#received?.incarnation !== incarnation || this.#received.version !== storedParts) {
-      this.rpc.expectMessage(address)
-      return
-    }
+    const received = this.#received?.incarnation === incarnation ? this.#received.version : -1
+    if (received < storedParts) this.rpc.expectMessage(address)
+    if (received !== storedParts) return
     watch.markAlive()
     this.#confirmedAt = Math.max(this.#confirmedAt, askedAt)
     if (storeClockMs !== undefined) this.#clockOffsetMs = storeClockMs - performance.now()
