Endpoint list: its age counts from when the control host had no newer one, not from when the message is handled

A message that lay in a socket buffer, or before a process that stood still, looked as young as it said, up to the next status answer. Its age now counts from when the last status request was sent that confirmed the list before it; the next answer makes it exact. EndpointListFollower.test.ts failed before (age -4 ms after 250 ms), passes.

--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -12,6 +12,8 @@
   #endpoints: readonly ListedEndpoint[] = []
   #readAt = Number.NEGATIVE_INFINITY
   #received: { readonly incarnation: string, readonly version: number } | undefined
+  /** Monotonic milliseconds after which the next message is sent: until then, the control host had nothing newer. */
+  #nextSentAfter = Number.NEGATIVE_INFINITY
   readonly #rotation: WatchRotation
 
   /**
@@ -45,9 +47,11 @@
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
       this.#received = undefined
+      this.#nextSentAfter = watch.startedAt
       return await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
         this.#received = { incarnation, version }
-        this.#recordRead(watch, readAgeMs, performance.now())
+        // The message may have lain in a buffer, or this process may have stood still.
+        this.#recordRead(watch, readAgeMs, this.#nextSentAfter)
         if (endpoints === undefined || readAgeMs < 0) return
         this.#endpoints = endpoints
         this.onChange()
@@ -68,14 +72,16 @@
     const received = this.#received?.incarnation === incarnation ? this.#received.version : -1
     if (received < endpointList) this.rpc.expectMessage(address)
     if (received !== endpointList) return
+    this.#nextSentAfter = Math.max(this.#nextSentAfter, askedAt)
     this.#recordRead(watch, listAgeMs, askedAt)
   }
 
-  #recordRead (watch: OpenWatch, readAgeMs: number, now: number): void {
+  /** @param statedAt - monotonic milliseconds at which the control host stated the age at the earliest */
+  #recordRead (watch: OpenWatch, readAgeMs: number, statedAt: number): void {
     watch.markAlive()
-    const readAt = readAgeMs < 0 ? Number.NEGATIVE_INFINITY : now - readAgeMs
+    const readAt = readAgeMs < 0 ? Number.NEGATIVE_INFINITY : statedAt - readAgeMs
     // Switch to another control host if this one cannot reach the platform.
-    if (now - readAt > MAX_LIST_AGE_MS && now - watch.startedAt > MAX_LIST_AGE_MS) watch.leave()
+    if (statedAt - readAt > MAX_LIST_AGE_MS && performance.now() - watch.startedAt > MAX_LIST_AGE_MS) watch.leave()
     this.#readAt = Math.max(this.#readAt, readAt)
   }
 }
