--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -327,8 +327,10 @@
   }
 
   async #runWatch (): Promise<void> {
+    let silentAt: string | undefined
     while (!this.#abort.signal.aborted) {
-      const address = this.#watchAddress()
+      // After a silent watch only the connection was at fault, and there is a new one.
+      const address = silentAt ?? this.#watchAddress()
       const isResponseDue = this.#newerView?.address === address
       this.#watchedAddress = address
       this.#watchStartedAt = performance.now()
@@ -348,8 +350,8 @@
         // Report the new view at once for callers that wait until it is in force on all hosts.
         this.#statusReporter.reportToAll()
       }, signal, { isResponseDue })
-      // Only the connection was at fault, and there is a new one.
-      if (error?.kind === 'silent') continue
+      silentAt = error?.kind === 'silent' ? address : undefined
+      if (silentAt !== undefined) continue
       // After a failed watch another host is tried, even if the failed one is the known leader.
       this.#watchFailures = this.#watchFailures === 0 ? 1 : 0
       await sleep(WATCH_RETRY_DELAY_MS)
