--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -91,6 +91,13 @@
   readonly isCountedElsewhere: boolean
 }
 
+/** Refusal of a request that the site in force does not allow. */
+interface SiteRefusal {
+  readonly reason: RefusalReason
+  readonly status: number
+  readonly detail: string
+}
+
 /** Largest headers that Node accepts, in bytes. The site's own limit is lower and is checked afterwards. */
 const MAX_HEADER_BYTES = 64 * 1024
 
@@ -331,7 +338,7 @@
    * Refuses what the site in force does not allow. If this host may be behind, a newer site may allow it: a site that is known
    * to exist is waited for, and without one the caller is sent to another host.
    */
-  #refuseUnlessLagging (exchange: CallerExchange, fields: CallerFields, arrivedAt: number, routeAgain: () => void, { reason, status, detail }: { readonly reason: RefusalReason, readonly status: number, readonly detail: string }): void {
+  #refuseUnlessLagging (exchange: CallerExchange, fields: CallerFields, arrivedAt: number, routeAgain: () => void, { reason, status, detail }: SiteRefusal): void {
     const lag = this.ports.viewLag?.()
     const isBehind = lag !== undefined && lag.viewsBehind > 0
     if (!isBehind && (lag === undefined || lag.confirmedMs <= MAX_CONFIRMATION_AGE_MS)) {
