Stored parts: the lease runs from when the contents were complete, not from when a message is handled

A message of the watch that lay in a socket buffer, or before a process that stood still, renewed the lease of 1 s in full, so a store could be read by contents that the control host had replaced. WatchProgress, used by both followers, keeps the moment up to which a watch has delivered everything. A status response whose version arrives only after it renews the lease then, and one that states an older version than was received renews it as well, so busy stores don't lose it.

--- a/packages/view/src/lib/EndpointListFollower.test.ts
+++ b/packages/view/src/lib/EndpointListFollower.test.ts
@@ -35,7 +35,11 @@
     vi.advanceTimersByTime(HELD_MS)
     deliver({ incarnation: 'i', version: 2, endpoints: [], readAgeMs: 0 })
     expect(follower.ageMs(performance.now())).toBe(PAUSE_MS + HELD_MS)
-    follower.confirm('c', { incarnation: 'i', endpointList: 2, listAgeMs: 10, storedParts: 0 }, performance.now())
+    // The status response of version 3 overtakes its message, which then is no younger than before.
+    follower.confirm('c', { incarnation: 'i', endpointList: 3, listAgeMs: 10, storedParts: 0 }, performance.now())
+    deliver({ incarnation: 'i', version: 3, endpoints: [], readAgeMs: 0 })
+    expect(follower.ageMs(performance.now())).toBe(PAUSE_MS + HELD_MS)
+    follower.confirm('c', { incarnation: 'i', endpointList: 3, listAgeMs: 10, storedParts: 0 }, performance.now())
     expect(follower.ageMs(performance.now())).toBe(10)
     abort.abort()
   })
--- a/packages/view/src/lib/EndpointListFollower.ts
+++ b/packages/view/src/lib/EndpointListFollower.ts
@@ -2,6 +2,7 @@
 import { watchEndpoints, type WatchedState } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import { WatchProgress } from './WatchProgress.js'
 import { WatchRotation, type OpenWatch } from './WatchRotation.js'
 
 /** Age of the list, in milliseconds, after which another control host is tried because it may have a newer one. */
@@ -11,9 +12,7 @@
 export class EndpointListFollower {
   #endpoints: readonly ListedEndpoint[] = []
   #readAt = Number.NEGATIVE_INFINITY
-  #received: { readonly incarnation: string, readonly version: number } | undefined
-  /** Monotonic milliseconds after which the next message is sent: until then, the control host had nothing newer. */
-  #nextSentAfter = Number.NEGATIVE_INFINITY
+  readonly #progress = new WatchProgress()
   readonly #rotation: WatchRotation
 
   /**
@@ -46,12 +45,9 @@
   /** @param signal - stops the watch */
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
-      this.#received = undefined
-      this.#nextSentAfter = watch.startedAt
+      this.#progress.restart(watch.startedAt)
       return await this.rpc.stream(address, watchEndpoints, {}, ({ incarnation, version, readAgeMs, endpoints }) => {
-        this.#received = { incarnation, version }
-        // The message may have lain in a buffer, or this process may have stood still.
-        this.#recordRead(watch, readAgeMs, this.#nextSentAfter)
+        this.#recordRead(watch, readAgeMs, this.#progress.receive({ incarnation, version }))
         if (endpoints === undefined || readAgeMs < 0) return
         this.#endpoints = endpoints
         this.onChange()
@@ -69,11 +65,9 @@
   confirm (address: string, { incarnation, endpointList, listAgeMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     if (watch === undefined) return
-    const received = this.#received?.incarnation === incarnation ? this.#received.version : -1
-    if (received < endpointList) this.rpc.expectMessage(address)
-    if (received !== endpointList) return
-    this.#nextSentAfter = Math.max(this.#nextSentAfter, askedAt)
-    this.#recordRead(watch, listAgeMs, askedAt)
+    const progress = this.#progress.confirm({ incarnation, version: endpointList }, askedAt)
+    if (progress === 'behind') this.rpc.expectMessage(address)
+    if (progress === 'same') this.#recordRead(watch, listAgeMs, askedAt)
   }
 
   /** @param statedAt - monotonic milliseconds at which the control host stated the age at the earliest */
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -2,6 +2,7 @@
 import { watchStoredParts, type WatchedState } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { StoreChange } from '@eelgrassmux/schema/site/storedParts'
+import { WatchProgress } from './WatchProgress.js'
 import { WatchRotation } from './WatchRotation.js'
 
 /**
@@ -20,9 +21,8 @@
 
 /** Stays synchronized with one control host. */
 export class StoredPartsFollower {
-  #confirmedAt = Number.NEGATIVE_INFINITY
   #clockOffsetMs: number | undefined
-  #received: { readonly incarnation: string, readonly version: number } | undefined
+  readonly #progress = new WatchProgress()
   readonly #rotation: WatchRotation
 
   /**
@@ -39,7 +39,7 @@
    * @returns whether the known contents may be relied on
    */
   isLeaseValid (now: number): boolean {
-    return now - this.#confirmedAt < STORED_PARTS_LEASE_MS
+    return now - this.#progress.completeAt < STORED_PARTS_LEASE_MS
   }
 
   /**
@@ -53,22 +53,19 @@
   /** @param signal - stops the watch */
   async run (signal: AbortSignal): Promise<void> {
     await this.#rotation.run(signal, async (address, watch) => {
-      this.#confirmedAt = Number.NEGATIVE_INFINITY
-      this.#received = undefined
+      this.#progress.restart(watch.startedAt)
       this.listener.reset()
       return await this.rpc.stream(address, watchStoredParts, {}, ({ incarnation, version, changes, clockMs }) => {
         watch.markAlive()
-        const now = performance.now()
-        this.#confirmedAt = now
-        this.#received = { incarnation, version }
-        if (clockMs !== undefined) this.#clockOffsetMs = clockMs - now
+        this.#progress.receive({ incarnation, version })
+        if (clockMs !== undefined) this.#clockOffsetMs = clockMs - performance.now()
         for (const change of changes) this.listener.apply(change)
       }, watch.signal, { isResponseDue: true })
     })
   }
 
   /**
-   * Renews the lease if a control host confirms that it has nothing newer than the watch has delivered.
+   * Renews the lease once the watch has delivered what a control host had when it was asked.
    *
    * @param address - address of the control host
    * @param state - versions of the control host's data
@@ -77,11 +74,11 @@
   confirm (address: string, { incarnation, storedParts, storeClockMs }: WatchedState, askedAt: number): void {
     const watch = this.#rotation.openAt(address)
     if (watch === undefined) return
-    const received = this.#received?.incarnation === incarnation ? this.#received.version : -1
-    if (received < storedParts) this.rpc.expectMessage(address)
-    if (received !== storedParts) return
+    if (this.#progress.confirm({ incarnation, version: storedParts }, askedAt) === 'behind') {
+      this.rpc.expectMessage(address)
+      return
+    }
     watch.markAlive()
-    this.#confirmedAt = Math.max(this.#confirmedAt, askedAt)
     if (storeClockMs !== undefined) this.#clockOffsetMs = storeClockMs - performance.now()
   }
 }
--- a/packages/view/src/lib/harness/FakeControlHost.ts
+++ b/packages/view/src/lib/harness/FakeControlHost.ts
@@ -1,11 +1,12 @@
-/** A control host for tests: one voter behind a proxy, with a view and an endpoint list that tests change. */
+/** A control host for tests: one voter behind a proxy, with a view, an endpoint list and stored parts that tests change. */
 import { EventEmitter } from 'node:events'
 import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
-import { reportStatus, watchEndpoints, watchView } from '@eelgrassmux/rpc/methods/controlMethods'
+import { reportStatus, watchEndpoints, watchStoredParts, watchView } from '@eelgrassmux/rpc/methods/controlMethods'
 import { RpcServer, type ResponseStream } from '@eelgrassmux/rpc/RpcServer'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { StoreChange } from '@eelgrassmux/schema/site/storedParts'
 
 /** Serves status reports and watches. */
 export class FakeControlHost {
@@ -15,6 +16,7 @@
   readonly #changes = new EventEmitter()
   #view = 0
   #list: { readonly version: number, readonly endpoints: readonly ListedEndpoint[] } = { version: 0, endpoints: [] }
+  readonly #storeChanges: StoreChange[] = []
   address = ''
 
   /** @param replicaId - id of the only voter */
@@ -34,7 +36,7 @@
       leader: this.address,
       liveEntries: 1,
       entryPeers: [],
-      watched: { incarnation: this.replicaId, endpointList: this.#list.version, listAgeMs: 0, storedParts: 0 }
+      watched: { incarnation: this.replicaId, endpointList: this.#list.version, listAgeMs: 0, storedParts: this.#storeChanges.length }
     }))
     this.#server.handleStream(watchView, async ({ viewRevision }, stream) => {
       await this.#follow(stream, viewRevision, () => this.#view, viewRevision => ({ kind: 'snapshot' as const, viewRevision, revision: 1, documents: [], shards: [], weights: [] }))
@@ -42,6 +44,14 @@
     this.#server.handleStream(watchEndpoints, async (_request, stream) => {
       await this.#follow(stream, -1, () => this.#list.version, version => ({ incarnation: this.replicaId, version, endpoints: [...this.#list.endpoints], readAgeMs: 0 }))
     })
+    this.#server.handleStream(watchStoredParts, async (_request, stream) => {
+      let sent = 0
+      await this.#follow(stream, -1, () => this.#storeChanges.length, version => {
+        const changes = this.#storeChanges.slice(sent, version)
+        sent = version
+        return { incarnation: this.replicaId, version, changes }
+      })
+    })
     this.proxy.target = await listenOnSamePort(this.#server, this.#datagrams, '127.0.0.1', 0)
   }
 
@@ -57,6 +67,12 @@
     this.#changes.emit('change')
   }
 
+  /** @param change - change of a store's contents */
+  changeStore (change: StoreChange): void {
+    this.#storeChanges.push(change)
+    this.#changes.emit('change')
+  }
+
   /** Stops the server and the proxy. */
   close (): void {
     this.#server.close()
--- a/packages/view/src/lib/silentConnections.test.ts
+++ b/packages/view/src/lib/silentConnections.test.ts
@@ -4,6 +4,7 @@
 import { listHosts } from '@eelgrassmux/rpc/methods/controlMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
+import type { StoreChange } from '@eelgrassmux/schema/site/storedParts'
 import { ControlLink } from './ControlLink.js'
 import { FakeControlHost } from './harness/FakeControlHost.js'
 
@@ -73,6 +74,18 @@
     expect(link.endpoints[0]?.isLeaving).toBe(true)
   })
 
+  // Guards against stores that are not read any more, or read for parts that they have freed.
+  it('gets newer contents of the stores over a new connection', async () => {
+    const changes: StoreChange[] = []
+    const follower = link.followStoredParts({ reset: () => {}, apply: change => { changes.push(change) } })
+    await until(() => follower.isLeaseValid(performance.now()))
+    silenceAll()
+    for (const host of hosts) host.changeStore({ store: 's', kind: 'lost', added: [], removed: [] })
+    await until(() => changes.length > 0 && follower.isLeaseValid(performance.now()))
+    expect(changes.at(-1)).toMatchObject({ store: 's', kind: 'lost' })
+    expect(follower.isLeaseValid(performance.now())).toBe(true)
+  })
+
   // Guards against a second silence that begins before the first was found out.
   it('gets newer views although the new connections go silent as well', async () => {
     for (const view of [6, 7, 8]) {
