Runs read from another entry host go on over a new connection when theirs goes silent

Callers of our own interface who resume a run through another host stood still for 4 s, until the keepalive ended the connection, and then got an error, though the run went on at a host in reach.

--- a/apps/entry/src/lib/runs/PeerRuns.ts
+++ b/apps/entry/src/lib/runs/PeerRuns.ts
@@ -7,6 +7,12 @@
 import type { RunChunk } from './Run.js'
 import type { RunManager } from './RunManager.js'
 
+/** Time without an event after which the connection to the other host is checked, in milliseconds. */
+const QUIET_MS = 500
+
+/** Number of connections in a row that may go silent without an event before the host counts as unreachable. */
+const MAX_SILENT_CONNECTIONS = 4
+
 /** Run to read, its customer, and the offset to start at. */
 export interface PeerRunRequest {
   readonly runId: string
@@ -26,27 +32,60 @@
    * @returns the chunks, or undefined if the host is unreachable or does not hold the run
    */
   async read (entry: string, request: PeerRunRequest, signal: AbortSignal): Promise<AsyncGenerator<RunChunk> | undefined> {
-    const events: RunEvent[] = []
-    const stream = { isClosed: false }
-    let wake = (): void => {}
-    const ended = this.rpc.stream(entry, readRun, request, event => {
-      events.push(event)
-      wake()
-    }, signal)
-    void ended.then(() => {
-      stream.isClosed = true
-      wake()
-    })
-    const next = async (): Promise<RunEvent | undefined> => {
-      while (events.length === 0 && !stream.isClosed) await new Promise<void>(resolve => { wake = resolve })
-      return events.shift()
-    }
+    const events = new PeerRunEvents(this.rpc, entry, request, signal)
+    const next = async (): Promise<RunEvent | undefined> => await events.next()
     const first = await next()
     if (first === undefined || first.kind === 'unknown-run') return undefined
     return toChunks(first, next)
   }
 }
 
+/** Events of a run at another host. Continues over a new connection if the one in use goes silent. */
+class PeerRunEvents {
+  readonly #pending: RunEvent[] = []
+  #nextOffset: number
+  #isClosed = false
+  #wake = (): void => {}
+
+  /**
+   * @param rpc - RPC client
+   * @param entry - address of the entry host that holds the run
+   * @param request - run to read
+   * @param signal - aborted when the caller disconnects
+   */
+  constructor (private readonly rpc: RpcClient, private readonly entry: string, private readonly request: PeerRunRequest, private readonly signal: AbortSignal) {
+    this.#nextOffset = request.offset
+    void this.#receive()
+  }
+
+  /** @returns the next event, or undefined when the host has ended the stream or is unreachable */
+  async next (): Promise<RunEvent | undefined> {
+    while (this.#pending.length === 0 && !this.#isClosed) await new Promise<void>(resolve => { this.#wake = resolve })
+    return this.#pending.shift()
+  }
+
+  async #receive (): Promise<void> {
+    // A run may pause for longer; its host then answers the check of the connection.
+    const quietTimer = setInterval(() => { this.rpc.expectMessage(this.entry) }, QUIET_MS)
+    let silentConnections = 0
+    const onEvent = (event: RunEvent): void => {
+      quietTimer.refresh()
+      silentConnections = 0
+      if (event.kind === 'tokens') this.#nextOffset = event.offset + event.tokens.length
+      this.#pending.push(event)
+      this.#wake()
+    }
+    while (silentConnections < MAX_SILENT_CONNECTIONS && !this.signal.aborted) {
+      const error = await this.rpc.stream(this.entry, readRun, { ...this.request, offset: this.#nextOffset }, onEvent, this.signal)
+      if (error?.kind !== 'silent') break
+      silentConnections += 1
+    }
+    clearInterval(quietTimer)
+    this.#isClosed = true
+    this.#wake()
+  }
+}
+
 async function * toChunks (first: RunEvent, next: () => Promise<RunEvent | undefined>): AsyncGenerator<RunChunk> {
   for (let event: RunEvent | undefined = first; event !== undefined; event = await next()) {
     const chunk = toChunk(event)
