--- a/apps/control/src/lib/site/silentLeader.test.ts
+++ b/apps/control/src/lib/site/silentLeader.test.ts
@@ -14,17 +14,19 @@
   let leader: RpcServer
   let rpc: RpcClient
   let service: SiteService
+  let state: StateMachine
 
   beforeEach(async () => {
     proxy = new LoopbackProxy()
     leader = new RpcServer()
-    const state = new StateMachine()
+    state = new StateMachine()
     leader.handle(readSite, async () => ({ kind: 'none' as const }))
     leader.handle(propose, async ({ command }) => ({ kind: 'applied' as const, result: state.apply({ stampedAt: 0, command }) }))
     const address = await proxy.listen()
     proxy.target = await leader.listen('127.0.0.1', 0)
     rpc = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
     const follower = {
+      state: { evacuations: { revision: 0 } },
       core: { role: 'follower', leader: { id: 'l', address } },
       propose: async () => await Promise.resolve({ kind: 'not-leader', leader: address })
     }
@@ -48,4 +50,12 @@
   it('names weights at the first try', async () => {
     expect(await service.nameWeights('m', 2)).toMatchObject({ kind: 'applied' })
   })
+
+  // Guards against an evacuation that is ordered twice, or can't be ordered until the keepalive of dead connections runs out.
+  it('orders an evacuation at the second try, as the first may have been applied', async () => {
+    expect(await service.orderEvacuation('n', true, () => false)).toEqual({ kind: 'unavailable' })
+    expect(state.evacuations.evacuated).toEqual([])
+    expect(await service.orderEvacuation('n', true, () => false)).toEqual({ kind: 'applied' })
+    expect(state.evacuations.evacuated).toEqual(['n'])
+  })
 })
