A request that waits for a pause to end is not refused because it ends in that very moment

Callers got a 503, not run, after waiting for almost the whole pause that an endpoint had asked for, although the endpoint was free by then. Whether endpoints are held back was looked at twice: as the request was placed, and again for when the first is released. A pause that ended in between (timers fire up to a millisecond early) left nothing to wait for. The release is now looked up for the moment of the choice.

--- a/apps/entry/src/lib/routed/RequestPlacement.test.ts
+++ b/apps/entry/src/lib/routed/RequestPlacement.test.ts
@@ -1,7 +1,9 @@
-import { describe, expect, it } from 'vitest'
-import { testRoute } from './harness/testSite.js'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { testRoute, TEST_SITE } from './harness/testSite.js'
 import { RequestPlacement } from './RequestPlacement.js'
 import type { ResponseTimes } from './ResponseTimes.js'
+import { RoutedFleet } from './RoutedFleet.js'
 import type { RoutedPorts, RoutedRequest } from './RoutedRequest.js'
 
 const DEADLINE = 12_000
@@ -26,4 +28,25 @@
       expect(patienceUntil('stream', 7000)).toBe(5000)
     })
   })
+  describe('releasedAt', () => {
+    const PAUSE_MS = 1000
+
+    beforeEach(() => { vi.useFakeTimers({ toFake: ['performance'] }) })
+    afterEach(() => { vi.useRealTimers() })
+
+    // Guards against requests that have waited for an endpoint and are refused because its pause ends just after they were placed.
+    it('is the end of a pause that has kept an endpoint from being chosen, although it is over by now', () => {
+      const fleet = new RoutedFleet('n', () => 1, new Telemetry('test'))
+      fleet.update([{ id: 'e', service: 'app', address: '127.0.0.1:1', dataCentre: 'n', slots: 1, isLeaving: false, isBusy: false, models: [] }])
+      fleet.endpointsOf('app')[0]?.requestedPause.extend(PAUSE_MS, performance.now())
+      const pauseEndsAt = performance.now() + PAUSE_MS
+      const request = { route: testRoute('/r/', {}), service: TEST_SITE.services[0], fields: {} } as unknown as RoutedRequest
+      const placement = new RequestPlacement(request, { fleet } as unknown as RoutedPorts, undefined, {} as unknown as ResponseTimes, DEADLINE)
+      vi.advanceTimersByTime(PAUSE_MS - 1)
+      const failure = placement.choose()
+      vi.advanceTimersByTime(2)
+      expect(failure).toBe('all-asked-to-pause')
+      expect(placement.releasedAt('all-asked-to-pause')).toBe(pauseEndsAt)
+    })
+  })
 })
--- a/apps/entry/src/lib/routed/RequestPlacement.ts
+++ b/apps/entry/src/lib/routed/RequestPlacement.ts
@@ -24,6 +24,7 @@
   readonly tried = new TriedEndpoints()
   #requiredVersion: number | undefined
   #requiredSoftware: RequiredSoftware | undefined
+  #chosenAt = Number.NEGATIVE_INFINITY
 
   /**
    * @param request - request to place
@@ -149,11 +150,12 @@
   }
 
   /**
-   * @param reason - why no endpoint was chosen
-   * @returns earliest time at which an endpoint may be available, in monotonic milliseconds; infinity if it is not known
+   * @param reason - why no endpoint was chosen last
+   * @returns earliest time at which an endpoint may be available, in monotonic milliseconds, which may be over by now; infinity if it is not known
    */
   releasedAt (reason: PlacementFailure): number {
-    return reason !== 'all-full' && isHeldBack(reason) ? this.ports.fleet.firstReleaseAt(this.request.service.name, this.tried.ids) : Number.POSITIVE_INFINITY
+    // An endpoint that was held back then may be released by now.
+    return reason !== 'all-full' && isHeldBack(reason) ? this.ports.fleet.firstReleaseAt(this.request.service.name, this.tried.ids, this.#chosenAt) : Number.POSITIVE_INFINITY
   }
 
   get #queue (): RoutedPorts['waiting'] {
@@ -188,6 +190,7 @@
     const traffic = this.ports.fleet.traffic.ofRequest(route.name, body?.length ?? 0)
     const excluded = ids.length === 0 ? this.tried.ids : new Set([...this.tried.ids, ...ids])
     const mustGoOn = this.#requiredSoftware !== undefined
+    this.#chosenAt = performance.now()
     const avoidedSoftware = route.isResumable && !mustGoOn ? this.ports.streams?.newVersionsOf(service.name) : undefined
     return this.ports.fleet.choose(service.name, { excluded, regionBound, traffic, requiredSoftware: this.#requiredSoftware, avoidedSoftware, ...this.prompt?.requirements(this.#requiredVersion) })
   }
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -318,10 +318,11 @@
   /**
    * @param service - service name
    * @param excluded - ids of endpoints that the request can't use
-   * @returns when the first endpoint that is held back may get a request from this host, in monotonic milliseconds; infinity if none is held back
+   * @param at - when endpoints were held back, in monotonic milliseconds
+   * @returns when the first of them may get a request from this host, in monotonic milliseconds; infinity if none was held back
    */
-  firstReleaseAt (service: string, excluded: ReadonlySet<string>): number {
-    return this.limits.firstReleaseAt(this.#pool.ofService(service).filter(endpoint => !endpoint.isLeaving && !excluded.has(endpoint.id)), performance.now())
+  firstReleaseAt (service: string, excluded: ReadonlySet<string>, at: number): number {
+    return this.limits.firstReleaseAt(this.#pool.ofService(service).filter(endpoint => !endpoint.isLeaving && !excluded.has(endpoint.id)), at)
   }
 
   /**
