A host that starts while it is cut off from a service notices it before it has lost its first requests

Once other hosts are known to hear from a service that this one has not heard from yet, it asks the two endpoints heard last for their health, once. Probes without an answer for 300 ms, by endpoints that others have heard since, are evidence of a cut. Without a cut the two connections are kept for requests; when nobody hears anything, as when all start, nothing is sent. hostCutOff.test.ts, "... cut off at its start, by a link that hangs", failed before, passes. Harness: fake endpoints answer health checks, which count as no requests; hosts configure their fleet as the daemon does.

--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -1,14 +1,16 @@
 /** The links of this host to the services, and probes of those that are partitioned. */
 import { ServiceReachability } from '@eelgrassmux/routing/reachability/ServiceReachability'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { RoutedFleet } from '../routed/RoutedFleet.js'
+import { LinkProbes } from './LinkProbes.js'
 
 /** Interval at which a service is checked at most, in milliseconds. */
 const CHECK_INTERVAL_MS = 50
 
-/** Time after which a probe is given up, in milliseconds. */
-const PROBE_TIMEOUT_MS = 1000
+/** Number of endpoints of a service that a host probes once after its start: as many as have to be lost for a cut. */
+const FIRST_PROBES = 2
 
 /** Age of the last lost connection up to which new connections are looked at, in milliseconds. */
 const MAX_FAILURE_AGE_MS = 3000
@@ -28,6 +30,10 @@
 /** Tells whether requests go to the endpoints of a service or to other hosts. */
 export class ServiceLinks {
   readonly #links = new Map<string, ServiceLink>()
+  readonly #probes: LinkProbes
+  /** Services that this host has not heard from, with their health paths. */
+  #unheard = new Map<string, string>()
+  readonly #probed = new Set<string>()
   #cutOffCount = 0
 
   /**
@@ -35,9 +41,39 @@
    * @param telemetry - log and metrics
    */
   constructor (private readonly fleet: Pick<RoutedFleet, 'endpointsOf' | 'otherHostsLoad' | 'connectionsTo' | 'connectionLimit' | 'observeBytes' | 'closeIdleConnectionsTo'>, private readonly telemetry: Telemetry) {
+    this.#probes = new LinkProbes(fleet, {
+      answered: endpoint => {
+        fleet.observeBytes(endpoint)
+        this.observeNewConnection(endpoint)
+      },
+      lost: endpoint => {
+        endpoint.contact.observeFailure(performance.now())
+        this.observeLostNewConnection(endpoint)
+      }
+    })
     telemetry.gauge('services_cut_off', 'Services whose endpoints other hosts reach and this one does not', () => this.#cutOffCount)
   }
 
+  /** @param site - site in force */
+  configure (site: Site): void {
+    this.#unheard = new Map(site.services.flatMap(service => service.type === 'replicated' ? [[service.name, service.healthPath]] : []))
+  }
+
+  /**
+   * Probes services that other hosts hear from and this one has not heard from since its start. A host that
+   * starts while it is cut off has no answer to miss, and would lose its first requests. Call this after each load exchange.
+   */
+  probeUnheard (): void {
+    const now = performance.now()
+    for (const [service, healthPath] of this.#unheard) {
+      if (this.fleet.endpointsOf(service).some(endpoint => endpoint.contact.heardAgoMs(now) < Number.POSITIVE_INFINITY)) this.#unheard.delete(service)
+      else if (!this.#probed.has(service) && this.isHeardByAnyHost(service)) {
+        this.#probed.add(service)
+        this.#probeHeardByOthers(service, healthPath, now)
+      }
+    }
+  }
+
   /**
    * @param service - service name
    * @returns whether its endpoints are out of this host's reach
@@ -118,12 +154,13 @@
     const { otherHostsLoad } = this.fleet
     if (link.reachability.isCutOff || !otherHostsLoad.isRecent(now)) return
     this.#checkNewConnections(service, link, now)
-    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const endpoints = this.#staying(service)
     const evidence = link.reachability.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.lastByteAgoMs(now),
       failedAgoMs: endpoint.contact.failedAgoMs(now),
       failingForMs: endpoint.contact.failingForMs(now),
       unansweredMs: endpoint.unansweredMs(now),
+      unansweredProbeMs: this.#probes.unansweredMs(endpoint, now),
       heardByAnyAgoMs: otherHostsLoad.heardAgoMs(endpoint.incarnation, now)
     })), now)
     if (evidence === undefined) return
@@ -136,12 +173,13 @@
   /** Finds a service whose endpoints answer over old connections and lose the new ones of this host only. */
   #checkNewConnections (service: string, { newConnections, newConnectionLostAt }: ServiceLink, now: number): void {
     if (now - newConnectionLostAt > MAX_FAILURE_AGE_MS) return
-    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const endpoints = this.#staying(service)
     const evidence = newConnections.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.newConnections.heardAgoMs(now),
       failedAgoMs: endpoint.newConnections.failedAgoMs(now),
       failingForMs: endpoint.newConnections.failingForMs(now),
       unansweredMs: 0,
+      unansweredProbeMs: 0,
       heardByAnyAgoMs: Math.min(endpoint.lastByteAgoMs(now), this.fleet.otherHostsLoad.heardAgoMs(endpoint.incarnation, now))
     })), now)
     if (evidence === undefined) return
@@ -151,29 +189,19 @@
 
   /** Asks a random endpoint for its health over a new connection; any answer shows that the links are back. */
   #probe (service: string, healthPath: string): void {
-    const endpoints = this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
+    const endpoints = this.#staying(service)
     const endpoint = endpoints[Math.floor(Math.random() * endpoints.length)]
-    if (endpoint === undefined) return
-    const connections = this.fleet.connectionsTo(endpoint)
-    if (connections.count >= this.fleet.connectionLimit(0)) return
-    const connection = connections.open()
-    const timer = setTimeout(() => { connection.close() }, PROBE_TIMEOUT_MS)
-    connection.send({ method: 'GET', target: healthPath, headers: ['host', endpoint.listed.address], body: undefined }, {
-      sending: () => true,
-      head: () => {
-        this.fleet.observeBytes(endpoint)
-        this.observeNewConnection(endpoint)
-      },
-      data: () => true,
-      complete: () => {
-        clearTimeout(timer)
-        connections.release(connection)
-      },
-      failed: () => {
-        this.observeLostNewConnection(endpoint)
-        clearTimeout(timer)
-        connection.close()
-      }
-    })
+    if (endpoint !== undefined) this.#probes.send(endpoint, healthPath)
+  }
+
+  /** Probes the endpoints that other hosts have heard from last, since their silence is no fault of theirs. */
+  #probeHeardByOthers (service: string, healthPath: string, now: number): void {
+    const heardAgoMs = ({ incarnation }: EndpointState): number => this.fleet.otherHostsLoad.heardAgoMs(incarnation, now)
+    const endpoints = this.#staying(service).sort((one, other) => heardAgoMs(one) - heardAgoMs(other))
+    for (const endpoint of endpoints.slice(0, FIRST_PROBES)) this.#probes.send(endpoint, healthPath)
+  }
+
+  #staying (service: string): EndpointState[] {
+    return this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
   }
 }
--- a/apps/entry/src/lib/relays/hostCutOff.test.ts
+++ b/apps/entry/src/lib/relays/hostCutOff.test.ts
@@ -87,6 +87,16 @@
     })
   })
 
+  // Guards against a host that starts while it is cut off and loses its first requests, since it has no answer to miss yet.
+  it.each<CutKind>(['refuses', 'hangs'])('gets its first callers served although it was cut off at its start, by a link that %s', async kind => {
+    const [host, other] = await start(2)
+    if (host === undefined || other === undefined) throw new Error('two hosts are needed')
+    await cut([host], kind)
+    await sendFor(1000, [other])
+    const [outcomes = []] = await sendFor(500, [host, other])
+    expect(servedShare(outcomes), unserved(outcomes)).toBeGreaterThan(0.95)
+  })
+
   // Guards against 502s at a host whose old connections go on answering while each new one is established and then reset.
   it('gets its callers served while only its new connections are reset, and streams go on over the old ones', async () => {
     const [host, other] = await start(2)
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -192,6 +192,7 @@
   /** @param site - site configuration to apply */
   configure (site: Site): void {
     this.limits.configure(site)
+    this.links.configure(site)
     this.plainPlaces.configure(site)
     this.storedParts.configure(site.services.filter(service => service.type === 'store'))
   }
@@ -202,6 +203,7 @@
     for (const change of this.storeLinks.observePeers(this.otherHostsLoad.links, now)) this.#logLink(change)
     // The ages that the totals state are those of the moment at which they came.
     this.limits.applyStatements(this.otherHostsLoad, this.otherHostsLoad.receivedAt)
+    this.links.probeUnheard()
     if (now - this.#ejectionsCheckedAt < EJECTION_CHECK_INTERVAL_MS) return
     this.#ejectionsCheckedAt = now
     for (const service of this.#pool.services) {
--- a/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
+++ b/apps/entry/src/lib/routed/harness/FakeEndpoint.ts
@@ -4,6 +4,9 @@
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { PLAIN_HEADERS } from './PlainCodec.js'
 
+/** Path at which endpoints answer health checks, which count as no requests. */
+export const HEALTH_PATH = '/health'
+
 /** Handles a request after its body has been read. */
 export type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
 
@@ -24,6 +27,10 @@
 
   async listen (): Promise<ListedEndpoint> {
     const server = createServer((request, response) => {
+      if (request.url === HEALTH_PATH) {
+        response.end()
+        return
+      }
       const chunks: Buffer[] = []
       response.on('close', () => { if (!response.writableEnded) this.abortedResponses += 1 })
       request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -323,7 +323,16 @@
         return () => { isCancelled = true }
       }
     }
-    return { count: 0, hasIdle: true, acquire: () => connection as unknown as EndpointConnection, release: () => {} } as unknown as EndpointConnections
+    const healthConnection = {
+      close: () => {},
+      send: (_request: unknown, handler: ResponseHandler) => {
+        setTimeout(() => {
+          handler.head(200, [], () => {})
+          handler.complete()
+        }, LATENCY_MS)
+      }
+    }
+    return { count: 0, hasIdle: true, acquire: () => connection as unknown as EndpointConnection, open: () => healthConnection as unknown as EndpointConnection, release: () => {} } as unknown as EndpointConnections
   }
 }
 
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -127,6 +127,7 @@
   async start (known?: readonly ListedEndpoint[]): Promise<void> {
     this.port = await this.server.listen('127.0.0.1', 0)
     this.server.configure(this.#site)
+    this.fleet.configure(this.#site)
     const listed = known ?? await Promise.all(this.endpoints.map(async endpoint => await endpoint.listen()))
     this.list(listed.map(endpoint => ({ ...endpoint, models: this.#models })))
   }
--- a/apps/entry/src/lib/routed/harness/testSite.ts
+++ b/apps/entry/src/lib/routed/harness/testSite.ts
@@ -1,5 +1,6 @@
 /** A site configuration with one route of each kind, for tests. */
 import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
+import { HEALTH_PATH } from './FakeEndpoint.js'
 
 /**
  * @param pathPrefix - path prefix, which is also the route's name
@@ -22,7 +23,7 @@
     testRoute('/short/', { kind: 'unsafe', timeoutMs: 150 }),
     testRoute('/private/', { isPublic: false })
   ],
-  services: [{ type: 'replicated', name: 'app', connectionsPerEndpoint: 0, healthPath: '/health' }],
+  services: [{ type: 'replicated', name: 'app', connectionsPerEndpoint: 0, healthPath: HEALTH_PATH }],
   customers: [{ name: 'ward', keys: ['right'], isIsolated: false }],
   limits: { headerBytes: 4000, bodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
 }
--- a/packages/routing/src/lib/reachability/ContactTimes.ts
+++ b/packages/routing/src/lib/reachability/ContactTimes.ts
@@ -13,6 +13,8 @@
   readonly failingForMs: number
   /** Milliseconds for which requests of this host have been there without a byte; 0 if there are none. */
   readonly unansweredMs: number
+  /** Milliseconds since this host sent a probe that has not been answered; 0 if there is none. */
+  readonly unansweredProbeMs: number
   /** Milliseconds since any host received a byte, as last reported. */
   readonly heardByAnyAgoMs: number
 }
--- a/packages/routing/src/lib/reachability/findCut.ts
+++ b/packages/routing/src/lib/reachability/findCut.ts
@@ -12,6 +12,9 @@
  */
 const SILENCE_MS = 900
 
+/** Silence after a probe that is evidence, in milliseconds; endpoints answer it without any work. */
+const PROBE_SILENCE_MS = 300
+
 /** Endpoints whose contact has to be lost, unless the service has fewer: a single one may have lost its own link. */
 const MIN_LOST_ENDPOINTS = 2
 
@@ -39,11 +42,16 @@
   const heardAgoMs = Math.min(...contacts.map(contact => contact.heardAgoMs))
   if (contacts.length === 0 || heardAgoMs < MIN_UNHEARD_MS) return undefined
   const refusing = contacts.filter(({ failedAgoMs }) => failedAgoMs < heardAgoMs)
-  const silent = contacts.filter(contact => !refusing.includes(contact) && contact.unansweredMs > SILENCE_MS && heardAgoMs > SILENCE_MS)
+  const silent = contacts.filter(contact => !refusing.includes(contact) && isSilent(contact, heardAgoMs))
   const lostEndpoints = refusing.length + silent.length
   const heardByOthers = refusing.filter(({ failingForMs, heardByAnyAgoMs }) => heardByAnyAgoMs + REPORT_MARGIN_MS < Math.min(failingForMs, heardAgoMs)).length +
-    silent.filter(({ heardByAnyAgoMs }) => heardByAnyAgoMs < SILENCE_MS / 2).length
+    silent.filter(({ heardByAnyAgoMs, unansweredProbeMs }) => heardByAnyAgoMs < SILENCE_MS / 2 || heardByAnyAgoMs + REPORT_MARGIN_MS < unansweredProbeMs).length
   // The endpoints are well if one of them is that this host can't reach either; hosts with little to do keep to few of them.
   if (lostEndpoints < Math.min(MIN_LOST_ENDPOINTS, contacts.length) || heardByOthers === 0) return undefined
   return { lostEndpoints, heardByOthers, heardAgoMs }
 }
+
+function isSilent ({ unansweredMs, unansweredProbeMs }: EndpointContact, heardAgoMs: number): boolean {
+  if (unansweredMs > SILENCE_MS && heardAgoMs > SILENCE_MS) return true
+  return unansweredProbeMs > PROBE_SILENCE_MS && heardAgoMs > unansweredProbeMs
+}
--- a/packages/routing/src/lib/reachability/reachability.test.ts
+++ b/packages/routing/src/lib/reachability/reachability.test.ts
@@ -6,16 +6,19 @@
 const never = Number.POSITIVE_INFINITY
 
 const contact = (overrides: Partial<EndpointContact> = {}): EndpointContact =>
-  ({ heardAgoMs: 2000, failedAgoMs: never, failingForMs: 0, unansweredMs: 0, heardByAnyAgoMs: 20, ...overrides })
+  ({ heardAgoMs: 2000, failedAgoMs: never, failingForMs: 0, unansweredMs: 0, unansweredProbeMs: 0, heardByAnyAgoMs: 20, ...overrides })
 
 const refused = contact({ failedAgoMs: 10, failingForMs: 300 })
 const unanswered = contact({ unansweredMs: 1200 })
+const probed = contact({ unansweredProbeMs: 350 })
 
 describe('findCut', () => {
   describe('finds a cut', () => {
     it.each([
       ['endpoints that refuse connections', [refused, refused, contact()]],
       ['endpoints that do not answer', [unanswered, unanswered, contact()]],
+      ['endpoints that do not answer probes', [probed, probed, contact()]],
+      ['endpoints that others have heard from since the probes were sent', [contact({ unansweredProbeMs: 1500, heardByAnyAgoMs: 1400 }), contact({ unansweredProbeMs: 1500, heardByAnyAgoMs: 60_000 })]],
       ['endpoints of which others use one', [refused, { ...refused, heardByAnyAgoMs: 60_000 }, contact()]],
       ['the only endpoint', [refused]]
     ])('by %s while others hear from them', (_text, contacts) => {
@@ -32,6 +35,9 @@
       ['others were heard only before the failures', [refused, refused].map(each => ({ ...each, heardByAnyAgoMs: 400 }))],
       ['endpoints are silent for a second to all hosts', [unanswered, unanswered].map(each => ({ ...each, heardByAnyAgoMs: 1000 }))],
       ['requests have waited for less than a second', [contact({ unansweredMs: 600 }), contact({ unansweredMs: 600 })]],
+      ['probes have just been sent', [contact({ unansweredProbeMs: 250 }), contact({ unansweredProbeMs: 250 })]],
+      ['this host has heard from one of them since it sent the probes', [probed, probed, contact({ heardAgoMs: 300 })]],
+      ['others were heard only before the probes were sent', [probed, probed].map(each => ({ ...each, unansweredProbeMs: 600, heardByAnyAgoMs: 580 }))],
       ['the service has no endpoints', []]
     ])('if %s', (_text, contacts) => {
       expect(findCut(contacts)).toBeUndefined()
