No check of a sound connection while the control host still combines changes of stored parts

Status responses state a change of the stores at once, its message follows up to 250 ms later, and the watch was taken for overdue after 200 ms: while stores change all the time, about one status response in five sent a needless ping, at each host. The follower now states how long the message may be held back; the delay is part of the protocol and stands with the message. A shorter expectation of another watch on the same connection takes precedence. Bytes were not measured; the share follows from the two constants.

--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -5,7 +5,7 @@
 import { EventEmitter } from 'node:events'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
-import type { StoreChange, StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
+import { STORED_PARTS_BATCH_MS, type StoreChange, type StoredPartsMessage } from '@eelgrassmux/schema/site/storedParts'
 import type { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { RaftTask } from '../raft/RaftTask.js'
@@ -15,13 +15,6 @@
 /** Interval between checks of the site's stores and of parts to free, in milliseconds. */
 const CHECK_INTERVAL_MS = 1000
 
-/**
- * Delay that combines changes into one message, in milliseconds. A prompt recurs only
- * after seconds, while each message wakes each of 195 hosts and costs half a millisecond
- * of processor time on the host and as much again on the leader.
- */
-const BATCH_DELAY_MS = 250
-
 /** Deadline for a store to act on a call to free parts, in milliseconds. No other leader can be elected within this time. */
 const FREE_DEADLINE_MS = 300
 
@@ -139,7 +132,7 @@
   #publish (change: StoreChange): void {
     this.#version += 1
     for (const watcher of this.#watchers) {
-      if (watcher.pending.length === 0) setTimeout(watcher.wake, BATCH_DELAY_MS)
+      if (watcher.pending.length === 0) setTimeout(watcher.wake, STORED_PARTS_BATCH_MS)
       watcher.pending.push(change)
     }
   }
--- a/packages/rpc/src/lib/RpcChannel.ts
+++ b/packages/rpc/src/lib/RpcChannel.ts
@@ -35,6 +35,7 @@
   readonly #overdueTimers = new Set<NodeJS.Timeout>()
   #lastMessageAt = Number.NEGATIVE_INFINITY
   #messageTimer: NodeJS.Timeout | undefined
+  #messageDueAt = Number.POSITIVE_INFINITY
   #isChecking = false
   #isRetired = false
   #hasAnswered = false
@@ -90,14 +91,21 @@
     }
   }
 
-  /** Checks the connection unless some message arrives soon. Call it when the server is known to have sent one. */
-  expectMessage (): void {
-    if (this.#isRetired || this.#messageTimer !== undefined) return
+  /**
+   * Checks the connection unless some message arrives soon. Call it when the server is known to have one to send.
+   *
+   * @param delayMs - time for which the server may hold it back, in milliseconds
+   */
+  expectMessage (delayMs: number): void {
     const expectedSince = performance.now()
+    const dueAt = expectedSince + OVERDUE_MS + delayMs
+    if (this.#isRetired || this.#messageDueAt <= dueAt) return
+    clearTimeout(this.#messageTimer)
+    this.#messageDueAt = dueAt
     this.#messageTimer = setTimeout(() => {
-      this.#messageTimer = undefined
+      this.#messageDueAt = Number.POSITIVE_INFINITY
       if (this.#lastMessageAt < expectedSince) this.#check()
-    }, OVERDUE_MS)
+    }, OVERDUE_MS + delayMs)
   }
 
   /** Ends the channel once its calls have ended; they may still be answered. */
--- a/packages/rpc/src/lib/RpcClient.ts
+++ b/packages/rpc/src/lib/RpcClient.ts
@@ -128,9 +128,10 @@
    * Reports that a server has sent a message on a stream, as a datagram of it shows. If none arrives soon, the connection is checked.
    *
    * @param address - IP address and port of the server
+   * @param delayMs - time for which the server may hold the message back, in milliseconds
    */
-  expectMessage (address: string): void {
-    this.#channels.get(address)?.expectMessage()
+  expectMessage (address: string, delayMs = 0): void {
+    this.#channels.get(address)?.expectMessage(delayMs)
   }
 
   /** Closes all channels. */
--- a/packages/schema/src/lib/site/storedParts.ts
+++ b/packages/schema/src/lib/site/storedParts.ts
@@ -1,6 +1,13 @@
 /** Messages with which control hosts tell entry hosts which prompt parts stores hold. */
 import { z } from 'zod'
 
+/**
+ * Delay that combines changes into one message, in milliseconds. A prompt recurs only
+ * after seconds, while each message wakes each of 195 hosts and costs half a millisecond
+ * of processor time on the host and as much again on the control host.
+ */
+export const STORED_PARTS_BATCH_MS = 250
+
 /** A part, with the cache salt under which it was saved. */
 export const storedPartSchema = z.tuple([z.string(), z.string()]).describe('cache salt and part id')
 
--- a/packages/view/src/lib/StoredPartsFollower.ts
+++ b/packages/view/src/lib/StoredPartsFollower.ts
@@ -1,7 +1,7 @@
 /** Follows the contents of the stores through one control host at a time. */
 import { watchStoredParts, type WatchedState } from '@eelgrassmux/rpc/methods/controlMethods'
 import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import type { StoreChange } from '@eelgrassmux/schema/site/storedParts'
+import { STORED_PARTS_BATCH_MS, type StoreChange } from '@eelgrassmux/schema/site/storedParts'
 import { WatchProgress } from './WatchProgress.js'
 import { WatchRotation } from './WatchRotation.js'
 
@@ -75,7 +75,7 @@
     const watch = this.#rotation.openAt(address)
     if (watch === undefined) return
     if (this.#progress.confirm({ incarnation, version: storedParts }, askedAt) === 'behind') {
-      this.rpc.expectMessage(address)
+      this.rpc.expectMessage(address, STORED_PARTS_BATCH_MS)
       return
     }
     watch.markAlive()
