Our own interface: no 401 or 404 from a host that knows of a newer configuration

Refusals of what the configuration in force does not contain become 503, not run, with Retry-After, while a control host has stated a newer view. Paths that no configuration has stay 404. CallerServer.test.ts: 2 of the 4 new tests failed before (401, 404), all pass.

--- a/apps/entry/src/lib/EntryDaemon.ts
+++ b/apps/entry/src/lib/EntryDaemon.ts
@@ -135,6 +135,7 @@
   const callers = new CallerServer(completions, plain, {
     configuration,
     isFresh: () => link.isReady(),
+    isBehind: () => link.viewLag().viewsBehind > 0,
     work,
     stop,
     refusals: telemetry.labelledCounter('refusals_total', 'Refusals to callers by reason')
--- a/apps/entry/src/lib/callers/CallerServer.test.ts
+++ b/apps/entry/src/lib/callers/CallerServer.test.ts
@@ -1,14 +1,18 @@
+import { createHash } from 'node:crypto'
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
-import { succeed } from '@eelgrassmux/schema/Result'
+import { fail, succeed } from '@eelgrassmux/schema/Result'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { CallerServer, type CallerPorts } from './CallerServer.js'
+import { refuseUndispatched } from './readBody.js'
 
 const CALL_MS = 300
 
+const KNOWN_CREDENTIAL_HASH = createHash('sha256').update('known').digest('hex')
+
 describe('a call to a plain service over the project\'s own interface', () => {
   let server: CallerServer | undefined
   afterEach(async () => { await server?.close() })
@@ -31,3 +35,28 @@
     expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(['HTTP/1.1 200'])
   })
 })
+
+describe('a call that the configuration in force does not allow', () => {
+  let server: CallerServer | undefined
+  afterEach(async () => { await server?.close() })
+
+  async function call (isBehind: boolean, credential: string): Promise<{ readonly status: number, readonly run: unknown }> {
+    const unknownService = refuseUndispatched({ reason: 'unknown-service', status: 404, detail: 'there is no plain service', field: 'service' })
+    const ports = {
+      configuration: () => ({ customerByCredential: (hash: string) => hash === KNOWN_CREDENTIAL_HASH ? { name: 'ward' } : undefined }), isFresh: () => true, isBehind: () => isBehind, refusals: new Telemetry('test').labelledCounter('refusals', 'Refusals'), work: new WorkGate(), stop: { isStopping: false }
+    }
+    server = new CallerServer({} as never, { handle: async () => fail(unknownService) } as never, ports as unknown as CallerPorts)
+    const port = await server.listen('127.0.0.1', 0)
+    const response = await fetch(`http://127.0.0.1:${port}/services/app/a`, { method: 'POST', headers: { authorization: `Bearer ${credential}` } })
+    return { status: response.status, run: (await response.json() as { readonly run?: unknown }).run }
+  }
+
+  it.each([['an unknown credential', 'new', 401], ['an unknown service', 'known', 404]])('is refused for good on a host that knows of no newer configuration: %s', async (_text, credential, status) => {
+    expect(await call(false, credential)).toMatchObject({ status })
+  })
+
+  // Guards against callers who are told that their key or service is wrong by a host that has not received the newest configuration yet.
+  it.each([['an unknown credential', 'new'], ['an unknown service', 'known']])('is sent to another host, as not run, by a host that knows of a newer configuration: %s', async (_text, credential) => {
+    expect(await call(true, credential)).toEqual({ status: 503, run: 'not-run' })
+  })
+})
--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -8,7 +8,7 @@
 import type { Customer } from '@eelgrassmux/schema/configuration'
 import type { ConfigurationIndex } from '@eelgrassmux/schema/ConfigurationIndex'
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
-import type { Refusal } from '@eelgrassmux/schema/Refusal'
+import type { Refusal, RefusalReason } from '@eelgrassmux/schema/Refusal'
 import type { Result } from '@eelgrassmux/schema/Result'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
@@ -22,11 +22,16 @@
   configuration (): ConfigurationIndex
   /** Whether the configuration in force is currently confirmed as the newest. */
   isFresh (): boolean
+  /** Whether a control host has stated a newer view than the one in force. */
+  isBehind (): boolean
   readonly refusals: LabelledCounter
   readonly work: WorkGate
   readonly stop: GracefulShutdown
 }
 
+/** Refusals of what the configuration in force does not contain; a newer one may. */
+const CONFIGURATION_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['unknown-credential', 'unknown-service'])
+
 /** Answers a request of an authenticated customer; returns undefined if it has streamed the answer itself. */
 type Handler = (event: H3Event, customer: Customer) => Promise<Result<Response | undefined, Refusal>>
 
@@ -122,9 +127,7 @@
       // A stopping host closes each connection after its current answer.
       if (this.ports.stop.isStopping) connectionOf(event).shouldKeepAlive = false
       // The mapping of credentials to customers is part of the configuration, so freshness is checked first.
-      if (!this.ports.isFresh()) {
-        return this.#refuse(refuseUndispatched({ reason: 'configuration-stale', status: 503, detail: 'this host can not confirm its configuration; ask another', retryAfterSeconds: 1 }))
-      }
+      if (!this.ports.isFresh()) return this.#refuse(staleConfiguration('this host can not confirm its configuration; ask another'))
       const customer = this.#customer(event.req.headers.get('authorization'))
       if (customer === undefined) {
         return this.#refuse(refuseUndispatched({ reason: 'unknown-credential', status: 401, detail: 'send a known credential as a bearer token', field: 'Authorization' }))
@@ -137,8 +140,10 @@
   }
 
   #refuse (refusal: Refusal): Response {
-    this.ports.refusals.count(refusal.reason)
-    return problemResponse(refusal)
+    const isOutdated = CONFIGURATION_REASONS.has(refusal.reason) && this.ports.isBehind()
+    const stated = isOutdated ? staleConfiguration('this host has not received the newest configuration yet; ask another') : refusal
+    this.ports.refusals.count(stated.reason)
+    return problemResponse(stated)
   }
 
   #customer (authorization: string | null): Customer | undefined {
@@ -154,3 +159,7 @@
   assertInvariant(connection !== undefined, 'caller-connection', () => 'the request has no Node.js response')
   return connection as ServerResponse
 }
+
+function staleConfiguration (detail: string): Refusal {
+  return refuseUndispatched({ reason: 'configuration-stale', status: 503, detail, retryAfterSeconds: 1 })
+}
