--- a/apps/entry/src/lib/routed/cutHead.test.ts
+++ b/apps/entry/src/lib/routed/cutHead.test.ts
@@ -2,7 +2,8 @@
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
-import { respondOk, FakeEndpoint, type Behaviour } from './harness/FakeEndpoint.js'
+import { respondOk, FakeEndpoint, streamEvent, type Behaviour } from './harness/FakeEndpoint.js'
+import { LinkCut } from './harness/LinkCut.js'
 import { LinkedHosts } from './harness/LinkedHosts.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
 import { RoutedHost } from './harness/RoutedHost.js'
@@ -49,8 +50,11 @@
 describe('an answer that stops inside its head', () => {
   let host: RoutedHost | undefined
   let linked: LinkedHosts | undefined
+  let cut: LinkCut | undefined
 
   afterEach(async () => {
+    cut?.heal()
+    cut = undefined
     await host?.close()
     await linked?.close()
     host = linked = undefined
@@ -108,6 +112,46 @@
     }
   })
 
+  it('is no success through a host that is cut off and has another host serve its callers', async () => {
+    const endpoints = [new FakeEndpoint('e0', stopsInsideHead('transfer-encoding: chunked', 0.8, 'reset', true)), new FakeEndpoint('e1', stopsInsideHead('content-length: 12', 0.97, 'ended', false))]
+    linked = new LinkedHosts(2, endpoints)
+    await linked.start()
+    const [cutOff, other] = linked.hosts
+    if (cutOff === undefined || other === undefined) throw new Error('two hosts are needed')
+    await other.sendRequest('/safe/first')
+    cut = await LinkCut.between(cutOff.fleet, 'refuses')
+    const countReceived = (): number => endpoints.reduce((sum, { receivedRequests }) => sum + receivedRequests.length, 0)
+    let relayed = 0
+    for (let number = 0; number < 8; number += 1) {
+      const received = countReceived()
+      const outcomes = await Promise.all(ROUTES.map(async route => await cutOff.sendRequest(`${route}${number}`)))
+      relayed += countReceived() - received
+      expect(outcomes.filter(({ status, isWhole }) => status === 200 && isWhole)).toEqual([])
+      await other.sendRequest('/safe/first')
+    }
+    expect(relayed).toBeGreaterThan(0)
+  })
+
+  it('is no end of a stream that is moved to the endpoint in the middle', async () => {
+    let streams = 0
+    /** The first stream breaks after an event; what follows stops inside its head. */
+    const behave: Behaviour = (request, response, body) => {
+      streams += 1
+      if (streams > 1) {
+        stopsInsideHead('content-length: 30', 0.97, 'ended', false)(request, response, body)
+        return
+      }
+      response.writeHead(200, { [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
+      response.write(streamEvent(1))
+      setTimeout(() => { request.socket.resetAndDestroy() }, 50)
+    }
+    const serving = host = new RoutedHost([new FakeEndpoint('e0', behave), new FakeEndpoint('e1', behave)])
+    await serving.start()
+    const { body, isWhole } = await serving.sendRequest('/resumable/x')
+    expect({ body, isWhole }).toEqual({ body: streamEvent(1), isWhole: false })
+    expect(streams).toBeGreaterThan(1)
+  })
+
   // A second endpoint makes hosts try again and open standbys.
   it('does not spoil the answer of another endpoint', async () => {
     const serving = host = new RoutedHost([
--- a/packages/backends/src/lib/ServiceClient.test.ts
+++ b/packages/backends/src/lib/ServiceClient.test.ts
@@ -41,20 +41,20 @@
     expect(await callRejectingEndpoint(429, {})).toEqual({ kind: 'not-started', reason: 'other' })
   })
 
+  async function callEndpoint (respond: (socket: Socket) => void, isOnce: boolean): Promise<unknown> {
+    const listening = createSocketServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => { respond(socket) })
+    })
+    server = listening
+    await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
+    client = new ServiceClient(`127.0.0.1:${(listening.address() as AddressInfo).port}`)
+    const answer = await (isOnce ? client.callOnce(CALL) : client.call(CALL))
+    return answer.ok ? Buffer.from(answer.value.body).toString() : answer.error.kind
+  }
+
   // Guards against half an answer that counts as complete, because the connection that marks its end was reset.
   describe('an answer without a length', () => {
-    async function callEndpoint (respond: (socket: Socket) => void, isOnce: boolean): Promise<unknown> {
-      const listening = createSocketServer(socket => {
-        socket.on('error', () => {})
-        socket.once('data', () => { respond(socket) })
-      })
-      server = listening
-      await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
-      client = new ServiceClient(`127.0.0.1:${(listening.address() as AddressInfo).port}`)
-      const answer = await (isOnce ? client.callOnce(CALL) : client.call(CALL))
-      return answer.ok ? Buffer.from(answer.value.body).toString() : answer.error.kind
-    }
-
     const head = 'HTTP/1.1 200 OK\r\n\r\n'
 
     it.each([false, true])('is complete if the connection ends in order (once: %s)', async isOnce => {
@@ -72,4 +72,21 @@
       expect(await callEndpoint(socket => { socket.write(`${head}half`, () => { socket.resetAndDestroy() }) }, isOnce)).toBe('lost')
     })
   })
+
+  // Guards against an endpoint that stops inside the head of its answer, of which callers get a success that is framed as whole.
+  describe('an answer that stops inside its head', () => {
+    const FRAMINGS = ['content-length: 5', 'transfer-encoding: chunked', 'connection: close']
+
+    it.each(FRAMINGS.flatMap(framing => [[framing, false], [framing, true]] as const))('is lost (%s, once: %s)', async (framing, isOnce) => {
+      const head = `HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n${framing}\r\n\r\n`
+      for (const share of [0.1, 0.5, 0.9, 1]) {
+        const part = head.slice(0, Math.min(head.length - 1, Math.ceil(head.length * share)))
+        for (const stop of [(socket: Socket) => { socket.end() }, (socket: Socket) => { socket.resetAndDestroy() }]) {
+          expect(await callEndpoint(socket => { socket.write(part, () => { stop(socket) }) }, isOnce)).toBe('lost')
+          await client?.close()
+          server?.close()
+        }
+      }
+    })
+  })
 })
