--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -29,12 +29,12 @@
 import { CallerExchange } from './CallerExchange.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
-import { LaggingViewQueue } from './LaggingViewQueue.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { headerBytes, readBody } from './requestBytes.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
 import { ServicePorts } from './ServicePorts.js'
+import { SiteRefusals, type SiteRefusal } from './SiteRefusals.js'
 import type { SlowReaders } from './SlowReaders.js'
 import { StartupQueue } from './StartupQueue.js'
 
@@ -91,13 +91,6 @@
   readonly isCountedElsewhere: boolean
 }
 
-/** Refusal of a request that the site in force does not allow. */
-interface SiteRefusal {
-  readonly reason: RefusalReason
-  readonly status: number
-  readonly detail: string
-}
-
 /** Largest headers that Node accepts, in bytes. The site's own limit is lower and is checked afterwards. */
 const MAX_HEADER_BYTES = 64 * 1024
 
@@ -112,9 +105,6 @@
 /** Time that {@link RoutedServer.close} gives to responses still being written, in milliseconds. These are late refusals, which no other step of the shutdown waits for. */
 const CLOSE_TIMEOUT_MS = 100
 
-/** Time since the last confirmation of the view after which the host may not know what has been acknowledged since, in milliseconds. */
-const MAX_CONFIRMATION_AGE_MS = 2000
-
 /** Retry-After of refusals after which the caller should try another host, in seconds. */
 const RETRY_AFTER_SECONDS = 0.3
 
@@ -127,7 +117,7 @@
   readonly #relayed: LabelledCounter
   readonly #closedUnread: LabelledCounter
   readonly #startup: StartupQueue
-  readonly #laggingView = new LaggingViewQueue()
+  readonly #siteRefusals: SiteRefusals
   readonly #clientErrors: ClientErrors
   #index: SiteIndex | undefined
   #lastRequestAt = 0
@@ -142,7 +132,7 @@
     const { telemetry } = ports
     this.#startup = new StartupQueue(startedAt)
     telemetry.gauge('requests_waiting_for_site', 'Requests that wait until this host knows the site', () => this.#startup.length)
-    telemetry.gauge('requests_waiting_for_view', 'Requests that the site in force does not allow and that wait for a newer view', () => this.#laggingView.length)
+    this.#siteRefusals = new SiteRefusals(ports)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
     this.#servicePorts = new ServicePorts(ports, this.#refusals)
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
@@ -189,7 +179,7 @@
 
   /** Releases requests that waited for the site, if this host now knows enough to serve them or is stopping. */
   releaseWaiting (): void {
-    if (this.#laggingView.length > 0 && (this.ports.stop.isStopping || this.ports.viewLag?.().viewsBehind === 0)) this.#laggingView.release()
+    this.#siteRefusals.releaseWaiting()
     if (this.ports.stop.isStopping) this.#startup.releaseAll()
     else if (this.#isReadyToServe()) this.#startup.release()
   }
@@ -314,15 +304,21 @@
       this.#refuse(exchange, fields, 'headers-too-large', 431, `the headers are larger than ${index.site.limits.headerBytes} bytes`)
       return
     }
-    const routeAgain = (): void => { this.#route(message, exchange, fields, arrivedAt, isCountedElsewhere) }
+    const refuseBySite = (refusal: SiteRefusal): void => {
+      this.#siteRefusals.refuse({ exchange, fields, arrivedAt, refusal }, {
+        refuse: ({ reason, status, detail }) => { this.#refuse(exchange, fields, reason, status, detail) },
+        refuseAsStale: () => { this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host may not know the newest site', RETRY_AFTER_SECONDS) },
+        routeAgain: () => { this.#route(message, exchange, fields, arrivedAt, isCountedElsewhere) }
+      })
+    }
     const route = index.routes.find(message.headers.host ?? '', message.url ?? '/')
     if (route === undefined) {
-      this.#refuseUnlessLagging(exchange, fields, arrivedAt, routeAgain, { reason: 'unknown-path', status: 404, detail: `there is no route for ${message.headers.host ?? ''} ${message.url ?? ''}` })
+      refuseBySite({ reason: 'unknown-path', status: 404, detail: `there is no route for ${message.headers.host ?? ''} ${message.url ?? ''}` })
       return
     }
     const customer = fields.key === undefined ? undefined : index.customerByKey(fields.key)
     if (index.needsKeys && !route.isPublic && customer === undefined) {
-      this.#refuseUnlessLagging(exchange, fields, arrivedAt, routeAgain, { reason: 'unknown-credential', status: 401, detail: 'send a key that a customer holds' })
+      refuseBySite({ reason: 'unknown-credential', status: 401, detail: 'send a key that a customer holds' })
       return
     }
     const limit = index.site.limits.bodyBytes
@@ -334,26 +330,6 @@
     })
   }
 
-  /**
-   * Refuses what the site in force does not allow. If this host may be behind, a newer site may allow it: a site that is known
-   * to exist is waited for, and without one the caller is sent to another host.
-   */
-  #refuseUnlessLagging (exchange: CallerExchange, fields: CallerFields, arrivedAt: number, routeAgain: () => void, { reason, status, detail }: SiteRefusal): void {
-    const lag = this.ports.viewLag?.()
-    const isBehind = lag !== undefined && lag.viewsBehind > 0
-    if (!isBehind && (lag === undefined || lag.confirmedMs <= MAX_CONFIRMATION_AGE_MS)) {
-      this.#refuse(exchange, fields, reason, status, detail)
-      return
-    }
-    const refuseAsStale = (): void => { this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host may not know the newest site', RETRY_AFTER_SECONDS) }
-    const isQueued = isBehind && !this.ports.stop.isStopping && this.#laggingView.enqueue(exchange, fields.deadlineMs, performance.now() - arrivedAt, outcome => {
-      if (outcome === 'released') routeAgain()
-      else refuseAsStale()
-    })
-    if (isQueued) this.ports.telemetry.logDecision('waits-for-view', fields.requestId ?? '', { reason, viewsBehind: lag.viewsBehind, viewBehindMs: Math.round(lag.behindMs), waiting: this.#laggingView.length })
-    else refuseAsStale()
-  }
-
   /**
    * Calls `start` unless the caller has disconnected. After a blocked event loop, a request
    * is read long after it was sent, and the caller's disconnect only in the following turn,
