--- a/apps/entry/src/lib/relays/ServiceLinks.ts
+++ b/apps/entry/src/lib/relays/ServiceLinks.ts
@@ -154,7 +154,7 @@
     const { otherHostsLoad } = this.fleet
     if (link.reachability.isCutOff || !otherHostsLoad.isRecent(now)) return
     this.#checkNewConnections(service, link, now)
-    const endpoints = this.#staying(service)
+    const endpoints = this.#stayingEndpoints(service)
     const evidence = link.reachability.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.lastByteAgoMs(now),
       failedAgoMs: endpoint.contact.failedAgoMs(now),
@@ -173,7 +173,7 @@
   /** Finds a service whose endpoints answer over old connections and lose the new ones of this host only. */
   #checkNewConnections (service: string, { newConnections, newConnectionLostAt }: ServiceLink, now: number): void {
     if (now - newConnectionLostAt > MAX_FAILURE_AGE_MS) return
-    const endpoints = this.#staying(service)
+    const endpoints = this.#stayingEndpoints(service)
     const evidence = newConnections.check(endpoints.map(endpoint => ({
       heardAgoMs: endpoint.newConnections.heardAgoMs(now),
       failedAgoMs: endpoint.newConnections.failedAgoMs(now),
@@ -189,7 +189,7 @@
 
   /** Asks a random endpoint for its health over a new connection; any answer shows that the links are back. */
   #probe (service: string, healthPath: string): void {
-    const endpoints = this.#staying(service)
+    const endpoints = this.#stayingEndpoints(service)
     const endpoint = endpoints[Math.floor(Math.random() * endpoints.length)]
     if (endpoint !== undefined) this.#probes.send(endpoint, healthPath)
   }
@@ -197,11 +197,11 @@
   /** Probes the endpoints that other hosts have heard from last, since their silence is no fault of theirs. */
   #probeHeardByOthers (service: string, healthPath: string, now: number): void {
     const heardAgoMs = ({ incarnation }: EndpointState): number => this.fleet.otherHostsLoad.heardAgoMs(incarnation, now)
-    const endpoints = this.#staying(service).sort((one, other) => heardAgoMs(one) - heardAgoMs(other))
+    const endpoints = this.#stayingEndpoints(service).sort((one, other) => heardAgoMs(one) - heardAgoMs(other))
     for (const endpoint of endpoints.slice(0, FIRST_PROBES)) this.#probes.send(endpoint, healthPath)
   }
 
-  #staying (service: string): EndpointState[] {
+  #stayingEndpoints (service: string): EndpointState[] {
     return this.fleet.endpointsOf(service).filter(({ isLeaving }) => !isLeaving)
   }
 }
