--- a/apps/control/src/lib/raft/joinGroup.test.ts
+++ b/apps/control/src/lib/raft/joinGroup.test.ts
@@ -1,9 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
-import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { ProxiedServer } from '@eelgrassmux/rpc/harness/ProxiedServer'
 import { changeMembership, type MembershipChange } from '@eelgrassmux/rpc/methods/controlMethods'
-import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import type { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { succeed, type Result } from '@eelgrassmux/schema/Result'
 import { joinGroup, type JoiningReplica } from './joinGroup.js'
 
@@ -12,8 +11,6 @@
 const LEADER: Replica = { id: 'leader', address: 'leader' }
 const FRESH: Replica = { id: 'fresh', address: 'fresh' }
 
-const NO_KEEPALIVE_MS = 600_000
-
 /** Simulates a leader that makes every requested change, and a contact that has not joined a group yet. */
 class FakeContacts {
   readonly changes: MembershipChange[] = []
@@ -45,35 +42,23 @@
   })
 
   describe('when its connections to the leader have gone silent', () => {
-    let proxy: LoopbackProxy
-    let leader: RpcServer
-    let rpc: RpcClient
-
-    beforeEach(async () => {
-      proxy = new LoopbackProxy()
-      leader = new RpcServer()
-      rpc = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
-      proxy.target = await leader.listen('127.0.0.1', 0)
-    })
-
-    afterEach(() => {
-      rpc.close()
-      leader.close()
-      proxy.close()
-    })
+    let leader: ProxiedServer
+    beforeEach(() => { leader = new ProxiedServer() })
+    afterEach(() => { leader.close() })
 
     // Guards against a replica that cannot join until the keepalive of a dead connection runs out.
     it('joins over new ones', async () => {
       const made: string[] = []
-      leader.handle(changeMembership, async change => {
+      leader.server.handle(changeMembership, async change => {
         // The first answer of each step is lost.
-        if (!made.includes(change.kind)) proxy.silenceOpenConnections()
+        if (!made.includes(change.kind)) leader.proxy.silenceOpenConnections()
         made.push(change.kind)
         return { kind: 'done' as const }
       })
-      const address = await proxy.listen()
+      await leader.listen()
+      const { address } = leader
       const core: JoiningReplica = { self: SELF, leader: { id: 'leader', address }, membership: { voters: [LEADER], learners: [SELF] } }
-      await joinGroup(rpc, core, () => [address], () => false)
+      await joinGroup(leader.client, core, () => [address], () => false)
       expect(made.at(0)).toBe('add-learner')
       expect(made.at(-1)).toBe('promote')
     })
--- a/apps/control/src/lib/site/silentLeader.test.ts
+++ b/apps/control/src/lib/site/silentLeader.test.ts
@@ -1,45 +1,33 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { ProxiedServer } from '@eelgrassmux/rpc/harness/ProxiedServer'
 import { propose, readSite } from '@eelgrassmux/rpc/methods/controlMethods'
-import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { StateMachine } from '@eelgrassmux/state/StateMachine'
 import type { RaftTask } from '../raft/RaftTask.js'
 import { SiteService } from './SiteService.js'
 
-const NO_KEEPALIVE_MS = 600_000
-
 describe('operators\' calls at a control host whose connection to the leader has gone silent', () => {
-  let proxy: LoopbackProxy
-  let leader: RpcServer
-  let rpc: RpcClient
+  let leader: ProxiedServer
   let service: SiteService
   let state: StateMachine
 
   beforeEach(async () => {
-    proxy = new LoopbackProxy()
-    leader = new RpcServer()
+    leader = new ProxiedServer()
     state = new StateMachine()
-    leader.handle(readSite, async () => ({ kind: 'none' as const }))
-    leader.handle(propose, async ({ command }) => ({ kind: 'applied' as const, result: state.apply({ stampedAt: 0, command }) }))
-    const address = await proxy.listen()
-    proxy.target = await leader.listen('127.0.0.1', 0)
-    rpc = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
+    leader.server.handle(readSite, async () => ({ kind: 'none' as const }))
+    leader.server.handle(propose, async ({ command }) => ({ kind: 'applied' as const, result: state.apply({ stampedAt: 0, command }) }))
+    await leader.listen()
+    const { address } = leader
     const follower = {
       state: { evacuations: { revision: 0 } },
       core: { role: 'follower', leader: { id: 'l', address } },
       propose: async () => await Promise.resolve({ kind: 'not-leader', leader: address })
     }
-    service = new SiteService(follower as unknown as RaftTask, rpc)
+    service = new SiteService(follower as unknown as RaftTask, leader.client)
     expect(await service.readSite()).toEqual({ kind: 'none' })
-    proxy.silenceOpenConnections()
+    leader.proxy.silenceOpenConnections()
   })
 
-  afterEach(() => {
-    rpc.close()
-    leader.close()
-    proxy.close()
-  })
+  afterEach(() => { leader.close() })
 
   // Guards against reads that a group with a leader refuses at all other hosts until the keepalive of dead connections runs out.
   it('reads the site at the first try', async () => {
--- a/apps/entry/src/lib/callers/CallerServer.test.ts
+++ b/apps/entry/src/lib/callers/CallerServer.test.ts
@@ -51,12 +51,10 @@
     return { status: response.status, run: (await response.json() as { readonly run?: unknown }).run }
   }
 
-  it.each([['an unknown credential', 'new', 401], ['an unknown service', 'known', 404]])('is refused for good on a host that knows of no newer configuration: %s', async (_text, credential, status) => {
-    expect(await call(false, credential)).toMatchObject({ status })
-  })
-
-  // Guards against callers who are told that their key or service is wrong by a host that has not received the newest configuration yet.
-  it.each([['an unknown credential', 'new'], ['an unknown service', 'known']])('is sent to another host, as not run, by a host that knows of a newer configuration: %s', async (_text, credential) => {
-    expect(await call(true, credential)).toEqual({ status: 503, run: 'not-run' })
+  // Guards against callers whose key or service a host refuses that has not received the newest configuration yet.
+  it.each([
+    ['an unknown credential', 'new', false, 401], ['an unknown service', 'known', false, 404], ['an unknown credential', 'new', true, 503], ['an unknown service', 'known', true, 503]
+  ])('is refused for good, or sent to another host by one that knows of a newer configuration: %s (%s, behind: %s)', async (_text, credential, isBehind, status) => {
+    expect(await call(isBehind, credential)).toEqual({ status, run: 'not-run' })
   })
 })
--- a/apps/entry/src/lib/runs/PeerRuns.test.ts
+++ b/apps/entry/src/lib/runs/PeerRuns.test.ts
@@ -1,29 +1,21 @@
 import { EventEmitter, once } from 'node:events'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { ProxiedServer } from '@eelgrassmux/rpc/harness/ProxiedServer'
 import { readRun } from '@eelgrassmux/rpc/methods/entryMethods'
-import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
-import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
 import { PeerRuns } from './PeerRuns.js'
 import type { RunChunk } from './Run.js'
 
-const NO_KEEPALIVE_MS = 600_000
-
 describe('PeerRuns', () => {
-  let proxy: LoopbackProxy
-  let server: RpcServer
-  let rpc: RpcClient
-  let address: string
+  let holder: ProxiedServer
   let tokens: string[]
   let isComplete: boolean
   const changes = new EventEmitter()
 
   beforeEach(async () => {
-    proxy = new LoopbackProxy()
-    server = new RpcServer()
+    holder = new ProxiedServer()
     tokens = ['a', 'b']
     isComplete = false
-    server.handleStream(readRun, async ({ offset }, stream) => {
+    holder.server.handleStream(readRun, async ({ offset }, stream) => {
       for (let sent = offset; !stream.signal.aborted;) {
         if (sent < tokens.length) await stream.send({ kind: 'tokens', offset: sent, tokens: tokens.slice(sent) })
         sent = tokens.length
@@ -31,25 +23,22 @@
         await once(changes, 'change', { signal: stream.signal }).catch(() => {})
       }
     })
-    address = await proxy.listen()
-    proxy.target = await server.listen('127.0.0.1', 0)
-    rpc = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
+    await holder.listen()
   })
 
-  afterEach(() => {
-    rpc.close()
-    server.close()
-    proxy.close()
-  })
+  afterEach(() => { holder.close() })
+
+  async function readRunOfHolder (): Promise<AsyncIterable<RunChunk> | RunChunk[]> {
+    return await new PeerRuns(holder.client).read(holder.address, { runId: 'r', customer: 'c', offset: 0 }, new AbortController().signal) ?? []
+  }
 
   // Guards against answers that stand still, and then break, although their run goes on at a host in reach.
   it('goes on with a run over a new connection when the one that it uses goes silent', async () => {
-    const chunks = await new PeerRuns(rpc).read(address, { runId: 'r', customer: 'c', offset: 0 }, new AbortController().signal)
     const received: RunChunk[] = []
-    for await (const chunk of chunks ?? []) {
+    for await (const chunk of await readRunOfHolder()) {
       received.push(chunk)
       if (isComplete) continue
-      proxy.silenceOpenConnections()
+      holder.proxy.silenceOpenConnections()
       tokens.push('c')
       isComplete = true
       changes.emit('change')
@@ -59,11 +48,10 @@
 
   // Guards against callers that wait for ever for a host that is cut off.
   it('ends the answer with an error when new connections are silent as well', async () => {
-    const chunks = await new PeerRuns(rpc).read(address, { runId: 'r', customer: 'c', offset: 0 }, new AbortController().signal)
     const received: RunChunk[] = []
-    for await (const chunk of chunks ?? []) {
+    for await (const chunk of await readRunOfHolder()) {
       received.push(chunk)
-      proxy.setFault('silence')
+      holder.proxy.setFault('silence')
     }
     expect(received).toMatchObject([{ offset: 0, tokens: ['a', 'b'] }, { kind: 'failed' }])
   })
--- a/packages/rpc/src/lib/RpcClient.test.ts
+++ b/packages/rpc/src/lib/RpcClient.test.ts
@@ -1,12 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { z } from 'zod'
-import { LoopbackProxy } from './harness/LoopbackProxy.js'
-import { RpcClient } from './RpcClient.js'
+import { ProxiedServer } from './harness/ProxiedServer.js'
+import type { RpcClient } from './RpcClient.js'
 import { defineStream, defineUnary } from './RpcMethod.js'
-import { RpcServer } from './RpcServer.js'
-
-const NO_KEEPALIVE_MS = 600_000
 
 const numberSchema = z.strictObject({ number: z.number() })
 const double = defineUnary('/test.Numbers/Double', numberSchema, numberSchema)
@@ -14,16 +11,15 @@
 const count = defineStream('/test.Numbers/Count', numberSchema, numberSchema)
 
 describe('RpcClient', () => {
-  let proxy: LoopbackProxy
-  let server: RpcServer
+  let proxied: ProxiedServer
   let client: RpcClient
-  let address = ''
+  let address: string
   let answerSlowCalls: () => void
   let doubled: number[]
 
   beforeEach(async () => {
-    proxy = new LoopbackProxy()
-    server = new RpcServer()
+    proxied = new ProxiedServer()
+    const { server } = proxied
     doubled = []
     server.handle(double, async ({ number }) => {
       doubled.push(number)
@@ -38,23 +34,20 @@
       await stream.send({ number })
       await new Promise(resolve => { stream.signal.addEventListener('abort', resolve) })
     })
-    address = await proxy.listen()
-    proxy.target = await server.listen('127.0.0.1', 0)
-    client = new RpcClient({ keepaliveMs: NO_KEEPALIVE_MS })
+    await proxied.listen()
+    ;({ client, address } = proxied)
     expect(await client.call(address, double, { number: 1 }, 5000)).toEqual({ ok: true, value: { number: 2 } })
   })
 
   afterEach(() => {
     answerSlowCalls()
-    client.close()
-    server.close()
-    proxy.close()
+    proxied.close()
   })
 
   describe('after its connection has gone silent', () => {
     // Guards against calls that all wait on a dead connection until its keepalive runs out.
     it('sends the call that follows an unanswered one over a new connection', async () => {
-      proxy.silenceOpenConnections()
+      proxied.proxy.silenceOpenConnections()
       expect(await client.call(address, double, { number: 2 }, 500)).toMatchObject({ ok: false, error: { kind: 'deadline' } })
       expect(await client.call(address, double, { number: 3 }, 5000)).toEqual({ ok: true, value: { number: 6 } })
     })
