Totals of all hosts: ages of statements count from the own report that they include

Callers would see a host held back from a sound endpoint until the next answer.

Cause: the control host computes totals at most every 25 ms and sends the same ones until then; their ages were taken as of the moment at which they came. So a statement of another host became up to 25 ms and a way through the network younger with each exchange, and newer than what this host had read itself. Paces, rate limits and bounds are concerned.

The ages count back from when this host sent the report that the totals include: totals cannot be older. The harness of linked hosts gave cached totals the sequence of the latest report, which the control host does not; it takes that of the totals now.

RoutedFleet.test.ts plays an exchange with totals that are sent again: 4 instead of undefined before, passes now. The test in load.test.ts that dated paces by the answer dates them by the report.

--- a/apps/entry/src/lib/load/LoadExchange.ts
+++ b/apps/entry/src/lib/load/LoadExchange.ts
@@ -122,7 +122,7 @@
   #report (): LoadReport {
     const own = this.ports.ownWork()
     this.#sequence += 1
-    this.ports.others.recordOwnReport(this.#sequence, own)
+    this.ports.others.recordOwnReport(this.#sequence, own, performance.now())
     return { host: this.host, sequence: this.#sequence, ...own }
   }
 
--- a/apps/entry/src/lib/routed/EndpointLimits.ts
+++ b/apps/entry/src/lib/routed/EndpointLimits.ts
@@ -154,18 +154,18 @@
    * Applies what endpoints have stated to any host.
    *
    * @param stated - statements as the other hosts reported them, with their ages
-   * @param now - when they came, in monotonic milliseconds
+   * @param asOf - time from which their ages count back, in monotonic milliseconds
    */
-  applyStatements ({ limits, brittle }: Pick<PeerLoad, 'limits' | 'brittle'>, now: number): void {
+  applyStatements ({ limits, brittle }: Pick<PeerLoad, 'limits' | 'brittle'>, asOf: number): void {
     if (limits.length === 0 && brittle.length === 0) return
     const byIncarnation = new Map(this.endpoints().map(endpoint => [endpoint.incarnation, endpoint]))
     for (const statement of limits) {
       const endpoint = byIncarnation.get(statement.endpoint)
-      if (endpoint?.rateLimit.observeStatement(statement, now) === true) this.#logRateLimit(endpoint, now)
+      if (endpoint?.rateLimit.observeStatement(statement, asOf) === true) this.#logRateLimit(endpoint, performance.now())
     }
     for (const statement of brittle) {
       const endpoint = byIncarnation.get(statement.endpoint)
-      if (endpoint?.brittleness.observeStatement(statement, now) === true) this.#logBrittleness(endpoint)
+      if (endpoint?.brittleness.observeStatement(statement, asOf) === true) this.#logBrittleness(endpoint)
     }
   }
 
--- a/apps/entry/src/lib/routed/RoutedFleet.test.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.test.ts
@@ -3,7 +3,8 @@
 import { describe, expect, it } from 'vitest'
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import { LoadFeatures, type LoadFeature } from '@eelgrassmux/routing/features/LoadFeatures'
-import { NO_ENDPOINT_LOAD } from '@eelgrassmux/routing/load/loadReport'
+import { LoadAggregator } from '@eelgrassmux/routing/load/LoadAggregator'
+import { NO_ENDPOINT_LOAD, type LoadReport } from '@eelgrassmux/routing/load/loadReport'
 import type { ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { RoutedFleet } from './RoutedFleet.js'
@@ -32,7 +33,7 @@
       const connections = fleet.connectionsTo(former)
       const now = performance.now()
       fleet.promptMemory.recordSend('v1', PARTS, former.incarnation, now)
-      fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+      fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, now)
       fleet.otherHostsLoad.recordTotals({ sequence: 1, work: [{ ...NO_ENDPOINT_LOAD, endpoint: former.incarnation, inFlight: 40, avoiders: 3 }], links: [] }, now)
       fleet.update([listed(2000)])
       const [present] = fleet.endpointsOf('pool')
@@ -59,13 +60,41 @@
       const now = performance.now()
       endpoint.brittleness.observeAnswer(4, now - 400)
       endpoint.brittleness.observeAnswer(undefined, now - 250)
-      fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+      fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, now - 200)
       fleet.otherHostsLoad.recordTotals({ sequence: 1, work: [], links: [], brittle: [{ endpoint: endpoint.incarnation, rejectionsPerSecond: 4, statedAgoMs: 100 }] }, now - 200)
       fleet.applyObservations()
       expect(endpoint.brittleness.rejectionsPerSecond).toBeUndefined()
     })
   })
 
+  describe('when totals of the hosts were computed before this host read an answer', () => {
+    // Guards against a lifted bound or pace that comes back because the ages in totals that are sent again count from when they come.
+    it('keeps what this host has read since, however late the totals come', () => {
+      const { fleet, incarnations: [endpoint] } = fleetAfter(1000)
+      if (endpoint === undefined) throw new Error('no endpoint')
+      const aggregator = new LoadAggregator()
+      const start = performance.now() - 100
+      const report = (host: string, sequence: number): LoadReport => ({
+        host, sequence, work: [], links: [], brittle: [{ endpoint: endpoint.incarnation, rejectionsPerSecond: 4, statedAgoMs: 0 }], paces: [{ endpoint: endpoint.incarnation, factor: 3, statedAgoMs: 0 }]
+      })
+      const exchange = (sequence: number, askedAt: number, answeredAt: number): void => {
+        fleet.otherHostsLoad.recordOwnReport(sequence, { work: [], links: [] }, askedAt)
+        aggregator.observe({ host: 'own', sequence, work: [], links: [] }, askedAt)
+        const totals = aggregator.totals(askedAt)
+        fleet.otherHostsLoad.recordTotals({ ...totals, sequence: totals.sequences.get('own') ?? -1 }, answeredAt)
+        fleet.applyObservations()
+      }
+      aggregator.observe(report('other', 1), start)
+      exchange(1, start, start + 1)
+      expect(endpoint.brittleness.rejectionsPerSecond).toBe(4)
+      endpoint.brittleness.observeAnswer(undefined, start + 10)
+      endpoint.paceStatements.observe(1, start + 10)
+      exchange(2, start + 20, start + 30)
+      expect(endpoint.brittleness.rejectionsPerSecond).toBeUndefined()
+      expect(endpoint.paceStatements.newest(fleet.otherHostsLoad.paceOf(endpoint.incarnation), start + 30)?.factor).toBe(1)
+    })
+  })
+
   describe('when a connection to another data centre is established', () => {
     /** Sends one request to an endpoint in another data centre and returns how many distances the fleet knows afterwards. */
     async function knownAfterRequest (features: readonly LoadFeature[]): Promise<number | undefined> {
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -201,8 +201,7 @@
   applyObservations (): void {
     const now = performance.now()
     for (const change of this.storeLinks.observePeers(this.otherHostsLoad.links, now)) this.#logLink(change)
-    // The ages that the totals state are those of the moment at which they came.
-    this.limits.applyStatements(this.otherHostsLoad, this.otherHostsLoad.receivedAt)
+    this.limits.applyStatements(this.otherHostsLoad, this.otherHostsLoad.statementsAsOf)
     this.links.probeUnheard()
     if (now - this.#ejectionsCheckedAt < EJECTION_CHECK_INTERVAL_MS) return
     this.#ejectionsCheckedAt = now
--- a/apps/entry/src/lib/routed/RoutedServer.test.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.test.ts
@@ -318,7 +318,7 @@
       fresh.releaseWaiting()
       await sleep(20)
       expect(countReceived(endpoints)).toBe(0)
-      freshFleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+      freshFleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, performance.now())
       freshFleet.otherHostsLoad.recordTotals({ sequence: 1, work: [], links: [] }, performance.now())
       fresh.releaseWaiting()
       expect((await Promise.all(answers)).map(answer => answer.status)).toEqual([200, 200, 200])
--- a/apps/entry/src/lib/routed/StreamPauses.test.ts
+++ b/apps/entry/src/lib/routed/StreamPauses.test.ts
@@ -21,7 +21,7 @@
   function learn (features: LoadFeatureChoice[], endpoints: readonly EndpointState[], isLoadKnown = true): number {
     const fleet = new RoutedFleet('north', () => 1, new Telemetry('test'), undefined, 'h', new LoadFeatures(features))
     const pauses = new StreamPauses(fleet, { route: testRoute('/s/', { kind: 'stream', longestPauseMs: 300 }), service: { type: 'replicated', name: 'pool', connectionsPerEndpoint: 0, healthPath: '/' } })
-    fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+    fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, performance.now())
     for (let event = 0; event < EVENTS; event += 1) {
       vi.advanceTimersByTime(PAUSE_MS)
       if (isLoadKnown) fleet.otherHostsLoad.recordTotals({ sequence: 1, work: [], links: [] }, performance.now())
--- a/apps/entry/src/lib/routed/crowdedHost.test.ts
+++ b/apps/entry/src/lib/routed/crowdedHost.test.ts
@@ -31,7 +31,7 @@
     host = new RoutedHost([endpoint], { liveHosts: LIVE_HOSTS })
     await host.start()
     const { otherHostsLoad } = host.fleet
-    otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+    otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, performance.now())
     const work = [{ endpoint: 'elsewhere', inFlight: otherRequests, pendingTokens: 0, heldTokens: 0, lastByteAgoMs: 0, waitedMs: 0, unresponsive: 0, avoiders: 0, outcomes: 0, failures: 0 }]
     otherHostsLoad.recordTotals({ sequence: 1, work, links: [] }, performance.now())
     return host
--- a/apps/entry/src/lib/routed/grantedStream.test.ts
+++ b/apps/entry/src/lib/routed/grantedStream.test.ts
@@ -70,7 +70,7 @@
     await host.start()
     const [state] = host.fleet.endpointsOf('app')
     const work = [{ ...NO_ENDPOINT_LOAD, endpoint: state?.incarnation ?? '', inFlight: 1, heldTokens: 700 }]
-    host.fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+    host.fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, performance.now())
     host.fleet.otherHostsLoad.recordTotals({ sequence: 1, work, links: [] }, performance.now())
   })
 
--- a/apps/entry/src/lib/routed/harness/EnginesSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/EnginesSimulation.ts
@@ -248,7 +248,7 @@
     host.loadExchangedAt = now
     host.sequence += 1
     const own = host.fleet.ownWork()
-    host.fleet.otherHostsLoad.recordOwnReport(host.sequence, own)
+    host.fleet.otherHostsLoad.recordOwnReport(host.sequence, own, now)
     this.#board.observe(decodeLoadReport(encodeLoadReport({ host: host.name, sequence: host.sequence, ...own })), now)
     const totals = this.#board.totals(now)
     const sequence = totals.sequences.get(host.name)
--- a/apps/entry/src/lib/routed/harness/LinkedHosts.ts
+++ b/apps/entry/src/lib/routed/harness/LinkedHosts.ts
@@ -80,13 +80,15 @@
     const sequence = this.#sequence
     this.hosts.forEach(({ fleet }, number) => {
       const own = fleet.ownWork()
-      fleet.otherHostsLoad.recordOwnReport(sequence, own)
+      fleet.otherHostsLoad.recordOwnReport(sequence, own, now)
       this.#loads.observe({ host: `host-${number}`, sequence, ...own }, now)
     })
     const totals = this.#loads.totals(now)
-    for (const { fleet } of this.hosts) {
-      fleet.otherHostsLoad.recordTotals({ ...totals, sequence }, now)
+    this.hosts.forEach(({ fleet }, number) => {
+      // The totals may have been computed before the latest report of the host.
+      const included = totals.sequences.get(`host-${number}`)
+      if (included !== undefined) fleet.otherHostsLoad.recordTotals({ ...totals, sequence: included }, now)
       fleet.applyObservations()
-    }
+    })
   }
 }
--- a/apps/entry/src/lib/routed/learnFromFirstEvent.test.ts
+++ b/apps/entry/src/lib/routed/learnFromFirstEvent.test.ts
@@ -19,7 +19,7 @@
   /** Learns from requests that took as much longer as the endpoint states. */
   function learn (expectedPace: number | undefined): { slowness: number, engineMs: number } {
     const fleet = new RoutedFleet('north', () => 1, new Telemetry('test'), undefined, 'h', new LoadFeatures(expectedPace === undefined ? [] : ['machine-pace']))
-    fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] })
+    fleet.otherHostsLoad.recordOwnReport(1, { work: [], links: [] }, performance.now())
     const endpoint = new EndpointState({ id: 'e', service: 'pool', address: '10.1.0.1:80', dataCentre: 'north', slots: 8, isLeaving: false, isBusy: false, models: [] })
     const model = fleet.engineModel('pool')
     const before = model.fixedMs + model.prefillMs(LOAD.tokensToRead)
--- a/packages/routing/src/lib/endpoints/EjectionTracker.test.ts
+++ b/packages/routing/src/lib/endpoints/EjectionTracker.test.ts
@@ -10,7 +10,7 @@
 
 function othersWith (figures: Partial<LoadFigures>): PeerLoad {
   const others = new PeerLoad()
-  others.recordOwnReport(1, { work: [], links: [] })
+  others.recordOwnReport(1, { work: [], links: [] }, 0)
   others.recordTotals({ sequence: 1, work: [{ ...NO_ENDPOINT_LOAD, endpoint: 'a', ...figures }], links: [] }, 0)
   return others
 }
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -104,7 +104,7 @@
       const fleet = engines(2)
       const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
       const others = new PeerLoad()
-      others.recordOwnReport(1, { work: [], links: [] })
+      others.recordOwnReport(1, { work: [], links: [] }, 0)
       others.recordTotals({ sequence: 1, work: [{ ...NO_ENDPOINT_LOAD, endpoint: home, inFlight: 6, pendingTokens: 40_000, heldTokens: 70_000 }], links: [] }, 0)
       expect(chosen(chooseEndpoint(fleet, query(promptQuery(), { others }), new PromptResidencyTracker(), 0, 0)).endpoint.id).not.toBe(home)
     })
@@ -113,7 +113,7 @@
       const fleet = engines(2)
       const home = homeEndpoint('trip', fleet.map(engine => engine.id)) ?? ''
       const others = new PeerLoad()
-      others.recordOwnReport(1, { work: [], links: [] })
+      others.recordOwnReport(1, { work: [], links: [] }, 0)
       others.recordTotals({ sequence: 1, work: [{ ...NO_ENDPOINT_LOAD, endpoint: home, inFlight: 9, pendingTokens: 0, heldTokens: 105_000 }], links: [] }, 0)
       expect(chosen(chooseEndpoint(fleet, query(promptQuery(), { others }), new PromptResidencyTracker(), 0, 0)).endpoint.id).not.toBe(home)
     })
@@ -197,7 +197,7 @@
   describe('observations of other hosts', () => {
     function othersWith (figures: Partial<LoadFigures>, endpoint = 'e0'): PeerLoad {
       const others = new PeerLoad()
-      others.recordOwnReport(1, { work: [], links: [] })
+      others.recordOwnReport(1, { work: [], links: [] }, 0)
       others.recordTotals({ sequence: 1, work: [{ ...NO_ENDPOINT_LOAD, endpoint, ...figures }], links: [] }, 0)
       return others
     }
@@ -251,7 +251,7 @@
     it('use the endpoint with the fewest requests of all hosts', () => {
       const fleet = engines(3)
       const others = new PeerLoad()
-      others.recordOwnReport(1, { work: [], links: [] })
+      others.recordOwnReport(1, { work: [], links: [] }, 0)
       others.recordTotals({
         sequence: 1,
         work: [{ ...NO_ENDPOINT_LOAD, endpoint: 'e0', inFlight: 9, pendingTokens: 0, heldTokens: 0 }, { ...NO_ENDPOINT_LOAD, endpoint: 'e2', inFlight: 7, pendingTokens: 0, heldTokens: 0 }],
@@ -277,7 +277,7 @@
     if (engine === undefined) throw new Error('an engine is needed')
     engine.observeLoad({ running: 1, waiting: 0, slots: 48, paceFactor: 2.5 }, 0)
     const others = new PeerLoad()
-    others.recordOwnReport(1, { work: [], links: [] })
+    others.recordOwnReport(1, { work: [], links: [] }, 0)
     others.recordTotals({ sequence: 1, work: [], links: [], streams: [{ endpoint: engine.incarnation, streams: 9, shortestPauseMs: 300 }] }, 0)
     return chosen(chooseEndpoint([engine], query(LONG, { others, ...overrides }), new PromptResidencyTracker(), 0, 0))
   }
--- a/packages/routing/src/lib/endpoints/estimatePauses.test.ts
+++ b/packages/routing/src/lib/endpoints/estimatePauses.test.ts
@@ -16,7 +16,7 @@
 
 function peersWith (streams: number): PeerLoad {
   const others = new PeerLoad()
-  others.recordOwnReport(1, { work: [], links: [] })
+  others.recordOwnReport(1, { work: [], links: [] }, 0)
   others.recordTotals({ sequence: 1, work: [], links: [], streams: [{ endpoint: 'e', streams, shortestPauseMs: LIMIT_MS }] }, 0)
   return others
 }
--- a/packages/routing/src/lib/load/PeerLoad.ts
+++ b/packages/routing/src/lib/load/PeerLoad.ts
@@ -16,6 +16,7 @@
 /** Load that this host reported under one sequence number, to be subtracted from the totals that include it. */
 interface OwnReport {
   readonly sequence: number
+  readonly reportedAt: number
   readonly work: ReadonlyMap<string, EndpointLoad>
   readonly links: ReadonlyMap<string, LinkLoad>
   readonly streams: ReadonlyMap<string, StreamLimits>
@@ -34,6 +35,7 @@
   #paces = new Map<string, PaceStatement>()
   #streams = new Map<string, StreamLimits>()
   #receivedAt = Number.NEGATIVE_INFINITY
+  #statementsAsOf = Number.NEGATIVE_INFINITY
   #latestSequence = -1
   #requests = 0
 
@@ -42,10 +44,12 @@
    *
    * @param sequence - sequence number of the report
    * @param own - this host's own load
+   * @param now - monotonic milliseconds
    */
-  recordOwnReport (sequence: number, { work, links, streams = [] }: HostLoad): void {
+  recordOwnReport (sequence: number, { work, links, streams = [] }: HostLoad, now: number): void {
     this.#reports.push({
       sequence,
+      reportedAt: now,
       work: new Map(work.map(entry => [entry.endpoint, entry])),
       links: new Map(links.map(entry => [entry.link, entry])),
       streams: new Map(streams.map(entry => [entry.endpoint, entry]))
@@ -64,9 +68,11 @@
     if (own === undefined || sequence < this.#latestSequence) return
     this.#latestSequence = sequence
     this.#receivedAt = now
+    // Totals are sent more than once and take time to arrive. They cannot be older than the report of this host that they include.
+    this.#statementsAsOf = own.reportedAt
     this.#limits = limits
     this.#brittle = brittle
-    this.#paces = new Map(paces.map(({ endpoint, factor, statedAgoMs }) => [endpoint, { factor, statedAt: now - statedAgoMs }]))
+    this.#paces = new Map(paces.map(({ endpoint, factor, statedAgoMs }) => [endpoint, { factor, statedAt: own.reportedAt - statedAgoMs }]))
     this.#streams = new Map(streams.map(total => [total.endpoint, subtractStreams(total, own.streams.get(total.endpoint))]))
     this.#endpoints = new Map()
     this.#requests = 0
@@ -79,8 +85,8 @@
     for (const total of links) this.#links.set(total.link, subtractLinkLoad(total, own.links.get(total.link)))
   }
 
-  /** When the latest totals came, in monotonic milliseconds; minus infinity before the first. */
-  get receivedAt (): number { return this.#receivedAt }
+  /** Time from which the ages of statements in the latest totals count back, in monotonic milliseconds; minus infinity before the first totals. */
+  get statementsAsOf (): number { return this.#statementsAsOf }
 
   /**
    * @param now - monotonic milliseconds
--- a/packages/routing/src/lib/load/load.test.ts
+++ b/packages/routing/src/lib/load/load.test.ts
@@ -108,16 +108,16 @@
 describe('PeerLoad', () => {
   it('subtracts the load that this host reported, not its current load', () => {
     const peerLoad = new PeerLoad()
-    peerLoad.recordOwnReport(1, { work: [work('e', 2)], links: [] })
-    peerLoad.recordOwnReport(2, { work: [work('e', 6)], links: [] })
+    peerLoad.recordOwnReport(1, { work: [work('e', 2)], links: [] }, 0)
+    peerLoad.recordOwnReport(2, { work: [work('e', 6)], links: [] }, 0)
     peerLoad.recordTotals({ sequence: 1, work: [work('e', 5)], links: [] }, 0)
     expect(peerLoad.forEndpoint('e')).toMatchObject({ inFlight: 3, pendingTokens: 300 })
   })
 
   it('ignores answers that arrive out of order or that belong to no report', () => {
     const peerLoad = new PeerLoad()
-    peerLoad.recordOwnReport(1, { work: [], links: [] })
-    peerLoad.recordOwnReport(2, { work: [], links: [] })
+    peerLoad.recordOwnReport(1, { work: [], links: [] }, 0)
+    peerLoad.recordOwnReport(2, { work: [], links: [] }, 0)
     peerLoad.recordTotals({ sequence: 2, work: [work('e', 4)], links: [] }, 0)
     peerLoad.recordTotals({ sequence: 1, work: [work('e', 9)], links: [] }, 1)
     peerLoad.recordTotals({ sequence: 77, work: [work('e', 9)], links: [] }, 1)
@@ -127,25 +127,25 @@
   it('subtracts the streams that this host reported', () => {
     const peerLoad = new PeerLoad()
     const streams = (count: number): Array<{ endpoint: string, streams: number, shortestPauseMs: number }> => [{ endpoint: 'e', streams: count, shortestPauseMs: 300 }]
-    peerLoad.recordOwnReport(1, { work: [], links: [], streams: streams(2) })
+    peerLoad.recordOwnReport(1, { work: [], links: [], streams: streams(2) }, 0)
     peerLoad.recordTotals({ sequence: 1, work: [], links: [], streams: streams(5) }, 0)
     expect(peerLoad.streamsAt('e')).toEqual({ streams: 3, shortestPauseMs: 300 })
-    peerLoad.recordOwnReport(2, { work: [], links: [], streams: streams(2) })
+    peerLoad.recordOwnReport(2, { work: [], links: [], streams: streams(2) }, 0)
     peerLoad.recordTotals({ sequence: 2, work: [], links: [], streams: streams(2) }, 0)
     expect(peerLoad.streamsAt('e').streams).toBe(0)
   })
 
-  it('dates the paces of machines by the time of the answer', () => {
+  it('dates the paces of machines by its own report, since the answer may be late', () => {
     const peerLoad = new PeerLoad()
-    peerLoad.recordOwnReport(1, { work: [], links: [] })
+    peerLoad.recordOwnReport(1, { work: [], links: [] }, 70)
     peerLoad.recordTotals({ sequence: 1, work: [], links: [], paces: [{ endpoint: 'e', factor: 2.5, statedAgoMs: 40 }] }, 100)
-    expect(peerLoad.paceOf('e')).toEqual({ factor: 2.5, statedAt: 60 })
+    expect(peerLoad.paceOf('e')).toEqual({ factor: 2.5, statedAt: 30 })
     expect(peerLoad.paceOf('f')).toBeUndefined()
   })
 
   it('is no longer recent once answers stop', () => {
     const peerLoad = new PeerLoad()
-    peerLoad.recordOwnReport(1, { work: [], links: [] })
+    peerLoad.recordOwnReport(1, { work: [], links: [] }, 0)
     peerLoad.recordTotals({ sequence: 1, work: [], links: [] }, 100)
     expect(peerLoad.isRecent(300)).toBe(true)
     expect(peerLoad.isRecent(900)).toBe(false)
--- a/packages/routing/src/lib/mechanisms/mechanisms.test.ts
+++ b/packages/routing/src/lib/mechanisms/mechanisms.test.ts
@@ -61,7 +61,7 @@
       const figures = { ...NO_ENDPOINT_LOAD, inFlight: 3, pendingTokens: 500, heldTokens: 900, avoiders: 2, outcomes: 9, failures: 8 }
       const at = (...disabled: Mechanism[]): unknown => {
         const { peerLoad } = without(...disabled)
-        peerLoad.recordOwnReport(1, { work: [], links: [] })
+        peerLoad.recordOwnReport(1, { work: [], links: [] }, 0)
         peerLoad.recordTotals({ sequence: 1, work: [{ endpoint: 'e', ...figures }], links: [] }, 0)
         return peerLoad.forEndpoint('e')
       }
--- a/packages/routing/src/lib/places/harness/DataCentresSimulation.ts
+++ b/packages/routing/src/lib/places/harness/DataCentresSimulation.ts
@@ -195,7 +195,7 @@
     host.exchangedAt = now
     host.sequence += 1
     const work = host.endpoints.filter(endpoint => endpoint.hasAnythingToReport(now)).map(endpoint => ({ endpoint: endpoint.incarnation, ...endpoint.work(now) }))
-    host.peers.recordOwnReport(host.sequence, { work, links: [] })
+    host.peers.recordOwnReport(host.sequence, { work, links: [] }, now)
     this.#aggregator.observe({ host: host.name, sequence: host.sequence, work, links: [] }, now)
     const totals = this.#aggregator.totals(now)
     const sequence = totals.sequences.get(host.name)
--- a/packages/routing/src/lib/stores/StoreLinks.test.ts
+++ b/packages/routing/src/lib/stores/StoreLinks.test.ts
@@ -28,7 +28,7 @@
       this.#sequence += 1
       this.hosts.forEach(({ links, peerLoad }, host) => {
         const own = { work: [], links: links.localLoad(this.now) }
-        peerLoad.recordOwnReport(this.#sequence, own)
+        peerLoad.recordOwnReport(this.#sequence, own, this.now)
         this.#aggregator.observe({ host: `h${host}`, sequence: this.#sequence, ...own }, this.now)
       })
       const totals = this.#aggregator.totals(this.now)
