Quarantine: reports that keep arriving do not put off a decision

Each report of losses restarted the timer of the check, 100 ms ahead. Hosts that report more often than that, as many hosts do while endpoints crash, kept the control host from correlating at all, and a request went on crashing endpoints. A check that is due earlier stays.

--- a/apps/control/src/lib/quarantine/QuarantineTask.test.ts
+++ b/apps/control/src/lib/quarantine/QuarantineTask.test.ts
@@ -87,6 +87,17 @@
     expect(leader.probed).toEqual([])
   })
 
+  // Guards against a decision that is put off for as long as many hosts go on reporting losses.
+  it('quarantines a request while reports arrive all the time', async () => {
+    for (const endpoint of ['e1', 'e2', 'e3']) {
+      for (let report = 0; report < 20; report++) {
+        leader.reportLoss(endpoint, POISON)
+        await vi.advanceTimersByTimeAsync(50)
+      }
+    }
+    expect(leader.stateOf(POISON)).toBe('quarantined')
+  })
+
   it('probes each endpoint that is still listed once', async () => {
     for (const id of ['e1', 'e2', 'e3']) leader.listed.set(id, listed(id))
     await crashThree()
--- a/apps/control/src/lib/quarantine/QuarantineTask.ts
+++ b/apps/control/src/lib/quarantine/QuarantineTask.ts
@@ -47,6 +47,8 @@
   readonly #reports: LabelledCounter
   readonly #expireTimer: NodeJS.Timeout
   #checkTimer: NodeJS.Timeout | undefined
+  /** When the next check is due, in monotonic milliseconds. */
+  #checkDueAt = Number.POSITIVE_INFINITY
   #lastEvidenceAt = 0
   #isProposing = false
   /** Decisions made while a proposal is in progress. */
@@ -93,22 +95,27 @@
 
   #restartChecks (now: number): void {
     this.#lastEvidenceAt = now
-    clearTimeout(this.#checkTimer)
-    this.#scheduleCheck(SETTLING_CHECK_INTERVAL_MS)
+    this.#scheduleCheck(SETTLING_CHECK_INTERVAL_MS, now)
   }
 
-  #scheduleCheck (delayMs: number): void {
+  /** Schedules a check, unless an earlier one is due. */
+  #scheduleCheck (delayMs: number, now: number): void {
+    // Many hosts may report without a pause, which must not put off a check that is due.
+    if (this.#checkDueAt <= now + delayMs) return
+    this.#checkDueAt = now + delayMs
+    clearTimeout(this.#checkTimer)
     this.#checkTimer = setTimeout(() => { this.#runCheck() }, delayMs)
   }
 
   #runCheck (): void {
     const now = performance.now()
+    this.#checkDueAt = Number.POSITIVE_INFINITY
     if (!this.ports.isLeader()) {
       this.#correlator.reset()
       return
     }
     const idleMs = now - this.#lastEvidenceAt
-    if (idleMs < ACTIVE_PERIOD_MS) this.#scheduleCheck(idleMs < SETTLING_PERIOD_MS ? SETTLING_CHECK_INTERVAL_MS : ACTIVE_CHECK_INTERVAL_MS)
+    if (idleMs < ACTIVE_PERIOD_MS) this.#scheduleCheck(idleMs < SETTLING_PERIOD_MS ? SETTLING_CHECK_INTERVAL_MS : ACTIVE_CHECK_INTERVAL_MS, now)
     this.#verifyCrashes(now)
     // While a proposal is in progress, its decisions would be made a second time.
     if (!this.#isProposing) this.#propose(this.#correlator.decide(this.ports.register, now))
