Soak: requests that are lost with one endpoint count as one of its crashes

Its trace, in ms: runs with the part at endpoint 5#1 (0, 99, 100) and 3#1 (220, 229), at 3#2 and 5#2 (1594, 1804), 4#1 (3859), 3#3 (4563) and 5#3 (5062, 5193); suspected 1552, quarantined 5441, in force everywhere 5465, none after that. The check counted five crashes at 0.3 s, where two processes had ended, so hosts had to know of the part at 3.3 s; the quarantine needs four crashes that are 200 ms apart, and the next two ended 0.2 s apart.

--- a/apps/soak/src/lib/checks/requestChecks.test.ts
+++ b/apps/soak/src/lib/checks/requestChecks.test.ts
@@ -74,6 +74,13 @@
       expect(poisonRuns(7)).toEqual(['poison-requests-stop'])
     })
 
+    // Guards against runs that count as crashes of their own although one endpoint was lost with all of them.
+    it('counts the runs that are lost with one endpoint as one crash', () => {
+      const ids = times.map((_, index) => `r${index}`)
+      const runs = ids.map((requestId, index) => runLine({ requestId, endpoint: `endpoint-0#${index < 3 ? 0 : index}`, at: Date.now() - 60_000 + (times[index] ?? 0) }))
+      expect(brokenGuarantees(ids.map(poison), runs)).toEqual([])
+    })
+
     it('ignores runs shortly after a disturbance of control hosts', () => {
       const line = timeline()
       line.recordKill('control-1#1', true)
