--- a/apps/bench/src/lib/prove/worlds/StreamVersionWorld.ts
+++ b/apps/bench/src/lib/prove/worlds/StreamVersionWorld.ts
@@ -15,10 +15,10 @@
 import type { CheckRecorder, PromiseName } from '../CheckRecorder.js'
 import type { Simulation } from '../Simulation.js'
 import type { World } from '../World.js'
+import { SimulatedReleases, type SimulatedEndpoint } from './SimulatedReleases.js'
 
 const HOST_COUNTS = [7, 61, 195]
 const CONTROL_HOSTS = 5
-const ENDPOINTS = 12
 const SERVICE = 'engines'
 const ROUTE = 'chat'
 
@@ -54,26 +54,15 @@
 const READ_INTERVAL_MS = 1000
 const FOLLOW_INTERVAL_MS = 500
 
-/** Longest time by which the platform's list lags, in milliseconds. */
-const PLATFORM_LAG_MS = 800
-
 /** Longest time until a host knows of a new control host, in milliseconds. */
 const MAX_MEMBERSHIP_LAG_MS = 3000
 
 /** Interval at which a host looks for answers to its questions, in milliseconds. */
 const SEARCH_STEP_MS = 10
 
-/** Longest time between two replacements of endpoints in a release, and between releases, in milliseconds. */
-const MAX_RELEASE_STEP_MS = 1200
-const MAX_RELEASE_PAUSE_MS = 6000
-
 /** Time without faults from which a host and the control hosts count as in touch, in milliseconds. */
 const STABLE_MS = 3000
 
-/** Share of releases in which all endpoints are replaced at the same moment, and time for which the old ones are still listed, in milliseconds. */
-const WHOLE_RELEASE_SHARE = 0.4
-const LEAVING_MS = 3000
-
 /** Share of runs whose first release begins late, so that hosts have seen a single version for longer than streams last, and the longest delay, in milliseconds. */
 const LATE_RELEASE_SHARE = 0.5
 const MAX_LATE_MS = 8000
@@ -85,14 +74,6 @@
 /** Endpoints of the stream's version from which its resumption is owed. */
 const MIN_ENDPOINTS_OF_VERSION = 2
 
-interface SimulatedEndpoint {
-  readonly id: number
-  readonly service: string
-  readonly software: string
-  /** Whether the endpoint takes no new streams. */
-  readonly isLeaving: boolean
-}
-
 /** The endpoint list as some host has it. */
 interface KnownList {
   endpoints: readonly SimulatedEndpoint[]
@@ -135,14 +116,10 @@
   readonly #hosts: SimulatedHost[]
   readonly #control = new Map<string, SimulatedControlHost>()
   readonly #streams = new Set<SimulatedStream>()
-  /** Lists as the platform states them, the newest last; each is stated from the given time. */
-  readonly #stated: Array<{ readonly from: number, readonly endpoints: readonly SimulatedEndpoint[] }> = []
-  #endpoints: readonly SimulatedEndpoint[]
+  readonly #releases: SimulatedReleases
   #outageUntil = 0
   #controlFaultAt = Number.NEGATIVE_INFINITY
   #created = 0
-  #release = 0
-  #isWhole = false
   #judged = 0
   #resumed = 0
 
@@ -152,8 +129,10 @@
    * @param broken - promise whose mechanism is disabled
    */
   constructor (private readonly simulation: Simulation, private readonly recorder: CheckRecorder, private readonly broken: PromiseName | undefined) {
-    this.#endpoints = Array.from({ length: ENDPOINTS }, () => this.#newEndpoint(1))
-    this.#stated.push({ from: 0, endpoints: this.#endpoints })
+    this.#releases = new SimulatedReleases(simulation, SERVICE, () => {
+      this.#created += 1
+      return this.#created
+    })
     for (let index = 0; index < CONTROL_HOSTS; index += 1) this.#addControlHost()
     this.#hosts = Array.from({ length: simulation.pickFrom(HOST_COUNTS) }, (_, index) => ({
       name: `host-${index}`,
@@ -175,7 +154,7 @@
 
   async run (): Promise<void> {
     this.simulation.schedule(WARM_UP_MS, () => { this.#streamLoop() })
-    this.simulation.schedule(this.simulation.chance(LATE_RELEASE_SHARE) ? WARM_UP_MS + this.simulation.random() * MAX_LATE_MS : 0, () => { this.#releaseLoop(2) })
+    this.simulation.schedule(this.simulation.chance(LATE_RELEASE_SHARE) ? WARM_UP_MS + this.simulation.random() * MAX_LATE_MS : 0, () => { this.#releases.start() })
     this.#faultLoop()
     for (const control of this.#control.values()) this.#readLoop(control)
     for (const host of this.#hosts) this.#followLoop(host)
@@ -197,11 +176,6 @@
     return control
   }
 
-  #newEndpoint (release: number): SimulatedEndpoint {
-    this.#created += 1
-    return { id: this.#created, service: SERVICE, software: `v${release}`, isLeaving: false }
-  }
-
   // --- Lists ---
 
   /** A control host reads what the platform states, which lags behind. */
@@ -211,11 +185,11 @@
       this.#readLoop(control)
       const now = this.simulation.now()
       if (now < this.#outageUntil) return
-      const stated = this.#stated.findLast(({ from }) => from <= now)
+      const stated = this.#releases.statedAt(now)
       if (stated === undefined) return
-      control.endpoints = stated.endpoints
+      control.endpoints = stated
       control.readAt = now
-      control.records.observe(SITE, stated.endpoints, now)
+      control.records.observe(SITE, stated, now)
     })
   }
 
@@ -376,40 +350,10 @@
   }
 
   #isOwed ({ software }: SimulatedStream): boolean {
-    return this.#endpoints.filter(endpoint => endpoint.software === software && !endpoint.isLeaving).length >= MIN_ENDPOINTS_OF_VERSION
+    return this.#releases.endpoints.filter(endpoint => endpoint.software === software && !endpoint.isLeaving).length >= MIN_ENDPOINTS_OF_VERSION
   }
 
-  // --- Releases and faults ---
-
-  /** Replaces endpoints one after the other by those of the next version, then pauses. */
-  #releaseLoop (release: number): void {
-    this.simulation.schedule(MAX_RELEASE_STEP_MS * this.simulation.random(), () => {
-      if (release !== this.#release) {
-        this.#release = release
-        this.#isWhole = this.simulation.chance(WHOLE_RELEASE_SHARE)
-      }
-      if (this.#isWhole) return this.#replaceAll(release)
-      this.#list([...this.#endpoints.slice(1), this.#newEndpoint(release)])
-      if (!this.#endpoints.every(({ software }) => software === `v${release}`)) return this.#releaseLoop(release)
-      this.simulation.schedule(this.simulation.random() * MAX_RELEASE_PAUSE_MS, () => { this.#releaseLoop(release + 1) })
-    })
-  }
-
-  /** Lists all endpoints as leaving while as many of the next version join, and removes them some seconds later. */
-  #replaceAll (release: number): void {
-    const joining = this.#endpoints.map(() => this.#newEndpoint(release))
-    this.#list([...this.#endpoints.map(endpoint => ({ ...endpoint, isLeaving: true })), ...joining])
-    this.simulation.schedule(LEAVING_MS, () => {
-      this.#list(joining)
-      this.simulation.schedule(this.simulation.random() * MAX_RELEASE_PAUSE_MS, () => { this.#releaseLoop(release + 1) })
-    })
-  }
-
-  #list (endpoints: readonly SimulatedEndpoint[]): void {
-    this.#endpoints = endpoints
-    this.#stated.push({ from: this.simulation.now() + PLATFORM_LAG_MS * this.simulation.random(), endpoints })
-    this.#stated.sort((left, right) => left.from - right.from)
-  }
+  // --- Faults ---
 
   #faultLoop (): void {
     this.simulation.schedule(100 + this.simulation.random() * 700, () => {
