Soak: a host that is cut off is not compared while no other host is there to serve its requests

The check compared all requests of the cut with the few that other hosts took in it. A host that is cut off from all endpoints can only hand its requests to another one, and hosts that stop take none.

A request counts only if another host ran from 3 s before it to its end, was neither stopped nor paused, and was not cut off itself; shares and bounds stay.

--- a/apps/soak/src/lib/Timeline.ts
+++ b/apps/soak/src/lib/Timeline.ts
@@ -22,6 +22,9 @@
   readonly killAt: number
 }
 
+/** Action of a process that has started. */
+export const STARTED = 'started'
+
 /** Margin before and after each disturbance, in milliseconds: other processes notice its effect on their sockets a little later. */
 const EFFECT_MARGIN_MS = 300
 
@@ -100,6 +103,19 @@
     return this.#entries.some(entry => entry.process.startsWith(slot) && entry.at <= to && entry.until >= from)
   }
 
+  /**
+   * @param slot - name of a slot
+   * @param from - start of the interval
+   * @param to - end of the interval
+   * @returns whether one process of the slot ran for the whole interval, and was neither paused nor told to stop
+   */
+  ranThrough (slot: string, from: number, to: number): boolean {
+    const ofSlot = this.#entries.filter(({ process, at }) => process.startsWith(`${slot}#`) && at <= to)
+    const latest = ofSlot.findLast(({ action }) => action === STARTED)
+    if (latest === undefined || latest.at > from) return false
+    return !ofSlot.some(({ process, action, signal, until }) => process === latest.process && (action.startsWith('exited') || (action.startsWith('SIG') && (signal !== undefined || until >= from))))
+  }
+
   /** @returns one line for each action, with the seconds since the first one */
   describe (): string[] {
     const start = this.#entries[0]?.at ?? 0
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -25,7 +25,7 @@
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
 import { MODEL } from './soakSite.js'
-import { Timeline } from './Timeline.js'
+import { STARTED, Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
 export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts'] as const
@@ -127,7 +127,7 @@
       onTurnedAway: line => { this.#history.recordTurnedAway(line) },
       onRejection: line => { this.#history.recordRejection(line) },
       onRun: line => { this.#history.recordRun(line) },
-      onStart: label => { this.#timeline.record(label, 'started', false) },
+      onStart: label => { this.#timeline.record(label, STARTED, false) },
       onEnd: (label, code) => { this.#recordProcessEnd(label, code) }
     })
     this.#balancer = new Balancer(this.#cluster.entries)
