Requests to endpoints go on over connections that have carried something since a silence

When all kept connections to endpoints go silent at the same moment (new ones work), callers of safe requests got a 504 at the deadline, though a second attempt was allowed: 14 of 18 in a test with three endpoints. Two causes, seen in the log of the test: the standby took the next idle connection, which was silent as well; and where it took a new one, its endpoint had answered again by then, so the request no longer counted as one at a silent endpoint, and the standby was cancelled in favour of the dead connection. Of 18 unsafe requests that were sent 1.5 s later, 4 were lost on idle connections.

A connection is doubted now if its endpoint (or two endpoints of the service at the same moment, then those of all of them) fell silent and it has carried nothing since. Idle ones that are doubted are closed, a standby uses no other connection than one used since or a new one, and a request on a doubted one is replaced by its standby also if the endpoint answers others again. A request that merely waits at an endpoint that hung for 0.9 s may be moved as well; it was before, while the endpoint hung.

silentConnections.test.ts (routed): both tests fail before (14 of 18 and 4 of 18 with 504) and pass in 10 of 10 plays; 423 tests of the entry host.

--- a/apps/entry/src/lib/routed/AttemptSender.ts
+++ b/apps/entry/src/lib/routed/AttemptSender.ts
@@ -25,12 +25,13 @@
 
   /**
    * @param choice - endpoint that was chosen
+   * @param usedSince - monotonic milliseconds since which a kept connection must have been used
    * @returns an attempt with a connection of its own, not sent yet; undefined if all connections are in use
    */
-  open (choice: EndpointChoice): RoutedAttempt | undefined {
+  open (choice: EndpointChoice, usedSince?: number): RoutedAttempt | undefined {
     const { fleet, codec } = this.ports
     const connections = fleet.connectionsTo(choice.endpoint)
-    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint), this.request.id)
+    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint), this.request.id, usedSince)
     return connection === undefined ? undefined : new RoutedAttempt(choice, this.request.id, connections, connection, fleet, codec, this.listener)
   }
 
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -64,6 +64,10 @@
   readonly #overhead = new OverheadBound()
   #isClosed = false
   #responses = 0
+  readonly #openedAt = performance.now()
+  #lastByteAt = Number.NEGATIVE_INFINITY
+  /** When the connection was last given back to its pool, in monotonic milliseconds. */
+  idleSince = Number.NEGATIVE_INFINITY
   /** Whether responses belong to the requests of this connection. */
   readonly attribution = new ResponseAttribution()
 
@@ -96,6 +100,9 @@
   /** Whether another request can be sent on this connection. */
   get isUsable (): boolean { return !this.#isClosed }
 
+  /** @returns whether the connection was open at the given time, in monotonic milliseconds, and has brought nothing of a response since */
+  isSilentSince (at: number): boolean { return this.#openedAt < at && this.#lastByteAt < at }
+
   /**
    * Sends a request and reads the response.
    *
@@ -124,11 +131,13 @@
         if (status < 200) return true
         this.#overhead.noteProgress()
         this.#responses += 1
+        this.#lastByteAt = performance.now()
         handler.head(status, headers.map(header => header.toString('latin1')), resume)
         return true
       },
       onData: (chunk: Buffer) => {
         this.#overhead.noteProgress()
+        this.#lastByteAt = performance.now()
         return handler.data(chunk)
       },
       onComplete: () => {
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -5,6 +5,8 @@
 export class EndpointConnections {
   readonly #idle: EndpointConnection[] = []
   readonly #open = new Set<EndpointConnection>()
+  /** Since when connections that have carried nothing are doubted, in monotonic milliseconds. */
+  #silentSince = Number.NEGATIVE_INFINITY
 
   /**
    * @param address - IP address and port
@@ -27,10 +29,11 @@
    *
    * @param maximum - most connections that this host may have open
    * @param requestId - id of the request; empty if it has none
+   * @param usedSince - monotonic milliseconds since which an idle connection must have been used
    * @returns the connection, or undefined if all are in use
    */
-  acquire (maximum: number, requestId = ''): EndpointConnection | undefined {
-    const at = this.#idle.findLastIndex(connection => connection.isUsable && connection.attribution.mayCarry(requestId))
+  acquire (maximum: number, requestId = '', usedSince = Number.NEGATIVE_INFINITY): EndpointConnection | undefined {
+    const at = this.#idle.findLastIndex(connection => connection.isUsable && connection.idleSince >= usedSince && connection.attribution.mayCarry(requestId))
     const [idle] = at < 0 ? [] : this.#idle.splice(at, 1)
     if (idle !== undefined) return idle
     if (this.#open.size >= maximum) this.#idle.at(0)?.close()
@@ -52,6 +55,7 @@
    * @param connection - connection from {@link EndpointConnections.acquire}
    */
   release (connection: EndpointConnection): void {
+    connection.idleSince = performance.now()
     setImmediate(() => {
       if (connection.attribution.isFull) connection.close()
       else if (connection.isUsable) this.#idle.push(connection)
@@ -63,6 +67,24 @@
     for (const connection of this.#idle.splice(0)) connection.close()
   }
 
+  /**
+   * Doubts connections that have carried nothing since the given time, and closes those of them that are idle.
+   *
+   * @param silentSince - monotonic milliseconds
+   * @returns number of connections that were closed
+   */
+  doubt (silentSince: number): number {
+    this.#silentSince = silentSince
+    const doubted = this.#idle.filter(({ idleSince }) => idleSince < silentSince)
+    for (const connection of doubted) connection.close()
+    return doubted.length
+  }
+
+  /** @returns whether the connection, which is in use, is doubted */
+  isDoubted (connection: EndpointConnection): boolean {
+    return connection.isSilentSince(this.#silentSince)
+  }
+
   #forget (connection: EndpointConnection): void {
     this.#open.delete(connection)
     const at = this.#idle.indexOf(connection)
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -91,6 +91,9 @@
   /** Bytes of the response body that have arrived. */
   get answerBytes (): number { return this.#answerBytes }
 
+  /** Whether its connection has carried nothing since its endpoint, or several of the service, stopped responding; they may have answered over others since. */
+  get isDoubted (): boolean { return this.connections.isDoubted(this.connection) }
+
   /**
    * @param request - request to send
    * @param startWithinMs - time after which the request may not begin, in milliseconds; infinite if there is no bound
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -28,6 +28,7 @@
 import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointConnections } from './EndpointConnections.js'
 import { PlainPlaces } from './PlainPlaces.js'
+import { SilentConnections } from './SilentConnections.js'
 import { TrafficBetweenDataCentres } from './TrafficBetweenDataCentres.js'
 
 /** Most connections of this host to one endpoint of a service that states no limit. */
@@ -70,6 +71,7 @@
   readonly transit = new TransitBytes()
   /** Links of this host to the services. */
   readonly links: ServiceLinks
+  readonly silentConnections: SilentConnections
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #routeSlowness = new Map<string, Slowness>()
   readonly #engineModels = new Map<string, EngineModel>()
@@ -104,6 +106,7 @@
     this.storeLinks = mechanisms.createStoreLinks(liveHosts)
     this.traffic = new TrafficBetweenDataCentres(dataCentre, features, telemetry)
     this.links = new ServiceLinks(this, telemetry)
+    this.silentConnections = new SilentConnections(this, telemetry)
     this.#openedConnections = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     this.#learntTransitBounds = telemetry.labelledCounter('transit_bounds_learnt_total', 'Bounds learnt on the bytes in transit to an endpoint by service', 'service')
     this.#streamPauses = telemetry.labelledCounter('stream_pauses_total', 'Pauses between events of streams whose pauses are limited', 'outcome')
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -110,13 +110,13 @@
     })
     const standbys = new StandbyPlacement(request, this.#deadline, { attempts: this.#attempts, placement: this.#placement, guard: this.#guard, times: this.#times, relay: this.#relay, retries: this.#retries, end: this.#end }, {
       current: () => this.#attempt,
-      isEndpointSilent: () => this.#isEndpointSilent(),
-      open: choice => this.#open(choice),
+      isAttemptSilent: () => this.#isAttemptSilent(),
+      open: choice => this.#openStandby(choice),
       checkNow: () => { this.#failover.checkNow() }
     })
     this.#failover = new SilenceFailover(ports.silenceChecks, {
       shouldOpenStandby: () => standbys.shouldOpen(),
-      isSilent: () => this.#isEndpointSilent(),
+      isSilent: () => this.#isAttemptSilent(),
       canContinueAt: standby => this.#placement.canContinueAt(standby.choice),
       withRecentLoad: place => { ports.withRecentLoad(place) },
       open: () => standbys.open(),
@@ -179,10 +179,14 @@
     if (this.#relay.canResume || this.request.route.kind === 'safe') this.#failover.watch()
   }
 
-  #open (choice: EndpointChoice): RoutedAttempt | undefined {
+  #openStandby (choice: EndpointChoice): RoutedAttempt | undefined {
+    return this.#open(choice, this.#attempt === undefined ? undefined : this.ports.fleet.silentConnections.observeSilence(this.#attempt.choice.endpoint, performance.now()))
+  }
+
+  #open (choice: EndpointChoice, usedSince?: number): RoutedAttempt | undefined {
     const { endpoint } = choice
     this.#placement.tried.add(endpoint.id)
-    const attempt = this.#sender.open(choice)
+    const attempt = this.#sender.open(choice, usedSince)
     if (attempt === undefined) this.#end.logDecision('connections-used-up', { endpoint: endpoint.id, open: this.ports.fleet.connectionsTo(endpoint).count })
     return attempt
   }
@@ -366,6 +370,13 @@
     return this.#attempt !== undefined && this.ports.fleet.isSilent(this.#attempt.choice.endpoint)
   }
 
+  /** Whether nothing is to be expected of the current attempt for now. */
+  #isAttemptSilent (): boolean {
+    if (!this.#isEndpointSilent()) return this.#attempt?.isDoubted === true
+    if (this.#attempt !== undefined) this.ports.fleet.silentConnections.observeSilence(this.#attempt.choice.endpoint, performance.now())
+    return true
+  }
+
   /**
    * Cancels the current attempt.
    *
--- /dev/null
+++ b/apps/entry/src/lib/routed/SilentConnections.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds connections to endpoints that may have gone silent: open ones can stop carrying anything, without a reset, while new ones work.
+ *
+ * An endpoint that does not respond may hang, or only the connections to it may be silent. Requests go on over connections
+ * that have carried something since, also if the endpoint answers others again. If several endpoints of a service stop responding at the same moment, the connections
+ * to all of them are doubted, those in use as well as idle ones, of which each would otherwise lose one more request.
+ */
+import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
+import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { RoutedFleet } from './RoutedFleet.js'
+
+/** Time for which the result of a search holds, in milliseconds; many requests notice the same silence. */
+const SEARCH_LIFETIME_MS = 50
+
+interface Search {
+  readonly at: number
+  readonly silentSince: number
+}
+
+/** Connections of one host. */
+export class SilentConnections {
+  readonly #searches = new Map<string, Search>()
+
+  /**
+   * @param fleet - endpoints, and connections to them
+   * @param telemetry - log
+   */
+  constructor (private readonly fleet: Pick<RoutedFleet, 'endpointsOf' | 'connectionsTo'>, private readonly telemetry: Telemetry) {}
+
+  /**
+   * Doubts connections, and closes those of them that are idle. Call it when an endpoint does not respond.
+   *
+   * @param endpoint - endpoint that does not respond
+   * @param now - monotonic milliseconds
+   * @returns since when a connection must have carried something to be trusted, in monotonic milliseconds
+   */
+  observeSilence (endpoint: EndpointState, now: number): number {
+    const { service } = endpoint.listed
+    const last = this.#searches.get(service)
+    if (last !== undefined && now - last.at < SEARCH_LIFETIME_MS) return last.silentSince
+    const endpoints = this.fleet.endpointsOf(service)
+    const silent = endpoints.filter(each => each === endpoint || each.isSilent(now))
+    const silentSince = now - Math.min(...silent.map(each => each.unansweredMs(now)))
+    this.#searches.set(service, { at: now, silentSince })
+    const closed = (silent.length > 1 ? endpoints : silent).reduce((sum, each) => sum + this.fleet.connectionsTo(each).doubt(silentSince), 0)
+    if (closed > 0) this.telemetry.logStateChange('idle-connections-doubted', { service, endpoint: endpoint.id, silentEndpoints: silent.length, silentForMs: Math.round(now - silentSince), closed })
+    return silentSince
+  }
+}
--- /dev/null
+++ b/apps/entry/src/lib/routed/silentConnections.test.ts
@@ -0,0 +1,64 @@
+/** Kept connections to endpoints that go silent without a reset, while new ones work. */
+import { LoopbackProxy } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { afterEach, describe, expect, it } from 'vitest'
+import { FakeEndpoint, respondOk } from './harness/FakeEndpoint.js'
+import { PLAIN_HEADERS } from './harness/PlainCodec.js'
+import { RoutedHost, type CallerOutcome } from './harness/RoutedHost.js'
+
+const ENDPOINTS = 3
+const CONCURRENT = 18
+
+/** Time for which the endpoints take to answer, in milliseconds, so that concurrent requests get connections of their own. */
+const WORK_MS = 30
+
+/** Time after which silent connections have to be found out, in milliseconds. */
+const FOUND_OUT_MS = 1500
+
+describe('kept connections to all endpoints that go silent at the same moment', () => {
+  const proxies: LoopbackProxy[] = []
+  let endpoints: FakeEndpoint[]
+  let host: RoutedHost
+
+  afterEach(async () => {
+    await host.close()
+    for (const proxy of proxies.splice(0)) proxy.close()
+    for (const endpoint of endpoints) endpoint.close()
+  })
+
+  async function sendAll (path: string): Promise<CallerOutcome[]> {
+    return await Promise.all(Array.from({ length: CONCURRENT }, async (_, number) => await host.sendRequest(path, () => {}, { [PLAIN_HEADERS.id]: `r${number}` })))
+  }
+
+  /** Starts a host with idle connections to all endpoints, which then go silent. */
+  async function startAndSilence (): Promise<void> {
+    endpoints = Array.from({ length: ENDPOINTS }, (_, number) => new FakeEndpoint(`e${number}`, (request, response, body) => {
+      setTimeout(() => { respondOk(request, response, body) }, WORK_MS)
+    }))
+    const listed = await Promise.all(endpoints.map(async endpoint => {
+      const { address, ...rest } = await endpoint.listen()
+      const proxy = new LoopbackProxy()
+      proxies.push(proxy)
+      proxy.target = Number(address.split(':')[1])
+      return { ...rest, address: await proxy.listen() }
+    }))
+    host = new RoutedHost([], { budget: { ratio: 1, slack: 100 } })
+    await host.start(listed)
+    expect((await sendAll('/safe/first')).map(({ status }) => status)).toEqual(Array(CONCURRENT).fill(200))
+    for (const proxy of proxies) expect(proxy.silenceOpenConnections()).toBeGreaterThan(1)
+  }
+
+  // Guards against requests whose second attempt takes a kept connection that has gone silent as well.
+  it('cost a request that may run again one attempt', async () => {
+    await startAndSilence()
+    expect((await sendAll('/safe/second')).map(({ status }) => status)).toEqual(Array(CONCURRENT).fill(200))
+  })
+
+  // Guards against idle connections of which each loses one more request that may run once.
+  it('are not used again once some of them have been found out', async () => {
+    await startAndSilence()
+    const found = Promise.all(Array.from({ length: ENDPOINTS }, async () => await host.sendRequest('/safe/second')))
+    await new Promise(resolve => { setTimeout(resolve, FOUND_OUT_MS) })
+    expect((await sendAll('/unsafe/third')).map(({ status }) => status)).toEqual(Array(CONCURRENT).fill(200))
+    expect((await found).map(({ status }) => status)).toEqual(Array(ENDPOINTS).fill(200))
+  })
+})
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -22,6 +22,7 @@
   'new-connections-work': z.strictObject({ service: z.string(), failedForMs: z.number() }),
   'service-out-of-reach': z.strictObject({ service: z.string(), endpoints: z.number(), lostEndpoints: z.number(), heardByOthers: z.number(), heardAgoMs: z.number() }),
   'service-in-reach': z.strictObject({ service: z.string(), cutForMs: z.number() }),
+  'idle-connections-doubted': z.strictObject({ service: z.string(), endpoint: z.string(), silentEndpoints: z.number(), silentForMs: z.number(), closed: z.number() }),
   'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
   'endpoint-ejected': ejection,
   'endpoint-readmitted': ejection,
