--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -110,13 +110,13 @@
     })
     const standbys = new StandbyPlacement(request, this.#deadline, { attempts: this.#attempts, placement: this.#placement, guard: this.#guard, times: this.#times, relay: this.#relay, retries: this.#retries, end: this.#end }, {
       current: () => this.#attempt,
-      isAttemptSilent: () => this.#isAttemptSilent(),
+      detectSilence: () => this.#detectSilence(),
       open: choice => this.#openStandby(choice),
       checkNow: () => { this.#failover.checkNow() }
     })
     this.#failover = new SilenceFailover(ports.silenceChecks, {
       shouldOpenStandby: () => standbys.shouldOpen(),
-      isSilent: () => this.#isAttemptSilent(),
+      isSilent: () => this.#detectSilence(),
       canContinueAt: standby => this.#placement.canContinueAt(standby.choice),
       withRecentLoad: place => { ports.withRecentLoad(place) },
       open: () => standbys.open(),
@@ -370,8 +370,8 @@
     return this.#attempt !== undefined && this.ports.fleet.isSilent(this.#attempt.choice.endpoint)
   }
 
-  /** Whether nothing is to be expected of the current attempt for now. */
-  #isAttemptSilent (): boolean {
+  /** Looks whether nothing is to be expected of the current attempt for now, and doubts connections if its endpoint does not respond. */
+  #detectSilence (): boolean {
     if (!this.#isEndpointSilent()) return this.#attempt?.isDoubted === true
     if (this.#attempt !== undefined) this.ports.fleet.silentConnections.observeSilence(this.#attempt.choice.endpoint, performance.now())
     return true
--- a/apps/entry/src/lib/routed/SilentConnections.ts
+++ b/apps/entry/src/lib/routed/SilentConnections.ts
@@ -2,8 +2,9 @@
  * Finds connections to endpoints that may have gone silent: open ones can stop carrying anything, without a reset, while new ones work.
  *
  * An endpoint that does not respond may hang, or only the connections to it may be silent. Requests go on over connections
- * that have carried something since, also if the endpoint answers others again. If several endpoints of a service stop responding at the same moment, the connections
- * to all of them are doubted, those in use as well as idle ones, of which each would otherwise lose one more request.
+ * that have carried something since, also if the endpoint answers others again. If several endpoints of a service stop
+ * responding at the same moment, the connections to all of them are doubted, those in use as well as idle ones, of which
+ * each would otherwise lose one more request.
  */
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -37,7 +38,10 @@
   observeSilence (endpoint: EndpointState, now: number): number {
     const { service } = endpoint.listed
     const last = this.#searches.get(service)
-    if (last !== undefined && now - last.at < SEARCH_LIFETIME_MS) return last.silentSince
+    if (last !== undefined && now - last.at < SEARCH_LIFETIME_MS) {
+      this.fleet.connectionsTo(endpoint).doubt(last.silentSince)
+      return last.silentSince
+    }
     const endpoints = this.fleet.endpointsOf(service)
     const silent = endpoints.filter(each => each === endpoint || each.isSilent(now))
     const silentSince = now - Math.min(...silent.map(each => each.unansweredMs(now)))
--- a/apps/entry/src/lib/routed/StandbyPlacement.ts
+++ b/apps/entry/src/lib/routed/StandbyPlacement.ts
@@ -26,8 +26,8 @@
 export interface StandbyPlacementPorts {
   /** The attempt whose response is awaited; undefined if there is none. */
   current (): RoutedAttempt | undefined
-  /** Whether its endpoint has stopped responding, or its connection has. */
-  isAttemptSilent (): boolean
+  /** Looks whether its endpoint has stopped responding, or its connection has. */
+  detectSilence (): boolean
   /** @returns an attempt at the chosen endpoint, not sent yet; undefined if there is no connection */
   open (choice: EndpointChoice): RoutedAttempt | undefined
   /** Looks at once whether a standby has to be opened. */
@@ -54,7 +54,7 @@
   /** @returns whether the request may be sent to another endpoint, and its current one has stopped responding */
   shouldOpen (): boolean {
     const { end, relay, attempts } = this.parts
-    return !end.isDone && relay.canGoOnElsewhere && attempts.runs < this.request.route.attempts && this.task.isAttemptSilent()
+    return !end.isDone && relay.canGoOnElsewhere && attempts.runs < this.request.route.attempts && this.task.detectSilence()
   }
 
   /**
