--- a/apps/soak/src/lib/Timeline.ts
+++ b/apps/soak/src/lib/Timeline.ts
@@ -107,7 +107,7 @@
    * @param slot - name of a slot
    * @param from - start of the interval
    * @param to - end of the interval
-   * @returns whether one process of the slot ran for the whole interval, and was neither paused nor told to stop
+   * @returns whether one process of the slot ran for the whole interval, and was neither paused nor sent a signal to stop
    */
   ranThrough (slot: string, from: number, to: number): boolean {
     const ofSlot = this.#entries.filter(({ process, at }) => process.startsWith(`${slot}#`) && at <= to)
