Figures that an endpoint or a caller states decide nothing about other endpoints

Cause: the figures were taken with Number() and without a check, so the estimated cost of that endpoint is NaN, Math.min over all costs is NaN, and no endpoint is the cheapest. A mean that has become NaN stays so. Token counts that a caller states had the same way into the estimates of every endpoint that gets the request.

--- a/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.test.ts
@@ -58,6 +58,13 @@
 }
 
 describe('chooseEndpoint', () => {
+  // Guards against one endpoint with a cost that is no number, which put all others out of use.
+  it('chooses among the others if the cost of one endpoint is undefined', () => {
+    const endpoints = engines(3)
+    endpoints[1]?.observeLoad({ running: Number.NaN, waiting: 0, slots: 8 }, 0)
+    for (const random of [0, 0.4, 0.99]) expect(chosen(chooseEndpoint(endpoints, query(), new PromptResidencyTracker(), 1, random)).endpoint.id).not.toBe('e1')
+  })
+
   describe('prompts with a shared part', () => {
     it('go to the same home endpoint from every host while engines are equally busy', () => {
       const fleet = engines(8)
--- a/packages/routing/src/lib/endpoints/chooseEndpoint.ts
+++ b/packages/routing/src/lib/endpoints/chooseEndpoint.ts
@@ -59,9 +59,11 @@
   return alternatives.every(({ delayedStreams = 0 }) => delayedStreams >= MIN_DELAYED_STREAMS) ? { ...chosen, delaysStreamsEverywhere: true } : chosen
 }
 
+/** An endpoint whose cost can't be computed is used only if there is no other. */
 function pickCheapest (choices: readonly EndpointChoice[], random: number): EndpointChoice | undefined {
-  const least = Math.min(...choices.map(choice => choice.costMs))
-  const ties = choices.filter(choice => choice.costMs <= least + COST_TIE_MS)
+  const known = choices.filter(choice => Number.isFinite(choice.costMs))
+  const least = Math.min(...known.map(choice => choice.costMs))
+  const ties = known.length === 0 ? choices : known.filter(choice => choice.costMs <= least + COST_TIE_MS)
   return ties[Math.floor(random * ties.length)]
 }
 
