An exception in the handling of one request ends that request, not the host

Now every step of a request that a timer, a connection or another part of the host calls runs in a FaultBoundary. The first exception ends the request (502, or its stream is broken off), is logged as request-fault with its stack and counted; the process ends only for invariants of state that requests share. An endpoint that no connection can be made to counts as unreachable and is passed over. Looking for relatives: requests that the HTTP client refuses to write (two Host headers, a header without a name) got 503 and counted as refused connections of sound endpoints; they get 400, and whatever else can't be written counts against nobody.

--- a/apps/entry/src/lib/relays/RelayedRequest.test.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.test.ts
@@ -1,6 +1,8 @@
+import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { createServer, type RequestListener, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
+import { FaultBoundary, RequestFaults } from '../faults/RequestFaults.js'
 import type { CallerExchange } from '../routed/CallerExchange.js'
 import { isConnectionCheck } from './relayHeaders.js'
 import { RelayedRequest } from './RelayedRequest.js'
@@ -42,7 +44,7 @@
         unavailable: () => { resolve('unavailable') },
         lost: (_host, detail) => { resolve(`lost: ${detail}`) },
         complete: (_host, status) => { resolve(String(status)) }
-      }).start()
+      }, new FaultBoundary(new RequestFaults(new Telemetry('test')), 'r1', () => {})).start()
     })
   }
 
--- a/apps/entry/src/lib/relays/RelayedRequest.ts
+++ b/apps/entry/src/lib/relays/RelayedRequest.ts
@@ -1,4 +1,6 @@
 /** A request that this host has another entry host serve, because it does not reach the endpoints itself. */
+import { guardResponse } from '../faults/guardResponse.js'
+import type { FaultBoundary } from '../faults/RequestFaults.js'
 import type { CallerExchange } from '../routed/CallerExchange.js'
 import type { CancelRequest } from '../routed/EndpointConnection.js'
 import { RELAY_REFUSED_HEADER, connectionCheck, isRelayRefused, writeRelayHeaders } from './relayHeaders.js'
@@ -41,13 +43,15 @@
    * @param arrivedAt - when the request was read, in monotonic milliseconds
    * @param hosts - other hosts
    * @param listener - receives the course of the request
+   * @param steps - boundary of the request's steps
    */
   constructor (
     private readonly exchange: CallerExchange,
     private readonly body: Buffer | undefined,
     private readonly arrivedAt: number,
     private readonly hosts: RelayHosts,
-    private readonly listener: RelayListener
+    private readonly listener: RelayListener,
+    private readonly steps: FaultBoundary
   ) {}
 
   /** Whether a response has begun. */
@@ -55,7 +59,7 @@
 
   /** Offers the request to the first host, once hosts are known. */
   start (): void {
-    this.hosts.prepare(() => { this.#offer() })
+    this.hosts.prepare(this.steps.guard(() => { this.#offer() }))
   }
 
   /** Ends the request without calling the listener. The other host learns of it because the connection closes. */
@@ -90,25 +94,25 @@
       clearTimeout(timer)
       if (!this.#isDone) next()
     }
-    const fail = (): void => {
+    const fail = this.steps.guard(() => {
       if (!isSettled) connection.close()
       settle(() => { this.#offerNext(host, false) })
-    }
+    })
     // After a blocked event loop, an answer that has come is read before the check fails.
     const timer = setTimeout(() => { setImmediate(() => { setImmediate(fail) }) }, CHECK_TIMEOUT_MS)
-    this.#cancelSend = connection.send(connectionCheck(ticket), {
+    this.#cancelSend = connection.send(connectionCheck(ticket), guardResponse(this.steps, {
       sending: () => !this.#isDone,
       head: (_status, headers) => { isTaken = !isRelayRefused(headers) },
       data: () => true,
       complete: () => {
         // A host that is stopping closes the connection right after the response.
-        setImmediate(() => {
+        setImmediate(this.steps.guard(() => {
           if (isTaken && connection.isUsable) settle(() => { this.#send(relay) })
           else fail()
-        })
+        }))
       },
       failed: fail
-    })
+    }))
   }
 
   #send (relay: RelayConnection): void {
@@ -123,7 +127,7 @@
       if (!wasSent || head?.isRefused === true) this.#offerNext(host, wasSent)
       else this.#lose(host, error.message)
     }
-    this.#cancelSend = connection.send(request, {
+    this.#cancelSend = connection.send(request, guardResponse(this.steps, {
       sending: () => {
         wasSent = !this.#isDone && this.listener.sending(host)
         if (!wasSent) this.#isDone = true
@@ -150,7 +154,7 @@
         this.exchange.end()
       },
       failed: fail
-    })
+    }))
   }
 
   #resume: () => void = () => {}
--- a/apps/entry/src/lib/relays/RequestRelay.ts
+++ b/apps/entry/src/lib/relays/RequestRelay.ts
@@ -1,6 +1,7 @@
 /** Decides whether one request goes to another host instead of an endpoint, and follows it there. */
 import type { EndpointState } from '@eelgrassmux/routing/endpoints/EndpointState'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
+import type { FaultBoundary } from '../faults/RequestFaults.js'
 import type { AttemptRecord } from '../routed/AttemptRecord.js'
 import type { CallerExchange } from '../routed/CallerExchange.js'
 import type { RoutedPorts, RoutedRequest } from '../routed/RoutedRequest.js'
@@ -34,6 +35,7 @@
    * @param exchange - connection to the caller
    * @param ports - dependencies
    * @param attempts - attempts of the request, to which the relay is added
+   * @param steps - boundary of the request's steps
    * @param task - callbacks to the task
    */
   constructor (
@@ -41,6 +43,7 @@
     private readonly exchange: CallerExchange,
     private readonly ports: Pick<RoutedPorts, 'fleet' | 'relays' | 'isLagging'>,
     private readonly attempts: AttemptRecord,
+    private readonly steps: FaultBoundary,
     private readonly task: RequestRelayPorts
   ) {}
 
@@ -120,7 +123,7 @@
       unavailable: asked => { this.task.refuse(`this host does not reach the endpoints, and none of ${asked} other hosts has taken the request`) },
       lost: (host, detail) => { this.task.lost(`host ${host}: ${detail}`) },
       complete: (host, status) => { this.task.complete(host, status) }
-    })
+    }, this.steps)
     this.#relayed.start()
     return true
   }
--- a/apps/entry/src/lib/routed/AttemptSender.ts
+++ b/apps/entry/src/lib/routed/AttemptSender.ts
@@ -1,6 +1,8 @@
 /** Sends a routed request to the endpoints chosen for it. */
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import type { CallerExchange } from './CallerExchange.js'
+import type { EndpointConnection } from './EndpointConnection.js'
+import type { EndpointConnections } from './EndpointConnections.js'
 import { endpointFields, type SendState } from './endpointFields.js'
 import type { PromptContext } from './PromptContext.js'
 import { RoutedAttempt, type AttemptListener } from './RoutedAttempt.js'
@@ -18,7 +20,7 @@
   constructor (
     private readonly request: RoutedRequest,
     private readonly exchange: CallerExchange,
-    private readonly ports: Pick<RoutedPorts, 'fleet' | 'codec'>,
+    private readonly ports: Pick<RoutedPorts, 'fleet' | 'codec' | 'faults'>,
     private readonly prompt: PromptContext | undefined,
     private readonly listener: AttemptListener
   ) {}
@@ -26,15 +28,27 @@
   /**
    * @param choice - endpoint that was chosen
    * @param usedSince - monotonic milliseconds since which a kept connection must have been used
-   * @returns an attempt with a connection of its own, not sent yet; undefined if all connections are in use
+   * @returns an attempt with a connection of its own, not sent yet; undefined if all connections are in use or none can be made
    */
   open (choice: EndpointChoice, usedSince?: number): RoutedAttempt | undefined {
     const { fleet, codec } = this.ports
     const connections = fleet.connectionsTo(choice.endpoint)
-    const connection = connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint), this.request.id, usedSince)
+    const connection = this.#connect(choice, connections, usedSince)
     return connection === undefined ? undefined : new RoutedAttempt(choice, this.request.id, connections, connection, fleet, codec, this.listener)
   }
 
+  /** An endpoint that no connection can be made to counts as unreachable, and the request goes to another one. */
+  #connect ({ endpoint }: EndpointChoice, connections: EndpointConnections, usedSince: number | undefined): EndpointConnection | undefined {
+    const { fleet, faults } = this.ports
+    try {
+      return connections.acquire(fleet.connectionLimit(this.request.service.connectionsPerEndpoint), this.request.id, usedSince)
+    } catch (error) {
+      faults.contain(this.request.id, error)
+      fleet.recordOutcome(endpoint, 'unreachable')
+      return undefined
+    }
+  }
+
   /**
    * @param attempt - attempt from {@link AttemptSender.open}
    * @param state - progress of the request
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -6,7 +6,7 @@
  * length ends with its connection, and is incomplete if the connection was reset.
  */
 import { connect, type Socket } from 'node:net'
-import { Client, type buildConnector } from 'undici'
+import { Client, errors, type buildConnector } from 'undici'
 import { ResponseAttribution } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 import { OverheadBound } from '@eelgrassmux/backends/OverheadBound'
 import { ResponseResetError, destroyIfConnecting, watchForReset } from '@eelgrassmux/backends/resetDetection'
@@ -56,6 +56,14 @@
 /** Subtracted from the idle limit that an endpoint states, in milliseconds, so that a request arrives before the endpoint closes the connection. */
 const IDLE_MARGIN_MS = 700
 
+/**
+ * @param error - error of a request
+ * @returns whether the HTTP client refuses to write the request, which says nothing about the endpoint
+ */
+export function isUnsendable (error: Error): boolean {
+  return error instanceof errors.InvalidArgumentError || error instanceof errors.NotSupportedError
+}
+
 /** A connection that is opened by its first request. */
 export class EndpointConnection {
   readonly #client: Client
--- a/apps/entry/src/lib/routed/EndpointSearch.ts
+++ b/apps/entry/src/lib/routed/EndpointSearch.ts
@@ -4,6 +4,7 @@
  */
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointQuery'
+import type { FaultBoundary } from '../faults/RequestFaults.js'
 import type { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
 import type { RequestRelay } from '../relays/RequestRelay.js'
 import type { UsableGrant } from '../waiting/WaitingExchange.js'
@@ -28,6 +29,7 @@
   readonly otherHosts: RequestRelay
   readonly exchange: CallerExchange
   readonly end: RequestEnd
+  readonly steps: FaultBoundary
 }
 
 /** Callbacks to the task of the request. */
@@ -61,15 +63,15 @@
     private readonly task: EndpointSearchPorts
   ) {
     this.waits = new PlacementWaits({
-      retryPlacement: () => { this.#retryPlacement() },
+      retryPlacement: parts.steps.guard(() => { this.#retryPlacement() }),
       logWait: details => { parts.end.logDecision('waits-for-room', details) },
       logResumption: details => { parts.end.logDecision('waits-to-resume', details) }
     })
     this.#queue = new QueuedPlacement(request, ports, parts.placement, {
-      granted: grant => { this.#takeGrant(grant) },
-      retry: () => { this.#retryFromQueue() },
-      refused: retryAfterMs => { parts.end.refuse('deadline-unreachable', 503, 'the requests that go first leave no capacity within the time that callers wait', retryAfterMs) },
-      expired: () => { parts.end.refuse('deadline-unreachable', 503, 'no endpoint had capacity within the time that callers wait') }
+      granted: parts.steps.guard(grant => { this.#takeGrant(grant) }),
+      retry: parts.steps.guard(() => { this.#retryFromQueue() }),
+      refused: parts.steps.guard(retryAfterMs => { parts.end.refuse('deadline-unreachable', 503, 'the requests that go first leave no capacity within the time that callers wait', retryAfterMs) }),
+      expired: parts.steps.guard(() => { parts.end.refuse('deadline-unreachable', 503, 'no endpoint had capacity within the time that callers wait') })
     }, details => { parts.end.logDecision('waits-in-order', details) })
   }
 
@@ -83,7 +85,7 @@
 
   /** Chooses an endpoint and sends the request there, once the load of the other hosts is known. */
   placeNext (): void {
-    this.ports.withRecentLoad(() => { if (!this.parts.end.isDone) this.#sendToNextEndpoint() })
+    this.ports.withRecentLoad(this.parts.steps.guard(() => { if (!this.parts.end.isDone) this.#sendToNextEndpoint() }))
   }
 
   /**
@@ -132,7 +134,7 @@
   #takeGrant (grant: UsableGrant): void {
     const reservation = grant.wasReserved ? this.parts.placement.reserve(grant.endpoint) : undefined
     if (reservation === undefined) this.#useGrant(grant, undefined)
-    else void reservation.then(taken => { this.#useGrant(grant, taken) })
+    else void reservation.then(this.parts.steps.guard(taken => { this.#useGrant(grant, taken) }))
   }
 
   #waitForTransit (): void {
--- a/apps/entry/src/lib/routed/RequestRetries.ts
+++ b/apps/entry/src/lib/routed/RequestRetries.ts
@@ -1,5 +1,6 @@
 /** Retries of one routed request after failed attempts, within the limits of its route and the retry budget. */
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
+import type { FaultBoundary } from '../faults/RequestFaults.js'
 import type { AttemptRecord } from './AttemptRecord.js'
 import type { CallerExchange } from './CallerExchange.js'
 import type { PlacementWaits } from './PlacementWaits.js'
@@ -17,6 +18,7 @@
   readonly relay: ResponseRelay
   readonly exchange: CallerExchange
   readonly end: RequestEnd
+  readonly steps: FaultBoundary
 }
 
 /** Callbacks to the task of the request. */
@@ -122,16 +124,16 @@
 
   /** Waits until a stream that has begun gets a token. */
   #waitForBudget (failure: AttemptFailure): boolean {
-    const { placement, waits, end } = this.parts
+    const { placement, waits, end, steps } = this.parts
     // New requests refill the budget in the meantime.
-    const isWaiting = waits.waitToResume(0, placement.callerTimeoutAt, () => { if (!end.isDone) this.retryOrGiveUp(failure, 'the budget for repeats is used up') })
-    if (isWaiting) this.#reservation.awaitToken(true, () => { waits.resumeNow() })
+    const isWaiting = waits.waitToResume(0, placement.callerTimeoutAt, steps.guard(() => { if (!end.isDone) this.retryOrGiveUp(failure, 'the budget for repeats is used up') }))
+    if (isWaiting) this.#reservation.awaitToken(true, steps.guard(() => { waits.resumeNow() }))
     return isWaiting
   }
 
   /** Waits for the leader's next answer, which may bring a token. */
   #awaitAnswer (failure: AttemptFailure, onDenied: () => void): boolean {
-    const isWaiting = this.#reservation.awaitToken(false, () => { if (!this.parts.end.isDone && !this.tryRetry(failure, onDenied, false)) onDenied() })
+    const isWaiting = this.#reservation.awaitToken(false, this.parts.steps.guard(() => { if (!this.parts.end.isDone && !this.tryRetry(failure, onDenied, false)) onDenied() }))
     // The failed attempt must not open a standby during the wait, because the request would be placed twice.
     if (isWaiting) this.task.stopFailover()
     return isWaiting
--- a/apps/entry/src/lib/routed/RoutedAttempt.ts
+++ b/apps/entry/src/lib/routed/RoutedAttempt.ts
@@ -1,7 +1,7 @@
 /** One attempt to send a routed request to an endpoint, from the connection to the end of the response. */
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointQuery'
 import type { AttemptFailure } from '@eelgrassmux/routing/attempts/decideRetry'
-import type { CancelRequest, EndpointConnection, EndpointRequest } from './EndpointConnection.js'
+import { isUnsendable, type CancelRequest, type EndpointConnection, type EndpointRequest } from './EndpointConnection.js'
 import type { EndpointConnections } from './EndpointConnections.js'
 import type { ResponseFields, RequestCodec } from './RequestCodec.js'
 import type { RoutedFleet, WorkChange } from './RoutedFleet.js'
@@ -118,11 +118,16 @@
       data: chunk => this.#onData(chunk),
       complete: () => { this.#onComplete() },
       unread: bytes => this.#hasEnded ? () => {} : this.listener.unread(this, bytes),
-      failed: error => { this.#fail(this.wasSent ? 'lost' : 'not-connected', error.message) }
+      failed: error => { this.#fail(this.#failureOf(error), error.message) }
     })
     if (Number.isFinite(startWithinMs)) this.#startTimer = setTimeout(() => { this.#withdraw() }, startWithinMs)
   }
 
+  #failureOf (error: Error): AttemptFailure {
+    if (this.wasSent) return 'lost'
+    return isUnsendable(error) ? 'unsendable' : 'not-connected'
+  }
+
   /** Closes the connection, so that the endpoint drops a request that still waits there. */
   #withdraw (): void {
     // A head that arrived in time may not have been read yet.
@@ -245,7 +250,7 @@
   #fail (failure: AttemptFailure, detail: string): void {
     if (this.#hasEnded) return
     if (failure === 'lost' && !this.choice.endpoint.isLeaving) this.#observeTransitFailure()
-    if (this.#head === undefined && failure !== 'not-started') this.#observeLostContact()
+    if (this.#head === undefined && failure !== 'not-started' && failure !== 'unsendable') this.#observeLostContact()
     this.#end()
     this.connection.close()
     // The head alone states that the request was not executed, also if the connection breaks before the body is complete.
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -4,6 +4,7 @@
 import type { StreamOrigin } from '@eelgrassmux/routing/streams/streamOrigin'
 import type { ReplicatedService, Route, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import type { RequestFaults } from '../faults/RequestFaults.js'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../retries/RetryTokens.js'
@@ -52,6 +53,8 @@
   readonly streams?: StreamDirectory | undefined
   readonly firstEvent: (milliseconds: number) => void
   readonly telemetry: Telemetry
+  /** Exceptions in the handling of requests. */
+  readonly faults: RequestFaults
   readonly stop: GracefulShutdown
   readonly durations: RouteDurations
   readonly quarantine: RequestQuarantine
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -8,6 +8,7 @@
 import { NOT_RUN_STATUSES } from '@eelgrassmux/schema/Refusal'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { stopDecisions } from '@eelgrassmux/telemetry/events/stopDecisions'
+import { FaultBoundary } from '../faults/RequestFaults.js'
 import { QuarantineGuard, type SharedPromptParts } from '../quarantine/QuarantineGuard.js'
 import { RequestRelay } from '../relays/RequestRelay.js'
 import { ResponseRelay } from './ResponseRelay.js'
@@ -41,6 +42,8 @@
 /** Runs one request until its response is complete, refused or aborted. */
 export class RoutedRequestTask {
   readonly #attempts = new AttemptRecord()
+  /** Runs all steps of the request that timers, connections and other parts of this host call. */
+  readonly #steps: FaultBoundary
   readonly #deadline: number
   #attempt: RoutedAttempt | undefined
   readonly #relay: ResponseRelay
@@ -71,6 +74,7 @@
   ) {
     const limitMs = Math.min(request.route.timeoutMs, request.fields.deadlineMs ?? Number.POSITIVE_INFINITY)
     this.#deadline = request.arrivedAt + limitMs
+    this.#steps = new FaultBoundary(ports.faults, request.id, () => { this.#endAfterFault() })
     this.#end = new RequestEnd(request, exchange, ports, this.#attempts, this.#deadline, {
       endpoint: () => this.#attempt?.choice.endpoint.id ?? '',
       leave: () => {
@@ -89,7 +93,7 @@
     this.#failures = new AttemptFailures(ports.fleet, {
       attempts: this.#attempts, tried: this.#placement.tried, guard: this.#guard, times: this.#times, sharedParts: sharedParts?.ids ?? [], deadline: this.#deadline, log: details => { this.#end.logDecision('attempt-failed', details) }
     })
-    this.#otherHosts = new RequestRelay(request, exchange, ports, this.#attempts, {
+    this.#otherHosts = new RequestRelay(request, exchange, ports, this.#attempts, this.#steps, {
       isDone: () => this.#end.isDone,
       leaveEndpoints: () => { this.#leaveEndpoints() },
       logRelayed: details => { this.#end.logDecision('relayed', details) },
@@ -98,51 +102,53 @@
       lost: detail => { this.#end.refuse('endpoint-failed', 502, detail) },
       complete: (host, status) => { this.#endAtOtherHost(host, status) }
     })
-    this.#search = new EndpointSearch(request, ports, this.#deadline, { attempts: this.#attempts, placement: this.#placement, prompt: this.#prompt, guard: this.#guard, relay: this.#relay, otherHosts: this.#otherHosts, exchange, end: this.#end }, {
+    this.#search = new EndpointSearch(request, ports, this.#deadline, { attempts: this.#attempts, placement: this.#placement, prompt: this.#prompt, guard: this.#guard, relay: this.#relay, otherHosts: this.#otherHosts, exchange, end: this.#end, steps: this.#steps }, {
       open: choice => this.#open(choice),
       send: (attempt, isExpectedLate, reservation) => { this.#sendFirst(attempt, isExpectedLate, reservation) },
       lastFailure: () => this.#lastFailure
     })
-    this.#retries = new RequestRetries(request, ports, this.#deadline, { attempts: this.#attempts, placement: this.#placement, waits: this.#search.waits, relay: this.#relay, exchange, end: this.#end }, {
+    this.#retries = new RequestRetries(request, ports, this.#deadline, { attempts: this.#attempts, placement: this.#placement, waits: this.#search.waits, relay: this.#relay, exchange, end: this.#end, steps: this.#steps }, {
       placeNext: () => { this.#search.placeNext() },
       stopFailover: () => { this.#failover.stop() },
       giveUp: (failure, detail) => { this.#giveUp(failure, detail) }
     })
-    const standbys = new StandbyPlacement(request, this.#deadline, { attempts: this.#attempts, placement: this.#placement, guard: this.#guard, times: this.#times, relay: this.#relay, retries: this.#retries, end: this.#end }, {
+    const standbys = new StandbyPlacement(request, this.#deadline, { attempts: this.#attempts, placement: this.#placement, guard: this.#guard, times: this.#times, relay: this.#relay, retries: this.#retries, end: this.#end, steps: this.#steps }, {
       current: () => this.#attempt,
       detectSilence: () => this.#detectSilence(),
       open: choice => this.#openStandby(choice),
       checkNow: () => { this.#failover.checkNow() }
     })
     this.#failover = new SilenceFailover(ports.silenceChecks, {
-      shouldOpenStandby: () => standbys.shouldOpen(),
-      isSilent: () => this.#detectSilence(),
-      canContinueAt: standby => this.#placement.canContinueAt(standby.choice),
-      withRecentLoad: place => { ports.withRecentLoad(place) },
-      open: () => standbys.open(),
-      send: attempt => { this.#send(attempt, false) },
-      replace: standby => { this.#replaceAttempt(standby) }
+      shouldOpenStandby: () => this.#steps.run(() => standbys.shouldOpen(), false),
+      isSilent: () => this.#steps.run(() => this.#detectSilence(), false),
+      canContinueAt: standby => this.#steps.run(() => this.#placement.canContinueAt(standby.choice), false),
+      withRecentLoad: place => { ports.withRecentLoad(this.#steps.guard(place)) },
+      open: () => this.#steps.run(() => standbys.open(), undefined),
+      send: this.#steps.guard(attempt => { this.#send(attempt, false) }),
+      replace: this.#steps.guard(standby => { this.#replaceAttempt(standby) })
     })
     this.#sender = new AttemptSender(request, exchange, ports, this.#prompt, {
-      sending: () => this.#beginSend(),
-      head: (attempt, head, resume) => { this.#onHead(attempt, head, resume) },
-      data: (attempt, chunk) => this.#onData(attempt, chunk),
-      complete: attempt => { this.#onComplete(attempt) },
-      failed: (attempt, failure, detail, head) => {
+      sending: () => this.#steps.run(() => this.#beginSend(), false),
+      head: this.#steps.guard((attempt, head, resume) => { this.#onHead(attempt, head, resume) }),
+      data: (attempt, chunk) => this.#steps.run(() => this.#onData(attempt, chunk), true),
+      complete: this.#steps.guard(attempt => { this.#onComplete(attempt) }),
+      failed: this.#steps.guard((attempt, failure, detail, head) => {
         if (head?.fields.isNotExecuted === false) this.ports.responseEnds.count(`${bodyFraming(head.headers)}-broken`)
         this.#onFailure(attempt, failure, detail, head)
-      },
-      unread: (attempt, bytes) => this.#countUnread(attempt, bytes)
+      }),
+      unread: (attempt, bytes) => this.#steps.run(() => this.#countUnread(attempt, bytes), () => {})
     })
   }
 
   /** Starts the request. All further steps are driven by timers and socket events. */
   start (): void {
-    this.#timer = setTimeout(() => { this.#onTimeout() }, Math.max(0, this.#deadline - performance.now()))
-    this.exchange.onCallerLeft(() => { this.#onCallerLeft() })
-    const reader = this.ports.slowReaders?.open('caller', this.#customerName, details => { this.#cutSlowCaller(details) })
-    if (reader !== undefined) this.exchange.countUnread(reader)
-    this.#search.placeNext()
+    this.#timer = setTimeout(this.#steps.guard(() => { this.#onTimeout() }), Math.max(0, this.#deadline - performance.now()))
+    this.exchange.onCallerLeft(this.#steps.guard(() => { this.#onCallerLeft() }))
+    this.#steps.run(() => {
+      const reader = this.ports.slowReaders?.open('caller', this.#customerName, this.#steps.guard(details => { this.#cutSlowCaller(details) }))
+      if (reader !== undefined) this.exchange.countUnread(reader)
+      this.#search.placeNext()
+    }, undefined)
   }
 
   /**
@@ -163,6 +169,10 @@
    * @param sinceSignalMs - milliseconds since the stop began
    */
   endForStop (sinceSignalMs: number): void {
+    this.#steps.run(() => { this.#endForStop(sinceSignalMs) }, undefined)
+  }
+
+  #endForStop (sinceSignalMs: number): void {
     if (this.#end.isDone) return
     this.logStop('cut-by-stop', { sinceSignalMs: Math.round(sinceSignalMs), endpoint: this.#attempt?.choice.endpoint.id ?? '' })
     this.#cancelAttempt(undefined)
@@ -336,20 +346,21 @@
   #giveUp (failure: AttemptFailure, detail: string): void {
     if (failure === 'not-connected' && (this.#otherHosts.takeIfUnreachable() || this.#otherHosts.returnIfUnreachable())) return
     if (this.exchange.hasHead) return this.#end.abort(failure, detail)
+    if (failure === 'unsendable') return this.#end.refuse('internal-fault', 502, `this host can't write the request: ${detail}`)
     if (this.#attempts.mayHaveRun) this.#end.refuse('endpoint-failed', 502, `the last attempt ended with ${failure}: ${detail}`)
     else this.#end.refuse('endpoint-refused', 503, `the last attempt ended with ${failure}: ${detail}`)
   }
 
   #onTimeout (): void {
     // Expired timers run before sockets are read, so a response that arrived before the deadline may not have been read yet.
-    setImmediate(() => { this.#endAfterDeadline(true) })
+    setImmediate(this.#steps.guard(() => { this.#endAfterDeadline(true) }))
   }
 
   /** @param mayFinish - whether a response that has begun gets {@link RESPONSE_COMPLETION_MS} to complete */
   #endAfterDeadline (mayFinish: boolean): void {
     if (this.#end.isDone) return
     if (mayFinish && (this.#attempt?.isAnswering === true || this.#otherHosts.isAnswering)) {
-      this.#timer = setTimeout(() => { this.#endAfterDeadline(false) }, RESPONSE_COMPLETION_MS)
+      this.#timer = setTimeout(this.#steps.guard(() => { this.#endAfterDeadline(false) }), RESPONSE_COMPLETION_MS)
       return
     }
     // Some requests take longer than their route allows, so the endpoint is blamed only if it has stopped responding to all hosts.
@@ -359,6 +370,18 @@
     else this.#end.refuse('deadline-passed', 504, 'the time of the request is over')
   }
 
+  /** Ends the request after an exception in one of its steps, whatever its state is. */
+  #endAfterFault (): void {
+    try {
+      this.#cancelAttempt(undefined)
+      if (!this.#end.isDone) this.#end.refuse('internal-fault', 502, 'this host failed while it handled the request')
+      else if (!this.exchange.hasEnded) this.exchange.abort()
+    } catch (error) {
+      this.ports.faults.contain(this.request.id, error)
+      this.exchange.reset()
+    }
+  }
+
   #onCallerLeft (): void {
     if (this.#end.isDone) return
     const isSilent = this.#isEndpointSilent()
@@ -406,7 +429,7 @@
 
   /** Counts bytes of the request that its endpoint has not taken. */
   #countUnread (attempt: RoutedAttempt, bytes: number): () => void {
-    const reader = this.ports.slowReaders?.open('endpoint', this.#customerName, details => { this.#cutSlowEndpoint(attempt, details) })
+    const reader = this.ports.slowReaders?.open('endpoint', this.#customerName, this.#steps.guard(details => { this.#cutSlowEndpoint(attempt, details) }))
     reader?.hold(bytes)
     return () => { reader?.close() }
   }
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -19,6 +19,7 @@
 import type { Route, Site, SiteCustomer } from '@eelgrassmux/schema/site/siteSchema'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { ViewLagReport } from '@eelgrassmux/view/ViewLag'
+import { FaultBoundary, RequestFaults } from '../faults/RequestFaults.js'
 import type { GracefulShutdown } from '../GracefulShutdown.js'
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../retries/RetryTokens.js'
@@ -30,6 +31,7 @@
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import { areProperHeaders } from './headers.js'
 import { headerBytes, readBody } from './requestBytes.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
@@ -119,6 +121,7 @@
   readonly #startup: StartupQueue
   readonly #siteRefusals: SiteRefusals
   readonly #clientErrors: ClientErrors
+  readonly #faults: RequestFaults
   #index: SiteIndex | undefined
   #lastRequestAt = 0
   /** Requests without a complete response; the task is undefined until the request has been routed. */
@@ -134,7 +137,8 @@
     telemetry.gauge('requests_waiting_for_site', 'Requests that wait until this host knows the site', () => this.#startup.length)
     this.#siteRefusals = new SiteRefusals(ports)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
-    this.#servicePorts = new ServicePorts(ports, this.#refusals)
+    this.#faults = new RequestFaults(telemetry)
+    this.#servicePorts = new ServicePorts(ports, this.#refusals, this.#faults)
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
     this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
@@ -261,13 +265,23 @@
       exchange.sendWhole(NO_CONTENT, [], Buffer.alloc(0))
       return
     }
-    const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
-    if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
-    else this.#acceptDirect(message, exchange, fields, arrivedAt)
+    this.#contain(exchange, '', () => {
+      const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
+      if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
+      else this.#acceptDirect(message, exchange, fields, arrivedAt)
+    })
+  }
+
+  /** Runs a step of a request that has no task yet. An exception ends the request; nothing of it has been sent. */
+  #contain (exchange: CallerExchange, requestId: string, step: () => void): void {
+    new FaultBoundary(this.#faults, requestId, () => {
+      if (exchange.hasHead) exchange.abort()
+      else exchange.refuse(refuse({ reason: 'internal-fault', status: 502, detail: 'this host failed while it handled the request' }, new DispatchRecord()))
+    }).run(step, undefined)
   }
 
   #acceptDirect (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
-    const route = (): void => { this.#route(message, exchange, fields, arrivedAt) }
+    const route = (): void => { this.#contain(exchange, fields.requestId ?? '', () => { this.#route(message, exchange, fields, arrivedAt) }) }
     if (this.#isReadyToServe() || this.ports.stop.isStopping || !this.#startup.enqueue(exchange, fields.deadlineMs, arrivedAt, route)) {
       route()
       return
@@ -283,13 +297,14 @@
    */
   #acceptRelayed (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, receivedAt: number): void {
     const { ticket, ageMs } = readRelayHeader(message.rawHeaders) ?? { ticket: '', ageMs: 0 }
-    const route = (isVerified: boolean): void => {
+    const admit = (isVerified: boolean): void => {
       if (exchange.isAbandoned) return
       this.#relayed.count(isVerified ? 'verified' : 'unverified')
       if (!isVerified) this.#acceptDirect(message, exchange, fields, receivedAt)
       else if (this.#isReadyToServe() || (this.ports.fleet.hasEndpoints && !this.#startup.isStarting(receivedAt))) this.#route(message, exchange, fields, receivedAt - ageMs, true)
       else this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host is not ready yet', RETRY_AFTER_SECONDS)
     }
+    const route = (isVerified: boolean): void => { this.#contain(exchange, fields.requestId ?? '', () => { admit(isVerified) }) }
     if (this.ports.relays === undefined) route(false)
     else this.ports.relays.tickets.check(ticket, route)
   }
@@ -304,11 +319,15 @@
       this.#refuse(exchange, fields, 'headers-too-large', 431, `the headers are larger than ${index.site.limits.headerBytes} bytes`)
       return
     }
+    if (!areProperHeaders(message.rawHeaders)) {
+      this.#refuse(exchange, fields, 'malformed-headers', 400, 'a header has no name, or there are several Host headers')
+      return
+    }
     const refuseBySite = (refusal: SiteRefusal): void => {
       this.#siteRefusals.refuse({ exchange, fields, arrivedAt, refusal }, {
         refuse: ({ reason, status, detail }) => { this.#refuse(exchange, fields, reason, status, detail) },
         refuseAsStale: () => { this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host may not know the newest site', RETRY_AFTER_SECONDS) },
-        routeAgain: () => { this.#route(message, exchange, fields, arrivedAt, isCountedElsewhere) }
+        routeAgain: () => { this.#contain(exchange, fields.requestId ?? '', () => { this.#route(message, exchange, fields, arrivedAt, isCountedElsewhere) }) }
       })
     }
     const route = index.routes.find(message.headers.host ?? '', message.url ?? '/')
@@ -325,7 +344,9 @@
     readBody(message, exchange, limit, {
       tooLarge: () => { this.#refuse(exchange, fields, 'body-too-large', 413, `the body is larger than ${limit} bytes`) },
       complete: body => {
-        this.#unlessAbandoned(exchange, fields, () => { this.#startOrResume({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }) })
+        this.#unlessAbandoned(exchange, fields, () => {
+          this.#contain(exchange, fields.requestId ?? '', () => { this.#startOrResume({ exchange, fields, index, route, customer, body, arrivedAt, isCountedElsewhere }) })
+        })
       }
     })
   }
@@ -357,7 +378,7 @@
       else this.#resume(admitted, origin)
     }
     if (streams === undefined) this.#start(admitted)
-    else streams.find({ id: fields.resumes, route: route.name, maxAgeMs: route.timeoutMs }, resume)
+    else streams.find({ id: fields.resumes, route: route.name, maxAgeMs: route.timeoutMs }, origin => { this.#contain(exchange, fields.requestId ?? '', () => { resume(origin) }) })
   }
 
   /** What two software versions write does not fit together, and endpoints do not check it. */
--- a/apps/entry/src/lib/routed/ServicePorts.ts
+++ b/apps/entry/src/lib/routed/ServicePorts.ts
@@ -1,6 +1,7 @@
 /** Dependencies of requests, which those to one service share. */
 import { RouteDurations } from '@eelgrassmux/routing/admission/RouteDurations'
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
+import type { RequestFaults } from '../faults/RequestFaults.js'
 import { SwitchedRetryTokens } from '../retries/RetryTokens.js'
 import type { RoutedPorts } from './RoutedRequest.js'
 import type { RoutedServerPorts } from './RoutedServer.js'
@@ -22,8 +23,9 @@
   /**
    * @param ports - dependencies of the server
    * @param refusals - refusals by reason
+   * @param faults - exceptions in the handling of requests
    */
-  constructor (private readonly ports: RoutedServerPorts, private readonly refusals: LabelledCounter) {
+  constructor (private readonly ports: RoutedServerPorts, private readonly refusals: LabelledCounter, private readonly faults: RequestFaults) {
     const { telemetry } = ports
     this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
     this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
@@ -43,6 +45,7 @@
       fleet,
       codec,
       telemetry,
+      faults: this.faults,
       stop,
       quarantine,
       allowance: new SwitchedRetryTokens(budget, sharedRetryTokens?.(service), () => fleet.features.isEnabled('shared-retry-budget')),
--- a/apps/entry/src/lib/routed/StandbyPlacement.ts
+++ b/apps/entry/src/lib/routed/StandbyPlacement.ts
@@ -1,5 +1,6 @@
 /** Chooses the endpoint of a standby attempt, for a request whose endpoint has stopped responding. */
 import type { EndpointChoice } from '@eelgrassmux/routing/endpoints/endpointQuery'
+import type { FaultBoundary } from '../faults/RequestFaults.js'
 import type { QuarantineGuard } from '../quarantine/QuarantineGuard.js'
 import type { AttemptRecord } from './AttemptRecord.js'
 import type { RequestEnd } from './RequestEnd.js'
@@ -20,6 +21,7 @@
   readonly relay: ResponseRelay
   readonly retries: RequestRetries
   readonly end: RequestEnd
+  readonly steps: FaultBoundary
 }
 
 /** Callbacks to the task of the request. */
@@ -89,10 +91,10 @@
 
   /** Asks for a token for the standby; the next check opens it if it still has to be opened. */
   #awaitToken (now: number): void {
-    const { relay, retries } = this.parts
+    const { relay, retries, steps } = this.parts
     // An answer without a token leads to a check as well, which must not ask again at once.
     if (!relay.canResumeStream && now < this.#nextTokenRequestAt) return
     this.#nextTokenRequestAt = now + SILENCE_CHECK_INTERVAL_MS / 2
-    retries.awaitToken(relay.canResumeStream, () => { this.task.checkNow() })
+    retries.awaitToken(relay.canResumeStream, steps.guard(() => { this.task.checkNow() }))
   }
 }
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -15,6 +15,7 @@
 import type { Refusal } from '@eelgrassmux/schema/Refusal'
 import type { Route, Site } from '@eelgrassmux/schema/site/siteSchema'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
+import { RequestFaults } from '../../faults/RequestFaults.js'
 import { GracefulShutdown } from '../../GracefulShutdown.js'
 import { LoadExchange } from '../../load/LoadExchange.js'
 import { WaitingExchange } from '../../waiting/WaitingExchange.js'
@@ -289,6 +290,7 @@
       fleet,
       codec: new PlainCodec(),
       telemetry,
+      faults: new RequestFaults(telemetry),
       waiting,
       stop: new GracefulShutdown(new WorkGate(), { balancerLagMs: 0, graceMs: 60_000 }, telemetry),
       quarantine: emptyQuarantine(),
--- a/apps/entry/src/lib/routed/headers.ts
+++ b/apps/entry/src/lib/routed/headers.ts
@@ -1,10 +1,13 @@
-/** Hop-by-hop headers, which belong to one connection and are never forwarded. */
+/** Headers that are passed on between callers and endpoints. */
 
+/** Hop-by-hop headers, which belong to one connection and are never forwarded. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization',
   'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
 ])
 
+const HOST = 'host'
+
 /**
  * @param headers - alternating names and values
  * @param isDropped - called with a name in lower case; returns whether to leave out that header as well
@@ -31,3 +34,17 @@
   }
   return named
 }
+
+/**
+ * @param headers - alternating names and values, as received
+ * @returns false if they can't be passed on: a header has no name, or the request names several hosts
+ */
+export function areProperHeaders (headers: readonly string[]): boolean {
+  let hosts = 0
+  for (let at = 0; at < headers.length; at += 2) {
+    const name = headers[at] ?? ''
+    if (name === '') return false
+    if (name.length === HOST.length && name.toLowerCase() === HOST) hosts += 1
+  }
+  return hosts <= 1
+}
--- a/packages/routing/src/lib/attempts/decideRetry.ts
+++ b/packages/routing/src/lib/attempts/decideRetry.ts
@@ -10,6 +10,8 @@
 export type AttemptFailure =
   /** No connection was made, so nothing was sent. */
   | 'not-connected'
+  /** The request can't be written as HTTP, whatever the endpoint. */
+  | 'unsendable'
   /** The endpoint says that it did not run the request, because it is full or leaving. */
   | 'rejected'
   /** The endpoint says that it is not the requested instance, or does not hold the requested weights. */
@@ -60,6 +62,7 @@
 export function decideRetry (context: AttemptContext): RetryDecision {
   const { failure, sends, runs, maxRuns, remainingMs, hasPartialAnswer } = context
   if (remainingMs < MIN_REMAINING_MS || sends >= (hasPartialAnswer ? MAX_SENDS_AFTER_PARTIAL_ANSWER : MAX_SENDS)) return { kind: 'give-up' }
+  if (failure === 'unsendable') return { kind: 'give-up' }
   if (failure === 'not-connected') return { kind: 'repeat', spendsBudget: false }
   if (failure === 'rejected' || failure === 'misdirected') return { kind: 'repeat', spendsBudget: true }
   if (!mayRunAgain(context) || runs >= maxRuns) return { kind: 'give-up' }
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -41,6 +41,8 @@
   relayed: z.strictObject({ host: z.string(), reason: z.string() }),
   'relay-refused': z.strictObject({ host: z.string() }),
   'relay-answered': z.strictObject({ host: z.string(), status: z.number() }),
+  /** An exception in the handling of the request, which has ended with it; the process goes on. */
+  'request-fault': z.strictObject({ message: z.string(), stack: z.string() }),
   'connections-used-up': z.strictObject({ endpoint: z.string(), open: z.number() }),
   'attempt-failed': z.strictObject({
     endpoint: z.string(),
