Responses of endpoints are bounded for each endpoint and host, and share the event loop

Cause: every bound was one of a single request. Up to 1 MiB of an unfinished event was kept for each, every piece had all earlier ones copied (23 ns a byte); a socket that always has bytes is read up to 32 times in a turn of the event loop; an answer that is no stream of events, in place of the rest of one, was read and dropped until the deadline (2.2 GB in 8 s in the new test).

Now: ResponseMemory bounds what is kept unfinished (a sixteenth of the host's memory, half of that for one endpoint), ReadSlices what is read from an endpoint in a turn (256 KiB, 4 ms) and what has arrived for responses that wait their turn; responses that wait for slow callers are counted too; what is dropped ends after 64 KiB. Each byte is scanned once (1.7 ns a byte without line ends). An endpoint that exceeds a bound loses that response, which counts like a crash; lines and counters name it.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -27,6 +27,7 @@
 import type { EngineReservations } from './routed/EngineReservations.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
+import { ResponseMemory, responseMemoryBounds } from './routed/ResponseMemory.js'
 import { RoutedServer } from './routed/RoutedServer.js'
 import { SlowReaders } from './routed/SlowReaders.js'
 import { StreamDirectoryClient } from './streams/StreamDirectoryClient.js'
@@ -108,7 +109,8 @@
   const logFeatures = (): void => { telemetry.logStateChange('load-features', { features: features.enabled.join(' '), reason: features.reason }) }
   features.onChange(logFeatures)
   if (features.enabled.length > 0) logFeatures()
-  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, address, features)
+  const responseMemory = responseMemoryBounds(settings.memoryMb)
+  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, address, features, responseMemory.totalBytes)
   const stored = link.followStoredParts({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
@@ -141,10 +143,11 @@
   const budget = { ratio: settings.retryRatio, slack: settings.retrySlack }
   const retries = new RetryExchange(address, { datagrams, leader: () => link.leader }, budget, telemetry)
   const relayDirectory = new RelayDirectoryClient(() => listenAddress, { rpc, leader: () => link.leader })
-  const relayHosts = new RelayHosts(relayDirectory)
+  const relayHosts = new RelayHosts(relayDirectory, fleet.readSlices)
   const streams = new StreamDirectoryClient(address, { datagrams, controlHosts: () => link.controlHosts, listAgeMs: now => link.endpointListAgeMs(now) }, telemetry)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const server = new RoutedServer({
+    responseMemory: new ResponseMemory(responseMemory, telemetry),
     slowReaders: new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry),
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
--- a/apps/entry/src/lib/relays/RelayHosts.ts
+++ b/apps/entry/src/lib/relays/RelayHosts.ts
@@ -7,6 +7,7 @@
 import { chooseRelayHost } from '@eelgrassmux/routing/reachability/chooseRelayHost'
 import { EndpointConnections } from '../routed/EndpointConnections.js'
 import type { EndpointConnection } from '../routed/EndpointConnection.js'
+import type { ReadSlices } from '../routed/ReadSlices.js'
 
 /** Age from which the hosts are asked for again when they are used, in milliseconds. */
 const REFRESH_AGE_MS = 500
@@ -56,8 +57,11 @@
   readonly #avoidedUntil = new Map<string, number>()
   readonly #connections = new Map<string, EndpointConnections>()
 
-  /** @param directory - asks the leading control host */
-  constructor (private readonly directory: RelayDirectory) {}
+  /**
+   * @param directory - asks the leading control host
+   * @param slices - divides the time of the event loop among the hosts whose responses are read
+   */
+  constructor (private readonly directory: RelayDirectory, private readonly slices?: ReadSlices) {}
 
   /**
    * Calls back once hosts are known, or the question for them has failed.
@@ -132,7 +136,7 @@
   #connectionsTo (host: string): EndpointConnections {
     const present = this.#connections.get(host)
     if (present !== undefined) return present
-    const connections = new EndpointConnections(host, () => {})
+    const connections = new EndpointConnections(host, () => {}, undefined, this.slices)
     this.#connections.set(host, connections)
     return connections
   }
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -6,7 +6,7 @@
 import type { EndpointRequest } from './EndpointConnection.js'
 import { endToEndHeaders } from './headers.js'
 import { RELAY_HEADER, RELAY_REFUSED_HEADER } from '../relays/relayHeaders.js'
-import type { SlowReader } from './SlowReaders.js'
+import { WAITING_RESPONSE_BYTES, type SlowReader } from './SlowReaders.js'
 
 /** State that the requests of one connection share. */
 interface ConnectionState {
@@ -27,6 +27,9 @@
   #hasEnded = false
   #hasCallerLeft = false
   #reader: SlowReader | undefined
+  #openWaiting: (() => SlowReader) | undefined
+  #waiter: SlowReader | undefined
+  #endsWait: (() => void) | undefined
   readonly #isAfterLastResponse: boolean
   readonly #connection: ConnectionState
   readonly #isFirstOnConnection: boolean
@@ -89,6 +92,15 @@
     this.onClosed(() => { reader.close() })
   }
 
+  /**
+   * Counts the response while it waits for the caller to read.
+   *
+   * @param open - called before the first wait; returns what counts the caller
+   */
+  countWaiting (open: () => SlowReader): void {
+    this.#openWaiting = open
+  }
+
   /** @param listener - called once when the response has been handed to the operating system or the connection has closed */
   onClosed (listener: () => void): void {
     this.response.on('close', listener)
@@ -123,7 +135,11 @@
    * @returns false if the write buffer is full, because the caller reads too slowly; always true if its unread bytes are counted
    */
   write (chunk: Buffer): boolean {
-    if (this.#reader === undefined) return this.response.write(chunk)
+    if (this.#reader === undefined) {
+      const isReady = this.response.write(chunk)
+      if (!isReady) this.#waits()
+      return isReady
+    }
     const release = this.#reader.hold(chunk.length)
     // The caller may have been cut just now.
     if (!this.hasEnded) this.response.write(chunk, release)
@@ -132,7 +148,26 @@
 
   /** @param listener - called once when the write buffer has been drained */
   onceDrained (listener: () => void): void {
-    this.response.once('drain', listener)
+    this.response.once('drain', () => {
+      this.#endWait()
+      listener()
+    })
+  }
+
+  /** Counts the response among those that wait for their callers, who may be cut. */
+  #waits (): void {
+    if (this.#openWaiting === undefined || this.#endsWait !== undefined || this.hasEnded) return
+    if (this.#waiter === undefined) {
+      const waiter = this.#openWaiting()
+      this.#waiter = waiter
+      this.onClosed(() => { waiter.close() })
+    }
+    this.#endsWait = this.#waiter.hold(WAITING_RESPONSE_BYTES)
+  }
+
+  #endWait (): void {
+    this.#endsWait?.()
+    this.#endsWait = undefined
   }
 
   /** Ends the response as complete. */
--- a/apps/entry/src/lib/routed/EndpointConnection.ts
+++ b/apps/entry/src/lib/routed/EndpointConnection.ts
@@ -10,6 +10,7 @@
 import { ResponseAttribution } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 import { OverheadBound } from '@eelgrassmux/backends/OverheadBound'
 import { ResponseResetError, destroyIfConnecting, watchForReset } from '@eelgrassmux/backends/resetDetection'
+import type { ReadSlices } from './ReadSlices.js'
 
 /** A request as it is sent to an endpoint. */
 export interface EndpointRequest {
@@ -56,6 +57,9 @@
 /** Subtracted from the idle limit that an endpoint states, in milliseconds, so that a request arrives before the endpoint closes the connection. */
 const IDLE_MARGIN_MS = 700
 
+/** Memory of a byte that has arrived and is not read, in bytes: the runtime keeps whole blocks, parts of which have been read. */
+const MEMORY_PER_UNREAD_BYTE = 2
+
 /**
  * @param error - error of a request
  * @returns whether the HTTP client refuses to write the request, which says nothing about the endpoint
@@ -83,9 +87,10 @@
    * @param address - IP address and port
    * @param onClose - called once when the connection has closed
    * @param onEstablished - called when the connection is established, with the milliseconds that it took
+   * @param slices - divides the time of the event loop among endpoints; absent if responses never pause for others
    */
   constructor (
-    address: string, private readonly onClose: (connection: EndpointConnection) => void, private readonly onEstablished: (milliseconds: number) => void = () => {}
+    private readonly address: string, private readonly onClose: (connection: EndpointConnection) => void, private readonly onEstablished: (milliseconds: number) => void = () => {}, private readonly slices?: ReadSlices
   ) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -120,6 +125,7 @@
    */
   send (request: EndpointRequest, handler: ResponseHandler): CancelRequest {
     let hasEnded = false
+    let readOn = (): void => {}
     this.#client.dispatch({
       method: request.method as 'GET',
       path: request.target,
@@ -137,16 +143,23 @@
       },
       onHeaders: (status: number, headers: Buffer[], resume: () => void) => {
         if (status < 200) return true
+        readOn = () => { this.#readOn(resume) }
         this.#overhead.noteProgress()
         this.#responses += 1
         this.#lastByteAt = performance.now()
-        handler.head(status, headers.map(header => header.toString('latin1')), resume)
-        return true
+        handler.head(status, headers.map(header => header.toString('latin1')), readOn)
+        const hasTime = this.slices?.count(this.address, 0) ?? true
+        if (!hasTime) readOn()
+        return hasTime
       },
       onData: (chunk: Buffer) => {
         this.#overhead.noteProgress()
         this.#lastByteAt = performance.now()
-        return handler.data(chunk)
+        const isReady = handler.data(chunk)
+        const hasTime = this.slices?.count(this.address, chunk.length) ?? true
+        // A response that waits for its caller reads on when the caller has.
+        if (isReady && !hasTime) readOn()
+        return isReady && hasTime
       },
       onComplete: () => {
         hasEnded = true
@@ -164,6 +177,11 @@
     }
   }
 
+  #readOn (resume: () => void): void {
+    if (this.slices === undefined) resume()
+    else this.slices.resumeInTurn(this.address, { resume, cut: () => { this.close() }, unreadBytes: () => MEMORY_PER_UNREAD_BYTE * (this.#socket?.readableLength ?? 0) })
+  }
+
   /** Closes the connection at once; a pending request fails. */
   close (): void {
     if (this.#isClosed) return
--- a/apps/entry/src/lib/routed/EndpointConnections.ts
+++ b/apps/entry/src/lib/routed/EndpointConnections.ts
@@ -1,5 +1,6 @@
 /** Pool of this host's connections to one endpoint. Connections are reused, because accepting new ones costs the endpoint time. */
 import { EndpointConnection } from './EndpointConnection.js'
+import type { ReadSlices } from './ReadSlices.js'
 
 /** Keeps idle connections. The most recently used one is reused first, so that surplus ones reach their idle timeout. */
 export class EndpointConnections {
@@ -12,8 +13,11 @@
    * @param address - IP address and port
    * @param onOpen - called for each new connection
    * @param onEstablished - called for each connection that is established, with the milliseconds that it took
+   * @param slices - divides the time of the event loop among endpoints; absent if responses never pause for others
    */
-  constructor (readonly address: string, private readonly onOpen: () => void, private readonly onEstablished: (milliseconds: number) => void = () => {}) {}
+  constructor (
+    readonly address: string, private readonly onOpen: () => void, private readonly onEstablished: (milliseconds: number) => void = () => {}, private readonly slices?: ReadSlices
+  ) {}
 
   /** Number of open connections, including idle ones. */
   get count (): number { return this.#open.size }
@@ -42,7 +46,7 @@
 
   /** @returns a new connection */
   open (): EndpointConnection {
-    const connection = new EndpointConnection(this.address, closed => { this.#forget(closed) }, this.onEstablished)
+    const connection = new EndpointConnection(this.address, closed => { this.#forget(closed) }, this.onEstablished, this.slices)
     this.#open.add(connection)
     this.onOpen()
     return connection
--- a/apps/entry/src/lib/routed/ResponseRelay.ts
+++ b/apps/entry/src/lib/routed/ResponseRelay.ts
@@ -13,6 +13,9 @@
 /** Longest event of a stream, in bytes. An endpoint that sends more sends no event. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
+/** Most bytes of a response that are read although none of them is passed on. */
+const MAX_DROPPED_BYTES = 64 * 1024
+
 const OK = 200
 
 /** Lowest status that counts as a failure of the endpoint. */
@@ -46,6 +49,7 @@
   #isOpaque = false
   #buffered: Buffer[] | undefined
   #bufferedBytes = 0
+  #droppedBytes = 0
 
   /**
    * @param exchange - connection to the caller
@@ -68,11 +72,18 @@
   get framing (): BodyFraming { return bodyFraming(this.#head?.headers ?? []) }
   /** Whether the current response, as received so far, ends inside an event. */
   get isInsideEvent (): boolean { return this.#scanner?.isInsideEvent ?? this.#cursor?.hasPartialEvent ?? false }
-  /** Whether the current response sends bytes without end in place of an event. */
-  get isEventTooLong (): boolean {
-    return (this.#scanner?.unfinishedBytes ?? (this.#isOpaque ? undefined : this.#cursor?.unfinishedBytes) ?? 0) > MAX_EVENT_BYTES
+
+  /** Why the current response, which goes on, must not be read any further; undefined if it may. */
+  get excess (): ResponseFault | undefined {
+    const unfinishedBytes = this.#scanner?.unfinishedBytes ?? (this.#isOpaque ? undefined : this.#cursor?.unfinishedBytes) ?? 0
+    if (unfinishedBytes > MAX_EVENT_BYTES) return { failure: 'lost', detail: 'an event of the stream is too long' }
+    if (this.#droppedBytes > MAX_DROPPED_BYTES) return { failure: 'lost', detail: `status ${this.#head?.status ?? 0}, which can't be passed on, and the body goes on` }
+    return undefined
   }
 
+  /** Memory that the unfinished response occupies, in bytes. */
+  get keptBytes (): number { return this.#bufferedBytes + (this.#cursor?.keptBytes ?? 0) }
+
   /** Why the current attempt's response, which has ended, does not complete the response to the caller. */
   get fault (): ResponseFault | undefined {
     if (this.isInsideEvent) return { failure: 'lost', detail: 'the stream ended inside an event' }
@@ -104,6 +115,7 @@
     // A failure is buffered, because the request may be retried. What an earlier attempt left in the buffer is not part of this response.
     this.#buffered = !this.kind.isStream || head.status !== OK || (this.#isContinuation && !hasEvents) ? [] : undefined
     this.#bufferedBytes = 0
+    this.#droppedBytes = 0
     this.#scanner = this.kind.isStream && this.#cursor === undefined && mustEndAfterEvent(head) ? new EventScanner() : undefined
   }
 
@@ -125,6 +137,17 @@
     this.#cursor?.discardPartialEvent()
   }
 
+  /**
+   * Passes on what is kept of the current response, so that it occupies no memory. The request can't be retried any more.
+   *
+   * @returns false if nothing of it can be passed on before it is complete
+   */
+  passOnUnfinished (): boolean {
+    if (this.#buffered === undefined || this.#isDropped) return false
+    this.#passOnBuffer(this.#buffered)
+    return true
+  }
+
   /** Ends the response as complete. */
   complete (): void {
     const head = this.#head
@@ -140,12 +163,21 @@
   }
 
   #buffer (held: Buffer[], chunk: Buffer): boolean {
-    // It is not passed on in any case.
-    if (this.#isContinuation || this.#isWithheld) return true
+    if (this.#isDropped) {
+      this.#droppedBytes += chunk.length
+      return true
+    }
     held.push(chunk)
     this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return true
+    return this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES || this.#passOnBuffer(held)
+  }
+
+  /** Whether nothing of the current response is passed on in any case. */
+  get #isDropped (): boolean { return this.#buffered !== undefined && (this.#isContinuation || this.#isWithheld) }
+
+  #passOnBuffer (held: readonly Buffer[]): boolean {
     this.#buffered = undefined
+    this.#bufferedBytes = 0
     return this.#forward(Buffer.concat(held))
   }
 
--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -28,6 +28,8 @@
 import { EndpointLimits } from './EndpointLimits.js'
 import { EndpointConnections } from './EndpointConnections.js'
 import { PlainPlaces } from './PlainPlaces.js'
+import { ReadSlices } from './ReadSlices.js'
+import { responseMemoryBounds } from './ResponseMemory.js'
 import { SilentConnections } from './SilentConnections.js'
 import { TrafficBetweenDataCentres } from './TrafficBetweenDataCentres.js'
 
@@ -72,6 +74,8 @@
   /** Links of this host to the services. */
   readonly links: ServiceLinks
   readonly silentConnections: SilentConnections
+  /** Slices of the event loop for the responses of endpoints. */
+  readonly readSlices: ReadSlices
   readonly #connections = new Map<string, EndpointConnections>()
   readonly #routeSlowness = new Map<string, Slowness>()
   readonly #engineModels = new Map<string, EngineModel>()
@@ -91,6 +95,7 @@
    * @param mechanisms - routing mechanisms to use
    * @param host - unique name of this host
    * @param features - features for hard load that are in use
+   * @param responseBytes - most bytes of responses that may have arrived without being read
    */
   constructor (
     private readonly dataCentre: string,
@@ -98,7 +103,8 @@
     private readonly telemetry: Telemetry,
     readonly mechanisms: RoutingMechanisms = composeMechanisms(),
     host = '',
-    readonly features = new LoadFeatures()
+    readonly features = new LoadFeatures(),
+    responseBytes = responseMemoryBounds(0).totalBytes
   ) {
     this.#pool = new EndpointPool(mechanisms.createSlownessEstimator)
     this.limits = new EndpointLimits(new ColdEndpointLimiter(host, liveHosts), new SharedRateLimiter(host, liveHosts), new BrittleEndpointLimiter(host, liveHosts), endpoint => this.occupancyOf(endpoint), () => this.#pool.all, telemetry)
@@ -107,6 +113,7 @@
     this.traffic = new TrafficBetweenDataCentres(dataCentre, features, telemetry)
     this.links = new ServiceLinks(this, telemetry)
     this.silentConnections = new SilentConnections(this, telemetry)
+    this.readSlices = new ReadSlices(telemetry, responseBytes)
     this.#openedConnections = telemetry.labelledCounter('endpoint_connections_total', 'Connections opened to endpoints by service', 'service')
     this.#learntTransitBounds = telemetry.labelledCounter('transit_bounds_learnt_total', 'Bounds learnt on the bytes in transit to an endpoint by service', 'service')
     this.#streamPauses = telemetry.labelledCounter('stream_pauses_total', 'Pauses between events of streams whose pauses are limited', 'outcome')
@@ -394,7 +401,7 @@
     if (present !== undefined) return present
     const { address, service } = endpoint.listed
     const connections = new EndpointConnections(
-      address, () => { this.#openedConnections.count(service) }, milliseconds => { this.traffic.observeConnection(endpoint, milliseconds) }
+      address, () => { this.#openedConnections.count(service) }, milliseconds => { this.traffic.observeConnection(endpoint, milliseconds) }, this.readSlices
     )
     this.#connections.set(endpoint.incarnation, connections)
     return connections
--- a/apps/entry/src/lib/routed/RoutedRequest.ts
+++ b/apps/entry/src/lib/routed/RoutedRequest.ts
@@ -14,6 +14,7 @@
 import type { EngineReservations } from './EngineReservations.js'
 import type { PromptPorts } from './PromptPorts.js'
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
+import type { ResponseMemory } from './ResponseMemory.js'
 import type { SharedInterval } from './SharedInterval.js'
 import type { SlowReaders } from './SlowReaders.js'
 
@@ -62,6 +63,8 @@
   readonly silenceChecks: SharedInterval
   /** Bounds on what slow readers hold; absent if they are never counted. */
   readonly slowReaders?: SlowReaders | undefined
+  /** Bounds on unfinished responses. */
+  readonly responseMemory: ResponseMemory
   /** Other hosts, for requests to services that are out of this host's reach; undefined if they are not known. */
   readonly relays?: RelayHosts | undefined
   /** Whether the event loop of this process was blocked for a while, so that its sockets were not read. */
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -12,6 +12,7 @@
 import { QuarantineGuard, type SharedPromptParts } from '../quarantine/QuarantineGuard.js'
 import { RequestRelay } from '../relays/RequestRelay.js'
 import { ResponseRelay } from './ResponseRelay.js'
+import type { CutResponseDetails, KeptResponse } from './ResponseMemory.js'
 import { bodyFraming } from './responseBody.js'
 import { ResponseTimes } from './ResponseTimes.js'
 import { AttemptFailures } from './AttemptFailures.js'
@@ -56,6 +57,8 @@
   readonly #failures: AttemptFailures
   readonly #end: RequestEnd
   #lastFailure: AttemptFailure | undefined
+  /** What is kept of the current response; undefined if it is little. */
+  #kept: { readonly attempt: RoutedAttempt, readonly response: KeptResponse } | undefined
   readonly #search: EndpointSearch
   readonly #otherHosts: RequestRelay
   readonly #guard: QuarantineGuard
@@ -145,8 +148,7 @@
     this.#timer = setTimeout(this.#steps.guard(() => { this.#onTimeout() }), Math.max(0, this.#deadline - performance.now()))
     this.exchange.onCallerLeft(this.#steps.guard(() => { this.#onCallerLeft() }))
     this.#steps.run(() => {
-      const reader = this.ports.slowReaders?.open('caller', this.#customerName, this.#steps.guard(details => { this.#cutSlowCaller(details) }))
-      if (reader !== undefined) this.exchange.countUnread(reader)
+      this.#countSlowCaller()
       this.#search.placeNext()
     }, undefined)
   }
@@ -241,12 +243,43 @@
     if (this.#end.isDone) return true
     if (this.request.route.kind === 'stream') this.#noteEvent(attempt)
     const isReady = this.#relay.data(chunk)
-    if (!this.#relay.isEventTooLong) return isReady
+    const { excess } = this.#relay
+    if (excess === undefined) {
+      this.#countKept(attempt)
+      return isReady
+    }
     attempt.cancel()
-    this.#onFailure(attempt, 'lost', 'an event of the stream is too long', this.#relay.head)
+    this.#onFailure(attempt, excess.failure, excess.detail, this.#relay.head)
     return true
   }
 
+  #dropIncomplete (): void {
+    this.#relay.dropIncomplete()
+    this.#kept?.response.update(0)
+  }
+
+  /** Counts what is kept of the current response. Others, and this one too, may be cut. */
+  #countKept (attempt: RoutedAttempt): void {
+    const { keptBytes } = this.#relay
+    if (this.#kept?.attempt !== attempt) {
+      this.#kept?.response.close()
+      this.#kept = undefined
+      if (keptBytes === 0) return
+      const response = this.ports.responseMemory.open(attempt.choice.endpoint.id, this.#steps.guard(details => { this.#cutResponse(attempt, details) }))
+      this.#kept = { attempt, response }
+    }
+    this.#kept.response.update(keptBytes)
+  }
+
+  #cutResponse (attempt: RoutedAttempt, details: CutResponseDetails): void {
+    if (this.#end.isDone) return
+    const isPassedOn = this.#relay.passOnUnfinished()
+    this.#end.logDecision('response-cut', details)
+    if (isPassedOn) return
+    attempt.cancel()
+    this.#onFailure(attempt, 'lost', 'unfinished responses of its endpoint occupied too much memory', this.#relay.head)
+  }
+
   #noteEvent (attempt: RoutedAttempt): void {
     this.#placement.tried.observeProgress()
     this.#guard.noteEvent()
@@ -308,7 +341,7 @@
       this.#failover.takeStandby()
       return
     }
-    this.#relay.dropIncomplete()
+    this.#dropIncomplete()
     if (this.#switchToStandby()) return
     // If the check went on until the next send, the endpoint's silence would count as a second failure and the request would be placed twice.
     this.#failover.stop()
@@ -337,7 +370,7 @@
     this.#attempt = standby
     if (replaced === undefined) return
     replaced.cancel()
-    this.#relay.dropIncomplete()
+    this.#dropIncomplete()
     this.#failures.observeSilence(replaced)
   }
 
@@ -415,6 +448,14 @@
     attempt.cancel()
   }
 
+  #countSlowCaller (): void {
+    const { slowReaders } = this.ports
+    const cut = this.#steps.guard((details: SlowReaderDetails) => { this.#cutSlowCaller(details) })
+    const reader = slowReaders?.open('caller', this.#customerName, cut)
+    if (reader !== undefined) this.exchange.countUnread(reader)
+    else if (slowReaders !== undefined) this.exchange.countWaiting(() => slowReaders.openWaiting(this.#customerName, cut))
+  }
+
   /** Ends the request of a caller that reads slowly. The endpoint may have answered completely already. */
   #cutSlowCaller (details: SlowReaderDetails): void {
     const fields = { ...details, endpoint: this.#attempt?.choice.endpoint.id ?? '' }
@@ -442,13 +483,15 @@
       this.#failover.takeStandby()
       return
     }
-    this.#relay.dropIncomplete()
+    this.#dropIncomplete()
     if (!this.#switchToStandby()) this.#end.refuse('endpoint-failed', 502, 'the endpoint read the request too slowly')
   }
 
   get #customerName (): string { return this.request.customer?.name ?? '' }
 
   #leaveEndpoints (): void {
+    this.#kept?.response.close()
+    this.#kept = undefined
     this.#search.leaveQueue()
     this.#failover.end()
     this.#retries.cancelWait()
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -33,6 +33,7 @@
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { areProperHeaders } from './headers.js'
 import { headerBytes, readBody } from './requestBytes.js'
+import type { ResponseMemory } from './ResponseMemory.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
 import { ServicePorts } from './ServicePorts.js'
@@ -53,6 +54,8 @@
   readonly sharedRetryTokens?: (service: string) => RetryTokens
   /** Bounds on what slow readers hold; absent if they are never counted. */
   readonly slowReaders?: SlowReaders
+  /** Bounds on unfinished responses; those of a host of a default size if absent. */
+  readonly responseMemory?: ResponseMemory
   /** Other hosts, and checks of the requests that they relay; absent if there are none. */
   readonly relays?: { readonly hosts: RelayHosts, readonly tickets: RelayTicketChecks }
   /** Origins of streams that callers take up; absent if they are not known. */
--- a/apps/entry/src/lib/routed/ServicePorts.ts
+++ b/apps/entry/src/lib/routed/ServicePorts.ts
@@ -3,6 +3,7 @@
 import type { LabelledCounter } from '@eelgrassmux/telemetry/Telemetry'
 import type { RequestFaults } from '../faults/RequestFaults.js'
 import { SwitchedRetryTokens } from '../retries/RetryTokens.js'
+import { ResponseMemory, responseMemoryBounds } from './ResponseMemory.js'
 import type { RoutedPorts } from './RoutedRequest.js'
 import type { RoutedServerPorts } from './RoutedServer.js'
 import { SharedInterval } from './SharedInterval.js'
@@ -18,6 +19,7 @@
   readonly #resumptions: LabelledCounter
   readonly #observeFirstEvent: (milliseconds: number) => void
   readonly #durations = new RouteDurations()
+  readonly #responseMemory: ResponseMemory
   readonly #silenceChecks = new SharedInterval(SILENCE_CHECK_INTERVAL_MS)
 
   /**
@@ -27,6 +29,7 @@
    */
   constructor (private readonly ports: RoutedServerPorts, private readonly refusals: LabelledCounter, private readonly faults: RequestFaults) {
     const { telemetry } = ports
+    this.#responseMemory = ports.responseMemory ?? new ResponseMemory(responseMemoryBounds(0), telemetry)
     this.#retries = telemetry.labelledCounter('routed_retries_total', 'Further attempts of routed requests by reason')
     this.#responseEnds = telemetry.labelledCounter('routed_response_ends_total', 'Ends of endpoints\' responses by what marks the end of the body and whether it was complete', 'end')
     this.#resumptions = telemetry.labelledCounter('streams_resumed_total', 'Streams that were sent to an endpoint to go on after an event, by who resumed them', 'by')
@@ -57,6 +60,7 @@
       firstEvent: this.#observeFirstEvent,
       silenceChecks: this.#silenceChecks,
       slowReaders: this.ports.slowReaders,
+      responseMemory: this.#responseMemory,
       waiting: this.ports.waiting,
       streams: this.ports.streams,
       reservations: this.ports.reservations,
--- a/apps/entry/src/lib/routed/SlowReaders.ts
+++ b/apps/entry/src/lib/routed/SlowReaders.ts
@@ -25,6 +25,9 @@
  */
 const GRACE_MS: Readonly<Record<ReaderKind, number>> = { caller: 0, endpoint: 2000 }
 
+/** Memory of a response that waits for its caller, in bytes: a piece in the caller's connection, and one that has arrived behind it. */
+export const WAITING_RESPONSE_BYTES = 128 * 1024
+
 /** The bytes that one reader has not read. */
 export class SlowReader {
   /**
@@ -54,6 +57,8 @@
 /** All readers of this host. */
 export class SlowReaders {
   readonly #held: HeldBytes<ReaderOwner>
+  /** Responses that wait for their callers; there are none while the feature is on, so both have the whole bounds. */
+  readonly #waiting: HeldBytes<ReaderOwner>
   readonly #cuts: LabelledCounter
 
   /**
@@ -63,8 +68,10 @@
    */
   constructor (private readonly features: LoadFeatures, bounds: HeldBytesBounds, telemetry: Telemetry) {
     this.#held = new HeldBytes(bounds)
+    this.#waiting = new HeldBytes(bounds)
     this.#cuts = telemetry.labelledCounter('slow_readers_cut_total', 'Slow readers cut because the bytes held for them exceeded a bound', 'reader')
     telemetry.gauge('held_bytes', 'Memory held for callers and endpoints that read slowly, in bytes', () => this.#held.totalBytes)
+    telemetry.gauge('waiting_response_bytes', 'Memory of responses that wait until their callers read on, in bytes', () => this.#waiting.totalBytes)
     telemetry.gauge('held_bytes_largest_customer', 'Memory held for the slow readers of the customer that holds most, in bytes', () => this.#held.largestCustomerBytes)
   }
 
@@ -79,22 +86,33 @@
    */
   open (kind: ReaderKind, customer: string, cut: CutReader): SlowReader | undefined {
     if (!this.features.isEnabled('slow-readers')) return undefined
-    return new SlowReader(this.#held.open({ kind, cut }, customer, GRACE_MS[kind]), () => { this.#keepBounds() })
+    return new SlowReader(this.#held.open({ kind, cut }, customer, GRACE_MS[kind]), () => { this.#keepBounds(this.#held) })
+  }
+
+  /**
+   * Counts a caller whose response waits until it reads on. Unlike {@link SlowReaders.open}, this does not depend on a feature:
+   * what has arrived behind the response occupies memory as well.
+   *
+   * @param customer - name of the customer whose request it is; empty if there is none
+   * @param cut - ends the request if the caller is cut
+   */
+  openWaiting (customer: string, cut: CutReader): SlowReader {
+    return new SlowReader(this.#waiting.open({ kind: 'caller', cut }, customer, GRACE_MS.caller), () => { this.#keepBounds(this.#waiting) })
   }
 
-  #keepBounds (): void {
+  #keepBounds (held: HeldBytes<ReaderOwner>): void {
     const now = performance.now()
-    for (let reader = this.#held.readerToCut(now); reader !== undefined; reader = this.#held.readerToCut(now)) this.#cut(reader, now)
+    for (let reader = held.readerToCut(now); reader !== undefined; reader = held.readerToCut(now)) this.#cut(held, reader, now)
   }
 
-  #cut (reader: HeldReader<ReaderOwner>, now: number): void {
+  #cut (held: HeldBytes<ReaderOwner>, reader: HeldReader<ReaderOwner>, now: number): void {
     const { owner: { kind, cut }, customer, bytes, oldestAt = 0 } = reader
     const details = {
       reader: kind,
       customer,
       heldBytes: bytes,
-      customerBytes: this.#held.customerBytes(customer),
-      totalBytes: this.#held.totalBytes,
+      customerBytes: held.customerBytes(customer),
+      totalBytes: held.totalBytes,
       unreadMs: Math.round(now - oldestAt)
     }
     // Closed first, so that the loop ends and bytes that the end of the request writes are not counted against it.
--- a/apps/entry/src/lib/routed/endlessResponse.test.ts
+++ b/apps/entry/src/lib/routed/endlessResponse.test.ts
@@ -9,6 +9,7 @@
 import { FakeEndpoint, respondOk, streamEvent, type Behaviour } from './harness/FakeEndpoint.js'
 import { PLAIN_HEADERS } from './harness/PlainCodec.js'
 import { RoutedHost } from './harness/RoutedHost.js'
+import { TEST_SITE } from './harness/testSite.js'
 
 /** Most bytes that an endpoint may get rid of before its host closes the connection. */
 const MAX_TAKEN_BYTES = 8 * 1024 * 1024
@@ -119,4 +120,44 @@
     expect(tookMs).toBeLessThan(OUTCOME_MS)
     expect(endless?.takenBytes).toBeLessThan(MAX_TAKEN_BYTES)
   })
+
+  // Guards against an answer that is no stream of events in place of the rest of a stream: it was read and dropped until the deadline.
+  it('in place of the rest of a stream has its connection closed', async () => {
+    const broken = new FakeEndpoint('broken', (request, response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream', [PLAIN_HEADERS.id]: request.headers[PLAIN_HEADERS.id] ?? '' })
+      response.write(streamEvent(1), () => { response.destroy() })
+    })
+    endless = new EndlessEndpoint(`${HEAD}Content-Type: text/plain\r\n\r\n`)
+    host = new RoutedHost([], { budget: { ratio: 100, slack: 200 } })
+    const listed = [await broken.listen(), await endless.listen()]
+    await host.start(listed.slice(0, 1))
+    const outcome = host.sendRequest('/resumable/a')
+    await broken.nextRequest()
+    host.list(listed.slice(1))
+    expect(await outcome).toMatchObject({ status: 200, body: streamEvent(1), isWhole: false })
+    expect(endless.takenBytes).toBeLessThan(MAX_TAKEN_BYTES)
+    broken.close()
+  })
+
+  // Guards against unfinished events that are bounded for each request only: at one endpoint, 250 requests took 163 to 293 MiB.
+  it('to many requests at once occupies no more than the host allows, and calls to another endpoint are served', async () => {
+    const bounds = { totalBytes: 2 * 1024 * 1024, customerBytes: 1024 * 1024 }
+    endless = new EndlessEndpoint(`${STREAM_HEAD}\r\ndata: `)
+    sound = new FakeEndpoint('sound', respondOk)
+    const site = { ...TEST_SITE, services: [...TEST_SITE.services, { type: 'replicated' as const, name: 'other', connectionsPerEndpoint: 0, healthPath: '/health' }], routes: TEST_SITE.routes.map(route => route.pathPrefix === '/safe/' ? { ...route, targets: [{ service: 'other', weight: 1 }] } : route) }
+    host = new RoutedHost([], { site, responseBytes: bounds, budget: { ratio: 100, slack: 200 } })
+    const { responseMemory } = host
+    await host.start([await endless.listen(), { ...await sound.listen(), service: 'other' }])
+    let mostBytes = 0
+    const watch = setInterval(() => { mostBytes = Math.max(mostBytes, responseMemory.totalBytes) }, 1)
+    const floods = Array.from({ length: 30 }, async () => await host?.sendRequest('/resumable/a'))
+    await endless.requested
+    const calls = []
+    for (let call = 0; call < 10; call += 1) calls.push((await host.sendRequest('/safe/a')).status)
+    expect(calls).toEqual(calls.map(() => 200))
+    for (const { status, isWhole } of (await Promise.all(floods)).filter(outcome => outcome !== undefined)) expect(status === 200 && isWhole).toBe(false)
+    clearInterval(watch)
+    expect(mostBytes).toBeGreaterThan(0)
+    expect(mostBytes).toBeLessThanOrEqual(bounds.totalBytes)
+  })
 })
--- a/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
+++ b/apps/entry/src/lib/routed/harness/PlainServiceSimulation.ts
@@ -23,6 +23,7 @@
 import type { EndpointConnection, ResponseHandler } from '../EndpointConnection.js'
 import type { EndpointConnections } from '../EndpointConnections.js'
 import { RoutedFleet } from '../RoutedFleet.js'
+import { ResponseMemory, responseMemoryBounds } from '../ResponseMemory.js'
 import type { RoutedPorts, RoutedRequest } from '../RoutedRequest.js'
 import { RoutedRequestTask } from '../RoutedRequestTask.js'
 import { SharedInterval } from '../SharedInterval.js'
@@ -291,6 +292,7 @@
       codec: new PlainCodec(),
       telemetry,
       faults: new RequestFaults(telemetry),
+      responseMemory: new ResponseMemory(responseMemoryBounds(0), telemetry),
       waiting,
       stop: new GracefulShutdown(new WorkGate(), { balancerLagMs: 0, graceMs: 60_000 }, telemetry),
       quarantine: emptyQuarantine(),
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -11,6 +11,7 @@
 import type { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../../retries/RetryTokens.js'
 import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
+import { ResponseMemory, responseMemoryBounds } from '../ResponseMemory.js'
 import { RoutedFleet } from '../RoutedFleet.js'
 import type { RequestCodec } from '../RequestCodec.js'
 import { RoutedServer, type RoutedServerPorts } from '../RoutedServer.js'
@@ -56,6 +57,8 @@
   readonly features?: readonly LoadFeatureChoice[]
   /** Bounds on what slow readers hold. */
   readonly heldBytes?: HeldBytesBounds
+  /** Bounds on unfinished responses. */
+  readonly responseBytes?: HeldBytesBounds
   /** Replaces the wait for the load of other hosts; by default, `place` is called at once. */
   readonly withRecentLoad?: (place: () => void) => void
 }
@@ -77,6 +80,7 @@
   readonly telemetry = new Telemetry('test')
   readonly stop: GracefulShutdown
   readonly slowReaders: SlowReaders
+  readonly responseMemory: ResponseMemory
   readonly server: RoutedServer
   readonly streams: StreamDirectoryClient
   port = 0
@@ -89,10 +93,11 @@
    * @param options - options that differ from the defaults
    */
   constructor (private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
-    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, relays, sharedRetryTokens, heldBytes = heldBytesBounds(0) } = options
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, relays, sharedRetryTokens, heldBytes = heldBytesBounds(0), responseBytes = responseMemoryBounds(0) } = options
     const features = new LoadFeatures(options.features ?? (sharedRetryTokens === undefined ? [] : ['shared-retry-budget']))
     this.fleet = new RoutedFleet('n', () => 1, this.telemetry, undefined, undefined, features)
     this.slowReaders = new SlowReaders(features, heldBytes, this.telemetry)
+    this.responseMemory = new ResponseMemory(responseBytes, this.telemetry)
     const work = new WorkGate()
     this.#site = site
     this.#models = models
@@ -103,6 +108,7 @@
       streams: this.streams,
       fleet: this.fleet,
       slowReaders: this.slowReaders,
+      responseMemory: this.responseMemory,
       codec,
       work,
       stop: this.stop,
--- a/packages/runs/src/lib/EventCursor.test.ts
+++ b/packages/runs/src/lib/EventCursor.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { EventCursor } from './EventCursor.js'
 
@@ -40,4 +41,39 @@
     expect(pushText(cursor, 'weights: 2\r\nid: 4\r\ndata: x\r\n\r\n')).toContain('data: x')
     expect(cursor.lastId).toBe(4)
   })
+
+  // Guards against events that are cut or joined differently where a buffer ends inside a line, a line end or a long line.
+  it('passes on the same bytes however they are split', () => {
+    const lineEnd = fc.constantFrom('\n', '\r', '\r\n')
+    const line = fc.oneof(fc.constantFrom('', ': c', 'id: 1', 'id: 2', 'id:7', 'data: a'), fc.integer({ min: 50, max: 200 }).map(length => 'x'.repeat(length)))
+    const text = fc.array(fc.tuple(line, lineEnd).map(parts => parts.join('')), { maxLength: 30 }).map(lines => lines.join(''))
+    fc.assert(fc.property(text, fc.array(fc.integer({ min: 1, max: 100 }), { maxLength: 20 }), (stream, lengths) => {
+      const whole = new EventCursor()
+      const expected = pushText(whole, stream) + whole.takeRemainder().toString()
+      const cursor = new EventCursor()
+      let passedOn = ''
+      let at = 0
+      for (const length of lengths) {
+        passedOn += pushText(cursor, stream.slice(at, at + length))
+        at += length
+      }
+      passedOn += pushText(cursor, stream.slice(at)) + cursor.takeRemainder().toString()
+      expect(withoutLineEnds(passedOn)).toBe(withoutLineEnds(expected))
+      expect(cursor.lastId).toBe(whole.lastId)
+      expect(cursor.hasPartialEvent).toBe(whole.hasPartialEvent)
+    }))
+  })
+
+  // Guards against an event without end, of which every further piece had all earlier ones copied.
+  it('keeps an unfinished event in one block of at most twice its size', () => {
+    const cursor = new EventCursor()
+    for (let piece = 0; piece < 1000; piece += 1) cursor.push(Buffer.alloc(100, 'a'))
+    expect(cursor.unfinishedBytes).toBe(100_000)
+    expect(cursor.keptBytes).toBeLessThanOrEqual(200_000)
+  })
 })
+
+/** Where a CRLF is split, its LF is passed on with the next event; a blank line more or less belongs to no event. */
+function withoutLineEnds (text: string): string {
+  return text.replaceAll(/[\r\n]/g, '')
+}
--- a/packages/runs/src/lib/EventScanner.ts
+++ b/packages/runs/src/lib/EventScanner.ts
@@ -9,8 +9,12 @@
 const CARRIAGE_RETURN = 0x0d
 const COLON = 0x3a
 
-/** Follows a stream that may be split at any byte. */
+/** Bytes of a line that are looked at one by one; the native search pays off only for longer lines. */
+const SHORT_LINE_BYTES = 64
+
+/** Follows a stream that may be split at any byte. Looks at each byte a constant number of times. */
 export class EventScanner {
+  readonly #lineEnds = new LineEnds()
   #isLineStarted = false
   #isComment = false
   #hasFields = false
@@ -39,6 +43,7 @@
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
         if (!this.#isLineStarted) this.#isComment = byte === COLON
         this.#isLineStarted = true
+        at = this.#lineEnds.next(bytes, at + 1) - 1
       } else if (this.#endLine()) {
         this.#unfinishedBytes = 0
         return this.#afterLineEnd(bytes, at)
@@ -64,3 +69,41 @@
     return at + 2
   }
 }
+
+/** Finds line ends in one buffer after the other. */
+class LineEnds {
+  #bytes: Buffer | undefined
+  #lineFeed = -1
+  #carriageReturn = -1
+
+  /**
+   * @param bytes - buffer to search
+   * @param from - offset to search from; not lower than in the call before with the same buffer
+   * @returns offset of the first LF or CR; the length of the buffer if there is none
+   */
+  next (bytes: Buffer, from: number): number {
+    const short = Math.min(bytes.length, from + SHORT_LINE_BYTES)
+    for (let at = from; at < short; at += 1) {
+      const byte = bytes[at]
+      if (byte === LINE_FEED || byte === CARRIAGE_RETURN) return at
+    }
+    return short === bytes.length ? short : this.#search(bytes, short)
+  }
+
+  /** What was found stays valid until it is passed, so that a buffer without one of the two is searched once. */
+  #search (bytes: Buffer, from: number): number {
+    if (this.#bytes !== bytes) {
+      this.#bytes = bytes
+      this.#lineFeed = -1
+      this.#carriageReturn = -1
+    }
+    if (this.#lineFeed < from) this.#lineFeed = indexOrEnd(bytes, LINE_FEED, from)
+    if (this.#carriageReturn < from) this.#carriageReturn = indexOrEnd(bytes, CARRIAGE_RETURN, from)
+    return Math.min(this.#lineFeed, this.#carriageReturn)
+  }
+}
+
+function indexOrEnd (bytes: Buffer, byte: number, from: number): number {
+  const at = bytes.indexOf(byte, from)
+  return at < 0 ? bytes.length : at
+}
--- a/packages/telemetry/src/lib/events/endpointChanges.ts
+++ b/packages/telemetry/src/lib/events/endpointChanges.ts
@@ -23,6 +23,8 @@
   'service-out-of-reach': z.strictObject({ service: z.string(), endpoints: z.number(), lostEndpoints: z.number(), heardByOthers: z.number(), heardAgoMs: z.number() }),
   'service-in-reach': z.strictObject({ service: z.string(), cutForMs: z.number() }),
   'idle-connections-doubted': z.strictObject({ service: z.string(), endpoint: z.string(), silentEndpoints: z.number(), silentForMs: z.number(), closed: z.number() }),
+  /** The responses of an endpoint came faster than its slice of the event loop allows; at most one line in ten seconds for each. */
+  'endpoint-reads-paused': z.strictObject({ address: z.string(), bytes: z.number(), paused: z.number() }),
   'endpoint-paused': z.strictObject({ endpoint: z.string(), address: z.string(), outcome: z.string(), failureShare: z.number(), peersShare: z.number() }),
   'endpoint-ejected': ejection,
   'endpoint-readmitted': ejection,
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -104,6 +104,8 @@
     viewConfirmedMs: z.number().optional()
   }),
   /** The bytes held for slow readers exceeded a bound, and this reader was the slowest of the customer that holds most. */
+  /** The unfinished responses of endpoints occupied too much memory, and this one was the oldest of the endpoint with most of them. */
+  'response-cut': z.strictObject({ endpoint: z.string(), keptBytes: z.number(), endpointBytes: z.number(), totalBytes: z.number() }),
   'slow-reader-cut': z.strictObject({
     reader: z.string(),
     customer: z.string(),
