Control hosts and our own interface bound what lists, stores and back ends send, one by one and together

An exception while a listing of endpoints or a store's answer is used was an unhandled rejection, which ends the control host; now what was known before stays in use, the store counts as lost, and input-fault names the source (the test of it fails with an unhandled rejection on the code before). The last store that stated the stores' clock decided how long parts of all others may be fetched; now the clock that most state holds, and among two that contradict each other the one that held before.

--- a/apps/control/src/lib/endpoints/EndpointListTask.test.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.test.ts
@@ -84,6 +84,16 @@
     expect(ids(await list.readOnce())).toEqual(['a', 'b'])
   })
 
+  // Guards against an exception for one entry of the list, which ended the control host.
+  it('keeps what it knows if a listing can\'t be used', async () => {
+    const unusable = { ...listed('b'), get id (): string { throw new Error('unusable') } }
+    const list = new ScriptedList([completeListing(listed('a')), completeListing(listed('a'), unusable), completeListing(listed('a'), listed('c'))])
+    await list.readOnce()
+    expect(ids(await list.readOnce())).toEqual(['a'])
+    expect(await list.telemetry.registry.metrics()).toContain('input_faults_total{source="endpoint-list",program="test"} 1')
+    expect(ids(await list.readOnce())).toEqual(['a', 'c'])
+  })
+
   it('excludes endpoints of a store or of a service that is missing from the site, and counts them', async () => {
     const list = new ScriptedList([completeListing(listed('a'), listed('b', undefined, { service: 'other' }), listed('c', undefined, { service: 'keep' }))])
     await list.readOnce()
--- a/apps/control/src/lib/endpoints/EndpointListTask.ts
+++ b/apps/control/src/lib/endpoints/EndpointListTask.ts
@@ -6,6 +6,7 @@
  * watches it, and shortly after, and forwards the changes.
  */
 import { EventEmitter } from 'node:events'
+import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import type { LoadedModel, ListedEndpoint } from '@eelgrassmux/schema/site/listedEndpoint'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
 import type { Result } from '@eelgrassmux/schema/Result'
@@ -142,6 +143,10 @@
       const failureReason = answer.ok ? answer.value.incompleteBecause : answer.error.kind
       this.#updateReachability(failureReason)
       if (answer.ok) this.#applyListing(answer.value, performance.now())
+    } catch (error) {
+      if (error instanceof InvariantViolation) throw error
+      this.rejected.recordFault('endpoint-list', error, performance.now())
+      this.#updateReachability('fault')
     } finally {
       this.#isReading = false
     }
--- a/apps/control/src/lib/stores/StoreFollower.ts
+++ b/apps/control/src/lib/stores/StoreFollower.ts
@@ -7,6 +7,7 @@
  * is computed again. Neither makes an answer incorrect.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import type { Result } from '@eelgrassmux/schema/Result'
 import { isLaterStart } from '@eelgrassmux/schema/site/isLaterStart'
 import type { StoreService } from '@eelgrassmux/schema/site/siteSchema'
@@ -102,11 +103,22 @@
   async run (): Promise<void> {
     while (!this.#isStopped) {
       const isListingDue = performance.now() - this.#listedAt > LISTING_INTERVAL_MS
-      const hasSucceeded = isListingDue ? await this.#refreshListing() : await this.#pollEvents()
+      const hasSucceeded = await this.#contain(async () => isListingDue ? await this.#refreshListing() : await this.#pollEvents())
       if (!hasSucceeded) await sleep(RETRY_DELAY_MS)
     }
   }
 
+  /** A store whose answer can't be used counts as lost; others are followed on. */
+  async #contain (read: () => Promise<boolean>): Promise<boolean> {
+    try {
+      return await read()
+    } catch (error) {
+      if (error instanceof InvariantViolation) throw error
+      this.rejected.recordFault(this.store.name, error, performance.now())
+      return this.#markLost('fault')
+    }
+  }
+
   /** Stops the loop. */
   stop (): void {
     this.#isStopped = true
--- a/apps/control/src/lib/stores/StoreTask.ts
+++ b/apps/control/src/lib/stores/StoreTask.ts
@@ -10,6 +10,7 @@
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import type { RaftTask } from '../raft/RaftTask.js'
 import { findObsoleteParts } from './findObsoleteParts.js'
+import { StoreClocks } from './StoreClocks.js'
 import { StoreFollower, type StoreSource } from './StoreFollower.js'
 
 /** Interval between checks of the site's stores and of parts to free, in milliseconds. */
@@ -33,7 +34,7 @@
   readonly #watchers = new Set<Watcher>()
   readonly #changes = new EventEmitter()
   #version = 0
-  #clock: { readonly clockMs: number, readonly at: number } | undefined
+  readonly #clocks = new StoreClocks()
   #timer: NodeJS.Timeout | undefined
   #isFreeing = false
 
@@ -58,7 +59,7 @@
   get version (): number { return this.#version }
   /** Current time on the stores' clock, in milliseconds; undefined until a store has reported it. */
   get clockMs (): number | undefined {
-    return this.#clock === undefined ? undefined : this.#clock.clockMs + performance.now() - this.#clock.at
+    return this.#clocks.clockMs(performance.now())
   }
 
   /** Adds a watcher, whose first message contains all known parts, and starts to follow the stores if it is the first one. */
@@ -114,6 +115,7 @@
       if (present?.address === follower.store.address) continue
       follower.stop()
       this.#followers.delete(name)
+      this.#clocks.forget(name)
       this.#publish({ store: name, kind: 'lost', added: [], removed: [] })
     }
     for (const store of stores) {
@@ -124,7 +126,7 @@
   #follow (store: StoreService): void {
     const follower = new StoreFollower(store, this.source, change => {
       if (this.#followers.get(store.name) === follower) this.#publish(change)
-    }, clockMs => { this.#clock = { clockMs, at: performance.now() } }, this.rejected, this.telemetry)
+    }, clockMs => { this.#clocks.observe(store.name, clockMs, performance.now()) }, this.rejected, this.telemetry)
     this.#followers.set(store.name, follower)
     void follower.run()
   }
--- a/packages/backends/src/lib/HttpBackend.ts
+++ b/packages/backends/src/lib/HttpBackend.ts
@@ -1,6 +1,7 @@
 /** HTTP calls to back ends. All failures are reported as {@link BackendError}. */
 import { errors, Pool, type Dispatcher } from 'undici'
 import type { z } from 'zod'
+import { AnswerReader } from '@eelgrassmux/schema/AnswerReader'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { parseRetryAfter } from '@eelgrassmux/schema/parseRetryAfter'
 import type { BackendError } from './BackendError.js'
@@ -11,9 +12,18 @@
 
 export const CONNECT_TIMEOUT_MS = 1000
 
-/** Largest body of a response, in bytes; the stream of a long run has a tenth of this. */
+/** Largest body of a response, in bytes; the stream of a long run has a tenth of this, and is not kept. */
 const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
+/** Largest answer that is read into memory, in bytes: the listing of a store or of an engine's cache. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+/** Largest body of a failure, in bytes. */
+const MAX_FAILURE_BYTES = 64 * 1024
+
+/** Answers that this process reads at the same time, from all back ends; most bytes of them together. */
+const ANSWERS = new AnswerReader({ answerBytes: MAX_ANSWER_BYTES, totalBytes: 32 * 1024 * 1024 })
+
 /** A request without a body or with a JSON body. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'
@@ -45,7 +55,7 @@
     const response = await this.openResponse(call)
     if (!response.ok) return response
     try {
-      const parsed = schema.safeParse(await response.value.body.json())
+      const parsed = schema.safeParse(JSON.parse(await ANSWERS.readText(response.value.body)))
       if (parsed.success) return succeed(parsed.data)
       return fail({ kind: 'malformed', detail: parsed.error.issues[0]?.message ?? 'unexpected answer' })
     } catch (error) {
@@ -74,7 +84,7 @@
       })
       response.body.once('close', close)
       if (response.statusCode < 300) return succeed(response)
-      return fail(statusError(response, await response.body.text()))
+      return fail(statusError(response, await ANSWERS.readText(response.body, MAX_FAILURE_BYTES)))
     } catch (error) {
       close()
       return fail(toBackendError(error))
--- a/packages/telemetry/src/lib/RejectedEntries.ts
+++ b/packages/telemetry/src/lib/RejectedEntries.ts
@@ -32,14 +32,20 @@
   return { reason, excerpt: text.slice(0, MAX_EXCERPT_LENGTH) }
 }
 
+/** Most characters of a stack that are logged. */
+const MAX_STACK_LENGTH = 2000
+
 /** Counts rejected entries and logs them when they change. */
 export class RejectedEntries {
   readonly #counter: LabelledCounter
+  readonly #faults: LabelledCounter
   readonly #lastLogged = new Map<string, LoggedRejection>()
+  readonly #faultLoggedAt = new Map<string, number>()
 
   /** @param telemetry - log and metrics */
   constructor (private readonly telemetry: Telemetry) {
     this.#counter = telemetry.labelledCounter('rejected_entries_total', 'Entries of lists that can\'t be used, at each reading', 'source')
+    this.#faults = telemetry.labelledCounter('input_faults_total', 'Exceptions while a list was used, by source', 'source')
   }
 
   /**
@@ -60,4 +66,19 @@
     this.#lastLogged.set(source, { entries, at: now })
     this.telemetry.logStateChange('entries-rejected', { source, entries: rejected.length, reason: first.reason, excerpt: first.excerpt })
   }
+
+  /**
+   * Records an exception that was thrown while a list was used, at most once in ten seconds for each source.
+   *
+   * @param source - name of the list
+   * @param error - the exception
+   * @param now - monotonic milliseconds
+   */
+  recordFault (source: string, error: unknown, now: number): void {
+    this.#faults.count(source)
+    if (now - (this.#faultLoggedAt.get(source) ?? Number.NEGATIVE_INFINITY) < LOG_INTERVAL_MS) return
+    this.#faultLoggedAt.set(source, now)
+    const { message, stack = '' } = error instanceof Error ? error : new Error(String(error))
+    this.telemetry.logFault('input-fault', { source, message, stack: stack.slice(0, MAX_STACK_LENGTH) })
+  }
 }
