Soak: entries of the endpoint list that no endpoint belongs to; one check for all disturbances that hosts have to bear

strange-entry lists another entry beside that of an endpoint (start time, id or address of another, slots, software, models) for some seconds; requests must be served as before. The check of crowds serves both, as ServedAsBeforeCheck.

--- a/apps/soak/src/lib/EndpointListServer.ts
+++ b/apps/soak/src/lib/EndpointListServer.ts
@@ -28,6 +28,19 @@
     this.#endpoints.set(slot, endpoint)
   }
 
+  /** @param slot - name of a slot whose entry is no longer listed */
+  remove (slot: string): void {
+    this.#endpoints.delete(slot)
+  }
+
+  /**
+   * @param id - incarnation
+   * @returns its entry; undefined if there is none
+   */
+  find (id: string): ListedEndpoint | undefined {
+    return [...this.#endpoints.values()].find(endpoint => endpoint.id === id)
+  }
+
   /** @param id - incarnation that is no longer cold */
   markWarm (id: string): void {
     this.#change(id, { isCold: false })
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -6,7 +6,7 @@
 import type { ExtraCallers } from './ExtraCallers.js'
 import type { Operator } from './Operator.js'
 import { planBurst, planCrowd, planSlowReaders } from './planRepeatedRequests.js'
-import type { CrowdedHostServesCheck } from './checks/CrowdedHostServesCheck.js'
+import type { ServedAsBeforeCheck } from './checks/ServedAsBeforeCheck.js'
 import type { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import type { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
 import type { ConfigurationCheck } from './checks/ConfigurationCheck.js'
@@ -16,6 +16,7 @@
 import type { Incarnation, ProcessSlot } from './ProcessSlot.js'
 import type { SoakCluster } from './SoakCluster.js'
 import { HEADER } from './soakHeaders.js'
+import { toStrangeEntry } from './strangeEntries.js'
 import type { Timeline } from './Timeline.js'
 
 /** Timeout for an order to an endpoint, in milliseconds; the endpoint may be paused. */
@@ -56,7 +57,8 @@
   readonly customers: CustomersAreServedCheck
   readonly cutOffHosts: CutOffHostsServeCheck
   readonly brittleEndpoints: BrittleEndpointsStandCheck
-  readonly crowds: CrowdedHostServesCheck
+  readonly crowds: ServedAsBeforeCheck
+  readonly soundEndpoints: ServedAsBeforeCheck
   readonly configuration: ConfigurationCheck
 }
 
@@ -71,6 +73,7 @@
   readonly #pending: Array<Promise<void>> = []
   readonly #evacuated = new Set<string>()
   #isHostCrowded = false
+  #strangeEntries = 0
   #isDiskLost = false
   /** Monotonic milliseconds until which each entry host is cut off. */
   readonly #cutUntil = new Map<number, number>()
@@ -123,6 +126,7 @@
       case 'brittle-service': return await this.#makeBrittle(fault.durationMs)
       case 'host-cut': return await this.#cutHosts(fault)
       case 'silent-connections': return await this.#silenceConnections(fault)
+      case 'strange-entry': return await this.#listStrangeEntry(fault)
       case 'lost-disk': return await this.#loseDisk(fault)
       case 'all-entries-killed': return this.cluster.entries.forEach(slot => { this.#kill(slot) })
       case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
@@ -246,13 +250,29 @@
     const host = this.#slot('entry', slot)
     const { extraCallers, balancer } = this.load
     this.timeline.record(host.name, `most new connections go there, ${callers} callers more`, false, durationMs)
-    this.checks.crowds.recordCrowd(host.name, durationMs)
+    this.checks.crowds.record(`most new connections went to ${host.name}`, durationMs)
     balancer.crowd(host)
     await extraCallers.run(planCrowd(extraCallers.nextName('crowd'), callers), durationMs)
     balancer.crowd(undefined)
     this.#isHostCrowded = false
   }
 
+  /** Another writer adds an entry to the endpoint list. */
+  async #listStrangeEntry ({ slot: index, strange, durationMs }: Extract<PlannedFault, { kind: 'strange-entry' }>): Promise<void> {
+    const { name, current } = this.#slot('endpoint', index)
+    const { endpointList } = this.cluster
+    const listed = current === undefined ? undefined : endpointList.find(current.label)
+    if (listed === undefined) return
+    this.#strangeEntries += 1
+    const slot = `strange-${this.#strangeEntries}`
+    const description = `another entry (${strange}) was listed beside ${name}`
+    this.timeline.record('list', description, false, durationMs)
+    this.checks.soundEndpoints.record(description, durationMs)
+    endpointList.put(slot, toStrangeEntry(listed, strange, slot))
+    await sleep(durationMs)
+    endpointList.remove(slot)
+  }
+
   async #slowReaders (callers: number, durationMs: number): Promise<void> {
     this.timeline.record(SLOW_READERS_CUSTOMER, `reads slowly on ${callers} connections`, false, durationMs)
     await this.load.extraCallers.run(planSlowReaders(this.load.extraCallers.nextName('slow'), SLOW_READERS_CUSTOMER, callers), durationMs)
--- a/apps/soak/src/lib/HttpEndpointSource.ts
+++ b/apps/soak/src/lib/HttpEndpointSource.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod'
 import type { EndpointSource } from '@eelgrassmux/control/endpoints/EndpointListTask'
 import type { EndpointListing } from '@eelgrassmux/control/endpoints/EndpointRegistry'
+import { ListingReview } from '@eelgrassmux/control/endpoints/ListingReview'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import { listedEndpointSchema } from '@eelgrassmux/schema/site/listedEndpoint'
 
@@ -11,6 +12,8 @@
 
 /** {@link EndpointSource} over HTTP. */
 export class HttpEndpointSource implements EndpointSource {
+  readonly #review = new ListingReview()
+
   /** @param address - address of the list server */
   constructor (private readonly address: string) {}
 
@@ -18,7 +21,7 @@
     try {
       const response = await request(`http://${this.address}/`, { signal: AbortSignal.timeout(TIMEOUT_MS) })
       const endpoints = z.array(listedEndpointSchema).parse(await response.body.json())
-      return succeed({ endpoints, rejected: [], incompleteBecause: undefined })
+      return succeed(this.#review.review({ endpoints, rejected: [], incompleteBecause: undefined }))
     } catch (error) {
       return fail({ kind: String(error) })
     }
--- a/apps/soak/src/lib/checks/CrowdedHostServesCheck.ts
+++ b/apps/soak/src/lib/checks/ServedAsBeforeCheck.ts
@@ -1,12 +1,12 @@
-/** While most new connections go to one host, requests are served at the first attempt that a host has read nearly as often as before. */
-import type { RequestCheck } from '../RequestHistory.js'
+/** During a disturbance that hosts have to bear, requests are served at the first attempt that a host has read nearly as often as before. */
+import type { GuaranteeName, RequestCheck } from '../RequestHistory.js'
 import type { Outcome } from '../observations.js'
 import type { Timeline } from '../Timeline.js'
 
-/** Time from the start of a crowd from which requests count, in milliseconds. */
+/** Time from the start of a disturbance from which requests count, in milliseconds. */
 const NOTICE_MS = 3000
 
-/** Time before a crowd with which it is compared, in milliseconds. */
+/** Time before a disturbance with which it is compared, in milliseconds. */
 const BEFORE_MS = 4000
 
 /** Smallest share of the requests that is served, compared with the share before. */
@@ -16,12 +16,12 @@
 const MIN_REQUESTS = 20
 
 /** Actions that change nothing in how many requests are served. */
-const NEUTRAL_ACTIONS = /^(most new connections|stores a new site|requests new weights|started)/
+const NEUTRAL_ACTIONS = /^(most new connections|another entry|stores a new site|requests new weights|started)/
 
 const OK = 200
 
-interface Crowd {
-  readonly host: string
+interface Disturbance {
+  readonly description: string
   readonly from: number
   readonly until: number
 }
@@ -31,25 +31,27 @@
   readonly served: number
 }
 
-/** {@link RequestCheck} of the requests while there is a crowd at one host. */
-export class CrowdedHostServesCheck implements RequestCheck {
-  readonly guarantee = 'crowded-hosts-serve'
-  readonly #crowds: Crowd[] = []
+/** {@link RequestCheck} of the requests during disturbances of one kind. */
+export class ServedAsBeforeCheck implements RequestCheck {
+  readonly #disturbances: Disturbance[] = []
   readonly #outcomes: Outcome[] = []
   readonly #retried = new Set<string>()
 
-  /** @param timeline - faults that were injected; crowds beside others are not compared */
-  constructor (private readonly timeline: Timeline) {}
+  /**
+   * @param guarantee - guarantee that is broken if fewer requests are served
+   * @param timeline - faults that were injected; disturbances beside others are not compared
+   */
+  constructor (readonly guarantee: GuaranteeName, private readonly timeline: Timeline) {}
 
   /**
-   * Records a crowd that starts now.
+   * Records a disturbance that starts now.
    *
-   * @param host - slot of the host that gets most new connections
+   * @param description - what is disturbed
    * @param durationMs - how long it lasts, in milliseconds
    */
-  recordCrowd (host: string, durationMs: number): void {
+  record (description: string, durationMs: number): void {
     const now = Date.now()
-    this.#crowds.push({ host, from: now, until: now + durationMs })
+    this.#disturbances.push({ description, from: now, until: now + durationMs })
   }
 
   onOutcome (outcome: Outcome): undefined {
@@ -61,12 +63,12 @@
   }
 
   onEnd (): string[] {
-    return this.#crowds.filter(crowd => !this.#isDisturbed(crowd)).flatMap(({ host, from, until }) => {
+    return this.#disturbances.filter(disturbance => this.#isAlone(disturbance)).flatMap(({ description, from, until }) => {
       const before = this.#shareOf(from - BEFORE_MS, from)
       const during = this.#shareOf(from + NOTICE_MS, until)
       if (Math.min(before.requests, during.requests) < MIN_REQUESTS) return []
       const isUnserved = during.served / during.requests < MIN_RELATIVE_SHARE * before.served / before.requests
-      return isUnserved ? [`${during.served} of ${during.requests} requests were served while most new connections went to ${host}, ${before.served} of ${before.requests} before`] : []
+      return isUnserved ? [`${during.served} of ${during.requests} requests were served while ${description}, ${before.served} of ${before.requests} before`] : []
     })
   }
 
@@ -75,7 +77,7 @@
     return { requests: counted.length, served: counted.filter(({ end }) => end.kind === 'answered' && end.status === OK).length }
   }
 
-  #isDisturbed ({ from, until }: Crowd): boolean {
-    return this.timeline.entries.some(entry => entry.at <= until && entry.until >= from - BEFORE_MS && !NEUTRAL_ACTIONS.test(entry.action))
+  #isAlone ({ from, until }: Disturbance): boolean {
+    return !this.timeline.entries.some(entry => entry.at <= until && entry.until >= from - BEFORE_MS && !NEUTRAL_ACTIONS.test(entry.action))
   }
 }
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from './SeededRandom.js'
 import { BYTES_BEHIND, type BytesBehind } from './CallerWithBytesBehind.js'
 import { ENDLESS_PARTS, RESTRAINT_KINDS, SECOND_ANSWER_KINDS, type EndlessPart, type RestraintKind, type SecondAnswerKind } from './standinProtocol.js'
+import { STRANGE_ENTRIES, type StrangeEntry } from './strangeEntries.js'
 import { CUSTOMERS, DATA_CENTRES, dataCentreOf } from './soakSite.js'
 import { HOST_CUTS, LINK_FAULTS, type Direction, type HostCut, type LinkFault } from '@eelgrassmux/rpc/harness/LoopbackProxy'
 
@@ -56,6 +57,8 @@
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
   /** Open connections go silent for good, and new ones work; the site is changed meanwhile. */
   | { readonly kind: 'silent-connections', readonly scope: SilenceScope, readonly directions: readonly Direction[], readonly times: number }
+  /** The endpoint list shows another entry beside that of an endpoint. */
+  | { readonly kind: 'strange-entry', readonly slot: number, readonly strange: StrangeEntry, readonly durationMs: number }
   /** A control host loses its disk, while the other control hosts are killed or not. */
   | { readonly kind: 'lost-disk', readonly slot: number, readonly areOthersKilled: boolean }
   /** All entry hosts are killed at the same moment, so that callers take their streams up at hosts that have just started. */
@@ -126,7 +129,7 @@
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed', 'silent-connections', 'silent-connections']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed', 'silent-connections', 'silent-connections', 'strange-entry']
 
 /**
  * @param seed - determines all faults
@@ -204,6 +207,7 @@
     case 'bytes-behind': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), bytes: random.pick(BYTES_BEHIND), durationMs }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'silent-connections': return { atMs, kind, scope: random.pick<SilenceScope>(['all', 'control-hosts', { entry: random.index(shape.entries) }]), directions: random.pick(SILENT_DIRECTIONS), times: 1 + random.index(MAX_SILENCES) }
+    case 'strange-entry': return { atMs: Math.max(atMs, BEFORE_CROWD_MS), kind, slot: random.index(slotCount('endpoint', shape)), strange: random.pick(STRANGE_ENTRIES), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'lost-disk': return { atMs, kind, slot: random.index(shape.controls), areOthersKilled: random.index(2) === 0 }
     case 'all-entries-killed':
     case 'new-site':
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -8,7 +8,7 @@
 import { Caller } from './Caller.js'
 import { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
-import { CrowdedHostServesCheck } from './checks/CrowdedHostServesCheck.js'
+import { ServedAsBeforeCheck } from './checks/ServedAsBeforeCheck.js'
 import { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import { CutOffHostsServeCheck } from './checks/CutOffHostsServeCheck.js'
 import { EndlessAnswersAreClosedCheck } from './checks/EndlessAnswersAreClosedCheck.js'
@@ -94,7 +94,8 @@
   readonly #customers = new CustomersAreServedCheck()
   readonly #cutOffHosts = new CutOffHostsServeCheck()
   readonly #brittleEndpoints = new BrittleEndpointsStandCheck()
-  readonly #crowds = new CrowdedHostServesCheck(this.#timeline)
+  readonly #crowds = new ServedAsBeforeCheck('crowded-hosts-serve', this.#timeline)
+  readonly #soundEndpoints = new ServedAsBeforeCheck('sound-endpoints-serve', this.#timeline)
   readonly #endlessAnswers = new EndlessAnswersAreClosedCheck(this.#timeline, id => this.#history.request(id)?.work.kind === 'plain')
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
@@ -107,7 +108,7 @@
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
     const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
-    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds])
+    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds, this.#soundEndpoints])
     this.#configuration = new ConfigurationCheck(this.#history, this.#timeline)
     this.#cluster = new SoakCluster({
       shape,
@@ -182,7 +183,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readRepeatedly()
-    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds, configuration: this.#configuration }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds, soundEndpoints: this.#soundEndpoints, configuration: this.#configuration }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await injector.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeline.record('soak', 'the last fault has ended', false)
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -64,6 +64,12 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against one entry of the endpoint list that puts others out of use.
+  it('serves its callers while the list shows entries that no endpoint belongs to', async () => {
+    const result = await play({ seconds: 12, kinds: ['strange-entry', 'new-site'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   // Guards against promises on the ground of second answers of endpoints, and on that of bytes behind calls that run.
   it('gives promises only for what has not run while endpoints answer twice and callers send bytes behind their calls', async () => {
     const result = await play({ seconds: 12, kinds: ['second-answers', 'second-answers', 'bytes-behind', 'pause', 'new-site'], loadFeatures: ['waiting-order'] })
