Test: requests late in the grace of a planned stop; unfinished responses of a request in a class of their own

A host that stops answers every request that it has passed on, with a grace period longer and shorter than its lag and a request.

--- a/apps/entry/src/lib/GracefulShutdown.test.ts
+++ b/apps/entry/src/lib/GracefulShutdown.test.ts
@@ -93,6 +93,27 @@
       expect(endpoint.receivedRequests).toHaveLength(0)
     })
 
+    // Guards against requests that come late in the grace, are passed on, and are cut without an answer when it ends.
+    it.each([['longer', 2000], ['shorter', 2 * BALANCER_LAG_MS]])('answers every request that it has passed on in a grace period %s than the lag and a request', async (_text, graceMs) => {
+      await serve((request, response, body) => { setTimeout(() => { respondOk(request, response, body) }, BALANCER_LAG_MS) }, { graceMs })
+      host.stop.begin(performance.now(), host.server)
+      const grace = { isOver: false }
+      const answered: string[] = []
+      const callers = Array.from({ length: 8 }, async (_, caller) => {
+        for (let sent = 0; !grace.isOver; sent += 1) {
+          const id = `${caller}-${sent}`
+          const { status } = await host.sendRequest('/unsafe/1', () => {}, { [PLAIN_HEADERS.id]: id })
+          if (status === 200) answered.push(id)
+        }
+      })
+      await host.stop.drain(host.server)
+      await host.server.close()
+      grace.isOver = true
+      await Promise.all(callers)
+      expect(endpoint.receivedRequests.map(({ headers }) => headers[PLAIN_HEADERS.id])).toEqual(expect.arrayContaining(answered))
+      expect(answered).toHaveLength(endpoint.receivedRequests.length)
+    })
+
     it('serves requests that will end in time while earlier work keeps the process running', async () => {
       await serve(byPath, { graceMs: 60_000 })
       const earlier = ask('/resumable/1')
--- a/apps/entry/src/lib/routed/RoutedRequestTask.ts
+++ b/apps/entry/src/lib/routed/RoutedRequestTask.ts
@@ -12,7 +12,7 @@
 import { QuarantineGuard, type SharedPromptParts } from '../quarantine/QuarantineGuard.js'
 import { RequestRelay } from '../relays/RequestRelay.js'
 import { ResponseRelay } from './ResponseRelay.js'
-import type { CutResponseDetails, KeptResponse } from './ResponseMemory.js'
+import type { CutResponseDetails } from './ResponseMemory.js'
 import { bodyFraming } from './responseBody.js'
 import { ResponseTimes } from './ResponseTimes.js'
 import { AttemptFailures } from './AttemptFailures.js'
@@ -33,6 +33,7 @@
 import type { SlowReaderDetails } from './SlowReaders.js'
 import { StandbyPlacement } from './StandbyPlacement.js'
 import { StreamPauses } from './StreamPauses.js'
+import { UnfinishedResponse } from './UnfinishedResponse.js'
 
 /** Time after the deadline in which a response whose head has arrived may complete, in milliseconds; a response that is not nearly complete is ended. */
 const RESPONSE_COMPLETION_MS = 20
@@ -57,8 +58,7 @@
   readonly #failures: AttemptFailures
   readonly #end: RequestEnd
   #lastFailure: AttemptFailure | undefined
-  /** What is kept of the current response; undefined if it is little. */
-  #kept: { readonly attempt: RoutedAttempt, readonly response: KeptResponse } | undefined
+  readonly #unfinished: UnfinishedResponse
   readonly #search: EndpointSearch
   readonly #otherHosts: RequestRelay
   readonly #guard: QuarantineGuard
@@ -88,6 +88,7 @@
     this.#prompt = PromptContext.of(request, ports)
     this.#times = new ResponseTimes(request, ports)
     this.#pauses = new StreamPauses(ports.fleet, request)
+    this.#unfinished = new UnfinishedResponse(ports.responseMemory, this.#steps.guard((attempt, details) => { this.#cutResponse(attempt, details) }))
     this.#relay = new ResponseRelay(exchange, { isStream: request.route.kind === 'stream', isResumable: request.route.isResumable, lastEventId: request.fields.lastEventId })
     this.#placement = new RequestPlacement(request, ports, this.#prompt, this.#times, this.#deadline)
     const { method = 'GET', url: target = '/' } = exchange.request
@@ -245,7 +246,7 @@
     const isReady = this.#relay.data(chunk)
     const { excess } = this.#relay
     if (excess === undefined) {
-      this.#countKept(attempt)
+      this.#unfinished.update(attempt, this.#relay.keptBytes)
       return isReady
     }
     attempt.cancel()
@@ -255,20 +256,7 @@
 
   #dropIncomplete (): void {
     this.#relay.dropIncomplete()
-    this.#kept?.response.update(0)
-  }
-
-  /** Counts what is kept of the current response. Others, and this one too, may be cut. */
-  #countKept (attempt: RoutedAttempt): void {
-    const { keptBytes } = this.#relay
-    if (this.#kept?.attempt !== attempt) {
-      this.#kept?.response.close()
-      this.#kept = undefined
-      if (keptBytes === 0) return
-      const response = this.ports.responseMemory.open(attempt.choice.endpoint.id, this.#steps.guard(details => { this.#cutResponse(attempt, details) }))
-      this.#kept = { attempt, response }
-    }
-    this.#kept.response.update(keptBytes)
+    this.#unfinished.close()
   }
 
   #cutResponse (attempt: RoutedAttempt, details: CutResponseDetails): void {
@@ -490,8 +478,7 @@
   get #customerName (): string { return this.request.customer?.name ?? '' }
 
   #leaveEndpoints (): void {
-    this.#kept?.response.close()
-    this.#kept = undefined
+    this.#unfinished.close()
     this.#search.leaveQueue()
     this.#failover.end()
     this.#retries.cancelWait()
