List: an endpoint that has started again at its address is followed while its earlier start is still listed; test: responses that wait for slow callers are bounded

A crashed endpoint stays on the list for some seconds, so two entries with one id and address are a restart. ListingReview kept the earlier one for as long as both were listed; its test fails on the code before. Elsewhere the place in use holds, as before.

--- a/apps/control/src/lib/endpoints/ListingReview.test.ts
+++ b/apps/control/src/lib/endpoints/ListingReview.test.ts
@@ -61,6 +61,15 @@
     expect(review.review(listing([restarted])).endpoints).toEqual([restarted])
   })
 
+  it('follows an endpoint that has started again at its address while the list still shows its earlier start', () => {
+    const review = new ListingReview()
+    const [first, ...others] = soundEndpoints(true)
+    if (first === undefined) throw new Error('no endpoint')
+    review.review(listing([first, ...others]))
+    const restarted = { ...first, startedAtMs: START + 5000 }
+    expect(review.review(listing([restarted, first, ...others])).endpoints).toEqual([restarted, ...others])
+  })
+
   it('takes the later page if the list has changed between two pages', () => {
     const review = new ListingReview()
     const [ready] = soundEndpoints(true)
--- a/apps/control/src/lib/endpoints/ListingReview.ts
+++ b/apps/control/src/lib/endpoints/ListingReview.ts
@@ -41,16 +41,15 @@
     return new Map(entries.filter(entry => holders.get(entry.id) !== entry).map(entry => [entry, 'id: belongs to another entry']))
   }
 
+  /** At the place that is in use, a later start is a restart; elsewhere it may be another writer's. */
   #hasBetterClaim (entry: ListedEndpoint, other: ListedEndpoint): boolean {
-    const claims = this.#claim(entry) - this.#claim(other)
-    return claims === 0 ? isLaterStart(entry.startedAtMs, other.startedAtMs) : claims > 0
+    const isInPlace = this.#isInPlace(entry)
+    return isInPlace === this.#isInPlace(other) ? isLaterStart(entry.startedAtMs, other.startedAtMs) : isInPlace
   }
 
-  /** Ranks how well an entry fits what is in use under its id. */
-  #claim (entry: ListedEndpoint): number {
+  #isInPlace (entry: ListedEndpoint): boolean {
     const inUse = this.#inUse.get(entry.id)
-    if (inUse === undefined || !isSamePlace(entry, inUse)) return 0
-    return entry.startedAtMs === inUse.startedAtMs ? 2 : 1
+    return inUse !== undefined && isSamePlace(entry, inUse)
   }
 
   /**
@@ -61,7 +60,11 @@
     const withStart = entries.filter(({ startedAtMs }) => startedAtMs !== undefined)
     if (withStart.length <= entries.length - withStart.length) return []
     const kindsWithStart = new Set(withStart.map(kindOf))
-    return entries.filter(entry => entry.startedAtMs === undefined && kindsWithStart.has(kindOf(entry)) && this.#claim(entry) < 2)
+    return entries.filter(entry => entry.startedAtMs === undefined && kindsWithStart.has(kindOf(entry)) && !this.#isUsedWithoutStart(entry))
+  }
+
+  #isUsedWithoutStart (entry: ListedEndpoint): boolean {
+    return this.#isInPlace(entry) && this.#inUse.get(entry.id)?.startedAtMs === undefined
   }
 }
 
--- a/apps/entry/src/lib/routed/slowReaders.test.ts
+++ b/apps/entry/src/lib/routed/slowReaders.test.ts
@@ -154,6 +154,18 @@
       await vi.waitFor(() => { expect(started.slowReaders.totalBytes).toBe(0) })
     }, 20_000)
 
+    // Guards against the memory of what has arrived behind responses whose callers do not read: only the feature bounded it.
+    it('is cut beyond the bound while the feature is off', async () => {
+      const { endpoint } = largeEndpoint()
+      // Two responses wait within the bound.
+      const bytes = 300 * KILOBYTE
+      const started = await startHost(endpoint, { heldBytes: { totalBytes: bytes, customerBytes: bytes } })
+      const slow = Array.from({ length: 4 }, () => sendAsSlowCaller(started, '/stream/large'))
+      await vi.waitFor(async () => { expect(await started.telemetry.registry.metrics()).toContain('slow_readers_cut_total{reader="caller",program="test"} 2') }, WRITING_MS)
+      const outcomes = await Promise.all(slow.map(readAll))
+      expect(outcomes.filter(({ isWhole }) => isWhole)).toHaveLength(2)
+    }, 20_000)
+
     it('pauses the endpoint while the feature is off', async () => {
       const { endpoint, hasFinished } = largeEndpoint()
       const started = await startHost(endpoint, {})
