Hosts take from the site which services have no engines, not from the first entry of the list

The first listed endpoint of a service decided how soon load is reported for it; an entry of another writer without models changed that for the service. Found while looking for places where one writer's value decides about others.

--- a/apps/entry/src/lib/routed/RoutedFleet.ts
+++ b/apps/entry/src/lib/routed/RoutedFleet.ts
@@ -86,6 +86,7 @@
   readonly #ejections = new EjectionTracker()
   readonly #observeEstimateError: (milliseconds: number) => void
   #workListener: (change: WorkChange, service: string) => void = () => {}
+  #plainServices: ReadonlySet<string> = new Set()
   #ejectionsCheckedAt = Number.NEGATIVE_INFINITY
 
   /**
@@ -201,6 +202,7 @@
 
   /** @param site - site configuration to apply */
   configure (site: Site): void {
+    this.#plainServices = new Set(site.services.filter(service => service.type === 'replicated' && service.engine === undefined).map(({ name }) => name))
     this.limits.configure(site)
     this.links.configure(site)
     this.plainPlaces.configure(site)
@@ -320,10 +322,10 @@
 
   /**
    * @param service - service name
-   * @returns whether its endpoints are no engines
+   * @returns whether the site describes it as one without engines
    */
   isPlain (service: string): boolean {
-    return this.#pool.ofService(service)[0]?.listed.models.length === 0
+    return this.#plainServices.has(service)
   }
 
   /**
