Start waits for ports that another process still holds

Users saw programs end by themselves: one whose port was taken for 3 s ended four times with code 3, because its supervisor started it again every 0.5 s into the same state.

Cause: the first attempt to open a port was the only one. StartWaits repeats an attempt every 100 ms, logs at once and then every second what the process waits for, and ends the process with 0 if it is told to stop meanwhile. listenWhenFree waits for a port that is taken and for an address that is not configured yet; any other error, such as a missing permission, still ends the process with 3. The callers' port that was opened before the program was loaded stays open.

The server of gRPC calls states no error code and keeps the failure of a port for good, so RpcServer tries the port itself first.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -6,7 +6,9 @@
 import { RaftCore } from '@eelgrassmux/consensus/RaftCore'
 import { DEFAULT_RAFT_SETTINGS, type RaftSettings } from '@eelgrassmux/consensus/RaftSettings'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
+import { listenWhenFree } from '@eelgrassmux/daemon/listenWhenFree'
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { addressListSetting, addressSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
 import { openOrSetAside } from '@eelgrassmux/durable/openOrSetAside'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
@@ -77,7 +79,7 @@
   readonly probe: EndpointProbe
   /** Returns the current addresses of control hosts that may be members of the group. */
   contacts (): readonly string[]
-  /** Starts the server for operators' calls on this platform. */
+  /** Starts the server for operators' calls on this platform; rejects with the code of the system if its port can't be opened. */
   openOperatorApi (sites: SiteService, telemetry: Telemetry): Promise<OperatorApi>
 }
 
@@ -113,10 +115,11 @@
  * @param settings - validated settings
  * @param telemetry - log and metrics
  * @param fail - called when the process must stop
+ * @param waits - waits for ports that are taken
  * @param platform - platform-specific implementations; without them, no endpoint list, stores or rollouts are served
  */
 export async function startControl (
-  settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, platform?: ControlPlatform
+  settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits, platform?: ControlPlatform
 ): Promise<RunningDaemon> {
   const { opened: { storage, replicaId, persisted }, setAside } = await openOrSetAside(join(settings.dataFolder, 'control'))
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
@@ -125,7 +128,7 @@
   const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
   const messageFailures = telemetry.labelledCounter('raft_message_failures_total', 'Protocol messages that were not delivered')
   const peers = new DatagramClient()
-  await peers.bind(settings.host)
+  await listenWhenFree(waits, `address ${settings.host}`, async () => { await peers.bind(settings.host) })
   const sender = new RaftSender(peers, rpc, reason => { messageFailures.count(reason) })
   const orderOutcomes = telemetry.labelledCounter('orders_total', 'Orders to endpoints by outcome', 'outcome')
 
@@ -213,7 +216,7 @@
     telemetry
   })
   waiting.register(datagrams)
-  const port = await listenOnSamePort(server, datagrams, settings.host, settings.port)
+  const port = await listenWhenFree(waits, `port for hosts ${settings.host}:${settings.port}`, async () => await listenOnSamePort(server, datagrams, settings.host, settings.port))
   self.address = advertisedAddress(settings, port)
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
@@ -225,7 +228,7 @@
   const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
   const membershipTask = new MembershipTask(raft, rpc, contacts, settings.minimumVoters, telemetry)
   membershipTask.run().catch(fail)
-  const operators = await platform?.openOperatorApi(service, telemetry)
+  const operators = platform === undefined ? undefined : await listenWhenFree(waits, "operators' port", async () => await platform.openOperatorApi(service, telemetry))
   const startedAt = performance.now()
   const shardTimer = setInterval(() => { void assignShards(raft, hosts, settings, startedAt) }, SHARD_PLAN_INTERVAL_MS)
   const monitorTimer = setInterval(() => { groupMonitor.check(performance.now()) }, MONITOR_INTERVAL_MS)
--- a/apps/control/src/lib/formation.test.ts
+++ b/apps/control/src/lib/formation.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { freePort } from '@eelgrassmux/daemon/testing/freePort'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import { StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { listHosts, propose, readSite, type HostsResponse } from '@eelgrassmux/rpc/methods/controlMethods'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import type { Site } from '@eelgrassmux/schema/site/siteSchema'
@@ -43,7 +44,9 @@
     const settings: ControlSettings = {
       host: '127.0.0.1', adminPort: 0, keptStories: 64, logLinesPerSecond: 200, dataCentre: 'n', port: ports[host] ?? 0, dataFolder: join(folder, disk), bootstrap, join: [0, 2, 4].map(address), shards: 1, freshnessMs: 3000, recordWindowHours: 1, minimumVoters: VOTERS, heartbeatMs: 50, electionTimeoutMs: 300, endpointListMs: 1000, orderLeaseMs: 3000, retryRatio: 0.1, retrySlack: 20
     }
-    hosts[host] = await startControl(settings, new Telemetry(`control-${host}`), error => { throw error })
+    const telemetry = new Telemetry(`control-${host}`)
+    const waits = new StartWaits(telemetry, { isStopReceived: false, sleep })
+    hosts[host] = await startControl(settings, telemetry, error => { throw error }, waits)
   }
 
   async function stop (host: number): Promise<void> {
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -1,7 +1,9 @@
 /** Wires up the components of an entry host for routed requests. */
 import { z } from 'zod'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
+import { listenWhenFree } from '@eelgrassmux/daemon/listenWhenFree'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
+import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, booleanSetting, durationLimitSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
@@ -63,7 +65,7 @@
   readonly earlyListener?: EarlyListener | undefined
   /** Closes the platform's clients. */
   close? (): Promise<void>
-  /** Opens the other servers that the platform calls on an entry host. */
+  /** Opens the other servers that the platform calls on an entry host; waits for their ports. */
   openPlatformServers (isReady: () => boolean): Promise<{ close (): Promise<void> }>
 }
 
@@ -77,9 +79,10 @@
  *
  * @param settings - validated settings
  * @param telemetry - log and metrics
+ * @param waits - waits for ports that are taken
  * @param platform - codec and servers of the platform
  */
-export async function startRoutedDaemon (settings: RoutedSettings, telemetry: Telemetry, platform: RoutedPlatform): Promise<RunningDaemon> {
+export async function startRoutedDaemon (settings: RoutedSettings, telemetry: Telemetry, waits: StartWaits, platform: RoutedPlatform): Promise<RunningDaemon> {
   const work = new WorkGate()
   const stop = new GracefulShutdown(work, {
     balancerLagMs: settings.balancerLagMs,
@@ -88,7 +91,7 @@
   const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
   const datagramOutcomes = telemetry.labelledCounter('datagrams_total', 'Datagrams to and from control hosts by outcome', 'outcome')
   const datagrams = new DatagramClient(outcome => { datagramOutcomes.count(outcome) })
-  await datagrams.bind(settings.host)
+  await listenWhenFree(waits, `address ${settings.host}`, async () => { await datagrams.bind(settings.host) })
   const address = `${settings.host}:${settings.port}`
   /** Address at which callers and other hosts reach this host; known for certain once it listens. */
   let listenAddress = address
@@ -173,7 +176,7 @@
     withRecentLoad: place => { loads.beforePlacing(place) },
     isLagging: () => link.eventLoopLagMs > EVENT_LOOP_LAG_LIMIT_MS
   }, mechanisms.waitsForSite ? 0 : Number.NEGATIVE_INFINITY)
-  const port = await server.listen(settings.host, settings.port, platform.earlyListener)
+  const port = await listenWhenFree(waits, `callers' port ${address}`, async () => await server.listen(settings.host, settings.port, platform.earlyListener))
   listenAddress = `${settings.host}:${port}`
   const isReady = (): boolean => !stop.isStopping && server.isConfigured && fleet.hasEndpoints && mayAct()
   const platformServers = await platform.openPlatformServers(isReady)
--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -19,7 +19,7 @@
   name: 'soak-control',
   description: 'Control host of the soak: agrees on sites and weights',
   settings: settingsSchema,
-  start: async (settings, telemetry, fail) => await startControl(settings, telemetry, fail, {
+  start: async (settings, telemetry, fail, waits) => await startControl(settings, telemetry, fail, waits, {
     endpoints: new HttpEndpointSource(settings.list),
     engines: new HttpRolloutBackend(),
     stores: new NoStores(),
--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -23,13 +23,13 @@
   name: 'soak-entry',
   description: 'Entry host of the soak: accepts requests and forwards them to endpoints',
   settings: settingsSchema,
-  start: async (settings, telemetry) => {
+  start: async (settings, telemetry, _fail, waits) => {
     bindOutgoingConnections(settings.host, !settings.alone)
     if (settings.frail) refuseCrowds()
     if (settings.credulous) believeStatements()
     if (settings.hasty) answerConnectionErrors()
     if (settings.leavesOpen) leaveOutgoingConnectionsOpen(settings.control)
-    return await startRoutedDaemon(settings, telemetry, {
+    return await startRoutedDaemon(settings, telemetry, waits, {
       codec: new SoakCodec(settings.deaf),
       // The admin port serves readiness, so no further servers are needed.
       openPlatformServers: async () => ({ close: async () => {} })
--- a/packages/daemon/src/lib/ProcessSignals.ts
+++ b/packages/daemon/src/lib/ProcessSignals.ts
@@ -22,6 +22,7 @@
   #isReloadPending = false
   #onReload: (() => void) | undefined
   #beforeForcedExit: () => void = () => {}
+  readonly #sleepers = new Set<() => void>()
 
   constructor () {
     this.#stopped = new Promise(resolve => {
@@ -29,6 +30,7 @@
         if (this.#stopReceivedAt !== undefined) return
         this.#stopReceivedAt = estimateReceivedAt(performance.now())
         resolve(this.#stopReceivedAt)
+        this.#wakeSleepers()
       }
       process.on('SIGTERM', stop)
       process.on('SIGINT', () => {
@@ -40,6 +42,28 @@
     process.on('SIGHUP', () => {
       if (this.#onReload === undefined) this.#isReloadPending = true
       else this.#onReload()
+      this.#wakeSleepers()
+    })
+  }
+
+  /** Whether the process has received a signal to stop. */
+  get isStopReceived (): boolean { return this.#stopReceivedAt !== undefined }
+
+  /**
+   * Waits for a time, or until the next signal; not at all if the process is to stop.
+   *
+   * @param milliseconds - longest wait
+   */
+  async sleep (milliseconds: number): Promise<void> {
+    if (this.isStopReceived) return
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.#sleepers.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, milliseconds)
+      this.#sleepers.add(wake)
     })
   }
 
@@ -65,6 +89,10 @@
     listener()
   }
 
+  #wakeSleepers (): void {
+    for (const wake of [...this.#sleepers]) wake()
+  }
+
   #forceExit (): void {
     this.#beforeForcedExit()
     process.exit(EXIT_INTERRUPTED)
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -11,6 +11,7 @@
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
 import { ProcessSignals } from './ProcessSignals.js'
+import { StartStopped, StartWaits } from './StartWaits.js'
 import { describeSettingErrors, flagName, environmentVariableName } from './settings.js'
 
 /** Settings that `runDaemon` itself reads. */
@@ -47,14 +48,14 @@
   readonly name: string
   readonly description: string
   readonly settings: z.ZodObject<z.ZodRawShape, z.core.$strip> & z.ZodType<Settings>
-  /** Starts the daemon; `fail` logs a fatal error and ends the process. */
-  start (settings: Settings, telemetry: Telemetry, fail: (error: unknown) => void): Promise<RunningDaemon>
+  /** Starts the daemon; `fail` logs a fatal error and ends the process, `waits` waits for what the start depends on. */
+  start (settings: Settings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits): Promise<RunningDaemon>
 }
 
 /** Exit code for settings that are missing or invalid. */
 const EXIT_INVALID_SETTINGS = 2
 
-/** Exit code for a failed start, a broken invariant or a failed disk. */
+/** Exit code for a start that other settings are needed for, or a broken invariant. */
 const EXIT_FATAL = 3
 
 /** Longest wait until the last log lines are read, in milliseconds: no caller is connected by then, and a busy machine takes some tenths of a second to write. */
@@ -150,7 +151,13 @@
     return Number.isFinite(seconds) ? Math.max(0, seconds) : 0
   })
   let isDraining = false
-  const daemon = await program.start(settings, telemetry, fail).catch(fail)
+  const daemon = await program.start(settings, telemetry, fail, new StartWaits(telemetry, signals))
+    .catch((error: unknown) => error instanceof StartStopped ? undefined : fail(error))
+  if (daemon === undefined) {
+    telemetry.logStateChange('stopped')
+    telemetry.flushSync()
+    return 0
+  }
   const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !isDraining && daemon.isReady()).catch(fail)
   const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
--- a/packages/rpc/src/lib/RpcServer.ts
+++ b/packages/rpc/src/lib/RpcServer.ts
@@ -2,6 +2,7 @@
   Server, ServerCredentials, status as grpcStatus, type handleServerStreamingCall, type handleUnaryCall,
   type ServerWritableStream
 } from '@grpc/grpc-js'
+import { createServer } from 'node:net'
 import { ping } from './methods/ping.js'
 import { decodeMessage, encodeMessage, type RpcMethod } from './RpcMethod.js'
 
@@ -78,8 +79,10 @@
    * @param host - IP address
    * @param port - port, 0 for any free port
    * @returns the port that the server listens on
+   * @throws if the port can't be opened, with the code of the system; the call may be repeated
    */
   async listen (host: string, port: number): Promise<number> {
+    if (port !== 0) await probePort(host, port)
     return await new Promise((resolve, reject) => {
       this.#server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, boundPort) => {
         if (error === null) resolve(boundPort)
@@ -118,6 +121,15 @@
   }
 }
 
+/** The gRPC server states no error codes, and keeps the failure of a port for good. */
+async function probePort (host: string, port: number): Promise<void> {
+  const probe = createServer()
+  await new Promise<void>((resolve, reject) => {
+    probe.once('error', reject)
+    probe.listen(port, host, () => { probe.close(() => { resolve() }) })
+  })
+}
+
 async function writeWithBackpressure<Request, Response> (
   call: ServerWritableStream<Request, Response>, response: Response, signal: AbortSignal
 ): Promise<void> {
--- a/packages/rpc/src/lib/listenOnSamePort.ts
+++ b/packages/rpc/src/lib/listenOnSamePort.ts
@@ -36,7 +36,7 @@
  * @param host - IP address
  * @param port - port, 0 for any port that is free for both
  * @returns the open port
- * @throws if the port can't be bound
+ * @throws if the port can't be bound; nothing is open then, and the call may be repeated
  */
 export async function listenOnSamePort (server: PortListener, datagrams: DatagramListener, host: string, port: number): Promise<number> {
   for (let attempt = 1; ; attempt += 1) {
--- a/packages/telemetry/src/lib/events/processChanges.ts
+++ b/packages/telemetry/src/lib/events/processChanges.ts
@@ -15,6 +15,9 @@
     operators: z.string().optional(),
     admin: z.string()
   }),
+  /** A start, or a server for operators' tools, waits for something that may still come. */
+  'dependency-missing': z.strictObject({ dependency: z.string(), reason: z.string(), waitedMs: z.number() }),
+  'dependency-found': z.strictObject({ dependency: z.string(), waitedMs: z.number() }),
   reloading: z.strictObject({}),
   reloaded: z.strictObject({
     /** Empty if the reload succeeded. */
