Programs serve while their admin port is taken, and open it later

Both programs ended four times in 3 s, with code 3, while another process held the admin port, although no request needs it. The admin server now logs once that its port can't be opened, tries again every second and logs when it is open.

--- a/packages/daemon/src/lib/AdminServer.ts
+++ b/packages/daemon/src/lib/AdminServer.ts
@@ -1,11 +1,16 @@
 /** HTTP server for operators' tools: health, readiness and metrics. */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { handleClientErrors } from './ClientErrors.js'
+import { describeReason } from './StartWaits.js'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
+/** Interval between attempts to open a port that is taken, in milliseconds. */
+const RETRY_INTERVAL_MS = 1000
+
 /** A running admin server. */
 export interface AdminServer {
+  /** Port that the server listens on, or that it opens as soon as it can. */
   readonly port: number
   close (): Promise<void>
 }
@@ -16,6 +21,8 @@
  * Starts the admin server. Its routes are loaded on the first request, since they load much of the
  * Node.js runtime that a host does not need for serving.
  *
+ * No caller needs this port: if it can't be opened, the process serves without it and opens it later.
+ *
  * @param host - IP address to listen on
  * @param port - port, 0 for any free port
  * @param telemetry - metrics to serve
@@ -34,13 +41,29 @@
     })
   })
   handleClientErrors(server)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
+  let isClosed = false
+  let retry: NodeJS.Timeout | undefined
+  const startedAt = performance.now()
+  const dependency = `admin port ${host}:${port}`
+  const waitedMs = (): number => Math.round(performance.now() - startedAt)
+  const openLater = (): void => {
+    retry = setTimeout(() => {
+      listenOnce(server, host, port).then(() => {
+        if (isClosed) server.close()
+        else telemetry.logStateChange('dependency-found', { dependency, waitedMs: waitedMs() })
+      }, openLater)
+    }, RETRY_INTERVAL_MS)
+    if (isClosed) clearTimeout(retry)
+  }
+  await listenOnce(server, host, port).catch((error: unknown) => {
+    telemetry.logStateChange('dependency-missing', { dependency, reason: describeReason(error), waitedMs: waitedMs() })
+    openLater()
   })
   return {
-    port: (server.address() as AddressInfo).port,
+    port: server.listening ? (server.address() as AddressInfo).port : port,
     close: async () => {
+      isClosed = true
+      clearTimeout(retry)
       await new Promise<void>(resolve => {
         server.close(() => { resolve() })
         server.closeAllConnections()
@@ -49,6 +72,16 @@
   }
 }
 
+async function listenOnce (server: Server, host: string, port: number): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
+
 async function loadHandler (telemetry: Telemetry, isReady: () => boolean): Promise<Handler> {
   const { H3 } = await import('h3')
   const { toNodeHandler } = await import('h3/node')
