--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -221,11 +221,12 @@
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
-  if (setAside === undefined && isFounder(settings, core)) {
+  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
+  if (platform !== undefined && setAside === undefined && settings.bootstrap && core.lastIndex === 0) await waitForContacts(waits, contacts)
+  if (setAside === undefined && isFounder(settings, core, contacts())) {
     await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
     telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
   }
-  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
   const membershipTask = new MembershipTask(raft, rpc, contacts, settings.minimumVoters, telemetry)
   membershipTask.run().catch(fail)
   const operators = platform === undefined ? undefined : await listenWhenFree(waits, "operators' port", async () => await platform.openOperatorApi(service, telemetry))
@@ -273,9 +274,16 @@
 }
 
 /** If several addresses are given to join, the host with the first address in sort order founds the group, so that all hosts choose the same one. */
-function isFounder (settings: ControlSettings, core: RaftCore): boolean {
+function isFounder (settings: ControlSettings, core: RaftCore, contacts: readonly string[]): boolean {
   if (!settings.bootstrap || core.lastIndex > 0) return false
-  return settings.join.length === 0 || [...settings.join].sort()[0] === core.self.address
+  return contacts.length === 0 || [...contacts].sort()[0] === core.self.address
+}
+
+/** On a platform that has named no control hosts yet, each of them would found a group of its own. */
+async function waitForContacts (waits: StartWaits, contacts: () => readonly string[]): Promise<void> {
+  await waits.until('contacts, the first of which founds the group', async () => {
+    if (contacts().length === 0) throw new Error('the platform has named none')
+  }, () => true)
 }
 
 function raftSettings ({ heartbeatMs, electionTimeoutMs, minimumVoters }: ControlSettings): RaftSettings {
--- a/packages/view/src/lib/ControlLink.test.ts
+++ b/packages/view/src/lib/ControlLink.test.ts
@@ -70,6 +70,20 @@
     expect(link.viewRevision).toBe(5)
   })
 
+  // Guards against entry hosts that ended while the platform had named no control hosts yet, and that took no later contacts.
+  it('starts without contacts and follows the first control host that is named', async () => {
+    const host = await controlHost('a', 5)
+    closers.push(host.close)
+    const contacts: string[] = []
+    const link = await openLink(contacts)
+    link.followStoredParts({ reset: () => {}, apply: () => {} })
+    link.start()
+    expect((await link.propose({ kind: 'expire' }, 60)).ok).toBe(false)
+    contacts.push(host.address)
+    for (let attempt = 0; attempt < 200 && link.viewRevision === 0; attempt += 1) await sleep(20)
+    expect(link.viewRevision).toBe(5)
+  })
+
   // Guards against hosts that served the old configuration of a single control host after a restart, while the group had no leader.
   it('counts a view as confirmed only once a majority of control hosts has confirmed it', async () => {
     const voters = ['a', 'b', 'c']
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -26,7 +26,7 @@
   readonly role: HostRole
   readonly address: string
   readonly dataCentre: string
-  /** Addresses of the control hosts at startup; later ones are learned from the membership. */
+  /** Addresses of control hosts, which may change and may be empty for a time; others are learned from the membership. */
   readonly controlAddresses: readonly string[]
   /** How long this host may act on a view after it was confirmed, in milliseconds. */
   readonly freshnessMs: number
@@ -230,6 +230,10 @@
     let mayBeApplied = false
     for (let attempt = 0; performance.now() < deadline; attempt += 1) {
       const address = this.#leaderHint ?? this.#controlAddressAt(attempt)
+      if (address === undefined) {
+        await sleep(PROPOSE_RETRY_DELAY_MS)
+        continue
+      }
       const remaining = Math.min(PROPOSE_ATTEMPT_TIMEOUT_MS, deadline - performance.now())
       const response = await this.rpc.call(address, propose, { command }, remaining, { isRepeatable: true })
       if (response.ok && response.value.kind === 'applied') {
@@ -250,9 +254,9 @@
     return voterAddresses.length > 0 ? voterAddresses : [...this.settings.controlAddresses]
   }
 
-  #controlAddressAt (attempt: number): string {
+  #controlAddressAt (attempt: number): string | undefined {
     const addresses = this.#controlAddresses()
-    return addresses[attempt % addresses.length] ?? ''
+    return addresses[attempt % addresses.length]
   }
 
   /** Whether the watched control host may be isolated or lagging, so that another one should be watched. */
@@ -286,7 +290,7 @@
   }
 
   /** Prefers a control host with a newer view, then the leader, so that few control hosts need to read the endpoint list; otherwise takes them in turn. */
-  #watchAddress (): string {
+  #watchAddress (): string | undefined {
     const preferred = this.#newerView?.address ?? (this.#watchFailures === 0 ? this.#leader : undefined)
     return preferred ?? this.#controlAddressAt(this.#watchAttempt)
   }
@@ -331,6 +335,10 @@
     while (!this.#abort.signal.aborted) {
       // After a silent watch only the connection was at fault, and there is a new one.
       const address = silentAt ?? this.#watchAddress()
+      if (address === undefined) {
+        await sleep(WATCH_RETRY_DELAY_MS)
+        continue
+      }
       const isResponseDue = this.#newerView?.address === address
       this.#watchedAddress = address
       this.#watchStartedAt = performance.now()
--- a/packages/view/src/lib/WatchRotation.ts
+++ b/packages/view/src/lib/WatchRotation.ts
@@ -30,7 +30,7 @@
   #attempt = 0
   #open: { readonly address: string, readonly watch: OpenWatch } | undefined
 
-  /** @param candidates - returns the control hosts to watch, the preferred one first */
+  /** @param candidates - returns the control hosts to watch, the preferred one first; may be empty for a time */
   constructor (private readonly candidates: () => readonly string[]) {}
 
   /**
@@ -49,7 +49,12 @@
     while (!signal.aborted) {
       const candidates = this.candidates()
       const startedAt = performance.now()
-      const error = await this.#openWatch(candidates[this.#attempt % candidates.length] ?? '', signal, startedAt, open)
+      const address = candidates[this.#attempt % candidates.length]
+      if (address === undefined) {
+        await sleep(RETRY_DELAY_MS)
+        continue
+      }
+      const error = await this.#openWatch(address, signal, startedAt, open)
       // Only the connection was at fault, and there is a new one.
       if (error?.kind === 'silent') continue
       this.#attempt = performance.now() - startedAt > STABLE_WATCH_MS ? 0 : this.#attempt + 1
