Entry hosts follow control hosts that the contacts file names after their start

Callers of an entry host got 503 for good if its first contacts were wrong or missing: SIGHUP read the file again and logged the new contacts, but the host went on asking those that it had copied at its start, and it did not read the file without a signal.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -63,6 +63,8 @@
   readonly reservations?: EngineReservations
   /** Listener on the callers' port, if it was opened before the program was loaded. */
   readonly earlyListener?: EarlyListener | undefined
+  /** Returns the current addresses of control hosts; absent if the settings name them for good. */
+  contacts? (): readonly string[]
   /** Closes the platform's clients. */
   close? (): Promise<void>
   /** Opens the other servers that the platform calls on an entry host; waits for their ports. */
@@ -101,7 +103,7 @@
     role: 'entry',
     get address () { return listenAddress },
     dataCentre: settings.dataCentre,
-    controlAddresses: settings.control,
+    get controlAddresses () { return platform.contacts?.() ?? settings.control },
     freshnessMs: settings.freshnessMs,
     watchesEndpoints: true,
     telemetry,
