Memory of a process: start line, metrics, and a line when it crosses a share of the host's

Callers saw hosts that were gone: processes above their host's memory are killed, and nothing in the log said what they held, or that the heap's limit was that of the machine (4,144 MB at a host told 200 MB). The start line and the metrics now state both limits; a memory line breaks down what is held at 70, 80, 90 and 95 % of the host's memory, with hysteresis, by one timer a process that reads twice a second, and every 50 ms above the first mark. The fatal line says exit code, uptime, memory and requests under way.

Two tests that state all settings of a host list the setting, which every program has now.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -48,7 +48,6 @@
   leaveOut: listSetting(mechanismSchema).describe('mechanisms to do without, separated by commas, to measure what they are worth; none in service'),
   loadFeatures: listSetting(loadFeatureChoiceSchema).describe('features for hard load, separated by commas; auto for all of them where callers compete or engines share their machines'),
   competingCallers: booleanSetting.default(false).describe('whether callers are known to compete for too little room at times'),
-  memoryMb: z.coerce.number().min(0).max(1_000_000).default(0).describe('memory of this host in megabytes, a quarter of which slow readers may hold; 256 is assumed if it is 0 or empty'),
   retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe('repeats for each request of a service, over all entry hosts'),
   retrySlack: z.coerce.number().min(0).max(100_000).default(20).describe('repeats on top, in any window of some seconds, over all entry hosts')
 }
@@ -151,9 +150,11 @@
   const relayHosts = new RelayHosts(relayDirectory, fleet.readSlices)
   const streams = new StreamDirectoryClient(address, { datagrams, controlHosts: () => link.controlHosts, listAgeMs: now => link.endpointListAgeMs(now) }, telemetry)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
+  const unfinishedResponses = new ResponseMemory(responseMemory, telemetry)
+  const slowReaders = new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry)
   const server = new RoutedServer({
-    responseMemory: new ResponseMemory(responseMemory, telemetry),
-    slowReaders: new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry),
+    responseMemory: unfinishedResponses,
+    slowReaders,
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
@@ -216,6 +217,12 @@
   return {
     addresses: { http: `${settings.host}:${port}` },
     isReady,
+    held: () => ({
+      connections: server.openConnections,
+      requests: work.activeCount,
+      unfinishedResponseBytes: unfinishedResponses.totalBytes,
+      slowReaderBytes: slowReaders.totalBytes + slowReaders.waitingBytes
+    }),
     stopping: signalledAt => { stop.begin(signalledAt, server) },
     drain: async () => {
       link.stopAccepting()
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -127,6 +127,7 @@
   readonly #faults: RequestFaults
   #index: SiteIndex | undefined
   #lastRequestAt = 0
+  #openConnections = 0
   /** Requests without a complete response; the task is undefined until the request has been routed. */
   readonly #pendingRequests = new Map<CallerExchange, RoutedRequestTask | undefined>()
 
@@ -147,7 +148,12 @@
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
     this.#closedUnread = telemetry.labelledCounter('connections_closed_unread_total', 'Connections of callers that this host closed unread')
-    this.#server.on('connection', (socket: Socket) => { this.#closeIfOverShare(socket) })
+    this.#server.on('connection', (socket: Socket) => {
+      this.#openConnections += 1
+      socket.once('close', () => { this.#openConnections -= 1 })
+      this.#closeIfOverShare(socket)
+    })
+    telemetry.gauge('caller_connections', 'Open connections of callers', () => this.#openConnections)
     this.#server.on('request', (request, response) => { this.#accept(request, response) })
     this.#server.on('checkContinue', (request, response: ServerResponse) => {
       response.writeContinue()
@@ -199,6 +205,9 @@
     this.#server.closeIdleConnections()
   }
 
+  /** Number of open connections of callers. */
+  get openConnections (): number { return this.#openConnections }
+
   /** When the last request arrived, in monotonic milliseconds. */
   get lastRequestAt (): number { return this.#lastRequestAt }
 
--- a/apps/entry/src/lib/routed/SlowReaders.ts
+++ b/apps/entry/src/lib/routed/SlowReaders.ts
@@ -78,6 +78,9 @@
   /** Memory held for all readers, in bytes. */
   get totalBytes (): number { return this.#held.totalBytes }
 
+  /** Memory of responses that wait until their callers read on, in bytes. */
+  get waitingBytes (): number { return this.#waiting.totalBytes }
+
   /**
    * @param kind - who reads
    * @param customer - name of the customer whose request it is; empty if there is none
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -10,6 +10,9 @@
 import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
+import { BYTES_PER_MEGABYTE } from './MemoryBudget.js'
+import { MemoryGuard } from './MemoryGuard.js'
+import { exportMemoryMetrics, heapLimitBytes, type HeldParts } from './ProcessMemory.js'
 import { ProcessSignals } from './ProcessSignals.js'
 import { StartStopped, StartWaits } from './StartWaits.js'
 import { describeSettingErrors, flagName, environmentVariableName } from './settings.js'
@@ -21,6 +24,7 @@
   readonly dataCentre: string
   readonly keptStories: number
   readonly logLinesPerSecond: number
+  readonly memoryMb: number
 }
 
 /** A started daemon. */
@@ -29,6 +33,8 @@
   readonly addresses: Readonly<Record<string, string>>
   /** Whether the daemon accepts new work. */
   isReady (): boolean
+  /** What the daemon holds in memory, as it counts it. */
+  held? (): HeldParts
   /**
    * Called as soon as a graceful stop begins.
    *
@@ -132,10 +138,20 @@
 async function supervise<Settings extends CommonSettings> (program: DaemonProgram<Settings>, settings: Settings, signals: ProcessSignals): Promise<number> {
   const telemetry = new Telemetry(program.name, settings)
   const violations = telemetry.labelledCounter('invariant_violations_total', 'Broken invariants; the process stops at the first', 'invariant')
+  const started: { daemon?: RunningDaemon } = {}
+  const held = (): HeldParts => started.daemon?.held?.() ?? {}
   const fail = (error: unknown): never => {
     const invariant = error instanceof InvariantViolation ? error.invariant : 'unexpected-error'
     violations.count(invariant)
-    telemetry.logFault('fatal', { invariant, message: String(error) })
+    const { requests } = held()
+    telemetry.logFault('fatal', {
+      invariant,
+      message: String(error),
+      exitCode: EXIT_FATAL,
+      uptimeMs: Math.round(performance.now()),
+      residentBytes: process.memoryUsage.rss(),
+      ...(requests === undefined ? {} : { requests })
+    })
     process.stderr.write(`${program.name}: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
     telemetry.flushSync()
     process.exit(EXIT_FATAL)
@@ -150,30 +166,37 @@
     loopDelay.reset()
     return Number.isFinite(seconds) ? Math.max(0, seconds) : 0
   })
+  const memoryLimitBytes = settings.memoryMb * BYTES_PER_MEGABYTE
+  exportMemoryMetrics(telemetry, memoryLimitBytes)
+  const residentBytes = (): number => process.memoryUsage.rss()
+  const guard = memoryLimitBytes > 0 ? new MemoryGuard(memoryLimitBytes, { residentBytes, held }, telemetry) : undefined
+  guard?.start()
   let isDraining = false
-  const daemon = await program.start(settings, telemetry, fail, new StartWaits(telemetry, signals))
+  const running = await program.start(settings, telemetry, fail, new StartWaits(telemetry, signals))
     .catch((error: unknown) => error instanceof StartStopped ? undefined : fail(error))
-  if (daemon === undefined) {
+  if (running === undefined) {
     telemetry.logStateChange('stopped')
     telemetry.flushSync()
     return 0
   }
-  const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !isDraining && daemon.isReady()).catch(fail)
-  const addresses = { ...daemon.addresses, admin: `${settings.host}:${admin.port}` }
+  started.daemon = running
+  const admin = await startAdminServer(settings.host, settings.adminPort, telemetry, () => !isDraining && running.isReady()).catch(fail)
+  const addresses = { ...running.addresses, admin: `${settings.host}:${admin.port}` }
   process.stdout.write(`${JSON.stringify({ event: 'listening', program: program.name, ...addresses })}\n`)
-  telemetry.logStateChange('started', addresses)
+  telemetry.logStateChange('started', { ...addresses, memoryLimitBytes, heapLimitBytes: heapLimitBytes(), residentBytes: residentBytes() })
   signals.onForcedExit(() => { telemetry.flushSync() })
   signals.onReload(() => {
     telemetry.logStateChange('reloading')
-    daemon.reload?.()
+    running.reload?.()
   })
   const signalledAt = await signals.stopReceived()
   isDraining = true
-  daemon.stopping?.(signalledAt)
+  running.stopping?.(signalledAt)
   telemetry.logStateChange('draining')
-  await daemon.drain()
+  await running.drain()
   telemetry.logStateChange('stopped')
-  await daemon.close()
+  await running.close()
+  guard?.stop()
   await admin.close()
   await telemetry.flush(LOG_FLUSH_TIMEOUT_MS)
   telemetry.flushSync()
--- a/packages/daemon/src/lib/settings.test.ts
+++ b/packages/daemon/src/lib/settings.test.ts
@@ -17,7 +17,7 @@
 
   it('accepts valid settings and fills in defaults', () => {
     const parsed = schema.parse({ dataCentre: 'hall-north', control: '10.0.0.1:1, 10.0.0.2:2', readLeaseMs: '500' })
-    expect(parsed).toEqual({ host: '127.0.0.1', adminPort: 0, keptStories: 64, logLinesPerSecond: 200, dataCentre: 'hall-north', control: ['10.0.0.1:1', '10.0.0.2:2'], readLeaseMs: 500 })
+    expect(parsed).toEqual({ host: '127.0.0.1', adminPort: 0, keptStories: 64, logLinesPerSecond: 200, memoryMb: 0, dataCentre: 'hall-north', control: ['10.0.0.1:1', '10.0.0.2:2'], readLeaseMs: 500 })
   })
 
   it('reports every setting that is missing or invalid', () => {
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -67,6 +67,7 @@
   adminPort: integerSetting(0, 65535).default(0).describe('port of /healthz, /readyz and /metrics; 0 takes a free one'),
   keptStories: integerSetting(1, 1_000_000).default(64).describe('of requests that go well, the log keeps the story of one in so many; failures are always kept'),
   logLinesPerSecond: integerSetting(1, 100_000).default(200).describe('most lines about requests that the log takes a second'),
+  memoryMb: z.coerce.number().min(0).max(1_000_000).default(0).describe('memory of this host in megabytes, beyond which the process is killed; if it is 0 or empty, 256 is assumed and the process is not watched'),
   dataCentre: z.string().regex(/^[a-z0-9-]+$/, 'must consist of lower-case letters, digits and dashes').describe('data centre this host stands in')
 }
 
--- a/packages/telemetry/src/lib/events/processChanges.ts
+++ b/packages/telemetry/src/lib/events/processChanges.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { memoryFields } from './memoryFields.js'
 
 /** Lifecycle of a process. */
 export const processChanges = {
@@ -13,7 +14,19 @@
     rpc: z.string().optional(),
     replicaId: z.string().optional(),
     operators: z.string().optional(),
-    admin: z.string()
+    admin: z.string(),
+    /** Memory of the host as stated by its settings; 0 if it is not known. */
+    memoryLimitBytes: z.number(),
+    /** Heap at which the engine ends the process. */
+    heapLimitBytes: z.number(),
+    residentBytes: z.number()
+  }),
+  /** The resident memory crossed a share of the host's memory. */
+  memory: z.strictObject({
+    share: z.number(),
+    isAbove: z.boolean(),
+    limitBytes: z.number(),
+    ...memoryFields
   }),
   /** A start, or a server for operators' tools, waits for something that may still come. */
   'dependency-missing': z.strictObject({ dependency: z.string(), reason: z.string(), waitedMs: z.number() }),
