--- a/packages/daemon/src/lib/MemoryBudget.ts
+++ b/packages/daemon/src/lib/MemoryBudget.ts
@@ -16,7 +16,7 @@
 const CONTROL_AT_REST_BYTES = 90 * BYTES_PER_MEGABYTE
 
 /** Both halves of the young generation, and the large objects in it, in bytes. */
-const YOUNG_GENERATION_BYTES = 12 * BYTES_PER_MEGABYTE
+const YOUNG_GENERATION_BYTES = 6 * BYTES_PER_MEGABYTE
 
 /** Part of the memory that nothing may use: what allocators don't return, and stacks. */
 const RESERVE_SHARE = 0.05
@@ -25,14 +25,12 @@
 export const CONNECTION_BYTES = 10_000
 
 /** Parts of an entry host's memory that are spread over what it does; they add up to 1. */
-const ENTRY_SHARES = {
-  heap: 0.28,
-  connections: 0.16,
-  requestBodies: 0.12,
-  unfinishedResponses: 0.1,
-  waitingResponses: 0.1,
-  slowReaders: 0.24
-}
+const ENTRY_SHARES = { heap: 0.25, connections: 0.15, requestBodies: 0.2, responses: 0.4 }
+
+/** Most of the host's memory that one kind of response may occupy while there is little of the others. */
+const UNFINISHED_RESPONSE_SHARE = 1 / 16
+const WAITING_RESPONSE_SHARE = 1 / 16
+const SLOW_READER_SHARE = 1 / 4
 
 /** Parts of a control host's memory that are spread over what it does; they add up to 1. */
 const CONTROL_SHARES = { heap: 0.65, operatorCalls: 0.35 }
@@ -62,12 +60,17 @@
   readonly connections: number
   /** Bodies of requests whose endpoints have not read them. */
   readonly requestBodyBytes: number
-  /** Unfinished responses of endpoints: events without an end, and bodies that are kept for a retry. */
-  readonly unfinishedResponseBytes: number
-  /** Responses that wait to be read. */
-  readonly waitingResponseBytes: number
-  /** Bytes that slow readers have not read. */
-  readonly slowReaderBytes: number
+  /** All responses together: unfinished ones, those that wait, and what slow readers have not read. */
+  readonly responseBytes: number
+  /** Most of {@link responseBytes} for one kind, while the others leave it. */
+  readonly mostOfResponses: {
+    /** Events of endpoints without an end, and bodies that are kept for a retry. */
+    readonly unfinished: number
+    /** Responses that wait to be read from their endpoints. */
+    readonly waiting: number
+    /** Bytes that slow readers have not read. */
+    readonly slowReaders: number
+  }
 }
 
 /** Budget of a control host, in bytes. */
@@ -84,15 +87,16 @@
   const { budget, spreadBytes } = divide(memoryMb, ENTRY_AT_REST_BYTES)
   const share = (part: keyof typeof ENTRY_SHARES): number => Math.floor(spreadBytes * ENTRY_SHARES[part])
   const connectionBytes = share('connections')
+  const responseBytes = share('responses')
+  const most = (part: number): number => Math.min(responseBytes, Math.floor(budget.limitBytes * part))
   return {
     ...budget,
     heapBytes: share('heap'),
     connectionBytes,
     connections: Math.floor(connectionBytes / CONNECTION_BYTES),
     requestBodyBytes: share('requestBodies'),
-    unfinishedResponseBytes: share('unfinishedResponses'),
-    waitingResponseBytes: share('waitingResponses'),
-    slowReaderBytes: share('slowReaders')
+    responseBytes,
+    mostOfResponses: { unfinished: most(UNFINISHED_RESPONSE_SHARE), waiting: most(WAITING_RESPONSE_SHARE), slowReaders: most(SLOW_READER_SHARE) }
   }
 }
 
