Early listener: the callers' port keeps its accept queue when it is transferred

What callers saw: in a burst, connections beyond 511 got no SYN-ACK and were tried again by the kernel after a second and more, although the queue is meant to hold 4,096.

Cause: taking over a listening handle listens on it again, and without a backlog Node.js asks for 511.

--- a/packages/daemon/src/lib/EarlyListener.ts
+++ b/packages/daemon/src/lib/EarlyListener.ts
@@ -13,7 +13,7 @@
   readonly #pendingSockets: Socket[] = []
   #isTransferred = false
 
-  private constructor (readonly host: string, readonly port: number, private readonly server: Server) {
+  private constructor (readonly host: string, readonly port: number, private readonly server: Server, private readonly backlog: number) {
     server.on('connection', socket => { this.#pendingSockets.push(socket) })
   }
 
@@ -33,7 +33,7 @@
     })
     const address = server.address()
     const openPort = address !== null && typeof address === 'object' ? address.port : port
-    return new EarlyListener(host, openPort, server)
+    return new EarlyListener(host, openPort, server, backlog)
   }
 
   /**
@@ -54,8 +54,8 @@
     this.#isTransferred = true
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
-      // The other server takes over the handle and accepts from the same backlog.
-      server.listen(this.server, resolve)
+      // The other server takes over the handle and listens on it again, which sets the backlog anew.
+      server.listen(this.server, this.backlog, resolve)
     })
     for (const socket of this.#pendingSockets.splice(0)) {
       if (socket.destroyed) continue
