Soak: ends of processes that are starting count, and the next one is started

What callers saw: processes that ended by themselves, or didn't start. The soak counted ends of processes that listened, but took the first failed start of a process for the end of its slot: it started none after it and told of it only after the last fault, as a slot that can't recover. A process that ends before it listens now breaks ends-when-told at once, and the next one is started, as a platform does.

--- a/apps/bench/src/lib/ManagedProcess.ts
+++ b/apps/bench/src/lib/ManagedProcess.ts
@@ -68,7 +68,7 @@
   }
 
   /**
-   * Starts a program and waits until it listens.
+   * Starts a program and waits until it listens; kills it if it doesn't in time.
    *
    * @param program - program name, or URL of a main module
    * @param args - command-line arguments
@@ -79,8 +79,13 @@
     program: ProgramName | URL, args: readonly string[], options: ProcessOptions = {}
   ): Promise<{ process: ManagedProcess, addresses: PrintedAddresses }> {
     const startedProcess = new ManagedProcess(program, args, options)
-    const addresses = await startedProcess.#waitUntilListening()
-    return { process: startedProcess, addresses }
+    try {
+      const addresses = await startedProcess.#waitUntilListening()
+      return { process: startedProcess, addresses }
+    } catch (error) {
+      await startedProcess.kill()
+      throw error
+    }
   }
 
   get pid (): number { return this.#child.pid ?? 0 }
--- a/apps/soak/src/lib/ProcessSlot.ts
+++ b/apps/soak/src/lib/ProcessSlot.ts
@@ -27,6 +27,8 @@
    * @param code - exit code; null if a signal ended the process
    */
   onEnd? (label: string, code: number | null): void
+  /** Called for each process that ends, or is killed after a time limit, before it listens. */
+  onFailedStart? (label: string, error: unknown): void
 }
 
 /** Delay between the exit of a process and the start of the next one, in milliseconds: like a service manager that restarts almost at once. */
@@ -38,7 +40,6 @@
   #count = 0
   #isClosed = false
   #supervision: Promise<void> = Promise.resolve()
-  #failure: Error | undefined
 
   /** @param plan - how to start the processes */
   constructor (private readonly plan: SlotPlan) {}
@@ -47,8 +48,6 @@
   /** The running incarnation; undefined between two of them. */
   get current (): Incarnation | undefined { return this.#current }
   get label (): string { return `${this.plan.name}#${this.#count}` }
-  /** Why the next incarnation could not be started; undefined if none has failed to start. */
-  get failure (): Error | undefined { return this.#failure }
 
   /** @returns path of the log file of an incarnation */
   logFile (label = this.label): string {
@@ -86,20 +85,25 @@
   }
 
   async #supervise (): Promise<void> {
+    while (!this.#isClosed) {
+      const { current } = this
+      const code = await current?.process.exited()
+      this.#current = undefined
+      if (this.#isClosed) return
+      if (current !== undefined) this.plan.onEnd?.(current.label, code ?? null)
+      await sleep(RESTART_DELAY_MS)
+      if (!this.#isClosed) await this.#tryToStartNext()
+      // The slot may have been closed while the process was starting, which must not outlive it.
+      await this.#endIfClosed()
+    }
+  }
+
+  /** A process that fails to start is followed by the next one, like any other. */
+  async #tryToStartNext (): Promise<void> {
     try {
-      while (!this.#isClosed) {
-        const { current } = this
-        const code = await current?.process.exited()
-        this.#current = undefined
-        if (this.#isClosed) return
-        if (current !== undefined) this.plan.onEnd?.(current.label, code ?? null)
-        await sleep(RESTART_DELAY_MS)
-        if (!this.#isClosed) await this.#startNext()
-        // The slot may have been closed while the process was starting, which must not outlive it.
-        await this.#endIfClosed()
-      }
+      await this.#startNext()
     } catch (error) {
-      this.#failure = error instanceof Error ? error : new Error(String(error))
+      this.plan.onFailedStart?.(this.label, error)
     }
   }
 }
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -48,6 +48,8 @@
   readonly areHostsAlone: boolean
   /** Features for hard load that entry hosts use. */
   readonly loadFeatures: readonly LoadFeature[]
+  /** Entry hosts end by themselves: a break that the checks must detect. */
+  readonly doHostsEnd: boolean
   /** Entry hosts get a retry budget without limit: a break that the checks must detect. */
   readonly hasUnlimitedRetries: boolean
   /** Called for each rejection by an endpoint that asks for a pause. */
@@ -62,6 +64,8 @@
   onStart (label: string): void
   /** Called for each process that has exited; the code is null if a signal ended it. */
   onEnd (label: string, code: number | null): void
+  /** Called for each process that has ended before it listened. */
+  onFailedStart (label: string, error: unknown): void
 }
 
 /** Starts and stops the processes. */
@@ -162,11 +166,6 @@
     return slot?.logFile(label) ?? ''
   }
 
-  /** @returns why a process could not be restarted; undefined if all could */
-  failure (): Error | undefined {
-    return this.#allSlots().find(slot => slot.failure !== undefined)?.failure
-  }
-
   #dataFolder (control: number): string {
     return `${this.settings.folder}/control-${control}-disk-${this.#disks[control] ?? 0}`
   }
@@ -226,7 +225,7 @@
       name: `entry-${index}`,
       ...this.#commonPlan('entry'),
       // Each entry host has its own loopback address, which identifies it although its port is assigned by the system.
-      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--credulous', String(this.settings.areHostsCredulous), '--hasty', String(this.settings.areHostsHasty), '--leaves-open', String(this.settings.areConnectionsLeftOpen), ...this.#loadArguments()],
+      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--credulous', String(this.settings.areHostsCredulous), '--hasty', String(this.settings.areHostsHasty), '--leaves-open', String(this.settings.areConnectionsLeftOpen), '--ends', String(this.settings.doHostsEnd), ...this.#loadArguments()],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
@@ -243,12 +242,13 @@
     return ['--retry-ratio', String(ratio), '--retry-slack', String(slack)]
   }
 
-  #commonPlan (program: string): Pick<SlotPlan, 'program' | 'logFolder' | 'environment' | 'onEnd'> {
+  #commonPlan (program: string): Pick<SlotPlan, 'program' | 'logFolder' | 'environment' | 'onEnd' | 'onFailedStart'> {
     return {
       environment: LOG_ENVIRONMENT,
       program: new URL(`../${program}.js`, import.meta.url.replace('/src/lib/', '/dist/lib/')),
       logFolder: this.settings.folder,
-      onEnd: (label, code) => { this.settings.onEnd(label, code) }
+      onEnd: (label, code) => { this.settings.onEnd(label, code) },
+      onFailedStart: (label, error) => { this.settings.onFailedStart(label, error) }
     }
   }
 
--- a/apps/soak/src/lib/breakPromises.ts
+++ b/apps/soak/src/lib/breakPromises.ts
@@ -1,4 +1,4 @@
-/** Breaks a process on purpose: it believes statements that may belong to other sends, or answers connection errors as Node does by default. */
+/** Breaks a process on purpose: it believes statements that may belong to other sends, answers connection errors as Node does by default, or ends by itself. */
 import { Server } from 'node:http'
 import { ResponseAttribution, type AttributedHead } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 
@@ -15,3 +15,11 @@
     return event === 'clientError' ? this : on.call(this, event, listener)
   } as Server['on']
 }
+
+/** Time after which a process ends by itself, in milliseconds. */
+const END_AFTER_MS = 3000
+
+/** Ends this process as if its work were done, although nobody has told it to. */
+export function endSoon (): void {
+  setTimeout(() => { process.exit(0) }, END_AFTER_MS)
+}
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -28,7 +28,7 @@
 import { STARTED, Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts', 'ending-hosts'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** Parameters of a run. */
@@ -120,6 +120,7 @@
       areHostsCredulous: breaks.includes('credulous-hosts'),
       areHostsHasty: breaks.includes('hasty-hosts'),
       areConnectionsLeftOpen: breaks.includes('connections-left-open'),
+      doHostsEnd: breaks.includes('ending-hosts'),
       areHostsAlone: breaks.includes('hosts-alone'),
       hasColdReturns,
       loadFeatures: plan.loadFeatures ?? [],
@@ -129,7 +130,8 @@
       onRejection: line => { this.#history.recordRejection(line) },
       onRun: line => { this.#history.recordRun(line) },
       onStart: label => { this.#timeline.record(label, STARTED, false) },
-      onEnd: (label, code) => { this.#recordProcessEnd(label, code) }
+      onEnd: (label, code) => { this.#recordProcessEnd(label, code) },
+      onFailedStart: (label, error) => { this.#recordFailedStart(label, error) }
     })
     this.#balancer = new Balancer(this.#cluster.entries)
     this.#operator = new Operator(this.#cluster.controls, new SeededRandom(seed + OPERATOR_SEED_OFFSET), this.#configuration, hasColdReturns && !breaks.includes('no-cold-rate'))
@@ -179,6 +181,12 @@
     if (!isExpected) this.#history.recordViolation('ends-when-told', `${label} exited with ${code ?? 'a signal that the soak did not send'}`, [label])
   }
 
+  /** The soak disturbs no process that is starting, so nothing explains its end. */
+  #recordFailedStart (label: string, error: unknown): void {
+    this.#timeline.record(label, 'ended while it started', false)
+    this.#history.recordViolation('ends-when-told', `${label} did not start: ${String(error)}`, [label])
+  }
+
   async #injectFaults (): Promise<void> {
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
@@ -197,8 +205,6 @@
     await this.#waitFor('all entry hosts are ready', async () => this.#balancer.areAllReady)
     await this.#waitFor('the site can be read', async () => await this.#operator.readOnce())
     await this.#waitFor('all engines have the newest weights', async () => this.#haveEnginesNewestWeights())
-    const failure = this.#cluster.failure()
-    if (failure !== undefined) this.#history.recordViolation('recovers', failure.message, [])
   }
 
   async #waitFor (what: string, condition: () => Promise<boolean>): Promise<void> {
--- a/apps/soak/src/soakBreaks.test.ts
+++ b/apps/soak/src/soakBreaks.test.ts
@@ -73,6 +73,11 @@
       expect(guarantees).toContain('ends-when-told')
     }, TIMEOUT_MS)
 
+    it('finds hosts that end by themselves', async () => {
+      const { violations } = await play({ seconds: 6, breaks: ['ending-hosts'], kinds: ['new-site'], recoveryMs: 1000 })
+      expect(violations.map(({ guarantee }) => guarantee)).toContain('ends-when-told')
+    }, TIMEOUT_MS)
+
     it('finds sites and weights that were acknowledged and are not in force', async () => {
       const { violations } = await play({ seconds: 3, breaks: ['forgetful-control'], kinds: ['new-site', 'new-weights'], recoveryMs: 1000 })
       const guarantees = violations.map(({ guarantee }) => guarantee)
