Soak: processes above their memory are killed from outside and count as ends

A platform kills a process above its memory. Such an end breaks ends-when-told. The break hoarding-hosts takes up 40 MB a second; the check finds it.

--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -3,7 +3,7 @@
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { booleanSetting } from '@eelgrassmux/daemon/settings'
 import { routedSettingsShape, startRoutedDaemon } from '@eelgrassmux/entry/RoutedDaemon'
-import { answerConnectionErrors, believeStatements, endSoon } from './lib/breakPromises.js'
+import { answerConnectionErrors, believeStatements, endSoon, hoardMemory } from './lib/breakPromises.js'
 import { bindOutgoingConnections } from './lib/bindOutgoingConnections.js'
 import { leaveOutgoingConnectionsOpen } from './lib/leaveOutgoingConnectionsOpen.js'
 import { refuseCrowds } from './lib/refuseCrowds.js'
@@ -16,6 +16,7 @@
   credulous: booleanSetting.default(false).describe('believes statements of endpoints that may belong to other sends: a break that the checks must detect'),
   hasty: booleanSetting.default(false).describe('answers connection errors while requests are pending: a break that the checks must detect'),
   leavesOpen: booleanSetting.default(false).describe('never closes its connections to endpoints: a break that the checks must detect'),
+  hoards: booleanSetting.default(false).describe('holds ever more memory: a break that the checks must detect'),
   ends: booleanSetting.default(false).describe('ends by itself some seconds after its start: a break that the checks must detect'),
   deaf: booleanSetting.default(false).describe('ignores what endpoints ask of it in their answers: a break that the checks must detect')
 })
@@ -29,6 +30,7 @@
     if (settings.frail) refuseCrowds()
     if (settings.credulous) believeStatements()
     if (settings.hasty) answerConnectionErrors()
+    if (settings.hoards) hoardMemory()
     if (settings.ends) endSoon()
     if (settings.leavesOpen) leaveOutgoingConnectionsOpen(settings.control)
     return await startRoutedDaemon(settings, telemetry, waits, {
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -6,6 +6,7 @@
 import { endpointLineSchema, type EndlessLine, type RejectionLine, type RunLine, type TurnedAwayLine } from './standinProtocol.js'
 import type { SilenceScope, SlotRole, SoakShape } from './faultPlan.js'
 import { LoopbackProxy, type Direction, type HostCut } from '@eelgrassmux/rpc/harness/LoopbackProxy'
+import { MEMORY_MB } from './MemoryLimit.js'
 import { ProcessSlot, type Incarnation, type SlotPlan } from './ProcessSlot.js'
 import { COLD_DURATION_MS, dataCentreOf, MODEL, MODEL_SERVICE, PLAIN_SERVICE, RETRY_BUDGET } from './soakSite.js'
 
@@ -48,6 +49,8 @@
   readonly areHostsAlone: boolean
   /** Features for hard load that entry hosts use. */
   readonly loadFeatures: readonly LoadFeature[]
+  /** Entry hosts hold ever more memory: a break that the checks must detect. */
+  readonly doHostsHoard: boolean
   /** Entry hosts end by themselves: a break that the checks must detect. */
   readonly doHostsEnd: boolean
   /** Entry hosts get a retry budget without limit: a break that the checks must detect. */
@@ -225,7 +228,7 @@
       name: `entry-${index}`,
       ...this.#commonPlan('entry'),
       // Each entry host has its own loopback address, which identifies it although its port is assigned by the system.
-      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--credulous', String(this.settings.areHostsCredulous), '--hasty', String(this.settings.areHostsHasty), '--leaves-open', String(this.settings.areConnectionsLeftOpen), '--ends', String(this.settings.doHostsEnd), ...this.#loadArguments()],
+      args: () => ['--host', addressOfEntry(index), '--data-centre', dataCentreOf(index), '--control', controlAddresses.join(','), '--deaf', String(this.settings.isDeaf), '--alone', String(this.settings.areHostsAlone), '--frail', String(this.settings.areHostsFrail), '--credulous', String(this.settings.areHostsCredulous), '--hasty', String(this.settings.areHostsHasty), '--leaves-open', String(this.settings.areConnectionsLeftOpen), '--hoards', String(this.settings.doHostsHoard), '--ends', String(this.settings.doHostsEnd), '--memory-mb', String(MEMORY_MB.entry), ...this.#loadArguments()],
       environment: { ...LOG_ENVIRONMENT, EELGRASSMUX_STOP_GRACE_SECONDS: String(this.settings.graceMs / MILLISECONDS_PER_SECOND) },
       onStart: incarnation => { this.settings.onStart(incarnation.label) }
     })
--- a/apps/soak/src/lib/breakPromises.ts
+++ b/apps/soak/src/lib/breakPromises.ts
@@ -1,4 +1,4 @@
-/** Breaks a process on purpose: it believes statements that may belong to other sends, answers connection errors as Node does by default, or ends by itself. */
+/** Breaks a process on purpose: it believes statements that may belong to other sends, answers connection errors as Node does by default, ends by itself, or holds ever more memory. */
 import { Server } from 'node:http'
 import { ResponseAttribution, type AttributedHead } from '@eelgrassmux/routing/attempts/ResponseAttribution'
 
@@ -23,3 +23,13 @@
 export function endSoon (): void {
   setTimeout(() => { process.exit(0) }, END_AFTER_MS)
 }
+
+/** Memory that a process takes up at each interval, and the interval in milliseconds. */
+const HOARDED_BYTES = 4_000_000
+const HOARD_INTERVAL_MS = 100
+
+/** Takes up more and more memory in this process. */
+export function hoardMemory (): void {
+  const hoard: Buffer[] = []
+  setInterval(() => { hoard.push(Buffer.alloc(HOARDED_BYTES, 1)) }, HOARD_INTERVAL_MS)
+}
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -22,13 +22,14 @@
 import { planPoisonParts, planRepeatedRequests } from './planRepeatedRequests.js'
 import { RepeatingCaller } from './RepeatingCaller.js'
 import { RequestHistory, type Violation } from './RequestHistory.js'
+import { MemoryLimit } from './MemoryLimit.js'
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
 import { MODEL } from './soakSite.js'
 import { STARTED, Timeline } from './Timeline.js'
 
 /** Ways to break a guarantee on purpose, in addition to those of the endpoint stand-ins. */
-export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts', 'ending-hosts'] as const
+export const PROCESS_BREAKS = ['abrupt-stop', 'forgetful-control', 'deaf-hosts', 'no-cold-rate', 'unlimited-retries', 'hosts-alone', 'connections-left-open', 'frail-hosts', 'credulous-hosts', 'hasty-hosts', 'ending-hosts', 'hoarding-hosts'] as const
 export type SoakBreak = EndpointBreak | typeof PROCESS_BREAKS[number]
 
 /** Parameters of a run. */
@@ -60,6 +61,8 @@
   /** Number of requests by status, and of those that were cut off as `cut`. */
   readonly endCounts: ReadonlyMap<string, number>
   readonly actionCount: number
+  /** Most memory that was resident, by role. */
+  readonly memory: string
   readonly violations: readonly Violation[]
   /** One line for each action. */
   readonly timeline: readonly string[]
@@ -100,6 +103,7 @@
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
   readonly #cluster: SoakCluster
+  readonly #memoryLimit: MemoryLimit
   readonly #operator: Operator
   readonly #balancer: Balancer
   readonly #callers: Array<Caller | RepeatingCaller>
@@ -120,6 +124,7 @@
       areHostsCredulous: breaks.includes('credulous-hosts'),
       areHostsHasty: breaks.includes('hasty-hosts'),
       areConnectionsLeftOpen: breaks.includes('connections-left-open'),
+      doHostsHoard: breaks.includes('hoarding-hosts'),
       doHostsEnd: breaks.includes('ending-hosts'),
       areHostsAlone: breaks.includes('hosts-alone'),
       hasColdReturns,
@@ -133,6 +138,7 @@
       onEnd: (label, code) => { this.#recordProcessEnd(label, code) },
       onFailedStart: (label, error) => { this.#recordFailedStart(label, error) }
     })
+    this.#memoryLimit = new MemoryLimit(this.#cluster, this.#timeline)
     this.#balancer = new Balancer(this.#cluster.entries)
     this.#operator = new Operator(this.#cluster.controls, new SeededRandom(seed + OPERATOR_SEED_OFFSET), this.#configuration, hasColdReturns && !breaks.includes('no-cold-rate'))
     const context = {
@@ -153,11 +159,13 @@
     try {
       await this.#cluster.start()
       this.#balancer.start()
+      this.#memoryLimit.start()
       await this.#operator.putSite()
       await waitUntil(async () => this.#balancer.areAllReady, RECOVERY_TIMEOUT_MS)
       await this.#injectFaults()
     } finally {
       this.#balancer.close()
+      this.#memoryLimit.close()
       await this.#cluster.stop()
     }
     this.#history.settleAll()
@@ -178,7 +186,7 @@
       return
     }
     const isExpected = code === null ? this.#timeline.wasKilled(label) : code === 0 && this.#timeline.stopOf(label) !== undefined
-    if (!isExpected) this.#history.recordViolation('ends-when-told', `${label} exited with ${code ?? 'a signal that the soak did not send'}`, [label])
+    if (!isExpected) this.#history.recordViolation('ends-when-told', `${label} exited with ${code ?? 'a signal that is no planned fault'}`, [label])
   }
 
   /** The soak disturbs no process that is starting, so nothing explains its end. */
@@ -233,6 +241,7 @@
       requests: this.#history.requestCount,
       endCounts,
       actionCount: this.#timeline.entries.length,
+      memory: this.#memoryLimit.describe(),
       violations,
       timeline: this.#timeline.describe(),
       logFiles: [...involved].map(label => this.#cluster.logFile(label))
--- a/apps/soak/src/main.ts
+++ b/apps/soak/src/main.ts
@@ -76,9 +76,9 @@
     return loadFeatureSchema.options.filter(feature => named.includes('all') || named.includes(feature))
   }
 
-  #print ({ seed, requests, endCounts, actionCount, violations, timeline, logFiles }: SoakResult): void {
+  #print ({ seed, requests, endCounts, actionCount, memory, violations, timeline, logFiles }: SoakResult): void {
     const counts = [...endCounts].sort().map(([name, count]) => `${name}: ${count}`).join(', ')
-    this.context.stdout.write(`seed ${seed}: ${requests} requests (${counts}), ${actionCount} actions, ${violations.length} violations\n`)
+    this.context.stdout.write(`seed ${seed}: ${requests} requests (${counts}), ${actionCount} actions, at most ${memory}, ${violations.length} violations\n`)
     if (violations.length === 0) return
     for (const { guarantee, detail } of violations.slice(0, MAX_PRINTED_VIOLATIONS)) this.context.stdout.write(`  ${guarantee}: ${detail}\n`)
     this.context.stdout.write(`  logs: ${logFiles.join(' ')}\n  timeline:\n${timeline.map(line => `    ${line}\n`).join('')}`)
--- a/apps/soak/src/soakBreaks.test.ts
+++ b/apps/soak/src/soakBreaks.test.ts
@@ -78,6 +78,12 @@
       expect(violations.map(({ guarantee }) => guarantee)).toContain('ends-when-told')
     }, TIMEOUT_MS)
 
+    it('finds hosts that hold more memory than they are told', async () => {
+      const { violations, timeline } = await play({ seconds: 8, breaks: ['hoarding-hosts'], kinds: ['new-site'], recoveryMs: 1000 })
+      expect(violations.map(({ guarantee }) => guarantee)).toContain('ends-when-told')
+      expect(timeline.join('\n')).toContain('is above its memory')
+    }, TIMEOUT_MS)
+
     it('finds sites and weights that were acknowledged and are not in force', async () => {
       const { violations } = await play({ seconds: 3, breaks: ['forgetful-control'], kinds: ['new-site', 'new-weights'], recoveryMs: 1000 })
       const guarantees = violations.map(({ guarantee }) => guarantee)
