Soak: large bodies, idle connections, more callers than a host can serve, taken ports

Four kinds of faults of processes that end by themselves or don't start, each seeded: large-bodies, idle-connections, many-callers and taken-port. Calls of many-callers have to end by their deadline and half a second at hosts that run undisturbed (answers-in-time). Short seeded runs play them in soak.test.ts.

--- a/apps/soak/src/lib/ExtraCallers.ts
+++ b/apps/soak/src/lib/ExtraCallers.ts
@@ -1,6 +1,10 @@
 /** Callers that send requests for some time beside the callers of the whole run. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { CallerContext } from './Caller.js'
+import { CallerWithDeadline } from './CallerWithDeadline.js'
+import type { AnswersInTimeCheck } from './checks/AnswersInTimeCheck.js'
+import { HeldConnections, type Held } from './HeldConnections.js'
+import type { ProcessSlot } from './ProcessSlot.js'
 import { CallerWithBytesBehind, type BytesBehind } from './CallerWithBytesBehind.js'
 import type { RepeatedRequest } from './planRepeatedRequests.js'
 import { RepeatingCaller } from './RepeatingCaller.js'
@@ -42,11 +46,32 @@
     await this.#runFor(Array.from({ length: count }, (_, index) => new CallerWithBytesBehind(`${name}-${index}`, bytes, this.#randomOf(count, index), this.context)), durationMs)
   }
 
+  /**
+   * @param host - entry host that they all call
+   * @param count - number of callers
+   * @param check - told of the end of each call
+   * @param durationMs - time after which no further call is sent, in milliseconds
+   */
+  async runWithDeadline (host: ProcessSlot, count: number, check: AnswersInTimeCheck, durationMs: number): Promise<void> {
+    const name = this.nextName('many')
+    await this.#runFor(Array.from({ length: count }, (_, index) => new CallerWithDeadline(`${name}-${index}`, () => host.current, this.context.history, check)), durationMs)
+  }
+
+  /**
+   * @param host - entry host to which the connections are open
+   * @param count - number of connections
+   * @param held - what comes over them
+   * @param durationMs - how long they are held, in milliseconds
+   */
+  async holdConnections (host: ProcessSlot, count: number, held: Held, durationMs: number): Promise<void> {
+    await new HeldConnections(this.nextName('held'), held, () => host.current, this.context.history).hold(count, durationMs)
+  }
+
   #randomOf (count: number, index: number): SeededRandom {
     return SeededRandom.ofNeighbour(this.seed + this.#count * count + index)
   }
 
-  async #runFor (callers: ReadonlyArray<RepeatingCaller | CallerWithBytesBehind>, durationMs: number): Promise<void> {
+  async #runFor (callers: ReadonlyArray<RepeatingCaller | CallerWithBytesBehind | CallerWithDeadline>, durationMs: number): Promise<void> {
     const running = Promise.all(callers.map(async caller => { await caller.run() }))
     await sleep(durationMs)
     for (const caller of callers) caller.stop()
--- a/apps/soak/src/lib/FaultInjector.ts
+++ b/apps/soak/src/lib/FaultInjector.ts
@@ -1,11 +1,14 @@
 /** Injects the planned faults at their times, so that they may overlap, and records them on the timeline. */
+import { createServer } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
 import type { Balancer } from './Balancer.js'
 import type { PlannedFault, SlotRole } from './faultPlan.js'
 import type { ExtraCallers } from './ExtraCallers.js'
+import type { Held } from './HeldConnections.js'
 import type { Operator } from './Operator.js'
 import { planBurst, planCrowd, planSlowReaders } from './planRepeatedRequests.js'
+import type { AnswersInTimeCheck } from './checks/AnswersInTimeCheck.js'
 import type { ServedAsBeforeCheck } from './checks/ServedAsBeforeCheck.js'
 import type { CustomersAreServedCheck } from './checks/CustomersAreServedCheck.js'
 import type { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
@@ -60,6 +63,7 @@
   readonly crowds: ServedAsBeforeCheck
   readonly soundEndpoints: ServedAsBeforeCheck
   readonly configuration: ConfigurationCheck
+  readonly answersInTime: AnswersInTimeCheck
 }
 
 /** What callers send, and to which hosts. */
@@ -73,6 +77,8 @@
   readonly #pending: Array<Promise<void>> = []
   readonly #evacuated = new Set<string>()
   #isHostCrowded = false
+  #isHostCalled = false
+  readonly #heldHosts = new Set<ProcessSlot>()
   #strangeEntries = 0
   #isDiskLost = false
   /** Monotonic milliseconds until which each entry host is cut off. */
@@ -129,6 +135,10 @@
       case 'strange-entry': return await this.#listStrangeEntry(fault)
       case 'lost-disk': return await this.#loseDisk(fault)
       case 'all-entries-killed': return this.cluster.entries.forEach(slot => { this.#kill(slot) })
+      case 'large-bodies': return await this.#holdConnections(fault.slot, fault.callers, fault.bodies, fault.durationMs)
+      case 'idle-connections': return await this.#holdConnections(fault.slot, fault.connections, 'nothing', fault.durationMs)
+      case 'many-callers': return await this.#callHost(fault)
+      case 'taken-port': return await this.#takePort(fault)
       case 'cold-return': return this.#kill(this.#slot('endpoint', fault.slot))
       case 'new-site':
         this.timeline.record('operator', 'stores a new site', false)
@@ -278,6 +288,42 @@
     await this.load.extraCallers.run(planSlowReaders(this.load.extraCallers.nextName('slow'), SLOW_READERS_CUSTOMER, callers), durationMs)
   }
 
+  /** More callers than one host can serve call one host at a time. */
+  async #callHost ({ slot, callers, durationMs }: Extract<PlannedFault, { kind: 'many-callers' }>): Promise<void> {
+    if (this.#isHostCalled) return
+    this.#isHostCalled = true
+    const host = this.#slot('entry', slot)
+    this.timeline.record('callers', `${callers} call ${host.name}`, false, durationMs)
+    await this.load.extraCallers.runWithDeadline(host, callers, this.checks.answersInTime, durationMs)
+    this.#isHostCalled = false
+  }
+
+  /** Connections to a host are held by one group of callers at a time. */
+  async #holdConnections (slot: number, count: number, held: Held, durationMs: number): Promise<void> {
+    const host = this.#slot('entry', slot)
+    if (this.#heldHosts.has(host)) return
+    this.#heldHosts.add(host)
+    this.timeline.record('callers', `${count} hold connections to ${host.name}, ${held === 'nothing' ? 'idle' : `their large bodies are ${held}`}`, false, durationMs)
+    await this.load.extraCallers.holdConnections(host, count, held, durationMs)
+    this.#heldHosts.delete(host)
+  }
+
+  /** Another process listens on a port of the process that has just ended; the next one is told to listen there. */
+  async #takePort ({ role, slot: index, isAdminPort, durationMs }: Extract<PlannedFault, { kind: 'taken-port' }>): Promise<void> {
+    const slot = this.#slot(role, index)
+    const { current } = slot
+    const [host, port] = current?.addresses[isAdminPort ? 'admin' : role === 'entry' ? 'http' : 'rpc']?.split(':') ?? []
+    if (current === undefined || port === undefined) return
+    slot.startNextWith([isAdminPort ? '--admin-port' : '--port', port])
+    this.#kill(slot)
+    await current.process.exited()
+    const listener = createServer(socket => { socket.destroy() }).on('error', () => {})
+    this.timeline.record(slot.name, `${isAdminPort ? 'admin port' : 'port'} is taken`, true, durationMs)
+    listener.listen(Number(port), host)
+    await sleep(durationMs)
+    listener.close()
+  }
+
   async #fillService (durationMs: number): Promise<void> {
     const plain = this.cluster.endpoints.slice(0, this.cluster.plainEndpointCount)
     await Promise.all(plain.map(async slot => { await this.#setCondition(slot, { kind: 'full', places: PLACES_WHILE_FULL, durationMs }) }))
--- a/apps/soak/src/lib/ProcessSlot.ts
+++ b/apps/soak/src/lib/ProcessSlot.ts
@@ -38,6 +38,7 @@
 export class ProcessSlot {
   #current: Incarnation | undefined
   #count = 0
+  #nextArguments: readonly string[] = []
   #isClosed = false
   #supervision: Promise<void> = Promise.resolve()
 
@@ -54,6 +55,15 @@
     return `${this.plan.logFolder}/${label.replace('#', '-')}.log`
   }
 
+  /**
+   * Adds command-line arguments to those of the processes to come, until one of them listens.
+   *
+   * @param args - the arguments, which win over others of the same names
+   */
+  startNextWith (args: readonly string[]): void {
+    this.#nextArguments = args
+  }
+
   /** Starts the first incarnation and supervises the slot from then on. */
   async start (): Promise<void> {
     await this.#startNext()
@@ -75,7 +85,8 @@
       ...(plan.environment === undefined ? {} : { environment: plan.environment }),
       onLine: (line: string) => { plan.onLine?.(line) }
     }
-    const started = await ManagedProcess.start(plan.program, plan.args(label), options)
+    const started = await ManagedProcess.start(plan.program, [...plan.args(label), ...this.#nextArguments], options)
+    this.#nextArguments = []
     this.#current = { label, ...started }
     plan.onStart?.(this.#current)
   }
--- a/apps/soak/src/lib/RequestHistory.ts
+++ b/apps/soak/src/lib/RequestHistory.ts
@@ -7,7 +7,7 @@
 export const GUARANTEES = [
   'at-most-once', 'not-run-is-true', 'whole-answers', 'events-in-order', 'nothing-is-cut', 'customers-apart', 'one-weight-version', 'one-software-version',
   'configuration-never-reverts', 'configuration-arrives', 'ends-when-told', 'recovers', 'poison-requests-stop', 'bystanders-are-served',
-  'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded', 'evacuations-hold', 'cold-rates-are-kept', 'retry-budget-is-kept', 'customers-are-served', 'cut-off-hosts-serve', 'brittle-endpoints-stand', 'endless-answers-are-closed', 'crowded-hosts-serve', 'sound-endpoints-serve'
+  'pauses-are-kept', 'rates-are-kept', 'leaving-is-heeded', 'evacuations-hold', 'cold-rates-are-kept', 'retry-budget-is-kept', 'customers-are-served', 'cut-off-hosts-serve', 'brittle-endpoints-stand', 'endless-answers-are-closed', 'crowded-hosts-serve', 'sound-endpoints-serve', 'answers-in-time'
 ] as const
 export type GuaranteeName = typeof GUARANTEES[number]
 
--- a/apps/soak/src/lib/faultPlan.ts
+++ b/apps/soak/src/lib/faultPlan.ts
@@ -1,5 +1,6 @@
 /** Plans which faults are injected and when, determined by a seed alone. */
 import { SeededRandom } from './SeededRandom.js'
+import { LARGE_BODIES } from './HeldConnections.js'
 import { BYTES_BEHIND, type BytesBehind } from './CallerWithBytesBehind.js'
 import { ENDLESS_PARTS, RESTRAINT_KINDS, SECOND_ANSWER_KINDS, type EndlessPart, type RestraintKind, type SecondAnswerKind } from './standinProtocol.js'
 import { STRANGE_ENTRIES, type StrangeEntry } from './strangeEntries.js'
@@ -53,6 +54,14 @@
   | { readonly kind: 'second-answers', readonly slot: number, readonly answers: SecondAnswerKind, readonly durationMs: number }
   /** Callers send other bytes behind calls that run. */
   | { readonly kind: 'bytes-behind', readonly callers: number, readonly bytes: BytesBehind, readonly durationMs: number }
+  /** Callers send large bodies to an entry host that stop before their end, or come slowly. */
+  | { readonly kind: 'large-bodies', readonly slot: number, readonly bodies: typeof LARGE_BODIES[number], readonly callers: number, readonly durationMs: number }
+  /** Many connections to an entry host are open, and nothing comes over them. */
+  | { readonly kind: 'idle-connections', readonly slot: number, readonly connections: number, readonly durationMs: number }
+  /** More callers with connections of their own than an entry host can serve. */
+  | { readonly kind: 'many-callers', readonly slot: number, readonly callers: number, readonly durationMs: number }
+  /** A process is killed, and one of its ports is taken for some time while it starts again. */
+  | { readonly kind: 'taken-port', readonly role: 'entry' | 'control', readonly slot: number, readonly isAdminPort: boolean, readonly durationMs: number }
   /** Some entry hosts lose their links to all endpoints. */
   | { readonly kind: 'host-cut', readonly slots: readonly number[], readonly cut: HostCut, readonly durationMs: number }
   /** Open connections go silent for good, and new ones work; the site is changed meanwhile. */
@@ -116,6 +125,14 @@
 const MIN_PACE = 150
 const MAX_PACE = 400
 
+/** Number of callers whose large bodies stop or come slowly, of idle connections, and of callers that are more than a host can serve. */
+const LARGE_BODY_CALLERS = 60
+const IDLE_CONNECTIONS = 3000
+const MANY_CALLERS = 600
+
+/** Highest time for which a port is taken, in milliseconds. */
+const MAX_TAKEN_PORT_MS = 3000
+
 /** Kind of a planned fault, or `restrained-service`, which stands for the faults of {@link planServiceRestraint}. */
 export type FaultKind = PlannedFault['kind'] | 'restrained-service'
 
@@ -128,8 +145,11 @@
 /** Kinds of load that hosts have to bear. */
 export const LOAD_FAULT_KINDS: readonly FaultKind[] = ['burst', 'slow-readers', 'slow-machine', 'slow-machine', 'full-service']
 
+/** Kinds that end processes which hold too much memory, accept too little or don't wait for what they need at their start. */
+export const END_FAULT_KINDS: readonly FaultKind[] = ['large-bodies', 'idle-connections', 'many-callers', 'taken-port']
+
 /** All kinds of faults: {@link FAULT_KINDS}, {@link LOAD_FAULT_KINDS}, and those that have a run of their own in CI. */
-export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed', 'silent-connections', 'silent-connections', 'strange-entry']
+export const ALL_FAULT_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...LOAD_FAULT_KINDS, 'restraint', 'restraint', 'restraint', 'evacuation', 'cold-return', 'cold-return', 'host-cut', 'host-cut', 'brittle-service', 'endless-answers', 'crowd', 'second-answers', 'second-answers', 'bytes-behind', 'lost-disk', 'all-entries-killed', 'silent-connections', 'silent-connections', 'strange-entry', ...END_FAULT_KINDS]
 
 /**
  * @param seed - determines all faults
@@ -205,6 +225,13 @@
     case 'endless-answers': return { atMs, kind, slot: random.index(slotCount('endpoint', shape)), part: random.pick(ENDLESS_PARTS), durationMs }
     case 'second-answers': return { atMs, kind, slot: random.index(shape.plainEndpoints), answers: random.pick(SECOND_ANSWER_KINDS), durationMs: Math.round(random.between(MIN_RESTRAINT_MS, MAX_RESTRAINT_MS)) }
     case 'bytes-behind': return { atMs, kind, callers: MIN_SLOW_READERS + random.index(MAX_SLOW_READERS - MIN_SLOW_READERS), bytes: random.pick(BYTES_BEHIND), durationMs }
+    case 'large-bodies': return { atMs, kind, slot: random.index(slotCount('entry', shape)), bodies: random.pick(LARGE_BODIES), callers: LARGE_BODY_CALLERS, durationMs }
+    case 'idle-connections': return { atMs, kind, slot: random.index(slotCount('entry', shape)), connections: IDLE_CONNECTIONS, durationMs }
+    case 'many-callers': return { atMs, kind, slot: random.index(slotCount('entry', shape)), callers: MANY_CALLERS, durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
+    case 'taken-port': {
+      const role = random.pick(['entry', 'control'] as const)
+      return { atMs, kind, role, slot: random.index(slotCount(role, shape)), isAdminPort: random.index(2) === 0, durationMs: Math.round(random.between(MIN_DURATION_MS, MAX_TAKEN_PORT_MS)) }
+    }
     case 'host-cut': return { atMs, kind, slots: drawHosts(random, shape), cut: random.pick(HOST_CUTS), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
     case 'silent-connections': return { atMs, kind, scope: random.pick<SilenceScope>(['all', 'control-hosts', { entry: random.index(shape.entries) }]), directions: random.pick(SILENT_DIRECTIONS), times: 1 + random.index(MAX_SILENCES) }
     case 'strange-entry': return { atMs: Math.max(atMs, BEFORE_CROWD_MS), kind, slot: random.index(slotCount('endpoint', shape)), strange: random.pick(STRANGE_ENTRIES), durationMs: Math.round(random.between(MIN_HOST_CUT_MS, MAX_HOST_CUT_MS)) }
--- a/apps/soak/src/lib/observations.ts
+++ b/apps/soak/src/lib/observations.ts
@@ -24,6 +24,8 @@
   readonly takenUp?: TakenUpStream
   /** Id of the request of which this is a retry, because a host has closed its connection unread; absent for first attempts. */
   readonly retries?: string
+  /** Deadline that the caller names, in milliseconds; that of all requests if absent. */
+  readonly deadlineMs?: number
   /** Shared part of the prompt; absent for requests whose prompt is their own. */
   readonly part?: string
 }
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -6,6 +6,7 @@
 import type { LoadFeature } from '@eelgrassmux/routing/features/LoadFeatures'
 import { Balancer } from './Balancer.js'
 import { Caller } from './Caller.js'
+import { AnswersInTimeCheck } from './checks/AnswersInTimeCheck.js'
 import { BrittleEndpointsStandCheck } from './checks/BrittleEndpointsStandCheck.js'
 import { ConfigurationCheck } from './checks/ConfigurationCheck.js'
 import { ServedAsBeforeCheck } from './checks/ServedAsBeforeCheck.js'
@@ -23,6 +24,7 @@
 import { RepeatingCaller } from './RepeatingCaller.js'
 import { RequestHistory, type Violation } from './RequestHistory.js'
 import { MemoryLimit } from './MemoryLimit.js'
+import { OwnDelay } from './OwnDelay.js'
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
 import { MODEL } from './soakSite.js'
@@ -99,6 +101,8 @@
   readonly #brittleEndpoints = new BrittleEndpointsStandCheck()
   readonly #crowds = new ServedAsBeforeCheck('crowded-hosts-serve', this.#timeline)
   readonly #soundEndpoints = new ServedAsBeforeCheck('sound-endpoints-serve', this.#timeline)
+  readonly #ownDelay = new OwnDelay()
+  readonly #answersInTime = new AnswersInTimeCheck(this.#timeline, (from, until) => this.#ownDelay.within(from, until))
   readonly #endlessAnswers = new EndlessAnswersAreClosedCheck(this.#timeline, id => this.#history.request(id)?.work.kind === 'plain')
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
@@ -112,7 +116,7 @@
   constructor (private readonly plan: SoakPlan, private readonly folder: string) {
     const { seed, shape, graceMs, breaks } = plan
     const hasColdReturns = plan.kinds?.includes('cold-return') ?? false
-    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds, this.#soundEndpoints])
+    this.#history = new RequestHistory(this.#timeline, [...requestChecks(hasColdReturns), this.#evacuations, this.#customers, this.#cutOffHosts, this.#brittleEndpoints, this.#endlessAnswers, this.#crowds, this.#soundEndpoints, this.#answersInTime])
     this.#configuration = new ConfigurationCheck(this.#history, this.#timeline)
     this.#cluster = new SoakCluster({
       shape,
@@ -166,6 +170,7 @@
     } finally {
       this.#balancer.close()
       this.#memoryLimit.close()
+      this.#ownDelay.close()
       await this.#cluster.stop()
     }
     this.#history.settleAll()
@@ -199,7 +204,7 @@
     const { seed, seconds, shape, graceMs, breaks, kinds } = this.plan
     const calling = Promise.all(this.#callers.map(async caller => { await caller.run() }))
     const reading = this.#operator.readRepeatedly()
-    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds, soundEndpoints: this.#soundEndpoints, configuration: this.#configuration }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
+    const injector = new FaultInjector(this.#cluster, this.#operator, this.#timeline, { evacuations: this.#evacuations, customers: this.#customers, cutOffHosts: this.#cutOffHosts, brittleEndpoints: this.#brittleEndpoints, crowds: this.#crowds, soundEndpoints: this.#soundEndpoints, configuration: this.#configuration, answersInTime: this.#answersInTime }, { extraCallers: this.#extraCallers, balancer: this.#balancer }, { graceMs, isAbrupt: breaks.includes('abrupt-stop') })
     await injector.run(planFaults(seed, seconds, shape, kinds))
     this.#cluster.heal()
     this.#timeline.record('soak', 'the last fault has ended', false)
--- a/apps/soak/src/lib/sendRequest.ts
+++ b/apps/soak/src/lib/sendRequest.ts
@@ -71,7 +71,7 @@
     host: SITE_HOST,
     [HEADER.requestId]: callerRequest.id,
     [HEADER.key]: key,
-    [HEADER.deadlineMs]: String(REQUEST_TIMEOUT_MS),
+    [HEADER.deadlineMs]: String(callerRequest.deadlineMs ?? REQUEST_TIMEOUT_MS),
     [HEADER.work]: JSON.stringify(callerRequest.work),
     'content-length': String(Buffer.byteLength(callerRequest.body)),
     ...(callerRequest.takenUp === undefined ? {} : { [HEADER.resumes]: callerRequest.takenUp.first, [HEADER.lastEvent]: String(callerRequest.takenUp.lastEvent) }),
--- a/apps/soak/src/lib/soakSite.ts
+++ b/apps/soak/src/lib/soakSite.ts
@@ -26,6 +26,9 @@
 /** Timeout of requests, in milliseconds: longer than any request of the callers takes, even if processes are paused meanwhile. */
 export const REQUEST_TIMEOUT_MS = 12_000
 
+/** Largest body of a request, in bytes. */
+export const MAX_BODY_BYTES = 4_194_304
+
 /** Retry budget of each service: retries for each request, and on top in any ten seconds, over all entry hosts. */
 export const RETRY_BUDGET = { ratio: 0.1, slack: 20 } as const
 
@@ -75,7 +78,7 @@
       }
     ],
     customers: [...CUSTOMERS],
-    limits: { headerBytes: 8000, bodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
+    limits: { headerBytes: 8000, bodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
   }
 }
 
--- a/apps/soak/src/soak.test.ts
+++ b/apps/soak/src/soak.test.ts
@@ -82,6 +82,24 @@
     expect(result.violations, describeRun(result)).toEqual([])
   }, TIMEOUT_MS)
 
+  // Guards against processes that hold more memory than they are told because of what callers send, or leave open.
+  it('keeps its processes within their memory while large bodies stop or come slowly and many connections are idle', async () => {
+    const result = await play({ seconds: 12, kinds: ['large-bodies', 'idle-connections', 'new-site', 'stop'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
+  // Guards against hosts that neither accept connections nor reject requests in time while more call than they can serve.
+  it('answers or rejects in time while more callers call a host than it can serve', async () => {
+    const result = await play({ seconds: 12, kinds: ['many-callers', 'new-site'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
+  // Guards against processes that end because a port is still taken when they start.
+  it('starts processes whose ports are taken for some time', async () => {
+    const result = await play({ seconds: 12, kinds: ['taken-port', 'new-site', 'kill'] })
+    expect(result.violations, describeRun(result)).toEqual([])
+  }, TIMEOUT_MS)
+
   it('sends nothing to data centres that are evacuated, and little to endpoints that come back cold', async () => {
     const result = await play({ seconds: 12, kinds: ['evacuation', 'cold-return', 'cold-return', 'pause'] })
     expect(result.violations, describeRun(result)).toEqual([])
