Control hosts choose the founder by the contacts that they start with

Since a start waits for ports, the contacts were read again after the wait. The platform gives all control hosts the same contacts only when they are started together; one that waited for its port while others were named took itself for the founder of a second group.

Evidence: 'has only that host found the group that the first contacts name ...' of startWaits.test.ts logs group-founded on the code before and not with the change. A host that is given no contacts at first takes the first ones it is given.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -121,6 +121,9 @@
 export async function startControl (
   settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits, platform?: ControlPlatform
 ): Promise<RunningDaemon> {
+  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
+  // Hosts agree on the founder only by the contacts that all of them are given when they are started together.
+  const contactsAtStart = contacts()
   const { opened: { storage, replicaId, persisted }, setAside } = await openOrSetAside(join(settings.dataFolder, 'control'))
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
   storage.onDiskFull = isFull => { telemetry.logFault('disk-full', { isFull }) }
@@ -221,9 +224,9 @@
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
-  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
-  if (platform !== undefined && setAside === undefined && settings.bootstrap && core.lastIndex === 0) await waitForContacts(waits, contacts)
-  if (setAside === undefined && isFounder(settings, core, contacts())) {
+  const mayFound = setAside === undefined && settings.bootstrap && core.lastIndex === 0
+  const firstContacts = mayFound && platform !== undefined && contactsAtStart.length === 0 ? await waitForContacts(waits, contacts) : contactsAtStart
+  if (mayFound && isFounder(self.address, firstContacts)) {
     await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
     telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
   }
@@ -273,16 +276,17 @@
   return advertise ?? `${host}:${port}`
 }
 
-/** If several addresses are given to join, the host with the first address in sort order founds the group, so that all hosts choose the same one. */
-function isFounder (settings: ControlSettings, core: RaftCore, contacts: readonly string[]): boolean {
-  if (!settings.bootstrap || core.lastIndex > 0) return false
-  return contacts.length === 0 || [...contacts].sort()[0] === core.self.address
+/** The host with the first address in sort order founds the group, so that all hosts choose the same one; a host that is given none founds its own. */
+function isFounder (address: string, contacts: readonly string[]): boolean {
+  return contacts.length === 0 || [...contacts].sort()[0] === address
 }
 
-/** On a platform that has named no control hosts yet, each of them would found a group of its own. */
-async function waitForContacts (waits: StartWaits, contacts: () => readonly string[]): Promise<void> {
-  await waits.until('contacts, the first of which founds the group', async () => {
-    if (contacts().length === 0) throw new Error('the platform has named none')
+/** Returns the first contacts that the platform names. Without any, each control host would found a group of its own. */
+async function waitForContacts (waits: StartWaits, contacts: () => readonly string[]): Promise<readonly string[]> {
+  return await waits.until('contacts, the first of which founds the group', async () => {
+    const named = contacts()
+    if (named.length === 0) throw new Error('the platform has named none')
+    return named
   }, () => true)
 }
 
