Bounds of responses come from the memory budget

Slow readers, unfinished responses and responses that wait to be read had shares of the host's memory of their own, which did not add up with what the process needs itself. They are now parts of the budget, and share what it grants to responses: slow readers have a quarter of the memory as before, less what the others occupy beyond the rest.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -4,10 +4,10 @@
 import { listenWhenFree } from '@eelgrassmux/daemon/listenWhenFree'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
+import { entryMemoryBudget } from '@eelgrassmux/daemon/MemoryBudget'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, booleanSetting, durationLimitSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
-import { heldBytesBounds } from '@eelgrassmux/routing/admission/HeldBytes'
 import { LoadFeatures, loadFeatureChoiceSchema } from '@eelgrassmux/routing/features/LoadFeatures'
 import { composeMechanisms, mechanismSchema } from '@eelgrassmux/routing/mechanisms/mechanisms'
 import { OutdatedWeightsDeadlines } from '@eelgrassmux/routing/prompts/OutdatedWeightsDeadlines'
@@ -31,7 +31,7 @@
 import { RoutedFleet } from './routed/RoutedFleet.js'
 import { ResponseMemory, responseMemoryBounds } from './routed/ResponseMemory.js'
 import { RoutedServer } from './routed/RoutedServer.js'
-import { SlowReaders } from './routed/SlowReaders.js'
+import { slowReaderBounds, SlowReaders } from './routed/SlowReaders.js'
 import { StreamDirectoryClient } from './streams/StreamDirectoryClient.js'
 
 /** Settings of an entry host for routed requests. */
@@ -114,7 +114,7 @@
   features.onChange(logFeatures)
   if (features.enabled.length > 0) logFeatures()
   const responseMemory = responseMemoryBounds(settings.memoryMb)
-  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, address, features, responseMemory.totalBytes)
+  const fleet = new RoutedFleet(settings.dataCentre, liveHosts, telemetry, mechanisms, address, features, entryMemoryBudget(settings.memoryMb).mostOfResponses.waiting)
   const stored = link.followStoredParts({
     reset: () => { fleet.storedParts.clear() },
     apply: change => { fleet.storedParts.apply(change) }
@@ -151,7 +151,7 @@
   const streams = new StreamDirectoryClient(address, { datagrams, controlHosts: () => link.controlHosts, listAgeMs: now => link.endpointListAgeMs(now) }, telemetry)
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const unfinishedResponses = new ResponseMemory(responseMemory, telemetry)
-  const slowReaders = new SlowReaders(features, heldBytesBounds(settings.memoryMb), telemetry)
+  const slowReaders = new SlowReaders(features, slowReaderBounds(settings.memoryMb, () => unfinishedResponses.totalBytes + fleet.readSlices.unreadBytes), telemetry)
   const server = new RoutedServer({
     responseMemory: unfinishedResponses,
     slowReaders,
--- a/apps/entry/src/lib/routed/ReadSlices.ts
+++ b/apps/entry/src/lib/routed/ReadSlices.ts
@@ -59,6 +59,7 @@
   readonly #loggedAt = new Map<string, number>()
   #windowStartedAt = Number.NEGATIVE_INFINITY
   #isTurnEndDue = false
+  #lastUnreadBytes = 0
 
   /**
    * @param telemetry - metrics
@@ -71,6 +72,9 @@
     telemetry.gauge('responses_paused', 'Responses that are read on in a later turn of the event loop', () => this.#pausedCount)
   }
 
+  /** Bytes that had arrived for paused responses and were not read when the last one was paused; 0 if none is paused now. */
+  get unreadBytes (): number { return this.#pausedCount === 0 ? 0 : this.#lastUnreadBytes }
+
   /**
    * Counts bytes that were read from an endpoint.
    *
@@ -117,13 +121,14 @@
   /** Cuts responses of the endpoints for which most has arrived, those that were paused last first. */
   #keepBound (): void {
     const unread = new Map([...this.#endpoints].map(([address, { paused }]) => [address, paused.reduce((sum, response) => sum + response.unreadBytes(), 0)]))
-    for (let total = sumOf(unread); total > this.maxUnreadBytes;) {
+    this.#lastUnreadBytes = sumOf(unread)
+    while (this.#lastUnreadBytes > this.maxUnreadBytes) {
       const address = largestOf(unread)
       const response = this.#endpoints.get(address)?.paused.pop()
       if (response === undefined) return
       const bytes = response.unreadBytes()
       unread.set(address, (unread.get(address) ?? 0) - bytes)
-      total -= bytes
+      this.#lastUnreadBytes -= bytes
       this.#cuts.count(address)
       response.cut()
     }
--- a/apps/entry/src/lib/routed/ResponseMemory.ts
+++ b/apps/entry/src/lib/routed/ResponseMemory.ts
@@ -1,4 +1,5 @@
 /** Bounds the memory that unfinished responses of endpoints occupy: events without an end, and bodies that are kept for a retry. */
+import { entryMemoryBudget } from '@eelgrassmux/daemon/MemoryBudget'
 import { HeldBytes, type HeldBytesBounds, type HeldChunk, type HeldReader } from '@eelgrassmux/routing/admission/HeldBytes'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -12,15 +13,7 @@
 /** Least bytes that are counted; usual events and bodies are smaller. */
 const COUNTED_FROM_BYTES = 4 * 1024
 
-/** Memory of a host whose memory is not known, in megabytes. */
-const DEFAULT_MEMORY_MB = 256
-
-const BYTES_PER_MEGABYTE = 1024 * 1024
-
-/** Part of a host's memory that unfinished responses may occupy, and once more those that wait to be read; callers that read slowly get a quarter. */
-const HOST_SHARE = 1 / 16
-
-/** Part of that which those of one endpoint may occupy while others have any. */
+/** Part of the bound on all unfinished responses which those of one endpoint may occupy while others have any. */
 const ENDPOINT_SHARE = 1 / 2
 
 /**
@@ -28,7 +21,7 @@
  * @returns bounds on the bytes of all unfinished responses and of those of one endpoint
  */
 export function responseMemoryBounds (memoryMb: number): HeldBytesBounds {
-  const totalBytes = Math.floor((memoryMb > 0 ? memoryMb : DEFAULT_MEMORY_MB) * BYTES_PER_MEGABYTE * HOST_SHARE)
+  const totalBytes = entryMemoryBudget(memoryMb).mostOfResponses.unfinished
   return { totalBytes, customerBytes: Math.floor(totalBytes * ENDPOINT_SHARE) }
 }
 
--- a/apps/entry/src/lib/routed/SlowReaders.ts
+++ b/apps/entry/src/lib/routed/SlowReaders.ts
@@ -1,4 +1,5 @@
 /** Bounds the memory that slow readers of this host hold, and cuts the slowest reader beyond the bounds. */
+import { entryMemoryBudget } from '@eelgrassmux/daemon/MemoryBudget'
 import { HeldBytes, type HeldBytesBounds, type HeldReader } from '@eelgrassmux/routing/admission/HeldBytes'
 import type { LoadFeatures } from '@eelgrassmux/routing/features/LoadFeatures'
 import type { DecisionFields } from '@eelgrassmux/telemetry/events/eventFields'
@@ -25,6 +26,25 @@
  */
 const GRACE_MS: Readonly<Record<ReaderKind, number>> = { caller: 0, endpoint: 2000 }
 
+/** Part of the bound for all readers that those of one customer may hold. */
+const CUSTOMER_SHARE = 1 / 4
+
+/** Least bound for all readers, in bytes, so that callers of a host whose memory is used up still get their responses. */
+const MIN_TOTAL_BYTES = 1_000_000
+
+/**
+ * @param memoryMb - memory of the host in megabytes; 0 if it is not known
+ * @param otherResponseBytes - returns what other responses occupy of the memory that all responses share, in bytes
+ * @returns the bounds on the bytes that the host may hold, which change with what other responses occupy
+ */
+export function slowReaderBounds (memoryMb: number, otherResponseBytes: () => number = () => 0): HeldBytesBounds {
+  const { responseBytes, mostOfResponses: { slowReaders } } = entryMemoryBudget(memoryMb)
+  return {
+    get totalBytes () { return Math.max(MIN_TOTAL_BYTES, Math.min(slowReaders, responseBytes - otherResponseBytes())) },
+    get customerBytes () { return Math.floor(this.totalBytes * CUSTOMER_SHARE) }
+  }
+}
+
 /** Memory of a response that waits for its caller, in bytes: a piece in the caller's connection, and one that has arrived behind it. */
 export const WAITING_RESPONSE_BYTES = 128 * 1024
 
--- a/packages/routing/src/lib/admission/HeldBytes.ts
+++ b/packages/routing/src/lib/admission/HeldBytes.ts
@@ -18,37 +18,12 @@
   readonly heldAt: number
 }
 
-/** Memory of a host whose memory is not known, in megabytes. */
-const DEFAULT_MEMORY_MB = 256
-
-/** Memory that a host without requests occupies, in megabytes. */
-const BASE_MEMORY_MB = 60
-
-const BYTES_PER_MEGABYTE = 1024 * 1024
-
-/** Part of the memory that all readers may hold, and part of that which one customer may hold. */
-const BOUND_SHARE = 1 / 4
-
-/** Least bound for all readers, in bytes, so that a host with little memory still serves. */
-const MIN_TOTAL_BYTES = BYTES_PER_MEGABYTE
-
 /**
  * Memory that a chunk occupies in addition to its bytes, in bytes: Node.js queues a chunk of a chunked response as several
  * writes. The resident memory grew by 1,320 bytes for each event of 60 bytes that was written to a connection nobody read from.
  */
 export const CHUNK_OVERHEAD_BYTES = 1260
 
-/**
- * @param memoryMb - memory of the host in megabytes; 0 if it is not known
- * @returns the bounds on the bytes that the host may hold
- */
-export function heldBytesBounds (memoryMb: number): HeldBytesBounds {
-  const memory = memoryMb > 0 ? memoryMb : DEFAULT_MEMORY_MB
-  const total = Math.min(memory * BOUND_SHARE, memory - BASE_MEMORY_MB) * BYTES_PER_MEGABYTE
-  const totalBytes = Math.max(MIN_TOTAL_BYTES, Math.floor(total))
-  return { totalBytes, customerBytes: Math.floor(totalBytes * BOUND_SHARE) }
-}
-
 /** A connection that reads bytes from this host. */
 export class HeldReader<Owner> {
   readonly #unread = new Set<HeldChunk>()
