Entry host: turns of the event loop are shared between connections and requests

Cause: the event loop accepts one connection a turn, and a turn handles the requests of all connections that have bytes.

Change: beyond 4 ms of a turn, requests wait for later turns, the oldest first. Turns that bring a connection begin nothing, up to 16 in a row; then requests get as much time, at most 20 ms. A request that would wait beyond half of its deadline, or two seconds, is refused at once (host-overloaded, 503, not run); Retry-After counts on another host if there is one, else on the time until the host has begun those that wait. Requests that wait count as load when a host decides whether to take connections. Up to 4 requests or connections in 10 ms schedule nothing.

--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -17,7 +17,7 @@
 }
 
 /** Refusals of relayed requests that another host may accept. */
-const REASONS_OF_THIS_HOST: ReadonlySet<Refusal['reason']> = new Set(['draining', 'configuration-stale', 'endpoints-out-of-reach'])
+const REASONS_OF_THIS_HOST: ReadonlySet<Refusal['reason']> = new Set(['draining', 'configuration-stale', 'endpoints-out-of-reach', 'host-overloaded'])
 
 const connectionStates = new WeakMap<Socket, ConnectionState>()
 
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -33,7 +33,9 @@
 import type { CallerFields, RequestCodec } from './RequestCodec.js'
 import { areProperHeaders } from './headers.js'
 import { headerBytes, readBody } from './requestBytes.js'
+import { RequestTurns, type ArrivedRequest } from './RequestTurns.js'
 import type { ResponseMemory } from './ResponseMemory.js'
+import { retryAfterSecondsFor } from './retryAfterSecondsFor.js'
 import type { RoutedFleet } from './RoutedFleet.js'
 import { RoutedRequestTask } from './RoutedRequestTask.js'
 import { ServicePorts } from './ServicePorts.js'
@@ -122,6 +124,7 @@
   readonly #relayed: LabelledCounter
   readonly #closedUnread: LabelledCounter
   readonly #startup: StartupQueue
+  readonly #turns: RequestTurns
   readonly #siteRefusals: SiteRefusals
   readonly #clientErrors: ClientErrors
   readonly #faults: RequestFaults
@@ -139,6 +142,7 @@
     const { telemetry } = ports
     this.#startup = new StartupQueue(startedAt)
     telemetry.gauge('requests_waiting_for_site', 'Requests that wait until this host knows the site', () => this.#startup.length)
+    this.#turns = new RequestTurns(telemetry)
     this.#siteRefusals = new SiteRefusals(ports)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
     this.#faults = new RequestFaults(telemetry)
@@ -151,6 +155,7 @@
     this.#server.on('connection', (socket: Socket) => {
       this.#openConnections += 1
       socket.once('close', () => { this.#openConnections -= 1 })
+      this.#turns.noteConnection()
       this.#closeIfOverShare(socket)
     })
     telemetry.gauge('caller_connections', 'Open connections of callers', () => this.#openConnections)
@@ -244,7 +249,7 @@
   /** Closes a connection of the balancer unread if this host has far more than its share of the requests. */
   #closeIfOverShare (socket: Socket): void {
     const { fleet, liveHosts, isLagging } = this.ports
-    const share = { ownRequests: this.#pendingRequests.size, otherRequests: fleet.otherHostsLoad.requestsInFlight(performance.now()), liveHosts: liveHosts(), isLagging: isLagging() }
+    const share = { ownRequests: this.#pendingRequests.size, otherRequests: fleet.otherHostsLoad.requestsInFlight(performance.now()), liveHosts: liveHosts(), isLagging: this.#turns.isBehind || isLagging() }
     if (!isOverShare(share)) return
     this.#closedUnread.count('over-share')
     socket.destroy()
@@ -278,12 +283,37 @@
       return
     }
     this.#contain(exchange, '', () => {
-      const fields = this.ports.codec.readRequestHeaders(message.rawHeaders)
-      if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
-      else this.#acceptDirect(message, exchange, fields, arrivedAt)
+      this.#beginInTurn(message, exchange, this.ports.codec.readRequestHeaders(message.rawHeaders), arrivedAt)
     })
   }
 
+  #beginInTurn (message: IncomingMessage, exchange: CallerExchange, fields: CallerFields, arrivedAt: number): void {
+    const id = fields.requestId ?? ''
+    const arrived: ArrivedRequest = {
+      deadlineMs: fields.deadlineMs,
+      begin: () => {
+        // A stop may have refused it in the meantime.
+        if (exchange.hasEnded) return
+        this.#contain(exchange, id, () => {
+          if (exchange.isRelayed) this.#acceptRelayed(message, exchange, fields, arrivedAt)
+          else this.#acceptDirect(message, exchange, fields, arrivedAt)
+        })
+      },
+      refuse: expectedMs => { if (!exchange.isAbandoned) this.#refuseOverloaded(exchange, fields, expectedMs, arrivedAt) }
+    }
+    if (!this.#turns.add(arrived)) return
+    exchange.onCallerLeft(() => {
+      if (this.#turns.remove(arrived)) this.ports.telemetry.logDecision('caller-left', id, { run: 'not-run' })
+    })
+  }
+
+  /** Other hosts have room now; alone, this host has room once it has begun the requests that wait. */
+  #refuseOverloaded (exchange: CallerExchange, fields: CallerFields, expectedMs: number, arrivedAt: number): void {
+    const remainingMs = (fields.deadlineMs ?? Number.POSITIVE_INFINITY) - (performance.now() - arrivedAt)
+    const freeInMs = this.ports.liveHosts() > 1 ? 0 : expectedMs
+    this.#refuse(exchange, fields, 'host-overloaded', 503, 'this host has more requests than it can begin in time; ask another', retryAfterSecondsFor('host-overloaded', freeInMs, remainingMs))
+  }
+
   /** Runs a step of a request that has no task yet. An exception ends the request; nothing of it has been sent. */
   #contain (exchange: CallerExchange, requestId: string, step: () => void): void {
     new FaultBoundary(this.#faults, requestId, () => {
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -19,7 +19,7 @@
 export const REFUSAL_REASONS = [
   'malformed-json', 'invalid-body', 'headers-too-large', 'body-too-large', 'unknown-credential', 'unknown-service', 'unknown-path',
   'idempotency-key-required', 'idempotency-key-reused', 'idempotency-in-progress', 'idempotency-outcome-unknown',
-  'idempotency-unavailable', 'unknown-run', 'draining', 'configuration-stale', 'over-share',
+  'idempotency-unavailable', 'unknown-run', 'draining', 'configuration-stale', 'over-share', 'host-overloaded',
   'deadline-unreachable', 'no-endpoint', 'endpoint-failed', 'endpoint-refused', 'deadline-passed', 'request-quarantined', 'endpoints-out-of-reach', 'stream-not-resumable',
   'malformed-headers', 'internal-fault'
 ] as const
