Entry hosts: request bodies have a bound on memory and wait unread for room

Callers saw requests cut when an entry host ended above its memory: what request bodies held was not bounded. 60 connections whose 4 MB bodies stop before their end, or 200 callers with bodies of 200 kB, took a host told 200 MB far above it.

Cause: readBody collected whatever arrived, joined it at the end (twice the memory), and nothing counted it.

Now RequestBodies gives each body room for all of its announced length before its first byte is read, within requestBodyBytes of the memory budget, until the request has ended. A body without room waits unread for up to 1 s and a quarter of the caller's deadline; the newest beyond what may wait, and one that could never fit, are refused at once with 503 and Retry-After. While others wait, the caller that has sent nothing for longest gives way, of the customer that holds most. A refusal of an incomplete request keeps the connection open for up to 1 s and discards the rest: closing with unread bytes resets it, and the reset takes the response with it.

slowReaders.test.ts sends bodies of 24 MB to a host of default size, so its hosts get a bound for them; its checks are as they were.

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -29,6 +29,7 @@
 import type { EngineReservations } from './routed/EngineReservations.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
+import { RequestBodies, requestBodyBounds } from './routed/RequestBodies.js'
 import { ResponseMemory, responseMemoryBounds } from './routed/ResponseMemory.js'
 import { RoutedServer } from './routed/RoutedServer.js'
 import { slowReaderBounds, SlowReaders } from './routed/SlowReaders.js'
@@ -155,6 +156,7 @@
   const server = new RoutedServer({
     responseMemory: unfinishedResponses,
     slowReaders,
+    requestBodies: new RequestBodies(requestBodyBounds(settings.memoryMb), telemetry),
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
--- a/apps/entry/src/lib/routed/CallerExchange.ts
+++ b/apps/entry/src/lib/routed/CallerExchange.ts
@@ -17,7 +17,10 @@
 }
 
 /** Refusals of relayed requests that another host may accept. */
-const REASONS_OF_THIS_HOST: ReadonlySet<Refusal['reason']> = new Set(['draining', 'configuration-stale', 'endpoints-out-of-reach', 'host-overloaded'])
+const REASONS_OF_THIS_HOST: ReadonlySet<Refusal['reason']> = new Set(['draining', 'configuration-stale', 'endpoints-out-of-reach', 'host-overloaded', 'host-memory'])
+
+/** Time in which a caller that is refused before it has sent its whole body can read that, in milliseconds. */
+const LAST_READ_MS = 1000
 
 const connectionStates = new WeakMap<Socket, ConnectionState>()
 
@@ -219,12 +222,33 @@
     if (this.isRelayed && refusal.run === 'not-run' && REASONS_OF_THIS_HOST.has(refusal.reason)) headers.push(RELAY_REFUSED_HEADER, refusal.reason)
     // Unread bytes of this request would be parsed as the next request.
     if (this.#closesConnection() || !this.request.complete) headers.push('Connection', 'close')
+    if (this.#awaitsBody) this.#closeAfterReading()
     this.#hasHead = true
     this.#hasEnded = true
     this.response.writeHead(refusal.status, headers)
     this.response.end(body)
   }
 
+  /**
+   * Keeps the connection open for a while behind a response to a request of which the body is not complete, and discards
+   * the rest. A connection that is closed with unread bytes is reset, and the reset can take the response with it.
+   */
+  #closeAfterReading (): void {
+    const { request, request: { socket } } = this
+    this.#connection.isClosing = true
+    socket.destroySoon = () => {
+      request.resume()
+      socket.end()
+      const timer = setTimeout(() => { socket.destroy() }, LAST_READ_MS).unref()
+      socket.once('close', () => { clearTimeout(timer) })
+    }
+  }
+
+  get #awaitsBody (): boolean {
+    const { complete, headers } = this.request
+    return !complete && (Number(headers['content-length'] ?? 0) > 0 || headers['transfer-encoding'] !== undefined)
+  }
+
   /** Whether this response is the last one on the connection. It is not while further requests of a pipelining caller have been read, because those are answered first. */
   #closesConnection (): boolean {
     if (!this.shouldCloseConnections() || this.#connection.latest !== this) return false
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -34,6 +34,7 @@
 import { areProperHeaders } from './headers.js'
 import { headerBytes, readBody } from './requestBytes.js'
 import { RequestTurns, type ArrivedRequest } from './RequestTurns.js'
+import { RequestBodies, requestBodyBounds, type RefusedBodyDetails } from './RequestBodies.js'
 import type { ResponseMemory } from './ResponseMemory.js'
 import { retryAfterSecondsFor } from './retryAfterSecondsFor.js'
 import type { RoutedFleet } from './RoutedFleet.js'
@@ -58,6 +59,8 @@
   readonly slowReaders?: SlowReaders
   /** Bounds on unfinished responses; those of a host of a default size if absent. */
   readonly responseMemory?: ResponseMemory
+  /** Bounds on the bodies of callers' requests; those of a host of a default size if absent. */
+  readonly requestBodies?: RequestBodies
   /** Other hosts, and checks of the requests that they relay; absent if there are none. */
   readonly relays?: { readonly hosts: RelayHosts, readonly tickets: RelayTicketChecks }
   /** Origins of streams that callers take up; absent if they are not known. */
@@ -128,6 +131,7 @@
   readonly #siteRefusals: SiteRefusals
   readonly #clientErrors: ClientErrors
   readonly #faults: RequestFaults
+  readonly #bodies: RequestBodies
   #index: SiteIndex | undefined
   #lastRequestAt = 0
   #openConnections = 0
@@ -146,6 +150,7 @@
     this.#siteRefusals = new SiteRefusals(ports)
     this.#refusals = telemetry.labelledCounter('routed_refusals_total', 'Refusals of routed requests by reason')
     this.#faults = new RequestFaults(telemetry)
+    this.#bodies = ports.requestBodies ?? new RequestBodies(requestBodyBounds(0), telemetry)
     this.#servicePorts = new ServicePorts(ports, this.#refusals, this.#faults)
     this.#requests = telemetry.labelledCounter('routed_requests_total', 'Routed requests by route kind', 'kind')
     this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
@@ -383,7 +388,13 @@
       return
     }
     const limit = index.site.limits.bodyBytes
-    readBody(message, exchange, limit, {
+    const room = this.#bodies.open({
+      customer: customer?.name ?? '',
+      deadlineMs: fields.deadlineMs,
+      refuse: details => { this.#refuseBody(exchange, fields, details) }
+    })
+    exchange.onClosed(() => { room.close() })
+    readBody(message, exchange, limit, room, {
       tooLarge: () => { this.#refuse(exchange, fields, 'body-too-large', 413, `the body is larger than ${limit} bytes`) },
       complete: body => {
         this.#unlessAbandoned(exchange, fields, () => {
@@ -393,6 +404,13 @@
     })
   }
 
+  /** Refuses a request whose body has no room, or gives way to others. */
+  #refuseBody (exchange: CallerExchange, fields: CallerFields, details: RefusedBodyDetails): void {
+    if (exchange.hasEnded) return
+    this.ports.telemetry.logDecision('request-body-refused', fields.requestId ?? '', details)
+    this.#refuse(exchange, fields, 'host-memory', 503, 'this host has no memory for the body now', RETRY_AFTER_SECONDS)
+  }
+
   /**
    * Calls `start` unless the caller has disconnected. After a blocked event loop, a request
    * is read long after it was sent, and the caller's disconnect only in the following turn,
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -11,6 +11,7 @@
 import type { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../../retries/RetryTokens.js'
 import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
+import { RequestBodies, requestBodyBounds } from '../RequestBodies.js'
 import { ResponseMemory, responseMemoryBounds } from '../ResponseMemory.js'
 import { RoutedFleet } from '../RoutedFleet.js'
 import type { RequestCodec } from '../RequestCodec.js'
@@ -59,6 +60,8 @@
   readonly heldBytes?: HeldBytesBounds
   /** Bounds on unfinished responses. */
   readonly responseBytes?: HeldBytesBounds
+  /** Bounds on the bodies of callers' requests. */
+  readonly requestBytes?: HeldBytesBounds
   /** Replaces the wait for the load of other hosts; by default, `place` is called at once. */
   readonly withRecentLoad?: (place: () => void) => void
 }
@@ -81,6 +84,7 @@
   readonly stop: GracefulShutdown
   readonly slowReaders: SlowReaders
   readonly responseMemory: ResponseMemory
+  readonly requestBodies: RequestBodies
   readonly server: RoutedServer
   readonly streams: StreamDirectoryClient
   port = 0
@@ -93,11 +97,12 @@
    * @param options - options that differ from the defaults
    */
   constructor (private readonly endpoints: readonly FakeEndpoint[], options: RoutedHostOptions = {}) {
-    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, relays, sharedRetryTokens, heldBytes = slowReaderBounds(0), responseBytes = responseMemoryBounds(0) } = options
+    const { graceMs = 60_000, budget = { ratio: 0.2, slack: 20 }, site = TEST_SITE, startedAt = performance.now() - DEFAULT_HOST_AGE_MS, quarantine = emptyQuarantine(), withRecentLoad = place => { place() }, codec = new PlainCodec(), models = [], waiting = {}, relays, sharedRetryTokens, heldBytes = slowReaderBounds(0), responseBytes = responseMemoryBounds(0), requestBytes = requestBodyBounds(0) } = options
     const features = new LoadFeatures(options.features ?? (sharedRetryTokens === undefined ? [] : ['shared-retry-budget']))
     this.fleet = new RoutedFleet('n', () => 1, this.telemetry, undefined, undefined, features)
     this.slowReaders = new SlowReaders(features, heldBytes, this.telemetry)
     this.responseMemory = new ResponseMemory(responseBytes, this.telemetry)
+    this.requestBodies = new RequestBodies(requestBytes, this.telemetry)
     const work = new WorkGate()
     this.#site = site
     this.#models = models
@@ -109,6 +114,7 @@
       fleet: this.fleet,
       slowReaders: this.slowReaders,
       responseMemory: this.responseMemory,
+      requestBodies: this.requestBodies,
       codec,
       work,
       stop: this.stop,
--- a/apps/entry/src/lib/routed/slowReaders.test.ts
+++ b/apps/entry/src/lib/routed/slowReaders.test.ts
@@ -90,7 +90,7 @@
 
   async function startHost (endpoint: FakeEndpoint, options: RoutedHostOptions): Promise<RoutedHost> {
     const site = { ...TEST_SITE, routes: TEST_SITE.routes.map(route => ({ ...route, timeoutMs: 60_000 })), limits: { ...TEST_SITE.limits, bodyBytes: LARGE_BYTES } }
-    host = new RoutedHost([endpoint], { site, ...options })
+    host = new RoutedHost([endpoint], { site, requestBytes: { totalBytes: 4 * LARGE_BYTES, customerBytes: 2 * LARGE_BYTES }, ...options })
     await host.start()
     return host
   }
--- a/packages/schema/src/lib/Refusal.ts
+++ b/packages/schema/src/lib/Refusal.ts
@@ -21,7 +21,7 @@
   'idempotency-key-required', 'idempotency-key-reused', 'idempotency-in-progress', 'idempotency-outcome-unknown',
   'idempotency-unavailable', 'unknown-run', 'draining', 'configuration-stale', 'over-share', 'host-overloaded',
   'deadline-unreachable', 'no-endpoint', 'endpoint-failed', 'endpoint-refused', 'deadline-passed', 'request-quarantined', 'endpoints-out-of-reach', 'stream-not-resumable',
-  'malformed-headers', 'internal-fault'
+  'malformed-headers', 'internal-fault', 'host-memory'
 ] as const
 
 /** @public */
--- a/packages/telemetry/src/lib/events/requestDecisions.ts
+++ b/packages/telemetry/src/lib/events/requestDecisions.ts
@@ -103,6 +103,21 @@
     viewBehindMs: z.number().optional(),
     viewConfirmedMs: z.number().optional()
   }),
+  /** The bodies of requests occupied too much memory, and this one had no room or gave way. */
+  'request-body-refused': z.strictObject({
+    /** Whether it found no room, its caller had stopped sending, or its customer had more than its share. */
+    cause: z.enum(['full', 'stalled', 'share']),
+    customer: z.string(),
+    /** Memory that it needs, that its customer has, and that all have, in bytes. */
+    bodyBytes: z.number(),
+    customerBytes: z.number(),
+    totalBytes: z.number(),
+    /** Bodies that wait unread. */
+    waiting: z.number(),
+    /** Its wait for room, and the time since its caller last sent bytes, in milliseconds. */
+    waitedMs: z.number(),
+    idleMs: z.number()
+  }),
   /** The bytes held for slow readers exceeded a bound, and this reader was the slowest of the customer that holds most. */
   /** The unfinished responses of endpoints occupied too much memory, and this one was the oldest of the endpoint with most of them. */
   'response-cut': z.strictObject({ endpoint: z.string(), keptBytes: z.number(), endpointBytes: z.number(), totalBytes: z.number() }),
