Control hosts wait for a disk that refuses writes, and leave foreign folders alone

Users saw control hosts end by themselves. Two causes at the disk:

- A refused write or sync ended the process with code 3, and again at each start until the disk took writes.
RaftStorage now keeps the batch pending, as with a slow disk: nothing that depends on it is sent or answered, so the host neither votes nor acknowledges nor leads meanwhile.
After a failed sync another sync of the same file proves nothing; the whole state is therefore written to a new file, synced and renamed, every 250 ms until the disk takes it.
A start waits in the same way (StorageOpening), relies on nothing that a refused attempt has synced, and remembers what it set aside.
- A folder with the name of a temporary file (EISDIR) kept the host from ever starting again.
Folders among the files are now left as they are and named in the log, and other temporary names are used.
A folder with the name of a file of the state counts as a damaged state, which is set aside.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -8,9 +8,10 @@
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
 import { listenWhenFree } from '@eelgrassmux/daemon/listenWhenFree'
 import type { DaemonProgram, RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
-import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
+import { describeReason, type StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { addressListSetting, addressSetting, booleanSetting, commonSettingsShape, integerSetting } from '@eelgrassmux/daemon/settings'
-import { openOrSetAside } from '@eelgrassmux/durable/openOrSetAside'
+import { isRefusedBySystem } from '@eelgrassmux/durable/DataFolder'
+import { StorageOpening } from '@eelgrassmux/durable/StorageOpening'
 import { DatagramClient } from '@eelgrassmux/rpc/datagrams/DatagramClient'
 import { DatagramServer } from '@eelgrassmux/rpc/datagrams/DatagramServer'
 import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
@@ -115,7 +116,7 @@
  * @param settings - validated settings
  * @param telemetry - log and metrics
  * @param fail - called when the process must stop
- * @param waits - waits for ports that are taken
+ * @param waits - waits for a disk that refuses operations, for ports that are taken and for contacts
  * @param platform - platform-specific implementations; without them, no endpoint list, stores or rollouts are served
  */
 export async function startControl (
@@ -124,8 +125,11 @@
   const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
   // Hosts agree on the founder only by the contacts that all of them are given when they are started together.
   const contactsAtStart = contacts()
-  const { opened: { storage, replicaId, persisted }, setAside } = await openOrSetAside(join(settings.dataFolder, 'control'))
+  const opening = new StorageOpening(join(settings.dataFolder, 'control'))
+  const { opened: { storage, replicaId, persisted }, setAside, foreignEntries } = await waits.until(`data folder ${settings.dataFolder}`, async () => await opening.attempt(), isRefusedBySystem)
+  if (foreignEntries.length > 0) telemetry.logFault('storage-foreign-entries', { names: foreignEntries.join(' ') })
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
+  storage.onRefusedWrite = error => { telemetry.logFault('disk-refuses-writes', { isRefused: error !== undefined, reason: error === undefined ? '' : describeReason(error) }) }
   storage.onDiskFull = isFull => { telemetry.logFault('disk-full', { isFull }) }
   const server = new RpcServer()
   const rpc = new RpcClient({ onSilentConnection: reportSilentConnections(telemetry) })
--- a/packages/durable/src/lib/DataFolder.ts
+++ b/packages/durable/src/lib/DataFolder.ts
@@ -53,7 +53,10 @@
 
 /** {@link DataFolder} on the local file system. */
 export class NodeDataFolder implements DataFolder {
-  private constructor (private readonly path: string) {}
+  private constructor (private readonly path: string, private readonly foreignNames: ReadonlySet<string>) {}
+
+  /** Names of folders inside this one. They are not of this program, which leaves them as they are and uses other names. */
+  get foreignEntries (): readonly string[] { return [...this.foreignNames] }
 
   /**
    * Opens a folder and creates it if needed. Deletes temporary files of replacements that a crash interrupted.
@@ -64,9 +67,10 @@
   static async open (path: string): Promise<NodeDataFolder> {
     const created = await mkdir(path, { recursive: true })
     if (created !== undefined) await syncParentFolder(path)
-    const folder = new NodeDataFolder(path)
-    for (const name of await folder.list()) {
-      if (name.endsWith(TEMPORARY_SUFFIX)) await folder.remove(name)
+    const entries = await readdir(path, { withFileTypes: true })
+    const folder = new NodeDataFolder(path, new Set(entries.filter(entry => entry.isDirectory()).map(({ name }) => name)))
+    for (const entry of entries) {
+      if (entry.name.endsWith(TEMPORARY_SUFFIX) && !entry.isDirectory()) await folder.remove(entry.name)
     }
     return folder
   }
@@ -85,21 +89,26 @@
   }
 
   async replace (name: string, bytes: Uint8Array): Promise<void> {
-    const temporary = join(this.path, name + TEMPORARY_SUFFIX)
+    const temporary = join(this.path, this.#temporaryName(name))
     const handle = await open(temporary, 'w')
-    const file = new NodeAppendFile(handle)
-    await file.append(bytes)
-    await handle.sync()
-    await handle.close()
+    try {
+      await new NodeAppendFile(handle).append(bytes)
+      await handle.sync()
+    } finally {
+      await handle.close()
+    }
     await rename(temporary, join(this.path, name))
     await this.#syncFolder()
   }
 
   async openAppend (name: string, length: number): Promise<AppendFile> {
     const handle = await open(join(this.path, name), constants.O_RDWR | constants.O_CREAT)
-    await handle.truncate(length)
-    await handle.sync()
-    await handle.close()
+    try {
+      await handle.truncate(length)
+      await handle.sync()
+    } finally {
+      await handle.close()
+    }
     await this.#syncFolder()
     return new NodeAppendFile(await open(join(this.path, name), 'a'))
   }
@@ -109,6 +118,12 @@
     await this.#syncFolder()
   }
 
+  #temporaryName (name: string): string {
+    let temporary = name + TEMPORARY_SUFFIX
+    while (this.foreignNames.has(temporary)) temporary = `other-${temporary}`
+    return temporary
+  }
+
   async #syncFolder (): Promise<void> {
     await syncFolder(this.path)
   }
@@ -125,8 +140,11 @@
 
 async function syncFolder (path: string): Promise<void> {
   const handle = await open(path, 'r')
-  await handle.sync()
-  await handle.close()
+  try {
+    await handle.sync()
+  } finally {
+    await handle.close()
+  }
 }
 
 /**
@@ -137,6 +155,25 @@
   return error instanceof Error && 'code' in error && (error.code === 'ENOSPC' || error.code === 'EDQUOT')
 }
 
+/** Codes of errors that only another setting changes. */
+const WRONG_PATH_CODES: ReadonlySet<unknown> = new Set(['ENOTDIR', 'EISDIR', 'ENAMETOOLONG', 'ELOOP', 'EINVAL'])
+
+/**
+ * @param error - error of a file operation
+ * @returns whether the system refused the operation, for example because of a disk that is faulty or missing, so that it may succeed later
+ */
+export function isRefusedBySystem (error: unknown): boolean {
+  return error instanceof Error && 'syscall' in error && 'code' in error && !WRONG_PATH_CODES.has(error.code)
+}
+
+/**
+ * @param error - error of a file operation
+ * @returns whether a folder has the name of the file
+ */
+export function isFolder (error: unknown): error is Error {
+  return error instanceof Error && 'code' in error && error.code === 'EISDIR'
+}
+
 function isMissing (error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ENOENT'
 }
--- a/packages/durable/src/lib/RaftStorage.test.ts
+++ b/packages/durable/src/lib/RaftStorage.test.ts
@@ -183,6 +183,90 @@
     })
   })
 
+  describe('refused writes', () => {
+    const refused = (): Error => Object.assign(new Error('EIO: i/o error'), { code: 'EIO', syscall: 'write' })
+
+    /** A folder in memory whose disk drops what a failed sync should have written, and reports success for the same bytes later. */
+    class FaultyFolder implements DataFolder {
+      readonly durable = new Map<string, Uint8Array>()
+      refusals = 0
+      #check (): void {
+        if (this.refusals === 0) return
+        this.refusals -= 1
+        throw refused()
+      }
+
+      async list (): Promise<string[]> { return [...this.durable.keys()] }
+      async read (name: string): Promise<Uint8Array | undefined> { return this.durable.get(name) }
+      async remove (name: string): Promise<void> { this.durable.delete(name) }
+      async replace (name: string, bytes: Uint8Array): Promise<void> {
+        this.#check()
+        this.durable.set(name, Uint8Array.from(bytes))
+      }
+
+      async openAppend (name: string, length: number): Promise<AppendFile> {
+        this.#check()
+        this.durable.set(name, (this.durable.get(name) ?? new Uint8Array()).slice(0, length))
+        let unsynced: Uint8Array[] = []
+        return {
+          append: async bytes => {
+            if (this.failing === 'append') this.#check()
+            unsynced.push(Uint8Array.from(bytes))
+          },
+          sync: async () => {
+            const written = unsynced
+            unsynced = []
+            if (this.failing === 'sync') this.#check()
+            this.durable.set(name, Buffer.concat([this.durable.get(name) ?? new Uint8Array(), ...written]))
+          },
+          truncate: async () => { unsynced = [] },
+          close: async () => {}
+        }
+      }
+
+      constructor (private readonly failing: 'append' | 'sync') {}
+    }
+
+    const openFaulty = async (folder: DataFolder): Promise<OpenedStorage> => {
+      const opened = await RaftStorage.open(folder)
+      if (!opened.ok) throw new Error(JSON.stringify(opened.error))
+      return opened.value
+    }
+
+    // Guards against a control host that ended with code 3 at the first write that its disk refused, and again at each start.
+    it.each(['append', 'sync'] as const)('are made again in a new file after a failed %s, and the batch is durable then', async failing => {
+      const folder = new FaultyFolder(failing)
+      const { storage } = await openFaulty(folder)
+      await storage.persist([{ kind: 'vote', term: 2, votedFor: 'b' }, { kind: 'append', entry: entry(1) }])
+      const reports: boolean[] = []
+      storage.onRefusedWrite = error => { reports.push(error !== undefined) }
+      folder.refusals = 3
+      await storage.persist([{ kind: 'append', entry: entry(2) }])
+      await storage.persist([{ kind: 'append', entry: entry(3) }])
+      expect(reports).toEqual([true, false])
+      expect((await openFaulty(folder)).persisted).toEqual({ term: 2, votedFor: 'b', snapshot: undefined, entries: [entry(1), entry(2), entry(3)] })
+    })
+
+    it('are made again for a snapshot and the log behind it', async () => {
+      const folder = new FaultyFolder('sync')
+      const { storage } = await openFaulty(folder)
+      await storage.persist([1, 2].map(index => ({ kind: 'append' as const, entry: entry(index) })))
+      folder.refusals = 2
+      const snapshot = { index: 1, term: 1, membership, state: new Uint8Array([9]) }
+      await storage.persist([{ kind: 'snapshot', snapshot }])
+      expect((await openFaulty(folder)).persisted).toEqual({ term: 0, votedFor: undefined, snapshot, entries: [entry(2)] })
+    })
+
+    it('end when the storage closes, without the batch', async () => {
+      const folder = new FaultyFolder('append')
+      const { storage } = await openFaulty(folder)
+      folder.refusals = Number.POSITIVE_INFINITY
+      const persisted = storage.persist([{ kind: 'append', entry: entry(1) }])
+      storage.stopWaiting()
+      await expect(persisted).rejects.toThrow('EIO')
+    })
+  })
+
   describe('sync', () => {
     it('syncs a batch once, after the whole batch is written', async () => {
       const calls: string[] = []
--- a/packages/durable/src/lib/RaftStorage.ts
+++ b/packages/durable/src/lib/RaftStorage.ts
@@ -5,7 +5,7 @@
 import { assertInvariant } from '@eelgrassmux/schema/invariant'
 import { fail, succeed, type Result } from '@eelgrassmux/schema/Result'
 import type { DurableWrite, PersistentState, Snapshot } from '@eelgrassmux/consensus/messages/raftMessages'
-import { isDiskFull, type AppendFile, type DataFolder } from './DataFolder.js'
+import { isDiskFull, isFolder, isRefusedBySystem, type AppendFile, type DataFolder } from './DataFolder.js'
 import { PersistentImage } from './PersistentImage.js'
 import { frameRecord, scanRecords } from './recordFraming.js'
 
@@ -16,8 +16,13 @@
 /** Interval at which a batch is written again while the disk is full, in milliseconds. */
 const DISK_FULL_RETRY_MS = 100
 
+/** Interval at which the state is written again while the disk refuses writes, in milliseconds: the whole log is written each time. */
+const REFUSED_RETRY_MS = 250
+
 /** Why durable state can't be used. */
 export type StorageError =
+  /** A folder has the name of a file. */
+  | { readonly kind: 'foreign-folder', readonly message: string }
   | { readonly kind: 'log-damaged', readonly file: string, readonly offset: number }
   | { readonly kind: 'snapshot-damaged', readonly file: string }
   | { readonly kind: 'log-gap', readonly index: number, readonly expected: number }
@@ -36,8 +41,11 @@
   /** Length of the log up to the last complete batch, in bytes. */
   #length = 0
   #isClosing = false
+  #isDiskFull = false
   /** Called when the disk becomes full, and when it takes the batch that had to wait. */
   onDiskFull: (isFull: boolean) => void = () => {}
+  /** Called with the error when the disk refuses a write for another reason, and with undefined when it has taken the batch. */
+  onRefusedWrite: (error: unknown) => void = () => {}
 
   private constructor (private readonly folder: DataFolder) {}
 
@@ -45,9 +53,20 @@
    * Reads the state of a replica; creates an identity if the folder is empty.
    *
    * @param folder - data folder of the replica
+   * @param isRepeated - whether an earlier attempt was refused. The log is then written anew, since after a failed sync
+   *   another sync of the same file proves nothing.
    * @returns the storage and its state, or an error if the state is damaged
    */
-  static async open (folder: DataFolder): Promise<Result<OpenedStorage, StorageError>> {
+  static async open (folder: DataFolder, isRepeated = false): Promise<Result<OpenedStorage, StorageError>> {
+    try {
+      return await RaftStorage.#read(folder, isRepeated)
+    } catch (error) {
+      if (!isFolder(error)) throw error
+      return fail({ kind: 'foreign-folder', message: error.message })
+    }
+  }
+
+  static async #read (folder: DataFolder, isRepeated: boolean): Promise<Result<OpenedStorage, StorageError>> {
     const storage = new RaftStorage(folder)
     const replicaId = await readIdentity(folder)
     const snapshotBytes = await folder.read(SNAPSHOT_FILE)
@@ -61,36 +80,40 @@
     const persisted = storage.#image.state()
     const gap = findGap(persisted)
     if (gap !== undefined) return fail(gap)
+    if (isRepeated) {
+      if (snapshotBytes !== undefined) await folder.replace(SNAPSHOT_FILE, snapshotBytes)
+      await folder.replace(LOG_FILE, logBytes.subarray(0, scan.validLength))
+    }
     storage.#file = await folder.openAppend(LOG_FILE, scan.validLength)
     storage.#length = scan.validLength
     return succeed({ storage, replicaId, persisted })
   }
 
   /**
-   * Makes a batch durable. If the promise is rejected, the process must stop: after a failed
-   * sync, the contents of the disk are unknown, and a retry that succeeds proves nothing.
+   * Makes a batch durable. While the disk refuses writes, the promise is pending, as with a slow disk. After a
+   * failed sync the contents of the file are unknown and another sync proves nothing, so that the whole state is
+   * written to a new file. If the promise is rejected, the process must stop.
    *
    * @param writes - writes of the batch, in order
    */
   async persist (writes: readonly DurableWrite[]): Promise<void> {
     if (writes.length === 0) return
-    let hasSnapshot = false
-    for (const write of writes) {
-      this.#image.applyWrite(write)
-      if (write.kind !== 'snapshot') continue
-      hasSnapshot = true
-      await this.folder.replace(SNAPSHOT_FILE, frameRecord(encode(write.snapshot)))
-    }
-    if (hasSnapshot) {
-      await this.#rewriteLog()
-      return
-    }
     const file = this.#openFile()
-    await this.#append(file, encodeBatch(writes))
-    await file.sync()
+    for (const write of writes) this.#image.applyWrite(write)
+    const hasSnapshot = writes.some(({ kind }) => kind === 'snapshot')
+    try {
+      if (hasSnapshot) {
+        await this.#writeState(hasSnapshot)
+        return
+      }
+      await this.#append(file, encodeBatch(writes))
+      await file.sync()
+    } catch (error) {
+      await this.#writeStateWhenTaken(error, hasSnapshot)
+    }
   }
 
-  /** Ends a wait for a full disk; the batch then fails. Must be called before {@link RaftStorage.close}. */
+  /** Ends a wait for a disk that is full or refuses writes; the batch then fails. Must be called before {@link RaftStorage.close}. */
   stopWaiting (): void {
     this.#isClosing = true
   }
@@ -103,29 +126,59 @@
 
   /** Waits while the disk is full; nothing that depends on the batch is sent or answered meanwhile. */
   async #append (file: AppendFile, bytes: Uint8Array): Promise<void> {
-    for (let isFull = false; ; isFull = true) {
+    for (;;) {
       try {
         await file.append(bytes)
         this.#length += bytes.length
-        if (isFull) this.onDiskFull(false)
+        this.#reportDiskFull(false)
         return
       } catch (error) {
         if (!isDiskFull(error) || this.#isClosing) throw error
-        if (!isFull) this.onDiskFull(true)
+        this.#reportDiskFull(true)
         await file.truncate(this.#length)
         await sleep(DISK_FULL_RETRY_MS)
       }
     }
   }
 
+  #reportDiskFull (isFull: boolean): void {
+    if (isFull === this.#isDiskFull) return
+    this.#isDiskFull = isFull
+    this.onDiskFull(isFull)
+  }
+
   #openFile (): AppendFile {
     assertInvariant(this.#file !== undefined, 'storage-open', () => 'write after close')
     return this.#file
   }
 
-  /** Rewrites the log after a snapshot: only the vote and the entries after the snapshot remain. */
+  async #writeStateWhenTaken (refusal: unknown, hasSnapshot: boolean): Promise<void> {
+    let error = refusal
+    this.onRefusedWrite(refusal)
+    for (;;) {
+      if (this.#isClosing || !isRefusedBySystem(error)) throw error
+      await sleep(REFUSED_RETRY_MS)
+      try {
+        await this.#writeState(hasSnapshot)
+        this.onRefusedWrite(undefined)
+        this.#reportDiskFull(false)
+        return
+      } catch (next) {
+        error = next
+      }
+    }
+  }
+
+  async #writeState (hasSnapshot: boolean): Promise<void> {
+    const { snapshot } = this.#image.state()
+    if (hasSnapshot && snapshot !== undefined) await this.folder.replace(SNAPSHOT_FILE, frameRecord(encode(snapshot)))
+    await this.#rewriteLog()
+  }
+
+  /** Writes a new log: only the vote and the entries after the snapshot remain. */
   async #rewriteLog (): Promise<void> {
-    await this.#openFile().close()
+    // An error of the file that is replaced says nothing about the new one.
+    await this.#file?.close().catch(() => {})
     const { term, votedFor, entries } = this.#image.state()
     const vote: DurableWrite = { kind: 'vote', term, votedFor }
     const appends = entries.map((entry): DurableWrite => ({ kind: 'append', entry }))
