Hosts serve and stop gracefully while the readiness or operators' port is taken

While another process held the port that the balancer polls, an entry host accepted callers but never followed its control hosts, and a stop in that time cut them; a control host did not lead its group gracefully while the operators' port was taken. Only the callers' port and the port for other hosts hold up the start, since nothing is served without them.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -80,7 +80,7 @@
   readonly probe: EndpointProbe
   /** Returns the current addresses of control hosts that may be members of the group. */
   contacts (): readonly string[]
-  /** Starts the server for operators' calls on this platform; rejects with the code of the system if its port can't be opened. */
+  /** Starts the server for operators' calls on this platform; does not wait for a port that is taken. */
   openOperatorApi (sites: SiteService, telemetry: Telemetry): Promise<OperatorApi>
 }
 
@@ -236,7 +236,7 @@
   }
   const membershipTask = new MembershipTask(raft, rpc, contacts, settings.minimumVoters, telemetry)
   membershipTask.run().catch(fail)
-  const operators = platform === undefined ? undefined : await listenWhenFree(waits, "operators' port", async () => await platform.openOperatorApi(service, telemetry))
+  const operators = await platform?.openOperatorApi(service, telemetry)
   const startedAt = performance.now()
   const shardTimer = setInterval(() => { void assignShards(raft, hosts, settings, startedAt) }, SHARD_PLAN_INTERVAL_MS)
   const monitorTimer = setInterval(() => { groupMonitor.check(performance.now()) }, MONITOR_INTERVAL_MS)
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -67,7 +67,7 @@
   contacts? (): readonly string[]
   /** Closes the platform's clients. */
   close? (): Promise<void>
-  /** Opens the other servers that the platform calls on an entry host; waits for their ports. */
+  /** Opens the other servers that the platform calls on an entry host; does not wait for ports that are taken. */
   openPlatformServers (isReady: () => boolean): Promise<{ close (): Promise<void> }>
 }
 
