Memory guard: collects garbage close to the limit, then refuses requests instead of being killed

A process above its host's memory is killed, and all requests that are under way end with it.

The young generation's part of the budget is 12 MB: loading the entry host's program takes it to 8.4 MB.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -107,7 +107,7 @@
   name: 'eelgrassmux-control',
   description: 'Agrees on configuration, members, shard owners, orders and at-most-once records',
   settings: settingsSchema,
-  start: startControl
+  start: async (settings, telemetry, fail, waits) => await startControl(settings, telemetry, fail, waits)
 }
 
 /**
--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -5,6 +5,7 @@
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { entryMemoryBudget } from '@eelgrassmux/daemon/MemoryBudget'
+import { AMPLE_MEMORY, type MemoryLevel } from '@eelgrassmux/daemon/MemoryGuard'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, booleanSetting, durationLimitSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
@@ -83,8 +84,11 @@
  * @param telemetry - log and metrics
  * @param waits - waits for ports that are taken
  * @param platform - codec and servers of the platform
+ * @param memory - says when work that takes memory has to be refused
  */
-export async function startRoutedDaemon (settings: RoutedSettings, telemetry: Telemetry, waits: StartWaits, platform: RoutedPlatform): Promise<RunningDaemon> {
+export async function startRoutedDaemon (
+  settings: RoutedSettings, telemetry: Telemetry, waits: StartWaits, platform: RoutedPlatform, memory: MemoryLevel = AMPLE_MEMORY
+): Promise<RunningDaemon> {
   const work = new WorkGate()
   const stop = new GracefulShutdown(work, {
     balancerLagMs: settings.balancerLagMs,
@@ -157,6 +161,7 @@
     responseMemory: unfinishedResponses,
     slowReaders,
     requestBodies: new RequestBodies(requestBodyBounds(settings.memoryMb), telemetry),
+    memory,
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -9,6 +9,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { ClientErrors, type ClientError } from '@eelgrassmux/daemon/ClientErrors'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
+import type { MemoryLevel } from '@eelgrassmux/daemon/MemoryGuard'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { isOverShare } from '@eelgrassmux/routing/admission/isOverShare'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
@@ -87,6 +88,8 @@
   withRecentLoad (place: () => void): void
   /** Whether the event loop of this process was blocked for a while, so that its sockets were not read. */
   isLagging (): boolean
+  /** Whether this process is close to its limit on memory; ample if absent. */
+  readonly memory?: MemoryLevel
 }
 
 /** A request that was read completely and may be served. */
@@ -115,6 +118,9 @@
 /** Time that {@link RoutedServer.close} gives to responses still being written, in milliseconds. These are late refusals, which no other step of the shutdown waits for. */
 const CLOSE_TIMEOUT_MS = 100
 
+/** Requests under way up to which a host that is short of memory goes on: so few hold little, and what it holds then is not theirs. */
+const REQUESTS_WHILE_SHORT = 32
+
 /** Retry-After of refusals after which the caller should try another host, in seconds. */
 const RETRY_AFTER_SECONDS = 0.3
 
@@ -362,6 +368,10 @@
       this.#refuse(exchange, fields, 'configuration-stale', 503, 'this host does not know the site yet', RETRY_AFTER_SECONDS)
       return
     }
+    if (this.ports.memory?.isShedding === true && this.#pendingRequests.size > REQUESTS_WHILE_SHORT) {
+      this.#refuse(exchange, fields, 'host-memory', 503, 'this host has no memory for another request now', RETRY_AFTER_SECONDS)
+      return
+    }
     if (headerBytes(message) > index.site.limits.headerBytes) {
       this.#refuse(exchange, fields, 'headers-too-large', 431, `the headers are larger than ${index.site.limits.headerBytes} bytes`)
       return
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -1,5 +1,6 @@
 /** A server for routed requests with all its dependencies, for tests. */
 import { request as httpRequest } from 'node:http'
+import { AMPLE_MEMORY, type MemoryLevel } from '@eelgrassmux/daemon/MemoryGuard'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
 import type { HeldBytesBounds } from '@eelgrassmux/routing/admission/HeldBytes'
@@ -62,6 +63,8 @@
   readonly responseBytes?: HeldBytesBounds
   /** Bounds on the bodies of callers' requests. */
   readonly requestBytes?: HeldBytesBounds
+  /** How close the process is to its limit on memory; ample by default. */
+  readonly memory?: MemoryLevel
   /** Replaces the wait for the load of other hosts; by default, `place` is called at once. */
   readonly withRecentLoad?: (place: () => void) => void
 }
@@ -122,6 +125,7 @@
       quarantine,
       budget,
       ...(relays === undefined ? {} : { relays }),
+      memory: options.memory ?? AMPLE_MEMORY,
       ...(options.viewLag === undefined ? {} : { viewLag: options.viewLag }),
       ...(sharedRetryTokens === undefined ? {} : { sharedRetryTokens: () => sharedRetryTokens }),
       liveHosts: () => options.liveHosts ?? 1,
--- a/packages/daemon/src/lib/MemoryBudget.ts
+++ b/packages/daemon/src/lib/MemoryBudget.ts
@@ -15,8 +15,8 @@
 /** Code, libraries and heap of a control host with an empty log, in bytes. */
 const CONTROL_AT_REST_BYTES = 90 * BYTES_PER_MEGABYTE
 
-/** Both halves of the young generation, and the large objects in it, in bytes. */
-const YOUNG_GENERATION_BYTES = 6 * BYTES_PER_MEGABYTE
+/** Both halves of the young generation at the size to which loading a program makes it grow, and the large objects in it, in bytes. */
+const YOUNG_GENERATION_BYTES = 12 * BYTES_PER_MEGABYTE
 
 /** Part of the memory that nothing may use: what allocators don't return, and stacks. */
 const RESERVE_SHARE = 0.05
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -10,9 +10,10 @@
 import { InvariantViolation } from '@eelgrassmux/schema/invariant'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
+import { collectGarbage } from './GarbageCollection.js'
 import { BYTES_PER_MEGABYTE } from './MemoryBudget.js'
-import { MemoryGuard } from './MemoryGuard.js'
-import { exportMemoryMetrics, heapLimitBytes, type HeldParts } from './ProcessMemory.js'
+import { MemoryGuard, type MemoryLevel } from './MemoryGuard.js'
+import { exportMemoryMetrics, heapLimitBytes, readMemoryBreakdown, type HeldParts } from './ProcessMemory.js'
 import { ProcessSignals } from './ProcessSignals.js'
 import { StartStopped, StartWaits } from './StartWaits.js'
 import { describeSettingErrors, flagName, environmentVariableName } from './settings.js'
@@ -54,8 +55,11 @@
   readonly name: string
   readonly description: string
   readonly settings: z.ZodObject<z.ZodRawShape, z.core.$strip> & z.ZodType<Settings>
-  /** Starts the daemon; `fail` logs a fatal error and ends the process, `waits` waits for what the start depends on. */
-  start (settings: Settings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits): Promise<RunningDaemon>
+  /**
+   * Starts the daemon; `fail` logs a fatal error and ends the process, `waits` waits for what the start depends on, `memory` says
+   * when work that takes memory has to be refused.
+   */
+  start (settings: Settings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits, memory: MemoryLevel): Promise<RunningDaemon>
 }
 
 /** Exit code for settings that are missing or invalid. */
@@ -169,10 +173,10 @@
   const memoryLimitBytes = settings.memoryMb * BYTES_PER_MEGABYTE
   exportMemoryMetrics(telemetry, memoryLimitBytes)
   const residentBytes = (): number => process.memoryUsage.rss()
-  const guard = memoryLimitBytes > 0 ? new MemoryGuard(memoryLimitBytes, { residentBytes, held }, telemetry) : undefined
-  guard?.start()
+  const guard = new MemoryGuard(memoryLimitBytes, { residentBytes, breakdown: readMemoryBreakdown, held, collect: collectGarbage, now: () => performance.now() }, telemetry)
+  guard.start()
   let isDraining = false
-  const running = await program.start(settings, telemetry, fail, new StartWaits(telemetry, signals))
+  const running = await program.start(settings, telemetry, fail, new StartWaits(telemetry, signals), guard)
     .catch((error: unknown) => error instanceof StartStopped ? undefined : fail(error))
   if (running === undefined) {
     telemetry.logStateChange('stopped')
@@ -196,7 +200,7 @@
   await running.drain()
   telemetry.logStateChange('stopped')
   await running.close()
-  guard?.stop()
+  guard.stop()
   await admin.close()
   await telemetry.flush(LOG_FLUSH_TIMEOUT_MS)
   telemetry.flushSync()
