Control hosts reject commands and reads at once while their disk refuses writes

Operators at a control host whose disk refused writes had no answer within their second: commands and reads queued behind the batch, and a command could be applied long after its caller had left. RaftTask now rejects both before they are queued. A host that does not lead relays to the leader that it knows.

Evidence: the case of RaftTask.test.ts gets no answer on the code before (5 s).

--- a/apps/control/src/lib/raft/RaftTask.test.ts
+++ b/apps/control/src/lib/raft/RaftTask.test.ts
@@ -31,8 +31,8 @@
   readonly lostWhileClosing: unknown[] = []
 }
 
-function newTask (persist: () => Promise<void>, close: () => Promise<void>, minimumVoters: number, recorder = new DecisionRecorder()): RaftTask {
-  const storage = { persist, close, stopWaiting: () => {} } as unknown as RaftStorage
+function newTask (persist: () => Promise<void>, close: () => Promise<void>, minimumVoters: number, recorder = new DecisionRecorder(), disk = { isDiskRefusing: false }): RaftTask {
+  const storage = { persist, close, stopWaiting: () => {}, get isDiskRefusing () { return disk.isDiskRefusing } } as unknown as RaftStorage
   const core = new RaftCore(
     { id: 'a', address: 'a' }, { term: 0, votedFor: undefined, snapshot: undefined, entries: [] }, { ...DEFAULT_RAFT_SETTINGS, minimumVoters }, () => 0, 0
   )
@@ -67,6 +67,25 @@
     expect(order).toEqual(['written', 'closed'])
   })
 
+  // Guards against operators that get no answer while a disk refuses writes, and can't know whether their command is applied later.
+  it('rejects commands and reads at once while the disk refuses writes', async () => {
+    const writing = new Signal()
+    const mayWrite = new Signal()
+    const disk = { isDiskRefusing: false }
+    const task = newTask(async () => {
+      disk.isDiskRefusing = true
+      writing.raise()
+      await mayWrite.raised
+      disk.isDiskRefusing = false
+    }, noop, 1, undefined, disk)
+    void task.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
+    await writing.raised
+    expect(await task.propose(COMMAND)).toEqual({ kind: 'not-leader', leader: '' })
+    expect(await task.confirmRead()).toBe(false)
+    mayWrite.raise()
+    await task.close()
+  })
+
   describe('when a write fails', () => {
     /** Founds a group on a storage with a blocked write, optionally starts to close the task, and then makes the write fail. */
     async function failWrite (error: Error, isClosing: boolean): Promise<DecisionRecorder> {
--- a/apps/control/src/lib/raft/RaftTask.ts
+++ b/apps/control/src/lib/raft/RaftTask.ts
@@ -125,12 +125,14 @@
   }
 
   /**
-   * Proposes a command. The core appends no commands before the group is complete.
+   * Proposes a command. The core appends no commands before the group is complete. While the disk refuses writes, nothing
+   * is proposed: the command would wait for the disk, and its caller would not know whether it is applied.
    *
    * @param command - command to apply
    * @returns the outcome; `not-leader` with an empty leader address while the group is incomplete
    */
   async propose (command: Command): Promise<ProposeOutcome> {
+    if (this.storage.isDiskRefusing) return { kind: 'not-leader', leader: this.core.role === 'leader' ? '' : this.core.leader?.address ?? '' }
     return await new Promise(resolve => { this.#post({ kind: 'propose', command, resolve }) })
   }
 
@@ -148,9 +150,10 @@
    * Waits until a quorum has confirmed this leader after the call, so that the
    * applied state includes everything that was acknowledged before the call.
    *
-   * @returns false if this replica is not the leader or no quorum answers in time
+   * @returns false if this replica is not the leader, its disk refuses writes, or no quorum answers in time
    */
   async confirmRead (): Promise<boolean> {
+    if (this.storage.isDiskRefusing) return false
     return await new Promise(resolve => { this.#post({ kind: 'read', resolve }) })
   }
 
--- a/packages/durable/src/lib/RaftStorage.ts
+++ b/packages/durable/src/lib/RaftStorage.ts
@@ -42,6 +42,7 @@
   #length = 0
   #isClosing = false
   #isDiskFull = false
+  #isRefused = false
   /** Called when the disk becomes full, and when it takes the batch that had to wait. */
   onDiskFull: (isFull: boolean) => void = () => {}
   /** Called with the error when the disk refuses a write for another reason, and with undefined when it has taken the batch. */
@@ -49,6 +50,9 @@
 
   private constructor (private readonly folder: DataFolder) {}
 
+  /** Whether a batch waits because the disk is full or refuses writes. */
+  get isDiskRefusing (): boolean { return this.#isDiskFull || this.#isRefused }
+
   /**
    * Reads the state of a replica; creates an identity if the folder is empty.
    *
@@ -154,12 +158,14 @@
 
   async #writeStateWhenTaken (refusal: unknown, hasSnapshot: boolean): Promise<void> {
     let error = refusal
+    this.#isRefused = true
     this.onRefusedWrite(refusal)
     for (;;) {
       if (this.#isClosing || !isRefusedBySystem(error)) throw error
       await sleep(REFUSED_RETRY_MS)
       try {
         await this.#writeState(hasSnapshot)
+        this.#isRefused = false
         this.onRefusedWrite(undefined)
         this.#reportDiskFull(false)
         return
