Trying a port accepts no connection for good; a path through a file is a wrong setting

A peer that connected while RpcServer tried its port kept the trial server from closing, and would have waited for an answer of it. Such connections are closed at once.

--- a/packages/durable/src/lib/DataFolder.ts
+++ b/packages/durable/src/lib/DataFolder.ts
@@ -156,7 +156,7 @@
 }
 
 /** Codes of errors that only another setting changes. */
-const WRONG_PATH_CODES: ReadonlySet<unknown> = new Set(['ENOTDIR', 'EISDIR', 'ENAMETOOLONG', 'ELOOP', 'EINVAL'])
+const WRONG_PATH_CODES: ReadonlySet<unknown> = new Set(['ENOTDIR', 'EEXIST', 'EISDIR', 'ENAMETOOLONG', 'ELOOP', 'EINVAL'])
 
 /**
  * @param error - error of a file operation
--- a/packages/durable/src/lib/StorageOpening.test.ts
+++ b/packages/durable/src/lib/StorageOpening.test.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { isRefusedBySystem } from './DataFolder.js'
 import { StorageOpening, type OpenedOrSetAside } from './StorageOpening.js'
 
 const openOrSetAside = async (path: string): Promise<OpenedOrSetAside> => await new StorageOpening(path).attempt()
@@ -62,7 +63,7 @@
     const opening = new StorageOpening(path)
     await rename(path, `${path}.away`)
     await writeFile(path, 'not mounted')
-    await expect(opening.attempt()).rejects.toThrow()
+    await expect(opening.attempt()).rejects.toSatisfy(error => !isRefusedBySystem(error))
     await rm(path)
     await rename(`${path}.away`, path)
     const { opened, setAside } = await opening.attempt()
@@ -72,6 +73,14 @@
     expect(opened.persisted.entries).toHaveLength(1)
   })
 
+  // Guards against waiting without end for what only another setting changes.
+  it('tells a disk that refuses from a path that is wrong', () => {
+    const errorOf = (code: string): Error => Object.assign(new Error(code), { code, syscall: 'open' })
+    for (const code of ['EIO', 'ENOSPC', 'EROFS', 'EACCES', 'EFBIG']) expect(isRefusedBySystem(errorOf(code))).toBe(true)
+    for (const code of ['ENOTDIR', 'EEXIST', 'EISDIR']) expect(isRefusedBySystem(errorOf(code))).toBe(false)
+    expect(isRefusedBySystem(new Error('a violated invariant'))).toBe(false)
+  })
+
   it('sets nothing aside that can be read', async () => {
     const first = await openOrSetAside(path)
     await first.opened.storage.close()
--- a/packages/rpc/src/lib/RpcServer.ts
+++ b/packages/rpc/src/lib/RpcServer.ts
@@ -123,7 +123,8 @@
 
 /** The gRPC server states no error codes, and keeps the failure of a port for good. */
 async function probePort (host: string, port: number): Promise<void> {
-  const probe = createServer()
+  // A connection that is accepted here would neither be answered nor let the probe close.
+  const probe = createServer(socket => { socket.destroy() })
   await new Promise<void>((resolve, reject) => {
     probe.once('error', reject)
     probe.listen(port, host, () => { probe.close(() => { resolve() }) })
