The founder of a group is chosen by the first contacts that a control host reads

Since the contacts file is read in the background, a host whose file was missing at its start took the contacts that were in force when its ports were open for the first ones, and could found a second group. The file keeps the first contacts that it has named.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -80,6 +80,11 @@
   readonly probe: EndpointProbe
   /** Returns the current addresses of control hosts that may be members of the group. */
   contacts (): readonly string[]
+  /**
+   * Returns the first addresses that the platform named to this process; empty until then. Hosts agree on the founder only
+   * by the contacts that all of them are given when they are started together.
+   */
+  firstContacts (): readonly string[]
   /** Starts the server for operators' calls on this platform; does not wait for a port that is taken. */
   openOperatorApi (sites: SiteService, telemetry: Telemetry): Promise<OperatorApi>
 }
@@ -122,9 +127,6 @@
 export async function startControl (
   settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits, platform?: ControlPlatform
 ): Promise<RunningDaemon> {
-  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
-  // Hosts agree on the founder only by the contacts that all of them are given when they are started together.
-  const contactsAtStart = contacts()
   const opening = new StorageOpening(join(settings.dataFolder, 'control'))
   const { opened: { storage, replicaId, persisted }, setAside, foreignEntries } = await waits.until(`data folder ${settings.dataFolder}`, async () => await opening.attempt(), isRefusedBySystem)
   if (foreignEntries.length > 0) telemetry.logFault('storage-foreign-entries', { names: foreignEntries.join(' ') })
@@ -229,11 +231,11 @@
   orders.start()
   rollout?.start()
   const mayFound = setAside === undefined && settings.bootstrap && core.lastIndex === 0
-  const firstContacts = mayFound && platform !== undefined && contactsAtStart.length === 0 ? await waitForContacts(waits, contacts) : contactsAtStart
-  if (mayFound && isFounder(self.address, firstContacts)) {
+  if (mayFound && isFounder(self.address, platform === undefined ? settings.join : await waitForContacts(waits, platform))) {
     await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
     telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
   }
+  const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
   const membershipTask = new MembershipTask(raft, rpc, contacts, settings.minimumVoters, telemetry)
   membershipTask.run().catch(fail)
   const operators = await platform?.openOperatorApi(service, telemetry)
@@ -286,9 +288,9 @@
 }
 
 /** Returns the first contacts that the platform names. Without any, each control host would found a group of its own. */
-async function waitForContacts (waits: StartWaits, contacts: () => readonly string[]): Promise<readonly string[]> {
+async function waitForContacts (waits: StartWaits, platform: ControlPlatform): Promise<readonly string[]> {
   return await waits.until('contacts, the first of which founds the group', async () => {
-    const named = contacts()
+    const named = platform.firstContacts()
     if (named.length === 0) throw new Error('the platform has named none')
     return named
   }, () => true)
--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -25,6 +25,7 @@
     stores: new NoStores(),
     probe: new HttpEndpointProbe(),
     contacts: () => settings.join,
+    firstContacts: () => settings.join,
     openOperatorApi: async sites => await serveOperatorApi(settings.host, sites, settings.forgetful)
   })
 }
