Heap growth: hosts from 300 MB keep a young generation of full size

With the bounds for small hosts a control host told 346 MB spent 71 and 72 ms of processor time a document of 277 kB (53 and 54 before) and had 117 MiB resident at most (197 before): it used a third of its memory and paid for it with collections. The sums for all sizes and the test with garbage hold for 178, 200 and 350 MB.

--- a/packages/daemon/src/lib/MemoryBudget.ts
+++ b/packages/daemon/src/lib/MemoryBudget.ts
@@ -15,8 +15,14 @@
 /** Code, libraries and heap of a control host with an empty log, in bytes. */
 const CONTROL_AT_REST_BYTES = 90 * BYTES_PER_MEGABYTE
 
-/** Both halves of the young generation at the size to which loading a program makes it grow, and the large objects in it, in bytes. */
-const YOUNG_GENERATION_BYTES = 12 * BYTES_PER_MEGABYTE
+/** Both halves of a young generation of the size to which loading a program makes it grow, and the large objects in it, in bytes. */
+const BOUNDED_YOUNG_GENERATION_BYTES = 12 * BYTES_PER_MEGABYTE
+
+/** The same at the largest size that the engine gives it, in bytes. */
+const FULL_YOUNG_GENERATION_BYTES = 52 * BYTES_PER_MEGABYTE
+
+/** Memory from which a host has room for a young generation of full size, in megabytes. Collections take less processor time then. */
+const FULL_YOUNG_GENERATION_FROM_MB = 300
 
 /** Part of the memory that nothing may use: what allocators don't return, and stacks. */
 const RESERVE_SHARE = 0.05
@@ -110,10 +116,19 @@
   return { ...budget, heapBytes: share('heap'), operatorCallBytes: share('operatorCalls') }
 }
 
+/**
+ * @param memoryMb - memory of the host in megabytes; 0 or not a number if it is not known
+ * @returns whether the young generation has to stay at the size that it has once the program is loaded
+ */
+export function isYoungGenerationBounded (memoryMb: number): boolean {
+  return !(memoryMb >= FULL_YOUNG_GENERATION_FROM_MB)
+}
+
 /** Returns the fixed parts, and what is left to be spread over the others. */
 function divide (memoryMb: number, atRestBytes: number): { budget: Omit<ProcessMemoryBudget, 'heapBytes'>, spreadBytes: number } {
   const limitBytes = (memoryMb > 0 ? memoryMb : DEFAULT_MEMORY_MB) * BYTES_PER_MEGABYTE
   const reserveBytes = Math.floor(limitBytes * RESERVE_SHARE)
-  const spreadBytes = Math.max(MIN_SPREAD_BYTES, limitBytes - atRestBytes - YOUNG_GENERATION_BYTES - reserveBytes)
-  return { budget: { limitBytes, atRestBytes, youngGenerationBytes: YOUNG_GENERATION_BYTES, reserveBytes }, spreadBytes }
+  const youngGenerationBytes = isYoungGenerationBounded(memoryMb) ? BOUNDED_YOUNG_GENERATION_BYTES : FULL_YOUNG_GENERATION_BYTES
+  const spreadBytes = Math.max(MIN_SPREAD_BYTES, limitBytes - atRestBytes - youngGenerationBytes - reserveBytes)
+  return { budget: { limitBytes, atRestBytes, youngGenerationBytes, reserveBytes }, spreadBytes }
 }
--- a/packages/daemon/src/lib/boundHeapGrowth.test.ts
+++ b/packages/daemon/src/lib/boundHeapGrowth.test.ts
@@ -6,10 +6,10 @@
 const SYSTEM = new URL('../../../../deploy/system.toml', import.meta.url)
 
 /** Prints the most that the young generation and the heap occupied while much garbage was made beside a few live megabytes. */
-const GARBAGE_PROGRAM = `
+const garbageProgram = (memoryMb: number): string => `
   import { getHeapSpaceStatistics, getHeapStatistics } from 'node:v8'
   import { boundHeapGrowth } from '${new URL('../../dist/lib/boundHeapGrowth.js', import.meta.url).href}'
-  boundHeapGrowth()
+  boundHeapGrowth(${memoryMb})
   const heapBefore = getHeapStatistics().total_heap_size
   let young = 0
   let growth = 0
@@ -33,9 +33,9 @@
 
 describe('the heap of a program', () => {
   // Guards against a host that is killed in plain load because its heap grows as if all of the machine's memory were its own.
-  it('stays within the budget of a small host while it makes garbage, whatever the memory of the machine', () => {
-    const { youngGenerationBytes, heapBytes } = entryMemoryBudget(200)
-    const { stdout, stderr } = spawnSync(process.execPath, [...readFlags(), '--input-type=module', '--eval', GARBAGE_PROGRAM], { encoding: 'utf8' })
+  it.each([178, 200, 350])('stays within the budget of a host of %i MB while it makes garbage, whatever the memory of the machine', memoryMb => {
+    const { youngGenerationBytes, heapBytes } = entryMemoryBudget(memoryMb)
+    const { stdout, stderr } = spawnSync(process.execPath, [...readFlags(), '--input-type=module', '--eval', garbageProgram(memoryMb)], { encoding: 'utf8' })
     expect(stderr).toBe('')
     const { young, growth } = JSON.parse(stdout) as { young: number, growth: number }
     expect(young).toBeLessThanOrEqual(youngGenerationBytes)
