Entry host: turns are limited however long each request takes

The change before counted requests in windows of 10 ms.

Now the count runs from the last rest of the event loop (a millisecond without events), and a turn that has lasted 4 ms since its first request is divided too. Up to 32 turns in a row accept connections.

--- a/apps/entry/src/lib/routed/RequestTurns.test.ts
+++ b/apps/entry/src/lib/routed/RequestTurns.test.ts
@@ -18,14 +18,19 @@
   #nextSteps: Array<() => void> = []
   readonly #accepted: string[] = []
   #connections = 0
+  #idleMs = 0
 
   readonly requests = new RequestTurns(new Telemetry('test'), {
     now: () => this.nowMs,
+    idleMs: () => this.#idleMs,
     nextTurn: next => { this.#nextTurn.push(next) },
     nextStep: next => { this.#nextSteps.push(next) }
   })
 
-  constructor (private readonly deadlineMs?: number) {}
+  /** Requests that had begun when the last connection was accepted. */
+  acceptedAllAfter = 0
+
+  constructor (private readonly deadlineMs?: number, private readonly requestMs = REQUEST_MS) {}
 
   get isTurnScheduled (): boolean { return this.#nextTurn.length > 0 }
 
@@ -33,7 +38,7 @@
     const request: ArrivedRequest = {
       deadlineMs: this.deadlineMs,
       begin: () => {
-        this.nowMs += REQUEST_MS
+        this.nowMs += this.requestMs
         this.begun.push(name)
       },
       refuse: () => { this.refused.push(name) }
@@ -45,8 +50,11 @@
 
   runTurn (): void {
     this.turns += 1
+    // The event loop waits for events only if nothing is scheduled.
+    if (!this.isTurnScheduled) this.#idleMs += 1
     if (this.backlog > 0) {
       this.backlog -= 1
+      this.acceptedAllAfter = this.begun.length
       this.requests.noteConnection()
       this.#accepted.push(`new ${this.#connections++}`)
     }
@@ -99,6 +107,15 @@
     expect(loop.begun).toEqual(Array.from({ length: 100 }, (_, number) => String(number)))
   })
 
+  // Guards against slices that only a fast host has, because its requests are counted by time.
+  it('accepts newcomers between requests of which each takes longer than a slice', () => {
+    const loop = new TestLoop(undefined, 30)
+    loop.backlog = 40
+    while (loop.begun.length < 40 && loop.turns < 1000) loop.runTurn()
+    expect(loop.begun).toHaveLength(40)
+    expect(loop.acceptedAllAfter).toBeLessThan(10)
+  })
+
   // Guards against a flood of connections that keeps requests from beginning.
   it('begins requests although connections never stop coming', () => {
     const loop = new TestLoop()
@@ -111,8 +128,8 @@
   it('schedules nothing for requests that arrive one after the other', () => {
     const loop = new TestLoop()
     for (let number = 0; number < 100; number += 1) {
-      loop.nowMs += 10
-      loop.arrive(String(number))
+      loop.arriving.push(String(number))
+      loop.runTurn()
       expect(loop.isTurnScheduled).toBe(false)
     }
     expect(loop.begun).toHaveLength(100)
--- a/apps/entry/src/lib/routed/RequestTurns.ts
+++ b/apps/entry/src/lib/routed/RequestTurns.ts
@@ -9,11 +9,11 @@
 import { isBehindWithTurns, isInTimeForTurn, mayWaitForTurn } from '@eelgrassmux/routing/admission/turnWait'
 import type { LabelledCounter, Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
-/** Requests that arrive in a window without any bookkeeping; a host that keeps up has fewer. */
-const FREE_REQUESTS = 4
+/** Requests and connections for which nothing is scheduled until the event loop has rested; a host that keeps up has fewer. */
+const FREE_ARRIVALS = 4
 
-/** Length of a window, in milliseconds. */
-const WINDOW_MS = 10
+/** Time without events after which the event loop has rested, in milliseconds. */
+const REST_MS = 1
 
 /** Time for which requests are begun in a turn, in milliseconds. */
 const SLICE_MS = 4
@@ -22,7 +22,7 @@
 const MAX_SLICE_MS = 20
 
 /** Most turns in a row that accept connections and begin nothing. Without requests that begin, such turns are short. */
-const MAX_ACCEPTING_TURNS = 16
+const MAX_ACCEPTING_TURNS = 32
 
 /** Most requests that wait, which bounds the memory that they hold. */
 const MAX_WAITING = 1000
@@ -55,6 +55,8 @@
 /** Clock and scheduler, which tests replace. */
 export interface TurnTimers {
   now (): number
+  /** @returns time for which the event loop has waited for events, in milliseconds; it stays the same within a turn */
+  idleMs (): number
   /** Calls `next` in the next turn, after a connection was accepted and the sockets were read. */
   nextTurn (next: () => void): void
   /** Calls `next` in this turn, after what the last request has scheduled for it. */
@@ -63,6 +65,7 @@
 
 const LOOP_TIMERS: TurnTimers = {
   now: () => performance.now(),
+  idleMs: () => performance.nodeTiming.idleTime,
   nextTurn: next => { setImmediate(next) },
   nextStep: next => { process.nextTick(next) }
 }
@@ -75,9 +78,13 @@
   readonly #outcomes: LabelledCounter
   readonly #observeWait: (milliseconds: number) => void
   readonly #observeTurn: (milliseconds: number) => void
-  #windowStartedAt = Number.NEGATIVE_INFINITY
-  #requestsInWindow = 0
+  /** Idle time of the event loop when the current turn began. */
+  #idleMs = Number.NaN
+  /** Idle time of the event loop when it had last rested. */
+  #restedAtIdleMs = Number.NEGATIVE_INFINITY
+  #arrivalsSinceRest = 0
   #isTurnEndDue = false
+  /** When something first arrived in the current turn. */
   #turnStartedAt = 0
   #hasNewConnection = false
   #acceptingTurns = 0
@@ -122,6 +129,7 @@
     if (this.#waiting.size === 0) {
       if (this.#acceptingTurns === 0 && !this.#isTurnOver(now)) {
         request.begin()
+        this.#limitTurn(this.timers.now())
         return false
       }
       this.#sliceEndedAt = now
@@ -149,20 +157,34 @@
 
   #noteArrival (now: number): void {
     if (this.#isTurnEndDue) return
-    if (now - this.#windowStartedAt >= WINDOW_MS) {
-      this.#windowStartedAt = now
-      this.#requestsInWindow = 0
+    const idleMs = this.timers.idleMs()
+    if (idleMs !== this.#idleMs) {
+      this.#idleMs = idleMs
+      this.#turnStartedAt = now
     }
-    this.#requestsInWindow += 1
-    if (this.#requestsInWindow > FREE_REQUESTS) this.#startTurn(now)
+    if (idleMs - this.#restedAtIdleMs >= REST_MS) {
+      this.#restedAtIdleMs = idleMs
+      this.#arrivalsSinceRest = 0
+    }
+    this.#arrivalsSinceRest += 1
+    this.#limitTurn(now)
+  }
+
+  /** Makes sure that the end of a turn is noticed if the event loop does not rest, or the turn has taken long. */
+  #limitTurn (now: number): void {
+    if (!this.#isTurnEndDue && (this.#arrivalsSinceRest > FREE_ARRIVALS || this.#isTurnOver(now))) this.#scheduleTurnEnd()
   }
 
   #isTurnOver (now: number): boolean {
-    return this.#isTurnEndDue && now - this.#turnStartedAt >= SLICE_MS
+    return now - this.#turnStartedAt >= SLICE_MS
   }
 
   #startTurn (now: number): void {
     this.#turnStartedAt = now
+    this.#scheduleTurnEnd()
+  }
+
+  #scheduleTurnEnd (): void {
     this.#isTurnEndDue = true
     this.timers.nextTurn(() => { this.#endTurn() })
   }
@@ -174,7 +196,10 @@
     const isAccepting = this.#hasNewConnection && this.#acceptingTurns < MAX_ACCEPTING_TURNS
     this.#hasNewConnection = false
     this.#acceptingTurns = isAccepting ? this.#acceptingTurns + 1 : 0
-    if (!isAccepting && this.#waiting.size === 0) return
+    if (!isAccepting && this.#waiting.size === 0) {
+      this.#idleMs = Number.NaN
+      return
+    }
     this.#startTurn(now)
     if (isAccepting) return
     const sliceMs = Math.min(MAX_SLICE_MS, Math.max(SLICE_MS, now - this.#sliceEndedAt))
