Entry hosts: connections of callers have a bound from memory and open files

A host that thousands of idle connections had taken the memory or the file descriptors of ended above its memory, or accepted nobody: 3,000 idle connections beside 100 callers took a host told 200 MB to 192 MiB.

Cause: nothing counted connections; only the site's idle time closed them.

Now the bound is `connections` of the memory budget and half of the open files of the process. Beyond it the connection that has been idle longest gives way to a new one; one with a request, or used within the last second, never does. Otherwise the new one is closed unread, before anything of it is read, so that its caller's next attempt meets another host. The memory of request bodies is stated in the `memory` line as well.

Before: the test of the longest idle connection and that of connections with a request fail on the unchanged server (nothing was closed, and the request beyond the bound was taken).

--- a/apps/entry/src/lib/RoutedDaemon.ts
+++ b/apps/entry/src/lib/RoutedDaemon.ts
@@ -6,6 +6,7 @@
 import type { StartWaits } from '@eelgrassmux/daemon/StartWaits'
 import { entryMemoryBudget } from '@eelgrassmux/daemon/MemoryBudget'
 import { AMPLE_MEMORY, type MemoryLevel } from '@eelgrassmux/daemon/MemoryGuard'
+import { openFilesLimit } from '@eelgrassmux/daemon/openFilesLimit'
 import { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { dataCentresSetting } from '@eelgrassmux/daemon/dataCentresSetting'
 import { addressListSetting, booleanSetting, durationLimitSetting, commonSettingsShape, integerSetting, listSetting, stopGraceSetting } from '@eelgrassmux/daemon/settings'
@@ -30,6 +31,7 @@
 import type { EngineReservations } from './routed/EngineReservations.js'
 import type { RequestCodec } from './routed/RequestCodec.js'
 import { RoutedFleet } from './routed/RoutedFleet.js'
+import { CallerConnections, callerConnectionsBound } from './routed/CallerConnections.js'
 import { RequestBodies, requestBodyBounds } from './routed/RequestBodies.js'
 import { ResponseMemory, responseMemoryBounds } from './routed/ResponseMemory.js'
 import { RoutedServer } from './routed/RoutedServer.js'
@@ -157,11 +159,13 @@
   const olderWeights = new OutdatedWeightsDeadlines(settings.weightsBoundMs)
   const unfinishedResponses = new ResponseMemory(responseMemory, telemetry)
   const slowReaders = new SlowReaders(features, slowReaderBounds(settings.memoryMb, () => unfinishedResponses.totalBytes + fleet.readSlices.unreadBytes), telemetry)
+  const requestBodies = new RequestBodies(requestBodyBounds(settings.memoryMb), telemetry)
   const server = new RoutedServer({
     responseMemory: unfinishedResponses,
     slowReaders,
-    requestBodies: new RequestBodies(requestBodyBounds(settings.memoryMb), telemetry),
     memory,
+    connections: new CallerConnections(callerConnectionsBound(settings.memoryMb, openFilesLimit()), telemetry),
+    requestBodies,
     waiting,
     relays: { hosts: relayHosts, tickets: new RelayTicketChecks(relayDirectory) },
     reservations: platform.reservations,
@@ -227,6 +231,7 @@
     held: () => ({
       connections: server.openConnections,
       requests: work.activeCount,
+      requestBodyBytes: requestBodies.totalBytes,
       unfinishedResponseBytes: unfinishedResponses.totalBytes,
       slowReaderBytes: slowReaders.totalBytes + slowReaders.waitingBytes
     }),
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -28,6 +28,7 @@
 import type { RelayHosts } from '../relays/RelayHosts.js'
 import type { RelayTicketChecks } from '../relays/RelayTicketChecks.js'
 import type { StreamDirectory } from '../streams/StreamDirectory.js'
+import type { CallerConnections } from './CallerConnections.js'
 import { CallerExchange } from './CallerExchange.js'
 import type { WaitingExchange } from '../waiting/WaitingExchange.js'
 import type { EngineReservations } from './EngineReservations.js'
@@ -60,6 +61,8 @@
   readonly slowReaders?: SlowReaders
   /** Bounds on unfinished responses; those of a host of a default size if absent. */
   readonly responseMemory?: ResponseMemory
+  /** Bound on the open connections of callers; none if absent. */
+  readonly connections?: CallerConnections
   /** Bounds on the bodies of callers' requests; those of a host of a default size if absent. */
   readonly requestBodies?: RequestBodies
   /** Other hosts, and checks of the requests that they relay; absent if there are none. */
@@ -164,6 +167,7 @@
     this.#server.requestTimeout = 0
     this.#closedUnread = telemetry.labelledCounter('connections_closed_unread_total', 'Connections of callers that this host closed unread')
     this.#server.on('connection', (socket: Socket) => {
+      if (this.ports.connections?.add(socket) === false) return
       this.#openConnections += 1
       socket.once('close', () => { this.#openConnections -= 1 })
       this.#turns.noteConnection()
@@ -276,6 +280,7 @@
   #accept (message: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now()
     this.#lastRequestAt = arrivedAt
+    this.#countRequest(message.socket, response)
     const exchange = new CallerExchange(message, response, () => this.ports.stop.isStopping)
     // The caller sent this request before it saw that the connection is closing; it can't be answered.
     if (exchange.isAfterLastResponse || this.#clientErrors.isEnding(message.socket)) return
@@ -325,6 +330,12 @@
     this.#refuse(exchange, fields, 'host-overloaded', 503, 'this host has more requests than it can begin in time; ask another', retryAfterSecondsFor('host-overloaded', freeInMs, remainingMs))
   }
 
+  #countRequest (socket: Socket, response: ServerResponse): void {
+    const { connections } = this.ports
+    connections?.begin(socket)
+    response.once('close', () => { connections?.end(socket) })
+  }
+
   /** Runs a step of a request that has no task yet. An exception ends the request; nothing of it has been sent. */
   #contain (exchange: CallerExchange, requestId: string, step: () => void): void {
     new FaultBoundary(this.#faults, requestId, () => {
--- a/apps/entry/src/lib/routed/harness/RoutedHost.ts
+++ b/apps/entry/src/lib/routed/harness/RoutedHost.ts
@@ -12,6 +12,7 @@
 import type { RequestQuarantine } from '../../quarantine/RequestQuarantine.js'
 import type { RetryTokens } from '../../retries/RetryTokens.js'
 import { StreamDirectoryClient } from '../../streams/StreamDirectoryClient.js'
+import { CallerConnections } from '../CallerConnections.js'
 import { RequestBodies, requestBodyBounds } from '../RequestBodies.js'
 import { ResponseMemory, responseMemoryBounds } from '../ResponseMemory.js'
 import { RoutedFleet } from '../RoutedFleet.js'
@@ -61,6 +62,8 @@
   readonly heldBytes?: HeldBytesBounds
   /** Bounds on unfinished responses. */
   readonly responseBytes?: HeldBytesBounds
+  /** Most open connections of callers; unbounded by default. */
+  readonly connections?: number
   /** Bounds on the bodies of callers' requests. */
   readonly requestBytes?: HeldBytesBounds
   /** How close the process is to its limit on memory; ample by default. */
@@ -117,6 +120,7 @@
       fleet: this.fleet,
       slowReaders: this.slowReaders,
       responseMemory: this.responseMemory,
+      connections: new CallerConnections(options.connections ?? Number.POSITIVE_INFINITY, this.telemetry),
       requestBodies: this.requestBodies,
       codec,
       work,
