Soak: the callers of one host have a thread of their own

The callers run on a thread of their own now, start one millisecond apart, and only what their thread was late while it sent or after the deadline is taken off.

--- a/apps/soak/src/lib/ExtraCallers.ts
+++ b/apps/soak/src/lib/ExtraCallers.ts
@@ -1,7 +1,7 @@
 /** Callers that send requests for some time beside the callers of the whole run. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { CallerContext } from './Caller.js'
-import { CallerWithDeadline } from './CallerWithDeadline.js'
+import { runCallersWithDeadline } from './CallersWithDeadline.js'
 import type { AnswersInTimeCheck } from './checks/AnswersInTimeCheck.js'
 import { HeldConnections, type Held } from './HeldConnections.js'
 import type { ProcessSlot } from './ProcessSlot.js'
@@ -53,8 +53,7 @@
    * @param durationMs - time after which no further call is sent, in milliseconds
    */
   async runWithDeadline (host: ProcessSlot, count: number, check: AnswersInTimeCheck, durationMs: number): Promise<void> {
-    const name = this.nextName('many')
-    await this.#runFor(Array.from({ length: count }, (_, index) => new CallerWithDeadline(`${name}-${index}`, () => host.current, this.context.history, check)), durationMs)
+    await runCallersWithDeadline({ name: this.nextName('many'), count, durationMs }, host, this.context.history, check)
   }
 
   /**
@@ -71,7 +70,7 @@
     return SeededRandom.ofNeighbour(this.seed + this.#count * count + index)
   }
 
-  async #runFor (callers: ReadonlyArray<RepeatingCaller | CallerWithBytesBehind | CallerWithDeadline>, durationMs: number): Promise<void> {
+  async #runFor (callers: ReadonlyArray<RepeatingCaller | CallerWithBytesBehind>, durationMs: number): Promise<void> {
     const running = Promise.all(callers.map(async caller => { await caller.run() }))
     await sleep(durationMs)
     for (const caller of callers) caller.stop()
--- a/apps/soak/src/lib/checks/AnswersInTimeCheck.test.ts
+++ b/apps/soak/src/lib/checks/AnswersInTimeCheck.test.ts
@@ -10,8 +10,8 @@
     disturb(timeline)
     const sentAt = Date.now() + 1000
     const request: SentRequest = { id: 'a', kind: 'safe', customer: 'ward', work: { kind: 'plain', milliseconds: 0 }, body: '', host: 'entry-0#1', sentAt, siteVersion: 0, deadlineMs: 3000 }
-    const check = new AnswersInTimeCheck(timeline, () => 0)
-    check.recordEnd(request, sentAt + milliseconds)
+    const check = new AnswersInTimeCheck(timeline)
+    check.recordEnd(request, sentAt + milliseconds, 0)
     return check.onEnd()
   }
 
--- a/apps/soak/src/lib/checks/AnswersInTimeCheck.ts
+++ b/apps/soak/src/lib/checks/AnswersInTimeCheck.ts
@@ -16,16 +16,16 @@
 
   /**
    * @param timeline - faults that were injected
-   * @param ownDelay - returns how long this process was late itself in a time, in milliseconds
    */
-  constructor (private readonly timeline: Timeline, private readonly ownDelay: (from: number, until: number) => number) {}
+  constructor (private readonly timeline: Timeline) {}
 
   /**
    * @param request - request that has ended, or on which its caller has given up
    * @param endedAt - when, in wall-clock milliseconds
+   * @param ownDelayMs - how long its caller was late itself meanwhile, in milliseconds
    */
-  recordEnd ({ id, host, sentAt, deadlineMs }: SentRequest, endedAt: number): void {
-    if (deadlineMs === undefined || endedAt - sentAt <= deadlineMs + GRACE_MS + this.ownDelay(sentAt, endedAt)) return
+  recordEnd ({ id, host, sentAt, deadlineMs }: SentRequest, endedAt: number, ownDelayMs: number): void {
+    if (deadlineMs === undefined || endedAt - sentAt <= deadlineMs + GRACE_MS + ownDelayMs) return
     const [slot = ''] = host.split('#')
     if (!this.timeline.ranThrough(slot, sentAt, endedAt) || this.timeline.isExcused(host, sentAt, endedAt)) return
     this.#late.set(host, [...this.#late.get(host) ?? [], `${id} after ${endedAt - sentAt} ms`])
--- a/apps/soak/src/lib/runSoak.ts
+++ b/apps/soak/src/lib/runSoak.ts
@@ -24,7 +24,6 @@
 import { RepeatingCaller } from './RepeatingCaller.js'
 import { RequestHistory, type Violation } from './RequestHistory.js'
 import { MemoryLimit } from './MemoryLimit.js'
-import { OwnDelay } from './OwnDelay.js'
 import { Operator } from './Operator.js'
 import { SoakCluster } from './SoakCluster.js'
 import { MODEL } from './soakSite.js'
@@ -101,8 +100,7 @@
   readonly #brittleEndpoints = new BrittleEndpointsStandCheck()
   readonly #crowds = new ServedAsBeforeCheck('crowded-hosts-serve', this.#timeline)
   readonly #soundEndpoints = new ServedAsBeforeCheck('sound-endpoints-serve', this.#timeline)
-  readonly #ownDelay = new OwnDelay()
-  readonly #answersInTime = new AnswersInTimeCheck(this.#timeline, (from, until) => this.#ownDelay.within(from, until))
+  readonly #answersInTime = new AnswersInTimeCheck(this.#timeline)
   readonly #endlessAnswers = new EndlessAnswersAreClosedCheck(this.#timeline, id => this.#history.request(id)?.work.kind === 'plain')
   readonly #history: RequestHistory
   readonly #configuration: ConfigurationCheck
@@ -170,7 +168,6 @@
     } finally {
       this.#balancer.close()
       this.#memoryLimit.close()
-      this.#ownDelay.close()
       await this.#cluster.stop()
     }
     this.#history.settleAll()
