--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -1,6 +1,7 @@
 /** A control host with the platform adapters of the soak. */
 import { z } from 'zod'
 import { controlSettingsShape, startControl } from '@eelgrassmux/control/ControlDaemon'
+import { boundHeapGrowth } from '@eelgrassmux/daemon/boundHeapGrowth'
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { addressSetting, booleanSetting } from '@eelgrassmux/daemon/settings'
 import { HttpEndpointProbe } from './lib/HttpEndpointProbe.js'
@@ -30,4 +31,5 @@
   })
 }
 
+boundHeapGrowth()
 await runDaemon(program, process.argv.slice(2))
--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -1,5 +1,6 @@
 /** An entry host for routed requests that uses the headers of the soak. */
 import { z } from 'zod'
+import { boundHeapGrowth } from '@eelgrassmux/daemon/boundHeapGrowth'
 import { runDaemon, type DaemonProgram } from '@eelgrassmux/daemon/runDaemon'
 import { booleanSetting } from '@eelgrassmux/daemon/settings'
 import { routedSettingsShape, startRoutedDaemon } from '@eelgrassmux/entry/RoutedDaemon'
@@ -41,4 +42,5 @@
   }
 }
 
+boundHeapGrowth()
 await runDaemon(program, process.argv.slice(2))
