Soak: its programs are told their memory, bound their heap by it and shed close to it, as the deployed ones do

The entry hosts of the soak had no guard that refuses requests close to the limit, and control hosts were not told their memory; the bound on the heap's growth is chosen by it.

--- a/apps/soak/src/control.ts
+++ b/apps/soak/src/control.ts
@@ -20,16 +20,18 @@
   name: 'soak-control',
   description: 'Control host of the soak: agrees on sites and weights',
   settings: settingsSchema,
-  start: async (settings, telemetry, fail, waits) => await startControl(settings, telemetry, fail, waits, {
-    endpoints: new HttpEndpointSource(settings.list),
-    engines: new HttpRolloutBackend(),
-    stores: new NoStores(),
-    probe: new HttpEndpointProbe(),
-    contacts: () => settings.join,
-    firstContacts: () => settings.join,
-    openOperatorApi: async sites => await serveOperatorApi(settings.host, sites, settings.forgetful)
-  })
+  start: async (settings, telemetry, fail, waits) => {
+    boundHeapGrowth(settings.memoryMb)
+    return await startControl(settings, telemetry, fail, waits, {
+      endpoints: new HttpEndpointSource(settings.list),
+      engines: new HttpRolloutBackend(),
+      stores: new NoStores(),
+      probe: new HttpEndpointProbe(),
+      contacts: () => settings.join,
+      firstContacts: () => settings.join,
+      openOperatorApi: async sites => await serveOperatorApi(settings.host, sites, settings.forgetful)
+    })
+  }
 }
 
-boundHeapGrowth()
 await runDaemon(program, process.argv.slice(2))
--- a/apps/soak/src/entry.ts
+++ b/apps/soak/src/entry.ts
@@ -26,7 +26,8 @@
   name: 'soak-entry',
   description: 'Entry host of the soak: accepts requests and forwards them to endpoints',
   settings: settingsSchema,
-  start: async (settings, telemetry, _fail, waits) => {
+  start: async (settings, telemetry, _fail, waits, memory) => {
+    boundHeapGrowth(settings.memoryMb)
     bindOutgoingConnections(settings.host, !settings.alone)
     if (settings.frail) refuseCrowds()
     if (settings.credulous) believeStatements()
@@ -38,9 +39,8 @@
       codec: new SoakCodec(settings.deaf),
       // The admin port serves readiness, so no further servers are needed.
       openPlatformServers: async () => ({ close: async () => {} })
-    })
+    }, memory)
   }
 }
 
-boundHeapGrowth()
 await runDaemon(program, process.argv.slice(2))
--- a/apps/soak/src/lib/SoakCluster.ts
+++ b/apps/soak/src/lib/SoakCluster.ts
@@ -217,7 +217,7 @@
       args: label => [
         '--data-centre', dataCentreOf(index), '--data-folder', this.#dataFolder(index), '--advertise', address, '--list', listAddress,
         // A host that has lost its disk must not found a second group.
-        '--bootstrap', String(label.endsWith(FIRST_INCARNATION)), '--join', controlAddresses.join(','), '--minimum-voters', String(controlAddresses.length), '--forgetful', String(this.settings.isForgetful), ...this.#budgetArguments()
+        '--bootstrap', String(label.endsWith(FIRST_INCARNATION)), '--join', controlAddresses.join(','), '--minimum-voters', String(controlAddresses.length), '--forgetful', String(this.settings.isForgetful), '--memory-mb', String(MEMORY_MB.control), ...this.#budgetArguments()
       ],
       onStart: incarnation => { this.#attachProxy(this.proxy('control', index), incarnation, 'rpc') }
     })
