Request bodies: one that has room waits no longer than it may while others come before it

A small large body could wait for ever although it had room, because larger ones of a customer that held less came before it and had none: neither granted nor refused, so its caller had no answer by the route's time. Now it is granted at the end of its wait.

Evidence: requestBodyWaits.test.ts, on the code before, has no outcome for the body after its longest wait.

--- a/apps/entry/src/lib/routed/RequestBodies.ts
+++ b/apps/entry/src/lib/routed/RequestBodies.ts
@@ -210,14 +210,17 @@
     while (this.#waiting.size > 0) {
       const next = this.#next()
       if (next?.wait === undefined || !this.#hasRoom(next, next.wait.bytes)) return
-      const { bytes, grant } = next.wait
-      next.wait = undefined
-      this.#waiting.delete(next)
-      this.#reserve(next, bytes)
-      grant()
+      this.#grant(next, next.wait)
     }
   }
 
+  #grant (body: RequestBody, { bytes, grant }: RoomWait): void {
+    body.wait = undefined
+    this.#waiting.delete(body)
+    this.#reserve(body, bytes)
+    grant()
+  }
+
   #next (): RequestBody | undefined {
     let next: RequestBody | undefined
     for (const body of this.#waiting) if (next === undefined || this.#comesBefore(body, next)) next = body
@@ -235,7 +238,12 @@
   #check (now: number): void {
     for (const body of [...this.#waiting]) {
       const { wait } = body
-      if (wait === undefined || this.#hasRoom(body, wait.bytes)) continue
+      if (wait === undefined) continue
+      if (this.#hasRoom(body, wait.bytes)) {
+        // Others come before it, but it has waited as long as it may.
+        if (now >= wait.until) this.#grant(body, wait)
+        continue
+      }
       const giving = this.#bodyToRefuse(body, wait, now)
       if (giving !== undefined) this.#refuse(giving, now - (giving.awaitedSince ?? now) >= STALLED_AFTER_MS ? 'stalled' : 'share', now)
       else if (now >= wait.until) this.#refuse(body, 'full', now)
