--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -490,7 +490,8 @@
 
   #lagFields (): { viewsBehind?: number, viewBehindMs?: number, viewConfirmedMs?: number } {
     const lag = this.ports.viewLag?.()
-    return lag === undefined ? {} : { viewsBehind: lag.viewsBehind, viewBehindMs: Math.round(lag.behindMs), viewConfirmedMs: Math.round(lag.confirmedMs) }
+    if (lag === undefined) return {}
+    return { viewsBehind: lag.viewsBehind, viewBehindMs: Math.round(lag.behindMs), ...(Number.isFinite(lag.confirmedMs) ? { viewConfirmedMs: Math.round(lag.confirmedMs) } : {}) }
   }
 
   #refuseDraining (exchange: CallerExchange): void {
--- a/packages/telemetry/src/lib/events/siteChanges.ts
+++ b/packages/telemetry/src/lib/events/siteChanges.ts
@@ -15,7 +15,7 @@
   'view-in-force': z.strictObject({ view: z.number(), revision: z.number() }),
   /** A control host has stated a newer view that does not arrive. */
   'view-behind': z.strictObject({
-    view: z.number(), newestView: z.number(), behindMs: z.number(), statedBy: z.string(), watched: z.string(), watchMs: z.number(), confirmedMs: z.number()
+    view: z.number(), newestView: z.number(), behindMs: z.number(), statedBy: z.string(), watched: z.string(), watchMs: z.number(), confirmedMs: z.number().optional()
   }),
   'view-caught-up': z.strictObject({ view: z.number(), watched: z.string(), watchMs: z.number() })
 }
--- a/packages/view/src/lib/ControlLink.ts
+++ b/packages/view/src/lib/ControlLink.ts
@@ -318,7 +318,7 @@
     if (viewsBehind > 0 && behindMs >= LOGGED_LAG_MS && !this.#isLagLogged) {
       this.#isLagLogged = true
       this.settings.telemetry?.logStateChange('view-behind', {
-        view: this.viewRevision, newestView, behindMs: Math.round(behindMs), statedBy, watched: this.#watchedAddress, watchMs: Math.round(performance.now() - this.#watchStartedAt), confirmedMs: Math.round(confirmedMs)
+        view: this.viewRevision, newestView, behindMs: Math.round(behindMs), statedBy, watched: this.#watchedAddress, watchMs: Math.round(performance.now() - this.#watchStartedAt), ...(Number.isFinite(confirmedMs) ? { confirmedMs: Math.round(confirmedMs) } : {})
       })
     } else if (viewsBehind === 0 && this.#isLagLogged) {
       this.#isLagLogged = false
