Servers: an error while a connection is accepted no longer ends the process

Callers saw all their requests on a host end: ENOBUFS, ENOMEM or EMFILE on accept is an 'error' of the listening server. None of the callers', admin, readiness and operators' servers kept a listener for it, so that it was an uncaught exception, and the process ended with code 3.

surviveAcceptErrors keeps a listener from when a server listens; errors of listening itself still reject. It logs accept-failed at most every 10 s for a port, with the number of errors since the start. The early listener swallows them until the port is transferred.

The RPC server has the same fault still: its library removes its listener after it has bound the port.

--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -10,6 +10,7 @@
 import { ClientErrors, type ClientError } from '@eelgrassmux/daemon/ClientErrors'
 import type { EarlyListener } from '@eelgrassmux/daemon/EarlyListener'
 import type { MemoryLevel } from '@eelgrassmux/daemon/MemoryGuard'
+import { surviveAcceptErrors } from '@eelgrassmux/daemon/surviveAcceptErrors'
 import type { WorkGate } from '@eelgrassmux/daemon/WorkGate'
 import { isOverShare } from '@eelgrassmux/routing/admission/isOverShare'
 import type { RetryBudgetTerms } from '@eelgrassmux/routing/attempts/RetryAllowance'
@@ -165,6 +166,7 @@
     this.#relayed = telemetry.labelledCounter('relayed_requests_total', 'Requests that other hosts relayed to this one, by whether their ticket was valid', 'ticket')
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, keepAlive: true })
     this.#server.requestTimeout = 0
+    surviveAcceptErrors(this.#server, telemetry, 'callers')
     this.#closedUnread = telemetry.labelledCounter('connections_closed_unread_total', 'Connections of callers that this host closed unread')
     this.#server.on('connection', (socket: Socket) => {
       if (this.ports.connections?.add(socket) === false) return
--- a/packages/daemon/src/lib/AdminServer.test.ts
+++ b/packages/daemon/src/lib/AdminServer.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { createServer } from 'node:net'
+import { createServer, Server, type AddressInfo } from 'node:net'
 import { describe, expect, it } from 'vitest'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
@@ -30,4 +30,18 @@
     expect(await (await fetch(`http://${HOST}:${port}/readyz`)).text()).toBe('ready\n')
     await admin.close()
   })
+
+  // Guards against a process that ends because a connection of an operator's tool could not be accepted.
+  it('goes on after errors of accepting', async () => {
+    const telemetry = new Telemetry('test')
+    const faults: string[] = []
+    telemetry.logFault = (...[event]) => { faults.push(event) }
+    const admin = await startAdminServer(HOST, 0, telemetry, () => true)
+    const handles = (Reflect.get(process, '_getActiveHandles') as () => unknown[]).call(process)
+    const server = handles.find((handle): handle is Server => handle instanceof Server && (handle.address() as AddressInfo | null)?.port === admin.port)
+    server?.emit('error', new Error('accept'))
+    server?.emit('error', new Error('accept'))
+    expect(faults).toEqual(['accept-failed'])
+    await admin.close()
+  })
 })
--- a/packages/daemon/src/lib/AdminServer.ts
+++ b/packages/daemon/src/lib/AdminServer.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { handleClientErrors } from './ClientErrors.js'
 import { describeReason } from './StartWaits.js'
+import { surviveAcceptErrors } from './surviveAcceptErrors.js'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 
 /** Interval between attempts to open a port that is taken, in milliseconds. */
@@ -41,6 +42,7 @@
     })
   })
   handleClientErrors(server)
+  surviveAcceptErrors(server, telemetry, 'admin')
   let isClosed = false
   let retry: NodeJS.Timeout | undefined
   const startedAt = performance.now()
--- a/packages/daemon/src/lib/EarlyListener.ts
+++ b/packages/daemon/src/lib/EarlyListener.ts
@@ -14,6 +14,8 @@
   #isTransferred = false
 
   private constructor (readonly host: string, readonly port: number, private readonly server: Server, private readonly backlog: number) {
+    // Errors of accepting pass; the server that takes the port over logs them.
+    server.on('error', () => {})
     server.on('connection', socket => { this.#pendingSockets.push(socket) })
   }
 
--- a/packages/telemetry/src/lib/events/processFaults.ts
+++ b/packages/telemetry/src/lib/events/processFaults.ts
@@ -13,5 +13,7 @@
     requests: z.number().optional()
   }),
   /** The admin server could not answer an operator's tool. */
-  'admin-failed': z.strictObject({ path: z.string(), message: z.string() })
+  'admin-failed': z.strictObject({ path: z.string(), message: z.string() }),
+  /** A listening server could not accept a connection; it goes on. `errors` counts them since the start. */
+  'accept-failed': z.strictObject({ port: z.string(), code: z.string(), errors: z.number() })
 }
