--- a/packages/daemon/src/lib/AdminServer.test.ts
+++ b/packages/daemon/src/lib/AdminServer.test.ts
@@ -1,8 +1,9 @@
 import { once } from 'node:events'
-import { createServer, Server, type AddressInfo } from 'node:net'
+import { connect, createServer, Server, type AddressInfo } from 'node:net'
 import { describe, expect, it } from 'vitest'
 import { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
 import { startAdminServer } from './AdminServer.js'
+import { MAX_SIDE_CONNECTIONS } from './sideConnections.js'
 import { freePort } from './testing/freePort.js'
 
 const HOST = '127.0.0.1'
@@ -44,4 +45,14 @@
     expect(faults).toEqual(['accept-failed'])
     await admin.close()
   })
+
+  // Guards against tools that take the descriptors and the memory of callers' connections.
+  it('closes connections beyond its bound', async () => {
+    const admin = await startAdminServer(HOST, 0, new Telemetry('test'), () => true)
+    const sockets = Array.from({ length: MAX_SIDE_CONNECTIONS }, () => connect(admin.port, HOST).on('error', () => {}))
+    await Promise.all(sockets.map(async socket => { await once(socket, 'connect') }))
+    await expect(fetch(`http://${HOST}:${admin.port}/readyz`)).rejects.toThrow()
+    for (const socket of sockets) socket.destroy()
+    await admin.close()
+  })
 })
--- a/packages/daemon/src/lib/AdminServer.ts
+++ b/packages/daemon/src/lib/AdminServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { handleClientErrors } from './ClientErrors.js'
+import { MAX_SIDE_CONNECTIONS } from './sideConnections.js'
 import { describeReason } from './StartWaits.js'
 import { surviveAcceptErrors } from './surviveAcceptErrors.js'
 import type { Telemetry } from '@eelgrassmux/telemetry/Telemetry'
@@ -42,6 +43,7 @@
     })
   })
   handleClientErrors(server)
+  server.maxConnections = MAX_SIDE_CONNECTIONS
   surviveAcceptErrors(server, telemetry, 'admin')
   let isClosed = false
   let retry: NodeJS.Timeout | undefined
