--- a/packages/durable/src/lib/RaftStorage.test.ts
+++ b/packages/durable/src/lib/RaftStorage.test.ts
@@ -257,6 +257,65 @@
       expect((await openFaulty(folder)).persisted).toEqual({ term: 0, votedFor: undefined, snapshot, entries: [entry(2)] })
     })
 
+    // Guards against a vote that a process relied on although the sync of its predecessor had failed, and that a power loss removed.
+    it('lose nothing that the next process has read, even after a power loss', async () => {
+      const seen = new Map<string, Uint8Array>()
+      const kept = new Map<string, Uint8Array>()
+      const unsynced = new Set<string>()
+      let isRefusing = false
+      // After a failed sync the system counts the bytes as written: they can be read, and the next sync does nothing.
+      const sync = (name: string): void => {
+        const wasUnsynced = unsynced.delete(name)
+        if (isRefusing) throw Object.assign(new Error('EIO'), { code: 'EIO', syscall: 'fdatasync' })
+        if (wasUnsynced) kept.set(name, seen.get(name) ?? new Uint8Array())
+      }
+      const write = (name: string, bytes: Uint8Array): void => {
+        seen.set(name, bytes)
+        unsynced.add(name)
+      }
+      const replaced: string[] = []
+      const disk: DataFolder = {
+        list: async () => [...seen.keys()],
+        read: async name => seen.get(name),
+        replace: async (name, bytes) => {
+          if (isRefusing) throw Object.assign(new Error('EIO'), { code: 'EIO', syscall: 'fsync' })
+          replaced.push(name)
+          write(name, Uint8Array.from(bytes))
+          sync(name)
+        },
+        openAppend: async (name, length) => {
+          if (seen.get(name)?.length !== length) write(name, (seen.get(name) ?? new Uint8Array()).slice(0, length))
+          sync(name)
+          return {
+            append: async bytes => { write(name, Buffer.concat([seen.get(name) ?? new Uint8Array(), bytes])) },
+            sync: async () => { sync(name) },
+            truncate: async size => { write(name, (seen.get(name) ?? new Uint8Array()).slice(0, size)) },
+            close: async () => {}
+          }
+        },
+        remove: async () => {}
+      }
+      const openDisk = async (): Promise<OpenedStorage> => {
+        const opened = await RaftStorage.open(disk)
+        if (!opened.ok) throw new Error(JSON.stringify(opened.error))
+        return opened.value
+      }
+      const first = await openDisk()
+      await first.storage.persist([{ kind: 'append', entry: entry(1) }])
+      await first.storage.persist([{ kind: 'snapshot', snapshot: { index: 1, term: 1, membership, state: new Uint8Array([9]) } }])
+      isRefusing = true
+      first.storage.stopWaiting()
+      await expect(first.storage.persist([{ kind: 'vote', term: 2, votedFor: 'b' }, { kind: 'append', entry: entry(2, 2) }])).rejects.toThrow('EIO')
+      isRefusing = false
+      replaced.length = 0
+      const second = await openDisk()
+      seen.clear()
+      for (const [name, bytes] of kept) seen.set(name, bytes)
+      const afterPowerLoss = await openDisk()
+      expect(afterPowerLoss.persisted).toEqual(second.persisted)
+      expect(replaced.slice(0, 2)).toEqual(['snapshot', 'log'])
+    })
+
     it('end when the storage closes, without the batch', async () => {
       const folder = new FaultyFolder('append')
       const { storage } = await openFaulty(folder)
--- a/packages/durable/src/lib/RaftStorage.ts
+++ b/packages/durable/src/lib/RaftStorage.ts
@@ -54,23 +54,23 @@
   get isDiskRefusing (): boolean { return this.#isDiskFull || this.#isRefused }
 
   /**
-   * Reads the state of a replica; creates an identity if the folder is empty.
+   * Reads the state of a replica; creates an identity if the folder is empty. What was read is written to new files before
+   * it is relied on: if a sync of an earlier process failed, the bytes may be readable but not on the disk, and another sync
+   * of the same file proves nothing.
    *
    * @param folder - data folder of the replica
-   * @param isRepeated - whether an earlier attempt was refused. The log is then written anew, since after a failed sync
-   *   another sync of the same file proves nothing.
    * @returns the storage and its state, or an error if the state is damaged
    */
-  static async open (folder: DataFolder, isRepeated = false): Promise<Result<OpenedStorage, StorageError>> {
+  static async open (folder: DataFolder): Promise<Result<OpenedStorage, StorageError>> {
     try {
-      return await RaftStorage.#read(folder, isRepeated)
+      return await RaftStorage.#read(folder)
     } catch (error) {
       if (!isFolder(error)) throw error
       return fail({ kind: 'foreign-folder', message: error.message })
     }
   }
 
-  static async #read (folder: DataFolder, isRepeated: boolean): Promise<Result<OpenedStorage, StorageError>> {
+  static async #read (folder: DataFolder): Promise<Result<OpenedStorage, StorageError>> {
     const storage = new RaftStorage(folder)
     const replicaId = await readIdentity(folder)
     const snapshotBytes = await folder.read(SNAPSHOT_FILE)
@@ -84,10 +84,8 @@
     const persisted = storage.#image.state()
     const gap = findGap(persisted)
     if (gap !== undefined) return fail(gap)
-    if (isRepeated) {
-      if (snapshotBytes !== undefined) await folder.replace(SNAPSHOT_FILE, snapshotBytes)
-      await folder.replace(LOG_FILE, logBytes.subarray(0, scan.validLength))
-    }
+    if (snapshotBytes !== undefined) await folder.replace(SNAPSHOT_FILE, snapshotBytes)
+    if (logBytes.length > 0) await folder.replace(LOG_FILE, logBytes.subarray(0, scan.validLength))
     storage.#file = await folder.openAppend(LOG_FILE, scan.validLength)
     storage.#length = scan.validLength
     return succeed({ storage, replicaId, persisted })
--- a/packages/durable/src/lib/StorageOpening.ts
+++ b/packages/durable/src/lib/StorageOpening.ts
@@ -22,7 +22,6 @@
  */
 export class StorageOpening {
   #setAside: OpenedOrSetAside['setAside']
-  #isRepeated = false
 
   /** @param path - path of the data folder */
   constructor (private readonly path: string) {}
@@ -34,11 +33,9 @@
    * @throws Error if the disk refuses an operation, or if the empty folder can't be used either
    */
   async attempt (): Promise<OpenedOrSetAside> {
-    const isRepeated = this.#isRepeated
-    this.#isRepeated = true
     const folder = await NodeDataFolder.open(this.path)
-    if (isRepeated) await syncParentFolder(this.path)
-    const opened = await RaftStorage.open(folder, isRepeated)
+    await syncParentFolder(this.path)
+    const opened = await RaftStorage.open(folder)
     if (opened.ok) return { opened: opened.value, setAside: this.#setAside, foreignEntries: folder.foreignEntries }
     const keptPath = this.path + SET_ASIDE_SUFFIX
     await rm(keptPath, { recursive: true, force: true })
