Control: a host that a group has told a term or entries founds none

Whether a host may found was decided before the wait for contacts, and by its log alone, while Raft already ran. A message with a term then broke the invariant bootstrap-empty: code 3, again at each start, since the term was kept. Both are now tested in the step of the replica that founds; otherwise the host joins. The test starts a host whose disk has a term and no log; before, it broke the invariant. A message during the wait itself has no test of its own.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
 import { EngineClient } from '@eelgrassmux/backends/EngineClient'
+import { emptyEffects } from '@eelgrassmux/consensus/emptyEffects'
 import { RaftCore } from '@eelgrassmux/consensus/RaftCore'
 import { DEFAULT_RAFT_SETTINGS, type RaftSettings } from '@eelgrassmux/consensus/RaftSettings'
 import type { Replica } from '@eelgrassmux/consensus/messages/raftMessages'
@@ -17,6 +18,7 @@
 import { listenOnSamePort } from '@eelgrassmux/rpc/listenOnSamePort'
 import { RpcClient } from '@eelgrassmux/rpc/RpcClient'
 import { RpcServer } from '@eelgrassmux/rpc/RpcServer'
+import { succeed } from '@eelgrassmux/schema/Result'
 import type { ReplicatedService } from '@eelgrassmux/schema/site/siteSchema'
 import { DEFAULT_STATE_SETTINGS, StateMachine } from '@eelgrassmux/state/StateMachine'
 import { RejectedEntries } from '@eelgrassmux/telemetry/RejectedEntries'
@@ -230,10 +232,15 @@
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
-  const mayFound = setAside === undefined && settings.bootstrap && core.lastIndex === 0
+  const mayFound = setAside === undefined && settings.bootstrap && isEmpty(core)
   if (mayFound && isFounder(self.address, platform === undefined ? settings.join : await waitForContacts(waits, platform))) {
-    await raft.change((group, now) => ({ ok: true, value: group.bootstrap(now) }))
-    telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
+    let isFounded = false
+    await raft.change((group, now) => {
+      // A group may have sent a term or entries during the wait.
+      isFounded = isEmpty(group)
+      return succeed(isFounded ? group.bootstrap(now) : emptyEffects())
+    })
+    if (isFounded) telemetry.logStateChange('group-founded', { replica: replicaId, address: self.address })
   }
   const contacts = (): readonly string[] => platform?.contacts() ?? settings.join
   const membershipTask = new MembershipTask(raft, rpc, contacts, settings.minimumVoters, telemetry)
@@ -282,6 +289,11 @@
   return advertise ?? `${host}:${port}`
 }
 
+/** Only a replica that no group has given a term or entries may found one. */
+function isEmpty (core: RaftCore): boolean {
+  return core.lastIndex === 0 && core.term === 0
+}
+
 /** The host with the first address in sort order founds the group, so that all hosts choose the same one; a host that is given none founds its own. */
 function isFounder (address: string, contacts: readonly string[]): boolean {
   return contacts.length === 0 || [...contacts].sort()[0] === address
--- a/apps/control/src/lib/formation.test.ts
+++ b/apps/control/src/lib/formation.test.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { StorageOpening } from '@eelgrassmux/durable/StorageOpening'
 import { freePort } from '@eelgrassmux/daemon/testing/freePort'
 import type { RunningDaemon } from '@eelgrassmux/daemon/runDaemon'
 import { StartWaits } from '@eelgrassmux/daemon/StartWaits'
@@ -118,6 +119,16 @@
     expect(await read()).toBe('source')
   })
 
+  // Guards against a host that ended with code 3 at each start because a group had told it a term before it could found one.
+  it('is not founded by a host that already has a term', async () => {
+    makeFounder(0)
+    const { opened } = await new StorageOpening(join(folder, 'disk-0', 'control')).attempt()
+    await opened.storage.persist([{ kind: 'vote', term: 3, votedFor: undefined }])
+    await opened.storage.close()
+    await start(0, 'disk-0', true)
+    expect((await views()).map(view => view.voters)).toEqual([[]])
+  })
+
   it('accepts two hosts with lost disks under new ids and loses no data', async () => {
     for (let host = 0; host < VOTERS; host += 1) await start(host, `disk-${host}`, true)
     const before = await waitUntilComplete()
