Control: no founding while a folder that was set aside exists

The start after the one that set a damaged state aside saw an empty folder and could found a second group if Bootstrap was true. The opening now says whether the folder that was set aside exists, at each start. The test's third start failed before, when the opening did not say so.

--- a/apps/control/src/lib/ControlDaemon.ts
+++ b/apps/control/src/lib/ControlDaemon.ts
@@ -130,7 +130,7 @@
   settings: ControlSettings, telemetry: Telemetry, fail: (error: unknown) => void, waits: StartWaits, platform?: ControlPlatform
 ): Promise<RunningDaemon> {
   const opening = new StorageOpening(join(settings.dataFolder, 'control'))
-  const { opened: { storage, replicaId, persisted }, setAside, foreignEntries } = await waits.until(`data folder ${settings.dataFolder}`, async () => await opening.attempt(), isRefusedBySystem)
+  const { opened: { storage, replicaId, persisted }, setAside, isDamagedKept, foreignEntries } = await waits.until(`data folder ${settings.dataFolder}`, async () => await opening.attempt(), isRefusedBySystem)
   if (foreignEntries.length > 0) telemetry.logFault('storage-foreign-entries', { names: foreignEntries.join(' ') })
   if (setAside !== undefined) telemetry.logFault('storage-set-aside', { error: JSON.stringify(setAside.error), path: setAside.path, replica: replicaId })
   storage.onRefusedWrite = error => { telemetry.logFault('disk-refuses-writes', { isRefused: error !== undefined, reason: error === undefined ? '' : describeReason(error) }) }
@@ -232,7 +232,7 @@
   registerGauges(telemetry, raft, hosts, groupMonitor)
   orders.start()
   rollout?.start()
-  const mayFound = setAside === undefined && settings.bootstrap && isEmpty(core)
+  const mayFound = !isDamagedKept && settings.bootstrap && isEmpty(core)
   if (mayFound && isFounder(self.address, platform === undefined ? settings.join : await waitForContacts(waits, platform))) {
     let isFounded = false
     await raft.change((group, now) => {
--- a/packages/durable/src/lib/StorageOpening.test.ts
+++ b/packages/durable/src/lib/StorageOpening.test.ts
@@ -30,6 +30,10 @@
     expect(second.opened.replicaId).not.toBe(first.opened.replicaId)
     expect(second.opened.persisted).toEqual({ term: 0, votedFor: undefined, snapshot: undefined, entries: [] })
     expect(await readFile(join(`${path}.damaged`, 'log'))).toEqual(log)
+    // Guards against a second group, founded at the start after the one that set the state aside.
+    const third = await openOrSetAside(path)
+    await third.opened.storage.close()
+    expect([first, second, third].map(({ isDamagedKept }) => isDamagedKept)).toEqual([false, true, true])
   })
 
   // Guards against a control host that never started again because a folder among its files had the name of a temporary file.
--- a/packages/durable/src/lib/StorageOpening.ts
+++ b/packages/durable/src/lib/StorageOpening.ts
@@ -1,5 +1,6 @@
 /** Opens the durable state of a replica; a folder that can't be trusted is kept for the operator, and the replica starts with an empty one. */
-import { rename, rm } from 'node:fs/promises'
+import { readdir, rename, rm } from 'node:fs/promises'
+import { basename, dirname } from 'node:path'
 import { NodeDataFolder, syncParentFolder } from './DataFolder.js'
 import { RaftStorage, type OpenedStorage, type StorageError } from './RaftStorage.js'
 
@@ -11,6 +12,8 @@
   readonly opened: OpenedStorage
   /** Present if the folder held damaged state. The replica then has a new identity, as if its disk had been lost. */
   readonly setAside: { readonly error: StorageError, readonly path: string } | undefined
+  /** Whether a folder that was set aside now or by an earlier process still exists: the replica may have belonged to a group. */
+  readonly isDamagedKept: boolean
   /** Names of folders among the files, which are left as they are. */
   readonly foreignEntries: readonly string[]
 }
@@ -35,9 +38,10 @@
   async attempt (): Promise<OpenedOrSetAside> {
     const folder = await NodeDataFolder.open(this.path)
     await syncParentFolder(this.path)
-    const opened = await RaftStorage.open(folder)
-    if (opened.ok) return { opened: opened.value, setAside: this.#setAside, foreignEntries: folder.foreignEntries }
     const keptPath = this.path + SET_ASIDE_SUFFIX
+    const isDamagedKept = (await readdir(dirname(this.path))).includes(basename(keptPath))
+    const opened = await RaftStorage.open(folder)
+    if (opened.ok) return { opened: opened.value, setAside: this.#setAside, isDamagedKept, foreignEntries: folder.foreignEntries }
     await rm(keptPath, { recursive: true, force: true })
     await rename(this.path, keptPath)
     this.#setAside = { error: opened.error, path: keptPath }
@@ -45,6 +49,6 @@
     const emptyFolder = await NodeDataFolder.open(this.path)
     const empty = await RaftStorage.open(emptyFolder)
     if (!empty.ok) throw new Error(`new data folder can't be read: ${JSON.stringify(empty.error)}`)
-    return { opened: empty.value, setAside: this.#setAside, foreignEntries: [] }
+    return { opened: empty.value, setAside: this.#setAside, isDamagedKept: true, foreignEntries: [] }
   }
 }
