Entry host: up to 128 connections are accepted before requests begin

Callers saw: on a busy machine an entry host with 1,000 callers left some without any answer 6 s after their request, at a deadline of 5 s. Most of their connections were still in the listen queue, which held up to 863 and shrank by some 50 to 100 a second; the others had been accepted after more than 4 s, and their callers left while the requests waited or ran.

Cause: at most 32 turns in a row accepted a connection before a turn began requests. Accepting turns mostly take less than 5 ms. Those in which requests begin, or in which the responses to them arrive, took up to a second, a few longer, as the reading of responses is not divided. A queue of 1,000 needed 31 of the long turns.

Why it works: the same queue needs 7 long turns. Requests still begin at the latest after 128 short turns, and for as long as was spent on connections, up to 20 ms.

--- a/apps/entry/src/lib/routed/RequestTurns.test.ts
+++ b/apps/entry/src/lib/routed/RequestTurns.test.ts
@@ -116,6 +116,15 @@
     expect(loop.acceptedAllAfter).toBeLessThan(10)
   })
 
+  // Guards against callers who get no answer in time because their connections wait for long turns, which bursts of responses also make.
+  it('accepts a thousand connections within half of a deadline of 5 s although turns that begin requests take 250 ms', () => {
+    const loop = new TestLoop(5000, 250)
+    loop.backlog = 1000
+    while (loop.backlog > 0 && loop.turns < 2000) loop.runTurn()
+    expect(loop.backlog).toBe(0)
+    expect(loop.acceptedAllAfter * 250).toBeLessThanOrEqual(2500)
+  })
+
   // Guards against a flood of connections that keeps requests from beginning.
   it('begins requests although connections never stop coming', () => {
     const loop = new TestLoop()
--- a/apps/entry/src/lib/routed/RequestTurns.ts
+++ b/apps/entry/src/lib/routed/RequestTurns.ts
@@ -21,8 +21,8 @@
 /** The same after turns that accepted connections, which get no more time than requests, in milliseconds. */
 const MAX_SLICE_MS = 20
 
-/** Most turns in a row that accept connections and begin nothing. Without requests that begin, such turns are short. */
-const MAX_ACCEPTING_TURNS = 32
+/** Most turns in a row that accept connections and begin nothing. They are short; those in which requests begin or responses arrive may last far longer. */
+const MAX_ACCEPTING_TURNS = 128
 
 /** Most requests that wait, which bounds the memory that they hold. */
 const MAX_WAITING = 1000
