Memory guard: collects garbage again while it sheds, even if memory has not grown

Shedding ends below 86 % of the memory, and a collection ran only after growth by 5 %: a host whose memory stayed between the two refused all but a few requests for good.

--- a/packages/daemon/src/lib/MemoryGuard.test.ts
+++ b/packages/daemon/src/lib/MemoryGuard.test.ts
@@ -77,4 +77,15 @@
     })
     expect(shedding).toEqual([false, true, true, false])
   })
+
+  // Guards against a host that refuses for good, because its memory stays just above the mark and no growth calls for a collection.
+  it('collects again while it sheds, even if memory has not grown', () => {
+    checkAt(185, 85)
+    now += 29_000
+    checkAt(185, 40)
+    expect([collections, guard.isShedding]).toEqual([1, true])
+    now += 1000
+    checkAt(185, 40)
+    expect([collections, guard.isShedding]).toEqual([2, false])
+  })
 })
--- a/packages/daemon/src/lib/MemoryGuard.ts
+++ b/packages/daemon/src/lib/MemoryGuard.ts
@@ -15,6 +15,9 @@
 /** Least time between two collections, in milliseconds: each stops the process for tens of milliseconds. */
 const COLLECT_INTERVAL_MS = 3000
 
+/** Time after which garbage is collected again while the process sheds, in milliseconds, so that shedding ends once there is little left. */
+const SHEDDING_COLLECT_INTERVAL_MS = 30_000
+
 /** Growth of the heap and of what it owns outside since the last collection from which another is worth it, as a share of the limit. */
 const WORTHWHILE_SHARE = 0.05
 
@@ -68,7 +71,7 @@
 
   get isShedding (): boolean { return this.#isShedding }
 
-  /** Begins to watch. */
+  /** Starts watching. */
   start (): void {
     if (this.limitBytes === 0) return
     this.#timer = setTimeout(() => {
@@ -77,7 +80,7 @@
     }, this.#marks.isAboveAny ? NEAR_INTERVAL_MS : CALM_INTERVAL_MS).unref()
   }
 
-  /** Ends to watch. */
+  /** Stops watching. */
   stop (): void {
     clearTimeout(this.#timer)
   }
@@ -101,8 +104,10 @@
 
   /** @returns whether garbage was collected */
   #collectIfWorthwhile (): boolean {
-    if (this.guarded.now() - this.#collectedAt < COLLECT_INTERVAL_MS) return false
-    if (ownedBytes(this.guarded.breakdown()) - this.#leftBytes < this.limitBytes * WORTHWHILE_SHARE) return false
+    const sinceMs = this.guarded.now() - this.#collectedAt
+    if (sinceMs < COLLECT_INTERVAL_MS) return false
+    const isDue = this.#isShedding && sinceMs >= SHEDDING_COLLECT_INTERVAL_MS
+    if (!isDue && ownedBytes(this.guarded.breakdown()) - this.#leftBytes < this.limitBytes * WORTHWHILE_SHARE) return false
     this.guarded.collect()
     this.#collections += 1
     this.#collectedAt = this.guarded.now()
