--- a/apps/entry/src/lib/routed/RequestTurns.ts
+++ b/apps/entry/src/lib/routed/RequestTurns.ts
@@ -24,7 +24,7 @@
 /** Most turns in a row that accept connections and begin nothing. They are short; those in which requests begin or responses arrive may last far longer. */
 const MAX_ACCEPTING_TURNS = 128
 
-/** Most requests that wait, which bounds the memory that they hold. */
+/** Most requests that wait; their headers are in memory, their bodies are not read yet. */
 const MAX_WAITING = 1000
 
 /** Weight of the newest slice in the smoothed time and number of requests of a slice. */
--- a/apps/entry/src/lib/routed/RoutedServer.ts
+++ b/apps/entry/src/lib/routed/RoutedServer.ts
@@ -122,7 +122,7 @@
 /** Time that {@link RoutedServer.close} gives to responses still being written, in milliseconds. These are late refusals, which no other step of the shutdown waits for. */
 const CLOSE_TIMEOUT_MS = 100
 
-/** Requests under way up to which a host that is short of memory goes on: so few hold little, and what it holds then is not theirs. */
+/** Requests under way below which a host that is short of memory still accepts more; so few hold little of it. */
 const REQUESTS_WHILE_SHORT = 32
 
 /** Retry-After of refusals after which the caller should try another host, in seconds. */
--- a/packages/daemon/src/lib/GarbageCollection.ts
+++ b/packages/daemon/src/lib/GarbageCollection.ts
@@ -4,7 +4,7 @@
 
 let collect: (() => void) | undefined
 
-/** Collects the whole heap and returns free memory to the system. This stops the process for some 50 ms with a heap of 40 MB. */
+/** Collects the whole heap and returns free memory to the system. The process does nothing else meanwhile. */
 export function collectGarbage (): void {
   collect ??= exposeCollection()
   collect()
--- a/packages/daemon/src/lib/boundHeapGrowth.ts
+++ b/packages/daemon/src/lib/boundHeapGrowth.ts
@@ -11,8 +11,7 @@
 /**
  * Bounds the garbage that the heap holds, which the engine otherwise sizes by the machine's memory. The limits on the sizes of the
  * heap have no effect after the start, and as flags of the command line they would have the engine reject cached code.
- * The young generation keeps the size that it has when this is called, so call it as soon as the program is loaded;
- * hosts with room for it at full size let it grow.
+ * On small hosts the young generation keeps the size that it has when this is called, so call it as soon as the program is loaded.
  *
  * @param memoryMb - memory of the host in megabytes; 0 or not a number if it is not known
  */
