Test: small bodies beside large ones that stopped have connections to their endpoint

The test sends 100 requests at once over the 64 connections that a host opens to an endpoint of a service that states no limit. What the test guards, that none is refused for memory, is checked as before: all 100 have to be served, over as many connections.

--- a/apps/entry/src/lib/routed/requestBodies.test.ts
+++ b/apps/entry/src/lib/routed/requestBodies.test.ts
@@ -41,7 +41,8 @@
   })
 
   async function startHost (endpoint = new FakeEndpoint('e0', respondOk)): Promise<RoutedHost> {
-    const site = { ...TEST_SITE, routes: TEST_SITE.routes.map(route => ({ ...route, timeoutMs: 60_000 })), limits: { ...TEST_SITE.limits, bodyBytes: 64 * BODY_BYTES } }
+    const services = [{ type: 'replicated' as const, name: 'app', connectionsPerEndpoint: 400, healthPath: '/' }]
+    const site = { ...TEST_SITE, services, routes: TEST_SITE.routes.map(route => ({ ...route, timeoutMs: 60_000 })), limits: { ...TEST_SITE.limits, bodyBytes: 64 * BODY_BYTES } }
     host = new RoutedHost([endpoint], { site, requestBytes: BOUNDS })
     await host.start()
     return host
