Test: requests of a round overlap, so that both endpoints are used

The tests of endpointStatements.test.ts need an endpoint that has stated something, and sent their first round at once so that both were used. Checks unchanged.

--- a/apps/entry/src/lib/routed/endpointStatements.test.ts
+++ b/apps/entry/src/lib/routed/endpointStatements.test.ts
@@ -7,6 +7,9 @@
 
 const REQUESTS = 8
 
+/** Time that the other endpoint takes for an answer in the first round, in milliseconds, so that the requests of a round overlap and both are used. */
+const FIRST_ANSWER_MS = 100
+
 describe('limits that endpoints state in their responses', () => {
   let host: RoutedHost | undefined
   afterEach(async () => { await host?.close() })
@@ -23,7 +26,10 @@
     host = started
     await started.start()
     const sendRound = async (): Promise<CallerOutcome[]> => await Promise.all(Array.from({ length: REQUESTS }, async () => await started.sendRequest('/safe/a')))
+    const { behaviour } = other
+    other.behaviour = (request, response, body) => { setTimeout(() => { behaviour(request, response, body) }, FIRST_ANSWER_MS) }
     const first = await sendRound()
+    other.behaviour = behaviour
     const received = stating.receivedRequests.length
     expect(received).toBeGreaterThan(0)
     return { first, second: await sendRound(), sentAfterwards: stating.receivedRequests.length - received }
