--- a/review/harness-2/Deployment.mjs
+++ b/review/harness-2/Deployment.mjs
@@ -260,9 +260,9 @@
   }
 
   /** Sends an order of the operator to control machines in turn until it is acknowledged. */
-  async order (path, body, timeoutMs = 10_000) {
+  async order (path, body, first = 0, timeoutMs = 10_000) {
     const deadline = now() + timeoutMs
-    for (let at = 0; now() < deadline; at += 1) {
+    for (let at = first; now() < deadline; at += 1) {
       const machine = this.controls[at % this.controls.length]
       try {
         const answer = await call(machine.address, 'POST', path, JSON.stringify(body))
